--- /dev/null
+++ b/crates/kumquatdrum/src/main.rs
@@ -0,0 +1,3 @@
+//! The kumquatdrum command.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquatdrum_caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers: HTTP in, streams, deadlines and errors.
--- /dev/null
+++ b/crates/kumquatdrum_consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Core: elections, replicated log, snapshots and replica changes.
--- /dev/null
+++ b/crates/kumquatdrum_disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: log, vote and snapshot of a control replica.
--- /dev/null
+++ b/crates/kumquatdrum_engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model engines: streams, resume, cancel, load and cache events.
--- /dev/null
+++ b/crates/kumquatdrum_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Core: hosts and endpoints, liveness and leaving.
--- /dev/null
+++ b/crates/kumquatdrum_operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators: apply, read back, audit and status.
--- /dev/null
+++ b/crates/kumquatdrum_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Other daemons: tonic messages, gossip and consensus transport.
--- /dev/null
+++ b/crates/kumquatdrum_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform: health, signals, metrics and draining.
--- /dev/null
+++ b/crates/kumquatdrum_replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Recorded traces: generation, replay against a running system, judgement and report.
--- /dev/null
+++ b/crates/kumquatdrum_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Core: admission, limits, queueing, placement and retries.
--- /dev/null
+++ b/crates/kumquatdrum_service/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plain services: calls passed on over HTTP.
--- /dev/null
+++ b/crates/kumquatdrum_types/src/lib.rs
@@ -0,0 +1,19 @@
+//! Identifiers, time and messages that every package shares.
+
+pub mod digest;
+pub mod endpoint;
+pub mod finding;
+pub mod id;
+pub mod load;
+pub mod outcome;
+pub mod time;
+
+pub use endpoint::Announcement;
+pub use finding::Finding;
+pub use id::{
+    AttemptId, BootId, DataCentre, EndpointId, HostId, IdempotencyKey, ModelName, RequestId,
+    ServiceName, Version, WorkspaceName,
+};
+pub use load::Load;
+pub use outcome::{Class, Refusal};
+pub use time::Moment;
--- /dev/null
+++ b/crates/kumquatdrum_types/src/time.rs
@@ -0,0 +1,76 @@
+//! Time as the cores see it: a count since the daemon's start, handed in from outside.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on one daemon's monotonic clock, in microseconds since the clock's own zero.
+///
+/// Moments of different daemons can't be compared; durations travel between daemons instead.
+///
+/// ```
+/// use kumquatdrum_types::Moment;
+/// use std::time::Duration;
+///
+/// let start = Moment::ZERO;
+/// let later = start + Duration::from_millis(3);
+/// assert_eq!(later - start, Duration::from_millis(3));
+/// assert_eq!(start - later, Duration::ZERO);
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Moment {
+    /// Microseconds since the clock's zero.
+    pub micros: u64,
+}
+
+impl Moment {
+    /// The zero of the clock.
+    pub const ZERO: Self = Self { micros: 0 };
+    /// A moment that never comes.
+    pub const NEVER: Self = Self { micros: u64::MAX };
+
+    /// The moment `millis` milliseconds after the clock's zero.
+    ///
+    /// ```
+    /// assert_eq!(kumquatdrum_types::Moment::from_millis(2).micros, 2_000);
+    /// ```
+    pub const fn from_millis(millis: u64) -> Self {
+        Self {
+            micros: millis.saturating_mul(1_000),
+        }
+    }
+
+    /// Time since the clock's zero.
+    ///
+    /// ```
+    /// use kumquatdrum_types::Moment;
+    /// use std::time::Duration;
+    /// assert_eq!(Moment::from_millis(2).elapsed_from_zero(), Duration::from_millis(2));
+    /// ```
+    pub const fn elapsed_from_zero(self) -> Duration {
+        Duration::from_micros(self.micros)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            micros: self.micros.saturating_add(micros),
+        }
+    }
+}
+
+/// The time from the right to the left moment, zero where the left one is earlier.
+impl Sub for Moment {
+    type Output = Duration;
+
+    fn sub(self, rhs: Self) -> Duration {
+        Duration::from_micros(self.micros.saturating_sub(rhs.micros))
+    }
+}
