Add the life of one request and the adapters for engines, plain services, callers and the platform

A request that may not be repeated goes elsewhere only after the engine's confirmation that the attempt never started; a cancel leaves a bar for a copy that is still on its way.

--- /dev/null
+++ b/crates/kumquatdrum_caller/src/routes.rs
@@ -0,0 +1,377 @@
+//! The callers' routes.
+//!
+//! A streamed answer's head is sent at the first token, or after [`EARLY`] without one: from then
+//! on comments keep the connection alive, and a caller that left is noticed at the next of them.
+//! rocket itself would let the engine work on for a caller that is gone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::{self, Stream, StreamExt};
+use rocket::data::Data;
+use rocket::http::Method;
+use rocket::request::Request;
+use rocket::response::Responder;
+use rocket::route::{Handler, Outcome, Route};
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::answer::{Streamed, Whole};
+use crate::assembly::Assembly;
+use crate::body;
+use crate::gate::{Ask, Gate, Pass, Passage, Problem, Reply};
+use crate::wire;
+use kumquatdrum_types::Refusal;
+
+/// How long a streamed answer's head waits for the first token.
+pub const EARLY: Duration = Duration::from_millis(250);
+/// A silent stream carries a comment this often.
+pub const KEEP_ALIVE: Duration = Duration::from_millis(500);
+
+const COMMENT: &[u8] = b": waiting\n\n";
+const END: &[u8] = b"data: [DONE]\n\n";
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Patch,
+    Method::Head,
+    Method::Options,
+];
+/// Headers of callers that are ours, or belong to one connection; they are not passed on.
+const KEPT: [&str; 14] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-deadline-ms",
+    "x-idempotent",
+    "x-priority",
+    "x-prompt-tokens",
+];
+/// Headers that only daemons may set towards endpoints.
+const RESERVED: [&str; 4] = ["x-attempt-id", "x-owner", "x-owner-attempt", "x-request-id"];
+
+/// All routes of the callers' listener.
+pub fn all(gate: Arc<dyn Gate>) -> Vec<Route> {
+    let mut routes = vec![
+        Route::new(Method::Post, "/v1/completions", Model(gate.clone())),
+        Route::new(Method::Post, "/v1/chat/completions", Model(gate.clone())),
+        Route::new(Method::Get, "/v1/keys/<key>", Keys(gate.clone())),
+    ];
+    for method in METHODS {
+        let plain = Plain(gate.clone());
+        routes.push(Route::new(method, "/services/<service>/<path..>", plain));
+    }
+    routes
+}
+
+#[derive(Clone)]
+struct Model(Arc<dyn Gate>);
+
+#[derive(Clone)]
+struct Plain(Arc<dyn Gate>);
+
+#[derive(Clone)]
+struct Keys(Arc<dyn Gate>);
+
+fn bearer<'r>(request: &'r Request<'_>) -> Option<&'r str> {
+    let value = request.headers().get_one("authorization")?;
+    value.strip_prefix("Bearer ").map(str::trim)
+}
+
+fn answered<'r, 'o: 'r>(request: &'r Request<'_>, answer: impl Responder<'r, 'o>) -> Outcome<'r> {
+    match answer.respond_to(request) {
+        Ok(response) => Outcome::Success(response),
+        Err(status) => Outcome::Error(status),
+    }
+}
+
+fn problem<'r>(request: &'r Request<'_>, problem: &Problem) -> Outcome<'r> {
+    answered(request, Whole::problem(problem))
+}
+
+fn bad(pass: &Pass, message: impl Into<String>) -> Problem {
+    Problem::refused(Refusal::BadRequest, None, Some(pass.request.clone())).with_message(message)
+}
+
+fn number(pass: &Pass, request: &Request<'_>, name: &str) -> Result<Option<u64>, Problem> {
+    let Some(text) = request.headers().get_one(name) else {
+        return Ok(None);
+    };
+    let read = text.trim().parse().map(Some);
+    read.map_err(|_| bad(pass, format!("header {name} must be a whole number")))
+}
+
+fn flag(pass: &Pass, request: &Request<'_>, name: &str) -> Result<Option<bool>, Problem> {
+    match request.headers().get_one(name).map(str::trim) {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => Err(bad(pass, format!("header {name} must be true or false"))),
+    }
+}
+
+fn key(pass: &Pass, request: &Request<'_>) -> Result<Option<String>, Problem> {
+    const LONGEST: usize = 256;
+    match request.headers().get_one("idempotency-key") {
+        Some("") => Err(bad(pass, "header idempotency-key must not be empty")),
+        Some(key) if key.len() > LONGEST => Err(bad(
+            pass,
+            format!("header idempotency-key must have at most {LONGEST} bytes"),
+        )),
+        key => Ok(key.map(str::to_owned)),
+    }
+}
+
+fn passed_on(request: &Request<'_>) -> Vec<(String, String)> {
+    request
+        .headers()
+        .iter()
+        .map(|header| {
+            let name = header.name().as_str().to_ascii_lowercase();
+            (name, header.value().to_owned())
+        })
+        .filter(|(name, _)| !KEPT.contains(&name.as_str()) && !RESERVED.contains(&name.as_str()))
+        .collect()
+}
+
+/// What the headers say; the rest is filled in by the route.
+fn headers(pass: &Pass, request: &Request<'_>) -> Result<Ask, Problem> {
+    Ok(Ask {
+        service: String::new(),
+        model: false,
+        method: request.method().as_str().to_owned(),
+        path: String::new(),
+        headers: passed_on(request),
+        body: Bytes::new(),
+        stream: false,
+        prompt: 0..0,
+        max_tokens: None,
+        prompt_tokens: number(pass, request, "x-prompt-tokens")?,
+        deadline: number(pass, request, "x-deadline-ms")?.map(Duration::from_millis),
+        priority: request.headers().get_one("x-priority").map(str::to_owned),
+        idempotent: flag(pass, request, "x-idempotent")?,
+        key: key(pass, request)?,
+    })
+}
+
+fn length(pass: &Pass, request: &Request<'_>) -> Result<Option<u64>, Problem> {
+    number(pass, request, "content-length")
+}
+
+#[rocket::async_trait]
+impl Handler for Model {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        match self.enter(request, data).await {
+            Ok((passage, service, true)) => streamed(request, passage, service).await,
+            Ok((passage, service, false)) => whole(request, passage, service).await,
+            Err(refused) => problem(request, &refused),
+        }
+    }
+}
+
+impl Model {
+    async fn enter<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+    ) -> Result<(Passage, String, bool), Problem> {
+        let mut pass = self.0.open(bearer(request))?;
+        let mut ask = headers(&pass, request)?;
+        let length = length(&pass, request)?;
+        ask.body = body::read(&mut pass, data, length).await?;
+        let model = wire::model(&ask.body).map_err(|error| bad(&pass, error.to_string()))?;
+        ask.model = true;
+        ask.path = request.uri().path().to_string();
+        ask.service.clone_from(&model.service);
+        ask.stream = model.stream;
+        ask.max_tokens = model.max_tokens;
+        ask.prompt = model.prompt;
+        let passage = self.0.enter(pass, ask)?;
+        Ok((passage, model.service, model.stream))
+    }
+}
+
+#[rocket::async_trait]
+impl Handler for Plain {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        match self.enter(request, data).await {
+            Ok(passage) => plain(request, passage).await,
+            Err(refused) => problem(request, &refused),
+        }
+    }
+}
+
+impl Plain {
+    async fn enter<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+    ) -> Result<Passage, Problem> {
+        let mut pass = self.0.open(bearer(request))?;
+        let mut ask = headers(&pass, request)?;
+        let length = length(&pass, request)?;
+        ask.service = request
+            .param::<String>(1)
+            .and_then(Result::ok)
+            .unwrap_or_default();
+        ask.path = path_within(request);
+        ask.body = body::read(&mut pass, data, length).await?;
+        self.0.enter(pass, ask)
+    }
+}
+
+/// The path after `/services/<service>`, with the query.
+fn path_within(request: &Request<'_>) -> String {
+    let uri = request.uri();
+    let path = uri.path().as_str();
+    let rest = path.splitn(4, '/').nth(3).unwrap_or_default();
+    match uri.query() {
+        Some(query) => format!("/{rest}?{query}"),
+        None => format!("/{rest}"),
+    }
+}
+
+#[rocket::async_trait]
+impl Handler for Keys {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
+        let key = request
+            .param::<&str>(2)
+            .and_then(Result::ok)
+            .unwrap_or_default();
+        match self.0.key_state(bearer(request), key).await {
+            Ok(state) => answered(request, Whole::json(200, None, &state)),
+            Err(refused) => problem(request, &refused),
+        }
+    }
+}
+
+async fn next(passage: &mut Passage) -> Reply {
+    match passage.replies.recv().await {
+        Some(reply) => reply,
+        None => Reply::Problem(lost(passage)),
+    }
+}
+
+/// The daemon ended without a last word, which no path should come to.
+fn lost(passage: &Passage) -> Problem {
+    let mut problem = Problem::refused(Refusal::Draining, None, Some(passage.request.clone()));
+    problem.class = kumquatdrum_types::Class::Unknown;
+    "internal".clone_into(&mut problem.code);
+    problem.status = 500;
+    problem.with_message("the daemon lost track of the request")
+}
+
+async fn streamed<'r>(request: &'r Request<'_>, mut passage: Passage, _: String) -> Outcome<'r> {
+    let first = timeout(EARLY, next(&mut passage)).await.ok();
+    if let Some(Reply::Problem(refused)) = &first {
+        return problem(request, refused);
+    }
+    let name = passage.request.to_string();
+    let begun = stream::iter(first.map(|reply| piece(&reply)));
+    let rest = stream::unfold(Some(passage), |passage| async move {
+        let mut passage = passage?;
+        match timeout(KEEP_ALIVE, next(&mut passage)).await {
+            Ok(reply) => {
+                let over = matches!(reply, Reply::Finished | Reply::Problem(_));
+                Some((piece(&reply), (!over).then_some(passage)))
+            }
+            Err(_) => Some((Bytes::from_static(COMMENT), Some(passage))),
+        }
+    });
+    let answer = Streamed {
+        status: 200,
+        content_type: Some("text/event-stream".to_owned()),
+        request: name,
+        pieces: begun.chain(rest),
+    };
+    answered(request, answer)
+}
+
+/// A reply as a server-sent event.
+fn piece(reply: &Reply) -> Bytes {
+    match reply {
+        Reply::Token(data) | Reply::Summary(data) => {
+            let mut event = Vec::with_capacity(data.len() + 8);
+            event.extend_from_slice(b"data: ");
+            event.extend_from_slice(data);
+            event.extend_from_slice(b"\n\n");
+            event.into()
+        }
+        Reply::Finished => Bytes::from_static(END),
+        Reply::Problem(problem) => {
+            let body = json!({ "error": problem });
+            format!("event: error\ndata: {body}\n\n").into()
+        }
+        Reply::Head(_) | Reply::Restart | Reply::Piece(_) => Bytes::new(),
+    }
+}
+
+async fn whole<'r>(request: &'r Request<'_>, mut passage: Passage, service: String) -> Outcome<'r> {
+    let mut assembly = Assembly::default();
+    loop {
+        match next(&mut passage).await {
+            Reply::Token(data) | Reply::Summary(data) => assembly.push(&data),
+            Reply::Restart => assembly = Assembly::default(),
+            Reply::Finished => {
+                let name = passage.request.to_string();
+                let answer = assembly.answer(&name, &service);
+                return answered(request, Whole::json(200, Some(name), &answer));
+            }
+            Reply::Problem(refused) => return problem(request, &refused),
+            Reply::Head(_) | Reply::Piece(_) => {}
+        }
+    }
+}
+
+/// Plain answers are collected, so that a broken one can still be told from a whole one, up to a
+/// bound; beyond it they are passed on as they come.
+async fn plain<'r>(request: &'r Request<'_>, mut passage: Passage) -> Outcome<'r> {
+    const COLLECTED: usize = 1024 * 1024;
+    let (mut status, mut content_type) = (200, None);
+    let mut collected = Vec::new();
+    while collected.len() < COLLECTED {
+        match next(&mut passage).await {
+            Reply::Head(head) => (status, content_type) = (head.status, head.content_type),
+            Reply::Piece(bytes) => collected.extend_from_slice(&bytes),
+            Reply::Restart => collected.clear(),
+            Reply::Finished => {
+                let answer = Whole {
+                    status,
+                    content_type,
+                    request: Some(passage.request.to_string()),
+                    retry_after_ms: None,
+                    body: collected.into(),
+                };
+                return answered(request, answer);
+            }
+            Reply::Problem(refused) => return problem(request, &refused),
+            Reply::Token(_) | Reply::Summary(_) => {}
+        }
+    }
+    let answer = Streamed {
+        status,
+        content_type,
+        request: passage.request.to_string(),
+        pieces: stream::iter([Bytes::from(collected)]).chain(pieces(passage)),
+    };
+    answered(request, answer)
+}
+
+fn pieces(passage: Passage) -> impl Stream<Item = Bytes> + Send {
+    stream::unfold(passage, |mut passage| async move {
+        match next(&mut passage).await {
+            Reply::Piece(bytes) => Some((bytes, passage)),
+            _ => None,
+        }
+    })
+}
--- /dev/null
+++ b/crates/kumquatdrum_daemon/src/body.rs
@@ -0,0 +1,107 @@
+//! Bounds on the bytes of request bodies that a daemon holds.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use indexmap::IndexMap;
+use kumquatdrum_types::WorkspaceName;
+use std::sync::Mutex;
+
+/// The bytes that bodies may take on this daemon, in all and by workspace.
+#[derive(Debug)]
+pub struct Budget {
+    limit: u64,
+    used: AtomicU64,
+    workspaces: Mutex<IndexMap<WorkspaceName, u64>>,
+}
+
+/// Bytes set aside for one body; they return when it is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    budget: Arc<Budget>,
+    workspace: WorkspaceName,
+    bytes: u64,
+}
+
+impl Budget {
+    /// A budget of `limit` bytes.
+    pub fn new(limit: u64) -> Arc<Self> {
+        Arc::new(Self {
+            limit,
+            used: AtomicU64::new(0),
+            workspaces: Mutex::new(IndexMap::new()),
+        })
+    }
+
+    /// Bytes in use.
+    pub fn used(&self) -> u64 {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    /// An empty hold for a body of a workspace; it grows as the body arrives.
+    ///
+    /// ```
+    /// use kumquatdrum_daemon::body::Budget;
+    /// use kumquatdrum_types::WorkspaceName;
+    ///
+    /// let budget = Budget::new(10);
+    /// let mut hold = budget.hold(&WorkspaceName::new("w"));
+    /// assert!(hold.grow(8, None));
+    /// assert!(!hold.grow(3, None), "beyond the budget");
+    /// drop(hold);
+    /// assert_eq!(budget.used(), 0);
+    /// ```
+    pub fn hold(self: &Arc<Self>, workspace: &WorkspaceName) -> Hold {
+        Hold {
+            budget: Arc::clone(self),
+            workspace: workspace.clone(),
+            bytes: 0,
+        }
+    }
+
+    fn take(&self, bytes: u64) -> bool {
+        self.used
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
+                used.checked_add(bytes).filter(|sum| *sum <= self.limit)
+            })
+            .is_ok()
+    }
+
+    fn give_back(&self, bytes: u64) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Hold {
+    /// Takes `bytes` more, within the daemon's budget and the workspace's `limit` where it has
+    /// one. `false` leaves the hold as it was.
+    pub fn grow(&mut self, bytes: u64, limit: Option<u64>) -> bool {
+        if !self.budget.take(bytes) {
+            return false;
+        }
+        let mut workspaces = self.budget.workspaces.lock().expect("no holder panics");
+        let used = workspaces.entry(self.workspace.clone()).or_default();
+        if limit.is_some_and(|limit| *used + bytes > limit) {
+            drop(workspaces);
+            self.budget.give_back(bytes);
+            return false;
+        }
+        *used += bytes;
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.budget.give_back(self.bytes);
+        let mut workspaces = self.budget.workspaces.lock().expect("no holder panics");
+        let left = workspaces.get_mut(&self.workspace).map(|used| {
+            *used -= self.bytes;
+            *used
+        });
+        if left == Some(0) {
+            workspaces.swap_remove(&self.workspace);
+        }
+    }
+}
--- a/crates/kumquatdrum_daemon/src/lib.rs
+++ b/crates/kumquatdrum_daemon/src/lib.rs
@@ -1,1 +1,6 @@
 //! Core: the life of one request and the composition of one daemon.
+
+pub mod admission;
+pub mod body;
+pub mod flight;
+pub mod held;
--- /dev/null
+++ b/crates/kumquatdrum_engine/src/engine.rs
@@ -0,0 +1,53 @@
+//! What a daemon needs of a model engine, whatever the engine speaks.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use futures::Stream;
+use kumquatdrum_types::exchange::{Call, Event, Standing, Target};
+use kumquatdrum_types::{AttemptId, HostId};
+use serde::{Deserialize, Serialize};
+
+/// A boxed future, so that the trait can stand behind a pointer.
+pub type Answer<T> = Pin<Box<dyn Future<Output = Result<T, Unreachable>> + Send>>;
+/// The events of one exchange; it ends after `Finished` or a fault.
+pub type Events = Pin<Box<dyn Stream<Item = Event> + Send>>;
+
+/// The engine did not answer a question in time, or not in its protocol.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("engine {endpoint} can't be asked: {reason}")]
+pub struct Unreachable {
+    /// Which engine.
+    pub endpoint: String,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// An attempt that runs for an owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// Its name.
+    pub id: AttemptId,
+}
+
+/// A model engine as seen from a daemon. Dropping an exchange's events closes its connection.
+pub trait Engine: Send + Sync {
+    /// Sends an attempt and follows its answer.
+    fn dispatch(&self, call: Call) -> Events;
+
+    /// Follows the answer of an earlier attempt from token `from`, over a new connection.
+    fn resume(&self, target: &Target, attempt: &AttemptId, from: u64) -> Events;
+
+    /// Asks over a new connection how an attempt stands.
+    fn probe(&self, target: &Target, attempt: &AttemptId) -> Answer<Standing>;
+
+    /// Cancels an attempt over a new connection. The answer says how it stood; an attempt that
+    /// was never seen never will be started.
+    fn cancel(&self, target: &Target, attempt: &AttemptId) -> Answer<Standing>;
+
+    /// Lists what runs for an owner.
+    fn running(&self, target: &Target, owner: &HostId) -> Answer<Vec<Running>>;
+
+    /// Drops pooled connections to an endpoint that went silent.
+    fn shed(&self, target: &Target);
+}
--- a/crates/kumquatdrum_engine/src/lib.rs
+++ b/crates/kumquatdrum_engine/src/lib.rs
@@ -1,1 +1,8 @@
 //! Model engines: streams, resume, cancel, load and cache events.
+
+pub mod engine;
+pub mod http;
+pub mod sse;
+
+pub use engine::{Engine, Unreachable};
+pub use http::Client;
--- /dev/null
+++ b/crates/kumquatdrum_platform/src/drain.rs
@@ -0,0 +1,81 @@
+//! Graceful shutdown: health turns red first, then work runs out, then listeners close.
+
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+
+use tokio::sync::Notify;
+
+/// What one process knows of its own shutdown.
+///
+/// ```
+/// let drain = kumquatdrum_platform::Drain::default();
+/// assert!(drain.is_ready() == false, "not before the first declaration is known");
+/// drain.set_ready(true);
+/// assert!(drain.is_ready());
+/// drain.begin();
+/// assert!(!drain.is_ready());
+/// ```
+#[derive(Debug, Default)]
+pub struct Drain {
+    ready: AtomicBool,
+    draining: AtomicBool,
+    work: AtomicI64,
+    changed: Notify,
+}
+
+/// One piece of work that a shutdown waits for.
+#[derive(Debug)]
+pub struct Work<'a>(&'a Drain);
+
+impl Drain {
+    /// Whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed) && !self.is_draining()
+    }
+
+    /// Whether the shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// The host can, or can't, serve callers.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Turns the health red. Requests that still arrive are served.
+    pub fn begin(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Counts a piece of work until the returned guard is dropped.
+    pub fn work(&self) -> Work<'_> {
+        self.work.fetch_add(1, Ordering::Relaxed);
+        Work(self)
+    }
+
+    /// Pieces of work under way.
+    pub fn under_way(&self) -> i64 {
+        self.work.load(Ordering::Relaxed)
+    }
+
+    /// Waits until no work is under way.
+    pub async fn idle(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.under_way() == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        let before = self.0.work.fetch_sub(1, Ordering::Relaxed);
+        if before == 1 {
+            self.0.changed.notify_waiters();
+        }
+    }
+}
--- a/crates/kumquatdrum_types/src/lib.rs
+++ b/crates/kumquatdrum_types/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod digest;
 pub mod endpoint;
+pub mod exchange;
 pub mod finding;
 pub mod id;
 pub mod load;
