Add the router of one service: queue, placement by estimated work, prefix index

The queue lives in the daemon, where a request can still be reordered and is still not run. Engines get work only up to a depth of estimated time.

--- /dev/null
+++ b/crates/kumquatdrum_routing/src/job.rs
@@ -0,0 +1,73 @@
+//! A request in the queue, with what the router worked out about it.
+
+use kumquatdrum_types::Moment;
+
+use crate::{Ask, Settings, Work};
+
+/// The size class of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Size {
+    /// Short prompts and calls of plain services.
+    Short,
+    /// Prompts between short and long.
+    Medium,
+    /// Long prompts that fit one engine.
+    Long,
+    /// Prompts that need several engines.
+    Spanning,
+}
+
+impl Size {
+    /// All classes, in the order in which the router serves them.
+    pub const ALL: [Self; 4] = [Self::Short, Self::Medium, Self::Long, Self::Spanning];
+
+    /// The class of a request, given the memory of the largest engine in tokens.
+    pub const fn of(settings: &Settings, ask: &Ask, memory: u64) -> Self {
+        let tokens = ask.prompt_tokens;
+        match ask.work {
+            Work::Plain => Self::Short,
+            Work::Model if tokens + ask.expected_output_tokens > memory => Self::Spanning,
+            Work::Model if tokens <= settings.short_tokens => Self::Short,
+            Work::Model if tokens < settings.long_tokens => Self::Medium,
+            Work::Model => Self::Long,
+        }
+    }
+
+    /// The class as an index.
+    pub(crate) const fn index(self) -> usize {
+        self as usize
+    }
+
+    /// Whether the class is kept off the engines protected for short requests.
+    pub(crate) const fn is_long(self) -> bool {
+        matches!(self, Self::Long | Self::Spanning)
+    }
+}
+
+/// A request that waits.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// What was asked.
+    pub ask: Ask,
+    /// Its size class.
+    pub size: Size,
+    /// When it came.
+    pub since: Moment,
+    /// The latest moment at which a dispatch could still meet the deadline.
+    pub latest_start: Moment,
+}
+
+impl Job {
+    /// KV memory that the whole request needs, in tokens.
+    pub fn memory_tokens(&self) -> u64 {
+        self.ask.prompt_tokens + self.ask.expected_output_tokens
+    }
+
+    /// Tokens that stand for the request's prefill work; a plain call has none.
+    pub fn prefill_tokens(&self) -> u64 {
+        match self.ask.work {
+            Work::Model => self.ask.prompt_tokens,
+            Work::Plain => 0,
+        }
+    }
+}
--- a/crates/kumquatdrum_routing/src/lib.rs
+++ b/crates/kumquatdrum_routing/src/lib.rs
@@ -1,1 +1,24 @@
-//! Core: admission, limits, queueing, placement and retries.
+//! Core: admission, limits, queueing, placement and retries. Pure and without a clock.
+
+mod ask;
+mod drain;
+pub mod fleet;
+mod hash;
+mod job;
+mod output;
+pub mod policy;
+pub mod prefix;
+mod queue;
+pub mod rate;
+pub mod retry;
+mod router;
+mod settings;
+pub mod slot;
+
+pub use ask::{
+    Ask, BlockHash, CacheChange, CacheEvent, Failure, Health, Priority, Progress, Usage, Work,
+};
+pub use job::{Job, Size};
+pub use output::{Dispatch, Output, Refuse};
+pub use router::Router;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -0,0 +1,191 @@
+//! The chosen policy: the least estimated time to the first token, with room kept for the short.
+
+use kumquatdrum_types::Moment;
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+
+use super::{Placement, Policy, is_allowed, span};
+use crate::fleet::{Fleet, SlotIndex};
+use crate::{Job, Size};
+
+/// Endpoints that one decision looks at.
+const SAMPLE: usize = 10;
+/// Engines that a decision about several of them looks at.
+const SPANNING_SAMPLE: usize = 48;
+/// Endpoints outside the own zone that a short request looks at.
+const OUTSIDE_SAMPLE: usize = 3;
+/// Time over which arrivals are averaged, in seconds.
+const ARRIVAL_WINDOW: f64 = 20.0;
+/// The most engines, as a share, that are kept clear of long prefills.
+const PROTECTED_MOST: f64 = 0.6;
+/// Patience: a request that waits accepts this much more estimated wait a second.
+const PATIENCE: f64 = 0.5;
+/// What a short request expects to lose on an engine that computes a long prompt, in seconds.
+const INTERFERENCE: f64 = 0.2;
+/// The most backlog that counts for a short request, as engines honour priorities; in seconds.
+const SHORT_BACKLOG_MOST: f64 = 1.0;
+
+/// The chosen policy.
+#[derive(Debug)]
+pub struct Estimated {
+    random: Pcg32,
+    short_rate: f64,
+    since: Moment,
+}
+
+/// An endpoint that is looked at.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    index: SlotIndex,
+    /// Estimated wait before the request's own work begins, in seconds.
+    wait: f64,
+    /// Estimated time to the first token, in seconds.
+    total: f64,
+}
+
+impl Estimated {
+    /// The policy with its own random numbers; daemons should have different seeds.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: Pcg32::new(seed, 2),
+            short_rate: 0.0,
+            since: Moment::ZERO,
+        }
+    }
+
+    /// How many of `count` engines are kept clear of long prefills: those that the short load
+    /// of all daemons needs, with headroom.
+    fn protected(&self, fleet: &Fleet, count: usize) -> usize {
+        let load = self.short_rate * fleet.owners() as f64 / fleet.rates.prefill(Size::Short);
+        let wanted = (load * fleet.settings.short_headroom).ceil() + 1.0;
+        let most = (count as f64 * PROTECTED_MOST).floor();
+        wanted.min(most).max(0.0) as usize
+    }
+
+    fn sample(&mut self, zone: &[SlotIndex], size: usize, into: &mut Vec<SlotIndex>) {
+        if zone.len() <= size {
+            into.extend_from_slice(zone);
+            return;
+        }
+        // A stride that shares no factor with a zone's length would be better spread, but a
+        // random start with a random odd stride is enough against herding.
+        for _ in 0..size {
+            into.push(zone[self.random.next_u32() as usize % zone.len()]);
+        }
+    }
+
+    fn candidates(&mut self, job: &Job, fleet: &Fleet) -> Vec<SlotIndex> {
+        let all = fleet.candidates();
+        let protected = self.protected(fleet, all.len());
+        let (long_zone, short_zone) = all.split_at(all.len() - protected);
+        let mut found = Vec::with_capacity(2 * SAMPLE);
+        match job.size {
+            Size::Short => {
+                self.sample(short_zone, SAMPLE, &mut found);
+                self.sample(long_zone, OUTSIDE_SAMPLE, &mut found);
+            }
+            Size::Medium => self.sample(all, SAMPLE, &mut found),
+            Size::Long => self.sample(long_zone, SAMPLE, &mut found),
+            Size::Spanning if all.len() <= SPANNING_SAMPLE => found.extend_from_slice(all),
+            Size::Spanning => self.sample(long_zone, SPANNING_SAMPLE, &mut found),
+        }
+        let holders = fleet.prefixes.holders(&job.ask.prefix).iter();
+        if !job.size.is_long() {
+            found.extend(holders.filter(|holder| fleet.is_candidate(**holder)));
+        }
+        found.retain(|&index| is_allowed(job, fleet, index));
+        found
+    }
+
+    fn look(now: Moment, job: &Job, fleet: &Fleet, index: SlotIndex) -> Candidate {
+        let slot = fleet.slot(index);
+        let rate = fleet.rates.bulk() * slot.factor;
+        let backlog = slot.backlog_tokens(now, fleet.rates.bulk()) / rate;
+        let rank = f64::from(slot.rank) * fleet.settings.rank_step.as_secs_f64();
+        let wait = match job.size {
+            Size::Short if slot.open_long() > 0 => backlog.min(SHORT_BACKLOG_MOST) + INTERFERENCE,
+            Size::Short => backlog.min(SHORT_BACKLOG_MOST),
+            Size::Medium => backlog,
+            Size::Long | Size::Spanning => backlog + rank,
+        };
+        let cached = slot.cache.cached_blocks(&job.ask.prefix) * fleet.settings.block_tokens as f64;
+        let uncached = (job.prefill_tokens() as f64 - cached).max(1.0);
+        let own = uncached / (fleet.rates.prefill(job.size) * slot.factor);
+        Candidate {
+            index,
+            wait,
+            total: wait + own,
+        }
+    }
+
+    fn most_wait(now: Moment, job: &Job, fleet: &Fleet) -> f64 {
+        let waited = (now - job.since).as_secs_f64();
+        let depth = match job.size {
+            Size::Short => fleet.settings.short_depth,
+            Size::Medium | Size::Long | Size::Spanning => fleet.settings.long_depth,
+        };
+        depth.as_secs_f64() + waited * PATIENCE
+    }
+}
+
+impl Policy for Estimated {
+    fn arrived(&mut self, now: Moment, job: &Job, _fleet: &Fleet) {
+        let past = (now - self.since).as_secs_f64();
+        self.since = now;
+        self.short_rate *= (-past / ARRIVAL_WINDOW).exp();
+        if job.size == Size::Short {
+            self.short_rate += job.prefill_tokens() as f64 / ARRIVAL_WINDOW;
+        }
+    }
+
+    fn place(&mut self, now: Moment, job: &Job, fleet: &Fleet) -> Placement {
+        let most = Self::most_wait(now, job, fleet);
+        let found = self.candidates(job, fleet);
+        if found.is_empty() {
+            return nothing_found(job, fleet);
+        }
+        let mut looked: Vec<Candidate> = found
+            .into_iter()
+            .map(|index| Self::look(now, job, fleet, index))
+            .collect();
+        looked.sort_by(|a, b| a.total.total_cmp(&b.total));
+        looked.dedup_by_key(|candidate| candidate.index);
+        if job.size == Size::Spanning {
+            let free = looked.iter().filter(|found| found.wait <= most);
+            let placement = span(job, fleet, free.map(|found| found.index));
+            return match placement {
+                Placement::Nowhere => Placement::Wait,
+                placement => placement,
+            };
+        }
+        let fits = |found: &&Candidate| {
+            let slot = fleet.slot(found.index);
+            found.wait <= most && slot.has_room(job.memory_tokens()) && !slot.is_resting(now)
+        };
+        looked
+            .iter()
+            .find(fits)
+            .map_or(Placement::Wait, |found| Placement::One(found.index))
+    }
+
+    fn engine_priority(&self, now: Moment, job: &Job, fleet: &Fleet) -> u8 {
+        let tokens = job.prefill_tokens();
+        let prefill = fleet.rates.service_time(job.size, tokens, 0);
+        match job.size {
+            _ if job.latest_start - now < prefill => 3,
+            Size::Short => 2,
+            Size::Medium => 1,
+            Size::Long | Size::Spanning => 0,
+        }
+    }
+}
+
+/// What to do where the sample held no endpoint that may have the request.
+fn nothing_found(job: &Job, fleet: &Fleet) -> Placement {
+    let mut all = fleet.candidates().iter();
+    if all.any(|&index| is_allowed(job, fleet, index)) {
+        Placement::Wait
+    } else {
+        Placement::Nowhere
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_routing/src/retry.rs
@@ -0,0 +1,38 @@
+//! The retry budget: attempts stay a bounded multiple of requests, so that a fault makes no storm.
+
+/// Retries earned by one request, in hundredths.
+const EARNED: u64 = 19;
+/// What one retry costs, in hundredths.
+const COST: u64 = 100;
+/// The most that is saved up, in hundredths: a burst of twenty retries.
+const MOST: u64 = 20 * COST;
+
+/// The retry budget of one service. Attempts stay below 1.2 times the requests at any moment.
+///
+/// ```
+/// use kumquatdrum_routing::retry::Budget;
+/// let mut budget = Budget::default();
+/// assert!(!budget.take());
+/// (0..6).for_each(|_| budget.request());
+/// assert!(budget.take());
+/// assert!(!budget.take());
+/// ```
+#[derive(Debug, Default)]
+pub struct Budget {
+    saved: u64,
+}
+
+impl Budget {
+    /// Notes a request, at its first attempt.
+    pub fn request(&mut self) {
+        self.saved = (self.saved + EARNED).min(MOST);
+    }
+
+    /// Takes one retry out; `false` where none is left.
+    #[must_use]
+    pub fn take(&mut self) -> bool {
+        let rest = self.saved.checked_sub(COST);
+        self.saved = rest.unwrap_or(self.saved);
+        rest.is_some()
+    }
+}
