--- /dev/null
+++ b/crates/kumquatdrum_operator/src/auth.rs
@@ -0,0 +1,108 @@
+//! Who may operate: bearer keys whose digests stand in a host's settings.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use kumquatdrum_types::{Finding, digest};
+use rocket::Request;
+use rocket::http::Status;
+use rocket::request::{FromRequest, Outcome};
+use serde::{Deserialize, Serialize};
+use slog::warn;
+
+use crate::routes::Desk;
+
+const SCHEME: &str = "Bearer ";
+
+/// An operator as the settings name them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// The name that the audit trail shows.
+    pub name: String,
+    /// The SHA-256 digest of the operator's key, in 64 lower-case hexadecimal digits.
+    pub sha256: String,
+}
+
+/// All operators of a host. Callers' keys stand in the declaration and aren't among them.
+#[derive(Debug, Clone, Default)]
+pub struct Operators(IndexMap<String, Arc<str>>);
+
+impl Operators {
+    /// Takes the settings' list; findings for bad digests and doubled names or keys, with places
+    /// below `place`.
+    ///
+    /// ```
+    /// use kumquatdrum_operator::{Operator, Operators};
+    ///
+    /// let sha256 = kumquatdrum_types::digest::hex(b"secret");
+    /// let operators = [Operator { name: "kadri".into(), sha256 }];
+    /// let operators = Operators::new("/operators", &operators).unwrap();
+    /// assert_eq!(operators.name("secret"), Some("kadri"));
+    /// assert_eq!(operators.name("guess"), None);
+    /// ```
+    pub fn new(place: &str, operators: &[Operator]) -> Result<Self, Vec<Finding>> {
+        let mut findings = Vec::new();
+        let mut by_digest: IndexMap<String, Arc<str>> = IndexMap::new();
+        for (position, operator) in operators.iter().enumerate() {
+            let place = format!("{place}/{position}");
+            let name_place = format!("{place}/name");
+            let key_place = format!("{place}/sha256");
+            if operator.name.is_empty() {
+                findings.push(Finding::new(&name_place, "must not be empty"));
+            }
+            if by_digest.values().any(|name| **name == *operator.name) {
+                findings.push(Finding::new(name_place, "stands more than once"));
+            }
+            if !is_digest(&operator.sha256) {
+                let message = "must be a SHA-256 digest in 64 lower-case hexadecimal digits";
+                findings.push(Finding::new(&key_place, message));
+            }
+            let name = Arc::from(operator.name.as_str());
+            if by_digest.insert(operator.sha256.clone(), name).is_some() {
+                findings.push(Finding::new(key_place, "stands more than once"));
+            }
+        }
+        if findings.is_empty() {
+            Ok(Self(by_digest))
+        } else {
+            Err(findings)
+        }
+    }
+
+    /// Whose key this is.
+    pub fn name(&self, key: &str) -> Option<&str> {
+        let name = self.0.get(&digest::hex(key.as_bytes()));
+        name.map(AsRef::as_ref)
+    }
+}
+
+fn is_digest(text: &str) -> bool {
+    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == 64 && text.bytes().all(is_digit)
+}
+
+/// The operator who sent a request; anyone else is answered 401.
+#[derive(Debug)]
+pub(crate) struct Sender(pub String);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Sender {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let Some(desk) = request.rocket().state::<Desk>() else {
+            return Outcome::Error((Status::InternalServerError, ()));
+        };
+        let header = request
+            .headers()
+            .get_one("Authorization")
+            .unwrap_or_default();
+        let key = header.strip_prefix(SCHEME).unwrap_or_default();
+        if let Some(name) = desk.operators.name(key) {
+            return Outcome::Success(Self(name.to_owned()));
+        }
+        warn!(desk.logger, ""; "event" => "operator_refused", "path" => %request.uri().path());
+        Outcome::Error((Status::Unauthorized, ()))
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_setup/src/digest.rs
@@ -0,0 +1,85 @@
+//! SHA-256 digests, 32 bytes in the log and 64 hexadecimal digits where people read them.
+
+use std::fmt;
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use sha2::{Digest as _, Sha256};
+
+const BYTES: usize = 32;
+
+/// A SHA-256 digest.
+///
+/// ```
+/// use kumquatdrum_setup::Digest;
+/// let digest = Digest::of(b"declaration");
+/// assert_eq!(digest.to_string().len(), 64);
+/// assert_eq!(Digest::parse(&digest.to_string()), Some(digest));
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest([u8; BYTES]);
+
+impl Digest {
+    /// The digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+
+    /// The digest of several parts, each with its length, so that no two lists of parts collide
+    /// by where they are cut.
+    ///
+    /// ```
+    /// use kumquatdrum_setup::Digest;
+    /// assert_ne!(Digest::of_parts(&[b"ab", b"c"]), Digest::of_parts(&[b"a", b"bc"]));
+    /// ```
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Reads 64 hexadecimal digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let text = text.as_bytes();
+        if text.len() != 2 * BYTES {
+            return None;
+        }
+        let mut bytes = [0; BYTES];
+        for (byte, pair) in bytes.iter_mut().zip(text.chunks_exact(2)) {
+            let high = char::from(pair[0]).to_digit(16)?;
+            let low = char::from(pair[1]).to_digit(16)?;
+            *byte = (high << 4 | low) as u8;
+        }
+        Some(Self(bytes))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            Self::parse(&text).ok_or_else(|| D::Error::custom("not a SHA-256 digest"))
+        } else {
+            <[u8; BYTES]>::deserialize(deserializer).map(Self)
+        }
+    }
+}
