Add the frames between daemons

The subsystems need one way to each other: sends that never block and questions with a timeout, over tonic, with the cluster secret proved by an HMAC over every frame and every answer.

--- /dev/null
+++ b/crates/kumquatdrum_peer/src/client.rs
@@ -0,0 +1,167 @@
+//! Calls to all peers: queued sends that never block the caller, and questions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use kumquatdrum_types::HostId;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::courier::Courier;
+use crate::frame::BODY_LIMIT;
+use crate::peer::Peer;
+use crate::{Channel, Error, Local};
+
+/// How long queued messages may still take to leave once the client shuts down.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One object for all peers. Lives inside a tokio runtime.
+///
+/// ```
+/// use std::sync::Arc;
+/// use kumquatdrum_peer::{Channel, Client, Identity, Local, Secret};
+/// use kumquatdrum_types::{BootId, HostId};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// let local = Local {
+///     cluster: "salons".to_owned(),
+///     secret: Secret::new("a long secret"),
+///     identity: Identity { host: HostId::new("entry-1"), boot: BootId(7) },
+///     counters: Arc::default(),
+///     logger: slog::Logger::root(slog::Discard, slog::o!()),
+/// };
+/// let client = Client::new(local);
+/// client.set_address(&HostId::new("entry-2"), "127.0.0.1:9".parse().unwrap());
+/// client.send(&HostId::new("entry-2"), Channel::Membership, "hello".into());
+/// client.shutdown().await;
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Client {
+    local: Arc<Local>,
+    peers: RwLock<IndexMap<HostId, Entry>>,
+    tasks: Mutex<JoinSet<()>>,
+    closed: watch::Sender<bool>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    peer: Arc<Peer>,
+    // Dropped with the entry, which ends the peer's task.
+    _removed: watch::Sender<()>,
+}
+
+impl Client {
+    /// A client without peers.
+    pub fn new(local: Local) -> Self {
+        Self {
+            local: Arc::new(local),
+            peers: RwLock::default(),
+            tasks: Mutex::default(),
+            closed: watch::Sender::new(false),
+        }
+    }
+
+    /// Tells where a host is reached; a changed address counts from the next call on.
+    pub fn set_address(&self, host: &HostId, address: SocketAddr) {
+        let mut peers = self.peers.write();
+        match peers.get(host) {
+            _ if *self.closed.borrow() => {}
+            Some(entry) => entry.peer.link().set_address(address),
+            None => {
+                let entry = self.start(host, address);
+                peers.insert(host.clone(), entry);
+            }
+        }
+    }
+
+    /// Forgets a host; what is queued for it is dropped.
+    pub fn remove(&self, host: &HostId) {
+        self.peers.write().swap_remove(host);
+    }
+
+    /// Queues a message and returns at once. A full queue drops its oldest; a message to an
+    /// unknown host or over the limit is dropped. Drops are counted.
+    pub fn send(&self, host: &HostId, channel: Channel, body: Bytes) {
+        let peers = self.peers.read();
+        let dropped = match peers.get(host) {
+            Some(entry) if body.len() <= BODY_LIMIT => entry.peer.push(channel, body),
+            _ => 1,
+        };
+        self.local.counters.dropped(channel, dropped);
+    }
+
+    /// Asks a question and waits for its answer, at most `limit`.
+    pub async fn ask(
+        &self,
+        host: &HostId,
+        channel: Channel,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, Error> {
+        if *self.closed.borrow() {
+            return Err(Error::Closed);
+        }
+        if body.len() > BODY_LIMIT {
+            return Err(Error::TooLarge {
+                bytes: body.len(),
+                limit: BODY_LIMIT,
+            });
+        }
+        let peer = self
+            .peer(host)
+            .ok_or_else(|| Error::UnknownHost(host.clone()))?;
+        peer.ask(channel, body, limit).await
+    }
+
+    /// Lets queued messages leave for at most a second, then ends and joins all tasks.
+    pub async fn shutdown(&self) {
+        self.closed.send_replace(true);
+        let mut tasks = std::mem::take(&mut *self.tasks.lock());
+        while tasks.join_next().await.is_some() {}
+        self.peers.write().clear();
+    }
+
+    fn peer(&self, host: &HostId) -> Option<Arc<Peer>> {
+        self.peers
+            .read()
+            .get(host)
+            .map(|entry| Arc::clone(&entry.peer))
+    }
+
+    fn start(&self, host: &HostId, address: SocketAddr) -> Entry {
+        let peer = Arc::new(Peer::new(Arc::clone(&self.local), host.clone(), address));
+        let removed = watch::Sender::new(());
+        let task = run(
+            Courier::new(Arc::clone(&peer)),
+            self.closed.subscribe(),
+            removed.subscribe(),
+        );
+        let mut tasks = self.tasks.lock();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+        Entry {
+            peer,
+            _removed: removed,
+        }
+    }
+}
+
+async fn run(
+    mut courier: Courier,
+    mut closed: watch::Receiver<bool>,
+    mut removed: watch::Receiver<()>,
+) {
+    tokio::select! {
+        () = courier.run() => {}
+        _ = removed.changed() => return,
+        _ = closed.wait_for(|closed| *closed) => {}
+    }
+    let _ = timeout(DRAIN_TIMEOUT, courier.drain()).await;
+}
--- /dev/null
+++ b/crates/kumquatdrum_peer/src/frame.rs
@@ -0,0 +1,112 @@
+//! Frames: made, proved and checked.
+
+use bytes::Bytes;
+use kumquatdrum_types::{BootId, HostId};
+
+use crate::generated::Frame;
+use crate::proof::{self, Code, Mac};
+use crate::{Channel, Identity, Local};
+
+/// The most body bytes of one frame.
+pub(crate) const BODY_LIMIT: usize = 8 << 20;
+/// The most bytes of an encoded frame: the bodies, and room for names and lengths.
+pub(crate) const FRAME_LIMIT: usize = BODY_LIMIT + (1 << 20);
+
+/// Why a frame was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Violation {
+    #[error("another cluster")]
+    OtherCluster,
+    #[error("meant for another host")]
+    OtherHost,
+    #[error("wrong secret")]
+    WrongSecret,
+    #[error("unknown channel")]
+    UnknownChannel,
+    #[error("not exactly one body")]
+    BodyCount,
+}
+
+/// A frame that was accepted.
+pub(crate) struct Accepted {
+    pub(crate) from: Identity,
+    pub(crate) channel: Channel,
+    pub(crate) bodies: Vec<Bytes>,
+}
+
+/// Which call a frame belongs to; part of its code, so that one can't pass for another.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Purpose<'a> {
+    Send,
+    Ask,
+    /// The answer to the question with this code.
+    Answer(&'a [u8]),
+}
+
+/// Makes a frame to a host and proves it.
+pub(crate) fn make(
+    local: &Local,
+    to: &HostId,
+    channel: Channel,
+    bodies: Vec<Bytes>,
+    purpose: Purpose<'_>,
+) -> Frame {
+    let mut frame = Frame {
+        channel: channel.to_wire() as i32,
+        cluster: local.cluster.clone(),
+        from: local.identity.host.as_str().to_owned(),
+        boot: local.identity.boot.0,
+        to: to.as_str().to_owned(),
+        bodies,
+        code: Bytes::new(),
+    };
+    frame.code = Bytes::copy_from_slice(&code(local, &frame, purpose));
+    frame
+}
+
+/// Checks a frame and takes it apart.
+pub(crate) fn accept(
+    local: &Local,
+    frame: Frame,
+    purpose: Purpose<'_>,
+) -> Result<Accepted, Violation> {
+    let single = !matches!(purpose, Purpose::Send);
+    match Channel::from_wire(frame.channel) {
+        _ if frame.cluster != local.cluster => Err(Violation::OtherCluster),
+        _ if !proof::matches(&code(local, &frame, purpose), &frame.code) => {
+            Err(Violation::WrongSecret)
+        }
+        _ if frame.to != local.identity.host.as_str() => Err(Violation::OtherHost),
+        _ if single && frame.bodies.len() != 1 => Err(Violation::BodyCount),
+        None => Err(Violation::UnknownChannel),
+        Some(channel) => Ok(Accepted {
+            from: Identity {
+                host: HostId::new(&frame.from),
+                boot: BootId(frame.boot),
+            },
+            channel,
+            bodies: frame.bodies,
+        }),
+    }
+}
+
+fn code(local: &Local, frame: &Frame, purpose: Purpose<'_>) -> Code {
+    let (call, question): (&[u8], &[u8]) = match purpose {
+        Purpose::Send => (b"send", b""),
+        Purpose::Ask => (b"ask", b""),
+        Purpose::Answer(question) => (b"answer", question),
+    };
+    let mac = Mac::new(local.secret.as_bytes())
+        .field(call)
+        .field(question)
+        .field(&frame.channel.to_be_bytes())
+        .field(frame.cluster.as_bytes())
+        .field(frame.from.as_bytes())
+        .field(&frame.boot.to_be_bytes())
+        .field(frame.to.as_bytes());
+    frame
+        .bodies
+        .iter()
+        .fold(mac, |mac, body| mac.field(body))
+        .finish()
+}
--- /dev/null
+++ b/crates/kumquatdrum_peer/src/link.rs
@@ -0,0 +1,125 @@
+//! The connection to one peer: opened when needed, dropped as soon as it is in doubt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kumquatdrum_types::HostId;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::Error;
+use crate::frame::FRAME_LIMIT;
+use crate::generated::peer_client::PeerClient;
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// After a failed attempt, calls fail at once for this long.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// A call that waits this long without a byte from the peer sends an HTTP/2 ping.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// A ping unanswered for this long closes the connection.
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 4 << 20;
+
+/// The connection to one peer.
+#[derive(Debug)]
+pub(crate) struct Link {
+    host: HostId,
+    address: Mutex<SocketAddr>,
+    // Held while a connection is being opened, so that calls share one attempt.
+    state: tokio::sync::Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    open: Option<Connection>,
+    opened: u64,
+    failed: Option<(Instant, Error)>,
+}
+
+/// One connection, numbered so that a late failure doesn't close its successor.
+#[derive(Debug, Clone)]
+pub(crate) struct Connection {
+    address: SocketAddr,
+    number: u64,
+    pub(crate) client: PeerClient<Channel>,
+}
+
+impl Link {
+    pub(crate) fn new(host: HostId, address: SocketAddr) -> Self {
+        Self {
+            host,
+            address: Mutex::new(address),
+            state: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Changes the address; the next call goes there.
+    pub(crate) fn set_address(&self, address: SocketAddr) {
+        *self.address.lock() = address;
+    }
+
+    /// The open connection, or a new one.
+    pub(crate) async fn connection(&self) -> Result<Connection, Error> {
+        let mut state = self.state.lock().await;
+        let address = *self.address.lock();
+        match (&state.open, &state.failed) {
+            (Some(open), _) if open.address == address => return Ok(open.clone()),
+            (None, Some((at, error))) if at.elapsed() < RETRY_PAUSE => return Err(error.clone()),
+            _ => {}
+        }
+        state.open = None;
+        match self.open(address).await {
+            Ok(channel) => {
+                state.opened += 1;
+                let connection = Connection {
+                    address,
+                    number: state.opened,
+                    client: PeerClient::new(channel)
+                        .max_decoding_message_size(FRAME_LIMIT)
+                        .max_encoding_message_size(FRAME_LIMIT),
+                };
+                state.failed = None;
+                state.open = Some(connection.clone());
+                Ok(connection)
+            }
+            Err(error) => {
+                state.failed = Some((Instant::now(), error.clone()));
+                Err(error)
+            }
+        }
+    }
+
+    /// Drops a connection that failed; the next call opens a new one.
+    pub(crate) async fn shed(&self, failed: &Connection) {
+        let mut state = self.state.lock().await;
+        if state
+            .open
+            .as_ref()
+            .is_some_and(|open| open.number == failed.number)
+        {
+            state.open = None;
+        }
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Channel, Error> {
+        let unreachable = |reason: String| Error::Unreachable {
+            host: self.host.clone(),
+            reason,
+        };
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(|error| unreachable(error.to_string()))?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW);
+        match tokio::time::timeout(CONNECT_TIMEOUT, endpoint.connect()).await {
+            Ok(Ok(channel)) => Ok(channel),
+            Ok(Err(error)) => Err(unreachable(error.to_string())),
+            Err(_) => Err(unreachable("connecting took too long".to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_peer/src/peer.rs
@@ -0,0 +1,175 @@
+//! One peer: its queues, its connection, and the calls to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use kumquatdrum_types::HostId;
+use parking_lot::Mutex;
+use prost::Message;
+use slog::{info, warn};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
+use tonic::{Code, Request, Status};
+
+use crate::frame::{self, Purpose};
+use crate::generated::Frame;
+use crate::link::{Connection, Link};
+use crate::queue::Queues;
+use crate::{Channel, Error, Local};
+
+/// How long a frame without weight may wait for its acknowledgement.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// The slowest path that large frames are sent over.
+const SLOWEST_BYTES_PER_SECOND: usize = 1 << 20;
+
+/// One peer.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    local: Arc<Local>,
+    host: HostId,
+    link: Link,
+    queues: Mutex<Queues>,
+    wake: Notify,
+}
+
+impl Peer {
+    pub(crate) fn new(local: Arc<Local>, host: HostId, address: SocketAddr) -> Self {
+        Self {
+            link: Link::new(host.clone(), address),
+            local,
+            host,
+            queues: Mutex::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    pub(crate) fn link(&self) -> &Link {
+        &self.link
+    }
+
+    /// Queues a message and returns how many old ones had to go.
+    pub(crate) fn push(&self, channel: Channel, body: Bytes) -> usize {
+        let dropped = self.queues.lock().push(channel, body);
+        self.wake.notify_one();
+        dropped
+    }
+
+    pub(crate) fn pop_batch(&self, channel: Channel) -> Vec<Bytes> {
+        self.queues.lock().pop_batch(channel)
+    }
+
+    /// Waits until something was queued since the last time.
+    pub(crate) async fn woken(&self) {
+        self.wake.notified().await;
+    }
+
+    /// Sends one frame and waits for its acknowledgement; a failure is counted and told.
+    pub(crate) async fn send(&self, channel: Channel, bodies: Vec<Bytes>) {
+        let count = bodies.len();
+        let limit = send_timeout(&bodies);
+        let frame = frame::make(&self.local, &self.host, channel, bodies, Purpose::Send);
+        let size = frame.encoded_len();
+        let sent = async {
+            let mut connection = self.link.connection().await?;
+            self.local.counters.sent(channel, count, size);
+            let call = connection.client.send(Request::new(frame));
+            let answer = timeout(limit, call).await;
+            self.settle(&connection, answer, limit).await
+        };
+        if let Err(error) = sent.await {
+            self.local.counters.dropped(channel, count);
+            info!(self.local.logger, "peer_send_failed"; "host" => self.host.as_str(),
+                "channel" => channel.name(), "messages" => count, "error" => %error);
+        }
+    }
+
+    /// Asks a question.
+    pub(crate) async fn ask(
+        &self,
+        channel: Channel,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, Error> {
+        let start = Instant::now();
+        let mut connection =
+            timeout(limit, self.link.connection())
+                .await
+                .map_err(|_| Error::Unreachable {
+                    host: self.host.clone(),
+                    reason: "no connection in time".to_owned(),
+                })??;
+        let question = frame::make(&self.local, &self.host, channel, vec![body], Purpose::Ask);
+        let code = question.code.clone();
+        self.local.counters.sent(channel, 1, question.encoded_len());
+        let rest = limit.saturating_sub(start.elapsed());
+        let answer = timeout(rest, connection.client.ask(Request::new(question))).await;
+        // A handler may be slow: only the pings decide whether the connection is silent.
+        let answer = match answer {
+            Ok(answer) => self.settle(&connection, Ok(answer), limit).await?,
+            Err(_) => return Err(self.timeout(limit)),
+        };
+        self.accept(answer, &code)
+    }
+
+    fn accept(&self, answer: Frame, question: &[u8]) -> Result<Bytes, Error> {
+        let size = answer.encoded_len();
+        let accepted = frame::accept(&self.local, answer, Purpose::Answer(question));
+        match accepted {
+            Ok(accepted) if accepted.from.host == self.host => {
+                self.local.counters.received(accepted.channel, 1, size);
+                Ok(accepted.bodies.into_iter().next().unwrap_or_default())
+            }
+            Ok(accepted) => Err(self.refused(format!("host {} answered", accepted.from.host))),
+            Err(violation) => Err(self.refused(format!("its answer: {violation}"))),
+        }
+    }
+
+    async fn settle<T>(
+        &self,
+        connection: &Connection,
+        answer: Result<Result<tonic::Response<T>, Status>, tokio::time::error::Elapsed>,
+        limit: Duration,
+    ) -> Result<T, Error> {
+        let error = match answer {
+            Ok(Ok(answer)) => return Ok(answer.into_inner()),
+            Ok(Err(status)) if status.code() == Code::Unauthenticated => {
+                return Err(self.refused(status.message().to_owned()));
+            }
+            Ok(Err(status)) if status.code() == Code::Aborted => {
+                return Err(Error::Failed {
+                    host: self.host.clone(),
+                    reason: status.message().to_owned(),
+                });
+            }
+            Ok(Err(status)) => Error::Lost {
+                host: self.host.clone(),
+                reason: status.message().to_owned(),
+            },
+            Err(_) => self.timeout(limit),
+        };
+        self.link.shed(connection).await;
+        Err(error)
+    }
+
+    fn timeout(&self, limit: Duration) -> Error {
+        Error::Timeout {
+            host: self.host.clone(),
+            timeout: limit,
+        }
+    }
+
+    fn refused(&self, reason: String) -> Error {
+        warn!(self.local.logger, "peer_refuses"; "host" => self.host.as_str(), "reason" => &reason);
+        Error::Refused {
+            host: self.host.clone(),
+            reason,
+        }
+    }
+}
+
+fn send_timeout(bodies: &[Bytes]) -> Duration {
+    let bytes: usize = bodies.iter().map(Bytes::len).sum();
+    SEND_TIMEOUT + Duration::from_secs((bytes / SLOWEST_BYTES_PER_SECOND) as u64)
+}
--- /dev/null
+++ b/crates/kumquatdrum_peer/src/server.rs
@@ -0,0 +1,121 @@
+//! The listener for peers: checks each frame and hands its bodies to the handler.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use kumquatdrum_types::HostId;
+use prost::Message;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+use crate::frame::{self, Accepted, FRAME_LIMIT, Purpose, Violation};
+use crate::generated::peer_server::{Peer, PeerServer};
+use crate::generated::{Ack, Frame};
+use crate::{Error, Handler, Local};
+
+/// An idle connection is pinged this often.
+const PING_INTERVAL: Duration = Duration::from_secs(5);
+/// A ping unanswered for this long closes the connection.
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 4 << 20;
+/// The longest reason that travels back with a failure.
+const REASON_LIMIT: usize = 512;
+
+/// Serves peers on a listener until `shutdown` resolves and all calls under way have ended. A
+/// connection that went silent holds it up for at most six seconds.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    local: Local,
+    shutdown: impl Future<Output = ()> + Send,
+) -> Result<(), Error> {
+    let service = PeerServer::new(Service { handler, local })
+        .max_decoding_message_size(FRAME_LIMIT)
+        .max_encoding_message_size(FRAME_LIMIT);
+    Server::builder()
+        .http2_keepalive_interval(Some(PING_INTERVAL))
+        .http2_keepalive_timeout(Some(PING_TIMEOUT))
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), shutdown)
+        .await
+        .map_err(|error| Error::Handler(error.to_string()))
+}
+
+struct Service {
+    handler: Arc<dyn Handler>,
+    local: Local,
+}
+
+impl Service {
+    fn accept(&self, request: Request<Frame>, purpose: Purpose<'_>) -> Result<Accepted, Status> {
+        let address = request.remote_addr();
+        let frame = request.into_inner();
+        let size = frame.encoded_len();
+        let claimed = frame.from.clone();
+        let accepted = frame::accept(&self.local, frame, purpose)
+            .map_err(|violation| self.refuse(violation, &claimed, address))?;
+        self.local
+            .counters
+            .received(accepted.channel, accepted.bodies.len(), size);
+        Ok(accepted)
+    }
+
+    fn refuse(
+        &self,
+        violation: Violation,
+        claimed: &str,
+        address: Option<std::net::SocketAddr>,
+    ) -> Status {
+        let address = address.map(|address| address.to_string());
+        warn!(self.local.logger, "peer_refused"; "claimed_host" => claimed,
+            "address" => address, "reason" => %violation);
+        Status::unauthenticated(violation.to_string())
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn send(&self, request: Request<Frame>) -> Result<Response<Ack>, Status> {
+        let accepted = self.accept(request, Purpose::Send)?;
+        for body in accepted.bodies {
+            self.handler.deliver(&accepted.from, accepted.channel, body);
+        }
+        Ok(Response::new(Ack {}))
+    }
+
+    async fn ask(&self, request: Request<Frame>) -> Result<Response<Frame>, Status> {
+        let code = request.get_ref().code.clone();
+        let accepted = self.accept(request, Purpose::Ask)?;
+        let question = accepted.bodies.into_iter().next().unwrap_or_default();
+        let body = self
+            .handler
+            .answer(&accepted.from, accepted.channel, question)
+            .await
+            .map_err(failure)?;
+        let answer = self.answer(&accepted.from.host, accepted.channel, body, &code);
+        Ok(Response::new(answer))
+    }
+}
+
+impl Service {
+    fn answer(&self, to: &HostId, channel: crate::Channel, body: Bytes, question: &[u8]) -> Frame {
+        let purpose = Purpose::Answer(question);
+        let frame = frame::make(&self.local, to, channel, vec![body], purpose);
+        self.local.counters.sent(channel, 1, frame.encoded_len());
+        frame
+    }
+}
+
+fn failure(error: Error) -> Status {
+    let reason: String = error.to_string().chars().take(REASON_LIMIT).collect();
+    Status::aborted(reason)
+}
