Test the exchange between daemons over loopback

Exchange in order, failures, wrong secret, cluster and host, a connection that goes silent behind a proxy, overflow, shutdown.

--- /dev/null
+++ b/crates/kumquatdrum_peer/tests/exchange.rs
@@ -0,0 +1,297 @@
+//! Daemons over loopback: exchange, refusals, silent connections, overflow, shutdown.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use kumquatdrum_peer::{Answer, Channel, Client, Error, Handler, Identity, Local, Secret, serve};
+use kumquatdrum_types::{BootId, HostId};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+type Delivery = (Identity, Channel, Bytes);
+
+struct Recorder {
+    deliveries: mpsc::UnboundedSender<Delivery>,
+}
+
+impl Handler for Recorder {
+    fn deliver(&self, from: &Identity, channel: Channel, body: Bytes) {
+        let _ = self.deliveries.send((from.clone(), channel, body));
+    }
+
+    fn answer(&self, _: &Identity, channel: Channel, body: Bytes) -> Answer<'_> {
+        async move {
+            match &body[..] {
+                b"fail" => Err(Error::Handler("no majority".to_owned())),
+                b"hang" => std::future::pending().await,
+                _ => Ok(Bytes::from(
+                    [channel.name().as_bytes(), b":", &body].concat(),
+                )),
+            }
+        }
+        .boxed()
+    }
+}
+
+struct Daemon {
+    address: SocketAddr,
+    deliveries: mpsc::UnboundedReceiver<Delivery>,
+    local: Local,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<Result<(), Error>>,
+}
+
+fn local(host: &str, cluster: &str, secret: &str) -> Local {
+    Local {
+        cluster: cluster.to_owned(),
+        secret: Secret::new(secret),
+        identity: Identity {
+            host: HostId::new(host),
+            boot: BootId(7),
+        },
+        counters: Arc::default(),
+        logger: slog::Logger::root(slog::Discard, slog::o!()),
+    }
+}
+
+async fn daemon(host: &str) -> Daemon {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, deliveries) = mpsc::unbounded_channel();
+    let (stop, stopped) = oneshot::channel();
+    let handler = Arc::new(Recorder { deliveries: sender });
+    let local = local(host, "salons", "secret");
+    let shutdown = stopped.map(|_| ());
+    let task = tokio::spawn(serve(listener, handler, local.clone(), shutdown));
+    Daemon {
+        address,
+        deliveries,
+        local,
+        stop,
+        task,
+    }
+}
+
+fn client(cluster: &str, secret: &str, host: &HostId, address: SocketAddr) -> (Client, Local) {
+    let local = local("entry-1", cluster, secret);
+    let client = Client::new(local.clone());
+    client.set_address(host, address);
+    (client, local)
+}
+
+async fn ask(client: &Client, host: &HostId, body: &'static str) -> Result<Bytes, Error> {
+    client
+        .ask(host, Channel::Control, Bytes::from(body), LIMIT)
+        .await
+}
+
+#[tokio::test]
+async fn messages_arrive_once_in_order_and_questions_are_answered() {
+    let mut daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, local) = client("salons", "secret", &host, daemon.address);
+    for number in 0..100 {
+        client.send(&host, Channel::Membership, Bytes::from(format!("{number}")));
+    }
+    for number in 0..100 {
+        let (from, channel, body) = daemon.deliveries.recv().await.unwrap();
+        assert_eq!(from, local.identity);
+        assert_eq!(channel, Channel::Membership);
+        assert_eq!(body, format!("{number}"));
+    }
+    assert_eq!(ask(&client, &host, "who").await.unwrap(), "control:who");
+    let failure = ask(&client, &host, "fail").await.unwrap_err();
+    assert_eq!(failure.to_string(), "host entry-2 answered: no majority");
+    client.shutdown().await;
+    let sent = local.counters.read(Channel::Membership);
+    let received = daemon.local.counters.read(Channel::Membership);
+    assert_eq!(sent.messages_sent, 100);
+    assert_eq!(sent.messages_received, received.messages_sent);
+    assert_eq!(sent.bytes_sent, received.bytes_received);
+    assert_eq!(ask(&client, &host, "who").await, Err(Error::Closed));
+}
+
+#[tokio::test]
+async fn a_body_above_the_chunk_size_passes_and_one_above_the_limit_is_told() {
+    let mut daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "secret", &host, daemon.address);
+    let chunk = Bytes::from(vec![1; (4 << 20) + 1]);
+    client.send(&host, Channel::Consensus, chunk.clone());
+    assert_eq!(daemon.deliveries.recv().await.unwrap().2, chunk);
+    let huge = Bytes::from(vec![1; (8 << 20) + 1]);
+    let answer = client.ask(&host, Channel::Consensus, huge, LIMIT).await;
+    assert!(matches!(answer, Err(Error::TooLarge { .. })));
+    client.shutdown().await;
+}
+
+#[tokio::test]
+async fn another_cluster_a_wrong_secret_and_a_wrong_host_are_refused() {
+    let mut daemon = daemon("entry-2").await;
+    let cases = [
+        ("banks", "secret", "entry-2", "another cluster"),
+        ("salons", "guess", "entry-2", "wrong secret"),
+        ("salons", "secret", "entry-3", "meant for another host"),
+    ];
+    for (cluster, secret, host, reason) in cases {
+        let host = HostId::new(host);
+        let (client, local) = client(cluster, secret, &host, daemon.address);
+        client.send(&host, Channel::Membership, Bytes::from("hello"));
+        let refused = Error::Refused {
+            host: host.clone(),
+            reason: reason.to_owned(),
+        };
+        assert_eq!(ask(&client, &host, "who").await, Err(refused));
+        client.shutdown().await;
+        let traffic = local.counters.read(Channel::Membership);
+        assert_eq!(traffic.messages_dropped, 1, "{reason}");
+    }
+    assert!(daemon.deliveries.try_recv().is_err());
+}
+
+/// Passes bytes on until it is frozen; connections opened before then stay open and silent.
+async fn proxy(target: SocketAddr, mut frozen: watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((inbound, _)) = listener.accept().await {
+            let outbound = TcpStream::connect(target).await.unwrap();
+            frozen.mark_unchanged();
+            let (from_client, to_client) = inbound.into_split();
+            let (from_server, to_server) = outbound.into_split();
+            tokio::spawn(pass(from_client, to_server, frozen.clone()));
+            tokio::spawn(pass(from_server, to_client, frozen.clone()));
+        }
+    });
+    address
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut frozen: watch::Receiver<bool>,
+) {
+    let mut buffer = [0; 4_096];
+    loop {
+        tokio::select! {
+            biased;
+            _ = frozen.changed() => std::future::pending().await,
+            count = from.read(&mut buffer) => match count {
+                Ok(count) if count > 0 => to.write_all(&buffer[..count]).await.unwrap(),
+                _ => return,
+            },
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_connection_that_goes_silent_is_shed_and_a_new_one_opened() {
+    let mut daemon = daemon("entry-2").await;
+    let (freeze, frozen) = watch::channel(false);
+    let address = proxy(daemon.address, frozen).await;
+    let host = HostId::new("entry-2");
+    let (client, local) = client("salons", "secret", &host, address);
+    ask(&client, &host, "first").await.unwrap();
+    freeze.send(true).unwrap();
+    // Far below the question's own limit of 20 s: the pings end the call.
+    let lost = ask(&client, &host, "second").await.unwrap_err();
+    assert!(matches!(lost, Error::Lost { .. }), "{lost}");
+    assert!(!lost.is_unsent());
+    assert_eq!(ask(&client, &host, "third").await.unwrap(), "control:third");
+    client.send(&host, Channel::Limits, Bytes::from("after"));
+    assert_eq!(daemon.deliveries.recv().await.unwrap().2, "after");
+    client.shutdown().await;
+    assert_eq!(local.counters.read(Channel::Limits).messages_dropped, 0);
+}
+
+#[tokio::test]
+async fn a_full_queue_drops_its_oldest_and_counts() {
+    let mut daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, local) = client("salons", "secret", &host, daemon.address);
+    // Nothing yields in between, so that all of them meet in the queue.
+    for number in 0..3_000_u32 {
+        let body = Bytes::from(number.to_string());
+        client.send(&host, Channel::Membership, body);
+    }
+    let dropped = local.counters.read(Channel::Membership).messages_dropped;
+    assert_eq!(dropped, 3_000 - 1_024);
+    for number in 3_000 - 1_024..3_000 {
+        let (_, _, body) = daemon.deliveries.recv().await.unwrap();
+        assert_eq!(body, number.to_string());
+    }
+    client.send(&HostId::new("nobody"), Channel::Setup, Bytes::new());
+    assert_eq!(local.counters.read(Channel::Setup).messages_dropped, 1);
+    client.shutdown().await;
+}
+
+#[tokio::test]
+async fn unreachable_and_unknown_hosts_are_told_as_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "secret", &host, address);
+    let error = ask(&client, &host, "who").await.unwrap_err();
+    assert!(matches!(error, Error::Unreachable { .. }));
+    assert!(error.is_unsent());
+    let stranger = HostId::new("entry-9");
+    let error = ask(&client, &stranger, "who").await.unwrap_err();
+    assert_eq!(error, Error::UnknownHost(stranger));
+    client.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_daemon_at_a_new_address_is_reached_there() {
+    let host = HostId::new("entry-2");
+    let first = daemon("entry-2").await;
+    let (client, _) = client("salons", "secret", &host, first.address);
+    ask(&client, &host, "first").await.unwrap();
+    first.stop.send(()).unwrap();
+    first.task.await.unwrap().unwrap();
+    let second = daemon("entry-2").await;
+    client.set_address(&host, second.address);
+    assert_eq!(ask(&client, &host, "moved").await.unwrap(), "control:moved");
+    client.shutdown().await;
+}
+
+#[tokio::test]
+async fn shutdown_joins_all_and_lets_queued_messages_leave() {
+    let mut daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, local) = client("salons", "secret", &host, daemon.address);
+    client.send(&host, Channel::Control, Bytes::from("last words"));
+    client.shutdown().await;
+    assert_eq!(daemon.deliveries.recv().await.unwrap().2, "last words");
+    // The client's tasks and their peers held the only other references.
+    drop(client);
+    assert_eq!(Arc::strong_count(&local.counters), 1);
+    daemon.stop.send(()).unwrap();
+    daemon.task.await.unwrap().unwrap();
+    assert!(daemon.deliveries.recv().await.is_none());
+}
+
+#[tokio::test]
+async fn a_slow_answer_is_given_up_on_in_time_and_leaves_the_connection() {
+    let daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "secret", &host, daemon.address);
+    let limit = Duration::from_millis(50);
+    let answer = client
+        .ask(&host, Channel::Control, Bytes::from("hang"), limit)
+        .await;
+    let timeout = Error::Timeout {
+        host: host.clone(),
+        timeout: limit,
+    };
+    assert_eq!(answer, Err(timeout));
+    assert_eq!(ask(&client, &host, "who").await.unwrap(), "control:who");
+    client.shutdown().await;
+}
