--- a/crates/kumquatdrum_daemon/src/flight.rs
+++ b/crates/kumquatdrum_daemon/src/flight.rs
@@ -206,6 +206,8 @@
     attempt: Option<Attempt>,
     made: u32,
     claimed: bool,
+    /// The attempt belongs to an earlier request.
+    follows: bool,
     excluded: Vec<EndpointId>,
     /// Part of the answer has reached the caller.
     delivered: bool,
@@ -228,6 +230,7 @@
             attempt: None,
             made: 0,
             claimed: false,
+            follows: false,
             excluded: Vec::new(),
             delivered: false,
             ran: false,
@@ -237,11 +240,32 @@
         }
     }
 
+    /// Follows an attempt that another request with the same idempotency key started. Nothing is
+    /// ever dispatched, and the attempt is never cancelled from here.
+    pub fn attached(plan: Plan, timing: Timing, target: Target, id: AttemptId) -> Self {
+        let mut flight = Self::new(plan, timing);
+        flight.phase = Phase::Probing;
+        flight.follows = true;
+        flight.claimed = true;
+        flight.may_have_run = true;
+        flight.attempt = Some(Attempt {
+            target,
+            id,
+            accepted: false,
+            broken: true,
+            tokens: 0,
+        });
+        flight
+    }
+
     /// The first thing to do.
     pub fn start(&self) -> Vec<Output> {
-        vec![Output::Place {
-            excluded: Vec::new(),
-        }]
+        match &self.attempt {
+            Some(attempt) => vec![Output::Probe(attempt.target.clone(), attempt.id.clone())],
+            None => vec![Output::Place {
+                excluded: Vec::new(),
+            }],
+        }
     }
 
     /// Whether the request is over.
@@ -411,6 +435,7 @@
             return self.elsewhere_if_repeatable();
         }
         match standing.state {
+            State::NeverSeen if self.follows => self.give_up(Cause::EndpointLost),
             State::NeverSeen => {
                 // The first copy may still be on its way: the cancel bars it.
                 self.phase = Phase::Cancelling;
@@ -447,7 +472,7 @@
         if self.phase != Phase::Probing && self.phase != Phase::Cancelling {
             return Vec::new();
         }
-        let movable = self.plan.idempotent && !self.delivered;
+        let movable = self.plan.idempotent && !self.delivered && !self.follows;
         let Some(attempt) = self.attempt.clone() else {
             return Vec::new();
         };
@@ -478,7 +503,7 @@
     }
 
     fn elsewhere_if_repeatable(&mut self) -> Vec<Output> {
-        if self.plan.idempotent && !self.delivered {
+        if self.plan.idempotent && !self.delivered && !self.follows {
             return self.elsewhere();
         }
         self.give_up(self.last_cause.clone())
@@ -514,6 +539,7 @@
                 outputs.extend(self.give_up(Cause::Deadline));
                 outputs
             }
+            (_, Some(_)) if self.follows => self.give_up(Cause::Deadline),
             (_, Some(attempt)) => {
                 let mut outputs = vec![Output::Abandon(attempt.target, attempt.id)];
                 outputs.extend(self.give_up(Cause::Deadline));
@@ -525,6 +551,7 @@
     fn caller_gone(&mut self) -> Vec<Output> {
         let mut outputs = match (self.phase, self.attempt.clone()) {
             (Phase::Placing | Phase::Claiming, _) | (_, None) => vec![Output::Withdraw],
+            _ if self.follows => Vec::new(),
             // The answer to a keyed request is there for the caller's resend.
             _ if self.plan.keyed => return Vec::new(),
             (_, Some(attempt)) => vec![Output::Abandon(attempt.target, attempt.id)],
--- /dev/null
+++ b/crates/kumquatdrum_host/src/gate.rs
@@ -0,0 +1,219 @@
+//! The daemon as the callers' listener sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatdrum_caller::gate::{Answer, Ask, KeyState, Pass, Passage, Problem};
+use kumquatdrum_caller::Gate;
+use kumquatdrum_daemon::admission;
+use kumquatdrum_daemon::flight::Plan;
+use kumquatdrum_declaration::{Index, Service, Workspace};
+use kumquatdrum_routing as routing;
+use kumquatdrum_setup::{Claim, Digest};
+use kumquatdrum_types::{AttemptId, IdempotencyKey, Refusal, RequestId};
+use slog::warn;
+use tokio::sync::mpsc;
+
+use crate::in_force::Current;
+use crate::key::Key;
+use crate::request::{Driver, Order};
+use crate::shell::Shell;
+
+/// Replies that wait for a slow caller.
+const REPLIES: usize = 256;
+/// Attempts of one request, the first included.
+const ATTEMPTS: u32 = 3;
+/// How long the outcome of a keyed request is kept after its deadline.
+const RETAIN: Duration = Duration::from_secs(24 * 3_600);
+
+/// The gate of one host.
+pub struct Door {
+    shell: Arc<Shell>,
+}
+
+impl Door {
+    /// A gate to the host.
+    pub const fn new(shell: Arc<Shell>) -> Self {
+        Self { shell }
+    }
+
+    fn current(&self, request: Option<&RequestId>) -> Result<Arc<Current>, Problem> {
+        let refuse = || self.refuse(Refusal::NoDeclaration, request);
+        self.shell.in_force.current().ok_or_else(refuse)
+    }
+
+    fn refuse(&self, refusal: Refusal, request: Option<&RequestId>) -> Problem {
+        let code = kumquatdrum_caller::gate::code(refusal);
+        self.shell.metrics.refused.with_label_values(&[&code]).inc();
+        Problem::refused(refusal, None, request.cloned())
+    }
+
+    fn order(&self, pass: Pass, ask: Ask) -> Result<Order, Problem> {
+        let current = self.current(Some(&pass.request))?;
+        let index = &current.index;
+        let refuse = |refusal| self.refuse(refusal, Some(&pass.request));
+        let workspace = index.workspace(pass.workspace.as_str());
+        let workspace = workspace.ok_or_else(|| refuse(Refusal::Unauthorized))?;
+        let service = index
+            .service_for(workspace, &ask.service)
+            .filter(|service| index.model_of(service).is_some() == ask.model)
+            .ok_or_else(|| refuse(Refusal::UnknownService))?;
+        let deadline = admission::deadline(service, ask.deadline);
+        let prompt_tokens = self.prompt_tokens(index, service, &ask);
+        let model = index.model_of(service);
+        if model.is_some_and(|model| prompt_tokens > model.max_prompt_tokens) {
+            return Err(refuse(Refusal::PromptTooLong));
+        }
+        let routing = self.routing(&pass, &ask, index, workspace, prompt_tokens, deadline)?;
+        let plan = Plan {
+            deadline: routing.deadline,
+            idempotent: admission::idempotent(service, &ask.method, &ask.path, ask.idempotent),
+            keyed: ask.key.is_some(),
+            resumable: ask.model,
+            streamed: ask.stream || !ask.model,
+            attempts: ATTEMPTS,
+        };
+        let key = ask.key.as_ref().map(|key| self.key(&pass, &ask, key, service, deadline));
+        Ok(Order {
+            service: service.name.clone(),
+            workspace: workspace.name.clone(),
+            request: pass.request,
+            routing,
+            plan,
+            key,
+            hold: pass.hold,
+            work: self.shell.drain.work(),
+            permit: None,
+            ask,
+        })
+    }
+
+    fn prompt_tokens(&self, index: &Index, service: &Service, ask: &Ask) -> u64 {
+        let counted = ask.prompt_tokens.unwrap_or_default();
+        match index.model_of(service) {
+            _ if counted > 0 => counted,
+            Some(model) => admission::tokens(ask.prompt.len(), model.bytes_per_token_milli),
+            None => 0,
+        }
+    }
+
+    fn routing(
+        &self,
+        pass: &Pass,
+        ask: &Ask,
+        index: &Index,
+        workspace: &Workspace,
+        prompt_tokens: u64,
+        deadline: Duration,
+    ) -> Result<routing::Ask, Problem> {
+        let named = ask.priority.as_deref().or(workspace.priority.as_deref());
+        let priority = match named.map(|name| index.priority(name)) {
+            None => routing::Priority::default(),
+            Some(Some(priority)) => routing::Priority {
+                // The router serves higher levels first, the file's lower ones go first.
+                level: u8::MAX - priority.level,
+                aging: Duration::from_millis(priority.aging_ms),
+            },
+            Some(None) => {
+                return Err(self
+                    .refuse(Refusal::BadRequest, Some(&pass.request))
+                    .with_message("header x-priority names no declared priority"));
+            }
+        };
+        Ok(routing::Ask {
+            request: pass.request.clone(),
+            workspace: workspace.name.clone(),
+            weight: workspace.weight,
+            priority,
+            prompt_tokens,
+            expected_output_tokens: ask.max_tokens.unwrap_or(admission::USUAL_OUTPUT_TOKENS),
+            prefix: Vec::new(),
+            deadline: self.shell.clock.now() + deadline,
+            excluded: Vec::new(),
+            work: if ask.model {
+                routing::Work::Model
+            } else {
+                routing::Work::Plain
+            },
+        })
+    }
+
+    fn key(&self, pass: &Pass, ask: &Ask, key: &str, service: &Service, deadline: Duration) -> Key {
+        let parts = [
+            service.name.as_str().as_bytes(),
+            ask.method.as_bytes(),
+            ask.path.as_bytes(),
+            &ask.body,
+        ];
+        let claim = Claim {
+            workspace: pass.workspace.clone(),
+            key: IdempotencyKey::new(key),
+            fingerprint: Digest::of_parts(&parts),
+            host: self.shell.settings.host.clone(),
+            attempt: AttemptId::new(pass.request.as_str()),
+            deadline_ms: deadline.as_millis() as u64,
+            retain_ms: RETAIN.as_millis() as u64,
+        };
+        Key {
+            claim,
+            service: service.name.clone(),
+            resumable: ask.model,
+        }
+    }
+}
+
+impl Gate for Door {
+    fn open(&self, bearer: Option<&str>) -> Result<Pass, Problem> {
+        let request = self.shell.name();
+        let current = self.current(Some(&request))?;
+        let workspace = bearer.and_then(|key| current.index.caller(key));
+        let Some(workspace) = workspace else {
+            warn!(self.shell.logger, ""; "event" => "caller_refused", "request" => %request,
+                "has_key" => bearer.is_some());
+            return Err(self.refuse(Refusal::Unauthorized, Some(&request)));
+        };
+        Ok(Pass {
+            hold: self.shell.bodies.hold(&workspace.name),
+            workspace: workspace.name.clone(),
+            body_limit: self.shell.settings.limits.body_bytes,
+            workspace_limit: workspace.limits.body_bytes,
+            request,
+        })
+    }
+
+    fn enter(&self, pass: Pass, ask: Ask) -> Result<Passage, Problem> {
+        let order = self.order(pass, ask)?;
+        let request = order.request.clone();
+        let (sender, replies) = mpsc::channel(REPLIES);
+        let driver = Driver::new(Arc::clone(&self.shell), order, sender);
+        self.shell.requests.spawn(driver.run());
+        Ok(Passage { request, replies })
+    }
+
+    fn key_state<'a>(
+        &'a self,
+        bearer: Option<&'a str>,
+        key: &'a str,
+    ) -> Answer<'a, Result<KeyState, Problem>> {
+        Box::pin(async move {
+            let pass = self.open(bearer)?;
+            let key = IdempotencyKey::new(key);
+            let found = self.shell.control.key(&pass.workspace, &key).await;
+            let held = found.map_err(|_| {
+                self.refuse(Refusal::ClaimUnavailable, Some(&pass.request))
+            })?;
+            Ok(KeyState {
+                key: key.to_string(),
+                state: held.as_ref().map_or_else(|| "never_seen".to_owned(), state_name),
+                host: held.map(|held| held.host.to_string()),
+            })
+        })
+    }
+}
+
+fn state_name(held: &kumquatdrum_setup::claim::Held) -> String {
+    match serde_json::to_value(held.settled) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => "unknown".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_host/src/key.rs
@@ -0,0 +1,208 @@
+//! Idempotency keys: claimed in the replicated log before the dispatch, settled after the end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use kumquatdrum_caller::gate::Problem;
+use kumquatdrum_daemon::flight::Ending;
+use kumquatdrum_setup::claim::Held;
+use kumquatdrum_setup::{Claim, ClaimAnswer, Failure, Settled, Settlement};
+use kumquatdrum_types::exchange::{State, Target};
+use kumquatdrum_types::{AttemptId, Class, Moment, Refusal, RequestId, ServiceName};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::shell::Shell;
+
+/// The wait before a claim whose outcome is unknown is sent again.
+const CLAIM_AGAIN: Duration = Duration::from_millis(100);
+/// How long a settlement may hold up the last word.
+const SETTLE_BEFORE_ANSWER: Duration = Duration::from_millis(500);
+/// How long a settlement is tried in all.
+const SETTLE_FOR: Duration = Duration::from_secs(60);
+/// Attempts of one request that an engine may know.
+const ATTEMPTS: u32 = 4;
+
+/// One request's key with what its claim needs.
+#[derive(Debug, Clone)]
+pub struct Key {
+    /// The claim as it goes into the log; its attempt is the request's name.
+    pub claim: Claim,
+    /// The service, to look for the attempt of an earlier request.
+    pub service: ServiceName,
+    /// Whether engines can be asked about attempts.
+    pub resumable: bool,
+}
+
+/// What a claim came to.
+#[derive(Debug)]
+pub enum Claimed {
+    /// The request may be dispatched.
+    Granted,
+    /// It is certain that the claim doesn't stand.
+    Refused(Refusal, Option<Duration>),
+    /// An earlier request with the key runs or has run there.
+    Follow(Target, AttemptId),
+    /// The caller is to be told this.
+    Told(Problem),
+}
+
+impl Key {
+    /// Claims the key. An unknown outcome is asked for again until the deadline.
+    pub async fn claim(self, shell: &Arc<Shell>, deadline: Moment) -> Claimed {
+        let until = shell.clock.instant(deadline);
+        let mut is_open = false;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let claims = vec![self.claim.clone()];
+            let answer = timeout(left, shell.control.claim(claims)).await;
+            match answer {
+                Ok(Ok(answers)) => return self.answered(shell, answers.into_iter().next()).await,
+                // Nothing of any earlier try is in the log either.
+                Ok(Err(Failure::Unavailable)) if !is_open => {
+                    return Claimed::Refused(Refusal::ClaimUnavailable, None);
+                }
+                Ok(Err(Failure::Unknown)) => is_open = true,
+                Ok(Err(_)) => {}
+                Err(_) => break,
+            }
+            if left.is_zero() {
+                break;
+            }
+            sleep(CLAIM_AGAIN).await;
+        }
+        self.free(shell);
+        Claimed::Refused(Refusal::ClaimUnavailable, None)
+    }
+
+    async fn answered(&self, shell: &Shell, answer: Option<ClaimAnswer>) -> Claimed {
+        match answer {
+            Some(ClaimAnswer::Granted) => Claimed::Granted,
+            Some(ClaimAnswer::Held(held)) => self.held(shell, held).await,
+            Some(ClaimAnswer::Mismatch) => Claimed::Told(told(
+                "key_mismatch",
+                422,
+                Class::NotRun,
+                "the idempotency key belongs to another request",
+            )),
+            Some(ClaimAnswer::Full) | None => Claimed::Refused(Refusal::ClaimUnavailable, None),
+        }
+    }
+
+    /// The key's earlier request is looked for at the engines.
+    async fn held(&self, shell: &Shell, held: Held) -> Claimed {
+        let followed = match held.settled {
+            Settled::NotRun => return Claimed::Refused(Refusal::ClaimUnavailable, None),
+            _ if !self.resumable => None,
+            _ => self.seek(shell, &held.attempt).await,
+        };
+        match (followed, held.settled) {
+            (Some((target, attempt)), _) => Claimed::Follow(target, attempt),
+            (None, Settled::Finished) => Claimed::Told(told(
+                "key_finished",
+                409,
+                Class::Failed,
+                "the key's request ran to its end; its answer is no longer held",
+            )),
+            (None, Settled::Running) => {
+                let mut problem = told(
+                    "key_running",
+                    409,
+                    Class::Unknown,
+                    "the key's request was dispatched and is not settled yet",
+                );
+                problem.retry_after_ms = Some(1_000);
+                Claimed::Told(problem)
+            }
+            (None, _) => Claimed::Told(told(
+                "key_unknown",
+                409,
+                Class::Unknown,
+                "the key's request was dispatched, and what became of it could not be learnt",
+            )),
+        }
+    }
+
+    async fn seek(&self, shell: &Shell, request: &AttemptId) -> Option<(Target, AttemptId)> {
+        let targets = shell.fleet.targets(&self.service);
+        let pairs = targets.iter().flat_map(|target| {
+            (0..ATTEMPTS).map(move |number| {
+                let attempt = AttemptId::new(format!("{request}.k{number}"));
+                (target.clone(), attempt)
+            })
+        });
+        let asked = pairs.map(|(target, attempt)| async move {
+            let standing = shell.engine.probe(&target, &attempt).await.ok()?;
+            let lives = matches!(
+                standing.state,
+                State::Waiting | State::Running | State::Finished
+            );
+            lives.then_some((target, attempt))
+        });
+        join_all(asked).await.into_iter().flatten().next()
+    }
+
+    /// Tells the log how the request ended, before the caller is told where that is quick.
+    pub async fn settle(self, shell: &Arc<Shell>, ending: &Ending) {
+        let settled = match ending {
+            Ending::Finished => Settled::Finished,
+            Ending::NotRun {
+                refusal: Refusal::ClaimUnavailable,
+                ..
+            } => return,
+            Ending::NotRun { .. } => Settled::NotRun,
+            Ending::Failed(_) | Ending::Unknown(_) | Ending::CallerGone => Settled::Unknown,
+        };
+        let job = shell.requests.spawn({
+            let shell = Arc::clone(shell);
+            async move { self.keep_settling(&shell, settled).await }
+        });
+        let _ = timeout(SETTLE_BEFORE_ANSWER, job).await;
+    }
+
+    async fn keep_settling(self, shell: &Shell, settled: Settled) {
+        let settlement = Settlement {
+            workspace: self.claim.workspace.clone(),
+            key: self.claim.key.clone(),
+            attempt: self.claim.attempt.clone(),
+            by: shell.settings.host.clone(),
+            settled,
+        };
+        let until = Instant::now() + SETTLE_FOR;
+        while Instant::now() < until {
+            if shell.control.settle(vec![settlement.clone()]).await.is_ok() {
+                return;
+            }
+            sleep(CLAIM_AGAIN).await;
+        }
+        slog::warn!(shell.logger, ""; "event" => "settlement_lost",
+            "request" => %self.claim.attempt);
+    }
+
+    /// The claim may stand in the log although nothing was or will be dispatched under it: it is
+    /// made certain, then settled as not run.
+    pub fn free(self, shell: &Arc<Shell>) {
+        let shared = Arc::clone(shell);
+        shell.requests.spawn(async move {
+            let until = Instant::now() + SETTLE_FOR;
+            while Instant::now() < until {
+                if shared.control.claim(vec![self.claim.clone()]).await.is_ok() {
+                    return self.keep_settling(&shared, Settled::NotRun).await;
+                }
+                sleep(CLAIM_AGAIN).await;
+            }
+        });
+    }
+}
+
+fn told(code: &str, status: u16, class: Class, message: &str) -> Problem {
+    Problem {
+        code: code.to_owned(),
+        class,
+        message: message.to_owned(),
+        retry_after_ms: None,
+        request: None::<RequestId>,
+        status,
+        relayed: None,
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -0,0 +1,475 @@
+//! Carries out what a flight decides: one task for each request.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use kumquatdrum_caller::Reply;
+use kumquatdrum_caller::gate::Ask;
+use kumquatdrum_daemon::body::Hold;
+use kumquatdrum_daemon::flight::{Ending, Flight, Input, Output, Plan, Timing};
+use kumquatdrum_engine::engine::Events;
+use kumquatdrum_platform::drain::Work;
+use kumquatdrum_routing::{self as routing, Failure, Progress};
+use kumquatdrum_types::exchange::{Call, Event, Fault, Target, Usage};
+use kumquatdrum_types::{
+    AttemptId, EndpointId, Moment, Refusal, RequestId, ServiceName, WorkspaceName,
+};
+use slog::{debug, info};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::fleet::{Decision, Placement};
+use crate::key::{Claimed, Key};
+use crate::problem;
+use crate::shell::Shell;
+
+/// How long the last word to a slow caller may take.
+const LAST_WORD: Duration = Duration::from_secs(2);
+
+type Question = Pin<Box<dyn Future<Output = Told> + Send>>;
+
+/// The answer to a question that the driver asked on the side.
+enum Told {
+    Input(Input),
+    Claimed(Claimed),
+}
+
+/// How the claim of this request's own key stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClaimState {
+    /// None is in the log.
+    None,
+    /// It is under way and may be in the log.
+    Open,
+    /// It stands.
+    Granted,
+}
+
+/// One request with everything that it needs to be carried out.
+pub struct Order {
+    /// Its name.
+    pub request: RequestId,
+    /// Whose it is.
+    pub workspace: WorkspaceName,
+    /// What it asks for.
+    pub ask: Ask,
+    /// The service.
+    pub service: ServiceName,
+    /// What the router needs to know; excluded endpoints are filled in.
+    pub routing: routing::Ask,
+    /// What is fixed from its start.
+    pub plan: Plan,
+    /// Its idempotency key, with what a claim needs.
+    pub key: Option<Key>,
+    /// Bytes set aside for its body.
+    pub hold: Hold,
+    /// What the shutdown waits for.
+    pub work: Work,
+    /// The slot in its workspace's limits, returned at the end.
+    pub permit: Option<Box<dyn Send>>,
+}
+
+/// Carries out one request.
+pub struct Driver {
+    shell: Arc<Shell>,
+    order: Order,
+    flight: Flight,
+    replies: mpsc::Sender<Reply>,
+    pending: Option<Reply>,
+    placement: Option<oneshot::Receiver<Decision>>,
+    question: Option<Question>,
+    events: Option<Events>,
+    /// The router's number of the attempt under way.
+    attempt: Option<u64>,
+    target: Option<Target>,
+    priority: u8,
+    made: u32,
+    received: u64,
+    usage: Usage,
+    arrived: Moment,
+    first_token: bool,
+    caller_gone: bool,
+    claim: ClaimState,
+}
+
+impl Driver {
+    /// A driver for a request that was just admitted.
+    pub fn new(shell: Arc<Shell>, order: Order, replies: mpsc::Sender<Reply>) -> Self {
+        let arrived = shell.clock.now();
+        Self {
+            flight: Flight::new(order.plan.clone(), Timing::default()),
+            shell,
+            order,
+            replies,
+            pending: None,
+            placement: None,
+            question: None,
+            events: None,
+            attempt: None,
+            target: None,
+            priority: 0,
+            made: 0,
+            received: 0,
+            usage: Usage::default(),
+            arrived,
+            first_token: false,
+            caller_gone: false,
+            claim: ClaimState::None,
+        }
+    }
+
+    /// Carries the request to its end.
+    pub async fn run(mut self) {
+        self.shell.metrics.admitted.inc();
+        self.shell.metrics.in_flight.inc();
+        self.shell.fleet.request(&self.order.service);
+        let mut outputs = self.flight.start();
+        loop {
+            for output in outputs {
+                if let Output::End(ending) = output {
+                    return self.end(ending).await;
+                }
+                self.carry_out(output);
+            }
+            let input = self.next().await;
+            outputs = self.flight.step(self.shell.clock.now(), input);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Place { excluded } => self.place(excluded),
+            Output::Retry { excluded } => self.retry(excluded),
+            Output::Withdraw => self.withdraw(),
+            Output::Claim => self.claim(),
+            Output::Dispatch(target, attempt) => self.dispatch(target, attempt),
+            Output::Probe(target, attempt) => {
+                let asked = self.shell.engine.probe(&target, &attempt);
+                self.ask(async move { asked.await.map_or(Input::Unreachable, Input::Standing) });
+            }
+            Output::Cancel(target, attempt) => {
+                self.events = None;
+                let asked = self.shell.engine.cancel(&target, &attempt);
+                self.ask(async move { asked.await.map_or(Input::Unreachable, Input::Cancelled) });
+            }
+            Output::Resume(target, attempt, from) => {
+                self.shell.metrics.resumes.inc();
+                self.shell.engine.shed(&target);
+                self.events = Some(self.shell.engine.resume(&target, &attempt, from));
+            }
+            Output::Abandon(target, attempt) if self.order.plan.resumable => {
+                self.shell.janitor.abandon(target, attempt);
+            }
+            // A plain service can't be told; closing the connection is all there is.
+            Output::Abandon(..) | Output::End(_) => self.events = None,
+        }
+    }
+
+    fn ask(&mut self, question: impl Future<Output = Input> + Send + 'static) {
+        self.question = Some(Box::pin(async move { Told::Input(question.await) }));
+    }
+
+    fn place(&mut self, excluded: Vec<EndpointId>) {
+        self.settle_attempt(Progress::Failed(Failure::Broken));
+        self.events = None;
+        self.question = None;
+        let mut ask = self.order.routing.clone();
+        ask.excluded = excluded;
+        self.placement = Some(self.shell.fleet.submit(&self.order.service, ask));
+    }
+
+    fn retry(&mut self, excluded: Vec<EndpointId>) {
+        if self.shell.fleet.retry(&self.order.service) {
+            self.shell.metrics.retries.inc();
+            return self.place(excluded);
+        }
+        self.settle_attempt(Progress::Failed(Failure::Broken));
+        self.events = None;
+        self.question = Some(Box::pin(async { Told::Input(Input::RetryDenied) }));
+    }
+
+    fn withdraw(&mut self) {
+        self.shell
+            .fleet
+            .withdraw(&self.order.service, &self.order.request);
+        let decided = self.placement.take().and_then(|mut waiting| waiting.try_recv().ok());
+        if let Some(Decision::Placed(placement)) = decided {
+            self.attempt = Some(placement.attempt);
+        }
+        self.settle_attempt(Progress::Failed(Failure::Cancelled));
+    }
+
+    fn claim(&mut self) {
+        let Some(key) = self.order.key.clone() else {
+            return;
+        };
+        self.claim = ClaimState::Open;
+        let shell = Arc::clone(&self.shell);
+        let deadline = self.order.plan.deadline;
+        self.question = Some(Box::pin(async move {
+            Told::Claimed(key.claim(&shell, deadline).await)
+        }));
+    }
+
+    fn dispatch(&mut self, target: Target, attempt: AttemptId) {
+        self.received = 0;
+        self.pending = match self.made {
+            0 => None,
+            _ => Some(Reply::Restart),
+        };
+        self.made += 1;
+        self.shell.metrics.attempts.inc();
+        debug!(self.shell.logger, ""; "event" => "dispatched", "request" => %self.order.request,
+            "attempt" => %attempt, "endpoint" => %target.endpoint);
+        let call = Call {
+            target,
+            attempt,
+            owner: self.shell.settings.host.clone(),
+            owner_attempt: self.attempt.unwrap_or_default(),
+            method: self.order.ask.method.clone(),
+            path: self.order.ask.path.clone(),
+            headers: self.order.ask.headers.clone(),
+            body: self.order.ask.body.clone(),
+            prompt_tokens: self.order.routing.prompt_tokens,
+            priority: self.priority,
+            time_left: self.order.plan.deadline - self.shell.clock.now(),
+        };
+        self.events = Some(match self.order.plan.resumable {
+            true => self.shell.engine.dispatch(call),
+            false => self.shell.plain.call(call),
+        });
+    }
+
+    /// Tells the router that the attempt under way needs nothing any more.
+    fn settle_attempt(&mut self, progress: Progress) {
+        if let Some(attempt) = self.attempt.take() {
+            self.shell
+                .fleet
+                .progress(&self.order.service, attempt, progress);
+        }
+    }
+
+    fn progress(&self, progress: Progress) {
+        if let Some(attempt) = self.attempt {
+            self.shell
+                .fleet
+                .progress(&self.order.service, attempt, progress);
+        }
+    }
+
+    /// Waits for the next thing to happen.
+    async fn next(&mut self) -> Input {
+        loop {
+            let wake = self.shell.clock.instant(self.flight.wake());
+            let takes = self.pending.is_none();
+            let sends = self.pending.is_some() && !self.caller_gone;
+            if self.caller_gone {
+                self.pending = None;
+            }
+            tokio::select! {
+                biased;
+                () = self.replies.closed(), if !self.caller_gone => {
+                    self.caller_gone = true;
+                    return Input::CallerGone;
+                }
+                Some(told) = opt(self.question.as_mut()) => {
+                    self.question = None;
+                    match told {
+                        Told::Input(input) => return input,
+                        Told::Claimed(claimed) => if let Some(input) = self.claimed(claimed) {
+                            return input;
+                        }
+                    }
+                }
+                Some(decision) = opt(self.placement.as_mut()) => {
+                    self.placement = None;
+                    return self.decided(decision.ok());
+                }
+                Ok(permit) = self.replies.reserve(), if sends => {
+                    if let Some(reply) = self.pending.take() {
+                        permit.send(reply);
+                    }
+                }
+                event = next_event(&mut self.events), if takes && self.events.is_some() => {
+                    if let Some(input) = self.event(event) {
+                        return input;
+                    }
+                }
+                () = tokio::time::sleep_until(wake) => return Input::Tick,
+            }
+        }
+    }
+
+    fn decided(&mut self, decision: Option<Decision>) -> Input {
+        match decision {
+            Some(Decision::Placed(placement)) => self.placed(placement),
+            Some(Decision::Refused(refusal, wait)) => Input::Refused(refusal, wait),
+            None => Input::Refused(Refusal::Draining, None),
+        }
+    }
+
+    fn placed(&mut self, placement: Placement) -> Input {
+        self.attempt = Some(placement.attempt);
+        self.priority = placement.priority;
+        let Some(target) = placement.targets.into_iter().next() else {
+            return Input::Fault(Fault::NotSent);
+        };
+        self.target = Some(target.clone());
+        let mark = if self.order.key.is_some() { "k" } else { "" };
+        let id = format!("{}.{mark}{}", self.order.request, self.made);
+        Input::Placed(target, AttemptId::new(id))
+    }
+
+    fn claimed(&mut self, claimed: Claimed) -> Option<Input> {
+        match claimed {
+            Claimed::Granted => {
+                self.claim = ClaimState::Granted;
+                Some(Input::Claimed)
+            }
+            Claimed::Refused(refusal, wait) => {
+                self.claim = ClaimState::None;
+                Some(Input::ClaimRefused(refusal, wait))
+            }
+            Claimed::Follow(target, attempt) => {
+                self.settle_attempt(Progress::Failed(Failure::Cancelled));
+                let plan = self.order.plan.clone();
+                let flight = Flight::attached(plan, Timing::default(), target, attempt);
+                self.flight = flight;
+                self.claim = ClaimState::None;
+                for output in self.flight.start() {
+                    self.carry_out(output);
+                }
+                None
+            }
+            Claimed::Told(problem) => {
+                self.settle_attempt(Progress::Failed(Failure::Cancelled));
+                self.claim = ClaimState::None;
+                self.pending = Some(Reply::Problem(problem));
+                Some(Input::ClaimRefused(Refusal::ClaimUnavailable, None))
+            }
+        }
+    }
+
+    fn event(&mut self, event: Option<Event>) -> Option<Input> {
+        let Some(event) = event else {
+            self.events = None;
+            return Some(Input::Fault(Fault::Broken));
+        };
+        match event {
+            Event::Accepted(head) => {
+                self.progress(Progress::Started);
+                if !self.order.plan.resumable {
+                    self.pending = Some(Reply::Head(head));
+                }
+                Some(Input::Accepted)
+            }
+            Event::Token { index, .. } if index < self.received => None,
+            Event::Token { index, .. } if index > self.received => {
+                self.events = None;
+                Some(Input::Fault(Fault::Broken))
+            }
+            Event::Token { data, .. } => {
+                self.token();
+                self.pending = Some(Reply::Token(data));
+                Some(Input::Progress(self.received))
+            }
+            Event::Summary { data, usage } => {
+                self.usage = usage.unwrap_or(self.usage);
+                self.pending = Some(Reply::Summary(data));
+                None
+            }
+            Event::Piece(bytes) => {
+                self.token();
+                self.pending = Some(Reply::Piece(bytes));
+                Some(Input::Progress(self.received))
+            }
+            Event::Finished => Some(Input::Finished),
+            Event::Fault(fault) => {
+                self.events = None;
+                Some(Input::Fault(fault))
+            }
+        }
+    }
+
+    fn token(&mut self) {
+        self.received += 1;
+        if !self.first_token {
+            self.first_token = true;
+            self.progress(Progress::FirstToken);
+            let waited = self.shell.clock.now() - self.arrived;
+            self.shell.metrics.first_token.observe(waited.as_secs_f64());
+        }
+    }
+
+    async fn end(mut self, ending: Ending) {
+        self.events = None;
+        self.question = None;
+        let progress = match ending {
+            Ending::Finished => Progress::Finished(routing::Usage {
+                prompt_tokens: self.usage.prompt_tokens,
+                output_tokens: self.usage.completion_tokens,
+            }),
+            Ending::CallerGone => Progress::Failed(Failure::Cancelled),
+            _ => Progress::Failed(Failure::Broken),
+        };
+        self.settle_attempt(progress);
+        self.settle_key(&ending).await;
+        self.told(&ending);
+        let reply = match self.pending.take() {
+            Some(reply @ Reply::Problem(_)) => Some(reply),
+            pending => {
+                self.last_words(pending).await;
+                problem::last_reply(ending, &self.order.request)
+            }
+        };
+        self.last_words(reply).await;
+    }
+
+    async fn last_words(&self, reply: Option<Reply>) {
+        if let Some(reply) = reply {
+            let _ = self.replies.send_timeout(reply, LAST_WORD).await;
+        }
+    }
+
+    async fn settle_key(&mut self, ending: &Ending) {
+        match (self.order.key.take(), self.claim) {
+            (Some(key), ClaimState::Granted) => key.settle(&self.shell, ending).await,
+            (Some(key), ClaimState::Open) => key.free(&self.shell),
+            _ => {}
+        }
+    }
+
+    fn told(&self, ending: &Ending) {
+        let metrics = &self.shell.metrics;
+        let name = problem::ending_name(ending);
+        metrics.in_flight.dec();
+        metrics.ended.with_label_values(&[name]).inc();
+        if let Ending::NotRun { refusal, .. } = ending {
+            let code = kumquatdrum_caller::gate::code(*refusal);
+            metrics.refused.with_label_values(&[&code]).inc();
+        }
+        let endpoint = self.target.as_ref().map_or("", |target| target.endpoint.as_str());
+        info!(self.shell.logger, ""; "event" => "request_ended", "request" => %self.order.request,
+            "workspace" => %self.order.workspace, "service" => %self.order.service,
+            "ending" => name, "attempts" => self.made, "endpoint" => endpoint,
+            "prompt_tokens" => self.order.routing.prompt_tokens, "tokens" => self.received,
+            "millis" => (self.shell.clock.now() - self.arrived).as_millis() as u64);
+    }
+}
+
+/// A future that may not be there never resolves.
+async fn opt<F: Future + Unpin>(future: Option<&mut F>) -> Option<F::Output> {
+    match future {
+        Some(future) => Some(future.await),
+        None => std::future::pending().await,
+    }
+}
+
+async fn next_event(events: &mut Option<Events>) -> Option<Event> {
+    match events {
+        Some(events) => events.next().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -0,0 +1,60 @@
+//! What all parts of one host share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use kumquatdrum_daemon::body::Budget;
+use kumquatdrum_engine::Engine;
+use kumquatdrum_platform::{Drain, Metrics};
+use kumquatdrum_service::Plain;
+use kumquatdrum_setup::Control;
+use kumquatdrum_types::{BootId, RequestId};
+use tokio_util::task::TaskTracker;
+
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::in_force::Store;
+use crate::janitor::Janitor;
+use crate::settings::Settings;
+
+/// One host's shared parts.
+pub struct Shell {
+    /// The settings file.
+    pub settings: Settings,
+    /// This life of the daemon.
+    pub boot: BootId,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// Where events go.
+    pub logger: slog::Logger,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+    /// The state of the shutdown.
+    pub drain: Arc<Drain>,
+    /// The declaration in force.
+    pub in_force: Arc<Store>,
+    /// The routers.
+    pub fleet: Arc<Fleet>,
+    /// Model engines.
+    pub engine: Arc<dyn Engine>,
+    /// Plain services.
+    pub plain: Arc<dyn Plain>,
+    /// Cancels under way.
+    pub janitor: Arc<Janitor>,
+    /// The control plane.
+    pub control: Arc<dyn Control>,
+    /// Bytes of bodies.
+    pub bodies: Arc<Budget>,
+    /// Requests under way; the host joins them when it stops.
+    pub requests: TaskTracker,
+    /// Names given so far.
+    pub names: AtomicU64,
+}
+
+impl Shell {
+    /// A name for the next request.
+    pub fn name(&self) -> RequestId {
+        let count = self.names.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(format!("{}-{:x}-{count}", self.settings.host, self.boot.0))
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_host/src/web.rs
@@ -0,0 +1,98 @@
+//! Launching a rocket instance on one listener.
+
+use std::net::SocketAddr;
+
+use rocket::config::{Config, LogLevel, Shutdown};
+use rocket::fairing::AdHoc;
+use rocket::{Build, Ignite, Rocket};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// rocket waits this long for answers under way once it is told to stop; it is told only after
+/// the daemon's own work has run out.
+const GRACE_SECONDS: u32 = 5;
+const MERCY_SECONDS: u32 = 1;
+
+/// A listener that serves.
+pub struct Web {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shutdown: rocket::Shutdown,
+    task: JoinHandle<Result<Rocket<Ignite>, rocket::Error>>,
+}
+
+/// A listener could not be opened.
+#[derive(Debug, thiserror::Error)]
+#[error("the {name} listener can't be opened on {address}: {reason}")]
+pub struct Failed {
+    name: &'static str,
+    address: SocketAddr,
+    reason: String,
+}
+
+/// A rocket that leaves signals and logs to the daemon.
+pub fn build(address: SocketAddr) -> Rocket<Build> {
+    let mut shutdown = Shutdown {
+        ctrlc: false,
+        grace: GRACE_SECONDS,
+        mercy: MERCY_SECONDS,
+        force: false,
+        ..Shutdown::default()
+    };
+    shutdown.signals.clear();
+    let config = Config {
+        address: address.ip(),
+        port: address.port(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        keep_alive: 60,
+        shutdown,
+        ..Config::release_default()
+    };
+    rocket::custom(config)
+}
+
+/// Launches a rocket and waits until it listens.
+pub async fn launch(
+    name: &'static str,
+    address: SocketAddr,
+    rocket: Rocket<Build>,
+) -> Result<Web, Failed> {
+    let failed = |reason: String| Failed {
+        name,
+        address,
+        reason,
+    };
+    let (sender, listens) = oneshot::channel();
+    let sender = parking_lot::Mutex::new(Some(sender));
+    let liftoff = AdHoc::on_liftoff("listens", move |rocket| {
+        let config = rocket.config();
+        if let Some(sender) = sender.lock().take() {
+            let _ = sender.send(SocketAddr::new(config.address, config.port));
+        }
+        Box::pin(async {})
+    });
+    let ignited = rocket.attach(liftoff).ignite().await;
+    let ignited = ignited.map_err(|error| failed(error.to_string()))?;
+    let shutdown = ignited.shutdown();
+    let task = tokio::spawn(ignited.launch());
+    match listens.await {
+        Ok(address) => Ok(Web {
+            address,
+            shutdown,
+            task,
+        }),
+        Err(_) => match task.await {
+            Ok(Err(error)) => Err(failed(error.to_string())),
+            _ => Err(failed("it stopped at once".to_owned())),
+        },
+    }
+}
+
+impl Web {
+    /// Stops listening, lets answers under way end, and joins the listener.
+    pub async fn stop(self) {
+        self.shutdown.notify();
+        let _ = self.task.await;
+    }
+}
--- a/crates/kumquatdrum_platform/src/drain.rs
+++ b/crates/kumquatdrum_platform/src/drain.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown: health turns red first, then work runs out, then listeners close.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 
 use tokio::sync::Notify;
@@ -8,7 +9,7 @@
 ///
 /// ```
 /// let drain = kumquatdrum_platform::Drain::default();
-/// assert!(drain.is_ready() == false, "not before the first declaration is known");
+/// assert!(!drain.is_ready(), "not before the first declaration is known");
 /// drain.set_ready(true);
 /// assert!(drain.is_ready());
 /// drain.begin();
@@ -24,7 +25,7 @@
 
 /// One piece of work that a shutdown waits for.
 #[derive(Debug)]
-pub struct Work<'a>(&'a Drain);
+pub struct Work(Arc<Drain>);
 
 impl Drain {
     /// Whether the balancer should send callers here.
@@ -49,9 +50,9 @@
     }
 
     /// Counts a piece of work until the returned guard is dropped.
-    pub fn work(&self) -> Work<'_> {
+    pub fn work(self: &Arc<Self>) -> Work {
         self.work.fetch_add(1, Ordering::Relaxed);
-        Work(self)
+        Work(Arc::clone(self))
     }
 
     /// Pieces of work under way.
@@ -71,7 +72,7 @@
     }
 }
 
-impl Drop for Work<'_> {
+impl Drop for Work {
     fn drop(&mut self) {
         let before = self.0.work.fetch_sub(1, Ordering::Relaxed);
         if before == 1 {
--- a/crates/kumquatdrum_platform/src/metrics.rs
+++ b/crates/kumquatdrum_platform/src/metrics.rs
@@ -16,7 +16,7 @@
     registry: Registry,
     /// Requests that got past authentication and checks.
     pub admitted: IntCounter,
-    /// Requests by how they ended: finished, not_run, failed, unknown, caller_gone.
+    /// Requests by how they ended: `finished`, `not_run`, `failed`, `unknown`, `caller_gone`.
     pub ended: IntCounterVec,
     /// Refusals by their code.
     pub refused: IntCounterVec,
