--- /dev/null
+++ b/crates/kumquatdrum_consensus/src/log.rs
@@ -0,0 +1,173 @@
+//! The log in memory: the entries after a base, and the replicas that they name.
+
+use std::collections::VecDeque;
+
+use crate::{Content, Entry, LogIndex, Replicas, Snapshot, Stored, Term};
+
+/// The log as the replica sees it; the tail may not be on disk yet.
+#[derive(Debug)]
+pub(crate) struct Log {
+    snapshot: Option<Snapshot>,
+    /// The entry before the first one held.
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+    /// Replicas by the entry that names them; the first one holds at the snapshot.
+    replicas: Vec<(LogIndex, Replicas)>,
+    /// Bytes of the entries after the snapshot.
+    bytes: usize,
+}
+
+impl Log {
+    pub(crate) fn new(stored: Stored) -> Self {
+        let mut log = Self {
+            snapshot: None,
+            base_index: LogIndex(0),
+            base_term: Term(0),
+            entries: VecDeque::new(),
+            replicas: vec![(LogIndex(0), Replicas::default())],
+            bytes: 0,
+        };
+        if let Some(snapshot) = stored.snapshot {
+            log.reset(snapshot);
+        }
+        for entry in stored.entries {
+            log.push(entry);
+        }
+        log
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    pub(crate) fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(LogIndex(0), |s| s.index)
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.base_index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Bytes of the entries after the snapshot.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&Entry> {
+        let position = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// The term of an entry, the base included; none where the log does not reach.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// Entries from `from` on, up to `max_bytes`, at least one where there is one.
+    pub(crate) fn slice(&self, from: LogIndex, max_bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let mut slice = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.entry(index) {
+            size += entry.size();
+            if size > max_bytes && !slice.is_empty() {
+                break;
+            }
+            slice.push(entry.clone());
+            index = index.next();
+        }
+        slice
+    }
+
+    /// All entries from `from` on.
+    pub(crate) fn tail(&self, from: LogIndex) -> Vec<Entry> {
+        self.slice(from, usize::MAX)
+    }
+
+    /// The latest replicas.
+    pub(crate) fn replicas(&self) -> &Replicas {
+        &self.replicas[self.replicas.len() - 1].1
+    }
+
+    /// The entry that names the latest replicas.
+    pub(crate) fn replicas_index(&self) -> LogIndex {
+        self.replicas[self.replicas.len() - 1].0
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index().next());
+        if let Content::Replicas(replicas) = &entry.content {
+            self.replicas.push((entry.index, replicas.clone()));
+        }
+        self.bytes += entry.size();
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries at `from` and above.
+    pub(crate) fn truncate(&mut self, from: LogIndex) {
+        while self.last_index() >= from {
+            let Some(entry) = self.entries.pop_back() else {
+                break;
+            };
+            self.bytes = self.bytes.saturating_sub(entry.size());
+        }
+        self.replicas.retain(|(index, _)| *index < from);
+    }
+
+    /// Takes a snapshot of a place within the log and drops all but `keep` entries before it.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, keep: u64) {
+        let index = snapshot.index;
+        let current = self.replicas.iter().rposition(|(at, _)| *at <= index);
+        self.replicas.drain(..current.unwrap_or(0));
+        let base = index.0.saturating_sub(keep).max(self.base_index.0);
+        while self.base_index.0 < base {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.base_index = entry.index;
+            self.base_term = entry.term;
+        }
+        let after = self.entries.iter().filter(|entry| entry.index > index);
+        self.bytes = after.map(Entry::size).sum();
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Replaces everything by a snapshot.
+    pub(crate) fn reset(&mut self, snapshot: Snapshot) {
+        self.entries.clear();
+        self.bytes = 0;
+        self.base_index = snapshot.index;
+        self.base_term = snapshot.term;
+        self.replicas = vec![(snapshot.index, snapshot.replicas.clone())];
+        self.snapshot = Some(snapshot);
+    }
+
+    /// The replicas as of an entry.
+    pub(crate) fn replicas_at(&self, index: LogIndex) -> &Replicas {
+        let found = self.replicas.iter().rev().find(|(at, _)| *at <= index);
+        found.map_or(&self.replicas[0].1, |(_, replicas)| replicas)
+    }
+
+    /// The last entry at or before `index` that may match a log whose entry there has `term`.
+    pub(crate) fn last_not_after(&self, index: LogIndex, term: Term) -> LogIndex {
+        let mut candidate = index.min(self.last_index());
+        while candidate > self.base_index && self.term_at(candidate).is_some_and(|t| t > term) {
+            candidate = candidate.previous();
+        }
+        candidate
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_consensus/src/replication.rs
@@ -0,0 +1,239 @@
+//! Sending the log: heartbeats, batches of entries, snapshots, and their answers.
+
+use crate::node::{Node, Role};
+use crate::progress::Transfer;
+use crate::{Append, AppendAck, Body, LogIndex, Probe, ReplicaId, Snapshot, SnapshotChunk, Term};
+
+impl Node {
+    /// A heartbeat to all, with a new round.
+    pub(crate) fn beat(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.round += 1;
+        leader.heartbeat_at = self.now + self.settings.heartbeat;
+        leader.commit_at_heartbeat = self.commit;
+        let peers: Vec<ReplicaId> = leader.peers.keys().cloned().collect();
+        for peer in peers {
+            self.beat_one(&peer);
+        }
+    }
+
+    fn beat_one(&mut self, peer: &ReplicaId) {
+        let (now, heartbeat) = (self.now, self.settings.heartbeat);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.peers.get_mut(peer) else {
+            return;
+        };
+        progress.probe_sent = false;
+        let heard = progress.acked_at.unwrap_or(leader.since);
+        let alive = heard + self.settings.election_timeout > now;
+        let next = progress.next;
+        match &progress.transfer {
+            Some(transfer) if alive && transfer.sent_at + heartbeat <= now => {
+                self.send_chunk(peer);
+            }
+            Some(_) => self.send_append(peer, self.log.base_index().next(), false),
+            None if progress.probing && alive => self.replicate(peer),
+            None => self.send_append(peer, next, false),
+        }
+    }
+
+    /// Sends what is new to all.
+    pub(crate) fn replicate_all(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let peers: Vec<ReplicaId> = leader.peers.keys().cloned().collect();
+        for peer in peers {
+            self.replicate_new(&peer);
+        }
+    }
+
+    fn replicate_new(&mut self, peer: &ReplicaId) {
+        let last = self.log.last_index();
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        if leader
+            .peers
+            .get(peer)
+            .is_some_and(|progress| progress.next <= last)
+        {
+            self.replicate(peer);
+        }
+    }
+
+    /// Sends entries as far as flow control lets it, or starts a snapshot.
+    fn replicate(&mut self, peer: &ReplicaId) {
+        loop {
+            let Role::Leader(leader) = &mut self.role else {
+                return;
+            };
+            let Some(progress) = leader.peers.get_mut(peer) else {
+                return;
+            };
+            if !progress.may_send(self.settings.max_in_flight) {
+                return;
+            }
+            let next = progress.next;
+            if next <= self.log.base_index() {
+                self.start_transfer(peer);
+                return;
+            }
+            self.send_append(peer, next, true);
+            let Role::Leader(leader) = &self.role else {
+                return;
+            };
+            let more = leader.peers.get(peer).map(|progress| progress.next);
+            if more.is_none_or(|more| more == next || more > self.log.last_index()) {
+                return;
+            }
+        }
+    }
+
+    fn probe_now(&self, round: u64) -> Probe {
+        Probe {
+            round,
+            sent_at: self.now,
+        }
+    }
+
+    /// Sends entries from `next` on, or none.
+    fn send_append(&mut self, peer: &ReplicaId, next: LogIndex, with_entries: bool) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let round = leader.round;
+        let previous_index = next.previous().max(self.log.base_index());
+        let entries = if with_entries {
+            self.log
+                .slice(previous_index.next(), self.settings.max_append_bytes)
+        } else {
+            Vec::new()
+        };
+        if let Some(last) = entries.last().map(|entry| entry.index)
+            && let Some(progress) = leader.peers.get_mut(peer)
+        {
+            progress.sent_through(last);
+        }
+        let append = Append {
+            term: self.hard_state.term,
+            previous_index,
+            previous_term: self.log.term_at(previous_index).unwrap_or_default(),
+            entries,
+            commit: self.commit,
+            probe: self.probe_now(round),
+        };
+        self.send(peer, Body::Append(append));
+    }
+
+    fn start_transfer(&mut self, peer: &ReplicaId) {
+        let Some(snapshot) = self.log.snapshot().cloned() else {
+            return;
+        };
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Some(progress) = leader.peers.get_mut(peer) {
+            progress.in_flight.clear();
+            progress.transfer = Some(Transfer {
+                snapshot,
+                offset: 0,
+                sent_at: now,
+            });
+        }
+        self.send_chunk(peer);
+    }
+
+    fn send_chunk(&mut self, peer: &ReplicaId) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let round = leader.round;
+        let progress = leader.peers.get_mut(peer);
+        let Some(transfer) = progress.and_then(|progress| progress.transfer.as_mut()) else {
+            return;
+        };
+        transfer.sent_at = now;
+        let total = transfer.snapshot.data.len();
+        let start = usize::try_from(transfer.offset).map_or(total, |offset| offset.min(total));
+        let end = total.min(start + self.settings.snapshot_chunk_bytes);
+        let chunk = SnapshotChunk {
+            term: self.hard_state.term,
+            header: Snapshot {
+                data: bytes::Bytes::new(),
+                ..transfer.snapshot.clone()
+            },
+            total: total as u64,
+            offset: start as u64,
+            data: transfer.snapshot.data.slice(start..end),
+            probe: self.probe_now(round),
+        };
+        self.send(peer, Body::SnapshotChunk(chunk));
+    }
+
+    /// Whether an answer is of this term and to this leader; a later term ends its leading.
+    fn is_current_answer(&mut self, term: Term) -> bool {
+        if term > self.hard_state.term {
+            self.become_follower(term, None);
+        }
+        self.is_leader() && term == self.hard_state.term
+    }
+
+    pub(crate) fn on_append_ack(&mut self, from: &ReplicaId, ack: &AppendAck) {
+        if !self.is_current_answer(ack.term) {
+            return;
+        }
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.peers.get_mut(from) else {
+            return;
+        };
+        progress.heard(ack.probe);
+        let in_transfer = progress.transfer.is_some();
+        let needs_snapshot = ack.reject.as_ref().is_some_and(|r| r.needs_snapshot);
+        if !(in_transfer && ack.reject.is_some()) {
+            progress.acknowledged(ack);
+        }
+        if needs_snapshot && !in_transfer {
+            self.start_transfer(from);
+        }
+        self.advance_commit();
+        self.advance_change();
+        self.replicate_new(from);
+    }
+
+    pub(crate) fn on_snapshot_ack(
+        &mut self,
+        from: &ReplicaId,
+        term: Term,
+        index: LogIndex,
+        received: u64,
+        probe: Probe,
+    ) {
+        if !self.is_current_answer(term) {
+            return;
+        }
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.peers.get_mut(from) else {
+            return;
+        };
+        progress.heard(probe);
+        let Some(transfer) = &mut progress.transfer else {
+            return;
+        };
+        let news = transfer.snapshot.index == index && transfer.offset != received;
+        if news {
+            transfer.offset = received;
+            self.send_chunk(from);
+        }
+    }
+}
