--- a/crates/kumquatdrum_declaration/src/parse.rs
+++ b/crates/kumquatdrum_declaration/src/parse.rs
@@ -10,7 +10,7 @@
 use serde::de::{DeserializeOwned, MapAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
-use serde_path_to_error::{Path, Segment};
+use serde_path_to_error::Segment;
 
 use crate::{Declaration, pointer};
 
@@ -128,25 +128,39 @@
         match serde_path_to_error::deserialize(&mut deserializer) {
             Ok(item) => Some(item),
             Err(error) => {
-                let place = place_of(place, error.path());
-                let message = error.inner().to_string();
-                let message = message.split(" at line ").next().unwrap_or_default();
-                self.findings
-                    .push(Finding::new(place, without_values(message)));
+                self.findings.push(unreadable(place, &error));
                 None
             }
         }
     }
 }
 
-fn place_of(place: &str, path: &Path) -> String {
-    path.iter()
-        .fold(place.to_owned(), |place, segment| match segment {
-            Segment::Seq { index } => pointer::join(&place, index),
-            Segment::Map { key } => pointer::join(&place, key),
-            Segment::Enum { variant } => pointer::join(&place, variant),
-            Segment::Unknown => place,
-        })
+/// The finding of an item that can't be read.
+fn unreadable(item: &str, error: &serde_path_to_error::Error<serde_json::Error>) -> Finding {
+    let message = error.inner().to_string();
+    let message = message.split(" at line ").next().unwrap_or_default();
+    let place = place_of(item, error.path().iter());
+    let parent = || {
+        let segments = error.path().iter().len();
+        place_of(item, error.path().iter().take(segments.saturating_sub(1)))
+    };
+    // A key could stand where a variant or a field of a key belongs.
+    if message.starts_with("unknown variant `") {
+        Finding::new(parent(), without_name(message))
+    } else if message.starts_with("unknown field `") && place.contains("/keys/") {
+        Finding::new(parent(), without_name(message))
+    } else {
+        Finding::new(place, without_values(message))
+    }
+}
+
+fn place_of<'a>(place: &str, path: impl Iterator<Item = &'a Segment>) -> String {
+    path.fold(place.to_owned(), |place, segment| match segment {
+        Segment::Seq { index } => pointer::join(&place, index),
+        Segment::Map { key } => pointer::join(&place, key),
+        Segment::Enum { variant } => pointer::join(&place, variant),
+        Segment::Unknown => place,
+    })
 }
 
 /// Drops texts of the file from a message of the JSON reader, such as
@@ -162,3 +176,12 @@
         .map_or("", |end| &rest[end + 1..]);
     format!("{}a string{tail}", &message[..start])
 }
+
+/// Drops the name from a message such as "unknown field `...`, expected one of ...".
+fn without_name(message: &str) -> String {
+    let start = message.find(" `").unwrap_or(message.len());
+    let tail = message
+        .find("`, expected")
+        .map_or("", |end| &message[end + 1..]);
+    format!("{}{tail}", &message[..start])
+}
--- /dev/null
+++ b/crates/kumquatdrum_declaration/tests/repeat.rs
@@ -0,0 +1,113 @@
+//! Which calls of the examples may be repeated, and look-ups into them.
+
+use std::sync::Arc;
+
+use kumquatdrum_declaration::{Index, checked, diff, idempotent};
+
+const TOONIKAART: &str = include_str!("../../../examples/toonikaart.json");
+const TREASURY: &str = include_str!("../../../examples/treasury.json");
+
+fn index(text: &str) -> Index {
+    Index::new(Arc::new(
+        checked(text).expect("an example without findings"),
+    ))
+}
+
+#[test]
+fn reorders_and_confirmations_are_not_repeated() {
+    let cases = [
+        (TOONIKAART, "salon-api", "POST", "/reorders", false),
+        (TOONIKAART, "salon-api", "POST", "/reorders/7", false),
+        (TOONIKAART, "salon-api", "post", "/reorders", false),
+        (TOONIKAART, "salon-api", "POST", "/stock-checks", true),
+        (
+            TOONIKAART,
+            "salon-api",
+            "POST",
+            "/stock-checks?item=4",
+            true,
+        ),
+        (TOONIKAART, "salon-api", "POST", "/anything", false),
+        (TOONIKAART, "salon-api", "PUT", "/anything", false),
+        (TOONIKAART, "salon-api", "GET", "/stock%20list/", true),
+        (TOONIKAART, "formula-llm", "POST", "/v1/completions", true),
+        (TREASURY, "treasury-portal", "POST", "/confirmations", false),
+        (TREASURY, "treasury-portal", "PUT", "/matches/9", true),
+        (TREASURY, "treasury-portal", "GET", "/", true),
+    ];
+    for (text, service, method, path, expected) in cases {
+        let index = index(text);
+        let service = index.service(service).expect("a service");
+        assert_eq!(
+            idempotent(service, method, path),
+            expected,
+            "{method} {path}"
+        );
+    }
+}
+
+/// Each of these could reach `/reorders` at an endpoint that tidies paths.
+#[test]
+fn paths_that_can_be_read_in_two_ways_are_not_repeated() {
+    let index = index(TOONIKAART);
+    let service = index.service("salon-api").expect("a service");
+    for path in [
+        "/stock-checks/../reorders",
+        "/stock-checks/%2e%2e/reorders",
+        "/stock-checks/..%2Freorders",
+        "/stock-checks//../reorders",
+        "/stock-checks\\..\\reorders",
+        "/stock-checks/..;/reorders",
+        "/stock-checks/%72eorders",
+        "/stock-checks/%zz",
+        "/stock-checks/%",
+    ] {
+        assert!(!idempotent(service, "POST", path), "{path}");
+    }
+}
+
+#[test]
+fn index_finds_what_requests_name() {
+    let index = index(TOONIKAART);
+    let caller = index.caller("demo-juuksur-tartu").expect("a workspace");
+    assert_eq!(caller.name.as_str(), "juuksur-tartu");
+    assert!(index.caller("demo-unknown").is_none());
+    let service = index.service_for(caller, "formula-llm").expect("a service");
+    assert_eq!(index.model_of(service).expect("a model").replicas, 25);
+    assert!(index.service_for(caller, "treasury-portal").is_none());
+    assert_eq!(index.priority("archive").expect("a priority").level, 6);
+    assert!(index.endpoint("salon-api-03").is_some());
+}
+
+#[test]
+fn a_listed_workspace_may_call_only_what_it_lists() {
+    let mut declaration = checked(TOONIKAART).expect("no findings");
+    declaration.workspaces[0].services.truncate(1);
+    let index = Index::new(Arc::new(declaration));
+    let workspace = index.workspace("juuksur-tartu").expect("a workspace");
+    assert!(index.service_for(workspace, "formula-llm").is_some());
+    assert!(index.service_for(workspace, "salon-api").is_none());
+}
+
+#[test]
+fn diff_names_places_and_no_values() {
+    let old = checked(TOONIKAART).expect("no findings");
+    let mut new = old.clone();
+    new.workspaces.swap(0, 1);
+    new.workspaces[2].keys[0].sha256 = kumquatdrum_types::digest::hex(b"new key");
+    new.models[0].version = "2026-12-01".into();
+    new.models[0].replicas = 26;
+    new.endpoints.remove(0);
+    new.priorities[2].name = "whole-archive".into();
+    let changes: Vec<_> = diff(&old, &new).iter().map(ToString::to_string).collect();
+    let expected = [
+        "/workspaces/juuksur-vilnius/keys",
+        "/models/formula-card/version",
+        "/models/formula-card/replicas",
+        "-/priorities/archive",
+        "+/priorities/whole-archive",
+        "-/endpoints/formula-llm-01",
+    ];
+    assert_eq!(changes, expected);
+    assert!(diff(&old, &old).is_empty());
+}
