Add the stand-in engine and plain service with faults by order

The request path needs engines and services to talk to before the users' own exist. The engine is a pure model (continuous batching, chunked prefill, memory in tokens, prefix cache) stepped in real time behind HTTP. A TCP relay stands in front of the HTTP server, as the server can't itself let open connections go silent while new ones work.

--- /dev/null
+++ b/crates/kumquatdrum_testing/src/bin/stand_in.rs
@@ -0,0 +1,180 @@
+//! Runs one stand-in as a process of its own, for trials by hand.
+//!
+//! `stand_in engine --name e1 --service formula-llm --model formula --data-centre hall-raatuse
+//! --announce 127.0.0.1:7101,127.0.0.1:7201`
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use kumquatdrum_testing::server::Error;
+use kumquatdrum_testing::{announcer, engine, model, process, service};
+
+/// Runs one stand-in until the process is ended.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// A model engine.
+    #[bpaf(command)]
+    Engine {
+        #[bpaf(external)]
+        identity: Identity,
+        /// The loaded model
+        #[bpaf(argument("MODEL"))]
+        model: String,
+        #[bpaf(external)]
+        sizes: Sizes,
+        /// Age of the load that is reported, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        load_lag_ms: u64,
+        /// Age from which a cache event is published, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        cache_lag_ms: u64,
+        /// Lose each cache event whose number is a multiple of this; 0 loses none
+        #[bpaf(argument("N"), fallback(0))]
+        lose_every: u64,
+    },
+    /// A plain service.
+    #[bpaf(command)]
+    Plain {
+        #[bpaf(external)]
+        identity: Identity,
+        /// How long a call takes, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        work_ms: u64,
+    },
+}
+
+#[derive(Debug, Clone, Bpaf)]
+struct Identity {
+    /// The endpoint's name
+    #[bpaf(argument("NAME"))]
+    name: String,
+    /// The service that it serves
+    #[bpaf(argument("SERVICE"))]
+    service: String,
+    /// Where it stands
+    #[bpaf(argument("NAME"))]
+    data_centre: String,
+    /// Where it listens; port 0 is any free port
+    #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+    listen: SocketAddr,
+    /// Endpoint listeners of entry hosts, with commas between them
+    #[bpaf(argument::<String>("ADDRESSES"), fallback(String::new()), parse(addresses))]
+    announce: Vec<SocketAddr>,
+    /// The endpoint key
+    #[bpaf(argument("KEY"), fallback("endpoint key".to_owned()))]
+    key: String,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+struct Sizes {
+    /// KV memory, in tokens
+    #[bpaf(argument("N"), fallback(model::Options::default().memory_tokens))]
+    memory_tokens: u64,
+    /// The most requests of one batch
+    #[bpaf(argument("N"), fallback(model::Options::default().batch_limit))]
+    batch_limit: u32,
+    /// The most requests that wait
+    #[bpaf(argument("N"), fallback(model::Options::default().queue_limit))]
+    queue_limit: u32,
+    /// Tokens computed in one step
+    #[bpaf(argument("N"), fallback(model::Options::default().chunk_tokens))]
+    chunk_tokens: u64,
+    /// Prefix cache, in tokens
+    #[bpaf(argument("N"), fallback(model::Options::default().cache_tokens))]
+    cache_tokens: u64,
+    /// Fixed cost of a step, in microseconds
+    #[bpaf(argument("US"), fallback(500))]
+    step_us: u64,
+    /// Cost of a prompt token, in nanoseconds
+    #[bpaf(argument("NS"), fallback(1_000))]
+    prefill_ns: u64,
+    /// Cost of a decoded token, in microseconds
+    #[bpaf(argument("US"), fallback(20))]
+    decode_us: u64,
+}
+
+fn addresses(list: String) -> Result<Vec<SocketAddr>, std::net::AddrParseError> {
+    let parts = list.split(',').filter(|part| !part.is_empty());
+    parts.map(str::parse).collect()
+}
+
+impl From<Identity> for process::Options {
+    fn from(identity: Identity) -> Self {
+        Self {
+            listen: identity.listen,
+            announcer: announcer::Options {
+                hosts: identity.announce,
+                key: identity.key,
+                ..announcer::Options::default()
+            },
+            ..Self::new(&identity.name, &identity.service, &identity.data_centre)
+        }
+    }
+}
+
+impl From<Sizes> for model::Options {
+    fn from(sizes: Sizes) -> Self {
+        Self {
+            memory_tokens: sizes.memory_tokens,
+            batch_limit: sizes.batch_limit,
+            queue_limit: sizes.queue_limit,
+            chunk_tokens: sizes.chunk_tokens,
+            cache_tokens: sizes.cache_tokens,
+            step: Duration::from_micros(sizes.step_us),
+            prefill_token: Duration::from_nanos(sizes.prefill_ns),
+            decode_token: Duration::from_micros(sizes.decode_us),
+            ..Self::default()
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Error> {
+    match command().run() {
+        Command::Engine {
+            identity,
+            model,
+            sizes,
+            load_lag_ms,
+            cache_lag_ms,
+            lose_every,
+        } => {
+            let options = engine::Options {
+                sizes: sizes.into(),
+                reports: engine::Reports {
+                    load_lag: Duration::from_millis(load_lag_ms),
+                    cache_lag: Duration::from_millis(cache_lag_ms),
+                    lose_every,
+                },
+                process: identity.into(),
+                ..engine::Options::new("", "", &model, "")
+            };
+            let engine = engine::Engine::start(options).await?;
+            report(engine.address(), engine.control_address());
+            interrupted().await;
+            engine.shutdown().await;
+        }
+        Command::Plain { identity, work_ms } => {
+            let options = service::Options {
+                work: Duration::from_millis(work_ms),
+                process: identity.into(),
+                ..service::Options::new("", "", "")
+            };
+            let service = service::Service::start(options).await?;
+            report(service.address(), service.control_address());
+            interrupted().await;
+            service.shutdown().await;
+        }
+    }
+    Ok(())
+}
+
+fn report(address: SocketAddr, control: SocketAddr) {
+    println!("address={address} control={control}");
+}
+
+async fn interrupted() {
+    let _ = tokio::signal::ctrl_c().await;
+}
--- /dev/null
+++ b/crates/kumquatdrum_testing/src/engine/http.rs
@@ -0,0 +1,419 @@
+//! The engine protocol over HTTP; `docs/ENGINE-PROTOCOL.md` describes it.
+
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatdrum_types::{AttemptId, Load, digest};
+use rocket::data::{ByteUnit, Data};
+use rocket::http::{ContentType, Header, Status};
+use rocket::request::{FromRequest, Outcome, Request};
+use rocket::response::stream::ReaderStream;
+use rocket::response::{self, Responder, Response};
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State as Managed, delete, get, post, routes};
+use serde_json::{Value, json};
+
+use super::answer;
+use super::shared::{Shared, Source};
+use super::wire::{AttemptState, CacheEvents, Form, Holdings, Reservation, error};
+use crate::fault::Cut;
+use crate::model::{self, Attempt, Fate, Hold, HoldError, Model, Rejection, State};
+use crate::prompt;
+
+/// Time that a request without a deadline may take.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3_600);
+/// Tokens of an answer whose request doesn't say.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+/// Bytes of prompt text that are counted as one token where the caller doesn't count.
+const BYTES_PER_TOKEN: u64 = 4;
+
+type Engine = Managed<Arc<Shared>>;
+
+/// Mounts the protocol.
+pub(super) fn mount(rocket: Rocket<Build>, shared: Arc<Shared>) -> Rocket<Build> {
+    rocket.manage(shared).mount(
+        "/v1",
+        routes![
+            completions,
+            chat_completions,
+            attempt,
+            attempts,
+            resume,
+            cancel,
+            load,
+            cache_events,
+            reserve,
+            release,
+            export_kv,
+            import_kv,
+            drop_kv,
+            health,
+        ],
+    )
+}
+
+/// The headers of a call.
+struct Headers<'r>(&'r rocket::http::HeaderMap<'r>);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Headers<'r> {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
+        Outcome::Success(Self(request.headers()))
+    }
+}
+
+impl Headers<'_> {
+    fn text(&self, name: &str) -> Option<String> {
+        self.0.get_one(name).map(str::to_owned)
+    }
+
+    fn number<T: FromStr>(&self, name: &str) -> Result<Option<T>, Reply> {
+        let parsed = self.0.get_one(name).map(str::parse).transpose();
+        parsed.map_err(|_| bad_request(&format!("the header {name} is not a number in range")))
+    }
+}
+
+/// An answer of the engine.
+enum Reply {
+    Json(Status, Value),
+    Stream {
+        shown: AttemptId,
+        source: Source,
+        from: u32,
+        cut: Option<Cut>,
+    },
+}
+
+impl<'r> Responder<'r, 'static> for Reply {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
+        match self {
+            Self::Json(status, body) => (status, Json(body)).respond_to(request),
+            Self::Stream {
+                shown,
+                source,
+                from,
+                cut,
+            } => Response::build()
+                .header(ContentType::EventStream)
+                .header(Header::new("cache-control", "no-cache"))
+                .header(Header::new("x-attempt-id", shown.to_string()))
+                .streamed_body(ReaderStream::from(Box::pin(answer::stream(
+                    source, from, cut,
+                ))))
+                .ok(),
+        }
+    }
+}
+
+fn bad_request(message: &str) -> Reply {
+    Reply::Json(Status::BadRequest, error("bad_request", false, message))
+}
+
+fn not_found(message: &str) -> Reply {
+    Reply::Json(Status::NotFound, error("not_found", false, message))
+}
+
+#[post("/completions", data = "<body>")]
+async fn completions(headers: Headers<'_>, body: Data<'_>, engine: &Engine) -> Reply {
+    run(Form::Text, &headers, body, engine).await
+}
+
+#[post("/chat/completions", data = "<body>")]
+async fn chat_completions(headers: Headers<'_>, body: Data<'_>, engine: &Engine) -> Reply {
+    run(Form::Chat, &headers, body, engine).await
+}
+
+async fn run(form: Form, headers: &Headers<'_>, body: Data<'_>, engine: &Engine) -> Reply {
+    engine.counters.received();
+    if engine.faults.take_refuse() {
+        return rejected(Rejection::Full);
+    }
+    let request = match read(headers, body, engine).await {
+        Ok(request) => request,
+        Err(reply) => return reply,
+    };
+    let fails = engine.faults.fails();
+    let source = match engine.submit(request, form, fails) {
+        Ok(source) => source,
+        Err(rejection) => return rejected(rejection),
+    };
+    if fails {
+        let message = "failed by order";
+        return Reply::Json(
+            Status::InternalServerError,
+            error("internal", true, message),
+        );
+    }
+    if let Some(delay) = engine.faults.take_late() {
+        tokio::time::sleep(delay).await;
+    }
+    reply(source, engine)
+}
+
+/// The stream of a new attempt, crossed or cut where that is ordered.
+fn reply(mut source: Source, engine: &Shared) -> Reply {
+    let mut shown = source.id.clone();
+    if let Some(header) = engine.faults.take_cross() {
+        let (other, digest) = engine.other(&source.id);
+        if header {
+            shown = other.clone();
+        }
+        source.id = other;
+        source.digest = digest;
+    }
+    Reply::Stream {
+        shown,
+        source,
+        from: 0,
+        cut: engine.faults.take_cut(),
+    }
+}
+
+async fn read(
+    headers: &Headers<'_>,
+    body: Data<'_>,
+    engine: &Shared,
+) -> Result<model::Request, Reply> {
+    let id = headers
+        .text("x-attempt-id")
+        .ok_or_else(|| bad_request("the header x-attempt-id is missing"))?;
+    let remaining = headers.number::<u64>("x-deadline-ms")?;
+    let remaining = remaining.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let deadline = engine.now() + remaining;
+    let bytes = body
+        .open(ByteUnit::Byte(engine.options.body_limit))
+        .into_bytes()
+        .await
+        .ok()
+        .filter(rocket::data::Capped::is_complete)
+        .ok_or_else(|| bad_request("the body is broken off or exceeds the limit"))?;
+    // Digests of long prompts take milliseconds; they must not hold up other requests.
+    let parsed = tokio::task::spawn_blocking(move || Prompt::parse(&bytes)).await;
+    let prompt = parsed
+        .ok()
+        .flatten()
+        .ok_or_else(|| bad_request("the body is not JSON with a prompt or messages"))?;
+    let counted = headers.number::<u64>("x-prompt-tokens")?;
+    Ok(model::Request {
+        id: AttemptId::new(id),
+        owner: headers.text("x-owner").unwrap_or_default(),
+        counter: headers.number("x-owner-attempt")?.unwrap_or_default(),
+        priority: headers.number("x-priority")?.unwrap_or_default(),
+        deadline,
+        prompt_tokens: counted.unwrap_or(prompt.tokens).max(1),
+        max_tokens: prompt.max_tokens,
+        digest: prompt.digest,
+        blocks: prompt.blocks,
+        reservation: headers.text("x-reservation"),
+    })
+}
+
+/// What a body says.
+struct Prompt {
+    tokens: u64,
+    max_tokens: u32,
+    digest: String,
+    blocks: Vec<String>,
+}
+
+impl Prompt {
+    fn parse(body: &[u8]) -> Option<Self> {
+        let value: Value = serde_json::from_slice(body).ok()?;
+        let text = prompt::text(&value)?;
+        let max_tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS);
+        Some(Self {
+            tokens: text.len() as u64 / BYTES_PER_TOKEN,
+            max_tokens: u32::try_from(max_tokens).unwrap_or(u32::MAX).max(1),
+            digest: digest::hex(text.as_bytes()),
+            blocks: prompt::blocks(&text),
+        })
+    }
+}
+
+fn rejected(rejection: Rejection) -> Reply {
+    let message = rejection.to_string();
+    match rejection {
+        Rejection::Known(fate) => {
+            let mut body = error("known", fate.started, &message);
+            body["error"]["state"] = json!(fate.state);
+            Reply::Json(Status::Conflict, body)
+        }
+        Rejection::Full => Reply::Json(Status::ServiceUnavailable, error("full", false, &message)),
+        Rejection::TooLong => {
+            Reply::Json(Status::PayloadTooLarge, error("too_long", false, &message))
+        }
+        Rejection::NoReservation => {
+            Reply::Json(Status::Conflict, error("no_reservation", false, &message))
+        }
+    }
+}
+
+fn describe(attempt: &Attempt, engine: &Shared) -> AttemptState {
+    AttemptState {
+        id: attempt.request.id.to_string(),
+        boot: engine.boot,
+        state: attempt.state,
+        started: attempt.started,
+        tokens: attempt.tokens,
+        owner: attempt.request.owner.clone(),
+    }
+}
+
+/// An attempt that is no longer kept, or never came.
+fn remembered(id: &AttemptId, fate: Fate, engine: &Shared) -> AttemptState {
+    AttemptState {
+        id: id.to_string(),
+        boot: engine.boot,
+        state: fate.state,
+        started: fate.started,
+        tokens: 0,
+        owner: String::new(),
+    }
+}
+
+fn show(id: &AttemptId, engine: &Shared) -> AttemptState {
+    engine.with(|model| match model.attempt(id) {
+        Some(attempt) => describe(attempt, engine),
+        None => remembered(id, model.fate(id), engine),
+    })
+}
+
+#[get("/attempts/<id>")]
+fn attempt(id: &str, engine: &Engine) -> (Status, Json<AttemptState>) {
+    let shown = show(&AttemptId::new(id), engine);
+    let status = match shown.state {
+        State::NeverSeen => Status::NotFound,
+        _ => Status::Ok,
+    };
+    (status, Json(shown))
+}
+
+#[get("/attempts?<owner>")]
+fn attempts(owner: &str, engine: &Engine) -> Json<Holdings> {
+    Json(engine.with(|model| holdings(owner, model, engine)))
+}
+
+fn holdings(owner: &str, model: &Model, engine: &Shared) -> Holdings {
+    let is_owned = |hold: &&Hold| hold.owner == owner;
+    Holdings {
+        boot: engine.boot,
+        attempts: model
+            .live()
+            .filter(|attempt| attempt.request.owner == owner)
+            .map(|attempt| describe(attempt, engine))
+            .collect(),
+        reservations: model.reservations().filter(is_owned).cloned().collect(),
+        kv: model.kv().filter(is_owned).cloned().collect(),
+    }
+}
+
+#[get("/attempts/<id>/stream?<from>")]
+fn resume(id: &str, from: Option<u32>, engine: &Engine) -> Reply {
+    match engine.source(&AttemptId::new(id)) {
+        Some(source) => Reply::Stream {
+            shown: source.id.clone(),
+            source,
+            from: from.unwrap_or(0),
+            cut: engine.faults.take_cut(),
+        },
+        None => not_found("the attempt is unknown or no longer kept"),
+    }
+}
+
+#[delete("/attempts/<id>")]
+async fn cancel(id: &str, engine: &Engine) -> Reply {
+    let id = AttemptId::new(id);
+    match engine.faults.take_lose_cancel() {
+        None => {
+            engine.cancel(&id);
+            Reply::Json(Status::Ok, json!(show(&id, engine)))
+        }
+        Some(done) => {
+            if done {
+                engine.cancel(&id);
+            }
+            engine.switch.gate().dead().await;
+            not_found("lost by order")
+        }
+    }
+}
+
+#[get("/load")]
+fn load(engine: &Engine) -> Json<Load> {
+    Json(engine.load())
+}
+
+#[get("/cache/events?<after>")]
+fn cache_events(after: Option<u64>, engine: &Engine) -> Json<CacheEvents> {
+    Json(engine.cache_events(after.unwrap_or(0)))
+}
+
+#[post("/reservations", data = "<wanted>")]
+fn reserve(wanted: Json<Reservation>, engine: &Engine) -> Reply {
+    let wanted = wanted.into_inner();
+    let ttl = Duration::from_millis(wanted.ttl_ms);
+    let hold = Hold {
+        id: wanted.id,
+        owner: wanted.owner,
+        tokens: wanted.tokens,
+    };
+    let now = engine.now();
+    held(
+        engine.with(|model| model.reserve(now, hold.clone(), ttl)),
+        &hold,
+    )
+}
+
+#[delete("/reservations/<id>")]
+fn release(id: &str, engine: &Engine) -> Reply {
+    freed(engine.with(|model| model.release(id)))
+}
+
+#[post("/kv/<id>/export")]
+fn export_kv(id: &str, engine: &Engine) -> Reply {
+    match engine.with(|model| model.export_kv(&AttemptId::new(id))) {
+        Ok(hold) => held(Ok(()), &hold),
+        Err(HoldError::Unknown) => not_found("the attempt is unknown or no longer kept"),
+        Err(error) => refused(error),
+    }
+}
+
+#[post("/kv/import", data = "<hold>")]
+fn import_kv(hold: Json<Hold>, engine: &Engine) -> Reply {
+    let hold = hold.into_inner();
+    held(engine.with(|model| model.import_kv(hold.clone())), &hold)
+}
+
+#[delete("/kv/<id>")]
+fn drop_kv(id: &str, engine: &Engine) -> Reply {
+    freed(engine.with(|model| model.drop_kv(id)))
+}
+
+#[get("/health")]
+fn health(engine: &Engine) -> Json<Value> {
+    Json(json!({"boot": engine.boot, "endpoint": engine.options.process.name}))
+}
+
+fn held(result: Result<(), HoldError>, hold: &Hold) -> Reply {
+    match result {
+        Ok(()) => Reply::Json(Status::Ok, json!(hold)),
+        Err(error) => refused(error),
+    }
+}
+
+fn refused(reason: HoldError) -> Reply {
+    let message = reason.to_string();
+    match reason {
+        HoldError::Full => Reply::Json(Status::ServiceUnavailable, error("full", false, &message)),
+        HoldError::Taken => Reply::Json(Status::Conflict, error("taken", false, &message)),
+        HoldError::Unknown => not_found(&message),
+    }
+}
+
+/// Freeing is idempotent: `freed` says whether anything was held.
+fn freed(freed: bool) -> Reply {
+    Reply::Json(Status::Ok, json!({"freed": freed}))
+}
--- /dev/null
+++ b/crates/kumquatdrum_testing/src/process.rs
@@ -0,0 +1,152 @@
+//! What every stand-in consists of: a server behind a relay, a control port and an announcer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use kumquatdrum_types::{Announcement, BootId, DataCentre, EndpointId, ServiceName};
+use rocket::{Build, Rocket};
+
+use crate::announcer::{self, Announcer};
+use crate::condition::{Gate, Mode, Switch};
+use crate::control::{self, Control};
+use crate::fault::Fault;
+use crate::relay::Relay;
+use crate::server::{Error, Server, loopback};
+
+/// Who a stand-in is and where it listens.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Its name, stable over restarts.
+    pub name: EndpointId,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Where it listens; port 0 is any free port.
+    pub listen: SocketAddr,
+    /// Its life; the wall clock's microseconds where absent.
+    pub boot: Option<BootId>,
+    /// To whom it announces itself.
+    pub announcer: announcer::Options,
+}
+
+impl Options {
+    /// A stand-in on a free loopback port that announces itself to no one.
+    ///
+    /// ```
+    /// let options = kumquatdrum_testing::process::Options::new("e1", "formula-llm", "hall-raatuse");
+    /// assert_eq!(options.listen.port(), 0);
+    /// ```
+    pub fn new(name: &str, service: &str, data_centre: &str) -> Self {
+        Self {
+            name: name.into(),
+            service: service.into(),
+            data_centre: data_centre.into(),
+            listen: loopback(),
+            boot: None,
+            announcer: announcer::Options::default(),
+        }
+    }
+
+    pub(crate) fn boot(&self) -> BootId {
+        self.boot.unwrap_or_else(wall_clock)
+    }
+
+    pub(crate) fn announcement(
+        &self,
+        boot: BootId,
+        address: SocketAddr,
+        kind: kumquatdrum_types::endpoint::Kind,
+    ) -> Announcement {
+        Announcement {
+            endpoint: self.name.clone(),
+            boot,
+            sequence: 0,
+            service: self.service.clone(),
+            address,
+            data_centre: self.data_centre.clone(),
+            kind,
+            leaving: false,
+        }
+    }
+}
+
+fn wall_clock() -> BootId {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    BootId(since.map_or(0, |elapsed| elapsed.as_micros() as u64))
+}
+
+/// The running tasks of a stand-in.
+#[derive(Debug)]
+pub struct Process {
+    switch: Arc<Switch>,
+    server: Server,
+    relay: Relay,
+    control: Server,
+    announcer: Announcer,
+}
+
+impl Process {
+    /// Starts server, relay, control port and announcer.
+    pub async fn start(
+        options: &Options,
+        switch: Arc<Switch>,
+        controlled: Arc<dyn Control>,
+        mount: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
+        announcement: impl FnOnce(SocketAddr) -> Box<announcer::Source>,
+    ) -> Result<Self, Error> {
+        let server = Server::start(loopback(), mount).await?;
+        let relay = Relay::start(options.listen, server.address, switch.gate()).await?;
+        let control = control::start(controlled).await?;
+        let source = announcement(relay.address);
+        let announcer = Announcer::start(options.announcer.clone(), source, switch.gate());
+        Ok(Self {
+            switch,
+            server,
+            relay,
+            control,
+            announcer,
+        })
+    }
+
+    /// Where it takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.relay.address
+    }
+
+    /// Where its control port listens.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address
+    }
+
+    /// Its announcer.
+    pub fn announcer(&self) -> &Announcer {
+        &self.announcer
+    }
+
+    /// Watches its condition.
+    pub fn gate(&self) -> Gate {
+        self.switch.gate()
+    }
+
+    /// Stops everything and joins all tasks.
+    pub async fn shutdown(self) {
+        self.switch.set(Mode::Dead);
+        self.relay.join().await;
+        self.announcer.join().await;
+        self.server.stop().await;
+        self.control.stop().await;
+    }
+}
+
+/// Applies the faults that concern the whole stand-in.
+pub(crate) fn apply(switch: &Switch, fault: &Fault) {
+    match fault {
+        Fault::Die => switch.set(Mode::Dead),
+        Fault::Freeze => switch.set(Mode::Frozen),
+        Fault::Thaw | Fault::Heal => switch.set(Mode::Running),
+        Fault::SilenceOpen => switch.silence_open(),
+        _ => {}
+    }
+}
