--- /dev/null
+++ b/crates/kumquatdrum_routing/benches/decision.rs
@@ -0,0 +1,3 @@
+//! The cost of one decision at several fleet sizes.
+
+fn main() {}
--- a/crates/kumquatdrum_routing/src/lib.rs
+++ b/crates/kumquatdrum_routing/src/lib.rs
@@ -3,8 +3,10 @@
 mod ask;
 mod drain;
 pub mod fleet;
+pub mod gang;
 mod hash;
 mod job;
+pub mod limits;
 mod output;
 pub mod policy;
 pub mod prefix;
--- a/crates/kumquatdrum_routing/src/policy.rs
+++ b/crates/kumquatdrum_routing/src/policy.rs
@@ -7,8 +7,8 @@
 
 use kumquatdrum_types::Moment;
 
-use crate::Job;
 use crate::fleet::{Fleet, SlotIndex};
+use crate::{Job, Size};
 
 pub use estimated::Estimated;
 
@@ -42,6 +42,18 @@
     }
 }
 
+/// The priority for the engine: the short before the long, and before both what is about to miss
+/// its deadline.
+pub(crate) fn size_priority(now: Moment, job: &Job, fleet: &Fleet) -> u8 {
+    let prefill = fleet.rates.service_time(job.size, job.prefill_tokens(), 0);
+    match job.size {
+        _ if job.latest_start - now < prefill => 3,
+        Size::Short => 2,
+        Size::Medium => 1,
+        Size::Long | Size::Spanning => 0,
+    }
+}
+
 /// Whether an endpoint may get a request at all.
 pub(crate) fn is_allowed(job: &Job, fleet: &Fleet, index: SlotIndex) -> bool {
     fleet.is_candidate(index) && !job.ask.excluded.contains(&fleet.slot(index).endpoint)
--- a/crates/kumquatdrum_routing/src/policy/baseline.rs
+++ b/crates/kumquatdrum_routing/src/policy/baseline.rs
@@ -4,7 +4,7 @@
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
-use super::{Placement, Policy, is_allowed, span};
+use super::{Placement, Policy, is_allowed, size_priority, span};
 use crate::fleet::{Fleet, SlotIndex};
 use crate::{Job, Size};
 
@@ -27,6 +27,7 @@
     choice: Choice,
     random: Pcg32,
     next: usize,
+    has_priorities: bool,
 }
 
 impl Baseline {
@@ -38,9 +39,17 @@
             choice,
             random,
             next,
+            has_priorities: false,
         }
     }
 
+    /// Hands engines the same priorities as the chosen policy does.
+    #[must_use]
+    pub const fn with_priorities(mut self) -> Self {
+        self.has_priorities = true;
+        self
+    }
+
     fn key(&mut self, place: usize, count: usize, job: &Job, fleet: &Fleet) -> (u64, u32) {
         let slot = fleet.slot(fleet.candidates()[place]);
         let chance = self.random.next_u32();
@@ -82,4 +91,12 @@
             .find(|&index| fleet.slot(index).memory() >= job.memory_tokens())
             .map_or(Placement::Nowhere, Placement::One)
     }
+
+    fn engine_priority(&self, now: Moment, job: &Job, fleet: &Fleet) -> u8 {
+        if self.has_priorities {
+            size_priority(now, job, fleet)
+        } else {
+            0
+        }
+    }
 }
--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -4,7 +4,7 @@
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
-use super::{Placement, Policy, is_allowed, span};
+use super::{Placement, Policy, is_allowed, size_priority, span};
 use crate::fleet::{Fleet, SlotIndex};
 use crate::{Job, Size};
 
@@ -169,14 +169,7 @@
     }
 
     fn engine_priority(&self, now: Moment, job: &Job, fleet: &Fleet) -> u8 {
-        let tokens = job.prefill_tokens();
-        let prefill = fleet.rates.service_time(job.size, tokens, 0);
-        match job.size {
-            _ if job.latest_start - now < prefill => 3,
-            Size::Short => 2,
-            Size::Medium => 1,
-            Size::Long | Size::Spanning => 0,
-        }
+        size_priority(now, job, fleet)
     }
 }
 
