Add the cores of membership and of the spread of the setup

Hosts and endpoints of a data centre are told by pushes from whoever took the news straight to each other host, so that each byte travels once; digests make up for what is lost. Between data centres only summaries pass, from relay to relay. The spread tells versions by their number and sends text only to those who ask. Weighed: epidemic gossip with a fan-out, which sends each renewal several times and can't cut an engine's counters for their receiver.

--- /dev/null
+++ b/crates/kumquatdrum_membership/src/key.rs
@@ -0,0 +1,78 @@
+//! Short names of endpoints' records, so that renewals cost few bytes.
+
+use std::fmt::Write;
+
+use kumquatdrum_types::Announcement;
+use kumquatdrum_types::endpoint::Kind;
+use serde::{Deserialize, Serialize};
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// A digest of the lasting part of an announcement: all but sequence, load and leaving. A host
+/// that doesn't know a key asks for the record; two records with the same key are told apart by
+/// asking for both.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key([u8; 4]);
+
+impl Key {
+    /// The key of an announcement.
+    pub fn of(announcement: &Announcement) -> Self {
+        let mut hash = Fnv(FNV_OFFSET);
+        let _ = write!(
+            hash,
+            "{}\0{}\0{}\0{}\0{}\0",
+            announcement.endpoint,
+            announcement.boot,
+            announcement.service,
+            announcement.address,
+            announcement.data_centre,
+        );
+        if let Kind::Engine(engine) = &announcement.kind {
+            let _ = write!(
+                hash,
+                "{}\0{}\0{}\0{}",
+                engine.model,
+                engine.memory_tokens,
+                engine.batch_limit,
+                engine.prefill_tokens_per_second,
+            );
+        }
+        Self(fold(mix(hash.0)).to_le_bytes())
+    }
+
+    /// What a record with this key adds to the digest of a table.
+    pub(crate) fn weight(self, leaving: bool) -> u32 {
+        let number = u64::from(u32::from_le_bytes(self.0));
+        fold(mix(number << 1 | u64::from(leaving)))
+    }
+}
+
+/// A digest of a text, for rosters.
+pub(crate) fn digest(text: std::fmt::Arguments<'_>) -> u32 {
+    let mut hash = Fnv(FNV_OFFSET);
+    let _ = hash.write_fmt(text);
+    fold(mix(hash.0))
+}
+
+struct Fnv(u64);
+
+impl Write for Fnv {
+    fn write_str(&mut self, text: &str) -> std::fmt::Result {
+        for byte in text.bytes() {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+        Ok(())
+    }
+}
+
+/// The finalizer of splitmix64.
+fn mix(mut number: u64) -> u64 {
+    number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
+
+fn fold(number: u64) -> u32 {
+    (number ^ (number >> 32)) as u32
+}
--- /dev/null
+++ b/crates/kumquatdrum_membership/src/notice.rs
@@ -0,0 +1,74 @@
+//! Leaving notices that this host took and that others have to hold before the endpoint is told.
+
+use indexmap::IndexSet;
+use kumquatdrum_types::{BootId, EndpointId, HostId, Moment};
+
+use crate::Output;
+use crate::timing::{NOTICE_COPIES, NOTICE_EXPIRY, NOTICE_RETRY};
+
+/// A leaving notice on its way.
+#[derive(Debug)]
+pub(crate) struct Notice {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) boot: BootId,
+    /// Announcements of it that still wait for their acknowledgement.
+    pub(crate) waiting: Vec<u64>,
+    confirmed: IndexSet<HostId>,
+    taken: Moment,
+    sent: Option<Moment>,
+}
+
+impl Notice {
+    pub(crate) fn new(endpoint: EndpointId, boot: BootId, now: Moment) -> Self {
+        Self {
+            endpoint,
+            boot,
+            waiting: Vec::new(),
+            confirmed: IndexSet::new(),
+            taken: now,
+            sent: None,
+        }
+    }
+
+    pub(crate) fn confirm(&mut self, host: HostId) {
+        self.confirmed.insert(host);
+    }
+
+    /// The hosts that it is to be sent to now, of those alive.
+    pub(crate) fn receivers(&mut self, now: Moment, alive: &[HostId]) -> Vec<HostId> {
+        let is_due = self.sent.is_none_or(|sent| now - sent >= NOTICE_RETRY);
+        if !is_due {
+            return Vec::new();
+        }
+        self.sent = Some(now);
+        alive
+            .iter()
+            .filter(|host| !self.confirmed.contains(*host))
+            .cloned()
+            .collect()
+    }
+
+    /// Acknowledges the announcements, once enough hosts hold the notice.
+    pub(crate) fn settle(&mut self, alive: &[HostId], out: &mut Vec<Output>) {
+        let copies = alive
+            .iter()
+            .filter(|host| self.confirmed.contains(*host))
+            .count();
+        if copies < NOTICE_COPIES.min(alive.len()) {
+            return;
+        }
+        for sequence in self.waiting.drain(..) {
+            out.push(Output::AckAnnounce {
+                endpoint: self.endpoint.clone(),
+                boot: self.boot,
+                sequence,
+            });
+        }
+    }
+
+    /// Whether nothing is left to do for it.
+    pub(crate) fn is_over(&self, now: Moment, alive: &[HostId]) -> bool {
+        let is_everywhere = alive.iter().all(|host| self.confirmed.contains(host));
+        self.waiting.is_empty() && (is_everywhere || now - self.taken > NOTICE_EXPIRY)
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_membership/src/roster.rs
@@ -0,0 +1,133 @@
+//! Which hosts there are: from the settings, and learnt from other hosts.
+
+use kumquatdrum_types::{HostId, Moment};
+
+use crate::data_centre::Distant;
+use crate::host::Host;
+use crate::relay::Remote;
+use crate::timing::{CHUNK, ROSTER_INTERVAL};
+use crate::{Member, Membership, Message, Output, key};
+
+impl Membership {
+    pub(crate) fn is_known(&self, host: &HostId) -> bool {
+        self.hosts.contains_key(host) || self.remote.contains_key(host)
+    }
+
+    /// Asks a stranger who it is.
+    pub(crate) fn ask_members(&self, from: &HostId, out: &mut Vec<Output>) {
+        self.send_members(from, true, out);
+    }
+
+    /// Takes over the members of another host. What a host says of itself carries the life of its
+    /// daemon, so that it counts above what settings say.
+    pub(crate) fn take_members(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        members: Vec<Member>,
+        wanted: bool,
+        out: &mut Vec<Output>,
+    ) {
+        for member in members {
+            if member.host != self.local.host && self.add_member(now, member.clone()) {
+                out.push(Output::Member(member));
+            }
+        }
+        self.renew_roster();
+        if wanted {
+            self.send_members(from, false, out);
+        }
+    }
+
+    /// Exchanges members with a host whose roster differs.
+    pub(crate) fn compare_roster(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        roster: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let is_due = self.roster_at.is_none_or(|at| now - at >= ROSTER_INTERVAL);
+        if roster != self.roster && is_due {
+            self.roster_at = Some(now);
+            self.send_members(from, true, out);
+        }
+    }
+
+    /// Adds a member or moves it; returns whether that changed anything.
+    pub(crate) fn add_member(&mut self, now: Moment, member: Member) -> bool {
+        match self.member(&member.host) {
+            Some(known) if !is_newer(&member, known) => return false,
+            Some(known) if known.data_centre == member.data_centre => {
+                let is_moved = known.address != member.address;
+                self.replace_member(member);
+                return is_moved;
+            }
+            Some(_) => {
+                self.hosts.shift_remove(&member.host);
+                self.remote.shift_remove(&member.host);
+            }
+            None => {}
+        }
+        let host = member.host.clone();
+        if member.data_centre == self.local.data_centre {
+            self.hosts.insert(host, Host::new(member, now));
+        } else {
+            self.distant
+                .entry(member.data_centre.clone())
+                .or_insert_with_key(|id| Distant::new(id.clone(), now));
+            self.remote.insert(host, Remote::new(member));
+        }
+        true
+    }
+
+    pub(crate) fn renew_roster(&mut self) {
+        let others = self.hosts.values().map(|host| &host.member);
+        let remote = self.remote.values().map(|remote| &remote.member);
+        self.roster = others
+            .chain(remote)
+            .chain([&self.local])
+            .fold(0, |digest, member| digest ^ weight(member));
+    }
+
+    fn member(&self, host: &HostId) -> Option<&Member> {
+        let near = self.hosts.get(host).map(|host| &host.member);
+        near.or_else(|| self.remote.get(host).map(|remote| &remote.member))
+    }
+
+    fn replace_member(&mut self, member: Member) {
+        if let Some(host) = self.hosts.get_mut(&member.host) {
+            host.member = member;
+        } else if let Some(remote) = self.remote.get_mut(&member.host) {
+            remote.member = member;
+        }
+    }
+
+    fn send_members(&self, to: &HostId, wanted: bool, out: &mut Vec<Output>) {
+        let near = self.hosts.values().map(|host| &host.member);
+        let remote = self.remote.values().map(|remote| &remote.member);
+        let members: Vec<Member> = near.chain(remote).chain([&self.local]).cloned().collect();
+        let last = members.chunks(CHUNK).count() - 1;
+        for (index, chunk) in members.chunks(CHUNK).enumerate() {
+            out.push(Output::Send {
+                to: to.clone(),
+                message: Message::Members {
+                    members: chunk.to_vec(),
+                    wanted: wanted && index == last,
+                },
+            });
+        }
+    }
+}
+
+fn is_newer(member: &Member, known: &Member) -> bool {
+    (member.boot, std::cmp::Reverse(member.address))
+        > (known.boot, std::cmp::Reverse(known.address))
+}
+
+fn weight(member: &Member) -> u32 {
+    key::digest(format_args!(
+        "{}\0{}\0{}",
+        member.host, member.data_centre, member.address
+    ))
+}
--- /dev/null
+++ b/crates/kumquatdrum_membership/src/spread/mod.rs
@@ -0,0 +1,23 @@
+//! The spread of the setup in force: every host takes the highest accepted version and never goes
+//! back, and text travels only to those who lack it.
+//!
+//! A control replica that has applied a version offers it. It tells its data centre and one host
+//! of each other data centre that it has it; whoever lacks it asks, and is sent the difference to
+//! what it holds. Statuses and periodic exchange make up for lost messages.
+
+mod event;
+mod fetch;
+mod holding;
+mod machine;
+mod message;
+mod path;
+mod start;
+mod tell;
+mod text;
+pub mod timing;
+
+pub use event::{Input, Output};
+pub use holding::Holding;
+pub use machine::{Config, Spread};
+pub use message::{Have, Message, News, Status};
+pub use text::{Setup, Text};
--- /dev/null
+++ b/crates/kumquatdrum_membership/src/spread/path.rs
@@ -0,0 +1,112 @@
+//! Whom a host speaks to: its data centre, its relay, one host of each other data centre.
+
+use indexmap::IndexMap;
+use kumquatdrum_types::{DataCentre, HostId, Moment};
+
+/// The hosts and data centres around a host.
+#[derive(Debug)]
+pub(crate) struct Paths {
+    local: HostId,
+    data_centre: DataCentre,
+    hosts: IndexMap<HostId, Neighbour>,
+    distant: IndexMap<DataCentre, Distant>,
+}
+
+#[derive(Debug)]
+struct Neighbour {
+    data_centre: DataCentre,
+    is_alive: bool,
+}
+
+#[derive(Debug, Default)]
+struct Distant {
+    hosts: Vec<HostId>,
+    contact: Option<(HostId, Moment)>,
+    tried: usize,
+}
+
+impl Paths {
+    pub(crate) fn new(local: HostId, data_centre: DataCentre) -> Self {
+        Self {
+            local,
+            data_centre,
+            hosts: IndexMap::new(),
+            distant: IndexMap::new(),
+        }
+    }
+
+    pub(crate) fn set(&mut self, host: HostId, data_centre: DataCentre, is_alive: bool) {
+        if host == self.local {
+            return;
+        }
+        let is_new = !self.hosts.contains_key(&host);
+        if is_new && data_centre != self.data_centre {
+            let distant = self.distant.entry(data_centre.clone()).or_default();
+            distant.hosts.push(host.clone());
+        }
+        let neighbour = Neighbour {
+            data_centre,
+            is_alive,
+        };
+        self.hosts.insert(host, neighbour);
+    }
+
+    pub(crate) fn is_own(&self, host: &HostId) -> bool {
+        *host == self.local
+            || self
+                .hosts
+                .get(host)
+                .is_some_and(|neighbour| neighbour.data_centre == self.data_centre)
+    }
+
+    /// The hosts of the data centre that are alive, without this one.
+    pub(crate) fn near(&self) -> impl Iterator<Item = &HostId> {
+        self.hosts
+            .iter()
+            .filter(|(_, host)| host.is_alive && host.data_centre == self.data_centre)
+            .map(|(id, _)| id)
+    }
+
+    /// The first host of the data centre that is alive, by name.
+    pub(crate) fn relay(&self) -> &HostId {
+        self.near().fold(&self.local, std::cmp::min)
+    }
+
+    pub(crate) fn is_relay(&self) -> bool {
+        *self.relay() == self.local
+    }
+
+    pub(crate) fn data_centres(&self) -> Vec<DataCentre> {
+        self.distant.keys().cloned().collect()
+    }
+
+    /// A host of another data centre spoke.
+    pub(crate) fn hear(&mut self, now: Moment, from: &HostId) {
+        let Some(neighbour) = self.hosts.get(from) else {
+            return;
+        };
+        if let Some(distant) = self.distant.get_mut(&neighbour.data_centre) {
+            distant.contact = Some((from.clone(), now));
+        }
+    }
+
+    /// The host to speak to in a data centre: the one that spoke last if that was since `since`,
+    /// else each in turn.
+    pub(crate) fn contact(&mut self, data_centre: &DataCentre, since: Moment) -> Option<HostId> {
+        let distant = self.distant.get_mut(data_centre)?;
+        match &distant.contact {
+            Some((host, at)) if *at >= since => Some(host.clone()),
+            _ if distant.hosts.is_empty() => None,
+            _ => {
+                distant.tried += 1;
+                Some(distant.hosts[(distant.tried - 1) % distant.hosts.len()].clone())
+            }
+        }
+    }
+
+    pub(crate) fn hosts_of(&self, data_centre: &DataCentre) -> &[HostId] {
+        self.distant
+            .get(data_centre)
+            .map_or(&[], |distant| &distant.hosts)
+    }
+}
