Test the stand-ins, and break connections off in the relay

rocket ends a body whose stream fails as if the body were whole (its body channel is dropped, not aborted), so a stream cut by a failing reader reached the caller as a clean end. The relay now breaks the connection off by the address that rocket sees. rocket also raises the process's log level while an instance is being built, whatever that instance's level: a discarding logger is set first.

--- a/crates/kumquatdrum_testing/src/engine.rs
+++ b/crates/kumquatdrum_testing/src/engine.rs
@@ -88,6 +88,7 @@
             &shared.options.process,
             Arc::clone(&switch),
             Arc::clone(&shared) as Arc<dyn Control>,
+            Arc::clone(&shared.connections),
             |rocket| http::mount(rocket, mounted),
             |address| Box::new(move || announcement(&announced, address)),
         )
--- a/crates/kumquatdrum_testing/src/engine/answer.rs
+++ b/crates/kumquatdrum_testing/src/engine/answer.rs
@@ -1,61 +1,42 @@
 //! The stream of an answer, and its cut by order.
 
-use std::io::{self, Cursor};
-use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::io::Cursor;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::stream::{self, Stream};
-use tokio::io::{AsyncRead, ReadBuf};
-
 use super::shared::{Source, Status};
 use super::wire;
 use crate::fault::Cut;
 use crate::model::State;
+use bytes::Bytes;
+use futures::stream::{self, Stream};
 
 /// A comment is sent after this much silence, so that a caller's leaving is noticed.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
-/// A part of an answer's body.
-pub(super) enum Part {
-    /// Bytes of events.
-    Events(Cursor<Bytes>),
-    /// The connection is broken off here.
-    Break,
-}
-
-impl AsyncRead for Part {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        match &mut *self {
-            Self::Events(events) => Pin::new(events).poll_read(context, buffer),
-            Self::Break => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
-        }
-    }
-}
+/// A part of an answer's body: the bytes of some events.
+pub(super) type Part = Cursor<Bytes>;
 
 /// An answer under way.
-struct Answer {
+struct Answer<F> {
     source: Source,
     sent: u32,
     cut: Option<Cut>,
+    break_off: F,
     over: bool,
 }
 
-/// The events of a source from a token on.
+/// The events of a source from a token on; `break_off` breaks the connection off.
 pub(super) fn stream(
     source: Source,
     from: u32,
     cut: Option<Cut>,
+    break_off: impl Fn() + Send + Sync,
 ) -> impl Stream<Item = Part> + Send {
     let answer = Answer {
         source,
         sent: from,
         cut,
+        break_off,
         over: false,
     };
     stream::unfold(answer, |mut answer| async move {
@@ -66,7 +47,7 @@
     })
 }
 
-impl Answer {
+impl<F: Fn()> Answer<F> {
     async fn next(&mut self) -> Part {
         let sent = self.sent;
         let news = |status: &Status| status.tokens > sent || status.state.has_ended();
@@ -75,20 +56,29 @@
             .map(|status| status.map(|status| *status));
         let status = match waited {
             Ok(Ok(status)) => status,
-            Ok(Err(_)) => return self.stop(Part::Break),
+            Ok(Err(_)) => return self.stop(),
             Err(_) => return events(": keep-alive\n\n".into()),
         };
         let until = self.cut.map_or(u32::MAX, |cut| cut.after_tokens);
         let ended = status.state.has_ended() && self.sent >= status.tokens;
         match self.cut {
-            Some(cut) if ended || cut.after_tokens <= self.sent => self.stop(broken(cut)),
+            Some(cut) if ended || cut.after_tokens <= self.sent => self.cut_off(cut).await,
             _ => self.render(status, until),
         }
     }
 
-    fn stop(&mut self, part: Part) -> Part {
+    fn stop(&mut self) -> Part {
         self.over = true;
-        part
+        events(String::new())
+    }
+
+    /// Ends the body as if it were whole, or breaks off its connection and stays open.
+    async fn cut_off(&mut self, cut: Cut) -> Part {
+        if cut.broken {
+            (self.break_off)();
+            std::future::pending::<()>().await;
+        }
+        self.stop()
     }
 
     fn render(&mut self, status: Status, until: u32) -> Part {
@@ -119,12 +109,5 @@
 }
 
 fn events(text: String) -> Part {
-    Part::Events(Cursor::new(Bytes::from(text)))
-}
-
-fn broken(cut: Cut) -> Part {
-    if cut.broken {
-        return Part::Break;
-    }
-    events(String::new())
+    Cursor::new(Bytes::from(text))
 }
--- a/crates/kumquatdrum_testing/src/engine/http.rs
+++ b/crates/kumquatdrum_testing/src/engine/http.rs
@@ -1,5 +1,6 @@
 //! The engine protocol over HTTP; `docs/ENGINE-PROTOCOL.md` describes it.
 
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State as Managed, delete, get, post, routes};
 use serde_json::{Value, json};
+use thiserror::Error;
 
 use super::answer;
 use super::shared::{Shared, Source};
@@ -20,6 +22,7 @@
 use crate::fault::Cut;
 use crate::model::{self, Attempt, Fate, Hold, HoldError, Model, Rejection, State};
 use crate::prompt;
+use crate::relay::Connections;
 
 /// Time that a request without a deadline may take.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3_600);
@@ -54,26 +57,52 @@
 }
 
 /// The headers of a call.
-struct Headers<'r>(&'r rocket::http::HeaderMap<'r>);
+struct Headers<'r> {
+    map: &'r rocket::http::HeaderMap<'r>,
+    remote: Option<SocketAddr>,
+}
 
 #[rocket::async_trait]
 impl<'r> FromRequest<'r> for Headers<'r> {
     type Error = std::convert::Infallible;
 
     async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
-        Outcome::Success(Self(request.headers()))
+        Outcome::Success(Self {
+            map: request.headers(),
+            remote: request.remote(),
+        })
     }
 }
 
 impl Headers<'_> {
     fn text(&self, name: &str) -> Option<String> {
-        self.0.get_one(name).map(str::to_owned)
+        self.map.get_one(name).map(str::to_owned)
     }
 
-    fn number<T: FromStr>(&self, name: &str) -> Result<Option<T>, Reply> {
-        let parsed = self.0.get_one(name).map(str::parse).transpose();
-        parsed.map_err(|_| bad_request(&format!("the header {name} is not a number in range")))
+    fn breaker(&self, engine: &Shared) -> Breaker {
+        Breaker {
+            connections: Arc::clone(&engine.connections),
+            remote: self.remote,
+        }
     }
+
+    fn number<T: FromStr>(&self, name: &'static str) -> Result<Option<T>, Malformed> {
+        let parsed = self.map.get_one(name).map(str::parse).transpose();
+        parsed.map_err(|_| Malformed::Number(name))
+    }
+}
+
+/// What is wrong with a request.
+#[derive(Debug, Error)]
+enum Malformed {
+    #[error("the header {0} is not a number in range")]
+    Number(&'static str),
+    #[error("the header x-attempt-id is missing")]
+    NoAttempt,
+    #[error("the body is broken off or exceeds the limit")]
+    Body,
+    #[error("the body is not JSON with a prompt or messages")]
+    NoPrompt,
 }
 
 /// An answer of the engine.
@@ -84,9 +113,24 @@
         source: Source,
         from: u32,
         cut: Option<Cut>,
+        breaker: Breaker,
     },
 }
 
+/// Breaks off the connection of one call.
+struct Breaker {
+    connections: Arc<Connections>,
+    remote: Option<SocketAddr>,
+}
+
+impl Breaker {
+    fn break_off(&self) {
+        if let Some(remote) = self.remote {
+            self.connections.break_off(remote);
+        }
+    }
+}
+
 impl<'r> Responder<'r, 'static> for Reply {
     fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
         match self {
@@ -96,20 +140,25 @@
                 source,
                 from,
                 cut,
+                breaker,
             } => Response::build()
                 .header(ContentType::EventStream)
                 .header(Header::new("cache-control", "no-cache"))
                 .header(Header::new("x-attempt-id", shown.to_string()))
                 .streamed_body(ReaderStream::from(Box::pin(answer::stream(
-                    source, from, cut,
+                    source,
+                    from,
+                    cut,
+                    move || breaker.break_off(),
                 ))))
                 .ok(),
         }
     }
 }
 
-fn bad_request(message: &str) -> Reply {
-    Reply::Json(Status::BadRequest, error("bad_request", false, message))
+fn bad_request(malformed: &Malformed) -> Reply {
+    let message = malformed.to_string();
+    Reply::Json(Status::BadRequest, error("bad_request", false, &message))
 }
 
 fn not_found(message: &str) -> Reply {
@@ -133,7 +182,7 @@
     }
     let request = match read(headers, body, engine).await {
         Ok(request) => request,
-        Err(reply) => return reply,
+        Err(malformed) => return bad_request(&malformed),
     };
     let fails = engine.faults.fails();
     let source = match engine.submit(request, form, fails) {
@@ -150,14 +199,14 @@
     if let Some(delay) = engine.faults.take_late() {
         tokio::time::sleep(delay).await;
     }
-    reply(source, engine)
+    reply(source, headers, engine)
 }
 
 /// The stream of a new attempt, crossed or cut where that is ordered.
-fn reply(mut source: Source, engine: &Shared) -> Reply {
+fn reply(mut source: Source, headers: &Headers<'_>, engine: &Shared) -> Reply {
     let mut shown = source.id.clone();
     if let Some(header) = engine.faults.take_cross() {
-        let (other, digest) = engine.other(&source.id);
+        let (other, digest) = engine.other(&source);
         if header {
             shown = other.clone();
         }
@@ -169,6 +218,7 @@
         source,
         from: 0,
         cut: engine.faults.take_cut(),
+        breaker: headers.breaker(engine),
     }
 }
 
@@ -176,10 +226,8 @@
     headers: &Headers<'_>,
     body: Data<'_>,
     engine: &Shared,
-) -> Result<model::Request, Reply> {
-    let id = headers
-        .text("x-attempt-id")
-        .ok_or_else(|| bad_request("the header x-attempt-id is missing"))?;
+) -> Result<model::Request, Malformed> {
+    let id = headers.text("x-attempt-id").ok_or(Malformed::NoAttempt)?;
     let remaining = headers.number::<u64>("x-deadline-ms")?;
     let remaining = remaining.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let deadline = engine.now() + remaining;
@@ -189,13 +237,10 @@
         .await
         .ok()
         .filter(rocket::data::Capped::is_complete)
-        .ok_or_else(|| bad_request("the body is broken off or exceeds the limit"))?;
+        .ok_or(Malformed::Body)?;
     // Digests of long prompts take milliseconds; they must not hold up other requests.
     let parsed = tokio::task::spawn_blocking(move || Prompt::parse(&bytes)).await;
-    let prompt = parsed
-        .ok()
-        .flatten()
-        .ok_or_else(|| bad_request("the body is not JSON with a prompt or messages"))?;
+    let prompt = parsed.ok().flatten().ok_or(Malformed::NoPrompt)?;
     let counted = headers.number::<u64>("x-prompt-tokens")?;
     Ok(model::Request {
         id: AttemptId::new(id),
@@ -311,13 +356,14 @@
 }
 
 #[get("/attempts/<id>/stream?<from>")]
-fn resume(id: &str, from: Option<u32>, engine: &Engine) -> Reply {
+fn resume(id: &str, from: Option<u32>, headers: Headers<'_>, engine: &Engine) -> Reply {
     match engine.source(&AttemptId::new(id)) {
         Some(source) => Reply::Stream {
             shown: source.id.clone(),
             source,
             from: from.unwrap_or(0),
             cut: engine.faults.take_cut(),
+            breaker: headers.breaker(engine),
         },
         None => not_found("the attempt is unknown or no longer kept"),
     }
--- a/crates/kumquatdrum_testing/src/engine/shared.rs
+++ b/crates/kumquatdrum_testing/src/engine/shared.rs
@@ -17,6 +17,7 @@
 use crate::fault::{Fault, Faults};
 use crate::model::{Attempt, Model, Progress, Rejection, Request, State, Step};
 use crate::process;
+use crate::relay::Connections;
 
 /// How long an idle engine rests before it looks at deadlines again.
 const IDLE_REST: Duration = Duration::from_millis(20);
@@ -65,6 +66,7 @@
     pub(super) switch: Arc<Switch>,
     pub(super) faults: Faults,
     pub(super) counters: Counters,
+    pub(super) connections: Arc<Connections>,
     core: Mutex<Core>,
     wake: Notify,
     zero: Instant,
@@ -92,6 +94,7 @@
             switch,
             faults: Faults::default(),
             counters: Counters::default(),
+            connections: Arc::default(),
             core: Mutex::new(core),
             wake: Notify::new(),
             zero: Instant::now(),
@@ -131,13 +134,15 @@
         self.core.lock().source(id)
     }
 
-    /// Another attempt's identifier and digest, the latest where there are several.
-    pub(super) fn other(&self, id: &AttemptId) -> (AttemptId, String) {
+    /// The latest attempt with another prompt: its identifier and digest.
+    pub(super) fn other(&self, source: &Source) -> (AttemptId, String) {
         let core = self.core.lock();
-        let mut others = core.channels.keys().rev().filter(|other| *other != id);
-        let found = others.find_map(|other| core.model.attempt(other));
+        let kept = core.channels.keys().rev();
+        let found = kept
+            .filter_map(|id| core.model.attempt(id))
+            .find(|other| other.request.digest != source.digest);
         let named = |other: &Attempt| (other.request.id.clone(), other.request.digest.clone());
-        found.map_or_else(|| made_up(id), named)
+        found.map_or_else(|| made_up(&source.id), named)
     }
 
     pub(super) fn cancel(&self, id: &AttemptId) -> State {
--- a/crates/kumquatdrum_testing/src/model/scheduler.rs
+++ b/crates/kumquatdrum_testing/src/model/scheduler.rs
@@ -167,8 +167,9 @@
 
     fn remember(&mut self, id: AttemptId, state: State, started: bool) {
         self.known.insert(id, Fate { state, started });
-        if self.known.len() > self.options.known_limit {
-            self.known.shift_remove_index(0);
+        // The older half goes at once, as removing one by one would move all the others.
+        if self.known.len() > 2 * self.options.known_limit {
+            self.known.drain(..self.options.known_limit);
         }
     }
 
--- a/crates/kumquatdrum_testing/src/process.rs
+++ b/crates/kumquatdrum_testing/src/process.rs
@@ -11,7 +11,7 @@
 use crate::condition::{Gate, Mode, Switch};
 use crate::control::{self, Control};
 use crate::fault::Fault;
-use crate::relay::Relay;
+use crate::relay::{Connections, Relay};
 use crate::server::{Error, Server, loopback};
 
 /// Who a stand-in is and where it listens.
@@ -93,11 +93,13 @@
         options: &Options,
         switch: Arc<Switch>,
         controlled: Arc<dyn Control>,
+        connections: Arc<Connections>,
         mount: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
         announcement: impl FnOnce(SocketAddr) -> Box<announcer::Source>,
     ) -> Result<Self, Error> {
         let server = Server::start(loopback(), mount).await?;
-        let relay = Relay::start(options.listen, server.address, switch.gate()).await?;
+        let relay =
+            Relay::start(options.listen, server.address, switch.gate(), connections).await?;
         let control = control::start(controlled).await?;
         let source = announcement(relay.address);
         let announcer = Announcer::start(options.announcer.clone(), source, switch.gate());
--- a/crates/kumquatdrum_testing/src/relay.rs
+++ b/crates/kumquatdrum_testing/src/relay.rs
@@ -3,16 +3,46 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use indexmap::IndexMap;
+use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::condition::{Dead, Gate};
 
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// The open connections, by the address from which the relay calls the stand-in's server.
+///
+/// The server knows a connection by that address, and rocket ends a body whose stream fails as if it
+/// were whole: only the relay can break a connection off.
+#[derive(Debug, Default)]
+pub struct Connections(Mutex<IndexMap<SocketAddr, Arc<Notify>>>);
+
+impl Connections {
+    /// Breaks off the connection that the server sees as coming from `remote`.
+    pub fn break_off(&self, remote: SocketAddr) {
+        if let Some(connection) = self.0.lock().get(&remote) {
+            connection.notify_one();
+        }
+    }
+
+    fn open(&self, remote: SocketAddr) -> Arc<Notify> {
+        let connection = Arc::new(Notify::new());
+        self.0.lock().insert(remote, Arc::clone(&connection));
+        connection
+    }
+
+    fn close(&self, remote: SocketAddr) {
+        self.0.lock().swap_remove(&remote);
+    }
+}
+
 /// A relay; it ends when its stand-in is dead.
 #[derive(Debug)]
 pub struct Relay {
@@ -23,10 +53,15 @@
 
 impl Relay {
     /// Listens on `listen` and relays each connection to `target`.
-    pub async fn start(listen: SocketAddr, target: SocketAddr, gate: Gate) -> io::Result<Self> {
+    pub async fn start(
+        listen: SocketAddr,
+        target: SocketAddr,
+        gate: Gate,
+        connections: Arc<Connections>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, target, gate));
+        let task = tokio::spawn(accept(listener, target, gate, connections));
         Ok(Self { address, task })
     }
 
@@ -36,26 +71,36 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, gate: Gate) {
-    let mut connections = JoinSet::new();
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    gate: Gate,
+    connections: Arc<Connections>,
+) {
+    let mut tasks = JoinSet::new();
     let mut dead = gate.clone();
     loop {
         tokio::select! {
             () = dead.dead() => break,
-            Some(_) = connections.join_next() => {}
+            Some(_) = tasks.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((caller, _)) => {
-                    connections.spawn(relay(caller, target, gate.clone()));
+                    tasks.spawn(relay(caller, target, gate.clone(), Arc::clone(&connections)));
                 }
                 Err(_) => tokio::task::yield_now().await,
             },
         }
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    while tasks.join_next().await.is_some() {}
 }
 
-async fn relay(mut caller: TcpStream, target: SocketAddr, mut gate: Gate) {
+async fn relay(
+    mut caller: TcpStream,
+    target: SocketAddr,
+    mut gate: Gate,
+    connections: Arc<Connections>,
+) {
     let epoch = gate.now().epoch;
     if gate.passes(epoch).await.is_err() {
         let _ = caller.set_zero_linger();
@@ -64,12 +109,21 @@
     let Ok(mut server) = TcpStream::connect(target).await else {
         return;
     };
+    let Ok(remote) = server.local_addr() else {
+        return;
+    };
+    let broken = connections.open(remote);
     let _ = caller.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    if carry(&mut caller, &mut server, &gate, epoch).await.is_err() {
+    let carried = tokio::select! {
+        () = broken.notified() => Err(Dead),
+        carried = carry(&mut caller, &mut server, &gate, epoch) => carried,
+    };
+    if carried.is_err() {
         let _ = caller.set_zero_linger();
         let _ = server.set_zero_linger();
     }
+    connections.close(remote);
 }
 
 async fn carry(
--- a/crates/kumquatdrum_testing/src/server.rs
+++ b/crates/kumquatdrum_testing/src/server.rs
@@ -5,6 +5,7 @@
 
 use rocket::config::{LogLevel, Shutdown};
 use rocket::fairing::AdHoc;
+use rocket::log::private::{self as log, Log, Metadata, Record};
 use rocket::{Build, Config, Rocket};
 use thiserror::Error;
 use tokio::sync::oneshot;
@@ -36,6 +37,7 @@
         address: SocketAddr,
         mount: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
     ) -> Result<Self, Error> {
+        discard_logs();
         let (report, liftoff) = oneshot::channel();
         let report = parking_lot::Mutex::new(Some(report));
         let announce = AdHoc::on_liftoff("address", move |rocket| {
@@ -72,6 +74,27 @@
     }
 }
 
+/// Discards rocket's own log lines for the whole process, unless another logger was set before.
+///
+/// rocket raises the process's log level while an instance is being built, whatever the instance's
+/// own level is, so that the lines of others come out in between; `LogLevel::Off` doesn't help.
+pub fn discard_logs() {
+    let _ = log::set_logger(&Discard);
+}
+
+#[derive(Debug)]
+struct Discard;
+
+impl Log for Discard {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        false
+    }
+
+    fn log(&self, _: &Record<'_>) {}
+
+    fn flush(&self) {}
+}
+
 fn launch_error(error: rocket::Error) -> Error {
     Error::Launch(error.to_string())
 }
--- a/crates/kumquatdrum_testing/src/service.rs
+++ b/crates/kumquatdrum_testing/src/service.rs
@@ -100,6 +100,7 @@
             &shared.options.process,
             Arc::clone(&shared.switch),
             Arc::clone(&shared) as Arc<dyn Control>,
+            Arc::default(),
             |rocket| rocket.mount("/", echo),
             |address| Box::new(move || announced.announcement(boot, address, Kind::Plain)),
         )
--- /dev/null
+++ b/crates/kumquatdrum_testing/tests/engine.rs
@@ -0,0 +1,361 @@
+//! The stand-in engine over HTTP: the protocol, and each fault by order.
+
+use std::time::Duration;
+
+use kumquatdrum_testing::engine::{Engine, Options};
+use kumquatdrum_testing::{Fault, prompt};
+use kumquatdrum_types::digest;
+use reqwest::{Client, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Long enough for any answer on a busy machine; a silence is checked for `SILENCE`.
+const PATIENCE: Duration = Duration::from_secs(30);
+const SILENCE: Duration = Duration::from_millis(150);
+
+struct Fixture {
+    engine: Engine,
+    client: Client,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        Self::with(|_| {}).await
+    }
+
+    async fn with(change: impl FnOnce(&mut Options)) -> Self {
+        let mut options = Options::new("e1", "formula-llm", "formula", "hall-raatuse");
+        change(&mut options);
+        Self {
+            engine: Engine::start(options).await.unwrap(),
+            client: Client::builder().timeout(PATIENCE).build().unwrap(),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.engine.address())
+    }
+
+    async fn post(&self, id: &str, prompt: &str, max_tokens: u32) -> Response {
+        self.client
+            .post(self.url("/v1/completions"))
+            .header("x-attempt-id", id)
+            .header("x-owner", "tartu-1")
+            .json(&json!({"prompt": prompt, "max_tokens": max_tokens}))
+            .send()
+            .await
+            .unwrap()
+    }
+
+    async fn get(&self, path: &str) -> Value {
+        let answer = self.client.get(self.url(path)).send().await.unwrap();
+        answer.json().await.unwrap()
+    }
+
+    async fn cancel(&self, id: &str) -> Value {
+        self.cancel_within(PATIENCE, id).await.unwrap()
+    }
+
+    async fn cancel_within(&self, timeout: Duration, id: &str) -> reqwest::Result<Value> {
+        let url = self.url(&format!("/v1/attempts/{id}"));
+        let request = self.client.delete(url).timeout(timeout);
+        request.send().await?.json().await
+    }
+
+    async fn state(&self, id: &str) -> String {
+        let shown = self.get(&format!("/v1/attempts/{id}")).await;
+        shown["state"].as_str().unwrap().to_owned()
+    }
+
+    /// Waits until the attempt has tokens.
+    async fn until_tokens(&self, id: &str) {
+        while self.get(&format!("/v1/attempts/{id}")).await["tokens"] == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+fn expected(prompt: &str, tokens: u32) -> String {
+    let digest = digest::hex(prompt.as_bytes());
+    (0..tokens)
+        .map(|index| prompt::token(&digest, index))
+        .collect()
+}
+
+/// The text of a stream and whether it has its end marker.
+fn read(stream: &str) -> (String, bool) {
+    let data = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let events: Vec<Value> = data
+        .clone()
+        .filter_map(|data| serde_json::from_str(data).ok())
+        .collect();
+    let text = events
+        .iter()
+        .filter_map(|event| event["choices"][0]["text"].as_str())
+        .collect();
+    (text, data.last() == Some("[DONE]"))
+}
+
+#[tokio::test]
+async fn an_answer_is_streamed_whole_and_can_be_resumed() {
+    let fixture = Fixture::start().await;
+    let answer = fixture.post("a", "shade card", 4).await;
+    assert_eq!(answer.headers()["x-attempt-id"], "a");
+    let whole = answer.text().await.unwrap();
+    assert_eq!(read(&whole), (expected("shade card", 4), true));
+    let resumed = fixture.url("/v1/attempts/a/stream?from=2");
+    let rest = fixture.client.get(resumed).send().await.unwrap();
+    let rest = rest.text().await.unwrap();
+    assert!(rest.starts_with("id: 2\n"));
+    assert!(whole.ends_with(&rest));
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_known_attempt_is_refused_and_counted_once() {
+    let fixture = Fixture::start().await;
+    fixture.post("a", "reorder", 1).await.text().await.unwrap();
+    let again = fixture.post("a", "reorder", 1).await;
+    assert_eq!(again.status(), StatusCode::CONFLICT);
+    let body: Value = again.json().await.unwrap();
+    assert_eq!(body["error"]["state"], "finished");
+    assert_eq!(body["error"]["started"], true);
+    let counts = fixture.engine.counts();
+    assert_eq!(counts.runs_by_attempt["a"], 1);
+    assert_eq!(counts.received, 2);
+    assert_eq!(counts.doubled().count(), 0);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_cancel_ends_the_attempt_and_frees_its_memory() {
+    let fixture = Fixture::start().await;
+    let answer = fixture.post("a", "history", 100_000).await;
+    fixture.until_tokens("a").await;
+    let owned = fixture.get("/v1/attempts?owner=tartu-1").await;
+    assert_eq!(owned["attempts"][0]["id"], "a");
+    assert_eq!(fixture.cancel("a").await["state"], "cancelled");
+    assert_eq!(fixture.cancel("a").await["state"], "cancelled");
+    assert!(!read(&answer.text().await.unwrap()).1);
+    assert_eq!(fixture.engine.counts().memory_used_tokens, 0);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_cancel_of_an_unknown_attempt_refuses_it_later() {
+    let fixture = Fixture::start().await;
+    assert_eq!(fixture.state("a").await, "never_seen");
+    fixture.cancel("a").await;
+    let late = fixture.post("a", "late", 1).await;
+    assert_eq!(late.status(), StatusCode::CONFLICT);
+    let body: Value = late.json().await.unwrap();
+    assert_eq!(body["error"]["started"], false);
+    assert_eq!(fixture.engine.counts().accepted, 0);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn malformed_requests_are_refused_without_a_run() {
+    let fixture = Fixture::start().await;
+    let bodies = ["", "{", "[]", "{}", "{\"prompt\": 3}"];
+    for body in bodies {
+        let url = fixture.url("/v1/completions");
+        let request = fixture.client.post(url).header("x-attempt-id", "a");
+        let answer = request.body(body).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::BAD_REQUEST, "{body}");
+    }
+    assert_eq!(fixture.engine.counts().accepted, 0);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn refusals_and_failures_come_by_order() {
+    let fixture = Fixture::start().await;
+    fixture.engine.order(&Fault::Refuse { count: 1 });
+    let refused = fixture.post("a", "p", 1).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(fixture.state("a").await, "never_seen");
+    fixture.engine.order(&Fault::Fail);
+    let failed = fixture.post("b", "p", 1).await;
+    assert_eq!(failed.status(), StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(fixture.state("b").await, "failed");
+    fixture.engine.order(&Fault::Heal);
+    assert_eq!(fixture.post("c", "p", 1).await.status(), StatusCode::OK);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn crossed_answers_show_another_attempt() {
+    let fixture = Fixture::start().await;
+    fixture.post("a", "first", 1).await.text().await.unwrap();
+    for (id, header, shown) in [("b", true, "a"), ("c", false, "c")] {
+        fixture.engine.order(&Fault::Cross { count: 1, header });
+        let crossed = fixture.post(id, "second", 1).await;
+        assert_eq!(crossed.headers()["x-attempt-id"], shown);
+        let text = crossed.text().await.unwrap();
+        assert_ne!(read(&text).0, expected("second", 1));
+    }
+    let straight = fixture.post("d", "second", 1).await;
+    assert_eq!(
+        read(&straight.text().await.unwrap()),
+        (expected("second", 1), true)
+    );
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_cut_stream_lacks_its_end_marker() {
+    let fixture = Fixture::start().await;
+    for (id, broken) in [("a", false), ("b", true)] {
+        fixture.engine.order(&Fault::Cut {
+            after_tokens: 2,
+            count: 1,
+            broken,
+        });
+        let cut = fixture.post(id, "pack", 5).await.text().await;
+        assert_eq!(cut.is_err(), broken);
+        let shown = cut.map(|text| read(&text));
+        assert!(!shown.unwrap_or_default().1);
+    }
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_lost_cancel_gets_no_answer() {
+    let fixture = Fixture::start().await;
+    for (id, done, state) in [("a", false, "running"), ("b", true, "cancelled")] {
+        let answer = fixture.post(id, "p", 100_000).await;
+        fixture.until_tokens(id).await;
+        fixture.engine.order(&Fault::LoseCancel { count: 1, done });
+        let lost = fixture.cancel_within(SILENCE, id).await;
+        assert!(lost.unwrap_err().is_timeout());
+        assert_eq!(fixture.state(id).await, state);
+        fixture.cancel(id).await;
+        drop(answer);
+    }
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn open_connections_go_silent_while_new_ones_work() {
+    let fixture = Fixture::start().await;
+    let mut answer = fixture.post("a", "p", 100_000).await;
+    answer.chunk().await.unwrap();
+    fixture.engine.order(&Fault::SilenceOpen);
+    // What had been written before the order may still arrive.
+    while tokio::time::timeout(SILENCE, answer.chunk()).await.is_ok() {}
+    assert_eq!(fixture.state("a").await, "running");
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn an_idle_connection_goes_silent_too() {
+    const REQUEST: &[u8] = b"GET /v1/health HTTP/1.1\r\nhost: e1\r\n\r\n";
+    let fixture = Fixture::start().await;
+    let mut connection = TcpStream::connect(fixture.engine.address()).await.unwrap();
+    let mut buffer = [0; 4_096];
+    connection.write_all(REQUEST).await.unwrap();
+    assert!(connection.read(&mut buffer).await.unwrap() > 0);
+    fixture.engine.order(&Fault::SilenceOpen);
+    connection.write_all(REQUEST).await.unwrap();
+    while tokio::time::timeout(SILENCE, connection.read(&mut buffer))
+        .await
+        .is_ok()
+    {}
+    assert_eq!(fixture.get("/v1/health").await["endpoint"], "e1");
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_frozen_engine_stands_still_until_thawed() {
+    let fixture = Fixture::start().await;
+    let mut answer = fixture.post("a", "p", 100_000).await;
+    answer.chunk().await.unwrap();
+    fixture.engine.order(&Fault::Freeze);
+    while tokio::time::timeout(SILENCE, answer.chunk()).await.is_ok() {}
+    let url = fixture.url("/v1/health");
+    let health = fixture.client.get(&url).timeout(SILENCE).send().await;
+    assert!(health.unwrap_err().is_timeout());
+    fixture.engine.order(&Fault::Thaw);
+    assert!(answer.chunk().await.unwrap().is_some());
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_dead_engine_resets_and_refuses_connections() {
+    let fixture = Fixture::start().await;
+    let answer = fixture.post("a", "p", 100_000).await;
+    fixture.engine.order(&Fault::Die);
+    assert!(answer.text().await.is_err());
+    let url = fixture.url("/v1/health");
+    while let Err(error) = fixture.client.get(&url).send().await {
+        if error.is_connect() {
+            break;
+        }
+    }
+    let counters = format!("http://{}/counters", fixture.engine.control_address());
+    let counts = fixture.client.get(counters).send().await.unwrap();
+    let counts: Value = counts.json().await.unwrap();
+    assert_eq!(counts["runs_by_attempt"]["a"], 1);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn faults_come_over_the_control_port_too() {
+    let fixture = Fixture::start().await;
+    let url = format!("http://{}/faults", fixture.engine.control_address());
+    let orders = json!([{"fault": "refuse", "count": 1}, {"fault": "late", "ms": 1, "count": 1}]);
+    let ordered = fixture.client.post(&url).json(&orders).send().await;
+    assert_eq!(ordered.unwrap().status(), StatusCode::NO_CONTENT);
+    let refused = fixture.post("a", "p", 1).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let wrong = fixture.client.post(&url).json(&json!({"fault": "yawn"}));
+    assert!(wrong.send().await.unwrap().status().is_client_error());
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn late_reports_are_older_than_their_lag() {
+    let fixture = Fixture::with(|options| options.reports.load_lag = PATIENCE).await;
+    fixture.post("a", "p", 1).await.text().await.unwrap();
+    assert_eq!(fixture.get("/v1/load").await["seen"], json!([]));
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn cache_events_are_published_with_gaps() {
+    let fixture = Fixture::with(|options| options.reports.lose_every = 2).await;
+    let text = "x".repeat(3 * prompt::BLOCK_BYTES);
+    fixture.post("a", &text, 1).await.text().await.unwrap();
+    let events = fixture.get("/v1/cache/events?after=0").await;
+    assert_eq!(events["last"], 3);
+    let first = &prompt::blocks(&text)[0];
+    assert_eq!(events["events"][0]["prefix"], first.as_str());
+    assert_eq!(events["events"][1]["seq"], 3);
+    fixture.engine.shutdown().await;
+}
+
+#[tokio::test]
+async fn reservations_and_kv_count_in_memory() {
+    let fixture = Fixture::start().await;
+    let reservation = json!({"id": "r", "owner": "tartu-1", "tokens": 100, "ttl_ms": 60_000});
+    let url = fixture.url("/v1/reservations");
+    let held = fixture.client.post(url).json(&reservation).send().await;
+    assert_eq!(held.unwrap().status(), StatusCode::OK);
+    fixture.post("a", "p", 1).await.text().await.unwrap();
+    let url = fixture.url("/v1/kv/a/export");
+    fixture.client.post(url).send().await.unwrap();
+    assert_eq!(fixture.engine.counts().memory_used_tokens, 102);
+    let owned = fixture.get("/v1/attempts?owner=tartu-1").await;
+    assert_eq!(owned["reservations"][0]["id"], "r");
+    assert_eq!(owned["kv"][0]["id"], "a");
+    for path in ["/v1/reservations/r", "/v1/kv/a"] {
+        let freed = fixture.client.delete(fixture.url(path)).send().await;
+        assert_eq!(freed.unwrap().json::<Value>().await.unwrap()["freed"], true);
+    }
+    assert_eq!(fixture.engine.counts().memory_used_tokens, 0);
+    fixture.engine.shutdown().await;
+}
