--- a/crates/kumquatdrum_testing/tests/engine.rs
+++ b/crates/kumquatdrum_testing/tests/engine.rs
@@ -85,7 +85,7 @@
 
 /// The text of a stream and whether it has its end marker.
 fn read(stream: &str) -> (String, bool) {
-    let data = stream
+    let mut data = stream
         .lines()
         .filter_map(|line| line.strip_prefix("data: "));
     let events: Vec<Value> = data
@@ -96,7 +96,7 @@
         .iter()
         .filter_map(|event| event["choices"][0]["text"].as_str())
         .collect();
-    (text, data.last() == Some("[DONE]"))
+    (text, data.next_back() == Some("[DONE]"))
 }
 
 #[tokio::test]
