--- /dev/null
+++ b/crates/kumquatdrum/src/serve.rs
@@ -0,0 +1,58 @@
+//! Running the daemon of one host.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use kumquatdrum_host::{Host, Settings, settings};
+use slog::{Level, error};
+
+use crate::exit::Exit;
+use crate::logging;
+
+/// Runs until a signal asks to stop, then shuts down gracefully.
+pub fn run(file: &Path) -> ExitCode {
+    let settings = match read(file) {
+        Ok(settings) => settings,
+        Err(lines) => {
+            eprintln!("{}", lines.join("\n"));
+            return Exit::Usage.into();
+        }
+    };
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    if settings.limits.threads > 0 {
+        runtime.worker_threads(settings.limits.threads);
+    }
+    match runtime.enable_all().build() {
+        Ok(runtime) => runtime.block_on(serve(settings)).into(),
+        Err(reason) => {
+            eprintln!("the runtime can't be started: {reason}");
+            Exit::Unreachable.into()
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<Settings, Vec<String>> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|error| vec![format!("{name}: {error}")])?;
+    settings::parse(&text).map_err(|findings| {
+        let lines = findings.iter();
+        lines.map(|finding| format!("{name}: {finding}")).collect()
+    })
+}
+
+async fn serve(settings: Settings) -> Exit {
+    let (logger, _guard) = logging::start(Level::Info);
+    let host = match Host::start(settings, &logger).await {
+        Ok(host) => host,
+        Err(reason) => {
+            error!(logger, ""; "event" => "not_started", "reason" => %reason);
+            return Exit::Usage;
+        }
+    };
+    let stopped = kumquatdrum_platform::signal::stop().await;
+    if let Err(reason) = stopped {
+        error!(logger, ""; "event" => "no_signals", "reason" => %reason);
+    }
+    host.stop().await;
+    Exit::Done
+}
--- a/crates/kumquatdrum_engine/src/http.rs
+++ b/crates/kumquatdrum_engine/src/http.rs
@@ -53,6 +53,12 @@
     attempts: Vec<Running>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Named<'a> {
+    #[serde(borrow)]
+    id: Option<std::borrow::Cow<'a, str>>,
+}
+
 #[derive(Debug, Deserialize)]
 struct Counted {
     #[serde(default)]
@@ -216,6 +222,7 @@
         content_type: Some("text/event-stream".to_owned()),
     };
     let reading = Reading {
+        attempt: attempt.clone(),
         body: response.bytes_stream().boxed(),
         reader: sse::Reader::default(),
         over: false,
@@ -240,6 +247,7 @@
 }
 
 struct Reading {
+    attempt: AttemptId,
     body: stream::BoxStream<'static, reqwest::Result<Bytes>>,
     reader: sse::Reader,
     over: bool,
@@ -267,10 +275,18 @@
         event
     }
 
+    /// Events name their attempt as the head does; one that names another isn't this caller's.
+    fn is_own(&self, data: &[u8]) -> bool {
+        let named = serde_json::from_slice::<Named<'_>>(data).ok();
+        let id = named.and_then(|named| named.id);
+        id.is_none_or(|id| id == self.attempt.as_str())
+    }
+
     fn event(&mut self, message: sse::Message) -> Event {
         let sse::Message { id, data } = message;
         match id {
             _ if data == END_MARKER => self.ended(Event::Finished),
+            _ if !self.is_own(&data) => self.ended(Event::Fault(Fault::Crossed)),
             Some(index) => Event::Token { index, data },
             None => summary(data),
         }
--- a/crates/kumquatdrum_host/src/announce.rs
+++ b/crates/kumquatdrum_host/src/announce.rs
@@ -28,7 +28,10 @@
         let Some(shell) = request.rocket().state::<Arc<Shell>>() else {
             return Outcome::Error((Status::InternalServerError, ()));
         };
-        let header = request.headers().get_one("authorization").unwrap_or_default();
+        let header = request
+            .headers()
+            .get_one("authorization")
+            .unwrap_or_default();
         let key = header.strip_prefix("Bearer ").unwrap_or_default();
         if digest::hex(key.as_bytes()) == shell.settings.endpoint_key_sha256 {
             return Outcome::Success(Self);
--- /dev/null
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -0,0 +1,463 @@
+//! Runs one replica: the consensus node, the state machine behind it, and those who wait.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use kumquatdrum_consensus::{
+    Input, LogIndex, Message, Node, Output, Proposal, ProposalOutcome, ReplicaId, RoleName, Status,
+    Token,
+};
+use kumquatdrum_peer::{Channel, Client};
+use kumquatdrum_platform::Metrics;
+use kumquatdrum_setup::control::Page;
+use kumquatdrum_setup::state::Prepared;
+use kumquatdrum_setup::{
+    Action, Answer as Applied, Claim, Command, Failure, Settlement, Stamper, Standing, State,
+};
+use kumquatdrum_types::{HostId, Moment, Version};
+use slog::{error, info};
+use tokio::sync::{mpsc, oneshot};
+
+use super::question::Outcome;
+use super::{Answer, Question, Writer};
+use crate::clock::{Clock, unix_ms};
+use crate::members::Members;
+
+/// How often the spread is told of a majority.
+const MAJORITY_INTERVAL: Duration = Duration::from_millis(200);
+/// The most entries of one page of the audit trail.
+const PAGE: usize = 500;
+/// Claims and settlements that share one log entry at the most.
+const BATCH: usize = 4_096;
+
+/// What reaches a replica.
+#[derive(Debug)]
+pub enum Event {
+    /// A message of another replica.
+    Message(Box<Message>),
+    /// A question, and where the answer goes.
+    Question(Box<Question>, oneshot::Sender<Outcome>),
+    /// What the replica says of itself.
+    Status(oneshot::Sender<Status>),
+    /// A batch is on disk.
+    Persisted(u64),
+    /// The disk failed.
+    PersistFailed(String),
+}
+
+/// The way to a running replica.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    events: mpsc::UnboundedSender<Event>,
+}
+
+/// What a machine is made of.
+pub struct Parts {
+    /// The consensus core, fresh from its store.
+    pub node: Node,
+    /// The thread that writes.
+    pub writer: Writer,
+    /// The way to the other replicas.
+    pub client: Arc<Client>,
+    /// Hosts, endpoints and the spread, which is told of applied versions.
+    pub members: Arc<Members>,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// Where events go.
+    pub logger: slog::Logger,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+}
+
+enum Waiting {
+    Apply(oneshot::Sender<Outcome>),
+    Claims(Vec<(usize, oneshot::Sender<Outcome>)>),
+    Settlements(Vec<(usize, oneshot::Sender<Outcome>)>),
+}
+
+enum Read {
+    Apply(Box<kumquatdrum_setup::Request>),
+    Question(Box<Question>),
+}
+
+/// One replica.
+pub struct Machine {
+    parts: Parts,
+    state: State,
+    stamper: Stamper,
+    wake: Moment,
+    told: Version,
+    tokens: u64,
+    waiting: IndexMap<Token, Waiting>,
+    reads: IndexMap<Token, (Read, oneshot::Sender<Outcome>)>,
+    answers: IndexMap<LogIndex, Applied>,
+    claims: Vec<(Vec<Claim>, oneshot::Sender<Outcome>)>,
+    settlements: Vec<(Vec<Settlement>, oneshot::Sender<Outcome>)>,
+}
+
+impl Handle {
+    /// A handle and what it feeds.
+    pub fn new() -> (
+        Self,
+        mpsc::UnboundedSender<Event>,
+        mpsc::UnboundedReceiver<Event>,
+    ) {
+        let (events, received) = mpsc::unbounded_channel();
+        let handle = Self {
+            events: events.clone(),
+        };
+        (handle, events, received)
+    }
+
+    /// Hands a message of another replica over.
+    pub fn message(&self, message: Message) {
+        let _ = self.events.send(Event::Message(Box::new(message)));
+    }
+
+    /// Asks the replica.
+    pub async fn ask(&self, question: Question) -> Outcome {
+        let (sender, answer) = oneshot::channel();
+        let event = Event::Question(Box::new(question), sender);
+        if self.events.send(event).is_err() {
+            return Err(Failure::Unavailable);
+        }
+        answer.await.unwrap_or(Err(Failure::Unknown))
+    }
+
+    /// What the replica says of itself; nothing once it has stopped.
+    pub async fn status(&self) -> Option<Status> {
+        let (sender, answer) = oneshot::channel();
+        self.events.send(Event::Status(sender)).ok()?;
+        answer.await.ok()
+    }
+}
+
+impl Machine {
+    /// A machine whose state is made by the node's first outputs.
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            parts,
+            state: State::default(),
+            stamper: Stamper::default(),
+            wake: Moment::ZERO,
+            told: Version(0),
+            tokens: 0,
+            waiting: IndexMap::new(),
+            reads: IndexMap::new(),
+            answers: IndexMap::new(),
+            claims: Vec::new(),
+            settlements: Vec::new(),
+        }
+    }
+
+    /// Runs until the last handle is dropped or `stopped` turns true.
+    pub async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<Event>,
+        mut stopped: tokio::sync::watch::Receiver<bool>,
+    ) {
+        self.step(Input::Tick);
+        let mut majority = tokio::time::interval(MAJORITY_INTERVAL);
+        loop {
+            let due = self.parts.clock.instant(self.wake);
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => break,
+                },
+                () = tokio::time::sleep_until(due) => self.step(Input::Tick),
+                _ = majority.tick() => self.tell_majority(),
+                _ = stopped.wait_for(|stopped| *stopped) => break,
+            }
+            // What came in together shares one log entry.
+            while let Ok(event) = events.try_recv() {
+                self.take(event);
+            }
+            self.propose_batches();
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Message(message) => self.step(Input::Message(message)),
+            Event::Persisted(sequence) => self.step(Input::Persisted { sequence }),
+            Event::PersistFailed(reason) => self.step(Input::PersistFailed { reason }),
+            Event::Status(sender) => {
+                let _ = sender.send(self.parts.node.status());
+            }
+            Event::Question(question, sender) => self.question(*question, sender),
+        }
+    }
+
+    fn question(&mut self, question: Question, sender: oneshot::Sender<Outcome>) {
+        if !self.parts.node.is_leader() {
+            let leader = self.parts.node.leader().map(|leader| leader.host.clone());
+            let _ = sender.send(Err(Failure::NotCurrent { leader }));
+            return;
+        }
+        match question {
+            Question::Claim(claims) => self.claims.push((claims, sender)),
+            Question::Settle(settlements) => self.settlements.push((settlements, sender)),
+            // An apply is checked against the state, which a read makes sure to be current.
+            Question::Apply(request) => self.read(Read::Apply(Box::new(request)), sender),
+            read => self.read(Read::Question(Box::new(read)), sender),
+        }
+    }
+
+    fn token(&mut self) -> Token {
+        self.tokens += 1;
+        Token(self.tokens)
+    }
+
+    fn read(&mut self, read: Read, sender: oneshot::Sender<Outcome>) {
+        let token = self.token();
+        self.reads.insert(token, (read, sender));
+        self.step(Input::ConfirmRead { token });
+    }
+
+    fn propose(&mut self, action: Action, waiting: Waiting) {
+        let stamp = self.stamper.stamp(self.parts.clock.now(), unix_ms());
+        let payload = Bytes::from(Command { stamp, action }.encode());
+        let token = self.token();
+        self.waiting.insert(token, waiting);
+        self.step(Input::Propose(Proposal { token, payload }));
+    }
+
+    fn propose_batches(&mut self) {
+        while !self.claims.is_empty() {
+            let (claims, waiting) = batch(&mut self.claims);
+            self.propose(Action::Claims(claims), Waiting::Claims(waiting));
+        }
+        while !self.settlements.is_empty() {
+            let (settlements, waiting) = batch(&mut self.settlements);
+            self.propose(Action::Settle(settlements), Waiting::Settlements(waiting));
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let now = self.parts.clock.now();
+        for output in self.parts.node.step(now, input) {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send { to, message } => self.send(&to, &message),
+            Output::Persist(batch) => self.parts.writer.write(batch),
+            Output::Apply { index, payload, .. } => self.apply(index, &payload),
+            Output::Restore(snapshot) => self.restore(snapshot.index, &snapshot.data),
+            Output::Proposed { token, outcome } => self.proposed(token, outcome),
+            Output::ReadConfirmed { token, .. } => self.confirmed(token),
+            Output::ReadRefused { token, leader } => self.refused(token, leader),
+            Output::SnapshotWanted => {
+                let index = LogIndex(self.state.applied());
+                let data = Bytes::from(self.state.encode());
+                self.step(Input::Snapshot { index, data });
+            }
+            Output::BecameLeader { term } => {
+                self.parts.metrics.leader.set(1);
+                info!(self.parts.logger, ""; "event" => "became_leader", "term" => %term);
+            }
+            Output::SteppedDown { term } => {
+                self.parts.metrics.leader.set(0);
+                self.answers.clear();
+                info!(self.parts.logger, ""; "event" => "stepped_down", "term" => %term);
+            }
+            Output::Halted { reason } => {
+                error!(self.parts.logger, ""; "event" => "replica_halted", "reason" => reason);
+            }
+            Output::Wake { at } => self.wake = at,
+        }
+    }
+
+    fn send(&self, to: &HostId, message: &Message) {
+        match postcard::to_allocvec(message) {
+            Ok(body) => self.parts.client.send(to, Channel::Consensus, body.into()),
+            Err(error) => error!(self.parts.logger, ""; "event" => "message_not_encoded",
+                "reason" => %error),
+        }
+    }
+
+    fn apply(&mut self, index: LogIndex, payload: &[u8]) {
+        match Command::decode(payload) {
+            Ok(command) => {
+                let answer = self.state.apply(index.0, &command);
+                if self.parts.node.is_leader() {
+                    self.answers.insert(index, answer);
+                }
+                self.put_in_force();
+            }
+            Err(reason) => {
+                self.state.skip(index.0);
+                error!(self.parts.logger, ""; "event" => "entry_not_decoded", "index" => %index,
+                    "reason" => %reason);
+            }
+        }
+    }
+
+    fn restore(&mut self, index: LogIndex, data: &[u8]) {
+        if data.is_empty() {
+            self.state = State::default();
+            self.state.skip(index.0);
+        } else {
+            match State::restore(data) {
+                Ok(state) => self.state = state,
+                Err(reason) => error!(self.parts.logger, ""; "event" => "snapshot_not_restored",
+                    "index" => %index, "reason" => %reason),
+            }
+        }
+        self.put_in_force();
+    }
+
+    fn put_in_force(&mut self) {
+        if self.state.current() > self.told {
+            self.told = self.state.current();
+            self.parts.members.applied(&self.state.offer());
+        }
+    }
+
+    /// Tells the spread where this replica is in touch with a majority and up to date.
+    fn tell_majority(&self) {
+        let status = self.parts.node.status();
+        let leads = status.role == RoleName::Leader;
+        let follows = status.role == RoleName::Follower && status.leader.is_some();
+        if (leads || follows) && status.applied == status.commit {
+            self.parts.members.majority();
+        }
+    }
+
+    fn proposed(&mut self, token: Token, outcome: ProposalOutcome) {
+        let Some(waiting) = self.waiting.swap_remove(&token) else {
+            return;
+        };
+        let answer = match outcome {
+            ProposalOutcome::Committed { index } => {
+                self.answers.swap_remove(&index).ok_or(Failure::Unknown)
+            }
+            ProposalOutcome::NotLeader { leader } => Err(not_current(leader)),
+            ProposalOutcome::Busy => Err(Failure::Unavailable),
+            ProposalOutcome::Unknown => Err(Failure::Unknown),
+        };
+        tell(waiting, answer);
+    }
+
+    fn confirmed(&mut self, token: Token) {
+        let Some((read, sender)) = self.reads.swap_remove(&token) else {
+            return;
+        };
+        match read {
+            Read::Apply(request) => match self.state.prepare(&request) {
+                Prepared::Answered(answer) => {
+                    let _ = sender.send(Ok(Answer::Apply(answer)));
+                }
+                Prepared::Propose(action) => self.propose(action, Waiting::Apply(sender)),
+            },
+            Read::Question(question) => {
+                let _ = sender.send(answered(&self.state, &question, Standing::Confirmed));
+            }
+        }
+    }
+
+    fn refused(&mut self, token: Token, leader: Option<ReplicaId>) {
+        if let Some((_, sender)) = self.reads.swap_remove(&token) {
+            let _ = sender.send(Err(not_current(leader)));
+        }
+    }
+}
+
+fn not_current(leader: Option<ReplicaId>) -> Failure {
+    Failure::NotCurrent {
+        leader: leader.map(|leader| leader.host),
+    }
+}
+
+/// Takes together what waits, in the order in which it came.
+fn batch<T>(
+    waiting: &mut Vec<(Vec<T>, oneshot::Sender<Outcome>)>,
+) -> (Vec<T>, Vec<(usize, oneshot::Sender<Outcome>)>) {
+    let mut items = Vec::new();
+    let mut senders = Vec::new();
+    let mut taken = 0;
+    for (part, _) in waiting.iter() {
+        if taken > 0 && items.len() + part.len() > BATCH {
+            break;
+        }
+        taken += 1;
+        items.reserve(part.len());
+    }
+    for (part, sender) in waiting.drain(..taken) {
+        senders.push((part.len(), sender));
+        items.extend(part);
+    }
+    (items, senders)
+}
+
+fn tell(waiting: Waiting, answer: Result<Applied, Failure>) {
+    match (waiting, answer) {
+        (Waiting::Apply(sender), Ok(Applied::Apply(answer))) => {
+            let _ = sender.send(Ok(Answer::Apply(answer)));
+        }
+        (Waiting::Claims(senders), Ok(Applied::Claims(answers))) => {
+            split(senders, answers, Answer::Claim);
+        }
+        (Waiting::Settlements(senders), Ok(Applied::Settle(answers))) => {
+            split(senders, answers, Answer::Settle);
+        }
+        (waiting, answer) => fail(waiting, &answer.err().unwrap_or(Failure::Unknown)),
+    }
+}
+
+fn split<T>(
+    senders: Vec<(usize, oneshot::Sender<Outcome>)>,
+    answers: Vec<T>,
+    wrap: impl Fn(Vec<T>) -> Answer,
+) {
+    let mut answers = answers.into_iter();
+    for (count, sender) in senders {
+        let part = answers.by_ref().take(count).collect();
+        let _ = sender.send(Ok(wrap(part)));
+    }
+}
+
+fn fail(waiting: Waiting, failure: &Failure) {
+    let senders: Vec<_> = match waiting {
+        Waiting::Apply(sender) => vec![sender],
+        Waiting::Claims(senders) | Waiting::Settlements(senders) => {
+            senders.into_iter().map(|(_, sender)| sender).collect()
+        }
+    };
+    for sender in senders {
+        let _ = sender.send(Err(failure.clone()));
+    }
+}
+
+/// Answers a read from a state.
+fn answered(state: &State, question: &Question, standing: Standing) -> Outcome {
+    match question {
+        Question::Show(selector) => state
+            .show(*selector, standing)
+            .map(Answer::Show)
+            .ok_or(Failure::NoSuchVersion),
+        Question::Audit { from, limit } => {
+            let limit = usize::try_from(*limit).unwrap_or(PAGE).min(PAGE);
+            let (previous, entries) = state.trail().page(*from, limit);
+            let next = from.max(&1) + entries.len() as u64;
+            Ok(Answer::Audit(Page {
+                previous,
+                entries: entries.to_vec(),
+                next: (next <= state.trail().len()).then_some(next),
+                standing,
+            }))
+        }
+        Question::Key(workspace, key) => {
+            let entry = state.claims().get(workspace, key);
+            Ok(Answer::Key(
+                entry.map(kumquatdrum_setup::claim::Entry::held),
+            ))
+        }
+        Question::Apply(_) | Question::Claim(_) | Question::Settle(_) => Err(Failure::Unavailable),
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_host/src/control/question.rs
@@ -0,0 +1,51 @@
+//! What hosts ask the leading replica.
+
+use kumquatdrum_setup::claim::Held;
+use kumquatdrum_setup::control::Page;
+use kumquatdrum_setup::{
+    ApplyAnswer, Claim, ClaimAnswer, Failure, Request, Selector, SettleAnswer, Settlement, Shown,
+};
+use kumquatdrum_types::{IdempotencyKey, WorkspaceName};
+use serde::{Deserialize, Serialize};
+
+/// A question to a replica.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Question {
+    /// Apply a declaration.
+    Apply(Request),
+    /// Read a declaration back.
+    Show(Selector),
+    /// A page of the audit trail.
+    Audit {
+        /// The first entry.
+        from: u64,
+        /// The most entries.
+        limit: u64,
+    },
+    /// Claim keys.
+    Claim(Vec<Claim>),
+    /// Settle claims.
+    Settle(Vec<Settlement>),
+    /// What is known of a key.
+    Key(WorkspaceName, IdempotencyKey),
+}
+
+/// A replica's answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Answer {
+    /// To an apply.
+    Apply(ApplyAnswer),
+    /// To a read.
+    Show(Shown),
+    /// To a question for the trail.
+    Audit(Page),
+    /// To claims.
+    Claim(Vec<ClaimAnswer>),
+    /// To settlements.
+    Settle(Vec<SettleAnswer>),
+    /// To a question for a key.
+    Key(Option<Held>),
+}
+
+/// An answer, or why there is none.
+pub type Outcome = Result<Answer, Failure>;
--- a/crates/kumquatdrum_host/src/fleet.rs
+++ b/crates/kumquatdrum_host/src/fleet.rs
@@ -6,7 +6,9 @@
 use indexmap::IndexMap;
 use kumquatdrum_routing::{Ask, Health, Output, Progress, Router, Settings, retry};
 use kumquatdrum_types::exchange::Target;
-use kumquatdrum_types::{Announcement, EndpointId, HostId, Moment, Refusal, RequestId, ServiceName};
+use kumquatdrum_types::{
+    Announcement, EndpointId, HostId, Moment, Refusal, RequestId, ServiceName,
+};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
@@ -111,23 +113,25 @@
             owner,
             owners: Mutex::new(owners),
             seed,
-            shards: std::iter::repeat_with(Shard::default).take(SHARDS).collect(),
+            shards: std::iter::repeat_with(Shard::default)
+                .take(SHARDS)
+                .collect(),
         }
     }
 
     fn shard(&self, service: &str) -> &Shard {
-        let hash = service
-            .bytes()
-            .fold(0_usize, |hash, byte| hash.wrapping_mul(31).wrapping_add(byte.into()));
+        let hash = service.bytes().fold(0_usize, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(byte.into())
+        });
         &self.shards[hash % SHARDS]
     }
 
     fn with<T>(&self, name: &ServiceName, work: impl FnOnce(&mut Service, Moment) -> T) -> T {
         let shard = self.shard(name.as_str());
         let mut services = shard.services.lock();
-        let service = services.entry(name.clone()).or_insert_with(|| {
-            Service::new(&self.owner, &self.owners.lock(), self.seed)
-        });
+        let service = services
+            .entry(name.clone())
+            .or_insert_with(|| Service::new(&self.owner, &self.owners.lock(), self.seed));
         let result = work(service, self.clock.now());
         drop(services);
         shard.woken.notify_one();
@@ -152,7 +156,9 @@
                 boot: announcement.boot,
                 address: announcement.address,
             };
-            service.targets.insert(announcement.endpoint.clone(), target);
+            service
+                .targets
+                .insert(announcement.endpoint.clone(), target);
             let outputs = service.router.announce(now, announcement);
             service.tell(outputs);
         });
--- a/crates/kumquatdrum_host/src/gate.rs
+++ b/crates/kumquatdrum_host/src/gate.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatdrum_caller::gate::{Answer, Ask, KeyState, Pass, Passage, Problem};
 use kumquatdrum_caller::Gate;
+use kumquatdrum_caller::gate::{Answer, Ask, KeyState, Pass, Passage, Problem};
 use kumquatdrum_daemon::admission;
 use kumquatdrum_daemon::flight::Plan;
 use kumquatdrum_declaration::{Index, Service, Workspace};
@@ -59,7 +59,7 @@
             .filter(|service| index.model_of(service).is_some() == ask.model)
             .ok_or_else(|| refuse(Refusal::UnknownService))?;
         let deadline = admission::deadline(service, ask.deadline);
-        let prompt_tokens = self.prompt_tokens(index, service, &ask);
+        let prompt_tokens = Self::prompt_tokens(index, service, &ask);
         let model = index.model_of(service);
         if model.is_some_and(|model| prompt_tokens > model.max_prompt_tokens) {
             return Err(refuse(Refusal::PromptTooLong));
@@ -73,7 +73,10 @@
             streamed: ask.stream || !ask.model,
             attempts: ATTEMPTS,
         };
-        let key = ask.key.as_ref().map(|key| self.key(&pass, &ask, key, service, deadline));
+        let key = ask
+            .key
+            .as_ref()
+            .map(|key| self.key(&pass, &ask, key, service, deadline));
         Ok(Order {
             service: service.name.clone(),
             workspace: workspace.name.clone(),
@@ -88,7 +91,7 @@
         })
     }
 
-    fn prompt_tokens(&self, index: &Index, service: &Service, ask: &Ask) -> u64 {
+    fn prompt_tokens(index: &Index, service: &Service, ask: &Ask) -> u64 {
         let counted = ask.prompt_tokens.unwrap_or_default();
         match index.model_of(service) {
             _ if counted > 0 => counted,
@@ -199,12 +202,13 @@
             let pass = self.open(bearer)?;
             let key = IdempotencyKey::new(key);
             let found = self.shell.control.key(&pass.workspace, &key).await;
-            let held = found.map_err(|_| {
-                self.refuse(Refusal::ClaimUnavailable, Some(&pass.request))
-            })?;
+            let held =
+                found.map_err(|_| self.refuse(Refusal::ClaimUnavailable, Some(&pass.request)))?;
             Ok(KeyState {
                 key: key.to_string(),
-                state: held.as_ref().map_or_else(|| "never_seen".to_owned(), state_name),
+                state: held
+                    .as_ref()
+                    .map_or_else(|| "never_seen".to_owned(), state_name),
                 host: held.map(|held| held.host.to_string()),
             })
         })
--- /dev/null
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -0,0 +1,514 @@
+//! Hosts, endpoints and the spread of the setup in force: the cores and what they tell the rest.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use kumquatdrum_consensus::Status as NodeStatus;
+use kumquatdrum_membership::spread::{self, Setup, Spread};
+use kumquatdrum_membership::{
+    Change, Condition, Input, Member, Membership, Output, Record, State, timing,
+};
+use kumquatdrum_peer::{Channel, Client, Identity};
+use kumquatdrum_platform::{Drain, Metrics};
+use kumquatdrum_routing::Health;
+use kumquatdrum_setup::control::{Condition as Shown, EndpointStatus, HostStatus, Replica};
+use kumquatdrum_setup::in_force::Offer;
+use kumquatdrum_setup::{Digest, in_force};
+use kumquatdrum_types::{
+    Announcement, BootId, DataCentre, EndpointId, HostId, Moment, ServiceName, Version,
+};
+use parking_lot::Mutex;
+use serde::Serialize;
+use slog::{error, info, warn};
+use tokio::sync::{Notify, oneshot, watch};
+
+use crate::clock::{Clock, unix_ms};
+use crate::fleet::Fleet;
+use crate::in_force::Store;
+use crate::janitor::Janitor;
+
+/// How long a leaving notice may take to spread before the endpoint is told to try again.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(4);
+
+type Notice = (EndpointId, BootId, u64);
+
+/// What the cores need of the rest of the host.
+pub struct Parts {
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// The way to the other hosts.
+    pub client: Arc<Client>,
+    /// The routers.
+    pub fleet: Arc<Fleet>,
+    /// Cancels under way.
+    pub janitor: Arc<Janitor>,
+    /// The declaration in force.
+    pub in_force: Arc<Store>,
+    /// The state of the shutdown.
+    pub drain: Arc<Drain>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+    /// Where events go.
+    pub logger: slog::Logger,
+}
+
+struct Cores {
+    membership: Membership,
+    spread: Spread,
+    waiting: IndexMap<Notice, oneshot::Sender<bool>>,
+    services: IndexMap<EndpointId, (ServiceName, BootId)>,
+    ready: bool,
+}
+
+/// What this host knows of the others.
+pub struct Members {
+    local: Member,
+    parts: Parts,
+    cores: Mutex<Cores>,
+    /// Orphaned work that a live host of the data centre should end.
+    orphans: Mutex<VecDeque<Orphan>>,
+    orphaned: Notify,
+}
+
+/// Something whose owner may be gone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Orphan {
+    /// A host of the data centre died; what it asked of engines is to be ended.
+    Host(HostId),
+    /// An engine appeared; what an earlier life of this host asked of it is to be ended.
+    Engine(EndpointId),
+}
+
+enum Step {
+    Members(Input),
+    Spread(spread::Input),
+}
+
+impl Members {
+    /// A host that knows the others by its settings.
+    pub fn new(local: Member, others: Vec<Member>, replicas: Vec<HostId>, parts: Parts) -> Self {
+        let config = spread::Config {
+            host: local.host.clone(),
+            data_centre: local.data_centre.clone(),
+            boot: local.boot,
+            held: None,
+        };
+        let mut spread = Spread::new(config);
+        let mut out = Vec::new();
+        let now = parts.clock.now();
+        for member in &others {
+            spread.step(now, known(member, true), &mut out);
+        }
+        spread.step(now, spread::Input::Control(replicas), &mut out);
+        let cores = Cores {
+            membership: Membership::new(local.clone(), others),
+            spread,
+            waiting: IndexMap::new(),
+            services: IndexMap::new(),
+            ready: false,
+        };
+        Self {
+            local,
+            parts,
+            cores: Mutex::new(cores),
+            orphans: Mutex::default(),
+            orphaned: Notify::new(),
+        }
+    }
+
+    /// This host's data centre.
+    pub const fn data_centre(&self) -> &DataCentre {
+        &self.local.data_centre
+    }
+
+    /// Keeps the cores' time until `stopped` resolves.
+    pub async fn run(self: Arc<Self>, mut stopped: watch::Receiver<bool>) {
+        let mut slots = tokio::time::interval(timing::SLOT);
+        slots.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = slots.tick() => {
+                    self.step([Step::Members(Input::Tick), Step::Spread(spread::Input::Tick)]);
+                }
+                _ = stopped.wait_for(|stopped| *stopped) => return,
+            }
+        }
+    }
+
+    /// Takes in an announcement; a leaving notice is taken once enough hosts hold it.
+    pub async fn announce(&self, announcement: Announcement) -> bool {
+        let notice = (
+            announcement.endpoint.clone(),
+            announcement.boot,
+            announcement.sequence,
+        );
+        let (sender, taken) = oneshot::channel();
+        self.cores.lock().waiting.insert(notice.clone(), sender);
+        self.step([Step::Members(Input::Announce(announcement))]);
+        let taken = tokio::time::timeout(NOTICE_TIMEOUT, taken).await;
+        self.cores.lock().waiting.swap_remove(&notice);
+        matches!(taken, Ok(Ok(true)))
+    }
+
+    /// Takes in a message about hosts and endpoints.
+    pub fn members_message(&self, from: &Identity, body: &[u8]) -> Result<(), postcard::Error> {
+        let message = postcard::from_bytes(body)?;
+        self.step([Step::Members(Input::Peer {
+            from: from.host.clone(),
+            boot: from.boot,
+            message,
+        })]);
+        Ok(())
+    }
+
+    /// Takes in a message about the setup in force.
+    pub fn setup_message(&self, from: &Identity, body: &[u8]) -> Result<(), postcard::Error> {
+        let message = postcard::from_bytes(body)?;
+        self.step([Step::Spread(spread::Input::Peer {
+            from: from.host.clone(),
+            boot: from.boot,
+            message,
+        })]);
+        Ok(())
+    }
+
+    /// This host's replica has applied a version.
+    pub fn applied(&self, offer: &Offer) {
+        let setup = Setup::new(offer.version, Bytes::copy_from_slice(offer.text.as_bytes()));
+        self.step([Step::Spread(spread::Input::Offer(setup))]);
+    }
+
+    /// This host's replica is in touch with a majority and up to date.
+    pub fn majority(&self) {
+        self.step([Step::Spread(spread::Input::Majority)]);
+    }
+
+    /// A dispatch failed in a way that speaks against the endpoint.
+    pub fn failed(&self, endpoint: &EndpointId) {
+        let endpoint = endpoint.clone();
+        self.step([Step::Members(Input::Failed { endpoint })]);
+    }
+
+    fn step(&self, steps: impl IntoIterator<Item = Step>) {
+        let now = self.parts.clock.now();
+        let mut cores = self.cores.lock();
+        let mut steps: VecDeque<Step> = steps.into_iter().collect();
+        while let Some(step) = steps.pop_front() {
+            match step {
+                Step::Members(input) => {
+                    let mut out = Vec::new();
+                    cores.membership.step(now, input, &mut out);
+                    for output in out {
+                        steps.extend(self.members_output(&mut cores, output));
+                    }
+                }
+                Step::Spread(input) => {
+                    let mut out = Vec::new();
+                    cores.spread.step(now, input, &mut out);
+                    for output in out {
+                        steps.extend(self.spread_output(&mut cores, output));
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: &HostId, channel: Channel, message: &impl Serialize) {
+        match postcard::to_allocvec(message) {
+            Ok(body) => self.parts.client.send(to, channel, Bytes::from(body)),
+            Err(reason) => error!(self.parts.logger, ""; "event" => "message_not_encoded",
+                "reason" => %reason),
+        }
+    }
+
+    fn members_output(&self, cores: &mut Cores, output: Output) -> Option<Step> {
+        match output {
+            Output::Send { to, message } => self.send(&to, Channel::Membership, &message),
+            Output::Endpoint { id, change } => self.endpoint(cores, &id, change),
+            Output::Host { id, condition } => return self.host(cores, &id, condition),
+            Output::DataCentre { id, reach } => {
+                warn!(self.parts.logger, ""; "event" => "data_centre_reach",
+                    "data_centre" => %id, "reach" => ?reach);
+            }
+            Output::Member(member) => {
+                self.parts.client.set_address(&member.host, member.address);
+                return Some(Step::Spread(known(&member, true)));
+            }
+            Output::Setup { from, boot, status } => {
+                return Some(Step::Spread(spread::Input::Status { from, boot, status }));
+            }
+            Output::AckAnnounce {
+                endpoint,
+                boot,
+                sequence,
+            } => tell(cores, (endpoint, boot, sequence), true),
+            Output::RefuseAnnounce {
+                endpoint,
+                boot,
+                sequence,
+                reason,
+            } => {
+                warn!(self.parts.logger, ""; "event" => "announcement_refused",
+                    "endpoint" => %endpoint, "boot" => %boot, "reason" => ?reason);
+                tell(cores, (endpoint, boot, sequence), false);
+            }
+            Output::Summary(_) => {}
+        }
+        None
+    }
+
+    fn endpoint(&self, cores: &mut Cores, id: &EndpointId, change: Change) {
+        let health = match change {
+            Change::Refreshed(announcement) => {
+                self.parts.fleet.announce(&announcement);
+                return;
+            }
+            Change::Joined(announcement) => {
+                self.joined(cores, id, &announcement);
+                return;
+            }
+            Change::Suspect => Health::Suspect,
+            Change::Returned => Health::Alive,
+            Change::Leaving => Health::Leaving,
+            Change::Gone => Health::Gone,
+        };
+        info!(self.parts.logger, ""; "event" => "endpoint_changed", "endpoint" => %id,
+            "health" => ?health);
+        let Some((service, boot)) = cores.services.get(id).cloned() else {
+            return;
+        };
+        self.parts.fleet.health(&service, id, health);
+        if health == Health::Gone {
+            self.parts.janitor.engine_gone(id, boot);
+            cores.services.swap_remove(id);
+        }
+        self.count_endpoints(cores);
+    }
+
+    fn joined(&self, cores: &mut Cores, id: &EndpointId, announcement: &Announcement) {
+        info!(self.parts.logger, ""; "event" => "endpoint_joined", "endpoint" => %id,
+            "service" => %announcement.service, "boot" => %announcement.boot,
+            "address" => %announcement.address);
+        let entry = (announcement.service.clone(), announcement.boot);
+        let previous = cores.services.insert(id.clone(), entry);
+        if let Some((service, boot)) = previous.filter(|(_, boot)| *boot < announcement.boot) {
+            self.parts.fleet.health(&service, id, Health::Gone);
+            self.parts.janitor.engine_gone(id, boot);
+        }
+        self.parts.fleet.announce(announcement);
+        if announcement.leaving {
+            let service = &announcement.service;
+            self.parts.fleet.health(service, id, Health::Leaving);
+        }
+        self.orphan(Orphan::Engine(id.clone()));
+        self.count_endpoints(cores);
+    }
+
+    fn count_endpoints(&self, cores: &Cores) {
+        let count = |condition: Shown| {
+            let records = cores.membership.endpoints();
+            records.filter(|record| shown(record) == condition).count() as i64
+        };
+        let gauge = &self.parts.metrics.endpoints;
+        gauge.with_label_values(&["alive"]).set(count(Shown::Alive));
+        gauge
+            .with_label_values(&["suspect"])
+            .set(count(Shown::Suspect));
+        gauge
+            .with_label_values(&["leaving"])
+            .set(count(Shown::Leaving));
+    }
+
+    fn host(&self, cores: &Cores, id: &HostId, condition: Condition) -> Option<Step> {
+        info!(self.parts.logger, ""; "event" => "host_changed", "other" => %id,
+            "condition" => ?condition);
+        let views: Vec<_> = cores.membership.hosts().collect();
+        let near = |view: &&kumquatdrum_membership::View<'_>| {
+            view.member.data_centre == self.local.data_centre
+        };
+        let alive = views
+            .iter()
+            .filter(near)
+            .filter(|view| view.condition != Condition::Dead);
+        let owners = alive.map(|view| view.member.host.to_string());
+        self.parts
+            .fleet
+            .set_owners(owners.chain([self.local.host.to_string()]).collect());
+        let view = views.iter().find(|view| view.member.host == *id)?;
+        if condition == Condition::Dead && view.member.data_centre == self.local.data_centre {
+            self.orphan(Orphan::Host(id.clone()));
+        }
+        let is_alive = condition != Condition::Dead;
+        Some(Step::Spread(known(view.member, is_alive)))
+    }
+
+    fn spread_output(&self, cores: &mut Cores, output: spread::Output) -> Option<Step> {
+        match output {
+            spread::Output::Send { to, message } => self.send(&to, Channel::Setup, &message),
+            spread::Output::InForce(setup) => self.in_force(setup),
+            spread::Output::Ready { is_confirmed } => {
+                info!(self.parts.logger, ""; "event" => "ready", "is_confirmed" => is_confirmed);
+                cores.ready = true;
+            }
+            spread::Output::Status(status) => return Some(Step::Members(Input::Setup(status))),
+            spread::Output::Holds { .. } => {}
+            spread::Output::CutOff { since } => {
+                self.parts.metrics.cut_off.set(i64::from(since.is_some()));
+                warn!(self.parts.logger, ""; "event" => "cut_off", "is_cut_off" => since.is_some());
+            }
+            spread::Output::Conflict { version, from } => {
+                error!(self.parts.logger, ""; "event" => "version_conflict",
+                    "version" => %version, "from" => %from);
+            }
+        }
+        let ready = cores.ready && cores.spread.version() > Version(0);
+        self.parts.drain.set_ready(ready);
+        None
+    }
+
+    fn in_force(&self, setup: Setup) {
+        let version = setup.version;
+        let Ok(text) = std::str::from_utf8(&setup.text) else {
+            error!(self.parts.logger, ""; "event" => "version_not_text", "version" => %version);
+            return;
+        };
+        let offer = in_force::Offer {
+            version,
+            digest: Digest::of(text.as_bytes()),
+            accepted_unix_ms: 0,
+            text: Arc::from(text),
+        };
+        if self.parts.in_force.offer(offer) {
+            self.parts.metrics.version.set(version.0 as i64);
+            info!(self.parts.logger, ""; "event" => "in_force", "version" => %version);
+        }
+    }
+
+    fn orphan(&self, orphan: Orphan) {
+        self.orphans.lock().push_back(orphan);
+        self.orphaned.notify_one();
+    }
+
+    /// Waits for the next orphan.
+    pub async fn next_orphan(&self) -> Orphan {
+        loop {
+            if let Some(orphan) = self.orphans.lock().pop_front() {
+                return orphan;
+            }
+            self.orphaned.notified().await;
+        }
+    }
+
+    /// Whether this host is the one to end what a dead host of its data centre left behind: the
+    /// first one alive, by name.
+    pub fn is_heir(&self) -> bool {
+        self.cores.lock().membership.is_relay()
+    }
+
+    /// When a majority of the replicas was last heard of; now, unless this host is cut off.
+    pub fn majority_heard_unix_ms(&self) -> Option<u64> {
+        let since = self.cores.lock().spread.cut_off_since();
+        let ago = since.map_or(Duration::ZERO, |since| self.parts.clock.now() - since);
+        Some(unix_ms().saturating_sub(ago.as_millis() as u64))
+    }
+
+    /// All hosts, this one included.
+    pub fn host_statuses(&self, node: Option<&NodeStatus>, replicas: &[HostId]) -> Vec<HostStatus> {
+        let cores = self.cores.lock();
+        let versions: IndexMap<_, _> = cores.spread.holdings().collect();
+        let status = |member: &Member, reachable: bool| HostStatus {
+            host: member.host.clone(),
+            data_centre: member.data_centre.clone(),
+            replica: part(&member.host, node, replicas),
+            reachable,
+            version: versions.get(&member.host).map(|holding| holding.version),
+        };
+        let mut own = status(&self.local, true);
+        own.version = Some(cores.spread.version());
+        let others = cores.membership.hosts();
+        let others = others.map(|view| status(view.member, view.condition != Condition::Dead));
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// All endpoints of the data centre; declared ones that never came are told too.
+    pub fn endpoint_statuses(&self) -> Vec<EndpointStatus> {
+        let cores = self.cores.lock();
+        let known = cores.membership.endpoints().map(|record| EndpointStatus {
+            endpoint: record.announcement.endpoint.clone(),
+            service: record.announcement.service.clone(),
+            data_centre: record.announcement.data_centre.clone(),
+            condition: shown(record),
+        });
+        let mut statuses: Vec<_> = known.collect();
+        let current = self.parts.in_force.current();
+        let expected = current.iter().flat_map(|current| {
+            let declared = current.index.declaration().endpoints.iter();
+            declared.filter(|endpoint| endpoint.data_centre == self.local.data_centre)
+        });
+        for endpoint in expected {
+            if cores.membership.endpoint(&endpoint.name).is_none() {
+                statuses.push(EndpointStatus {
+                    endpoint: endpoint.name.clone(),
+                    service: endpoint.service.clone(),
+                    data_centre: endpoint.data_centre.clone(),
+                    condition: Shown::Expected,
+                });
+            }
+        }
+        statuses
+    }
+
+    /// Data centres of which no host can be reached.
+    pub fn cut_off(&self) -> Vec<DataCentre> {
+        self.cores.lock().membership.cut_off().cloned().collect()
+    }
+
+    /// The time on the daemon's clock.
+    pub fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+}
+
+fn shown(record: &Record) -> Shown {
+    match record.state {
+        State::Gone => Shown::Gone,
+        _ if record.announcement.leaving => Shown::Leaving,
+        State::Suspect => Shown::Suspect,
+        State::Alive => Shown::Alive,
+    }
+}
+
+fn known(member: &Member, is_alive: bool) -> spread::Input {
+    spread::Input::Host {
+        host: member.host.clone(),
+        data_centre: member.data_centre.clone(),
+        is_alive,
+    }
+}
+
+fn tell(cores: &mut Cores, notice: Notice, taken: bool) {
+    if let Some(waiting) = cores.waiting.swap_remove(&notice) {
+        let _ = waiting.send(taken);
+    }
+}
+
+fn part(host: &HostId, node: Option<&NodeStatus>, replicas: &[HostId]) -> Replica {
+    let Some(node) = node else {
+        return if replicas.contains(host) {
+            Replica::Voter
+        } else {
+            Replica::None
+        };
+    };
+    let is = |members: &[kumquatdrum_consensus::Member]| {
+        members.iter().any(|member| member.id.host == *host)
+    };
+    match () {
+        () if is(&node.replicas.voters) => Replica::Voter,
+        () if is(&node.replicas.learners) => Replica::Learner,
+        () => Replica::None,
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_host/src/orphans.rs
@@ -0,0 +1,79 @@
+//! Ends at engines what nobody waits for: the work of dead hosts and of this host's earlier lives.
+//!
+//! Keyed requests run on, as their callers may come back for the answer; their attempts carry a
+//! mark in their names.
+
+use std::sync::Arc;
+
+use kumquatdrum_types::exchange::Target;
+use kumquatdrum_types::{AttemptId, HostId, ServiceName};
+use slog::info;
+use tokio::sync::watch;
+
+use crate::members::{Members, Orphan};
+use crate::shell::Shell;
+
+/// Takes over orphans until `stopped` resolves.
+pub async fn run(shell: Arc<Shell>, members: Arc<Members>, mut stopped: watch::Receiver<bool>) {
+    loop {
+        let orphan = tokio::select! {
+            orphan = members.next_orphan() => orphan,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        match orphan {
+            Orphan::Host(host) if members.is_heir() => {
+                for target in engines(&shell) {
+                    end(&shell, &target, &host, |_| true).await;
+                }
+            }
+            Orphan::Host(_) => {}
+            Orphan::Engine(engine) => {
+                let life = format!("{}-{:x}-", shell.settings.host, shell.boot.0);
+                let targets = engines(&shell);
+                for target in targets.iter().filter(|target| target.endpoint == engine) {
+                    let host = shell.settings.host.clone();
+                    let earlier = |attempt: &AttemptId| !attempt.as_str().starts_with(&life);
+                    end(&shell, target, &host, earlier).await;
+                }
+            }
+        }
+    }
+}
+
+fn engines(shell: &Shell) -> Vec<Target> {
+    let Some(current) = shell.in_force.current() else {
+        return Vec::new();
+    };
+    let services = &current.index.declaration().services;
+    let models = services
+        .iter()
+        .filter(|service| current.index.model_of(service).is_some());
+    let names: Vec<ServiceName> = models.map(|service| service.name.clone()).collect();
+    names
+        .iter()
+        .flat_map(|name| shell.fleet.targets(name))
+        .collect()
+}
+
+async fn end(
+    shell: &Shell,
+    target: &Target,
+    owner: &HostId,
+    is_orphan: impl Fn(&AttemptId) -> bool,
+) {
+    let Ok(running) = shell.engine.running(target, owner).await else {
+        return;
+    };
+    for attempt in running.into_iter().map(|running| running.id) {
+        if is_orphan(&attempt) && !is_keyed(&attempt) {
+            info!(shell.logger, ""; "event" => "orphan_ended", "attempt" => %attempt,
+                "endpoint" => %target.endpoint, "owner" => %owner);
+            shell.janitor.abandon(target.clone(), attempt);
+        }
+    }
+}
+
+fn is_keyed(attempt: &AttemptId) -> bool {
+    let number = attempt.as_str().rsplit('.').next();
+    number.is_some_and(|number| number.starts_with('k'))
+}
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -36,6 +36,16 @@
     Claimed(Claimed),
 }
 
+/// What a driver waits for.
+enum Happening {
+    CallerGone,
+    Told(Told),
+    Decided(Option<Decision>),
+    Event(Option<Event>),
+    Sent,
+    Tick,
+}
+
 /// How the claim of this request's own key stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ClaimState {
@@ -194,7 +204,10 @@
         self.shell
             .fleet
             .withdraw(&self.order.service, &self.order.request);
-        let decided = self.placement.take().and_then(|mut waiting| waiting.try_recv().ok());
+        let decided = self
+            .placement
+            .take()
+            .and_then(|mut waiting| waiting.try_recv().ok());
         if let Some(Decision::Placed(placement)) = decided {
             self.attempt = Some(placement.attempt);
         }
@@ -236,9 +249,10 @@
             priority: self.priority,
             time_left: self.order.plan.deadline - self.shell.clock.now(),
         };
-        self.events = Some(match self.order.plan.resumable {
-            true => self.shell.engine.dispatch(call),
-            false => self.shell.plain.call(call),
+        self.events = Some(if self.order.plan.resumable {
+            self.shell.engine.dispatch(call)
+        } else {
+            self.shell.plain.call(call)
         });
     }
 
@@ -259,46 +273,59 @@
         }
     }
 
-    /// Waits for the next thing to happen.
+    /// Waits for the next thing that the flight must know.
     async fn next(&mut self) -> Input {
         loop {
-            let wake = self.shell.clock.instant(self.flight.wake());
-            let takes = self.pending.is_none();
-            let sends = self.pending.is_some() && !self.caller_gone;
-            if self.caller_gone {
-                self.pending = None;
-            }
-            tokio::select! {
-                biased;
-                () = self.replies.closed(), if !self.caller_gone => {
+            let input = match self.happening().await {
+                Happening::CallerGone => {
                     self.caller_gone = true;
-                    return Input::CallerGone;
+                    Some(Input::CallerGone)
                 }
-                Some(told) = opt(self.question.as_mut()) => {
+                Happening::Told(told) => {
                     self.question = None;
-                    match told {
-                        Told::Input(input) => return input,
-                        Told::Claimed(claimed) => if let Some(input) = self.claimed(claimed) {
-                            return input;
-                        }
-                    }
+                    self.told(told)
                 }
-                Some(decision) = opt(self.placement.as_mut()) => {
+                Happening::Decided(decision) => {
                     self.placement = None;
-                    return self.decided(decision.ok());
+                    Some(self.decided(decision))
                 }
-                Ok(permit) = self.replies.reserve(), if sends => {
-                    if let Some(reply) = self.pending.take() {
-                        permit.send(reply);
-                    }
-                }
-                event = next_event(&mut self.events), if takes && self.events.is_some() => {
-                    if let Some(input) = self.event(event) {
-                        return input;
-                    }
+                Happening::Event(event) => self.event(event),
+                Happening::Sent => None,
+                Happening::Tick => Some(Input::Tick),
+            };
+            if let Some(input) = input {
+                return input;
+            }
+        }
+    }
+
+    async fn happening(&mut self) -> Happening {
+        if self.caller_gone {
+            self.pending = None;
+        }
+        let wake = self.shell.clock.instant(self.flight.wake());
+        let (replies, pending) = (&self.replies, &mut self.pending);
+        let takes = pending.is_none();
+        tokio::select! {
+            biased;
+            () = replies.closed(), if !self.caller_gone => Happening::CallerGone,
+            Some(told) = opt(self.question.as_mut()) => Happening::Told(told),
+            Some(decision) = opt(self.placement.as_mut()) => Happening::Decided(decision.ok()),
+            Ok(permit) = replies.reserve(), if !takes => {
+                if let Some(reply) = pending.take() {
+                    permit.send(reply);
                 }
-                () = tokio::time::sleep_until(wake) => return Input::Tick,
+                Happening::Sent
             }
+            event = next_event(&mut self.events), if takes => Happening::Event(event),
+            () = tokio::time::sleep_until(wake) => Happening::Tick,
+        }
+    }
+
+    fn told(&mut self, told: Told) -> Option<Input> {
+        match told {
+            Told::Input(input) => Some(input),
+            Told::Claimed(claimed) => self.claimed(claimed),
         }
     }
 
@@ -416,20 +443,14 @@
         };
         self.settle_attempt(progress);
         self.settle_key(&ending).await;
-        self.told(&ending);
-        let reply = match self.pending.take() {
-            Some(reply @ Reply::Problem(_)) => Some(reply),
+        self.record(&ending);
+        match self.pending.take() {
+            Some(reply @ Reply::Problem(_)) => last_word(&self.replies, Some(reply)).await,
             pending => {
-                self.last_words(pending).await;
-                problem::last_reply(ending, &self.order.request)
+                last_word(&self.replies, pending).await;
+                let reply = problem::last_reply(ending, &self.order.request);
+                last_word(&self.replies, reply).await;
             }
-        };
-        self.last_words(reply).await;
-    }
-
-    async fn last_words(&self, reply: Option<Reply>) {
-        if let Some(reply) = reply {
-            let _ = self.replies.send_timeout(reply, LAST_WORD).await;
         }
     }
 
@@ -441,7 +462,7 @@
         }
     }
 
-    fn told(&self, ending: &Ending) {
+    fn record(&self, ending: &Ending) {
         let metrics = &self.shell.metrics;
         let name = problem::ending_name(ending);
         metrics.in_flight.dec();
@@ -450,7 +471,10 @@
             let code = kumquatdrum_caller::gate::code(*refusal);
             metrics.refused.with_label_values(&[&code]).inc();
         }
-        let endpoint = self.target.as_ref().map_or("", |target| target.endpoint.as_str());
+        let endpoint = self
+            .target
+            .as_ref()
+            .map_or("", |target| target.endpoint.as_str());
         info!(self.shell.logger, ""; "event" => "request_ended", "request" => %self.order.request,
             "workspace" => %self.order.workspace, "service" => %self.order.service,
             "ending" => name, "attempts" => self.made, "endpoint" => endpoint,
@@ -459,6 +483,13 @@
     }
 }
 
+/// A slow caller gets its last word within a bound, or a cut stream.
+async fn last_word(replies: &mpsc::Sender<Reply>, reply: Option<Reply>) {
+    if let Some(reply) = reply {
+        let _ = replies.send_timeout(reply, LAST_WORD).await;
+    }
+}
+
 /// A future that may not be there never resolves.
 async fn opt<F: Future + Unpin>(future: Option<&mut F>) -> Option<F::Output> {
     match future {
--- a/crates/kumquatdrum_host/src/settings.rs
+++ b/crates/kumquatdrum_host/src/settings.rs
@@ -150,8 +150,12 @@
 /// ```
 pub fn parse(text: &str) -> Result<Settings, Vec<Finding>> {
     let mut reader = serde_json::Deserializer::from_str(text);
-    let settings: Settings = serde_path_to_error::deserialize(&mut reader)
-        .map_err(|error| vec![Finding::new(pointer(error.path()), error.inner().to_string())])?;
+    let settings: Settings = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        vec![Finding::new(
+            pointer(error.path()),
+            error.inner().to_string(),
+        )]
+    })?;
     reader
         .end()
         .map_err(|error| vec![Finding::new("", error.to_string())])?;
--- a/crates/kumquatdrum_setup/src/claim.rs
+++ b/crates/kumquatdrum_setup/src/claim.rs
@@ -131,7 +131,8 @@
         (self.claim.workspace.clone(), self.claim.key.clone())
     }
 
-    fn held(&self) -> Held {
+    /// The claim as callers may see it.
+    pub fn held(&self) -> Held {
         Held {
             host: self.claim.host.clone(),
             attempt: self.claim.attempt.clone(),
--- a/crates/kumquatdrum_setup/src/control.rs
+++ b/crates/kumquatdrum_setup/src/control.rs
@@ -4,12 +4,14 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use kumquatdrum_types::{DataCentre, EndpointId, HostId, ServiceName, Version};
+use kumquatdrum_types::{
+    DataCentre, EndpointId, HostId, IdempotencyKey, ServiceName, Version, WorkspaceName,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::Digest;
 use crate::audit::Entry;
-use crate::claim::{Claim, ClaimAnswer, SettleAnswer, Settlement};
+use crate::claim::{Claim, ClaimAnswer, Held, SettleAnswer, Settlement};
 use crate::command::{ApplyAnswer, Request};
 
 /// A boxed future of an answer or a [`Failure`].
@@ -29,6 +31,8 @@
     fn claim(&self, claims: Vec<Claim>) -> Reply<'_, Vec<ClaimAnswer>>;
     /// Says what became of claimed attempts; answers stand in the settlements' order.
     fn settle(&self, settlements: Vec<Settlement>) -> Reply<'_, Vec<SettleAnswer>>;
+    /// What is known of a key; `None` where it isn't claimed.
+    fn key(&self, workspace: &WorkspaceName, key: &IdempotencyKey) -> Reply<'_, Option<Held>>;
 }
 
 /// Why the control plane gave no answer.
