Test membership under a small network by seed

Leaving through each of nine hosts that dies at once, dead and slow endpoints, handover, standstill, new lives, cut-off data centres, relays, strangers, moved hosts, the bytes of pushes at the target size, and 100 random schedules.

--- a/crates/kumquatdrum_membership/benches/gossip.rs
+++ b/crates/kumquatdrum_membership/benches/gossip.rs
@@ -1,1 +1,3 @@
+//! Bench.
+
 fn main() {}
--- /dev/null
+++ b/crates/kumquatdrum_membership/tests/it/endpoints.rs
@@ -0,0 +1,375 @@
+//! Endpoints: leaving, death, silence, return, failed dispatches, bytes.
+
+use std::time::Duration;
+
+use kumquatdrum_membership::{Change, Input, Output, Reason, State};
+use kumquatdrum_types::endpoint::Kind;
+use kumquatdrum_types::{BootId, EndpointId, HostId, Load};
+
+use crate::cluster::{Cluster, announcement, seconds};
+use crate::network::{CALM, Faults, ROUGH};
+
+const LIMIT: Duration = Duration::from_secs(2);
+
+fn steady(seed: u64, faults: Faults, hosts: usize) -> Cluster {
+    let mut cluster = Cluster::new(seed, faults, &["ikeja"], hosts);
+    let taker = cluster.host(0);
+    cluster.add_endpoint(announcement("engine", "ikeja"), &taker);
+    cluster.run(seconds(6));
+    for host in cluster.hosts_of("ikeja") {
+        assert!(cluster.takes_work(&host, "engine"), "seed {seed}");
+    }
+    cluster
+}
+
+/// The endpoint leaves by a notice to one host, which dies as soon as it has acknowledged it.
+fn leave_through(cluster: &mut Cluster, taker: &HostId, context: &str) {
+    let endpoint = &mut cluster.endpoints["engine"];
+    endpoint.is_up = false;
+    endpoint.announcement.sequence += 1;
+    endpoint.announcement.leaving = true;
+    let notice = endpoint.announcement.clone();
+    let sequence = notice.sequence;
+    let start = cluster.network.now;
+    cluster.announce(taker, notice);
+    assert!(
+        !cluster.has_acked(taker, sequence),
+        "{context}: acked alone"
+    );
+    let acked = cluster.run_until(LIMIT, |cluster| cluster.has_acked(taker, sequence));
+    assert!(acked, "{context}: no acknowledgement");
+    cluster.kill(taker);
+    let rest = LIMIT - (cluster.network.now - start);
+    cluster.run(rest);
+    for host in cluster.hosts_of("ikeja") {
+        let is_told = host == *taker || !cluster.takes_work(&host, "engine");
+        assert!(is_told, "{context}: {host} still gives work");
+    }
+}
+
+#[test]
+fn leaving_reaches_nine_hosts_within_two_seconds_though_the_taker_dies() {
+    for taker in 0..9 {
+        let mut cluster = steady(taker as u64, CALM, 9);
+        let taker = cluster.host(taker);
+        leave_through(&mut cluster, &taker, taker.as_str());
+    }
+}
+
+#[test]
+fn leaving_reaches_a_small_data_centre_though_the_taker_dies() {
+    for taker in 0..3 {
+        let mut cluster = steady(taker as u64, CALM, 3);
+        let taker = cluster.host(taker);
+        leave_through(&mut cluster, &taker, taker.as_str());
+    }
+}
+
+#[test]
+fn leaving_is_not_lost_where_the_taker_dies_unacknowledged() {
+    let mut cluster = steady(3, CALM, 9);
+    let (first, second) = (cluster.host(4), cluster.host(5));
+    let mut notice = cluster.endpoints["engine"].announcement.clone();
+    notice.leaving = true;
+    notice.sequence += 1;
+    cluster.announce(&first, notice);
+    cluster.kill(&first);
+    // No acknowledgement, so the endpoint tells another host.
+    leave_through(&mut cluster, &second, "second taker");
+}
+
+#[test]
+fn leaving_reaches_all_over_a_lossy_network() {
+    for seed in 0..50 {
+        let mut cluster = steady(seed, ROUGH, 9);
+        let taker = cluster.host(seed as usize % 9);
+        let endpoint = &mut cluster.endpoints["engine"];
+        endpoint.announcement.leaving = true;
+        endpoint.taker = taker.clone();
+        let is_told = |cluster: &Cluster| {
+            let hosts = cluster.hosts_of("ikeja");
+            hosts
+                .iter()
+                .filter(|host| **host != taker)
+                .all(|host| !cluster.takes_work(host, "engine"))
+        };
+        assert!(cluster.run_until(seconds(4), is_told), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_host_alone_acknowledges_leaving_at_once() {
+    let mut cluster = steady(1, CALM, 1);
+    let host = cluster.host(0);
+    let mut notice = cluster.endpoints["engine"].announcement.clone();
+    notice.leaving = true;
+    notice.sequence += 1;
+    let sequence = notice.sequence;
+    cluster.announce(&host, notice);
+    assert!(cluster.has_acked(&host, sequence));
+}
+
+#[test]
+fn a_leaving_life_stays_leaving_and_the_next_one_starts_afresh() {
+    let mut cluster = steady(1, CALM, 3);
+    let (host, other) = (cluster.host(0), cluster.host(2));
+    cluster.endpoints["engine"].announcement.leaving = true;
+    cluster.run(seconds(2));
+    cluster.endpoints["engine"].announcement.leaving = false;
+    cluster.run(seconds(2));
+    assert!(!cluster.takes_work(&host, "engine"));
+    assert!(!cluster.takes_work(&other, "engine"));
+    let next = &mut cluster.endpoints["engine"].announcement;
+    next.boot = BootId(2);
+    next.sequence = 0;
+    cluster.run(seconds(2));
+    assert!(cluster.takes_work(&host, "engine"));
+    assert!(cluster.takes_work(&other, "engine"));
+}
+
+#[test]
+fn a_dead_endpoint_is_suspect_after_five_seconds_and_gone_after_eleven() {
+    let mut cluster = steady(1, CALM, 9);
+    cluster.endpoints["engine"].is_up = false;
+    cluster.run(seconds(5));
+    for host in cluster.hosts_of("ikeja") {
+        assert_eq!(cluster.state(&host, "engine"), Some(State::Suspect));
+    }
+    cluster.run(seconds(6));
+    for host in cluster.hosts_of("ikeja") {
+        assert_eq!(cluster.state(&host, "engine"), Some(State::Gone));
+    }
+    cluster.run(seconds(60));
+    for host in cluster.hosts_of("ikeja") {
+        assert_eq!(cluster.state(&host, "engine"), None);
+    }
+}
+
+#[test]
+fn a_slow_endpoint_is_never_suspect() {
+    let mut cluster = steady(1, CALM, 9);
+    let (taker, mut slow) = (
+        cluster.host(0),
+        cluster.endpoints["engine"].announcement.clone(),
+    );
+    cluster.endpoints["engine"].is_up = false;
+    for _ in 0..8 {
+        cluster.run(Duration::from_millis(2_500));
+        slow.sequence += 1;
+        // No load: it only says that it lives.
+        cluster.announce(&taker, slow.clone());
+    }
+    for host in cluster.hosts_of("ikeja") {
+        assert!(!cluster.changes(&host, "engine").contains(&Change::Suspect));
+    }
+}
+
+#[test]
+fn an_endpoint_whose_taker_dies_has_time_to_find_another() {
+    let mut cluster = steady(1, CALM, 9);
+    let taker = cluster.host(0);
+    cluster.kill(&taker);
+    cluster.endpoints["engine"].is_up = false;
+    // Beyond the bound for silence: the taker's death may explain it.
+    cluster.run(Duration::from_millis(5_500));
+    let other = cluster.host(7);
+    let endpoint = &mut cluster.endpoints["engine"];
+    endpoint.taker = other;
+    endpoint.is_up = true;
+    cluster.run(seconds(3));
+    for host in cluster.hosts_of("ikeja").iter().skip(1) {
+        assert!(!cluster.changes(host, "engine").contains(&Change::Suspect));
+        assert!(cluster.takes_work(host, "engine"));
+    }
+}
+
+#[test]
+fn a_daemon_that_stood_still_suspects_nobody_for_it() {
+    let mut cluster = steady(1, CALM, 3);
+    let frozen = cluster.host(2);
+    let events = cluster.daemons[&frozen].events.len();
+    cluster.daemons[&frozen].frozen_until = cluster.network.now + seconds(30);
+    cluster.run(seconds(36));
+    let woken = cluster.daemons[&frozen].events[events..].iter();
+    for (_, event) in woken {
+        let is_bad = matches!(
+            event,
+            Output::Host { .. }
+                | Output::Endpoint {
+                    change: Change::Suspect | Change::Gone,
+                    ..
+                }
+        );
+        assert!(!is_bad, "{event:?}");
+    }
+    assert!(cluster.takes_work(&frozen, "engine"));
+}
+
+#[test]
+fn a_new_life_carries_no_old_state_and_late_word_of_the_old_one_is_refused() {
+    let mut cluster = steady(1, CALM, 3);
+    let (taker, other) = (cluster.host(0), cluster.host(2));
+    let old = cluster.endpoints["engine"].announcement.clone();
+    let mut next = announcement("engine", "ikeja");
+    next.boot = BootId(2);
+    cluster.endpoints["engine"].announcement = next;
+    cluster.run(seconds(2));
+    let changes = cluster.changes(&other, "engine");
+    let gone = changes.iter().position(|change| *change == Change::Gone);
+    let joined = changes.iter().rposition(
+        |change| matches!(change, Change::Joined(next) if next.boot == BootId(2) && load(&next.kind).is_none_or(|load| load.sequence < 10)),
+    );
+    assert!(gone.is_some() && joined > gone, "{changes:?}");
+    let late = old.sequence + 50;
+    cluster.announce(
+        &taker,
+        kumquatdrum_types::Announcement {
+            sequence: late,
+            ..old
+        },
+    );
+    let refusal = Output::RefuseAnnounce {
+        endpoint: EndpointId::new("engine"),
+        boot: BootId(1),
+        sequence: late,
+        reason: Reason::OldBoot,
+    };
+    let (_, last) = cluster.daemons[&taker].events.last().unwrap();
+    assert_eq!(*last, refusal);
+}
+
+fn load(kind: &Kind) -> Option<&Load> {
+    match kind {
+        Kind::Engine(engine) => engine.load.as_ref(),
+        Kind::Plain => None,
+    }
+}
+
+#[test]
+fn an_endpoint_of_another_data_centre_is_refused() {
+    let mut cluster = steady(1, CALM, 1);
+    let host = cluster.host(0);
+    cluster.announce(&host, announcement("stray", "lekki"));
+    let (_, last) = cluster.daemons[&host].events.last().unwrap();
+    assert!(matches!(
+        last,
+        Output::RefuseAnnounce {
+            reason: Reason::OtherDataCentre,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn one_failed_dispatch_is_no_suspicion_three_are_and_renewals_lift_it() {
+    let mut cluster = steady(1, CALM, 3);
+    let host = cluster.host(1);
+    let failed = Input::Failed {
+        endpoint: EndpointId::new("engine"),
+    };
+    cluster.input(&host, failed.clone());
+    assert!(cluster.takes_work(&host, "engine"));
+    cluster.input(&host, failed.clone());
+    cluster.input(&host, failed);
+    assert!(!cluster.takes_work(&host, "engine"));
+    cluster.run(seconds(1));
+    assert!(!cluster.takes_work(&host, "engine"), "held for a while");
+    cluster.run(seconds(3));
+    assert!(cluster.takes_work(&host, "engine"));
+    assert!(cluster.changes(&host, "engine").contains(&Change::Returned));
+}
+
+#[test]
+fn a_failed_dispatch_speeds_up_the_suspicion_of_a_late_endpoint() {
+    let mut cluster = steady(1, CALM, 3);
+    let host = cluster.host(0);
+    cluster.endpoints["engine"].is_up = false;
+    cluster.run(seconds(3));
+    assert!(cluster.takes_work(&host, "engine"));
+    cluster.input(
+        &host,
+        Input::Failed {
+            endpoint: EndpointId::new("engine"),
+        },
+    );
+    assert!(!cluster.takes_work(&host, "engine"));
+}
+
+#[test]
+fn a_load_travels_with_the_receivers_own_counter_and_an_older_one_never_counts() {
+    let mut cluster = steady(1, CALM, 3);
+    let (taker, other) = (cluster.host(0), cluster.host(2));
+    let seen = vec![
+        (taker.to_string(), 7),
+        (other.to_string(), 9),
+        (format!("{other}/4"), 11),
+        (format!("{other}0"), 13),
+    ];
+    let mut report = cluster.endpoints["engine"].announcement.clone();
+    cluster.endpoints["engine"].is_up = false;
+    let mut sent = Load {
+        sequence: 500,
+        running: 3,
+        seen,
+        ..Load::default()
+    };
+    for (sequence, running) in [(500, 3), (499, 9)] {
+        report.sequence += 1;
+        sent.sequence = sequence;
+        sent.running = running;
+        if let Kind::Engine(engine) = &mut report.kind {
+            engine.load = Some(sent.clone());
+        }
+        cluster.announce(&taker, report.clone());
+        cluster.run(seconds(1));
+    }
+    let record = cluster.daemons[&other]
+        .core
+        .endpoint(&EndpointId::new("engine"));
+    let known = load(&record.unwrap().announcement.kind).unwrap();
+    assert_eq!((known.sequence, known.running), (500, 3));
+    let own = vec![(other.to_string(), 9), (format!("{other}/4"), 11)];
+    assert_eq!(known.seen, own);
+}
+
+fn crowd(seed: u64, takers: usize) -> Cluster {
+    let mut cluster = Cluster::new(seed, CALM, &["hall-raatuse"], 25);
+    for number in 0..300 {
+        let taker = cluster.host(number % takers);
+        let name = format!("engine-{number:03}");
+        cluster.add_endpoint(announcement(&name, "hall-raatuse"), &taker);
+    }
+    cluster
+}
+
+#[test]
+fn pushes_keep_to_their_bytes_and_nobody_is_suspected_at_the_target_size() {
+    for takers in [25, 1] {
+        let mut cluster = crowd(1, takers);
+        cluster.run(seconds(12));
+        cluster.largest_push = 0;
+        cluster.run(seconds(6));
+        assert!(cluster.largest_push <= 1_600, "{}", cluster.largest_push);
+        for (host, daemon) in &cluster.daemons {
+            assert_eq!(daemon.core.endpoints().count(), 300, "{host}");
+            let is_alive = |record: &kumquatdrum_membership::Record| record.state == State::Alive;
+            assert!(daemon.core.endpoints().all(is_alive), "{host}");
+        }
+    }
+}
+
+#[test]
+fn leaving_goes_first_when_a_whole_data_centre_is_busy() {
+    let mut cluster = crowd(2, 1);
+    cluster.run(seconds(12));
+    let taker = cluster.host(0);
+    let mut notice = cluster.endpoints["engine-250"].announcement.clone();
+    notice.leaving = true;
+    notice.sequence += 1;
+    cluster.endpoints["engine-250"].is_up = false;
+    cluster.announce(&taker, notice);
+    cluster.run(LIMIT);
+    for host in cluster.hosts_of("hall-raatuse") {
+        assert!(!cluster.takes_work(&host, "engine-250"), "{host}");
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_membership/tests/it/hosts.rs
@@ -0,0 +1,215 @@
+//! Hosts: death, broken paths, restarts, cut-off data centres, strangers.
+
+use std::time::Duration;
+
+use kumquatdrum_membership::{Condition, Output, Reach};
+use kumquatdrum_types::{DataCentre, HostId};
+
+use crate::cluster::{Cluster, announcement, member, seconds};
+use crate::network::{CALM, ROUGH};
+
+const CENTRES: [&str; 3] = ["ikeja", "lekki", "marina"];
+
+fn condition(cluster: &Cluster, on: &HostId, of: &HostId) -> Condition {
+    let mut hosts = cluster.daemons[on].core.hosts();
+    let view = hosts.find(|view| view.member.host == *of);
+    view.expect("known").condition
+}
+
+fn says(cluster: &Cluster, host: &HostId, data_centre: &str, reach: Reach) -> bool {
+    let event = Output::DataCentre {
+        id: DataCentre::new(data_centre),
+        reach,
+    };
+    let mut events = cluster.daemons[host].events.iter();
+    events.any(|(_, said)| *said == event)
+}
+
+#[test]
+fn a_dead_host_is_suspect_after_five_seconds_and_dead_after_thirteen() {
+    let mut cluster = Cluster::new(1, CALM, &["ikeja"], 9);
+    cluster.run(seconds(3));
+    let dead = cluster.host(4);
+    cluster.kill(&dead);
+    cluster.run(seconds(5));
+    for host in cluster
+        .hosts_of("ikeja")
+        .iter()
+        .filter(|host| **host != dead)
+    {
+        assert_eq!(condition(&cluster, host, &dead), Condition::Suspect);
+    }
+    cluster.run(seconds(8));
+    for host in cluster
+        .hosts_of("ikeja")
+        .iter()
+        .filter(|host| **host != dead)
+    {
+        assert_eq!(condition(&cluster, host, &dead), Condition::Dead);
+    }
+    cluster.restart(&dead);
+    cluster.run(seconds(2));
+    for host in cluster
+        .hosts_of("ikeja")
+        .iter()
+        .filter(|host| **host != dead)
+    {
+        assert_eq!(condition(&cluster, host, &dead), Condition::Alive);
+    }
+}
+
+#[test]
+fn a_broken_path_between_two_hosts_is_no_death() {
+    let mut cluster = Cluster::new(1, CALM, &["ikeja"], 3);
+    cluster.run(seconds(3));
+    let (one, other) = (cluster.host(0), cluster.host(1));
+    cluster.network.cut(&one, &other);
+    cluster.network.cut(&other, &one);
+    cluster.run(seconds(30));
+    for daemon in cluster.daemons.values() {
+        let is_quiet = daemon
+            .events
+            .iter()
+            .all(|(_, event)| !matches!(event, Output::Host { .. }));
+        assert!(is_quiet, "{:?}", daemon.events);
+    }
+}
+
+#[test]
+fn a_host_that_hears_nobody_says_that_it_is_cut_off() {
+    let mut cluster = Cluster::new(1, CALM, &["ikeja"], 3);
+    cluster.run(seconds(3));
+    let (lone, others) = (cluster.host(0), [cluster.host(1), cluster.host(2)]);
+    for other in &others {
+        cluster.network.cut(&lone, other);
+        cluster.network.cut(other, &lone);
+    }
+    cluster.run(seconds(5));
+    assert!(says(&cluster, &lone, "ikeja", Reach::CutOff));
+    for other in &others {
+        assert!(!says(&cluster, other, "ikeja", Reach::CutOff));
+        assert_eq!(condition(&cluster, other, &lone), Condition::Suspect);
+    }
+    cluster.network.heal();
+    cluster.run(seconds(2));
+    assert!(says(&cluster, &lone, "ikeja", Reach::Reachable));
+}
+
+#[test]
+fn a_cut_off_data_centre_keeps_its_own_endpoints_and_says_so() {
+    let mut cluster = Cluster::new(1, CALM, &CENTRES, 3);
+    for data_centre in CENTRES {
+        let hosts = cluster.hosts_of(data_centre);
+        for number in 0..5 {
+            let name = format!("{data_centre}-engine-{number}");
+            let endpoint = announcement(&name, data_centre);
+            cluster.add_endpoint(endpoint, &hosts[number % 3]);
+        }
+    }
+    cluster.run(seconds(16));
+    for daemon in cluster.daemons.values() {
+        let others: Vec<u32> = daemon
+            .core
+            .summaries()
+            .map(|summary| summary.services[0].alive)
+            .collect();
+        assert_eq!(others, [5, 5], "summaries of the two others");
+        assert_eq!(daemon.core.cut_off().count(), 0);
+    }
+    cluster.cut_off("lekki");
+    cluster.run(seconds(60));
+    for host in cluster.hosts_of("lekki") {
+        for number in 0..5 {
+            let name = format!("lekki-engine-{number}");
+            assert!(cluster.takes_work(&host, &name), "{host} {name}");
+        }
+        for other in ["ikeja", "marina"] {
+            assert!(says(&cluster, &host, other, Reach::CutOff), "{host}");
+            for remote in cluster.hosts_of(other) {
+                assert_eq!(condition(&cluster, &host, &remote), Condition::Suspect);
+            }
+        }
+    }
+    for host in cluster.hosts_of("ikeja") {
+        let cut_off: Vec<&str> = cluster.daemons[&host]
+            .core
+            .cut_off()
+            .map(DataCentre::as_str)
+            .collect();
+        assert_eq!(cut_off, ["lekki"]);
+    }
+    cluster.network.heal();
+    cluster.run(seconds(8));
+    for daemon in cluster.daemons.values() {
+        assert_eq!(daemon.core.cut_off().count(), 0);
+    }
+}
+
+#[test]
+fn a_cut_off_is_told_within_twelve_seconds_of_it() {
+    let mut cluster = Cluster::new(1, CALM, &CENTRES, 3);
+    cluster.run(seconds(10));
+    cluster.cut_off("lekki");
+    cluster.run(seconds(12));
+    for host in cluster.hosts_of("lekki") {
+        assert!(says(&cluster, &host, "ikeja", Reach::CutOff), "{host}");
+    }
+}
+
+#[test]
+fn the_next_relay_takes_over_without_a_false_cut_off() {
+    let mut cluster = Cluster::new(1, CALM, &CENTRES, 3);
+    cluster.run(seconds(10));
+    let relay = cluster.hosts_of("ikeja")[0].clone();
+    cluster.kill(&relay);
+    cluster.run(seconds(30));
+    let next = cluster.hosts_of("ikeja")[1].clone();
+    assert!(cluster.daemons[&next].core.is_relay());
+    for host in cluster.hosts_of("lekki") {
+        assert!(!says(&cluster, &host, "ikeja", Reach::CutOff), "{host}");
+        assert_eq!(condition(&cluster, &host, &relay), Condition::Dead);
+    }
+}
+
+#[test]
+fn a_host_that_no_settings_name_becomes_known_everywhere() {
+    let mut cluster = Cluster::new(1, ROUGH, &CENTRES, 3);
+    cluster.run(seconds(5));
+    let stranger = member("lekki", 77, 0);
+    let known = cluster.daemons[&cluster.hosts_of("lekki")[1]]
+        .member
+        .clone();
+    cluster.add_stranger(stranger.clone(), known);
+    cluster.run(seconds(60));
+    for (host, daemon) in &cluster.daemons {
+        let is_known = daemon
+            .core
+            .hosts()
+            .any(|view| view.member.host == stranger.host);
+        assert!(is_known || *host == stranger.host, "{host}");
+        assert_eq!(daemon.core.hosts().count(), 9, "{host}");
+    }
+    let is_told = cluster.daemons[&cluster.host(0)]
+        .events
+        .iter()
+        .any(|(_, event)| matches!(event, Output::Member(member) if member.host == stranger.host));
+    assert!(is_told);
+}
+
+#[test]
+fn a_moved_host_is_reached_at_its_new_address() {
+    let mut cluster = Cluster::new(1, CALM, &CENTRES, 3);
+    cluster.run(seconds(5));
+    let moved = cluster.hosts_of("marina")[2].clone();
+    cluster.kill(&moved);
+    cluster.run(seconds(20));
+    let address = ([127, 0, 0, 9], 4_444).into();
+    cluster.daemons[&moved].member.address = address;
+    cluster.restart(&moved);
+    cluster.run(Duration::from_secs(40));
+    for (host, daemon) in cluster.daemons.iter().filter(|(host, _)| **host != moved) {
+        let mut hosts = daemon.core.hosts();
+        let view = hosts.find(|view| view.member.host == moved).unwrap();
+        assert_eq!(view.member.address, address, "{host}");
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_membership/tests/it/main.rs
@@ -0,0 +1,7 @@
+//! The cores under a small network by seed.
+
+mod cluster;
+mod endpoints;
+mod hosts;
+mod network;
+mod schedules;
--- /dev/null
+++ b/crates/kumquatdrum_membership/tests/it/schedules.rs
@@ -0,0 +1,106 @@
+//! Random schedules: what must hold at each step, and that all agree after healing.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kumquatdrum_membership::State;
+use kumquatdrum_types::{BootId, EndpointId, HostId};
+
+use crate::cluster::{Cluster, announcement, seconds};
+use crate::network::{CALM, ROUGH};
+
+const SEEDS: u64 = 100;
+const HOSTS: usize = 5;
+const ENDPOINTS: usize = 6;
+
+/// The newest that each host, in each life, has known of each endpoint, and whether it was leaving.
+type Known = HashMap<(HostId, BootId, EndpointId), (BootId, u64, bool)>;
+
+fn check(cluster: &Cluster, known: &mut Known, seed: u64) {
+    for (host, daemon) in &cluster.daemons {
+        for record in daemon.core.endpoints() {
+            let now = &record.announcement;
+            let key = (host.clone(), daemon.member.boot, now.endpoint.clone());
+            let current = (now.boot, now.sequence, now.leaving);
+            let before = known.insert(key, current);
+            let Some((boot, sequence, leaving)) = before else {
+                continue;
+            };
+            let is_forward = (boot, sequence) <= (now.boot, now.sequence);
+            assert!(is_forward, "seed {seed}: {host} went back on {now:?}");
+            let stays = boot != now.boot || !leaving || now.leaving;
+            assert!(stays, "seed {seed}: {host} forgot that {now:?} leaves");
+        }
+    }
+}
+
+/// One random event.
+fn disturb(cluster: &mut Cluster) {
+    let picks = [(); 2].map(|()| cluster.network.pick(0, HOSTS as u64 - 1) as usize);
+    let [host, other] = picks.map(|index| cluster.host(index));
+    let number = cluster.network.pick(0, ENDPOINTS as u64 - 1) as usize;
+    match cluster.network.pick(0, 9) {
+        0 => cluster.kill(&host),
+        1 | 2 => cluster.restart(&host),
+        3 => cluster.network.cut(&host, &other),
+        4 => cluster.network.heal(),
+        5 => cluster.daemons[&host].frozen_until = cluster.network.now + seconds(4),
+        6 => cluster.endpoints[number].is_up ^= true,
+        7 => cluster.endpoints[number].taker = host,
+        8 => cluster.endpoints[number].announcement.leaving = true,
+        _ => {
+            let endpoint = &mut cluster.endpoints[number].announcement;
+            endpoint.boot.0 += 1;
+            endpoint.sequence = 0;
+            endpoint.leaving = false;
+        }
+    }
+}
+
+/// Ends all disturbance; endpoints that stay renew with hosts that live.
+fn settle(cluster: &mut Cluster) {
+    cluster.network.heal();
+    cluster.network.faults = CALM;
+    for index in 0..HOSTS {
+        let host = cluster.host(index);
+        if !cluster.daemons[&host].is_up {
+            cluster.restart(&host);
+        }
+        cluster.daemons[&host].frozen_until = cluster.network.now;
+    }
+}
+
+#[test]
+fn nothing_goes_back_and_all_agree_after_healing() {
+    for seed in 0..SEEDS {
+        let mut cluster = Cluster::new(seed, ROUGH, &["ikeja"], HOSTS);
+        for number in 0..ENDPOINTS {
+            let taker = cluster.host(number % HOSTS);
+            let name = format!("engine-{number}");
+            cluster.add_endpoint(announcement(&name, "ikeja"), &taker);
+        }
+        let mut known = Known::new();
+        for _ in 0..25 {
+            let pause = cluster.network.pick(50, 1_500);
+            cluster.run(Duration::from_millis(pause));
+            check(&cluster, &mut known, seed);
+            disturb(&mut cluster);
+        }
+        settle(&mut cluster);
+        cluster.run(seconds(12));
+        check(&cluster, &mut known, seed);
+        for endpoint in cluster.endpoints.values() {
+            let id = endpoint.announcement.endpoint.as_str();
+            let takes_work = endpoint.is_up && !endpoint.announcement.leaving;
+            for host in cluster.hosts_of("ikeja") {
+                let context = format!("seed {seed}: {id} on {host}");
+                assert_eq!(cluster.takes_work(&host, id), takes_work, "{context}");
+                let is_gone = !matches!(
+                    cluster.state(&host, id),
+                    Some(State::Alive | State::Suspect)
+                );
+                assert_eq!(is_gone, !endpoint.is_up, "{context}");
+            }
+        }
+    }
+}
