Test the spread of the setup under a small network by seed

Versions only rise over 200 seeds of loss, reordering, duplication, partitions and restarts; all is in force after healing and control knows it; text goes once to those who lack it; a restarting host asks first; a cut-off data centre says since when.

--- a/crates/kumquatdrum_membership/tests/it/main.rs
+++ b/crates/kumquatdrum_membership/tests/it/main.rs
@@ -5,3 +5,5 @@
 mod hosts;
 mod network;
 mod schedules;
+mod spread;
+mod spread_cluster;
--- a/crates/kumquatdrum_membership/tests/it/network.rs
+++ b/crates/kumquatdrum_membership/tests/it/network.rs
@@ -108,6 +108,10 @@
         self.cuts.insert((from.clone(), to.clone()));
     }
 
+    pub fn is_cut(&self, from: &HostId, to: &HostId) -> bool {
+        self.cuts.contains(&(from.clone(), to.clone()))
+    }
+
     pub fn heal(&mut self) {
         self.cuts.clear();
     }
--- /dev/null
+++ b/crates/kumquatdrum_membership/tests/it/spread.rs
@@ -0,0 +1,236 @@
+//! The spread of the setup in force: only upwards, everywhere, with little text.
+
+use std::time::Duration;
+
+use kumquatdrum_membership::spread::Output;
+use kumquatdrum_types::{HostId, Version};
+
+use crate::network::{CALM, Faults, ROUGH};
+use crate::spread_cluster::Cluster;
+
+const SEEDS: u64 = 200;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// A declaration of some size of which each version changes one number.
+fn text(number: u64) -> String {
+    let line = |index| {
+        format!(
+            "{{\"workspace\": \"salon-{index}\", \"weight\": {}}}",
+            index % 7
+        )
+    };
+    let mut lines: Vec<String> = (0..200).map(line).collect();
+    let changed = (number * 37 % 200) as usize;
+    lines[changed] = format!("{{\"workspace\": \"salon-{changed}\", \"weight\": {number}}}");
+    lines.join("\n")
+}
+
+/// Nine hosts in three data centres, three control replicas, version 1 in force.
+fn steady(seed: u64, faults: Faults) -> Cluster {
+    let mut cluster = Cluster::new(seed, faults, 3, 3, 3);
+    accept(&mut cluster);
+    assert!(cluster.run_until(seconds(8), |cluster| cluster.is_everywhere(Version(1))));
+    cluster
+}
+
+fn accept(cluster: &mut Cluster) -> Version {
+    let number = cluster.accepted.len() as u64 + 1;
+    let version = cluster.accept(text(number));
+    cluster.apply_all();
+    version
+}
+
+fn first_ready(cluster: &Cluster, host: &HostId) -> Option<bool> {
+    let mut events = cluster.hosts[host].events.iter();
+    events.find_map(|(_, event)| match event {
+        Output::Ready { is_confirmed } => Some(*is_confirmed),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_version_is_in_force_everywhere_within_a_second_and_control_knows() {
+    let mut cluster = steady(1, CALM);
+    let version = accept(&mut cluster);
+    let is_done = |cluster: &Cluster| cluster.is_everywhere(version);
+    assert!(cluster.run_until(seconds(1), is_done));
+    let replica = cluster.control[1].clone();
+    let is_known = |cluster: &Cluster| cluster.knows_everywhere(&replica, version);
+    assert!(cluster.run_until(seconds(3), is_known));
+}
+
+#[test]
+fn text_goes_once_to_those_who_lack_it_and_only_the_difference() {
+    let mut cluster = steady(1, CALM);
+    cluster.run(seconds(3));
+    (cluster.texts, cluster.text_bytes) = (0, 0);
+    for _ in 0..20 {
+        accept(&mut cluster);
+        cluster.run(seconds(2));
+    }
+    // Nine hosts, of which three replicas have it from the log.
+    assert_eq!(cluster.texts, 20 * 6);
+    let whole = text(1).len() as u64;
+    assert!(cluster.text_bytes / cluster.texts < whole / 2);
+    (cluster.texts, cluster.text_bytes) = (0, 0);
+    cluster.run(seconds(60));
+    assert_eq!(cluster.texts, 0, "text without a change");
+}
+
+#[test]
+fn a_restarting_host_asks_before_it_serves() {
+    let mut cluster = steady(1, CALM);
+    accept(&mut cluster);
+    cluster.run(seconds(3));
+    let host = cluster.host(5);
+    cluster.kill(&host);
+    cluster.run(seconds(1));
+    let version = accept(&mut cluster);
+    cluster.start(&host);
+    let is_ready = |cluster: &Cluster| cluster.hosts[&host].core.is_ready();
+    assert!(!is_ready(&cluster));
+    assert!(cluster.run_until(seconds(3), is_ready));
+    assert_eq!(cluster.hosts[&host].core.version(), version);
+    assert_eq!(first_ready(&cluster, &host), Some(true));
+}
+
+#[test]
+fn a_host_that_restarts_cut_off_serves_what_its_neighbours_have_and_says_so() {
+    let mut cluster = steady(1, CALM);
+    let host = cluster.host(8);
+    cluster.cut_off("dc-02");
+    cluster.run(seconds(15));
+    accept(&mut cluster);
+    cluster.kill(&host);
+    cluster.start(&host);
+    cluster.run(seconds(8));
+    assert_eq!(cluster.hosts[&host].core.version(), Version(1));
+    assert_eq!(first_ready(&cluster, &host), Some(false));
+}
+
+#[test]
+fn a_restarting_host_without_anybody_does_not_serve() {
+    let mut cluster = steady(1, CALM);
+    for index in 0..8 {
+        let host = cluster.host(index);
+        cluster.kill(&host);
+    }
+    let host = cluster.host(8);
+    cluster.kill(&host);
+    cluster.start(&host);
+    cluster.run(seconds(60));
+    assert!(!cluster.hosts[&host].core.is_ready());
+}
+
+#[test]
+fn a_cut_off_data_centre_says_since_when_and_catches_up() {
+    let mut cluster = steady(1, CALM);
+    cluster.run(seconds(5));
+    let cut_at = cluster.network.now;
+    cluster.cut_off("dc-02");
+    cluster.run(seconds(16));
+    let version = accept(&mut cluster);
+    cluster.run(seconds(3));
+    for (id, host) in &cluster.hosts {
+        let since = host.core.cut_off_since();
+        let is_inside = host.data_centre.as_str() == "dc-02";
+        assert_eq!(since.is_some(), is_inside, "{id}");
+        let is_about = since.is_none_or(|since| since - cut_at < seconds(1));
+        assert!(is_about, "{id}: {since:?}");
+        let expected = if is_inside { Version(1) } else { version };
+        assert_eq!(host.core.version(), expected, "{id}");
+    }
+    cluster.network.heal();
+    cluster.run(seconds(6));
+    assert!(cluster.is_everywhere(version));
+    for (id, host) in &cluster.hosts {
+        assert_eq!(host.core.cut_off_since(), None, "{id}");
+    }
+}
+
+#[test]
+fn a_relay_that_dies_at_the_arrival_of_a_version_holds_nobody_up() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(seed, CALM, 4, 5, 3);
+        accept(&mut cluster);
+        cluster.run(seconds(8));
+        let relay = HostId::new("dc-03-00");
+        let version = accept(&mut cluster);
+        let has_it = |cluster: &Cluster| cluster.hosts[&relay].core.version() == version;
+        assert!(cluster.run_until(seconds(2), has_it));
+        cluster.kill(&relay);
+        let is_done = |cluster: &Cluster| cluster.is_everywhere(version);
+        assert!(cluster.run_until(seconds(4), is_done), "seed {seed}");
+    }
+}
+
+/// One random event; at least one replica of three applies each version soon.
+fn disturb(cluster: &mut Cluster) {
+    let hosts = cluster.hosts.len() as u64;
+    let index = cluster.network.pick(0, hosts - 1) as usize;
+    let other = cluster.network.pick(0, hosts - 1) as usize;
+    let (host, other) = (cluster.host(index), cluster.host(other));
+    let replica = cluster.control[cluster.network.pick(0, 2) as usize].clone();
+    match cluster.network.pick(0, 9) {
+        0 => cluster.kill(&host),
+        1 | 2 => cluster.start(&host),
+        3 => cluster.network.cut(&host, &other),
+        4 => cluster.cut_off(["dc-00", "dc-01", "dc-02"][index % 3]),
+        5 => cluster.network.heal(),
+        6 | 7 => {
+            let number = cluster.accepted.len() as u64 + 1;
+            cluster.accept(text(number));
+            cluster.apply(&replica);
+        }
+        _ => cluster.apply(&replica),
+    }
+}
+
+/// Every host's versions in one life rise, and are accepted ones, text and all.
+fn check(cluster: &Cluster, seed: u64) {
+    for (id, host) in &cluster.hosts {
+        let mut highest = Version(0);
+        for (_, event) in &host.events {
+            if let Output::InForce(setup) = event {
+                assert!(setup.version > highest, "seed {seed}: {id} went back");
+                highest = setup.version;
+                let accepted = &cluster.accepted[setup.version.0 as usize - 1];
+                assert_eq!(setup, accepted, "seed {seed}: {id}");
+            }
+        }
+    }
+}
+
+#[test]
+fn nothing_reverts_and_all_is_in_force_after_healing() {
+    for seed in 0..SEEDS {
+        let mut cluster = Cluster::new(seed, ROUGH, 3, 3, 3);
+        for _ in 0..30 {
+            let pause = cluster.network.pick(20, 800);
+            cluster.run(Duration::from_millis(pause));
+            disturb(&mut cluster);
+        }
+        check(&cluster, seed);
+        cluster.network.heal();
+        cluster.network.faults = CALM;
+        let down: Vec<HostId> = cluster
+            .hosts
+            .iter()
+            .filter(|(_, host)| !host.is_up)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for host in down {
+            cluster.start(&host);
+        }
+        let version = accept(&mut cluster);
+        let is_done = |cluster: &Cluster| cluster.is_everywhere(version);
+        assert!(cluster.run_until(seconds(8), is_done), "seed {seed}");
+        check(&cluster, seed);
+        let replica = cluster.control[0].clone();
+        let is_known = |cluster: &Cluster| cluster.knows_everywhere(&replica, version);
+        assert!(cluster.run_until(seconds(8), is_known), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_membership/tests/it/spread_cluster.rs
@@ -0,0 +1,340 @@
+//! Spread cores of some data centres on one network, with a register of accepted versions.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatdrum_membership::spread::{
+    Config, Input, Message, News, Output, Setup, Spread, Status, Text,
+};
+use kumquatdrum_types::{BootId, DataCentre, HostId, Moment, Version};
+
+use crate::network::{Delivery, Faults, Network};
+
+pub const TICK: Duration = Duration::from_millis(40);
+/// Statuses ride on pushes, of which each host gets one a second at the least.
+const STATUS_EVERY: u32 = 25;
+
+pub struct Host {
+    pub core: Spread,
+    pub data_centre: DataCentre,
+    pub boot: BootId,
+    pub is_up: bool,
+    pub events: Vec<(Moment, Output)>,
+    status: Option<Status>,
+    /// What its disk holds; control replicas only.
+    disk: Option<Setup>,
+}
+
+pub struct Cluster {
+    pub network: Network,
+    pub hosts: IndexMap<HostId, Host>,
+    pub control: Vec<HostId>,
+    /// All accepted versions, in order.
+    pub accepted: Vec<Setup>,
+    /// Bytes of text sent, and messages that carried any.
+    pub text_bytes: u64,
+    pub texts: u64,
+    next_tick: Moment,
+    ticks: u32,
+}
+
+/// A frame of either kind.
+enum Frame {
+    Message(Message),
+    Status(Status),
+}
+
+impl Cluster {
+    /// `hosts` hosts in each data centre; the first of each of the first `replicas` ones is a
+    /// control replica.
+    pub fn new(seed: u64, faults: Faults, centres: usize, hosts: usize, replicas: usize) -> Self {
+        let mut cluster = Self {
+            network: Network::new(seed, faults),
+            hosts: IndexMap::new(),
+            control: Vec::new(),
+            accepted: Vec::new(),
+            text_bytes: 0,
+            texts: 0,
+            next_tick: Moment::ZERO,
+            ticks: 0,
+        };
+        for centre in 0..centres {
+            for index in 0..hosts {
+                cluster.add(&format!("dc-{centre:02}"), index);
+            }
+        }
+        let first = |centre| HostId::new(format!("dc-{centre:02}-00"));
+        cluster.control = (0..replicas).map(first).collect();
+        for index in 0..cluster.hosts.len() {
+            let host = cluster.host(index);
+            cluster.start(&host);
+        }
+        cluster
+    }
+
+    fn add(&mut self, data_centre: &str, index: usize) {
+        let host = HostId::new(format!("{data_centre}-{index:02}"));
+        let data_centre = DataCentre::new(data_centre);
+        let config = Config {
+            host: host.clone(),
+            data_centre: data_centre.clone(),
+            boot: BootId(0),
+            held: None,
+        };
+        let state = Host {
+            core: Spread::new(config),
+            data_centre,
+            boot: BootId(0),
+            is_up: true,
+            events: Vec::new(),
+            status: None,
+            disk: None,
+        };
+        self.hosts.insert(host, state);
+    }
+
+    pub fn host(&self, index: usize) -> HostId {
+        self.hosts.get_index(index).unwrap().0.clone()
+    }
+
+    /// Starts a new life of a host.
+    pub fn start(&mut self, host: &HostId) {
+        let state = &mut self.hosts[host];
+        state.boot.0 += 1;
+        state.is_up = true;
+        state.status = None;
+        state.events.clear();
+        state.core = Spread::new(Config {
+            host: host.clone(),
+            data_centre: state.data_centre.clone(),
+            boot: state.boot,
+            held: state.disk.clone(),
+        });
+        self.input(host, Input::Control(self.control.clone()));
+        let known: Vec<(HostId, DataCentre, bool)> = self
+            .hosts
+            .iter()
+            .map(|(id, state)| (id.clone(), state.data_centre.clone(), state.is_up))
+            .collect();
+        for (id, data_centre, is_alive) in known {
+            self.tell_host(host, id.clone(), data_centre.clone(), is_alive);
+        }
+        self.tell_all(host, true);
+    }
+
+    pub fn kill(&mut self, host: &HostId) {
+        self.hosts[host].is_up = false;
+        self.network.forget(host);
+        self.tell_all(host, false);
+    }
+
+    /// Membership tells all hosts of one.
+    fn tell_all(&mut self, host: &HostId, is_alive: bool) {
+        let data_centre = self.hosts[host].data_centre.clone();
+        let all: Vec<HostId> = self.hosts.keys().cloned().collect();
+        for other in all {
+            self.tell_host(&other, host.clone(), data_centre.clone(), is_alive);
+        }
+    }
+
+    fn tell_host(&mut self, to: &HostId, host: HostId, data_centre: DataCentre, is_alive: bool) {
+        let input = Input::Host {
+            host,
+            data_centre,
+            is_alive,
+        };
+        self.input(to, input);
+    }
+
+    /// A majority accepts a version; each replica of it that is up learns it, in its own time.
+    pub fn accept(&mut self, text: String) -> Version {
+        let version = Version(self.accepted.len() as u64 + 1);
+        self.accepted.push(Setup::new(version, text));
+        version
+    }
+
+    /// A replica applies what was accepted up to now, where it is in touch with a majority.
+    pub fn apply(&mut self, replica: &HostId) {
+        let Some(latest) = self.accepted.last().cloned() else {
+            return;
+        };
+        if self.has_majority(replica) {
+            self.hosts[replica].disk = Some(latest.clone());
+            self.input(replica, Input::Offer(latest));
+            self.input(replica, Input::Majority);
+        }
+    }
+
+    pub fn apply_all(&mut self) {
+        for replica in self.control.clone() {
+            self.apply(&replica);
+        }
+    }
+
+    pub fn input(&mut self, host: &HostId, input: Input) {
+        let now = self.network.now;
+        let state = &mut self.hosts[host];
+        if !state.is_up {
+            return;
+        }
+        let boot = state.boot;
+        let before = state.core.version();
+        let mut out = Vec::new();
+        state.core.step(now, input, &mut out);
+        assert!(state.core.version() >= before, "{host} went back");
+        for output in out {
+            match output {
+                Output::Send { to, message } => {
+                    self.count_text(&message);
+                    self.send(host, boot, &to, &Frame::Message(message));
+                }
+                Output::Status(status) => self.hosts[host].status = Some(status),
+                Output::Conflict { version, from } => panic!("{host}: {from} differs on {version}"),
+                other => self.hosts[host].events.push((now, other)),
+            }
+        }
+    }
+
+    fn send(&mut self, from: &HostId, boot: BootId, to: &HostId, frame: &Frame) {
+        let body = match frame {
+            Frame::Message(message) => postcard::to_stdvec(message),
+            Frame::Status(status) => postcard::to_stdvec(status),
+        };
+        // A status isn't told from a message by its bytes: the first byte says which it is.
+        let kind = u8::from(matches!(frame, Frame::Status(_)));
+        let mut bytes = vec![kind];
+        bytes.extend(body.unwrap());
+        self.network.send(Delivery {
+            from: from.clone(),
+            boot,
+            to: to.clone(),
+            body: bytes,
+        });
+    }
+
+    fn count_text(&mut self, message: &Message) {
+        if let Message::News(News { text, .. }) = message {
+            self.texts += 1;
+            self.text_bytes += match text {
+                Text::Whole(text) => text.len() as u64,
+                Text::Delta { middle, .. } => middle.len() as u64,
+            };
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        self.run_until(time, |_| false);
+    }
+
+    /// Runs for some time, or until the condition holds; returns whether it does.
+    pub fn run_until(&mut self, time: Duration, mut is_done: impl FnMut(&Self) -> bool) -> bool {
+        let end = self.network.now + time;
+        while self.network.now < end {
+            while let Some(delivery) = self.network.next(self.next_tick) {
+                self.deliver(delivery);
+            }
+            self.network.now = self.next_tick;
+            self.next_tick = self.next_tick + TICK;
+            self.tick();
+            if is_done(self) {
+                return true;
+            }
+        }
+        is_done(self)
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let (kind, body) = delivery.body.split_first().unwrap();
+        let (from, boot) = (delivery.from, delivery.boot);
+        let input = match kind {
+            0 => Input::Peer {
+                from,
+                boot,
+                message: postcard::from_bytes(body).unwrap(),
+            },
+            _ => Input::Status {
+                from,
+                boot,
+                status: postcard::from_bytes(body).unwrap(),
+            },
+        };
+        self.input(&delivery.to, input);
+    }
+
+    fn tick(&mut self) {
+        self.ticks += 1;
+        for index in 0..self.hosts.len() {
+            let host = self.host(index);
+            self.input(&host, Input::Tick);
+            if (self.ticks + index as u32).is_multiple_of(STATUS_EVERY) {
+                self.push_status(&host);
+            }
+        }
+        for replica in self.control.clone() {
+            self.input_majority(&replica);
+        }
+    }
+
+    /// A replica says so as long as it is in touch with a majority and up to date.
+    fn input_majority(&mut self, replica: &HostId) {
+        let accepted = self.accepted.last().map_or(Version(0), |last| last.version);
+        if self.has_majority(replica) && self.hosts[replica].core.version() == accepted {
+            self.input(replica, Input::Majority);
+        }
+    }
+
+    fn has_majority(&self, replica: &HostId) -> bool {
+        let reached = self
+            .control
+            .iter()
+            .filter(|other| self.hosts[*other].is_up && !self.network.is_cut(replica, other))
+            .count();
+        self.hosts[replica].is_up && reached > self.control.len() / 2
+    }
+
+    fn push_status(&mut self, host: &HostId) {
+        let state = &self.hosts[host];
+        let (Some(status), true) = (state.status, state.is_up) else {
+            return;
+        };
+        let (boot, data_centre) = (state.boot, state.data_centre.clone());
+        let near: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|(id, other)| *id != host && other.data_centre == data_centre)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for to in near {
+            self.send(host, boot, &to, &Frame::Status(status));
+        }
+    }
+
+    /// Cuts a data centre off from all others.
+    pub fn cut_off(&mut self, data_centre: &str) {
+        let all: Vec<(HostId, bool)> = self
+            .hosts
+            .iter()
+            .map(|(id, host)| (id.clone(), host.data_centre.as_str() == data_centre))
+            .collect();
+        for (inner, _) in all.iter().filter(|(_, is_inside)| *is_inside) {
+            for (outer, _) in all.iter().filter(|(_, is_inside)| !*is_inside) {
+                self.network.cut(inner, outer);
+                self.network.cut(outer, inner);
+            }
+        }
+    }
+
+    pub fn is_everywhere(&self, version: Version) -> bool {
+        let mut up = self.hosts.values().filter(|host| host.is_up);
+        up.all(|host| host.core.version() == version && host.core.is_ready())
+    }
+
+    /// Whether a host knows that all hosts have a version.
+    pub fn knows_everywhere(&self, host: &HostId, version: Version) -> bool {
+        let holdings = self.hosts[host].core.holdings();
+        let count = holdings
+            .filter(|(_, known)| known.version == version)
+            .count();
+        count == self.hosts.len()
+    }
+}
