Add the operators' routes, their client and their commands

The client asks host after host: a connection refused or a 503 did nothing, a torn or missing answer may have done something, and the same apply sent to the next host tells, as its id is the same. A read-back takes the first answer that a majority confirmed, else the highest version that any host knows. The audit command verifies the chain itself, over pages.

Tested over a control plane in memory with the real state machine behind it; the commands over listeners on loopback. Not yet against a real log.

--- a/crates/kumquatdrum_operator/src/auth.rs
+++ b/crates/kumquatdrum_operator/src/auth.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use slog::warn;
 
+use crate::rejection::Rejection;
 use crate::routes::Desk;
 
 const SCHEME: &str = "Bearer ";
@@ -82,27 +83,24 @@
     text.len() == 64 && text.bytes().all(is_digit)
 }
 
-/// The operator who sent a request; anyone else is answered 401.
+/// The operator who sent a request.
 #[derive(Debug)]
 pub(crate) struct Sender(pub String);
 
 #[rocket::async_trait]
 impl<'r> FromRequest<'r> for Sender {
-    type Error = ();
+    type Error = Rejection;
 
-    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Rejection> {
         let Some(desk) = request.rocket().state::<Desk>() else {
-            return Outcome::Error((Status::InternalServerError, ()));
+            return Outcome::Error((Status::InternalServerError, Rejection::unmanaged()));
         };
-        let header = request
-            .headers()
-            .get_one("Authorization")
-            .unwrap_or_default();
-        let key = header.strip_prefix(SCHEME).unwrap_or_default();
-        if let Some(name) = desk.operators.name(key) {
+        let header = request.headers().get_one("Authorization");
+        let key = header.and_then(|header| header.strip_prefix(SCHEME));
+        if let Some(name) = key.and_then(|key| desk.operators.name(key)) {
             return Outcome::Success(Self(name.to_owned()));
         }
         warn!(desk.logger, ""; "event" => "operator_refused", "path" => %request.uri().path());
-        Outcome::Error((Status::Unauthorized, ()))
+        Outcome::Error((Status::Unauthorized, Rejection::unauthorized()))
     }
 }
--- /dev/null
+++ b/crates/kumquatdrum_operator/src/command/check.rs
@@ -0,0 +1,48 @@
+//! `check FILE`: all findings of a declaration, without a host.
+
+use std::io::Write;
+use std::path::PathBuf;
+
+use kumquatdrum_types::Finding;
+use serde::Serialize;
+
+use super::{Exit, Stop, finish, print_findings, print_json, read};
+
+/// What to check.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The declaration.
+    pub file: PathBuf,
+    /// Print JSON.
+    pub json: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Output<'a> {
+    findings: &'a [Finding],
+}
+
+/// Checks a declaration: [`Exit::No`] if it has findings.
+pub fn run(options: &Options, out: &mut dyn Write) -> Exit {
+    finish(check(options, out), options.json, out)
+}
+
+fn check(options: &Options, out: &mut dyn Write) -> Result<Exit, Stop> {
+    let text = read(&options.file)?;
+    let findings = kumquatdrum_declaration::checked(&text)
+        .err()
+        .unwrap_or_default();
+    let output = Output {
+        findings: &findings,
+    };
+    match (options.json, findings.is_empty()) {
+        (true, _) => print_json(out, &output)?,
+        (false, true) => writeln!(out, "no findings")?,
+        (false, false) => print_findings(out, &findings)?,
+    }
+    Ok(if findings.is_empty() {
+        Exit::Done
+    } else {
+        Exit::No
+    })
+}
--- /dev/null
+++ b/crates/kumquatdrum_operator/src/command/status.rs
@@ -0,0 +1,94 @@
+//! `status`: what one host knows of the whole system.
+
+use std::io::{self, Write};
+
+use kumquatdrum_setup::control::{Condition, HostStatus, Replica, Status};
+
+use super::{Exit, Stop, client, describe, finish, print_json};
+use crate::client::Connection;
+
+/// Whom to ask.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The hosts; the first that answers is the one whose view is shown.
+    pub connection: Connection,
+    /// Print JSON.
+    pub json: bool,
+}
+
+/// Shows a host's view of the system.
+pub async fn run(options: &Options, out: &mut (dyn Write + Send)) -> Exit {
+    let result = status(options, out).await;
+    finish(result, options.json, out)
+}
+
+async fn status(options: &Options, out: &mut (dyn Write + Send)) -> Result<Exit, Stop> {
+    let status = client(&options.connection)?.status().await?;
+    if options.json {
+        print_json(out, &status)?;
+    } else {
+        print(out, &status)?;
+    }
+    Ok(Exit::Done)
+}
+
+fn print(out: &mut dyn Write, status: &Status) -> io::Result<()> {
+    writeln!(out, "as seen by {} ({})", status.host, status.data_centre)?;
+    writeln!(
+        out,
+        "version {} sha256 {}, {}",
+        status.version,
+        status.digest,
+        describe(status.standing)
+    )?;
+    match &status.leader {
+        Some(leader) => writeln!(out, "control leader {leader}")?,
+        None => writeln!(out, "no control leader known")?,
+    }
+    for data_centre in &status.cut_off {
+        writeln!(out, "cut off: {data_centre}")?;
+    }
+    writeln!(out, "hosts:")?;
+    status
+        .hosts
+        .iter()
+        .try_for_each(|host| print_host(out, host))?;
+    writeln!(out, "endpoints:")?;
+    status.endpoints.iter().try_for_each(|endpoint| {
+        let condition = condition(endpoint.condition);
+        let name = &endpoint.endpoint;
+        let place = &endpoint.data_centre;
+        writeln!(out, "  {name}  {place}  {}  {condition}", endpoint.service)
+    })
+}
+
+fn print_host(out: &mut dyn Write, host: &HostStatus) -> io::Result<()> {
+    let version = host
+        .version
+        .map_or_else(|| "?".to_owned(), |version| version.to_string());
+    let reach = if host.reachable {
+        "reachable"
+    } else {
+        "unreachable"
+    };
+    let replica = match host.replica {
+        Replica::None => "",
+        Replica::Learner => "  control replica, catching up",
+        Replica::Voter => "  control replica",
+    };
+    writeln!(
+        out,
+        "  {}  {}  version {version}  {reach}{replica}",
+        host.host, host.data_centre
+    )
+}
+
+fn condition(condition: Condition) -> &'static str {
+    match condition {
+        Condition::Alive => "alive",
+        Condition::Suspect => "suspect",
+        Condition::Leaving => "leaving",
+        Condition::Gone => "gone",
+        Condition::Expected => "expected",
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_operator/tests/support/mod.rs
@@ -0,0 +1,275 @@
+//! A control plane in memory, and listeners over it.
+
+#![allow(dead_code, reason = "each test file uses some of these")]
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::net::Ipv4Addr;
+use std::sync::{Arc, Mutex};
+
+use kumquatdrum_operator::{Desk, Operator, Operators, routes};
+use kumquatdrum_setup::control::{HostStatus, Page, Replica};
+use kumquatdrum_setup::{
+    Answer, ApplyAnswer, Claim, ClaimAnswer, Command, Control, Failure, Prepared, Reply, Request,
+    Selector, SettleAnswer, Settlement, Shown, Stamp, Standing, State, Status,
+};
+use kumquatdrum_types::{Version, digest};
+use rocket::fairing::AdHoc;
+use rocket::{Build, Rocket, Shutdown};
+use slog::{Drain, KV, Logger, OwnedKVList, Record, Serializer};
+use tokio::sync::oneshot;
+
+pub const KEY: &str = "operator-secret";
+pub const CALLER_KEY: &str = "caller-secret";
+pub const START_MS: u64 = 1_796_250_600_000;
+
+/// What a fake does with the next apply.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// It does nothing, and fails.
+    Fail(Failure),
+    /// It applies, and its answer is lost.
+    Lose,
+}
+
+/// One log over [`State`], without replicas.
+pub struct Fake {
+    pub state: Mutex<State>,
+    pub faults: Mutex<VecDeque<Fault>>,
+    pub standing: Mutex<Standing>,
+    /// Versions that successive status reports show of host h2; the last one stays.
+    pub spread: Mutex<VecDeque<Option<u64>>>,
+    /// The most entries of a page, whatever is asked for.
+    pub page: usize,
+    /// Read-backs and pages are changed on their way.
+    pub tampers: bool,
+}
+
+impl Default for Fake {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            faults: Mutex::default(),
+            standing: Mutex::new(Standing::Confirmed),
+            spread: Mutex::default(),
+            page: usize::MAX,
+            tampers: false,
+        }
+    }
+}
+
+impl Fake {
+    pub fn apply_now(&self, request: &Request) -> ApplyAnswer {
+        let mut state = self.state.lock().unwrap();
+        let action = match state.prepare(request) {
+            Prepared::Answered(answer) => return answer,
+            Prepared::Propose(action) => action,
+        };
+        let index = state.applied() + 1;
+        let stamp = Stamp {
+            unix_ms: START_MS + 1_000 * index,
+            elapsed_ms: 0,
+        };
+        match state.apply(index, &Command { stamp, action }) {
+            Answer::Apply(answer) => answer,
+            other => panic!("not an apply's answer: {other:?}"),
+        }
+    }
+
+    fn host(host: &str, version: Option<u64>) -> HostStatus {
+        HostStatus {
+            host: host.into(),
+            data_centre: "hall-ringtee".into(),
+            replica: Replica::Voter,
+            reachable: version.is_some(),
+            version: version.map(Version),
+        }
+    }
+}
+
+fn ready<'a, T: Send + 'a>(result: Result<T, Failure>) -> Reply<'a, T> {
+    Box::pin(std::future::ready(result))
+}
+
+impl Control for Fake {
+    fn apply(&self, request: Request) -> Reply<'_, ApplyAnswer> {
+        let fault = self.faults.lock().unwrap().pop_front();
+        ready(match fault {
+            None => Ok(self.apply_now(&request)),
+            Some(Fault::Fail(failure)) => Err(failure),
+            Some(Fault::Lose) => {
+                self.apply_now(&request);
+                Err(Failure::Unknown)
+            }
+        })
+    }
+
+    fn show(&self, selector: Selector) -> Reply<'_, Shown> {
+        let standing = *self.standing.lock().unwrap();
+        let mut shown = self.state.lock().unwrap().show(selector, standing);
+        if let Some(shown) = shown.as_mut().filter(|_| self.tampers) {
+            shown.text = shown.text.replace("card", "dark").into();
+        }
+        ready(shown.ok_or(Failure::NoSuchVersion))
+    }
+
+    fn audit(&self, from: u64, limit: usize) -> Reply<'_, Page> {
+        let state = self.state.lock().unwrap();
+        let (previous, entries) = state.trail().page(from, limit.min(self.page));
+        let next = from + entries.len() as u64;
+        let mut entries = entries.to_vec();
+        if let Some(last) = entries.last_mut().filter(|_| self.tampers) {
+            last.record.operator.push('!');
+        }
+        ready(Ok(Page {
+            previous,
+            entries,
+            next: (next <= state.trail().len()).then_some(next),
+            standing: Standing::Confirmed,
+        }))
+    }
+
+    fn status(&self) -> Reply<'_, Status> {
+        let shown = self
+            .state
+            .lock()
+            .unwrap()
+            .show(Selector::Current, Standing::Confirmed);
+        let shown = shown.expect("the current version");
+        let mut spread = self.spread.lock().unwrap();
+        let second = match spread.len() {
+            0 | 1 => spread.front().copied().unwrap_or(Some(shown.version.0)),
+            _ => spread.pop_front().expect("two reports at least"),
+        };
+        ready(Ok(Status {
+            host: "h1".into(),
+            data_centre: "hall-ringtee".into(),
+            version: shown.version,
+            digest: shown.digest,
+            standing: shown.standing,
+            leader: Some("h1".into()),
+            hosts: vec![
+                Self::host("h1", Some(shown.version.0)),
+                Self::host("h2", second),
+            ],
+            endpoints: Vec::new(),
+            cut_off: Vec::new(),
+        }))
+    }
+
+    fn claim(&self, _: Vec<Claim>) -> Reply<'_, Vec<ClaimAnswer>> {
+        ready(Err(Failure::Unavailable))
+    }
+
+    fn settle(&self, _: Vec<Settlement>) -> Reply<'_, Vec<SettleAnswer>> {
+        ready(Err(Failure::Unavailable))
+    }
+}
+
+/// Collects log lines as `key=value` pairs.
+#[derive(Clone, Default)]
+pub struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Lines {
+    pub fn all(&self) -> Vec<String> {
+        self.0.lock().unwrap().clone()
+    }
+}
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut line = Pairs(String::new());
+        let _ = record.kv().serialize(record, &mut line);
+        self.0.lock().unwrap().push(line.0);
+        Ok(())
+    }
+}
+
+struct Pairs(String);
+
+impl Serializer for Pairs {
+    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
+        // slog hands pairs over last to first.
+        self.0 = format!("{key}={value} {}", self.0);
+        Ok(())
+    }
+}
+
+pub fn rocket(control: Arc<Fake>, lines: Lines) -> Rocket<Build> {
+    let operator = Operator {
+        name: "kadri".to_owned(),
+        sha256: digest::hex(KEY.as_bytes()),
+    };
+    let config = rocket::Config {
+        address: Ipv4Addr::LOCALHOST.into(),
+        port: 0,
+        log_level: rocket::config::LogLevel::Off,
+        shutdown: rocket::config::Shutdown {
+            ctrlc: false,
+            grace: 1,
+            mercy: 1,
+            ..rocket::config::Shutdown::default()
+        },
+        ..rocket::Config::default()
+    };
+    let desk = Desk {
+        control,
+        operators: Operators::new("/operators", &[operator]).expect("a whole operator"),
+        logger: Logger::root(lines.fuse(), slog::o!()),
+    };
+    rocket::custom(config).manage(desk).mount("/", routes())
+}
+
+/// A listener on loopback.
+pub struct Host {
+    pub url: String,
+    shutdown: Shutdown,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Host {
+    pub async fn start(control: Arc<Fake>) -> Self {
+        let (sender, receiver) = oneshot::channel();
+        let sender = Mutex::new(Some(sender));
+        let rocket =
+            rocket(control, Lines::default()).attach(AdHoc::on_liftoff("port", |rocket| {
+                let port = rocket.config().port;
+                Box::pin(async move {
+                    let sender = sender.lock().unwrap().take();
+                    sender
+                        .expect("one liftoff")
+                        .send(port)
+                        .expect("a waiting test");
+                })
+            }));
+        let rocket = rocket.ignite().await.expect("a whole rocket");
+        let shutdown = rocket.shutdown();
+        let task = tokio::spawn(async move {
+            rocket.launch().await.expect("an undisturbed run");
+        });
+        let port = receiver.await.expect("a liftoff");
+        Self {
+            url: format!("http://127.0.0.1:{port}"),
+            shutdown,
+            task,
+        }
+    }
+
+    pub async fn stop(self) {
+        self.shutdown.notify();
+        self.task.await.expect("a joined listener");
+    }
+}
+
+pub fn text(level: u8) -> String {
+    format!(
+        "{{\"priorities\": [ {{\"name\": \"card\",\t\"level\": {level}, \"aging_ms\": 5}}]}}\r\n"
+    )
+}
+
+pub fn request(base: u64, level: u8) -> Request {
+    Request::new("kadri", Version(base), text(level))
+}
