Spread equal choices of daemons, and cost a short request only what it loses

Cause of the tail: a cap on the backlog made all loaded engines look equal, and all daemons took the first. The wait now grows smoothly, with a rank by owner.

--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -20,11 +20,14 @@
 const PROTECTED_MOST: f64 = 0.6;
 /// Patience: a request that waits accepts this much more estimated wait a second.
 const PATIENCE: f64 = 0.5;
-/// What a short request expects to lose on an engine that computes a long prompt, in seconds.
-const INTERFERENCE: f64 = 0.2;
-/// The most backlog that counts for a short request, as engines honour priorities; in seconds.
-const SHORT_BACKLOG_MOST: f64 = 1.0;
+/// The most that a short request loses on an engine that computes other prompts, in seconds.
+const INTERFERENCE: f64 = 0.3;
 
+/// What an owner that comes earlier at an endpoint adds for requests that are not long, in seconds:
+/// just enough for daemons to prefer different ones of endpoints that look equal.
+const RANK_COST: f64 = 0.015;
+/// The most that is added at random, for the same reason, in seconds.
+const JITTER: f64 = 0.02;
 /// The chosen policy.
 #[derive(Debug)]
 pub struct Estimated {
@@ -97,15 +100,16 @@
         found
     }
 
-    fn look(now: Moment, job: &Job, fleet: &Fleet, index: SlotIndex) -> Candidate {
+    fn look(&mut self, now: Moment, job: &Job, fleet: &Fleet, index: SlotIndex) -> Candidate {
         let slot = fleet.slot(index);
         let rate = fleet.rates.bulk() * slot.factor;
         let backlog = slot.backlog_tokens(now, fleet.rates.bulk()) / rate;
         let rank = f64::from(slot.rank) * fleet.settings.rank_step.as_secs_f64();
+        let jitter = f64::from(self.random.next_u32()) / f64::from(u32::MAX) * JITTER;
+        let spread = f64::from(slot.rank) * RANK_COST + jitter;
         let wait = match job.size {
-            Size::Short if slot.open_long() > 0 => backlog.min(SHORT_BACKLOG_MOST) + INTERFERENCE,
-            Size::Short => backlog.min(SHORT_BACKLOG_MOST),
-            Size::Medium => backlog,
+            Size::Short => short_wait(backlog, slot.open_short_tokens() as f64 / rate) + spread,
+            Size::Medium => backlog + spread,
             Size::Long | Size::Spanning => backlog + rank,
         };
         let cached = slot.cache.cached_blocks(&job.ask.prefix) * fleet.settings.block_tokens as f64;
@@ -146,7 +150,7 @@
         }
         let mut looked: Vec<Candidate> = found
             .into_iter()
-            .map(|index| Self::look(now, job, fleet, index))
+            .map(|index| self.look(now, job, fleet, index))
             .collect();
         looked.sort_by(|a, b| a.total.total_cmp(&b.total));
         looked.dedup_by_key(|candidate| candidate.index);
@@ -173,6 +177,12 @@
     }
 }
 
+/// The wait of a short request: engines honour priorities, so a backlog costs it what computing
+/// beside another prompt does, and only short requests before it cost their whole time.
+fn short_wait(backlog: f64, own_short: f64) -> f64 {
+    INTERFERENCE * backlog / (backlog + INTERFERENCE) + own_short
+}
+
 /// What to do where the sample held no endpoint that may have the request.
 fn nothing_found(job: &Job, fleet: &Fleet) -> Placement {
     let mut all = fleet.candidates().iter();
--- a/crates/kumquatdrum_routing/src/slot.rs
+++ b/crates/kumquatdrum_routing/src/slot.rs
@@ -46,6 +46,7 @@
     unseen_memory: u64,
     open_tokens: u64,
     open_long: u32,
+    open_short_tokens: u64,
     freed_memory: u64,
 }
 
@@ -222,6 +223,11 @@
         self.sums.open_long
     }
 
+    /// Prompt tokens of this owner's short requests that still have no first token here.
+    pub const fn open_short_tokens(&self) -> u64 {
+        self.sums.open_short_tokens
+    }
+
     /// Requests in the endpoint, as far as known.
     pub const fn requests(&self) -> u32 {
         self.report.requests + self.sums.unseen_count
@@ -245,6 +251,9 @@
             return;
         }
         self.open_long += u32::from(own.size.is_long());
+        if own.size == Size::Short {
+            self.open_short_tokens += own.tokens;
+        }
         if own.is_seen {
             self.open_tokens += own.tokens;
         } else {
