--- a/crates/kumquatdrum/src/serve.rs
+++ b/crates/kumquatdrum/src/serve.rs
@@ -1,21 +1,20 @@
 //! Running the daemon of one host.
 
 use std::path::Path;
-use std::process::ExitCode;
 
 use kumquatdrum_host::{Host, Settings, settings};
+use kumquatdrum_operator::Exit;
 use slog::{Level, error};
 
-use crate::exit::Exit;
 use crate::logging;
 
 /// Runs until a signal asks to stop, then shuts down gracefully.
-pub fn run(file: &Path) -> ExitCode {
+pub fn run(file: &Path) -> Exit {
     let settings = match read(file) {
         Ok(settings) => settings,
         Err(lines) => {
             eprintln!("{}", lines.join("\n"));
-            return Exit::Usage.into();
+            return Exit::Usage;
         }
     };
     let mut runtime = tokio::runtime::Builder::new_multi_thread();
@@ -23,10 +22,21 @@
         runtime.worker_threads(settings.limits.threads);
     }
     match runtime.enable_all().build() {
-        Ok(runtime) => runtime.block_on(serve(settings)).into(),
+        Ok(runtime) => runtime.block_on(serve(settings)),
         Err(reason) => {
             eprintln!("the runtime can't be started: {reason}");
-            Exit::Unreachable.into()
+            Exit::Unknown
+        }
+    }
+}
+
+/// Checks a settings file and prints every finding.
+pub fn check(file: &Path) -> Exit {
+    match read(file) {
+        Ok(_) => Exit::Done,
+        Err(lines) => {
+            println!("{}", lines.join("\n"));
+            Exit::No
         }
     }
 }
--- a/crates/kumquatdrum_operator/tests/support/mod.rs
+++ b/crates/kumquatdrum_operator/tests/support/mod.rs
@@ -8,12 +8,13 @@
 use std::sync::{Arc, Mutex};
 
 use kumquatdrum_operator::{Desk, Operator, Operators, routes};
+use kumquatdrum_setup::claim::{Entry, Held};
 use kumquatdrum_setup::control::{HostStatus, Page, Replica};
 use kumquatdrum_setup::{
     Answer, ApplyAnswer, Claim, ClaimAnswer, Command, Control, Failure, Prepared, Reply, Request,
     Selector, SettleAnswer, Settlement, Shown, Stamp, Standing, State, Status,
 };
-use kumquatdrum_types::{Version, digest};
+use kumquatdrum_types::{IdempotencyKey, Version, WorkspaceName, digest};
 use rocket::fairing::AdHoc;
 use rocket::{Build, Rocket, Shutdown};
 use slog::{Drain, KV, Logger, OwnedKVList, Record, Serializer};
@@ -92,6 +93,11 @@
 }
 
 impl Control for Fake {
+    fn key(&self, workspace: &WorkspaceName, key: &IdempotencyKey) -> Reply<'_, Option<Held>> {
+        let state = self.state.lock().unwrap();
+        ready(Ok(state.claims().get(workspace, key).map(Entry::held)))
+    }
+
     fn apply(&self, request: Request) -> Reply<'_, ApplyAnswer> {
         let fault = self.faults.lock().unwrap().pop_front();
         ready(match fault {
