--- /dev/null
+++ b/crates/kumquatdrum_replay/benches/path.rs
@@ -0,0 +1,103 @@
+//! First-token time through a daemon against straight to a stand-in engine, in one run.
+//!
+//! `cargo bench -p kumquatdrum_replay --bench path -- --through 127.0.0.1:7100 --key KEY
+//! --service formula-llm --straight 127.0.0.1:9001 --pid PID`
+//!
+//! Without `--through`, a second stand-in takes its place: the ratio then shows the bench's own noise.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use kumquatdrum_replay::load::{self, Options, Path};
+use kumquatdrum_testing::engine::{self, Engine};
+
+/// Compares the path through a daemon with the straight path to an engine.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Arguments {
+    /// The callers' listener of a daemon; a stand-in engine of its own where absent
+    #[bpaf(argument("ADDRESS"), optional)]
+    through: Option<SocketAddr>,
+    /// A stand-in engine; one of its own where absent
+    #[bpaf(argument("ADDRESS"), optional)]
+    straight: Option<SocketAddr>,
+    /// The workspace's key at the daemon
+    #[bpaf(argument("KEY"), optional)]
+    key: Option<String>,
+    /// The service
+    #[bpaf(argument("SERVICE"), fallback("formula-llm".to_owned()))]
+    service: String,
+    /// Requests a second on each path
+    #[bpaf(argument("N"), fallback(83.0))]
+    rate: f64,
+    /// Requests on each path
+    #[bpaf(argument("N"), fallback(1_000))]
+    count: usize,
+    /// Length of the prompts, in tokens
+    #[bpaf(argument("N"), fallback(330))]
+    prompt_tokens: u64,
+    /// Length of the answers, in tokens
+    #[bpaf(argument("N"), fallback(32))]
+    max_tokens: u32,
+    /// The daemon's process, to measure its CPU time and memory
+    #[bpaf(argument("PID"), optional)]
+    pid: Option<u32>,
+    /// Print JSON
+    json: bool,
+    /// Given by cargo
+    #[bpaf(long("bench"), hide)]
+    _bench: bool,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let arguments = arguments().run();
+    let mut engines = Vec::new();
+    let straight = address(arguments.straight, &mut engines).await?;
+    let through = address(arguments.through, &mut engines).await?;
+    let options = Options {
+        through: Path {
+            address: through,
+            service: arguments.service.clone(),
+            key: arguments.through.and(arguments.key),
+        },
+        straight: Path {
+            address: straight,
+            service: arguments.service,
+            key: None,
+        },
+        rate: arguments.rate,
+        count: arguments.count,
+        warm_up: arguments.count / 10,
+        prompt_tokens: arguments.prompt_tokens,
+        max_tokens: arguments.max_tokens,
+        bytes_per_token: 4.0,
+        deadline: Duration::from_secs(10),
+        pid: arguments.pid,
+    };
+    let comparison = load::run(&options).await?;
+    if arguments.json {
+        println!("{}", serde_json::to_string_pretty(&comparison)?);
+    } else {
+        println!("{comparison}");
+    }
+    for engine in engines {
+        engine.shutdown().await;
+    }
+    Ok(())
+}
+
+async fn address(
+    given: Option<SocketAddr>,
+    engines: &mut Vec<Engine>,
+) -> Result<SocketAddr, kumquatdrum_testing::server::Error> {
+    if let Some(address) = given {
+        return Ok(address);
+    }
+    let options = engine::Options::new("e1", "formula-llm", "formula", "hall-raatuse");
+    let engine = Engine::start(options).await?;
+    let address = engine.address();
+    engines.push(engine);
+    Ok(address)
+}
--- /dev/null
+++ b/crates/kumquatdrum_replay/src/load.rs
@@ -0,0 +1,335 @@
+//! Load at a fixed rate, through a daemon and straight to an engine in one run.
+//!
+//! Both paths get the same requests at the same rate, each half a period after the other's, so that
+//! whatever else the machine does weighs on both. Load goes to loopback addresses only, and is
+//! bounded in rate, count and time.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use crate::client::{self, Request, Route};
+use crate::latency::{Quantiles, Ratio, Recorder};
+use crate::outcome::{Observation, Outcome};
+use crate::prompt::Size;
+use crate::trace::{Entry, Expectation};
+use crate::usage::Usage;
+
+/// The highest rate of one path, in requests a second.
+pub const RATE_LIMIT: f64 = 5_000.0;
+/// The most requests of one path.
+pub const COUNT_LIMIT: usize = 100_000;
+/// The longest time for which requests are sent.
+pub const TIME_LIMIT: Duration = Duration::from_secs(120);
+
+/// What to send, and where.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The path through the system.
+    pub through: Path,
+    /// The straight path.
+    pub straight: Path,
+    /// Requests a second on each path.
+    pub rate: f64,
+    /// Requests on each path.
+    pub count: usize,
+    /// Requests at the beginning that aren't measured, as connections are being opened.
+    pub warm_up: usize,
+    /// Length of the prompts, in tokens.
+    pub prompt_tokens: u64,
+    /// Length of the answers, in tokens.
+    pub max_tokens: u32,
+    /// Bytes of text for each token.
+    pub bytes_per_token: f64,
+    /// Time that a request may take.
+    pub deadline: Duration,
+    /// The daemon, whose CPU time and memory are measured.
+    pub pid: Option<u32>,
+}
+
+/// One path to an engine.
+#[derive(Debug, Clone)]
+pub struct Path {
+    /// Where it begins.
+    pub address: SocketAddr,
+    /// The service asked for.
+    pub service: String,
+    /// The workspace's key; none straight to an engine.
+    pub key: Option<String>,
+}
+
+/// A load that isn't sent.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The address isn't a loopback one.
+    #[error("load goes to loopback addresses only, not to {0}")]
+    NotLoopback(SocketAddr),
+    /// The rate is out of bounds.
+    #[error("the rate must be above 0 and at most {RATE_LIMIT} requests a second")]
+    Rate,
+    /// The count is out of bounds.
+    #[error("the count must exceed the warm-up and be at most {COUNT_LIMIT} requests")]
+    Count,
+    /// It would take too long.
+    #[error("the load would take longer than {} s", TIME_LIMIT.as_secs())]
+    Time,
+    /// The HTTP client can't be made.
+    #[error("the HTTP client can't be made: {0}")]
+    Client(#[from] reqwest::Error),
+    /// The daemon's usage can't be read.
+    #[error("the daemon's usage can't be read: {0}")]
+    Usage(#[from] std::io::Error),
+}
+
+/// Both paths side by side.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Comparison {
+    /// Requests a second on each path.
+    pub rate: f64,
+    /// Tokens a second on each path.
+    pub tokens_per_second: f64,
+    /// The path through the system.
+    pub through: Summary,
+    /// The straight path.
+    pub straight: Summary,
+    /// First-token times of the former over those of the latter.
+    pub first_token_ratio: Option<Ratio>,
+    /// Times of whole answers of the former over those of the latter.
+    pub total_ratio: Option<Ratio>,
+    /// What the daemon used, where its process was named.
+    pub daemon: Option<Daemon>,
+}
+
+/// One path.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Whole answers.
+    pub finished: u64,
+    /// All other ends.
+    pub others: u64,
+    /// Errors by code.
+    pub codes: IndexMap<String, u64>,
+    /// First-token times of whole answers.
+    pub first_token: Quantiles,
+    /// Times of whole answers.
+    pub total: Quantiles,
+}
+
+/// What the daemon used under the load.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Daemon {
+    /// The share of one core.
+    pub core_share: f64,
+    /// Resident memory at the end, in bytes.
+    pub resident_bytes: u64,
+}
+
+/// Sends the load and compares the paths.
+pub async fn run(options: &Options) -> Result<Comparison, Error> {
+    check(options)?;
+    let through = reqwest::Client::builder().tcp_nodelay(true).build()?;
+    let straight = reqwest::Client::builder().tcp_nodelay(true).build()?;
+    let before = options.pid.map(Usage::of).transpose()?;
+    let start = Instant::now();
+    let (through, straight) = send(options, &through, &straight).await;
+    let elapsed = start.elapsed();
+    let after = options.pid.map(Usage::of).transpose()?;
+    Ok(Comparison {
+        rate: options.rate,
+        tokens_per_second: options.rate
+            * (options.prompt_tokens as f64 + f64::from(options.max_tokens)),
+        first_token_ratio: through.first_token.over(&straight.first_token),
+        total_ratio: through.total.over(&straight.total),
+        through,
+        straight,
+        daemon: before.zip(after).map(|(before, after)| Daemon {
+            core_share: after.core_share(&before, elapsed),
+            resident_bytes: after.resident_bytes,
+        }),
+    })
+}
+
+fn check(options: &Options) -> Result<(), Error> {
+    let addresses = [options.through.address, options.straight.address];
+    let foreign = addresses
+        .into_iter()
+        .find(|address| !address.ip().is_loopback());
+    let seconds = options.count as f64 / options.rate;
+    match foreign {
+        Some(address) => Err(Error::NotLoopback(address)),
+        None if !(options.rate > 0.0 && options.rate <= RATE_LIMIT) => Err(Error::Rate),
+        None if options.count <= options.warm_up || options.count > COUNT_LIMIT => {
+            Err(Error::Count)
+        }
+        None if seconds > TIME_LIMIT.as_secs_f64() => Err(Error::Time),
+        None => Ok(()),
+    }
+}
+
+async fn send(
+    options: &Options,
+    through: &reqwest::Client,
+    straight: &reqwest::Client,
+) -> (Summary, Summary) {
+    let run = run_name();
+    let period = Duration::from_secs_f64(1.0 / options.rate);
+    let start = Instant::now();
+    let mut paths = [
+        Running::new(&options.through, through, "through"),
+        Running::new(&options.straight, straight, "straight"),
+    ];
+    for index in 0..options.count {
+        for (half, path) in paths.iter_mut().enumerate() {
+            let at = start + period * index as u32 + period / 2 * half as u32;
+            sleep_until(at).await;
+            path.send(options, &run, index);
+        }
+    }
+    let [through, straight] = paths;
+    (through.join().await, straight.join().await)
+}
+
+fn run_name() -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    format!("load-{:x}", since.map_or(0, |elapsed| elapsed.as_micros()))
+}
+
+/// One path under load.
+struct Running<'a> {
+    path: &'a Path,
+    http: &'a reqwest::Client,
+    name: &'static str,
+    tasks: JoinSet<Option<Observation>>,
+}
+
+impl<'a> Running<'a> {
+    fn new(path: &'a Path, http: &'a reqwest::Client, name: &'static str) -> Self {
+        Self {
+            path,
+            http,
+            name,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    fn send(&mut self, options: &Options, run: &str, index: usize) {
+        let name = format!("{run}-{}-{index}", self.name);
+        let route = Route {
+            target: self.path.address,
+            bearer: self.path.key.as_deref(),
+            name: &name,
+            run,
+            size: Size {
+                scale: 1.0,
+                bytes_per_token: options.bytes_per_token,
+            },
+        };
+        let request = Request::new(&entry(options, self.path), &route);
+        let http = self.http.clone();
+        let is_measured = index >= options.warm_up;
+        self.tasks.spawn(async move {
+            let seen = client::send(&http, &request).await;
+            is_measured.then_some(seen)
+        });
+    }
+
+    async fn join(mut self) -> Summary {
+        let mut first_token = Recorder::default();
+        let mut total = Recorder::default();
+        let mut codes: IndexMap<String, u64> = IndexMap::new();
+        let mut others = 0;
+        while let Some(ended) = self.tasks.join_next().await {
+            match ended.ok().flatten() {
+                Some(seen) if seen.outcome == Outcome::Finished => {
+                    first_token.record(seen.first_token.unwrap_or(seen.total));
+                    total.record(seen.total);
+                }
+                Some(seen) => {
+                    others += 1;
+                    *codes.entry(seen.code.unwrap_or_default()).or_default() += 1;
+                }
+                None => {}
+            }
+        }
+        Summary {
+            finished: total.quantiles().count,
+            others,
+            codes,
+            first_token: first_token.quantiles(),
+            total: total.quantiles(),
+        }
+    }
+}
+
+fn entry(options: &Options, path: &Path) -> Entry {
+    Entry {
+        at_ms: 0,
+        workspace: String::new(),
+        key: String::new(),
+        service: path.service.clone(),
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        prompt_tokens: options.prompt_tokens,
+        max_tokens: options.max_tokens,
+        priority: 0,
+        deadline_ms: options.deadline.as_millis() as u64,
+        idempotent: true,
+        idempotency_key: None,
+        resend_of: None,
+        prefix: None,
+        prefix_tokens: 0,
+        expect: Expectation::Finished,
+    }
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:.0} requests/s, {:.0} tokens/s on each path",
+            self.rate, self.tokens_per_second
+        )?;
+        writeln!(
+            f,
+            "{:<24}{:>8} {:>10} {:>10} {:>10}",
+            "ms", "count", "p50", "p95", "p99"
+        )?;
+        for (name, path) in [("through", &self.through), ("straight", &self.straight)] {
+            writeln!(
+                f,
+                "{:<24}{}",
+                format!("{name}, first token"),
+                path.first_token
+            )?;
+            writeln!(f, "{:<24}{}", format!("{name}, whole answer"), path.total)?;
+            writeln!(
+                f,
+                "{:<24}{:>8} {:?}",
+                format!("{name}, others"),
+                path.others,
+                path.codes
+            )?;
+        }
+        if let Some(ratio) = &self.first_token_ratio {
+            writeln!(f, "first token, through over straight: {ratio}")?;
+        }
+        if let Some(ratio) = &self.total_ratio {
+            writeln!(f, "whole answer, through over straight: {ratio}")?;
+        }
+        match &self.daemon {
+            Some(daemon) => write!(
+                f,
+                "daemon: {:.1}% of a core, {:.1} MB resident",
+                daemon.core_share * 100.0,
+                daemon.resident_bytes as f64 / 1e6
+            ),
+            None => write!(f, "daemon: not measured"),
+        }
+    }
+}
--- a/crates/kumquatdrum_testing/src/counters.rs
+++ b/crates/kumquatdrum_testing/src/counters.rs
@@ -9,7 +9,7 @@
 pub struct Counts {
     /// Requests that arrived, refused ones among them.
     pub received: u64,
-    /// Requests accepted to run.
+    /// Requests accepted, run or not.
     pub accepted: u64,
     /// Runs by attempt identifier.
     pub runs_by_attempt: IndexMap<String, u32>,
@@ -52,10 +52,14 @@
         self.0.lock().received += 1;
     }
 
-    /// A request was accepted to run.
-    pub fn accepted(&self, attempt: &str, digest: &str) {
+    /// A request was accepted; it has not run yet.
+    pub fn accepted(&self) {
+        self.0.lock().accepted += 1;
+    }
+
+    /// A run began.
+    pub fn ran(&self, attempt: &str, digest: &str) {
         let mut counts = self.0.lock();
-        counts.accepted += 1;
         *counts.runs_by_attempt.entry(attempt.into()).or_default() += 1;
         *counts.runs_by_digest.entry(digest.into()).or_default() += 1;
     }
--- a/crates/kumquatdrum_testing/src/engine/shared.rs
+++ b/crates/kumquatdrum_testing/src/engine/shared.rs
@@ -118,11 +118,12 @@
         let mut core = self.core.lock();
         if fails {
             core.model.fail(now, request)?;
+            self.counters.ran(id.as_str(), &digest);
         } else {
             core.model.submit(now, request)?;
         }
         core.open(&id, form);
-        self.counters.accepted(id.as_str(), &digest);
+        self.counters.accepted();
         let source = core.source(&id).ok_or(Rejection::Full);
         drop(core);
         self.wake.notify_one();
@@ -164,6 +165,11 @@
         let mut core = self.core.lock();
         let step = core.model.step(now);
         core.report(now);
+        for id in &step.started {
+            let attempt = core.model.attempt(id);
+            let digest = attempt.map_or("", |attempt| &attempt.request.digest);
+            self.counters.ran(id.as_str(), digest);
+        }
         step
     }
 
--- a/crates/kumquatdrum_testing/src/model/scheduler.rs
+++ b/crates/kumquatdrum_testing/src/model/scheduler.rs
@@ -56,6 +56,8 @@
     pub cost: Duration,
     /// The attempts that changed.
     pub progress: Vec<Progress>,
+    /// The attempts that entered the batch, which is when they count as run.
+    pub started: Vec<AttemptId>,
 }
 
 /// The engine.
@@ -178,7 +180,7 @@
         self.ledger.expire(now);
         let mut step = Step::default();
         self.give_up_late(now, &mut step);
-        self.fill_batch();
+        self.fill_batch(&mut step);
         if self.running.is_empty() {
             return step;
         }
@@ -206,7 +208,7 @@
     }
 
     /// Admits by priority and arrival; the first that doesn't fit waits, and all behind it.
-    fn fill_batch(&mut self) {
+    fn fill_batch(&mut self, step: &mut Step) {
         while self.running.len() < self.options.batch_limit as usize {
             let Some(id) = self.waiting.first().cloned() else {
                 return;
@@ -228,6 +230,7 @@
             attempt.cached_tokens = self.cache.lookup(&attempt.request.blocks).min(most);
             attempt.computed_tokens = attempt.cached_tokens;
             self.waiting.remove(0);
+            step.started.push(id.clone());
             self.running.push(id);
         }
     }
--- a/crates/kumquatdrum_testing/src/service.rs
+++ b/crates/kumquatdrum_testing/src/service.rs
@@ -222,7 +222,8 @@
             let error = json!({"error": {"code": "full", "started": false}});
             return (Status::ServiceUnavailable, error);
         }
-        self.counters.accepted(&call.attempt, &call.digest);
+        self.counters.accepted();
+        self.counters.ran(&call.attempt, &call.digest);
         if let Some(key) = &call.key {
             self.counters.keyed(key);
         }
--- a/crates/kumquatdrum_testing/tests/model.rs
+++ b/crates/kumquatdrum_testing/tests/model.rs
@@ -115,8 +115,9 @@
     model.submit(Moment::ZERO, request("ran", 500, 9)).unwrap();
     model.step(Moment::ZERO);
     model.submit(Moment::ZERO, request("idle", 500, 9)).unwrap();
-    model.cancel(&"ran".into());
     model.cancel(&"idle".into());
+    assert_eq!(model.step(Moment::ZERO).started, []);
+    model.cancel(&"ran".into());
     assert!(model.fate(&"ran".into()).started);
     assert!(!model.fate(&"idle".into()).started);
     assert_eq!(model.memory_used(), 0);
