--- a/crates/kumquatdrum_host/src/gate.rs
+++ b/crates/kumquatdrum_host/src/gate.rs
@@ -73,6 +73,13 @@
             streamed: ask.stream || !ask.model,
             attempts: ATTEMPTS,
         };
+        let tokens = prompt_tokens + routing.expected_output_tokens;
+        let admitted = self.shell.quota.admit(&workspace.name, tokens);
+        let permit = admitted.map_err(|refused| {
+            let mut problem = refuse(refused.reason);
+            problem.retry_after_ms = Some(refused.retry_after.as_millis() as u64);
+            problem
+        })?;
         let key = ask
             .key
             .as_ref()
@@ -86,7 +93,7 @@
             key,
             hold: pass.hold,
             work: self.shell.drain.work(),
-            permit: None,
+            permit,
             ask,
         })
     }
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -30,6 +30,7 @@
 use crate::members::{self, Members};
 use crate::orphans;
 use crate::peers::Inbox;
+use crate::quota::{self, Quota};
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::web::{self, Web};
@@ -96,32 +97,28 @@
 impl Host {
     /// Starts a host and waits until it listens everywhere.
     pub async fn start(settings: Settings, logger: &slog::Logger) -> Result<Self, StartError> {
-        let logger = logger.new(o!("host" => settings.host.to_string()));
-        let clock = Clock::start();
-        let boot = BootId(unix_ms());
-        let metrics = Metrics::new().map_err(|error| StartError::Metrics(error.to_string()))?;
-        let metrics = Arc::new(metrics);
-        let drain = Arc::new(Drain::default());
-        let in_force = Arc::new(Store::default());
+        let base = Base::new(&settings, logger)?;
+        let Base {
+            clock,
+            boot,
+            metrics,
+            drain,
+            in_force,
+            fleet,
+            engine,
+            plain,
+            janitor,
+            local,
+            client,
+            logger,
+        } = base;
         let (stopped, stop) = watch::channel(false);
         let mut tasks = JoinSet::new();
-
-        let http = |error: reqwest::Error| StartError::Http(error.to_string());
-        let engine = Arc::new(kumquatdrum_engine::Client::new().map_err(http)?);
-        let plain = Arc::new(kumquatdrum_service::Client::new().map_err(http)?);
-        let janitor = Arc::new(Janitor::new(clock, engine.clone(), metrics.clone()));
-        let owners = owners(&settings);
-        let fleet = Arc::new(Fleet::new(clock, settings.host.clone(), owners, boot.0));
         tasks.spawn(fleet.clone().run(stop.clone()));
         tasks.spawn(janitor.clone().run(stop.clone()));
 
         let peers = listen(settings.listen.peers).await?;
         let peers_address = peers.local_addr().unwrap_or(settings.listen.peers);
-        let local = local(&settings, boot, &logger);
-        let client = Arc::new(Client::new(local.clone()));
-        for host in &settings.hosts {
-            client.set_address(&host.host, host.address);
-        }
         let parts = members::Parts {
             clock,
             client: client.clone(),
@@ -149,8 +146,20 @@
             in_force.clone(),
             members.clone(),
         ));
+        let quota = Arc::new(Quota::new(quota::Parts {
+            host: settings.host.clone(),
+            boot,
+            hosts: settings.hosts.len() + 1,
+            longest_request: Duration::from_millis(settings.drain.longest_ms),
+            clock,
+            client: client.clone(),
+            in_force: in_force.clone(),
+            members: members.clone(),
+        }));
+        tasks.spawn(quota.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
             replica,
+            quota: quota.clone(),
             members: members.clone(),
             logger: logger.clone(),
         });
@@ -167,6 +176,7 @@
             plain,
             janitor,
             control: link,
+            quota,
             bodies: Budget::new(settings.limits.held_body_bytes),
             requests: TaskTracker::new(),
             names: AtomicU64::new(0),
@@ -254,6 +264,54 @@
     }
 }
 
+/// The parts that need no running task.
+struct Base {
+    clock: Clock,
+    boot: BootId,
+    metrics: Arc<Metrics>,
+    drain: Arc<Drain>,
+    in_force: Arc<Store>,
+    fleet: Arc<Fleet>,
+    engine: Arc<kumquatdrum_engine::Client>,
+    plain: Arc<kumquatdrum_service::Client>,
+    janitor: Arc<Janitor>,
+    local: Local,
+    client: Arc<Client>,
+    logger: slog::Logger,
+}
+
+impl Base {
+    fn new(settings: &Settings, logger: &slog::Logger) -> Result<Self, StartError> {
+        let http = |error: reqwest::Error| StartError::Http(error.to_string());
+        let logger = logger.new(o!("host" => settings.host.to_string()));
+        let clock = Clock::start();
+        let boot = BootId(unix_ms());
+        let metrics = Metrics::new().map_err(|error| StartError::Metrics(error.to_string()))?;
+        let metrics = Arc::new(metrics);
+        let engine = Arc::new(kumquatdrum_engine::Client::new().map_err(http)?);
+        let fleet = Fleet::new(clock, settings.host.clone(), owners(settings), boot.0);
+        let local = local(settings, boot, &logger);
+        let client = Arc::new(Client::new(local.clone()));
+        for host in &settings.hosts {
+            client.set_address(&host.host, host.address);
+        }
+        Ok(Self {
+            janitor: Arc::new(Janitor::new(clock, engine.clone(), metrics.clone())),
+            plain: Arc::new(kumquatdrum_service::Client::new().map_err(http)?),
+            drain: Arc::default(),
+            in_force: Arc::default(),
+            fleet: Arc::new(fleet),
+            clock,
+            boot,
+            metrics,
+            engine,
+            local,
+            client,
+            logger,
+        })
+    }
+}
+
 fn owners(settings: &Settings) -> Vec<String> {
     let same = |host: &&crate::settings::Host| host.data_centre == settings.data_centre;
     let others = settings.hosts.iter().filter(same);
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod orphans;
 pub mod peers;
 pub mod problem;
+pub mod quota;
 pub mod request;
 pub mod settings;
 pub mod shell;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -408,6 +408,15 @@
         self.cores.lock().membership.is_relay()
     }
 
+    /// The hosts that are not known to be dead, this one included.
+    pub fn live_hosts(&self) -> Vec<HostId> {
+        let cores = self.cores.lock();
+        let others = cores.membership.hosts();
+        let live = others.filter(|view| view.condition != Condition::Dead);
+        let live = live.map(|view| view.member.host.clone());
+        live.chain([self.local.host.clone()]).collect()
+    }
+
     /// When a majority of the replicas was last heard of; now, unless this host is cut off.
     pub fn majority_heard_unix_ms(&self) -> Option<u64> {
         let since = self.cores.lock().spread.cut_off_since();
--- a/crates/kumquatdrum_host/src/peers.rs
+++ b/crates/kumquatdrum_host/src/peers.rs
@@ -10,6 +10,7 @@
 
 use crate::control;
 use crate::members::Members;
+use crate::quota::Quota;
 
 /// The handler of one host.
 pub struct Inbox {
@@ -17,6 +18,8 @@
     pub replica: Option<control::Handle>,
     /// Hosts and endpoints.
     pub members: Arc<Members>,
+    /// The workspaces' limits.
+    pub quota: Arc<Quota>,
     /// Where events go.
     pub logger: slog::Logger,
 }
@@ -35,6 +38,7 @@
                 postcard::from_bytes(&body).map(|message| replica.message(message))
             }
             (Channel::Membership, _) => self.members.members_message(from, &body),
+            (Channel::Limits, _) => self.quota.message(&from.host, &body),
             (Channel::Setup, _) => self.members.setup_message(from, &body),
             _ => Ok(()),
         };
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -23,6 +23,7 @@
 use crate::fleet::{Decision, Placement};
 use crate::key::{Claimed, Key};
 use crate::problem;
+use crate::quota::Permit;
 use crate::shell::Shell;
 
 /// How long the last word to a slow caller may take.
@@ -78,7 +79,7 @@
     /// What the shutdown waits for.
     pub work: Work,
     /// The slot in its workspace's limits, returned at the end.
-    pub permit: Option<Box<dyn Send>>,
+    pub permit: Permit,
 }
 
 /// Carries out one request.
@@ -442,6 +443,7 @@
             _ => Progress::Failed(Failure::Broken),
         };
         self.settle_attempt(progress);
+        self.order.permit.used(self.tokens_used(&ending));
         self.settle_key(&ending).await;
         self.record(&ending);
         match self.pending.take() {
@@ -454,6 +456,17 @@
         }
     }
 
+    /// Tokens that count against the workspace's limit.
+    fn tokens_used(&self, ending: &Ending) -> u64 {
+        let counted = self.usage.prompt_tokens + self.usage.completion_tokens;
+        match ending {
+            Ending::NotRun { .. } => 0,
+            _ if counted > 0 => counted,
+            _ if self.received == 0 => 0,
+            _ => self.order.routing.prompt_tokens + self.received,
+        }
+    }
+
     async fn settle_key(&mut self, ending: &Ending) {
         match (self.order.key.take(), self.claim) {
             (Some(key), ClaimState::Granted) => key.settle(&self.shell, ending).await,
--- a/crates/kumquatdrum_host/src/shell.rs
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Fleet;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
+use crate::quota::Quota;
 use crate::settings::Settings;
 
 /// One host's shared parts.
@@ -43,6 +44,8 @@
     pub janitor: Arc<Janitor>,
     /// The control plane.
     pub control: Arc<dyn Control>,
+    /// The workspaces' limits.
+    pub quota: Arc<Quota>,
     /// Bytes of bodies.
     pub bodies: Arc<Budget>,
     /// Requests under way; the host joins them when it stops.
