Keep reports the same through JSON, and evict cached blocks without a scan

Ratios now carry three decimals; the new test failed before that. The prefix cache looked at every block for each eviction, which would have held up the engine for long prompts; it now keeps them by last use. The path bench takes several rates.

--- a/crates/kumquatdrum_replay/benches/path.rs
+++ b/crates/kumquatdrum_replay/benches/path.rs
@@ -28,12 +28,12 @@
     /// The service
     #[bpaf(argument("SERVICE"), fallback("formula-llm".to_owned()))]
     service: String,
-    /// Requests a second on each path
-    #[bpaf(argument("N"), fallback(83.0))]
-    rate: f64,
-    /// Requests on each path
-    #[bpaf(argument("N"), fallback(1_000))]
-    count: usize,
+    /// Requests a second on each path, with commas between them: one comparison for each
+    #[bpaf(argument::<String>("RATES"), fallback("83".to_owned()), parse(rates))]
+    rates: Vec<f64>,
+    /// Seconds of load for each rate
+    #[bpaf(argument("N"), fallback(12.0))]
+    seconds: f64,
     /// Length of the prompts, in tokens
     #[bpaf(argument("N"), fallback(330))]
     prompt_tokens: u64,
@@ -56,36 +56,47 @@
     let mut engines = Vec::new();
     let straight = address(arguments.straight, &mut engines).await?;
     let through = address(arguments.through, &mut engines).await?;
-    let options = Options {
+    for rate in &arguments.rates {
+        let options = options(&arguments, *rate, through, straight);
+        let comparison = load::run(&options).await?;
+        if arguments.json {
+            println!("{}", serde_json::to_string(&comparison)?);
+        } else {
+            println!("{comparison}\n");
+        }
+    }
+    for engine in engines {
+        engine.shutdown().await;
+    }
+    Ok(())
+}
+
+fn rates(list: String) -> Result<Vec<f64>, std::num::ParseFloatError> {
+    list.split(',').map(str::parse).collect()
+}
+
+fn options(arguments: &Arguments, rate: f64, through: SocketAddr, straight: SocketAddr) -> Options {
+    let count = (rate * arguments.seconds) as usize;
+    Options {
         through: Path {
             address: through,
             service: arguments.service.clone(),
-            key: arguments.through.and(arguments.key),
+            key: arguments.through.and(arguments.key.clone()),
         },
         straight: Path {
             address: straight,
-            service: arguments.service,
+            service: arguments.service.clone(),
             key: None,
         },
-        rate: arguments.rate,
-        count: arguments.count,
-        warm_up: arguments.count / 10,
+        rate,
+        count,
+        warm_up: count / 10,
         prompt_tokens: arguments.prompt_tokens,
         max_tokens: arguments.max_tokens,
         bytes_per_token: 4.0,
         deadline: Duration::from_secs(10),
         pid: arguments.pid,
-    };
-    let comparison = load::run(&options).await?;
-    if arguments.json {
-        println!("{}", serde_json::to_string_pretty(&comparison)?);
-    } else {
-        println!("{comparison}");
     }
-    for engine in engines {
-        engine.shutdown().await;
-    }
-    Ok(())
 }
 
 async fn address(
--- a/crates/kumquatdrum_replay/src/latency.rs
+++ b/crates/kumquatdrum_replay/src/latency.rs
@@ -27,7 +27,9 @@
     pub p99_us: u64,
 }
 
-/// Quantiles of one set of latencies over those of another.
+/// Quantiles of one set of latencies over those of another, to three decimals.
+///
+/// Short decimals come back from JSON as they were; all digits of a quotient needn't.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Ratio {
     /// Of the 50th percentiles.
@@ -80,7 +82,7 @@
     /// assert!((slow.over(&fast).unwrap().p95 - 2.0).abs() < 1e-9);
     /// ```
     pub fn over(&self, base: &Self) -> Option<Ratio> {
-        let ratio = |top: u64, bottom: u64| top as f64 / bottom.max(1) as f64;
+        let ratio = |top: u64, bottom: u64| round(top as f64 / bottom.max(1) as f64);
         (self.count > 0 && base.count > 0).then(|| Ratio {
             p50: ratio(self.p50_us, base.p50_us),
             p95: ratio(self.p95_us, base.p95_us),
@@ -89,6 +91,11 @@
     }
 }
 
+fn round(ratio: f64) -> f64 {
+    const DECIMALS: f64 = 1_000.0;
+    (ratio * DECIMALS).round() / DECIMALS
+}
+
 impl fmt::Display for Quantiles {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let millis = |micros: u64| micros as f64 / 1_000.0;
--- a/crates/kumquatdrum_replay/tests/trace.rs
+++ b/crates/kumquatdrum_replay/tests/trace.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_replay::generator::Options;
+use kumquatdrum_replay::latency::{Quantiles, Ratio};
 use kumquatdrum_replay::{Entry, Mix, generate, trace};
 
 const SHIPPED: [(Mix, &str); 2] = [
@@ -156,3 +157,19 @@
         .seed(ENTROPY_BYTES | (seed << 32));
     }
 }
+
+/// A ratio with all its digits came back from JSON with another last digit.
+#[test]
+fn ratios_come_back_from_json_as_they_were() {
+    let quantiles = |micros: u64| Quantiles {
+        count: 1,
+        p50_us: micros,
+        p95_us: micros,
+        p99_us: micros,
+    };
+    for top in 1..2_000 {
+        let ratio = quantiles(top).over(&quantiles(1_777)).unwrap();
+        let json = serde_json::to_string(&ratio).unwrap();
+        assert_eq!(serde_json::from_str::<Ratio>(&json).unwrap(), ratio);
+    }
+}
--- a/crates/kumquatdrum_testing/src/model/cache.rs
+++ b/crates/kumquatdrum_testing/src/model/cache.rs
@@ -1,6 +1,7 @@
 //! The prefix cache: names of prompt blocks with their sizes, least recently used out first.
 
-use std::collections::VecDeque;
+use std::collections::btree_map::OccupiedEntry;
+use std::collections::{BTreeMap, VecDeque};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,8 @@
     limit_tokens: u64,
     used_tokens: u64,
     blocks: IndexMap<String, Block>,
+    /// Names by their last use, the least recent first.
+    uses: BTreeMap<u64, String>,
     clock: u64,
     next_seq: u64,
     events: VecDeque<Event>,
@@ -53,6 +56,7 @@
             limit_tokens,
             used_tokens: 0,
             blocks: IndexMap::new(),
+            uses: BTreeMap::new(),
             clock: 0,
             next_seq: 1,
             events: VecDeque::new(),
@@ -61,51 +65,62 @@
 
     /// Tokens of the longest cached prefix; the blocks found count as used.
     pub(super) fn lookup(&mut self, names: &[String]) -> u64 {
-        self.clock += 1;
         let mut tokens = 0;
         for name in names {
-            let Some(block) = self.blocks.get_mut(name) else {
-                break;
-            };
-            block.used_at = self.clock;
-            tokens += block.tokens;
+            match self.blocks.get(name) {
+                Some(block) => tokens += block.tokens,
+                None => break,
+            }
+            self.touch(name);
         }
         tokens
     }
 
     /// Stores a prompt's blocks, each of `tokens` tokens.
     pub(super) fn store(&mut self, names: &[String], tokens: u64) {
-        self.clock += 1;
+        let begin = self.clock;
         for name in names {
             if self.blocks.contains_key(name) {
+                self.touch(name);
                 continue;
             }
-            if self.used_tokens + tokens > self.limit_tokens && !self.evict(tokens) {
+            if !self.make_room(tokens, begin) {
                 return;
             }
             self.used_tokens += tokens;
-            let used_at = self.clock;
-            self.blocks.insert(name.clone(), Block { tokens, used_at });
+            let block = Block { tokens, used_at: 0 };
+            self.blocks.insert(name.clone(), block);
+            self.touch(name);
             self.record(Change::Stored, name.clone(), tokens);
         }
     }
 
-    /// Makes room for `tokens` out of blocks that the current prompt doesn't use.
-    fn evict(&mut self, tokens: u64) -> bool {
+    fn touch(&mut self, name: &str) {
+        let Some(block) = self.blocks.get_mut(name) else {
+            return;
+        };
+        self.clock += 1;
+        self.uses.remove(&block.used_at);
+        block.used_at = self.clock;
+        self.uses.insert(self.clock, name.to_owned());
+    }
+
+    /// Evicts blocks that were last used at `begin` or before, until there is room.
+    fn make_room(&mut self, tokens: u64, begin: u64) -> bool {
         while self.used_tokens + tokens > self.limit_tokens {
             let oldest = self
-                .blocks
-                .iter()
-                .enumerate()
-                .filter(|(_, (_, block))| block.used_at < self.clock)
-                .min_by_key(|(_, (_, block))| block.used_at)
-                .map(|(index, _)| index);
-            let Some((name, block)) = oldest.and_then(|index| self.blocks.swap_remove_index(index))
-            else {
+                .uses
+                .first_entry()
+                .filter(|entry| *entry.key() <= begin);
+            let Some(name) = oldest.map(OccupiedEntry::remove) else {
                 return false;
             };
-            self.used_tokens -= block.tokens;
-            self.record(Change::Evicted, name, block.tokens);
+            let freed = self
+                .blocks
+                .swap_remove(&name)
+                .map_or(0, |block| block.tokens);
+            self.used_tokens -= freed;
+            self.record(Change::Evicted, name, freed);
         }
         true
     }
--- a/crates/kumquatdrum_testing/src/model/scheduler.rs
+++ b/crates/kumquatdrum_testing/src/model/scheduler.rs
@@ -292,6 +292,8 @@
     fn end(&mut self, id: &AttemptId, state: State) {
         let attempt = &mut self.attempts[id];
         attempt.state = state;
+        // Ended attempts are kept for a while; a long prompt's block names are large.
+        attempt.request.blocks = Vec::new();
         self.ledger
             .give_back(std::mem::take(&mut attempt.held_tokens));
         self.waiting.retain(|other| other != id);
