Hold the ports that tests expect to be refused

A freed port was given to another test's server in one of 144 parallel runs, and the request to nobody got an answer. A bound socket that doesn't listen refuses, and keeps the port.

--- a/crates/kumquatdrum_replay/tests/replay.rs
+++ b/crates/kumquatdrum_replay/tests/replay.rs
@@ -11,6 +11,7 @@
 use rocket::serde::json::Json;
 use rocket::{Responder, State, get, post, routes};
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 
 /// A deadline that the slow fake always misses.
 const HASTY_DEADLINE: Duration = Duration::from_millis(20);
@@ -187,9 +188,10 @@
 
 #[tokio::test]
 async fn nobody_there_is_not_run() {
-    let server = fake(Manner::Whole).await;
-    let address = server.address;
-    server.stop().await;
+    // Bound without listening: refused, and no other test can be given the port meanwhile.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(loopback()).unwrap();
+    let address = socket.local_addr().unwrap();
     let report = replay::run(&[entry()], &options(address)).await.unwrap();
     assert_eq!(report.not_run, 1);
     assert_eq!(report.listed[0].violation, Violation::Outcome);
--- a/crates/kumquatdrum_testing/tests/announcer.rs
+++ b/crates/kumquatdrum_testing/tests/announcer.rs
@@ -11,6 +11,7 @@
 use rocket::serde::json::Json;
 use rocket::{State, post, routes};
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 
 type Log = Arc<Mutex<Vec<Announcement>>>;
 
@@ -31,9 +32,10 @@
 #[tokio::test]
 async fn announcements_go_to_the_next_host_and_end_with_a_leaving_notice() {
     let (host, log) = entry_host().await;
-    let (gone, _) = entry_host().await;
-    let unreachable = gone.address;
-    gone.stop().await;
+    // Bound without listening: refused, and no other test can be given the port meanwhile.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(loopback()).unwrap();
+    let unreachable = socket.local_addr().unwrap();
     let mut options = Options::new("p1", "salon-api", "hall-raatuse");
     options.process.announcer = announcer::Options {
         hosts: vec![unreachable, host.address],
--- a/crates/kumquatdrum_testing/tests/engine.rs
+++ b/crates/kumquatdrum_testing/tests/engine.rs
@@ -291,11 +291,15 @@
     fixture.engine.order(&Fault::Die);
     assert!(answer.text().await.is_err());
     let url = fixture.url("/v1/health");
-    while let Err(error) = fixture.client.get(&url).send().await {
-        if error.is_connect() {
-            break;
-        }
-    }
+    // A connection that was being accepted at that moment may be reset rather than refused.
+    while !fixture
+        .client
+        .get(&url)
+        .send()
+        .await
+        .unwrap_err()
+        .is_connect()
+    {}
     let counters = format!("http://{}/counters", fixture.engine.control_address());
     let counts = fixture.client.get(counters).send().await.unwrap();
     let counts: Value = counts.json().await.unwrap();
