--- a/crates/kumquatdrum_replay/src/client.rs
+++ b/crates/kumquatdrum_replay/src/client.rs
@@ -157,9 +157,10 @@
         if let Some(key) = &entry.idempotency_key {
             set(headers, "idempotency-key", &format!("{}-{key}", route.run));
         }
-        match route.bearer {
-            Some(key) => set(headers, "authorization", &format!("Bearer {key}")),
-            None => set(headers, "x-attempt-id", route.name),
+        if let Some(key) = route.bearer {
+            set(headers, "authorization", &format!("Bearer {key}"));
+        } else {
+            set(headers, "x-attempt-id", route.name);
         }
     }
 
--- a/crates/kumquatdrum_replay/src/replay.rs
+++ b/crates/kumquatdrum_replay/src/replay.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use thiserror::Error;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -27,6 +27,9 @@
 pub struct Options {
     /// The callers' listeners of entry hosts, taken in turn.
     pub targets: Vec<SocketAddr>,
+    /// Endpoints by service, taken in turn: where there are any, requests go straight to them, past
+    /// the system, for a comparison.
+    pub endpoints: IndexMap<String, Vec<SocketAddr>>,
     /// Workspace keys by the names that the trace uses.
     pub keys: IndexMap<String, String>,
     /// How long prompts are.
@@ -62,6 +65,7 @@
         let micros = since.map_or(0, |elapsed| elapsed.as_micros());
         Self {
             targets: Vec::new(),
+            endpoints: IndexMap::new(),
             keys: IndexMap::new(),
             size: Size::default(),
             run: format!("run-{micros:x}"),
@@ -82,6 +86,9 @@
     /// No target.
     #[error("no target is given")]
     NoTarget,
+    /// Services that the trace asks have no endpoint to go straight to.
+    #[error("no endpoint is given for {}", .0.join(", "))]
+    MissingEndpoints(Vec<String>),
     /// Keys that the trace uses aren't given.
     #[error("no key is given for {}", .0.join(", "))]
     MissingKeys(Vec<String>),
@@ -125,16 +132,45 @@
 }
 
 fn check(trace: &[Entry], options: &Options) -> Result<(), Error> {
-    let missing: Vec<String> = key_names(trace)
-        .into_iter()
-        .filter(|name| !options.keys.contains_key(*name))
-        .map(str::to_owned)
-        .collect();
     match () {
         () if trace.is_empty() => Err(Error::Empty),
+        () if !options.endpoints.is_empty() => check_endpoints(trace, options),
         () if options.targets.is_empty() => Err(Error::NoTarget),
-        () if !missing.is_empty() => Err(Error::MissingKeys(missing)),
-        () => Ok(()),
+        () => check_keys(trace, options),
+    }
+}
+
+fn check_endpoints(trace: &[Entry], options: &Options) -> Result<(), Error> {
+    let has_some = |service: &str| {
+        let endpoints = options.endpoints.get(service);
+        endpoints.is_some_and(|endpoints| !endpoints.is_empty())
+    };
+    let missing: IndexSet<&str> = trace
+        .iter()
+        .map(|entry| entry.service.as_str())
+        .filter(|service| !has_some(service))
+        .collect();
+    if missing.is_empty() {
+        Ok(())
+    } else {
+        Err(Error::MissingEndpoints(owned(missing)))
+    }
+}
+
+fn owned<'n>(names: impl IntoIterator<Item = &'n str>) -> Vec<String> {
+    names.into_iter().map(str::to_owned).collect()
+}
+
+fn check_keys(trace: &[Entry], options: &Options) -> Result<(), Error> {
+    let missing = owned(
+        key_names(trace)
+            .into_iter()
+            .filter(|name| !options.keys.contains_key(*name)),
+    );
+    if missing.is_empty() {
+        Ok(())
+    } else {
+        Err(Error::MissingKeys(missing))
     }
 }
 
@@ -186,10 +222,23 @@
 }
 
 impl Probe {
+    fn target(&self, options: &Options) -> SocketAddr {
+        let endpoints = options.endpoints.get(&self.entry.service);
+        let choice = endpoints.unwrap_or(&options.targets);
+        choice[self.index % choice.len()]
+    }
+
+    /// The workspace's key; none for a request straight to an endpoint.
+    fn bearer<'o>(&self, options: &'o Options) -> Option<&'o str> {
+        let key = options.keys.get(&self.entry.key);
+        key.filter(|_| options.endpoints.is_empty())
+            .map(String::as_str)
+    }
+
     fn request(&self, options: &Options, run: &str) -> Request {
         let route = Route {
-            target: options.targets[self.index % options.targets.len()],
-            bearer: Some(&options.keys[&self.entry.key]),
+            target: self.target(options),
+            bearer: self.bearer(options),
             name: &self.name,
             run,
             size: options.size,
--- a/crates/kumquatdrum_replay/tests/replay.rs
+++ b/crates/kumquatdrum_replay/tests/replay.rs
@@ -324,4 +324,10 @@
     ));
     let error = run(&[entry()], &missing).await.unwrap_err();
     assert_eq!(error.to_string(), "no key is given for w");
+    let elsewhere = Options {
+        endpoints: [("salon-api".to_owned(), vec![address])].into(),
+        ..options(address)
+    };
+    let error = run(&[entry()], &elsewhere).await.unwrap_err();
+    assert_eq!(error.to_string(), "no endpoint is given for formula-llm");
 }
--- a/crates/kumquatdrum_testing/src/bin/stand_in.rs
+++ b/crates/kumquatdrum_testing/src/bin/stand_in.rs
@@ -9,6 +9,7 @@
 use bpaf::Bpaf;
 use kumquatdrum_testing::server::Error;
 use kumquatdrum_testing::{announcer, engine, model, process, service};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs one stand-in until the process is ended.
 #[derive(Debug, Clone, Bpaf)]
@@ -59,6 +60,9 @@
     /// Where it listens; port 0 is any free port
     #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
     listen: SocketAddr,
+    /// Where its control port listens; port 0 is any free port
+    #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+    control: SocketAddr,
     /// Endpoint listeners of entry hosts, with commas between them
     #[bpaf(argument::<String>("ADDRESSES"), fallback(String::new()), parse(addresses))]
     announce: Vec<SocketAddr>,
@@ -104,6 +108,7 @@
     fn from(identity: Identity) -> Self {
         Self {
             listen: identity.listen,
+            control: identity.control,
             announcer: announcer::Options {
                 hosts: identity.announce,
                 key: identity.key,
@@ -153,7 +158,9 @@
             };
             let engine = engine::Engine::start(options).await?;
             report(engine.address(), engine.control_address());
-            interrupted().await;
+            if ended().await == Signal::Terminate {
+                engine.drain().await;
+            }
             engine.shutdown().await;
         }
         Command::Plain { identity, work_ms } => {
@@ -164,7 +171,9 @@
             };
             let service = service::Service::start(options).await?;
             report(service.address(), service.control_address());
-            interrupted().await;
+            if ended().await == Signal::Terminate {
+                service.leave().await;
+            }
             service.shutdown().await;
         }
     }
@@ -175,6 +184,19 @@
     println!("address={address} control={control}");
 }
 
-async fn interrupted() {
-    let _ = tokio::signal::ctrl_c().await;
+/// What ends the process: SIGTERM lets it leave first, SIGINT stops it at once.
+#[derive(Debug, PartialEq, Eq)]
+enum Signal {
+    Interrupt,
+    Terminate,
+}
+
+async fn ended() -> Signal {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return Signal::Interrupt;
+    };
+    tokio::select! {
+        _ = terminate.recv() => Signal::Terminate,
+        _ = tokio::signal::ctrl_c() => Signal::Interrupt,
+    }
 }
--- a/crates/kumquatdrum_testing/src/control.rs
+++ b/crates/kumquatdrum_testing/src/control.rs
@@ -1,5 +1,6 @@
 //! The control port of a stand-in: `POST /faults` and `GET /counters`.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rocket::http::Status;
@@ -9,7 +10,7 @@
 
 use crate::counters::Counts;
 use crate::fault::Fault;
-use crate::server::{Error, Server, loopback};
+use crate::server::{Error, Server};
 
 /// What the control port commands.
 pub trait Control: Send + Sync {
@@ -28,8 +29,8 @@
 }
 
 /// Starts the control port; it outlives the stand-in's death, so that counts stay readable.
-pub async fn start(controlled: Arc<dyn Control>) -> Result<Server, Error> {
-    Server::start(loopback(), |rocket| {
+pub async fn start(address: SocketAddr, controlled: Arc<dyn Control>) -> Result<Server, Error> {
+    Server::start(address, |rocket| {
         rocket
             .manage(controlled)
             .mount("/", routes![faults, counters])
--- a/crates/kumquatdrum_testing/src/engine.rs
+++ b/crates/kumquatdrum_testing/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod http;
+mod request;
 mod shared;
 mod wire;
 
@@ -24,6 +25,9 @@
 
 pub use shared::Reports;
 
+/// Time between two looks at whether a leaving engine has become idle.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+
 /// What an engine is.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -131,6 +135,14 @@
         self.process.announcer().leave().await;
     }
 
+    /// Sends the leaving notice and waits until nothing runs or waits any more.
+    pub async fn drain(&self) {
+        self.leave().await;
+        while !self.shared.with(|model| model.is_idle()) {
+            tokio::time::sleep(DRAIN_INTERVAL).await;
+        }
+    }
+
     /// Stops it at once and joins all its tasks.
     pub async fn shutdown(self) {
         self.process.shutdown().await;
--- a/crates/kumquatdrum_testing/src/engine/http.rs
+++ b/crates/kumquatdrum_testing/src/engine/http.rs
@@ -1,36 +1,27 @@
 //! The engine protocol over HTTP; `docs/ENGINE-PROTOCOL.md` describes it.
 
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatdrum_types::{AttemptId, Load, digest};
-use rocket::data::{ByteUnit, Data};
+use kumquatdrum_types::{AttemptId, Load};
+use rocket::data::Data;
 use rocket::http::{ContentType, Header, Status};
-use rocket::request::{FromRequest, Outcome, Request};
+use rocket::request::Request;
 use rocket::response::stream::ReaderStream;
 use rocket::response::{self, Responder, Response};
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State as Managed, delete, get, post, routes};
 use serde_json::{Value, json};
-use thiserror::Error;
 
 use super::answer;
+use super::request::{Headers, Malformed, read};
 use super::shared::{Shared, Source};
 use super::wire::{AttemptState, CacheEvents, Form, Holdings, Reservation, error};
 use crate::fault::Cut;
-use crate::model::{self, Attempt, Fate, Hold, HoldError, Model, Rejection, State};
-use crate::prompt;
+use crate::model::{Attempt, Fate, Hold, HoldError, Model, Rejection, State};
 use crate::relay::Connections;
 
-/// Time that a request without a deadline may take.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(3_600);
-/// Tokens of an answer whose request doesn't say.
-const DEFAULT_MAX_TOKENS: u64 = 16;
-/// Bytes of prompt text that are counted as one token where the caller doesn't count.
-const BYTES_PER_TOKEN: u64 = 4;
-
 type Engine = Managed<Arc<Shared>>;
 
 /// Mounts the protocol.
@@ -56,55 +47,6 @@
     )
 }
 
-/// The headers of a call.
-struct Headers<'r> {
-    map: &'r rocket::http::HeaderMap<'r>,
-    remote: Option<SocketAddr>,
-}
-
-#[rocket::async_trait]
-impl<'r> FromRequest<'r> for Headers<'r> {
-    type Error = std::convert::Infallible;
-
-    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
-        Outcome::Success(Self {
-            map: request.headers(),
-            remote: request.remote(),
-        })
-    }
-}
-
-impl Headers<'_> {
-    fn text(&self, name: &str) -> Option<String> {
-        self.map.get_one(name).map(str::to_owned)
-    }
-
-    fn breaker(&self, engine: &Shared) -> Breaker {
-        Breaker {
-            connections: Arc::clone(&engine.connections),
-            remote: self.remote,
-        }
-    }
-
-    fn number<T: FromStr>(&self, name: &'static str) -> Result<Option<T>, Malformed> {
-        let parsed = self.map.get_one(name).map(str::parse).transpose();
-        parsed.map_err(|_| Malformed::Number(name))
-    }
-}
-
-/// What is wrong with a request.
-#[derive(Debug, Error)]
-enum Malformed {
-    #[error("the header {0} is not a number in range")]
-    Number(&'static str),
-    #[error("the header x-attempt-id is missing")]
-    NoAttempt,
-    #[error("the body is broken off or exceeds the limit")]
-    Body,
-    #[error("the body is not JSON with a prompt or messages")]
-    NoPrompt,
-}
-
 /// An answer of the engine.
 enum Reply {
     Json(Status, Value),
@@ -124,6 +66,13 @@
 }
 
 impl Breaker {
+    fn new(remote: Option<SocketAddr>, engine: &Shared) -> Self {
+        Self {
+            connections: Arc::clone(&engine.connections),
+            remote,
+        }
+    }
+
     fn break_off(&self) {
         if let Some(remote) = self.remote {
             self.connections.break_off(remote);
@@ -218,63 +167,7 @@
         source,
         from: 0,
         cut: engine.faults.take_cut(),
-        breaker: headers.breaker(engine),
-    }
-}
-
-async fn read(
-    headers: &Headers<'_>,
-    body: Data<'_>,
-    engine: &Shared,
-) -> Result<model::Request, Malformed> {
-    let id = headers.text("x-attempt-id").ok_or(Malformed::NoAttempt)?;
-    let remaining = headers.number::<u64>("x-deadline-ms")?;
-    let remaining = remaining.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    let deadline = engine.now() + remaining;
-    let bytes = body
-        .open(ByteUnit::Byte(engine.options.body_limit))
-        .into_bytes()
-        .await
-        .ok()
-        .filter(rocket::data::Capped::is_complete)
-        .ok_or(Malformed::Body)?;
-    // Digests of long prompts take milliseconds; they must not hold up other requests.
-    let parsed = tokio::task::spawn_blocking(move || Prompt::parse(&bytes)).await;
-    let prompt = parsed.ok().flatten().ok_or(Malformed::NoPrompt)?;
-    let counted = headers.number::<u64>("x-prompt-tokens")?;
-    Ok(model::Request {
-        id: AttemptId::new(id),
-        owner: headers.text("x-owner").unwrap_or_default(),
-        counter: headers.number("x-owner-attempt")?.unwrap_or_default(),
-        priority: headers.number("x-priority")?.unwrap_or_default(),
-        deadline,
-        prompt_tokens: counted.unwrap_or(prompt.tokens).max(1),
-        max_tokens: prompt.max_tokens,
-        digest: prompt.digest,
-        blocks: prompt.blocks,
-        reservation: headers.text("x-reservation"),
-    })
-}
-
-/// What a body says.
-struct Prompt {
-    tokens: u64,
-    max_tokens: u32,
-    digest: String,
-    blocks: Vec<String>,
-}
-
-impl Prompt {
-    fn parse(body: &[u8]) -> Option<Self> {
-        let value: Value = serde_json::from_slice(body).ok()?;
-        let text = prompt::text(&value)?;
-        let max_tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS);
-        Some(Self {
-            tokens: text.len() as u64 / BYTES_PER_TOKEN,
-            max_tokens: u32::try_from(max_tokens).unwrap_or(u32::MAX).max(1),
-            digest: digest::hex(text.as_bytes()),
-            blocks: prompt::blocks(&text),
-        })
+        breaker: Breaker::new(headers.remote, engine),
     }
 }
 
@@ -363,7 +256,7 @@
             source,
             from: from.unwrap_or(0),
             cut: engine.faults.take_cut(),
-            breaker: headers.breaker(engine),
+            breaker: Breaker::new(headers.remote, engine),
         },
         None => not_found("the attempt is unknown or no longer kept"),
     }
--- a/crates/kumquatdrum_testing/src/process.rs
+++ b/crates/kumquatdrum_testing/src/process.rs
@@ -25,6 +25,8 @@
     pub data_centre: DataCentre,
     /// Where it listens; port 0 is any free port.
     pub listen: SocketAddr,
+    /// Where its control port listens; port 0 is any free port.
+    pub control: SocketAddr,
     /// Its life; the wall clock's microseconds where absent.
     pub boot: Option<BootId>,
     /// To whom it announces itself.
@@ -44,6 +46,7 @@
             service: service.into(),
             data_centre: data_centre.into(),
             listen: loopback(),
+            control: loopback(),
             boot: None,
             announcer: announcer::Options::default(),
         }
@@ -100,7 +103,7 @@
         let server = Server::start(loopback(), mount).await?;
         let relay =
             Relay::start(options.listen, server.address, switch.gate(), connections).await?;
-        let control = control::start(controlled).await?;
+        let control = control::start(options.control, controlled).await?;
         let source = announcement(relay.address);
         let announcer = Announcer::start(options.announcer.clone(), source, switch.gate());
         Ok(Self {
