Let a draining stand-in finish its streams before it stops

A stand-in that stops on SIGTERM looked only at its batch; a stream's last events may still be on their way then. It now waits for its streams too. Load reports count a refused request as seen, as it adds nothing to the load.

--- a/crates/kumquatdrum_testing/src/engine.rs
+++ b/crates/kumquatdrum_testing/src/engine.rs
@@ -27,6 +27,8 @@
 
 /// Time between two looks at whether a leaving engine has become idle.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+/// What the server has taken of the last streams still passes through the relay.
+const DRAIN_DELIVERY: Duration = Duration::from_millis(200);
 
 /// What an engine is.
 #[derive(Debug, Clone)]
@@ -135,12 +137,14 @@
         self.process.announcer().leave().await;
     }
 
-    /// Sends the leaving notice and waits until nothing runs or waits any more.
+    /// Sends the leaving notice and waits until nothing runs or waits any more, and all streams
+    /// have ended.
     pub async fn drain(&self) {
         self.leave().await;
-        while !self.shared.with(|model| model.is_idle()) {
+        while self.shared.is_busy() {
             tokio::time::sleep(DRAIN_INTERVAL).await;
         }
+        tokio::time::sleep(DRAIN_DELIVERY).await;
     }
 
     /// Stops it at once and joins all its tasks.
--- a/crates/kumquatdrum_testing/src/engine/shared.rs
+++ b/crates/kumquatdrum_testing/src/engine/shared.rs
@@ -160,6 +160,13 @@
         question(&mut core.model)
     }
 
+    /// Whether anything waits or runs, or some stream has not ended.
+    pub(super) fn is_busy(&self) -> bool {
+        let core = self.core.lock();
+        let mut channels = core.channels.values();
+        !core.model.is_idle() || channels.any(|channel| channel.status.receiver_count() > 0)
+    }
+
     pub(super) fn step(&self) -> Step {
         let now = self.now();
         let mut core = self.core.lock();
--- a/crates/kumquatdrum_testing/src/model/scheduler.rs
+++ b/crates/kumquatdrum_testing/src/model/scheduler.rs
@@ -123,6 +123,8 @@
     /// Takes a request into the queue.
     pub fn submit(&mut self, now: Moment, request: Request) -> Result<(), Rejection> {
         self.ledger.expire(now);
+        // A refused request adds nothing to the load, so that reports include it in full.
+        self.note_owner(&request);
         let fate = self.fate(&request.id);
         let own_tokens = request.prompt_tokens + u64::from(request.max_tokens);
         match &request.reservation {
@@ -137,7 +139,6 @@
             Some(id) => self.take_over(id)?,
             None => 0,
         };
-        self.note_owner(&request);
         self.remember(request.id.clone(), State::Waiting, false);
         self.enqueue(&request);
         self.attempts
--- a/crates/kumquatdrum_testing/tests/engine.rs
+++ b/crates/kumquatdrum_testing/tests/engine.rs
@@ -307,6 +307,18 @@
     fixture.engine.shutdown().await;
 }
 
+#[tokio::test]
+async fn a_drained_engine_has_finished_its_streams() {
+    let fixture = Fixture::start().await;
+    let answer = fixture.post("a", "history", 50).await;
+    let reader = tokio::spawn(answer.text());
+    fixture.engine.drain().await;
+    assert_eq!(fixture.state("a").await, "finished");
+    let whole = reader.await.unwrap().unwrap();
+    assert_eq!(read(&whole), (expected("history", 50), true));
+    fixture.engine.shutdown().await;
+}
+
 #[tokio::test]
 async fn faults_come_over_the_control_port_too() {
     let fixture = Fixture::start().await;
