--- a/crates/kumquatdrum_testing/src/engine.rs
+++ b/crates/kumquatdrum_testing/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod http;
+mod request;
 mod shared;
 mod wire;
 
@@ -24,6 +25,11 @@
 
 pub use shared::Reports;
 
+/// Time between two looks at whether a leaving engine has become idle.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+/// What the server has taken of the last streams still passes through the relay.
+const DRAIN_DELIVERY: Duration = Duration::from_millis(200);
+
 /// What an engine is.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -131,6 +137,16 @@
         self.process.announcer().leave().await;
     }
 
+    /// Sends the leaving notice and waits until nothing runs or waits any more, and all streams
+    /// have ended.
+    pub async fn drain(&self) {
+        self.leave().await;
+        while self.shared.is_busy() {
+            tokio::time::sleep(DRAIN_INTERVAL).await;
+        }
+        tokio::time::sleep(DRAIN_DELIVERY).await;
+    }
+
     /// Stops it at once and joins all its tasks.
     pub async fn shutdown(self) {
         self.process.shutdown().await;
