Test what trials with broken rules left undetected

Rules turned off one at a time in a scratch copy: passing a leaving notice on, late notices, the grace of a new relay, the exchange and the reports of the spread, digests of texts, hearsay that circles. Each has a test now that fails without it. The second telling of a version to two neighbours is gone: statuses, which ride on every push, do the same.

--- a/crates/kumquatdrum_membership/src/spread/machine.rs
+++ b/crates/kumquatdrum_membership/src/spread/machine.rs
@@ -263,11 +263,9 @@
         }
         let (host, boot) = (self.config.host.clone(), self.config.boot);
         self.note(now, &host, boot, version, out);
+        // Within the data centre the first that has it tells all; the statuses do the rest.
         if source.is_none_or(|source| !self.paths.is_own(source)) {
-            self.tell_near(now, usize::MAX, out);
-        } else {
-            // The source tells all; a few are told again, in case it dies meanwhile.
-            self.tell_near(now, 2, out);
+            self.tell_near(now, out);
         }
         if source.is_none() {
             self.start_telling(now);
--- a/crates/kumquatdrum_membership/src/spread/tell.rs
+++ b/crates/kumquatdrum_membership/src/spread/tell.rs
@@ -11,26 +11,15 @@
 use super::{Output, Spread};
 
 impl Spread {
-    pub(super) fn tell_near(&mut self, now: Moment, limit: usize, out: &mut Vec<Output>) {
+    /// Tells the version to the hosts of the data centre that aren't known to have it.
+    pub(super) fn tell_near(&mut self, now: Moment, out: &mut Vec<Output>) {
         let version = self.version();
-        let near: Vec<&HostId> = self.paths.near().collect();
-        // Each host begins with its successor by name, so that not all tell the same ones.
-        let start = near
-            .iter()
-            .filter(|host| ***host < self.config.host)
-            .count();
-        let lacking = near
-            .iter()
-            .cycle()
-            .skip(start)
-            .take(near.len())
-            .filter(|host| {
-                let known = self.holdings.get(host);
-                known.is_none_or(|known| known.version < version)
-            });
         let message = self.have(now);
-        for to in lacking.take(limit) {
-            send(out, to, message.clone());
+        for to in self.paths.near() {
+            let known = self.holdings.get(to);
+            if known.is_none_or(|known| known.version < version) {
+                send(out, to, message.clone());
+            }
         }
     }
 
--- a/crates/kumquatdrum_membership/tests/it/endpoints.rs
+++ b/crates/kumquatdrum_membership/tests/it/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatdrum_membership::{Change, Input, Output, Reason, State};
+use kumquatdrum_membership::{Change, Full, Input, Message, Output, Reason, State};
 use kumquatdrum_types::endpoint::Kind;
 use kumquatdrum_types::{BootId, EndpointId, HostId, Load};
 
@@ -65,6 +65,44 @@
     }
 }
 
+#[test]
+fn leaving_reaches_all_through_the_two_hosts_that_the_taker_reached() {
+    for taker in 0..9 {
+        let mut cluster = steady(taker as u64, CALM, 9);
+        let hosts = cluster.hosts_of("ikeja");
+        let unreached = (3..9).map(|step| &hosts[(taker + step) % 9]);
+        for host in unreached {
+            cluster.network.cut(&hosts[taker], host);
+        }
+        leave_through(&mut cluster, &hosts[taker], hosts[taker].as_str());
+    }
+}
+
+#[test]
+fn a_leaving_notice_that_a_renewal_overtook_counts() {
+    let mut cluster = steady(1, CALM, 2);
+    let (taker, other) = (cluster.host(0), cluster.host(1));
+    cluster.endpoints["engine"].is_up = false;
+    let mut notice = cluster.endpoints["engine"].announcement.clone();
+    let mut renewal = notice.clone();
+    notice.sequence += 1;
+    notice.leaving = true;
+    renewal.sequence += 2;
+    cluster.announce(&other, renewal);
+    cluster.input(
+        &other,
+        Input::Peer {
+            from: taker,
+            boot: BootId(1),
+            message: Message::Leaving(Full {
+                announcement: notice,
+                age_millis: 0,
+            }),
+        },
+    );
+    assert!(!cluster.takes_work(&other, "engine"));
+}
+
 #[test]
 fn leaving_is_not_lost_where_the_taker_dies_unacknowledged() {
     let mut cluster = steady(3, CALM, 9);
--- a/crates/kumquatdrum_membership/tests/it/hosts.rs
+++ b/crates/kumquatdrum_membership/tests/it/hosts.rs
@@ -169,6 +169,9 @@
         assert!(!says(&cluster, &host, "ikeja", Reach::CutOff), "{host}");
         assert_eq!(condition(&cluster, &host, &relay), Condition::Dead);
     }
+    for host in cluster.hosts_of("ikeja") {
+        assert!(!says(&cluster, &host, "lekki", Reach::CutOff), "{host}");
+    }
 }
 
 #[test]
--- a/crates/kumquatdrum_membership/tests/it/spread.rs
+++ b/crates/kumquatdrum_membership/tests/it/spread.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use kumquatdrum_membership::spread::Output;
-use kumquatdrum_types::{HostId, Version};
+use kumquatdrum_membership::spread::{Input, Message, News, Output, Setup, Text};
+use kumquatdrum_types::{BootId, HostId, Version};
 
 use crate::network::{CALM, Faults, ROUGH};
 use crate::spread_cluster::Cluster;
@@ -59,7 +59,7 @@
     assert!(cluster.run_until(seconds(1), is_done));
     let replica = cluster.control[1].clone();
     let is_known = |cluster: &Cluster| cluster.knows_everywhere(&replica, version);
-    assert!(cluster.run_until(seconds(3), is_known));
+    assert!(cluster.run_until(Duration::from_millis(500), is_known));
 }
 
 #[test]
@@ -151,6 +151,56 @@
     }
 }
 
+#[test]
+fn a_data_centre_without_replica_says_that_it_is_cut_off_and_catches_up() {
+    let mut cluster = Cluster::new(1, CALM, 4, 5, 3);
+    accept(&mut cluster);
+    cluster.run(seconds(8));
+    cluster.cut_off("dc-03");
+    cluster.run(seconds(16));
+    let version = accept(&mut cluster);
+    cluster.run(seconds(6));
+    for (id, host) in &cluster.hosts {
+        let is_inside = host.data_centre.as_str() == "dc-03";
+        assert_eq!(host.core.cut_off_since().is_some(), is_inside, "{id}");
+        assert_eq!(host.core.version() != version, is_inside, "{id}");
+    }
+    cluster.network.heal();
+    cluster.run(seconds(4));
+    assert!(cluster.is_everywhere(version));
+    cluster.run(seconds(2));
+    for (id, host) in &cluster.hosts {
+        assert_eq!(host.core.cut_off_since(), None, "{id}");
+    }
+}
+
+#[test]
+fn a_text_that_does_not_fit_its_digest_or_its_base_is_not_put_in_force() {
+    let mut cluster = steady(1, CALM);
+    let (host, other) = (cluster.host(4), cluster.host(5));
+    let held = Setup::new(Version(1), text(1));
+    let next = Setup::new(Version(9), text(9));
+    let elsewhere = Setup::new(Version(5), text(1));
+    let texts = [
+        Text::Whole(held.text.clone()),
+        Text::between(Some(&elsewhere), &next),
+    ];
+    for text in texts {
+        let news = News {
+            version: next.version,
+            digest: next.digest.clone(),
+            text,
+        };
+        let input = Input::Peer {
+            from: other.clone(),
+            boot: BootId(1),
+            message: Message::News(news),
+        };
+        cluster.input(&host, input);
+        assert_eq!(cluster.hosts[&host].core.version(), Version(1));
+    }
+}
+
 #[test]
 fn a_relay_that_dies_at_the_arrival_of_a_version_holds_nobody_up() {
     for seed in 0..20 {
