--- a/crates/kumquatdrum_membership/tests/it/spread.rs
+++ b/crates/kumquatdrum_membership/tests/it/spread.rs
@@ -157,7 +157,13 @@
     accept(&mut cluster);
     cluster.run(seconds(8));
     cluster.cut_off("dc-03");
-    cluster.run(seconds(16));
+    // Not later than the bound, whoever told whom what it had heard of a majority.
+    cluster.run(seconds(11));
+    for (id, host) in &cluster.hosts {
+        let is_inside = host.data_centre.as_str() == "dc-03";
+        assert_eq!(host.core.cut_off_since().is_some(), is_inside, "{id}");
+    }
+    cluster.run(seconds(5));
     let version = accept(&mut cluster);
     cluster.run(seconds(6));
     for (id, host) in &cluster.hosts {
