--- a/crates/kumquatdrum_routing/src/policy.rs
+++ b/crates/kumquatdrum_routing/src/policy.rs
@@ -12,6 +12,9 @@
 
 pub use estimated::Estimated;
 
+/// The priority of short requests at engines, inside one level.
+const SHORT_PRIORITY: u8 = 2;
+
 /// What a policy decides about the request at the head of a queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Placement {
@@ -42,15 +45,17 @@
     }
 }
 
-/// The priority for the engine: the short before the long, and before both what is about to miss
-/// its deadline.
-pub(crate) fn size_priority(now: Moment, job: &Job, fleet: &Fleet) -> u8 {
-    let prefill = fleet.rates.service_time(job.size, job.prefill_tokens(), 0);
+/// The priority for the engine: the short before the long. What is about to miss its deadline
+/// rises by one, and to the height of the short ones where these leave nothing over.
+pub(crate) fn size_priority(now: Moment, job: &Job, fleet: &Fleet, is_flooded: bool) -> u8 {
+    let tokens = job.prefill_tokens();
+    let prefill = fleet.rates.service_time(job.size, tokens, 0);
+    let is_urgent = job.latest_start - now < prefill;
     match job.size {
-        _ if job.latest_start - now < prefill => 3,
-        Size::Short => 2,
-        Size::Medium => 1,
-        Size::Long | Size::Spanning => 0,
+        Size::Short => SHORT_PRIORITY,
+        _ if is_urgent && is_flooded => SHORT_PRIORITY,
+        Size::Medium => 1 + u8::from(is_urgent),
+        Size::Long | Size::Spanning => u8::from(is_urgent),
     }
 }
 
--- a/crates/kumquatdrum_routing/src/policy/baseline.rs
+++ b/crates/kumquatdrum_routing/src/policy/baseline.rs
@@ -94,7 +94,7 @@
 
     fn engine_priority(&self, now: Moment, job: &Job, fleet: &Fleet) -> u8 {
         if self.has_priorities {
-            size_priority(now, job, fleet)
+            size_priority(now, job, fleet, false)
         } else {
             0
         }
--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -59,12 +59,16 @@
     /// How many of `count` engines are kept clear of long prefills: those that the short load
     /// of all daemons needs, with headroom.
     fn protected(&self, fleet: &Fleet, count: usize) -> usize {
-        let load = self.short_rate * fleet.owners() as f64 / fleet.rates.prefill(Size::Short);
-        let wanted = (load * fleet.settings.short_headroom).ceil() + 1.0;
+        let wanted = (self.short_load(fleet) * fleet.settings.short_headroom).ceil() + 1.0;
         let most = (count as f64 * PROTECTED_MOST).floor();
         wanted.min(most).max(0.0) as usize
     }
 
+    /// The short requests' load of all daemons, in engines.
+    fn short_load(&self, fleet: &Fleet) -> f64 {
+        self.short_rate * fleet.owners() as f64 / fleet.rates.prefill(Size::Short)
+    }
+
     fn sample(&mut self, zone: &[SlotIndex], size: usize, into: &mut Vec<SlotIndex>) {
         if zone.len() <= size {
             into.extend_from_slice(zone);
@@ -126,7 +130,8 @@
         let waited = (now - job.since).as_secs_f64();
         let depth = match job.size {
             Size::Short => fleet.settings.short_depth,
-            Size::Medium | Size::Long | Size::Spanning => fleet.settings.long_depth,
+            Size::Medium => fleet.settings.medium_depth,
+            Size::Long | Size::Spanning => fleet.settings.long_depth,
         };
         depth.as_secs_f64() + waited * PATIENCE
     }
@@ -173,7 +178,8 @@
     }
 
     fn engine_priority(&self, now: Moment, job: &Job, fleet: &Fleet) -> u8 {
-        size_priority(now, job, fleet)
+        let load = self.short_load(fleet) / fleet.candidates().len().max(1) as f64;
+        size_priority(now, job, fleet, load > PROTECTED_MOST)
     }
 }
 
--- a/crates/kumquatdrum_routing/src/settings.rs
+++ b/crates/kumquatdrum_routing/src/settings.rs
@@ -27,6 +27,8 @@
     pub short_headroom: f64,
     /// Estimated work before a short request, up to which an engine gets another one.
     pub short_depth: Duration,
+    /// The same for a request between short and long; deep, as engines let it pass the long.
+    pub medium_depth: Duration,
     /// Estimated work before a long request, up to which an engine gets another one.
     pub long_depth: Duration,
     /// Added to an engine's estimate for each owner that comes before this one there.
@@ -57,6 +59,7 @@
             queue_limit: 10_000,
             short_headroom: 2.0,
             short_depth: Duration::from_millis(500),
+            medium_depth: Duration::from_secs(5),
             long_depth: Duration::from_secs(1),
             rank_step: Duration::from_millis(250),
         }
