Drive the consensus core through randomised schedules

A fake network and fake disks around three to five nodes, by seed: loss, delay, duplication, reordering, cuts, crashes that lose unsynced writes, stalled processes, failing and lost disks, replica changes, clocks that drift. Safety is checked at every step, progress after healing.

Found and mended on the way: - A learner counted as caught up when the leader had just been elected and knew nothing as committed, so that an empty replica could become a voter. - A voter that was listed when the cluster formed and had missed all since gave no vote, so that the loss of another disk stopped the cluster for good. It can't have voted before under its incarnation, so it may.

Two findings were faults of the checks, which compared what the application had applied in place of what the node had, and allowed the loss of a second disk while a change was under way.

--- /dev/null
+++ b/crates/kumquatdrum_consensus/benches/schedules.rs
@@ -0,0 +1,57 @@
+//! Runs randomised schedules over a range of seeds and prints figures.
+//!
+//! `cargo bench -p kumquatdrum_consensus --bench schedules -- FIRST COUNT`
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::schedule::{self, Report};
+
+const DEFAULT_COUNT: u64 = 2_000;
+const THREADS: usize = 4;
+
+fn main() {
+    let numbers: Vec<u64> = std::env::args()
+        .filter_map(|arg| arg.parse().ok())
+        .collect();
+    let first = numbers.first().copied().unwrap_or(0);
+    let count = numbers.get(1).copied().unwrap_or(DEFAULT_COUNT);
+    let next = AtomicU64::new(first);
+    let total = Mutex::new((Report::default(), Vec::new()));
+    let started = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + count {
+                        break;
+                    }
+                    let result = std::panic::catch_unwind(|| schedule::run(seed));
+                    let mut total = total.lock().unwrap_or_else(PoisonError::into_inner);
+                    match result {
+                        Ok(report) => total.0.add(report),
+                        Err(_) => total.1.push(seed),
+                    }
+                }
+            });
+        }
+    });
+    let (report, mut violations) = total.into_inner().unwrap_or_else(PoisonError::into_inner);
+    violations.sort_unstable();
+    println!(
+        "seeds={count} first={first} violations={}",
+        violations.len()
+    );
+    println!("violating_seeds={violations:?}");
+    println!("{report:?}");
+    println!(
+        "seconds={:.1} threads={THREADS}",
+        started.elapsed().as_secs_f64()
+    );
+    assert!(violations.is_empty(), "safety or progress violated");
+}
--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -165,14 +165,16 @@
         self.replicate_all();
     }
 
-    /// Whether a replica has all that was committed at the latest heartbeat, synced.
+    /// Whether a replica has the entry that names it, and all that was committed at the latest
+    /// heartbeat, synced.
     fn has_caught_up(&self, id: &ReplicaId) -> bool {
         let Role::Leader(leader) = &self.role else {
             return false;
         };
+        let goal = leader.commit_at_heartbeat.max(self.log.replicas_index());
         match leader.peers.get(id) {
             _ if *id == self.id => true,
-            Some(progress) => progress.matched >= leader.commit_at_heartbeat,
+            Some(progress) => progress.matched >= goal.max(leader.first),
             None => false,
         }
     }
--- a/crates/kumquatdrum_consensus/src/follower.rs
+++ b/crates/kumquatdrum_consensus/src/follower.rs
@@ -24,11 +24,7 @@
         };
         match body {
             Body::Append(append) => {
-                let reject = Reject {
-                    previous_index: append.previous_index,
-                    hint: LogIndex(0),
-                    needs_snapshot: true,
-                };
+                let reject = needs_snapshot(&append);
                 let ack = AppendAck {
                     term: append.term,
                     matched: LogIndex(0),
@@ -38,10 +34,25 @@
                 self.send_in(cluster, from, Body::AppendAck(ack));
             }
             Body::SnapshotChunk(chunk) => self.collect(from, chunk),
+            Body::PreVote(vote) => {
+                self.adopt(cluster);
+                self.on_pre_vote(from, &vote);
+            }
+            Body::RequestVote(vote) => {
+                self.adopt(cluster);
+                self.on_request_vote(from, &vote);
+            }
             _ => {}
         }
     }
 
+    /// Takes the cluster of a candidate that knows this very incarnation as a voter: one listed
+    /// when the cluster formed, which has missed all since. It cannot have voted before.
+    fn adopt(&mut self, cluster: ClusterId) {
+        self.hard_state.cluster = Some(cluster);
+        self.durability.hard_state_changed();
+    }
+
     /// Recognises a leader; false where its term is over.
     fn accept_leader(&mut self, from: &ReplicaId, term: Term) -> bool {
         if term < self.hard_state.term {
@@ -97,6 +108,9 @@
     }
 
     fn take_entries(&mut self, append: Append) -> Result<(), Reject> {
+        if self.log.snapshot().is_none() {
+            return Err(needs_snapshot(&append));
+        }
         let previous = append.previous_index;
         let fits =
             previous <= self.commit || self.log.term_at(previous) == Some(append.previous_term);
@@ -158,7 +172,7 @@
         let header = &chunk.header;
         let known =
             header.index <= self.commit || self.log.term_at(header.index) == Some(header.term);
-        if known {
+        if known && self.log.snapshot().is_some() {
             self.verified = self.verified.max(header.index);
             let matched = self.matched();
             self.answer_append(from, self.hard_state.term, matched, None, probe);
@@ -222,3 +236,12 @@
         self.send_synced(from, Body::AppendAck(ack));
     }
 }
+
+/// The answer of a replica without any state: a snapshot tells it the replicas.
+fn needs_snapshot(append: &Append) -> Reject {
+    Reject {
+        previous_index: append.previous_index,
+        hint: LogIndex(0),
+        needs_snapshot: true,
+    }
+}
--- a/crates/kumquatdrum_consensus/src/formation.rs
+++ b/crates/kumquatdrum_consensus/src/formation.rs
@@ -1,8 +1,9 @@
 //! How a cluster forms, and how a replica without one makes itself known.
 //!
-//! A cluster forms only when all initial hosts are fresh at once: the first host by name asks
-//! all of them, each answer is meant for the asking incarnation, and only when every host has
-//! answered `Fresh` is the list of incarnations sent out. A replica counts as fresh until it has
+//! A cluster forms only when all hosts with a data folder are fresh at once, the initial ones and
+//! the others: the first initial host by name asks all of them, each answer is meant for the
+//! asking incarnation, and only when every host has answered `Fresh` is the list of incarnations
+//! sent out. The others count too, as the replicas may have moved to them since. A replica counts as fresh until it has
 //! voted or stored an entry, since until then nothing hangs on it. From its first vote on it
 //! belongs to one cluster for good, and listens to no other.
 
@@ -56,13 +57,17 @@
         }
     }
 
-    fn say_hello(&mut self) {
+    /// All other hosts with a data folder.
+    fn other_hosts(&self) -> IndexSet<HostId> {
         let hosts = self.settings.initial.iter().chain(&self.settings.peers);
-        let hosts: IndexSet<HostId> = hosts
+        hosts
             .filter(|host| **host != self.id.host)
             .cloned()
-            .collect();
-        for host in hosts {
+            .collect()
+    }
+
+    fn say_hello(&mut self) {
+        for host in self.other_hosts() {
             let member = self.settings.member.clone();
             self.send_to_host(&host, Body::Hello { member });
         }
@@ -73,10 +78,8 @@
     }
 
     fn survey(&mut self) {
-        for host in self.settings.initial.clone() {
-            if host != self.id.host {
-                self.send_to_host(&host, Body::Survey);
-            }
+        for host in self.other_hosts() {
+            self.send_to_host(&host, Body::Survey);
         }
         self.form_when_all_fresh();
     }
@@ -97,7 +100,7 @@
     }
 
     pub(crate) fn on_fresh(&mut self, member: Member) {
-        let expected = self.settings.initial.contains(&member.id.host);
+        let expected = self.other_hosts().contains(&member.id.host);
         if expected && self.is_untouched() && !self.formation.settled {
             self.formation.fresh.insert(member.id.host.clone(), member);
             self.form_when_all_fresh();
@@ -105,11 +108,13 @@
     }
 
     fn form_when_all_fresh(&mut self) {
-        let initial: IndexSet<HostId> = self.settings.initial.iter().cloned().collect();
-        if self.formation.fresh.len() + 1 < initial.len() {
+        if self.formation.fresh.len() < self.other_hosts().len() {
             return;
         }
-        let mut members: Vec<Member> = self.formation.fresh.drain(..).map(|(_, m)| m).collect();
+        let initial = &self.settings.initial;
+        let fresh = self.formation.fresh.drain(..).map(|(_, member)| member);
+        let voting = fresh.filter(|member| initial.contains(&member.id.host));
+        let mut members: Vec<Member> = voting.collect();
         members.push(self.settings.member.clone());
         members.sort();
         if self.log.replicas().voters != members {
--- a/crates/kumquatdrum_consensus/src/settings.rs
+++ b/crates/kumquatdrum_consensus/src/settings.rs
@@ -13,7 +13,7 @@
     pub member: Member,
     /// Hosts whose replicas form the cluster when all of them are fresh. Empty: join only.
     pub initial: Vec<HostId>,
-    /// Further hosts that may know of a cluster.
+    /// All further hosts with a data folder. No cluster forms unless they are fresh as well.
     pub peers: Vec<HostId>,
     /// A leader says something at least this often.
     pub heartbeat: Duration,
@@ -47,7 +47,7 @@
 /// Rules that tests turn off to show what they are for. Never off elsewhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
-    /// A replica answers only what is meant for its own incarnation, and a fresh one never votes.
+    /// A replica answers only what is meant for its own incarnation.
     pub own_incarnation: bool,
 }
 
--- a/crates/kumquatdrum_consensus/src/status.rs
+++ b/crates/kumquatdrum_consensus/src/status.rs
@@ -44,6 +44,10 @@
     pub snapshot: LogIndex,
     /// The replicas as its log names them.
     pub replicas: Replicas,
+    /// The entry that names them.
+    pub replicas_index: LogIndex,
+    /// Whether that entry is known as committed.
+    pub replicas_committed: bool,
     /// How far the others are; only on a leader.
     pub peers: Vec<PeerStatus>,
 }
@@ -74,6 +78,8 @@
             last: self.log.last_index(),
             snapshot: self.log.snapshot_index(),
             replicas: self.log.replicas().clone(),
+            replicas_index: self.log.replicas_index(),
+            replicas_committed: self.log.replicas_index() <= self.commit,
             peers: self.peer_statuses(),
         }
     }
@@ -81,7 +87,7 @@
     fn role_name(&self) -> RoleName {
         match &self.role {
             _ if self.halted => RoleName::Halted,
-            _ if self.hard_state.cluster.is_none() => RoleName::Fresh,
+            _ if self.log.snapshot().is_none() => RoleName::Fresh,
             Role::Leader(_) => RoleName::Leader,
             Role::PreCandidate(_) | Role::Candidate(_) => RoleName::Candidate,
             Role::Follower if self.log.replicas().is_voter(&self.id) => RoleName::Follower,
--- /dev/null
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -0,0 +1,533 @@
+//! A fake network and fake disks around a few nodes, driven by a seed. Each test file uses a part.
+#![allow(dead_code)]
+
+pub mod checker;
+pub mod schedule;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use checker::Checker;
+use kumquatdrum_consensus::{
+    Batch, Content, Entry, Incarnation, Input, LogIndex, Member, Message, Node, Output, Proposal,
+    ProposalOutcome, ReplicaId, Replicas, RoleName, Rules, Settings, Status, Stored, Token,
+};
+use kumquatdrum_types::{HostId, Moment};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// How often events of a paused host are tried again.
+const PAUSE_MICROS: u64 = 50_000;
+
+/// What the network and the disks do.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub loss_percent: u64,
+    pub duplicate_percent: u64,
+    pub delay_micros: u64,
+    pub sync_micros: u64,
+}
+
+pub const CALM: Faults = Faults {
+    loss_percent: 0,
+    duplicate_percent: 0,
+    delay_micros: 2_000,
+    sync_micros: 3_000,
+};
+
+#[derive(Debug)]
+enum Event {
+    Deliver(usize, Message),
+    Synced(usize, u64, Batch),
+    Wake(usize, u64),
+}
+
+/// A host: what outlives a crash, and the node while it runs.
+pub struct Host {
+    pub member: Member,
+    pub disk: Stored,
+    pub node: Option<Node>,
+    /// The batch that the disk has been given and has not synced.
+    pending: Option<Batch>,
+    /// Counts starts, so that events of earlier ones are dropped.
+    life: u64,
+    /// Clocks start anywhere and run up to 3 % fast or slow.
+    clock_offset: u64,
+    clock_percent: u64,
+    pub disk_fails: bool,
+    /// The application: the hash of all that was applied, and how far.
+    pub hash: u64,
+    pub applied: LogIndex,
+    pub restores: u64,
+    pub applies: u64,
+}
+
+/// Nodes under a fake network and fake disks.
+pub struct Cluster {
+    pub now: Moment,
+    pub random: Pcg32,
+    pub hosts: Vec<Host>,
+    pub faults: Faults,
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Hosts whose process stands still, while their clock runs on.
+    pub paused: BTreeSet<usize>,
+    pub checker: Checker,
+    pub outcomes: BTreeMap<Token, ProposalOutcome>,
+    /// Whether a read was confirmed; none while it is open.
+    pub reads: BTreeMap<Token, Option<bool>>,
+    /// Tokens of replica changes.
+    changes: BTreeSet<Token>,
+    pub initial: usize,
+    pub rules: Rules,
+    pub snapshot_entries: u64,
+    pub steps: u64,
+    /// The replicas last known as committed, and the entry that names them.
+    replicas: (LogIndex, Replicas),
+    queue: BTreeMap<(Moment, u64), Event>,
+    serial: u64,
+    next_token: u64,
+}
+
+impl Cluster {
+    pub fn new(seed: u64, hosts: usize, initial: usize, rules: Rules) -> Self {
+        let mut cluster = Self {
+            now: Moment::ZERO,
+            random: Pcg32::seed_from_u64(seed),
+            hosts: Vec::new(),
+            faults: CALM,
+            cut: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            checker: Checker::default(),
+            outcomes: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            changes: BTreeSet::new(),
+            initial,
+            rules,
+            snapshot_entries: 40,
+            steps: 0,
+            replicas: (LogIndex(0), Replicas::default()),
+            queue: BTreeMap::new(),
+            serial: 0,
+            next_token: 0,
+        };
+        for number in 0..hosts {
+            let clock_offset = cluster.random.next_u64() % 1_000_000;
+            let clock_percent = 97 + cluster.random.next_u64() % 7;
+            let incarnation = cluster.random.next_u64();
+            cluster.hosts.push(Host {
+                member: Member::new(format!("host-{number}"), incarnation, "ikeja"),
+                disk: Stored::default(),
+                node: None,
+                pending: None,
+                life: 0,
+                clock_offset,
+                clock_percent,
+                disk_fails: false,
+                hash: 0,
+                applied: LogIndex(0),
+                restores: 0,
+                applies: 0,
+            });
+        }
+        for number in 0..hosts {
+            cluster.start(number);
+        }
+        cluster
+    }
+
+    /// A cluster of `hosts` that has formed and elected a leader.
+    pub fn formed(seed: u64, hosts: usize, initial: usize) -> Self {
+        let mut cluster = Self::new(seed, hosts, initial, Rules::default());
+        assert!(
+            cluster.run_until(20_000, |c| c.leader().is_some()),
+            "no leader"
+        );
+        cluster
+    }
+
+    fn settings(&self, number: usize) -> Settings {
+        let mut settings = Settings::new(self.hosts[number].member.clone());
+        let hosts = |range: std::ops::Range<usize>| {
+            let ids = self.hosts[range]
+                .iter()
+                .map(|host| host.member.id.host.clone());
+            ids.collect::<Vec<HostId>>()
+        };
+        settings.initial = hosts(0..self.initial);
+        settings.peers = hosts(self.initial..self.hosts.len());
+        settings.heartbeat = Duration::from_millis(200);
+        settings.snapshot_entries = self.snapshot_entries;
+        settings.keep_entries = 5;
+        settings.max_append_bytes = 150;
+        settings.max_in_flight = 4;
+        settings.snapshot_chunk_bytes = 16;
+        settings.rules = self.rules;
+        settings
+    }
+
+    pub fn clock(&self, number: usize) -> Moment {
+        let host = &self.hosts[number];
+        Moment {
+            micros: host.clock_offset + self.now.micros * host.clock_percent / 100,
+        }
+    }
+
+    fn random_below(&mut self, limit: u64) -> u64 {
+        self.random.next_u64() % limit.max(1)
+    }
+
+    fn schedule(&mut self, after_micros: u64, event: Event) {
+        self.serial += 1;
+        let at = self.now + Duration::from_micros(after_micros);
+        self.queue.insert((at, self.serial), event);
+    }
+
+    pub fn start(&mut self, number: usize) {
+        if self.hosts[number].node.is_some() {
+            return;
+        }
+        let seed = self.random.next_u64();
+        let (settings, clock) = (self.settings(number), self.clock(number));
+        let host = &mut self.hosts[number];
+        host.life += 1;
+        host.hash = 0;
+        host.applied = LogIndex(0);
+        host.restores = 0;
+        host.applies = 0;
+        host.node = Some(Node::new(settings, host.disk.clone(), clock, seed));
+        self.step(number, Input::Tick);
+    }
+
+    /// The process dies; what was not synced may or may not have reached the disk.
+    pub fn crash(&mut self, number: usize) {
+        let landed = self.random_below(2) == 0;
+        let host = &mut self.hosts[number];
+        host.node = None;
+        host.life += 1;
+        host.disk_fails = false;
+        if let Some(batch) = host.pending.take().filter(|_| landed) {
+            host.disk.apply(&batch);
+            self.checker.synced(&host.disk, &batch);
+        }
+    }
+
+    /// The process dies and its disk is lost; it comes back with a new data folder.
+    pub fn wipe(&mut self, number: usize) {
+        self.crash(number);
+        let incarnation = self.random.next_u64();
+        let host = &mut self.hosts[number];
+        host.disk = Stored::default();
+        host.member.id.incarnation = Incarnation(incarnation);
+    }
+
+    pub fn isolate(&mut self, number: usize) {
+        for other in 0..self.hosts.len() {
+            self.cut.insert((number, other));
+            self.cut.insert((other, number));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        self.paused.clear();
+        self.faults = CALM;
+        for number in 0..self.hosts.len() {
+            self.hosts[number].disk_fails = false;
+            if self
+                .status(number)
+                .is_some_and(|s| s.role == RoleName::Halted)
+            {
+                self.crash(number);
+            }
+            self.start(number);
+        }
+    }
+
+    pub fn status(&self, number: usize) -> Option<Status> {
+        self.hosts[number].node.as_ref().map(Node::status)
+    }
+
+    /// The leader of the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |number: &usize| {
+            self.hosts[*number]
+                .node
+                .as_ref()
+                .is_some_and(Node::is_leader)
+        };
+        let term = |number: &usize| self.hosts[*number].node.as_ref().map(Node::term);
+        (0..self.hosts.len()).filter(leads).max_by_key(term)
+    }
+
+    pub fn token(&mut self) -> Token {
+        self.next_token += 1;
+        Token(self.next_token)
+    }
+
+    pub fn propose(&mut self, number: usize) -> Token {
+        let token = self.token();
+        let payload = Bytes::copy_from_slice(&token.0.to_le_bytes());
+        self.step(number, Input::Propose(Proposal { token, payload }));
+        token
+    }
+
+    pub fn read(&mut self, number: usize) -> Token {
+        let token = self.token();
+        self.reads.insert(token, None);
+        self.checker.read_asked(token);
+        self.step(number, Input::ConfirmRead { token });
+        token
+    }
+
+    pub fn change(&mut self, number: usize, voters: &[usize]) -> Token {
+        let token = self.token();
+        self.changes.insert(token);
+        let voters = voters
+            .iter()
+            .map(|n| self.hosts[*n].member.clone())
+            .collect();
+        self.step(number, Input::ChangeReplicas { token, voters });
+        token
+    }
+
+    /// Commits a value, trying again where leadership moves.
+    pub fn commit(&mut self) -> bool {
+        for _ in 0..50 {
+            let Some(leader) = self.leader() else {
+                self.run_for(200);
+                continue;
+            };
+            let token = self.propose(leader);
+            self.run_until(5_000, |c| c.outcomes.contains_key(&token));
+            if let Some(ProposalOutcome::Committed { .. }) = self.outcomes.get(&token) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn run_for(&mut self, millis: u64) {
+        self.run_until(millis, |_| false);
+    }
+
+    /// Runs until a condition holds; false where the time is up before.
+    pub fn run_until(&mut self, millis: u64, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + Duration::from_millis(millis);
+        while !done(self) {
+            match self.queue.first_key_value() {
+                Some(((at, _), _)) if *at <= end => self.run_one(),
+                _ => {
+                    self.now = end;
+                    return done(self);
+                }
+            }
+        }
+        true
+    }
+
+    fn run_one(&mut self) {
+        let Some(((at, _), event)) = self.queue.pop_first() else {
+            return;
+        };
+        self.now = self.now.max(at);
+        let (Event::Deliver(number, _) | Event::Wake(number, _) | Event::Synced(number, ..)) =
+            event;
+        if self.paused.contains(&number) {
+            self.schedule(PAUSE_MICROS, event);
+            return;
+        }
+        match event {
+            Event::Deliver(to, message) => self.step(to, Input::Message(Box::new(message))),
+            Event::Wake(number, life) if self.hosts[number].life == life => {
+                self.step(number, Input::Tick);
+            }
+            Event::Synced(number, life, batch) if self.hosts[number].life == life => {
+                self.synced(number, &batch);
+            }
+            Event::Wake(..) | Event::Synced(..) => {}
+        }
+    }
+
+    fn synced(&mut self, number: usize, batch: &Batch) {
+        let host = &mut self.hosts[number];
+        host.pending = None;
+        if host.disk_fails {
+            let reason = "no space left".to_owned();
+            self.step(number, Input::PersistFailed { reason });
+            return;
+        }
+        host.disk.apply(batch);
+        self.checker.synced(&host.disk, batch);
+        let sequence = batch.sequence;
+        self.step(number, Input::Persisted { sequence });
+    }
+
+    fn step(&mut self, number: usize, input: Input) {
+        let clock = self.clock(number);
+        let Some(node) = &mut self.hosts[number].node else {
+            return;
+        };
+        self.steps += 1;
+        for output in node.step(clock, input) {
+            self.carry_out(number, output);
+        }
+        self.check_leases(number);
+    }
+
+    fn carry_out(&mut self, number: usize, output: Output) {
+        let life = self.hosts[number].life;
+        match output {
+            Output::Send { to, message } => self.transmit(number, &to, &message),
+            Output::Persist(batch) => {
+                self.hosts[number].pending = Some(batch.clone());
+                let delay = self.random_below(self.faults.sync_micros);
+                self.schedule(delay, Event::Synced(number, life, batch));
+            }
+            Output::Wake { at } => {
+                let wait = at - self.clock(number);
+                let micros = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
+                let percent = self.hosts[number].clock_percent;
+                let micros = micros.saturating_mul(100) / percent + 1;
+                self.schedule(micros, Event::Wake(number, life));
+            }
+            Output::Apply {
+                index,
+                term,
+                payload,
+            } => {
+                let host = &mut self.hosts[number];
+                host.applies += 1;
+                host.applied = index;
+                host.hash = checker::chain(host.hash, &payload);
+                self.checker.applied(index, term, &payload, host.hash);
+            }
+            Output::Restore(snapshot) => {
+                let host = &mut self.hosts[number];
+                assert!(snapshot.index > host.applied, "a state went back");
+                host.restores += 1;
+                host.applied = snapshot.index;
+                host.hash = self.checker.restored(&snapshot);
+            }
+            Output::SnapshotWanted => {
+                let host = &self.hosts[number];
+                let data = checker::snapshot_data(host.hash);
+                let index = host.node.as_ref().expect("it runs").applied();
+                self.step(number, Input::Snapshot { index, data });
+            }
+            Output::Proposed { token, outcome } => {
+                if !self.changes.contains(&token) {
+                    self.checker.proposed(token, &outcome);
+                }
+                self.outcomes.insert(token, outcome);
+            }
+            Output::ReadConfirmed { token, .. } => {
+                let applied = self.hosts[number].node.as_ref().expect("it runs").applied();
+                self.checker.read_confirmed(token, applied);
+                self.reads.insert(token, Some(true));
+            }
+            Output::ReadRefused { token, .. } => {
+                self.reads.insert(token, Some(false));
+            }
+            Output::BecameLeader { term } => {
+                let status = self.status(number).expect("it runs");
+                self.checker.became_leader(term, &status);
+            }
+            Output::SteppedDown { .. } | Output::Halted { .. } => {}
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: &HostId, message: &Message) {
+        let Some(to) = self
+            .hosts
+            .iter()
+            .position(|host| host.member.id.host == *to)
+        else {
+            return;
+        };
+        let lost = self.random_below(100) < self.faults.loss_percent;
+        if lost || self.cut.contains(&(from, to)) {
+            return;
+        }
+        let twice = self.random_below(100) < self.faults.duplicate_percent;
+        for _ in 0..=u64::from(twice) {
+            let delay = self.random_below(self.faults.delay_micros);
+            self.schedule(delay, Event::Deliver(to, message.clone()));
+        }
+    }
+
+    /// At most one replica may rely on its lease at a time.
+    fn check_leases(&self, number: usize) {
+        let holds = |number: usize| {
+            let node = self.hosts[number].node.as_ref();
+            let until = node.and_then(Node::lease_until);
+            until.is_some_and(|until| until > self.clock(number))
+        };
+        if holds(number) {
+            let holders = (0..self.hosts.len()).filter(|other| holds(*other)).count();
+            assert_eq!(holders, 1, "two leases at once");
+        }
+    }
+
+    /// Learns which replicas were last committed, from all nodes that run. They only ever move on.
+    pub fn observe(&mut self) {
+        for number in 0..self.hosts.len() {
+            let Some(status) = self.status(number) else {
+                continue;
+            };
+            let settled = status.replicas_committed && !status.replicas.is_joint();
+            if settled && status.replicas_index >= self.replicas.0 {
+                self.replicas = (status.replicas_index, status.replicas);
+            }
+        }
+    }
+
+    /// The latest replicas that any node or disk names.
+    pub fn latest_replicas_index(&self) -> LogIndex {
+        let names = |entry: &&Entry| matches!(entry.content, Content::Replicas(_));
+        let on_disk = |host: &Host| {
+            host.disk
+                .entries
+                .iter()
+                .filter(names)
+                .map(|e| e.index)
+                .max()
+        };
+        let running = (0..self.hosts.len()).filter_map(|number| self.status(number));
+        let running = running.map(|status| status.replicas_index);
+        running
+            .chain(self.hosts.iter().filter_map(on_disk))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// The voters last known as committed, unless a change may be under way.
+    pub fn settled_voters(&mut self) -> Option<Vec<ReplicaId>> {
+        self.observe();
+        let (index, replicas) = &self.replicas;
+        let settled = *index >= self.latest_replicas_index() && !replicas.voters.is_empty();
+        settled.then(|| replicas.voters.iter().map(|v| v.id.clone()).collect())
+    }
+
+    /// The host of a replica, if that incarnation still exists.
+    pub fn host_of(&self, id: &ReplicaId) -> Option<usize> {
+        self.hosts.iter().position(|host| host.member.id == *id)
+    }
+
+    /// Whether a leader's voters all exist, and run, and have applied what it has.
+    pub fn is_whole(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let Some(status) = self.status(leader).filter(|s| s.replicas_committed) else {
+            return false;
+        };
+        let applied = |number: usize| self.hosts[number].node.as_ref().map(Node::applied);
+        let goal = applied(leader);
+        let reached = |voter: &Member| {
+            let host = self.host_of(&voter.id);
+            host.is_some_and(|number| applied(number) >= goal)
+        };
+        !status.replicas.is_joint() && status.replicas.voters.iter().all(reached)
+    }
+}
