--- /dev/null
+++ b/crates/kumquatdrum_disk/src/fake.rs
@@ -0,0 +1,167 @@
+//! A fake disk for tests: it forgets what was not synced, tears writes, fills up, or fails.
+
+use std::io;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use redb::StorageBackend;
+
+/// The unit in which a crash keeps or loses unsynced writes.
+const SECTOR: usize = 512;
+
+/// A disk in memory. Clones are the same disk, so that it outlives the store on it.
+#[derive(Debug, Clone, Default)]
+pub struct Disk {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    synced: Vec<u8>,
+    current: Vec<u8>,
+    syncs: u64,
+    /// Syncs that still work; none where all do.
+    working_syncs: Option<u64>,
+    capacity: Option<u64>,
+}
+
+impl Disk {
+    /// An empty disk.
+    ///
+    /// ```
+    /// use kumquatdrum_consensus::Incarnation;
+    /// use kumquatdrum_disk::{Folder, Store, fake::Disk};
+    ///
+    /// let disk = Disk::new();
+    /// let folder = Folder::open_backend(disk.clone(), &"ikeja-1".into(), Incarnation(7))?;
+    /// drop(folder);
+    /// disk.crash(|_| false);
+    /// let folder = Folder::open_backend(disk, &"ikeja-1".into(), Incarnation(8))?;
+    /// assert_eq!(folder.identity().incarnation, Incarnation(7));
+    /// # Ok::<(), kumquatdrum_disk::Error>(())
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Loses what was not synced, but for the sectors that `keep` says had reached the disk.
+    pub fn crash(&self, mut keep: impl FnMut(usize) -> bool) {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        let length = state.synced.len().max(state.current.len());
+        state.synced.resize(length, 0);
+        state.current.resize(length, 0);
+        let sectors = state
+            .synced
+            .chunks_mut(SECTOR)
+            .zip(state.current.chunks(SECTOR));
+        for (number, (synced, current)) in sectors.enumerate() {
+            if synced != current && keep(number) {
+                synced.copy_from_slice(current);
+            }
+        }
+        state.current.clone_from(&state.synced);
+        state.working_syncs = None;
+    }
+
+    /// A separate disk with the same contents.
+    #[must_use]
+    pub fn copy(&self) -> Self {
+        let state = self.state.lock();
+        let copy = State {
+            synced: state.synced.clone(),
+            current: state.current.clone(),
+            ..State::default()
+        };
+        Self {
+            state: Arc::new(Mutex::new(copy)),
+        }
+    }
+
+    /// All syncs after the next `count` fail.
+    pub fn fail_after_syncs(&self, count: u64) {
+        self.state.lock().working_syncs = Some(count);
+    }
+
+    /// Writes beyond this many bytes fail as on a full disk.
+    pub fn limit(&self, bytes: u64) {
+        self.state.lock().capacity = Some(bytes);
+    }
+
+    /// How often it was synced.
+    pub fn syncs(&self) -> u64 {
+        self.state.lock().syncs
+    }
+
+    /// The size in bytes.
+    pub fn size(&self) -> usize {
+        self.state.lock().current.len()
+    }
+
+    /// Damages one byte for good.
+    pub fn damage(&self, position: usize, mask: u8) {
+        let state = &mut *self.state.lock();
+        if let Some(byte) = state.current.get_mut(position) {
+            *byte ^= mask;
+        }
+        state.synced.clone_from(&state.current);
+    }
+}
+
+impl State {
+    fn check_capacity(&self, length: u64) -> io::Result<()> {
+        match self.capacity {
+            Some(capacity) if length > capacity => Err(io::ErrorKind::StorageFull.into()),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn span(offset: u64, length: usize) -> io::Result<std::ops::Range<usize>> {
+    let start = usize::try_from(offset).map_err(io::Error::other)?;
+    Ok(start..start + length)
+}
+
+impl StorageBackend for Disk {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.state.lock().current.len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        let state = self.state.lock();
+        let bytes = state.current.get(span(offset, out.len())?);
+        let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)?;
+        out.copy_from_slice(bytes);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let mut state = self.state.lock();
+        state.check_capacity(len)?;
+        let length = usize::try_from(len).map_err(io::Error::other)?;
+        state.current.resize(length, 0);
+        Ok(())
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        let state = &mut *self.state.lock();
+        match &mut state.working_syncs {
+            Some(0) => return Err(io::Error::other("the disk failed")),
+            Some(count) => *count -= 1,
+            None => {}
+        }
+        state.syncs += 1;
+        state.synced.clone_from(&state.current);
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let mut state = self.state.lock();
+        let span = span(offset, data.len())?;
+        state.check_capacity(span.end as u64)?;
+        let length = state.current.len().max(span.end);
+        state.current.resize(length, 0);
+        state.current[span].copy_from_slice(data);
+        Ok(())
+    }
+}
