--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -131,25 +131,23 @@
         }
     }
 
+    /// A learner that has caught up takes its predecessor's place; otherwise a newcomer becomes a
+    /// learner. One that never catches up holds up no other.
     fn advance_repair(&mut self) {
         let replicas = self.log.replicas();
         let succeeds = |learner: &&Member| replicas.voter_of(&learner.id.host).is_some();
-        let learner = replicas.learners.iter().find(succeeds);
+        let mut learners = replicas.learners.iter().filter(succeeds);
+        let ready = learners.find(|learner| self.has_caught_up(&learner.id));
         let Role::Leader(leader) = &self.role else {
             return;
         };
-        let newer = learner.and_then(|l| leader.newcomers.get(&l.id.host));
-        let newcomer = match learner {
-            Some(_) => newer,
-            None => leader.newcomers.values().next(),
-        };
-        if let Some(newcomer) = newcomer.cloned() {
+        if let Some(learner) = ready {
+            let next = replicas.joint(succeeded(replicas, learner));
+            self.append_replicas(next);
+        } else if let Some(newcomer) = leader.newcomers.values().next().cloned() {
             let next = replicas.with_learner(newcomer.clone());
             self.forget_newcomer(&newcomer);
             self.append_replicas(next);
-        } else if let Some(learner) = learner.filter(|l| self.has_caught_up(&l.id)) {
-            let next = replicas.joint(succeeded(replicas, learner));
-            self.append_replicas(next);
         }
     }
 
--- a/crates/kumquatdrum_consensus/src/replication.rs
+++ b/crates/kumquatdrum_consensus/src/replication.rs
@@ -159,6 +159,12 @@
         let Some(transfer) = progress.and_then(|progress| progress.transfer.as_mut()) else {
             return;
         };
+        if transfer.offset == 0
+            && let Some(latest) = self.log.snapshot()
+            && latest.index > transfer.snapshot.index
+        {
+            transfer.snapshot = latest.clone();
+        }
         transfer.sent_at = now;
         let total = transfer.snapshot.data.len();
         let start = usize::try_from(transfer.offset).map_or(total, |offset| offset.min(total));
--- a/crates/kumquatdrum_consensus/tests/common/checker.rs
+++ b/crates/kumquatdrum_consensus/tests/common/checker.rs
@@ -49,7 +49,7 @@
         let applied = self.applied.keys().next_back().copied();
         let reached = applied.unwrap_or_default();
         assert!(
-            status.last >= reached,
+            status.last > reached,
             "leader of term {term} lacks committed entries"
         );
     }
--- a/crates/kumquatdrum_disk/tests/common/mod.rs
+++ b/crates/kumquatdrum_disk/tests/common/mod.rs
@@ -54,6 +54,8 @@
 
 pub fn apply_all(batches: &[Batch]) -> Stored {
     let mut stored = Stored::default();
-    batches.iter().for_each(|batch| stored.apply(batch));
+    for batch in batches {
+        stored.apply(batch);
+    }
     stored
 }
