Let a leader resign before a planned stop

The leader gives up its lease and asks the voter that is furthest to stand at once. The others release their promise for the very next term only, in which whoever has a lease has the votes of a majority already.

Messages pass through their encoding in the tests' network, so that what is tested is what is sent.

--- a/crates/kumquatdrum_consensus/benches/schedules.rs
+++ b/crates/kumquatdrum_consensus/benches/schedules.rs
@@ -12,8 +12,24 @@
 use common::schedule::{self, Report};
 
 const DEFAULT_COUNT: u64 = 2_000;
+const IDLE_SECONDS: u64 = 60;
 const THREADS: usize = 4;
 
+/// Messages and bytes that a replica sends a second when nothing happens, at five heartbeats a
+/// second.
+fn idle(hosts: usize) {
+    let mut cluster = common::Cluster::formed(1, hosts, hosts);
+    cluster.run_for(5_000);
+    let (messages, bytes) = (cluster.messages_sent, cluster.bytes_sent);
+    cluster.run_for(IDLE_SECONDS * 1_000);
+    let each = |total: u64| total as f64 / (IDLE_SECONDS * hosts as u64) as f64;
+    println!(
+        "idle replicas={hosts} messages_per_second_each={:.1} bytes_per_second_each={:.0}",
+        each(cluster.messages_sent - messages),
+        each(cluster.bytes_sent - bytes),
+    );
+}
+
 fn main() {
     let numbers: Vec<u64> = std::env::args()
         .filter_map(|arg| arg.parse().ok())
@@ -41,6 +57,8 @@
             });
         }
     });
+    idle(3);
+    idle(7);
     let (report, mut violations) = total.into_inner().unwrap_or_else(PoisonError::into_inner);
     violations.sort_unstable();
     println!(
--- a/crates/kumquatdrum_consensus/src/election.rs
+++ b/crates/kumquatdrum_consensus/src/election.rs
@@ -25,7 +25,7 @@
         let decided = self.is_elected(&votes);
         self.role = Role::PreCandidate(votes);
         if decided {
-            self.campaign();
+            self.campaign(false);
             return;
         }
         let vote = self.vote(self.hard_state.term.next());
@@ -39,6 +39,7 @@
             term,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
+            succeeds: false,
         }
     }
 
@@ -55,14 +56,27 @@
             .is_majority(|id| votes.granted.contains(id))
     }
 
+    /// The leader has given up its lease in favour of this replica, which stands at once.
+    pub(crate) fn on_succeed(&mut self, term: Term) {
+        let current = term == self.hard_state.term && matches!(self.role, Role::Follower);
+        if current && self.log.replicas().is_voter(&self.id) {
+            self.reset_election_timer();
+            self.leader = None;
+            self.campaign(true);
+        }
+    }
+
     /// Stands for election; the own vote and the questions wait for the disk.
-    fn campaign(&mut self) {
+    fn campaign(&mut self, succeeds: bool) {
         self.hard_state.term = self.hard_state.term.next();
         self.hard_state.vote = Some(self.id.clone());
         self.durability.hard_state_changed();
         self.role = Role::Candidate(Votes::default());
         self.durability.hold(Held::OwnVote(self.hard_state.term));
-        let vote = self.vote(self.hard_state.term);
+        let vote = Vote {
+            succeeds,
+            ..self.vote(self.hard_state.term)
+        };
         for voter in self.other_voters() {
             self.send_synced(&voter, Body::RequestVote(vote.clone()));
         }
@@ -131,12 +145,13 @@
         votes.granted.insert(from);
         let granted = &votes.granted;
         if self.log.replicas().is_majority(|id| granted.contains(id)) {
-            self.campaign();
+            self.campaign(false);
         }
     }
 
     pub(crate) fn on_request_vote(&mut self, from: &ReplicaId, vote: &Vote) {
-        if self.now < self.promised_until() {
+        let released = vote.succeeds && vote.term == self.hard_state.term.next();
+        if self.now < self.promised_until() && !released {
             return;
         }
         if vote.term > self.hard_state.term {
--- a/crates/kumquatdrum_consensus/src/leader.rs
+++ b/crates/kumquatdrum_consensus/src/leader.rs
@@ -10,7 +10,8 @@
 use crate::progress::Progress;
 use crate::read::Read;
 use crate::{
-    Content, Entry, LogIndex, Member, Output, Proposal, ProposalOutcome, ReplicaId, Term, Token,
+    Body, Content, Entry, LogIndex, Member, Output, Proposal, ProposalOutcome, ReplicaId, Term,
+    Token,
 };
 
 /// State that only a leader needs.
@@ -182,6 +183,28 @@
         }
     }
 
+    /// Gives up the lease in favour of the voter that is furthest. Its vote is safe for the others
+    /// to release their promise for: it is for the very next term only, in which whoever has a
+    /// lease has the votes of a majority already.
+    pub(crate) fn on_resign(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let replicas = self.log.replicas();
+        let has_all = |id: &ReplicaId| {
+            let matched = leader.peers.get(id).map(|progress| progress.matched);
+            matched.filter(|matched| *matched >= self.commit)
+        };
+        let voters = replicas.voters.iter().map(|voter| &voter.id);
+        let able = voters.filter_map(|id| has_all(id).map(|matched| (matched, id)));
+        let Some(heir) = able.max().map(|(_, id)| id.clone()) else {
+            return;
+        };
+        let term = self.hard_state.term;
+        self.become_follower(term, None);
+        self.send(&heir, Body::Succeed { term });
+    }
+
     pub(crate) fn on_propose(&mut self, proposals: Vec<Proposal>) {
         if !self.is_leader() {
             self.refuse_proposals(proposals);
--- a/crates/kumquatdrum_consensus/src/message.rs
+++ b/crates/kumquatdrum_consensus/src/message.rs
@@ -35,6 +35,11 @@
     },
     /// Vote for me.
     RequestVote(Vote),
+    /// The leader of this term has stopped leading in favour of the one it says this to.
+    Succeed {
+        /// The term that ends.
+        term: Term,
+    },
     /// Answer to `RequestVote`, synced.
     VoteAnswer {
         /// The answering replica's term.
@@ -89,6 +94,8 @@
     pub last_index: LogIndex,
     /// The term of that entry.
     pub last_term: Term,
+    /// The leader of the term before has given up its lease in favour of the candidate.
+    pub succeeds: bool,
 }
 
 /// Lets a leader tell which of its messages is answered. Echoed as it is.
--- a/crates/kumquatdrum_consensus/src/node.rs
+++ b/crates/kumquatdrum_consensus/src/node.rs
@@ -140,6 +140,7 @@
             Input::PersistFailed { reason } => self.on_persist_failed(reason),
             Input::ConfirmRead { token } => self.on_confirm_read(token),
             Input::Snapshot { index, data } => self.on_snapshot(index, data),
+            Input::Resign => self.on_resign(),
             Input::ChangeReplicas { token, voters } => self.on_change_replicas(token, voters),
         }
     }
@@ -209,6 +210,7 @@
                 self.on_pre_vote_answer(from, term, asked, granted);
             }
             Body::RequestVote(vote) => self.on_request_vote(&from, &vote),
+            Body::Succeed { term } => self.on_succeed(term),
             Body::VoteAnswer { term, granted } => self.on_vote_answer(from, term, granted),
             Body::Append(append) => self.on_append(&from, append),
             Body::AppendAck(ack) => self.on_append_ack(&from, &ack),
--- a/crates/kumquatdrum_consensus/tests/commit.rs
+++ b/crates/kumquatdrum_consensus/tests/commit.rs
@@ -218,6 +218,7 @@
         term: Term(4),
         last_index: LogIndex(9),
         last_term: Term(3),
+        succeeds: false,
     };
     bench.say(1, Body::RequestVote(vote));
     let answered = |bench: &Bench| {
--- a/crates/kumquatdrum_consensus/tests/common/mod.rs
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -83,6 +83,8 @@
     pub rules: Rules,
     pub snapshot_entries: u64,
     pub steps: u64,
+    pub messages_sent: u64,
+    pub bytes_sent: u64,
     /// The replicas last known as committed, and the entry that names them.
     pub replicas: (LogIndex, Replicas),
     queue: BTreeMap<(Moment, u64), Event>,
@@ -107,6 +109,8 @@
             rules,
             snapshot_entries: 40,
             steps: 0,
+            messages_sent: 0,
+            bytes_sent: 0,
             replicas: (LogIndex(0), Replicas::default()),
             queue: BTreeMap::new(),
             serial: 0,
@@ -276,6 +280,10 @@
         token
     }
 
+    pub fn resign(&mut self, number: usize) {
+        self.step(number, Input::Resign);
+    }
+
     /// Commits a value, trying again where leadership moves.
     pub fn commit(&mut self) -> bool {
         for _ in 0..50 {
@@ -434,6 +442,10 @@
         if lost || self.cut.contains(&(from, to)) {
             return;
         }
+        let bytes = postcard::to_stdvec(message).expect("it can be encoded");
+        self.bytes_sent += bytes.len() as u64;
+        self.messages_sent += 1;
+        let message: Message = postcard::from_bytes(&bytes).expect("it can be decoded");
         let twice = self.random_below(100) < self.faults.duplicate_percent;
         for _ in 0..=u64::from(twice) {
             let delay = self.random_below(self.faults.delay_micros);
--- a/crates/kumquatdrum_consensus/tests/common/schedule.rs
+++ b/crates/kumquatdrum_consensus/tests/common/schedule.rs
@@ -112,7 +112,8 @@
             cluster.paused.insert(leader);
         }
         80..83 => resume(cluster),
-        83..86 => cluster.cut.clear(),
+        83 => cluster.resign(leader),
+        84..86 => cluster.cut.clear(),
         86..89 => cluster.faults = CALM,
         89..92 => cluster.faults = bad_weather(cluster),
         92..96 if may_wipe(cluster, any) => {
--- a/crates/kumquatdrum_consensus/tests/isolation.rs
+++ b/crates/kumquatdrum_consensus/tests/isolation.rs
@@ -97,3 +97,19 @@
         assert_ne!(cluster.leader(), Some(leader));
     }
 }
+
+/// A planned stop hands over: another leads long before an election timeout is over, and knows all.
+#[test]
+fn a_leader_that_resigns_is_followed_at_once() {
+    for seed in 0..SEEDS {
+        let mut cluster = Cluster::formed(seed, 3, 3);
+        assert!(cluster.commit());
+        cluster.run_for(500);
+        let old = cluster.leader().unwrap();
+        cluster.resign(old);
+        assert!(!lease(&cluster, old));
+        let led = |c: &Cluster| c.leader().is_some_and(|new| new != old);
+        assert!(cluster.run_until(100, led), "seed {seed}");
+        assert!(cluster.commit());
+    }
+}
