--- a/crates/kumquatdrum_disk/src/lib.rs
+++ b/crates/kumquatdrum_disk/src/lib.rs
@@ -1,33 +1,19 @@
 //! The data folder: log, vote and snapshot of a control replica.
-use kumquatdrum_consensus::*;
-/// t
-pub trait Store: Send {
-    /// p
-    fn persist(&mut self, batch: &Batch) -> Result<(), std::io::Error>;
-    /// l
-    fn load(&mut self) -> Result<Stored, std::io::Error>;
-}
-/// f
-pub struct Folder(Incarnation, Stored);
-impl Folder {
-    /// o
-    pub fn open(_: &std::path::Path) -> Result<Self, std::io::Error> {
-        Ok(Self(
-            Incarnation(std::time::UNIX_EPOCH.elapsed().unwrap().as_nanos() as u64),
-            Stored::default(),
-        ))
-    }
-    /// i
-    pub fn incarnation(&self) -> Incarnation {
-        self.0
-    }
-}
-impl Store for Folder {
-    fn persist(&mut self, batch: &Batch) -> Result<(), std::io::Error> {
-        self.1.apply(batch);
-        Ok(())
-    }
-    fn load(&mut self) -> Result<Stored, std::io::Error> {
-        Ok(self.1.clone())
-    }
-}
+//!
+//! A [`Folder`] keeps everything in one file, of which one process at a time may be the owner.
+//! What [`Store::write`] was given is synced when it returns; several batches share one
+//! transaction and one sync. Opening checks the whole file, and tells where it is damaged. After
+//! a failed write the store takes no more, as nobody can tell what the disk holds then.
+
+mod error;
+pub mod fake;
+mod folder;
+mod identity;
+mod memory;
+mod store;
+
+pub use error::Error;
+pub use folder::{FILE_NAME, Folder};
+pub use identity::Identity;
+pub use memory::Memory;
+pub use store::Store;
