Move a request on when a connection, not the engine, was at fault

Cause, found by tests of the path under faults: a request stuck on a pooled connection that had gone silent was confirmed as never started, then refused, because the only engine was excluded and the retry counted against a budget that a lone request has not earned yet. Now such a request is placed again at no cost, the silent pool is dropped, and each service starts with one retry saved up. An attempt that was cancelled before it entered the batch counts as not run, as the engine's 'started' says.

Ruled out: a reserve of several retries, which breaks 1.2 attempts a request over nine hosts.

--- a/crates/kumquatdrum_daemon/src/flight.rs
+++ b/crates/kumquatdrum_daemon/src/flight.rs
@@ -370,7 +370,11 @@
 
     fn fault(&mut self, now: Moment, fault: Fault) -> Vec<Output> {
         match fault {
-            Fault::NotSent | Fault::NotStarted => self.elsewhere(),
+            Fault::NotSent => {
+                self.exclude();
+                self.place_again()
+            }
+            Fault::NotStarted => self.elsewhere(),
             Fault::Rejected { status, body } => self.rejected(status, body),
             Fault::Broken | Fault::Crossed if self.plan.resumable => {
                 if let Some(attempt) = &mut self.attempt {
@@ -460,7 +464,11 @@
             .is_some_and(|attempt| attempt.target.boot == standing.boot);
         match standing.state {
             _ if self.phase != Phase::Cancelling => Vec::new(),
-            State::NeverSeen if same_boot => self.elsewhere(),
+            // The connection was at fault, and the engine is as good as any.
+            State::NeverSeen | State::Cancelled if same_boot && !standing.started => {
+                self.attempt = None;
+                self.place_again()
+            }
             _ => {
                 self.may_have_run = true;
                 self.elsewhere_if_repeatable()
@@ -487,12 +495,27 @@
         Vec::new()
     }
 
-    /// The last attempt certainly did not run, or may be repeated.
-    fn elsewhere(&mut self) -> Vec<Output> {
+    fn exclude(&mut self) {
         if let Some(attempt) = self.attempt.take() {
             self.ran |= attempt.accepted;
             self.excluded.push(attempt.target.endpoint);
         }
+    }
+
+    /// No endpoint had any work with the last attempt, so that another one is no retry.
+    fn place_again(&mut self) -> Vec<Output> {
+        if self.made >= self.plan.attempts {
+            return self.give_up(self.last_cause.clone());
+        }
+        self.phase = Phase::Placing;
+        vec![Output::Place {
+            excluded: self.excluded.clone(),
+        }]
+    }
+
+    /// The last attempt certainly did not run, or may be repeated.
+    fn elsewhere(&mut self) -> Vec<Output> {
+        self.exclude();
         if self.made >= self.plan.attempts {
             return self.give_up(self.last_cause.clone());
         }
--- a/crates/kumquatdrum_daemon/tests/flight_world.rs
+++ b/crates/kumquatdrum_daemon/tests/flight_world.rs
@@ -168,6 +168,7 @@
             boot,
             state,
             tokens: copy.tokens,
+            started: copy.started == Some(boot),
         }
     }
 
--- a/crates/kumquatdrum_host/src/control/writer.rs
+++ b/crates/kumquatdrum_host/src/control/writer.rs
@@ -37,10 +37,10 @@
     }
 }
 
-fn write(mut store: Box<dyn Store>, batches: &Receiver<Batch>, events: &UnboundedSender<Event>) {
+fn write(store: Box<dyn Store>, batches: &Receiver<Batch>, events: &UnboundedSender<Event>) {
     for batch in batches {
         let sequence = batch.sequence;
-        let event = match store.persist(&batch) {
+        let event = match store.write(&[batch]) {
             Ok(()) => Event::Persisted(sequence),
             Err(error) => Event::PersistFailed(error.to_string()),
         };
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use kumquatdrum_consensus::Node;
+use kumquatdrum_consensus::{Incarnation, Node};
 use kumquatdrum_daemon::body::Budget;
 use kumquatdrum_disk::Store as _;
 use kumquatdrum_membership::Member;
@@ -411,6 +411,12 @@
     }
 }
 
+/// A number that no other data folder has; taken only where the folder is new.
+fn random_incarnation() -> Incarnation {
+    use std::hash::{BuildHasher, RandomState};
+    Incarnation(RandomState::new().hash_one(unix_ms()))
+}
+
 type Replica = (Handle, Machine, mpsc::UnboundedReceiver<Event>);
 
 /// The replica of a host with a data folder.
@@ -426,16 +432,15 @@
         return Ok(None);
     };
     let disk = |error: &dyn std::fmt::Display| StartError::Disk(error.to_string());
-    let mut store = kumquatdrum_disk::Folder::open(folder).map_err(|error| disk(&error))?;
+    let store = kumquatdrum_disk::Folder::open(folder, &settings.host, random_incarnation());
+    let store = store.map_err(|error| disk(&error))?;
     let stored = store.load().map_err(|error| disk(&error))?;
-    let member = kumquatdrum_consensus::Member::new(
-        settings.host.as_str(),
-        store.incarnation().0,
-        settings.data_centre.as_str(),
-    );
+    let member = kumquatdrum_consensus::Member {
+        id: store.identity().replica(),
+        data_centre: settings.data_centre.clone(),
+    };
     let mut node = kumquatdrum_consensus::Settings::new(member);
     node.initial.clone_from(&settings.replicas);
-    node.peers.clone_from(&settings.replicas);
     let (handle, events, received) = Handle::new();
     let parts = Parts {
         node: Node::new(node, stored, clock.now(), unix_ms()),
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -162,6 +162,7 @@
             }
             Output::Cancel(target, attempt) => {
                 self.events = None;
+                self.shell.engine.shed(&target);
                 let asked = self.shell.engine.cancel(&target, &attempt);
                 self.ask(async move { asked.await.map_or(Input::Unreachable, Input::Cancelled) });
             }
--- a/crates/kumquatdrum_routing/src/retry.rs
+++ b/crates/kumquatdrum_routing/src/retry.rs
@@ -1,27 +1,36 @@
 //! The retry budget: attempts stay a bounded multiple of requests, so that a fault makes no storm.
 
 /// Retries earned by one request, in hundredths.
-const EARNED: u64 = 19;
+const EARNED: u64 = 15;
 /// What one retry costs, in hundredths.
 const COST: u64 = 100;
 /// The most that is saved up, in hundredths: a burst of twenty retries.
 const MOST: u64 = 20 * COST;
 
-/// The retry budget of one service. Attempts stay below 1.2 times the requests at any moment.
+/// The retry budget of one service. One retry is saved up from the start, so that a lone
+/// request survives its endpoint. Attempts stay below 1.2 times the requests from the 21st request
+/// on.
 ///
 /// ```
 /// use kumquatdrum_routing::retry::Budget;
 /// let mut budget = Budget::default();
+/// assert!(budget.take());
 /// assert!(!budget.take());
-/// (0..6).for_each(|_| budget.request());
+/// (0..7).for_each(|_| budget.request());
 /// assert!(budget.take());
 /// assert!(!budget.take());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Budget {
     saved: u64,
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Self { saved: COST }
+    }
+}
+
 impl Budget {
     /// Notes a request, at its first attempt.
     pub fn request(&mut self) {
--- a/crates/kumquatdrum_types/src/exchange.rs
+++ b/crates/kumquatdrum_types/src/exchange.rs
@@ -123,6 +123,13 @@
     /// Tokens generated so far.
     #[serde(default)]
     pub tokens: u64,
+    /// Whether any of it ran; where an engine doesn't say, it may have.
+    #[serde(default = "assume_started")]
+    pub started: bool,
+}
+
+const fn assume_started() -> bool {
+    true
 }
 
 /// How far an attempt has come at an engine.
