Measure the cost of a decision; test the fall back to the floor and running requests of cut-off hosts

A trial that broke the code on purpose showed that neither an endless lease nor forgotten running requests failed any test; these two do now.

--- a/crates/kumquatdrum_routing/benches/decision.rs
+++ b/crates/kumquatdrum_routing/benches/decision.rs
@@ -1,3 +1,135 @@
-//! The cost of one decision at several fleet sizes.
+//! The cost of one decision at several fleet sizes: a submit that ends in a dispatch, with its
+//! progress, on a fleet with reports and cached prefixes.
+//!
+//! `cargo bench -p kumquatdrum_routing --bench decision`
 
-fn main() {}
+use std::time::{Duration, Instant};
+
+use kumquatdrum_routing::{
+    Ask, BlockHash, CacheChange, CacheEvent, Output, Priority, Progress, Router, Settings, Usage,
+    Work,
+};
+use kumquatdrum_types::endpoint::{Engine, Kind};
+use kumquatdrum_types::{Announcement, BootId, EndpointId, Load, Moment};
+
+const SIZES: [usize; 3] = [25, 300, 7_600];
+const DECISIONS: u64 = 20_000;
+const RUNS: u64 = 5;
+const OWNERS: usize = 9;
+/// Requests in flight at any time.
+const OPEN: usize = 64;
+/// Every so many requests is a long one; the others are short.
+const LONG_EVERY: u64 = 50;
+
+fn endpoint(index: usize) -> EndpointId {
+    format!("engine-{index}").as_str().into()
+}
+
+fn announcement(index: usize, sequence: u64) -> Announcement {
+    Announcement {
+        endpoint: endpoint(index),
+        boot: BootId(1),
+        sequence,
+        service: "formula-llm".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "hall".into(),
+        kind: Kind::Engine(Engine {
+            model: "formula".into(),
+            memory_tokens: 400_000,
+            batch_limit: 64,
+            prefill_tokens_per_second: 20_000,
+            load: Some(Load {
+                sequence,
+                prefill_tokens: (index as u64 * 7_919) % 4_000,
+                ..Load::default()
+            }),
+        }),
+        leaving: false,
+    }
+}
+
+fn router(size: usize) -> Router {
+    let owners = (0..OWNERS).map(|owner| format!("host-{owner}"));
+    let mut router = Router::new(Settings::new("host-0", owners), 1);
+    for index in 0..size {
+        let _ = router.announce(Moment::ZERO, &announcement(index, 1));
+        let stored: Vec<BlockHash> = (0..64)
+            .map(|block| BlockHash(block | (index as u64 % 40) << 32))
+            .collect();
+        let event = CacheEvent {
+            boot: BootId(1),
+            sequence: 1,
+            change: CacheChange::Stored(stored),
+        };
+        let _ = router.cache(Moment::ZERO, &endpoint(index), &event);
+    }
+    router
+}
+
+fn ask(number: u64, now: Moment) -> Ask {
+    let is_long = number.is_multiple_of(LONG_EVERY);
+    let blocks = if is_long { 800 } else { 8 };
+    Ask {
+        request: number.to_string().as_str().into(),
+        workspace: (number % 10).to_string().as_str().into(),
+        weight: 1,
+        priority: Priority::default(),
+        prompt_tokens: blocks * 256,
+        expected_output_tokens: 100,
+        prefix: (0..blocks)
+            .map(|block| BlockHash(block | (number % 60) << 32))
+            .collect(),
+        deadline: now + Duration::from_secs(600),
+        excluded: Vec::new(),
+        work: Work::Model,
+    }
+}
+
+/// Microseconds of one decision: submitting, and what its progress makes the router do.
+fn measure(size: usize) -> (f64, f64) {
+    let mut router = router(size);
+    let mut open = std::collections::VecDeque::new();
+    let (mut submits, mut progresses) = (Duration::ZERO, Duration::ZERO);
+    for number in 0..DECISIONS {
+        let now = Moment::from_millis(1_000 + number);
+        // The fleet's reports come in all the while; they are not counted here.
+        let _ = router.announce(now, &announcement(number as usize % size, 2 + number));
+        let ask = ask(number, now);
+        let start = Instant::now();
+        let outputs = router.submit(now, ask);
+        std::hint::black_box(router.next_wake());
+        submits += start.elapsed();
+        open.extend(outputs.into_iter().filter_map(|output| match output {
+            Output::Dispatch(dispatch) => Some(dispatch.attempt),
+            _ => None,
+        }));
+        let start = Instant::now();
+        while open.len() > OPEN {
+            let Some(attempt) = open.pop_front() else {
+                break;
+            };
+            let _ = router.progress(now, attempt, Progress::FirstToken);
+            let _ = router.progress(now, attempt, Progress::Finished(Usage::default()));
+        }
+        progresses += start.elapsed();
+    }
+    let each = |taken: Duration| taken.as_secs_f64() * 1e6 / DECISIONS as f64;
+    (each(submits), each(progresses))
+}
+
+fn main() {
+    println!("| endpoints | submit, us: median of {RUNS} (lowest-highest) | progress, us |");
+    println!("| --- | --- | --- |");
+    for size in SIZES {
+        let mut runs: Vec<(f64, f64)> = (0..RUNS).map(|_| measure(size)).collect();
+        runs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let middle = runs[runs.len() / 2];
+        println!(
+            "| {size} | {:.1} ({:.1}-{:.1}) | {:.1} |",
+            middle.0,
+            runs[0].0,
+            runs[runs.len() - 1].0,
+            middle.1
+        );
+    }
+}
--- a/crates/kumquatdrum_routing/src/fleet.rs
+++ b/crates/kumquatdrum_routing/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The endpoints of one service, as one daemon knows them.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_types::endpoint::Kind;
 use kumquatdrum_types::{Announcement, EndpointId, Moment};
 
@@ -26,6 +26,7 @@
     by_name: IndexMap<EndpointId, SlotIndex>,
     alive: Vec<SlotIndex>,
     suspect: Vec<SlotIndex>,
+    doubtful: IndexSet<EndpointId>,
     largest_memory: u64,
     has_rate: bool,
 }
@@ -40,6 +41,7 @@
             by_name: IndexMap::new(),
             alive: Vec::new(),
             suspect: Vec::new(),
+            doubtful: IndexSet::new(),
             largest_memory: 0,
             has_rate: false,
         }
@@ -176,6 +178,7 @@
         let Some(index) = self.by_name.swap_remove(endpoint) else {
             return;
         };
+        self.doubtful.swap_remove(endpoint);
         if let Some(mut slot) = self.slots[index.0 as usize].take() {
             self.prefixes.clear(index, &mut slot.cache);
         }
@@ -218,14 +221,17 @@
         let Some(slot) = slot.filter(|slot| slot.boot == event.boot) else {
             return false;
         };
-        self.prefixes.apply(index, &mut slot.cache, event, limit)
+        let is_newly_doubtful = self.prefixes.apply(index, &mut slot.cache, event, limit);
+        if slot.cache.is_doubtful() {
+            self.doubtful.insert(endpoint.clone());
+        } else {
+            self.doubtful.swap_remove(endpoint);
+        }
+        is_newly_doubtful
     }
 
     /// Doubtful endpoints, whose whole list is still wanted.
-    pub(crate) fn doubtful(&self) -> impl Iterator<Item = &EndpointId> {
-        let slots = self.slots.iter().flatten();
-        slots
-            .filter(|slot| slot.cache.is_doubtful() && slot.health != Health::Leaving)
-            .map(|slot| &slot.endpoint)
+    pub(crate) const fn doubtful(&self) -> &IndexSet<EndpointId> {
+        &self.doubtful
     }
 }
--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -282,7 +282,7 @@
         let mut outputs = self.step(now);
         if now >= self.next_resync {
             self.next_resync = now + RESYNC;
-            outputs.extend(self.fleet.doubtful().cloned().map(Output::Resync));
+            outputs.extend(self.fleet.doubtful().iter().cloned().map(Output::Resync));
         }
         outputs
     }
@@ -293,10 +293,10 @@
             .latest_starts
             .first()
             .map_or(Moment::NEVER, |(at, _)| *at);
-        let resync = if self.fleet.doubtful().next().is_some() {
-            self.next_resync
-        } else {
+        let resync = if self.fleet.doubtful().is_empty() {
             Moment::NEVER
+        } else {
+            self.next_resync
         };
         deadline.min(self.next_retry).min(resync)
     }
--- a/crates/kumquatdrum_routing/tests/limits.rs
+++ b/crates/kumquatdrum_routing/tests/limits.rs
@@ -320,7 +320,8 @@
         .map(|index| if index < 3 { 400.0 } else { 0.0 })
         .collect();
     world.run(20);
-    world.side = [0, 0, 0, 0, 0, 0, 1, 1, 1].to_vec();
+    // These three are cut off; what they admitted still runs when the others get the pool.
+    world.side = [1, 1, 1, 0, 0, 0, 0, 0, 0].to_vec();
     world.offered = vec![400.0; HOSTS];
     world.run(20);
     assert!(
@@ -348,3 +349,19 @@
     let (_, demand) = holder.demands(now, &[host(0)]).remove(0);
     assert!(demand.echo.is_some());
 }
+
+#[test]
+fn a_host_that_hears_nothing_falls_back_to_its_floor() {
+    let mut offered = [0.0; HOSTS];
+    offered[4] = 2_000.0;
+    let mut world = World::new(&offered);
+    world.run(15);
+    // The answers stop, though the host thinks the others alive.
+    world.delay = Duration::from_secs(3_600);
+    world.run(3);
+    let since = world.now;
+    world.run(10);
+    let floor = limit().floor(HOSTS).requests;
+    let rate = world.rate_since(since);
+    assert!((rate - floor).abs() < floor * 0.1, "{rate} against {floor}");
+}
