Place calls of plain services by the fewest open ones, without a depth of their own

A plain call counted no work, so its place was chance; counted as work, a depth in seconds would have held calls back that a service can take at once.

--- a/crates/kumquatdrum_routing/src/job.rs
+++ b/crates/kumquatdrum_routing/src/job.rs
@@ -4,6 +4,9 @@
 
 use crate::{Ask, Settings, Work};
 
+/// What one call of a plain service counts, in tokens.
+const PLAIN_WORK: u64 = 1_000;
+
 /// The size class of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Size {
@@ -63,11 +66,12 @@
         self.ask.prompt_tokens + self.ask.expected_output_tokens
     }
 
-    /// Tokens that stand for the request's prefill work; a plain call has none.
+    /// Tokens that stand for the work until the first token of the answer. All plain calls of a
+    /// service are taken as equal; how long they take is learnt like an engine's rate.
     pub fn prefill_tokens(&self) -> u64 {
         match self.ask.work {
             Work::Model => self.ask.prompt_tokens,
-            Work::Plain => 0,
+            Work::Plain => PLAIN_WORK,
         }
     }
 }
--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -263,7 +263,9 @@
         if let Some(first) = attempt.first_token {
             self.fleet.rates.learn_output(now - first, output);
         }
-        let is_fault = !matches!(failure, None | Some(Failure::Cancelled));
+        // Of several engines, it is not known which one failed.
+        let is_single = attempt.places.len() == 1;
+        let is_fault = is_single && !matches!(failure, None | Some(Failure::Cancelled));
         for (endpoint, boot, _) in &attempt.places {
             let Some(index) = life(&self.fleet, endpoint, *boot) else {
                 continue;
--- a/crates/kumquatdrum_routing/tests/endpoints.rs
+++ b/crates/kumquatdrum_routing/tests/endpoints.rs
@@ -229,3 +229,24 @@
     assert!((held(&router) - 4.0).abs() < 1e-9);
     assert_eq!(router.next_wake(), Moment::NEVER);
 }
+
+#[test]
+fn plain_calls_go_where_the_fewest_are_open() {
+    let mut router =
+        kumquatdrum_routing::Router::new(kumquatdrum_routing::Settings::new("a", ["a"]), 1);
+    for index in 0..3 {
+        let mut plain = announcement(index, 1, 1, None);
+        plain.kind = kumquatdrum_types::endpoint::Kind::Plain;
+        let _ = router.announce(Moment::ZERO, &plain);
+    }
+    let mut chosen: BTreeMap<_, usize> = BTreeMap::new();
+    for number in 0..99 {
+        let mut request = ask(format!("r{number}"), 0, DEADLINE);
+        request.work = kumquatdrum_routing::Work::Plain;
+        let sent = router.submit(seconds(1.0), request);
+        for dispatch in dispatches(&sent) {
+            *chosen.entry(dispatch.endpoints.clone()).or_default() += 1;
+        }
+    }
+    assert!(chosen.values().all(|&count| count == 33), "{chosen:?}");
+}
