--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -244,6 +244,10 @@
                 continue;
             };
             self.fleet.slot_mut(index).first_token(number);
+            // A prompt may have passed much of what stood before it: that tells no rate.
+            if *ahead > attempt.tokens as f64 {
+                continue;
+            }
             let sample = (attempt.tokens as f64 + ahead) / taken;
             let usual = self.fleet.rates.prefill(attempt.size);
             let slot = self.fleet.slot_mut(index);
@@ -259,7 +263,9 @@
         if let Some(first) = attempt.first_token {
             self.fleet.rates.learn_output(now - first, output);
         }
-        let is_fault = !matches!(failure, None | Some(Failure::Cancelled));
+        // Of several engines, it is not known which one failed.
+        let is_single = attempt.places.len() == 1;
+        let is_fault = is_single && !matches!(failure, None | Some(Failure::Cancelled));
         for (endpoint, boot, _) in &attempt.places {
             let Some(index) = life(&self.fleet, endpoint, *boot) else {
                 continue;
@@ -278,7 +284,7 @@
         let mut outputs = self.step(now);
         if now >= self.next_resync {
             self.next_resync = now + RESYNC;
-            outputs.extend(self.fleet.doubtful().cloned().map(Output::Resync));
+            outputs.extend(self.fleet.doubtful().iter().cloned().map(Output::Resync));
         }
         outputs
     }
@@ -289,10 +295,10 @@
             .latest_starts
             .first()
             .map_or(Moment::NEVER, |(at, _)| *at);
-        let resync = if self.fleet.doubtful().next().is_some() {
-            self.next_resync
-        } else {
+        let resync = if self.fleet.doubtful().is_empty() {
             Moment::NEVER
+        } else {
+            self.next_resync
         };
         deadline.min(self.next_retry).min(resync)
     }
