Run prompts longer than one engine under reservations at several

All parts are reserved or none, in one order that all hosts share; the first engine gets the attempt and takes its part over, the others keep theirs until the end.

--- a/crates/kumquatdrum_caller/src/routes.rs
+++ b/crates/kumquatdrum_caller/src/routes.rs
@@ -58,7 +58,13 @@
     "x-prompt-tokens",
 ];
 /// Headers that only daemons may set towards endpoints.
-const RESERVED: [&str; 4] = ["x-attempt-id", "x-owner", "x-owner-attempt", "x-request-id"];
+const RESERVED: [&str; 5] = [
+    "x-attempt-id",
+    "x-reservation",
+    "x-owner",
+    "x-owner-attempt",
+    "x-request-id",
+];
 
 /// All routes of the callers' listener.
 pub fn all(gate: Arc<dyn Gate>) -> Vec<Route> {
--- a/crates/kumquatdrum_daemon/src/flight.rs
+++ b/crates/kumquatdrum_daemon/src/flight.rs
@@ -83,6 +83,8 @@
     Unreachable,
     /// The budget for retries is used up.
     RetryDenied,
+    /// Memory reserved for the attempt at another engine was lost.
+    PartLost,
     /// The caller has left.
     CallerGone,
     /// Time went by.
@@ -305,6 +307,7 @@
             Input::Standing(standing) => self.standing(now, &standing),
             Input::Cancelled(standing) => self.cancelled(&standing),
             Input::Unreachable => self.unreachable(now),
+            Input::PartLost => self.part_lost(),
             Input::RetryDenied => self.give_up(self.last_cause.clone()),
             Input::Finished => Vec::new(),
             Input::Tick => self.tick(now),
@@ -476,6 +479,16 @@
         }
     }
 
+    fn part_lost(&mut self) -> Vec<Output> {
+        let Some(attempt) = self.attempt.clone() else {
+            return Vec::new();
+        };
+        self.may_have_run = true;
+        let mut outputs = vec![Output::Abandon(attempt.target, attempt.id)];
+        outputs.extend(self.elsewhere_if_repeatable());
+        outputs
+    }
+
     fn unreachable(&mut self, now: Moment) -> Vec<Output> {
         if self.phase != Phase::Probing && self.phase != Phase::Cancelling {
             return Vec::new();
--- a/crates/kumquatdrum_engine/src/engine.rs
+++ b/crates/kumquatdrum_engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::time::Duration;
 
 use futures::Stream;
 use kumquatdrum_types::exchange::{Call, Event, Standing, Target};
@@ -48,6 +49,19 @@
     /// Lists what runs for an owner.
     fn running(&self, target: &Target, owner: &HostId) -> Answer<Vec<Running>>;
 
+    /// Reserves memory under an attempt's name, or renews it; `false` where there is no room.
+    fn reserve(
+        &self,
+        target: &Target,
+        attempt: &AttemptId,
+        owner: &HostId,
+        tokens: u64,
+        time_to_live: Duration,
+    ) -> Answer<bool>;
+
+    /// Releases a reservation; `false` where there was none.
+    fn release(&self, target: &Target, attempt: &AttemptId) -> Answer<bool>;
+
     /// Drops pooled connections to an endpoint that went silent.
     fn shed(&self, target: &Target);
 }
--- a/crates/kumquatdrum_engine/src/http.rs
+++ b/crates/kumquatdrum_engine/src/http.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::exchange::{Call, Event, Fault, Head, Standing, Target, Usage};
 use kumquatdrum_types::{AttemptId, HostId};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
 
 use crate::engine::{Answer, Engine, Events, Running, Unreachable};
@@ -59,6 +59,19 @@
     id: Option<std::borrow::Cow<'a, str>>,
 }
 
+#[derive(Debug, Serialize)]
+struct Reservation<'a> {
+    id: &'a AttemptId,
+    owner: &'a HostId,
+    tokens: u64,
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Freed {
+    freed: bool,
+}
+
 #[derive(Debug, Deserialize)]
 struct Counted {
     #[serde(default)]
@@ -186,6 +199,41 @@
         Box::pin(async move { Ok(listing.await?.attempts) })
     }
 
+    fn reserve(
+        &self,
+        target: &Target,
+        attempt: &AttemptId,
+        owner: &HostId,
+        tokens: u64,
+        time_to_live: Duration,
+    ) -> Answer<bool> {
+        let body = Reservation {
+            id: attempt,
+            owner,
+            tokens,
+            ttl_ms: time_to_live.as_millis() as u64,
+        };
+        let request = self
+            .fresh
+            .post(format!("http://{}/v1/reservations", target.address))
+            .timeout(QUESTION_TIMEOUT)
+            .json(&body);
+        let endpoint = target.endpoint.to_string();
+        Box::pin(async move {
+            let response = request.send().await.map_err(|error| Unreachable {
+                endpoint,
+                reason: error.to_string(),
+            })?;
+            Ok(response.status().is_success())
+        })
+    }
+
+    fn release(&self, target: &Target, attempt: &AttemptId) -> Answer<bool> {
+        let path = format!("/v1/reservations/{attempt}");
+        let freed = decoded::<Freed>(target, self.ask(reqwest::Method::DELETE, target, &path));
+        Box::pin(async move { Ok(freed.await?.freed) })
+    }
+
     fn shed(&self, target: &Target) {
         let mut pools = self.pools.lock().expect("no holder panics");
         pools.swap_remove(&target.address);
--- a/crates/kumquatdrum_host/src/fleet.rs
+++ b/crates/kumquatdrum_host/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_routing::{Ask, Health, Output, Progress, Router, Settings, retry};
+use kumquatdrum_types::endpoint::Kind;
 use kumquatdrum_types::exchange::Target;
 use kumquatdrum_types::{
     Announcement, EndpointId, HostId, Moment, Refusal, RequestId, ServiceName,
@@ -31,8 +32,8 @@
 /// A dispatch that the router decided on.
 #[derive(Debug, Clone)]
 pub struct Placement {
-    /// Where to; several for a prompt that exceeds one engine.
-    pub targets: Vec<Target>,
+    /// Where to, with each endpoint's memory in tokens; several for a prompt that exceeds one.
+    pub targets: Vec<(Target, u64)>,
     /// The router's number of the attempt.
     pub attempt: u64,
     /// The priority for the engine; lower goes first.
@@ -42,7 +43,7 @@
 #[derive(Debug)]
 struct Service {
     router: Router,
-    targets: IndexMap<EndpointId, Target>,
+    targets: IndexMap<EndpointId, (Target, u64)>,
     waiting: IndexMap<RequestId, oneshot::Sender<Decision>>,
     budget: retry::Budget,
 }
@@ -156,9 +157,12 @@
                 boot: announcement.boot,
                 address: announcement.address,
             };
-            service
-                .targets
-                .insert(announcement.endpoint.clone(), target);
+            let memory = match &announcement.kind {
+                Kind::Engine(engine) => engine.memory_tokens,
+                Kind::Plain => 0,
+            };
+            let endpoint = announcement.endpoint.clone();
+            service.targets.insert(endpoint, (target, memory));
             let outputs = service.router.announce(now, announcement);
             service.tell(outputs);
         });
@@ -218,7 +222,13 @@
         let services = shard.services.lock();
         services
             .get(name)
-            .map(|service| service.targets.values().cloned().collect())
+            .map(|service| {
+                service
+                    .targets
+                    .values()
+                    .map(|(target, _)| target.clone())
+                    .collect()
+            })
             .unwrap_or_default()
     }
 
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -24,6 +24,7 @@
 use crate::clock::{Clock, unix_ms};
 use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
 use crate::fleet::Fleet;
+use crate::gangs::Gangs;
 use crate::gate::Door;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
@@ -108,6 +109,7 @@
             engine,
             plain,
             janitor,
+            gangs,
             local,
             client,
             logger,
@@ -116,6 +118,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(fleet.clone().run(stop.clone()));
         tasks.spawn(janitor.clone().run(stop.clone()));
+        tasks.spawn(gangs.clone().run(stop.clone()));
 
         let peers = listen(settings.listen.peers).await?;
         let peers_address = peers.local_addr().unwrap_or(settings.listen.peers);
@@ -124,6 +127,7 @@
             client: client.clone(),
             fleet: fleet.clone(),
             janitor: janitor.clone(),
+            gangs: gangs.clone(),
             in_force: in_force.clone(),
             drain: drain.clone(),
             metrics: metrics.clone(),
@@ -175,6 +179,7 @@
             engine,
             plain,
             janitor,
+            gangs,
             control: link,
             quota,
             bodies: Budget::new(settings.limits.held_body_bytes),
@@ -258,7 +263,7 @@
     }
 
     async fn cancels_confirmed(&self) {
-        while !self.shell.janitor.is_idle() {
+        while !(self.shell.janitor.is_idle() && self.shell.gangs.is_idle()) {
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
@@ -275,6 +280,7 @@
     engine: Arc<kumquatdrum_engine::Client>,
     plain: Arc<kumquatdrum_service::Client>,
     janitor: Arc<Janitor>,
+    gangs: Arc<Gangs>,
     local: Local,
     client: Arc<Client>,
     logger: slog::Logger,
@@ -297,6 +303,7 @@
         }
         Ok(Self {
             janitor: Arc::new(Janitor::new(clock, engine.clone(), metrics.clone())),
+            gangs: Arc::new(Gangs::new(settings.host.clone(), clock, engine.clone())),
             plain: Arc::new(kumquatdrum_service::Client::new().map_err(http)?),
             drain: Arc::default(),
             in_force: Arc::default(),
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod embedded;
 pub mod fleet;
+pub mod gangs;
 pub mod gate;
 pub mod host;
 pub mod in_force;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -27,6 +27,7 @@
 
 use crate::clock::{Clock, unix_ms};
 use crate::fleet::Fleet;
+use crate::gangs::Gangs;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 
@@ -45,6 +46,8 @@
     pub fleet: Arc<Fleet>,
     /// Cancels under way.
     pub janitor: Arc<Janitor>,
+    /// Memory reserved at several engines.
+    pub gangs: Arc<Gangs>,
     /// The declaration in force.
     pub in_force: Arc<Store>,
     /// The state of the shutdown.
@@ -283,6 +286,7 @@
         self.parts.fleet.health(&service, id, health);
         if health == Health::Gone {
             self.parts.janitor.engine_gone(id, boot);
+            self.parts.gangs.gone(id);
             cores.services.swap_remove(id);
         }
         self.count_endpoints(cores);
@@ -297,6 +301,7 @@
         if let Some((service, boot)) = previous.filter(|(_, boot)| *boot < announcement.boot) {
             self.parts.fleet.health(&service, id, Health::Gone);
             self.parts.janitor.engine_gone(id, boot);
+            self.parts.gangs.gone(id);
         }
         self.parts.fleet.announce(announcement);
         if announcement.leaving {
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -29,6 +29,9 @@
 /// How long the last word to a slow caller may take.
 const LAST_WORD: Duration = Duration::from_secs(2);
 
+/// Names the reservation whose memory an attempt takes over.
+const RESERVATION_HEADER: &str = "x-reservation";
+
 type Question = Pin<Box<dyn Future<Output = Told> + Send>>;
 
 /// The answer to a question that the driver asked on the side.
@@ -43,6 +46,7 @@
     Told(Told),
     Decided(Option<Decision>),
     Event(Option<Event>),
+    PartLost(bool),
     Sent,
     Tick,
 }
@@ -95,6 +99,9 @@
     /// The router's number of the attempt under way.
     attempt: Option<u64>,
     target: Option<Target>,
+    /// The attempt for which memory is reserved at several engines.
+    gang: Option<AttemptId>,
+    part_lost: Option<oneshot::Receiver<()>>,
     priority: u8,
     made: u32,
     received: u64,
@@ -120,6 +127,8 @@
             events: None,
             attempt: None,
             target: None,
+            gang: None,
+            part_lost: None,
             priority: 0,
             made: 0,
             received: 0,
@@ -238,6 +247,11 @@
         self.shell.metrics.attempts.inc();
         debug!(self.shell.logger, ""; "event" => "dispatched", "request" => %self.order.request,
             "attempt" => %attempt, "endpoint" => %target.endpoint);
+        let mut headers = self.order.ask.headers.clone();
+        if self.gang.as_ref() == Some(&attempt) {
+            headers.push((RESERVATION_HEADER.to_owned(), attempt.to_string()));
+            self.shell.gangs.dispatched(&attempt, &target.endpoint);
+        }
         let call = Call {
             target,
             attempt,
@@ -245,7 +259,7 @@
             owner_attempt: self.attempt.unwrap_or_default(),
             method: self.order.ask.method.clone(),
             path: self.order.ask.path.clone(),
-            headers: self.order.ask.headers.clone(),
+            headers,
             body: self.order.ask.body.clone(),
             prompt_tokens: self.order.routing.prompt_tokens,
             priority: self.priority,
@@ -260,6 +274,10 @@
 
     /// Tells the router that the attempt under way needs nothing any more.
     fn settle_attempt(&mut self, progress: Progress) {
+        self.part_lost = None;
+        if let Some(gang) = self.gang.take() {
+            self.shell.gangs.end(&gang);
+        }
         if let Some(attempt) = self.attempt.take() {
             self.shell
                 .fleet
@@ -289,9 +307,13 @@
                 }
                 Happening::Decided(decision) => {
                     self.placement = None;
-                    Some(self.decided(decision))
+                    self.decided(decision)
                 }
                 Happening::Event(event) => self.event(event),
+                Happening::PartLost(is_lost) => {
+                    self.part_lost = None;
+                    is_lost.then_some(Input::PartLost)
+                }
                 Happening::Sent => None,
                 Happening::Tick => Some(Input::Tick),
             };
@@ -319,6 +341,7 @@
                 }
                 Happening::Sent
             }
+            Some(lost) = opt(self.part_lost.as_mut()) => Happening::PartLost(lost.is_ok()),
             event = next_event(&mut self.events), if takes => Happening::Event(event),
             () = tokio::time::sleep_until(wake) => Happening::Tick,
         }
@@ -331,24 +354,49 @@
         }
     }
 
-    fn decided(&mut self, decision: Option<Decision>) -> Input {
+    fn decided(&mut self, decision: Option<Decision>) -> Option<Input> {
         match decision {
             Some(Decision::Placed(placement)) => self.placed(placement),
-            Some(Decision::Refused(refusal, wait)) => Input::Refused(refusal, wait),
-            None => Input::Refused(Refusal::Draining, None),
+            Some(Decision::Refused(refusal, wait)) => Some(Input::Refused(refusal, wait)),
+            None => Some(Input::Refused(Refusal::Draining, None)),
         }
     }
 
-    fn placed(&mut self, placement: Placement) -> Input {
+    fn placed(&mut self, placement: Placement) -> Option<Input> {
         self.attempt = Some(placement.attempt);
         self.priority = placement.priority;
-        let Some(target) = placement.targets.into_iter().next() else {
-            return Input::Fault(Fault::NotSent);
+        let Some((target, _)) = placement.targets.first().cloned() else {
+            return Some(Input::Fault(Fault::NotSent));
         };
         self.target = Some(target.clone());
         let mark = if self.order.key.is_some() { "k" } else { "" };
-        let id = format!("{}.{mark}{}", self.order.request, self.made);
-        Input::Placed(target, AttemptId::new(id))
+        let id = AttemptId::new(format!("{}.{mark}{}", self.order.request, self.made));
+        if placement.targets.len() > 1 {
+            self.reserve(target, id, placement.targets);
+            return None;
+        }
+        Some(Input::Placed(target, id))
+    }
+
+    /// Reserves memory at several engines; the first one gets the attempt.
+    fn reserve(&mut self, head: Target, id: AttemptId, targets: Vec<(Target, u64)>) {
+        let tokens = self.order.routing.prompt_tokens + self.order.routing.expected_output_tokens;
+        let memory: Vec<u64> = targets.iter().map(|(_, memory)| *memory).collect();
+        let shares = routing::gang::split(tokens, &memory).unwrap_or(memory);
+        let targets = targets.into_iter().map(|(target, _)| target);
+        let parts = targets.zip(shares).collect();
+        let reserved = self
+            .shell
+            .gangs
+            .reserve(&id, parts, self.order.plan.deadline);
+        self.gang = Some(id.clone());
+        self.part_lost = Some(reserved.lost);
+        self.question = Some(Box::pin(async move {
+            Told::Input(match reserved.ready.await {
+                Ok(()) => Input::Placed(head, id),
+                Err(_) => Input::Refused(Refusal::Overloaded, None),
+            })
+        }));
     }
 
     fn claimed(&mut self, claimed: Claimed) -> Option<Input> {
--- a/crates/kumquatdrum_host/src/shell.rs
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Clock;
 use crate::fleet::Fleet;
+use crate::gangs::Gangs;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 use crate::quota::Quota;
@@ -42,6 +43,8 @@
     pub plain: Arc<dyn Plain>,
     /// Cancels under way.
     pub janitor: Arc<Janitor>,
+    /// Memory reserved at several engines.
+    pub gangs: Arc<Gangs>,
     /// The control plane.
     pub control: Arc<dyn Control>,
     /// The workspaces' limits.
--- a/crates/kumquatdrum_routing/src/gang.rs
+++ b/crates/kumquatdrum_routing/src/gang.rs
@@ -247,6 +247,11 @@
         wakes.min().unwrap_or(Moment::NEVER)
     }
 
+    /// Whether an attempt holds a reservation, or may hold one until its release is confirmed.
+    pub fn contains(&self, attempt: &AttemptId) -> bool {
+        self.gangs.contains_key(attempt)
+    }
+
     /// Whether nothing is reserved and nothing is left to release.
     pub fn is_empty(&self) -> bool {
         self.gangs.is_empty()
--- a/crates/kumquatdrum_routing/tests/retry.rs
+++ b/crates/kumquatdrum_routing/tests/retry.rs
@@ -14,9 +14,15 @@
         while budget.take() {
             attempts += 1;
         }
-        assert!((attempts - 1) * 10 < requests * 12, "{attempts} of {requests}");
+        assert!(
+            (attempts - 1) * 10 < requests * 12,
+            "{attempts} of {requests}"
+        );
         let settled = requests > 20;
-        assert!(!settled || attempts * 10 < requests * 12, "{attempts} of {requests}");
+        assert!(
+            !settled || attempts * 10 < requests * 12,
+            "{attempts} of {requests}"
+        );
     }
     // Most of what is allowed can be used.
     assert!(attempts * 100 > requests * 114, "{attempts} of {requests}");
