Read engines' cache events, and let a refused caller finish its body

Cause, found by the test of 200 prompts of 4 MiB at once: a caller that was refused for memory was answered while it still wrote, the connection closed, and the caller saw a broken pipe in place of 'not run, come back'. The rest of a refused body is now read and dropped, within a bound of bytes and time.

The router's prefix index is fed by the engines' cache events; a prompt's blocks are named in the daemon as the engine names them (test: names_are_the_engines).

--- a/crates/kumquatdrum_caller/src/body.rs
+++ b/crates/kumquatdrum_caller/src/body.rs
@@ -1,18 +1,49 @@
 //! Reading a caller's body within its bounds.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use kumquatdrum_types::Refusal;
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::{Data, DataStream, ToByteUnit};
 use tokio::io::AsyncReadExt;
 
 use crate::gate::{Pass, Problem};
 
 const PIECE: usize = 64 * 1024;
+/// Bytes of a refused body that are read and dropped.
+const DISCARDED: u64 = 64 * 1024 * 1024;
+/// How long a refused body may take to arrive.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Reads the whole body. Bytes are taken from the daemon's budget before they are read.
+/// Reads the whole body. Bytes are taken from the daemon's budget before they are read. What is
+/// left of a refused body is read and dropped, as a caller that still writes when the connection
+/// closes never sees the answer.
 pub async fn read(pass: &mut Pass, data: Data<'_>, length: Option<u64>) -> Result<Bytes, Problem> {
+    let mut stream = data.open((pass.body_limit + 1).bytes());
+    let body = collect(pass, &mut stream, length).await;
+    if body.is_err() {
+        drop_rest(&mut stream).await;
+    }
+    body
+}
+
+/// Reads and drops the body of a caller that is refused for other reasons.
+pub async fn discard(data: Data<'_>) {
+    drop_rest(&mut data.open(DISCARDED.bytes())).await;
+}
+
+async fn drop_rest(stream: &mut DataStream<'_>) {
+    let mut sink = tokio::io::sink();
+    let dropped = tokio::io::copy(stream, &mut sink);
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, dropped).await;
+}
+
+async fn collect(
+    pass: &mut Pass,
+    stream: &mut DataStream<'_>,
+    length: Option<u64>,
+) -> Result<Bytes, Problem> {
     let refuse = |pass: &Pass, refusal| Problem::refused(refusal, None, Some(pass.request.clone()));
     if length.is_some_and(|length| length > pass.body_limit) {
         return Err(refuse(pass, Refusal::BodyTooLarge));
@@ -23,7 +54,6 @@
     }
     let mut body = BytesMut::with_capacity(announced as usize);
     let mut held = announced;
-    let mut stream = data.open((pass.body_limit + 1).bytes());
     loop {
         body.reserve(PIECE.min(1 + (held as usize).saturating_sub(body.len())));
         match stream.read_buf(&mut body).await {
--- a/crates/kumquatdrum_caller/src/routes.rs
+++ b/crates/kumquatdrum_caller/src/routes.rs
@@ -170,6 +170,17 @@
     })
 }
 
+/// All that can be said before the body is read.
+fn opened(
+    gate: &Arc<dyn Gate>,
+    request: &Request<'_>,
+) -> Result<(Pass, Ask, Option<u64>), Problem> {
+    let pass = gate.open(bearer(request))?;
+    let ask = headers(&pass, request)?;
+    let length = length(&pass, request)?;
+    Ok((pass, ask, length))
+}
+
 fn length(pass: &Pass, request: &Request<'_>) -> Result<Option<u64>, Problem> {
     number(pass, request, "content-length")
 }
@@ -191,9 +202,13 @@
         request: &'r Request<'_>,
         data: Data<'r>,
     ) -> Result<(Passage, String, bool), Problem> {
-        let mut pass = self.0.open(bearer(request))?;
-        let mut ask = headers(&pass, request)?;
-        let length = length(&pass, request)?;
+        let (mut pass, mut ask, length) = match opened(&self.0, request) {
+            Ok(opened) => opened,
+            Err(refused) => {
+                body::discard(data).await;
+                return Err(refused);
+            }
+        };
         ask.body = body::read(&mut pass, data, length).await?;
         let model = wire::model(&ask.body).map_err(|error| bad(&pass, error.to_string()))?;
         ask.model = true;
@@ -223,9 +238,13 @@
         request: &'r Request<'_>,
         data: Data<'r>,
     ) -> Result<Passage, Problem> {
-        let mut pass = self.0.open(bearer(request))?;
-        let mut ask = headers(&pass, request)?;
-        let length = length(&pass, request)?;
+        let (mut pass, mut ask, length) = match opened(&self.0, request) {
+            Ok(opened) => opened,
+            Err(refused) => {
+                body::discard(data).await;
+                return Err(refused);
+            }
+        };
         ask.service = request
             .param::<String>(1)
             .and_then(Result::ok)
--- a/crates/kumquatdrum_daemon/src/lib.rs
+++ b/crates/kumquatdrum_daemon/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod body;
 pub mod flight;
 pub mod held;
+pub mod prefix;
--- /dev/null
+++ b/crates/kumquatdrum_daemon/tests/prefix.rs
@@ -0,0 +1,17 @@
+//! Block names as the stand-in engine gives them.
+
+use kumquatdrum_daemon::prefix::blocks;
+use kumquatdrum_testing::prompt;
+
+#[test]
+fn names_are_the_engines() {
+    let text = "a long treatment history, \"quoted\" and with ümlauts; ".repeat(100);
+    let expected: Vec<u64> = prompt::blocks(&text)
+        .iter()
+        .map(|name| u64::from_str_radix(name, 16).expect("hexadecimal digits"))
+        .collect();
+    let json = serde_json::to_vec(&text).expect("a JSON text");
+    assert_eq!(blocks(&json), expected);
+    let messages = serde_json::json!([{"role": "user", "content": text}]);
+    assert_eq!(blocks(messages.to_string().as_bytes()), expected);
+}
--- a/crates/kumquatdrum_engine/src/engine.rs
+++ b/crates/kumquatdrum_engine/src/engine.rs
@@ -6,7 +6,7 @@
 
 use futures::Stream;
 use kumquatdrum_types::exchange::{Call, Event, Standing, Target};
-use kumquatdrum_types::{AttemptId, HostId};
+use kumquatdrum_types::{AttemptId, BootId, HostId};
 use serde::{Deserialize, Serialize};
 
 /// A boxed future, so that the trait can stand behind a pointer.
@@ -31,6 +31,28 @@
     pub id: AttemptId,
 }
 
+/// A change of an engine's prefix cache, as the engine tells it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Grows by one with each event of one boot.
+    pub seq: u64,
+    /// `stored` or `evicted`.
+    pub op: String,
+    /// The block's name, in hexadecimal digits.
+    pub prefix: String,
+}
+
+/// Some cache events of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CachePage {
+    /// The life of the engine that speaks.
+    pub boot: BootId,
+    /// The last number that was published; a missing one up to it was lost.
+    pub last: u64,
+    /// The events, in their order.
+    pub events: Vec<CacheEvent>,
+}
+
 /// A model engine as seen from a daemon. Dropping an exchange's events closes its connection.
 pub trait Engine: Send + Sync {
     /// Sends an attempt and follows its answer.
@@ -49,6 +71,9 @@
     /// Lists what runs for an owner.
     fn running(&self, target: &Target, owner: &HostId) -> Answer<Vec<Running>>;
 
+    /// Cache events after a number; they come late and with gaps.
+    fn cache_events(&self, target: &Target, after: u64) -> Answer<CachePage>;
+
     /// Reserves memory under an attempt's name, or renews it; `false` where there is no room.
     fn reserve(
         &self,
--- a/crates/kumquatdrum_engine/src/http.rs
+++ b/crates/kumquatdrum_engine/src/http.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
 
-use crate::engine::{Answer, Engine, Events, Running, Unreachable};
+use crate::engine::{Answer, CachePage, Engine, Events, Running, Unreachable};
 use crate::sse;
 
 const ATTEMPT_HEADER: &str = "x-attempt-id";
@@ -199,6 +199,11 @@
         Box::pin(async move { Ok(listing.await?.attempts) })
     }
 
+    fn cache_events(&self, target: &Target, after: u64) -> Answer<CachePage> {
+        let path = format!("/v1/cache/events?after={after}");
+        decoded(target, self.ask(reqwest::Method::GET, target, &path))
+    }
+
     fn reserve(
         &self,
         target: &Target,
--- a/crates/kumquatdrum_host/src/fleet.rs
+++ b/crates/kumquatdrum_host/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_routing::{Ask, Health, Output, Progress, Router, Settings, retry};
+use kumquatdrum_routing::{Ask, CacheEvent, Health, Output, Progress, Router, Settings, retry};
 use kumquatdrum_types::endpoint::Kind;
 use kumquatdrum_types::exchange::Target;
 use kumquatdrum_types::{
@@ -92,7 +92,9 @@
                     let decision = Decision::Refused(refuse.reason, refuse.retry_after);
                     self.decided(&refuse.request, decision);
                 }
-                // Engines' cache events aren't read yet, so that nothing is ever doubtful.
+                // Engines have no whole list to offer beyond the events that they still keep, which
+                // are read from the start after a restart. Until then the router halves what it
+                // believes of the endpoint.
                 Output::Resync(_) => {}
             }
         }
@@ -179,6 +181,13 @@
         });
     }
 
+    /// Takes in a cache event; tells whether events were lost before it.
+    pub fn cache(&self, name: &ServiceName, endpoint: &EndpointId, event: &CacheEvent) -> bool {
+        self.with(name, |service, now| {
+            !service.router.cache(now, endpoint, event).is_empty()
+        })
+    }
+
     /// Asks for a place; the decision arrives when it is made.
     pub fn submit(&self, name: &ServiceName, ask: Ask) -> oneshot::Receiver<Decision> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/kumquatdrum_host/src/gate.rs
+++ b/crates/kumquatdrum_host/src/gate.rs
@@ -137,7 +137,7 @@
             priority,
             prompt_tokens,
             expected_output_tokens: ask.max_tokens.unwrap_or(admission::USUAL_OUTPUT_TOKENS),
-            prefix: Vec::new(),
+            prefix: prefix(ask),
             deadline: self.shell.clock.now() + deadline,
             excluded: Vec::new(),
             work: if ask.model {
@@ -222,6 +222,11 @@
     }
 }
 
+fn prefix(ask: &Ask) -> Vec<routing::BlockHash> {
+    let blocks = kumquatdrum_daemon::prefix::blocks(&ask.body[ask.prompt.clone()]);
+    blocks.into_iter().map(routing::BlockHash).collect()
+}
+
 fn state_name(held: &kumquatdrum_setup::claim::Held) -> String {
     match serde_json::to_value(held.settled) {
         Ok(serde_json::Value::String(name)) => name,
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -21,6 +21,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::announce;
+use crate::caches;
 use crate::clock::{Clock, unix_ms};
 use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
 use crate::fleet::Fleet;
@@ -99,6 +100,7 @@
     /// Starts a host and waits until it listens everywhere.
     pub async fn start(settings: Settings, logger: &slog::Logger) -> Result<Self, StartError> {
         let base = Base::new(&settings, logger)?;
+        let parts = base.members_parts();
         let Base {
             clock,
             boot,
@@ -122,17 +124,6 @@
 
         let peers = listen(settings.listen.peers).await?;
         let peers_address = peers.local_addr().unwrap_or(settings.listen.peers);
-        let parts = members::Parts {
-            clock,
-            client: client.clone(),
-            fleet: fleet.clone(),
-            janitor: janitor.clone(),
-            gangs: gangs.clone(),
-            in_force: in_force.clone(),
-            drain: drain.clone(),
-            metrics: metrics.clone(),
-            logger: logger.clone(),
-        };
         let members = Arc::new(members(&settings, boot, peers_address, parts));
         tasks.spawn(members.clone().run(stop.clone()));
         let replica = match start_replica(&settings, clock, &members, &metrics, &client, &logger)? {
@@ -150,16 +141,7 @@
             in_force.clone(),
             members.clone(),
         ));
-        let quota = Arc::new(Quota::new(quota::Parts {
-            host: settings.host.clone(),
-            boot,
-            hosts: settings.hosts.len() + 1,
-            longest_request: Duration::from_millis(settings.drain.longest_ms),
-            clock,
-            client: client.clone(),
-            in_force: in_force.clone(),
-            members: members.clone(),
-        }));
+        let quota = Arc::new(quota(&settings, boot, clock, &client, &in_force, &members));
         tasks.spawn(quota.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
             replica,
@@ -188,6 +170,7 @@
             logger,
             settings,
         });
+        tasks.spawn(caches::run(shell.clone(), stop.clone()));
         tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
         let (callers, others) = open(&shell, &members).await?;
         let addresses = Addresses {
@@ -233,6 +216,11 @@
         &self.shell.in_force
     }
 
+    /// Bytes of request bodies that this host holds.
+    pub fn body_bytes(&self) -> u64 {
+        self.shell.bodies.used()
+    }
+
     /// What this host has counted.
     pub fn metrics(&self) -> &Arc<Metrics> {
         &self.shell.metrics
@@ -317,6 +305,40 @@
             logger,
         })
     }
+
+    fn members_parts(&self) -> members::Parts {
+        members::Parts {
+            clock: self.clock,
+            client: self.client.clone(),
+            fleet: self.fleet.clone(),
+            janitor: self.janitor.clone(),
+            gangs: self.gangs.clone(),
+            in_force: self.in_force.clone(),
+            drain: self.drain.clone(),
+            metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
+        }
+    }
+}
+
+fn quota(
+    settings: &Settings,
+    boot: BootId,
+    clock: Clock,
+    client: &Arc<Client>,
+    in_force: &Arc<Store>,
+    members: &Arc<Members>,
+) -> Quota {
+    Quota::new(quota::Parts {
+        host: settings.host.clone(),
+        boot,
+        hosts: settings.hosts.len() + 1,
+        longest_request: Duration::from_millis(settings.drain.longest_ms),
+        clock,
+        client: client.clone(),
+        in_force: in_force.clone(),
+        members: members.clone(),
+    })
 }
 
 fn owners(settings: &Settings) -> Vec<String> {
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -1,6 +1,7 @@
 //! The shell of one host: sockets, timers, disk and threads around the daemon's core.
 
 pub mod announce;
+pub mod caches;
 pub mod clock;
 pub mod control;
 pub mod embedded;
--- a/crates/kumquatdrum_host/src/orphans.rs
+++ b/crates/kumquatdrum_host/src/orphans.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use kumquatdrum_types::exchange::Target;
-use kumquatdrum_types::{AttemptId, HostId, ServiceName};
+use kumquatdrum_types::{AttemptId, HostId};
 use slog::info;
 use tokio::sync::watch;
 
@@ -22,15 +22,16 @@
         };
         match orphan {
             Orphan::Host(host) if members.is_heir() => {
-                for target in engines(&shell) {
+                for (_, target) in shell.engines() {
                     end(&shell, &target, &host, |_| true).await;
                 }
             }
             Orphan::Host(_) => {}
             Orphan::Engine(engine) => {
                 let life = format!("{}-{:x}-", shell.settings.host, shell.boot.0);
-                let targets = engines(&shell);
-                for target in targets.iter().filter(|target| target.endpoint == engine) {
+                let mut engines = shell.engines();
+                engines.retain(|(_, target)| target.endpoint == engine);
+                for (_, target) in &engines {
                     let host = shell.settings.host.clone();
                     let earlier = |attempt: &AttemptId| !attempt.as_str().starts_with(&life);
                     end(&shell, target, &host, earlier).await;
@@ -40,21 +41,6 @@
     }
 }
 
-fn engines(shell: &Shell) -> Vec<Target> {
-    let Some(current) = shell.in_force.current() else {
-        return Vec::new();
-    };
-    let services = &current.index.declaration().services;
-    let models = services
-        .iter()
-        .filter(|service| current.index.model_of(service).is_some());
-    let names: Vec<ServiceName> = models.map(|service| service.name.clone()).collect();
-    names
-        .iter()
-        .flat_map(|name| shell.fleet.targets(name))
-        .collect()
-}
-
 async fn end(
     shell: &Shell,
     target: &Target,
--- a/crates/kumquatdrum_host/src/shell.rs
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -8,7 +8,8 @@
 use kumquatdrum_platform::{Drain, Metrics};
 use kumquatdrum_service::Plain;
 use kumquatdrum_setup::Control;
-use kumquatdrum_types::{BootId, RequestId};
+use kumquatdrum_types::exchange::Target;
+use kumquatdrum_types::{BootId, RequestId, ServiceName};
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
@@ -58,6 +59,20 @@
 }
 
 impl Shell {
+    /// The engines of all model services in force.
+    pub fn engines(&self) -> Vec<(ServiceName, Target)> {
+        let Some(current) = self.in_force.current() else {
+            return Vec::new();
+        };
+        let services = current.index.declaration().services.iter();
+        let models = services.filter(|service| current.index.model_of(service).is_some());
+        let engines = models.flat_map(|service| {
+            let targets = self.fleet.targets(&service.name).into_iter();
+            targets.map(|target| (service.name.clone(), target))
+        });
+        engines.collect()
+    }
+
     /// A name for the next request.
     pub fn name(&self) -> RequestId {
         let count = self.names.fetch_add(1, Ordering::Relaxed);
--- /dev/null
+++ b/crates/kumquatdrum_host/tests/callers.rs
@@ -0,0 +1,251 @@
+//! What callers may and may not: keys, bad input, bounds.
+
+mod support;
+
+use kumquatdrum_host::embedded::{ENDPOINT_KEY, OPERATOR_KEY};
+use kumquatdrum_types::Version;
+use serde_json::{Value, json};
+use support::{CALLER_KEY, Got, System, answer, call, completion, got};
+
+fn post(url: &str, key: Option<&str>, body: impl Into<reqwest::Body>) -> reqwest::RequestBuilder {
+    let request = reqwest::Client::new().post(url).body(body);
+    match key {
+        Some(key) => request.bearer_auth(key),
+        None => request,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_listener_takes_only_its_own_kind_of_key() {
+    let system = System::start(1).await;
+    let at = system.hosts[0].addresses;
+    let completions = format!("http://{}/v1/completions", at.callers);
+    let applies = format!("http://{}/v1/apply?base=1", at.operators);
+    let endpoints = format!("http://{}/v1/endpoints", at.endpoints);
+    let wrong = [
+        (&completions, None),
+        (&completions, Some("chair-8")),
+        (&completions, Some(OPERATOR_KEY)),
+        (&completions, Some(ENDPOINT_KEY)),
+        (&applies, None),
+        (&applies, Some(CALLER_KEY)),
+        (&endpoints, None),
+        (&endpoints, Some(CALLER_KEY)),
+    ];
+    for (url, key) in wrong {
+        let got = got(post(url, key, "{}")).await;
+        assert_eq!(got.status, 401, "{url} {key:?} {got:?}");
+    }
+    system.stop().await;
+}
+
+async fn refused(system: &System, body: Value, headers: &[(&str, &str)]) -> Got {
+    let mut request = call(system.callers(0), &body);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    got(request).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_are_told_what_is_wrong_and_harm_nobody() {
+    let system = System::start(1).await;
+    let engine = system.engine("e1", 0).await;
+    let good = completion("shade", 2, false);
+    let cases = [
+        (
+            json!({"prompt": "x"}),
+            vec![],
+            400,
+            "bad_request",
+            "missing field `model`",
+        ),
+        (
+            json!({"model": "formula-llm"}),
+            vec![],
+            400,
+            "bad_request",
+            "exactly one of",
+        ),
+        (json!([1, 2]), vec![], 400, "bad_request", "line 1"),
+        (
+            json!({"model": "nobody", "prompt": "x"}),
+            vec![],
+            404,
+            "unknown_service",
+            "no such service",
+        ),
+        (
+            json!({"model": "salon-api", "prompt": "x"}),
+            vec![],
+            404,
+            "unknown_service",
+            "no such",
+        ),
+        (
+            good.clone(),
+            vec![("x-deadline-ms", "soon")],
+            400,
+            "bad_request",
+            "x-deadline-ms",
+        ),
+        (
+            good.clone(),
+            vec![("x-idempotent", "maybe")],
+            400,
+            "bad_request",
+            "x-idempotent",
+        ),
+        (
+            good.clone(),
+            vec![("x-priority", "highest")],
+            400,
+            "bad_request",
+            "x-priority",
+        ),
+        (
+            good.clone(),
+            vec![("idempotency-key", "")],
+            400,
+            "bad_request",
+            "idempotency-key",
+        ),
+        (
+            good.clone(),
+            vec![("x-prompt-tokens", "9000000")],
+            413,
+            "prompt_too_long",
+            "exceeds",
+        ),
+    ];
+    for (body, headers, status, code, message) in cases {
+        let got = refused(&system, body, &headers).await;
+        assert_eq!((got.status, got.code().as_str()), (status, code), "{got:?}");
+        assert_eq!(got.class(), "not_run", "{got:?}");
+        assert!(got.body.contains(message), "{message}: {got:?}");
+        assert_eq!(got.retry_after, None, "{got:?}");
+    }
+    assert_eq!(engine.counts().received, 0);
+    let got = got(call(system.callers(0), &good)).await;
+    assert_eq!(got.text(), answer("shade", 2));
+    engine.shutdown().await;
+    system.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_callers_header_never_passes_for_a_daemons() {
+    let system = System::start(1).await;
+    let service = system.service("p1", 0).await;
+    let url = format!("http://{}/services/salon-api/stock", system.callers(0));
+    let request = post(&url, Some(CALLER_KEY), "abc")
+        .header("x-attempt-id", "forged")
+        .header("x-owner", "forged");
+    let got = got(request).await;
+    assert_eq!(got.status, 200, "{got:?}");
+    assert!(!got.body.contains("forged"), "{got:?}");
+    service.shutdown().await;
+    system.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_beyond_its_bound_is_refused_before_it_is_read() {
+    let system = System::start(1).await;
+    let body = vec![b'x'; 33 << 20];
+    let url = format!("http://{}/v1/completions", system.callers(0));
+    let sent = post(&url, Some(CALLER_KEY), body).send().await;
+    // The answer may come while the body is still being sent, and then the connection ends.
+    if let Ok(response) = sent {
+        assert_eq!(response.status().as_u16(), 413);
+    }
+    assert_eq!(system.hosts[0].body_bytes(), 0);
+    system.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_long_prompts_at_once_stay_within_the_hosts_memory() {
+    const PROMPTS: usize = 200;
+    let system = System::start_with(1, |settings| {
+        settings.limits.held_body_bytes = 64 << 20;
+    });
+    let system = system.await;
+    let engine = system
+        .engine_with("e1", 0, |options| {
+            options.sizes.memory_tokens = 4_000_000;
+            options.sizes.cache_tokens = 0;
+        })
+        .await;
+    let prompt = "four".repeat(1 << 20);
+    let body = completion(&prompt, 1, false).to_string();
+    let address = system.callers(0);
+    let client = reqwest::Client::new();
+    let asked: Vec<_> = (0..PROMPTS)
+        .map(|_| {
+            let request = client
+                .post(format!("http://{address}/v1/completions"))
+                .bearer_auth(CALLER_KEY)
+                .header("x-deadline-ms", "60000")
+                .body(body.clone());
+            tokio::spawn(got(request))
+        })
+        .collect();
+    let (mut finished, mut refused) = (0, 0);
+    for asked in asked {
+        let got = asked.await.expect("the caller lives");
+        assert!(system.hosts[0].body_bytes() <= 64 << 20);
+        match got.status {
+            200 => finished += 1,
+            _ => {
+                assert_eq!(got.class(), "not_run", "{}", got.body);
+                assert!(got.retry_after.is_some(), "{}", got.body);
+                refused += 1;
+            }
+        }
+    }
+    assert_eq!(finished + refused, PROMPTS);
+    assert!(
+        finished > 0 && refused > 0,
+        "{finished} finished, {refused} refused"
+    );
+    assert_eq!(system.hosts[0].body_bytes(), 0);
+    engine.shutdown().await;
+    system.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_workspaces_concurrency_holds_and_tells_when_to_come_back() {
+    let system = System::start(1).await;
+    let engine = system
+        .engine_with("e1", 0, |options| {
+            options.sizes.step = std::time::Duration::from_millis(20);
+        })
+        .await;
+    let mut declaration: Value = serde_json::from_str(&support::declaration()).expect("JSON");
+    declaration["workspaces"][0]["limits"] = json!({"concurrency": 2});
+    let text = declaration.to_string();
+    let applied = kumquatdrum_host::embedded::apply(&system.hosts, Version(1), &text).await;
+    applied.expect("the declaration is accepted");
+    let asked: Vec<_> = (0..12)
+        .map(|_| {
+            tokio::spawn(got(call(
+                system.callers(0),
+                &completion("shade", 20, false),
+            )))
+        })
+        .collect();
+    let mut refused = 0;
+    for asked in asked {
+        let got = asked.await.expect("the caller lives");
+        if got.status != 200 {
+            assert_eq!(
+                (got.status, got.code().as_str()),
+                (429, "concurrency_limited"),
+                "{got:?}"
+            );
+            assert!(got.retry_after.is_some());
+            refused += 1;
+        }
+    }
+    assert!(refused >= 10, "{refused} refused");
+    engine.shutdown().await;
+    system.stop().await;
+}
--- a/crates/kumquatdrum_host/tests/support/mod.rs
+++ b/crates/kumquatdrum_host/tests/support/mod.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kumquatdrum_host::Host;
 use kumquatdrum_host::embedded::{self, ENDPOINT_KEY, Spec};
+use kumquatdrum_host::{Host, Settings};
 use kumquatdrum_testing::{Engine, Service, announcer, engine, service};
 use kumquatdrum_types::{Version, digest};
 use serde_json::{Value, json};
@@ -73,6 +73,23 @@
         Self { hosts, folder }
     }
 
+    /// Hosts with changed settings, in one data centre.
+    pub async fn start_with(count: usize, change: impl Fn(&mut Settings)) -> Self {
+        let folder = TempDir::new().expect("a folder for data");
+        let specs = specs(count, &["hall-raatuse"]);
+        let mut hosts = Vec::new();
+        for spec in &specs {
+            let mut settings = embedded::settings(spec, &specs, folder.path());
+            change(&mut settings);
+            let host = Host::start(settings, &logger()).await;
+            hosts.push(host.expect("the host starts"));
+        }
+        embedded::introduce(&hosts);
+        let answer = embedded::apply(&hosts, Version(0), &declaration()).await;
+        answer.expect("the declaration is accepted");
+        Self { hosts, folder }
+    }
+
     fn announcer(&self, host: usize) -> announcer::Options {
         announcer::Options {
             hosts: vec![self.hosts[host].addresses.endpoints],
