Log lost peers and refusals without flooding the log

A dead peer logged a line for each frame, and a stranger with a wrong secret one for each call. Now a peer is told when it is lost and when it is back, and refusals once a second with the count of those untold. The test reads the log lines and finds neither secret in them.

--- a/crates/kumquatdrum_membership/benches/gossip.rs
+++ b/crates/kumquatdrum_membership/benches/gossip.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use kumquatdrum_membership::Input;
+use kumquatdrum_membership::spread::Status;
 use kumquatdrum_types::Version;
 
 use crate::cluster::announcement;
@@ -29,6 +31,13 @@
     duplicate_percent: 0,
     delay_millis: (1, 60),
 };
+/// What the spread lets ride on each push.
+const STATUS: Status = Status {
+    version: Version(100_000),
+    mark: u64::MAX,
+    is_ready: true,
+    majority_age_millis: Some(1_500),
+};
 const CHANGES: u64 = 10;
 const WORKSPACES: u64 = 1_600;
 
@@ -108,6 +117,9 @@
             cluster.add_endpoint(one, &owners[number % takers]);
         }
     }
+    for host in cluster.daemons.keys().cloned().collect::<Vec<_>>() {
+        cluster.input(&host, Input::Setup(STATUS));
+    }
     run(&mut cluster, WARM_UP);
     cluster
 }
--- a/crates/kumquatdrum_peer/src/peer.rs
+++ b/crates/kumquatdrum_peer/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use tonic::{Code, Request, Status};
 
 use crate::frame::{self, Purpose};
-use crate::generated::Frame;
+use crate::generated::{Ack, Frame};
 use crate::link::{Connection, Link};
 use crate::queue::Queues;
 use crate::{Channel, Error, Local};
@@ -32,6 +33,7 @@
     link: Link,
     queues: Mutex<Queues>,
     wake: Notify,
+    is_failing: AtomicBool,
 }
 
 impl Peer {
@@ -42,6 +44,7 @@
             host,
             queues: Mutex::default(),
             wake: Notify::new(),
+            is_failing: AtomicBool::new(false),
         }
     }
 
@@ -78,10 +81,24 @@
             let answer = timeout(limit, call).await;
             self.settle(&connection, answer, limit).await
         };
-        if let Err(error) = sent.await {
+        let result = sent.await;
+        if result.is_err() {
             self.local.counters.dropped(channel, count);
-            info!(self.local.logger, "peer_send_failed"; "host" => self.host.as_str(),
-                "channel" => channel.name(), "messages" => count, "error" => %error);
+        }
+        self.tell_change(result);
+    }
+
+    /// Logs the first failure after a success, and the first success after a failure.
+    fn tell_change(&self, result: Result<Ack, Error>) {
+        let was_failing = self.is_failing.swap(result.is_err(), Ordering::Relaxed);
+        match result {
+            Err(error) if !was_failing => {
+                warn!(self.local.logger, "peer_lost"; "host" => self.host.as_str(), "error" => %error);
+            }
+            Ok(_) if was_failing => {
+                info!(self.local.logger, "peer_back"; "host" => self.host.as_str());
+            }
+            _ => {}
         }
     }
 
@@ -161,7 +178,6 @@
     }
 
     fn refused(&self, reason: String) -> Error {
-        warn!(self.local.logger, "peer_refuses"; "host" => self.host.as_str(), "reason" => &reason);
         Error::Refused {
             host: self.host.clone(),
             reason,
--- a/crates/kumquatdrum_peer/src/server.rs
+++ b/crates/kumquatdrum_peer/src/server.rs
@@ -6,9 +6,11 @@
 
 use bytes::Bytes;
 use kumquatdrum_types::HostId;
+use parking_lot::Mutex;
 use prost::Message;
 use slog::warn;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 use tonic::{Request, Response, Status};
@@ -26,6 +28,9 @@
 const CONNECTION_WINDOW: u32 = 4 << 20;
 /// The longest reason that travels back with a failure.
 const REASON_LIMIT: usize = 512;
+/// The longest name of a refused host that is logged.
+const NAME_LIMIT: usize = 64;
+const REFUSAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Serves peers on a listener until `shutdown` resolves and all calls under way have ended. A
 /// connection that went silent holds it up for at most six seconds.
@@ -35,9 +40,13 @@
     local: Local,
     shutdown: impl Future<Output = ()> + Send,
 ) -> Result<(), Error> {
-    let service = PeerServer::new(Service { handler, local })
-        .max_decoding_message_size(FRAME_LIMIT)
-        .max_encoding_message_size(FRAME_LIMIT);
+    let service = PeerServer::new(Service {
+        handler,
+        local,
+        refusals: Refusals::default(),
+    })
+    .max_decoding_message_size(FRAME_LIMIT)
+    .max_encoding_message_size(FRAME_LIMIT);
     Server::builder()
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT))
@@ -53,6 +62,27 @@
 struct Service {
     handler: Arc<dyn Handler>,
     local: Local,
+    refusals: Refusals,
+}
+
+/// Refusals are logged at most once in [`REFUSAL_INTERVAL`], so that no stranger fills the log.
+#[derive(Debug, Default)]
+struct Refusals(Mutex<(Option<Instant>, u64)>);
+
+impl Refusals {
+    /// Whether to log this one, and how many were not logged since the last.
+    fn tell(&self) -> Option<u64> {
+        let mut state = self.0.lock();
+        let is_due = state
+            .0
+            .is_none_or(|last| last.elapsed() >= REFUSAL_INTERVAL);
+        if !is_due {
+            state.1 += 1;
+            return None;
+        }
+        state.0 = Some(Instant::now());
+        Some(std::mem::take(&mut state.1))
+    }
 }
 
 impl Service {
@@ -75,9 +105,12 @@
         claimed: &str,
         address: Option<std::net::SocketAddr>,
     ) -> Status {
-        let address = address.map(|address| address.to_string());
-        warn!(self.local.logger, "peer_refused"; "claimed_host" => claimed,
-            "address" => address, "reason" => %violation);
+        if let Some(untold) = self.refusals.tell() {
+            let address = address.map(|address| address.to_string());
+            let claimed: String = claimed.chars().take(NAME_LIMIT).collect();
+            warn!(self.local.logger, "peer_refused"; "claimed_host" => claimed,
+                "address" => address, "reason" => %violation, "untold_before" => untold);
+        }
         Status::unauthenticated(violation.to_string())
     }
 }
--- a/crates/kumquatdrum_peer/tests/exchange.rs
+++ b/crates/kumquatdrum_peer/tests/exchange.rs
@@ -1,13 +1,15 @@
 //! Daemons over loopback: exchange, refusals, silent connections, overflow, shutdown.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
 use kumquatdrum_peer::{Answer, Channel, Client, Error, Handler, Identity, Local, Secret, serve};
 use kumquatdrum_types::{BootId, HostId};
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -62,12 +64,15 @@
 }
 
 async fn daemon(host: &str) -> Daemon {
+    daemon_with(local(host, "salons", "secret")).await
+}
+
+async fn daemon_with(local: Local) -> Daemon {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (sender, deliveries) = mpsc::unbounded_channel();
     let (stop, stopped) = oneshot::channel();
     let handler = Arc::new(Recorder { deliveries: sender });
-    let local = local(host, "salons", "secret");
     let shutdown = stopped.map(|_| ());
     let task = tokio::spawn(serve(listener, handler, local.clone(), shutdown));
     Daemon {
@@ -156,6 +161,52 @@
     assert!(daemon.deliveries.try_recv().is_err());
 }
 
+/// Keeps the lines that are logged.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl slog::Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        let mut line = Line(record.msg().to_string());
+        let _ = slog::KV::serialize(&record.kv(), record, &mut line);
+        self.0.lock().unwrap().push(line.0);
+        Ok(())
+    }
+}
+
+struct Line(String);
+
+impl slog::Serializer for Line {
+    fn emit_arguments(&mut self, key: slog::Key, value: &std::fmt::Arguments<'_>) -> slog::Result {
+        write!(self.0, " {key}={value}")?;
+        Ok(())
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_is_logged_once_a_while_and_without_secrets() {
+    let lines = Lines::default();
+    let mut server = local("entry-2", "salons", "the-true-secret");
+    server.logger = slog::Logger::root(lines.clone(), slog::o!());
+    let daemon = daemon_with(server).await;
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "the-guessed-secret", &host, daemon.address);
+    for _ in 0..50 {
+        ask(&client, &host, "who").await.unwrap_err();
+    }
+    client.shutdown().await;
+    let lines = lines.0.lock().unwrap();
+    assert!(!lines.is_empty() && lines.len() < 50, "{lines:?}");
+    let first = &lines[0];
+    assert!(first.contains("claimed_host=entry-1"), "{first}");
+    assert!(first.contains("reason=wrong secret"), "{first}");
+    let leaks = |line: &String| line.contains("-secret");
+    assert!(!lines.iter().any(leaks), "{lines:?}");
+}
+
 /// Passes bytes on until it is frozen; connections opened before then stay open and silent.
 async fn proxy(target: SocketAddr, mut frozen: watch::Receiver<bool>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
