--- a/crates/kumquatdrum_routing/src/policy.rs
+++ b/crates/kumquatdrum_routing/src/policy.rs
@@ -1,5 +1,6 @@
 //! Where a request goes: the border between the queue and the choice of an endpoint.
 
+mod arrivals;
 pub mod baseline;
 mod estimated;
 
@@ -12,7 +13,9 @@
 
 pub use estimated::Estimated;
 
-/// The priority of short requests at engines, inside one level.
+/// The priority of short requests of workspaces that keep to their share, inside one level.
+pub(crate) const FIRST_PRIORITY: u8 = 3;
+/// The priority of other short requests at engines, inside one level.
 const SHORT_PRIORITY: u8 = 2;
 
 /// What a policy decides about the request at the head of a queue.
--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -4,7 +4,8 @@
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
-use super::{Placement, Policy, is_allowed, size_priority, span};
+use super::arrivals::{Rate, Shares};
+use super::{FIRST_PRIORITY, Placement, Policy, is_allowed, size_priority, span};
 use crate::fleet::{Fleet, SlotIndex};
 use crate::{Job, Size, Work};
 
@@ -14,12 +15,10 @@
 const SPANNING_SAMPLE: usize = 48;
 /// Endpoints outside the own zone that a short request looks at.
 const OUTSIDE_SAMPLE: usize = 3;
-/// Time over which arrivals are averaged, in seconds.
-const ARRIVAL_WINDOW: f64 = 20.0;
-/// Arrivals over less than this tell no rate, in seconds.
-const LEAST_SEEN: f64 = 2.0;
 /// The most engines, as a share, that are kept clear of long prefills.
 const PROTECTED_MOST: f64 = 0.6;
+/// The short requests' load, as a share of all engines, below which no workspace is in the way.
+const BUSY: f64 = 0.4;
 /// Patience: a request that waits accepts this much more estimated wait a second.
 const PATIENCE: f64 = 0.5;
 /// The most that a short request loses on an engine that computes other prompts, in seconds.
@@ -30,13 +29,21 @@
 const RANK_COST: f64 = 0.015;
 /// The most that is added at random, for the same reason, in seconds.
 const JITTER: f64 = 0.02;
+/// What a decision holds of the traffic.
+#[derive(Debug, Clone, Copy)]
+struct Traffic {
+    is_flooded: bool,
+    is_light: bool,
+    /// The lowest rank of this owner at the endpoints looked at.
+    lowest_rank: u32,
+}
+
 /// The chosen policy.
 #[derive(Debug)]
 pub struct Estimated {
     random: Pcg32,
-    short_rate: f64,
-    since: Moment,
-    first: Option<Moment>,
+    short: Rate,
+    shares: Shares,
 }
 
 /// An endpoint that is looked at.
@@ -54,33 +61,38 @@
     pub fn new(seed: u64) -> Self {
         Self {
             random: Pcg32::new(seed, 2),
-            short_rate: 0.0,
-            since: Moment::ZERO,
-            first: None,
+            short: Rate::default(),
+            shares: Shares::default(),
         }
     }
 
     /// How many of `count` engines are kept clear of long prefills: those that the short load
     /// of all daemons needs, with headroom.
-    fn protected(&self, fleet: &Fleet, count: usize) -> usize {
-        let wanted = (self.short_load(fleet) * fleet.settings.short_headroom).ceil() + 1.0;
+    fn protected(&self, now: Moment, fleet: &Fleet, count: usize) -> usize {
+        let wanted = (self.short_load(now, fleet) * fleet.settings.short_headroom).ceil() + 1.0;
         let most = (count as f64 * PROTECTED_MOST).floor();
         wanted.min(most).max(0.0) as usize
     }
 
     /// The short requests' load of all daemons, in engines.
-    fn short_load(&self, fleet: &Fleet) -> f64 {
-        let first = self.first.unwrap_or(self.since);
-        let seen = (self.since - first).as_secs_f64().max(LEAST_SEEN);
-        let rate = self.short_rate / (1.0 - (-seen / ARRIVAL_WINDOW).exp());
-        rate * fleet.owners() as f64 / fleet.rates.prefill(Size::Short)
+    fn short_load(&self, now: Moment, fleet: &Fleet) -> f64 {
+        let rate = self.short.per_second(now) * fleet.owners() as f64;
+        rate / fleet.rates.prefill(Size::Short)
     }
 
     /// Whether short requests alone would take more than they may. Strict priorities would then
     /// starve the others, so these get the same priority, and the short keep off their engines.
-    fn is_flooded(&self, fleet: &Fleet) -> bool {
+    fn is_flooded(&self, now: Moment, fleet: &Fleet) -> bool {
+        let count = fleet.candidates().len() as f64;
+        self.short_load(now, fleet) > count * PROTECTED_MOST
+    }
+
+    /// Whether a short request goes before those of workspaces that bring more than their share.
+    fn is_light(&self, now: Moment, job: &Job, fleet: &Fleet) -> bool {
         let count = fleet.candidates().len() as f64;
-        self.short_load(fleet) > count * PROTECTED_MOST
+        let is_busy = self.short_load(now, fleet) > count * BUSY;
+        let is_over = is_busy && self.shares.is_over(now, job, capacity(fleet));
+        job.size == Size::Short && !is_over
     }
 
     fn sample(&mut self, zone: &[SlotIndex], size: usize, into: &mut Vec<SlotIndex>) {
@@ -95,9 +107,9 @@
         }
     }
 
-    fn candidates(&mut self, job: &Job, fleet: &Fleet) -> Vec<SlotIndex> {
+    fn candidates(&mut self, now: Moment, job: &Job, fleet: &Fleet) -> Vec<SlotIndex> {
         let all = fleet.candidates();
-        let protected = self.protected(fleet, all.len());
+        let protected = self.protected(now, fleet, all.len());
         let (long_zone, short_zone) = all.split_at(all.len() - protected);
         let mut found = Vec::with_capacity(2 * SAMPLE);
         match job.size {
@@ -124,16 +136,20 @@
         job: &Job,
         fleet: &Fleet,
         index: SlotIndex,
-        lowest: u32,
+        traffic: Traffic,
     ) -> Candidate {
         let slot = fleet.slot(index);
         let rate = fleet.rates.bulk() * slot.factor;
         let backlog = slot.backlog_tokens(now, fleet.rates.bulk()) / rate;
-        let rank = f64::from(slot.rank - lowest) * fleet.settings.rank_step.as_secs_f64();
+        let rank =
+            f64::from(slot.rank - traffic.lowest_rank) * fleet.settings.rank_step.as_secs_f64();
         let jitter = f64::from(self.random.next_u32()) / f64::from(u32::MAX) * JITTER;
         let spread = f64::from(slot.rank) * RANK_COST + jitter;
         let wait = match job.size {
-            Size::Short if self.is_flooded(fleet) => backlog + spread,
+            Size::Short if traffic.is_flooded && !traffic.is_light => backlog + spread,
+            Size::Short if traffic.is_light => {
+                short_wait(backlog, slot.open_first_tokens() as f64 / rate) + spread
+            }
             Size::Short => short_wait(backlog, slot.open_short_tokens() as f64 / rate) + spread,
             Size::Medium => backlog + spread,
             Size::Long | Size::Spanning => backlog + rank,
@@ -162,28 +178,29 @@
 }
 
 impl Policy for Estimated {
-    fn arrived(&mut self, now: Moment, job: &Job, _fleet: &Fleet) {
-        let past = (now - self.since).as_secs_f64();
-        self.since = now;
-        self.first.get_or_insert(now);
-        self.short_rate *= (-past / ARRIVAL_WINDOW).exp();
+    fn arrived(&mut self, now: Moment, job: &Job, fleet: &Fleet) {
         if job.size == Size::Short {
-            self.short_rate += job.prefill_tokens() as f64 / ARRIVAL_WINDOW;
+            self.short.add(now, job.prefill_tokens() as f64);
+            self.shares.arrived(now, job, capacity(fleet));
         }
     }
 
     fn place(&mut self, now: Moment, job: &Job, fleet: &Fleet) -> Placement {
         let most = Self::most_wait(now, job, fleet);
-        let found = self.candidates(job, fleet);
+        let found = self.candidates(now, job, fleet);
         if found.is_empty() {
             return nothing_found(job, fleet);
         }
         // Where no engine is nearer to this owner than to others, none costs more for that.
         let ranks = found.iter().map(|&index| fleet.slot(index).rank);
-        let lowest = ranks.min().unwrap_or(0);
+        let traffic = Traffic {
+            is_flooded: self.is_flooded(now, fleet),
+            is_light: self.is_light(now, job, fleet),
+            lowest_rank: ranks.min().unwrap_or(0),
+        };
         let mut looked: Vec<Candidate> = found
             .into_iter()
-            .map(|index| self.look(now, job, fleet, index, lowest))
+            .map(|index| self.look(now, job, fleet, index, traffic))
             .collect();
         looked.sort_by(|a, b| a.total.total_cmp(&b.total));
         looked.dedup_by_key(|candidate| candidate.index);
@@ -206,10 +223,19 @@
     }
 
     fn engine_priority(&self, now: Moment, job: &Job, fleet: &Fleet) -> u8 {
-        size_priority(now, job, fleet, self.is_flooded(fleet))
+        if self.is_light(now, job, fleet) {
+            FIRST_PRIORITY
+        } else {
+            size_priority(now, job, fleet, self.is_flooded(now, fleet))
+        }
     }
 }
 
+/// The work a second that is this daemon's part of all engines.
+fn capacity(fleet: &Fleet) -> f64 {
+    fleet.candidates().len() as f64 * fleet.rates.bulk() / fleet.owners() as f64
+}
+
 /// The wait of a short request: engines honour priorities, so a backlog costs it what computing
 /// beside another prompt does, and only short requests before it cost their whole time.
 fn short_wait(backlog: f64, own_short: f64) -> f64 {
--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -8,8 +8,9 @@
 
 use crate::drain::Drain;
 use crate::fleet::{Fleet, SlotIndex};
-use crate::policy::{Estimated, Placement, Policy};
+use crate::policy::{Estimated, FIRST_PRIORITY, Placement, Policy};
 use crate::queue::{Queue, Ticket, work};
+use crate::slot::Load;
 use crate::{
     Ask, CacheEvent, Dispatch, Failure, Health, Job, Output, Progress, Refuse, Settings, Size, hash,
 };
@@ -406,7 +407,14 @@
                 .places
                 .push((slot.endpoint.clone(), slot.boot, ahead));
             let memory = job.memory_tokens() / share;
-            slot.dispatched(now, number, attempt.tokens, memory, job.size);
+            let load = Load {
+                attempt: number,
+                tokens: attempt.tokens,
+                memory,
+                size: job.size,
+                goes_first: base == FIRST_PRIORITY,
+            };
+            slot.dispatched(now, load);
         }
         outputs.push(Output::Dispatch(Dispatch {
             request: request.clone(),
--- a/crates/kumquatdrum_routing/src/slot.rs
+++ b/crates/kumquatdrum_routing/src/slot.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kumquatdrum_types::endpoint::Kind;
-use kumquatdrum_types::{Announcement, BootId, EndpointId, Load, Moment};
+use kumquatdrum_types::{Announcement, BootId, EndpointId, Moment};
 
 use crate::prefix::Cache;
 use crate::{BlockHash, Health, Settings, Size};
@@ -16,14 +16,22 @@
 /// The part of a reported prompt that is taken as still open until its first token came.
 const OPEN_SHARE: f64 = 0.1;
 
+/// What a dispatch brings to an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    pub(crate) attempt: u64,
+    pub(crate) tokens: u64,
+    pub(crate) memory: u64,
+    pub(crate) size: Size,
+    /// Whether engines take it before other short requests.
+    pub(crate) goes_first: bool,
+}
+
 /// One of this owner's attempts at the endpoint.
 #[derive(Debug)]
 struct Own {
-    attempt: u64,
-    tokens: u64,
-    memory: u64,
+    load: Load,
     sent: Moment,
-    size: Size,
     is_seen: bool,
     has_first_token: bool,
 }
@@ -47,6 +55,7 @@
     open_tokens: u64,
     open_long: u32,
     open_short_tokens: u64,
+    open_first_tokens: u64,
     freed_memory: u64,
 }
 
@@ -110,7 +119,12 @@
     }
 
     /// Takes in a load report, unless it is older than the last one.
-    pub(crate) fn report(&mut self, now: Moment, load: &Load, settings: &Settings) {
+    pub(crate) fn report(
+        &mut self,
+        now: Moment,
+        load: &kumquatdrum_types::Load,
+        settings: &Settings,
+    ) {
         if load.sequence <= self.report.sequence && self.report.at != Moment::ZERO {
             return;
         }
@@ -124,7 +138,7 @@
         let seen = load.seen.iter().find(|(owner, _)| *owner == settings.owner);
         for own in &mut self.own {
             own.is_seen |= match seen {
-                Some((_, counter)) => own.attempt <= *counter,
+                Some((_, counter)) => own.load.attempt <= *counter,
                 None => now - own.sent > settings.report_lag,
             };
         }
@@ -144,20 +158,10 @@
     }
 
     /// Notes a dispatch.
-    pub(crate) fn dispatched(
-        &mut self,
-        now: Moment,
-        attempt: u64,
-        tokens: u64,
-        memory: u64,
-        size: Size,
-    ) {
+    pub(crate) fn dispatched(&mut self, now: Moment, load: Load) {
         let own = Own {
-            attempt,
-            tokens,
-            memory,
+            load,
             sent: now,
-            size,
             is_seen: false,
             has_first_token: false,
         };
@@ -168,7 +172,7 @@
     /// Notes the first token of an attempt; its prompt is no work any more.
     pub(crate) fn first_token(&mut self, attempt: u64) {
         self.failures = 0;
-        let found = self.own.iter_mut().find(|own| own.attempt == attempt);
+        let found = self.own.iter_mut().find(|own| own.load.attempt == attempt);
         if let Some(own) = found.filter(|own| !own.has_first_token) {
             own.has_first_token = true;
             self.sum_up();
@@ -177,12 +181,12 @@
 
     /// Notes the end of an attempt.
     pub(crate) fn ended(&mut self, attempt: u64) {
-        let found = self.own.iter().position(|own| own.attempt == attempt);
+        let found = self.own.iter().position(|own| own.load.attempt == attempt);
         let Some(own) = found.and_then(|place| self.own.remove(place)) else {
             return;
         };
         if own.is_seen {
-            self.sums.freed_memory += own.memory;
+            self.sums.freed_memory += own.load.memory;
         }
         self.sum_up();
     }
@@ -228,6 +232,11 @@
         self.sums.open_short_tokens
     }
 
+    /// The same of those that engines take before other short ones.
+    pub const fn open_first_tokens(&self) -> u64 {
+        self.sums.open_first_tokens
+    }
+
     /// Requests in the endpoint, as far as known.
     pub const fn requests(&self) -> u32 {
         self.report.requests + self.sums.unseen_count
@@ -250,19 +259,22 @@
     fn add(&mut self, own: &Own) {
         if !own.is_seen {
             self.unseen_count += 1;
-            self.unseen_memory += own.memory;
+            self.unseen_memory += own.load.memory;
         }
         if own.has_first_token {
             return;
         }
-        self.open_long += u32::from(own.size.is_long());
-        if own.size == Size::Short {
-            self.open_short_tokens += own.tokens;
+        self.open_long += u32::from(own.load.size.is_long());
+        if own.load.size == Size::Short {
+            self.open_short_tokens += own.load.tokens;
+        }
+        if own.load.goes_first {
+            self.open_first_tokens += own.load.tokens;
         }
         if own.is_seen {
-            self.open_tokens += own.tokens;
+            self.open_tokens += own.load.tokens;
         } else {
-            self.unseen_tokens += own.tokens;
+            self.unseen_tokens += own.load.tokens;
         }
     }
 }
