--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -20,7 +20,7 @@
 /// The short requests' load, as a share of all engines, below which no workspace is in the way.
 const BUSY: f64 = 0.4;
 /// Patience: a request that waits accepts this much more estimated wait a second.
-const PATIENCE: f64 = 0.5;
+const PATIENCE: f64 = 0.2;
 /// The most that a short request loses on an engine that computes other prompts, in seconds.
 const INTERFERENCE: f64 = 0.3;
 
