Keep late news from reviving endpoints that are gone; never choose an engine twice for one prompt

Both were seen failing first: a renewal in flight brought back an endpoint that had left, and a large fleet's sample named an engine twice in one set. Also: what a bucket gains after its lease has ended is not admitted, and declared hosts and workspaces may change.

--- a/crates/kumquatdrum_routing/src/fleet.rs
+++ b/crates/kumquatdrum_routing/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_types::endpoint::Kind;
-use kumquatdrum_types::{Announcement, EndpointId, Moment};
+use kumquatdrum_types::{Announcement, BootId, EndpointId, Moment};
 
 use crate::hash;
 use crate::prefix::Index;
@@ -14,6 +14,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SlotIndex(u32);
 
+/// Endpoints that are gone and still remembered, so that late news brings none of them back.
+const REMEMBERED: usize = 1_024;
+
+/// The last that was known of an endpoint that is gone.
+#[derive(Debug)]
+struct Former {
+    boot: BootId,
+    sequence: u64,
+    was_leaving: bool,
+}
+
+impl Former {
+    /// Whether an announcement is older than what was known, or of a life that has left.
+    fn outlives(&self, announcement: &Announcement) -> bool {
+        let is_same = announcement.boot == self.boot;
+        let is_old = announcement.sequence <= self.sequence || self.was_leaving;
+        announcement.boot < self.boot || (is_same && is_old)
+    }
+}
+
 /// All endpoints of a service.
 #[derive(Debug)]
 pub struct Fleet {
@@ -24,6 +44,7 @@
     pub prefixes: Index,
     slots: Vec<Option<Slot>>,
     by_name: IndexMap<EndpointId, SlotIndex>,
+    former: IndexMap<EndpointId, Former>,
     alive: Vec<SlotIndex>,
     suspect: Vec<SlotIndex>,
     doubtful: IndexSet<EndpointId>,
@@ -39,6 +60,7 @@
             prefixes: Index::default(),
             slots: Vec::new(),
             by_name: IndexMap::new(),
+            former: IndexMap::new(),
             alive: Vec::new(),
             suspect: Vec::new(),
             doubtful: IndexSet::new(),
@@ -102,6 +124,10 @@
     }
 
     pub(crate) fn announce(&mut self, now: Moment, announcement: &Announcement) {
+        let former = self.former.get(&announcement.endpoint);
+        if former.is_some_and(|former| former.outlives(announcement)) {
+            return;
+        }
         self.start_rates(announcement);
         let known = self.find(&announcement.endpoint);
         let index = match known.map(|index| (index, self.slot(index))) {
@@ -181,6 +207,15 @@
         self.doubtful.swap_remove(endpoint);
         if let Some(mut slot) = self.slots[index.0 as usize].take() {
             self.prefixes.clear(index, &mut slot.cache);
+            let former = Former {
+                boot: slot.boot,
+                sequence: slot.sequence,
+                was_leaving: slot.health == Health::Leaving,
+            };
+            self.former.insert(endpoint.clone(), former);
+        }
+        if self.former.len() > REMEMBERED {
+            self.former.shift_remove_index(0);
         }
         self.alive.retain(|&other| other != index);
         self.suspect.retain(|&other| other != index);
--- a/crates/kumquatdrum_routing/src/limits/holder.rs
+++ b/crates/kumquatdrum_routing/src/limits/holder.rs
@@ -97,6 +97,19 @@
         entry.set_rates(now, self.hosts);
     }
 
+    /// Drops the limits of a workspace that is declared no more.
+    pub fn remove_limit(&mut self, workspace: &WorkspaceName) {
+        self.workspaces.swap_remove(workspace);
+    }
+
+    /// Sets the number of declared hosts.
+    pub fn set_hosts(&mut self, now: Moment, hosts: usize) {
+        self.hosts = hosts;
+        for entry in self.workspaces.values_mut() {
+            entry.set_rates(now, hosts);
+        }
+    }
+
     /// Admits a request of so many prompt and expected answer tokens, or says why not.
     /// Each admitted request needs one [`Holder::finished`].
     pub fn admit(
@@ -114,9 +127,11 @@
 
     /// Notes the end of an admitted request, with the tokens that it really took.
     pub fn finished(&mut self, now: Moment, workspace: &WorkspaceName, expected: u64, used: u64) {
+        let hosts = self.hosts;
         let Some(entry) = self.workspaces.get_mut(workspace) else {
             return;
         };
+        entry.expire(now, hosts);
         entry.in_flight = entry.in_flight.saturating_sub(1);
         entry.tokens.correct(now, used as f64 - expected as f64);
     }
--- a/crates/kumquatdrum_routing/src/limits/steward.rs
+++ b/crates/kumquatdrum_routing/src/limits/steward.rs
@@ -49,6 +49,17 @@
         self.limits.insert(workspace, limit);
     }
 
+    /// Drops the limits of a workspace that is declared no more.
+    pub fn remove_limit(&mut self, workspace: &WorkspaceName) {
+        self.limits.swap_remove(workspace);
+        self.members.swap_remove(workspace);
+    }
+
+    /// Sets the number of declared hosts.
+    pub const fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts;
+    }
+
     /// Answers a demand. The answer grants nothing while no majority is bound, yet its stamp
     /// lets the host bind itself. `None` where the workspace has no limit.
     pub fn demand(&mut self, now: Moment, demand: &Demand) -> Option<Grant> {
--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -127,6 +127,8 @@
             found.extend(holders.filter(|holder| fleet.is_candidate(**holder)));
         }
         found.retain(|&index| is_allowed(job, fleet, index));
+        found.sort_unstable();
+        found.dedup();
         found
     }
 
@@ -203,7 +205,6 @@
             .map(|index| self.look(now, job, fleet, index, traffic))
             .collect();
         looked.sort_by(|a, b| a.total.total_cmp(&b.total));
-        looked.dedup_by_key(|candidate| candidate.index);
         if job.size == Size::Spanning {
             let free = looked.iter().filter(|found| found.wait <= most);
             let placement = span(job, fleet, free.map(|found| found.index));
--- a/crates/kumquatdrum_routing/tests/endpoints.rs
+++ b/crates/kumquatdrum_routing/tests/endpoints.rs
@@ -66,6 +66,24 @@
     assert_eq!(router.fleet().slot(index).health, Health::Leaving);
 }
 
+#[test]
+fn late_news_of_a_life_that_is_gone_brings_nothing_back() {
+    let mut router = router("a", 2, 1);
+    let now = seconds(1.0);
+    let mut leaving = announcement(0, 1, 5, None);
+    leaving.leaving = true;
+    let _ = router.announce(now, &leaving);
+    let _ = router.health(now, &endpoint(0), Health::Gone);
+    let _ = router.health(now, &endpoint(1), Health::Gone);
+    // Of the one that left, nothing of that life; of the other, nothing that is older.
+    let _ = router.announce(now, &announcement(0, 1, 9, None));
+    let _ = router.announce(now, &announcement(1, 1, 1, None));
+    assert!(router.fleet().candidates().is_empty());
+    let _ = router.announce(now, &announcement(1, 1, 2, None));
+    let _ = router.announce(now, &announcement(0, 2, 1, None));
+    assert_eq!(router.fleet().candidates().len(), 2);
+}
+
 #[test]
 fn a_suspect_endpoint_gets_work_only_where_nothing_else_is_left() {
     let mut router = router("a", 2, 1);
--- a/crates/kumquatdrum_routing/tests/queue.rs
+++ b/crates/kumquatdrum_routing/tests/queue.rs
@@ -34,6 +34,17 @@
     assert!(endpoints.is_sorted());
 }
 
+#[test]
+fn several_engines_are_several_also_in_a_large_fleet() {
+    for seed in 0..50 {
+        let mut router = router("a", 90, seed);
+        let sent = router.submit(Moment::ZERO, ask("r", 1_000_000, seconds(600.0)));
+        let mut endpoints = dispatches(&sent)[0].endpoints.clone();
+        endpoints.dedup();
+        assert_eq!(endpoints.len(), 3, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_passed_deadline_is_refused_at_once() {
     let mut router = router("a", 2, 1);
