Look beyond a size class's zone where it holds no engine that may take the prompt

Seen failing first: the only engine large enough, or the only one not excluded, was never found where it stood among those kept clear; and a long prompt passed by the engine that held nearly all of it. Light workspaces together now stay below what short requests may take, so a flood of many can't starve a long one.

--- a/crates/kumquatdrum_routing/src/job.rs
+++ b/crates/kumquatdrum_routing/src/job.rs
@@ -40,11 +40,6 @@
     pub(crate) const fn index(self) -> usize {
         self as usize
     }
-
-    /// Whether the class is kept off the engines protected for short requests.
-    pub(crate) const fn is_long(self) -> bool {
-        matches!(self, Self::Long | Self::Spanning)
-    }
 }
 
 /// A request that waits.
--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -23,12 +23,14 @@
 const PATIENCE: f64 = 0.2;
 /// The most that a short request loses on an engine that computes other prompts, in seconds.
 const INTERFERENCE: f64 = 0.3;
-
 /// What an owner that comes earlier at an endpoint adds for requests that are not long, in seconds:
 /// just enough for daemons to prefer different ones of endpoints that look equal.
 const RANK_COST: f64 = 0.015;
 /// The most that is added at random, for the same reason, in seconds.
 const JITTER: f64 = 0.02;
+/// The cached part of a long prompt from which its holders are looked at wherever they stand.
+const MOSTLY: f64 = 0.5;
+
 /// What a decision holds of the traffic.
 #[derive(Debug, Clone, Copy)]
 struct Traffic {
@@ -91,7 +93,9 @@
     fn is_light(&self, now: Moment, job: &Job, fleet: &Fleet) -> bool {
         let count = fleet.candidates().len() as f64;
         let is_busy = self.short_load(now, fleet) > count * BUSY;
-        let is_over = is_busy && self.shares.is_over(now, job, capacity(fleet));
+        // All light ones together stay below what short requests may take.
+        let capacity = capacity(fleet) * PROTECTED_MOST;
+        let is_over = is_busy && self.shares.is_over(now, job, capacity);
         job.size == Size::Short && !is_over
     }
 
@@ -100,8 +104,6 @@
             into.extend_from_slice(zone);
             return;
         }
-        // A stride that shares no factor with a zone's length would be better spread, but a
-        // random start with a random odd stride is enough against herding.
         for _ in 0..size {
             into.push(zone[self.random.next_u32() as usize % zone.len()]);
         }
@@ -122,11 +124,14 @@
             Size::Spanning if all.len() <= SPANNING_SAMPLE => found.extend_from_slice(all),
             Size::Spanning => self.sample(long_zone, SPANNING_SAMPLE, &mut found),
         }
-        let holders = fleet.prefixes.holders(&job.ask.prefix).iter();
-        if !job.size.is_long() {
-            found.extend(holders.filter(|holder| fleet.is_candidate(**holder)));
+        found.extend(holders(job, fleet));
+        found.retain(|&index| may_take(job, fleet, index));
+        if found.is_empty() {
+            // The zone holds none: others may be too small, or excluded.
+            let all = all.iter().copied();
+            let others = all.filter(|&index| may_take(job, fleet, index));
+            found.extend(others.take(SAMPLE));
         }
-        found.retain(|&index| is_allowed(job, fleet, index));
         found.sort_unstable();
         found.dedup();
         found
@@ -143,8 +148,13 @@
         let slot = fleet.slot(index);
         let rate = fleet.rates.bulk() * slot.factor;
         let backlog = slot.backlog_tokens(now, fleet.rates.bulk()) / rate;
-        let rank =
-            f64::from(slot.rank - traffic.lowest_rank) * fleet.settings.rank_step.as_secs_f64();
+        let cached = slot.cached_blocks(&job.ask.prefix) * fleet.settings.block_tokens as f64;
+        let uncached = (job.prefill_tokens() as f64 - cached).max(1.0);
+        // Whoever holds much of the prompt is the right one, whichever owner comes first there.
+        let contested = uncached / job.prefill_tokens().max(1) as f64;
+        let rank = f64::from(slot.rank - traffic.lowest_rank)
+            * fleet.settings.rank_step.as_secs_f64()
+            * contested;
         let jitter = f64::from(self.random.next_u32()) / f64::from(u32::MAX) * JITTER;
         let spread = f64::from(slot.rank) * RANK_COST + jitter;
         let wait = match job.size {
@@ -156,8 +166,6 @@
             Size::Medium => backlog + spread,
             Size::Long | Size::Spanning => backlog + rank,
         };
-        let cached = slot.cached_blocks(&job.ask.prefix) * fleet.settings.block_tokens as f64;
-        let uncached = (job.prefill_tokens() as f64 - cached).max(1.0);
         let own = uncached / (fleet.rates.prefill(job.size) * slot.factor);
         Candidate {
             index,
@@ -191,7 +199,7 @@
         let most = Self::most_wait(now, job, fleet);
         let found = self.candidates(now, job, fleet);
         if found.is_empty() {
-            return nothing_found(job, fleet);
+            return Placement::Nowhere;
         }
         // Where no engine is nearer to this owner than to others, none costs more for that.
         let ranks = found.iter().map(|&index| fleet.slot(index).rank);
@@ -243,12 +251,20 @@
     INTERFERENCE * backlog / (backlog + INTERFERENCE) + own_short
 }
 
-/// What to do where the sample held no endpoint that may have the request.
-fn nothing_found(job: &Job, fleet: &Fleet) -> Placement {
-    let mut all = fleet.candidates().iter();
-    if all.any(|&index| is_allowed(job, fleet, index)) {
-        Placement::Wait
-    } else {
-        Placement::Nowhere
-    }
+/// Whether an endpoint may get the request, now or later.
+fn may_take(job: &Job, fleet: &Fleet, index: SlotIndex) -> bool {
+    let is_enough = fleet.slot(index).memory() >= job.memory_tokens();
+    is_allowed(job, fleet, index) && (is_enough || job.size == Size::Spanning)
+}
+
+/// Endpoints that hold the beginning of the prompt; of a long one, only those that hold most.
+fn holders(job: &Job, fleet: &Fleet) -> impl Iterator<Item = SlotIndex> {
+    let prefix = &job.ask.prefix;
+    let least = match job.size {
+        Size::Short | Size::Medium => 0.0,
+        Size::Long => prefix.len() as f64 * MOSTLY,
+        Size::Spanning => f64::INFINITY,
+    };
+    let holders = fleet.prefixes.holders(prefix).iter().copied();
+    holders.filter(move |&index| fleet.slot(index).cached_blocks(prefix) >= least)
 }
--- a/crates/kumquatdrum_routing/src/slot.rs
+++ b/crates/kumquatdrum_routing/src/slot.rs
@@ -53,7 +53,6 @@
     unseen_tokens: u64,
     unseen_memory: u64,
     open_tokens: u64,
-    open_long: u32,
     open_short_tokens: u64,
     open_first_tokens: u64,
     freed_memory: u64,
@@ -222,11 +221,6 @@
         reported.max(open) + self.sums.unseen_tokens as f64
     }
 
-    /// This owner's long prompts that still have no first token here.
-    pub const fn open_long(&self) -> u32 {
-        self.sums.open_long
-    }
-
     /// Prompt tokens of this owner's short requests that still have no first token here.
     pub const fn open_short_tokens(&self) -> u64 {
         self.sums.open_short_tokens
@@ -264,7 +258,6 @@
         if own.has_first_token {
             return;
         }
-        self.open_long += u32::from(own.load.size.is_long());
         if own.load.size == Size::Short {
             self.open_short_tokens += own.load.tokens;
         }
--- a/crates/kumquatdrum_routing/tests/endpoints.rs
+++ b/crates/kumquatdrum_routing/tests/endpoints.rs
@@ -219,6 +219,24 @@
     }
 }
 
+#[test]
+fn a_mostly_cached_long_prompt_goes_to_its_holder_wherever_that_stands() {
+    let prefix: Vec<BlockHash> = (0..400).map(BlockHash).collect();
+    for holder in 0..12 {
+        let mut router = router("a", 12, 1);
+        let event = CacheEvent {
+            boot: BootId(1),
+            sequence: 1,
+            change: CacheChange::Stored(prefix.clone()),
+        };
+        let _ = router.cache(Moment::ZERO, &endpoint(holder), &event);
+        let mut request = ask("r", 400 * 256 + 100, DEADLINE);
+        request.prefix.clone_from(&prefix);
+        let sent = router.submit(seconds(1.0), request);
+        assert_eq!(dispatches(&sent)[0].endpoints, [endpoint(holder)]);
+    }
+}
+
 #[test]
 fn a_gap_in_cache_events_asks_for_the_whole_list_until_it_comes() {
     let mut router = router("a", 1, 1);
--- a/crates/kumquatdrum_routing/tests/queue.rs
+++ b/crates/kumquatdrum_routing/tests/queue.rs
@@ -34,6 +34,36 @@
     assert!(endpoints.is_sorted());
 }
 
+#[test]
+fn the_only_engine_that_is_large_enough_is_found_wherever_it_stands() {
+    for large in 0..12 {
+        let mut router = router("a", 0, 1);
+        for index in 0..12 {
+            let mut news = support::announcement(index, 1, 1, None);
+            if let kumquatdrum_types::endpoint::Kind::Engine(engine) = &mut news.kind {
+                engine.memory_tokens = if index == large { 400_000 } else { 50_000 };
+            }
+            let _ = router.announce(Moment::ZERO, &news);
+        }
+        let sent = router.submit(Moment::ZERO, ask("r", 300_000, seconds(600.0)));
+        assert_eq!(dispatches(&sent)[0].endpoints, [support::endpoint(large)]);
+    }
+}
+
+#[test]
+fn a_long_prompt_goes_to_whatever_is_not_excluded() {
+    for excluded in 0..2 {
+        let mut router = router("a", 2, 1);
+        let mut request = ask("r", 300_000, seconds(600.0));
+        request.excluded = vec![support::endpoint(excluded)];
+        let sent = router.submit(Moment::ZERO, request);
+        assert_eq!(
+            dispatches(&sent)[0].endpoints,
+            [support::endpoint(1 - excluded)]
+        );
+    }
+}
+
 #[test]
 fn several_engines_are_several_also_in_a_large_fleet() {
     for seed in 0..50 {
@@ -280,12 +310,19 @@
 
 #[test]
 fn the_longest_prompt_starts_within_its_deadline_under_a_flood_of_short_ones() {
+    for workspaces in [1, 10] {
+        the_longest_prompt_starts_beside(workspaces);
+    }
+}
+
+fn the_longest_prompt_starts_beside(workspaces: u32) {
     let mut fleet = Fleet::new(4);
     let long = ask("long", 390_000, seconds(120.0));
     for tick in 0..6_000 {
         let now = seconds(f64::from(tick) * STEP);
         // More than the four engines can do.
-        let request = ask(format!("s{tick}"), 2_000, now + Duration::from_secs(8));
+        let mut request = ask(format!("s{tick}"), 2_000, now + Duration::from_secs(8));
+        request.workspace = format!("w{}", tick % workspaces).as_str().into();
         fleet.submit(now, request);
         if tick == 500 {
             fleet.submit(now, long.clone());
