--- a/crates/kumquatdrum_routing/src/gang.rs
+++ b/crates/kumquatdrum_routing/src/gang.rs
@@ -123,6 +123,24 @@
 }
 
 /// All reservations of one owner.
+///
+/// ```
+/// use kumquatdrum_routing::gang::{Answer, Output, Part, Table};
+/// use kumquatdrum_types::Moment;
+///
+/// let now = Moment::ZERO;
+/// let mut table = Table::default();
+/// let part = Part { engine: "engine-1".into(), tokens: 600_000 };
+/// let asked = table.begin(now, "host-1:7".into(), [part], Moment::from_millis(9_000));
+/// assert!(matches!(asked[..], [Output::Reserve { .. }]));
+/// let ready = table.answer(now, &"host-1:7".into(), &"engine-1".into(), Answer::Granted);
+/// assert_eq!(ready, [Output::Ready("host-1:7".into())]);
+/// let released = table.end(now, &"host-1:7".into());
+/// assert!(matches!(released[..], [Output::Release { .. }]));
+/// assert!(!table.is_empty());
+/// let _ = table.answer(now, &"host-1:7".into(), &"engine-1".into(), Answer::Released);
+/// assert!(table.is_empty());
+/// ```
 #[derive(Debug, Default)]
 pub struct Table {
     gangs: IndexMap<AttemptId, Gang>,
--- a/crates/kumquatdrum_routing/src/limits/holder.rs
+++ b/crates/kumquatdrum_routing/src/limits/holder.rs
@@ -148,7 +148,9 @@
         self.round += 1;
         let may_bind = now >= self.started + BINDING;
         let mut demands = Vec::new();
-        for (workspace, entry) in &mut self.workspaces {
+        let limited = self.workspaces.iter_mut();
+        let limited = limited.filter(|(_, entry)| entry.limit != Limit::default());
+        for (workspace, entry) in limited {
             let Some(steward) = steward_of(workspace, live) else {
                 continue;
             };
--- a/crates/kumquatdrum_routing/src/limits/steward.rs
+++ b/crates/kumquatdrum_routing/src/limits/steward.rs
@@ -20,6 +20,27 @@
 }
 
 /// Grants shares of the limits of the workspaces whose steward this host is.
+///
+/// ```
+/// use kumquatdrum_routing::limits::{BINDING, Holder, Limit, Steward};
+/// use kumquatdrum_types::{BootId, Moment};
+/// use std::time::Duration;
+///
+/// let limit = Limit { requests_per_second: Some(100.0), ..Limit::default() };
+/// let mut steward = Steward::new("a".into(), BootId(1), 1, Duration::from_secs(600));
+/// steward.set_limit("salon".into(), limit);
+/// let mut holder = Holder::new("a".into(), 1, Moment::ZERO);
+/// holder.set_limit(Moment::ZERO, "salon".into(), limit);
+///
+/// // The first answer carries the stamp that binds the host, the second one grants the pool.
+/// let now = Moment::ZERO + BINDING;
+/// for granted in [0.0, 70.0] {
+///     let (_, demand) = holder.demands(now, &["a".into()]).remove(0);
+///     let grant = steward.demand(now, &demand).expect("limited");
+///     assert_eq!(grant.share.requests, granted);
+///     holder.grant(now, &grant);
+/// }
+/// ```
 #[derive(Debug)]
 pub struct Steward {
     host: HostId,
--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -47,12 +47,44 @@
 /// The router of one service.
 ///
 /// ```
-/// use kumquatdrum_routing::{Router, Settings};
-/// use kumquatdrum_types::Moment;
+/// use kumquatdrum_routing::{Ask, Output, Priority, Progress, Router, Settings, Usage, Work};
+/// use kumquatdrum_types::endpoint::Kind;
+/// use kumquatdrum_types::{Announcement, BootId, Moment};
 ///
 /// let mut router = Router::new(Settings::new("host-1", ["host-1"]), 0);
-/// assert!(router.tick(Moment::ZERO).is_empty());
-/// assert_eq!(router.queued(), 0);
+/// let announcement = Announcement {
+///     endpoint: "salon-api-1".into(),
+///     boot: BootId(1),
+///     sequence: 1,
+///     service: "salon-api".into(),
+///     address: ([127, 0, 0, 1], 8080).into(),
+///     data_centre: "hall-raatuse".into(),
+///     kind: Kind::Plain,
+///     leaving: false,
+/// };
+/// assert!(router.announce(Moment::ZERO, &announcement).is_empty());
+///
+/// let ask = Ask {
+///     request: "r-1".into(),
+///     workspace: "salon".into(),
+///     weight: 1,
+///     priority: Priority::default(),
+///     prompt_tokens: 0,
+///     expected_output_tokens: 0,
+///     prefix: Vec::new(),
+///     deadline: Moment::from_millis(5_000),
+///     excluded: Vec::new(),
+///     work: Work::Plain,
+/// };
+/// let outputs = router.submit(Moment::ZERO, ask);
+/// let [Output::Dispatch(dispatch)] = outputs.as_slice() else {
+///     panic!("dispatched at once");
+/// };
+/// assert_eq!(dispatch.endpoints, ["salon-api-1".into()]);
+///
+/// let finished = Progress::Finished(Usage::default());
+/// let _ = router.progress(Moment::from_millis(40), dispatch.attempt, finished);
+/// assert_eq!(router.in_flight(), 0);
 /// ```
 #[derive(Debug)]
 pub struct Router {
--- a/crates/kumquatdrum_routing/tests/endpoints.rs
+++ b/crates/kumquatdrum_routing/tests/endpoints.rs
@@ -165,6 +165,20 @@
     assert!(router.fleet().slot(index).backlog_tokens(now, 1.0) < 4_100.0);
 }
 
+#[test]
+fn without_counters_an_attempt_older_than_the_lag_is_taken_as_counted() {
+    let mut router = router("a", 1, 1);
+    let _ = router.submit(seconds(1.0), ask("r1", 4_000, DEADLINE));
+    let index = router.fleet().find(&endpoint(0)).expect("announced");
+    let report = |router: &mut kumquatdrum_routing::Router, at: f64, sequence: u64| {
+        let news = announcement(0, 1, sequence + 1, Some(load(sequence, 4_000)));
+        let _ = router.announce(seconds(at), &news);
+        router.fleet().slot(index).backlog_tokens(seconds(at), 1.0)
+    };
+    assert!(report(&mut router, 2.0, 1) > 7_900.0);
+    assert!(report(&mut router, 4.0, 2) < 4_100.0);
+}
+
 #[test]
 fn an_endpoint_that_fails_at_once_attracts_no_more_work() {
     let mut router = router("a", 5, 1);
