--- a/crates/kumquatdrum_routing/benches/decision.rs
+++ b/crates/kumquatdrum_routing/benches/decision.rs
@@ -117,6 +117,34 @@
     (each(submits), each(progresses))
 }
 
+/// Microseconds of a submit that has to wait, behind so many others.
+fn measure_waiting(size: usize, waiting: u64) -> f64 {
+    let mut router = router(size);
+    let now = Moment::from_millis(1_000);
+    for index in 0..size {
+        let mut busy = announcement(index, 2);
+        if let Kind::Engine(engine) = &mut busy.kind
+            && let Some(load) = &mut engine.load
+        {
+            load.prefill_tokens = 10_000_000;
+        }
+        let _ = router.announce(now, &busy);
+    }
+    let mut taken = Duration::ZERO;
+    for number in 0..2 * waiting {
+        let mut ask = ask(number, now);
+        ask.prompt_tokens = 20_000;
+        let start = Instant::now();
+        std::hint::black_box(router.submit(now, ask));
+        std::hint::black_box(router.next_wake());
+        if number >= waiting {
+            taken += start.elapsed();
+        }
+    }
+    assert_eq!(router.queued() as u64, 2 * waiting, "all wait");
+    taken.as_secs_f64() * 1e6 / waiting as f64
+}
+
 fn main() {
     println!("| endpoints | submit, us: median of {RUNS} (lowest-highest) | progress, us |");
     println!("| --- | --- | --- |");
@@ -132,4 +160,12 @@
             middle.1
         );
     }
+    println!("\n| endpoints | waiting | submit that waits, us |");
+    println!("| --- | --- | --- |");
+    for size in SIZES {
+        for waiting in [100, 4_000] {
+            let taken = measure_waiting(size, waiting);
+            println!("| {size} | {waiting}-{} | {taken:.1} |", 2 * waiting);
+        }
+    }
 }
