--- a/crates/kumquatdrum_routing/src/limits/steward.rs
+++ b/crates/kumquatdrum_routing/src/limits/steward.rs
@@ -20,6 +20,27 @@
 }
 
 /// Grants shares of the limits of the workspaces whose steward this host is.
+///
+/// ```
+/// use kumquatdrum_routing::limits::{BINDING, Holder, Limit, Steward};
+/// use kumquatdrum_types::{BootId, Moment};
+/// use std::time::Duration;
+///
+/// let limit = Limit { requests_per_second: Some(100.0), ..Limit::default() };
+/// let mut steward = Steward::new("a".into(), BootId(1), 1, Duration::from_secs(600));
+/// steward.set_limit("salon".into(), limit);
+/// let mut holder = Holder::new("a".into(), 1, Moment::ZERO);
+/// holder.set_limit(Moment::ZERO, "salon".into(), limit);
+///
+/// // The first answer carries the stamp that binds the host, the second one grants the pool.
+/// let now = Moment::ZERO + BINDING;
+/// for granted in [0.0, 70.0] {
+///     let (_, demand) = holder.demands(now, &["a".into()]).remove(0);
+///     let grant = steward.demand(now, &demand).expect("limited");
+///     assert_eq!(grant.share.requests, granted);
+///     holder.grant(now, &grant);
+/// }
+/// ```
 #[derive(Debug)]
 pub struct Steward {
     host: HostId,
@@ -49,6 +70,17 @@
         self.limits.insert(workspace, limit);
     }
 
+    /// Drops the limits of a workspace that is declared no more.
+    pub fn remove_limit(&mut self, workspace: &WorkspaceName) {
+        self.limits.swap_remove(workspace);
+        self.members.swap_remove(workspace);
+    }
+
+    /// Sets the number of declared hosts.
+    pub const fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts;
+    }
+
     /// Answers a demand. The answer grants nothing while no majority is bound, yet its stamp
     /// lets the host bind itself. `None` where the workspace has no limit.
     pub fn demand(&mut self, now: Moment, demand: &Demand) -> Option<Grant> {
--- a/crates/kumquatdrum_routing/tests/endpoints.rs
+++ b/crates/kumquatdrum_routing/tests/endpoints.rs
@@ -66,6 +66,24 @@
     assert_eq!(router.fleet().slot(index).health, Health::Leaving);
 }
 
+#[test]
+fn late_news_of_a_life_that_is_gone_brings_nothing_back() {
+    let mut router = router("a", 2, 1);
+    let now = seconds(1.0);
+    let mut leaving = announcement(0, 1, 5, None);
+    leaving.leaving = true;
+    let _ = router.announce(now, &leaving);
+    let _ = router.health(now, &endpoint(0), Health::Gone);
+    let _ = router.health(now, &endpoint(1), Health::Gone);
+    // Of the one that left, nothing of that life; of the other, nothing that is older.
+    let _ = router.announce(now, &announcement(0, 1, 9, None));
+    let _ = router.announce(now, &announcement(1, 1, 1, None));
+    assert!(router.fleet().candidates().is_empty());
+    let _ = router.announce(now, &announcement(1, 1, 2, None));
+    let _ = router.announce(now, &announcement(0, 2, 1, None));
+    assert_eq!(router.fleet().candidates().len(), 2);
+}
+
 #[test]
 fn a_suspect_endpoint_gets_work_only_where_nothing_else_is_left() {
     let mut router = router("a", 2, 1);
@@ -147,6 +165,20 @@
     assert!(router.fleet().slot(index).backlog_tokens(now, 1.0) < 4_100.0);
 }
 
+#[test]
+fn without_counters_an_attempt_older_than_the_lag_is_taken_as_counted() {
+    let mut router = router("a", 1, 1);
+    let _ = router.submit(seconds(1.0), ask("r1", 4_000, DEADLINE));
+    let index = router.fleet().find(&endpoint(0)).expect("announced");
+    let report = |router: &mut kumquatdrum_routing::Router, at: f64, sequence: u64| {
+        let news = announcement(0, 1, sequence + 1, Some(load(sequence, 4_000)));
+        let _ = router.announce(seconds(at), &news);
+        router.fleet().slot(index).backlog_tokens(seconds(at), 1.0)
+    };
+    assert!(report(&mut router, 2.0, 1) > 7_900.0);
+    assert!(report(&mut router, 4.0, 2) < 4_100.0);
+}
+
 #[test]
 fn an_endpoint_that_fails_at_once_attracts_no_more_work() {
     let mut router = router("a", 5, 1);
@@ -201,6 +233,24 @@
     }
 }
 
+#[test]
+fn a_mostly_cached_long_prompt_goes_to_its_holder_wherever_that_stands() {
+    let prefix: Vec<BlockHash> = (0..400).map(BlockHash).collect();
+    for holder in 0..12 {
+        let mut router = router("a", 12, 1);
+        let event = CacheEvent {
+            boot: BootId(1),
+            sequence: 1,
+            change: CacheChange::Stored(prefix.clone()),
+        };
+        let _ = router.cache(Moment::ZERO, &endpoint(holder), &event);
+        let mut request = ask("r", 400 * 256 + 100, DEADLINE);
+        request.prefix.clone_from(&prefix);
+        let sent = router.submit(seconds(1.0), request);
+        assert_eq!(dispatches(&sent)[0].endpoints, [endpoint(holder)]);
+    }
+}
+
 #[test]
 fn a_gap_in_cache_events_asks_for_the_whole_list_until_it_comes() {
     let mut router = router("a", 1, 1);
