--- a/crates/kumquatdrum_declaration/src/check/rules.rs
+++ b/crates/kumquatdrum_declaration/src/check/rules.rs
@@ -1,6 +1,7 @@
 //! Rules of which calls may be repeated: their form, and that each can decide something.
 
 use super::{Findings, duplicates, places};
+use crate::repeat::is_regular;
 use crate::{Declaration, Rule, pointer};
 
 pub(super) fn check(declaration: &Declaration, findings: &mut Findings) {
@@ -21,16 +22,22 @@
     }
     duplicates(places(&list, &rule.methods), findings);
     let prefix = &rule.path_prefix;
+    let place = || pointer::join(place, "path_prefix");
     findings.push_if(
         !(prefix.is_empty() || prefix.starts_with('/')),
-        || pointer::join(place, "path_prefix"),
+        place,
         "must start with /, or it never matches",
     );
     findings.push_if(
         prefix.contains(['?', '#']) || prefix.contains(char::is_whitespace),
-        || pointer::join(place, "path_prefix"),
+        place,
         "must be a path without a query, or it never matches",
     );
+    findings.push_if(
+        !is_regular(prefix),
+        place,
+        "must have no empty or dot segments and no needless percent encoding, or it never matches",
+    );
 }
 
 /// The first rule that matches decides, so one that an earlier rule covers never does.
--- a/crates/kumquatdrum_declaration/src/repeat.rs
+++ b/crates/kumquatdrum_declaration/src/repeat.rs
@@ -56,7 +56,7 @@
 }
 
 /// Whether a path can be read in one way only.
-fn is_regular(path: &str) -> bool {
+pub(crate) fn is_regular(path: &str) -> bool {
     let path = path.strip_prefix('/').unwrap_or(path);
     let path = path.strip_suffix('/').unwrap_or(path);
     let has_odd_segment = path
--- a/crates/kumquatdrum_operator/src/client.rs
+++ b/crates/kumquatdrum_operator/src/client.rs
@@ -88,6 +88,7 @@
             .connect_timeout(CONNECT_TIMEOUT.min(connection.timeout))
             .timeout(connection.timeout)
             .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
             .build()?;
         Ok(Self { connection, http })
     }
--- a/crates/kumquatdrum_setup/examples/sizes.rs
+++ b/crates/kumquatdrum_setup/examples/sizes.rs
@@ -45,7 +45,7 @@
 
 fn claim(number: usize) -> Claim {
     Claim {
-        workspace: "workspace-0001".into(),
+        workspace: format!("workspace-{:04}", number % 10).as_str().into(),
         key: format!("6f1e2c7a-0000-4000-8000-{number:012}")
             .as_str()
             .into(),
--- a/crates/kumquatdrum_setup/src/claim.rs
+++ b/crates/kumquatdrum_setup/src/claim.rs
@@ -13,6 +13,8 @@
 
 /// The most claims that the table holds; further ones are answered [`ClaimAnswer::Full`].
 pub const MAX_CLAIMS: usize = 1 << 18;
+/// The most claims of one workspace, so that one alone can't take the keys of all others.
+pub const MAX_CLAIMS_OF_WORKSPACE: usize = MAX_CLAIMS / 4;
 
 /// A host's wish to run a keyed request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,7 +70,7 @@
     Held(Held),
     /// The key was used for another request.
     Mismatch,
-    /// The table is full; the request must not run.
+    /// The table, or the workspace's part of it, is full; the request must not run.
     Full,
 }
 
@@ -124,6 +126,7 @@
 pub struct Table {
     entries: IndexMap<Name, Entry>,
     expiries: BTreeSet<(u64, Name)>,
+    counts: IndexMap<WorkspaceName, usize>,
 }
 
 impl Entry {
@@ -180,11 +183,16 @@
             Some(entry) if entry.settled == Settled::NotRun => self.grant(now_ms, name, claim),
             Some(entry) if entry.claim.fingerprint != claim.fingerprint => ClaimAnswer::Mismatch,
             Some(entry) => ClaimAnswer::Held(entry.held()),
-            None if self.entries.len() >= MAX_CLAIMS => ClaimAnswer::Full,
+            None if self.is_full(&claim.workspace) => ClaimAnswer::Full,
             None => self.grant(now_ms, name, claim),
         }
     }
 
+    fn is_full(&self, workspace: &WorkspaceName) -> bool {
+        let count = self.counts.get(workspace).copied().unwrap_or_default();
+        self.entries.len() >= MAX_CLAIMS || count >= MAX_CLAIMS_OF_WORKSPACE
+    }
+
     fn grant(&mut self, now_ms: u64, name: Name, claim: &Claim) -> ClaimAnswer {
         let expires_ms = now_ms
             .saturating_add(claim.deadline_ms)
@@ -195,12 +203,13 @@
             granted_ms: now_ms,
             expires_ms,
         };
-        self.expiries.insert((expires_ms, name.clone()));
-        if let Some(previous) = self.entries.insert(name.clone(), entry)
-            && previous.expires_ms != expires_ms
-        {
-            self.expiries.remove(&(previous.expires_ms, name));
+        match self.entries.insert(name.clone(), entry) {
+            Some(previous) => {
+                self.expiries.remove(&(previous.expires_ms, name.clone()));
+            }
+            None => *self.counts.entry(name.0.clone()).or_default() += 1,
         }
+        self.expiries.insert((expires_ms, name));
         ClaimAnswer::Granted
     }
 
@@ -248,6 +257,16 @@
             }
             _ => {
                 self.entries.swap_remove(&name);
+                self.uncount(&name.0);
+            }
+        }
+    }
+
+    fn uncount(&mut self, workspace: &WorkspaceName) {
+        match self.counts.get_mut(workspace) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => {
+                self.counts.swap_remove(workspace);
             }
         }
     }
@@ -259,14 +278,14 @@
 
     /// Puts a table together again, in the same order.
     pub(crate) fn restore(entries: Vec<Entry>) -> Self {
-        let expiries = entries.iter().map(|entry| (entry.expires_ms, entry.name()));
-        Self {
-            expiries: expiries.collect(),
-            entries: entries
-                .into_iter()
-                .map(|entry| (entry.name(), entry))
-                .collect(),
+        let mut table = Self::default();
+        for entry in entries {
+            let name = entry.name();
+            table.expiries.insert((entry.expires_ms, name.clone()));
+            *table.counts.entry(name.0.clone()).or_default() += 1;
+            table.entries.insert(name, entry);
         }
+        table
     }
 }
 
--- a/crates/kumquatdrum_setup/tests/claims.rs
+++ b/crates/kumquatdrum_setup/tests/claims.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use kumquatdrum_setup::claim::{Held, MAX_CLAIMS};
+use kumquatdrum_setup::claim::{Held, MAX_CLAIMS, MAX_CLAIMS_OF_WORKSPACE};
 use kumquatdrum_setup::{Action, Claim, ClaimAnswer, Digest, SettleAnswer, Settled, State};
 use support::{claim, claim_all, claim_one, restored, settle_one, settlement};
 
@@ -181,23 +181,45 @@
     assert_eq!(answer, held(&first, Settled::Running));
 }
 
+/// `MAX_CLAIMS_OF_WORKSPACE` claims of a workspace, all granted.
+fn fill(state: &mut State, workspace: &str) {
+    let numbered = |number: usize| Claim {
+        workspace: workspace.into(),
+        ..claim(&number.to_string(), "h1", "1")
+    };
+    let claims: Vec<_> = (0..MAX_CLAIMS_OF_WORKSPACE).map(numbered).collect();
+    let answers = claim_all(state, 0, &claims);
+    assert!(answers.iter().all(|answer| *answer == ClaimAnswer::Granted));
+}
+
 #[test]
 fn a_full_table_grants_nothing_until_claims_expire() {
     let mut state = State::default();
-    let claims: Vec<_> = (0..MAX_CLAIMS)
-        .map(|number| claim(&number.to_string(), "h1", "1"))
-        .collect();
-    let answers = claim_all(&mut state, 0, &claims);
-    assert!(answers.iter().all(|answer| *answer == ClaimAnswer::Granted));
     let late = claim("late", "h1", "1");
+    let other = Claim {
+        workspace: "other".into(),
+        ..late.clone()
+    };
+    let known = claim("0", "h1", "1");
+    fill(&mut state, "salon");
     assert_eq!(claim_one(&mut state, 0, &late), ClaimAnswer::Full);
-    let repeated = claim_one(&mut state, 0, &claims[0]);
-    assert_eq!(repeated, ClaimAnswer::Granted);
-    settle_one(
-        &mut state,
-        0,
-        settlement(&claims[0], "h1", Settled::Finished),
-    );
+    assert_eq!(claim_one(&mut state, 0, &known), ClaimAnswer::Granted);
+    assert_eq!(claim_one(&mut state, 0, &other), ClaimAnswer::Granted);
+    for workspace in ["second", "third"] {
+        fill(&mut state, workspace);
+    }
+    settle_one(&mut state, 0, settlement(&known, "h1", Settled::Finished));
     assert_eq!(claim_one(&mut state, 9_999, &late), ClaimAnswer::Full);
     assert_eq!(claim_one(&mut state, 1, &late), ClaimAnswer::Granted);
 }
+
+#[test]
+fn the_table_is_bounded_over_all_workspaces() {
+    let mut state = State::default();
+    for workspace in ["first", "second", "third", "fourth"] {
+        fill(&mut state, workspace);
+    }
+    assert_eq!(state.claims().len(), MAX_CLAIMS);
+    let late = claim("late", "h1", "1");
+    assert_eq!(claim_one(&mut state, 0, &late), ClaimAnswer::Full);
+}
