--- a/crates/kumquatdrum_operator/tests/commands.rs
+++ b/crates/kumquatdrum_operator/tests/commands.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use kumquatdrum_operator::command::{apply, audit, check, show, status};
+use kumquatdrum_operator::report::Report;
 use kumquatdrum_operator::{Client, Connection, Exit, client};
 use kumquatdrum_setup::{Failure, Standing};
 use kumquatdrum_types::Version;
@@ -240,6 +241,22 @@
     host.stop().await;
 }
 
+/// The answer comes before the file was read, and must not be lost with the connection.
+#[tokio::test]
+async fn a_large_file_with_a_wrong_key_is_refused_and_not_unknown() {
+    let control = Arc::new(Fake::default());
+    let host = Host::start(control).await;
+    let mut stranger = connection(&[&host.url]);
+    stranger.key = "guess".to_owned();
+    let client = Client::new(stranger).expect("a client");
+    let large = " ".repeat(7 << 20);
+    for _ in 0..3 {
+        let answer = client.apply(Version(0), None, &large).await;
+        assert_eq!(answer, Ok(Report::Unauthorized));
+    }
+    host.stop().await;
+}
+
 /// A host that is cut off must not answer for the others.
 #[tokio::test]
 async fn show_prefers_a_confirmed_answer() {
--- a/crates/kumquatdrum_setup/src/state.rs
+++ b/crates/kumquatdrum_setup/src/state.rs
@@ -1,6 +1,7 @@
 //! The state machine that the replicated log drives.
 
 use indexmap::IndexMap;
+use kumquatdrum_declaration::Declaration;
 use kumquatdrum_types::{Finding, Version};
 
 use crate::audit::{MAX_PLACES, Outcome, Record, Trail};
@@ -87,16 +88,14 @@
         }
     }
 
-    fn changes(
-        &self,
-        request: &Request,
-        new: &kumquatdrum_declaration::Declaration,
-    ) -> Vec<String> {
-        let old = match kumquatdrum_declaration::parse(self.history.current_text()) {
-            Ok(old) if request.base == self.current() => old,
-            _ => return Vec::new(),
-        };
-        let changes = kumquatdrum_declaration::diff(&old, new);
+    /// The places at which a new declaration differs from the one in force.
+    fn changes(&self, request: &Request, new: &Declaration) -> Vec<String> {
+        if request.base != self.current() {
+            return Vec::new();
+        }
+        let old = kumquatdrum_declaration::parse(self.history.current_text());
+        let changes = old.map(|old| kumquatdrum_declaration::diff(&old, new));
+        let changes = changes.unwrap_or_default();
         changes.iter().map(ToString::to_string).collect()
     }
 
