Add demo and replay commands

The demo runs three hosts in three data centres, three engines each and the plain service in one process on loopback, and replays a shipped trace, which is embedded. It passes on the outcomes that the trace states and on what the stand-ins counted.

The declaration names priorities by the numbers that traces carry; without that each request is refused as naming no declared priority.

Idle probes are spread over all short requests of a trace, for the same reason.

--- a/crates/kumquatdrum/src/cli.rs
+++ b/crates/kumquatdrum/src/cli.rs
@@ -7,6 +7,8 @@
 use kumquatdrum_operator::command::{apply, audit, check, show, status};
 use kumquatdrum_operator::{Connection, Exit};
 
+use crate::{demo, replay};
+
 /// How long one host may take to answer an operator.
 const ANSWER: Duration = Duration::from_secs(10);
 
@@ -99,9 +101,19 @@
         #[bpaf(external)]
         json: bool,
     },
+    /// Sends a recorded trace to a running system and judges each answer
+    ///
+    /// Example: kumquatdrum replay trace.jsonl --target 127.0.0.1:7101 --keys keys.json
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::arguments))] replay::Arguments),
+    /// Runs three hosts and small stand-in endpoints in this process, replays a trace and reports
+    ///
+    /// Example: kumquatdrum demo --mix treasury --json
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::arguments))] demo::Arguments),
 }
 
-fn json() -> impl bpaf::Parser<bool> {
+pub(crate) fn json() -> impl bpaf::Parser<bool> {
     bpaf::long("json").help("Print JSON").switch()
 }
 
@@ -178,6 +190,7 @@
             };
             status::run(&options, out).await
         }
-        Command::Serve { .. } | Command::Schema => Exit::Usage,
+        Command::Replay(arguments) => replay::run(&arguments).await,
+        Command::Demo(_) | Command::Serve { .. } | Command::Schema => Exit::Usage,
     }
 }
--- /dev/null
+++ b/crates/kumquatdrum/src/demo.rs
@@ -0,0 +1,320 @@
+//! Three hosts and small stand-in endpoints in one process, a trace replayed against them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use bpaf::Bpaf;
+use indexmap::{IndexMap, IndexSet};
+use kumquatdrum_declaration::{self as declared, Declaration, Key, Model, ServiceKind, Workspace};
+use kumquatdrum_host::Host;
+use kumquatdrum_host::embedded::{self, ENDPOINT_KEY, Spec};
+use kumquatdrum_operator::Exit;
+use kumquatdrum_replay::prompt::Size;
+use kumquatdrum_replay::replay::{Baseline, Options};
+use kumquatdrum_replay::{Entry, Mix, trace};
+use kumquatdrum_setup::ApplyAnswer;
+use kumquatdrum_testing::{Engine, Service, announcer, engine, process, service};
+use kumquatdrum_types::{Version, digest};
+
+use crate::cli::json;
+use crate::replay;
+
+const TOONIKAART: &str = include_str!("../../../examples/traces/toonikaart.jsonl");
+const TREASURY: &str = include_str!("../../../examples/traces/treasury.jsonl");
+
+const MODEL: &str = "demo-model";
+const ENGINES_PER_DATA_CENTRE: usize = 3;
+/// Above the longest prompt of the traces, so that none needs more than one engine.
+const ENGINE_MEMORY_TOKENS: u64 = 2_500_000;
+const LONGEST_PROMPT_TOKENS: u64 = 1_500_000;
+const LONGEST_DEADLINE_MS: u64 = 600_000;
+const AGING_MS: u64 = 3_000;
+
+/// What the demo runs.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Arguments {
+    /// Whose requests: toonikaart or treasury
+    #[bpaf(argument::<String>("MIX"), parse(mix), fallback(Mix::Toonikaart))]
+    mix: Mix,
+    /// Spread the trace over so many seconds; as recorded where absent
+    #[bpaf(argument("SECONDS"), guard(|seconds| *seconds > 0.0, "must be above 0"), optional)]
+    seconds: Option<f64>,
+    /// Factor on the trace's prompt lengths
+    #[bpaf(argument("FACTOR"), fallback(1.0))]
+    scale: f64,
+    #[bpaf(external)]
+    json: bool,
+}
+
+fn mix(name: String) -> Result<Mix, String> {
+    let known = [Mix::Toonikaart, Mix::Treasury];
+    let found = known.into_iter().find(|mix| mix.name() == name);
+    found.ok_or_else(|| format!("{name} is neither toonikaart nor treasury"))
+}
+
+/// Why the demo could not run.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("the runtime can't be started, or there is no folder for data: {0}")]
+    System(#[from] std::io::Error),
+    #[error("a host does not start: {0}")]
+    Host(#[from] kumquatdrum_host::StartError),
+    #[error("a stand-in does not start: {0}")]
+    StandIn(#[from] kumquatdrum_testing::server::Error),
+    #[error("the shipped trace can't be read: {0}")]
+    Trace(#[from] trace::Error),
+    #[error("the declaration can't be written: {0}")]
+    Declaration(#[from] serde_json::Error),
+    #[error("the declaration was not accepted: {0}")]
+    Apply(String),
+}
+
+/// Runs the demo. [`Exit::No`] where a stated outcome was not met.
+pub fn run(arguments: &Arguments) -> Exit {
+    let runtime = tokio::runtime::Runtime::new().map_err(Error::from);
+    match runtime.and_then(|runtime| runtime.block_on(demonstrate(arguments))) {
+        Ok(exit) => exit,
+        Err(reason) => {
+            eprintln!("{reason}");
+            Exit::Unknown
+        }
+    }
+}
+
+async fn demonstrate(arguments: &Arguments) -> Result<Exit, Error> {
+    let entries = entries(arguments)?;
+    let keys = keys(&entries);
+    let folder = tempfile::tempdir()?;
+    let hosts = start_hosts(arguments.mix, folder.path()).await?;
+    apply(&hosts, &declaration(&entries, &keys)).await?;
+    let fleet = Fleet::start(&hosts, arguments.mix, &entries).await?;
+    let options = Options {
+        targets: hosts.iter().map(|host| host.addresses.callers).collect(),
+        keys,
+        size: Size {
+            scale: arguments.scale,
+            ..Size::default()
+        },
+        controls: fleet.controls(),
+        baseline: Baseline::ShortAlone,
+        ..Options::default()
+    };
+    let exit = replay::judge(&entries, &options, arguments.json).await;
+    fleet.shutdown().await;
+    embedded::stop(hosts).await;
+    Ok(exit)
+}
+
+fn entries(arguments: &Arguments) -> Result<Vec<Entry>, trace::Error> {
+    let mut entries = trace::read(match arguments.mix {
+        Mix::Toonikaart => TOONIKAART,
+        Mix::Treasury => TREASURY,
+    })?;
+    let last = entries.iter().map(|entry| entry.at_ms).max().unwrap_or(0);
+    if let Some(seconds) = arguments.seconds {
+        let factor = seconds * 1_000.0 / last.max(1) as f64;
+        for entry in &mut entries {
+            entry.at_ms = (entry.at_ms as f64 * factor) as u64;
+        }
+    }
+    Ok(entries)
+}
+
+/// A key for each name that the trace uses.
+fn keys(entries: &[Entry]) -> IndexMap<String, String> {
+    let names = trace::key_names(entries).into_iter();
+    names
+        .map(|name| (name.to_owned(), format!("demo key of {name}")))
+        .collect()
+}
+
+fn data_centres(mix: Mix) -> [&'static str; 3] {
+    match mix {
+        Mix::Toonikaart => ["hall-raatuse", "hall-ulikooli", "hall-ringtee"],
+        Mix::Treasury => ["ikeja", "marina", "lekki"],
+    }
+}
+
+async fn start_hosts(mix: Mix, folder: &Path) -> Result<Vec<Host>, Error> {
+    let specs = data_centres(mix).map(|name| Spec::new(format!("host-{name}"), name, true));
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    Ok(embedded::start(&specs, folder, &logger).await?)
+}
+
+/// The workspaces and services that the trace asks for.
+fn declaration(entries: &[Entry], keys: &IndexMap<String, String>) -> Declaration {
+    let workspaces: IndexMap<&str, &str> = entries
+        .iter()
+        .map(|entry| (entry.workspace.as_str(), entry.key.as_str()))
+        .collect();
+    let services: IndexMap<&str, bool> = services(entries).into_iter().collect();
+    Declaration {
+        workspaces: workspaces
+            .into_iter()
+            .map(|(name, key)| workspace(name, &keys[key]))
+            .collect(),
+        services: services
+            .into_iter()
+            .map(|(name, is_plain)| declared_service(name, is_plain))
+            .collect(),
+        models: vec![Model {
+            name: MODEL.into(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+            memory_bytes_per_token: 1,
+            replicas: (ENGINES_PER_DATA_CENTRE * 3) as u32,
+            max_prompt_tokens: LONGEST_PROMPT_TOKENS,
+            bytes_per_token_milli: 4_000,
+        }],
+        priorities: priorities(entries),
+        ..Declaration::default()
+    }
+}
+
+/// A trace names priorities by their levels.
+fn priorities(entries: &[Entry]) -> Vec<declared::Priority> {
+    let levels: IndexSet<u32> = entries.iter().map(|entry| entry.priority).collect();
+    let priority = |level: u32| declared::Priority {
+        name: level.to_string(),
+        level: u8::try_from(level).unwrap_or(u8::MAX),
+        aging_ms: AGING_MS,
+    };
+    levels.into_iter().map(priority).collect()
+}
+
+/// The services that a trace asks, and whether they are plain.
+fn services(entries: &[Entry]) -> IndexSet<(&str, bool)> {
+    entries
+        .iter()
+        .map(|entry| (entry.service.as_str(), entry.is_plain()))
+        .collect()
+}
+
+fn workspace(name: &str, key: &str) -> Workspace {
+    Workspace {
+        name: name.into(),
+        keys: vec![Key {
+            sha256: digest::hex(key.as_bytes()),
+            note: String::new(),
+        }],
+        weight: 1,
+        limits: declared::Limits::default(),
+        services: Vec::new(),
+        priority: None,
+    }
+}
+
+fn declared_service(name: &str, is_plain: bool) -> declared::Service {
+    let kind = if is_plain {
+        ServiceKind::Plain {}
+    } else {
+        ServiceKind::Model {
+            model: MODEL.into(),
+        }
+    };
+    declared::Service {
+        name: name.into(),
+        kind,
+        deadline_ms: LONGEST_DEADLINE_MS,
+        deadline_cap_ms: LONGEST_DEADLINE_MS,
+        rules: Vec::new(),
+    }
+}
+
+async fn apply(hosts: &[Host], declaration: &Declaration) -> Result<(), Error> {
+    let text = serde_json::to_string_pretty(declaration)?;
+    match embedded::apply(hosts, Version(0), &text).await {
+        Ok(ApplyAnswer::Accepted { .. }) => Ok(()),
+        Ok(answer) => Err(Error::Apply(format!("{answer:?}"))),
+        Err(failure) => Err(Error::Apply(failure.to_string())),
+    }
+}
+
+/// The stand-ins, spread evenly over the data centres.
+#[derive(Default)]
+struct Fleet {
+    engines: Vec<Engine>,
+    plain: Vec<Service>,
+}
+
+impl Fleet {
+    async fn start(hosts: &[Host], mix: Mix, entries: &[Entry]) -> Result<Self, Error> {
+        let mut fleet = Self::default();
+        for (host, data_centre) in hosts.iter().zip(data_centres(mix)) {
+            for (name, is_plain) in services(entries) {
+                let place = Place {
+                    host: host.addresses.endpoints,
+                    data_centre,
+                    service: name,
+                };
+                if is_plain {
+                    fleet.plain.push(place.plain().await?);
+                    continue;
+                }
+                for number in 1..=ENGINES_PER_DATA_CENTRE {
+                    fleet.engines.push(place.engine(number).await?);
+                }
+            }
+        }
+        fleet.announced().await;
+        Ok(fleet)
+    }
+
+    /// Waits until each has been announced once.
+    async fn announced(&self) {
+        let is_announced = || {
+            let engines = self.engines.iter().all(|engine| engine.announced() > 0);
+            engines && self.plain.iter().all(|plain| plain.announced() > 0)
+        };
+        while !is_announced() {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+    }
+
+    fn controls(&self) -> Vec<SocketAddr> {
+        let engines = self.engines.iter().map(Engine::control_address);
+        let plain = self.plain.iter().map(Service::control_address);
+        engines.chain(plain).collect()
+    }
+
+    async fn shutdown(self) {
+        for engine in self.engines {
+            engine.shutdown().await;
+        }
+        for plain in self.plain {
+            plain.shutdown().await;
+        }
+    }
+}
+
+/// Where a stand-in stands and what it serves.
+struct Place<'a> {
+    host: SocketAddr,
+    data_centre: &'a str,
+    service: &'a str,
+}
+
+impl Place<'_> {
+    async fn engine(&self, number: usize) -> Result<Engine, Error> {
+        let name = format!("{}-{}-{number}", self.service, self.data_centre);
+        let mut options = engine::Options::new(&name, self.service, MODEL, self.data_centre);
+        options.sizes.memory_tokens = ENGINE_MEMORY_TOKENS;
+        self.announce(&mut options.process);
+        Ok(Engine::start(options).await?)
+    }
+
+    async fn plain(&self) -> Result<Service, Error> {
+        let name = format!("{}-{}", self.service, self.data_centre);
+        let mut options = service::Options::new(&name, self.service, self.data_centre);
+        self.announce(&mut options.process);
+        Ok(Service::start(options).await?)
+    }
+
+    fn announce(&self, process: &mut process::Options) {
+        process.announcer = announcer::Options {
+            hosts: vec![self.host],
+            key: ENDPOINT_KEY.to_owned(),
+            ..announcer::Options::default()
+        };
+    }
+}
--- a/crates/kumquatdrum/src/main.rs
+++ b/crates/kumquatdrum/src/main.rs
@@ -1,7 +1,9 @@
 //! The kumquatdrum command.
 
 mod cli;
+mod demo;
 mod logging;
+mod replay;
 mod serve;
 
 use std::process::ExitCode;
@@ -10,8 +12,11 @@
 use kumquatdrum_operator::Exit;
 
 fn main() -> ExitCode {
+    // The daemon and the demo build rocket instances, which would print lines of their own.
+    kumquatdrum_testing::server::discard_logs();
     let exit = match cli::command().run() {
         Command::Serve { settings } => serve::run(&settings),
+        Command::Demo(arguments) => demo::run(&arguments),
         Command::Schema => schema(),
         Command::Check {
             settings: true,
--- a/crates/kumquatdrum_replay/src/replay.rs
+++ b/crates/kumquatdrum_replay/src/replay.rs
@@ -186,12 +186,16 @@
         Baseline::None => None,
         Baseline::ShortAlone => Some(send_all(http, trace, options, &run, is_short).await),
         Baseline::IdleProbe(count) => {
-            let (index, entry) = trace
+            let short: Vec<_> = trace
                 .iter()
                 .enumerate()
-                .find(|(_, entry)| is_short(entry))?;
+                .filter(|(_, entry)| is_short(entry))
+                .collect();
             let mut records = Vec::new();
-            for number in 0..count {
+            // Spread over all of them, as their lengths differ.
+            let step = (short.len() / count.max(1) as usize).max(1);
+            let probed = short.iter().cycle().step_by(step);
+            for (number, &(index, entry)) in (0..count).zip(probed) {
                 let probe = Probe {
                     index,
                     entry: Entry {
