--- /dev/null
+++ b/crates/kumquatdrum_host/benches/control.rs
@@ -0,0 +1,238 @@
+//! The control plane over loopback, all hosts in one process.
+//!
+//! `cargo bench -p kumquatdrum_host --bench control -- HOSTS DATA_CENTRES [CLAIMERS]`
+//!
+//! Prints the time from an accepted apply until it is in force on all hosts, the same around the
+//! leader's death, claims a second with their latency, and what an idle host costs.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kumquatdrum_host::Host;
+use kumquatdrum_host::embedded::{self, Spec};
+use kumquatdrum_peer::Channel;
+use kumquatdrum_setup::{ApplyAnswer, Claim, ClaimAnswer, Digest, Request};
+use kumquatdrum_types::{AttemptId, HostId, IdempotencyKey, Version, WorkspaceName};
+
+const APPLIES: u64 = 60;
+const IDLE: Duration = Duration::from_secs(10);
+const CLAIMING: Duration = Duration::from_secs(5);
+
+fn declaration(number: u64) -> String {
+    let mut text = String::from(r#"{"workspaces": ["#);
+    for workspace in 0..100 {
+        let comma = if workspace == 0 { "" } else { "," };
+        let limit = if workspace == 7 { number + 1 } else { 100 };
+        let _ = write!(
+            text,
+            r#"{comma}{{"name": "w{workspace}", "keys": [], "limits": {{"concurrency": {limit}}}}}"#
+        );
+    }
+    text + "]}"
+}
+
+fn quantile(sorted: &[Duration], part: f64) -> Duration {
+    let last = sorted.len().saturating_sub(1);
+    sorted[(last as f64 * part).round() as usize]
+}
+
+fn tell(name: &str, mut times: Vec<Duration>) {
+    times.sort();
+    println!(
+        "{name}: n {} median {:?} p99 {:?} worst {:?}",
+        times.len(),
+        quantile(&times, 0.5),
+        quantile(&times, 0.99),
+        quantile(&times, 1.0)
+    );
+}
+
+async fn apply(hosts: &[Host], base: u64) -> Duration {
+    let request = Request::new("bench", Version(base), declaration(base));
+    loop {
+        let accepted = hosts[0].control().apply(request.clone()).await;
+        let started = Instant::now();
+        match accepted {
+            Ok(ApplyAnswer::Accepted { version }) => {
+                for host in hosts {
+                    let mut followed = host.in_force().follow();
+                    let _ = followed.wait_for(|known| *known >= version).await;
+                }
+                return started.elapsed();
+            }
+            Ok(other) => panic!("{other:?}"),
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn leader(hosts: &[Host]) -> usize {
+    loop {
+        let leading = hosts
+            .iter()
+            .position(|host| host.metrics().leader.get() == 1);
+        if let Some(leading) = leading {
+            return leading;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn processor_seconds() -> f64 {
+    const TICKS: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks: f64 = fields[11..13]
+        .iter()
+        .filter_map(|field| field.parse::<f64>().ok())
+        .sum();
+    ticks / TICKS
+}
+
+fn resident_mib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kib.unwrap_or(0) / 1024
+}
+
+fn sent(hosts: &[Host]) -> Vec<(&'static str, u64, u64)> {
+    let of = |channel: Channel| {
+        let read = hosts.iter().map(|host| host.traffic().read(channel));
+        let (messages, bytes) = read.fold((0, 0), |(messages, bytes), traffic| {
+            (messages + traffic.messages_sent, bytes + traffic.bytes_sent)
+        });
+        (channel.name(), messages, bytes)
+    };
+    Channel::ALL.into_iter().map(of).collect()
+}
+
+async fn idle(hosts: &[Host]) {
+    let (before, busy) = (sent(hosts), processor_seconds());
+    tokio::time::sleep(IDLE).await;
+    let share = (processor_seconds() - busy) / IDLE.as_secs_f64() / hosts.len() as f64;
+    println!(
+        "idle host: {:.2}% of a core, {:.1} MiB resident each ({} MiB in all)",
+        100.0 * share,
+        resident_mib() as f64 / hosts.len() as f64,
+        resident_mib()
+    );
+    for ((name, messages, bytes), (_, old_messages, old_bytes)) in
+        sent(hosts).into_iter().zip(before)
+    {
+        let each = IDLE.as_secs_f64() * hosts.len() as f64;
+        println!(
+            "  {name}: {:.1} messages/s {:.0} bytes/s sent by each",
+            (messages - old_messages) as f64 / each,
+            (bytes - old_bytes) as f64 / each
+        );
+    }
+}
+
+fn claim(host: &str, claimer: usize, number: u64) -> Claim {
+    Claim {
+        workspace: WorkspaceName::new(format!("w{}", claimer % 100)),
+        key: IdempotencyKey::new(format!("{claimer}-{number}")),
+        fingerprint: Digest::of(b"a request"),
+        host: HostId::new(host),
+        attempt: AttemptId::new(format!("a-{claimer}-{number}")),
+        deadline_ms: 1_000,
+        retain_ms: 1_000,
+    }
+}
+
+async fn claims(hosts: &[Host], claimers: usize) {
+    let until = Instant::now() + CLAIMING;
+    let busy = processor_seconds();
+    let tasks: Vec<_> = (0..claimers)
+        .map(|claimer| {
+            let control = Arc::clone(hosts[claimer % hosts.len()].control());
+            tokio::spawn(async move {
+                let mut times = Vec::new();
+                for number in 0.. {
+                    if Instant::now() >= until {
+                        break;
+                    }
+                    let started = Instant::now();
+                    let answers = control.claim(vec![claim("h", claimer, number)]).await;
+                    if matches!(answers.as_deref(), Ok([ClaimAnswer::Granted])) {
+                        times.push(started.elapsed());
+                    }
+                }
+                times
+            })
+        })
+        .collect();
+    let mut times = Vec::new();
+    for task in tasks {
+        times.extend(task.await.unwrap_or_default());
+    }
+    let spent = processor_seconds() - busy;
+    println!(
+        "claims: {:.0}/s by {claimers} at once, {:.0} us of all processors each",
+        times.len() as f64 / CLAIMING.as_secs_f64(),
+        1e6 * spent / times.len().max(1) as f64
+    );
+    tell("claim latency", times);
+}
+
+#[tokio::main]
+async fn main() {
+    let arguments: Vec<usize> = std::env::args()
+        .filter_map(|text| text.parse().ok())
+        .collect();
+    let count = arguments.first().copied().unwrap_or(9);
+    let data_centres = arguments.get(1).copied().unwrap_or(3);
+    let claimers = arguments.get(2).copied().unwrap_or(200);
+    let specs: Vec<Spec> = (0..count)
+        .map(|number| {
+            let place = format!("dc-{}", number % data_centres);
+            Spec::new(format!("host-{number:03}"), place, number < 3)
+        })
+        .collect();
+    let folder = std::env::temp_dir().join(format!("kumquatdrum-control-{}", std::process::id()));
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let mut hosts = embedded::start(&specs, &folder, &logger)
+        .await
+        .expect("the hosts start");
+    println!("{count} hosts in {data_centres} data centres, 3 replicas");
+    apply(&hosts, 0).await;
+    idle(&hosts).await;
+    let before = sent(&hosts);
+    let mut times = Vec::new();
+    for base in 1..=APPLIES {
+        times.push(apply(&hosts, base).await);
+    }
+    tell("accepted to in force everywhere", times);
+    for ((name, messages, bytes), (_, old_messages, old_bytes)) in
+        sent(&hosts).into_iter().zip(before)
+    {
+        println!(
+            "  {name}: {:.1} messages {:.0} bytes a change, over all hosts",
+            (messages - old_messages) as f64 / APPLIES as f64,
+            (bytes - old_bytes) as f64 / APPLIES as f64
+        );
+    }
+    claims(&hosts, claimers).await;
+    if count > 3 {
+        let leading = leader(&hosts).await;
+        let killed = hosts.remove(leading);
+        killed.kill().await;
+        let started = Instant::now();
+        apply(&hosts, APPLIES + 1).await;
+        println!(
+            "in force everywhere {:?} after the leader's death",
+            started.elapsed()
+        );
+    }
+    for host in hosts {
+        host.kill().await;
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -27,6 +27,7 @@
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::gate::Door;
+use crate::gauges;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 use crate::members::{self, Members};
@@ -90,6 +91,7 @@
     pub addresses: Addresses,
     shell: Arc<Shell>,
     client: Arc<Client>,
+    counters: Arc<Counters>,
     stopped: watch::Sender<bool>,
     tasks: JoinSet<()>,
     callers: Option<Web>,
@@ -149,6 +151,7 @@
             members: members.clone(),
             logger: logger.clone(),
         });
+        let counters = local.counters.clone();
         tasks.spawn(serve_peers(peers, inbox, local, stop.clone()));
 
         let shell = Arc::new(Shell {
@@ -170,6 +173,7 @@
             logger,
             settings,
         });
+        tasks.spawn(gauges::run(shell.clone(), counters.clone(), stop.clone()));
         tasks.spawn(caches::run(shell.clone(), stop.clone()));
         tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
         let (callers, others) = open(&shell, &members).await?;
@@ -187,6 +191,7 @@
             addresses,
             shell,
             client,
+            counters,
             stopped,
             tasks,
             callers: Some(callers),
@@ -216,6 +221,27 @@
         &self.shell.in_force
     }
 
+    /// What passed between this host and others, by channel.
+    pub fn traffic(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Ends the host as a crash would: nothing is drained, handed over or told.
+    pub async fn kill(mut self) {
+        self.stopped.send_replace(true);
+        self.tasks.abort_all();
+        while self.tasks.join_next().await.is_some() {}
+        for web in self
+            .callers
+            .take()
+            .into_iter()
+            .chain(std::mem::take(&mut self.others))
+        {
+            web.kill().await;
+        }
+        self.client.shutdown().await;
+    }
+
     /// Bytes of request bodies that this host holds.
     pub fn body_bytes(&self) -> u64 {
         self.shell.bodies.used()
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod gangs;
 pub mod gate;
+pub mod gauges;
 pub mod host;
 pub mod in_force;
 pub mod janitor;
--- a/crates/kumquatdrum_host/src/web.rs
+++ b/crates/kumquatdrum_host/src/web.rs
@@ -90,6 +90,12 @@
 }
 
 impl Web {
+    /// Ends the listener at once.
+    pub async fn kill(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+
     /// Stops listening, lets answers under way end, and joins the listener.
     pub async fn stop(self) {
         self.shutdown.notify();
