Let a removed leader finish its change after a restart

The others needed its vote, as they still stood at the joint step, and its log was longer, so it gave none; it did not stand itself, as its own last step does not list it.

A replica stands now as long as any replicas from the committed ones on list it.

Ruled out: letting it vote for a shorter log, which would lose what is committed.

--- a/crates/kumquatdrum_consensus/src/election.rs
+++ b/crates/kumquatdrum_consensus/src/election.rs
@@ -16,7 +16,7 @@
 impl Node {
     pub(crate) fn on_election_timeout(&mut self) {
         self.reset_election_timer();
-        if self.hard_state.cluster.is_none() || !self.log.replicas().is_voter(&self.id) {
+        if self.hard_state.cluster.is_none() || !self.may_stand() {
             return;
         }
         self.leader = None;
@@ -34,6 +34,12 @@
         }
     }
 
+    /// A replica that a change removes still stands until it knows the change as committed: it may
+    /// be the only one whose log is long enough.
+    fn may_stand(&self) -> bool {
+        self.log.may_vote_since(self.commit, &self.id)
+    }
+
     fn vote(&self, term: Term) -> Vote {
         Vote {
             term,
@@ -59,7 +65,7 @@
     /// The leader has given up its lease in favour of this replica, which stands at once.
     pub(crate) fn on_succeed(&mut self, term: Term) {
         let current = term == self.hard_state.term && matches!(self.role, Role::Follower);
-        if current && self.log.replicas().is_voter(&self.id) {
+        if current && self.may_stand() {
             self.reset_election_timer();
             self.leader = None;
             self.campaign(true);
--- a/crates/kumquatdrum_consensus/src/log.rs
+++ b/crates/kumquatdrum_consensus/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::{Content, Entry, LogIndex, Replicas, Snapshot, Stored, Term};
+use crate::{Content, Entry, LogIndex, ReplicaId, Replicas, Snapshot, Stored, Term};
 
 /// The log as the replica sees it; the tail may not be on disk yet.
 #[derive(Debug)]
@@ -108,6 +108,13 @@
         self.replicas[self.replicas.len() - 1].0
     }
 
+    /// Whether a replica votes by the replicas that are committed or by any after them.
+    pub(crate) fn may_vote_since(&self, commit: LogIndex, id: &ReplicaId) -> bool {
+        let committed = self.replicas.iter().rposition(|(at, _)| *at <= commit);
+        let since = &self.replicas[committed.unwrap_or(0)..];
+        since.iter().any(|(_, replicas)| replicas.is_voter(id))
+    }
+
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index().next());
         if let Content::Replicas(replicas) = &entry.content {
--- a/crates/kumquatdrum_consensus/tests/commit.rs
+++ b/crates/kumquatdrum_consensus/tests/commit.rs
@@ -180,6 +180,46 @@
     assert_eq!(matched(&bench), Some(LogIndex(2)));
 }
 
+/// A leader that a change removes may be the only one that has its last step; the others wait
+/// for it, as the step before needs its vote.
+#[test]
+fn a_removed_replica_stands_until_the_change_is_committed() {
+    let all = ["a", "b", "c", "d"].map(|host| Member::new(host, 1, "ikeja"));
+    let joint = Replicas::of(all[..3].to_vec()).joint(all[1..].to_vec());
+    let steps = [joint.clone(), joint.settled()];
+    let entry = |(number, replicas): (usize, Replicas)| Entry {
+        term: Term(2),
+        index: LogIndex(1 + number as u64),
+        content: Content::Replicas(replicas),
+    };
+    let mut bench = Bench::new(3, steps.into_iter().enumerate().map(entry).collect());
+    let asked = |bench: &Bench| {
+        let asks = |output: &&Output| match output {
+            Output::Send { message, .. } => matches!(message.body, Body::PreVote(_)),
+            _ => false,
+        };
+        bench.out.iter().filter(asks).count()
+    };
+    for _ in 0..20 {
+        bench.step(Input::Tick);
+    }
+    assert!(asked(&bench) > 0);
+    let heartbeat = Append {
+        term: Term(4),
+        previous_index: LogIndex(2),
+        previous_term: Term(2),
+        entries: Vec::new(),
+        commit: LogIndex(2),
+        probe: Probe::default(),
+    };
+    bench.say(1, Body::Append(heartbeat));
+    bench.out.clear();
+    for _ in 0..20 {
+        bench.step(Input::Tick);
+    }
+    assert_eq!(asked(&bench), 0);
+}
+
 fn payload(index: u64, term: u64) -> Entry {
     Entry {
         term: Term(term),
--- a/crates/kumquatdrum_consensus/tests/schedules.rs
+++ b/crates/kumquatdrum_consensus/tests/schedules.rs
@@ -6,11 +6,16 @@
 use common::schedule::{self, Report};
 
 const SEEDS: u64 = 200;
+/// Seeds beyond those that failed once: a change whose last step only the removed leader had.
+const FOUND: [u64; 1] = [37_442];
 const THREADS: u64 = 4;
 
 fn run_share(thread: u64) -> Report {
     let mut total = Report::default();
-    for seed in (0..SEEDS).filter(|seed| seed % THREADS == thread) {
+    for seed in (0..SEEDS)
+        .chain(FOUND)
+        .filter(|seed| seed % THREADS == thread)
+    {
         println!("seed {seed}");
         total.add(schedule::run(seed));
     }
