Test hosts as processes: planned stop, crash, lost disk, cut off, racing operators

Three processes of the binary on a loopback address of their own, stand-ins in the test's process, children ended by their ids. The bounds of waits are the only times.

Cause of a wrong exit code, found by its test: the command line library ends with 1 on a wrong command line, which here means that the answer is no.

--- a/crates/kumquatdrum/src/main.rs
+++ b/crates/kumquatdrum/src/main.rs
@@ -8,13 +8,20 @@
 
 use std::process::ExitCode;
 
+use bpaf::{Args, ParseFailure};
 use cli::Command;
 use kumquatdrum_operator::Exit;
 
+const HELP_WIDTH: usize = 100;
+
 fn main() -> ExitCode {
     // The daemon and the demo build rocket instances, which would print lines of their own.
     kumquatdrum_testing::server::discard_logs();
-    let exit = match cli::command().run() {
+    let command = match cli::command().run_inner(Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return ExitCode::from(explain(failure).code()),
+    };
+    let exit = match command {
         Command::Serve { settings } => serve::run(&settings),
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Schema => schema(),
@@ -28,6 +35,15 @@
     ExitCode::from(exit.code())
 }
 
+/// Help and completions are what was asked for; anything else is a wrong command line.
+fn explain(failure: ParseFailure) -> Exit {
+    failure.print_message(HELP_WIDTH);
+    match failure {
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Exit::Done,
+        ParseFailure::Stderr(_) => Exit::Usage,
+    }
+}
+
 fn schema() -> Exit {
     println!("{:#}", kumquatdrum_declaration::schema());
     Exit::Done
--- /dev/null
+++ b/crates/kumquatdrum/tests/control.rs
@@ -0,0 +1,205 @@
+//! The declaration in force while control hosts crash, lose their disks or are cut off.
+
+mod support;
+
+use std::fs;
+use std::time::Duration;
+
+use kumquatdrum_testing::Engine;
+use support::{
+    Cluster, ONE_PLACE, OPERATORS, THREE_PLACES, answer, apply, completion, declaration, got, once,
+    operate, runs, shown, shutdown, status, until,
+};
+
+const TOKENS: u32 = 5;
+
+/// Waits until each of these hosts goes by this version.
+async fn in_force(cluster: &Cluster, nodes: &[usize], version: u64) {
+    for &node in nodes {
+        let hosts = [cluster.nodes[node].operators()];
+        until("the version is in force", async || {
+            let status = status(&hosts).await?;
+            (status["version"] == version).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Waits until a host's read-back is confirmed; none on the way may be below `floor`.
+async fn confirmed(cluster: &Cluster, node: usize, floor: u64) -> (u64, String) {
+    let hosts = [cluster.nodes[node].operators()];
+    until("a confirmed read-back", async || {
+        let (version, text, is_confirmed) = shown(&hosts).await?;
+        assert!(
+            version >= floor,
+            "host {node} went back to version {version}"
+        );
+        is_confirmed.then_some((version, text))
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_version_outlives_a_crash_of_all_hosts() {
+    let mut cluster = Cluster::start(THREE_PLACES).await;
+    let hosts = cluster.hosts();
+    let (first, second) = (declaration(1), declaration(2));
+    let file = cluster.file("second.json", &second);
+    let applied = apply(&hosts, OPERATORS[1], 1, &file).await;
+    assert_eq!(applied.code, 0, "{applied:?}");
+    for node in &mut cluster.nodes {
+        node.kill();
+    }
+    for node in &mut cluster.nodes {
+        node.start();
+    }
+    cluster.up().await;
+    for node in 0..cluster.nodes.len() {
+        let (version, text) = confirmed(&cluster, node, 2).await;
+        assert_eq!((version, text.as_str()), (2, second.as_str()));
+    }
+    cluster.ready().await;
+
+    let file = cluster.folder.path().join("first.json");
+    let again = apply(&hosts, OPERATORS[0], 0, &file).await;
+    assert_eq!(again.code, 0, "{again:?}");
+    assert!(again.stdout.contains("accepted as version 1"), "{again:?}");
+    let old = operate(&hosts, OPERATORS[0], &["show", "--version", "1"]).await;
+    assert_eq!((old.code, old.stdout), (0, first));
+    assert_eq!(confirmed(&cluster, 0, 2).await, (2, second));
+    let audit = operate(&hosts, OPERATORS[0], &["audit"]).await;
+    assert_eq!(audit.code, 0, "{audit:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_control_host_comes_back_without_its_disk() {
+    let mut cluster = Cluster::start(THREE_PLACES).await;
+    let hosts = cluster.hosts();
+    cluster.nodes[2].kill();
+    fs::remove_dir_all(&cluster.nodes[2].data).expect("the data folder goes");
+    cluster.nodes[2].start();
+    cluster.up().await;
+    let second = cluster.file("second.json", &declaration(2));
+    until("a change is accepted", async || {
+        (apply(&hosts, OPERATORS[0], 1, &second).await.code == 0).then_some(())
+    })
+    .await;
+    until("the new replica votes", async || {
+        let status = status(&hosts).await?;
+        let nodes = status["hosts"].as_array()?;
+        let node = nodes.iter().find(|node| node["host"] == "host-2")?;
+        (node["replica"] == "voter").then_some(())
+    })
+    .await;
+    in_force(&cluster, &[0, 1, 2], 2).await;
+
+    // A second loss right after the repair.
+    cluster.nodes[0].kill();
+    let rest = hosts[1..].to_vec();
+    let third = cluster.file("third.json", &declaration(3));
+    until("a change is accepted by the two", async || {
+        (apply(&rest, OPERATORS[0], 2, &third).await.code == 0).then_some(())
+    })
+    .await;
+    for node in [1, 2] {
+        assert_eq!(confirmed(&cluster, node, 2).await, (3, declaration(3)));
+    }
+    let old = operate(&rest, OPERATORS[0], &["show", "--version", "1"]).await;
+    assert_eq!((old.code, old.stdout), (0, declaration(1)));
+    let audit = operate(&rest, OPERATORS[0], &["audit"]).await;
+    assert_eq!(audit.code, 0, "{audit:?}");
+}
+
+/// A system with one engine in the first data centre.
+async fn with_engine() -> (Cluster, Vec<Engine>) {
+    let cluster = Cluster::start(THREE_PLACES).await;
+    let engine = cluster.engine("e1", THREE_PLACES[0], Duration::from_millis(1));
+    let engines = vec![engine.await];
+    cluster.knows_endpoints(&[0], 1).await;
+    (cluster, engines)
+}
+
+/// Cuts the first host off from the others, or ends that.
+fn signal_others(cluster: &Cluster, name: &str) {
+    for other in &cluster.nodes[1..] {
+        other.signal(name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_is_cut_off_serves_what_it_can() {
+    let (cluster, engines) = with_engine().await;
+    let (hosts, here) = (cluster.hosts(), [cluster.nodes[0].operators()]);
+    let callers = cluster.nodes[0].callers();
+    let second = cluster.file("second.json", &declaration(2));
+    signal_others(&cluster, "-STOP");
+
+    let served = got(completion(callers, "shade 1", TOKENS)).await;
+    let served = served.expect("an answer");
+    assert_eq!(served.text(), Some(answer("shade 1", TOKENS)), "{served:?}");
+    let (version, text, is_confirmed) = shown(&here).await.expect("a read-back");
+    assert_eq!((version, text, is_confirmed), (1, declaration(1), false));
+    let not_accepted = apply(&here, OPERATORS[0], 1, &second).await;
+    assert_eq!(not_accepted.code, 3, "{not_accepted:?}");
+
+    signal_others(&cluster, "-CONT");
+    until("the same apply is accepted", async || {
+        (apply(&hosts, OPERATORS[0], 1, &second).await.code == 0).then_some(())
+    })
+    .await;
+    for node in 0..cluster.nodes.len() {
+        assert_eq!(confirmed(&cluster, node, 1).await, (2, declaration(2)));
+    }
+    in_force(&cluster, &[0, 1, 2], 2).await;
+    shutdown(engines).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_no_majority_can_claim_is_refused_long_before_its_deadline() {
+    let (cluster, engines) = with_engine().await;
+    let callers = cluster.nodes[0].callers();
+    // The caller itself waits for less than this.
+    let keyed = || {
+        once(completion(callers, "confirm 1", TOKENS), "confirm-1")
+            .header("x-deadline-ms", "120000")
+    };
+    signal_others(&cluster, "-STOP");
+    let refused = got(keyed()).await.expect("an answer");
+    let found = (refused.class(), refused.code());
+    let expected = ("not_run".to_owned(), "claim_unavailable".to_owned());
+    assert_eq!(found, expected, "{refused:?}");
+    assert_eq!(runs(&engines, "confirm 1"), 0);
+
+    signal_others(&cluster, "-CONT");
+    let again = until("the key's request is served", async || {
+        let again = got(keyed()).await?;
+        (again.class() != "not_run").then_some(again)
+    })
+    .await;
+    assert_eq!(again.text(), Some(answer("confirm 1", TOKENS)), "{again:?}");
+    assert_eq!(runs(&engines, "confirm 1"), 1);
+    shutdown(engines).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_with_equal_bases_one_wins() {
+    let cluster = Cluster::start(ONE_PLACE).await;
+    let hosts = cluster.hosts();
+    let files = [2, 3].map(|number| {
+        let name = format!("{number}.json");
+        cluster.file(&name, &declaration(number))
+    });
+    let (one, other) = tokio::join!(
+        apply(&hosts[..1], OPERATORS[0], 1, &files[0]),
+        apply(&hosts[1..2], OPERATORS[1], 1, &files[1]),
+    );
+    let mut codes = [one.code, other.code];
+    codes.sort_unstable();
+    assert_eq!(codes, [0, 1], "{one:?} {other:?}");
+    let (winner, loser) = if one.code == 0 { (2, other) } else { (3, one) };
+    assert!(
+        loser.stdout.contains("conflict: the current version is 2"),
+        "{loser:?}"
+    );
+    assert_eq!(confirmed(&cluster, 2, 1).await, (2, declaration(winner)));
+}
--- /dev/null
+++ b/crates/kumquatdrum/tests/requests.rs
@@ -0,0 +1,108 @@
+//! Requests while their entry host stops or dies.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    Cluster, ONE_PLACE, answer, completion, get, got, held, idle, once, reorder, runs, shutdown,
+    until,
+};
+
+const STEP: Duration = Duration::from_millis(25);
+const TOKENS: u32 = 60;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_under_load_cuts_off_no_request() {
+    const REQUESTS: usize = 60;
+    let mut cluster = Cluster::start(ONE_PLACE).await;
+    let engines = vec![
+        cluster.engine("e1", ONE_PLACE[0], STEP).await,
+        cluster.engine("e2", ONE_PLACE[0], STEP).await,
+    ];
+    cluster.knows_endpoints(&[0], 2).await;
+    let host = cluster.nodes[0].callers();
+    let ask = move |number: usize| {
+        let prompt = format!("shade {number}");
+        async move { (got(completion(host, &prompt, TOKENS)).await, prompt) }
+    };
+    let mut asked: Vec<_> = (0..REQUESTS)
+        .map(|number| tokio::spawn(ask(number)))
+        .collect();
+    until("the load is on", async || {
+        (held(&engines) as usize >= REQUESTS).then_some(())
+    })
+    .await;
+    cluster.nodes[0].signal("-TERM");
+    let health = format!("{}/health", cluster.nodes[0].platform());
+    until("the health turns red", async || {
+        get(&health).await.is_none().then_some(())
+    })
+    .await;
+    // The balancer has not seen it yet.
+    asked.push(tokio::spawn(ask(REQUESTS)));
+    for asked in asked {
+        let (got, prompt) = asked.await.expect("the caller lives");
+        let got = got.expect("an answer");
+        assert_eq!(got.text(), Some(answer(&prompt, TOKENS)), "{got:?}");
+    }
+    assert_eq!(cluster.nodes[0].ended().await, Some(0));
+    idle(&engines).await;
+    shutdown(engines).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_sent_again_after_its_hosts_death_runs_once() {
+    const PROMPT: &str = "confirm swap 7";
+    let mut cluster = Cluster::start(ONE_PLACE).await;
+    let engines = vec![
+        cluster.engine("e1", ONE_PLACE[0], STEP).await,
+        cluster.engine("e2", ONE_PLACE[0], STEP).await,
+    ];
+    let work = Duration::from_secs(2);
+    let plain = cluster.plain("p1", ONE_PLACE[0], work).await;
+    cluster.knows_endpoints(&[0, 1, 2], 3).await;
+    let first = cluster.nodes[0].callers();
+    // They would run for longer than this test waits.
+    let long = |prompt| completion(first, prompt, 4_000).header("x-deadline-ms", "120000");
+    let lost = [
+        tokio::spawn(got(once(completion(first, PROMPT, TOKENS), "swap-7"))),
+        tokio::spawn(got(reorder(first, "order-7"))),
+        tokio::spawn(got(long("a long history"))),
+        tokio::spawn(got(long("another long history"))),
+    ];
+    until("all four run", async || {
+        let plain = plain.counts().running;
+        (held(&engines) == 3 && plain == 1).then_some(())
+    })
+    .await;
+    cluster.nodes[0].kill();
+    for lost in lost {
+        let _ = lost.await.expect("the caller lives");
+    }
+
+    let second = cluster.nodes[1].callers();
+    let again = until("the key's request is answered or given up on", async || {
+        let again = got(once(completion(second, PROMPT, TOKENS), "swap-7")).await?;
+        (again.code() != "key_running").then_some(again)
+    })
+    .await;
+    assert_eq!(again.text(), Some(answer(PROMPT, TOKENS)), "{again:?}");
+    assert_eq!(runs(&engines, PROMPT), 1);
+
+    let again = until("the reorder's fate is stated", async || {
+        got(reorder(second, "order-7")).await
+    })
+    .await;
+    assert_eq!(
+        (again.status, again.class().as_str()),
+        (409, "unknown"),
+        "{again:?}"
+    );
+    assert_eq!(plain.counts().runs_by_key["order-7"], 1);
+
+    // The other two have no key: a surviving host ends them.
+    idle(&engines).await;
+    plain.shutdown().await;
+    shutdown(engines).await;
+}
