--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -89,6 +89,8 @@
     stamper: Stamper,
     wake: Moment,
     told: Version,
+    /// The log holds something that this release can't apply.
+    halted: bool,
     tokens: u64,
     waiting: IndexMap<Token, Waiting>,
     reads: IndexMap<Token, (Read, oneshot::Sender<Outcome>)>,
@@ -143,6 +145,7 @@
             stamper: Stamper::default(),
             wake: Moment::ZERO,
             told: Version(0),
+            halted: false,
             tokens: 0,
             waiting: IndexMap::new(),
             reads: IndexMap::new(),
@@ -175,6 +178,9 @@
             while let Ok(event) = events.try_recv() {
                 self.take(event);
             }
+            if self.halted {
+                break;
+            }
             self.propose_batches();
         }
     }
@@ -258,6 +264,8 @@
                 self.step(Input::Snapshot { index, data });
             }
             Output::BecameLeader { term } => {
+                // Time that passed while another replica led is that one's to count.
+                self.stamper = Stamper::default();
                 self.parts.metrics.leader.set(1);
                 info!(self.parts.logger, ""; "event" => "became_leader", "term" => %term);
             }
@@ -290,9 +298,10 @@
                 }
                 self.put_in_force();
             }
+            // A replica that skipped an entry of a later release would differ from the others.
             Err(reason) => {
-                self.state.skip(index.0);
-                error!(self.parts.logger, ""; "event" => "entry_not_decoded", "index" => %index,
+                self.halted = true;
+                error!(self.parts.logger, ""; "event" => "replica_halted", "index" => %index,
                     "reason" => %reason);
             }
         }
@@ -305,8 +314,11 @@
         } else {
             match State::restore(data) {
                 Ok(state) => self.state = state,
-                Err(reason) => error!(self.parts.logger, ""; "event" => "snapshot_not_restored",
-                    "index" => %index, "reason" => %reason),
+                Err(reason) => {
+                    self.halted = true;
+                    error!(self.parts.logger, ""; "event" => "replica_halted", "index" => %index,
+                        "reason" => %reason);
+                }
             }
         }
         self.put_in_force();
