--- a/crates/kumquatdrum/tests/commands.rs
+++ b/crates/kumquatdrum/tests/commands.rs
@@ -7,8 +7,8 @@
 
 use serde_json::{Value, json};
 use support::{
-    BINARY, Cluster, MODEL_SERVICE, ONE_PLACE, OPERATORS, apply, declaration, operate, run,
-    settings,
+    BINARY, Cluster, MODEL_SERVICE, ONE_PLACE, OPERATORS, THREE_PLACES, apply, declaration,
+    operate, run, settings,
 };
 
 /// Nobody listens there.
@@ -64,6 +64,20 @@
     );
 }
 
+#[tokio::test]
+async fn the_shipped_examples_have_no_findings() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    for name in ["toonikaart", "treasury"] {
+        let run = run(&["check", &format!("{root}/{name}.json")]).await;
+        assert_eq!(run.code, 0, "{name} {run:?}");
+    }
+    for name in THREE_PLACES {
+        let file = format!("{root}/settings/{name}.json");
+        let run = run(&["check", "--settings", &file]).await;
+        assert_eq!(run.code, 0, "{name} {run:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_process_on_a_data_folder_is_refused() {
     let cluster = Cluster::start(ONE_PLACE).await;
--- a/crates/kumquatdrum/tests/requests.rs
+++ b/crates/kumquatdrum/tests/requests.rs
@@ -106,3 +106,57 @@
     plain.shutdown().await;
     shutdown(engines).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_sent_again_after_a_crash_of_all_hosts_runs_once() {
+    const PROMPT: &str = "confirm swap 8";
+    let mut cluster = Cluster::start(ONE_PLACE).await;
+    let engines = vec![cluster.engine("e1", ONE_PLACE[0], STEP).await];
+    let work = Duration::from_secs(2);
+    let plain = cluster.plain("p1", ONE_PLACE[0], work).await;
+    cluster.knows_endpoints(&[0], 2).await;
+    let first = cluster.nodes[0].callers();
+    let lost = [
+        tokio::spawn(got(once(completion(first, PROMPT, TOKENS), "swap-8"))),
+        tokio::spawn(got(reorder(first, "order-8"))),
+    ];
+    until("both run", async || {
+        (held(&engines) == 1 && plain.counts().running == 1).then_some(())
+    })
+    .await;
+    for node in &mut cluster.nodes {
+        node.kill();
+    }
+    for lost in lost {
+        let _ = lost.await.expect("the caller lives");
+    }
+    for node in &mut cluster.nodes {
+        node.start();
+    }
+    cluster.up().await;
+    cluster.ready().await;
+
+    // Not run means that the key may be sent again, and running that its fate is open.
+    let third = cluster.nodes[2].callers();
+    let again = until("the key's request is answered", async || {
+        let again = got(once(completion(third, PROMPT, TOKENS), "swap-8")).await?;
+        let is_open = again.class() == "not_run" || again.code() == "key_running";
+        (!is_open).then_some(again)
+    })
+    .await;
+    assert_eq!(again.text(), Some(answer(PROMPT, TOKENS)), "{again:?}");
+    assert_eq!(runs(&engines, PROMPT), 1);
+    let again = until("the reorder's fate is stated", async || {
+        let again = got(reorder(third, "order-8")).await?;
+        (again.class() != "not_run").then_some(again)
+    })
+    .await;
+    assert_eq!(
+        (again.status, again.class().as_str()),
+        (409, "unknown"),
+        "{again:?}"
+    );
+    assert_eq!(plain.counts().runs_by_key["order-8"], 1);
+    plain.shutdown().await;
+    shutdown(engines).await;
+}
