--- a/crates/kumquatdrum/tests/requests.rs
+++ b/crates/kumquatdrum/tests/requests.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use kumquatdrum_testing::Fault;
+use reqwest::RequestBuilder;
 use support::{
     Cluster, ONE_PLACE, answer, completion, get, got, held, idle, once, reorder, runs, shutdown,
-    until,
+    status, until,
 };
 
 const STEP: Duration = Duration::from_millis(25);
@@ -160,3 +163,107 @@
     plain.shutdown().await;
     shutdown(engines).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_the_leader_costs_no_key_of_other_hosts() {
+    const REQUESTS: usize = 40;
+    let mut cluster = Cluster::start(ONE_PLACE).await;
+    let plain = cluster.plain("p1", ONE_PLACE[0], Duration::ZERO).await;
+    cluster.knows_endpoints(&[0, 1, 2], 1).await;
+    let hosts = cluster.hosts();
+    let leader = until("a leader", async || {
+        let status = status(&hosts).await?;
+        let leader = status["leader"].as_str()?;
+        cluster.nodes.iter().position(|node| node.name == leader)
+    })
+    .await;
+    let others: Vec<_> = (0..3).filter(|node| *node != leader).collect();
+    let mut asked = Vec::new();
+    for number in 0..REQUESTS {
+        if number == REQUESTS / 4 {
+            cluster.nodes[leader].signal("-TERM");
+        }
+        let host = cluster.nodes[others[number % 2]].callers();
+        let ask = async move { got(reorder(host, &format!("order-{number}"))).await };
+        asked.push(tokio::spawn(ask));
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    for asked in asked {
+        let got = asked.await.expect("the caller lives").expect("an answer");
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+    let counts = plain.counts();
+    assert_eq!(counts.runs_by_key.len(), REQUESTS);
+    assert!(counts.runs_by_key.values().all(|runs| *runs == 1));
+    assert_eq!(cluster.nodes[leader].ended().await, Some(0));
+    plain.shutdown().await;
+}
+
+/// A key that must not run twice, with little time.
+fn hasty(host: SocketAddr, prompt: &str) -> RequestBuilder {
+    once(completion(host, prompt, TOKENS), "swap-9").header("x-deadline-ms", "5000")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_ran_is_not_told_to_be_not_run() {
+    const PROMPT: &str = "confirm swap 9";
+    let cluster = Cluster::start(ONE_PLACE).await;
+    let engines = vec![cluster.engine("e1", ONE_PLACE[0], STEP).await];
+    cluster.knows_endpoints(&[0], 1).await;
+    let host = cluster.nodes[0].callers();
+    let first = tokio::spawn(got(hasty(host, PROMPT)));
+    until("it runs", async || {
+        (runs(&engines, PROMPT) == 1).then_some(())
+    })
+    .await;
+    engines[0].order(&Fault::Die);
+    let first = first.await.expect("the caller lives").expect("an answer");
+    assert!(
+        ["failed", "unknown"].contains(&first.class().as_str()),
+        "{first:?}"
+    );
+    let hosts = [cluster.nodes[0].operators()];
+    until("the engine's death is noticed", async || {
+        let status = status(&hosts).await?;
+        (status["endpoints"][0]["condition"] == "gone").then_some(())
+    })
+    .await;
+    // No endpoint is left that could take it; that says nothing of the earlier run.
+    let again = got(hasty(host, PROMPT)).await.expect("an answer");
+    assert!(
+        ["failed", "unknown"].contains(&again.class().as_str()),
+        "{again:?}"
+    );
+    shutdown(engines).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_whose_host_and_engine_died_is_settled() {
+    const PROMPT: &str = "confirm swap 9";
+    let mut cluster = Cluster::start(ONE_PLACE).await;
+    let engines = vec![
+        cluster.engine("e1", ONE_PLACE[0], STEP).await,
+        cluster.engine("e2", ONE_PLACE[0], STEP).await,
+    ];
+    cluster.knows_endpoints(&[0, 1], 2).await;
+    let lost = tokio::spawn(got(hasty(cluster.nodes[0].callers(), PROMPT)));
+    let taken = until("it runs", async || {
+        engines.iter().find(|engine| engine.counts().running == 1)
+    })
+    .await;
+    taken.order(&Fault::Die);
+    cluster.nodes[0].kill();
+    let _ = lost.await.expect("the caller lives");
+    let second = cluster.nodes[1].callers();
+    let again = until("the key's fate is settled", async || {
+        let again = got(hasty(second, PROMPT)).await?;
+        let is_open = again.class() == "not_run" || again.code() == "key_running";
+        (!is_open).then_some(again)
+    })
+    .await;
+    let found = (again.class(), again.code());
+    let expected = ("unknown".to_owned(), "key_unknown".to_owned());
+    assert_eq!(found, expected, "{again:?}");
+    assert_eq!(runs(&engines, PROMPT), 1);
+    shutdown(engines).await;
+}
