--- a/crates/kumquatdrum_host/src/fleet.rs
+++ b/crates/kumquatdrum_host/src/fleet.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_routing::{Ask, Health, Output, Progress, Router, Settings, retry};
+use kumquatdrum_routing::{Ask, CacheEvent, Health, Output, Progress, Router, Settings, retry};
+use kumquatdrum_types::endpoint::Kind;
 use kumquatdrum_types::exchange::Target;
 use kumquatdrum_types::{
     Announcement, EndpointId, HostId, Moment, Refusal, RequestId, ServiceName,
@@ -31,8 +32,8 @@
 /// A dispatch that the router decided on.
 #[derive(Debug, Clone)]
 pub struct Placement {
-    /// Where to; several for a prompt that exceeds one engine.
-    pub targets: Vec<Target>,
+    /// Where to, with each endpoint's memory in tokens; several for a prompt that exceeds one.
+    pub targets: Vec<(Target, u64)>,
     /// The router's number of the attempt.
     pub attempt: u64,
     /// The priority for the engine; lower goes first.
@@ -42,7 +43,7 @@
 #[derive(Debug)]
 struct Service {
     router: Router,
-    targets: IndexMap<EndpointId, Target>,
+    targets: IndexMap<EndpointId, (Target, u64)>,
     waiting: IndexMap<RequestId, oneshot::Sender<Decision>>,
     budget: retry::Budget,
 }
@@ -91,7 +92,9 @@
                     let decision = Decision::Refused(refuse.reason, refuse.retry_after);
                     self.decided(&refuse.request, decision);
                 }
-                // Engines' cache events aren't read yet, so that nothing is ever doubtful.
+                // Engines have no whole list to offer beyond the events that they still keep, which
+                // are read from the start after a restart. Until then the router halves what it
+                // believes of the endpoint.
                 Output::Resync(_) => {}
             }
         }
@@ -156,9 +159,12 @@
                 boot: announcement.boot,
                 address: announcement.address,
             };
-            service
-                .targets
-                .insert(announcement.endpoint.clone(), target);
+            let memory = match &announcement.kind {
+                Kind::Engine(engine) => engine.memory_tokens,
+                Kind::Plain => 0,
+            };
+            let endpoint = announcement.endpoint.clone();
+            service.targets.insert(endpoint, (target, memory));
             let outputs = service.router.announce(now, announcement);
             service.tell(outputs);
         });
@@ -175,6 +181,13 @@
         });
     }
 
+    /// Takes in a cache event; tells whether events were lost before it.
+    pub fn cache(&self, name: &ServiceName, endpoint: &EndpointId, event: &CacheEvent) -> bool {
+        self.with(name, |service, now| {
+            !service.router.cache(now, endpoint, event).is_empty()
+        })
+    }
+
     /// Asks for a place; the decision arrives when it is made.
     pub fn submit(&self, name: &ServiceName, ask: Ask) -> oneshot::Receiver<Decision> {
         let (sender, receiver) = oneshot::channel();
@@ -218,7 +231,13 @@
         let services = shard.services.lock();
         services
             .get(name)
-            .map(|service| service.targets.values().cloned().collect())
+            .map(|service| {
+                service
+                    .targets
+                    .values()
+                    .map(|(target, _)| target.clone())
+                    .collect()
+            })
             .unwrap_or_default()
     }
 
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -21,10 +21,13 @@
 use tokio_util::task::TaskTracker;
 
 use crate::announce;
+use crate::caches;
 use crate::clock::{Clock, unix_ms};
 use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
 use crate::fleet::Fleet;
+use crate::gangs::Gangs;
 use crate::gate::Door;
+use crate::gauges;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 use crate::members::{self, Members};
@@ -88,6 +91,7 @@
     pub addresses: Addresses,
     shell: Arc<Shell>,
     client: Arc<Client>,
+    counters: Arc<Counters>,
     stopped: watch::Sender<bool>,
     tasks: JoinSet<()>,
     callers: Option<Web>,
@@ -98,6 +102,7 @@
     /// Starts a host and waits until it listens everywhere.
     pub async fn start(settings: Settings, logger: &slog::Logger) -> Result<Self, StartError> {
         let base = Base::new(&settings, logger)?;
+        let parts = base.members_parts();
         let Base {
             clock,
             boot,
@@ -108,6 +113,7 @@
             engine,
             plain,
             janitor,
+            gangs,
             local,
             client,
             logger,
@@ -116,19 +122,10 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(fleet.clone().run(stop.clone()));
         tasks.spawn(janitor.clone().run(stop.clone()));
+        tasks.spawn(gangs.clone().run(stop.clone()));
 
         let peers = listen(settings.listen.peers).await?;
         let peers_address = peers.local_addr().unwrap_or(settings.listen.peers);
-        let parts = members::Parts {
-            clock,
-            client: client.clone(),
-            fleet: fleet.clone(),
-            janitor: janitor.clone(),
-            in_force: in_force.clone(),
-            drain: drain.clone(),
-            metrics: metrics.clone(),
-            logger: logger.clone(),
-        };
         let members = Arc::new(members(&settings, boot, peers_address, parts));
         tasks.spawn(members.clone().run(stop.clone()));
         let replica = match start_replica(&settings, clock, &members, &metrics, &client, &logger)? {
@@ -146,16 +143,7 @@
             in_force.clone(),
             members.clone(),
         ));
-        let quota = Arc::new(Quota::new(quota::Parts {
-            host: settings.host.clone(),
-            boot,
-            hosts: settings.hosts.len() + 1,
-            longest_request: Duration::from_millis(settings.drain.longest_ms),
-            clock,
-            client: client.clone(),
-            in_force: in_force.clone(),
-            members: members.clone(),
-        }));
+        let quota = Arc::new(quota(&settings, boot, clock, &client, &in_force, &members));
         tasks.spawn(quota.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
             replica,
@@ -163,6 +151,7 @@
             members: members.clone(),
             logger: logger.clone(),
         });
+        let counters = local.counters.clone();
         tasks.spawn(serve_peers(peers, inbox, local, stop.clone()));
 
         let shell = Arc::new(Shell {
@@ -175,6 +164,7 @@
             engine,
             plain,
             janitor,
+            gangs,
             control: link,
             quota,
             bodies: Budget::new(settings.limits.held_body_bytes),
@@ -183,6 +173,8 @@
             logger,
             settings,
         });
+        tasks.spawn(gauges::run(shell.clone(), counters.clone(), stop.clone()));
+        tasks.spawn(caches::run(shell.clone(), stop.clone()));
         tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
         let (callers, others) = open(&shell, &members).await?;
         let addresses = Addresses {
@@ -199,6 +191,7 @@
             addresses,
             shell,
             client,
+            counters,
             stopped,
             tasks,
             callers: Some(callers),
@@ -228,6 +221,32 @@
         &self.shell.in_force
     }
 
+    /// What passed between this host and others, by channel.
+    pub fn traffic(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Ends the host as a crash would: nothing is drained, handed over or told.
+    pub async fn kill(mut self) {
+        self.stopped.send_replace(true);
+        self.tasks.abort_all();
+        while self.tasks.join_next().await.is_some() {}
+        for web in self
+            .callers
+            .take()
+            .into_iter()
+            .chain(std::mem::take(&mut self.others))
+        {
+            web.kill().await;
+        }
+        self.client.shutdown().await;
+    }
+
+    /// Bytes of request bodies that this host holds.
+    pub fn body_bytes(&self) -> u64 {
+        self.shell.bodies.used()
+    }
+
     /// What this host has counted.
     pub fn metrics(&self) -> &Arc<Metrics> {
         &self.shell.metrics
@@ -258,7 +277,7 @@
     }
 
     async fn cancels_confirmed(&self) {
-        while !self.shell.janitor.is_idle() {
+        while !(self.shell.janitor.is_idle() && self.shell.gangs.is_idle()) {
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
@@ -275,6 +294,7 @@
     engine: Arc<kumquatdrum_engine::Client>,
     plain: Arc<kumquatdrum_service::Client>,
     janitor: Arc<Janitor>,
+    gangs: Arc<Gangs>,
     local: Local,
     client: Arc<Client>,
     logger: slog::Logger,
@@ -297,6 +317,7 @@
         }
         Ok(Self {
             janitor: Arc::new(Janitor::new(clock, engine.clone(), metrics.clone())),
+            gangs: Arc::new(Gangs::new(settings.host.clone(), clock, engine.clone())),
             plain: Arc::new(kumquatdrum_service::Client::new().map_err(http)?),
             drain: Arc::default(),
             in_force: Arc::default(),
@@ -310,6 +331,40 @@
             logger,
         })
     }
+
+    fn members_parts(&self) -> members::Parts {
+        members::Parts {
+            clock: self.clock,
+            client: self.client.clone(),
+            fleet: self.fleet.clone(),
+            janitor: self.janitor.clone(),
+            gangs: self.gangs.clone(),
+            in_force: self.in_force.clone(),
+            drain: self.drain.clone(),
+            metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
+        }
+    }
+}
+
+fn quota(
+    settings: &Settings,
+    boot: BootId,
+    clock: Clock,
+    client: &Arc<Client>,
+    in_force: &Arc<Store>,
+    members: &Arc<Members>,
+) -> Quota {
+    Quota::new(quota::Parts {
+        host: settings.host.clone(),
+        boot,
+        hosts: settings.hosts.len() + 1,
+        longest_request: Duration::from_millis(settings.drain.longest_ms),
+        clock,
+        client: client.clone(),
+        in_force: in_force.clone(),
+        members: members.clone(),
+    })
 }
 
 fn owners(settings: &Settings) -> Vec<String> {
@@ -379,13 +434,15 @@
         .manage(shell.metrics.clone())
         .mount("/", face::all());
     let gate = Arc::new(Door::new(shell.clone()));
-    let callers = web::build(listen.callers).mount("/", kumquatdrum_caller::routes::all(gate));
+    let callers =
+        web::build(listen.callers).mount("/", kumquatdrum_caller::routes::all(gate.clone()));
     let others = vec![
         web::launch("endpoints", listen.endpoints, endpoints).await?,
         web::launch("operators", listen.operators, operators).await?,
         web::launch("platform", listen.platform, platform).await?,
     ];
     let callers = web::launch("callers", listen.callers, callers).await?;
+    gate.opened(callers.address.port());
     Ok((callers, others))
 }
 
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -1,11 +1,14 @@
 //! The shell of one host: sockets, timers, disk and threads around the daemon's core.
 
 pub mod announce;
+pub mod caches;
 pub mod clock;
 pub mod control;
 pub mod embedded;
 pub mod fleet;
+pub mod gangs;
 pub mod gate;
+pub mod gauges;
 pub mod host;
 pub mod in_force;
 pub mod janitor;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -27,6 +27,7 @@
 
 use crate::clock::{Clock, unix_ms};
 use crate::fleet::Fleet;
+use crate::gangs::Gangs;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 
@@ -45,6 +46,8 @@
     pub fleet: Arc<Fleet>,
     /// Cancels under way.
     pub janitor: Arc<Janitor>,
+    /// Memory reserved at several engines.
+    pub gangs: Arc<Gangs>,
     /// The declaration in force.
     pub in_force: Arc<Store>,
     /// The state of the shutdown.
@@ -283,6 +286,7 @@
         self.parts.fleet.health(&service, id, health);
         if health == Health::Gone {
             self.parts.janitor.engine_gone(id, boot);
+            self.parts.gangs.gone(id);
             cores.services.swap_remove(id);
         }
         self.count_endpoints(cores);
@@ -297,6 +301,7 @@
         if let Some((service, boot)) = previous.filter(|(_, boot)| *boot < announcement.boot) {
             self.parts.fleet.health(&service, id, Health::Gone);
             self.parts.janitor.engine_gone(id, boot);
+            self.parts.gangs.gone(id);
         }
         self.parts.fleet.announce(announcement);
         if announcement.leaving {
@@ -417,6 +422,11 @@
         live.chain([self.local.host.clone()]).collect()
     }
 
+    /// Whether no majority of the replicas has been heard for long.
+    pub fn is_cut_off(&self) -> bool {
+        self.cores.lock().spread.cut_off_since().is_some()
+    }
+
     /// When a majority of the replicas was last heard of; now, unless this host is cut off.
     pub fn majority_heard_unix_ms(&self) -> Option<u64> {
         let since = self.cores.lock().spread.cut_off_since();
--- a/crates/kumquatdrum_routing/src/limits/holder.rs
+++ b/crates/kumquatdrum_routing/src/limits/holder.rs
@@ -97,6 +97,19 @@
         entry.set_rates(now, self.hosts);
     }
 
+    /// Drops the limits of a workspace that is declared no more.
+    pub fn remove_limit(&mut self, workspace: &WorkspaceName) {
+        self.workspaces.swap_remove(workspace);
+    }
+
+    /// Sets the number of declared hosts.
+    pub fn set_hosts(&mut self, now: Moment, hosts: usize) {
+        self.hosts = hosts;
+        for entry in self.workspaces.values_mut() {
+            entry.set_rates(now, hosts);
+        }
+    }
+
     /// Admits a request of so many prompt and expected answer tokens, or says why not.
     /// Each admitted request needs one [`Holder::finished`].
     pub fn admit(
@@ -114,9 +127,11 @@
 
     /// Notes the end of an admitted request, with the tokens that it really took.
     pub fn finished(&mut self, now: Moment, workspace: &WorkspaceName, expected: u64, used: u64) {
+        let hosts = self.hosts;
         let Some(entry) = self.workspaces.get_mut(workspace) else {
             return;
         };
+        entry.expire(now, hosts);
         entry.in_flight = entry.in_flight.saturating_sub(1);
         entry.tokens.correct(now, used as f64 - expected as f64);
     }
@@ -133,7 +148,9 @@
         self.round += 1;
         let may_bind = now >= self.started + BINDING;
         let mut demands = Vec::new();
-        for (workspace, entry) in &mut self.workspaces {
+        let limited = self.workspaces.iter_mut();
+        let limited = limited.filter(|(_, entry)| entry.limit != Limit::default());
+        for (workspace, entry) in limited {
             let Some(steward) = steward_of(workspace, live) else {
                 continue;
             };
