--- a/crates/kumquatdrum_membership/tests/it/schedules.rs
+++ b/crates/kumquatdrum_membership/tests/it/schedules.rs
@@ -1,6 +1,7 @@
 //! Random schedules: what must hold at each step, and that all agree after healing.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use kumquatdrum_membership::State;
@@ -9,7 +10,6 @@
 use crate::cluster::{Cluster, announcement, seconds};
 use crate::network::{CALM, ROUGH};
 
-const SEEDS: u64 = 100;
 const HOSTS: usize = 5;
 const ENDPOINTS: usize = 6;
 
@@ -71,8 +71,17 @@
 }
 
 #[test]
-fn nothing_goes_back_and_all_agree_after_healing() {
-    for seed in 0..SEEDS {
+fn nothing_goes_back_and_all_agree_after_healing_seeds_0_to_49() {
+    run_seeds(0..50);
+}
+
+#[test]
+fn nothing_goes_back_and_all_agree_after_healing_seeds_50_to_99() {
+    run_seeds(50..100);
+}
+
+fn run_seeds(seeds: Range<u64>) {
+    for seed in seeds {
         let mut cluster = Cluster::new(seed, ROUGH, &["ikeja"], HOSTS);
         for number in 0..ENDPOINTS {
             let taker = cluster.host(number % HOSTS);
--- a/crates/kumquatdrum_membership/tests/it/spread.rs
+++ b/crates/kumquatdrum_membership/tests/it/spread.rs
@@ -1,5 +1,6 @@
 //! The spread of the setup in force: only upwards, everywhere, with little text.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use kumquatdrum_membership::spread::{Input, Message, News, Output, Setup, Text};
@@ -8,8 +9,6 @@
 use crate::network::{CALM, Faults, ROUGH};
 use crate::spread_cluster::Cluster;
 
-const SEEDS: u64 = 200;
-
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -261,8 +260,17 @@
 }
 
 #[test]
-fn nothing_reverts_and_all_is_in_force_after_healing() {
-    for seed in 0..SEEDS {
+fn nothing_reverts_and_all_is_in_force_after_healing_seeds_0_to_99() {
+    run_seeds(0..100);
+}
+
+#[test]
+fn nothing_reverts_and_all_is_in_force_after_healing_seeds_100_to_199() {
+    run_seeds(100..200);
+}
+
+fn run_seeds(seeds: Range<u64>) {
+    for seed in seeds {
         let mut cluster = Cluster::new(seed, ROUGH, 3, 3, 3);
         for _ in 0..30 {
             let pause = cluster.network.pick(20, 800);
