--- a/crates/kumquatdrum_membership/benches/gossip.rs
+++ b/crates/kumquatdrum_membership/benches/gossip.rs
@@ -72,10 +72,10 @@
 
     println!("\n## Spread of one change, {WORKSPACES} workspaces");
     println!(
-        "| data centres | daemons | replicas | text bytes | messages | bytes | bytes, most of one | in force ms, median | worst | known ms, worst | idle messages/s | idle bytes/s |"
+        "| places | data centres | daemons | replicas | text bytes | messages | bytes | bytes, most of one | in force ms, median | worst | known ms, worst | idle messages/s | idle bytes/s |"
     );
     println!(
-        "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
+        "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
     );
     let sizes = [(3, 3, 3), (3, 9, 3), (9, 9, 5), (9, 27, 5), (26, 25, 7)];
     for places in [1, 8] {
--- a/crates/kumquatdrum_membership/src/event.rs
+++ b/crates/kumquatdrum_membership/src/event.rs
@@ -102,7 +102,7 @@
 pub enum Change {
     /// It is new, or back after it was gone; nothing known before counts.
     Joined(Announcement),
-    /// It renewed its announcement; boxed load and all.
+    /// It renewed its announcement; its load may be new.
     Refreshed(Announcement),
     /// It may be dead; no new work.
     Suspect,
