--- a/crates/kumquatdrum_host/benches/control.rs
+++ b/crates/kumquatdrum_host/benches/control.rs
@@ -21,12 +21,13 @@
 
 fn declaration(number: u64) -> String {
     let mut text = String::from(r#"{"workspaces": ["#);
-    for workspace in 0..100 {
+    for workspace in 0..100_u64 {
         let comma = if workspace == 0 { "" } else { "," };
         let limit = if workspace == 7 { number + 1 } else { 100 };
         let _ = write!(
             text,
-            r#"{comma}{{"name": "w{workspace}", "keys": [], "limits": {{"concurrency": {limit}}}}}"#
+            r#"{comma}{{"name": "w{workspace}", "keys": [{{"sha256": "{}"}}], "limits": {{"concurrency": {limit}}}}}"#,
+            kumquatdrum_types::digest::hex(workspace.to_string().as_bytes())
         );
     }
     text + "]}"
--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -41,6 +41,8 @@
     Question(Box<Question>, oneshot::Sender<Outcome>),
     /// What the replica says of itself.
     Status(oneshot::Sender<Status>),
+    /// The host is about to stop: another replica should lead.
+    Resign,
     /// A batch is on disk.
     Persisted(u64),
     /// The disk failed.
@@ -128,6 +130,11 @@
         answer.await.unwrap_or(Err(Failure::Unknown))
     }
 
+    /// Hands leadership over before a planned stop.
+    pub fn resign(&self) {
+        let _ = self.events.send(Event::Resign);
+    }
+
     /// What the replica says of itself; nothing once it has stopped.
     pub async fn status(&self) -> Option<Status> {
         let (sender, answer) = oneshot::channel();
@@ -190,6 +197,7 @@
             Event::Message(message) => self.step(Input::Message(message)),
             Event::Persisted(sequence) => self.step(Input::Persisted { sequence }),
             Event::PersistFailed(reason) => self.step(Input::PersistFailed { reason }),
+            Event::Resign => self.step(Input::Resign),
             Event::Status(sender) => {
                 let _ = sender.send(self.parts.node.status());
             }
--- a/crates/kumquatdrum_host/src/gangs.rs
+++ b/crates/kumquatdrum_host/src/gangs.rs
@@ -88,6 +88,7 @@
         let now = self.clock.now();
         let outputs = state.table.begin(now, attempt.clone(), parts, expires);
         self.carry_out(&mut state, outputs);
+        self.woken.notify_one();
         Reserved {
             ready: is_ready,
             lost: is_lost,
@@ -106,6 +107,7 @@
         let mut state = self.state.lock();
         let outputs = state.table.end(self.clock.now(), attempt);
         self.carry_out(&mut state, outputs);
+        self.woken.notify_one();
     }
 
     /// Whether nothing is reserved and nothing is left to release.
@@ -118,6 +120,7 @@
         let mut state = self.state.lock();
         let outputs = state.table.gone(self.clock.now(), engine);
         self.carry_out(&mut state, outputs);
+        self.woken.notify_one();
     }
 
     /// Renews, repeats and gives up until `stopped` resolves.
@@ -172,7 +175,6 @@
                 Output::Release { attempt, engine } => self.release(state, attempt, engine),
             }
         }
-        self.woken.notify_one();
     }
 
     fn ask(self: &Arc<Self>, state: &State, attempt: &AttemptId, part: Part, ttl: Duration) {
@@ -222,5 +224,6 @@
             .table
             .answer(self.clock.now(), attempt, engine, answer);
         self.carry_out(&mut state, outputs);
+        self.woken.notify_one();
     }
 }
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -40,6 +40,8 @@
 
 /// How long cancels may take to be confirmed at the end of a shutdown.
 const LAST_CANCELS: Duration = Duration::from_secs(2);
+/// How long a resigned replica stays to tell its successor.
+const HANDOVER: Duration = Duration::from_millis(300);
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Why a host did not start.
@@ -91,6 +93,7 @@
     pub addresses: Addresses,
     shell: Arc<Shell>,
     client: Arc<Client>,
+    replica: Option<Handle>,
     counters: Arc<Counters>,
     stopped: watch::Sender<bool>,
     tasks: JoinSet<()>,
@@ -146,7 +149,7 @@
         let quota = Arc::new(quota(&settings, boot, clock, &client, &in_force, &members));
         tasks.spawn(quota.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
-            replica,
+            replica: replica.clone(),
             quota: quota.clone(),
             members: members.clone(),
             logger: logger.clone(),
@@ -191,6 +194,7 @@
             addresses,
             shell,
             client,
+            replica,
             counters,
             stopped,
             tasks,
@@ -270,6 +274,10 @@
         for web in std::mem::take(&mut self.others) {
             web.stop().await;
         }
+        if let Some(replica) = &self.replica {
+            replica.resign();
+            tokio::time::sleep(HANDOVER).await;
+        }
         self.stopped.send_replace(true);
         while self.tasks.join_next().await.is_some() {}
         self.client.shutdown().await;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -346,7 +346,7 @@
         if condition == Condition::Dead && view.member.data_centre == self.local.data_centre {
             self.orphan(Orphan::Host(id.clone()));
         }
-        let is_alive = condition != Condition::Dead;
+        let is_alive = condition == Condition::Alive;
         Some(Step::Spread(known(view.member, is_alive)))
     }
 
