--- a/crates/kumquatdrum_routing/tests/endpoints.rs
+++ b/crates/kumquatdrum_routing/tests/endpoints.rs
@@ -136,6 +136,27 @@
     }
 }
 
+#[test]
+fn nine_daemons_with_a_long_prompt_each_mostly_choose_different_engines() {
+    let mut distinct = 0;
+    for seed in 0..50 {
+        let mut chosen = BTreeMap::new();
+        for owner in support::OWNERS {
+            let mut router = router(owner, 25, seed);
+            let sent = router.submit(seconds(1.0), ask("r", 300_000, DEADLINE));
+            let endpoints = dispatches(&sent)[0].endpoints.clone();
+            *chosen.entry(endpoints).or_insert(0) += 1;
+        }
+        assert!(
+            chosen.values().all(|&count| count <= 4),
+            "seed {seed}: {chosen:?}"
+        );
+        distinct += chosen.len();
+    }
+    // Nine blind choices among 24 engines name 7.6 different ones on average.
+    assert!(distinct > 50 * 77 / 10, "{distinct} in 50 rounds of nine");
+}
+
 #[test]
 fn own_dispatches_count_before_any_report_includes_them() {
     let mut router = router("a", 10, 3);
