--- a/crates/kumquatdrum_routing/benches/policies/main.rs
+++ b/crates/kumquatdrum_routing/benches/policies/main.rs
@@ -1,6 +1,7 @@
 //! Compares the chosen policy with the baselines, on the same seeded arrivals.
 //!
-//! `cargo bench -p kumquatdrum_routing --bench policies [-- SEEDS [SCENARIO [POLICY]]]`
+//! `cargo bench -p kumquatdrum_routing --bench policies [-- SEEDS [SCENARIO [POLICY [SKIP]]]]`, where `SKIP` seeds
+//! are left out first
 
 mod engine;
 mod run;
@@ -175,9 +176,9 @@
     mix: &Mix,
     scenario: (&str, f64, Conditions),
     kind: Kind,
-    seeds: u64,
+    (skip, seeds): (u64, u64),
 ) -> Vec<(Figures, Figures)> {
-    let seeds: Vec<u64> = (1..=seeds).collect();
+    let seeds: Vec<u64> = (1 + skip..=skip + seeds).collect();
     std::thread::scope(|scope| {
         let share = |part: usize| {
             let mine = seeds.iter().skip(part).step_by(THREADS);
@@ -195,7 +196,7 @@
     })
 }
 
-fn compare(mix: &Mix, scenario: (&str, f64, Conditions), seeds: u64, only: &str) {
+fn compare(mix: &Mix, scenario: (&str, f64, Conditions), seeds: (u64, u64), only: &str) {
     println!("\n### {}, {}\n", mix.name, scenario.0);
     let heads = BANDS.map(|(name, ..)| format!("{name} p50 | {name} p95 | {name} p99"));
     println!(
@@ -231,12 +232,13 @@
     let seeds = arguments.next().and_then(|word| word.parse().ok());
     let only: Option<usize> = arguments.next().and_then(|word| word.parse().ok());
     let policy = arguments.next().unwrap_or_default();
-    let seeds = seeds.unwrap_or(10);
+    let skip = arguments.next().and_then(|word| word.parse().ok());
+    let (skip, seeds) = (skip.unwrap_or(0), seeds.unwrap_or(10));
     println!("Seconds to the first token; median over {seeds} seeds (lowest-highest).");
     for mix in [&trace::TOONIKAART, &trace::TREASURY] {
         for (number, scenario) in SCENARIOS.into_iter().enumerate() {
             if only.is_none_or(|only| only == number) {
-                compare(mix, scenario, seeds, &policy);
+                compare(mix, scenario, (skip, seeds), &policy);
             }
         }
     }
--- a/crates/kumquatdrum_routing/src/policy/estimated.rs
+++ b/crates/kumquatdrum_routing/src/policy/estimated.rs
@@ -14,8 +14,8 @@
 /// Engines that a decision about several of them looks at.
 const SPANNING_SAMPLE: usize = 48;
 /// Endpoints outside the own zone that a short request looks at.
-const OUTSIDE_SAMPLE: usize = 3;
-/// The most engines, as a share, that are kept clear of long prefills.
+const OUTSIDE_SAMPLE: usize = 8;
+/// The most engines, as a share, that are kept clear of medium and long prefills.
 const PROTECTED_MOST: f64 = 0.6;
 /// The short requests' load, as a share of all engines, below which no workspace is in the way.
 const BUSY: f64 = 0.4;
@@ -119,8 +119,7 @@
                 self.sample(short_zone, SAMPLE, &mut found);
                 self.sample(long_zone, OUTSIDE_SAMPLE, &mut found);
             }
-            Size::Medium => self.sample(all, SAMPLE, &mut found),
-            Size::Long => self.sample(long_zone, SAMPLE, &mut found),
+            Size::Medium | Size::Long => self.sample(long_zone, SAMPLE, &mut found),
             Size::Spanning if all.len() <= SPANNING_SAMPLE => found.extend_from_slice(all),
             Size::Spanning => self.sample(long_zone, SPANNING_SAMPLE, &mut found),
         }
