Never tell a keyed request 'not run' where an earlier sending may have run

Cause, found by a test with real processes: a resend whose service had no endpoint left was refused before its key was looked at, and told 'not run' although the first sending had run. Every refusal of a keyed request now asks the log for the key first; where that can't be done the answer says that earlier sendings can't be learnt of. Ruled out: claiming before an endpoint is found, which writes two log entries for each refused request. Failing first: a_key_that_ran_is_not_told_to_be_not_run.

--- a/crates/kumquatdrum_caller/src/gate.rs
+++ b/crates/kumquatdrum_caller/src/gate.rs
@@ -134,6 +134,15 @@
     /// Takes in a request.
     fn enter(&self, pass: Pass, ask: Ask) -> Result<Passage, Problem>;
 
+    /// What the caller of a keyed request may be told where this sending of it was refused: an
+    /// earlier sending may have run.
+    fn refused<'a>(
+        &'a self,
+        workspace: &'a WorkspaceName,
+        key: &'a str,
+        problem: Problem,
+    ) -> Answer<'a, Problem>;
+
     /// Whether the connection that a caller came by still stands.
     fn is_here(&self, caller: SocketAddr) -> bool;
 
@@ -208,7 +217,10 @@
         Refusal::Overloaded => (503, "the service can't meet the deadline now"),
         Refusal::NoEndpoint => (503, "no endpoint of the service can take the request now"),
         Refusal::DeadlineBeforeDispatch => (504, "the deadline came before an endpoint was free"),
-        Refusal::ClaimUnavailable => (503, "the idempotency key can't be claimed now"),
+        Refusal::ClaimUnavailable => (
+            503,
+            "this sending was not run, and of earlier ones with the key nothing can be learnt now",
+        ),
         Refusal::Draining => (503, "this host is shutting down"),
         Refusal::NoDeclaration => (503, "no declaration is in force on this host yet"),
     }
--- a/crates/kumquatdrum_caller/src/routes.rs
+++ b/crates/kumquatdrum_caller/src/routes.rs
@@ -23,7 +23,7 @@
 use crate::body;
 use crate::gate::{Ask, Gate, Pass, Passage, Problem, Reply};
 use crate::wire;
-use kumquatdrum_types::Refusal;
+use kumquatdrum_types::{Refusal, WorkspaceName};
 
 /// How long a streamed answer's head waits for the first token.
 pub const EARLY: Duration = Duration::from_millis(250);
@@ -90,6 +90,23 @@
 #[derive(Clone)]
 struct Keys(Arc<dyn Gate>);
 
+/// Whose key a request carries, if any.
+struct Keyed(Option<(WorkspaceName, String)>);
+
+impl Keyed {
+    fn new(pass: &Pass, ask: &Ask) -> Self {
+        Self(ask.key.clone().map(|key| (pass.workspace.clone(), key)))
+    }
+
+    /// A refusal as the caller may be told it.
+    async fn checked(self, gate: &Arc<dyn Gate>, refused: Problem) -> Problem {
+        match self.0 {
+            Some((workspace, key)) => gate.refused(&workspace, &key, refused).await,
+            None => refused,
+        }
+    }
+}
+
 fn bearer<'r>(request: &'r Request<'_>) -> Option<&'r str> {
     let value = request.headers().get_one("authorization")?;
     value.strip_prefix("Bearer ").map(str::trim)
@@ -210,16 +227,23 @@
                 return Err(refused);
             }
         };
-        ask.body = body::read(&mut pass, data, length).await?;
-        let model = wire::model(&ask.body).map_err(|error| bad(&pass, error.to_string()))?;
-        ask.model = true;
-        ask.path = request.uri().path().to_string();
-        ask.service.clone_from(&model.service);
-        ask.stream = model.stream;
-        ask.max_tokens = model.max_tokens;
-        ask.prompt = model.prompt;
-        let passage = self.0.enter(pass, ask)?;
-        Ok((passage, model.service, model.stream))
+        let keyed = Keyed::new(&pass, &ask);
+        let entered = async {
+            ask.body = body::read(&mut pass, data, length).await?;
+            let model = wire::model(&ask.body).map_err(|error| bad(&pass, error.to_string()))?;
+            ask.model = true;
+            ask.path = request.uri().path().to_string();
+            ask.service.clone_from(&model.service);
+            ask.stream = model.stream;
+            ask.max_tokens = model.max_tokens;
+            ask.prompt = model.prompt;
+            let passage = self.0.enter(pass, ask)?;
+            Ok((passage, model.service, model.stream))
+        };
+        match entered.await {
+            Ok(entered) => Ok(entered),
+            Err(refused) => Err(keyed.checked(&self.0, refused).await),
+        }
     }
 }
 
@@ -251,8 +275,15 @@
             .and_then(Result::ok)
             .unwrap_or_default();
         ask.path = path_within(request);
-        ask.body = body::read(&mut pass, data, length).await?;
-        self.0.enter(pass, ask)
+        let keyed = Keyed::new(&pass, &ask);
+        let entered = async {
+            ask.body = body::read(&mut pass, data, length).await?;
+            self.0.enter(pass, ask)
+        };
+        match entered.await {
+            Ok(passage) => Ok(passage),
+            Err(refused) => Err(keyed.checked(&self.0, refused).await),
+        }
     }
 }
 
--- a/crates/kumquatdrum_host/src/gate.rs
+++ b/crates/kumquatdrum_host/src/gate.rs
@@ -12,7 +12,7 @@
 use kumquatdrum_platform::sockets::Connections;
 use kumquatdrum_routing as routing;
 use kumquatdrum_setup::{Claim, Digest};
-use kumquatdrum_types::{AttemptId, IdempotencyKey, Refusal, RequestId};
+use kumquatdrum_types::{AttemptId, IdempotencyKey, Refusal, RequestId, WorkspaceName};
 use slog::warn;
 use tokio::sync::mpsc;
 
@@ -211,6 +211,18 @@
         Ok(Passage { request, replies })
     }
 
+    fn refused<'a>(
+        &'a self,
+        workspace: &'a WorkspaceName,
+        key: &'a str,
+        problem: Problem,
+    ) -> Answer<'a, Problem> {
+        Box::pin(async move {
+            let key = IdempotencyKey::new(key);
+            crate::key::checked(&self.shell, workspace, &key, problem).await
+        })
+    }
+
     fn is_here(&self, caller: SocketAddr) -> bool {
         let connections = self.connections.get();
         connections.is_none_or(|connections| connections.stands(caller))
--- a/crates/kumquatdrum_host/src/key.rs
+++ b/crates/kumquatdrum_host/src/key.rs
@@ -9,7 +9,9 @@
 use kumquatdrum_setup::claim::Held;
 use kumquatdrum_setup::{Claim, ClaimAnswer, Failure, Settled, Settlement};
 use kumquatdrum_types::exchange::{State, Target};
-use kumquatdrum_types::{AttemptId, Class, Moment, Refusal, RequestId, ServiceName};
+use kumquatdrum_types::{
+    AttemptId, Class, IdempotencyKey, Moment, Refusal, RequestId, ServiceName, WorkspaceName,
+};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::shell::Shell;
@@ -86,30 +88,9 @@
             _ if !self.resumable => None,
             _ => self.seek(shell, &held.attempt).await,
         };
-        match (followed, held.settled) {
-            (Some((target, attempt)), _) => Claimed::Follow(target, attempt),
-            (None, Settled::Finished) => Claimed::Told(told(
-                "key_finished",
-                409,
-                Class::Failed,
-                "the key's request ran to its end; its answer is no longer held",
-            )),
-            (None, Settled::Running) => {
-                let mut problem = told(
-                    "key_running",
-                    409,
-                    Class::Unknown,
-                    "the key's request was dispatched and is not settled yet",
-                );
-                problem.retry_after_ms = Some(1_000);
-                Claimed::Told(problem)
-            }
-            (None, _) => Claimed::Told(told(
-                "key_unknown",
-                409,
-                Class::Unknown,
-                "the key's request was dispatched, and what became of it could not be learnt",
-            )),
+        match followed {
+            Some((target, attempt)) => Claimed::Follow(target, attempt),
+            None => Claimed::Told(standing(held.settled)),
         }
     }
 
@@ -185,6 +166,54 @@
     }
 }
 
+/// What a caller is told of a key whose request can't be followed.
+fn standing(settled: Settled) -> Problem {
+    match settled {
+        Settled::Finished => told(
+            "key_finished",
+            409,
+            Class::Failed,
+            "the key's request ran to its end; its answer is no longer held",
+        ),
+        Settled::Running => {
+            let mut problem = told(
+                "key_running",
+                409,
+                Class::Unknown,
+                "the key's request was dispatched and is not settled yet",
+            );
+            problem.retry_after_ms = Some(1_000);
+            problem
+        }
+        Settled::NotRun | Settled::Unknown => told(
+            "key_unknown",
+            409,
+            Class::Unknown,
+            "the key's request was dispatched, and what became of it could not be learnt",
+        ),
+    }
+}
+
+/// What the caller of a keyed request may be told where this sending of it was not run: an
+/// earlier sending may have been.
+pub async fn checked(
+    shell: &Shell,
+    workspace: &WorkspaceName,
+    key: &IdempotencyKey,
+    problem: Problem,
+) -> Problem {
+    let unclaimed = kumquatdrum_caller::gate::code(Refusal::ClaimUnavailable);
+    if problem.class != Class::NotRun || problem.code == unclaimed {
+        return problem;
+    }
+    match shell.control.key(workspace, key).await {
+        Ok(None) => problem,
+        Ok(Some(held)) if held.settled == Settled::NotRun => problem,
+        Ok(Some(held)) => standing(held.settled),
+        Err(_) => Problem::refused(Refusal::ClaimUnavailable, None, problem.request),
+    }
+}
+
 fn told(code: &str, status: u16, class: Class, message: &str) -> Problem {
     Problem {
         code: code.to_owned(),
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -15,13 +15,13 @@
 use kumquatdrum_routing::{self as routing, Failure, Progress};
 use kumquatdrum_types::exchange::{Call, Event, Fault, Target, Usage};
 use kumquatdrum_types::{
-    AttemptId, EndpointId, Moment, Refusal, RequestId, ServiceName, WorkspaceName,
+    AttemptId, EndpointId, IdempotencyKey, Moment, Refusal, RequestId, ServiceName, WorkspaceName,
 };
 use slog::{debug, info};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::fleet::{Decision, Placement};
-use crate::key::{Claimed, Key};
+use crate::key::{self, Claimed, Key};
 use crate::problem;
 use crate::quota::Permit;
 use crate::shell::Shell;
@@ -493,6 +493,7 @@
         };
         self.settle_attempt(progress);
         self.order.permit.used(self.tokens_used(&ending));
+        let key = self.unclaimed_key();
         self.settle_key(&ending).await;
         self.record(&ending);
         match self.pending.take() {
@@ -500,11 +501,33 @@
             pending => {
                 last_word(&self.replies, pending).await;
                 let reply = problem::last_reply(ending, &self.order.request);
+                let reply = self.checked(key, reply).await;
                 last_word(&self.replies, reply).await;
             }
         }
     }
 
+    /// The key of a request that made no claim of its own.
+    fn unclaimed_key(&self) -> Option<IdempotencyKey> {
+        let key = self.order.key.as_ref()?;
+        (self.claim == ClaimState::None).then(|| key.claim.key.clone())
+    }
+
+    async fn checked(
+        &mut self,
+        key: Option<IdempotencyKey>,
+        reply: Option<Reply>,
+    ) -> Option<Reply> {
+        match (key, reply) {
+            (Some(key), Some(Reply::Problem(problem))) => {
+                let workspace = &self.order.workspace;
+                let checked = key::checked(&self.shell, workspace, &key, problem).await;
+                Some(Reply::Problem(checked))
+            }
+            (_, reply) => reply,
+        }
+    }
+
     /// Tokens that count against the workspace's limit.
     fn tokens_used(&self, ending: &Ending) -> u64 {
         let counted = self.usage.prompt_tokens + self.usage.completion_tokens;
