--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -170,6 +170,7 @@
             gangs,
             control: link,
             quota,
+            members: members.clone(),
             bodies: Budget::new(settings.limits.held_body_bytes),
             requests: TaskTracker::new(),
             names: AtomicU64::new(0),
--- a/crates/kumquatdrum_host/src/key.rs
+++ b/crates/kumquatdrum_host/src/key.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    async fn answered(&self, shell: &Shell, answer: Option<ClaimAnswer>) -> Claimed {
+    async fn answered(&self, shell: &Arc<Shell>, answer: Option<ClaimAnswer>) -> Claimed {
         match answer {
             Some(ClaimAnswer::Granted) => Claimed::Granted,
             Some(ClaimAnswer::Held(held)) => self.held(shell, held).await,
@@ -82,7 +82,7 @@
     }
 
     /// The key's earlier request is looked for at the engines.
-    async fn held(&self, shell: &Shell, held: Held) -> Claimed {
+    async fn held(&self, shell: &Arc<Shell>, held: Held) -> Claimed {
         let followed = match held.settled {
             Settled::NotRun => return Claimed::Refused(Refusal::ClaimUnavailable, None),
             _ if !self.resumable => None,
@@ -90,10 +90,25 @@
         };
         match followed {
             Some((target, attempt)) => Claimed::Follow(target, attempt),
-            None => Claimed::Told(standing(held.settled)),
+            None => Claimed::Told(standing(self.taken_over(shell, &held))),
         }
     }
 
+    /// Where a claim's host is dead and no engine knows the attempt, nobody will ever learn more.
+    fn taken_over(&self, shell: &Arc<Shell>, held: &Held) -> Settled {
+        let is_orphan = !shell.members.live_hosts().contains(&held.host);
+        if held.settled != Settled::Running || !is_orphan {
+            return held.settled;
+        }
+        let mut orphan = self.clone();
+        orphan.claim.attempt = held.attempt.clone();
+        let shared = Arc::clone(shell);
+        shell.requests.spawn(async move {
+            orphan.keep_settling(&shared, Settled::Unknown).await;
+        });
+        Settled::Unknown
+    }
+
     async fn seek(&self, shell: &Shell, request: &AttemptId) -> Option<(Target, AttemptId)> {
         let targets = shell.fleet.targets(&self.service);
         let pairs = targets.iter().flat_map(|target| {
--- a/crates/kumquatdrum_host/src/shell.rs
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -17,6 +17,7 @@
 use crate::gangs::Gangs;
 use crate::in_force::Store;
 use crate::janitor::Janitor;
+use crate::members::Members;
 use crate::quota::Quota;
 use crate::settings::Settings;
 
@@ -48,6 +49,8 @@
     pub gangs: Arc<Gangs>,
     /// The control plane.
     pub control: Arc<dyn Control>,
+    /// Hosts and endpoints.
+    pub members: Arc<Members>,
     /// The workspaces' limits.
     pub quota: Arc<Quota>,
     /// Bytes of bodies.
