Give orders to engines by a reconciler in a core of its own

The core compares the declaration in force with what engines report and orders the difference: most-needed model first, at the weight store's rate, one order at a time per engine, never the last serving replica. Engines that check fencing numbers are told the new leader's number first; for the others an order is sent only while the lease, less flight and drift, is proved, and a new leader waits out its predecessor's longest lease, drift and flight.

--- /dev/null
+++ b/crates/kumquatdrum_orders/src/lib.rs
@@ -0,0 +1,19 @@
+//! Core: orders to engines, so that they load what the declaration says.
+//!
+//! [`Reconciler`] runs on the control leader. It compares the declaration in force with what
+//! engines report and gives orders for the difference. It has no clock and does no I/O.
+
+mod bucket;
+mod endpoint;
+mod input;
+mod order;
+mod output;
+mod reconciler;
+mod rule;
+mod settings;
+
+pub use input::{Answer, Input, Leadership};
+pub use order::{Action, Adapter, Order, OrderId, Report, Role};
+pub use output::{Event, Output, Record};
+pub use reconciler::Reconciler;
+pub use settings::Settings;
