Let the takeover tests catch a missing wait and a missing lease bound

A trial without the takeover wait passed before, as a new leader's first load comes an interval after its start; the successor now finds something to mend at once.

--- a/crates/kumquatdrum_orders/tests/takeover.rs
+++ b/crates/kumquatdrum_orders/tests/takeover.rs
@@ -2,17 +2,19 @@
 
 mod support;
 
+use kumquatdrum_orders::Adapter;
 use support::{ELECTION_MS, Faults, World, declaration, engines};
 
 /// Runs a leader into a freeze between its decision and its last check, elects a successor as
 /// early as the consensus allows, and wakes the first one after `frozen_ms`.
 fn freeze_and_wake(
     seed: u64,
+    count: usize,
     checks: impl Fn(usize) -> bool,
     transfer: bool,
     successor_ms: u64,
 ) -> World {
-    let engines = engines(4, checks);
+    let engines = engines(count, checks);
     let text = declaration("2", &engines);
     let mut world = World::new(seed, engines, &text);
     world.faults = Faults {
@@ -21,7 +23,8 @@
     };
     let before = world.below(12_000);
     // Some freezes are shorter than an election, some a little longer, some very long.
-    let frozen = [200, 1_100, 2_500, 20_000][world.below(4) as usize] + world.below(500);
+    let frozen = [200, 1_100, 2_500, 6_000, 20_000][world.below(5) as usize];
+    let frozen = frozen + world.below(frozen);
     world.leaders[0].term = Some(7);
     world.run(before);
     world.leaders[0].freeze_at_next_load = Some(frozen);
@@ -30,6 +33,11 @@
         assert!(world.now < 120_000, "seed {seed}: it never orders a load");
     }
     world.leaders[0].renews = false;
+    // Something that the successor can mend without the weight store, so at once.
+    let (_, last) = world.engines.last_mut().expect("some engines");
+    last.version = "2".to_owned();
+    last.loading = None;
+    last.adapters = ["nails", "surplus"].map(adapter).to_vec();
     let voter_rate = 955 + world.below(91);
     // A transfer gives the lease up at once; otherwise a voter's timeout ends first.
     let election = if transfer {
@@ -43,6 +51,13 @@
     world
 }
 
+fn adapter(name: &str) -> Adapter {
+    Adapter {
+        name: name.to_owned(),
+        version: "2".to_owned(),
+    }
+}
+
 /// Per engine, no order of the old holder after the successor's first one.
 fn old_orders_after_new(world: &World) -> usize {
     let late = |place: usize| {
@@ -67,7 +82,7 @@
 fn engines_that_check_refuse_a_woken_leader_and_it_steps_down() {
     let mut stepped_down = 0;
     for seed in 0..40 {
-        let world = freeze_and_wake(seed, |_| true, seed % 2 == 0, 26_000);
+        let world = freeze_and_wake(seed, 4, |_| true, seed % 2 == 0, 26_000);
         assert_eq!(old_orders_after_new(&world), 0, "seed {seed}");
         assert!(successors(&world) > 0, "seed {seed}");
         stepped_down += world.stepped_down();
@@ -78,7 +93,7 @@
 #[test]
 fn engines_that_do_not_check_get_nothing_from_a_woken_leader() {
     for seed in 0..40 {
-        let world = freeze_and_wake(seed, |_| false, seed % 2 == 0, 26_000);
+        let world = freeze_and_wake(seed, 4, |_| false, seed % 2 == 0, 26_000);
         assert!(successors(&world) > 0, "seed {seed}");
         let first = world.effects.iter().position(|e| e.order.id.fencing == 8);
         let after = &world.effects[first.expect("the successor ordered")..];
@@ -90,7 +105,7 @@
 #[test]
 fn mixed_engines_never_lose_their_last_replica_over_a_takeover() {
     for seed in 0..40 {
-        let world = freeze_and_wake(seed, |place| place % 2 == 0, seed % 3 == 0, 70_000);
+        let world = freeze_and_wake(seed, 2, |place| place % 2 == 0, seed % 3 == 0, 45_000);
         assert_eq!(old_orders_after_new(&world), 0, "seed {seed}");
         for effect in &world.effects {
             assert_ne!(effect.remaining, Some(0), "seed {seed}: {effect:?}");
