Order engines from the host whose replica leads

The host feeds the reconciler with the term and lease of its replica, the declaration in force and the live engines of its data centre, and carries its orders out. The last check of an order comes when the connection asks for the request's body, so a process that froze before it, or a slow connect, sends no late order.

The stand-in engine takes orders where its options say so.

--- a/crates/kumquatdrum_engine/src/engine.rs
+++ b/crates/kumquatdrum_engine/src/engine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::Stream;
+use kumquatdrum_orders::{Answer as OrderAnswer, Order, Report};
 use kumquatdrum_types::exchange::{Call, Event, Standing, Target};
 use kumquatdrum_types::{AttemptId, BootId, HostId};
 use serde::{Deserialize, Serialize};
@@ -14,6 +15,11 @@
 /// The events of one exchange; it ends after `Finished` or a fault.
 pub type Events = Pin<Box<dyn Stream<Item = Event> + Send>>;
 
+/// How an order went; a boxed future like [`Answer`].
+pub type Ordered = Pin<Box<dyn Future<Output = OrderAnswer> + Send>>;
+/// Asked right before an order's bytes are handed over; none are where it says `false`.
+pub type Check = Box<dyn Fn() -> bool + Send + Sync>;
+
 /// The engine did not answer a question in time, or not in its protocol.
 #[derive(Debug, Clone, thiserror::Error)]
 #[error("engine {endpoint} can't be asked: {reason}")]
@@ -87,6 +93,12 @@
     /// Releases a reservation; `false` where there was none.
     fn release(&self, target: &Target, attempt: &AttemptId) -> Answer<bool>;
 
+    /// Gives an order over a new connection, if `check` allows it right before.
+    fn order(&self, target: &Target, order: &Order, check: Check) -> Ordered;
+
+    /// What the engine has loaded and does.
+    fn order_report(&self, target: &Target) -> Answer<Report>;
+
     /// Drops pooled connections to an endpoint that went silent.
     fn shed(&self, target: &Target);
 }
--- a/crates/kumquatdrum_engine/src/http.rs
+++ b/crates/kumquatdrum_engine/src/http.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
+use kumquatdrum_orders::{Order, Report};
 use kumquatdrum_types::exchange::{Call, Event, Fault, Head, Standing, Target, Usage};
 use kumquatdrum_types::{AttemptId, HostId};
 use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
 
-use crate::engine::{Answer, CachePage, Engine, Events, Running, Unreachable};
-use crate::sse;
+use crate::engine::{Answer, CachePage, Check, Engine, Events, Ordered, Running, Unreachable};
+use crate::{order, sse};
 
 const ATTEMPT_HEADER: &str = "x-attempt-id";
 const END_MARKER: &[u8] = b"[DONE]";
@@ -31,6 +32,7 @@
 pub struct Client {
     pools: Mutex<IndexMap<SocketAddr, reqwest::Client>>,
     fresh: reqwest::Client,
+    orders: reqwest::Client,
 }
 
 #[derive(Debug, Deserialize)]
@@ -86,7 +88,7 @@
     finish_reason: Option<String>,
 }
 
-fn pool() -> reqwest::ClientBuilder {
+pub(crate) fn pool() -> reqwest::ClientBuilder {
     reqwest::Client::builder()
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
@@ -102,6 +104,7 @@
         Ok(Self {
             pools: Mutex::new(IndexMap::new()),
             fresh: pool().pool_max_idle_per_host(0).build()?,
+            orders: order::client()?,
         })
     }
 
@@ -239,6 +242,17 @@
         Box::pin(async move { Ok(freed.await?.freed) })
     }
 
+    fn order(&self, target: &Target, order: &Order, check: Check) -> Ordered {
+        order::send(&self.orders, target, order, check)
+    }
+
+    fn order_report(&self, target: &Target) -> Answer<Report> {
+        decoded(
+            target,
+            self.ask(reqwest::Method::GET, target, "/v1/orders/state"),
+        )
+    }
+
     fn shed(&self, target: &Target) {
         let mut pools = self.pools.lock().expect("no holder panics");
         pools.swap_remove(&target.address);
--- a/crates/kumquatdrum_engine/src/lib.rs
+++ b/crates/kumquatdrum_engine/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod http;
+mod order;
 pub mod sse;
 
 pub use engine::{Engine, Unreachable};
--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -9,6 +9,7 @@
     Input, LogIndex, Message, Node, Output, Proposal, ProposalOutcome, ReplicaId, RoleName, Status,
     Token,
 };
+use kumquatdrum_orders::Leadership;
 use kumquatdrum_peer::{Channel, Client};
 use kumquatdrum_platform::Metrics;
 use kumquatdrum_setup::control::Page;
@@ -41,6 +42,8 @@
     Question(Box<Question>, oneshot::Sender<Outcome>),
     /// What the replica says of itself.
     Status(oneshot::Sender<Status>),
+    /// Leadership as the replica can prove it.
+    Leadership(oneshot::Sender<Option<Leadership>>),
     /// A batch is on disk.
     Persisted(u64),
     /// The disk failed.
@@ -126,6 +129,13 @@
         answer.await.unwrap_or(Err(Failure::Unknown))
     }
 
+    /// The term and lease of this replica; nothing where it does not lead.
+    pub async fn leadership(&self) -> Option<Leadership> {
+        let (sender, answer) = oneshot::channel();
+        self.events.send(Event::Leadership(sender)).ok()?;
+        answer.await.ok().flatten()
+    }
+
     /// What the replica says of itself; nothing once it has stopped.
     pub async fn status(&self) -> Option<Status> {
         let (sender, answer) = oneshot::channel();
@@ -187,10 +197,21 @@
             Event::Status(sender) => {
                 let _ = sender.send(self.parts.node.status());
             }
+            Event::Leadership(sender) => {
+                let _ = sender.send(self.leadership());
+            }
             Event::Question(question, sender) => self.question(*question, sender),
         }
     }
 
+    fn leadership(&self) -> Option<Leadership> {
+        let node = &self.parts.node;
+        node.is_leader().then(|| Leadership {
+            term: node.term().0,
+            lease_until: node.lease_until(),
+        })
+    }
+
     fn question(&mut self, question: Question, sender: oneshot::Sender<Outcome>) {
         if !self.parts.node.is_leader() {
             let leader = self.parts.node.leader().map(|leader| leader.host.clone());
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -31,6 +31,7 @@
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 use crate::members::{self, Members};
+use crate::orders;
 use crate::orphans;
 use crate::peers::Inbox;
 use crate::quota::{self, Quota};
@@ -146,7 +147,7 @@
         let quota = Arc::new(quota(&settings, boot, clock, &client, &in_force, &members));
         tasks.spawn(quota.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
-            replica,
+            replica: replica.clone(),
             quota: quota.clone(),
             members: members.clone(),
             logger: logger.clone(),
@@ -175,6 +176,8 @@
         });
         tasks.spawn(gauges::run(shell.clone(), counters.clone(), stop.clone()));
         tasks.spawn(caches::run(shell.clone(), stop.clone()));
+        let orders = orders::run(shell.clone(), members.clone(), replica, stop.clone());
+        tasks.spawn(orders);
         tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
         let (callers, others) = open(&shell, &members).await?;
         let addresses = Addresses {
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod janitor;
 pub mod key;
 pub mod members;
+pub mod orders;
 pub mod orphans;
 pub mod peers;
 pub mod problem;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -480,6 +480,14 @@
         statuses
     }
 
+    /// What live endpoints of the data centre announce, but for those that leave.
+    pub fn live_endpoints(&self) -> Vec<Announcement> {
+        let cores = self.cores.lock();
+        let records = cores.membership.endpoints();
+        let alive = records.filter(|record| shown(record) == Shown::Alive);
+        alive.map(|record| record.announcement.clone()).collect()
+    }
+
     /// Data centres of which no host can be reached.
     pub fn cut_off(&self) -> Vec<DataCentre> {
         self.cores.lock().membership.cut_off().cloned().collect()
--- a/crates/kumquatdrum_host/src/settings.rs
+++ b/crates/kumquatdrum_host/src/settings.rs
@@ -106,6 +106,9 @@
     pub held_body_bytes: u64,
     /// Threads for requests; 0 takes one for each core.
     pub threads: usize,
+    /// Loads a minute that the weight store takes. Whichever host leads keeps it, so it should
+    /// be equal on all.
+    pub loads_per_minute: u32,
 }
 
 impl Default for Limits {
@@ -114,6 +117,7 @@
             body_bytes: 32 << 20,
             held_body_bytes: 512 << 20,
             threads: 0,
+            loads_per_minute: 12,
         }
     }
 }
@@ -270,6 +274,9 @@
     if limits.body_bytes == 0 {
         findings.push(Finding::new("/limits/body_bytes", "must be above 0"));
     }
+    if limits.loads_per_minute == 0 {
+        findings.push(Finding::new("/limits/loads_per_minute", "must be above 0"));
+    }
     if limits.held_body_bytes < limits.body_bytes {
         let message = "must be at least /limits/body_bytes";
         findings.push(Finding::new("/limits/held_body_bytes", message));
--- a/crates/kumquatdrum_orders/src/output.rs
+++ b/crates/kumquatdrum_orders/src/output.rs
@@ -84,7 +84,7 @@
 impl fmt::Display for Record {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (name, endpoint, action) = (self.event.name(), &self.endpoint, &self.action);
-        write!(f, "event={name} endpoint={endpoint} action={action:?}")?;
+        write!(f, "event={name} endpoint={endpoint} action=\"{action}\"")?;
         if let Some(order) = self.order {
             write!(f, " order={order}")?;
         }
--- a/crates/kumquatdrum_testing/src/engine.rs
+++ b/crates/kumquatdrum_testing/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod http;
+pub mod orders;
 mod request;
 mod shared;
 mod wire;
@@ -41,6 +42,8 @@
     pub sizes: model::Options,
     /// How its load reports and cache events lag.
     pub reports: Reports,
+    /// How it takes orders; it takes none where absent.
+    pub orders: Option<orders::Options>,
     /// The largest request body, in bytes.
     pub body_limit: u64,
 }
@@ -58,6 +61,7 @@
             model: model.into(),
             sizes: model::Options::default(),
             reports: Reports::default(),
+            orders: None,
             body_limit: 64 * 1024 * 1024,
         }
     }
@@ -127,6 +131,11 @@
         self.shared.counts()
     }
 
+    /// What it has loaded, where it takes orders.
+    pub fn order_report(&self) -> Option<kumquatdrum_orders::Report> {
+        self.shared.orders.as_ref().map(orders::Orders::report)
+    }
+
     /// Announcements that an entry host has answered with success.
     pub fn announced(&self) -> u64 {
         self.process.announcer().delivered()
@@ -181,7 +190,7 @@
 fn announcement(shared: &Shared, address: SocketAddr) -> Announcement {
     let options = &shared.options;
     let engine = endpoint::Engine {
-        model: options.model.clone(),
+        model: shared.model(),
         memory_tokens: options.sizes.memory_tokens,
         batch_limit: options.sizes.batch_limit,
         prefill_tokens_per_second: options.sizes.prefill_tokens_per_second(),
--- a/crates/kumquatdrum_testing/src/engine/http.rs
+++ b/crates/kumquatdrum_testing/src/engine/http.rs
@@ -14,10 +14,10 @@
 use rocket::{Build, Rocket, State as Managed, delete, get, post, routes};
 use serde_json::{Value, json};
 
-use super::answer;
 use super::request::{Headers, Malformed, read};
 use super::shared::{Shared, Source};
 use super::wire::{AttemptState, CacheEvents, Form, Holdings, Reservation, error};
+use super::{answer, orders};
 use crate::fault::Cut;
 use crate::model::{Attempt, Fate, Hold, HoldError, Model, Rejection, State};
 use crate::relay::Connections;
@@ -26,7 +26,7 @@
 
 /// Mounts the protocol.
 pub(super) fn mount(rocket: Rocket<Build>, shared: Arc<Shared>) -> Rocket<Build> {
-    rocket.manage(shared).mount(
+    orders::mount(rocket.manage(shared)).mount(
         "/v1",
         routes![
             completions,
@@ -126,7 +126,7 @@
 
 async fn run(form: Form, headers: &Headers<'_>, body: Data<'_>, engine: &Engine) -> Reply {
     engine.counters.received();
-    if engine.faults.take_refuse() {
+    if engine.faults.take_refuse() || !engine.is_serving() {
         return rejected(Rejection::Full);
     }
     let request = match read(headers, body, engine).await {
--- a/crates/kumquatdrum_testing/src/engine/shared.rs
+++ b/crates/kumquatdrum_testing/src/engine/shared.rs
@@ -5,11 +5,13 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use kumquatdrum_types::{AttemptId, BootId, Load, Moment, digest};
+use kumquatdrum_orders::Role;
+use kumquatdrum_types::{AttemptId, BootId, Load, ModelName, Moment, digest};
 use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
 
 use super::Options;
+use super::orders::Orders;
 use super::wire::{CacheEvents, Form};
 use crate::condition::Switch;
 use crate::control::Control;
@@ -65,6 +67,7 @@
     pub(super) boot: BootId,
     pub(super) switch: Arc<Switch>,
     pub(super) faults: Faults,
+    pub(super) orders: Option<Orders>,
     pub(super) counters: Counters,
     pub(super) connections: Arc<Connections>,
     core: Mutex<Core>,
@@ -88,8 +91,12 @@
             reports: VecDeque::new(),
             cache_marks: VecDeque::new(),
         };
+        let boot = options.process.boot();
+        let orders = options.orders.clone();
+        let orders = orders.map(|orders| Orders::new(orders, boot, options.model.clone()));
         Self {
-            boot: options.process.boot(),
+            boot,
+            orders,
             options,
             switch,
             faults: Faults::default(),
@@ -105,6 +112,19 @@
         Moment::ZERO + self.zero.elapsed()
     }
 
+    /// The loaded model.
+    pub(super) fn model(&self) -> ModelName {
+        let report = self.orders.as_ref().map(Orders::report);
+        let loaded = report.and_then(|report| report.model);
+        loaded.unwrap_or_else(|| self.options.model.clone())
+    }
+
+    /// Whether it takes requests at present.
+    pub(super) fn is_serving(&self) -> bool {
+        let role = self.orders.as_ref().map(|orders| orders.report().role);
+        role.is_none_or(|role| role == Role::Serving)
+    }
+
     /// Takes a request; with `fails` it fails at once, as if it had run in part.
     pub(super) fn submit(
         &self,
