Test what an engine without the new fencing number is worth

A leader that is behind gives no orders, as it would order what an older declaration says. The adapter's last check, its answer to an old fencing number and its giving up on a frozen engine are tested over loopback.

--- a/crates/kumquatdrum_consensus/src/leader.rs
+++ b/crates/kumquatdrum_consensus/src/leader.rs
@@ -159,6 +159,11 @@
             .filter(|until| *until > self.now)
     }
 
+    /// Whether it leads and has applied all that was committed before its term.
+    pub fn leads_current(&self) -> bool {
+        matches!(&self.role, Role::Leader(leader) if self.applied >= leader.first)
+    }
+
     /// Ends leading: whoever waits for an answer gets one.
     pub(crate) fn step_down(&mut self) {
         let role = std::mem::replace(&mut self.role, Role::Follower);
--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -129,7 +129,7 @@
         answer.await.unwrap_or(Err(Failure::Unknown))
     }
 
-    /// The term and lease of this replica; nothing where it does not lead.
+    /// The term and lease of this replica; nothing where it does not lead or is behind.
     pub async fn leadership(&self) -> Option<Leadership> {
         let (sender, answer) = oneshot::channel();
         self.events.send(Event::Leadership(sender)).ok()?;
@@ -206,7 +206,8 @@
 
     fn leadership(&self) -> Option<Leadership> {
         let node = &self.parts.node;
-        node.is_leader().then(|| Leadership {
+        // A leader that is behind would order what an older declaration says.
+        node.leads_current().then(|| Leadership {
             term: node.term().0,
             lease_until: node.lease_until(),
         })
--- a/crates/kumquatdrum_host/tests/orders.rs
+++ b/crates/kumquatdrum_host/tests/orders.rs
@@ -4,10 +4,12 @@
 
 use std::time::Duration;
 
+use kumquatdrum_engine::{Client, Engine as _};
 use kumquatdrum_host::embedded;
-use kumquatdrum_orders::{Report, Role};
-use kumquatdrum_testing::{Engine, engine};
-use kumquatdrum_types::Version;
+use kumquatdrum_orders::{Action, Answer, Order, OrderId, Report, Role};
+use kumquatdrum_testing::{Engine, Fault, engine};
+use kumquatdrum_types::exchange::Target;
+use kumquatdrum_types::{Moment, Version};
 use serde_json::{Value, json};
 use support::{MODEL_SERVICE, System, call, completion, declaration, got};
 
@@ -70,3 +72,66 @@
     }
     system.stop().await;
 }
+
+/// An engine that checks, and the way to it.
+async fn checking_engine() -> (Engine, Target, Client) {
+    let mut options = engine::Options::new("e0", MODEL_SERVICE, "formula", "hall-raatuse");
+    takes_orders(&mut options, true);
+    let engine = Engine::start(options).await.expect("the engine starts");
+    let target = Target {
+        endpoint: "e0".into(),
+        boot: reports(std::slice::from_ref(&engine))[0].boot,
+        address: engine.address(),
+    };
+    (engine, target, Client::new().expect("a client"))
+}
+
+fn load(target: &Target, fencing: u64) -> Order {
+    Order {
+        id: OrderId {
+            fencing,
+            sequence: 1,
+        },
+        endpoint: target.endpoint.clone(),
+        boot: target.boot,
+        action: Action::LoadModel {
+            model: "formula".into(),
+            version: "2".to_owned(),
+        },
+        send_until: Moment::NEVER,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_of_an_order_is_obeyed_where_the_last_check_fails() {
+    let (engine, target, client) = checking_engine().await;
+    let answer = client.order(&target, &load(&target, 7), Box::new(|| false));
+    assert_eq!(answer.await, Answer::NotSent);
+    let report = client.order_report(&target).await.expect("a report");
+    assert_eq!(report.role, Role::Serving);
+    engine.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_checks_refuses_an_old_fencing_number() {
+    let (engine, target, client) = checking_engine().await;
+    let mut fence = load(&target, 8);
+    fence.action = Action::Fence;
+    let answer = client.order(&target, &fence, Box::new(|| true));
+    assert_eq!(answer.await, Answer::Accepted);
+    let answer = client.order(&target, &load(&target, 7), Box::new(|| true));
+    assert_eq!(answer.await, Answer::OldFencing { current: 8 });
+    let report = client.order_report(&target).await.expect("a report");
+    assert_eq!(report.version.as_deref(), Some("1"));
+    engine.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_to_a_frozen_engine_is_given_up() {
+    let (engine, target, client) = checking_engine().await;
+    engine.order(&Fault::Freeze);
+    let answer = client.order(&target, &load(&target, 7), Box::new(|| true));
+    let answer = tokio::time::timeout(PATIENCE, answer).await;
+    assert!(matches!(answer, Ok(Answer::Lost { .. })), "{answer:?}");
+    engine.shutdown().await;
+}
--- a/crates/kumquatdrum_orders/tests/support/mod.rs
+++ b/crates/kumquatdrum_orders/tests/support/mod.rs
@@ -163,6 +163,8 @@
     pub effects: Vec<Effect>,
     pub records: Vec<Record>,
     pub sent: Vec<(u64, Order)>,
+    /// A leader whose orders to an engine are lost.
+    pub cut: Option<(usize, EndpointId)>,
     packets: Vec<(u64, Packet)>,
 }
 
@@ -191,6 +193,7 @@
             effects: Vec::new(),
             records: Vec::new(),
             sent: Vec::new(),
+            cut: None,
             packets: Vec::new(),
         };
         world.declare(1, declaration);
@@ -347,7 +350,8 @@
             return self.input(place, Input::Answered(order.id, Answer::NotSent));
         }
         self.sent.push((self.now, order.clone()));
-        let lost = self.happens(self.faults.lost_orders);
+        let is_cut = self.cut == Some((place, order.endpoint.clone()));
+        let lost = is_cut || self.happens(self.faults.lost_orders);
         let answered = !lost && !self.happens(self.faults.lost_answers);
         let flight = self.below(FLIGHT_MS - STEP_MS);
         if !answered {
--- a/crates/kumquatdrum_orders/tests/takeover.rs
+++ b/crates/kumquatdrum_orders/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use kumquatdrum_orders::Adapter;
+use kumquatdrum_orders::{Action, Adapter};
 use support::{ELECTION_MS, Faults, World, declaration, engines};
 
 /// Runs a leader into a freeze between its decision and its last check, elects a successor as
@@ -35,7 +35,7 @@
     world.leaders[0].renews = false;
     // Something that the successor can mend without the weight store, so at once.
     let (_, last) = world.engines.last_mut().expect("some engines");
-    last.version = "2".to_owned();
+    "2".clone_into(&mut last.version);
     last.loading = None;
     last.adapters = ["nails", "surplus"].map(adapter).to_vec();
     let voter_rate = 955 + world.below(91);
@@ -115,3 +115,42 @@
         }
     }
 }
+
+/// An engine that has not heard of the successor may still obey the old holder at any moment, so
+/// it does not count as the replica that remains.
+#[test]
+fn an_engine_without_the_new_fencing_number_is_no_replica_to_rely_on() {
+    let engines = engines(2, |place| place == 0);
+    let text = declaration("2", &engines);
+    let mut world = World::new(3, engines, &text);
+    world.leaders[0].term = Some(7);
+    world.leaders[0].freeze_at_next_load = Some(30_000);
+    while world.leaders[0].froze_at.is_none() {
+        world.step();
+    }
+    world.leaders[0].renews = false;
+    // Only the other engine needs a load, and this one would be what remains.
+    let first = &mut world.engines[0];
+    "2".clone_into(&mut first.version);
+    first.adapters = vec![adapter("nails")];
+    world.cut = Some((1, "e0".into()));
+    world.run(2 * ELECTION_MS);
+    world.leaders[1].term = Some(8);
+    world.run(20_000);
+    let loads = |action: &Action| matches!(action, Action::LoadModel { .. });
+    assert!(
+        !world
+            .effects
+            .iter()
+            .any(|effect| loads(&effect.order.action))
+    );
+    world.cut = None;
+    world.run(120_000);
+    assert!(
+        world
+            .effects
+            .iter()
+            .all(|effect| effect.remaining != Some(0))
+    );
+    assert!(world.engines.values().all(|engine| engine.version == "2"));
+}
