--- a/crates/kumquatdrum_orders/src/lib.rs
+++ b/crates/kumquatdrum_orders/src/lib.rs
@@ -11,6 +11,7 @@
 mod reconciler;
 mod rule;
 mod settings;
+mod view;
 
 pub use input::{Answer, Input, Leadership};
 pub use order::{Action, Adapter, Order, OrderId, Report, Role};
--- a/crates/kumquatdrum_orders/tests/convergence.rs
+++ b/crates/kumquatdrum_orders/tests/convergence.rs
@@ -69,6 +69,24 @@
     }
 }
 
+#[test]
+fn a_slow_load_keeps_the_next_replica_serving() {
+    let mut engines = engines(4, |place| place % 2 == 0);
+    for engine in engines.values_mut() {
+        engine.load_ms = 12_000;
+    }
+    let text = declaration("2", &engines);
+    let mut world = World::new(5, engines, &text);
+    world.leaders[0].term = Some(1);
+    for _ in 0..6_000 {
+        world.step();
+        let now = world.now;
+        let serving = world.engines.values().filter(|e| e.serves(now, "formula"));
+        assert!(serving.count() >= 3, "at {now} ms");
+    }
+    assert_converged(&world, "2", 5);
+}
+
 #[test]
 fn the_declared_state_is_reached_after_restarts_and_a_second_declaration() {
     for seed in 0..12 {
--- a/crates/kumquatdrum_orders/tests/support/mod.rs
+++ b/crates/kumquatdrum_orders/tests/support/mod.rs
@@ -33,6 +33,7 @@
     pub standby: bool,
     pub known_fencing: u64,
     pub down_until: u64,
+    pub load_ms: u64,
 }
 
 impl Engine {
@@ -48,6 +49,7 @@
             standby: false,
             known_fencing: 0,
             down_until: 0,
+            load_ms: LOAD_MS,
         }
     }
 
@@ -92,7 +94,7 @@
             Action::Fence => {}
             Action::LoadModel { model, version } => {
                 self.adapters.clear();
-                self.loading = Some((now + LOAD_MS, model.to_string(), version.clone()));
+                self.loading = Some((now + self.load_ms, model.to_string(), version.clone()));
             }
             Action::LoadAdapter(adapter) => {
                 self.adapters.retain(|held| held.name != adapter.name);
