--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -44,6 +44,8 @@
     Status(oneshot::Sender<Status>),
     /// Leadership as the replica can prove it.
     Leadership(oneshot::Sender<Option<Leadership>>),
+    /// The host is about to stop: another replica should lead.
+    Resign,
     /// A batch is on disk.
     Persisted(u64),
     /// The disk failed.
@@ -92,6 +94,8 @@
     stamper: Stamper,
     wake: Moment,
     told: Version,
+    /// The log holds something that this release can't apply.
+    halted: bool,
     tokens: u64,
     waiting: IndexMap<Token, Waiting>,
     reads: IndexMap<Token, (Read, oneshot::Sender<Outcome>)>,
@@ -136,6 +140,11 @@
         answer.await.ok().flatten()
     }
 
+    /// Hands leadership over before a planned stop.
+    pub fn resign(&self) {
+        let _ = self.events.send(Event::Resign);
+    }
+
     /// What the replica says of itself; nothing once it has stopped.
     pub async fn status(&self) -> Option<Status> {
         let (sender, answer) = oneshot::channel();
@@ -153,6 +162,7 @@
             stamper: Stamper::default(),
             wake: Moment::ZERO,
             told: Version(0),
+            halted: false,
             tokens: 0,
             waiting: IndexMap::new(),
             reads: IndexMap::new(),
@@ -185,6 +195,9 @@
             while let Ok(event) = events.try_recv() {
                 self.take(event);
             }
+            if self.halted {
+                break;
+            }
             self.propose_batches();
         }
     }
@@ -194,6 +207,7 @@
             Event::Message(message) => self.step(Input::Message(message)),
             Event::Persisted(sequence) => self.step(Input::Persisted { sequence }),
             Event::PersistFailed(reason) => self.step(Input::PersistFailed { reason }),
+            Event::Resign => self.step(Input::Resign),
             Event::Status(sender) => {
                 let _ = sender.send(self.parts.node.status());
             }
@@ -280,6 +294,8 @@
                 self.step(Input::Snapshot { index, data });
             }
             Output::BecameLeader { term } => {
+                // Time that passed while another replica led is that one's to count.
+                self.stamper = Stamper::default();
                 self.parts.metrics.leader.set(1);
                 info!(self.parts.logger, ""; "event" => "became_leader", "term" => %term);
             }
@@ -312,9 +328,10 @@
                 }
                 self.put_in_force();
             }
+            // A replica that skipped an entry of a later release would differ from the others.
             Err(reason) => {
-                self.state.skip(index.0);
-                error!(self.parts.logger, ""; "event" => "entry_not_decoded", "index" => %index,
+                self.halted = true;
+                error!(self.parts.logger, ""; "event" => "replica_halted", "index" => %index,
                     "reason" => %reason);
             }
         }
@@ -327,8 +344,11 @@
         } else {
             match State::restore(data) {
                 Ok(state) => self.state = state,
-                Err(reason) => error!(self.parts.logger, ""; "event" => "snapshot_not_restored",
-                    "index" => %index, "reason" => %reason),
+                Err(reason) => {
+                    self.halted = true;
+                    error!(self.parts.logger, ""; "event" => "replica_halted", "index" => %index,
+                        "reason" => %reason);
+                }
             }
         }
         self.put_in_force();
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -41,6 +41,8 @@
 
 /// How long cancels may take to be confirmed at the end of a shutdown.
 const LAST_CANCELS: Duration = Duration::from_secs(2);
+/// How long a resigned replica stays to tell its successor.
+const HANDOVER: Duration = Duration::from_millis(300);
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Why a host did not start.
@@ -92,6 +94,7 @@
     pub addresses: Addresses,
     shell: Arc<Shell>,
     client: Arc<Client>,
+    replica: Option<Handle>,
     counters: Arc<Counters>,
     stopped: watch::Sender<bool>,
     tasks: JoinSet<()>,
@@ -175,10 +178,7 @@
             settings,
         });
         tasks.spawn(gauges::run(shell.clone(), counters.clone(), stop.clone()));
-        tasks.spawn(caches::run(shell.clone(), stop.clone()));
-        let orders = orders::run(shell.clone(), members.clone(), replica, stop.clone());
-        tasks.spawn(orders);
-        tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
+        spawn_rounds(&mut tasks, &shell, &members, replica.clone(), &stop);
         let (callers, others) = open(&shell, &members).await?;
         let addresses = Addresses {
             callers: callers.address,
@@ -194,6 +194,7 @@
             addresses,
             shell,
             client,
+            replica,
             counters,
             stopped,
             tasks,
@@ -273,6 +274,10 @@
         for web in std::mem::take(&mut self.others) {
             web.stop().await;
         }
+        if let Some(replica) = &self.replica {
+            replica.resign();
+            tokio::time::sleep(HANDOVER).await;
+        }
         self.stopped.send_replace(true);
         while self.tasks.join_next().await.is_some() {}
         self.client.shutdown().await;
@@ -390,6 +395,20 @@
     }
 }
 
+/// Spawns what watches and mends engines in rounds.
+fn spawn_rounds(
+    tasks: &mut JoinSet<()>,
+    shell: &Arc<Shell>,
+    members: &Arc<Members>,
+    replica: Option<Handle>,
+    stop: &watch::Receiver<bool>,
+) {
+    let (shell, members) = (shell.clone(), members.clone());
+    tasks.spawn(caches::run(shell.clone(), stop.clone()));
+    tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
+    tasks.spawn(orders::run(shell, members, replica, stop.clone()));
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
