--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -31,6 +31,7 @@
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 use crate::members::{self, Members};
+use crate::orders;
 use crate::orphans;
 use crate::peers::Inbox;
 use crate::quota::{self, Quota};
@@ -178,8 +179,7 @@
             settings,
         });
         tasks.spawn(gauges::run(shell.clone(), counters.clone(), stop.clone()));
-        tasks.spawn(caches::run(shell.clone(), stop.clone()));
-        tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
+        spawn_rounds(&mut tasks, &shell, &members, replica.clone(), &stop);
         let (callers, others) = open(&shell, &members).await?;
         let addresses = Addresses {
             callers: callers.address,
@@ -396,6 +396,20 @@
     }
 }
 
+/// Spawns what watches and mends engines in rounds.
+fn spawn_rounds(
+    tasks: &mut JoinSet<()>,
+    shell: &Arc<Shell>,
+    members: &Arc<Members>,
+    replica: Option<Handle>,
+    stop: &watch::Receiver<bool>,
+) {
+    let (shell, members) = (shell.clone(), members.clone());
+    tasks.spawn(caches::run(shell.clone(), stop.clone()));
+    tasks.spawn(orphans::run(shell.clone(), members.clone(), stop.clone()));
+    tasks.spawn(orders::run(shell, members, replica, stop.clone()));
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
