--- /dev/null
+++ b/crates/kumquatdrum_engine/tests/sse.rs
@@ -0,0 +1,55 @@
+//! The reader of server-sent events, however the bytes are cut.
+
+use arbtest::arbtest;
+use kumquatdrum_engine::sse::Reader;
+
+const SIZE: u64 = 2_048;
+const SEEDS: u64 = 300;
+
+#[test]
+fn events_come_out_whole_wherever_the_bytes_are_cut() {
+    for index in 0..SEEDS {
+        arbtest(|u| {
+            let texts: Vec<u32> = u.arbitrary()?;
+            let events = texts.iter().enumerate();
+            let events =
+                events.map(|(id, text)| format!(": comment\nid: {id}\r\ndata: {text}\n\n"));
+            let stream = events.collect::<Vec<_>>().concat();
+            let mut reader = Reader::default();
+            let mut found = Vec::new();
+            let mut rest = stream.as_bytes();
+            while !rest.is_empty() {
+                let cut = u.int_in_range(1..=rest.len()).unwrap_or(rest.len());
+                reader.push(&rest[..cut]).expect("short lines");
+                found.extend(reader.by_ref().map(|event| (event.id, event.data)));
+                rest = &rest[cut..];
+            }
+            let expected: Vec<_> = texts
+                .iter()
+                .enumerate()
+                .map(|(id, text)| (Some(id as u64), text.to_string().into()))
+                .collect();
+            assert_eq!(found, expected);
+            Ok(())
+        })
+        .seed(SIZE | index << 32);
+    }
+}
+
+#[test]
+fn any_bytes_are_taken_without_harm() {
+    for index in 0..SEEDS {
+        arbtest(|u| {
+            let mut reader = Reader::default();
+            while !u.is_empty() {
+                let bytes: Vec<u8> = u.arbitrary()?;
+                if reader.push(&bytes).is_err() {
+                    break;
+                }
+                reader.by_ref().for_each(drop);
+            }
+            Ok(())
+        })
+        .seed(SIZE | index << 32);
+    }
+}
--- a/crates/kumquatdrum_host/src/control.rs
+++ b/crates/kumquatdrum_host/src/control.rs
@@ -4,6 +4,7 @@
 mod link;
 mod machine;
 mod question;
+mod reply;
 mod writer;
 
 pub use link::Link;
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -10,11 +10,11 @@
 use kumquatdrum_disk::Store as _;
 use kumquatdrum_membership::Member;
 use kumquatdrum_operator::{Desk, Operators};
-use kumquatdrum_peer::{Client, Counters, Identity, Local, Secret};
-use kumquatdrum_platform::{Drain, Metrics, face};
+use kumquatdrum_peer::{Client, Counters, Local};
+use kumquatdrum_platform::{Metrics, face};
 use kumquatdrum_setup::Control;
 use kumquatdrum_types::{BootId, HostId};
-use slog::{error, info, o};
+use slog::{error, info};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -24,12 +24,9 @@
 use crate::caches;
 use crate::clock::{Clock, unix_ms};
 use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
-use crate::fleet::Fleet;
-use crate::gangs::Gangs;
 use crate::gate::Door;
 use crate::gauges;
 use crate::in_force::Store;
-use crate::janitor::Janitor;
 use crate::members::{self, Members};
 use crate::orders;
 use crate::orphans;
@@ -39,6 +36,10 @@
 use crate::shell::Shell;
 use crate::web::{self, Web};
 
+mod base;
+
+use base::Base;
+
 /// How long cancels may take to be confirmed at the end of a shutdown.
 const LAST_CANCELS: Duration = Duration::from_secs(2);
 /// How long a resigned replica stays to tell its successor.
@@ -292,70 +293,6 @@
     }
 }
 
-/// The parts that need no running task.
-struct Base {
-    clock: Clock,
-    boot: BootId,
-    metrics: Arc<Metrics>,
-    drain: Arc<Drain>,
-    in_force: Arc<Store>,
-    fleet: Arc<Fleet>,
-    engine: Arc<kumquatdrum_engine::Client>,
-    plain: Arc<kumquatdrum_service::Client>,
-    janitor: Arc<Janitor>,
-    gangs: Arc<Gangs>,
-    local: Local,
-    client: Arc<Client>,
-    logger: slog::Logger,
-}
-
-impl Base {
-    fn new(settings: &Settings, logger: &slog::Logger) -> Result<Self, StartError> {
-        let http = |error: reqwest::Error| StartError::Http(error.to_string());
-        let logger = logger.new(o!("host" => settings.host.to_string()));
-        let clock = Clock::start();
-        let boot = BootId(unix_ms());
-        let metrics = Metrics::new().map_err(|error| StartError::Metrics(error.to_string()))?;
-        let metrics = Arc::new(metrics);
-        let engine = Arc::new(kumquatdrum_engine::Client::new().map_err(http)?);
-        let fleet = Fleet::new(clock, settings.host.clone(), owners(settings), boot.0);
-        let local = local(settings, boot, &logger);
-        let client = Arc::new(Client::new(local.clone()));
-        for host in &settings.hosts {
-            client.set_address(&host.host, host.address);
-        }
-        Ok(Self {
-            janitor: Arc::new(Janitor::new(clock, engine.clone(), metrics.clone())),
-            gangs: Arc::new(Gangs::new(settings.host.clone(), clock, engine.clone())),
-            plain: Arc::new(kumquatdrum_service::Client::new().map_err(http)?),
-            drain: Arc::default(),
-            in_force: Arc::default(),
-            fleet: Arc::new(fleet),
-            clock,
-            boot,
-            metrics,
-            engine,
-            local,
-            client,
-            logger,
-        })
-    }
-
-    fn members_parts(&self) -> members::Parts {
-        members::Parts {
-            clock: self.clock,
-            client: self.client.clone(),
-            fleet: self.fleet.clone(),
-            janitor: self.janitor.clone(),
-            gangs: self.gangs.clone(),
-            in_force: self.in_force.clone(),
-            drain: self.drain.clone(),
-            metrics: self.metrics.clone(),
-            logger: self.logger.clone(),
-        }
-    }
-}
-
 fn quota(
     settings: &Settings,
     boot: BootId,
@@ -376,26 +313,6 @@
     })
 }
 
-fn owners(settings: &Settings) -> Vec<String> {
-    let same = |host: &&crate::settings::Host| host.data_centre == settings.data_centre;
-    let others = settings.hosts.iter().filter(same);
-    let others = others.map(|host| host.host.to_string());
-    others.chain([settings.host.to_string()]).collect()
-}
-
-fn local(settings: &Settings, boot: BootId, logger: &slog::Logger) -> Local {
-    Local {
-        cluster: settings.cluster.name.clone(),
-        secret: Secret::new(&settings.cluster.secret),
-        identity: Identity {
-            host: settings.host.clone(),
-            boot,
-        },
-        counters: Arc::new(Counters::default()),
-        logger: logger.clone(),
-    }
-}
-
 /// Spawns what watches and mends engines in rounds.
 fn spawn_rounds(
     tasks: &mut JoinSet<()>,
--- a/crates/kumquatdrum_host/src/key.rs
+++ b/crates/kumquatdrum_host/src/key.rs
@@ -16,12 +16,13 @@
 
 use crate::shell::Shell;
 
-/// The wait before a claim or settlement whose outcome is unknown is sent again.
-const CLAIM_AGAIN: Duration = Duration::from_millis(100);
+/// The wait before a claim or settlement whose outcome is unknown is sent again, at first.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// How long a settlement may hold up the last word.
 const SETTLE_BEFORE_ANSWER: Duration = Duration::from_millis(500);
 /// How long a settlement is tried in all.
-const SETTLE_FOR: Duration = Duration::from_secs(60);
+const SETTLE_FOR: Duration = Duration::from_secs(24 * 3_600);
 /// Attempts of one request that an engine may know.
 const ATTEMPTS: u32 = 4;
 
@@ -154,12 +155,11 @@
             by: shell.settings.host.clone(),
             settled,
         };
-        let until = Instant::now() + SETTLE_FOR;
-        while Instant::now() < until {
+        let mut patience = Patience::new();
+        while patience.lasts(shell).await {
             if shell.control.settle(vec![settlement.clone()]).await.is_ok() {
                 return;
             }
-            sleep(CLAIM_AGAIN).await;
         }
         slog::warn!(shell.logger, ""; "event" => "settlement_lost",
             "request" => %self.claim.attempt);
@@ -170,17 +170,45 @@
     pub fn free(self, shell: &Arc<Shell>) {
         let shared = Arc::clone(shell);
         shell.requests.spawn(async move {
-            let until = Instant::now() + SETTLE_FOR;
-            while Instant::now() < until {
+            let mut patience = Patience::new();
+            while patience.lasts(&shared).await {
                 if shared.control.claim(vec![self.claim.clone()]).await.is_ok() {
                     return self.keep_settling(&shared, Settled::NotRun).await;
                 }
-                sleep(CLAIM_AGAIN).await;
             }
         });
     }
 }
 
+/// How long something is told to the log again and again: through a long partition, and for a few
+/// seconds of a shutdown.
+struct Patience {
+    until: Instant,
+    wait: Duration,
+    tries_of_shutdown: u32,
+}
+
+impl Patience {
+    fn new() -> Self {
+        Self {
+            until: Instant::now() + SETTLE_FOR,
+            wait: Duration::ZERO,
+            tries_of_shutdown: 3,
+        }
+    }
+
+    /// Waits until the next try is due; `false` where there should be none.
+    async fn lasts(&mut self, shell: &Shell) -> bool {
+        if shell.drain.is_draining() {
+            self.wait = self.wait.min(FIRST_WAIT);
+            self.tries_of_shutdown = self.tries_of_shutdown.saturating_sub(1);
+        }
+        sleep(self.wait).await;
+        self.wait = (self.wait * 2).clamp(FIRST_WAIT, LONGEST_WAIT);
+        Instant::now() < self.until && self.tries_of_shutdown > 0
+    }
+}
+
 /// What a caller is told of a key whose request can't be followed.
 fn standing(settled: Settled) -> Problem {
     match settled {
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -6,15 +6,12 @@
 
 use bytes::Bytes;
 use indexmap::IndexMap;
-use kumquatdrum_consensus::Status as NodeStatus;
 use kumquatdrum_membership::spread::{self, Setup, Spread};
-use kumquatdrum_membership::{
-    Change, Condition, Input, Member, Membership, Output, Record, State, timing,
-};
+use kumquatdrum_membership::{Change, Condition, Input, Member, Membership, Output, timing};
 use kumquatdrum_peer::{Channel, Client, Identity};
 use kumquatdrum_platform::{Drain, Metrics};
 use kumquatdrum_routing::Health;
-use kumquatdrum_setup::control::{Condition as Shown, EndpointStatus, HostStatus, Replica};
+use kumquatdrum_setup::control::Condition as Shown;
 use kumquatdrum_setup::in_force::Offer;
 use kumquatdrum_setup::{Digest, in_force};
 use kumquatdrum_types::{
@@ -31,6 +28,10 @@
 use crate::in_force::Store;
 use crate::janitor::Janitor;
 
+mod report;
+
+use report::shown;
+
 /// How long a leaving notice may take to spread before the endpoint is told to try again.
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -434,60 +435,6 @@
         Some(unix_ms().saturating_sub(ago.as_millis() as u64))
     }
 
-    /// All hosts, this one included.
-    pub fn host_statuses(&self, node: Option<&NodeStatus>, replicas: &[HostId]) -> Vec<HostStatus> {
-        let cores = self.cores.lock();
-        let versions: IndexMap<_, _> = cores.spread.holdings().collect();
-        let status = |member: &Member, reachable: bool| HostStatus {
-            host: member.host.clone(),
-            data_centre: member.data_centre.clone(),
-            replica: part(&member.host, node, replicas),
-            reachable,
-            version: versions.get(&member.host).map(|holding| holding.version),
-        };
-        let mut own = status(&self.local, true);
-        own.version = Some(cores.spread.version());
-        let others = cores.membership.hosts();
-        let others = others.map(|view| status(view.member, view.condition != Condition::Dead));
-        std::iter::once(own).chain(others).collect()
-    }
-
-    /// All endpoints of the data centre; declared ones that never came are told too.
-    pub fn endpoint_statuses(&self) -> Vec<EndpointStatus> {
-        let cores = self.cores.lock();
-        let known = cores.membership.endpoints().map(|record| EndpointStatus {
-            endpoint: record.announcement.endpoint.clone(),
-            service: record.announcement.service.clone(),
-            data_centre: record.announcement.data_centre.clone(),
-            condition: shown(record),
-        });
-        let mut statuses: Vec<_> = known.collect();
-        let current = self.parts.in_force.current();
-        let expected = current.iter().flat_map(|current| {
-            let declared = current.index.declaration().endpoints.iter();
-            declared.filter(|endpoint| endpoint.data_centre == self.local.data_centre)
-        });
-        for endpoint in expected {
-            if cores.membership.endpoint(&endpoint.name).is_none() {
-                statuses.push(EndpointStatus {
-                    endpoint: endpoint.name.clone(),
-                    service: endpoint.service.clone(),
-                    data_centre: endpoint.data_centre.clone(),
-                    condition: Shown::Expected,
-                });
-            }
-        }
-        statuses
-    }
-
-    /// What live endpoints of the data centre announce, but for those that leave.
-    pub fn live_endpoints(&self) -> Vec<Announcement> {
-        let cores = self.cores.lock();
-        let records = cores.membership.endpoints();
-        let alive = records.filter(|record| shown(record) == Shown::Alive);
-        alive.map(|record| record.announcement.clone()).collect()
-    }
-
     /// Data centres of which no host can be reached.
     pub fn cut_off(&self) -> Vec<DataCentre> {
         self.cores.lock().membership.cut_off().cloned().collect()
@@ -499,15 +446,6 @@
     }
 }
 
-fn shown(record: &Record) -> Shown {
-    match record.state {
-        State::Gone => Shown::Gone,
-        _ if record.announcement.leaving => Shown::Leaving,
-        State::Suspect => Shown::Suspect,
-        State::Alive => Shown::Alive,
-    }
-}
-
 fn known(member: &Member, is_alive: bool) -> spread::Input {
     spread::Input::Host {
         host: member.host.clone(),
@@ -521,21 +459,3 @@
         let _ = waiting.send(taken);
     }
 }
-
-fn part(host: &HostId, node: Option<&NodeStatus>, replicas: &[HostId]) -> Replica {
-    let Some(node) = node else {
-        return if replicas.contains(host) {
-            Replica::Voter
-        } else {
-            Replica::None
-        };
-    };
-    let is = |members: &[kumquatdrum_consensus::Member]| {
-        members.iter().any(|member| member.id.host == *host)
-    };
-    match () {
-        () if is(&node.replicas.voters) => Replica::Voter,
-        () if is(&node.replicas.learners) => Replica::Learner,
-        () => Replica::None,
-    }
-}
--- a/crates/kumquatdrum_host/tests/support/mod.rs
+++ b/crates/kumquatdrum_host/tests/support/mod.rs
@@ -172,6 +172,14 @@
             .to_owned()
     }
 
+    /// The class, or `relayed` where the endpoint's own error was passed on.
+    pub fn class_or_relayed(&self) -> String {
+        match serde_json::from_str::<Value>(&self.body) {
+            Ok(value) if value["error"]["class"].is_string() => self.class(),
+            _ => "relayed".to_owned(),
+        }
+    }
+
     pub fn text(&self) -> String {
         let value = self.json();
         value["choices"][0]["text"]
--- a/crates/kumquatdrum_peer/src/peer.rs
+++ b/crates/kumquatdrum_peer/src/peer.rs
@@ -93,10 +93,10 @@
         let was_failing = self.is_failing.swap(result.is_err(), Ordering::Relaxed);
         match result {
             Err(error) if !was_failing => {
-                warn!(self.local.logger, "peer_lost"; "host" => self.host.as_str(), "error" => %error);
+                warn!(self.local.logger, "peer_lost"; "event" => "peer_lost", "peer" => self.host.as_str(), "error" => %error);
             }
             Ok(_) if was_failing => {
-                info!(self.local.logger, "peer_back"; "host" => self.host.as_str());
+                info!(self.local.logger, "peer_back"; "event" => "peer_back", "peer" => self.host.as_str());
             }
             _ => {}
         }
--- a/crates/kumquatdrum_peer/src/server.rs
+++ b/crates/kumquatdrum_peer/src/server.rs
@@ -108,7 +108,7 @@
         if let Some(untold) = self.refusals.tell() {
             let address = address.map(|address| address.to_string());
             let claimed: String = claimed.chars().take(NAME_LIMIT).collect();
-            warn!(self.local.logger, "peer_refused"; "claimed_host" => claimed,
+            warn!(self.local.logger, "peer_refused"; "event" => "peer_refused", "claimed_host" => claimed,
                 "address" => address, "reason" => %violation, "untold_before" => untold);
         }
         Status::unauthenticated(violation.to_string())
