Open a connection for each plain call; tell membership of dispatches that speak against an endpoint

Cause, found by a test: a plain call on a pooled connection that had gone silent waited for its deadline and ended 'unknown', though new connections worked, and a plain service can't be asked. Ruled out: a second try after a share of the deadline, which makes a merely slow service slower. Failing first: a_plain_call_takes_no_pooled_connection.

--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -346,7 +346,10 @@
 
     fn told(&mut self, told: Told) -> Option<Input> {
         match told {
-            Told::Input(input) => Some(input),
+            Told::Input(input) => {
+                self.speaks_against(matches!(input, Input::Unreachable));
+                Some(input)
+            }
             Told::Claimed(claimed) => self.claimed(claimed),
         }
     }
@@ -462,11 +465,19 @@
             Event::Finished => Some(Input::Finished),
             Event::Fault(fault) => {
                 self.events = None;
+                self.speaks_against(fault == Fault::NotSent);
                 Some(Input::Fault(fault))
             }
         }
     }
 
+    /// Several such failures in a short time make membership suspect the endpoint.
+    fn speaks_against(&self, does: bool) {
+        if let Some(target) = self.target.as_ref().filter(|_| does) {
+            self.shell.members.failed(&target.endpoint);
+        }
+    }
+
     fn token(&mut self) {
         self.received += 1;
         if !self.first_token {
--- a/crates/kumquatdrum_host/tests/faults.rs
+++ b/crates/kumquatdrum_host/tests/faults.rs
@@ -316,3 +316,25 @@
     idle(&engines).await;
     end(system, engines).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_takes_no_pooled_connection() {
+    let system = System::start(1).await;
+    let service = system.service("p1", 0).await;
+    let url = format!("http://{}/services/salon-api/reorders", system.callers(0));
+    let order = |key: &str| {
+        let request = reqwest::Client::new().post(&url).body("two boxes");
+        request
+            .bearer_auth(support::CALLER_KEY)
+            .header("x-test-key", key)
+    };
+    assert_eq!(got(order("k1")).await.status, 200);
+    service.order(&Fault::SilenceOpen);
+    let second = got(order("k2")).await;
+    assert_eq!(second.status, 200, "{second:?}");
+    let counts = service.counts();
+    assert_eq!(counts.runs_by_key.get("k1"), Some(&1));
+    assert_eq!(counts.runs_by_key.get("k2"), Some(&1));
+    service.shutdown().await;
+    system.stop().await;
+}
--- a/crates/kumquatdrum_service/src/http.rs
+++ b/crates/kumquatdrum_service/src/http.rs
@@ -8,9 +8,6 @@
 use crate::plain::{Events, Plain};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// A pooled connection that was idle for longer is not used again. It is short, as a plain
-/// service can't be asked over a new connection what became of a call on a silent one.
-const POOL_IDLE: Duration = Duration::from_secs(2);
 /// Data sent but not acknowledged for this long ends the connection.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
 const ATTEMPT_HEADER: &str = "x-attempt-id";
@@ -18,25 +15,26 @@
 /// An error's body is cut to this.
 const ERROR_BODY: usize = 64 * 1024;
 
-/// Speaks HTTP with plain services.
+/// Speaks HTTP with plain services. Each call opens a connection of its own: a pooled one can have
+/// gone silent, and a plain service can't be asked what became of a call on it.
 #[derive(Debug)]
 pub struct Client {
-    pool: reqwest::Client,
+    fresh: reqwest::Client,
 }
 
 impl Client {
     /// A client without connections.
     pub fn new() -> Result<Self, reqwest::Error> {
-        let pool = reqwest::Client::builder()
+        let fresh = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
-            .pool_idle_timeout(POOL_IDLE)
+            .pool_max_idle_per_host(0)
             .tcp_nodelay(true)
             .tcp_user_timeout(UNACKNOWLEDGED)
             .no_proxy()
             .retry(reqwest::retry::never())
             .redirect(reqwest::redirect::Policy::none())
             .build()?;
-        Ok(Self { pool })
+        Ok(Self { fresh })
     }
 }
 
@@ -47,7 +45,7 @@
         };
         let url = format!("http://{}{}", call.target.address, call.path);
         let mut request = self
-            .pool
+            .fresh
             .request(method, url)
             .header(ATTEMPT_HEADER, call.attempt.as_str())
             .header("x-owner", call.owner.as_str())
