Tell a version on at once where it outran the log

Cause: a replica that heard of a version from another replica's report before its own log's next heartbeat installed it as a follower of the spread, and told no other data centre; the leader itself waits 500 ms for each replica before it by name. Ruled out: the heartbeat's 100 ms, which 9 hosts show alone. Failing first: a_version_that_outruns_the_log_is_told_on_at_once (leader 1).

--- a/crates/kumquatdrum_membership/src/spread/machine.rs
+++ b/crates/kumquatdrum_membership/src/spread/machine.rs
@@ -267,7 +267,8 @@
         if source.is_none_or(|source| !self.paths.is_own(source)) {
             self.tell_near(now, out);
         }
-        if source.is_none() {
+        // A replica may hear of a version from another one before its own log brings it.
+        if source.is_none() || self.control.contains(&self.config.host) {
             self.start_telling(now);
             self.tell_far(now, out);
         }
--- a/crates/kumquatdrum_membership/tests/it/spread.rs
+++ b/crates/kumquatdrum_membership/tests/it/spread.rs
@@ -298,3 +298,24 @@
         assert!(cluster.run_until(seconds(8), is_known), "seed {seed}");
     }
 }
+
+#[test]
+fn a_version_that_outruns_the_log_is_told_on_at_once() {
+    for leader in 0..3 {
+        let mut cluster = Cluster::new(7, CALM, 9, 3, 3);
+        accept(&mut cluster);
+        assert!(cluster.run_until(seconds(8), |cluster| cluster.is_everywhere(Version(1))));
+        // Past the exchange that any start brings.
+        cluster.run(seconds(5));
+        let version = cluster.accept(text(2));
+        cluster.apply(&cluster.control[leader].clone());
+        // The followers hear of the commit with the next heartbeat; the spread is faster.
+        cluster.run(Duration::from_millis(100));
+        cluster.apply_all();
+        let is_done = |cluster: &Cluster| cluster.is_everywhere(version);
+        assert!(
+            cluster.run_until(Duration::from_millis(320), is_done),
+            "led by replica {leader}"
+        );
+    }
+}
