Bundle the demands for limits, and draw stewards from nine hosts

Cause: at 81 hosts and 100 workspaces each host sent 395 messages and 32 KB a second for limits, above the budget of 29 KB for all control, and an idle host took 3.75% of a core. The rule that keeps the sum doesn't depend on which hosts a view counts as candidates. Ruled out: a longer interval, which leaves one try in a lease.

--- a/crates/kumquatdrum_host/src/quota.rs
+++ b/crates/kumquatdrum_host/src/quota.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use kumquatdrum_peer::{Channel, Client};
 use kumquatdrum_routing::limits::{Demand, Grant, Holder, INTERVAL, Limit, Refused, Steward};
 use kumquatdrum_types::{BootId, HostId, WorkspaceName};
@@ -15,11 +16,15 @@
 use crate::in_force::{Current, Store};
 use crate::members::Members;
 
+/// Stewards are chosen among so many hosts, so that demands travel together. Which hosts these are
+/// may differ from view to view, as the set of live hosts may.
+const STEWARDS: usize = 9;
+
 /// What hosts say to each other about limits.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
-    Demand(Demand),
-    Grant(Grant),
+    Demands(Vec<Demand>),
+    Grants(Vec<Grant>),
 }
 
 /// The limits on one host.
@@ -102,13 +107,11 @@
     /// Takes in a message of another host.
     pub fn message(&self, from: &HostId, body: &[u8]) -> Result<(), postcard::Error> {
         match postcard::from_bytes(body)? {
-            Message::Demand(demand) => {
-                let answer = self.steward.lock().demand(self.clock.now(), &demand);
-                if let Some(grant) = answer {
-                    self.send(from, &Message::Grant(grant));
-                }
+            Message::Demands(demands) => {
+                let grants = self.grants(&demands);
+                self.send(from, &Message::Grants(grants));
             }
-            Message::Grant(grant) => self.holder.lock().grant(self.clock.now(), &grant),
+            Message::Grants(grants) => self.take(&grants),
         }
         Ok(())
     }
@@ -147,21 +150,38 @@
     }
 
     fn tell_demands(&self) {
-        let now = self.clock.now();
-        let live = self.members.live_hosts();
-        let demands = self.holder.lock().demands(now, &live);
+        let mut live = self.members.live_hosts();
+        live.sort();
+        live.truncate(STEWARDS);
+        let demands = self.holder.lock().demands(self.clock.now(), &live);
+        let mut by_steward: IndexMap<HostId, Vec<Demand>> = IndexMap::new();
         for (steward, demand) in demands {
-            if steward != self.host {
-                self.send(&steward, &Message::Demand(demand));
-                continue;
-            }
-            let answer = self.steward.lock().demand(now, &demand);
-            if let Some(grant) = answer {
-                self.holder.lock().grant(now, &grant);
+            by_steward.entry(steward).or_default().push(demand);
+        }
+        for (steward, demands) in by_steward {
+            if steward == self.host {
+                self.take(&self.grants(&demands));
+            } else {
+                self.send(&steward, &Message::Demands(demands));
             }
         }
     }
 
+    fn grants(&self, demands: &[Demand]) -> Vec<Grant> {
+        let now = self.clock.now();
+        let mut steward = self.steward.lock();
+        let grants = demands.iter().map(|demand| steward.demand(now, demand));
+        grants.flatten().collect()
+    }
+
+    fn take(&self, grants: &[Grant]) {
+        let now = self.clock.now();
+        let mut holder = self.holder.lock();
+        for grant in grants {
+            holder.grant(now, grant);
+        }
+    }
+
     fn send(&self, to: &HostId, message: &Message) {
         if let Ok(body) = postcard::to_allocvec(message) {
             self.client.send(to, Channel::Limits, body.into());
