--- a/crates/kumquatdrum_caller/src/gate.rs
+++ b/crates/kumquatdrum_caller/src/admission.rs
@@ -17,7 +17,7 @@
 
 /// A caller that proved who it is, with room for its body.
 #[derive(Debug)]
-pub struct Pass {
+pub struct Caller {
     /// The request's name from now on.
     pub request: RequestId,
     /// The caller's workspace.
@@ -41,7 +41,7 @@
     pub method: String,
     /// The path and query to call at the endpoint.
     pub path: String,
-    /// Headers to pass on, names in lower case.
+    /// Headers to caller on, names in lower case.
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Bytes,
@@ -107,7 +107,7 @@
 
 /// Replies of one request. Dropping it tells the daemon that the caller has left.
 #[derive(Debug)]
-pub struct Passage {
+pub struct Exchange {
     /// The request's name.
     pub request: RequestId,
     /// The replies, in order; the last is `Finished` or `Problem`.
@@ -127,12 +127,12 @@
 }
 
 /// The daemon, as the callers' listener sees it.
-pub trait Gate: Send + Sync {
+pub trait Admission: Send + Sync {
     /// Checks the caller's key, before anything of the body is read.
-    fn open(&self, bearer: Option<&str>) -> Result<Pass, Problem>;
+    fn open(&self, bearer: Option<&str>) -> Result<Caller, Problem>;
 
     /// Takes in a request.
-    fn enter(&self, pass: Pass, ask: Ask) -> Result<Passage, Problem>;
+    fn enter(&self, caller: Caller, ask: Ask) -> Result<Exchange, Problem>;
 
     /// What the caller of a keyed request may be told where this sending of it was refused: an
     /// earlier sending may have run.
@@ -158,7 +158,7 @@
     /// A refusal: nothing of the request ran.
     ///
     /// ```
-    /// use kumquatdrum_caller::gate::Problem;
+    /// use kumquatdrum_caller::admission::Problem;
     /// use kumquatdrum_types::Refusal;
     ///
     /// let problem = Problem::refused(Refusal::Overloaded, None, None);
@@ -195,7 +195,7 @@
 ///
 /// ```
 /// use kumquatdrum_types::Refusal;
-/// assert_eq!(kumquatdrum_caller::gate::code(Refusal::NoEndpoint), "no_endpoint");
+/// assert_eq!(kumquatdrum_caller::admission::code(Refusal::NoEndpoint), "no_endpoint");
 /// ```
 pub fn code(refusal: Refusal) -> String {
     match serde_json::to_value(refusal) {
--- a/crates/kumquatdrum_caller/src/answer.rs
+++ b/crates/kumquatdrum_caller/src/answer.rs
@@ -10,7 +10,7 @@
 use rocket::response::{Responder, Response, Result};
 use serde_json::json;
 
-use crate::gate::Problem;
+use crate::admission::Problem;
 
 /// An answer whose body arrives piece by piece.
 pub struct Streamed<S> {
--- a/crates/kumquatdrum_caller/src/lib.rs
+++ b/crates/kumquatdrum_caller/src/lib.rs
@@ -1,10 +1,10 @@
 //! Callers: HTTP in, streams, deadlines and errors.
 
+pub mod admission;
 pub mod answer;
 pub mod assembly;
 pub mod body;
-pub mod gate;
 pub mod routes;
 pub mod wire;
 
-pub use gate::{Gate, Reply};
+pub use admission::{Admission, Reply};
--- a/crates/kumquatdrum_caller/src/routes.rs
+++ b/crates/kumquatdrum_caller/src/routes.rs
@@ -18,10 +18,10 @@
 use serde_json::json;
 use tokio::time::timeout;
 
+use crate::admission::{Admission, Ask, Caller, Exchange, Problem, Reply};
 use crate::answer::{Streamed, Whole};
 use crate::assembly::Assembly;
 use crate::body;
-use crate::gate::{Ask, Gate, Pass, Passage, Problem, Reply};
 use crate::wire;
 use kumquatdrum_types::{Refusal, WorkspaceName};
 
@@ -68,40 +68,44 @@
 ];
 
 /// All routes of the callers' listener.
-pub fn all(gate: Arc<dyn Gate>) -> Vec<Route> {
+pub fn all(admission: Arc<dyn Admission>) -> Vec<Route> {
     let mut routes = vec![
-        Route::new(Method::Post, "/v1/completions", Model(gate.clone())),
-        Route::new(Method::Post, "/v1/chat/completions", Model(gate.clone())),
-        Route::new(Method::Get, "/v1/keys/<key>", Keys(gate.clone())),
+        Route::new(Method::Post, "/v1/completions", Model(admission.clone())),
+        Route::new(
+            Method::Post,
+            "/v1/chat/completions",
+            Model(admission.clone()),
+        ),
+        Route::new(Method::Get, "/v1/keys/<key>", Keys(admission.clone())),
     ];
     for method in METHODS {
-        let plain = Plain(gate.clone());
+        let plain = Plain(admission.clone());
         routes.push(Route::new(method, "/services/<service>/<path..>", plain));
     }
     routes
 }
 
 #[derive(Clone)]
-struct Model(Arc<dyn Gate>);
+struct Model(Arc<dyn Admission>);
 
 #[derive(Clone)]
-struct Plain(Arc<dyn Gate>);
+struct Plain(Arc<dyn Admission>);
 
 #[derive(Clone)]
-struct Keys(Arc<dyn Gate>);
+struct Keys(Arc<dyn Admission>);
 
 /// Whose key a request carries, if any.
 struct Keyed(Option<(WorkspaceName, String)>);
 
 impl Keyed {
-    fn new(pass: &Pass, ask: &Ask) -> Self {
-        Self(ask.key.clone().map(|key| (pass.workspace.clone(), key)))
+    fn new(caller: &Caller, ask: &Ask) -> Self {
+        Self(ask.key.clone().map(|key| (caller.workspace.clone(), key)))
     }
 
     /// A refusal as the caller may be told it.
-    async fn checked(self, gate: &Arc<dyn Gate>, refused: Problem) -> Problem {
+    async fn checked(self, admission: &Arc<dyn Admission>, refused: Problem) -> Problem {
         match self.0 {
-            Some((workspace, key)) => gate.refused(&workspace, &key, refused).await,
+            Some((workspace, key)) => admission.refused(&workspace, &key, refused).await,
             None => refused,
         }
     }
@@ -123,33 +127,33 @@
     answered(request, Whole::problem(problem))
 }
 
-fn bad(pass: &Pass, message: impl Into<String>) -> Problem {
-    Problem::refused(Refusal::BadRequest, None, Some(pass.request.clone())).with_message(message)
+fn bad(caller: &Caller, message: impl Into<String>) -> Problem {
+    Problem::refused(Refusal::BadRequest, None, Some(caller.request.clone())).with_message(message)
 }
 
-fn number(pass: &Pass, request: &Request<'_>, name: &str) -> Result<Option<u64>, Problem> {
+fn number(caller: &Caller, request: &Request<'_>, name: &str) -> Result<Option<u64>, Problem> {
     let Some(text) = request.headers().get_one(name) else {
         return Ok(None);
     };
     let read = text.trim().parse().map(Some);
-    read.map_err(|_| bad(pass, format!("header {name} must be a whole number")))
+    read.map_err(|_| bad(caller, format!("header {name} must be a whole number")))
 }
 
-fn flag(pass: &Pass, request: &Request<'_>, name: &str) -> Result<Option<bool>, Problem> {
+fn flag(caller: &Caller, request: &Request<'_>, name: &str) -> Result<Option<bool>, Problem> {
     match request.headers().get_one(name).map(str::trim) {
         None => Ok(None),
         Some("true") => Ok(Some(true)),
         Some("false") => Ok(Some(false)),
-        Some(_) => Err(bad(pass, format!("header {name} must be true or false"))),
+        Some(_) => Err(bad(caller, format!("header {name} must be true or false"))),
     }
 }
 
-fn key(pass: &Pass, request: &Request<'_>) -> Result<Option<String>, Problem> {
+fn key(caller: &Caller, request: &Request<'_>) -> Result<Option<String>, Problem> {
     const LONGEST: usize = 256;
     match request.headers().get_one("idempotency-key") {
-        Some("") => Err(bad(pass, "header idempotency-key must not be empty")),
+        Some("") => Err(bad(caller, "header idempotency-key must not be empty")),
         Some(key) if key.len() > LONGEST => Err(bad(
-            pass,
+            caller,
             format!("header idempotency-key must have at most {LONGEST} bytes"),
         )),
         key => Ok(key.map(str::to_owned)),
@@ -169,7 +173,7 @@
 }
 
 /// What the headers say; the rest is filled in by the route.
-fn headers(pass: &Pass, request: &Request<'_>) -> Result<Ask, Problem> {
+fn headers(caller: &Caller, request: &Request<'_>) -> Result<Ask, Problem> {
     Ok(Ask {
         service: String::new(),
         model: false,
@@ -180,35 +184,35 @@
         stream: false,
         prompt: 0..0,
         max_tokens: None,
-        prompt_tokens: number(pass, request, "x-prompt-tokens")?,
-        deadline: number(pass, request, "x-deadline-ms")?.map(Duration::from_millis),
+        prompt_tokens: number(caller, request, "x-prompt-tokens")?,
+        deadline: number(caller, request, "x-deadline-ms")?.map(Duration::from_millis),
         priority: request.headers().get_one("x-priority").map(str::to_owned),
-        idempotent: flag(pass, request, "x-idempotent")?,
-        key: key(pass, request)?,
+        idempotent: flag(caller, request, "x-idempotent")?,
+        key: key(caller, request)?,
     })
 }
 
 /// All that can be said before the body is read.
 fn opened(
-    gate: &Arc<dyn Gate>,
+    admission: &Arc<dyn Admission>,
     request: &Request<'_>,
-) -> Result<(Pass, Ask, Option<u64>), Problem> {
-    let pass = gate.open(bearer(request))?;
-    let ask = headers(&pass, request)?;
-    let length = length(&pass, request)?;
-    Ok((pass, ask, length))
+) -> Result<(Caller, Ask, Option<u64>), Problem> {
+    let caller = admission.open(bearer(request))?;
+    let ask = headers(&caller, request)?;
+    let length = length(&caller, request)?;
+    Ok((caller, ask, length))
 }
 
-fn length(pass: &Pass, request: &Request<'_>) -> Result<Option<u64>, Problem> {
-    number(pass, request, "content-length")
+fn length(caller: &Caller, request: &Request<'_>) -> Result<Option<u64>, Problem> {
+    number(caller, request, "content-length")
 }
 
 #[rocket::async_trait]
 impl Handler for Model {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         match self.enter(request, data).await {
-            Ok((passage, service, true)) => streamed(request, passage, service).await,
-            Ok((passage, service, false)) => whole(&self.0, request, passage, service).await,
+            Ok((exchange, service, true)) => streamed(request, exchange, service).await,
+            Ok((exchange, service, false)) => whole(&self.0, request, exchange, service).await,
             Err(refused) => problem(request, &refused),
         }
     }
@@ -219,26 +223,26 @@
         &self,
         request: &'r Request<'_>,
         data: Data<'r>,
-    ) -> Result<(Passage, String, bool), Problem> {
-        let (mut pass, mut ask, length) = match opened(&self.0, request) {
+    ) -> Result<(Exchange, String, bool), Problem> {
+        let (mut caller, mut ask, length) = match opened(&self.0, request) {
             Ok(opened) => opened,
             Err(refused) => {
                 body::discard(data).await;
                 return Err(refused);
             }
         };
-        let keyed = Keyed::new(&pass, &ask);
+        let keyed = Keyed::new(&caller, &ask);
         let entered = async {
-            ask.body = body::read(&mut pass, data, length).await?;
-            let model = wire::model(&ask.body).map_err(|error| bad(&pass, error.to_string()))?;
+            ask.body = body::read(&mut caller, data, length).await?;
+            let model = wire::model(&ask.body).map_err(|error| bad(&caller, error.to_string()))?;
             ask.model = true;
             ask.path = request.uri().path().to_string();
             ask.service.clone_from(&model.service);
             ask.stream = model.stream;
             ask.max_tokens = model.max_tokens;
             ask.prompt = model.prompt;
-            let passage = self.0.enter(pass, ask)?;
-            Ok((passage, model.service, model.stream))
+            let exchange = self.0.enter(caller, ask)?;
+            Ok((exchange, model.service, model.stream))
         };
         match entered.await {
             Ok(entered) => Ok(entered),
@@ -251,7 +255,7 @@
 impl Handler for Plain {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         match self.enter(request, data).await {
-            Ok(passage) => plain(&self.0, request, passage).await,
+            Ok(exchange) => plain(&self.0, request, exchange).await,
             Err(refused) => problem(request, &refused),
         }
     }
@@ -262,8 +266,8 @@
         &self,
         request: &'r Request<'_>,
         data: Data<'r>,
-    ) -> Result<Passage, Problem> {
-        let (mut pass, mut ask, length) = match opened(&self.0, request) {
+    ) -> Result<Exchange, Problem> {
+        let (mut caller, mut ask, length) = match opened(&self.0, request) {
             Ok(opened) => opened,
             Err(refused) => {
                 body::discard(data).await;
@@ -275,13 +279,13 @@
             .and_then(Result::ok)
             .unwrap_or_default();
         ask.path = path_within(request);
-        let keyed = Keyed::new(&pass, &ask);
+        let keyed = Keyed::new(&caller, &ask);
         let entered = async {
-            ask.body = body::read(&mut pass, data, length).await?;
-            self.0.enter(pass, ask)
+            ask.body = body::read(&mut caller, data, length).await?;
+            self.0.enter(caller, ask)
         };
         match entered.await {
-            Ok(passage) => Ok(passage),
+            Ok(exchange) => Ok(exchange),
             Err(refused) => Err(keyed.checked(&self.0, refused).await),
         }
     }
@@ -314,29 +318,31 @@
 
 /// The replies for a caller that gets its answer in one piece.
 struct Attended<'a> {
-    gate: &'a Arc<dyn Gate>,
+    admission: &'a Arc<dyn Admission>,
     caller: Option<SocketAddr>,
     looked: Instant,
-    passage: Passage,
+    exchange: Exchange,
 }
 
 impl<'a> Attended<'a> {
-    fn new(gate: &'a Arc<dyn Gate>, request: &Request<'_>, passage: Passage) -> Self {
+    fn new(admission: &'a Arc<dyn Admission>, request: &Request<'_>, exchange: Exchange) -> Self {
         Self {
-            gate,
+            admission,
             caller: request.remote(),
             looked: Instant::now(),
-            passage,
+            exchange,
         }
     }
 
     /// The next reply; none once the caller has left.
     async fn next(&mut self) -> Option<Reply> {
         loop {
-            let reply = timeout(KEEP_ALIVE, next(&mut self.passage)).await.ok();
+            let reply = timeout(KEEP_ALIVE, next(&mut self.exchange)).await.ok();
             if self.looked.elapsed() >= KEEP_ALIVE {
                 self.looked = Instant::now();
-                let gone = self.caller.is_some_and(|caller| !self.gate.is_here(caller));
+                let gone = self
+                    .caller
+                    .is_some_and(|caller| !self.admission.is_here(caller));
                 if gone {
                     return None;
                 }
@@ -348,37 +354,37 @@
     }
 }
 
-async fn next(passage: &mut Passage) -> Reply {
-    match passage.replies.recv().await {
+async fn next(exchange: &mut Exchange) -> Reply {
+    match exchange.replies.recv().await {
         Some(reply) => reply,
-        None => Reply::Problem(lost(passage)),
+        None => Reply::Problem(lost(exchange)),
     }
 }
 
 /// The daemon ended without a last word, which no path should come to.
-fn lost(passage: &Passage) -> Problem {
-    let mut problem = Problem::refused(Refusal::Draining, None, Some(passage.request.clone()));
+fn lost(exchange: &Exchange) -> Problem {
+    let mut problem = Problem::refused(Refusal::Draining, None, Some(exchange.request.clone()));
     problem.class = kumquatdrum_types::Class::Unknown;
     "internal".clone_into(&mut problem.code);
     problem.status = 500;
     problem.with_message("the daemon lost track of the request")
 }
 
-async fn streamed<'r>(request: &'r Request<'_>, mut passage: Passage, _: String) -> Outcome<'r> {
-    let first = timeout(EARLY, next(&mut passage)).await.ok();
+async fn streamed<'r>(request: &'r Request<'_>, mut exchange: Exchange, _: String) -> Outcome<'r> {
+    let first = timeout(EARLY, next(&mut exchange)).await.ok();
     if let Some(Reply::Problem(refused)) = &first {
         return problem(request, refused);
     }
-    let name = passage.request.to_string();
+    let name = exchange.request.to_string();
     let begun = stream::iter(first.map(|reply| piece(&reply)));
-    let rest = stream::unfold(Some(passage), |passage| async move {
-        let mut passage = passage?;
-        match timeout(KEEP_ALIVE, next(&mut passage)).await {
+    let rest = stream::unfold(Some(exchange), |exchange| async move {
+        let mut exchange = exchange?;
+        match timeout(KEEP_ALIVE, next(&mut exchange)).await {
             Ok(reply) => {
                 let over = matches!(reply, Reply::Finished | Reply::Problem(_));
-                Some((piece(&reply), (!over).then_some(passage)))
+                Some((piece(&reply), (!over).then_some(exchange)))
             }
-            Err(_) => Some((Bytes::from_static(COMMENT), Some(passage))),
+            Err(_) => Some((Bytes::from_static(COMMENT), Some(exchange))),
         }
     });
     let answer = Streamed {
@@ -410,22 +416,22 @@
 }
 
 async fn whole<'r>(
-    gate: &Arc<dyn Gate>,
+    admission: &Arc<dyn Admission>,
     request: &'r Request<'_>,
-    passage: Passage,
+    exchange: Exchange,
     service: String,
 ) -> Outcome<'r> {
-    let mut attended = Attended::new(gate, request, passage);
+    let mut attended = Attended::new(admission, request, exchange);
     let mut assembly = Assembly::default();
     loop {
         let Some(reply) = attended.next().await else {
-            return problem(request, &lost(&attended.passage));
+            return problem(request, &lost(&attended.exchange));
         };
         match reply {
             Reply::Token(data) | Reply::Summary(data) => assembly.push(&data),
             Reply::Restart => assembly = Assembly::default(),
             Reply::Finished => {
-                let name = attended.passage.request.to_string();
+                let name = attended.exchange.request.to_string();
                 let answer = assembly.answer(&name, &service);
                 return answered(request, Whole::json(200, Some(name), &answer));
             }
@@ -438,17 +444,17 @@
 /// Plain answers are collected, so that a broken one can still be told from a whole one, up to a
 /// bound; beyond it they are passed on as they come.
 async fn plain<'r>(
-    gate: &Arc<dyn Gate>,
+    admission: &Arc<dyn Admission>,
     request: &'r Request<'_>,
-    passage: Passage,
+    exchange: Exchange,
 ) -> Outcome<'r> {
     const COLLECTED: usize = 1024 * 1024;
-    let mut attended = Attended::new(gate, request, passage);
+    let mut attended = Attended::new(admission, request, exchange);
     let (mut status, mut content_type) = (200, None);
     let mut collected = Vec::new();
     while collected.len() < COLLECTED {
         let Some(reply) = attended.next().await else {
-            return problem(request, &lost(&attended.passage));
+            return problem(request, &lost(&attended.exchange));
         };
         match reply {
             Reply::Head(head) => (status, content_type) = (head.status, head.content_type),
@@ -458,7 +464,7 @@
                 let answer = Whole {
                     status,
                     content_type,
-                    request: Some(attended.passage.request.to_string()),
+                    request: Some(attended.exchange.request.to_string()),
                     retry_after_ms: None,
                     body: collected.into(),
                 };
@@ -471,16 +477,16 @@
     let answer = Streamed {
         status,
         content_type,
-        request: attended.passage.request.to_string(),
-        pieces: stream::iter([Bytes::from(collected)]).chain(pieces(attended.passage)),
+        request: attended.exchange.request.to_string(),
+        pieces: stream::iter([Bytes::from(collected)]).chain(pieces(attended.exchange)),
     };
     answered(request, answer)
 }
 
-fn pieces(passage: Passage) -> impl Stream<Item = Bytes> + Send {
-    stream::unfold(passage, |mut passage| async move {
-        match next(&mut passage).await {
-            Reply::Piece(bytes) => Some((bytes, passage)),
+fn pieces(exchange: Exchange) -> impl Stream<Item = Bytes> + Send {
+    stream::unfold(exchange, |mut exchange| async move {
+        match next(&mut exchange).await {
+            Reply::Piece(bytes) => Some((bytes, exchange)),
             _ => None,
         }
     })
--- a/crates/kumquatdrum_host/src/janitor.rs
+++ b/crates/kumquatdrum_host/src/canceller.rs
@@ -17,7 +17,7 @@
 const ROUND: Duration = Duration::from_millis(100);
 
 /// Holds what this daemon wants ended at engines.
-pub struct Janitor {
+pub struct Canceller {
     clock: Clock,
     held: Mutex<Held>,
     woken: Notify,
@@ -25,8 +25,8 @@
     metrics: Arc<Metrics>,
 }
 
-impl Janitor {
-    /// A janitor with nothing to do.
+impl Canceller {
+    /// A canceller with nothing to do.
     pub fn new(clock: Clock, engine: Arc<dyn Engine>, metrics: Arc<Metrics>) -> Self {
         Self {
             clock,
@@ -58,8 +58,8 @@
         let mut cancels = JoinSet::new();
         loop {
             for cancel in self.due() {
-                let janitor = Arc::clone(&self);
-                cancels.spawn(async move { janitor.cancel(cancel).await });
+                let canceller = Arc::clone(&self);
+                cancels.spawn(async move { canceller.cancel(cancel).await });
             }
             while cancels.try_join_next().is_some() {}
             tokio::select! {
--- a/crates/kumquatdrum_host/src/gate.rs
+++ b/crates/kumquatdrum_host/src/frontend.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use kumquatdrum_caller::Gate;
-use kumquatdrum_caller::gate::{Answer, Ask, KeyState, Pass, Passage, Problem};
+use kumquatdrum_caller::Admission;
+use kumquatdrum_caller::admission::{Answer, Ask, Caller, Exchange, KeyState, Problem};
 use kumquatdrum_daemon::admission;
 use kumquatdrum_daemon::flight::Plan;
 use kumquatdrum_declaration::{Index, Service, Workspace};
@@ -28,14 +28,14 @@
 /// How long the outcome of a keyed request is kept after its deadline.
 const RETAIN: Duration = Duration::from_secs(24 * 3_600);
 
-/// The gate of one host.
-pub struct Door {
+/// The frontend of one host.
+pub struct Frontend {
     shell: Arc<Shell>,
     connections: OnceLock<Connections>,
 }
 
-impl Door {
-    /// A gate to the host.
+impl Frontend {
+    /// A frontend to the host.
     pub const fn new(shell: Arc<Shell>) -> Self {
         Self {
             shell,
@@ -54,16 +54,16 @@
     }
 
     fn refuse(&self, refusal: Refusal, request: Option<&RequestId>) -> Problem {
-        let code = kumquatdrum_caller::gate::code(refusal);
+        let code = kumquatdrum_caller::admission::code(refusal);
         self.shell.metrics.refused.with_label_values(&[&code]).inc();
         Problem::refused(refusal, None, request.cloned())
     }
 
-    fn order(&self, pass: Pass, ask: Ask) -> Result<Order, Problem> {
-        let current = self.current(Some(&pass.request))?;
+    fn order(&self, caller: Caller, ask: Ask) -> Result<Order, Problem> {
+        let current = self.current(Some(&caller.request))?;
         let index = &current.index;
-        let refuse = |refusal| self.refuse(refusal, Some(&pass.request));
-        let workspace = index.workspace(pass.workspace.as_str());
+        let refuse = |refusal| self.refuse(refusal, Some(&caller.request));
+        let workspace = index.workspace(caller.workspace.as_str());
         let workspace = workspace.ok_or_else(|| refuse(Refusal::Unauthorized))?;
         let service = index
             .service_for(workspace, &ask.service)
@@ -75,7 +75,7 @@
         if model.is_some_and(|model| prompt_tokens > model.max_prompt_tokens) {
             return Err(refuse(Refusal::PromptTooLong));
         }
-        let routing = self.routing(&pass, &ask, index, workspace, prompt_tokens, deadline)?;
+        let routing = self.routing(&caller, &ask, index, workspace, prompt_tokens, deadline)?;
         let plan = Plan {
             deadline: routing.deadline,
             idempotent: admission::idempotent(service, &ask.method, &ask.path, ask.idempotent),
@@ -94,15 +94,15 @@
         let key = ask
             .key
             .as_ref()
-            .map(|key| self.key(&pass, &ask, key, service, deadline));
+            .map(|key| self.key(&caller, &ask, key, service, deadline));
         Ok(Order {
             service: service.name.clone(),
             workspace: workspace.name.clone(),
-            request: pass.request,
+            request: caller.request,
             routing,
             plan,
             key,
-            hold: pass.hold,
+            hold: caller.hold,
             work: self.shell.drain.work(),
             permit,
             ask,
@@ -120,7 +120,7 @@
 
     fn routing(
         &self,
-        pass: &Pass,
+        caller: &Caller,
         ask: &Ask,
         index: &Index,
         workspace: &Workspace,
@@ -137,12 +137,12 @@
             },
             Some(None) => {
                 return Err(self
-                    .refuse(Refusal::BadRequest, Some(&pass.request))
+                    .refuse(Refusal::BadRequest, Some(&caller.request))
                     .with_message("header x-priority names no declared priority"));
             }
         };
         Ok(routing::Ask {
-            request: pass.request.clone(),
+            request: caller.request.clone(),
             workspace: workspace.name.clone(),
             weight: workspace.weight,
             priority,
@@ -159,7 +159,14 @@
         })
     }
 
-    fn key(&self, pass: &Pass, ask: &Ask, key: &str, service: &Service, deadline: Duration) -> Key {
+    fn key(
+        &self,
+        caller: &Caller,
+        ask: &Ask,
+        key: &str,
+        service: &Service,
+        deadline: Duration,
+    ) -> Key {
         let parts = [
             service.name.as_str().as_bytes(),
             ask.method.as_bytes(),
@@ -167,11 +174,11 @@
             &ask.body,
         ];
         let claim = Claim {
-            workspace: pass.workspace.clone(),
+            workspace: caller.workspace.clone(),
             key: IdempotencyKey::new(key),
             fingerprint: Digest::of_parts(&parts),
             host: self.shell.settings.host.clone(),
-            attempt: AttemptId::new(pass.request.as_str()),
+            attempt: AttemptId::new(caller.request.as_str()),
             deadline_ms: deadline.as_millis() as u64,
             retain_ms: RETAIN.as_millis() as u64,
         };
@@ -183,8 +190,8 @@
     }
 }
 
-impl Gate for Door {
-    fn open(&self, bearer: Option<&str>) -> Result<Pass, Problem> {
+impl Admission for Frontend {
+    fn open(&self, bearer: Option<&str>) -> Result<Caller, Problem> {
         let request = self.shell.name();
         let current = self.current(Some(&request))?;
         let workspace = bearer.and_then(|key| current.index.caller(key));
@@ -193,7 +200,7 @@
                 "has_key" => bearer.is_some());
             return Err(self.refuse(Refusal::Unauthorized, Some(&request)));
         };
-        Ok(Pass {
+        Ok(Caller {
             hold: self.shell.bodies.hold(&workspace.name),
             workspace: workspace.name.clone(),
             body_limit: self.shell.settings.limits.body_bytes,
@@ -202,13 +209,13 @@
         })
     }
 
-    fn enter(&self, pass: Pass, ask: Ask) -> Result<Passage, Problem> {
-        let order = self.order(pass, ask)?;
+    fn enter(&self, caller: Caller, ask: Ask) -> Result<Exchange, Problem> {
+        let order = self.order(caller, ask)?;
         let request = order.request.clone();
         let (sender, replies) = mpsc::channel(REPLIES);
         let driver = Driver::new(Arc::clone(&self.shell), order, sender);
         self.shell.requests.spawn(driver.run());
-        Ok(Passage { request, replies })
+        Ok(Exchange { request, replies })
     }
 
     fn refused<'a>(
@@ -234,11 +241,11 @@
         key: &'a str,
     ) -> Answer<'a, Result<KeyState, Problem>> {
         Box::pin(async move {
-            let pass = self.open(bearer)?;
+            let caller = self.open(bearer)?;
             let key = IdempotencyKey::new(key);
-            let found = self.shell.control.key(&pass.workspace, &key).await;
+            let found = self.shell.control.key(&caller.workspace, &key).await;
             let held =
-                found.map_err(|_| self.refuse(Refusal::ClaimUnavailable, Some(&pass.request)))?;
+                found.map_err(|_| self.refuse(Refusal::ClaimUnavailable, Some(&caller.request)))?;
             Ok(KeyState {
                 key: key.to_string(),
                 state: held
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_daemon::body::Budget;
 use kumquatdrum_disk::Store as _;
 use kumquatdrum_membership::Member;
-use kumquatdrum_operator::{Desk, Operators};
+use kumquatdrum_operator::{Context, Operators};
 use kumquatdrum_peer::{Client, Counters, Local};
 use kumquatdrum_platform::{Metrics, face};
 use kumquatdrum_setup::Control;
@@ -24,7 +24,7 @@
 use crate::caches;
 use crate::clock::{Clock, unix_ms};
 use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
-use crate::gate::Door;
+use crate::frontend::Frontend;
 use crate::gauges;
 use crate::in_force::Store;
 use crate::members::{self, Members};
@@ -117,7 +117,7 @@
             fleet,
             engine,
             plain,
-            janitor,
+            canceller,
             gangs,
             local,
             client,
@@ -126,7 +126,7 @@
         let (stopped, stop) = watch::channel(false);
         let mut tasks = JoinSet::new();
         tasks.spawn(fleet.clone().run(stop.clone()));
-        tasks.spawn(janitor.clone().run(stop.clone()));
+        tasks.spawn(canceller.clone().run(stop.clone()));
         tasks.spawn(gangs.clone().run(stop.clone()));
 
         let peers = listen(settings.listen.peers).await?;
@@ -168,7 +168,7 @@
             fleet,
             engine,
             plain,
-            janitor,
+            canceller,
             gangs,
             control: link,
             quota,
@@ -287,7 +287,7 @@
     }
 
     async fn cancels_confirmed(&self) {
-        while !(self.shell.janitor.is_idle() && self.shell.gangs.is_idle()) {
+        while !(self.shell.canceller.is_idle() && self.shell.gangs.is_idle()) {
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
@@ -357,7 +357,7 @@
 async fn open(shell: &Arc<Shell>, members: &Arc<Members>) -> Result<(Web, Vec<Web>), StartError> {
     let listen = &shell.settings.listen;
     let operators: Vec<_> = shell.settings.operators.iter().map(operator).collect();
-    let desk = Desk {
+    let context = Context {
         control: shell.control.clone(),
         operators: Operators::new("/operators", &operators).map_err(StartError::Settings)?,
         logger: shell.logger.clone(),
@@ -367,22 +367,22 @@
         .manage(members.clone())
         .mount("/", announce::all());
     let operators = web::build(listen.operators)
-        .manage(desk)
+        .manage(context)
         .mount("/", kumquatdrum_operator::routes());
     let platform = web::build(listen.platform)
         .manage(shell.drain.clone())
         .manage(shell.metrics.clone())
         .mount("/", face::all());
-    let gate = Arc::new(Door::new(shell.clone()));
+    let frontend = Arc::new(Frontend::new(shell.clone()));
     let callers =
-        web::build(listen.callers).mount("/", kumquatdrum_caller::routes::all(gate.clone()));
+        web::build(listen.callers).mount("/", kumquatdrum_caller::routes::all(frontend.clone()));
     let others = vec![
         web::launch("endpoints", listen.endpoints, endpoints).await?,
         web::launch("operators", listen.operators, operators).await?,
         web::launch("platform", listen.platform, platform).await?,
     ];
     let callers = web::launch("callers", listen.callers, callers).await?;
-    gate.opened(callers.address.port());
+    frontend.opened(callers.address.port());
     Ok((callers, others))
 }
 
--- a/crates/kumquatdrum_host/src/host/base.rs
+++ b/crates/kumquatdrum_host/src/host/base.rs
@@ -8,11 +8,11 @@
 use slog::o;
 
 use super::StartError;
+use crate::canceller::Canceller;
 use crate::clock::{Clock, unix_ms};
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::in_force::Store;
-use crate::janitor::Janitor;
 use crate::members;
 use crate::settings::Settings;
 
@@ -26,7 +26,7 @@
     pub(super) fleet: Arc<Fleet>,
     pub(super) engine: Arc<kumquatdrum_engine::Client>,
     pub(super) plain: Arc<kumquatdrum_service::Client>,
-    pub(super) janitor: Arc<Janitor>,
+    pub(super) canceller: Arc<Canceller>,
     pub(super) gangs: Arc<Gangs>,
     pub(super) local: Local,
     pub(super) client: Arc<Client>,
@@ -49,7 +49,7 @@
             client.set_address(&host.host, host.address);
         }
         Ok(Self {
-            janitor: Arc::new(Janitor::new(clock, engine.clone(), metrics.clone())),
+            canceller: Arc::new(Canceller::new(clock, engine.clone(), metrics.clone())),
             gangs: Arc::new(Gangs::new(settings.host.clone(), clock, engine.clone())),
             plain: Arc::new(kumquatdrum_service::Client::new().map_err(http)?),
             drain: Arc::default(),
@@ -70,7 +70,7 @@
             clock: self.clock,
             client: self.client.clone(),
             fleet: self.fleet.clone(),
-            janitor: self.janitor.clone(),
+            canceller: self.canceller.clone(),
             gangs: self.gangs.clone(),
             in_force: self.in_force.clone(),
             drain: self.drain.clone(),
--- a/crates/kumquatdrum_host/src/key.rs
+++ b/crates/kumquatdrum_host/src/key.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use kumquatdrum_caller::gate::Problem;
+use kumquatdrum_caller::admission::Problem;
 use kumquatdrum_daemon::flight::Ending;
 use kumquatdrum_setup::claim::Held;
 use kumquatdrum_setup::{Claim, ClaimAnswer, Failure, Settled, Settlement};
@@ -245,7 +245,7 @@
     key: &IdempotencyKey,
     problem: Problem,
 ) -> Problem {
-    let unclaimed = kumquatdrum_caller::gate::code(Refusal::ClaimUnavailable);
+    let unclaimed = kumquatdrum_caller::admission::code(Refusal::ClaimUnavailable);
     if problem.class != Class::NotRun || problem.code == unclaimed {
         return problem;
     }
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -2,16 +2,16 @@
 
 pub mod announce;
 pub mod caches;
+pub mod canceller;
 pub mod clock;
 pub mod control;
 pub mod embedded;
 pub mod fleet;
+pub mod frontend;
 pub mod gangs;
-pub mod gate;
 pub mod gauges;
 pub mod host;
 pub mod in_force;
-pub mod janitor;
 pub mod key;
 pub mod members;
 pub mod orders;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -22,11 +22,11 @@
 use slog::{error, info, warn};
 use tokio::sync::{Notify, oneshot, watch};
 
+use crate::canceller::Canceller;
 use crate::clock::{Clock, unix_ms};
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::in_force::Store;
-use crate::janitor::Janitor;
 
 mod report;
 
@@ -46,7 +46,7 @@
     /// The routers.
     pub fleet: Arc<Fleet>,
     /// Cancels under way.
-    pub janitor: Arc<Janitor>,
+    pub canceller: Arc<Canceller>,
     /// Memory reserved at several engines.
     pub gangs: Arc<Gangs>,
     /// The declaration in force.
@@ -286,7 +286,7 @@
         };
         self.parts.fleet.health(&service, id, health);
         if health == Health::Gone {
-            self.parts.janitor.engine_gone(id, boot);
+            self.parts.canceller.engine_gone(id, boot);
             self.parts.gangs.gone(id);
             cores.services.swap_remove(id);
         }
@@ -301,7 +301,7 @@
         let previous = cores.services.insert(id.clone(), entry);
         if let Some((service, boot)) = previous.filter(|(_, boot)| *boot < announcement.boot) {
             self.parts.fleet.health(&service, id, Health::Gone);
-            self.parts.janitor.engine_gone(id, boot);
+            self.parts.canceller.engine_gone(id, boot);
             self.parts.gangs.gone(id);
         }
         self.parts.fleet.announce(announcement);
--- a/crates/kumquatdrum_host/src/orphans.rs
+++ b/crates/kumquatdrum_host/src/orphans.rs
@@ -54,7 +54,7 @@
         if is_orphan(&attempt) && !is_keyed(&attempt) {
             info!(shell.logger, ""; "event" => "orphan_ended", "attempt" => %attempt,
                 "endpoint" => %target.endpoint, "owner" => %owner);
-            shell.janitor.abandon(target.clone(), attempt);
+            shell.canceller.abandon(target.clone(), attempt);
         }
     }
 }
--- a/crates/kumquatdrum_host/src/problem.rs
+++ b/crates/kumquatdrum_host/src/problem.rs
@@ -1,7 +1,7 @@
 //! Endings in the words of the callers' interface.
 
 use kumquatdrum_caller::Reply;
-use kumquatdrum_caller::gate::Problem;
+use kumquatdrum_caller::admission::Problem;
 use kumquatdrum_daemon::flight::{Cause, Ending};
 use kumquatdrum_types::{Class, RequestId};
 
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -6,7 +6,7 @@
 
 use futures::StreamExt;
 use kumquatdrum_caller::Reply;
-use kumquatdrum_caller::gate::Ask;
+use kumquatdrum_caller::admission::Ask;
 use kumquatdrum_daemon::body::Hold;
 use kumquatdrum_daemon::flight::{Flight, Input, Output, Plan, Timing};
 use kumquatdrum_engine::engine::Events;
@@ -178,7 +178,7 @@
                 self.events = Some(self.shell.engine.resume(&target, &attempt, from));
             }
             Output::Abandon(target, attempt) if self.order.plan.resumable => {
-                self.shell.janitor.abandon(target, attempt);
+                self.shell.canceller.abandon(target, attempt);
             }
             // A plain service can't be told; closing the connection is all there is.
             Output::Abandon(..) | Output::End(_) => self.events = None,
--- a/crates/kumquatdrum_host/src/request/ending.rs
+++ b/crates/kumquatdrum_host/src/request/ending.rs
@@ -90,7 +90,7 @@
         metrics.in_flight.dec();
         metrics.ended.with_label_values(&[name]).inc();
         if let Ending::NotRun { refusal, .. } = ending {
-            let code = kumquatdrum_caller::gate::code(*refusal);
+            let code = kumquatdrum_caller::admission::code(*refusal);
             metrics.refused.with_label_values(&[&code]).inc();
         }
         let endpoint = self
--- a/crates/kumquatdrum_host/src/shell.rs
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -12,11 +12,11 @@
 use kumquatdrum_types::{BootId, RequestId, ServiceName};
 use tokio_util::task::TaskTracker;
 
+use crate::canceller::Canceller;
 use crate::clock::Clock;
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::in_force::Store;
-use crate::janitor::Janitor;
 use crate::members::Members;
 use crate::quota::Quota;
 use crate::settings::Settings;
@@ -44,7 +44,7 @@
     /// Plain services.
     pub plain: Arc<dyn Plain>,
     /// Cancels under way.
-    pub janitor: Arc<Janitor>,
+    pub canceller: Arc<Canceller>,
     /// Memory reserved at several engines.
     pub gangs: Arc<Gangs>,
     /// The control plane.
--- a/crates/kumquatdrum_operator/src/auth.rs
+++ b/crates/kumquatdrum_operator/src/auth.rs
@@ -11,7 +11,7 @@
 use slog::warn;
 
 use crate::rejection::Rejection;
-use crate::routes::Desk;
+use crate::routes::Context;
 
 const SCHEME: &str = "Bearer ";
 
@@ -92,15 +92,15 @@
     type Error = Rejection;
 
     async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Rejection> {
-        let Some(desk) = request.rocket().state::<Desk>() else {
+        let Some(context) = request.rocket().state::<Context>() else {
             return Outcome::Error((Status::InternalServerError, Rejection::unmanaged()));
         };
         let header = request.headers().get_one("Authorization");
         let key = header.and_then(|header| header.strip_prefix(SCHEME));
-        if let Some(name) = key.and_then(|key| desk.operators.name(key)) {
+        if let Some(name) = key.and_then(|key| context.operators.name(key)) {
             return Outcome::Success(Self(name.to_owned()));
         }
-        warn!(desk.logger, ""; "event" => "operator_refused", "path" => %request.uri().path());
+        warn!(context.logger, ""; "event" => "operator_refused", "path" => %request.uri().path());
         Outcome::Error((Status::Unauthorized, Rejection::unauthorized()))
     }
 }
--- a/crates/kumquatdrum_operator/src/lib.rs
+++ b/crates/kumquatdrum_operator/src/lib.rs
@@ -16,4 +16,4 @@
 pub use client::{Client, Connection};
 pub use command::Exit;
 pub use progress::Progress;
-pub use routes::{Desk, routes};
+pub use routes::{Context, routes};
--- a/crates/kumquatdrum_operator/src/rejection.rs
+++ b/crates/kumquatdrum_operator/src/rejection.rs
@@ -34,7 +34,7 @@
     }
 
     pub(crate) fn unmanaged() -> Self {
-        let message = "the routes were mounted without a desk".to_owned();
+        let message = "the routes were mounted without a context".to_owned();
         Self {
             status: Status::InternalServerError,
             report: Report::BadRequest { message },
--- a/crates/kumquatdrum_operator/src/routes.rs
+++ b/crates/kumquatdrum_operator/src/routes.rs
@@ -32,7 +32,7 @@
 
 /// What the routes need; `rocket.manage` it on the operators' listener.
 #[derive(Clone)]
-pub struct Desk {
+pub struct Context {
     /// The control plane.
     pub control: Arc<dyn Control>,
     /// Who may operate.
@@ -41,15 +41,15 @@
     pub logger: Logger,
 }
 
-impl fmt::Debug for Desk {
+impl fmt::Debug for Context {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Desk")
+        f.debug_struct("Context")
             .field("operators", &self.operators)
             .finish_non_exhaustive()
     }
 }
 
-/// The routes under `/v1`; mount them at `/`, and manage a [`Desk`].
+/// The routes under `/v1`; mount them at `/`, and manage a [`Context`].
 ///
 /// ```
 /// let routes = kumquatdrum_operator::routes();
@@ -68,7 +68,7 @@
     apply_id: Option<&str>,
     wait: Option<&str>,
     body: Data<'_>,
-    desk: &State<Desk>,
+    context: &State<Context>,
 ) -> Result<Rejection, Rejection> {
     let Sender(operator) = sender?;
     let base = number("base", base)?.ok_or_else(|| Rejection::bad_request("base is missing"))?;
@@ -80,14 +80,14 @@
     }
     let operator = request.operator.clone();
     let id = request.apply_id.clone();
-    let mut report = match desk.control.apply(request).await {
+    let mut report = match context.control.apply(request).await {
         Ok(answer) => Report::from(answer),
         Err(failure) => Report::from(failure),
     };
-    info!(desk.logger, ""; "event" => "apply", "operator" => operator, "base" => base,
+    info!(context.logger, ""; "event" => "apply", "operator" => operator, "base" => base,
         "apply_id" => %id, "outcome" => report.word());
     if let (Report::Accepted { version, spread }, Some(wait)) = (&mut report, wait) {
-        *spread = Some(follow(&*desk.control, *version, wait.min(MAX_WAIT)).await);
+        *spread = Some(follow(&*context.control, *version, wait.min(MAX_WAIT)).await);
     }
     Ok(report.into())
 }
@@ -141,7 +141,7 @@
     sender: Sent,
     version: Option<&str>,
     at: Option<&str>,
-    desk: &State<Desk>,
+    context: &State<Context>,
 ) -> Result<ReadBack, Rejection> {
     sender?;
     let selector = match (number("version", version)?, number("at", at)?) {
@@ -152,7 +152,7 @@
             return Err(Rejection::bad_request("give a version or a time, not both"));
         }
     };
-    Ok(ReadBack(desk.control.show(selector).await?))
+    Ok(ReadBack(context.control.show(selector).await?))
 }
 
 /// The file byte for byte; what is known of it stands in the headers.
@@ -182,19 +182,25 @@
     sender: Sent,
     from: Option<&str>,
     limit: Option<&str>,
-    desk: &State<Desk>,
+    context: &State<Context>,
 ) -> Result<Json<control::Page>, Rejection> {
     sender?;
     let from = number("from", from)?.unwrap_or(1);
     let limit = number("limit", limit)?.map_or(DEFAULT_PAGE, |limit| limit as usize);
-    let page = desk.control.audit(from, limit.clamp(1, MAX_PAGE)).await?;
+    let page = context
+        .control
+        .audit(from, limit.clamp(1, MAX_PAGE))
+        .await?;
     Ok(Json(page))
 }
 
 #[get("/v1/status")]
-async fn status(sender: Sent, desk: &State<Desk>) -> Result<Json<control::Status>, Rejection> {
+async fn status(
+    sender: Sent,
+    context: &State<Context>,
+) -> Result<Json<control::Status>, Rejection> {
     sender?;
-    let status: Result<_, Failure> = desk.control.status().await;
+    let status: Result<_, Failure> = context.control.status().await;
     Ok(Json(status?))
 }
 
--- a/crates/kumquatdrum_operator/tests/support/mod.rs
+++ b/crates/kumquatdrum_operator/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex};
 
-use kumquatdrum_operator::{Desk, Operator, Operators, routes};
+use kumquatdrum_operator::{Context, Operator, Operators, routes};
 use kumquatdrum_setup::claim::{Entry, Held};
 use kumquatdrum_setup::control::{HostStatus, Page, Replica};
 use kumquatdrum_setup::{
@@ -221,12 +221,12 @@
         },
         ..rocket::Config::default()
     };
-    let desk = Desk {
+    let context = Context {
         control,
         operators: Operators::new("/operators", &[operator]).expect("a whole operator"),
         logger: Logger::root(lines.fuse(), slog::o!()),
     };
-    rocket::custom(config).manage(desk).mount("/", routes())
+    rocket::custom(config).manage(context).mount("/", routes())
 }
 
 /// A listener on loopback.
--- a/crates/kumquatdrum_peer/src/client.rs
+++ b/crates/kumquatdrum_peer/src/client.rs
@@ -12,8 +12,8 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use crate::courier::Courier;
 use crate::frame::BODY_LIMIT;
+use crate::outbox::Outbox;
 use crate::peer::Peer;
 use crate::{Channel, Error, Local};
 
@@ -139,7 +139,7 @@
         let peer = Arc::new(Peer::new(Arc::clone(&self.local), host.clone(), address));
         let removed = watch::Sender::new(());
         let task = run(
-            Courier::new(Arc::clone(&peer)),
+            Outbox::new(Arc::clone(&peer)),
             self.closed.subscribe(),
             removed.subscribe(),
         );
@@ -154,14 +154,14 @@
 }
 
 async fn run(
-    mut courier: Courier,
+    mut outbox: Outbox,
     mut closed: watch::Receiver<bool>,
     mut removed: watch::Receiver<()>,
 ) {
     tokio::select! {
-        () = courier.run() => {}
+        () = outbox.run() => {}
         _ = removed.changed() => return,
         _ = closed.wait_for(|closed| *closed) => {}
     }
-    let _ = timeout(DRAIN_TIMEOUT, courier.drain()).await;
+    let _ = timeout(DRAIN_TIMEOUT, outbox.drain()).await;
 }
--- a/crates/kumquatdrum_peer/src/lib.rs
+++ b/crates/kumquatdrum_peer/src/lib.rs
@@ -7,12 +7,12 @@
 mod channel;
 mod client;
 mod counters;
-mod courier;
 mod error;
 mod frame;
 mod handler;
 mod link;
 mod local;
+mod outbox;
 mod peer;
 pub mod proof;
 mod queue;
--- a/crates/kumquatdrum_peer/src/courier.rs
+++ b/crates/kumquatdrum_peer/src/outbox.rs
@@ -11,13 +11,13 @@
 use crate::peer::Peer;
 
 /// Sends what is queued for one peer.
-pub(crate) struct Courier {
+pub(crate) struct Outbox {
     peer: Arc<Peer>,
     calls: FuturesUnordered<BoxFuture<'static, Channel>>,
     busy: [bool; Channel::ALL.len()],
 }
 
-impl Courier {
+impl Outbox {
     pub(crate) fn new(peer: Arc<Peer>) -> Self {
         Self {
             peer,
