--- a/crates/kumquatdrum_consensus/src/follower.rs
+++ b/crates/kumquatdrum_consensus/src/follower.rs
@@ -67,16 +67,16 @@
         true
     }
 
+    /// Lets the leader of an older term learn of this one; nothing is said of the log.
+    fn tell_own_term(&mut self, from: &ReplicaId) {
+        let term = self.hard_state.term;
+        self.answer_append(from, term, LogIndex(0), None, Probe::default());
+    }
+
     pub(crate) fn on_append(&mut self, from: &ReplicaId, append: Append) {
         let probe = append.probe;
         if !self.accept_leader(from, append.term) {
-            self.answer_append(
-                from,
-                self.hard_state.term,
-                LogIndex(0),
-                None,
-                Probe::default(),
-            );
+            self.tell_own_term(from);
             return;
         }
         self.probe = probe;
@@ -159,13 +159,7 @@
     pub(crate) fn on_snapshot_chunk(&mut self, from: &ReplicaId, chunk: SnapshotChunk) {
         let probe = chunk.probe;
         if !self.accept_leader(from, chunk.term) {
-            self.answer_append(
-                from,
-                self.hard_state.term,
-                LogIndex(0),
-                None,
-                Probe::default(),
-            );
+            self.tell_own_term(from);
             return;
         }
         self.probe = probe;
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -6,25 +6,22 @@
 
 use futures::StreamExt;
 use kumquatdrum_caller::Reply;
-use kumquatdrum_caller::admission::Ask;
-use kumquatdrum_daemon::body::Hold;
-use kumquatdrum_daemon::flight::{Flight, Input, Output, Plan, Timing};
+use kumquatdrum_daemon::flight::{Flight, Input, Output, Timing};
 use kumquatdrum_engine::engine::Events;
-use kumquatdrum_platform::drain::Work;
 use kumquatdrum_routing::{self as routing, Failure, Progress};
 use kumquatdrum_types::exchange::{Call, Event, Fault, Target, Usage};
-use kumquatdrum_types::{
-    AttemptId, EndpointId, Moment, Refusal, RequestId, ServiceName, WorkspaceName,
-};
+use kumquatdrum_types::{AttemptId, EndpointId, Moment, Refusal};
 use slog::debug;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::fleet::{Decision, Placement};
-use crate::key::{Claimed, Key};
-use crate::quota::Permit;
+use crate::key::Claimed;
 use crate::shell::Shell;
 
 mod ending;
+mod order;
+
+pub use order::Order;
 
 /// Names the reservation whose memory an attempt takes over.
 const RESERVATION_HEADER: &str = "x-reservation";
@@ -59,30 +56,6 @@
     Granted,
 }
 
-/// One request with everything that it needs to be carried out.
-pub struct Order {
-    /// Its name.
-    pub request: RequestId,
-    /// Whose it is.
-    pub workspace: WorkspaceName,
-    /// What it asks for.
-    pub ask: Ask,
-    /// The service.
-    pub service: ServiceName,
-    /// What the router needs to know; excluded endpoints are filled in.
-    pub routing: routing::Ask,
-    /// What is fixed from its start.
-    pub plan: Plan,
-    /// Its idempotency key, with what a claim needs.
-    pub key: Option<Key>,
-    /// Bytes set aside for its body.
-    pub hold: Hold,
-    /// What the shutdown waits for.
-    pub work: Work,
-    /// The slot in its workspace's limits, returned at the end.
-    pub permit: Permit,
-}
-
 /// Carries out one request.
 pub struct Driver {
     shell: Arc<Shell>,
--- a/crates/kumquatdrum_testing/src/model.rs
+++ b/crates/kumquatdrum_testing/src/model.rs
@@ -9,8 +9,9 @@
 mod options;
 mod scheduler;
 
-pub use attempt::{Attempt, Request, State};
+pub use attempt::{Attempt, Request};
 pub use cache::{Change, Event};
+pub use kumquatdrum_types::exchange::State;
 pub use ledger::{Hold, HoldError};
 pub use options::Options;
 pub use scheduler::{Fate, Model, Progress, Rejection, Step};
--- a/crates/kumquatdrum_testing/src/model/attempt.rs
+++ b/crates/kumquatdrum_testing/src/model/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request on an engine.
 
+use kumquatdrum_types::exchange::State;
 use kumquatdrum_types::{AttemptId, Moment};
-use serde::{Deserialize, Serialize};
 
 /// What a caller asks of an engine.
 #[derive(Debug, Clone)]
@@ -28,37 +28,6 @@
     pub reservation: Option<String>,
 }
 
-/// Where an attempt stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    /// Admitted, not yet in the batch; nothing of it ran.
-    Waiting,
-    /// In the batch.
-    Running,
-    /// All tokens are there.
-    Finished,
-    /// Given up by the engine.
-    Failed,
-    /// Ended by a cancel.
-    Cancelled,
-    /// No such attempt in this life of the engine.
-    NeverSeen,
-}
-
-impl State {
-    /// Whether the attempt is over.
-    ///
-    /// ```
-    /// use kumquatdrum_testing::model::State;
-    /// assert!(State::Cancelled.has_ended());
-    /// assert!(!State::Running.has_ended());
-    /// ```
-    pub const fn has_ended(self) -> bool {
-        matches!(self, Self::Finished | Self::Failed | Self::Cancelled)
-    }
-}
-
 /// An attempt as the engine keeps it.
 #[derive(Debug, Clone)]
 pub struct Attempt {
--- a/crates/kumquatdrum_testing/src/model/scheduler.rs
+++ b/crates/kumquatdrum_testing/src/model/scheduler.rs
@@ -7,7 +7,8 @@
 use kumquatdrum_types::{AttemptId, Load, Moment};
 use thiserror::Error;
 
-use super::attempt::{Attempt, Request, State};
+use super::State;
+use super::attempt::{Attempt, Request};
 use super::cache::{Cache, Event};
 use super::ledger::{Hold, HoldError, Ledger};
 use super::options::Options;
--- a/crates/kumquatdrum_types/src/exchange.rs
+++ b/crates/kumquatdrum_types/src/exchange.rs
@@ -149,3 +149,16 @@
     /// Never seen in this life of the engine; after a cancel, it never will be.
     NeverSeen,
 }
+
+impl State {
+    /// Whether the attempt is over.
+    ///
+    /// ```
+    /// use kumquatdrum_types::exchange::State;
+    /// assert!(State::Cancelled.has_ended());
+    /// assert!(!State::Running.has_ended());
+    /// ```
+    pub const fn has_ended(self) -> bool {
+        matches!(self, Self::Finished | Self::Failed | Self::Cancelled)
+    }
+}
