--- a/crates/kumquatdrum_host/tests/faults.rs
+++ b/crates/kumquatdrum_host/tests/faults.rs
@@ -338,3 +338,37 @@
     service.shutdown().await;
     system.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_reads_nothing_holds_nothing_beyond_its_deadline() {
+    use tokio::io::AsyncWriteExt;
+
+    let (system, engines) = slow(1).await;
+    let body = completion(PROMPT, 100, true).to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         x-deadline-ms: 1500\r\ncontent-length: {}\r\n\r\n{body}",
+        support::CALLER_KEY,
+        body.len()
+    );
+    let mut caller = tokio::net::TcpStream::connect(system.callers(0))
+        .await
+        .expect("it listens");
+    caller
+        .write_all(head.as_bytes())
+        .await
+        .expect("the request goes out");
+    busy(&engines).await;
+    idle(&engines).await;
+    let ended = &system.hosts[0].metrics().ended;
+    let failed = async {
+        while ended.with_label_values(&["failed"]).get() == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), failed).await;
+    waited.expect("the request ends as failed");
+    assert_eq!(system.hosts[0].metrics().in_flight.get(), 0);
+    drop(caller);
+    end(system, engines).await;
+}
