Tell what a file means beside its unknown keys; keep the operator's key out of the help

Cause: an unknown key at the top ended the check before the findings of meaning, though every list had been read; and the help printed the environment's value of the operator's key. Failing first: the case unknown_and_wrong.

--- a/crates/kumquatdrum/src/cli.rs
+++ b/crates/kumquatdrum/src/cli.rs
@@ -123,11 +123,18 @@
     /// An operators' listener, such as `http://10.0.0.1:7402`; several are tried in turn
     #[bpaf(argument("URL"), some("at least one --host is required"))]
     host: Vec<String>,
-    /// The operator's key
-    #[bpaf(env("KUMQUATDRUM_OPERATOR_KEY"), argument("KEY"))]
+    /// The operator's key; better in the environment, as `KUMQUATDRUM_OPERATOR_KEY`
+    #[bpaf(argument("KEY"), fallback_with(key_from_environment))]
     operator_key: String,
 }
 
+/// Read here, as the help would print the value of a variable that it knows.
+fn key_from_environment() -> Result<String, &'static str> {
+    const VARIABLE: &str = "KUMQUATDRUM_OPERATOR_KEY";
+    std::env::var(VARIABLE)
+        .map_err(|_| "neither --operator-key nor KUMQUATDRUM_OPERATOR_KEY is set")
+}
+
 impl From<Asked> for Connection {
     fn from(asked: Asked) -> Self {
         Self {
--- a/crates/kumquatdrum_declaration/src/check.rs
+++ b/crates/kumquatdrum_declaration/src/check.rs
@@ -14,7 +14,8 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::Finding;
 
-use crate::{Declaration, parse, pointer};
+use crate::parse::read;
+use crate::{Declaration, pointer};
 
 /// A group of rules.
 type Group = fn(&Declaration, &mut Findings);
@@ -54,10 +55,13 @@
 /// assert!(kumquatdrum_declaration::checked("[]").is_err());
 /// ```
 pub fn checked(text: &str) -> Result<Declaration, Vec<Finding>> {
-    let declaration = parse(text)?;
-    let findings = check(&declaration);
+    let read = read(text)?;
+    let mut findings = read.findings;
+    if read.is_whole {
+        findings.extend(check(&read.declaration));
+    }
     if findings.is_empty() {
-        Ok(declaration)
+        Ok(read.declaration)
     } else {
         Err(findings)
     }
--- a/crates/kumquatdrum_declaration/src/parse.rs
+++ b/crates/kumquatdrum_declaration/src/parse.rs
@@ -27,6 +27,23 @@
 /// assert_eq!(places, ["/priorities/0/level", "/modles"]);
 /// ```
 pub fn parse(text: &str) -> Result<Declaration, Vec<Finding>> {
+    let read = read(text)?;
+    if read.findings.is_empty() {
+        Ok(read.declaration)
+    } else {
+        Err(read.findings)
+    }
+}
+
+/// What could be read of a file.
+pub(crate) struct Read {
+    pub(crate) declaration: Declaration,
+    pub(crate) findings: Vec<Finding>,
+    /// Each item of each list was read, so that what the file means can be checked as well.
+    pub(crate) is_whole: bool,
+}
+
+pub(crate) fn read(text: &str) -> Result<Read, Vec<Finding>> {
     if text.len() > MAX_BYTES {
         let message = format!("is longer than {MAX_BYTES} bytes");
         return Err(vec![Finding::new("", message)]);
@@ -37,11 +54,11 @@
     };
     let mut reader = Reader::default();
     let declaration = reader.declaration(&object);
-    if reader.findings.is_empty() {
-        Ok(declaration)
-    } else {
-        Err(reader.findings)
-    }
+    Ok(Read {
+        declaration,
+        findings: reader.findings,
+        is_whole: !reader.lost,
+    })
 }
 
 /// The JSON Schema of the file.
@@ -83,6 +100,8 @@
 #[derive(Default)]
 struct Reader {
     findings: Vec<Finding>,
+    /// Something of a list could not be read.
+    lost: bool,
 }
 
 impl Reader {
@@ -94,6 +113,7 @@
                 .iter()
                 .any(|(earlier, _)| earlier == key)
             {
+                self.lost = true;
                 self.findings
                     .push(Finding::new(place, "stands more than once"));
                 continue;
@@ -114,6 +134,7 @@
 
     fn list<T: DeserializeOwned>(&mut self, place: &str, raw: &RawValue) -> Vec<T> {
         let Ok(items) = serde_json::from_str::<Vec<&RawValue>>(raw.get()) else {
+            self.lost = true;
             self.findings.push(Finding::new(place, "must be a list"));
             return Vec::new();
         };
@@ -128,6 +149,7 @@
         match serde_path_to_error::deserialize(&mut deserializer) {
             Ok(item) => Some(item),
             Err(error) => {
+                self.lost = true;
                 self.findings.push(unreadable(place, &error));
                 None
             }
--- a/crates/kumquatdrum_declaration/tests/findings.rs
+++ b/crates/kumquatdrum_declaration/tests/findings.rs
@@ -32,7 +32,7 @@
 #[test]
 fn cases_give_their_findings() {
     let cases = cases();
-    assert_eq!(cases.len(), 11);
+    assert_eq!(cases.len(), 12);
     let mut wrong = Vec::new();
     for case in cases {
         let found = findings(&fs::read_to_string(&case).expect("a case"));
