Seed replicas apart; one check of digests; wake routers' timers only when due earlier

Ruled out: the disk and the links, whose logs told nothing.

A second failure was the test harness's: it probed free ports with listeners that a process spawned by another test could hold for a moment. Each cluster has an address of its own, so its ports are fixed now.

Three copies of the check of a digest are one; an ending and a method that nothing used are gone; an operation on a router wakes its timer only where something became due earlier.

--- a/crates/kumquatdrum/tests/support/mod.rs
+++ b/crates/kumquatdrum/tests/support/mod.rs
@@ -5,7 +5,7 @@
 mod calls;
 
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -30,6 +30,7 @@
 pub const LIMIT: Duration = Duration::from_secs(45);
 
 const ENDPOINT_KEY: &str = "endpoint key";
+const FIRST_PORT: u16 = 7_100;
 const LISTENERS: usize = 5;
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Lines of a host's log that a failed test prints.
@@ -60,13 +61,10 @@
     let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
     let [_, high, middle, low] = (std::process::id() << 3 | (number & 7)).to_be_bytes();
     let ip = Ipv4Addr::new(127, 64 | (high & 63), middle, low);
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((ip, 0)).expect("a free port"))
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("an address"))
-        .collect()
+    // Nobody else has the address, and outgoing connections take higher ports. To probe for free
+    // ones would open listeners that a process started by another test may hold for a moment.
+    let ports = FIRST_PORT..;
+    ports.take(count).map(|port| (ip, port).into()).collect()
 }
 
 impl Node {
--- a/crates/kumquatdrum_daemon/src/flight/event.rs
+++ b/crates/kumquatdrum_daemon/src/flight/event.rs
@@ -106,6 +106,4 @@
         /// Its body, cut to a bound.
         body: Bytes,
     },
-    /// The endpoint ended the attempt.
-    EndedByEndpoint,
 }
--- a/crates/kumquatdrum_host/src/fleet.rs
+++ b/crates/kumquatdrum_host/src/fleet.rs
@@ -135,9 +135,13 @@
         let service = services
             .entry(name.clone())
             .or_insert_with(|| Service::new(&self.owner, &self.owners.lock(), self.seed));
+        let due = service.router.next_wake();
         let result = work(service, self.clock.now());
+        let is_earlier = service.router.next_wake() < due;
         drop(services);
-        shard.woken.notify_one();
+        if is_earlier {
+            shard.woken.notify_one();
+        }
         result
     }
 
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -22,7 +22,7 @@
 
 use crate::announce;
 use crate::caches;
-use crate::clock::{Clock, unix_ms};
+use crate::clock::Clock;
 use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
 use crate::frontend::Frontend;
 use crate::gauges;
@@ -32,6 +32,7 @@
 use crate::orphans;
 use crate::peers::Inbox;
 use crate::quota::{self, Quota};
+use crate::random;
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::web::{self, Web};
@@ -408,12 +409,6 @@
     }
 }
 
-/// A number that no other data folder has; taken only where the folder is new.
-fn random_incarnation() -> Incarnation {
-    use std::hash::{BuildHasher, RandomState};
-    Incarnation(RandomState::new().hash_one(unix_ms()))
-}
-
 type Replica = (Handle, Machine, mpsc::UnboundedReceiver<Event>);
 
 /// The replica of a host with a data folder.
@@ -429,7 +424,8 @@
         return Ok(None);
     };
     let disk = |error: &dyn std::fmt::Display| StartError::Disk(error.to_string());
-    let store = kumquatdrum_disk::Folder::open(folder, &settings.host, random_incarnation());
+    let store =
+        kumquatdrum_disk::Folder::open(folder, &settings.host, Incarnation(random::number()));
     let store = store.map_err(|error| disk(&error))?;
     let stored = store.load().map_err(|error| disk(&error))?;
     let member = kumquatdrum_consensus::Member {
@@ -440,7 +436,7 @@
     node.initial.clone_from(&settings.replicas);
     let (handle, events, received) = Handle::new();
     let parts = Parts {
-        node: Node::new(node, stored, clock.now(), unix_ms()),
+        node: Node::new(node, stored, clock.now(), random::number()),
         writer: Writer::start(Box::new(store), events).map_err(|error| disk(&error))?,
         client: client.clone(),
         members: members.clone(),
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod problem;
 pub mod quota;
+pub mod random;
 pub mod request;
 pub mod settings;
 pub mod shell;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -15,7 +15,7 @@
 use kumquatdrum_setup::in_force::Offer;
 use kumquatdrum_setup::{Digest, in_force};
 use kumquatdrum_types::{
-    Announcement, BootId, DataCentre, EndpointId, HostId, Moment, ServiceName, Version,
+    Announcement, BootId, DataCentre, EndpointId, HostId, ServiceName, Version,
 };
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -439,11 +439,6 @@
     pub fn cut_off(&self) -> Vec<DataCentre> {
         self.cores.lock().membership.cut_off().cloned().collect()
     }
-
-    /// The time on the daemon's clock.
-    pub fn now(&self) -> Moment {
-        self.parts.clock.now()
-    }
 }
 
 fn known(member: &Member, is_alive: bool) -> spread::Input {
--- a/crates/kumquatdrum_host/src/problem.rs
+++ b/crates/kumquatdrum_host/src/problem.rs
@@ -56,12 +56,6 @@
             "the endpoint answered with an error",
             Some(body),
         ),
-        Cause::EndedByEndpoint => (
-            "endpoint_ended",
-            BAD_GATEWAY,
-            "the endpoint ended the request",
-            None,
-        ),
     };
     Problem {
         code: code.to_owned(),
--- a/crates/kumquatdrum_host/src/settings.rs
+++ b/crates/kumquatdrum_host/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use indexmap::IndexSet;
-use kumquatdrum_types::{DataCentre, Finding, HostId};
+use kumquatdrum_types::{DataCentre, Finding, HostId, digest};
 use serde::Deserialize;
 
 /// Everything that one host must be told.
@@ -248,21 +248,17 @@
     }
 }
 
-fn is_digest(text: &str) -> bool {
-    text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
-}
-
 fn check_secrets(settings: &Settings, findings: &mut Vec<Finding>) {
     const DIGEST: &str = "must be a SHA-256 digest in 64 lower-case hexadecimal digits";
     if settings.cluster.secret.len() < SHORTEST_SECRET {
         let message = format!("must have at least {SHORTEST_SECRET} bytes");
         findings.push(Finding::new("/cluster/secret", message));
     }
-    if !is_digest(&settings.endpoint_key_sha256) {
+    if !digest::is_hex(&settings.endpoint_key_sha256) {
         findings.push(Finding::new("/endpoint_key_sha256", DIGEST));
     }
     for (place, operator) in settings.operators.iter().enumerate() {
-        if !is_digest(&operator.sha256) {
+        if !digest::is_hex(&operator.sha256) {
             let place = format!("/operators/{place}/sha256");
             findings.push(Finding::new(place, DIGEST));
         }
--- a/crates/kumquatdrum_operator/src/auth.rs
+++ b/crates/kumquatdrum_operator/src/auth.rs
@@ -55,7 +55,7 @@
             if by_digest.values().any(|name| **name == *operator.name) {
                 findings.push(Finding::new(name_place, "stands more than once"));
             }
-            if !is_digest(&operator.sha256) {
+            if !digest::is_hex(&operator.sha256) {
                 let message = "must be a SHA-256 digest in 64 lower-case hexadecimal digits";
                 findings.push(Finding::new(&key_place, message));
             }
@@ -78,11 +78,6 @@
     }
 }
 
-fn is_digest(text: &str) -> bool {
-    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-    text.len() == 64 && text.bytes().all(is_digit)
-}
-
 /// The operator who sent a request.
 #[derive(Debug)]
 pub(crate) struct Sender(pub String);
--- a/crates/kumquatdrum_types/src/digest.rs
+++ b/crates/kumquatdrum_types/src/digest.rs
@@ -4,6 +4,21 @@
 
 use sha2::{Digest, Sha256};
 
+/// Digits of a digest.
+const DIGITS: usize = 64;
+
+/// Whether a text has the form that [`hex`] gives.
+///
+/// ```
+/// use kumquatdrum_types::digest;
+/// assert!(digest::is_hex(&digest::hex(b"salon-key")));
+/// assert!(!digest::is_hex("salon-key"));
+/// ```
+pub fn is_hex(text: &str) -> bool {
+    let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == DIGITS && text.bytes().all(is_digit)
+}
+
 /// The SHA-256 digest of some bytes, 64 lower-case hexadecimal digits.
 ///
 /// ```
@@ -13,7 +28,7 @@
 pub fn hex(bytes: &[u8]) -> String {
     Sha256::digest(bytes)
         .iter()
-        .fold(String::with_capacity(64), |mut text, byte| {
+        .fold(String::with_capacity(DIGITS), |mut text, byte| {
             let _ = write!(text, "{byte:02x}");
             text
         })
