--- a/crates/kumquatdrum/src/cli.rs
+++ b/crates/kumquatdrum/src/cli.rs
@@ -27,6 +27,15 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Runs a gateway host, which passes any HTTP request of a declared route on
+    ///
+    /// Example: kumquatdrum gateway --settings /etc/kumquatdrum/gateway.json
+    #[bpaf(command)]
+    Gateway {
+        /// The host's settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Checks a declaration, or with --settings a settings file; prints every finding
     ///
     /// Example: kumquatdrum check examples/toonikaart.json
@@ -198,6 +207,8 @@
             status::run(&options, out).await
         }
         Command::Replay(arguments) => replay::run(&arguments).await,
-        Command::Demo(_) | Command::Serve { .. } | Command::Schema => Exit::Usage,
+        Command::Demo(_) | Command::Gateway { .. } | Command::Serve { .. } | Command::Schema => {
+            Exit::Usage
+        }
     }
 }
--- /dev/null
+++ b/crates/kumquatdrum/src/gateway.rs
@@ -0,0 +1,60 @@
+//! Running a gateway host.
+
+use std::path::Path;
+
+use std::sync::Arc;
+
+use kumquatdrum_gateway::{Gateway, Settings, settings};
+use kumquatdrum_operator::Exit;
+use kumquatdrum_platform::Platform;
+use slog::{Level, Logger, error};
+
+use crate::logging;
+
+/// Runs until a signal asks to stop, then shuts down gracefully.
+pub fn run(file: &Path) -> Exit {
+    let settings = match read(file) {
+        Ok(settings) => settings,
+        Err(line) => {
+            eprintln!("{line}");
+            return Exit::Usage;
+        }
+    };
+    // A gateway host has a fraction of a core: more threads would only take turns on it.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(serve(settings, file)),
+        Err(reason) => {
+            eprintln!("the runtime can't be started: {reason}");
+            Exit::Unknown
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<Settings, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{name}: {error}"))?;
+    settings::parse(&text).map_err(|finding| format!("{name}: {finding}"))
+}
+
+async fn serve(settings: Settings, file: &Path) -> Exit {
+    let (logger, _guard) = logging::start(Level::Info, std::io::stdout());
+    let stop = stopped(logger.clone());
+    let file = Some(file.to_owned());
+    match Gateway::run(settings, file, Arc::new(Platform), &logger, stop).await {
+        Ok(()) => Exit::Done,
+        Err(reason) => {
+            error!(logger, "not_started"; "event" => "not_started", "reason" => %reason);
+            Exit::Usage
+        }
+    }
+}
+
+async fn stopped(logger: Logger) {
+    if let Err(reason) = kumquatdrum_process::signal::stop().await {
+        error!(logger, "no_signals"; "event" => "no_signals", "reason" => %reason);
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/kumquatdrum/src/logging.rs
+++ b/crates/kumquatdrum/src/logging.rs
@@ -1,6 +1,6 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
-use std::io::{self, Write};
+use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use slog::{Drain, Level, Logger, Record, o};
@@ -23,9 +23,9 @@
     Ok(())
 }
 
-/// A logger of events at `level` and above. Dropping the guard writes out what still waits.
-pub fn start(level: Level) -> (Logger, AsyncGuard) {
-    let lines = slog_logfmt::Logfmt::new(io::stderr())
+/// A logger of events at `level` and above, to `output`. Dropping the guard writes out what still waits.
+pub fn start(level: Level, output: impl Write + Send + 'static) -> (Logger, AsyncGuard) {
+    let lines = slog_logfmt::Logfmt::new(output)
         .set_prefix(prefix)
         .build()
         .fuse();
--- a/crates/kumquatdrum/src/main.rs
+++ b/crates/kumquatdrum/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod demo;
+mod gateway;
 mod logging;
 mod replay;
 mod serve;
@@ -23,6 +24,7 @@
     };
     let exit = match command {
         Command::Serve { settings } => serve::run(&settings),
+        Command::Gateway { settings } => gateway::run(&settings),
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Schema => schema(),
         Command::Check {
--- a/crates/kumquatdrum/src/serve.rs
+++ b/crates/kumquatdrum/src/serve.rs
@@ -51,7 +51,7 @@
 }
 
 async fn serve(settings: Settings) -> Exit {
-    let (logger, _guard) = logging::start(Level::Info);
+    let (logger, _guard) = logging::start(Level::Info, std::io::stderr());
     let host = match Host::start(settings, &logger).await {
         Ok(host) => host,
         Err(reason) => {
@@ -59,7 +59,7 @@
             return Exit::Usage;
         }
     };
-    let stopped = kumquatdrum_platform::signal::stop().await;
+    let stopped = kumquatdrum_process::signal::stop().await;
     if let Err(reason) = stopped {
         error!(logger, ""; "event" => "no_signals", "reason" => %reason);
     }
--- a/crates/kumquatdrum_disk/src/lib.rs
+++ b/crates/kumquatdrum_disk/src/lib.rs
@@ -11,9 +11,11 @@
 mod identity;
 mod memory;
 mod store;
+mod writer;
 
 pub use error::Error;
 pub use folder::{FILE_NAME, Folder};
 pub use identity::Identity;
 pub use memory::Memory;
 pub use store::Store;
+pub use writer::{Report, Writer};
--- a/crates/kumquatdrum_host/src/control/writer.rs
+++ b/crates/kumquatdrum_disk/src/writer.rs
@@ -4,12 +4,15 @@
 use std::thread::JoinHandle;
 
 use kumquatdrum_consensus::Batch;
-use kumquatdrum_disk::Store;
-use tokio::sync::mpsc::UnboundedSender;
 
-use super::Event;
+use crate::{Error, Store};
 
-/// Writes batches in their order and reports each.
+/// Is told of each batch: its sequence number, or why it could not be written. Returns whether
+/// somebody still listens.
+pub type Report = Box<dyn Fn(Result<u64, Error>) -> bool + Send>;
+
+/// Writes batches in their order and reports each. It ends after a failure.
+#[derive(Debug)]
 pub struct Writer {
     batches: Option<Sender<Batch>>,
     thread: Option<JoinHandle<()>>,
@@ -17,11 +20,11 @@
 
 impl Writer {
     /// Starts the thread.
-    pub fn start(store: Box<dyn Store>, events: UnboundedSender<Event>) -> std::io::Result<Self> {
+    pub fn start(store: Box<dyn Store>, report: Report) -> std::io::Result<Self> {
         let (batches, received) = channel();
         let thread = std::thread::Builder::new()
             .name("disk".to_owned())
-            .spawn(move || write(store, &received, &events))?;
+            .spawn(move || write(store.as_ref(), &received, &report))?;
         Ok(Self {
             batches: Some(batches),
             thread: Some(thread),
@@ -37,15 +40,12 @@
     }
 }
 
-fn write(store: Box<dyn Store>, batches: &Receiver<Batch>, events: &UnboundedSender<Event>) {
+fn write(store: &dyn Store, batches: &Receiver<Batch>, report: &Report) {
     for batch in batches {
         let sequence = batch.sequence;
-        let event = match store.write(&[batch]) {
-            Ok(()) => Event::Persisted(sequence),
-            Err(error) => Event::PersistFailed(error.to_string()),
-        };
-        let failed = matches!(event, Event::PersistFailed(_));
-        if events.send(event).is_err() || failed {
+        let written = store.write(&[batch]).map(|()| sequence);
+        let failed = written.is_err();
+        if !report(written) || failed {
             return;
         }
     }
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -0,0 +1,221 @@
+//! What operators and endpoints say to a control host.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use kumquatdrum_peer::Channel;
+use kumquatdrum_registry::{Change, Update};
+use kumquatdrum_routes::{Record, check};
+use kumquatdrum_types::{EndpointId, Finding, HostId};
+use slog::{info, warn};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::Gateway;
+use crate::body::{self, Body};
+use crate::message::{Answer, Question};
+use crate::protocol::Operation;
+use crate::replica::Ask;
+
+/// The largest body that is read: twice the largest setup that operators send.
+const LARGEST: usize = 8 * 1024 * 1024;
+/// How long one replica may take to answer as the leader.
+const ONE: Duration = Duration::from_millis(900);
+/// How long a call may take over all replicas: an election, and the call after it.
+const ALL: Duration = Duration::from_millis(2_800);
+/// The pause after all replicas were asked in vain.
+const ROUND: Duration = Duration::from_millis(60);
+/// How long other hosts may take to confirm that they know who leaves. An endpoint waits a
+/// second for its acknowledgement.
+const CONFIRMED: Duration = Duration::from_millis(600);
+
+/// Answers one call.
+pub async fn handle(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let (head, body) = request.into_parts();
+    let operation = gateway.protocol.operation(&head.method, head.uri.path());
+    let body = match Limited::new(body, LARGEST).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let finding = Finding::new("", format!("the body could not be read: {error}"));
+            return Ok(invalid(&[finding]));
+        }
+    };
+    Ok(match operation {
+        Operation::Apply => apply(&gateway, body).await,
+        Operation::Read => read(&gateway).await,
+        Operation::Announce(id) => announce(&gateway, id, &body).await,
+        Operation::Leave(id) => leave(&gateway, &id, &body).await,
+        Operation::Unknown => status(StatusCode::NOT_FOUND),
+    })
+}
+
+async fn apply(gateway: &Arc<Gateway>, text: Bytes) -> Response<Body> {
+    let setup = gateway.protocol.setup(&text);
+    let findings = match &setup {
+        Ok(setup) => check(setup),
+        Err(findings) => findings.clone(),
+    };
+    let Ok(setup) = setup.map_err(drop).and_then(|setup| match findings[..] {
+        [] => Ok(setup),
+        _ => Err(()),
+    }) else {
+        let first = findings.first().map(ToString::to_string);
+        info!(gateway.logger, "setup_refused"; "event" => "setup_refused",
+            "findings" => findings.len(), "first" => first);
+        return invalid(&findings);
+    };
+    let record = Record {
+        revision: setup.revision,
+        text: text.as_ref().into(),
+    };
+    let started = Instant::now();
+    let answer = ask_leader(gateway, Ask::Apply(record)).await;
+    let is_applied = matches!(answer, Answer::Applied);
+    info!(gateway.logger, "setup_asked"; "event" => "setup_asked", "revision" => setup.revision,
+        "committed" => is_applied, "known" => gateway.in_force.revision(),
+        "ms" => started.elapsed().as_millis() as u64);
+    match is_applied {
+        true => json(StatusCode::OK, "{}"),
+        false => status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
+    match ask_leader(gateway, Ask::Read).await {
+        Answer::Current(Some(record)) => json(StatusCode::OK, Bytes::copy_from_slice(&record.text)),
+        answer => {
+            info!(gateway.logger, "read_refused"; "event" => "read_refused",
+                "is_empty" => matches!(answer, Answer::Current(None)));
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+/// Asks until some replica answers as the leader. Both questions are idempotent.
+async fn ask_leader(gateway: &Arc<Gateway>, ask: Ask) -> Answer {
+    let until = Instant::now() + ALL;
+    let mut hint: Option<HostId> = None;
+    loop {
+        let own = gateway.hosts.local().id;
+        let mut candidates = vec![own.clone()];
+        candidates.extend(gateway.hosts.control());
+        if let Some(hint) = hint.take() {
+            candidates.retain(|host| *host != hint);
+            candidates.insert(0, hint);
+        }
+        for host in candidates {
+            let limit = ONE.min(until.saturating_duration_since(Instant::now()));
+            let answer = match host == own {
+                true => timeout(limit, gateway.ask_replica(ask.clone())).await,
+                false => Ok(ask_peer(gateway, &host, &ask, limit).await),
+            };
+            match answer {
+                Ok(Answer::NotLeader(Some(leader))) if leader != host => {
+                    hint = Some(leader);
+                    break;
+                }
+                Ok(Answer::NotLeader(_) | Answer::Unavailable) | Err(_) => {}
+                Ok(answer) => return answer,
+            }
+        }
+        if Instant::now() + ROUND >= until {
+            return Answer::Unavailable;
+        }
+        sleep(ROUND).await;
+    }
+}
+
+async fn ask_peer(gateway: &Gateway, host: &HostId, ask: &Ask, limit: Duration) -> Answer {
+    let question = match ask {
+        Ask::Apply(record) => Question::Apply(record.clone()),
+        Ask::Read => Question::Read,
+    };
+    gateway
+        .ask(host, Channel::Control, &question, limit)
+        .await
+        .unwrap_or(Answer::Unavailable)
+}
+
+async fn announce(gateway: &Arc<Gateway>, id: EndpointId, body: &[u8]) -> Response<Body> {
+    let announcement = match gateway.protocol.announcement(&id, body) {
+        Ok(announcement) => announcement,
+        Err(finding) => {
+            warn!(gateway.logger, "announcement_refused"; "event" => "announcement_refused",
+                "endpoint" => id.as_str(), "finding" => %finding);
+            return invalid(&[finding]);
+        }
+    };
+    let is_leaving = announcement.leaving;
+    let (change, update) = gateway.endpoints.announce(announcement);
+    let update: Vec<Update> = update.into_iter().collect();
+    match change {
+        Change::New if !is_leaving => gateway.push_endpoints(update),
+        Change::New | Change::Changed => confirm(gateway, update).await,
+        Change::Refreshed | Change::Stale => {}
+    }
+    json(StatusCode::OK, "{}")
+}
+
+async fn leave(gateway: &Arc<Gateway>, id: &EndpointId, body: &[u8]) -> Response<Body> {
+    let incarnation = gateway.protocol.farewell(body);
+    let update = gateway.endpoints.leave(id, incarnation);
+    if let Some(update) = update {
+        confirm(gateway, vec![update]).await;
+    }
+    json(StatusCode::OK, "{}")
+}
+
+/// The acknowledgement is a promise of all hosts, so it waits until they know.
+async fn confirm(gateway: &Arc<Gateway>, updates: Vec<Update>) {
+    gateway.endpoints_changed();
+    let mut asked = JoinSet::new();
+    for host in gateway.hosts.live() {
+        let gateway = gateway.clone();
+        let question = Question::Endpoints(updates.clone());
+        asked.spawn(async move {
+            let answer = gateway
+                .ask(&host.id, Channel::Membership, &question, CONFIRMED)
+                .await;
+            (host.id, matches!(answer, Some(Answer::Taken)))
+        });
+    }
+    while let Some(answer) = asked.join_next().await {
+        match answer {
+            Ok((host, false)) => {
+                warn!(gateway.logger, "farewell_unconfirmed"; "event" => "farewell_unconfirmed",
+                    "peer" => host.as_str());
+            }
+            Ok(_) => {}
+            Err(error) => {
+                warn!(gateway.logger, "farewell_unconfirmed"; "event" => "farewell_unconfirmed",
+                    "reason" => %error);
+            }
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    json(status, "{}")
+}
+
+fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(body::whole(text));
+    *response.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn invalid(findings: &[Finding]) -> Response<Body> {
+    let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    let text = serde_json::json!({ "findings": findings }).to_string();
+    json(StatusCode::BAD_REQUEST, text)
+}
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -0,0 +1,404 @@
+//! Which endpoint gets a request: the cores' decisions, applied to what this host knows.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatdrum_placement::{
+    Balancer, Budget, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner,
+};
+use kumquatdrum_process::clock::Clock;
+use kumquatdrum_registry::Announcement;
+use kumquatdrum_routes::{Engine, Setup};
+use kumquatdrum_types::{Moment, ServiceName};
+use parking_lot::{Mutex, RwLock};
+use slog::{info, warn};
+use tokio::sync::Notify;
+
+use crate::endpoints::Endpoints;
+use crate::hosts::Hosts;
+use crate::message::Event;
+use crate::protocol::Helper;
+use crate::settings::Retries;
+use crate::tell::Teller;
+
+/// An endpoint that has been silent for so many announcements counts as silent: one may be lost,
+/// and one late by its whole interval.
+const SILENT_ANNOUNCEMENTS: u32 = 4;
+/// How often a request that waits asks again, where nothing has told it to.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
+/// What a fleet is made of.
+pub struct Parts {
+    /// The host's clock.
+    pub clock: Clock,
+    /// Announced endpoints.
+    pub endpoints: Arc<Endpoints>,
+    /// The other hosts.
+    pub hosts: Arc<Hosts>,
+    /// Tells other hosts of dispatches; absent on hosts that take no callers.
+    pub teller: Option<Arc<Teller>>,
+    /// Retries that all hosts may make.
+    pub retries: Retries,
+    /// How often endpoints announce themselves.
+    pub announcement: Duration,
+    /// This host's number among the hosts that dispatch.
+    pub number: u32,
+    /// Where decisions are told.
+    pub logger: slog::Logger,
+}
+
+/// All services, as this host dispatches to them.
+pub struct Fleet {
+    parts: Parts,
+    services: RwLock<IndexMap<ServiceName, Arc<Service>>>,
+    jobs: AtomicU64,
+}
+
+struct Service {
+    name: ServiceName,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+struct State {
+    engine: Option<Engine>,
+    policy: Policy,
+    budget: Budget,
+    directory: IndexMap<EndpointKey, Announcement>,
+}
+
+enum Policy {
+    Engines(Box<Planner>),
+    Plain(Balancer),
+}
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub struct Need {
+    /// The request's name in logs.
+    pub request: String,
+    /// Tokens to be read.
+    pub prompt: u64,
+    /// Tokens to be written.
+    pub answer: u64,
+    /// The longest pause that the caller bears.
+    pub pause: Duration,
+    /// When the caller came.
+    pub arrived: Moment,
+    /// When the first token is on time.
+    pub due: Moment,
+    /// When the caller gives up.
+    pub deadline: Moment,
+    /// Endpoints that have failed it.
+    pub spared: Vec<EndpointKey>,
+}
+
+/// Why no endpoint was picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Unplaced {
+    /// No endpoint of the service is known.
+    #[error("no endpoint is known")]
+    Nobody,
+    /// No engine can hold the prompt.
+    #[error("the prompt is larger than any engine's memory")]
+    TooLarge,
+    /// No engine had room in time.
+    #[error("no engine had room")]
+    NoRoom,
+}
+
+/// A picked endpoint. Dropping it tells that the request has ended there.
+pub struct Pick {
+    fleet: Arc<Fleet>,
+    service: Arc<Service>,
+    /// The endpoint.
+    pub endpoint: Announcement,
+    /// Its key.
+    pub key: EndpointKey,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<Helper>,
+    job: Option<JobId>,
+}
+
+impl Fleet {
+    /// A fleet without services.
+    pub fn new(parts: Parts) -> Self {
+        // Numbers of an earlier life of this host must not come again.
+        let first = kumquatdrum_process::clock::unix_ms() << 16;
+        Self {
+            parts,
+            services: RwLock::default(),
+            jobs: AtomicU64::new(first),
+        }
+    }
+
+    /// Goes by the services of a setup from now on.
+    pub fn configure(&self, setup: &Setup) {
+        let mut services = self.services.write();
+        services.retain(|name, _| setup.services.contains_key(name));
+        for (name, declared) in &setup.services {
+            let is_same = services
+                .get(name)
+                .is_some_and(|known| known.state.lock().engine == declared.engine);
+            if !is_same {
+                let service = Arc::new(self.service(name, declared.engine.as_ref()));
+                services.insert(name.clone(), service);
+            }
+        }
+        drop(services);
+        self.refresh();
+    }
+
+    fn service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
+        let retries = &self.parts.retries;
+        let window = Duration::from_secs_f64(retries.window_s);
+        let policy = match engine {
+            Some(engine) => Policy::Engines(Box::new(Planner::new(engine.clone()))),
+            None => Policy::Plain(Balancer::default()),
+        };
+        let state = State {
+            engine: engine.cloned(),
+            policy,
+            budget: Budget::new(retries.ratio, retries.slack, window),
+            directory: IndexMap::new(),
+        };
+        Service {
+            name: name.clone(),
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Looks at the announced endpoints anew.
+    pub fn refresh(&self) {
+        for service in self.services.read().values() {
+            self.refresh_service(service);
+        }
+    }
+
+    fn refresh_service(&self, service: &Service) {
+        let known = self.parts.endpoints.usable(&service.name);
+        let limit = self.parts.announcement * SILENT_ANNOUNCEMENTS;
+        let fresh = known.iter().filter(|(_, age)| *age <= limit).count();
+        // Where most are silent, it is the way to them that is, and not they.
+        let takes_silent = fresh * 2 < known.len();
+        let usable = known.into_iter();
+        let usable = usable.filter(|(_, age)| takes_silent || *age <= limit);
+        let directory: IndexMap<EndpointKey, Announcement> = usable
+            .map(|(endpoint, _)| (EndpointKey::of(&endpoint.id, endpoint.started), endpoint))
+            .collect();
+        let mut state = service.state.lock();
+        match &mut state.policy {
+            Policy::Engines(planner) => planner.set_endpoints(directory.keys().copied()),
+            Policy::Plain(balancer) => {
+                let slots = |(key, endpoint): (&EndpointKey, &Announcement)| (*key, endpoint.slots);
+                balancer.set_endpoints(directory.iter().map(slots));
+            }
+        }
+        state.directory = directory;
+        drop(state);
+        service.changed.notify_waiters();
+    }
+
+    /// A caller's request for a service has come.
+    pub fn requested(&self, name: &ServiceName) {
+        if let Some(service) = self.find(name) {
+            let now = self.parts.clock.now();
+            service.state.lock().budget.requested(now);
+        }
+    }
+
+    /// Takes one retry from this host's share.
+    pub fn take_retry(&self, name: &ServiceName) -> bool {
+        let now = self.parts.clock.now();
+        let hosts = self.parts.hosts.caller_hosts();
+        self.find(name)
+            .is_some_and(|service| service.state.lock().budget.take(now, hosts))
+    }
+
+    /// Takes what another host tells of its dispatches.
+    pub fn take(&self, event: Event) {
+        let now = self.parts.clock.now();
+        let (Event::Sent(name, _) | Event::Began(name, _) | Event::Ended(name, _)) = &event;
+        let Some(service) = self.find(name) else {
+            return;
+        };
+        let mut state = service.state.lock();
+        let Policy::Engines(planner) = &mut state.policy else {
+            return;
+        };
+        match event {
+            Event::Sent(_, plan) => planner.sent(now, plan),
+            Event::Began(_, job) => planner.began(now, job),
+            Event::Ended(_, job) => planner.ended(now, job),
+        }
+        drop(state);
+        service.changed.notify_waiters();
+    }
+
+    /// Picks an endpoint, waiting for room until the deadline at most.
+    pub async fn pick(self: &Arc<Self>, name: &ServiceName, need: &Need) -> Result<Pick, Unplaced> {
+        let service = self.find(name).ok_or(Unplaced::Nobody)?;
+        let number = self.jobs.fetch_add(1, Ordering::Relaxed);
+        let job = Job {
+            id: JobId {
+                host: self.parts.number,
+                number,
+            },
+            prompt: need.prompt,
+            answer: need.answer,
+            pause: need.pause,
+            arrived: need.arrived,
+            due: need.due,
+            deadline: need.deadline,
+            spared: need.spared.clone(),
+        };
+        loop {
+            let changed = service.changed.notified();
+            match self.try_pick(&service, need, &job) {
+                Err(Unplaced::NoRoom) if self.parts.clock.now() < need.deadline => {}
+                result => return result,
+            }
+            let _ = tokio::time::timeout(ASK_AGAIN, changed).await;
+        }
+    }
+
+    fn try_pick(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        need: &Need,
+        job: &Job,
+    ) -> Result<Pick, Unplaced> {
+        let now = self.parts.clock.now();
+        let mut state = service.state.lock();
+        match &mut state.policy {
+            Policy::Engines(planner) => {
+                let decision = planner.place(now, job);
+                let plan = match decision {
+                    Decision::Send(plan) => plan,
+                    Decision::Wait => return Err(Unplaced::NoRoom),
+                    Decision::TooLarge => return Err(Unplaced::TooLarge),
+                    Decision::Nobody => return Err(Unplaced::Nobody),
+                };
+                self.sent(service, &state, need, plan)
+            }
+            Policy::Plain(balancer) => {
+                let key = balancer.choose(now, &need.spared);
+                let key = key.ok_or(Unplaced::Nobody)?;
+                let endpoint = state.directory.get(&key).cloned();
+                let endpoint = endpoint.ok_or(Unplaced::Nobody)?;
+                Ok(Pick {
+                    fleet: self.clone(),
+                    service: service.clone(),
+                    endpoint,
+                    key,
+                    helpers: Vec::new(),
+                    job: None,
+                })
+            }
+        }
+    }
+
+    fn sent(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        state: &State,
+        need: &Need,
+        plan: Plan,
+    ) -> Result<Pick, Unplaced> {
+        let endpoint = state.directory.get(&plan.first).cloned();
+        let endpoint = endpoint.ok_or(Unplaced::Nobody)?;
+        let helpers = plan.helpers.iter();
+        let helpers = helpers.filter_map(|key| state.directory.get(key));
+        let helpers = helpers.map(|helper| Helper {
+            address: helper.address,
+            reservation: None,
+        });
+        info!(self.parts.logger, "placed"; "event" => "placed", "request" => &need.request,
+            "endpoint" => endpoint.id.as_str(), "prompt" => need.prompt,
+            "readers" => plan.helpers.len() + 1, "part_ms" => format!("{:.1}", plan.part_ms),
+            "waited_ms" => (self.parts.clock.now() - need.arrived).as_millis() as u64);
+        let pick = Pick {
+            fleet: self.clone(),
+            service: service.clone(),
+            endpoint,
+            key: plan.first,
+            helpers: helpers.collect(),
+            job: Some(plan.job),
+        };
+        self.tell(Event::Sent(service.name.clone(), plan));
+        Ok(pick)
+    }
+
+    fn tell(&self, event: Event) {
+        if let Some(teller) = &self.parts.teller {
+            teller.tell(event);
+        }
+    }
+
+    fn find(&self, name: &ServiceName) -> Option<Arc<Service>> {
+        self.services.read().get(name).cloned()
+    }
+}
+
+impl Pick {
+    /// The first token has come.
+    pub fn began(&self) {
+        let Some(job) = self.job else {
+            return;
+        };
+        let now = self.fleet.parts.clock.now();
+        if let Policy::Engines(planner) = &mut self.service.state.lock().policy {
+            planner.began(now, job);
+        }
+        self.service.changed.notify_waiters();
+        self.fleet
+            .tell(Event::Began(self.service.name.clone(), job));
+    }
+
+    /// The endpoint has answered well, and may have told how much it has to do.
+    pub fn succeeded(&self, load: Option<u32>) {
+        let now = self.fleet.parts.clock.now();
+        match &mut self.service.state.lock().policy {
+            Policy::Engines(planner) => planner.succeeded(self.key),
+            Policy::Plain(balancer) => balancer.succeeded(now, self.key, load),
+        }
+    }
+
+    /// The endpoint has failed.
+    pub fn failed(&self, failure: Failure) {
+        let now = self.fleet.parts.clock.now();
+        let is_ejected = match &mut self.service.state.lock().policy {
+            Policy::Engines(planner) => planner.failed(now, self.key, failure),
+            Policy::Plain(balancer) => balancer.failed(now, self.key, failure),
+        };
+        if is_ejected {
+            warn!(self.fleet.parts.logger, "endpoint_ejected"; "event" => "endpoint_ejected",
+                "endpoint" => self.endpoint.id.as_str(), "failure" => ?failure);
+        }
+    }
+
+    /// Another endpoint answers at the address.
+    pub fn displaced(&self) {
+        self.fleet.parts.endpoints.displaced(&self.endpoint);
+        self.fleet.refresh_service(&self.service);
+    }
+}
+
+impl Drop for Pick {
+    fn drop(&mut self) {
+        let now = self.fleet.parts.clock.now();
+        match (&mut self.service.state.lock().policy, self.job) {
+            (Policy::Engines(planner), Some(job)) => planner.ended(now, job),
+            (Policy::Plain(balancer), _) => balancer.ended(self.key),
+            (Policy::Engines(_), None) => {}
+        }
+        self.service.changed.notify_waiters();
+        if let Some(job) = self.job {
+            self.fleet
+                .tell(Event::Ended(self.service.name.clone(), job));
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -0,0 +1,261 @@
+//! The other hosts: who they are, and when they were last heard.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatdrum_consensus::Member as ReplicaMember;
+use kumquatdrum_peer::Client;
+use kumquatdrum_process::clock::Clock;
+use kumquatdrum_types::{HostId, Moment};
+use parking_lot::Mutex;
+use slog::info;
+
+use crate::message::{Host, Sighting};
+
+/// A host that was not heard for so long counts as lost: four rounds of greetings.
+pub const LOST: Duration = Duration::from_secs(2);
+/// A host that was not heard for so long is not greeted any more, nor counted.
+const FORGOTTEN: Duration = Duration::from_secs(20);
+
+/// The other hosts, and this one.
+pub struct Hosts {
+    clock: Clock,
+    client: Arc<Client>,
+    peer_port: u16,
+    state: Mutex<State>,
+    logger: slog::Logger,
+}
+
+struct State {
+    local: Host,
+    seeds: Vec<HostId>,
+    others: IndexMap<HostId, Seen>,
+}
+
+struct Seen {
+    host: Host,
+    heard: Moment,
+    is_lost: bool,
+}
+
+impl Hosts {
+    /// Knows this host and the seeds.
+    pub fn new(
+        clock: Clock,
+        client: Arc<Client>,
+        peer_port: u16,
+        local: Host,
+        logger: slog::Logger,
+    ) -> Self {
+        let state = State {
+            local,
+            seeds: Vec::new(),
+            others: IndexMap::new(),
+        };
+        Self {
+            clock,
+            client,
+            peer_port,
+            state: Mutex::new(state),
+            logger,
+        }
+    }
+
+    /// The seeds, as the settings name them now.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let seeds = seeds.iter().map(|seed| HostId::new(seed.ip().to_string()));
+        let seeds: Vec<HostId> = seeds.collect();
+        for seed in &seeds {
+            self.reach(seed);
+        }
+        self.state.lock().seeds = seeds;
+    }
+
+    /// This host, as it tells of itself.
+    pub fn local(&self) -> Host {
+        self.state.lock().local.clone()
+    }
+
+    /// This host's replica has a new identity.
+    pub fn set_replica(&self, replica: Option<ReplicaMember>) {
+        self.state.lock().local.replica = replica;
+    }
+
+    /// This host is about to stop.
+    pub fn set_stopping(&self) {
+        self.state.lock().local.stopping = true;
+    }
+
+    /// A host has spoken to this one.
+    pub fn heard(&self, host: Host) {
+        self.sighted(host, Duration::ZERO);
+    }
+
+    /// Another host tells whom it has heard.
+    pub fn merge(&self, sightings: Vec<Sighting>) {
+        for sighting in sightings {
+            self.sighted(sighting.host, Duration::from_millis(sighting.age_ms));
+        }
+    }
+
+    fn sighted(&self, host: Host, age: Duration) {
+        let now = self.clock.now();
+        let heard = Moment {
+            micros: now.micros.saturating_sub(age.as_micros() as u64),
+        };
+        let mut state = self.state.lock();
+        if host.id == state.local.id || age > FORGOTTEN {
+            return;
+        }
+        let id = host.id.clone();
+        match state.others.get_mut(&id) {
+            Some(seen) if host.boot < seen.host.boot => {}
+            Some(seen) => {
+                let is_newer = heard > seen.heard;
+                if is_newer {
+                    seen.host = host;
+                    seen.heard = heard;
+                }
+                if seen.is_lost && now - seen.heard <= LOST {
+                    seen.is_lost = false;
+                    info!(self.logger, "host_back"; "event" => "host_back", "peer" => id.as_str());
+                }
+            }
+            None => {
+                info!(self.logger, "host_known"; "event" => "host_known", "peer" => id.as_str(),
+                    "data_centre" => host.data_centre.as_str(), "callers" => host.callers,
+                    "control" => host.control, "boot" => host.boot);
+                let is_lost = false;
+                let seen = Seen {
+                    host,
+                    heard,
+                    is_lost,
+                };
+                state.others.insert(id.clone(), seen);
+                self.reach(&id);
+            }
+        }
+    }
+
+    /// Notes who has fallen silent, and forgets who has been for long.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        for (id, seen) in &mut state.others {
+            let age = now - seen.heard;
+            if !seen.is_lost && age > LOST {
+                seen.is_lost = true;
+                info!(self.logger, "host_lost"; "event" => "host_lost", "peer" => id.as_str(),
+                    "silent_ms" => age.as_millis() as u64);
+            }
+        }
+        let State { seeds, others, .. } = &mut *state;
+        others.retain(|id, seen| {
+            let is_kept = now - seen.heard <= FORGOTTEN;
+            if !is_kept && !seeds.contains(id) {
+                self.client.remove(id);
+            }
+            is_kept
+        });
+    }
+
+    /// Whom to greet: all control hosts that are known, and the seeds.
+    pub fn greeted(&self) -> Vec<HostId> {
+        let state = self.state.lock();
+        let known = state.others.values().filter(|seen| seen.host.control);
+        let known = known.map(|seen| seen.host.id.clone());
+        let mut greeted: Vec<HostId> = known.collect();
+        for seed in &state.seeds {
+            if *seed != state.local.id && !greeted.contains(seed) {
+                greeted.push(seed.clone());
+            }
+        }
+        greeted
+    }
+
+    /// Control hosts that were heard lately, the nearest first; this one is not among them.
+    pub fn control(&self) -> Vec<HostId> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let mut hosts: Vec<(bool, HostId)> = state
+            .others
+            .values()
+            .filter(|seen| seen.host.control && now - seen.heard <= LOST)
+            .map(|seen| {
+                let is_far = seen.host.data_centre != state.local.data_centre;
+                (is_far, seen.host.id.clone())
+            })
+            .collect();
+        hosts.sort();
+        hosts.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// All hosts that were heard lately, without this one.
+    pub fn live(&self) -> Vec<Host> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let live = state.others.values();
+        let live = live.filter(|seen| now - seen.heard <= LOST);
+        live.map(|seen| seen.host.clone()).collect()
+    }
+
+    /// All hosts that are known, with their ages, this one first.
+    pub fn sightings(&self) -> Vec<Sighting> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let local = Sighting {
+            host: state.local.clone(),
+            age_ms: 0,
+        };
+        let others = state.others.values().map(|seen| Sighting {
+            host: seen.host.clone(),
+            age_ms: (now - seen.heard).as_millis() as u64,
+        });
+        std::iter::once(local).chain(others).collect()
+    }
+
+    /// Hosts that take callers, this one included. Those that are silent for less than a minute
+    /// count, as they may still serve.
+    pub fn caller_hosts(&self) -> usize {
+        let state = self.state.lock();
+        let others = state.others.values().filter(|seen| seen.host.callers);
+        others.count() + usize::from(state.local.callers)
+    }
+
+    /// Where to tell hosts that take callers of dispatches.
+    pub fn told(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let others = state.others.values();
+        let others = others.filter(|seen| seen.host.callers && now - seen.heard <= FORGOTTEN);
+        let address = |seen: &Seen| {
+            let ip: IpAddr = seen.host.id.as_str().parse().ok()?;
+            Some(SocketAddr::new(ip, self.peer_port + 1))
+        };
+        others.filter_map(address).collect()
+    }
+
+    /// Whether a majority of the control hosts was heard lately.
+    pub fn hears_majority(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let control = state.others.values().filter(|seen| seen.host.control);
+        let (mut known, mut heard) = (0, 0);
+        for seen in control {
+            known += 1;
+            heard += usize::from(now - seen.heard <= LOST);
+        }
+        let own = usize::from(state.local.control);
+        let known = (known + own).max(state.seeds.len());
+        (heard + own) * 2 > known
+    }
+
+    fn reach(&self, id: &HostId) {
+        if let Ok(ip) = id.as_str().parse::<IpAddr>() {
+            let address = SocketAddr::new(ip, self.peer_port);
+            self.client.set_address(id, address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -0,0 +1,109 @@
+//! What hosts say to each other.
+
+use kumquatdrum_consensus::Member as ReplicaMember;
+use kumquatdrum_placement::{JobId, Plan};
+use kumquatdrum_registry::Update;
+use kumquatdrum_routes::Record;
+use kumquatdrum_types::{DataCentre, HostId, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// A host, as it tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Its name, which is its address.
+    pub id: HostId,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// When it started, in Unix milliseconds.
+    pub boot: u64,
+    /// It takes callers.
+    pub callers: bool,
+    /// It takes operators and endpoints.
+    pub control: bool,
+    /// Its replica.
+    pub replica: Option<ReplicaMember>,
+    /// It is about to stop.
+    pub stopping: bool,
+}
+
+/// A host that another host knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The host.
+    pub host: Host,
+    /// How long ago it was heard.
+    pub age_ms: u64,
+}
+
+/// A question that is answered at once.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Question {
+    /// Here I am, and this is the revision that I go by.
+    Hello {
+        /// Who asks.
+        host: Host,
+        /// What it goes by.
+        revision: u64,
+        /// It knows no endpoints yet.
+        is_new: bool,
+    },
+    /// Take what I know of endpoints, and say so.
+    Endpoints(Vec<Update>),
+    /// Commit this record. Only the leader does.
+    Apply(Record),
+    /// What is in force? Only the leader tells.
+    Read,
+}
+
+/// The answer to a question.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Answer {
+    /// To `Hello`.
+    Welcome {
+        /// Who answers.
+        host: Host,
+        /// All hosts that it knows.
+        hosts: Vec<Sighting>,
+        /// What it goes by.
+        revision: u64,
+        /// What it knows of endpoints, for a host that knows none.
+        endpoints: Vec<Update>,
+    },
+    /// Taken.
+    Taken,
+    /// Committed, or overtaken already.
+    Applied,
+    /// What is in force, confirmed by a majority.
+    Current(Option<Record>),
+    /// This replica does not lead; perhaps that one does.
+    NotLeader(Option<HostId>),
+    /// Can't be told now.
+    Unavailable,
+}
+
+/// What is told without an answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Notice {
+    /// A committed record.
+    Record(Record),
+    /// What is known of endpoints.
+    Endpoints(Vec<Update>),
+}
+
+/// A datagram between hosts that take callers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Datagram {
+    /// What has happened.
+    pub events: Vec<Event>,
+}
+
+/// What has happened to a job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Event {
+    /// It was sent.
+    Sent(ServiceName, Plan),
+    /// Its first token has come.
+    Began(ServiceName, JobId),
+    /// It has ended.
+    Ended(ServiceName, JobId),
+}
--- a/crates/kumquatdrum_host/src/canceller.rs
+++ b/crates/kumquatdrum_host/src/canceller.rs
@@ -5,14 +5,14 @@
 
 use kumquatdrum_daemon::held::{Cancel, Held};
 use kumquatdrum_engine::Engine;
-use kumquatdrum_platform::Metrics;
+use kumquatdrum_process::Metrics;
 use kumquatdrum_types::exchange::Target;
 use kumquatdrum_types::{AttemptId, BootId, EndpointId};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use crate::clock::Clock;
+use kumquatdrum_process::clock::Clock;
 
 const ROUND: Duration = Duration::from_millis(100);
 
--- a/crates/kumquatdrum_host/src/control.rs
+++ b/crates/kumquatdrum_host/src/control.rs
@@ -5,9 +5,7 @@
 mod machine;
 mod question;
 mod reply;
-mod writer;
 
 pub use link::Link;
 pub use machine::{Event, Handle, Machine, Parts};
 pub use question::{Answer, Question};
-pub use writer::Writer;
--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -9,9 +9,10 @@
     Input, LogIndex, Message, Node, Output, Proposal, ProposalOutcome, ReplicaId, RoleName, Status,
     Token,
 };
+use kumquatdrum_disk::{Error as DiskError, Writer};
 use kumquatdrum_orders::Leadership;
 use kumquatdrum_peer::{Channel, Client};
-use kumquatdrum_platform::Metrics;
+use kumquatdrum_process::Metrics;
 use kumquatdrum_setup::state::Prepared;
 use kumquatdrum_setup::{
     Action, Answer as Applied, Claim, Command, Failure, Settlement, Stamper, Standing, State,
@@ -22,9 +23,9 @@
 
 use super::question::Outcome;
 use super::reply::{Waiting, answered, batch, tell};
-use super::{Answer, Question, Writer};
-use crate::clock::{Clock, unix_ms};
+use super::{Answer, Question};
 use crate::members::Members;
+use kumquatdrum_process::clock::{Clock, unix_ms};
 
 /// How often the spread is told of a majority.
 const MAJORITY_INTERVAL: Duration = Duration::from_millis(200);
@@ -48,6 +49,15 @@
     PersistFailed(String),
 }
 
+impl From<Result<u64, DiskError>> for Event {
+    fn from(written: Result<u64, DiskError>) -> Self {
+        match written {
+            Ok(sequence) => Self::Persisted(sequence),
+            Err(error) => Self::PersistFailed(error.to_string()),
+        }
+    }
+}
+
 /// The way to a running replica.
 #[derive(Debug, Clone)]
 pub struct Handle {
--- a/crates/kumquatdrum_host/src/fleet.rs
+++ b/crates/kumquatdrum_host/src/fleet.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
-use crate::clock::Clock;
+use kumquatdrum_process::clock::Clock;
 
 /// Shards; services spread over them by their names.
 const SHARDS: usize = 16;
--- a/crates/kumquatdrum_host/src/frontend.rs
+++ b/crates/kumquatdrum_host/src/frontend.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_daemon::admission;
 use kumquatdrum_daemon::flight::Plan;
 use kumquatdrum_declaration::{Index, Service, Workspace};
-use kumquatdrum_platform::sockets::Connections;
+use kumquatdrum_process::sockets::Connections;
 use kumquatdrum_routing as routing;
 use kumquatdrum_setup::{Claim, Digest};
 use kumquatdrum_types::{AttemptId, IdempotencyKey, Refusal, RequestId, WorkspaceName};
--- a/crates/kumquatdrum_host/src/gangs.rs
+++ b/crates/kumquatdrum_host/src/gangs.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 
-use crate::clock::Clock;
+use kumquatdrum_process::clock::Clock;
 
 const LONGEST_SLEEP: Duration = Duration::from_millis(500);
 
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -7,11 +7,11 @@
 
 use kumquatdrum_consensus::{Incarnation, Node};
 use kumquatdrum_daemon::body::Budget;
-use kumquatdrum_disk::Store as _;
+use kumquatdrum_disk::{Report, Store as _, Writer};
 use kumquatdrum_membership::Member;
 use kumquatdrum_operator::{Context, Operators};
 use kumquatdrum_peer::{Client, Counters, Local};
-use kumquatdrum_platform::{Metrics, face};
+use kumquatdrum_process::{Metrics, face};
 use kumquatdrum_setup::Control;
 use kumquatdrum_types::{BootId, HostId};
 use slog::{error, info};
@@ -22,8 +22,7 @@
 
 use crate::announce;
 use crate::caches;
-use crate::clock::Clock;
-use crate::control::{Event, Handle, Link, Machine, Parts, Writer};
+use crate::control::{Event, Handle, Link, Machine, Parts};
 use crate::frontend::Frontend;
 use crate::gauges;
 use crate::in_force::Store;
@@ -32,10 +31,11 @@
 use crate::orphans;
 use crate::peers::Inbox;
 use crate::quota::{self, Quota};
-use crate::random;
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::web::{self, Web};
+use kumquatdrum_process::clock::Clock;
+use kumquatdrum_process::random;
 
 mod base;
 
@@ -435,9 +435,10 @@
     let mut node = kumquatdrum_consensus::Settings::new(member);
     node.initial.clone_from(&settings.replicas);
     let (handle, events, received) = Handle::new();
+    let report: Report = Box::new(move |written| events.send(Event::from(written)).is_ok());
     let parts = Parts {
         node: Node::new(node, stored, clock.now(), random::number()),
-        writer: Writer::start(Box::new(store), events).map_err(|error| disk(&error))?,
+        writer: Writer::start(Box::new(store), report).map_err(|error| disk(&error))?,
         client: client.clone(),
         members: members.clone(),
         clock,
--- a/crates/kumquatdrum_host/src/host/base.rs
+++ b/crates/kumquatdrum_host/src/host/base.rs
@@ -3,18 +3,18 @@
 use std::sync::Arc;
 
 use kumquatdrum_peer::{Client, Counters, Identity, Local, Secret};
-use kumquatdrum_platform::{Drain, Metrics};
+use kumquatdrum_process::{Drain, Metrics};
 use kumquatdrum_types::BootId;
 use slog::o;
 
 use super::StartError;
 use crate::canceller::Canceller;
-use crate::clock::{Clock, unix_ms};
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::in_force::Store;
 use crate::members;
 use crate::settings::Settings;
+use kumquatdrum_process::clock::{Clock, unix_ms};
 
 /// The parts that need no running task.
 pub(super) struct Base {
--- a/crates/kumquatdrum_host/src/lib.rs
+++ b/crates/kumquatdrum_host/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod announce;
 pub mod caches;
 pub mod canceller;
-pub mod clock;
 pub mod control;
 pub mod embedded;
 pub mod fleet;
@@ -19,7 +18,6 @@
 pub mod peers;
 pub mod problem;
 pub mod quota;
-pub mod random;
 pub mod request;
 pub mod settings;
 pub mod shell;
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_membership::spread::{self, Setup, Spread};
 use kumquatdrum_membership::{Change, Condition, Input, Member, Membership, Output, timing};
 use kumquatdrum_peer::{Channel, Client, Identity};
-use kumquatdrum_platform::{Drain, Metrics};
+use kumquatdrum_process::{Drain, Metrics};
 use kumquatdrum_routing::Health;
 use kumquatdrum_setup::control::Condition as Shown;
 use kumquatdrum_setup::in_force::Offer;
@@ -23,10 +23,10 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::canceller::Canceller;
-use crate::clock::{Clock, unix_ms};
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::in_force::Store;
+use kumquatdrum_process::clock::{Clock, unix_ms};
 
 mod report;
 
--- a/crates/kumquatdrum_host/src/quota.rs
+++ b/crates/kumquatdrum_host/src/quota.rs
@@ -12,9 +12,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::clock::Clock;
 use crate::in_force::{Current, Store};
 use crate::members::Members;
+use kumquatdrum_process::clock::Clock;
 
 /// Stewards are chosen among so many hosts, so that demands travel together. Which hosts these are
 /// may differ from view to view, as the set of live hosts may.
--- a/crates/kumquatdrum_host/src/request/order.rs
+++ b/crates/kumquatdrum_host/src/request/order.rs
@@ -3,7 +3,7 @@
 use kumquatdrum_caller::admission::Ask;
 use kumquatdrum_daemon::body::Hold;
 use kumquatdrum_daemon::flight::Plan;
-use kumquatdrum_platform::drain::Work;
+use kumquatdrum_process::drain::Work;
 use kumquatdrum_routing as routing;
 use kumquatdrum_types::{RequestId, ServiceName, WorkspaceName};
 
--- a/crates/kumquatdrum_host/src/shell.rs
+++ b/crates/kumquatdrum_host/src/shell.rs
@@ -5,7 +5,7 @@
 
 use kumquatdrum_daemon::body::Budget;
 use kumquatdrum_engine::Engine;
-use kumquatdrum_platform::{Drain, Metrics};
+use kumquatdrum_process::{Drain, Metrics};
 use kumquatdrum_service::Plain;
 use kumquatdrum_setup::Control;
 use kumquatdrum_types::exchange::Target;
@@ -13,13 +13,13 @@
 use tokio_util::task::TaskTracker;
 
 use crate::canceller::Canceller;
-use crate::clock::Clock;
 use crate::fleet::Fleet;
 use crate::gangs::Gangs;
 use crate::in_force::Store;
 use crate::members::Members;
 use crate::quota::Quota;
 use crate::settings::Settings;
+use kumquatdrum_process::clock::Clock;
 
 /// One host's shared parts.
 pub struct Shell {
--- /dev/null
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -0,0 +1,84 @@
+//! A prompt to be placed, and its place.
+
+use std::time::Duration;
+
+use kumquatdrum_types::{EndpointId, Moment};
+use serde::{Deserialize, Serialize};
+
+/// A request that runs on engines, over all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId {
+    /// The number of the host that dispatches it.
+    pub host: u32,
+    /// Counts the host's dispatches.
+    pub number: u64,
+}
+
+/// A short stand-in for an endpoint's name and incarnation, the same on every host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EndpointKey(pub u64);
+
+impl EndpointKey {
+    /// FNV-1a over the name and the incarnation.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::EndpointKey;
+    ///
+    /// let (first, again) = (EndpointKey::of(&"e".into(), 1), EndpointKey::of(&"e".into(), 2));
+    /// assert_ne!(first, again);
+    /// ```
+    pub fn of(id: &EndpointId, incarnation: u64) -> Self {
+        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0100_0000_01b3;
+        let bytes = id.as_str().bytes().chain(incarnation.to_le_bytes());
+        Self(bytes.fold(OFFSET, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+        }))
+    }
+}
+
+/// A prompt to be placed.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Its name.
+    pub id: JobId,
+    /// Tokens to be read.
+    pub prompt: u64,
+    /// Tokens to be written, as far as they are known.
+    pub answer: u64,
+    /// The longest pause in its answer that its caller bears.
+    pub pause: Duration,
+    /// When its caller came.
+    pub arrived: Moment,
+    /// When its first token is on time.
+    pub due: Moment,
+    /// When its caller gives up.
+    pub deadline: Moment,
+    /// Endpoints that have failed it.
+    pub spared: Vec<EndpointKey>,
+}
+
+/// Where a job is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The job.
+    pub job: JobId,
+    /// The engine that gets the request, reads its part and writes the answer.
+    pub first: EndpointKey,
+    /// The engines that read the other parts.
+    pub helpers: Vec<EndpointKey>,
+    /// What one part costs its engine, in milliseconds of reading.
+    pub part_ms: f32,
+    /// Tokens of memory at the first engine.
+    pub tokens: u32,
+    /// The longest pause that the job's caller bears, in milliseconds.
+    pub pause_ms: u32,
+}
+
+impl Plan {
+    /// All engines that read.
+    pub fn readers(&self) -> impl Iterator<Item = EndpointKey> + '_ {
+        std::iter::once(self.first).chain(self.helpers.iter().copied())
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -0,0 +1,22 @@
+//! Core: where requests go, without clock or network.
+//!
+//! - [`Planner`] places prompts on model engines: it keeps what every host has told of its
+//!   dispatches, estimates when an engine has read what it holds, and weighs how many engines
+//!   share the reading of a long prompt.
+//! - [`Balancer`] spreads requests over the endpoints of a plain service.
+//! - [`Health`] tells from answers alone which endpoints to spare.
+//! - [`Budget`] keeps a host's share of the retries that all hosts may make together.
+
+mod balancer;
+mod budget;
+mod cost;
+mod health;
+mod job;
+mod planner;
+
+pub use balancer::Balancer;
+pub use budget::Budget;
+pub use cost::Cost;
+pub use health::{Failure, Health};
+pub use job::{EndpointKey, Job, JobId, Plan};
+pub use planner::{Decision, Planner};
--- a/crates/kumquatdrum_platform/src/drain.rs
+++ b/crates/kumquatdrum_process/src/drain.rs
@@ -8,7 +8,7 @@
 /// What one process knows of its own shutdown.
 ///
 /// ```
-/// let drain = kumquatdrum_platform::Drain::default();
+/// let drain = kumquatdrum_process::Drain::default();
 /// assert!(!drain.is_ready(), "not before the first declaration is known");
 /// drain.set_ready(true);
 /// assert!(drain.is_ready());
--- a/crates/kumquatdrum_platform/src/lib.rs
+++ b/crates/kumquatdrum_process/src/lib.rs
@@ -1,8 +1,10 @@
-//! The platform: health, signals, metrics and draining.
+//! The process: clock, health, signals, metrics and draining.
 
+pub mod clock;
 pub mod drain;
 pub mod face;
 pub mod metrics;
+pub mod random;
 pub mod signal;
 pub mod sockets;
 
--- a/crates/kumquatdrum_platform/src/metrics.rs
+++ b/crates/kumquatdrum_process/src/metrics.rs
@@ -91,7 +91,7 @@
     /// All metrics at zero.
     ///
     /// ```
-    /// let metrics = kumquatdrum_platform::Metrics::new().unwrap();
+    /// let metrics = kumquatdrum_process::Metrics::new().unwrap();
     /// metrics.admitted.inc();
     /// assert!(metrics.text().contains("kumquatdrum_requests_admitted_total 1"));
     /// ```
--- a/crates/kumquatdrum_host/src/random.rs
+++ b/crates/kumquatdrum_process/src/random.rs
@@ -5,7 +5,7 @@
 /// A number drawn from the operating system's randomness.
 ///
 /// ```
-/// use kumquatdrum_host::random;
+/// use kumquatdrum_process::random;
 /// assert_ne!(random::number(), random::number());
 /// ```
 pub fn number() -> u64 {
--- a/crates/kumquatdrum_platform/src/sockets.rs
+++ b/crates/kumquatdrum_process/src/sockets.rs
@@ -59,9 +59,9 @@
 ///
 /// ```
 /// let line = "0: 0100007F:1BBC 0100007F:D431 01 00000000:00000000 00:00000000 00000000 0 0 1";
-/// let remote = kumquatdrum_platform::sockets::remote(line, 7100).unwrap();
+/// let remote = kumquatdrum_process::sockets::remote(line, 7100).unwrap();
 /// assert_eq!(remote.to_string(), "127.0.0.1:54321");
-/// assert!(kumquatdrum_platform::sockets::remote(line, 7200).is_none());
+/// assert!(kumquatdrum_process::sockets::remote(line, 7200).is_none());
 /// ```
 pub fn remote(line: &str, port: u16) -> Option<SocketAddr> {
     let mut fields = line.split_ascii_whitespace().skip(1);
