--- a/crates/kumquatdrum/src/gateway.rs
+++ b/crates/kumquatdrum/src/gateway.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use kumquatdrum_gateway::{Gateway, Settings, settings};
+use kumquatdrum_gateway::{File, Gateway, Settings, settings};
 use kumquatdrum_operator::Exit;
 use kumquatdrum_platform::Platform;
 use slog::{Level, Logger, error};
@@ -42,7 +42,17 @@
 async fn serve(settings: Settings, file: &Path) -> Exit {
     let (logger, _guard) = logging::start(Level::Info, std::io::stdout());
     let stop = stopped(logger.clone());
-    let file = Some(file.to_owned());
+    let changed = match kumquatdrum_process::signal::reload() {
+        Ok(changed) => changed,
+        Err(reason) => {
+            error!(logger, "no_signals"; "event" => "no_signals", "reason" => %reason);
+            return Exit::Unknown;
+        }
+    };
+    let file = Some(File {
+        path: file.to_owned(),
+        changed,
+    });
     match Gateway::run(settings, file, Arc::new(Platform), &logger, stop).await {
         Ok(()) => Exit::Done,
         Err(reason) => {
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use parking_lot::Mutex;
 use slog::{error, info, o};
 use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout};
@@ -68,6 +69,15 @@
     Metrics(#[from] prometheus::Error),
 }
 
+/// The settings file, and the signal that says that it has changed.
+#[derive(Debug)]
+pub struct File {
+    /// Where it is.
+    pub path: PathBuf,
+    /// The signal.
+    pub changed: Signal,
+}
+
 /// One gateway host.
 pub struct Gateway {
     pub(crate) protocol: Arc<dyn Protocol>,
@@ -91,7 +101,7 @@
     /// Runs a host until `stop` resolves, then shuts it down gracefully.
     pub async fn run(
         settings: Settings,
-        file: Option<PathBuf>,
+        file: Option<File>,
         protocol: Arc<dyn Protocol>,
         logger: &slog::Logger,
         stop: impl Future<Output = ()>,
@@ -531,12 +541,17 @@
 }
 
 /// Looks for new seeds in the settings file; nothing else in it changes while a host runs.
-async fn reload(gateway: Arc<Gateway>, file: PathBuf) {
+async fn reload(gateway: Arc<Gateway>, mut file: File) {
     let mut known = gateway.settings.seeds.clone();
     let mut rounds = interval(RELOAD);
     loop {
-        rounds.tick().await;
-        let text = match tokio::fs::read_to_string(&file).await {
+        tokio::select! {
+            _ = rounds.tick() => {}
+            Some(()) = file.changed.recv() => {
+                info!(gateway.logger, "reload_asked"; "event" => "reload_asked");
+            }
+        }
+        let text = match std::fs::read_to_string(&file.path) {
             Ok(text) => text,
             Err(error) => {
                 error!(gateway.logger, "settings_unreadable"; "event" => "settings_unreadable",
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -27,6 +27,6 @@
 pub mod tell;
 pub mod upstream;
 
-pub use gateway::{Gateway, StartError};
+pub use gateway::{File, Gateway, StartError};
 pub use protocol::Protocol;
 pub use settings::Settings;
--- a/crates/kumquatdrum_process/src/signal.rs
+++ b/crates/kumquatdrum_process/src/signal.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Waits for SIGTERM or SIGINT.
 pub async fn stop() -> io::Result<&'static str> {
@@ -13,3 +13,9 @@
         _ = interrupt.recv() => Ok("SIGINT"),
     }
 }
+
+/// The signal that says that the settings file has changed. From here on it doesn't end the
+/// process.
+pub fn reload() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
