--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::Call;
 use crate::fleet::Pick;
-use crate::protocol::{Note, Reply};
+use crate::protocol::{Helper, Note, Reply};
 use crate::upstream::{self, Exchange};
 
 /// Headers that concern one connection alone (RFC 9110, 7.6.1), beside those that `Connection`
@@ -135,11 +135,12 @@
         strip(headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
+        let helpers: Vec<Helper> = pick.readers.iter().map(|reader| reader.helper.clone()).collect();
         let note = Note {
             workspace: self.workspace.as_ref(),
             endpoint: &pick.endpoint.id,
             patience: self.ask.patience.map(|_| self.left()),
-            helpers: &pick.helpers,
+            helpers: &helpers,
             urgency: None,
             after_event,
         };
--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -20,6 +20,7 @@
 use crate::body::{self, Body};
 use crate::event::{Events, Splitter};
 use crate::fleet::Pick;
+use crate::reservation::Reservation;
 use crate::upstream::Exchange;
 
 /// How many of the caller's longest pauses an endpoint may be silent for, within a stream.
@@ -35,6 +36,7 @@
 
 struct Flow {
     pick: Option<Pick>,
+    reservations: Vec<Reservation>,
     exchange: Option<Exchange>,
     splitter: Splitter,
     waiting: VecDeque<Bytes>,
@@ -54,12 +56,14 @@
 pub(super) async fn begin(
     call: &Call,
     pick: Pick,
+    reservations: Vec<Reservation>,
     exchange: Exchange,
     tries: &mut Tries,
 ) -> Result<Begun, (Pick, String)> {
     let headers = answer_headers(exchange.response.headers());
     let mut flow = Flow {
         pick: Some(pick),
+        reservations,
         exchange: Some(exchange),
         splitter: Splitter::default(),
         waiting: VecDeque::new(),
@@ -125,6 +129,7 @@
                 Next::End => {
                     call.log_end("streamed", "whole", &self.tries);
                     self.exchange = None;
+                    self.reservations.clear();
                     self.pick = None;
                 }
                 Next::TimedOut if Instant::now() >= call.until() => {
@@ -184,6 +189,7 @@
             self.tries.spare(pick.key);
         }
         self.exchange = None;
+        self.reservations.clear();
         self.splitter = Splitter::default();
         let is_allowed = call.route.kind.is_idempotent()
             && self.tries.sent < call.route.max_attempts
@@ -198,11 +204,17 @@
             call.log_end("cut", &problem.to_string(), &self.tries);
             body::Error::from(problem)
         })?;
+        let reservations = call.reserve(&pick, &mut self.tries).await;
+        let Some(reservations) = reservations else {
+            call.log_end("cut", "no memory to resume", &self.tries);
+            return Err("no memory to resume".into());
+        };
         self.tries.sent += 1;
         match call.attempt(&pick, self.last).await {
             Outcome::Stream(exchange) => {
                 self.exchange = Some(*exchange);
                 self.pick = Some(pick);
+                self.reservations = reservations;
                 Ok(())
             }
             _ => {
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::join_all;
 use http::Response;
 use kumquatdrum_placement::EndpointKey;
 use kumquatdrum_process::drain::Work;
@@ -16,6 +17,7 @@
 use crate::body::{self, Body};
 use crate::fleet::{Need, Pick, Unplaced};
 use crate::problem::{Problem, seconds};
+use crate::reservation::{self, Reservation};
 
 /// When to come back where no endpoint is known: a few announcements later.
 const NOBODY: Duration = Duration::from_millis(1_000);
@@ -49,11 +51,15 @@
             Ok(pick) => pick,
             Err(problem) => return call.give_up(&mut tries, problem),
         };
+        let reservations = match call.reserve(&pick, &mut tries).await {
+            Some(reservations) => reservations,
+            None => continue,
+        };
         let outcome = call.attempt(&pick, None).await;
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
                 tries.sent += 1;
-                match flow::begin(&call, pick, *exchange, &mut tries).await {
+                match flow::begin(&call, pick, reservations, *exchange, &mut tries).await {
                     Ok(begun) => return begun.response(call, work),
                     Err((pick, reason)) => {
                         call.log_attempt(&pick, "broken", &reason);
@@ -108,6 +114,38 @@
         })
     }
 
+    /// Sets memory aside at the engines that have to hold a part; nothing where one of them can't.
+    pub(super) async fn reserve(
+        &self,
+        pick: &Pick,
+        tries: &mut Tries,
+    ) -> Option<Vec<Reservation>> {
+        let holders = pick.readers.iter();
+        let holders = holders.filter_map(|reader| {
+            let name = reader.helper.reservation.clone()?;
+            Some((reader, name))
+        });
+        let reserved = holders.map(|(reader, name)| async move {
+            let address = reader.helper.address;
+            let tokens = reader.reserved;
+            let reserved =
+                reservation::reserve(&self.gateway, &reader.endpoint, address, name, tokens);
+            reserved.await.map_err(|_| reader.key)
+        });
+        let mut held = Vec::new();
+        let mut is_whole = true;
+        for reserved in join_all(reserved).await {
+            match reserved {
+                Ok(reservation) => held.push(reservation),
+                Err(key) => {
+                    is_whole = false;
+                    tries.spare(key);
+                }
+            }
+        }
+        is_whole.then_some(held)
+    }
+
     /// The final answer after an outcome, or nothing where another endpoint may be tried.
     fn settle(&self, tries: &mut Tries, outcome: Outcome) -> Option<Response<Body>> {
         let idempotent = self.route.kind.is_idempotent();
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
-use kumquatdrum_types::{Moment, ServiceName};
+use kumquatdrum_types::{EndpointId, Moment, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use slog::{info, warn};
 use tokio::sync::Notify;
@@ -29,6 +29,13 @@
 /// How often a request that waits asks again, where nothing has told it to.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
+/// The largest encoding of a plan without its parts, in bytes.
+const PLAN_BYTES: usize = 48;
+/// The largest encoding of a part, in bytes.
+const PART_BYTES: usize = 15;
+/// What a datagram holds beside a service's name.
+const BATCH_BYTES: usize = 1_200;
+
 /// What a fleet is made of.
 pub struct Parts {
     /// The host's clock.
@@ -109,6 +116,19 @@
     NoRoom,
 }
 
+/// An engine that reads a part for a picked one.
+#[derive(Debug, Clone)]
+pub struct Reader {
+    /// Its name.
+    pub endpoint: EndpointId,
+    /// Its key.
+    pub key: EndpointKey,
+    /// Tokens of its memory that have to be reserved.
+    pub reserved: u64,
+    /// How the picked endpoint is told of it.
+    pub helper: Helper,
+}
+
 /// A picked endpoint. Dropping it tells that the request has ended there.
 pub struct Pick {
     fleet: Arc<Fleet>,
@@ -118,7 +138,7 @@
     /// Its key.
     pub key: EndpointKey,
     /// Engines that read parts of the prompt.
-    pub helpers: Vec<Helper>,
+    pub readers: Vec<Reader>,
     job: Option<JobId>,
 }
 
@@ -221,7 +241,10 @@
     /// Takes what another host tells of its dispatches.
     pub fn take(&self, event: Event) {
         let now = self.parts.clock.now();
-        let (Event::Sent(name, _) | Event::Began(name, _) | Event::Ended(name, _)) = &event;
+        let (Event::Sent(name, _)
+        | Event::Began(name, _)
+        | Event::Ended(name, _)
+        | Event::Running(name, _)) = &event;
         let Some(service) = self.find(name) else {
             return;
         };
@@ -233,11 +256,31 @@
             Event::Sent(_, plan) => planner.sent(now, plan),
             Event::Began(_, job) => planner.began(now, job),
             Event::Ended(_, job) => planner.ended(now, job),
+            Event::Running(_, jobs) => {
+                for (plan, is_reading) in jobs {
+                    planner.running(now, plan, is_reading);
+                }
+            }
         }
         drop(state);
         service.changed.notify_waiters();
     }
 
+    /// Tells other hosts of all jobs under way here, for those that have missed some.
+    pub fn retell(&self) {
+        let now = self.parts.clock.now();
+        let services: Vec<Arc<Service>> = self.services.read().values().cloned().collect();
+        for service in services {
+            let jobs = match &mut service.state.lock().policy {
+                Policy::Engines(planner) => planner.jobs_of(now, self.parts.number),
+                Policy::Plain(_) => continue,
+            };
+            for jobs in batches(jobs) {
+                self.tell(Event::Running(service.name.clone(), jobs));
+            }
+        }
+    }
+
     /// Picks an endpoint, waiting for room until the deadline at most.
     pub async fn pick(self: &Arc<Self>, name: &ServiceName, need: &Need) -> Result<Pick, Unplaced> {
         let service = self.find(name).ok_or(Unplaced::Nobody)?;
@@ -294,7 +337,7 @@
                     service: service.clone(),
                     endpoint,
                     key,
-                    helpers: Vec::new(),
+                    readers: Vec::new(),
                     job: None,
                 })
             }
@@ -310,11 +353,19 @@
     ) -> Result<Pick, Unplaced> {
         let endpoint = state.directory.get(&plan.first).cloned();
         let endpoint = endpoint.ok_or(Unplaced::Nobody)?;
-        let helpers = plan.helpers.iter();
-        let helpers = helpers.filter_map(|key| state.directory.get(key));
-        let helpers = helpers.map(|helper| Helper {
-            address: helper.address,
-            reservation: None,
+        let helpers = plan.helpers.iter().enumerate();
+        let helpers = helpers.filter_map(|(place, part)| {
+            let helper = state.directory.get(&part.endpoint)?;
+            let name = || format!("{:x}-{:x}-{place}", plan.job.host, plan.job.number);
+            Some(Reader {
+                endpoint: helper.id.clone(),
+                key: part.endpoint,
+                reserved: u64::from(part.reserved),
+                helper: Helper {
+                    address: helper.address,
+                    reservation: (part.reserved > 0).then(name),
+                },
+            })
         });
         info!(self.parts.logger, "placed"; "event" => "placed", "request" => &need.request,
             "endpoint" => endpoint.id.as_str(), "prompt" => need.prompt,
@@ -325,7 +376,7 @@
             service: service.clone(),
             endpoint,
             key: plan.first,
-            helpers: helpers.collect(),
+            readers: helpers.collect(),
             job: Some(plan.job),
         };
         self.tell(Event::Sent(service.name.clone(), plan));
@@ -343,6 +394,26 @@
     }
 }
 
+/// Jobs in groups that fit a datagram each.
+fn batches(jobs: Vec<(Plan, bool)>) -> Vec<Vec<(Plan, bool)>> {
+    let mut batches = Vec::new();
+    let mut batch = Vec::new();
+    let mut bytes = 0;
+    for (plan, is_reading) in jobs {
+        let size = PLAN_BYTES + PART_BYTES * plan.helpers.len();
+        if bytes + size > BATCH_BYTES {
+            batches.push(std::mem::take(&mut batch));
+            bytes = 0;
+        }
+        bytes += size;
+        batch.push((plan, is_reading));
+    }
+    if !batch.is_empty() {
+        batches.push(batch);
+    }
+    batches
+}
+
 impl Pick {
     /// The first token has come.
     pub fn began(&self) {
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -39,6 +39,8 @@
 const GREETING_LIMIT: Duration = Duration::from_millis(1_200);
 /// How often a control host passes on what endpoints have said.
 const ROUND: Duration = Duration::from_millis(1_000);
+/// How often a host tells of all its jobs: one that starts knows them before it takes callers.
+const RETELLING: Duration = Duration::from_millis(500);
 /// How long a host that starts waits for a majority of the control hosts before it goes by what
 /// it was told by any.
 const CERTAINTY: Duration = Duration::from_secs(3);
@@ -51,6 +53,10 @@
 /// How long a leader gives its successor before it ends.
 const HANDOVER: Duration = Duration::from_millis(300);
 
+/// A reservation's lease, as a share of the time that memory may lie unused. The rest is for an
+/// order that is on its way while the lease ends.
+const RESERVATION: f64 = 0.8;
+
 /// Why a host did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -95,6 +101,7 @@
     settings: Settings,
     started: Moment,
     heard_majority: Mutex<bool>,
+    background: Mutex<JoinSet<()>>,
 }
 
 impl Gateway {
@@ -126,6 +133,18 @@
         current.map_or_else(Limits::default, |in_force| in_force.table.setup().limits)
     }
 
+    /// Runs something that outlives its request.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let mut background = self.background.lock();
+        while background.try_join_next().is_some() {}
+        background.spawn(task);
+    }
+
+    /// How long a reservation lasts that is not renewed.
+    pub(crate) fn reservation_time(&self) -> Duration {
+        Duration::from_millis(self.settings.unused_memory_ms).mul_f64(RESERVATION)
+    }
+
     /// Whether this host takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         let is_certain = *self.heard_majority.lock() || self.clock.now() - self.started > CERTAINTY;
@@ -307,6 +326,14 @@
         true
     }
 
+    async fn retell(self: Arc<Self>) {
+        let mut rounds = interval(RETELLING);
+        loop {
+            rounds.tick().await;
+            self.fleet.retell();
+        }
+    }
+
     async fn pass_on(self: Arc<Self>) {
         let mut rounds = interval(ROUND);
         loop {
@@ -397,6 +424,7 @@
         settings: settings.clone(),
         started: clock.now(),
         heard_majority: Mutex::new(false),
+        background: Mutex::default(),
     });
     let (phase, callers_phase) = watch::channel(Phase::Open);
     let (others_phase, others_open) = watch::channel(Phase::Open);
@@ -427,6 +455,7 @@
     }
     tasks.spawn(gateway.clone().greet());
     if let Some(teller) = gateway.teller.clone() {
+        tasks.spawn(gateway.clone().retell());
         let gateway = gateway.clone();
         tasks.spawn(async move { teller.listen(|event| gateway.fleet.take(event)).await });
     }
@@ -485,6 +514,9 @@
                     "under_way" => gateway.drain.under_way());
             }
         }
+        let mut background = std::mem::take(&mut *gateway.background.lock());
+        let released = async { while background.join_next().await.is_some() {} };
+        let _ = timeout(LAST_MOMENT, released).await;
         self.stopped.send_replace(true);
         self.others_phase.send_replace(Phase::Closing);
         self.callers.shutdown().await;
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod problem;
 pub mod protocol;
 pub mod replica;
+pub mod reservation;
 pub mod settings;
 pub mod sockets;
 pub mod tell;
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -106,4 +106,6 @@
     Began(ServiceName, JobId),
     /// It has ended.
     Ended(ServiceName, JobId),
+    /// These are under way, each with whether it is still read.
+    Running(ServiceName, Vec<(Plan, bool)>),
 }
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::{HeaderMap, Method, StatusCode};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::Full;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::Setup;
 use kumquatdrum_types::{EndpointId, Finding, Load, WorkspaceName};
@@ -79,6 +81,17 @@
     pub load: Option<Load>,
 }
 
+/// What an engine has done with an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ordered {
+    /// It holds.
+    Done,
+    /// There is no room for it.
+    Full,
+    /// It does not take it.
+    Refused,
+}
+
 /// How callers, operators and endpoints speak. Translates, and decides nothing.
 pub trait Protocol: Send + Sync {
     /// What a call of the control listener asks.
@@ -104,4 +117,19 @@
 
     /// Reads the head of an endpoint's answer.
     fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
+
+    /// An order that sets an engine's memory aside for some time, or renews that.
+    fn reserve(
+        &self,
+        endpoint: &EndpointId,
+        reservation: &str,
+        tokens: u64,
+        hold: Duration,
+    ) -> Request<Full<Bytes>>;
+
+    /// An order that gives an engine's memory back.
+    fn release(&self, endpoint: &EndpointId, reservation: &str) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to an order.
+    fn ordered(&self, status: StatusCode) -> Ordered;
 }
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -34,7 +34,11 @@
     #[serde(default = "one")]
     pub lost_replicas: usize,
     /// Retries that all hosts may make together.
+    #[serde(default)]
     pub retries: Retries,
+    /// The longest that engines' memory may lie unused, in milliseconds.
+    #[serde(default = "unused")]
+    pub unused_memory_ms: u64,
     /// How long a stop may take, in milliseconds.
     pub stop_ms: u64,
 }
@@ -85,6 +89,22 @@
     pub window_s: f64,
 }
 
+impl Default for Retries {
+    /// A tenth of the requests, and a few beside: what makes no storm of a fault.
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            slack: 10.0,
+            window_s: 10.0,
+        }
+    }
+}
+
+/// The time in which a host that was killed is back.
+const fn unused() -> u64 {
+    4_000
+}
+
 const fn one() -> usize {
     1
 }
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -56,9 +56,12 @@
 /// Sends a request and waits for the head of its answer.
 pub async fn send(
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<Exchange, Error> {
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().entry(header::HOST).or_insert(host);
+    }
     let unsent = |error: &dyn std::fmt::Display| Error::Unsent(error.to_string());
     let limit = deadline.min(Instant::now() + CONNECT);
     let connected = timeout_at(limit, TcpStream::connect(address)).await;
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// Tokens of a prompt that weigh as much as its mere presence. A caller who sends ten times as
+/// much waits for ten times the work, while even the shortest prompt has somebody who waits.
+const WEIGHED_TOKENS: f32 = 10_000.0;
+
 /// A prompt to be placed.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -59,6 +63,18 @@
     pub spared: Vec<EndpointKey>,
 }
 
+impl Job {
+    /// Tokens of memory that it fills.
+    pub const fn tokens(&self) -> u64 {
+        self.prompt + self.answer
+    }
+
+    /// What it weighs where one job's delay is set against another's.
+    pub fn weight(&self) -> f32 {
+        1.0 + self.prompt as f32 / WEIGHED_TOKENS
+    }
+}
+
 /// Where a job is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -66,19 +82,31 @@
     pub job: JobId,
     /// The engine that gets the request, reads its part and writes the answer.
     pub first: EndpointKey,
-    /// The engines that read the other parts.
-    pub helpers: Vec<EndpointKey>,
+    /// The engines that read the other parts, those that hold memory first.
+    pub helpers: Vec<Part>,
     /// What one part costs its engine, in milliseconds of reading.
     pub part_ms: f32,
     /// Tokens of memory at the first engine.
     pub tokens: u32,
     /// The longest pause that the job's caller bears, in milliseconds.
     pub pause_ms: u32,
+    /// What the job weighs among others.
+    pub weight: f32,
+}
+
+/// One engine's part of a job that another engine answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The engine.
+    pub endpoint: EndpointKey,
+    /// Tokens of its memory that have to be reserved for the job; none where it only reads.
+    pub reserved: u32,
 }
 
 impl Plan {
     /// All engines that read.
     pub fn readers(&self) -> impl Iterator<Item = EndpointKey> + '_ {
-        std::iter::once(self.first).chain(self.helpers.iter().copied())
+        let helpers = self.helpers.iter().map(|part| part.endpoint);
+        std::iter::once(self.first).chain(helpers)
     }
 }
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -8,6 +8,9 @@
 //! - [`Budget`] keeps a host's share of the retries that all hosts may make together.
 
 mod balancer;
+mod long;
+mod short;
+mod site;
 mod budget;
 mod cost;
 mod health;
@@ -18,5 +21,5 @@
 pub use budget::Budget;
 pub use cost::Cost;
 pub use health::{Failure, Health};
-pub use job::{EndpointKey, Job, JobId, Plan};
+pub use job::{EndpointKey, Job, JobId, Part, Plan};
 pub use planner::{Decision, Planner};
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -1,8 +1,8 @@
 //! Prompts on model engines.
 //!
 //! A prompt is read before its answer is written, and an engine that reads makes the answers that
-//! it writes pause. Short prompts are therefore packed on engines that write already, and long
-//! ones are read in parts by many engines where few write.
+//! it writes pause. A planner keeps what every host has told of its dispatches, and from that
+//! estimates what each engine has still to read, what it writes and what its memory holds.
 
 use std::time::Duration;
 
@@ -10,30 +10,21 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
-use crate::{Cost, EndpointKey, Failure, Health, Job, JobId, Plan};
+use crate::site::{Endpoint, Site, Writer};
+use crate::{Cost, EndpointKey, Failure, Job, JobId, Plan, long, short};
 
-/// The most engines that read one prompt together: the engines' own limit of sixteen helpers.
-const WIDEST: usize = 17;
-/// A prompt whose reading takes at most this long, in milliseconds, is read by one engine: the
-/// order of a pass, below which sharing gains nothing.
-const SHORT_MS: f64 = 60.0;
-/// The share of an engine's slots that short answers may fill before the next engine is begun.
-const PACKED: f64 = 0.625;
-/// How long after its caller's deadline a job that a host told of is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(30);
-/// What a long prompt weighs a writer at an engine, in milliseconds of backlog.
-const WRITER_MS: f64 = 100.0;
-/// The share of memory that is planned for: answers grow beyond their estimates.
-const FILLED: f64 = 0.97;
+/// How long a job counts that its host does not speak of: hosts tell of all their jobs twice a
+/// second, and a host that misses four turns is frozen, cut off or gone.
+const FORGOTTEN: Duration = Duration::from_millis(2_200);
 
 /// What to do with a job.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
     /// Send it.
     Send(Plan),
-    /// No engine has room; ask again when something ends.
+    /// Ask again when something has ended.
     Wait,
-    /// No engine can ever hold it.
+    /// All engines together can't hold it.
     TooLarge,
     /// No engine is known.
     Nobody,
@@ -47,17 +38,6 @@
     jobs: IndexMap<JobId, Placed>,
 }
 
-#[derive(Debug, Default)]
-struct Endpoint {
-    usable: bool,
-    health: Health,
-    /// When it has read what it holds, as far as that is known.
-    read_until: Moment,
-    writers: usize,
-    tokens: u64,
-    tightest_ms: u32,
-}
-
 #[derive(Debug)]
 struct Placed {
     plan: Plan,
@@ -65,15 +45,6 @@
     forget_at: Moment,
 }
 
-struct Candidate {
-    key: EndpointKey,
-    backlog_ms: f64,
-    writers: usize,
-    free: u64,
-    pass_ms: f64,
-    tightest_ms: u32,
-}
-
 impl Planner {
     /// A planner for engines with these figures.
     pub fn new(engine: Engine) -> Self {
@@ -92,33 +63,31 @@
         for key in usable {
             self.endpoints.entry(key).or_default().usable = true;
         }
-        let jobs = &self.jobs;
-        self.endpoints.retain(|key, endpoint| {
-            endpoint.usable || jobs.values().any(|placed| placed.plan.first == *key)
+        self.endpoints.retain(|_, endpoint| {
+            endpoint.usable || endpoint.reads > 0 || !endpoint.writers.is_empty()
         });
     }
 
-    /// What the engines cost.
-    pub const fn cost(&self) -> &Cost {
-        &self.cost
-    }
-
     /// Places a job, or says why not. What is sent counts from now on.
     pub fn place(&mut self, now: Moment, job: &Job) -> Decision {
         self.forget(now);
-        let candidates = self.candidates(now, job);
-        if candidates.is_empty() {
+        let sites = self.sites(now, job);
+        let memory = self.cost.engine().memory_tokens;
+        if sites.is_empty() {
             return Decision::Nobody;
         }
-        let tokens = job.prompt + job.answer;
-        if tokens > self.cost.engine().memory_tokens {
+        if job.tokens() > memory * sites.len() as u64 {
             return Decision::TooLarge;
         }
         let read_ms = self.cost.read_ms(job.prompt);
-        let plan = if read_ms <= SHORT_MS {
-            self.place_short(job, &candidates, read_ms)
+        let plan = if read_ms <= short::SHORT_MS {
+            let site = short::place(&self.cost, job, &sites);
+            site.map(|site| single(job, site.key, read_ms))
         } else {
-            Self::place_long(job, candidates, read_ms)
+            match long::place(&self.cost, now, job, &sites) {
+                long::Placement::Send(plan) => Some(plan),
+                long::Placement::Wait => None,
+            }
         };
         let Some(plan) = plan else {
             return Decision::Wait;
@@ -129,35 +98,101 @@
 
     /// Takes a dispatch of this or another host.
     pub fn sent(&mut self, now: Moment, plan: Plan) {
-        let part = Duration::from_secs_f64(f64::from(plan.part_ms.max(0.0)) / 1e3);
+        let part_ms = f64::from(plan.part_ms.max(0.0));
+        let part = Duration::from_secs_f64(part_ms / 1e3);
         for key in plan.readers() {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.read_until = endpoint.read_until.max(now) + part;
+                let reading_ms = (endpoint.read_until - now).as_secs_f64() * 1e3;
+                let pass_ms = self.cost.pass_ms(endpoint.writers.len(), endpoint.tokens);
+                endpoint.spoil(reading_ms + pass_ms);
             }
         }
+        self.hold(&plan, true);
         let placed = Placed {
             plan,
             reading: true,
             forget_at: now + FORGOTTEN,
         };
         self.jobs.insert(placed.plan.job, placed);
-        self.recount();
     }
 
-    /// The first token of a job has come.
-    pub fn began(&mut self, now: Moment, job: JobId) {
-        let Some(placed) = self.jobs.get_mut(&job) else {
+    /// Counts a job at its engines.
+    fn hold(&mut self, plan: &Plan, is_reading: bool) {
+        for key in plan.readers().filter(|_| is_reading) {
+            if let Some(endpoint) = self.endpoints.get_mut(&key) {
+                endpoint.reads += 1;
+            }
+        }
+        for (key, tokens) in memory(plan) {
+            if let Some(endpoint) = self.endpoints.get_mut(&key) {
+                endpoint.tokens += tokens;
+            }
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(&plan.first) {
+            let writer = Writer {
+                pause_ms: f64::from(plan.pause_ms),
+                weight: f64::from(plan.weight),
+                spoiled: false,
+            };
+            endpoint.writers.insert(plan.job, writer);
+        }
+    }
+
+    /// Another host tells of a job that is under way, whose dispatch may have been missed.
+    pub fn running(&mut self, now: Moment, plan: Plan, is_reading: bool) {
+        if let Some(placed) = self.jobs.get_mut(&plan.job) {
+            placed.forget_at = now + FORGOTTEN;
+            if !is_reading {
+                self.began(now, plan.job);
+            }
             return;
+        }
+        self.hold(&plan, is_reading);
+        let placed = Placed {
+            plan,
+            reading: is_reading,
+            forget_at: now + FORGOTTEN,
         };
-        placed.reading = false;
-        self.settle(now, job);
+        self.jobs.insert(placed.plan.job, placed);
+    }
+
+    /// This host's jobs, with whether each is still read, for hosts that have missed them.
+    pub fn jobs_of(&mut self, now: Moment, host: u32) -> Vec<(Plan, bool)> {
+        let mut jobs = Vec::new();
+        for (job, placed) in &mut self.jobs {
+            if job.host == host {
+                placed.forget_at = now + FORGOTTEN;
+                jobs.push((placed.plan.clone(), placed.reading));
+            }
+        }
+        jobs
+    }
+
+    /// The first token of a job has come.
+    pub fn began(&mut self, now: Moment, job: JobId) {
+        if let Some(placed) = self.jobs.get_mut(&job).filter(|placed| placed.reading) {
+            placed.reading = false;
+            let plan = placed.plan.clone();
+            self.read(now, &plan);
+        }
     }
 
     /// A job has ended.
     pub fn ended(&mut self, now: Moment, job: JobId) {
-        if let Some(placed) = self.jobs.swap_remove(&job) {
-            self.settle_at(now, &placed.plan);
-            self.recount();
+        let Some(placed) = self.jobs.swap_remove(&job) else {
+            return;
+        };
+        if placed.reading {
+            self.read(now, &placed.plan);
+        }
+        for (key, tokens) in memory(&placed.plan) {
+            if let Some(endpoint) = self.endpoints.get_mut(&key) {
+                endpoint.tokens = endpoint.tokens.saturating_sub(tokens);
+            }
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(&placed.plan.first) {
+            endpoint.writers.swap_remove(&job);
         }
     }
 
@@ -175,160 +210,60 @@
             .is_some_and(|endpoint| endpoint.health.failed(now, failure))
     }
 
-    fn place_short(&self, job: &Job, candidates: &[Candidate], read_ms: f64) -> Option<Plan> {
-        let tokens = job.prompt + job.answer;
-        let slots = self.cost.engine().slots as usize;
-        let packed = (f64::from(self.cost.engine().slots) * PACKED) as usize;
-        let fits = candidates
-            .iter()
-            .filter(|candidate| candidate.free >= tokens);
-        let fits = fits.filter(|candidate| candidate.writers < slots);
-        let best = fits.min_by_key(|candidate| {
-            let is_quiet = candidate.backlog_ms <= SHORT_MS;
-            let is_packed = candidate.writers >= packed;
-            let writers = if is_packed {
-                candidate.writers
-            } else {
-                slots - candidate.writers
-            };
-            let backlog = (candidate.backlog_ms * 1e3) as u64;
-            match (is_quiet, is_packed) {
-                (true, false) => (0, writers as u64, backlog),
-                (true, true) => (1, writers as u64, backlog),
-                (false, _) => (2, backlog, writers as u64),
-            }
-        })?;
-        Some(plan(job, best.key, Vec::new(), read_ms))
-    }
-
-    fn place_long(job: &Job, mut candidates: Vec<Candidate>, read_ms: f64) -> Option<Plan> {
-        let tokens = job.prompt + job.answer;
-        let weight =
-            |candidate: &Candidate| candidate.backlog_ms + WRITER_MS * candidate.writers as f64;
-        candidates.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
-        let finish = |width: usize| {
-            let members = &candidates[..width];
-            let part = read_ms / width as f64;
-            let last = members
-                .iter()
-                .map(|member| member.backlog_ms + member.pass_ms);
-            let harmed = members.iter().filter(|member| member.is_harmed(part));
-            let harm: usize = harmed.map(|member| member.writers).sum();
-            last.fold(0.0, f64::max) + part + harm as f64 * WRITER_MS / 4.0
-        };
-        let widest = candidates.len().min(WIDEST);
-        let width = (1..=widest).min_by(|one, other| finish(*one).total_cmp(&finish(*other)))?;
-        let members = &candidates[..width];
-        let first = members.iter().max_by_key(|member| member.free)?;
-        if first.free < tokens {
-            let anywhere = candidates.iter().max_by_key(|candidate| candidate.free)?;
-            if anywhere.free < tokens {
-                return None;
-            }
-            let helpers = members.iter().take(width - 1).map(|member| member.key);
-            return Some(plan(
-                job,
-                anywhere.key,
-                helpers.collect(),
-                read_ms / width as f64,
-            ));
-        }
-        let helpers = members.iter().map(|member| member.key);
-        let helpers = helpers.filter(|key| *key != first.key).collect();
-        Some(plan(job, first.key, helpers, read_ms / width as f64))
-    }
-
-    fn candidates(&self, now: Moment, job: &Job) -> Vec<Candidate> {
+    /// The engines that may get a job: those that are not spared, where any are.
+    fn sites(&self, now: Moment, job: &Job) -> Vec<Site<'_>> {
         let usable = |(key, endpoint): &(&EndpointKey, &Endpoint)| {
             endpoint.usable && !job.spared.contains(key)
         };
-        let healthy = self.endpoints.iter().filter(usable);
-        let healthy = healthy.filter(|(_, endpoint)| !endpoint.health.is_ejected(now));
-        let healthy: Vec<Candidate> = healthy
-            .map(|(key, endpoint)| self.candidate(now, *key, endpoint))
-            .collect();
-        if !healthy.is_empty() {
-            return healthy;
-        }
-        let any = self.endpoints.iter().filter(usable);
-        any.map(|(key, endpoint)| self.candidate(now, *key, endpoint))
+        let usable: Vec<_> = self.endpoints.iter().filter(usable).collect();
+        let has_healthy = usable
+            .iter()
+            .any(|(_, endpoint)| !endpoint.health.is_ejected(now));
+        let chosen = usable.into_iter();
+        let chosen =
+            chosen.filter(|(_, endpoint)| !has_healthy || !endpoint.health.is_ejected(now));
+        chosen
+            .map(|(key, endpoint)| endpoint.site(now, *key, &self.cost))
             .collect()
     }
 
-    fn candidate(&self, now: Moment, key: EndpointKey, endpoint: &Endpoint) -> Candidate {
-        let backlog = (endpoint.read_until - now).as_secs_f64() * 1e3;
-        let memory = (self.cost.engine().memory_tokens as f64 * FILLED) as u64;
-        Candidate {
-            key,
-            backlog_ms: backlog + endpoint.health.penalty_ms(),
-            writers: endpoint.writers,
-            free: memory.saturating_sub(endpoint.tokens),
-            pass_ms: self.cost.pass_ms(endpoint.writers, endpoint.tokens),
-            tightest_ms: endpoint.tightest_ms,
-        }
-    }
-
-    fn settle(&mut self, now: Moment, job: JobId) {
-        if let Some(placed) = self.jobs.get(&job) {
-            let plan = placed.plan.clone();
-            self.settle_at(now, &plan);
-        }
-    }
-
-    /// Engines that read nothing else have read all they hold.
-    fn settle_at(&mut self, now: Moment, plan: &Plan) {
+    /// A job's parts are read; engines that read nothing else have read all they hold.
+    fn read(&mut self, now: Moment, plan: &Plan) {
         for key in plan.readers() {
-            let reads = |placed: &Placed| {
-                placed.reading
-                    && placed.plan.job != plan.job
-                    && placed.plan.readers().any(|reader| reader == key)
-            };
-            let is_reading = self.jobs.values().any(reads);
-            if let Some(endpoint) = self.endpoints.get_mut(&key).filter(|_| !is_reading) {
-                endpoint.read_until = endpoint.read_until.min(now);
-            }
-        }
-    }
-
-    fn recount(&mut self) {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.writers = 0;
-            endpoint.tokens = 0;
-            endpoint.tightest_ms = u32::MAX;
-        }
-        for placed in self.jobs.values() {
-            if let Some(endpoint) = self.endpoints.get_mut(&placed.plan.first) {
-                endpoint.writers += 1;
-                endpoint.tokens += u64::from(placed.plan.tokens);
-                endpoint.tightest_ms = endpoint.tightest_ms.min(placed.plan.pause_ms);
+            if let Some(endpoint) = self.endpoints.get_mut(&key) {
+                endpoint.reads = endpoint.reads.saturating_sub(1);
+                if endpoint.reads == 0 {
+                    endpoint.read_until = endpoint.read_until.min(now);
+                }
             }
         }
     }
 
     fn forget(&mut self, now: Moment) {
-        let before = self.jobs.len();
-        self.jobs.retain(|_, placed| placed.forget_at > now);
-        if self.jobs.len() < before {
-            self.recount();
+        let old = self.jobs.iter();
+        let old = old.filter(|(_, placed)| placed.forget_at <= now);
+        let old: Vec<JobId> = old.map(|(job, _)| *job).collect();
+        for job in old {
+            self.ended(now, job);
         }
     }
 }
 
-impl Candidate {
-    /// A part would make its answers pause too long.
-    fn is_harmed(&self, part_ms: f64) -> bool {
-        let pause = self.backlog_ms + self.pass_ms + part_ms;
-        self.writers > 0 && pause > f64::from(self.tightest_ms) * 0.9
-    }
+/// The memory that a plan fills, by engine.
+fn memory(plan: &Plan) -> impl Iterator<Item = (EndpointKey, u64)> + '_ {
+    let helpers = plan.helpers.iter();
+    let helpers = helpers.map(|part| (part.endpoint, u64::from(part.reserved)));
+    std::iter::once((plan.first, u64::from(plan.tokens))).chain(helpers)
 }
 
-fn plan(job: &Job, first: EndpointKey, helpers: Vec<EndpointKey>, part_ms: f64) -> Plan {
+fn single(job: &Job, first: EndpointKey, read_ms: f64) -> Plan {
     Plan {
         job: job.id,
         first,
-        helpers,
-        part_ms: part_ms as f32,
-        tokens: u32::try_from(job.prompt + job.answer).unwrap_or(u32::MAX),
+        helpers: Vec::new(),
+        part_ms: read_ms as f32,
+        tokens: u32::try_from(job.tokens()).unwrap_or(u32::MAX),
         pause_ms: job.pause.as_millis() as u32,
+        weight: job.weight(),
     }
 }
--- /dev/null
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -0,0 +1,81 @@
+//! One engine, as a planner sees it.
+
+use indexmap::IndexMap;
+use kumquatdrum_types::Moment;
+
+use crate::{Cost, EndpointKey, Health, JobId};
+
+/// The share of memory that is planned for: answers grow beyond their estimates.
+const FILLED: f64 = 0.97;
+
+/// What a planner keeps of one engine.
+#[derive(Debug, Default)]
+pub(crate) struct Endpoint {
+    pub(crate) usable: bool,
+    pub(crate) health: Health,
+    /// When it has read what it holds, as far as that is known.
+    pub(crate) read_until: Moment,
+    /// Jobs of which it still reads a part.
+    pub(crate) reads: usize,
+    /// Jobs that it answers.
+    pub(crate) writers: IndexMap<JobId, Writer>,
+    /// Tokens of its memory that are spoken for.
+    pub(crate) tokens: u64,
+}
+
+/// A job that an engine answers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Writer {
+    pub(crate) pause_ms: f64,
+    pub(crate) weight: f64,
+    /// A pause was too long already, so that another one takes nothing more from its caller.
+    pub(crate) spoiled: bool,
+}
+
+/// One engine at the moment of a decision.
+#[derive(Debug)]
+pub(crate) struct Site<'a> {
+    pub(crate) key: EndpointKey,
+    pub(crate) endpoint: &'a Endpoint,
+    pub(crate) backlog_ms: f64,
+    pub(crate) pass_ms: f64,
+    pub(crate) free: u64,
+}
+
+impl Endpoint {
+    /// The engine as it is at this moment.
+    pub(crate) fn site(&self, now: Moment, key: EndpointKey, cost: &Cost) -> Site<'_> {
+        let backlog = (self.read_until - now).as_secs_f64() * 1e3;
+        let memory = (cost.engine().memory_tokens as f64 * FILLED) as u64;
+        Site {
+            key,
+            endpoint: self,
+            backlog_ms: backlog + self.health.penalty_ms(),
+            pass_ms: cost.pass_ms(self.writers.len(), self.tokens),
+            free: memory.saturating_sub(self.tokens),
+        }
+    }
+
+    /// Notes whose answers pause too long for `reading_ms` of reading.
+    pub(crate) fn spoil(&mut self, reading_ms: f64) {
+        for writer in self.writers.values_mut() {
+            writer.spoiled |= reading_ms > writer.pause_ms;
+        }
+    }
+}
+
+impl Site<'_> {
+    /// Jobs that it answers.
+    pub(crate) fn writers(&self) -> usize {
+        self.endpoint.writers.len()
+    }
+
+    /// What those weigh whose answers would pause too long, if it read for so long beside its
+    /// backlog.
+    pub(crate) fn harm(&self, part_ms: f64) -> f64 {
+        let pause = self.backlog_ms + self.pass_ms + part_ms;
+        let writers = self.endpoint.writers.values();
+        let harmed = writers.filter(|writer| !writer.spoiled && pause > writer.pause_ms);
+        harmed.map(|writer| writer.weight).sum()
+    }
+}
