--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -23,10 +23,12 @@
 use crate::reservation::Reservation;
 use crate::upstream::Exchange;
 
-/// How many of the caller's longest pauses an endpoint may be silent for, within a stream.
-const SILENT_PAUSES: u32 = 6;
-/// The shortest silence that counts: passes in which an engine reads a lot take up to a second.
-const SHORTEST_SILENCE: Duration = Duration::from_millis(1_500);
+/// How many of the caller's longest pauses an endpoint may be silent for, within a stream. Before
+/// that, an engine that reads a lot is likelier than one that is gone, and a repetition would only
+/// add to what it reads.
+const SILENT_PAUSES: u32 = 8;
+/// The shortest silence that counts.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(2_000);
 
 /// A stream whose first event has come.
 pub(super) struct Begun {
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_placement::{
-    Balancer, Budget, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner,
+    Balancer, Basis, Budget, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner,
 };
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -27,7 +27,7 @@
 /// and one late by its whole interval.
 const SILENT_ANNOUNCEMENTS: u32 = 4;
 /// How often a request that waits asks again, where nothing has told it to.
-const ASK_AGAIN: Duration = Duration::from_millis(50);
+const ASK_AGAIN: Duration = Duration::from_millis(25);
 
 /// The largest encoding of a plan without its parts, in bytes.
 const PLAN_BYTES: usize = 48;
@@ -319,13 +319,13 @@
         match &mut state.policy {
             Policy::Engines(planner) => {
                 let decision = planner.place(now, job);
-                let plan = match decision {
-                    Decision::Send(plan) => plan,
+                let (plan, basis) = match decision {
+                    Decision::Send(plan, basis) => (plan, basis),
                     Decision::Wait => return Err(Unplaced::NoRoom),
                     Decision::TooLarge => return Err(Unplaced::TooLarge),
                     Decision::Nobody => return Err(Unplaced::Nobody),
                 };
-                self.sent(service, &state, need, plan)
+                self.sent(service, &state, need, plan, &basis)
             }
             Policy::Plain(balancer) => {
                 let key = balancer.choose(now, &need.spared);
@@ -350,6 +350,7 @@
         state: &State,
         need: &Need,
         plan: Plan,
+        basis: &Basis,
     ) -> Result<Pick, Unplaced> {
         let endpoint = state.directory.get(&plan.first).cloned();
         let endpoint = endpoint.ok_or(Unplaced::Nobody)?;
@@ -370,6 +371,8 @@
         info!(self.parts.logger, "placed"; "event" => "placed", "request" => &need.request,
             "endpoint" => endpoint.id.as_str(), "prompt" => need.prompt,
             "readers" => plan.helpers.len() + 1, "part_ms" => format!("{:.1}", plan.part_ms),
+            "engines" => basis.engines, "backlog_ms" => format!("{:.1}", basis.backlog_ms),
+            "writers" => basis.writers, "pass_ms" => format!("{:.1}", basis.pass_ms),
             "waited_ms" => (self.parts.clock.now() - need.arrived).as_millis() as u64);
         let pick = Pick {
             fleet: self.clone(),
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -38,10 +38,6 @@
     }
 }
 
-/// Tokens of a prompt that weigh as much as its mere presence. A caller who sends ten times as
-/// much waits for ten times the work, while even the shortest prompt has somebody who waits.
-const WEIGHED_TOKENS: f32 = 10_000.0;
-
 /// A prompt to be placed.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -68,11 +64,6 @@
     pub const fn tokens(&self) -> u64 {
         self.prompt + self.answer
     }
-
-    /// What it weighs where one job's delay is set against another's.
-    pub fn weight(&self) -> f32 {
-        1.0 + self.prompt as f32 / WEIGHED_TOKENS
-    }
 }
 
 /// Where a job is.
@@ -90,8 +81,6 @@
     pub tokens: u32,
     /// The longest pause that the job's caller bears, in milliseconds.
     pub pause_ms: u32,
-    /// What the job weighs among others.
-    pub weight: f32,
 }
 
 /// One engine's part of a job that another engine answers.
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -22,4 +22,4 @@
 pub use cost::Cost;
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Job, JobId, Part, Plan};
-pub use planner::{Decision, Planner};
+pub use planner::{Basis, Decision, Planner};
--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -1,117 +1,61 @@
 //! Prompts that take longer to read than a pass.
 //!
-//! Answers load: few prompts whose reading takes a second or a minute of one engine. Their parts
-//! are read by several engines. How many, and which, weighs the first token against the answers
-//! that would pause for it. A prompt waits while the engines have much to read, the longer ones
-//! sooner, so that short ones pass and little is committed when the load turns.
-
-use std::time::Duration;
-
-use kumquatdrum_types::Moment;
+//! Answers load: few prompts whose reading takes a second or a minute of one engine. Several
+//! engines read a part each. How many, and which, weighs the first token against the answers that
+//! would pause for it.
 
 use crate::site::Site;
 use crate::{Cost, Job, Part, Plan};
 
 /// The most engines that read one prompt together: the engines' own limit of sixteen helpers.
 const WIDEST: usize = 17;
-/// The share of the time to its due moment after which a first token counts as at risk; from
-/// there on the risk grows up to certainty at that moment. Estimates miss by passes.
-const AT_RISK: f64 = 0.6;
-/// The backlog at which a prompt of a second's reading is still sent, in milliseconds: about what
-/// its own parts add.
-const BACKLOG_MS: f64 = 150.0;
-/// The reading that `BACKLOG_MS` is meant for, in milliseconds.
-const REFERENCE_MS: f64 = 1_000.0;
-/// Milliseconds of backlog that are borne for each millisecond that a prompt has waited.
-const AGEING: f64 = 0.25;
-/// What a millisecond until the first token weighs beside risks and pauses: it only decides
-/// between ways that are alike in these.
-const TIME: f64 = 1e-4;
+/// What an answer that an engine writes already weighs when engines are compared, in milliseconds
+/// of backlog: long reads keep off engines that write, also where no pause is too long yet.
+const WRITER_MS: f64 = 100.0;
+/// What an answer that would pause too long weighs, in milliseconds until the first token.
+const HARM_MS: f64 = 25.0;
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
-/// What to do with a long prompt.
-pub(crate) enum Placement {
-    Send(Plan),
-    Wait,
-}
-
-struct Choice {
-    sites: Vec<usize>,
-    part_ms: f64,
-    loss: f64,
-    backlog_ms: f64,
-}
-
-/// The engines that read a long prompt.
-pub(crate) fn place(cost: &Cost, now: Moment, job: &Job, sites: &[Site<'_>]) -> Placement {
+/// The engines that read a long prompt; nothing while their memory can't hold it.
+pub(crate) fn place(cost: &Cost, job: &Job, sites: &[Site<'_>]) -> Option<Plan> {
     let read_ms = cost.read_ms(job.prompt);
-    let left_ms = (job.due - now).as_secs_f64() * 1e3;
-    let widest = sites.len().min(WIDEST);
-    let choices = (1..=widest).map(|width| choose(job, sites, width, read_ms, left_ms));
-    let Some(best) = choices.min_by(|one, other| one.loss.total_cmp(&other.loss)) else {
-        return Placement::Wait;
-    };
-    if best.backlog_ms > borne_ms(now, job, read_ms) {
-        return Placement::Wait;
-    }
-    match hold(job, sites, &best) {
-        Some(plan) => Placement::Send(plan),
-        None => Placement::Wait,
-    }
-}
-
-/// The backlog that is borne before it waits no longer.
-fn borne_ms(now: Moment, job: &Job, read_ms: f64) -> f64 {
-    let waited: Duration = now - job.arrived;
-    let ratio = REFERENCE_MS / read_ms.max(1.0);
-    BACKLOG_MS * ratio.sqrt() + AGEING * waited.as_secs_f64() * 1e3
-}
-
-fn choose(job: &Job, sites: &[Site<'_>], width: usize, read_ms: f64, left_ms: f64) -> Choice {
-    let part_ms = read_ms / width as f64;
-    let price = |site: &Site<'_>| site.harm(part_ms) + TIME * (site.backlog_ms + site.pass_ms);
-    let mut order: Vec<usize> = (0..sites.len()).collect();
-    order.sort_by(|one, other| price(&sites[*one]).total_cmp(&price(&sites[*other])));
+    let mut order: Vec<&Site<'_>> = sites.iter().collect();
+    let weight = |site: &Site<'_>| site.backlog_ms + WRITER_MS * site.writers() as f64;
+    order.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
+    let finish = |width: usize| finish_ms(&order[..width], read_ms / width as f64);
+    let widths = 1..=order.len().min(WIDEST);
+    let width = widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)))?;
     order.truncate(width);
-    let backlogs = order.iter().map(|place| sites[*place].backlog_ms);
-    let backlog_ms = backlogs.fold(0.0, f64::max);
-    let passes = order.iter().map(|place| sites[*place].pass_ms);
-    let finish_ms = backlog_ms + part_ms + 2.0 * passes.fold(0.0, f64::max);
-    let harm: f64 = order.iter().map(|place| sites[*place].harm(part_ms)).sum();
-    let risk = risk(finish_ms, left_ms) * f64::from(job.weight());
-    Choice {
-        sites: order,
-        part_ms,
-        loss: harm + risk + TIME * finish_ms,
-        backlog_ms,
-    }
+    hold(job, sites, order, read_ms)
 }
 
-/// How likely a first token is late.
-fn risk(finish_ms: f64, left_ms: f64) -> f64 {
-    if left_ms <= 0.0 {
-        return 1.0;
-    }
-    let share = finish_ms / left_ms;
-    ((share - AT_RISK) / (1.0 - AT_RISK)).clamp(0.0, 1.0)
+/// When the last of the engines has read its part, with what the answers at them lose.
+fn finish_ms(sites: &[&Site<'_>], part_ms: f64) -> f64 {
+    let last = sites.iter().map(|site| site.backlog_ms + site.pass_ms);
+    let harm = sites
+        .iter()
+        .map(|site| site.harmed(site.backlog_ms + part_ms));
+    last.fold(0.0, f64::max) + part_ms + harm.sum::<usize>() as f64 * HARM_MS
 }
 
 /// Finds memory: at one engine where that is possible, else with reservations at others.
-fn hold(job: &Job, sites: &[Site<'_>], choice: &Choice) -> Option<Plan> {
-    let mut members: Vec<&Site<'_>> = choice.sites.iter().map(|place| &sites[*place]).collect();
-    let roomiest = |members: &[&Site<'_>]| {
-        let free = members.iter().map(|site| site.free).enumerate();
-        free.max_by_key(|(_, free)| *free)
-    };
-    let (mut place, mut free) = roomiest(&members)?;
+fn hold<'a>(
+    job: &Job,
+    sites: &'a [Site<'a>],
+    mut members: Vec<&'a Site<'a>>,
+    read_ms: f64,
+) -> Option<Plan> {
+    let part_ms = read_ms / members.len() as f64;
+    let roomiest = members.iter().enumerate().max_by_key(|(_, site)| site.free);
+    let (mut place, mut free) = roomiest.map(|(place, site)| (place, site.free))?;
     if free < job.tokens() {
         // An engine outside may have the room that those inside lack.
         let outside = sites.iter().max_by_key(|site| site.free)?;
         if outside.free > free && members.iter().all(|site| site.key != outside.key) {
-            let last = members.len() - 1;
-            members[last] = outside;
-            (place, free) = (last, outside.free);
+            place = members.len() - 1;
+            members[place] = outside;
+            free = outside.free;
         }
     }
     let first = members.swap_remove(place);
@@ -135,9 +79,8 @@
         job: job.id,
         first: first.key,
         helpers,
-        part_ms: choice.part_ms as f32,
+        part_ms: part_ms as f32,
         tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
         pause_ms: job.pause.as_millis() as u32,
-        weight: job.weight(),
     })
 }
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -20,8 +20,8 @@
 /// What to do with a job.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
-    /// Send it.
-    Send(Plan),
+    /// Send it; the basis is for those who ask why.
+    Send(Plan, Basis),
     /// Ask again when something has ended.
     Wait,
     /// All engines together can't hold it.
@@ -30,6 +30,19 @@
     Nobody,
 }
 
+/// What a decision rests on.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Basis {
+    /// Engines that could be chosen.
+    pub engines: usize,
+    /// The longest backlog among the chosen ones, in milliseconds.
+    pub backlog_ms: f64,
+    /// Answers that the first engine writes already.
+    pub writers: usize,
+    /// What it writes one pass of in, in milliseconds.
+    pub pass_ms: f64,
+}
+
 /// Places prompts on the engines of one service.
 #[derive(Debug)]
 pub struct Planner {
@@ -84,16 +97,14 @@
             let site = short::place(&self.cost, job, &sites);
             site.map(|site| single(job, site.key, read_ms))
         } else {
-            match long::place(&self.cost, now, job, &sites) {
-                long::Placement::Send(plan) => Some(plan),
-                long::Placement::Wait => None,
-            }
+            long::place(&self.cost, job, &sites)
         };
         let Some(plan) = plan else {
             return Decision::Wait;
         };
+        let basis = basis(&plan, &sites);
         self.sent(now, plan.clone());
-        Decision::Send(plan)
+        Decision::Send(plan, basis)
     }
 
     /// Takes a dispatch of this or another host.
@@ -103,9 +114,6 @@
         for key in plan.readers() {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.read_until = endpoint.read_until.max(now) + part;
-                let reading_ms = (endpoint.read_until - now).as_secs_f64() * 1e3;
-                let pass_ms = self.cost.pass_ms(endpoint.writers.len(), endpoint.tokens);
-                endpoint.spoil(reading_ms + pass_ms);
             }
         }
         self.hold(&plan, true);
@@ -132,8 +140,6 @@
         if let Some(endpoint) = self.endpoints.get_mut(&plan.first) {
             let writer = Writer {
                 pause_ms: f64::from(plan.pause_ms),
-                weight: f64::from(plan.weight),
-                spoiled: false,
             };
             endpoint.writers.insert(plan.job, writer);
         }
@@ -249,6 +255,18 @@
     }
 }
 
+fn basis(plan: &Plan, sites: &[Site<'_>]) -> Basis {
+    let find = |key: EndpointKey| sites.iter().find(|site| site.key == key);
+    let first = find(plan.first);
+    let chosen = plan.readers().filter_map(find);
+    Basis {
+        engines: sites.len(),
+        backlog_ms: chosen.map(|site| site.backlog_ms).fold(0.0, f64::max),
+        writers: first.map_or(0, Site::writers),
+        pass_ms: first.map_or(0.0, |site| site.pass_ms),
+    }
+}
+
 /// The memory that a plan fills, by engine.
 fn memory(plan: &Plan) -> impl Iterator<Item = (EndpointKey, u64)> + '_ {
     let helpers = plan.helpers.iter();
@@ -264,6 +282,5 @@
         part_ms: read_ms as f32,
         tokens: u32::try_from(job.tokens()).unwrap_or(u32::MAX),
         pause_ms: job.pause.as_millis() as u32,
-        weight: job.weight(),
     }
 }
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -8,6 +8,10 @@
 /// The share of memory that is planned for: answers grow beyond their estimates.
 const FILLED: f64 = 0.97;
 
+/// The share of the longest pause from which on an answer counts as harmed: what else comes in
+/// the same pass is not known yet.
+const NEAR: f64 = 0.9;
+
 /// What a planner keeps of one engine.
 #[derive(Debug, Default)]
 pub(crate) struct Endpoint {
@@ -27,9 +31,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Writer {
     pub(crate) pause_ms: f64,
-    pub(crate) weight: f64,
-    /// A pause was too long already, so that another one takes nothing more from its caller.
-    pub(crate) spoiled: bool,
 }
 
 /// One engine at the moment of a decision.
@@ -55,13 +56,6 @@
             free: memory.saturating_sub(self.tokens),
         }
     }
-
-    /// Notes whose answers pause too long for `reading_ms` of reading.
-    pub(crate) fn spoil(&mut self, reading_ms: f64) {
-        for writer in self.writers.values_mut() {
-            writer.spoiled |= reading_ms > writer.pause_ms;
-        }
-    }
 }
 
 impl Site<'_> {
@@ -70,12 +64,10 @@
         self.endpoint.writers.len()
     }
 
-    /// What those weigh whose answers would pause too long, if it read for so long beside its
-    /// backlog.
-    pub(crate) fn harm(&self, part_ms: f64) -> f64 {
-        let pause = self.backlog_ms + self.pass_ms + part_ms;
+    /// Answers of it that would pause too long, if it read for so long in one pass.
+    pub(crate) fn harmed(&self, reading_ms: f64) -> usize {
+        let pause = self.pass_ms + reading_ms;
         let writers = self.endpoint.writers.values();
-        let harmed = writers.filter(|writer| !writer.spoiled && pause > writer.pause_ms);
-        harmed.map(|writer| writer.weight).sum()
+        writers.filter(|writer| pause > writer.pause_ms * NEAR).count()
     }
 }
