--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -17,6 +17,8 @@
 use super::Call;
 use super::attempt::{Outcome, answer_headers};
 use super::run::Tries;
+use kumquatdrum_types::Moment;
+
 use crate::body::{self, Body};
 use crate::event::{Events, Splitter};
 use crate::fleet::Pick;
@@ -44,6 +46,22 @@
     waiting: VecDeque<Bytes>,
     last: Option<u64>,
     tries: Tries,
+    passed: Passed,
+}
+
+/// What the caller has seen of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Passed {
+    first: Duration,
+    at: Moment,
+    longest_pause: Duration,
+}
+
+impl std::fmt::Display for Passed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (first, pause) = (self.first.as_millis(), self.longest_pause.as_millis());
+        write!(f, "first {first} ms, longest pause {pause} ms")
+    }
 }
 
 /// What came next.
@@ -71,6 +89,7 @@
         waiting: VecDeque::new(),
         last: call.ask.after_event,
         tries: std::mem::take(tries),
+        passed: Passed::default(),
     };
     let next = flow.receive(call, call.until()).await;
     match next {
@@ -78,6 +97,8 @@
             flow.waiting.push_back(bytes);
             let now = call.gateway.clock.now();
             call.log_first(now);
+            flow.passed.first = now - call.arrived;
+            flow.passed.at = now;
             if let Some(pick) = &flow.pick {
                 pick.began();
                 pick.succeeded(None);
@@ -127,9 +148,15 @@
             let silence = SHORTEST_SILENCE.max(call.pause().saturating_mul(SILENT_PAUSES));
             let limit = call.until().min(Instant::now() + silence);
             match self.receive(call, limit).await {
-                Next::Events(bytes) => return Some(Ok(bytes)),
+                Next::Events(bytes) => {
+                    let now = call.gateway.clock.now();
+                    let pause = now - self.passed.at;
+                    self.passed.longest_pause = self.passed.longest_pause.max(pause);
+                    self.passed.at = now;
+                    return Some(Ok(bytes));
+                }
                 Next::End => {
-                    call.log_end("streamed", "whole", &self.tries);
+                    call.log_end("streamed", &self.passed.to_string(), &self.tries);
                     self.exchange = None;
                     self.reservations.clear();
                     self.pick = None;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -17,6 +17,7 @@
 /// second, and a host that misses four turns is frozen, cut off or gone.
 const FORGOTTEN: Duration = Duration::from_millis(2_200);
 
+const MAX_PART: f64 = 700.0;
 /// What to do with a job.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -93,6 +94,9 @@
             return Decision::TooLarge;
         }
         let read_ms = self.cost.read_ms(job.prompt);
+        if read_ms / sites.len().min(17) as f64 > MAX_PART {
+            return Decision::TooLarge;
+        }
         let plan = if read_ms <= short::SHORT_MS {
             let site = short::place(&self.cost, job, &sites);
             site.map(|site| single(job, site.key, read_ms))
