--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -13,7 +13,7 @@
 /// of backlog: long reads keep off engines that write, also where no pause is too long yet.
 const WRITER_MS: f64 = 100.0;
 /// What an answer that would pause too long weighs, in milliseconds until the first token.
-const HARM_MS: f64 = 25.0;
+const HARM_MS: f64 = 100.0;
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::site::{Endpoint, Site, Writer};
-use crate::{Cost, EndpointKey, Failure, Job, JobId, Plan, long, short};
+use crate::{Cost, EndpointKey, Failure, Job, JobId, Part, Plan, long, short};
 
 /// How long a job counts that its host does not speak of: hosts tell of all their jobs twice a
 /// second, and a host that misses four turns is frozen, cut off or gone.
@@ -97,9 +97,12 @@
         if read_ms / sites.len().min(17) as f64 > MAX_PART {
             return Decision::TooLarge;
         }
-        let plan = if read_ms <= short::SHORT_MS {
+        let plan = if short::is_short(job, read_ms) {
             let site = short::place(&self.cost, job, &sites);
-            site.map(|site| single(job, site.key, read_ms))
+            site.map(|site| {
+                let helpers = short::helpers(&sites, site, read_ms);
+                shared(job, site.key, helpers, read_ms)
+            })
         } else {
             long::place(&self.cost, job, &sites)
         };
@@ -278,12 +281,13 @@
     std::iter::once((plan.first, u64::from(plan.tokens))).chain(helpers)
 }
 
-fn single(job: &Job, first: EndpointKey, read_ms: f64) -> Plan {
+fn shared(job: &Job, first: EndpointKey, helpers: Vec<Part>, read_ms: f64) -> Plan {
+    let readers = helpers.len() + 1;
     Plan {
         job: job.id,
         first,
-        helpers: Vec::new(),
-        part_ms: read_ms as f32,
+        helpers,
+        part_ms: (read_ms / readers as f64) as f32,
         tokens: u32::try_from(job.tokens()).unwrap_or(u32::MAX),
         pause_ms: job.pause.as_millis() as u32,
     }
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -1,18 +1,27 @@
-//! Prompts that one engine reads within about a pass.
+//! Prompts that one engine reads without making its other answers pause too long.
 //!
 //! Answers load: many short prompts, whose callers wait for a first token within a fraction of a
 //! second and for every event after it. They are packed on engines that write already, so that
 //! the others stay free for long reads that would make their answers pause.
 
 use crate::site::Site;
-use crate::{Cost, Job};
+use crate::{Cost, Job, Part};
 
-/// A prompt whose reading takes at most this long is short, in milliseconds: the order of a pass,
-/// below which sharing gains nothing.
-pub(crate) const SHORT_MS: f64 = 60.0;
+/// The share of the pause that a prompt's caller bears which its own reading may take: the rest is
+/// for a pass of the others' answers. What is longer is long.
+const OWN_PAUSE: f64 = 0.8;
+/// The backlog up to which an engine counts as quiet, in milliseconds: the order of a pass.
+const QUIET_MS: f64 = 60.0;
 /// The share of an engine's slots that short answers fill before the next engine is begun. The
 /// rest takes what other hosts send in the same moment.
 const PACKED: f64 = 0.75;
+/// A part that is worth an engine of its own, in milliseconds of reading: the order of a pass.
+const PART_MS: f64 = 60.0;
+
+/// Whether a prompt is short.
+pub(crate) fn is_short(job: &Job, read_ms: f64) -> bool {
+    read_ms <= job.pause.as_secs_f64() * 1e3 * OWN_PAUSE
+}
 
 /// The engine that gets a short prompt.
 pub(crate) fn place<'a>(cost: &Cost, job: &Job, sites: &'a [Site<'a>]) -> Option<&'a Site<'a>> {
@@ -22,7 +31,7 @@
     let fits = fits.filter(|site| site.writers() < slots);
     fits.min_by_key(|site| {
         let backlog = (site.backlog_ms * 1e3) as u64;
-        let is_quiet = site.backlog_ms <= SHORT_MS;
+        let is_quiet = site.backlog_ms <= QUIET_MS;
         let writers = site.writers();
         match (is_quiet, writers >= packed) {
             (true, false) => (0, (slots - writers) as u64, backlog),
@@ -31,3 +40,19 @@
         }
     })
 }
+
+/// Engines that share the reading of a prompt that is short, but longer than a pass: quiet ones,
+/// those that write least first.
+pub(crate) fn helpers(sites: &[Site<'_>], first: &Site<'_>, read_ms: f64) -> Vec<Part> {
+    let wanted = (read_ms / PART_MS) as usize;
+    let quiet = sites.iter().filter(|site| site.key != first.key);
+    let mut quiet: Vec<&Site<'_>> = quiet.filter(|site| site.backlog_ms <= QUIET_MS).collect();
+    quiet.sort_by_key(|site| site.writers());
+    let helpers = quiet.into_iter().take(wanted);
+    helpers
+        .map(|site| Part {
+            endpoint: site.key,
+            reserved: 0,
+        })
+        .collect()
+}
