--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -107,7 +107,7 @@
                 reason: "the prompt is larger than any engine's memory",
                 retry_after: self.left(),
             },
-            Unplaced::NoRoom => Problem::Refused {
+            Unplaced::NoRoom(_) => Problem::Refused {
                 reason: "no engine had room",
                 retry_after: NO_ROOM,
             },
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_placement::{
-    Balancer, Basis, Budget, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner,
+    Balancer, Basis, Budget, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner, Turn,
 };
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -29,6 +29,8 @@
 /// How often a request that waits asks again, where nothing has told it to.
 const ASK_AGAIN: Duration = Duration::from_millis(25);
 
+/// How often a job that waits is told of.
+const TELL_TURN: Duration = Duration::from_millis(100);
 /// The largest encoding of a plan without its parts, in bytes.
 const PLAN_BYTES: usize = 48;
 /// The largest encoding of a part, in bytes.
@@ -103,7 +105,7 @@
 }
 
 /// Why no endpoint was picked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, thiserror::Error)]
 pub enum Unplaced {
     /// No endpoint of the service is known.
     #[error("no endpoint is known")]
@@ -113,7 +115,7 @@
     TooLarge,
     /// No engine had room in time.
     #[error("no engine had room")]
-    NoRoom,
+    NoRoom(Turn),
 }
 
 /// An engine that reads a part for a picked one.
@@ -244,6 +246,8 @@
         let (Event::Sent(name, _)
         | Event::Began(name, _)
         | Event::Ended(name, _)
+        | Event::Waits(name, _)
+        | Event::Left(name, _)
         | Event::Running(name, _)) = &event;
         let Some(service) = self.find(name) else {
             return;
@@ -256,6 +260,8 @@
             Event::Sent(_, plan) => planner.sent(now, plan),
             Event::Began(_, job) => planner.began(now, job),
             Event::Ended(_, job) => planner.ended(now, job),
+            Event::Waits(_, turn) => planner.waits(now, turn),
+            Event::Left(_, job) => planner.left(job),
             Event::Running(_, jobs) => {
                 for (plan, is_reading) in jobs {
                     planner.running(now, plan, is_reading);
@@ -298,10 +304,22 @@
             deadline: need.deadline,
             spared: need.spared.clone(),
         };
+        let mut queue = Queue {
+            fleet: self,
+            service: &service,
+            job: job.id,
+            told: None,
+        };
         loop {
             let changed = service.changed.notified();
             match self.try_pick(&service, need, &job) {
-                Err(Unplaced::NoRoom) if self.parts.clock.now() < need.deadline => {}
+                Err(Unplaced::NoRoom(turn)) if self.parts.clock.now() < need.deadline => {
+                    queue.tell(turn);
+                }
+                Ok(pick) => {
+                    queue.told = None;
+                    return Ok(pick);
+                }
                 result => return result,
             }
             let _ = tokio::time::timeout(ASK_AGAIN, changed).await;
@@ -321,7 +339,7 @@
                 let decision = planner.place(now, job);
                 let (plan, basis) = match decision {
                     Decision::Send(plan, basis) => (plan, basis),
-                    Decision::Wait => return Err(Unplaced::NoRoom),
+                    Decision::Wait(turn) => return Err(Unplaced::NoRoom(turn)),
                     Decision::TooLarge => return Err(Unplaced::TooLarge),
                     Decision::Nobody => return Err(Unplaced::Nobody),
                 };
@@ -370,7 +388,8 @@
         });
         info!(self.parts.logger, "placed"; "event" => "placed", "request" => &need.request,
             "endpoint" => endpoint.id.as_str(), "prompt" => need.prompt,
-            "readers" => plan.helpers.len() + 1, "part_ms" => format!("{:.1}", plan.part_ms),
+            "readers" => plan.helpers.len() + 1, "helpers" => helper_names(state, &plan),
+            "part_ms" => format!("{:.1}", plan.part_ms),
             "engines" => basis.engines, "backlog_ms" => format!("{:.1}", basis.backlog_ms),
             "writers" => basis.writers, "pass_ms" => format!("{:.1}", basis.pass_ms),
             "waited_ms" => (self.parts.clock.now() - need.arrived).as_millis() as u64);
@@ -397,6 +416,51 @@
     }
 }
 
+/// A job that waits. Dropping it tells that it waits no longer.
+struct Queue<'a> {
+    fleet: &'a Fleet,
+    service: &'a Service,
+    job: JobId,
+    told: Option<(Moment, bool)>,
+}
+
+impl Queue<'_> {
+    /// Tells of the turn, where that is due.
+    fn tell(&mut self, turn: Turn) {
+        let now = self.fleet.parts.clock.now();
+        let is_due = self
+            .told
+            .is_none_or(|(at, blocked)| now - at >= TELL_TURN || blocked != turn.blocked);
+        if is_due {
+            self.told = Some((now, turn.blocked));
+            self.fleet
+                .tell(Event::Waits(self.service.name.clone(), turn));
+        }
+    }
+}
+
+impl Drop for Queue<'_> {
+    fn drop(&mut self) {
+        if self.told.is_none() {
+            return;
+        }
+        if let Policy::Engines(planner) = &mut self.service.state.lock().policy {
+            planner.left(self.job);
+        }
+        let event = Event::Left(self.service.name.clone(), self.job);
+        self.fleet.tell(event);
+        self.service.changed.notify_waiters();
+    }
+}
+
+/// The names of the engines that help, for logs.
+fn helper_names(state: &State, plan: &Plan) -> String {
+    let helpers = plan.helpers.iter();
+    let helpers = helpers.filter_map(|part| state.directory.get(&part.endpoint));
+    let names: Vec<&str> = helpers.map(|helper| helper.id.as_str()).collect();
+    names.join(",")
+}
+
 /// Jobs in groups that fit a datagram each.
 fn batches(jobs: Vec<(Plan, bool)>) -> Vec<Vec<(Plan, bool)>> {
     let mut batches = Vec::new();
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -1,7 +1,7 @@
 //! What hosts say to each other.
 
 use kumquatdrum_consensus::Member as ReplicaMember;
-use kumquatdrum_placement::{JobId, Plan};
+use kumquatdrum_placement::{JobId, Plan, Turn};
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
 use kumquatdrum_types::{DataCentre, HostId, ServiceName};
@@ -106,6 +106,10 @@
     Began(ServiceName, JobId),
     /// It has ended.
     Ended(ServiceName, JobId),
+    /// It waits for its turn.
+    Waits(ServiceName, Turn),
+    /// It waits no longer, and was not sent.
+    Left(ServiceName, JobId),
     /// These are under way, each with whether it is still read.
     Running(ServiceName, Vec<(Plan, bool)>),
 }
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -83,6 +83,23 @@
     pub pause_ms: u32,
 }
 
+/// A job that waits for its turn, as its host tells of it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Turn {
+    /// The job.
+    pub job: JobId,
+    /// What its reading costs one engine, in milliseconds.
+    pub read_ms: f32,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// How long it has waited, in milliseconds.
+    pub waited_ms: u32,
+    /// How long until its first token is late, in milliseconds; 0 where it is.
+    pub left_ms: u32,
+    /// It waits for memory, and lets others pass.
+    pub blocked: bool,
+}
+
 /// One engine's part of a job that another engine answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod balancer;
 mod long;
 mod short;
+mod turns;
 mod site;
 mod budget;
 mod cost;
@@ -21,5 +22,5 @@
 pub use budget::Budget;
 pub use cost::Cost;
 pub use health::{Failure, Health};
-pub use job::{EndpointKey, Job, JobId, Part, Plan};
+pub use job::{EndpointKey, Job, JobId, Part, Plan, Turn};
 pub use planner::{Basis, Decision, Planner};
--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -17,25 +17,67 @@
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
-/// The engines that read a long prompt; nothing while their memory can't hold it.
-pub(crate) fn place(cost: &Cost, job: &Job, sites: &[Site<'_>]) -> Option<Plan> {
+/// The backlog at which an engine counts as almost done, in milliseconds: what passes until a
+/// first token is known here, so that engines don't stand idle between two prompts.
+const ALMOST_DONE_MS: f64 = 150.0;
+/// The share of the engines that a prompt would be read by that have to be almost done. Waiting
+/// for the last of them costs more than reading with fewer.
+const QUORUM: f64 = 0.7;
+
+/// What to do with a long prompt.
+pub(crate) enum Placement {
+    /// Send it.
+    Send(Plan),
+    /// Engines have to read first.
+    Wait,
+    /// Engines have to end answers first, to have memory.
+    Blocked,
+}
+
+/// The engines that read a long prompt.
+pub(crate) fn place(cost: &Cost, job: &Job, sites: &[Site<'_>]) -> Placement {
     let read_ms = cost.read_ms(job.prompt);
-    let mut order: Vec<&Site<'_>> = sites.iter().collect();
-    let weight = |site: &Site<'_>| site.backlog_ms + WRITER_MS * site.writers() as f64;
-    order.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
-    let finish = |width: usize| finish_ms(&order[..width], read_ms / width as f64);
-    let widths = 1..=order.len().min(WIDEST);
-    let width = widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)))?;
-    order.truncate(width);
-    hold(job, sites, order, read_ms)
+    let all = sorted(sites.iter().collect());
+    let wanted = width(&all, read_ms);
+    let is_ready = |site: &&Site<'_>| site.backlog_ms <= ALMOST_DONE_MS;
+    let mut ready = sorted(sites.iter().filter(is_ready).collect());
+    let quorum = (wanted as f64 * QUORUM).ceil() as usize;
+    if ready.len() < quorum {
+        return Placement::Wait;
+    }
+    ready.truncate(width(&ready, read_ms));
+    match hold(job, sites, ready, read_ms) {
+        Some(plan) => Placement::Send(plan),
+        None => Placement::Blocked,
+    }
+}
+
+/// The engines in the order in which they are taken.
+fn sorted<'a>(mut sites: Vec<&'a Site<'a>>) -> Vec<&'a Site<'a>> {
+    let weight = |site: &Site<'_>| almost_ms(site) + WRITER_MS * site.writers() as f64;
+    sites.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
+    sites
+}
+
+/// The backlog, once an engine is almost done.
+fn almost_ms(site: &Site<'_>) -> f64 {
+    site.backlog_ms.min(ALMOST_DONE_MS)
+}
+
+/// How many of the engines read it soonest, with what the answers at them lose.
+fn width(sites: &[&Site<'_>], read_ms: f64) -> usize {
+    let finish = |width: usize| finish_ms(&sites[..width], read_ms / width as f64);
+    let widths = 1..=sites.len().min(WIDEST);
+    let best = widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)));
+    best.unwrap_or(1)
 }
 
 /// When the last of the engines has read its part, with what the answers at them lose.
 fn finish_ms(sites: &[&Site<'_>], part_ms: f64) -> f64 {
-    let last = sites.iter().map(|site| site.backlog_ms + site.pass_ms);
+    let last = sites.iter().map(|site| almost_ms(site) + site.pass_ms);
     let harm = sites
         .iter()
-        .map(|site| site.harmed(site.backlog_ms + part_ms));
+        .map(|site| site.harmed(almost_ms(site) + part_ms));
     last.fold(0.0, f64::max) + part_ms + harm.sum::<usize>() as f64 * HARM_MS
 }
 
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -10,8 +10,10 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
+use crate::long::Placement;
 use crate::site::{Endpoint, Site, Writer};
-use crate::{Cost, EndpointKey, Failure, Job, JobId, Part, Plan, long, short};
+use crate::turns::Turns;
+use crate::{Cost, EndpointKey, Failure, Job, JobId, Part, Plan, Turn, long, short};
 
 /// How long a job counts that its host does not speak of: hosts tell of all their jobs twice a
 /// second, and a host that misses four turns is frozen, cut off or gone.
@@ -23,8 +25,8 @@
 pub enum Decision {
     /// Send it; the basis is for those who ask why.
     Send(Plan, Basis),
-    /// Ask again when something has ended.
-    Wait,
+    /// Ask again when something has ended; other hosts are told.
+    Wait(Turn),
     /// All engines together can't hold it.
     TooLarge,
     /// No engine is known.
@@ -50,6 +52,7 @@
     cost: Cost,
     endpoints: IndexMap<EndpointKey, Endpoint>,
     jobs: IndexMap<JobId, Placed>,
+    turns: Turns,
 }
 
 #[derive(Debug)]
@@ -66,6 +69,7 @@
             cost: Cost::new(engine),
             endpoints: IndexMap::new(),
             jobs: IndexMap::new(),
+            turns: Turns::default(),
         }
     }
 
@@ -97,6 +101,7 @@
         if read_ms / sites.len().min(17) as f64 > MAX_PART {
             return Decision::TooLarge;
         }
+        let mut turn = turn(now, job, read_ms);
         let plan = if short::is_short(job, read_ms) {
             let site = short::place(&self.cost, job, &sites);
             site.map(|site| {
@@ -104,18 +109,37 @@
                 shared(job, site.key, helpers, read_ms)
             })
         } else {
-            long::place(&self.cost, job, &sites)
+            match long::place(&self.cost, job, &sites) {
+                Placement::Send(plan) if self.turns.is_next(now, turn) => Some(plan),
+                Placement::Send(_) | Placement::Wait => None,
+                Placement::Blocked => {
+                    turn.blocked = true;
+                    None
+                }
+            }
         };
         let Some(plan) = plan else {
-            return Decision::Wait;
+            self.turns.put(now, turn);
+            return Decision::Wait(turn);
         };
         let basis = basis(&plan, &sites);
         self.sent(now, plan.clone());
         Decision::Send(plan, basis)
     }
 
+    /// A job waits at another host.
+    pub fn waits(&mut self, now: Moment, turn: Turn) {
+        self.turns.put(now, turn);
+    }
+
+    /// A job waits no longer, and was not sent.
+    pub fn left(&mut self, job: JobId) {
+        self.turns.remove(job);
+    }
+
     /// Takes a dispatch of this or another host.
     pub fn sent(&mut self, now: Moment, plan: Plan) {
+        self.turns.remove(plan.job);
         let part_ms = f64::from(plan.part_ms.max(0.0));
         let part = Duration::from_secs_f64(part_ms / 1e3);
         for key in plan.readers() {
@@ -259,6 +283,18 @@
         for job in old {
             self.ended(now, job);
         }
+        self.turns.forget(now);
+    }
+}
+
+fn turn(now: Moment, job: &Job, read_ms: f64) -> Turn {
+    Turn {
+        job: job.id,
+        read_ms: read_ms as f32,
+        prompt: u32::try_from(job.prompt).unwrap_or(u32::MAX),
+        waited_ms: (now - job.arrived).as_millis() as u32,
+        left_ms: (job.due - now).as_millis() as u32,
+        blocked: false,
     }
 }
 
