--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -2,7 +2,9 @@
 //!
 //! Answers load: few prompts whose reading takes a second or a minute of one engine. Several
 //! engines read a part each. How many, and which, weighs the first token against the answers that
-//! would pause for it.
+//! would pause for it. An engine reads the newest part first, and a first token waits for the last
+//! of its parts: prompts whose parts meet at an engine starve each other. So one prompt after the
+//! other is sent to an engine, in an order that all hosts share.
 
 use crate::site::Site;
 use crate::{Cost, Job, Part, Plan};
@@ -17,13 +19,14 @@
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
-/// The backlog at which an engine counts as almost done, in milliseconds: what passes until a
-/// first token is known here, so that engines don't stand idle between two prompts.
-const ALMOST_DONE_MS: f64 = 150.0;
-/// The share of the engines that a prompt would be read by that have to be almost done. Waiting
+/// The share of the engines that a prompt would be read by that have to be done with earlier parts. Waiting
 /// for the last of them costs more than reading with fewer.
 const QUORUM: f64 = 0.7;
 
+/// What each engine that takes part loses beside its reading, in passes: the one that its part
+/// waits for. A part that is short beside it is a waste of the engine's time.
+const PASSES: f64 = 0.5;
+
 /// What to do with a long prompt.
 pub(crate) enum Placement {
     /// Send it.
@@ -38,14 +41,15 @@
 pub(crate) fn place(cost: &Cost, job: &Job, sites: &[Site<'_>]) -> Placement {
     let read_ms = cost.read_ms(job.prompt);
     let all = sorted(sites.iter().collect());
-    let wanted = width(&all, read_ms);
-    let is_ready = |site: &&Site<'_>| site.backlog_ms <= ALMOST_DONE_MS;
+    let taken_ms = cost.pass_ms(1, 0) * PASSES;
+    let wanted = width(&all, read_ms, taken_ms);
+    let is_ready = |site: &&Site<'_>| site.parts_ms <= 0.0;
     let mut ready = sorted(sites.iter().filter(is_ready).collect());
     let quorum = (wanted as f64 * QUORUM).ceil() as usize;
     if ready.len() < quorum {
         return Placement::Wait;
     }
-    ready.truncate(width(&ready, read_ms));
+    ready.truncate(width(&ready, read_ms, taken_ms));
     match hold(job, sites, ready, read_ms) {
         Some(plan) => Placement::Send(plan),
         None => Placement::Blocked,
@@ -54,19 +58,17 @@
 
 /// The engines in the order in which they are taken.
 fn sorted<'a>(mut sites: Vec<&'a Site<'a>>) -> Vec<&'a Site<'a>> {
-    let weight = |site: &Site<'_>| almost_ms(site) + WRITER_MS * site.writers() as f64;
+    let weight = |site: &Site<'_>| site.backlog_ms + WRITER_MS * site.writers() as f64;
     sites.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
     sites
 }
 
-/// The backlog, once an engine is almost done.
-fn almost_ms(site: &Site<'_>) -> f64 {
-    site.backlog_ms.min(ALMOST_DONE_MS)
-}
-
 /// How many of the engines read it soonest, with what the answers at them lose.
-fn width(sites: &[&Site<'_>], read_ms: f64) -> usize {
-    let finish = |width: usize| finish_ms(&sites[..width], read_ms / width as f64);
+fn width(sites: &[&Site<'_>], read_ms: f64, taken_ms: f64) -> usize {
+    let finish = |width: usize| {
+        let taken = taken_ms * width as f64;
+        finish_ms(&sites[..width], read_ms / width as f64) + taken
+    };
     let widths = 1..=sites.len().min(WIDEST);
     let best = widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)));
     best.unwrap_or(1)
@@ -74,10 +76,10 @@
 
 /// When the last of the engines has read its part, with what the answers at them lose.
 fn finish_ms(sites: &[&Site<'_>], part_ms: f64) -> f64 {
-    let last = sites.iter().map(|site| almost_ms(site) + site.pass_ms);
+    let last = sites.iter().map(|site| site.pass_ms);
     let harm = sites
         .iter()
-        .map(|site| site.harmed(almost_ms(site) + part_ms));
+        .map(|site| site.harmed(part_ms));
     last.fold(0.0, f64::max) + part_ms + harm.sum::<usize>() as f64 * HARM_MS
 }
 
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -142,9 +142,15 @@
         self.turns.remove(plan.job);
         let part_ms = f64::from(plan.part_ms.max(0.0));
         let part = Duration::from_secs_f64(part_ms / 1e3);
+        let is_part = !plan.helpers.is_empty() || part_ms > short::PART_MS;
         for key in plan.readers() {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.read_until = endpoint.read_until.max(now) + part;
+                if is_part {
+                    let pass_ms = self.cost.pass_ms(endpoint.writers.len(), endpoint.tokens);
+                    let pass = Duration::from_secs_f64(pass_ms / 1e3);
+                    endpoint.parts_until = endpoint.parts_until.max(now) + part + pass;
+                }
             }
         }
         self.hold(&plan, true);
@@ -271,6 +277,7 @@
                 endpoint.reads = endpoint.reads.saturating_sub(1);
                 if endpoint.reads == 0 {
                     endpoint.read_until = endpoint.read_until.min(now);
+                    endpoint.parts_until = endpoint.parts_until.min(now);
                 }
             }
         }
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -16,7 +16,7 @@
 /// rest takes what other hosts send in the same moment.
 const PACKED: f64 = 0.75;
 /// A part that is worth an engine of its own, in milliseconds of reading: the order of a pass.
-const PART_MS: f64 = 60.0;
+pub(crate) const PART_MS: f64 = 60.0;
 
 /// Whether a prompt is short.
 pub(crate) fn is_short(job: &Job, read_ms: f64) -> bool {
@@ -46,7 +46,7 @@
 pub(crate) fn helpers(sites: &[Site<'_>], first: &Site<'_>, read_ms: f64) -> Vec<Part> {
     let wanted = (read_ms / PART_MS) as usize;
     let quiet = sites.iter().filter(|site| site.key != first.key);
-    let mut quiet: Vec<&Site<'_>> = quiet.filter(|site| site.backlog_ms <= QUIET_MS).collect();
+    let mut quiet: Vec<&Site<'_>> = quiet.filter(|site| site.parts_ms <= 0.0).collect();
     quiet.sort_by_key(|site| site.writers());
     let helpers = quiet.into_iter().take(wanted);
     helpers
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -19,6 +19,8 @@
     pub(crate) health: Health,
     /// When it has read what it holds, as far as that is known.
     pub(crate) read_until: Moment,
+    /// When it has read the parts of prompts that several engines read, or that are long.
+    pub(crate) parts_until: Moment,
     /// Jobs of which it still reads a part.
     pub(crate) reads: usize,
     /// Jobs that it answers.
@@ -39,6 +41,8 @@
     pub(crate) key: EndpointKey,
     pub(crate) endpoint: &'a Endpoint,
     pub(crate) backlog_ms: f64,
+    /// What is left of such parts; a new one would be read before them.
+    pub(crate) parts_ms: f64,
     pub(crate) pass_ms: f64,
     pub(crate) free: u64,
 }
@@ -52,6 +56,7 @@
             key,
             endpoint: self,
             backlog_ms: backlog + self.health.penalty_ms(),
+            parts_ms: (self.parts_until - now).as_secs_f64() * 1e3,
             pass_ms: cost.pass_ms(self.writers.len(), self.tokens),
             free: memory.saturating_sub(self.tokens),
         }
