--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -135,7 +135,11 @@
         strip(headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
-        let helpers: Vec<Helper> = pick.readers.iter().map(|reader| reader.helper.clone()).collect();
+        let helpers: Vec<Helper> = pick
+            .readers
+            .iter()
+            .map(|reader| reader.helper.clone())
+            .collect();
         let note = Note {
             workspace: self.workspace.as_ref(),
             endpoint: &pick.endpoint.id,
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -115,11 +115,7 @@
     }
 
     /// Sets memory aside at the engines that have to hold a part; nothing where one of them can't.
-    pub(super) async fn reserve(
-        &self,
-        pick: &Pick,
-        tries: &mut Tries,
-    ) -> Option<Vec<Reservation>> {
+    pub(super) async fn reserve(&self, pick: &Pick, tries: &mut Tries) -> Option<Vec<Reservation>> {
         let holders = pick.readers.iter();
         let holders = holders.filter_map(|reader| {
             let name = reader.helper.reservation.clone()?;
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -8,15 +8,15 @@
 //! - [`Budget`] keeps a host's share of the retries that all hosts may make together.
 
 mod balancer;
-mod long;
-mod short;
-mod turns;
-mod site;
 mod budget;
 mod cost;
 mod health;
 mod job;
+mod long;
 mod planner;
+mod short;
+mod site;
+mod turns;
 
 pub use balancer::Balancer;
 pub use budget::Budget;
--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -13,19 +13,19 @@
 const WIDEST: usize = 17;
 /// What an answer that an engine writes already weighs when engines are compared, in milliseconds
 /// of backlog: long reads keep off engines that write, also where no pause is too long yet.
-const WRITER_MS: f64 = 100.0;
+const WRITER_MS: f64 = 300.0;
 /// What an answer that would pause too long weighs, in milliseconds until the first token.
-const HARM_MS: f64 = 100.0;
+const HARM_MS: f64 = 30.0;
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
 /// The share of the engines that a prompt would be read by that have to be done with earlier parts. Waiting
 /// for the last of them costs more than reading with fewer.
-const QUORUM: f64 = 0.7;
+const QUORUM: f64 = 0.9;
 
 /// What each engine that takes part loses beside its reading, in passes: the one that its part
 /// waits for. A part that is short beside it is a waste of the engine's time.
-const PASSES: f64 = 0.5;
+const PASSES: f64 = 0.25;
 
 /// What to do with a long prompt.
 pub(crate) enum Placement {
@@ -77,9 +77,7 @@
 /// When the last of the engines has read its part, with what the answers at them lose.
 fn finish_ms(sites: &[&Site<'_>], part_ms: f64) -> f64 {
     let last = sites.iter().map(|site| site.pass_ms);
-    let harm = sites
-        .iter()
-        .map(|site| site.harmed(part_ms));
+    let harm = sites.iter().map(|site| site.harmed(part_ms));
     last.fold(0.0, f64::max) + part_ms + harm.sum::<usize>() as f64 * HARM_MS
 }
 
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -19,7 +19,7 @@
 /// second, and a host that misses four turns is frozen, cut off or gone.
 const FORGOTTEN: Duration = Duration::from_millis(2_200);
 
-const MAX_PART: f64 = 700.0;
+const MAX_PART: f64 = 500.0;
 /// What to do with a job.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -103,7 +103,7 @@
         }
         let mut turn = turn(now, job, read_ms);
         let plan = if short::is_short(job, read_ms) {
-            let site = short::place(&self.cost, job, &sites);
+            let site = short::place(&self.cost, now, job, &sites);
             site.map(|site| {
                 let helpers = short::helpers(&sites, site, read_ms);
                 shared(job, site.key, helpers, read_ms)
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -4,17 +4,20 @@
 //! second and for every event after it. They are packed on engines that write already, so that
 //! the others stay free for long reads that would make their answers pause.
 
+use kumquatdrum_types::Moment;
+
 use crate::site::Site;
 use crate::{Cost, Job, Part};
 
 /// The share of the pause that a prompt's caller bears which its own reading may take: the rest is
 /// for a pass of the others' answers. What is longer is long.
 const OWN_PAUSE: f64 = 0.8;
-/// The backlog up to which an engine counts as quiet, in milliseconds: the order of a pass.
-const QUIET_MS: f64 = 60.0;
-/// The share of an engine's slots that short answers fill before the next engine is begun. The
-/// rest takes what other hosts send in the same moment.
-const PACKED: f64 = 0.75;
+/// The share of the time to its due moment that a first token may be predicted to take for an
+/// engine to be packed further. The rest is for what other hosts send in the same moment.
+const PACKED: f64 = 0.4;
+/// Passes until a first token, beside the reading: half of the present one, and the one in which
+/// the prompt is read.
+const PASSES: f64 = 1.5;
 /// A part that is worth an engine of its own, in milliseconds of reading: the order of a pass.
 pub(crate) const PART_MS: f64 = 60.0;
 
@@ -23,20 +26,26 @@
     read_ms <= job.pause.as_secs_f64() * 1e3 * OWN_PAUSE
 }
 
-/// The engine that gets a short prompt.
-pub(crate) fn place<'a>(cost: &Cost, job: &Job, sites: &'a [Site<'a>]) -> Option<&'a Site<'a>> {
+/// The engine that gets a short prompt: the one that writes most among those that are soon enough,
+/// else the soonest.
+pub(crate) fn place<'a>(
+    cost: &Cost,
+    now: Moment,
+    job: &Job,
+    sites: &'a [Site<'a>],
+) -> Option<&'a Site<'a>> {
     let slots = cost.engine().slots as usize;
-    let packed = (f64::from(cost.engine().slots) * PACKED) as usize;
+    let left_ms = (job.due - now).as_secs_f64() * 1e3;
+    let read_ms = cost.read_ms(job.prompt).min(PART_MS);
     let fits = sites.iter().filter(|site| site.free >= job.tokens());
     let fits = fits.filter(|site| site.writers() < slots);
     fits.min_by_key(|site| {
-        let backlog = (site.backlog_ms * 1e3) as u64;
-        let is_quiet = site.backlog_ms <= QUIET_MS;
-        let writers = site.writers();
-        match (is_quiet, writers >= packed) {
-            (true, false) => (0, (slots - writers) as u64, backlog),
-            (true, true) => (1, writers as u64, backlog),
-            (false, _) => (2, backlog, writers as u64),
+        let pass_ms = cost.pass_ms(site.writers() + 1, site.tokens());
+        let first_ms = site.backlog_ms + PASSES * pass_ms + read_ms;
+        let first = (first_ms * 1e3) as u64;
+        match first_ms <= left_ms * PACKED && site.parts_ms <= 0.0 {
+            true => (0, (slots - site.writers()) as u64, first),
+            false => (1, first, 0),
         }
     })
 }
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -69,10 +69,17 @@
         self.endpoint.writers.len()
     }
 
+    /// Tokens of its memory that are spoken for.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.endpoint.tokens
+    }
+
     /// Answers of it that would pause too long, if it read for so long in one pass.
     pub(crate) fn harmed(&self, reading_ms: f64) -> usize {
         let pause = self.pass_ms + reading_ms;
         let writers = self.endpoint.writers.values();
-        writers.filter(|writer| pause > writer.pause_ms * NEAR).count()
+        writers
+            .filter(|writer| pause > writer.pause_ms * NEAR)
+            .count()
     }
 }
--- /dev/null
+++ b/crates/kumquatdrum_placement/tests/model/play.rs
@@ -0,0 +1,234 @@
+//! Plays a load against engines, placed by a planner.
+
+use indexmap::IndexMap;
+use kumquatdrum_placement::{Cost, Decision, EndpointKey, Job, JobId, Plan, Planner};
+use kumquatdrum_routes::Engine as Figures;
+use kumquatdrum_types::Moment;
+
+use super::engine::{Engine, Event};
+use super::load::{KINDS, Prompt};
+
+/// How long what an engine does stays unknown to hosts, in milliseconds: the way there.
+const LAG_MS: f64 = 3.0;
+/// How often prompts that wait are looked at, in milliseconds.
+const LOOK_MS: f64 = 5.0;
+
+/// What callers of one kind got.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    pub asked: usize,
+    pub on_time: usize,
+    pub refused: usize,
+    pub first_late: usize,
+    pub paused: usize,
+    pub first_ms: Vec<f64>,
+}
+
+impl Outcome {
+    /// The share that had all of its answer on time.
+    pub fn share(&self) -> f64 {
+        self.on_time as f64 / self.asked.max(1) as f64
+    }
+
+    pub fn first_at(&self, quantile: f64) -> f64 {
+        let mut sorted = self.first_ms.clone();
+        sorted.sort_by(f64::total_cmp);
+        let place = ((sorted.len() as f64 - 1.0) * quantile).max(0.0) as usize;
+        sorted.get(place).copied().unwrap_or(0.0)
+    }
+}
+
+struct Under {
+    prompt: Prompt,
+    plan: Plan,
+    parts: usize,
+    first_ms: Option<f64>,
+    last_ms: f64,
+    paused: bool,
+}
+
+/// The figures of a small engine.
+pub fn figures() -> Figures {
+    Figures {
+        slots: 16,
+        memory_tokens: 315_000,
+        pass_steps: 51,
+        step_ms: 0.85,
+        writer_ms: 0.004_25,
+        context_ms_per_k: 0.002_85,
+        read_tokens_per_ms: 177.0,
+        pairs_ms_per_m: 0.184,
+        chunk_tokens: 2_048,
+        hop_ms: 0.05,
+        usual_prompt: 11_108.0,
+        usual_answer: 1_622.0,
+    }
+}
+
+/// Plays prompts against `count` engines and tells what callers of each kind got.
+pub fn play(prompts: &[Prompt], count: u64) -> Vec<Outcome> {
+    let cost = Cost::new(figures());
+    let mut engines: IndexMap<EndpointKey, Engine> = (0..count)
+        .map(|number| (EndpointKey(number + 1), Engine::new(cost.clone())))
+        .collect();
+    let mut planner = Planner::new(figures());
+    planner.set_endpoints(engines.keys().copied());
+    let mut outcomes = vec![Outcome::default(); KINDS.len()];
+    let mut under: IndexMap<JobId, Under> = IndexMap::new();
+    let mut waiting: Vec<(JobId, Prompt)> = Vec::new();
+    let mut coming = prompts.iter().cloned().enumerate().peekable();
+    let mut look_at = 0.0;
+    loop {
+        let arrival = coming
+            .peek()
+            .map_or(f64::INFINITY, |(_, prompt)| prompt.at_ms);
+        let pass = engines
+            .values()
+            .map(Engine::next_at)
+            .fold(f64::INFINITY, f64::min);
+        let look = if waiting.is_empty() {
+            f64::INFINITY
+        } else {
+            look_at
+        };
+        let now = arrival.min(pass).min(look);
+        if now.is_infinite() {
+            return outcomes;
+        }
+        if arrival <= now {
+            let Some((number, prompt)) = coming.next() else {
+                return outcomes;
+            };
+            outcomes[prompt.kind].asked += 1;
+            let number = number as u64;
+            waiting.push((JobId { host: 1, number }, prompt));
+        }
+        if arrival <= now || look <= now {
+            look_at = now + LOOK_MS;
+            waiting.retain(|(id, prompt)| {
+                let decision = planner.place(moment(now), &job(*id, prompt));
+                match decision {
+                    Decision::Wait(_) if now < prompt.at_ms + 10_000.0 => true,
+                    Decision::Send(plan, _) => {
+                        send(&mut engines, &cost, now, prompt, &plan);
+                        under.insert(*id, start(prompt, plan));
+                        false
+                    }
+                    _ => {
+                        planner.left(*id);
+                        outcomes[prompt.kind].refused += 1;
+                        false
+                    }
+                }
+            });
+        }
+        if pass <= now {
+            let ready = engines.values_mut().find(|engine| engine.next_at() <= now);
+            let Some(engine) = ready else { continue };
+            let (at, events) = engine.pass();
+            for event in events {
+                take(
+                    event,
+                    at,
+                    &mut engines,
+                    &mut under,
+                    &mut planner,
+                    &mut outcomes,
+                );
+            }
+        }
+    }
+}
+
+fn moment(ms: f64) -> Moment {
+    Moment {
+        micros: (ms * 1e3) as u64,
+    }
+}
+
+fn job(id: JobId, prompt: &Prompt) -> Job {
+    let arrived = moment(prompt.at_ms);
+    Job {
+        id,
+        prompt: prompt.tokens,
+        answer: u64::from(prompt.events) * 51,
+        pause: prompt.pause,
+        arrived,
+        due: arrived + prompt.target,
+        deadline: arrived + std::time::Duration::from_secs(10),
+        spared: Vec::new(),
+    }
+}
+
+fn start(prompt: &Prompt, plan: Plan) -> Under {
+    Under {
+        parts: plan.helpers.len() + 1,
+        prompt: prompt.clone(),
+        plan,
+        first_ms: None,
+        last_ms: 0.0,
+        paused: false,
+    }
+}
+
+fn send(
+    engines: &mut IndexMap<EndpointKey, Engine>,
+    cost: &Cost,
+    now: f64,
+    prompt: &Prompt,
+    plan: &Plan,
+) {
+    let parts = plan.helpers.len() as f64 + 1.0;
+    let part_ms = cost.read_ms(prompt.tokens) / parts;
+    let tokens = prompt.tokens as f64 / parts;
+    for key in plan.readers() {
+        let helps = key != plan.first;
+        engines[&key].read(now + LAG_MS, plan.job, part_ms, tokens, helps);
+    }
+}
+
+fn take(
+    event: Event,
+    at: f64,
+    engines: &mut IndexMap<EndpointKey, Engine>,
+    under: &mut IndexMap<JobId, Under>,
+    planner: &mut Planner,
+    outcomes: &mut [Outcome],
+) {
+    let (Event::Read(id) | Event::Sent(id, _)) = event;
+    let Some(job) = under.get_mut(&id) else {
+        return;
+    };
+    match event {
+        Event::Read(_) => {
+            job.parts -= 1;
+            if job.parts == 0 {
+                let first = &mut engines[&job.plan.first];
+                first.write(at, id, job.prompt.tokens, job.prompt.events);
+            }
+        }
+        Event::Sent(_, is_last) => {
+            if job.first_ms.is_none() {
+                job.first_ms = Some(at - job.prompt.at_ms);
+                planner.began(moment(at + LAG_MS), id);
+            } else {
+                job.paused |= at - job.last_ms > job.prompt.pause.as_secs_f64() * 1e3;
+            }
+            job.last_ms = at;
+            if is_last {
+                finish(job, &mut outcomes[job.prompt.kind]);
+                planner.ended(moment(at + LAG_MS), id);
+                under.swap_remove(&id);
+            }
+        }
+    }
+}
+
+fn finish(job: &Under, outcome: &mut Outcome) {
+    let first_ms = job.first_ms.unwrap_or(f64::INFINITY);
+    let is_late = first_ms > job.prompt.target.as_secs_f64() * 1e3;
+    outcome.first_late += usize::from(is_late);
+    outcome.paused += usize::from(job.paused);
+    outcome.on_time += usize::from(!is_late && !job.paused);
+    outcome.first_ms.push(first_ms);
+}
