Tests of the whole path with real processes: control, stops, streams, faulty answers

Each stands for a rule: SIGHUP (ended processes before), at most once, resumption, crossed and unframed answers, reused addresses, leaving, lost disks, acknowledged revisions.

--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/control.rs
@@ -0,0 +1,96 @@
+//! Operators and endpoints: what is acknowledged holds.
+
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::cluster::{CONTROL, Cluster, config, is_folder};
+use crate::endpoint::{Endpoint, Manner};
+
+#[tokio::test]
+async fn the_highest_revision_is_read_back_byte_for_byte_at_every_host() {
+    let cluster = Cluster::start(21);
+    let newest = config(30);
+    cluster.apply(&config(4)).await;
+    cluster.apply(&newest).await;
+    // Older and equal revisions are acknowledged, and change nothing.
+    let mut other = config(30);
+    other["routes"] = json!([]);
+    cluster.apply(&config(4)).await;
+    cluster.apply(&other).await;
+    for host in 0..CONTROL {
+        assert_eq!(cluster.read(host).await, newest.to_string());
+    }
+    let mut invalid = config(31);
+    invalid["routes"][0]["service"] = json!("nobody");
+    let answer = cluster
+        .control(1, "/-/Config.Replace", Some(&invalid))
+        .await;
+    assert_eq!(answer.expect("an answer").status(), StatusCode::BAD_REQUEST);
+    // What is invalid is refused before its revision is looked at.
+    invalid["version"] = json!(1);
+    let answer = cluster
+        .control(2, "/-/Config.Replace", Some(&invalid))
+        .await;
+    assert_eq!(answer.expect("an answer").status(), StatusCode::BAD_REQUEST);
+    assert_eq!(cluster.read(0).await, newest.to_string());
+}
+
+#[tokio::test]
+async fn what_was_acknowledged_survives_whoever_acknowledged_it() {
+    let mut cluster = Cluster::start(22);
+    cluster.apply(&config(1)).await;
+    for revision in 2..6 {
+        let host = cluster.apply(&config(revision)).await;
+        cluster.kill(host);
+        let next = (host + 1) % CONTROL;
+        assert_eq!(cluster.read(next).await, config(revision).to_string());
+        cluster.start_host(host, false);
+        assert_eq!(cluster.read(host).await, config(revision).to_string());
+    }
+}
+
+#[tokio::test]
+async fn a_host_that_lost_its_disk_catches_up_before_another_is_lost() {
+    let mut cluster = Cluster::start(23);
+    cluster.apply(&config(1)).await;
+    let host = cluster.apply(&config(2)).await;
+    cluster.kill(host);
+    assert!(is_folder(&cluster.data(host)));
+    std::fs::remove_dir_all(cluster.data(host)).expect("the disk is lost");
+    cluster.start_host(host, false);
+    assert_eq!(cluster.read(host).await, config(2).to_string());
+    // The new replica votes in the place of the old one.
+    sleep(Duration::from_secs(4)).await;
+    let other = (host + 1) % CONTROL;
+    cluster.kill(other);
+    cluster.apply(&config(3)).await;
+    assert_eq!(cluster.read(host).await, config(3).to_string());
+}
+
+#[tokio::test]
+async fn a_leaving_endpoint_gets_nothing_once_that_is_acknowledged() {
+    let cluster = Cluster::start(24);
+    cluster.apply(&config(1)).await;
+    let leaving = Endpoint::start("i-1", Manner::Whole).await;
+    let staying = Endpoint::start("i-2", Manner::Whole).await;
+    cluster.announce(&leaving, "plain", "ready", 1).await;
+    cluster.announce(&staying, "plain", "ready", 1).await;
+    for host in [3, 4] {
+        cluster.ready(host, &leaving).await;
+        cluster.ready(host, &staying).await;
+    }
+    cluster.announce(&leaving, "plain", "draining", 2).await;
+    // A late announcement changes nothing.
+    cluster.announce(&leaving, "plain", "ready", 1).await;
+    for attempt in 0..8 {
+        let call = cluster.call(3 + attempt % 2, "/safe/x", &format!("at-{attempt}"));
+        assert_eq!(
+            call.send().await.expect("an answer").status(),
+            StatusCode::OK
+        );
+    }
+    assert_eq!((leaving.runs(), staying.runs()), (0, 8));
+}
--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! Gateway hosts as real processes on loopback, before stand-ins of the platform's endpoints.
+
+mod cluster;
+mod control;
+mod endpoint;
+mod path;
+mod stop;
+mod streams;
--- /dev/null
+++ b/crates/kumquatdrum_registry/tests/registry.rs
@@ -0,0 +1,125 @@
+//! Announcements that come late, twice, out of order, and from earlier lives.
+
+use std::time::Duration;
+
+use kumquatdrum_registry::{Announcement, Change, Registry};
+use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
+
+const NOW: Moment = Moment::from_millis(100_000);
+
+fn announcement(id: &str, started: u64, sequence: u64) -> Announcement {
+    Announcement {
+        id: EndpointId::new(id),
+        started,
+        sequence,
+        service: ServiceName::new("s"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: DataCentre::new("z"),
+        slots: 4,
+        leaving: false,
+        warming_ms: 0,
+    }
+}
+
+fn leaving(id: &str, started: u64, sequence: u64) -> Announcement {
+    Announcement {
+        leaving: true,
+        ..announcement(id, started, sequence)
+    }
+}
+
+fn usable(registry: &Registry) -> Vec<(String, u64)> {
+    let service = ServiceName::new("s");
+    let usable = registry.usable(NOW, &service);
+    usable
+        .map(|(endpoint, _)| (endpoint.id.as_str().to_owned(), endpoint.started))
+        .collect()
+}
+
+fn one(id: &str, started: u64) -> Vec<(String, u64)> {
+    vec![(id.to_owned(), started)]
+}
+
+#[test]
+fn a_late_announcement_does_not_bring_a_leaving_endpoint_back() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.announce(NOW, announcement("a", 1, 1)), Change::New);
+    assert_eq!(registry.announce(NOW, leaving("a", 1, 3)), Change::Changed);
+    assert_eq!(
+        registry.announce(NOW, announcement("a", 1, 2)),
+        Change::Stale
+    );
+    assert_eq!(usable(&registry), []);
+    // Nor does a later one of the same start.
+    registry.announce(NOW, announcement("a", 1, 4));
+    assert_eq!(usable(&registry), []);
+}
+
+#[test]
+fn a_farewell_without_notice_holds_for_that_start_alone() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, announcement("a", 1, 7));
+    assert!(
+        registry
+            .leave(NOW, &EndpointId::new("a"), Some(1))
+            .is_some()
+    );
+    registry.announce(NOW, announcement("a", 1, 8));
+    assert_eq!(usable(&registry), []);
+    assert_eq!(registry.announce(NOW, announcement("a", 2, 1)), Change::New);
+    assert_eq!(usable(&registry), one("a", 2));
+    // A farewell of the earlier start arrives last.
+    assert!(
+        registry
+            .leave(NOW, &EndpointId::new("a"), Some(1))
+            .is_none()
+    );
+    assert_eq!(usable(&registry), one("a", 2));
+}
+
+#[test]
+fn a_restart_under_the_same_id_begins_to_count_anew() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, announcement("a", 1, 900));
+    assert_eq!(registry.announce(NOW, announcement("a", 2, 1)), Change::New);
+    assert_eq!(
+        registry.announce(NOW, announcement("a", 1, 901)),
+        Change::Stale
+    );
+    assert_eq!(usable(&registry), one("a", 2));
+}
+
+#[test]
+fn an_address_belongs_to_who_started_last_there() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, announcement("old", 1, 1));
+    registry.announce(NOW, announcement("new", 2, 1));
+    assert_eq!(usable(&registry), one("new", 2));
+    registry.announce(NOW, announcement("old", 1, 2));
+    assert_eq!(usable(&registry), one("new", 2));
+    registry.announce(NOW, announcement("older", 0, 1));
+    assert_eq!(usable(&registry), one("new", 2));
+}
+
+#[test]
+fn an_empty_host_learns_from_others_who_is_going() {
+    let mut full = Registry::default();
+    full.announce(NOW, announcement("a", 1, 1));
+    full.leave(NOW, &EndpointId::new("a"), None);
+    let mut empty = Registry::default();
+    for update in full.updates(NOW, Duration::ZERO) {
+        empty.merge(NOW, update);
+    }
+    empty.announce(NOW, announcement("a", 1, 2));
+    assert_eq!(usable(&empty), []);
+}
+
+#[test]
+fn what_is_silent_for_long_is_forgotten() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, announcement("a", 1, 1));
+    let later = NOW + Duration::from_secs(59);
+    assert_eq!(registry.sweep(later), []);
+    let later = NOW + Duration::from_secs(61);
+    assert_eq!(registry.sweep(later), [EndpointId::new("a")]);
+}
