Recover sooner from the loss of all hosts, and tell callers when to come back

Cause: after a final fault hosts knew what was in force only after an election and a greeting, and told callers to come back after 0.5 s, which they do once: two seconds of requests were refused twice. A stream that breaks tries several endpoints.

--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -29,6 +29,8 @@
 /// that, an engine that reads a lot is likelier than one that is gone, and a repetition would only
 /// add to what it reads.
 const SILENT_PAUSES: u32 = 8;
+/// The most endpoints that are tried to resume a stream; at most one of them is sent anything.
+const RESUMPTIONS: usize = 6;
 /// The shortest silence that counts.
 const SHORTEST_SILENCE: Duration = Duration::from_millis(2_000);
 
@@ -229,27 +231,27 @@
         }
         info!(call.gateway.logger, "resume"; "event" => "resume", "request" => &call.name,
             "after" => self.last, "reason" => reason);
-        let pick = call.pick(&self.tries).await.map_err(|problem| {
-            call.log_end("cut", &problem.to_string(), &self.tries);
-            body::Error::from(problem)
-        })?;
-        let reservations = call.reserve(&pick, &mut self.tries).await;
-        let Some(reservations) = reservations else {
-            call.log_end("cut", "no memory to resume", &self.tries);
-            return Err("no memory to resume".into());
-        };
         self.tries.sent += 1;
-        match call.attempt(&pick, self.last).await {
-            Outcome::Stream(exchange) => {
-                self.exchange = Some(*exchange);
-                self.pick = Some(pick);
-                self.reservations = reservations;
-                Ok(())
-            }
-            _ => {
-                call.log_end("cut", "could not be resumed", &self.tries);
-                Err("the stream could not be resumed".into())
+        for _ in 0..RESUMPTIONS {
+            let pick = call.pick(&self.tries).await.map_err(|problem| {
+                call.log_end("cut", &problem.to_string(), &self.tries);
+                body::Error::from(problem)
+            })?;
+            let Some(reservations) = call.reserve(&pick, &mut self.tries).await else {
+                continue;
+            };
+            match call.attempt(&pick, self.last).await {
+                Outcome::Stream(exchange) => {
+                    self.exchange = Some(*exchange);
+                    self.pick = Some(pick);
+                    self.reservations = reservations;
+                    return Ok(());
+                }
+                Outcome::Unsent(_) => self.tries.spare(pick.key),
+                _ => break,
             }
         }
+        call.log_end("cut", "could not be resumed", &self.tries);
+        Err("the stream could not be resumed".into())
     }
 }
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -26,7 +26,7 @@
 /// When to come back where too much else is asked for: demand is judged over as long.
 const CALMER: Duration = Duration::from_secs(3);
 /// The most endpoints that are tried in vain, without a byte sent.
-const UNSENT: usize = 4;
+const UNSENT: usize = 8;
 
 /// What has been tried so far.
 #[derive(Default)]
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -35,8 +35,10 @@
 /// How often hosts greet the control hosts: a host that was cut off knows what is in force within
 /// half a second of its return.
 const GREETING: Duration = Duration::from_millis(500);
+/// How often a host greets that knows nothing yet.
+const FIRST_GREETING: Duration = Duration::from_millis(100);
 /// How long a greeting may take.
-const GREETING_LIMIT: Duration = Duration::from_millis(1_200);
+const GREETING_LIMIT: Duration = Duration::from_millis(700);
 /// How often a control host passes on what endpoints have said.
 const ROUND: Duration = Duration::from_millis(1_000);
 /// How often a host tells of all its jobs: one that starts knows them before it takes callers.
@@ -267,10 +269,8 @@
     }
 
     async fn greet(self: Arc<Self>) {
-        let mut rounds = interval(GREETING);
         let mut is_new = true;
         loop {
-            rounds.tick().await;
             let mut greetings = JoinSet::new();
             for host in self.hosts.greeted() {
                 let gateway = self.clone();
@@ -296,6 +296,12 @@
             }
             self.hosts.sweep();
             self.fleet.refresh();
+            let pause = if is_new || self.lacks_record() {
+                FIRST_GREETING
+            } else {
+                GREETING
+            };
+            sleep(pause).await;
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/problem.rs
+++ b/crates/kumquatdrum_gateway/src/problem.rs
@@ -6,6 +6,10 @@
 
 use crate::body::{self, Body};
 
+/// When a host that starts knows what is in force, also where all hosts start at once: an election
+/// and a greeting later. Callers come back once, so it has to do by then.
+const UNSURE: Duration = Duration::from_millis(2_000);
+
 /// Why a request got no endpoint's answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Problem {
@@ -58,8 +62,7 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Refused { retry_after, .. } => Some(*retry_after),
-            // A host learns what is in force within a round of greetings.
-            Self::Unsure => Some(Duration::from_millis(500)),
+            Self::Unsure => Some(UNSURE),
             _ => None,
         }
     }
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -24,7 +24,7 @@
 use crate::meters::Meters;
 use crate::settings::Settings;
 
-/// How often the leader looks for voters to replace.
+/// How often a replica keeps what has come in force, and the leader looks for voters to replace.
 const TENDING: Duration = Duration::from_millis(500);
 /// How long a voter may be silent before a spare replica takes its place: longer than a restart.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -43,7 +43,7 @@
 const KEEP_ENTRIES: u64 = 8;
 /// Silence after which followers elect. Long enough for a slow host to answer in time, short
 /// enough for two elections within an operator's patience.
-const ELECTION: Duration = Duration::from_millis(800);
+const ELECTION: Duration = Duration::from_millis(600);
 
 /// What reaches a replica.
 #[derive(Debug)]
@@ -203,6 +203,7 @@
         wake: Moment::ZERO,
         halted: false,
         tokens: 0,
+        kept: 0,
         waiting: IndexMap::new(),
         reads: IndexMap::new(),
         silent: IndexMap::new(),
@@ -242,6 +243,8 @@
     wake: Moment,
     halted: bool,
     tokens: u64,
+    /// The revision that the last snapshot holds.
+    kept: u64,
     waiting: IndexMap<Token, oneshot::Sender<Answer>>,
     reads: IndexMap<Token, (Ask, oneshot::Sender<Answer>)>,
     /// Voters that don't answer this leader, and since when.
@@ -265,7 +268,10 @@
                     None => break,
                 },
                 () = tokio::time::sleep_until(due) => self.step(Input::Tick),
-                _ = tending.tick() => self.tend(),
+                _ = tending.tick() => {
+                    self.keep();
+                    self.tend();
+                }
                 _ = stop.wait_for(|stopped| *stopped) => break,
             }
         }
@@ -376,6 +382,7 @@
         match register {
             Ok(register) => {
                 self.register = register;
+                self.kept = self.register.revision();
                 self.put_in_force();
             }
             Err(reason) => {
@@ -386,6 +393,14 @@
         }
     }
 
+    /// Keeps what is in force in a snapshot: a replica that starts knows it before an election.
+    fn keep(&mut self) {
+        if self.register.revision() > self.kept {
+            self.kept = self.register.revision();
+            self.snapshot();
+        }
+    }
+
     fn snapshot(&mut self) {
         let index = self.node.applied();
         match self.register.encode() {
