--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -51,6 +51,7 @@
     let (head, body) = request.into_parts();
     let ask = gateway.protocol.ask(&head.headers);
     let name = ask.attempt.clone().unwrap_or_default();
+    gateway.informed(ask.patience).await;
     let admitted = admit(&gateway, &head, &ask);
     let mut response = match admitted {
         Ok(admitted) => {
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -109,11 +109,12 @@
             }
         };
         let load = reply.load.as_ref().map(|load| load.running + load.waiting);
-        match judgement {
+        match (judgement, &reply.at_fault) {
+            (_, Some(helper)) if *helper != pick.endpoint.id.as_str() => pick.helper_failed(helper),
             _ if reply.wrong_endpoint => pick.displaced(),
-            Judgement::Ran => pick.succeeded(load),
-            Judgement::NotRun => pick.failed(Failure::Busy),
-            Judgement::Failed => pick.failed(Failure::Error),
+            (Judgement::Ran, _) => pick.succeeded(load),
+            (Judgement::NotRun, _) => pick.failed(Failure::Busy),
+            (Judgement::Failed, _) => pick.failed(Failure::Error),
         }
         let status = exchange.response.status();
         self.log_attempt(pick, "answered", status.as_str());
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_placement::{
-    Balancer, Basis, Budget, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner, Turn,
+    Balancer, Basis, Budget, Decision, EndpointKey, Failure, Group, Job, JobId, Plan, Planner, Turn,
 };
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -216,9 +216,14 @@
             .collect();
         let mut state = service.state.lock();
         match &mut state.policy {
-            Policy::Engines(planner) => planner.set_endpoints(directory.keys().copied()),
+            Policy::Engines(planner) => {
+                let grouped = directory.iter();
+                planner.set_endpoints(grouped.map(|(key, endpoint)| (*key, group(endpoint))));
+            }
             Policy::Plain(balancer) => {
-                let slots = |(key, endpoint): (&EndpointKey, &Announcement)| (*key, endpoint.slots);
+                let slots = |(key, endpoint): (&EndpointKey, &Announcement)| {
+                    (*key, group(endpoint), endpoint.slots)
+                };
                 balancer.set_endpoints(directory.iter().map(slots));
             }
         }
@@ -457,6 +462,12 @@
     }
 }
 
+/// Endpoints of one data centre are cut off together.
+fn group(endpoint: &Announcement) -> Group {
+    let name = EndpointId::new(endpoint.data_centre.as_str());
+    Group(EndpointKey::of(&name, 0).0)
+}
+
 /// The names of the engines that help, for logs.
 fn helper_names(state: &State, plan: &Plan) -> String {
     let helpers = plan.helpers.iter();
@@ -522,6 +533,25 @@
         }
     }
 
+    /// A helper has failed the endpoint, which names it by its id or its address.
+    pub fn helper_failed(&self, name: &str) {
+        let now = self.fleet.parts.clock.now();
+        let mut state = self.service.state.lock();
+        let named = |endpoint: &Announcement| {
+            endpoint.id.as_str() == name || endpoint.address.to_string() == name
+        };
+        let found = state.directory.iter();
+        let mut found = found.filter(|(_, endpoint)| named(endpoint));
+        let Some(key) = found.next().map(|(key, _)| *key) else {
+            return;
+        };
+        if let Policy::Engines(planner) = &mut state.policy {
+            planner.failed(now, key, Failure::Unreachable);
+        }
+        warn!(self.fleet.parts.logger, "helper_failed"; "event" => "helper_failed",
+            "endpoint" => self.endpoint.id.as_str(), "helper" => name);
+    }
+
     /// Another endpoint answers at the address.
     pub fn displaced(&self) {
         self.fleet.parts.endpoints.displaced(&self.endpoint);
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -37,6 +37,10 @@
 const GREETING: Duration = Duration::from_millis(500);
 /// How often a host greets that knows nothing yet.
 const FIRST_GREETING: Duration = Duration::from_millis(100);
+/// How long a request waits for what is in force: an election and a greeting.
+const INFORMED: Duration = Duration::from_millis(2_000);
+/// The share of a caller's patience that it may wait so.
+const INFORMED_SHARE: f64 = 0.4;
 /// How long a greeting may take.
 const GREETING_LIMIT: Duration = Duration::from_millis(700);
 /// How often a control host passes on what endpoints have said.
@@ -147,6 +151,16 @@
         Duration::from_millis(self.settings.unused_memory_ms).mul_f64(RESERVATION)
     }
 
+    /// Waits, on a host that has just started, until it knows what is in force. A caller whose
+    /// first host was lost has no further try than this one.
+    pub(crate) async fn informed(&self, patience: Option<Duration>) {
+        let share = patience.map_or(INFORMED, |patience| patience.mul_f64(INFORMED_SHARE));
+        let until = self.clock.now() + share.min(INFORMED);
+        while self.lacks_record() && self.clock.now() < until {
+            sleep(FIRST_GREETING / 4).await;
+        }
+    }
+
     /// Whether this host takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         let is_certain = *self.heard_majority.lock() || self.clock.now() - self.started > CERTAINTY;
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -77,6 +77,8 @@
     pub not_run: bool,
     /// It is not the endpoint that the request was meant for.
     pub wrong_endpoint: bool,
+    /// Another endpoint, by its id or its address, that has failed it.
+    pub at_fault: Option<String>,
     /// Its load.
     pub load: Option<Load>,
 }
--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::Moment;
 
+use crate::reach::{Group, Reach};
 use crate::{EndpointKey, Failure, Health};
 
 /// How long a reported load is believed: about as long as a plain request takes to run.
@@ -14,11 +15,13 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     endpoints: IndexMap<EndpointKey, Endpoint>,
+    reach: Reach,
     turn: usize,
 }
 
 #[derive(Debug, Default)]
 struct Endpoint {
+    group: Option<Group>,
     slots: u32,
     under_way: u32,
     reported: u32,
@@ -29,12 +32,13 @@
 
 impl Balancer {
     /// The endpoints that may be chosen from now on, with their slots.
-    pub fn set_endpoints(&mut self, usable: impl IntoIterator<Item = (EndpointKey, u32)>) {
+    pub fn set_endpoints(&mut self, usable: impl IntoIterator<Item = (EndpointKey, Group, u32)>) {
         for endpoint in self.endpoints.values_mut() {
             endpoint.usable = false;
         }
-        for (key, slots) in usable {
+        for (key, group, slots) in usable {
             let endpoint = self.endpoints.entry(key).or_default();
+            endpoint.group = Some(group);
             endpoint.slots = slots.max(1);
             endpoint.usable = true;
         }
@@ -50,7 +54,9 @@
             endpoint.usable && !spared.contains(key)
         };
         let order = |(place, (_, endpoint)): &(usize, (&EndpointKey, &Endpoint))| {
-            let ejected = endpoint.health.is_ejected(now);
+            let is_cut = endpoint.group;
+            let is_cut = is_cut.is_some_and(|group| self.reach.is_cut(now, group));
+            let ejected = is_cut || endpoint.health.is_ejected(now);
             let load = (endpoint.load(now) * 1e3) as u64;
             (ejected, load, (place + self.turn) % count)
         };
@@ -73,6 +79,9 @@
     pub fn succeeded(&mut self, now: Moment, key: EndpointKey, load: Option<u32>) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.health.succeeded();
+            if let Some(group) = endpoint.group {
+                self.reach.succeeded(group);
+            }
             if let Some(load) = load {
                 endpoint.reported = load;
                 endpoint.reported_at = now;
@@ -82,9 +91,13 @@
 
     /// An endpoint has failed; returns whether it is spared from now on.
     pub fn failed(&mut self, now: Moment, key: EndpointKey, failure: Failure) -> bool {
-        self.endpoints
-            .get_mut(&key)
-            .is_some_and(|endpoint| endpoint.health.failed(now, failure))
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        if let Some(group) = endpoint.group {
+            self.reach.failed(now, group, failure);
+        }
+        endpoint.health.failed(now, failure)
     }
 }
 
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -12,6 +12,7 @@
 
 use crate::demand::Demand;
 use crate::long::Placement;
+use crate::reach::{Group, Reach};
 use crate::site::{Endpoint, Site, Writer};
 use crate::turns::Turns;
 use crate::{Cost, EndpointKey, Failure, Job, JobId, Part, Plan, Turn, long, short};
@@ -56,6 +57,7 @@
     jobs: IndexMap<JobId, Placed>,
     turns: Turns,
     demand: Demand,
+    reach: Reach,
 }
 
 #[derive(Debug)]
@@ -74,16 +76,20 @@
             jobs: IndexMap::new(),
             turns: Turns::default(),
             demand: Demand::default(),
+            reach: Reach::default(),
         }
     }
 
     /// The engines that may be chosen from now on.
-    pub fn set_endpoints(&mut self, usable: impl IntoIterator<Item = EndpointKey>) {
+    pub fn set_endpoints(&mut self, usable: impl IntoIterator<Item = (EndpointKey, Group)>) {
         for endpoint in self.endpoints.values_mut() {
             endpoint.usable = false;
         }
-        for key in usable {
-            self.endpoints.entry(key).or_default().usable = true;
+        for (key, group) in usable {
+            let endpoint = self.endpoints.entry(key);
+            let endpoint = endpoint.or_insert_with(|| Endpoint::new(group));
+            endpoint.group = group;
+            endpoint.usable = true;
         }
         self.endpoints.retain(|_, endpoint| {
             endpoint.usable || endpoint.reads > 0 || !endpoint.writers.is_empty()
@@ -108,7 +114,7 @@
             return Decision::TooCostly;
         }
         let mut turn = turn(now, job, read_ms);
-        let plan = if short::is_short(job, read_ms) {
+        let plan = if short::is_short(job, &sites, read_ms) {
             let site = short::place(&self.cost, now, job, &sites);
             site.map(|site| {
                 let helpers = short::helpers(&sites, site, read_ms);
@@ -251,14 +257,17 @@
     pub fn succeeded(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.health.succeeded();
+            self.reach.succeeded(endpoint.group);
         }
     }
 
     /// An engine has failed; returns whether it is spared from now on.
     pub fn failed(&mut self, now: Moment, key: EndpointKey, failure: Failure) -> bool {
-        self.endpoints
-            .get_mut(&key)
-            .is_some_and(|endpoint| endpoint.health.failed(now, failure))
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        self.reach.failed(now, endpoint.group, failure);
+        endpoint.health.failed(now, failure)
     }
 
     /// The engines that may get a job: those that are not spared, where any are.
@@ -267,12 +276,12 @@
             endpoint.usable && !job.spared.contains(key)
         };
         let usable: Vec<_> = self.endpoints.iter().filter(usable).collect();
-        let has_healthy = usable
-            .iter()
-            .any(|(_, endpoint)| !endpoint.health.is_ejected(now));
+        let is_sound = |endpoint: &Endpoint| {
+            !endpoint.health.is_ejected(now) && !self.reach.is_cut(now, endpoint.group)
+        };
+        let has_sound = usable.iter().any(|(_, endpoint)| is_sound(endpoint));
         let chosen = usable.into_iter();
-        let chosen =
-            chosen.filter(|(_, endpoint)| !has_healthy || !endpoint.health.is_ejected(now));
+        let chosen = chosen.filter(|(_, endpoint)| !has_sound || is_sound(endpoint));
         chosen
             .map(|(key, endpoint)| endpoint.site(now, *key, &self.cost))
             .collect()
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -9,9 +9,9 @@
 use crate::site::Site;
 use crate::{Cost, Job, Part};
 
-/// The share of the pause that a prompt's caller bears which its own reading may take: the rest is
-/// for a pass of the others' answers. What is longer is long.
-const OWN_PAUSE: f64 = 0.8;
+/// The share of a pause that a prompt's reading may take: the rest is for a pass of the answers.
+/// What takes longer is long.
+const PAUSE: f64 = 0.8;
 /// The share of the time to its due moment that a first token may be held up by others for an
 /// engine to be packed further. The rest is for its own reading, and for what other hosts send in
 /// the same moment. Lower shares spread short answers over engines whose long reads make them
@@ -23,9 +23,12 @@
 /// A part that is worth an engine of its own, in milliseconds of reading: the order of a pass.
 pub(crate) const PART_MS: f64 = 60.0;
 
-/// Whether a prompt is short.
-pub(crate) fn is_short(job: &Job, read_ms: f64) -> bool {
-    read_ms <= job.pause.as_secs_f64() * 1e3 * OWN_PAUSE
+/// Whether a prompt is short: neither its own caller nor any of an answer under way would be kept
+/// from an event for too long by its reading.
+pub(crate) fn is_short(job: &Job, sites: &[Site<'_>], read_ms: f64) -> bool {
+    let own = job.pause.as_secs_f64() * 1e3;
+    let tightest = sites.iter().map(Site::tightest_pause_ms);
+    read_ms <= tightest.fold(own, f64::min) * PAUSE
 }
 
 /// The engine that gets a short prompt: the one that writes most among those that are soon enough,
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::Moment;
 
-use crate::{Cost, EndpointKey, Health, JobId};
+use crate::{Cost, EndpointKey, Group, Health, JobId};
 
 /// The share of memory that is planned for: answers grow beyond their estimates.
 const FILLED: f64 = 0.97;
@@ -13,8 +13,9 @@
 const NEAR: f64 = 0.9;
 
 /// What a planner keeps of one engine.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Endpoint {
+    pub(crate) group: Group,
     pub(crate) usable: bool,
     pub(crate) health: Health,
     /// When it has read what it holds, as far as that is known.
@@ -48,6 +49,20 @@
 }
 
 impl Endpoint {
+    /// An engine that does nothing yet.
+    pub(crate) fn new(group: Group) -> Self {
+        Self {
+            group,
+            usable: false,
+            health: Health::default(),
+            read_until: Moment::ZERO,
+            parts_until: Moment::ZERO,
+            reads: 0,
+            writers: IndexMap::new(),
+            tokens: 0,
+        }
+    }
+
     /// The engine as it is at this moment.
     pub(crate) fn site(&self, now: Moment, key: EndpointKey, cost: &Cost) -> Site<'_> {
         let backlog = (self.read_until - now).as_secs_f64() * 1e3;
@@ -74,6 +89,13 @@
         self.endpoint.tokens
     }
 
+    /// The shortest pause that is too long for one of its answers.
+    pub(crate) fn tightest_pause_ms(&self) -> f64 {
+        let writers = self.endpoint.writers.values();
+        let pauses = writers.map(|writer| writer.pause_ms);
+        pauses.fold(f64::INFINITY, f64::min)
+    }
+
     /// Answers of it that would pause too long, if it read for so long in one pass.
     pub(crate) fn harmed(&self, reading_ms: f64) -> usize {
         let pause = self.pass_ms + reading_ms;
--- a/crates/kumquatdrum_host/tests/random.rs
+++ b/crates/kumquatdrum_process/tests/random.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashSet;
 
-use kumquatdrum_host::random;
+use kumquatdrum_process::random;
 
 #[test]
 fn numbers_drawn_in_one_moment_differ() {
