--- a/crates/kumquatdrum_placement/benches/policy.rs
+++ b/crates/kumquatdrum_placement/benches/policy.rs
@@ -5,55 +5,54 @@
 #[path = "../tests/model/mod.rs"]
 mod model;
 
-use model::load::draw;
+use model::Outcome;
+use model::load::{KINDS, draw};
 
-/// Short-heavy and long-heavy phases, by turns.
+/// Long-heavy and short-heavy phases, by turns.
 const SWINGING: [[f64; 3]; 2] = [[0.35, 1.3, 2.8], [2.5, 0.5, 0.05]];
 const SEEDS: u64 = 6;
+const SECONDS: u64 = 40;
+/// What an answer on time is worth, by kind; a late one is worth a quarter.
+const WORTH: [f64; 3] = [1.3, 4.2, 21.0];
+const NAMES: [&str; 3] = ["short", "long", "longest"];
+/// Engines, and the share of the load of 23 engines.
+const FLEETS: [(u64, f64); 4] = [(23, 1.0), (23, 0.8), (14, 0.6), (7, 0.25)];
 
 fn main() {
-    for (name, engines, scale) in [
-        ("23 engines", 23, 1.0),
-        ("23, scale .8", 23, 0.8),
-        ("14 engines", 14, 0.6),
-    ] {
-        let mut total = vec![(0usize, 0usize, 0usize, 0usize, 0usize); 3];
-        let mut worth = 0.0;
+    for (engines, scale) in FLEETS {
+        let mut total = vec![Outcome::default(); KINDS.len()];
         for seed in 0..SEEDS {
-            let prompts = draw(seed, 40, scale, &SWINGING);
-            let outcomes = model::play(&prompts, engines);
-            for (sum, outcome) in total.iter_mut().zip(&outcomes) {
-                sum.0 += outcome.asked;
-                sum.1 += outcome.on_time;
-                sum.2 += outcome.refused;
-                sum.3 += outcome.first_late;
-                sum.4 += outcome.paused;
+            let prompts = draw(seed, SECONDS, scale, &SWINGING);
+            for (sum, outcome) in total.iter_mut().zip(model::play(&prompts, engines)) {
+                sum.add(outcome);
             }
-            let value = [1.3, 4.2, 21.0];
-            let earned: f64 = outcomes
-                .iter()
-                .zip(value)
-                .map(|(o, v)| {
-                    v * (o.on_time as f64 + 0.25 * (o.asked - o.refused - o.on_time) as f64)
-                })
-                .sum();
-            let owed: f64 = outcomes
-                .iter()
-                .zip(value)
-                .map(|(o, v)| v * o.asked as f64)
-                .sum();
-            worth += earned / owed / SEEDS as f64;
         }
-        println!("{name}: worth {worth:.3}");
-        for (kind, t) in ["short", "long", "longest"].iter().zip(&total) {
+        println!(
+            "{engines} engines, load {scale}: worth {:.3}",
+            worth(&total)
+        );
+        for (name, outcome) in NAMES.iter().zip(&total) {
             println!(
-                "  {kind:8} asked {:5} on time {:.3} refused {} first late {} paused {}",
-                t.0,
-                t.1 as f64 / t.0 as f64,
-                t.2,
-                t.3,
-                t.4
+                "  {name:8} asked {:5} on time {:.3} refused {:3} first late {:4} paused {:4} first ms {:5.0} {:5.0} {:5.0}",
+                outcome.asked,
+                outcome.share(),
+                outcome.refused,
+                outcome.first_late,
+                outcome.paused,
+                outcome.first_at(0.5),
+                outcome.first_at(0.95),
+                outcome.first_at(0.99),
             );
         }
     }
 }
+
+fn worth(outcomes: &[Outcome]) -> f64 {
+    let (mut earned, mut owed) = (0.0, 0.0);
+    for (outcome, worth) in outcomes.iter().zip(WORTH) {
+        let late = outcome.asked - outcome.refused - outcome.on_time;
+        earned += worth * (outcome.on_time as f64 + late as f64 / 4.0);
+        owed += worth * outcome.asked as f64;
+    }
+    earned / owed
+}
--- a/crates/kumquatdrum_placement/src/demand.rs
+++ b/crates/kumquatdrum_placement/src/demand.rs
@@ -78,7 +78,8 @@
         }
         if self.offers.is_empty() {
             // Sums of floats drift.
-            *self = Self::default();
+            self.weight = 0.0;
+            self.weighted_target_s = 0.0;
         }
     }
 }
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -100,6 +100,9 @@
     pub fn place(&mut self, now: Moment, job: &Job) -> Decision {
         self.forget(now);
         let sites = self.sites(now, job);
+        if self.is_refused(job, &sites) {
+            return Decision::TooCostly;
+        }
         let memory = self.cost.engine().memory_tokens;
         if sites.is_empty() {
             return Decision::Nobody;
@@ -108,11 +111,6 @@
             return Decision::TooLarge;
         }
         let read_ms = self.cost.read_ms(job.prompt);
-        let width = sites.len().min(long::WIDEST);
-        let part_ms = read_ms / width as f64;
-        if self.demand.forbids(job, part_ms, width, sites.len()) {
-            return Decision::TooCostly;
-        }
         let mut turn = turn(now, job, read_ms);
         let plan = if short::is_short(job, &sites, read_ms) {
             let site = short::place(&self.cost, now, job, &sites);
@@ -139,6 +137,20 @@
         Decision::Send(plan, basis)
     }
 
+    /// Whether others would lose more by a job than its caller gains. A job that waits already is
+    /// not refused any more.
+    fn is_refused(&self, job: &Job, sites: &[Site<'_>]) -> bool {
+        let engines = sites.len();
+        let width = engines.clamp(1, long::WIDEST);
+        let free = sites.iter().filter(|site| site.parts_ms <= 0.0).count();
+        // Where as many engines are left, nobody waits for it.
+        if self.turns.contains(job.id) || free >= 2 * width {
+            return false;
+        }
+        let part_ms = self.cost.read_ms(job.prompt) / width as f64;
+        self.demand.forbids(job, part_ms, width, engines)
+    }
+
     /// A job waits at another host.
     pub fn waits(&mut self, now: Moment, turn: Turn) {
         self.turns.put(now, turn);
--- a/crates/kumquatdrum_placement/src/turns.rs
+++ b/crates/kumquatdrum_placement/src/turns.rs
@@ -45,6 +45,11 @@
         self.turns.insert(turn.job, waiting);
     }
 
+    /// Whether a prompt waits already.
+    pub(crate) fn contains(&self, job: JobId) -> bool {
+        self.turns.contains_key(&job)
+    }
+
     /// A prompt waits no longer.
     pub(crate) fn remove(&mut self, job: JobId) {
         self.turns.swap_remove(&job);
--- a/crates/kumquatdrum_placement/tests/model/play.rs
+++ b/crates/kumquatdrum_placement/tests/model/play.rs
@@ -25,6 +25,16 @@
 }
 
 impl Outcome {
+    /// Adds what callers of another play got.
+    pub fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.on_time += other.on_time;
+        self.refused += other.refused;
+        self.first_late += other.first_late;
+        self.paused += other.paused;
+        self.first_ms.extend(other.first_ms);
+    }
+
     /// The share that had all of its answer on time.
     pub fn share(&self) -> f64 {
         self.on_time as f64 / self.asked.max(1) as f64
@@ -123,11 +133,17 @@
             });
         }
         if pass <= now {
-            let ready = engines.values_mut().find(|engine| engine.next_at() <= now);
-            let Some(engine) = ready else { continue };
+            let ready = engines
+                .iter_mut()
+                .find(|(_, engine)| engine.next_at() <= now);
+            let Some((key, engine)) = ready else {
+                continue;
+            };
+            let key = *key;
             let (at, events) = engine.pass();
             for event in events {
                 take(
+                    key,
                     event,
                     at,
                     &mut engines,
@@ -188,6 +204,7 @@
 }
 
 fn take(
+    key: EndpointKey,
     event: Event,
     at: f64,
     engines: &mut IndexMap<EndpointKey, Engine>,
@@ -204,7 +221,21 @@
             job.parts -= 1;
             if job.parts == 0 {
                 let first = &mut engines[&job.plan.first];
-                first.write(at, id, job.prompt.tokens, job.prompt.events);
+                let mut left = job.prompt.events;
+                // An engine that reads the last part writes in what is left of the pass.
+                if key == job.plan.first {
+                    job.first_ms = Some(at - job.prompt.at_ms);
+                    job.last_ms = at;
+                    planner.began(moment(at + LAG_MS), id);
+                    left -= 1;
+                }
+                if left == 0 {
+                    finish(job, &mut outcomes[job.prompt.kind]);
+                    planner.ended(moment(at + LAG_MS), id);
+                    under.swap_remove(&id);
+                } else {
+                    first.write(at, id, job.prompt.tokens, left);
+                }
             }
         }
         Event::Sent(_, is_last) => {
--- a/crates/kumquatdrum_placement/tests/policy.rs
+++ b/crates/kumquatdrum_placement/tests/policy.rs
@@ -17,10 +17,7 @@
     for seed in 0..seeds {
         let prompts: Vec<Prompt> = draw(seed, 30, scale, phases);
         for (sum, outcome) in total.iter_mut().zip(play(&prompts, engines)) {
-            sum.asked += outcome.asked;
-            sum.on_time += outcome.on_time;
-            sum.refused += outcome.refused;
-            sum.first_ms.extend(outcome.first_ms);
+            sum.add(outcome);
         }
     }
     total
