--- a/crates/kumquatdrum/tests/gateway/streams.rs
+++ b/crates/kumquatdrum/tests/gateway/streams.rs
@@ -10,9 +10,8 @@
 use crate::endpoint::{Endpoint, Manner};
 
 fn expected(events: u64) -> String {
-    (1..=events)
-        .map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
-        .collect()
+    let events = (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n"));
+    events.collect::<Vec<_>>().concat()
 }
 
 #[tokio::test]
--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -32,7 +32,7 @@
 /// The most endpoints that are tried to resume a stream; at most one of them is sent anything.
 const RESUMPTIONS: usize = 6;
 /// The shortest silence that counts.
-const SHORTEST_SILENCE: Duration = Duration::from_millis(2_000);
+const SHORTEST_SILENCE: Duration = Duration::from_secs(2);
 
 /// A stream whose first event has come.
 pub(super) struct Begun {
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -20,7 +20,7 @@
 use crate::reservation::{self, Reservation};
 
 /// When to come back where no endpoint is known: a few announcements later.
-const NOBODY: Duration = Duration::from_millis(1_000);
+const NOBODY: Duration = Duration::from_secs(1);
 /// When to come back where endpoints have no room: the time of a few plain requests.
 const NO_ROOM: Duration = Duration::from_millis(300);
 /// When to come back where too much else is asked for: demand is judged over as long.
@@ -53,9 +53,8 @@
             Ok(pick) => pick,
             Err(problem) => return call.give_up(&mut tries, problem),
         };
-        let reservations = match call.reserve(&pick, &mut tries).await {
-            Some(reservations) => reservations,
-            None => continue,
+        let Some(reservations) = call.reserve(&pick, &mut tries).await else {
+            continue;
         };
         let outcome = call.attempt(&pick, None).await;
         let outcome = match outcome {
@@ -168,7 +167,7 @@
                 if tries.unsent <= UNSENT && self.gateway.clock.now() < self.deadline {
                     return None;
                 }
-                (false, Some(self.unsent(tries, reason)))
+                (false, Some(Self::unsent(tries, reason)))
             }
             Outcome::Lost(reason) => {
                 tries.sent += 1;
@@ -193,13 +192,13 @@
         })
     }
 
-    fn unsent(&self, tries: &Tries, reason: String) -> Problem {
-        match tries.may_have_run {
-            true => Problem::Failed(reason),
-            false => Problem::Refused {
-                reason: "no endpoint could be reached",
-                retry_after: NO_ROOM,
-            },
+    fn unsent(tries: &Tries, reason: String) -> Problem {
+        if tries.may_have_run {
+            return Problem::Failed(reason);
+        }
+        Problem::Refused {
+            reason: "no endpoint could be reached",
+            retry_after: NO_ROOM,
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -82,9 +82,10 @@
     info!(gateway.logger, "setup_asked"; "event" => "setup_asked", "revision" => setup.revision,
         "committed" => is_applied, "known" => gateway.in_force.revision(),
         "ms" => started.elapsed().as_millis() as u64);
-    match is_applied {
-        true => json(StatusCode::OK, "{}"),
-        false => status(StatusCode::SERVICE_UNAVAILABLE),
+    if is_applied {
+        json(StatusCode::OK, "{}")
+    } else {
+        status(StatusCode::SERVICE_UNAVAILABLE)
     }
 }
 
@@ -113,9 +114,10 @@
         }
         for host in candidates {
             let limit = ONE.min(until.saturating_duration_since(Instant::now()));
-            let answer = match host == own {
-                true => timeout(limit, gateway.ask_replica(ask.clone())).await,
-                false => Ok(ask_peer(gateway, &host, &ask, limit).await),
+            let answer = if host == own {
+                timeout(limit, gateway.ask_replica(ask.clone())).await
+            } else {
+                Ok(ask_peer(gateway, &host, &ask, limit).await)
             };
             match answer {
                 Ok(Answer::NotLeader(Some(leader))) if leader != host => {
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -6,14 +6,14 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_placement::{
-    Balancer, Basis, Budget, Decision, EndpointKey, Failure, Group, Job, JobId, Plan, Planner, Turn,
+    Balancer, Basis, Budget, Decision, EndpointKey, Group, Job, JobId, Plan, Planner, Turn,
 };
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
 use kumquatdrum_types::{EndpointId, Moment, ServiceName};
 use parking_lot::{Mutex, RwLock};
-use slog::{info, warn};
+use slog::info;
 use tokio::sync::Notify;
 
 use crate::endpoints::Endpoints;
@@ -23,6 +23,10 @@
 use crate::settings::Retries;
 use crate::tell::Teller;
 
+mod pick;
+
+pub use pick::{Pick, Reader};
+
 /// An endpoint that has been silent for so many announcements counts as silent: one may be lost,
 /// and one late by its whole interval.
 const SILENT_ANNOUNCEMENTS: u32 = 4;
@@ -121,32 +125,6 @@
     NoRoom(Turn),
 }
 
-/// An engine that reads a part for a picked one.
-#[derive(Debug, Clone)]
-pub struct Reader {
-    /// Its name.
-    pub endpoint: EndpointId,
-    /// Its key.
-    pub key: EndpointKey,
-    /// Tokens of its memory that have to be reserved.
-    pub reserved: u64,
-    /// How the picked endpoint is told of it.
-    pub helper: Helper,
-}
-
-/// A picked endpoint. Dropping it tells that the request has ended there.
-pub struct Pick {
-    fleet: Arc<Fleet>,
-    service: Arc<Service>,
-    /// The endpoint.
-    pub endpoint: Announcement,
-    /// Its key.
-    pub key: EndpointKey,
-    /// Engines that read parts of the prompt.
-    pub readers: Vec<Reader>,
-    job: Option<JobId>,
-}
-
 impl Fleet {
     /// A fleet without services.
     pub fn new(parts: Parts) -> Self {
@@ -495,82 +473,3 @@
     }
     batches
 }
-
-impl Pick {
-    /// The first token has come.
-    pub fn began(&self) {
-        let Some(job) = self.job else {
-            return;
-        };
-        let now = self.fleet.parts.clock.now();
-        if let Policy::Engines(planner) = &mut self.service.state.lock().policy {
-            planner.began(now, job);
-        }
-        self.service.changed.notify_waiters();
-        self.fleet
-            .tell(Event::Began(self.service.name.clone(), job));
-    }
-
-    /// The endpoint has answered well, and may have told how much it has to do.
-    pub fn succeeded(&self, load: Option<u32>) {
-        let now = self.fleet.parts.clock.now();
-        match &mut self.service.state.lock().policy {
-            Policy::Engines(planner) => planner.succeeded(self.key),
-            Policy::Plain(balancer) => balancer.succeeded(now, self.key, load),
-        }
-    }
-
-    /// The endpoint has failed.
-    pub fn failed(&self, failure: Failure) {
-        let now = self.fleet.parts.clock.now();
-        let is_ejected = match &mut self.service.state.lock().policy {
-            Policy::Engines(planner) => planner.failed(now, self.key, failure),
-            Policy::Plain(balancer) => balancer.failed(now, self.key, failure),
-        };
-        if is_ejected {
-            warn!(self.fleet.parts.logger, "endpoint_ejected"; "event" => "endpoint_ejected",
-                "endpoint" => self.endpoint.id.as_str(), "failure" => ?failure);
-        }
-    }
-
-    /// A helper has failed the endpoint, which names it by its id or its address.
-    pub fn helper_failed(&self, name: &str) {
-        let now = self.fleet.parts.clock.now();
-        let mut state = self.service.state.lock();
-        let named = |endpoint: &Announcement| {
-            endpoint.id.as_str() == name || endpoint.address.to_string() == name
-        };
-        let found = state.directory.iter();
-        let mut found = found.filter(|(_, endpoint)| named(endpoint));
-        let Some(key) = found.next().map(|(key, _)| *key) else {
-            return;
-        };
-        if let Policy::Engines(planner) = &mut state.policy {
-            planner.failed(now, key, Failure::Unreachable);
-        }
-        warn!(self.fleet.parts.logger, "helper_failed"; "event" => "helper_failed",
-            "endpoint" => self.endpoint.id.as_str(), "helper" => name);
-    }
-
-    /// Another endpoint answers at the address.
-    pub fn displaced(&self) {
-        self.fleet.parts.endpoints.displaced(&self.endpoint);
-        self.fleet.refresh_service(&self.service);
-    }
-}
-
-impl Drop for Pick {
-    fn drop(&mut self) {
-        let now = self.fleet.parts.clock.now();
-        match (&mut self.service.state.lock().policy, self.job) {
-            (Policy::Engines(planner), Some(job)) => planner.ended(now, job),
-            (Policy::Plain(balancer), _) => balancer.ended(self.key),
-            (Policy::Engines(_), None) => {}
-        }
-        self.service.changed.notify_waiters();
-        if let Some(job) = self.job {
-            self.fleet
-                .tell(Event::Ended(self.service.name.clone(), job));
-        }
-    }
-}
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -0,0 +1,143 @@
+//! What a gateway host does again and again: greet, pass on, retell, and look at its settings.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatdrum_peer::Channel;
+use slog::{error, info};
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep};
+
+use super::{FIRST_GREETING, File, Gateway};
+use crate::message::{Answer, Question};
+use crate::settings;
+
+/// How often hosts greet the control hosts: a host that was cut off knows what is in force within
+/// half a second of its return.
+const GREETING: Duration = Duration::from_millis(500);
+/// How long a greeting may take.
+const GREETING_LIMIT: Duration = Duration::from_millis(700);
+/// How often a control host passes on what endpoints have said.
+const ROUND: Duration = Duration::from_secs(1);
+/// How often a host tells of all its jobs: one that starts knows them before it takes callers.
+const RETELLING: Duration = Duration::from_millis(500);
+/// How often the settings file is looked at for a change without a signal.
+const RELOAD: Duration = Duration::from_secs(1);
+
+impl Gateway {
+    pub(super) async fn greet(self: Arc<Self>) {
+        let mut is_new = true;
+        loop {
+            let mut greetings = JoinSet::new();
+            for host in self.hosts.greeted() {
+                let gateway = self.clone();
+                let question = Question::Hello {
+                    host: self.hosts.local(),
+                    revision: self.in_force.revision(),
+                    is_new,
+                };
+                greetings.spawn(async move {
+                    let channel = Channel::Membership;
+                    let answer = gateway.ask(&host, channel, &question, GREETING_LIMIT);
+                    match answer.await {
+                        Some(answer) => gateway.welcomed(answer),
+                        None => false,
+                    }
+                });
+            }
+            while let Some(welcomed) = greetings.join_next().await {
+                is_new &= !welcomed.unwrap_or(false);
+                if self.hosts.hears_majority() && !self.lacks_record() {
+                    *self.heard_majority.lock() = true;
+                }
+            }
+            self.hosts.sweep();
+            self.fleet.refresh();
+            let pause = if is_new || self.lacks_record() {
+                FIRST_GREETING
+            } else {
+                GREETING
+            };
+            sleep(pause).await;
+        }
+    }
+
+    pub(super) fn lacks_record(&self) -> bool {
+        self.in_force.current().is_none()
+    }
+
+    /// Takes the answer to a greeting; returns whether it was one.
+    fn welcomed(&self, answer: Answer) -> bool {
+        let Answer::Welcome {
+            host,
+            hosts,
+            revision,
+            endpoints,
+        } = answer
+        else {
+            return false;
+        };
+        let id = host.id.clone();
+        self.hosts.heard(host);
+        self.hosts.merge(hosts);
+        let current = self.in_force.current();
+        let newer = current.filter(|in_force| in_force.record.revision > revision);
+        if let (Some(in_force), Some(_)) = (newer, &self.replica) {
+            self.send_record(&id, &in_force.record);
+        }
+        self.take_endpoints(endpoints, id.as_str());
+        true
+    }
+
+    pub(super) async fn retell(self: Arc<Self>) {
+        let mut rounds = interval(RETELLING);
+        loop {
+            rounds.tick().await;
+            self.fleet.retell();
+        }
+    }
+
+    pub(super) async fn pass_on(self: Arc<Self>) {
+        let mut rounds = interval(ROUND);
+        loop {
+            rounds.tick().await;
+            let updates = self.endpoints.round();
+            self.push_endpoints(updates);
+        }
+    }
+}
+
+/// Looks for new seeds in the settings file; nothing else in it changes while a host runs.
+pub(super) async fn reload(gateway: Arc<Gateway>, mut file: File) {
+    let mut known = gateway.settings.seeds.clone();
+    let mut rounds = interval(RELOAD);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => {}
+            Some(()) = file.changed.recv() => {
+                info!(gateway.logger, "reload_asked"; "event" => "reload_asked");
+            }
+        }
+        let text = match std::fs::read_to_string(&file.path) {
+            Ok(text) => text,
+            Err(error) => {
+                error!(gateway.logger, "settings_unreadable"; "event" => "settings_unreadable",
+                    "reason" => %error);
+                continue;
+            }
+        };
+        match settings::parse(&text) {
+            Ok(settings) if settings.seeds != known => {
+                gateway.hosts.set_seeds(&settings.seeds);
+                info!(gateway.logger, "reloaded"; "event" => "reloaded",
+                    "seeds" => format!("{:?}", settings.seeds));
+                known = settings.seeds;
+            }
+            Ok(_) => {}
+            Err(finding) => {
+                error!(gateway.logger, "settings_invalid"; "event" => "settings_invalid",
+                    "finding" => %finding);
+            }
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/src/health.rs
+++ b/crates/kumquatdrum_gateway/src/health.rs
@@ -1,8 +1,5 @@
 //! The balancer's question, and metrics.
 
-use std::convert::Infallible;
-use std::sync::Arc;
-
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -10,10 +7,7 @@
 use crate::body::{self, Body};
 
 /// Answers whether this host takes callers.
-pub async fn handle(
-    gateway: Arc<Gateway>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
+pub fn handle(gateway: &Gateway, request: &Request<Incoming>) -> Response<Body> {
     let is_known = gateway
         .protocol
         .is_health(request.method(), request.uri().path());
@@ -24,14 +18,11 @@
     };
     let mut response = Response::new(body::whole(""));
     *response.status_mut() = status;
-    Ok(response)
+    response
 }
 
 /// Serves the metrics.
-pub async fn metrics(
-    gateway: Arc<Gateway>,
-    _request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
+pub fn metrics(gateway: &Gateway) -> Response<Body> {
     gateway.measure();
-    Ok(Response::new(body::whole(gateway.meters.text())))
+    Response::new(body::whole(gateway.meters.text()))
 }
--- a/crates/kumquatdrum_gateway/src/problem.rs
+++ b/crates/kumquatdrum_gateway/src/problem.rs
@@ -8,7 +8,7 @@
 
 /// When a host that starts knows what is in force, also where all hosts start at once: an election
 /// and a greeting later. Callers come back once, so it has to do by then.
-const UNSURE: Duration = Duration::from_millis(2_000);
+const UNSURE: Duration = Duration::from_secs(2);
 
 /// Why a request got no endpoint's answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/kumquatdrum_placement/src/demand.rs
+++ b/crates/kumquatdrum_placement/src/demand.rs
@@ -63,16 +63,20 @@
         }
         let rate = self.weight / WINDOW.as_secs_f64();
         let target_s = self.weighted_target_s / self.weight;
-        let part_s = part_ms / 1e3;
-        let late = (part_s / target_s.max(f64::MIN_POSITIVE)).min(1.0);
+        let seconds = part_ms / 1e3;
+        let delayed = (seconds / target_s.max(f64::MIN_POSITIVE)).min(1.0);
         let share = width as f64 / engines.max(1) as f64;
-        let loss = rate * part_s * share * late;
+        let loss = rate * seconds * share * delayed;
         loss > weight(job.prompt) * BORNE
     }
 
     /// Forgets what was sent before the window.
     pub(crate) fn forget(&mut self, now: Moment) {
-        while let Some(offer) = self.offers.pop_front_if(|offer| now - offer.at > WINDOW) {
+        let is_old = |offer: &Offer| now - offer.at > WINDOW;
+        while self.offers.front().is_some_and(is_old) {
+            let Some(offer) = self.offers.pop_front() else {
+                break;
+            };
             self.weight -= offer.weight;
             self.weighted_target_s -= offer.weight * offer.target_s;
         }
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -48,9 +48,11 @@
         let pass_ms = cost.pass_ms(site.writers() + 1, site.tokens());
         let others_ms = site.backlog_ms + PASSES * pass_ms;
         let first = ((others_ms + read_ms) * 1e3) as u64;
-        match others_ms <= left_ms * PACKED && site.parts_ms <= 0.0 {
-            true => (0, (slots - site.writers()) as u64, first),
-            false => (1, first, 0),
+        let is_soon = others_ms <= left_ms * PACKED && site.parts_ms <= 0.0;
+        if is_soon {
+            (0, (slots - site.writers()) as u64, first)
+        } else {
+            (1, first, 0)
         }
     })
 }
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -155,7 +155,7 @@
         0 => {}
         1 => planner.began(now, plan.job),
         _ => {
-            planner.running(now, plan.clone(), drawn % 2 == 0);
+            planner.running(now, plan.clone(), drawn.is_multiple_of(2));
             planner.began(now, plan.job);
         }
     }
