--- a/crates/kumquatdrum/src/cli.rs
+++ b/crates/kumquatdrum/src/cli.rs
@@ -7,7 +7,7 @@
 use kumquatdrum_operator::command::{apply, audit, check, show, status};
 use kumquatdrum_operator::{Connection, Exit};
 
-use crate::{demo, replay};
+use crate::{demo, explain, replay};
 
 /// How long one host may take to answer an operator.
 const ANSWER: Duration = Duration::from_secs(10);
@@ -115,6 +115,11 @@
     /// Example: kumquatdrum replay trace.jsonl --target 127.0.0.1:7101 --keys keys.json
     #[bpaf(command)]
     Replay(#[bpaf(external(replay::arguments))] replay::Arguments),
+    /// Tells what became of one request, and why, from the logs of gateway hosts
+    ///
+    /// Example: kumquatdrum explain 9c41d07be2a35f68 front-1.log front-2.log
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::arguments))] explain::Arguments),
     /// Runs three hosts and small stand-in endpoints in this process, replays a trace and reports
     ///
     /// Example: kumquatdrum demo --mix treasury --json
@@ -207,8 +212,10 @@
             status::run(&options, out).await
         }
         Command::Replay(arguments) => replay::run(&arguments).await,
-        Command::Demo(_) | Command::Gateway { .. } | Command::Serve { .. } | Command::Schema => {
-            Exit::Usage
-        }
+        Command::Demo(_)
+        | Command::Explain(_)
+        | Command::Gateway { .. }
+        | Command::Serve { .. }
+        | Command::Schema => Exit::Usage,
     }
 }
--- a/crates/kumquatdrum/src/main.rs
+++ b/crates/kumquatdrum/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod demo;
+mod explain;
 mod gateway;
 mod logging;
 mod replay;
@@ -24,6 +25,7 @@
     };
     let exit = match command {
         Command::Serve { settings } => serve::run(&settings),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Gateway { settings } => gateway::run(&settings),
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Schema => schema(),
--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -101,7 +101,8 @@
         self.folder.path().join(format!("data-{host}"))
     }
 
-    fn log(&self, host: usize) -> PathBuf {
+    /// The log of a host.
+    pub fn log(&self, host: usize) -> PathBuf {
         self.folder.path().join(format!("host-{host}.log"))
     }
 
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod control;
 mod endpoint;
+mod explain;
 mod path;
 mod stop;
 mod streams;
