--- a/crates/kumquatdrum/src/explain/story.rs
+++ b/crates/kumquatdrum/src/explain/story.rs
@@ -7,7 +7,7 @@
 use super::line::Line;
 
 /// How long before a request's end what its host believed is looked at, in seconds.
-const BEFORE: f64 = 30.0;
+const BEFORE: f64 = 10.0;
 /// Keys that every line has, or that the story tells otherwise.
 const KNOWN: [&str; 5] = ["time", "level", "host", "event", "request"];
 
--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Whether a host's process has been started and not been waited for.
+    pub fn runs(&self, host: usize) -> bool {
+        self.hosts[host].is_some()
+    }
+
     /// Waits for a host to end by itself; its exit code.
     pub async fn ended(&mut self, host: usize) -> Option<i32> {
         let mut child = self.hosts[host].take().expect("the host runs");
@@ -185,21 +190,30 @@
 
     /// Announces an endpoint at any control host until that is acknowledged.
     pub async fn announce(&self, endpoint: &Endpoint, service: &str, state: &str, sequence: u64) {
+        let until = Instant::now() + PATIENCE;
+        while !self.beat(0, endpoint, service, state, sequence).await {
+            assert!(Instant::now() < until, "no acknowledgement in time");
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Announces an endpoint once at one control host; whether that was acknowledged.
+    pub async fn beat(
+        &self,
+        host: usize,
+        endpoint: &Endpoint,
+        service: &str,
+        state: &str,
+        sequence: u64,
+    ) -> bool {
         let beat = json!({
             "service": service, "address": endpoint.address.to_string(), "zone": "zone-0",
             "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0, "seq": sequence,
             "born": 1,
         });
         let path = format!("/-/Instances.Heartbeat/{}", endpoint.id);
-        let until = Instant::now() + PATIENCE;
-        loop {
-            let answer = self.control(0, &path, Some(&beat)).await;
-            if answer.is_some_and(|answer| answer.status() == StatusCode::OK) {
-                return;
-            }
-            assert!(Instant::now() < until, "no acknowledgement in time");
-            sleep(LOOK).await;
-        }
+        let answer = self.control(host, &path, Some(&beat)).await;
+        answer.is_some_and(|answer| answer.status() == StatusCode::OK)
     }
 
     /// The answer to the balancer's question.
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -1,5 +1,6 @@
 //! A stand-in for an endpoint, which answers byte by byte as it is told.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,6 +17,8 @@
 pub enum Manner {
     /// With a body in one piece.
     Whole,
+    /// With six events where the path asks for a stream, else in one piece.
+    ByPath,
     /// With an answer to another attempt.
     Crossed,
     /// Not at all: it reads the request and closes.
@@ -30,6 +33,12 @@
     Unframed,
 }
 
+/// A stream that lasts long enough for faults to meet it.
+pub const SIX_EVENTS: Manner = Manner::Stream {
+    events: 6,
+    pause: Duration::from_millis(40),
+};
+
 /// What it has seen.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -37,6 +46,8 @@
     /// Connections that callers have closed before the answer was whole.
     pub left: AtomicUsize,
     pub requests: Mutex<Vec<String>>,
+    /// Runs of each attempt.
+    pub attempts: Mutex<HashMap<String, usize>>,
 }
 
 pub struct Endpoint {
@@ -98,6 +109,12 @@
     }
     seen.runs.fetch_add(1, Ordering::Relaxed);
     let after: u64 = header("Last-Event-Id").parse().unwrap_or(0);
+    *seen.attempts.lock().entry(attempt.clone()).or_default() += 1;
+    let manner = match manner {
+        Manner::ByPath if request.contains(" /stream/") => SIX_EVENTS,
+        Manner::ByPath => Manner::Whole,
+        manner => manner,
+    };
     seen.requests.lock().push(request.clone());
     if answer(&mut stream, &attempt, manner, after).await.is_err() {
         seen.left.fetch_add(1, Ordering::Relaxed);
@@ -113,7 +130,7 @@
     let whole = |attempt: &str| head("200 OK", attempt, "Content-Length: 5\r\n") + "whole";
     let events = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
     match manner {
-        Manner::Whole => stream.write_all(whole(attempt).as_bytes()).await,
+        Manner::Whole | Manner::ByPath => stream.write_all(whole(attempt).as_bytes()).await,
         Manner::Crossed => stream.write_all(whole("another").as_bytes()).await,
         Manner::Twice => {
             let twice = whole(attempt) + &whole("another");
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -5,5 +5,7 @@
 mod endpoint;
 mod explain;
 mod path;
+mod proxy;
+mod soak;
 mod stop;
 mod streams;
