Retry a stream that breaks before its first event

Cause: such a sending was counted twice, so that with two attempts allowed nothing was tried again (502 where another endpoint was sound). Found by reading; the test failed first.

--- a/crates/kumquatdrum/tests/gateway/streams.rs
+++ b/crates/kumquatdrum/tests/gateway/streams.rs
@@ -37,6 +37,30 @@
     assert!(resumed.contains("last-event-id: 4\r\n"), "{resumed}");
 }
 
+#[tokio::test]
+async fn a_stream_that_breaks_before_its_first_event_begins_elsewhere() {
+    let cluster = Cluster::start(13);
+    cluster.apply(&config(3)).await;
+    let broken = Endpoint::start("i-1", Manner::Broken { after: 0 }).await;
+    cluster.announce(&broken, "plain", "ready", 1).await;
+    cluster.ready(3, &broken).await;
+    let pause = Duration::from_millis(5);
+    let sound = Endpoint::start("i-2", Manner::Stream { events: 3, pause }).await;
+    cluster.announce(&sound, "plain", "ready", 1).await;
+    cluster.ready(3, &sound).await;
+    for attempt in ["at-1", "at-2", "at-3"] {
+        let answer = cluster.call(3, "/stream/x", attempt).send().await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+        assert_eq!(
+            answer.headers()["kumquatdrum-response-stamp"],
+            format!("stamp-{attempt}").as_str()
+        );
+        assert_eq!(answer.text().await.expect("a whole stream"), expected(3));
+    }
+    assert!(broken.runs() >= 1, "the broken endpoint was never first");
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_endpoint_s_work_at_once() {
     let cluster = Cluster::start(12);
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -57,9 +57,9 @@
             continue;
         };
         let outcome = call.attempt(&pick, None).await;
+        tries.sent += u32::from(!matches!(outcome, Outcome::Unsent(_)));
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
-                tries.sent += 1;
                 match flow::begin(&call, pick, reservations, *exchange, &mut tries).await {
                     Ok(begun) => return begun.response(call, work),
                     Err((pick, reason)) => {
@@ -152,7 +152,6 @@
         let idempotent = self.route.kind.is_idempotent();
         let (may_repeat, problem) = match outcome {
             Outcome::Whole(response, judgement) => {
-                tries.sent += 1;
                 let may_repeat = match judgement {
                     Judgement::Ran => false,
                     Judgement::NotRun => true,
@@ -170,7 +169,6 @@
                 (false, Some(Self::unsent(tries, reason)))
             }
             Outcome::Lost(reason) => {
-                tries.sent += 1;
                 tries.may_have_run = true;
                 (idempotent, Some(Problem::Failed(reason)))
             }
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -32,7 +32,6 @@
 const SILENT_ANNOUNCEMENTS: u32 = 4;
 /// How often a request that waits asks again, where nothing has told it to.
 const ASK_AGAIN: Duration = Duration::from_millis(25);
-
 /// How often a job that waits is told of.
 const TELL_TURN: Duration = Duration::from_millis(100);
 /// The largest encoding of a plan without its parts, in bytes.
--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -19,10 +19,9 @@
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
-/// The share of the engines that a prompt would be read by that have to be done with earlier parts. Waiting
-/// for the last of them costs more than reading with fewer.
+/// The share of the engines that a prompt would be read by that have to be done with earlier
+/// parts. Waiting for the last of them costs more than reading with fewer.
 const QUORUM: f64 = 0.9;
-
 /// What each engine that takes part loses beside its reading, in passes: the one that its part
 /// waits for. A part that is short beside it is a waste of the engine's time.
 const PASSES: f64 = 0.25;
