--- a/crates/kumquatdrum/tests/gateway/streams.rs
+++ b/crates/kumquatdrum/tests/gateway/streams.rs
@@ -14,17 +14,24 @@
     events.collect::<Vec<_>>().concat()
 }
 
-#[tokio::test]
-async fn a_stream_that_breaks_within_an_event_goes_on_elsewhere() {
-    let cluster = Cluster::start(11);
+/// A cluster before an endpoint that breaks within the event after `after`, and a sound one that
+/// sends `events`.
+async fn broken_and_sound(net: u8, after: u64, events: u64) -> (Cluster, Endpoint, Endpoint) {
+    let cluster = Cluster::start(net);
     cluster.apply(&config(3)).await;
-    let broken = Endpoint::start("i-1", Manner::Broken { after: 4 }).await;
-    cluster.announce(&broken, "plain", "ready", 1).await;
-    cluster.ready(3, &broken).await;
+    let broken = Endpoint::start("i-1", Manner::Broken { after }).await;
     let pause = Duration::from_millis(5);
-    let sound = Endpoint::start("i-2", Manner::Stream { events: 9, pause }).await;
-    cluster.announce(&sound, "plain", "ready", 1).await;
-    cluster.ready(3, &sound).await;
+    let sound = Endpoint::start("i-2", Manner::Stream { events, pause }).await;
+    for endpoint in [&broken, &sound] {
+        cluster.announce(endpoint, "plain", "ready", 1).await;
+        cluster.ready(3, endpoint).await;
+    }
+    (cluster, broken, sound)
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_within_an_event_goes_on_elsewhere() {
+    let (cluster, broken, sound) = broken_and_sound(11, 4, 9).await;
     // Whichever endpoint is first, each event comes once and in order.
     for attempt in ["at-1", "at-2", "at-3"] {
         let answer = cluster.call(3, "/stream/x", attempt).send().await;
@@ -39,23 +46,13 @@
 
 #[tokio::test]
 async fn a_stream_that_breaks_before_its_first_event_begins_elsewhere() {
-    let cluster = Cluster::start(13);
-    cluster.apply(&config(3)).await;
-    let broken = Endpoint::start("i-1", Manner::Broken { after: 0 }).await;
-    cluster.announce(&broken, "plain", "ready", 1).await;
-    cluster.ready(3, &broken).await;
-    let pause = Duration::from_millis(5);
-    let sound = Endpoint::start("i-2", Manner::Stream { events: 3, pause }).await;
-    cluster.announce(&sound, "plain", "ready", 1).await;
-    cluster.ready(3, &sound).await;
+    let (cluster, broken, _sound) = broken_and_sound(13, 0, 3).await;
     for attempt in ["at-1", "at-2", "at-3"] {
         let answer = cluster.call(3, "/stream/x", attempt).send().await;
         let answer = answer.expect("an answer");
         assert_eq!(answer.status(), StatusCode::OK);
-        assert_eq!(
-            answer.headers()["kumquatdrum-response-stamp"],
-            format!("stamp-{attempt}").as_str()
-        );
+        let stamp = answer.headers()["kumquatdrum-response-stamp"].clone();
+        assert_eq!(stamp, format!("stamp-{attempt}").as_str());
         assert_eq!(answer.text().await.expect("a whole stream"), expected(3));
     }
     assert!(broken.runs() >= 1, "the broken endpoint was never first");
