--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -11,14 +11,13 @@
 use http_body_util::{BodyExt, StreamBody};
 use kumquatdrum_placement::Failure;
 use kumquatdrum_process::drain::Work;
+use kumquatdrum_types::Moment;
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 
 use super::Call;
 use super::attempt::{Outcome, answer_headers};
 use super::run::Tries;
-use kumquatdrum_types::Moment;
-
 use crate::body::{self, Body};
 use crate::event::{Events, Splitter};
 use crate::fleet::Pick;
@@ -93,7 +92,7 @@
         tries: std::mem::take(tries),
         passed: Passed::default(),
     };
-    let next = flow.receive(call, call.until()).await;
+    let next = flow.receive(call.until()).await;
     match next {
         Next::Events(bytes) => {
             flow.waiting.push_back(bytes);
@@ -109,8 +108,8 @@
             Ok(Begun { flow, headers })
         }
         Next::End => Ok(Begun { flow, headers }),
-        Next::Broken(reason) => Err(flow.fail(call, tries, reason)),
-        Next::TimedOut => Err(flow.fail(call, tries, "no event in time".to_owned())),
+        Next::Broken(reason) => Err(flow.fail(tries, reason)),
+        Next::TimedOut => Err(flow.fail(tries, "no event in time".to_owned())),
     }
 }
 
@@ -133,7 +132,7 @@
 }
 
 impl Flow {
-    fn fail(mut self, _call: &Call, tries: &mut Tries, reason: String) -> (Pick, String) {
+    fn fail(mut self, tries: &mut Tries, reason: String) -> (Pick, String) {
         *tries = std::mem::take(&mut self.tries);
         let pick = self.pick.take().expect("a flow begins with a pick");
         pick.failed(Failure::Broken);
@@ -149,7 +148,7 @@
             self.exchange.as_ref()?;
             let silence = SHORTEST_SILENCE.max(call.pause().saturating_mul(SILENT_PAUSES));
             let limit = call.until().min(Instant::now() + silence);
-            match self.receive(call, limit).await {
+            match self.receive(limit).await {
                 Next::Events(bytes) => {
                     let now = call.gateway.clock.now();
                     let pause = now - self.passed.at;
@@ -181,7 +180,7 @@
         }
     }
 
-    async fn receive(&mut self, _call: &Call, limit: Instant) -> Next {
+    async fn receive(&mut self, limit: Instant) -> Next {
         loop {
             let Some(exchange) = &mut self.exchange else {
                 return Next::End;
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use http::Response;
-use kumquatdrum_placement::EndpointKey;
+use kumquatdrum_placement::{EndpointKey, Job};
 use kumquatdrum_process::drain::Work;
 use kumquatdrum_types::Moment;
 use slog::info;
@@ -15,7 +15,7 @@
 use super::attempt::{Judgement, Outcome};
 use super::flow;
 use crate::body::{self, Body};
-use crate::fleet::{Need, Pick, Unplaced};
+use crate::fleet::{Pick, Unplaced};
 use crate::problem::{Problem, seconds};
 use crate::reservation::{self, Reservation};
 
@@ -88,8 +88,8 @@
 impl Call {
     /// Picks an endpoint that has not failed the request yet.
     pub(super) async fn pick(&self, tries: &Tries) -> Result<Pick, Problem> {
-        let need = Need {
-            request: self.name.clone(),
+        let job = Job {
+            id: self.gateway.fleet.name(),
             prompt: self.ask.prompt_tokens.unwrap_or(0),
             answer: self.ask.answer_tokens.unwrap_or(0),
             pause: self.pause(),
@@ -98,7 +98,8 @@
             deadline: self.deadline,
             spared: tries.spared.clone(),
         };
-        let picked = self.gateway.fleet.pick(&self.service, &need).await;
+        let picked = self.gateway.fleet.pick(&self.service, &self.name, &job);
+        let picked = picked.await;
         picked.map_err(|unplaced| match unplaced {
             Unplaced::Nobody => Problem::Refused {
                 reason: "no endpoint is known",
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use kumquatdrum_peer::Channel;
 use kumquatdrum_registry::{Change, Update};
-use kumquatdrum_routes::{Record, check};
+use kumquatdrum_routes::{Record, Setup, check};
 use kumquatdrum_types::{EndpointId, Finding, HostId};
 use slog::{info, warn};
 use tokio::task::JoinSet;
@@ -58,19 +58,14 @@
 }
 
 async fn apply(gateway: &Arc<Gateway>, text: Bytes) -> Response<Body> {
-    let setup = gateway.protocol.setup(&text);
-    let findings = match &setup {
-        Ok(setup) => check(setup),
-        Err(findings) => findings.clone(),
-    };
-    let Ok(setup) = setup.map_err(drop).and_then(|setup| match findings[..] {
-        [] => Ok(setup),
-        _ => Err(()),
-    }) else {
-        let first = findings.first().map(ToString::to_string);
-        info!(gateway.logger, "setup_refused"; "event" => "setup_refused",
-            "findings" => findings.len(), "first" => first);
-        return invalid(&findings);
+    let setup = match checked(gateway, &text) {
+        Ok(setup) => setup,
+        Err(findings) => {
+            let first = findings.first().map(ToString::to_string);
+            info!(gateway.logger, "setup_refused"; "event" => "setup_refused",
+                "findings" => findings.len(), "first" => first);
+            return invalid(&findings);
+        }
     };
     let record = Record {
         revision: setup.revision,
@@ -89,6 +84,17 @@
     }
 }
 
+/// A setup that may be put in force, or all that is wrong with the text.
+fn checked(gateway: &Gateway, text: &[u8]) -> Result<Setup, Vec<Finding>> {
+    let setup = gateway.protocol.setup(text)?;
+    let findings = check(&setup);
+    if findings.is_empty() {
+        Ok(setup)
+    } else {
+        Err(findings)
+    }
+}
+
 async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
     match ask_leader(gateway, Ask::Read).await {
         Answer::Current(Some(record)) => json(StatusCode::OK, Bytes::copy_from_slice(&record.text)),
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -86,27 +86,6 @@
     Plain(Balancer),
 }
 
-/// What a request needs.
-#[derive(Debug, Clone)]
-pub struct Need {
-    /// The request's name in logs.
-    pub request: String,
-    /// Tokens to be read.
-    pub prompt: u64,
-    /// Tokens to be written.
-    pub answer: u64,
-    /// The longest pause that the caller bears.
-    pub pause: Duration,
-    /// When the caller came.
-    pub arrived: Moment,
-    /// When the first token is on time.
-    pub due: Moment,
-    /// When the caller gives up.
-    pub deadline: Moment,
-    /// Endpoints that have failed it.
-    pub spared: Vec<EndpointKey>,
-}
-
 /// Why no endpoint was picked.
 #[derive(Debug, Clone, Copy, PartialEq, thiserror::Error)]
 pub enum Unplaced {
@@ -272,23 +251,23 @@
         }
     }
 
-    /// Picks an endpoint, waiting for room until the deadline at most.
-    pub async fn pick(self: &Arc<Self>, name: &ServiceName, need: &Need) -> Result<Pick, Unplaced> {
+    /// A name for a job that no host has given before.
+    pub fn name(&self) -> JobId {
+        JobId {
+            host: self.parts.number,
+            number: self.jobs.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    /// Picks an endpoint for a job, waiting for room until its deadline at most. `request` is the
+    /// caller's name for it, for logs.
+    pub async fn pick(
+        self: &Arc<Self>,
+        name: &ServiceName,
+        request: &str,
+        job: &Job,
+    ) -> Result<Pick, Unplaced> {
         let service = self.find(name).ok_or(Unplaced::Nobody)?;
-        let number = self.jobs.fetch_add(1, Ordering::Relaxed);
-        let job = Job {
-            id: JobId {
-                host: self.parts.number,
-                number,
-            },
-            prompt: need.prompt,
-            answer: need.answer,
-            pause: need.pause,
-            arrived: need.arrived,
-            due: need.due,
-            deadline: need.deadline,
-            spared: need.spared.clone(),
-        };
         let mut queue = Queue {
             fleet: self,
             service: &service,
@@ -297,8 +276,8 @@
         };
         loop {
             let changed = service.changed.notified();
-            match self.try_pick(&service, need, &job) {
-                Err(Unplaced::NoRoom(turn)) if self.parts.clock.now() < need.deadline => {
+            match self.try_pick(&service, request, job) {
+                Err(Unplaced::NoRoom(turn)) if self.parts.clock.now() < job.deadline => {
                     queue.tell(turn);
                 }
                 Ok(pick) => {
@@ -314,7 +293,7 @@
     fn try_pick(
         self: &Arc<Self>,
         service: &Arc<Service>,
-        need: &Need,
+        request: &str,
         job: &Job,
     ) -> Result<Pick, Unplaced> {
         let now = self.parts.clock.now();
@@ -329,10 +308,10 @@
                     Decision::TooLarge => return Err(Unplaced::TooLarge),
                     Decision::Nobody => return Err(Unplaced::Nobody),
                 };
-                self.sent(service, &state, need, plan, &basis)
+                self.sent(service, &state, (request, job), plan, &basis)
             }
             Policy::Plain(balancer) => {
-                let key = balancer.choose(now, &need.spared);
+                let key = balancer.choose(now, &job.spared);
                 let key = key.ok_or(Unplaced::Nobody)?;
                 let endpoint = state.directory.get(&key).cloned();
                 let endpoint = endpoint.ok_or(Unplaced::Nobody)?;
@@ -352,7 +331,7 @@
         self: &Arc<Self>,
         service: &Arc<Service>,
         state: &State,
-        need: &Need,
+        (request, job): (&str, &Job),
         plan: Plan,
         basis: &Basis,
     ) -> Result<Pick, Unplaced> {
@@ -372,13 +351,13 @@
                 },
             })
         });
-        info!(self.parts.logger, "placed"; "event" => "placed", "request" => &need.request,
-            "endpoint" => endpoint.id.as_str(), "prompt" => need.prompt,
+        info!(self.parts.logger, "placed"; "event" => "placed", "request" => request,
+            "endpoint" => endpoint.id.as_str(), "prompt" => job.prompt,
             "readers" => plan.helpers.len() + 1, "helpers" => helper_names(state, &plan),
             "part_ms" => format!("{:.1}", plan.part_ms),
             "engines" => basis.engines, "backlog_ms" => format!("{:.1}", basis.backlog_ms),
             "writers" => basis.writers, "pass_ms" => format!("{:.1}", basis.pass_ms),
-            "waited_ms" => (self.parts.clock.now() - need.arrived).as_millis() as u64);
+            "waited_ms" => (self.parts.clock.now() - job.arrived).as_millis() as u64);
         let pick = Pick {
             fleet: self.clone(),
             service: service.clone(),
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -223,16 +223,12 @@
         if updates.is_empty() {
             return;
         }
-        match postcard::to_stdvec(&Notice::Endpoints(updates)) {
-            Ok(bytes) => {
-                let bytes = Bytes::from(bytes);
-                for host in self.hosts.live() {
-                    let channel = Channel::Membership;
-                    self.client.send(&host.id, channel, bytes.clone());
-                }
-            }
-            Err(error) => error!(self.logger, "notice_not_encoded";
-                "event" => "notice_not_encoded", "reason" => %error),
+        let Some(bytes) = Notice::Endpoints(updates).encode(&self.logger) else {
+            return;
+        };
+        for host in self.hosts.live() {
+            let channel = Channel::Membership;
+            self.client.send(&host.id, channel, bytes.clone());
         }
     }
 
@@ -258,10 +254,9 @@
     }
 
     fn send_record(&self, host: &HostId, record: &Record) {
-        match postcard::to_stdvec(&Notice::Record(record.clone())) {
-            Ok(bytes) => self.client.send(host, Channel::Setup, bytes.into()),
-            Err(error) => error!(self.logger, "notice_not_encoded";
-                "event" => "notice_not_encoded", "reason" => %error),
+        let notice = Notice::Record(record.clone());
+        if let Some(bytes) = notice.encode(&self.logger) {
+            self.client.send(host, Channel::Setup, bytes);
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -128,7 +128,7 @@
         };
         match settings::parse(&text) {
             Ok(settings) if settings.seeds != known => {
-                gateway.hosts.set_seeds(&settings.seeds);
+                gateway.hosts.set_seeds(settings.seed_hosts());
                 info!(gateway.logger, "reloaded"; "event" => "reloaded",
                     "seeds" => format!("{:?}", settings.seeds));
                 known = settings.seeds;
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -48,6 +48,20 @@
 }
 
 impl Running {
+    fn new() -> (Self, watch::Receiver<Phase>, watch::Receiver<Phase>) {
+        let (phase, callers_open) = watch::channel(Phase::Open);
+        let (others_phase, others_open) = watch::channel(Phase::Open);
+        let running = Self {
+            tasks: JoinSet::new(),
+            callers: JoinSet::new(),
+            others: JoinSet::new(),
+            phase,
+            others_phase,
+            stopped: watch::Sender::new(false),
+        };
+        (running, callers_open, others_open)
+    }
+
     /// Health turns red, requests run to their end, listeners close, tasks are joined.
     pub(super) async fn stop(mut self, gateway: &Arc<Gateway>, limit: Duration) {
         info!(gateway.logger, "stopping"; "event" => "stopping",
@@ -81,22 +95,6 @@
     }
 }
 
-impl Running {
-    fn new() -> (Self, watch::Receiver<Phase>, watch::Receiver<Phase>) {
-        let (phase, callers_open) = watch::channel(Phase::Open);
-        let (others_phase, others_open) = watch::channel(Phase::Open);
-        let running = Self {
-            tasks: JoinSet::new(),
-            callers: JoinSet::new(),
-            others: JoinSet::new(),
-            phase,
-            others_phase,
-            stopped: watch::Sender::new(false),
-        };
-        (running, callers_open, others_open)
-    }
-}
-
 /// Opens all listeners and starts all rounds.
 pub(super) fn start(
     settings: Settings,
@@ -159,7 +157,7 @@
     let port = settings.peer_port;
     let hosts = Hosts::new(clock, client.clone(), port, host, logger.clone());
     let hosts = Arc::new(hosts);
-    hosts.set_seeds(&settings.seeds);
+    hosts.set_seeds(settings.seed_hosts());
     let endpoints = Arc::new(Endpoints::new(clock, logger.clone()));
     let teller = match settings.listen.callers {
         Some(_) => Some(open_teller(&settings, &hosts, &logger)?),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -64,9 +64,7 @@
     }
 
     /// The seeds, as the settings name them now.
-    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
-        let seeds = seeds.iter().map(|seed| HostId::new(seed.ip().to_string()));
-        let seeds: Vec<HostId> = seeds.collect();
+    pub fn set_seeds(&self, seeds: Vec<HostId>) {
         for seed in &seeds {
             self.reach(seed);
         }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -1,11 +1,13 @@
 //! What hosts say to each other.
 
+use bytes::Bytes;
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_placement::{JobId, Plan, Turn};
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
 use kumquatdrum_types::{DataCentre, HostId, ServiceName};
 use serde::{Deserialize, Serialize};
+use slog::error;
 
 /// A host, as it tells of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,6 +92,20 @@
     Endpoints(Vec<Update>),
 }
 
+impl Notice {
+    /// Its bytes; nothing, with a log line, where it can't be encoded.
+    pub fn encode(&self, logger: &slog::Logger) -> Option<Bytes> {
+        match postcard::to_stdvec(self) {
+            Ok(bytes) => Some(bytes.into()),
+            Err(reason) => {
+                error!(logger, "notice_not_encoded"; "event" => "notice_not_encoded",
+                    "reason" => %reason);
+                None
+            }
+        }
+    }
+}
+
 /// A datagram between hosts that take callers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Datagram {
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -211,10 +211,7 @@
 }
 
 fn node_settings(settings: &Settings, member: Member) -> kumquatdrum_consensus::Settings {
-    let seeds = settings.seeds.iter();
-    let seeds: Vec<HostId> = seeds
-        .map(|seed| HostId::new(seed.ip().to_string()))
-        .collect();
+    let seeds = settings.seed_hosts();
     let mut node = kumquatdrum_consensus::Settings::new(member);
     let founds = settings
         .replica
@@ -428,13 +425,8 @@
 
     fn push(&self, record: &Record) {
         let notice = Notice::Record(record.clone());
-        let bytes = match postcard::to_stdvec(&notice) {
-            Ok(bytes) => Bytes::from(bytes),
-            Err(reason) => {
-                error!(self.parts.logger, "record_not_encoded"; "event" => "record_not_encoded",
-                    "reason" => %reason);
-                return;
-            }
+        let Some(bytes) = notice.encode(&self.parts.logger) else {
+            return;
         };
         let live = self.parts.hosts.live();
         for host in live.iter().filter(|host| host.callers) {
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -110,6 +110,14 @@
 }
 
 impl Settings {
+    /// The hosts that the seeds name.
+    pub fn seed_hosts(&self) -> Vec<HostId> {
+        let seeds = self.seeds.iter();
+        seeds
+            .map(|seed| HostId::new(seed.ip().to_string()))
+            .collect()
+    }
+
     /// The name by which other hosts know this one: its address, which seeds tell too.
     pub fn host(&self) -> HostId {
         HostId::new(self.address.to_string())
--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -19,9 +19,9 @@
     turn: usize,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Endpoint {
-    group: Option<Group>,
+    group: Group,
     slots: u32,
     under_way: u32,
     reported: u32,
@@ -37,8 +37,9 @@
             endpoint.usable = false;
         }
         for (key, group, slots) in usable {
-            let endpoint = self.endpoints.entry(key).or_default();
-            endpoint.group = Some(group);
+            let endpoint = self.endpoints.entry(key);
+            let endpoint = endpoint.or_insert_with(|| Endpoint::new(group));
+            endpoint.group = group;
             endpoint.slots = slots.max(1);
             endpoint.usable = true;
         }
@@ -54,8 +55,7 @@
             endpoint.usable && !spared.contains(key)
         };
         let order = |(place, (_, endpoint)): &(usize, (&EndpointKey, &Endpoint))| {
-            let is_cut = endpoint.group;
-            let is_cut = is_cut.is_some_and(|group| self.reach.is_cut(now, group));
+            let is_cut = self.reach.is_cut(now, endpoint.group);
             let ejected = is_cut || endpoint.health.is_ejected(now);
             let load = (endpoint.load(now) * 1e3) as u64;
             (ejected, load, (place + self.turn) % count)
@@ -79,9 +79,7 @@
     pub fn succeeded(&mut self, now: Moment, key: EndpointKey, load: Option<u32>) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.health.succeeded();
-            if let Some(group) = endpoint.group {
-                self.reach.succeeded(group);
-            }
+            self.reach.succeeded(endpoint.group);
             if let Some(load) = load {
                 endpoint.reported = load;
                 endpoint.reported_at = now;
@@ -94,14 +92,25 @@
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return false;
         };
-        if let Some(group) = endpoint.group {
-            self.reach.failed(now, group, failure);
-        }
+        self.reach.failed(now, endpoint.group, failure);
         endpoint.health.failed(now, failure)
     }
 }
 
 impl Endpoint {
+    /// An endpoint that has nothing to do yet.
+    fn new(group: Group) -> Self {
+        Self {
+            group,
+            slots: 1,
+            under_way: 0,
+            reported: 0,
+            reported_at: Moment::ZERO,
+            health: Health::default(),
+            usable: false,
+        }
+    }
+
     /// Requests a slot, with the health's penalty.
     fn load(&self, now: Moment) -> f64 {
         let is_fresh = now - self.reported_at <= REPORT_LIFE && self.reported_at > Moment::ZERO;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -179,23 +179,17 @@
                 }
             }
         }
-        self.hold(&plan, true);
-        let placed = Placed {
-            plan,
-            reading: true,
-            forget_at: now + FORGOTTEN,
-        };
-        self.jobs.insert(placed.plan.job, placed);
+        self.hold(now, plan, true);
     }
 
     /// Counts a job at its engines.
-    fn hold(&mut self, plan: &Plan, is_reading: bool) {
+    fn hold(&mut self, now: Moment, plan: Plan, is_reading: bool) {
         for key in plan.readers().filter(|_| is_reading) {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.reads += 1;
             }
         }
-        for (key, tokens) in memory(plan) {
+        for (key, tokens) in memory(&plan) {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.tokens += tokens;
             }
@@ -206,6 +200,12 @@
             };
             endpoint.writers.insert(plan.job, writer);
         }
+        let placed = Placed {
+            plan,
+            reading: is_reading,
+            forget_at: now + FORGOTTEN,
+        };
+        self.jobs.insert(placed.plan.job, placed);
     }
 
     /// Another host tells of a job that is under way, whose dispatch may have been missed.
@@ -217,13 +217,7 @@
             }
             return;
         }
-        self.hold(&plan, is_reading);
-        let placed = Placed {
-            plan,
-            reading: is_reading,
-            forget_at: now + FORGOTTEN,
-        };
-        self.jobs.insert(placed.plan.job, placed);
+        self.hold(now, plan, is_reading);
     }
 
     /// This host's jobs, with whether each is still read, for hosts that have missed them.
