Wait for a host's listeners in a test that called too early; drop a gauge nobody set and an unused look-up

explain::a_host_that_is_cut_off_says_so called a host in the moment of its start: connection refused, six times of six when run alone. Its assertions stand. kumquatdrum_gateway_waiting was always 0.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -233,6 +233,15 @@
         }
     }
 
+    /// Waits until a host's listeners are open.
+    pub async fn started(&self, host: usize) {
+        let until = Instant::now() + PATIENCE;
+        while !self.logged(host).contains("event=started") {
+            assert!(Instant::now() < until, "not started: {}", self.logged(host));
+            sleep(LOOK).await;
+        }
+    }
+
     /// Where a host takes callers.
     pub fn callers(&self, host: usize) -> SocketAddr {
         self.address(host, 8227)
--- a/crates/kumquatdrum/tests/gateway/explain.rs
+++ b/crates/kumquatdrum/tests/gateway/explain.rs
@@ -77,6 +77,7 @@
     for host in 0..3 {
         cluster.kill(host);
     }
+    cluster.started(3).await;
     let answer = cluster.call(3, "/safe/x", "at-cut-off").send().await;
     assert_eq!(
         answer.expect("an answer").status(),
--- a/crates/kumquatdrum_gateway/src/meters.rs
+++ b/crates/kumquatdrum_gateway/src/meters.rs
@@ -21,8 +21,6 @@
     pub first: HistogramVec,
     /// Requests under way.
     pub under_way: IntGauge,
-    /// Requests that wait for an engine.
-    pub waiting: IntGauge,
     /// The revision in force.
     pub revision: IntGauge,
     /// 1 on the leading replica.
@@ -53,10 +51,6 @@
             attempts,
             first,
             under_way: gauge("kumquatdrum_gateway_under_way", "Requests under way.")?,
-            waiting: gauge(
-                "kumquatdrum_gateway_waiting",
-                "Requests that wait for an engine.",
-            )?,
             revision: gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
             hosts: gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
@@ -68,7 +62,6 @@
         r.register(Box::new(meters.first.clone()))?;
         for gauge in [
             &meters.under_way,
-            &meters.waiting,
             &meters.revision,
             &meters.leader,
             &meters.hosts,
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -76,11 +76,6 @@
         Some(update(entry, now))
     }
 
-    /// What is known of an endpoint.
-    pub fn get(&self, id: &EndpointId) -> Option<&Announcement> {
-        self.entries.get(id).map(|entry| &entry.announcement)
-    }
-
     /// The endpoints that may get new requests of a service, with how long ago each was heard.
     pub fn usable<'a>(
         &'a self,
