Pack records, share out who tells them, fetch them once

Each commit was followed 0.4 to 0.6 s later by the leader's stepping down (setup_asked 26.506, stepped_down 26.966; 28.673, 29.160; 31.500, 31.977; 43.967, 44.404; 46.467, 46.970): it sent the whole text to 91 hosts by itself, 27 MB, and each other control host sent it again to whoever greeted it meanwhile, so that no heartbeat was answered in time. Ruled out: cuts and kills (none from 24 to 33 s), processor on the mean (0.05 of 0.15 cores), disks (no disk_lost), the exchange of voters (none between 11 and 37 s).

Each entry host takes the list of all hosts from one control host a round instead of six.

Test: control::a_change_of_many_routes_moves_less_than_its_text_to_all_hosts_together (old code: 1,038,456 bytes for a text of 259,073).

--- a/crates/kumquatdrum/tests/gateway/control.rs
+++ b/crates/kumquatdrum/tests/gateway/control.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::cluster::{CONTROL, Cluster, config, is_folder};
+use crate::cluster::{CONTROL, Cluster, HOSTS, config, is_folder};
 use crate::endpoint::{Endpoint, Manner};
 
 #[tokio::test]
@@ -70,6 +70,48 @@
     assert_eq!(cluster.read(host).await, config(3).to_string());
 }
 
+/// With its text as it is, sent by the leader to each host and again by any control host that was
+/// greeted meanwhile, this change moved four times its text.
+#[tokio::test]
+async fn a_change_of_many_routes_moves_less_than_its_text_to_all_hosts_together() {
+    const ROUTES: usize = 1_200;
+    let cluster = Cluster::start(25);
+    cluster.apply(&config(1)).await;
+    for host in 0..HOSTS {
+        cluster.goes_by(host, 1).await;
+    }
+    let mut large = config(2);
+    let route = large["routes"][0].clone();
+    let routes = large["routes"].as_array_mut().expect("routes");
+    routes.extend((0..ROUTES).map(|number| {
+        let mut route = route.clone();
+        route["name"] = json!(format!("route-{number}"));
+        route["pathPrefix"] = json!(format!("/route-{number}/"));
+        route
+    }));
+    let before = setup_bytes(&cluster).await;
+    cluster.apply(&large).await;
+    for host in 0..HOSTS {
+        cluster.goes_by(host, 2).await;
+    }
+    let moved = setup_bytes(&cluster).await - before;
+    let text = large.to_string().len() as u64;
+    assert!(moved < text, "{moved} bytes were sent for a text of {text}");
+}
+
+/// Bytes of the log and of the setup's spread that all hosts have sent.
+async fn setup_bytes(cluster: &Cluster) -> u64 {
+    let mut sum = 0;
+    for host in 0..HOSTS {
+        for channel in ["consensus", "setup"] {
+            let labels = format!("{{channel=\"{channel}\",direction=\"sent\"}}");
+            let name = format!("kumquatdrum_gateway_peer_bytes_total{labels}");
+            sum += cluster.meter(host, &name).await;
+        }
+    }
+    sum
+}
+
 #[tokio::test]
 async fn a_leaving_endpoint_gets_nothing_once_that_is_acknowledged() {
     let cluster = Cluster::start(24);
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -22,8 +22,6 @@
 use crate::protocol::Operation;
 use crate::replica::Ask;
 
-/// The largest body that is read: twice the largest setup that operators send.
-const LARGEST: usize = 8 * 1024 * 1024;
 /// How long one replica may take to answer as the leader.
 const ONE: Duration = Duration::from_millis(900);
 /// How long a call may take over all replicas: an election, and the call after it.
@@ -41,7 +39,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let (head, body) = request.into_parts();
     let operation = gateway.protocol.operation(&head.method, head.uri.path());
-    let body = match Limited::new(body, LARGEST).collect().await {
+    let body = match Limited::new(body, Record::LARGEST).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             let finding = Finding::new("", format!("the body could not be read: {error}"));
@@ -67,9 +65,9 @@
             return invalid(&findings);
         }
     };
-    let record = Record {
-        revision: setup.revision,
-        text: text.as_ref().into(),
+    let record = match Record::new(setup.revision, &text) {
+        Ok(record) => record,
+        Err(error) => return invalid(&[Finding::new("", error.to_string())]),
     };
     let started = Instant::now();
     let answer = ask_leader(gateway, Ask::Apply(record)).await;
@@ -97,7 +95,14 @@
 
 async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
     match ask_leader(gateway, Ask::Read).await {
-        Answer::Current(Some(record)) => json(StatusCode::OK, Bytes::copy_from_slice(&record.text)),
+        Answer::Current(Some(record)) => match record.text() {
+            Ok(text) => json(StatusCode::OK, text),
+            Err(error) => {
+                warn!(gateway.logger, "setup_unreadable"; "event" => "setup_unreadable",
+                    "revision" => record.revision, "reason" => %error);
+                status(StatusCode::SERVICE_UNAVAILABLE)
+            }
+        },
         answer => {
             info!(gateway.logger, "read_refused"; "event" => "read_refused",
                 "is_empty" => matches!(answer, Answer::Current(None)));
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use kumquatdrum_consensus::Message;
-use kumquatdrum_peer::{Channel, Client};
+use kumquatdrum_peer::{Channel, Client, Counters};
 use kumquatdrum_process::Drain;
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Update;
@@ -25,6 +25,7 @@
 use crate::message::{Answer, Host, Notice, Question};
 use crate::meters::Meters;
 use crate::replica::{Ask, Handle};
+use crate::spread::Spread;
 use crate::tell::Teller;
 use crate::{Protocol, Settings, in_force};
 
@@ -41,6 +42,10 @@
 /// it was told by any.
 const CERTAINTY: Duration = Duration::from_secs(3);
 
+/// How long a record may take to come: the largest, packed, over the slowest link that carries
+/// callers, with as much again for what else is on it.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+
 /// A reservation's lease, as a share of the time that memory may lie unused. The rest is for an
 /// order that is on its way while the lease ends.
 const RESERVATION: f64 = 0.8;
@@ -79,11 +84,13 @@
     pub(crate) hosts: Arc<Hosts>,
     pub(crate) endpoints: Arc<Endpoints>,
     pub(crate) in_force: Arc<in_force::Store>,
+    pub(crate) spread: Arc<Spread>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) meters: Arc<Meters>,
     pub(crate) drain: Arc<Drain>,
     pub(crate) logger: slog::Logger,
     client: Arc<Client>,
+    traffic: Arc<Counters>,
     teller: Option<Arc<Teller>>,
     replica: Option<Handle>,
     settings: Settings,
@@ -138,7 +145,7 @@
     pub(crate) async fn informed(&self, patience: Option<Duration>) {
         let share = patience.map_or(INFORMED, |patience| patience.mul_f64(INFORMED_SHARE));
         let until = self.clock.now() + share.min(INFORMED);
-        while self.lacks_record() && self.clock.now() < until {
+        while self.in_force.current().is_none() && self.clock.now() < until {
             sleep(FIRST_GREETING / 4).await;
         }
     }
@@ -155,6 +162,7 @@
         self.meters.revision.set(revision);
         self.meters.hosts.set(self.hosts.live().len() as i64);
         self.meters.under_way.set(self.drain.under_way());
+        self.meters.count_peers(&self.traffic);
     }
 
     /// Asks another host; nothing where it does not answer in time.
@@ -197,6 +205,7 @@
     pub(crate) fn take_record(&self, record: &Record, from: &str) {
         if self.in_force.take(record, from).is_some() {
             self.configured();
+            self.spread.tell(record, false);
         }
     }
 
@@ -232,18 +241,24 @@
         }
     }
 
-    /// Answers a greeting, and sends what the other host lacks.
-    pub(crate) fn welcome(&self, host: Host, revision: u64, is_new: bool) -> Answer {
+    /// Answers a greeting.
+    pub(crate) fn welcome(
+        self: &Arc<Self>,
+        host: Host,
+        revision: u64,
+        is_new: bool,
+        wants_hosts: bool,
+    ) -> Answer {
         let id = host.id.clone();
         self.hosts.heard(host);
-        let current = self.in_force.current();
-        let newer = current.filter(|in_force| in_force.record.revision > revision);
-        if let Some(in_force) = newer {
-            self.send_record(&id, &in_force.record);
-        }
+        self.hears(id, revision);
         Answer::Welcome {
             host: self.hosts.local(),
-            hosts: self.hosts.sightings(),
+            hosts: if wants_hosts {
+                self.hosts.sightings()
+            } else {
+                Vec::new()
+            },
             revision: self.in_force.revision(),
             endpoints: if is_new {
                 self.endpoints.all()
@@ -253,10 +268,23 @@
         }
     }
 
-    fn send_record(&self, host: &HostId, record: &Record) {
-        let notice = Notice::Record(record.clone());
-        if let Some(bytes) = notice.encode(&self.logger) {
-            self.client.send(host, Channel::Setup, bytes);
+    /// Another host goes by a revision: where it is higher, its record is fetched.
+    fn hears(self: &Arc<Self>, host: HostId, revision: u64) {
+        if self.spread.hears(revision) {
+            self.spawn(self.clone().fetch(host, revision));
+        }
+    }
+
+    async fn fetch(self: Arc<Self>, host: HostId, revision: u64) {
+        let channel = Channel::Setup;
+        let answer = self
+            .ask(&host, channel, &Question::Fetch, FETCH_LIMIT)
+            .await;
+        self.spread.fetched();
+        match answer {
+            Some(Answer::Fetched(Some(record))) => self.take_record(&record, host.as_str()),
+            answer => info!(self.logger, "setup_not_fetched"; "event" => "setup_not_fetched",
+                "peer" => host.as_str(), "revision" => revision, "answered" => answer.is_some()),
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -27,14 +27,20 @@
 impl Gateway {
     pub(super) async fn greet(self: Arc<Self>) {
         let mut is_new = true;
-        loop {
+        for round in 0.. {
             let mut greetings = JoinSet::new();
+            let teller = if is_new {
+                None
+            } else {
+                self.hosts.teller(round)
+            };
             for host in self.hosts.greeted() {
                 let gateway = self.clone();
                 let question = Question::Hello {
                     host: self.hosts.local(),
                     revision: self.in_force.revision(),
                     is_new,
+                    wants_hosts: teller.as_ref().is_none_or(|teller| *teller == host),
                 };
                 greetings.spawn(async move {
                     let channel = Channel::Membership;
@@ -47,13 +53,13 @@
             }
             while let Some(welcomed) = greetings.join_next().await {
                 is_new &= !welcomed.unwrap_or(false);
-                if self.hosts.hears_majority() && !self.lacks_record() {
+                if self.hosts.hears_majority() && !self.spread.is_behind() {
                     *self.heard_majority.lock() = true;
                 }
             }
             self.hosts.sweep();
             self.fleet.refresh();
-            let pause = if is_new || self.lacks_record() {
+            let pause = if is_new || self.spread.is_behind() {
                 FIRST_GREETING
             } else {
                 GREETING
@@ -62,12 +68,8 @@
         }
     }
 
-    pub(super) fn lacks_record(&self) -> bool {
-        self.in_force.current().is_none()
-    }
-
     /// Takes the answer to a greeting; returns whether it was one.
-    fn welcomed(&self, answer: Answer) -> bool {
+    fn welcomed(self: &Arc<Self>, answer: Answer) -> bool {
         let Answer::Welcome {
             host,
             hosts,
@@ -80,12 +82,8 @@
         let id = host.id.clone();
         self.hosts.heard(host);
         self.hosts.merge(hosts);
-        let current = self.in_force.current();
-        let newer = current.filter(|in_force| in_force.record.revision > revision);
-        if let (Some(in_force), Some(_)) = (newer, &self.replica) {
-            self.send_record(&id, &in_force.record);
-        }
         self.take_endpoints(endpoints, id.as_str());
+        self.hears(id, revision);
         true
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -27,6 +27,7 @@
 use crate::message::Host;
 use crate::meters::Meters;
 use crate::replica::{self, Event, Handle};
+use crate::spread::Spread;
 use crate::tell::Teller;
 use crate::{Protocol, Settings, call, control, health, in_force, sockets};
 
@@ -173,8 +174,17 @@
         number: number(&settings),
         logger: logger.clone(),
     });
+    let in_force = in_force::Store::new(protocol.clone(), logger.clone());
+    let in_force = Arc::new(in_force);
+    let spread = Spread::new(
+        hosts.clone(),
+        client.clone(),
+        in_force.clone(),
+        logger.clone(),
+    );
     Ok(Arc::new(Gateway {
-        in_force: Arc::new(in_force::Store::new(protocol.clone(), logger.clone())),
+        in_force,
+        spread: Arc::new(spread),
         protocol,
         clock,
         hosts,
@@ -184,6 +194,7 @@
         drain: Arc::default(),
         logger,
         client,
+        traffic: local.counters.clone(),
         teller,
         replica,
         started: clock.now(),
@@ -204,6 +215,7 @@
         settings: gateway.settings.clone(),
         client: gateway.client.clone(),
         hosts: gateway.hosts.clone(),
+        spread: gateway.spread.clone(),
         in_force: in_force.clone(),
         applied: Box::new(move || {
             if let Some(in_force) = in_force.current() {
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -173,6 +173,18 @@
         greeted
     }
 
+    /// The control host that tells this one of all hosts in a round of greetings; none where all
+    /// should. The list of all hosts is long, so each is asked for it in turn, by which a host takes
+    /// one list a round however many control hosts there are.
+    pub fn teller(&self, round: usize) -> Option<HostId> {
+        if self.state.lock().local.control {
+            return None;
+        }
+        let control = self.control();
+        let turn = round.checked_rem(control.len())?;
+        control.into_iter().nth(turn)
+    }
+
     /// Control hosts that were heard lately, the nearest first; this one is not among them.
     pub fn control(&self) -> Vec<HostId> {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/src/in_force.rs
+++ b/crates/kumquatdrum_gateway/src/in_force.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kumquatdrum_routes::{Record, Table};
+use kumquatdrum_routes::{Record, Setup, Table};
 use parking_lot::RwLock;
 use slog::{error, info};
 
@@ -53,12 +53,12 @@
         if record.revision <= before {
             return None;
         }
-        let setup = match self.protocol.setup(&record.text) {
+        let setup = match self.read(record) {
             Ok(setup) => setup,
-            Err(findings) => {
+            Err(reason) => {
                 // It was read before it was committed, so a host of another release wrote it.
                 error!(self.logger, "setup_unreadable"; "event" => "setup_unreadable",
-                    "revision" => record.revision, "from" => from, "findings" => findings.len());
+                    "revision" => record.revision, "from" => from, "reason" => reason);
                 return None;
             }
         };
@@ -79,4 +79,13 @@
             "routes" => in_force.table.setup().routes.len());
         Some(in_force)
     }
+
+    fn read(&self, record: &Record) -> Result<Setup, String> {
+        let text = record.text().map_err(|error| error.to_string())?;
+        let setup = self.protocol.setup(&text);
+        setup.map_err(|findings| {
+            let first = findings.first().map(ToString::to_string);
+            format!("{} findings, the first: {first:?}", findings.len())
+        })
+    }
 }
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -72,7 +72,12 @@
             host,
             revision,
             is_new,
-        } => gateway.welcome(host, revision, is_new),
+            wants_hosts,
+        } => gateway.welcome(host, revision, is_new, wants_hosts),
+        Question::Fetch => {
+            let current = gateway.in_force.current();
+            Answer::Fetched(current.map(|in_force| in_force.record.clone()))
+        }
         Question::Endpoints(updates) => {
             gateway.take_endpoints(updates, from.host.as_str());
             Answer::Taken
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -25,7 +25,8 @@
 pub mod reservation;
 pub mod settings;
 pub mod sockets;
-pub mod tell;
+pub mod spread;
+mod tell;
 pub mod upstream;
 
 pub use gateway::{File, Gateway, StartError};
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -48,7 +48,11 @@
         revision: u64,
         /// It knows no endpoints yet.
         is_new: bool,
+        /// It wants to be told of all hosts.
+        wants_hosts: bool,
     },
+    /// The record that the other host goes by.
+    Fetch,
     /// Take what I know of endpoints, and say so.
     Endpoints(Vec<Update>),
     /// Commit this record. Only the leader does.
@@ -64,13 +68,15 @@
     Welcome {
         /// Who answers.
         host: Host,
-        /// All hosts that it knows.
+        /// All hosts that it knows, where they were wanted.
         hosts: Vec<Sighting>,
         /// What it goes by.
         revision: u64,
         /// What it knows of endpoints, for a host that knows none.
         endpoints: Vec<Update>,
     },
+    /// To `Fetch`.
+    Fetched(Option<Record>),
     /// Taken.
     Taken,
     /// Committed, or overtaken already.
--- a/crates/kumquatdrum_gateway/src/meters.rs
+++ b/crates/kumquatdrum_gateway/src/meters.rs
@@ -1,5 +1,6 @@
 //! What is counted, in the prometheus format.
 
+use kumquatdrum_peer::{Channel, Counters};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -27,6 +28,8 @@
     pub leader: IntGauge,
     /// Hosts heard lately.
     pub hosts: IntGauge,
+    /// Bytes of frames to and from other hosts, by channel and direction.
+    pub peer_bytes: IntCounterVec,
 }
 
 impl Meters {
@@ -45,6 +48,11 @@
             "Seconds to the first event or the whole answer, by length of the prompt.",
         );
         let first = HistogramVec::new(first.buckets(BOUNDS.to_vec()), &["prompt"])?;
+        let peer_bytes = Opts::new(
+            "kumquatdrum_gateway_peer_bytes_total",
+            "Bytes of frames to and from other hosts, by channel.",
+        );
+        let peer_bytes = IntCounterVec::new(peer_bytes, &["channel", "direction"])?;
         let gauge = |name: &str, help: &str| IntGauge::new(name, help);
         let meters = Self {
             ended,
@@ -54,12 +62,14 @@
             revision: gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
             hosts: gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
+            peer_bytes,
             registry,
         };
         let r = &meters.registry;
         r.register(Box::new(meters.ended.clone()))?;
         r.register(Box::new(meters.attempts.clone()))?;
         r.register(Box::new(meters.first.clone()))?;
+        r.register(Box::new(meters.peer_bytes.clone()))?;
         for gauge in [
             &meters.under_way,
             &meters.revision,
@@ -71,6 +81,23 @@
         Ok(meters)
     }
 
+    /// Takes over what the way to other hosts has counted.
+    pub fn count_peers(&self, counters: &Counters) {
+        for channel in Channel::ALL {
+            let traffic = counters.read(channel);
+            let directions = [
+                ("sent", traffic.bytes_sent),
+                ("received", traffic.bytes_received),
+            ];
+            for (direction, bytes) in directions {
+                let counter = self
+                    .peer_bytes
+                    .with_label_values(&[channel.name(), direction]);
+                counter.inc_by(bytes.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// The text that a metrics listener serves.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -20,9 +20,10 @@
 
 use crate::hosts::Hosts;
 use crate::in_force;
-use crate::message::{Answer, Notice};
+use crate::message::Answer;
 use crate::meters::Meters;
 use crate::settings::Settings;
+use crate::spread::Spread;
 
 mod voters;
 
@@ -108,6 +109,8 @@
     pub client: Arc<Client>,
     /// The other hosts.
     pub hosts: Arc<Hosts>,
+    /// Passes committed records on.
+    pub spread: Arc<Spread>,
     /// Told of committed records.
     pub in_force: Arc<in_force::Store>,
     /// Called after a committed record was taken.
@@ -418,21 +421,7 @@
             return;
         }
         (self.parts.applied)();
-        if self.node.is_leader() {
-            self.push(record);
-        }
-    }
-
-    fn push(&self, record: &Record) {
-        let notice = Notice::Record(record.clone());
-        let Some(bytes) = notice.encode(&self.parts.logger) else {
-            return;
-        };
-        let live = self.parts.hosts.live();
-        for host in live.iter().filter(|host| host.callers) {
-            let client = &self.parts.client;
-            client.send(&host.id, Channel::Setup, bytes.clone());
-        }
+        self.parts.spread.tell(record, self.node.is_leader());
     }
 
     fn confirmed(&mut self, token: Token) {
--- a/crates/kumquatdrum_routes/src/register.rs
+++ b/crates/kumquatdrum_routes/src/register.rs
@@ -1,17 +1,8 @@
 //! The replicated state: the record with the highest revision.
 
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 
-/// A revision and its text, as the operator sent it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// The operator's number.
-    pub revision: u64,
-    /// The text, byte for byte.
-    pub text: Arc<[u8]>,
-}
+use crate::Record;
 
 /// Holds the record with the highest revision that was ever applied.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/kumquatdrum_routing/src/fleet.rs
+++ b/crates/kumquatdrum_routing/src/fleet.rs
@@ -2,10 +2,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_types::endpoint::Kind;
-use kumquatdrum_types::{Announcement, BootId, EndpointId, Moment};
+use kumquatdrum_types::{Announcement, BootId, EndpointId, Moment, hash};
 
-use crate::hash;
 use crate::prefix::Index;
+use crate::rank;
 use crate::rate::Rates;
 use crate::slot::Slot;
 use crate::{CacheEvent, Health, Settings};
@@ -119,7 +119,7 @@
     pub(crate) fn set_owners(&mut self, owners: Vec<String>) {
         self.settings.owners = owners;
         for slot in self.slots.iter_mut().flatten() {
-            slot.rank = hash::rank(&self.settings, &slot.endpoint);
+            slot.rank = rank::of(&self.settings, &slot.endpoint);
         }
     }
 
@@ -170,7 +170,7 @@
     }
 
     fn insert(&mut self, announcement: &Announcement) -> SlotIndex {
-        let rank = hash::rank(&self.settings, &announcement.endpoint);
+        let rank = rank::of(&self.settings, &announcement.endpoint);
         let slot = Slot::new(announcement, hash::of(announcement.endpoint.as_str()), rank);
         let free = self.slots.iter().position(Option::is_none);
         let place = free.unwrap_or(self.slots.len());
--- a/crates/kumquatdrum_routing/src/limits.rs
+++ b/crates/kumquatdrum_routing/src/limits.rs
@@ -12,9 +12,7 @@
 
 use std::time::Duration;
 
-use kumquatdrum_types::{HostId, WorkspaceName};
-
-use crate::hash;
+use kumquatdrum_types::{HostId, WorkspaceName, hash};
 
 pub use bucket::Bucket;
 pub use holder::{Holder, Refused};
--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_types::{Announcement, BootId, EndpointId, Moment, Refusal, RequestId};
+use kumquatdrum_types::{Announcement, BootId, EndpointId, Moment, Refusal, RequestId, hash};
 
 use crate::drain::Drain;
 use crate::fleet::{Fleet, SlotIndex};
@@ -12,7 +12,7 @@
 use crate::queue::{Queue, Ticket, work};
 use crate::slot::Load;
 use crate::{
-    Ask, CacheEvent, Dispatch, Failure, Health, Job, Output, Progress, Refuse, Settings, Size, hash,
+    Ask, CacheEvent, Dispatch, Failure, Health, Job, Output, Progress, Refuse, Settings, Size,
 };
 
 /// How often a request that found no place is tried again, where nothing else happens.
--- a/crates/kumquatdrum_routing/src/hash.rs
+++ b/crates/kumquatdrum_types/src/hash.rs
@@ -1,30 +1,28 @@
-//! Hashes that are equal on all daemons.
-
-use kumquatdrum_types::EndpointId;
-
-use crate::Settings;
+//! Hashes that are equal on all hosts.
 
 const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const PRIME: u64 = 0x0100_0000_01b3;
 
 /// The hash of a text: FNV-1a with a final mix, as its high bits alone are weak.
-pub(crate) fn of(text: &str) -> u64 {
+///
+/// ```
+/// use kumquatdrum_types::hash;
+/// assert_ne!(hash::of("entry-1"), hash::of("entry-2"));
+/// ```
+pub fn of(text: &str) -> u64 {
     mix(feed(OFFSET, text))
 }
 
 /// The hash of a pair of texts, for rendezvous hashing.
-pub(crate) fn pair(left: &str, right: &str) -> u64 {
+///
+/// ```
+/// use kumquatdrum_types::hash;
+/// assert_ne!(hash::pair("a", "bc"), hash::pair("ab", "c"));
+/// ```
+pub fn pair(left: &str, right: &str) -> u64 {
     mix(feed(feed(OFFSET, left).wrapping_mul(PRIME), right))
 }
 
-/// How many other owners come before this one at an endpoint.
-pub(crate) fn rank(settings: &Settings, endpoint: &EndpointId) -> u32 {
-    let mine = pair(&settings.owner, endpoint.as_str());
-    let others = settings.owners.iter();
-    let before = others.filter(|owner| pair(owner, endpoint.as_str()) > mine);
-    before.count() as u32
-}
-
 fn feed(start: u64, text: &str) -> u64 {
     text.bytes().fold(start, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(PRIME)
--- a/crates/kumquatdrum_types/src/lib.rs
+++ b/crates/kumquatdrum_types/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod endpoint;
 pub mod exchange;
 pub mod finding;
+pub mod hash;
 pub mod id;
 pub mod load;
 pub mod outcome;
