Bound what a long prompt's reading takes from the answers under way

What harm weighed (30 ms of waiting an answer, whatever the answer) never outweighed reading on more engines, and nothing bounded it. Ruled out: parts that meet (each pause fits one part and one pass), the network and the hosts (the paused answers had 13 hosts and 12 engines).

Change: harm is weighed by the length of the harmed prompts; engines are fewer where more would lose over 0.3 of what the prompt's caller gains; where that would be too late the prompt waits, lets others pass, and is refused when it can't be in time any more. One that is late already, as an answer that goes on after a break, is read by as few as do no harm.

--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -6,6 +6,9 @@
 //! of its parts: prompts whose parts meet at an engine starve each other. So one prompt after the
 //! other is sent to an engine, in an order that all hosts share.
 
+use kumquatdrum_types::Moment;
+
+use crate::demand::weight;
 use crate::site::Site;
 use crate::{Cost, Job, Part, Plan};
 
@@ -14,8 +17,15 @@
 /// What an answer that an engine writes already weighs when engines are compared, in milliseconds
 /// of backlog: long reads keep off engines that write, also where no pause is too long yet.
 const WRITER_MS: f64 = 300.0;
-/// What an answer that would pause too long weighs, in milliseconds until the first token.
-const HARM_MS: f64 = 30.0;
+/// What answers that would pause too long weigh, in milliseconds until the first token for each unit of
+/// weight: a caller with a short prompt weighs one and a half. Of 30, 60 and 120 none is better by
+/// more than 0.01 of all worth (bench `policy`).
+const HARM_MS: f64 = 60.0;
+/// What the answers under way may lose by pauses for each unit that a prompt's caller gains. One prompt
+/// of 377,000 tokens made 40 answers on eight engines pause for 1.9 s. The same as for those who
+/// wait (`demand::BORNE`): from 0.1 to 0.5 callers get the same, and without a bound 0.02 of all worth
+/// less where the longest prompts are much of the load (bench `policy`).
+const HARM_BORNE: f64 = 0.3;
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
 
@@ -34,21 +44,38 @@
     Wait,
     /// Engines have to end answers first, to have memory.
     Blocked,
+    /// The answers under way would lose more by its pauses than its caller gains.
+    Harmful {
+        /// How long its reading would take were that no matter, in milliseconds.
+        part_ms: f64,
+    },
 }
 
 /// The engines that read a long prompt.
-pub(crate) fn place(cost: &Cost, job: &Job, sites: &[Site<'_>]) -> Placement {
+pub(crate) fn place(cost: &Cost, now: Moment, job: &Job, sites: &[Site<'_>]) -> Placement {
     let read_ms = cost.read_ms(job.prompt);
     let all = sorted(sites.iter().collect());
     let taken_ms = cost.pass_ms(1, 0) * PASSES;
-    let wanted = width(&all, read_ms, taken_ms);
+    let wanted = width(&all, read_ms, taken_ms, f64::INFINITY).unwrap_or(1);
     let is_ready = |site: &&Site<'_>| site.parts_ms <= 0.0;
     let mut ready = sorted(sites.iter().filter(is_ready).collect());
     let quorum = (wanted as f64 * QUORUM).ceil() as usize;
     if ready.len() < quorum {
         return Placement::Wait;
     }
-    ready.truncate(width(&ready, read_ms, taken_ms));
+    let freely = width(&ready, read_ms, taken_ms, f64::INFINITY).unwrap_or(1);
+    let part_ms = read_ms / freely as f64;
+    let left_ms = (job.due - now).as_secs_f64() * 1e3;
+    let bound = weight(job.prompt) * HARM_BORNE;
+    // What is late already, as a broken answer that goes on here, has nothing to lose by few engines.
+    let is_late = left_ms <= 0.0;
+    let width = match width(&ready, read_ms, taken_ms, bound) {
+        Some(width) if width == freely || is_late => width,
+        Some(width) if read_ms / width as f64 <= left_ms => width,
+        _ if is_late => return Placement::Blocked,
+        _ => return Placement::Harmful { part_ms },
+    };
+    ready.truncate(width);
     match hold(job, sites, ready, read_ms) {
         Some(plan) => Placement::Send(plan),
         None => Placement::Blocked,
@@ -62,22 +89,27 @@
     sites
 }
 
-/// How many of the engines read it soonest, with what the answers at them lose.
-fn width(sites: &[&Site<'_>], read_ms: f64, taken_ms: f64) -> usize {
+/// How many of the engines read it soonest, with what the answers at them lose: of the widths at
+/// which they lose no more than `bound`, if any.
+fn width(sites: &[&Site<'_>], read_ms: f64, taken_ms: f64, bound: f64) -> Option<usize> {
     let finish = |width: usize| {
         let taken = taken_ms * width as f64;
         finish_ms(&sites[..width], read_ms / width as f64) + taken
     };
-    let widths = 1..=sites.len().min(WIDEST);
-    let best = widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)));
-    best.unwrap_or(1)
+    let is_borne = |width: &usize| harm(&sites[..*width], read_ms / *width as f64) <= bound;
+    let widths = (1..=sites.len().min(WIDEST)).filter(is_borne);
+    widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)))
+}
+
+/// The weight of the answers that would pause too long.
+fn harm(sites: &[&Site<'_>], part_ms: f64) -> f64 {
+    sites.iter().map(|site| site.harm(part_ms)).sum()
 }
 
 /// When the last of the engines has read its part, with what the answers at them lose.
 fn finish_ms(sites: &[&Site<'_>], part_ms: f64) -> f64 {
     let last = sites.iter().map(|site| site.pass_ms);
-    let harm = sites.iter().map(|site| site.harmed(part_ms));
-    last.fold(0.0, f64::max) + part_ms + harm.sum::<usize>() as f64 * HARM_MS
+    last.fold(0.0, f64::max) + part_ms + harm(sites, part_ms) * HARM_MS
 }
 
 /// Finds memory: at one engine where that is possible, else with reservations at others.
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -10,7 +10,7 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
-use crate::demand::Demand;
+use crate::demand::{Demand, weight};
 use crate::long::Placement;
 use crate::reach::{Group, Reach};
 use crate::site::{Endpoint, Site, Writer};
@@ -119,13 +119,19 @@
                 shared(job, site.key, helpers, read_ms)
             })
         } else {
-            match long::place(&self.cost, job, &sites) {
+            match long::place(&self.cost, now, job, &sites) {
                 Placement::Send(plan) if self.turns.is_next(now, turn) => Some(plan),
                 Placement::Send(_) | Placement::Wait => None,
                 Placement::Blocked => {
                     turn.blocked = true;
                     None
                 }
+                // It lets others pass and waits for answers to end, while that can be in time.
+                Placement::Harmful { part_ms } if f64::from(turn.left_ms) > part_ms => {
+                    turn.blocked = true;
+                    None
+                }
+                Placement::Harmful { .. } => return Decision::TooCostly,
             }
         };
         let Some(plan) = plan else {
@@ -197,6 +203,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(&plan.first) {
             let writer = Writer {
                 pause_ms: f64::from(plan.pause_ms),
+                weight: weight(plan.prompt.into()),
             };
             endpoint.writers.insert(plan.job, writer);
         }
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Writer {
     pub(crate) pause_ms: f64,
+    /// What it weighs among others.
+    pub(crate) weight: f64,
 }
 
 /// One engine at the moment of a decision.
@@ -96,12 +98,11 @@
         pauses.fold(f64::INFINITY, f64::min)
     }
 
-    /// Answers of it that would pause too long, if it read for so long in one pass.
-    pub(crate) fn harmed(&self, reading_ms: f64) -> usize {
+    /// The weight of its answers that would pause too long, if it read for so long in one pass.
+    pub(crate) fn harm(&self, reading_ms: f64) -> f64 {
         let pause = self.pass_ms + reading_ms;
         let writers = self.endpoint.writers.values();
-        writers
-            .filter(|writer| pause > writer.pause_ms * NEAR)
-            .count()
+        let harmed = writers.filter(|writer| pause > writer.pause_ms * NEAR);
+        harmed.map(|writer| writer.weight).sum()
     }
 }
