One copy of what stood twice: registering meters, hashing, JSON answers, taking a committed record

Behaviour is unchanged. Found by reading the whole change once more: - gateway meters and the daemon's metrics registered and encoded alike: both use kumquatdrum_process::Registry now; - EndpointKey, JobId and the membership's keys each had FNV-1a or its mix: kumquatdrum_types::hash has the one copy; - control and Problem each built a JSON answer: body::json; - a committed record was taken in two places, by the log and from other hosts: Gateway::take_record, by which the replica lost three of its parts; - a host's address was parsed anew for each host at each dispatch told: read once, where the host becomes known; - dead: Note::urgency (never set), error texts of Unplaced (never shown), the model's play beside play_scene (renamed).

--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -146,7 +146,6 @@
             endpoint: &pick.endpoint.id,
             patience: self.ask.patience.map(|_| self.left()),
             helpers: &helpers,
-            urgency: None,
             after_event,
         };
         self.gateway.protocol.annotate(headers, &note);
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use kumquatdrum_peer::Channel;
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::Gateway;
-use crate::body::{self, Body};
+use crate::body::{Body, json};
 use crate::message::{Answer, Question};
 use crate::protocol::Operation;
 use crate::replica::Ask;
@@ -219,14 +219,6 @@
     json(status, "{}")
 }
 
-fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
-    let mut response = Response::new(body::whole(text));
-    *response.status_mut() = status;
-    let json = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
-}
-
 fn invalid(findings: &[Finding]) -> Response<Body> {
     let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
     let text = serde_json::json!({ "findings": findings }).to_string();
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -87,19 +87,15 @@
 }
 
 /// Why no endpoint was picked.
-#[derive(Debug, Clone, Copy, PartialEq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Unplaced {
     /// No endpoint of the service is known.
-    #[error("no endpoint is known")]
     Nobody,
     /// No engine can hold the prompt.
-    #[error("the prompt is larger than any engine's memory")]
     TooLarge,
     /// Others would lose more by it than its caller gains.
-    #[error("others would lose more by it")]
     TooCostly,
     /// No engine had room in time.
-    #[error("no engine had room")]
     NoRoom(Turn),
 }
 
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -201,18 +201,14 @@
         }
     }
 
-    /// Another host tells of a committed record.
-    pub(crate) fn take_record(&self, record: &Record, from: &str) {
-        if self.in_force.take(record, from).is_some() {
-            self.configured();
-            self.spread.tell(record, false);
-        }
-    }
-
-    fn configured(&self) {
-        if let Some(in_force) = self.in_force.current() {
-            self.fleet.configure(in_force.table.setup());
-        }
+    /// Another host, or this one's own log, tells of a committed record; `leads` where this host's
+    /// replica leads.
+    pub(crate) fn take_record(&self, record: &Record, from: &str, leads: bool) {
+        let Some(in_force) = self.in_force.take(record, from) else {
+            return;
+        };
+        self.fleet.configure(in_force.table.setup());
+        self.spread.tell(record, leads);
     }
 
     /// Another host tells of endpoints.
@@ -282,7 +278,7 @@
             .await;
         self.spread.fetched();
         match answer {
-            Some(Answer::Fetched(Some(record))) => self.take_record(&record, host.as_str()),
+            Some(Answer::Fetched(Some(record))) => self.take_record(&record, host.as_str(), false),
             answer => info!(self.logger, "setup_not_fetched"; "event" => "setup_not_fetched",
                 "peer" => host.as_str(), "revision" => revision, "answered" => answer.is_some()),
         }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -210,18 +210,12 @@
     handle: Handle,
     received: mpsc::UnboundedReceiver<Event>,
 ) {
-    let (in_force, fleet) = (gateway.in_force.clone(), gateway.fleet.clone());
+    let taker = gateway.clone();
     let parts = replica::Parts {
         settings: gateway.settings.clone(),
         client: gateway.client.clone(),
         hosts: gateway.hosts.clone(),
-        spread: gateway.spread.clone(),
-        in_force: in_force.clone(),
-        applied: Box::new(move || {
-            if let Some(in_force) = in_force.current() {
-                fleet.configure(in_force.table.setup());
-            }
-        }),
+        take: Box::new(move |record, leads| taker.take_record(record, "log", leads)),
         clock: gateway.clock,
         meters: gateway.meters.clone(),
         logger: gateway.logger.clone(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -36,6 +36,8 @@
 
 struct Seen {
     host: Host,
+    /// Its address, which its name is; read once, as each dispatch is told to all hosts.
+    ip: Option<IpAddr>,
     heard: Moment,
     is_lost: bool,
 }
@@ -127,6 +129,7 @@
                     "control" => host.control, "boot" => host.boot);
                 let is_lost = false;
                 let seen = Seen {
+                    ip: address(&id),
                     host,
                     heard,
                     is_lost,
@@ -226,7 +229,7 @@
         std::iter::once(local).chain(others).collect()
     }
 
-    /// Hosts that take callers, this one included. Those that are silent for less than a minute
+    /// Hosts that take callers, this one included. Those that are silent but not forgotten
     /// count, as they may still serve.
     pub fn caller_hosts(&self) -> usize {
         let state = self.state.lock();
@@ -240,11 +243,10 @@
         let state = self.state.lock();
         let others = state.others.values();
         let others = others.filter(|seen| seen.host.callers && now - seen.heard <= FORGOTTEN);
-        let address = |seen: &Seen| {
-            let ip: IpAddr = seen.host.id.as_str().parse().ok()?;
-            Some(SocketAddr::new(ip, self.peer_port + 1))
-        };
-        others.filter_map(address).collect()
+        let addresses = others.filter_map(|seen| seen.ip);
+        addresses
+            .map(|ip| SocketAddr::new(ip, self.peer_port + 1))
+            .collect()
     }
 
     /// Whether a majority of the control hosts was heard lately.
@@ -263,9 +265,14 @@
     }
 
     fn reach(&self, id: &HostId) {
-        if let Ok(ip) = id.as_str().parse::<IpAddr>() {
+        if let Some(ip) = address(id) {
             let address = SocketAddr::new(ip, self.peer_port);
             self.client.set_address(id, address);
         }
     }
 }
+
+/// The address that a host's name is.
+fn address(id: &HostId) -> Option<IpAddr> {
+    id.as_str().parse().ok()
+}
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -38,7 +38,7 @@
             return;
         }
         match postcard::from_bytes::<Notice>(&body) {
-            Ok(Notice::Record(record)) => gateway.take_record(&record, from.host.as_str()),
+            Ok(Notice::Record(record)) => gateway.take_record(&record, from.host.as_str(), false),
             Ok(Notice::Endpoints(updates)) => {
                 gateway.take_endpoints(updates, from.host.as_str());
             }
--- a/crates/kumquatdrum_gateway/src/meters.rs
+++ b/crates/kumquatdrum_gateway/src/meters.rs
@@ -1,9 +1,8 @@
 //! What is counted, in the prometheus format.
 
 use kumquatdrum_peer::{Channel, Counters};
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-};
+use kumquatdrum_process::Registry;
+use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 /// Upper bounds in seconds: around the times that callers wait for a first token.
 const BOUNDS: [f64; 12] = [
@@ -35,50 +34,35 @@
 impl Meters {
     /// All at zero.
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let ended = Opts::new("kumquatdrum_gateway_ended_total", "Requests by their end.");
-        let ended = IntCounterVec::new(ended, &["end"])?;
-        let attempts = Opts::new(
-            "kumquatdrum_gateway_attempts_total",
-            "Requests sent to endpoints, by outcome.",
-        );
-        let attempts = IntCounterVec::new(attempts, &["outcome"])?;
-        let first = HistogramOpts::new(
-            "kumquatdrum_gateway_first_seconds",
-            "Seconds to the first event or the whole answer, by length of the prompt.",
-        );
-        let first = HistogramVec::new(first.buckets(BOUNDS.to_vec()), &["prompt"])?;
-        let peer_bytes = Opts::new(
-            "kumquatdrum_gateway_peer_bytes_total",
-            "Bytes of frames to and from other hosts, by channel.",
-        );
-        let peer_bytes = IntCounterVec::new(peer_bytes, &["channel", "direction"])?;
-        let gauge = |name: &str, help: &str| IntGauge::new(name, help);
-        let meters = Self {
-            ended,
-            attempts,
-            first,
-            under_way: gauge("kumquatdrum_gateway_under_way", "Requests under way.")?,
-            revision: gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
-            leader: gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
-            hosts: gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
-            peer_bytes,
-            registry,
-        };
-        let r = &meters.registry;
-        r.register(Box::new(meters.ended.clone()))?;
-        r.register(Box::new(meters.attempts.clone()))?;
-        r.register(Box::new(meters.first.clone()))?;
-        r.register(Box::new(meters.peer_bytes.clone()))?;
-        for gauge in [
-            &meters.under_way,
-            &meters.revision,
-            &meters.leader,
-            &meters.hosts,
-        ] {
-            r.register(Box::new(gauge.clone()))?;
-        }
-        Ok(meters)
+        let r = Registry::default();
+        Ok(Self {
+            ended: r.counters(
+                "kumquatdrum_gateway_ended_total",
+                "Requests by their end.",
+                &["end"],
+            )?,
+            attempts: r.counters(
+                "kumquatdrum_gateway_attempts_total",
+                "Requests sent to endpoints, by outcome.",
+                &["outcome"],
+            )?,
+            first: r.histograms(
+                "kumquatdrum_gateway_first_seconds",
+                "Seconds to the first event or the whole answer, by length of the prompt.",
+                &BOUNDS,
+                &["prompt"],
+            )?,
+            under_way: r.gauge("kumquatdrum_gateway_under_way", "Requests under way.")?,
+            revision: r.gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
+            leader: r.gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
+            hosts: r.gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
+            peer_bytes: r.counters(
+                "kumquatdrum_gateway_peer_bytes_total",
+                "Bytes of frames to and from other hosts, by channel.",
+                &["channel", "direction"],
+            )?,
+            registry: r,
+        })
     }
 
     /// Takes over what the way to other hosts has counted.
@@ -100,11 +84,6 @@
 
     /// The text that a metrics listener serves.
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
-        match encoded {
-            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        self.registry.text()
     }
 }
--- a/crates/kumquatdrum_gateway/src/problem.rs
+++ b/crates/kumquatdrum_gateway/src/problem.rs
@@ -76,12 +76,9 @@
     /// ```
     pub fn response(&self) -> Response<Body> {
         let text = serde_json::json!({ "error": self.to_string() }).to_string();
-        let mut response = Response::new(body::whole(text));
-        *response.status_mut() = self.status();
-        let headers = response.headers_mut();
-        let json = header::HeaderValue::from_static("application/json");
-        headers.insert(header::CONTENT_TYPE, json);
+        let mut response = body::json(self.status(), text);
         if let Some(wait) = self.retry_after() {
+            let headers = response.headers_mut();
             headers.insert(header::RETRY_AFTER, seconds(wait));
         }
         response
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -53,8 +53,6 @@
     pub patience: Option<Duration>,
     /// Engines that read parts of the prompt.
     pub helpers: &'a [Helper],
-    /// 0 goes first; the engine's own default where absent.
-    pub urgency: Option<u8>,
     /// The answer goes on after this event.
     pub after_event: Option<u64>,
 }
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -19,11 +19,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::hosts::Hosts;
-use crate::in_force;
 use crate::message::Answer;
 use crate::meters::Meters;
 use crate::settings::Settings;
-use crate::spread::Spread;
 
 mod voters;
 
@@ -101,6 +99,9 @@
     }
 }
 
+/// Takes a committed record, and whether this replica leads.
+pub type Taker = Box<dyn Fn(&Record, bool) + Send + Sync>;
+
 /// What a replica is made of.
 pub struct Parts {
     /// The host's settings.
@@ -109,12 +110,8 @@
     pub client: Arc<Client>,
     /// The other hosts.
     pub hosts: Arc<Hosts>,
-    /// Passes committed records on.
-    pub spread: Arc<Spread>,
-    /// Told of committed records.
-    pub in_force: Arc<in_force::Store>,
-    /// Called after a committed record was taken.
-    pub applied: Box<dyn Fn() + Send + Sync>,
+    /// Where committed records go.
+    pub take: Taker,
     /// The host's clock.
     pub clock: Clock,
     /// What is counted.
@@ -414,14 +411,9 @@
     }
 
     fn put_in_force(&self) {
-        let Some(record) = self.register.current() else {
-            return;
-        };
-        if self.parts.in_force.take(record, "log").is_none() {
-            return;
+        if let Some(record) = self.register.current() {
+            (self.parts.take)(record, self.node.is_leader());
         }
-        (self.parts.applied)();
-        self.parts.spread.tell(record, self.node.is_leader());
     }
 
     fn confirmed(&mut self, token: Token) {
--- a/crates/kumquatdrum_gateway/src/spread.rs
+++ b/crates/kumquatdrum_gateway/src/spread.rs
@@ -91,6 +91,8 @@
     /// Whether this host goes by less than it has heard of, or by nothing.
     pub fn is_behind(&self) -> bool {
         let heard = self.state.lock().heard;
-        self.in_force.current().is_none() || self.in_force.revision() < heard
+        self.in_force
+            .current()
+            .is_none_or(|known| known.record.revision < heard)
     }
 }
--- a/crates/kumquatdrum_membership/src/key.rs
+++ b/crates/kumquatdrum_membership/src/key.rs
@@ -2,13 +2,10 @@
 
 use std::fmt::Write;
 
-use kumquatdrum_types::Announcement;
 use kumquatdrum_types::endpoint::Kind;
+use kumquatdrum_types::{Announcement, hash};
 use serde::{Deserialize, Serialize};
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// A digest of the lasting part of an announcement: all but sequence, load and leaving. A host
 /// that doesn't know a key asks for the record; two records with the same key are told apart by
 /// asking for both.
@@ -18,9 +15,9 @@
 impl Key {
     /// The key of an announcement.
     pub fn of(announcement: &Announcement) -> Self {
-        let mut hash = Fnv(FNV_OFFSET);
+        let mut fnv = Fnv(hash::START);
         let _ = write!(
-            hash,
+            fnv,
             "{}\0{}\0{}\0{}\0{}\0",
             announcement.endpoint,
             announcement.boot,
@@ -30,7 +27,7 @@
         );
         if let Kind::Engine(engine) = &announcement.kind {
             let _ = write!(
-                hash,
+                fnv,
                 "{}\0{}\0{}\0{}",
                 engine.model,
                 engine.memory_tokens,
@@ -38,7 +35,7 @@
                 engine.prefill_tokens_per_second,
             );
         }
-        Self(fold(mix(hash.0)).to_le_bytes())
+        Self(fold(mix(fnv.0)).to_le_bytes())
     }
 
     /// What a record with this key adds to the digest of a table.
@@ -50,18 +47,16 @@
 
 /// A digest of a text, for rosters.
 pub(crate) fn digest(text: std::fmt::Arguments<'_>) -> u32 {
-    let mut hash = Fnv(FNV_OFFSET);
-    let _ = hash.write_fmt(text);
-    fold(mix(hash.0))
+    let mut fnv = Fnv(hash::START);
+    let _ = fnv.write_fmt(text);
+    fold(mix(fnv.0))
 }
 
 struct Fnv(u64);
 
 impl Write for Fnv {
     fn write_str(&mut self, text: &str) -> std::fmt::Result {
-        for byte in text.bytes() {
-            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-        }
+        self.0 = hash::feed(self.0, text.bytes());
         Ok(())
     }
 }
--- a/crates/kumquatdrum_placement/benches/policy.rs
+++ b/crates/kumquatdrum_placement/benches/policy.rs
@@ -41,7 +41,7 @@
         let mut total = vec![Outcome::default(); KINDS.len()];
         for seed in 0..SEEDS {
             let prompts = draw_of(kinds, seed, SECONDS, scale, &SWINGING);
-            for (sum, outcome) in total.iter_mut().zip(model::play_scene(&prompts, &scene)) {
+            for (sum, outcome) in total.iter_mut().zip(model::play(&prompts, &scene)) {
                 sum.add(outcome);
             }
         }
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatdrum_types::{EndpointId, Moment};
+use kumquatdrum_types::{EndpointId, Moment, hash};
 use serde::{Deserialize, Serialize};
 
 /// A request that runs on engines, over all hosts.
@@ -17,10 +17,7 @@
 impl JobId {
     /// A number that is spread evenly over jobs, the same on every host.
     pub(crate) const fn draw(&self) -> u64 {
-        let bits = (self.host as u64) << 40 ^ self.number;
-        let bits = (bits ^ (bits >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-        let bits = (bits ^ (bits >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-        bits ^ (bits >> 33)
+        hash::mix((self.host as u64) << 40 ^ self.number)
     }
 }
 
@@ -39,12 +36,8 @@
     /// assert_ne!(first, again);
     /// ```
     pub fn of(id: &EndpointId, incarnation: u64) -> Self {
-        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-        const PRIME: u64 = 0x0100_0000_01b3;
         let bytes = id.as_str().bytes().chain(incarnation.to_le_bytes());
-        Self(bytes.fold(OFFSET, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-        }))
+        Self(hash::feed(hash::START, bytes))
     }
 }
 
--- a/crates/kumquatdrum_placement/tests/model/mod.rs
+++ b/crates/kumquatdrum_placement/tests/model/mod.rs
@@ -11,4 +11,4 @@
 pub mod load;
 pub mod play;
 
-pub use play::{Outcome, Scene, play, play_scene};
+pub use play::{Outcome, Scene, play};
--- a/crates/kumquatdrum_placement/tests/model/play.rs
+++ b/crates/kumquatdrum_placement/tests/model/play.rs
@@ -141,7 +141,7 @@
         &mut self.hosts[id.host as usize]
     }
 
-    /// Tells one host, or all others than `host`, at a moment.
+    /// Tells all hosts but one at a moment, or, where there is none to leave out, the job's own host.
     fn put(&mut self, at: f64, but: Option<usize>, notice: Notice) {
         self.sent += 1;
         let key = (moment(at).micros, self.sent);
@@ -217,13 +217,8 @@
     }
 }
 
-/// Plays prompts against `count` engines and tells what callers of each kind got.
-pub fn play(prompts: &[Prompt], count: u64) -> Vec<Outcome> {
-    play_scene(prompts, &Scene::of(count))
-}
-
 /// Plays prompts and tells what callers of each kind got.
-pub fn play_scene(prompts: &[Prompt], scene: &Scene) -> Vec<Outcome> {
+pub fn play(prompts: &[Prompt], scene: &Scene) -> Vec<Outcome> {
     let figures = Figures {
         slots: scene.slots,
         ..figures()
--- a/crates/kumquatdrum_placement/tests/policy.rs
+++ b/crates/kumquatdrum_placement/tests/policy.rs
@@ -3,7 +3,7 @@
 mod model;
 
 use model::load::{KINDS, Kind, LONGER, Prompt, draw_of};
-use model::{Outcome, Scene, play_scene};
+use model::{Outcome, Scene, play};
 
 const SHORT: usize = 0;
 const LONG: usize = 1;
@@ -26,7 +26,7 @@
     let mut total = vec![Outcome::default(); 3];
     for seed in 0..seeds {
         let prompts: Vec<Prompt> = draw_of(kinds, seed, 30, scale, phases);
-        for (sum, outcome) in total.iter_mut().zip(play_scene(&prompts, scene)) {
+        for (sum, outcome) in total.iter_mut().zip(play(&prompts, scene)) {
             sum.add(outcome);
         }
     }
--- a/crates/kumquatdrum_process/src/lib.rs
+++ b/crates/kumquatdrum_process/src/lib.rs
@@ -5,8 +5,10 @@
 pub mod face;
 pub mod metrics;
 pub mod random;
+pub mod registry;
 pub mod signal;
 pub mod sockets;
 
 pub use drain::Drain;
 pub use metrics::Metrics;
+pub use registry::Registry;
--- a/crates/kumquatdrum_process/src/metrics.rs
+++ b/crates/kumquatdrum_process/src/metrics.rs
@@ -1,9 +1,8 @@
 //! Metrics in the prometheus format. Names carry their units; docs/OPERATORS.md lists them.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+
+use crate::Registry;
 
 /// Bounds of the first-token histogram, in seconds.
 const FIRST_TOKEN_BOUNDS: [f64; 12] = [
@@ -39,52 +38,11 @@
     /// 1 where this host can't hear from a majority of the control replicas.
     pub cut_off: IntGauge,
     /// Endpoints known, by state.
-    pub endpoints: prometheus::IntGaugeVec,
+    pub endpoints: IntGaugeVec,
     /// 1 where this host leads the control replicas.
     pub leader: IntGauge,
     /// Bytes sent to and received from other daemons, by channel and direction.
-    pub peer_bytes: prometheus::IntGaugeVec,
-}
-
-fn counter(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntCounter> {
-    let counter = IntCounter::new(name, help)?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
-
-fn counters(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    label: &str,
-) -> prometheus::Result<IntCounterVec> {
-    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-    registry.register(Box::new(counters.clone()))?;
-    Ok(counters)
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
-    let gauge = IntGauge::new(name, help)?;
-    registry.register(Box::new(gauge.clone()))?;
-    Ok(gauge)
-}
-
-fn gauges(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> prometheus::Result<prometheus::IntGaugeVec> {
-    let gauges = prometheus::IntGaugeVec::new(Opts::new(name, help), labels)?;
-    registry.register(Box::new(gauges.clone()))?;
-    Ok(gauges)
-}
-
-fn histogram(registry: &Registry, name: &str, help: &str) -> prometheus::Result<Histogram> {
-    let options = HistogramOpts::new(name, help).buckets(FIRST_TOKEN_BOUNDS.to_vec());
-    let histogram = Histogram::with_opts(options)?;
-    registry.register(Box::new(histogram.clone()))?;
-    Ok(histogram)
+    pub peer_bytes: IntGaugeVec,
 }
 
 impl Metrics {
@@ -96,73 +54,44 @@
     /// assert!(metrics.text().contains("kumquatdrum_requests_admitted_total 1"));
     /// ```
     pub fn new() -> prometheus::Result<Self> {
-        let r = &Registry::new();
+        let r = Registry::default();
         Ok(Self {
-            registry: r.clone(),
-            admitted: counter(
-                r,
-                "kumquatdrum_requests_admitted_total",
-                "Requests admitted.",
-            )?,
-            ended: counters(
-                r,
+            admitted: r.counter("kumquatdrum_requests_admitted_total", "Requests admitted.")?,
+            ended: r.counters(
                 "kumquatdrum_requests_ended_total",
                 "Requests by ending.",
-                "ending",
+                &["ending"],
             )?,
-            refused: counters(r, "kumquatdrum_refusals_total", "Refusals by code.", "code")?,
-            attempts: counter(
-                r,
-                "kumquatdrum_attempts_total",
-                "Attempts sent to endpoints.",
-            )?,
-            retries: counter(
-                r,
+            refused: r.counters("kumquatdrum_refusals_total", "Refusals by code.", &["code"])?,
+            attempts: r.counter("kumquatdrum_attempts_total", "Attempts sent to endpoints.")?,
+            retries: r.counter(
                 "kumquatdrum_retries_total",
                 "Attempts after a request's first.",
             )?,
-            resumes: counter(r, "kumquatdrum_resumes_total", "Answers resumed elsewhere.")?,
-            cancels_pending: gauge(r, "kumquatdrum_cancels_pending", "Cancels unconfirmed.")?,
-            in_flight: gauge(r, "kumquatdrum_requests_in_flight", "Requests under way.")?,
-            body_bytes: gauge(r, "kumquatdrum_body_bytes", "Bytes of request bodies held.")?,
-            first_token: histogram(
-                r,
+            resumes: r.counter("kumquatdrum_resumes_total", "Answers resumed elsewhere.")?,
+            cancels_pending: r.gauge("kumquatdrum_cancels_pending", "Cancels unconfirmed.")?,
+            in_flight: r.gauge("kumquatdrum_requests_in_flight", "Requests under way.")?,
+            body_bytes: r.gauge("kumquatdrum_body_bytes", "Bytes of request bodies held.")?,
+            first_token: r.histogram(
                 "kumquatdrum_first_token_seconds",
                 "Seconds from arrival to the first token.",
+                &FIRST_TOKEN_BOUNDS,
             )?,
-            version: gauge(
-                r,
-                "kumquatdrum_declaration_version",
-                "Version in force here.",
-            )?,
-            cut_off: gauge(
-                r,
-                "kumquatdrum_cut_off",
-                "1 without a majority of replicas.",
-            )?,
-            endpoints: gauges(
-                r,
-                "kumquatdrum_endpoints",
-                "Endpoints by state.",
-                &["state"],
-            )?,
-            leader: gauge(r, "kumquatdrum_control_leader", "1 on the control leader.")?,
-            peer_bytes: gauges(
-                r,
+            version: r.gauge("kumquatdrum_declaration_version", "Version in force here.")?,
+            cut_off: r.gauge("kumquatdrum_cut_off", "1 without a majority of replicas.")?,
+            endpoints: r.gauges("kumquatdrum_endpoints", "Endpoints by state.", &["state"])?,
+            leader: r.gauge("kumquatdrum_control_leader", "1 on the control leader.")?,
+            peer_bytes: r.gauges(
                 "kumquatdrum_peer_bytes",
                 "Bytes exchanged with other daemons since the start.",
                 &["channel", "direction"],
             )?,
+            registry: r,
         })
     }
 
     /// The metrics as text for the platform.
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
-        match encoded {
-            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        self.registry.text()
     }
 }
--- a/crates/kumquatdrum_types/src/hash.rs
+++ b/crates/kumquatdrum_types/src/hash.rs
@@ -1,6 +1,7 @@
 //! Hashes that are equal on all hosts.
 
-const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// Where [`feed`] starts.
+pub const START: u64 = 0xcbf2_9ce4_8422_2325;
 const PRIME: u64 = 0x0100_0000_01b3;
 
 /// The hash of a text: FNV-1a with a final mix, as its high bits alone are weak.
@@ -10,7 +11,7 @@
 /// assert_ne!(hash::of("entry-1"), hash::of("entry-2"));
 /// ```
 pub fn of(text: &str) -> u64 {
-    mix(feed(OFFSET, text))
+    mix(feed(START, text.bytes()))
 }
 
 /// The hash of a pair of texts, for rendezvous hashing.
@@ -20,16 +21,31 @@
 /// assert_ne!(hash::pair("a", "bc"), hash::pair("ab", "c"));
 /// ```
 pub fn pair(left: &str, right: &str) -> u64 {
-    mix(feed(feed(OFFSET, left).wrapping_mul(PRIME), right))
+    let left = feed(START, left.bytes()).wrapping_mul(PRIME);
+    mix(feed(left, right.bytes()))
 }
 
-fn feed(start: u64, text: &str) -> u64 {
-    text.bytes().fold(start, |hash, byte| {
+/// FNV-1a over some bytes, going on from the hash of those before them.
+///
+/// ```
+/// use kumquatdrum_types::hash;
+/// let whole = hash::feed(hash::START, *b"entry");
+/// assert_eq!(hash::feed(hash::feed(hash::START, *b"en"), *b"try"), whole);
+/// ```
+pub fn feed(start: u64, bytes: impl IntoIterator<Item = u8>) -> u64 {
+    let bytes = bytes.into_iter();
+    bytes.fold(start, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(PRIME)
     })
 }
 
-const fn mix(hash: u64) -> u64 {
+/// Spreads a number's bits over all of them.
+///
+/// ```
+/// use kumquatdrum_types::hash;
+/// assert_ne!(hash::mix(1) >> 32, hash::mix(2) >> 32);
+/// ```
+pub const fn mix(hash: u64) -> u64 {
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ (hash >> 33)
