Place short prompts in their host's data centre, and behind a part rather than at a clean engine

(2) a part of 100 to 150 ms at the packed engine sends each short prompt of that moment to another engine (27.70, 27.74, 27.91 s), whose answers keep long reads off for the next 1.5 s; engines' reading then is 0.3 to 0.6 of what they can. (3) answers with pauses of 255 to 261 ms: a part that was to end at 225 ms met a short prompt in the same pass. (4) prompts of 170,000 to 300,000 tokens refused at once by demand while half of the engines' reading is free.

Changes: order of engines for short prompts (own data centre; engines with such answers; behind a part, if on time; clean ones; late ones); an answer counts as harmed from 0.75 of its pause on (was 0.9); others may lose 1.5 for each unit that a very long prompt gains (was 0.3); refusals tell the prompt and its due time.

Short answers from another data centre, in the model: 0.67 -> under 0.05 (test).

--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -234,7 +234,8 @@
         self.gateway.meters.ended.with_label_values(&[end]).inc();
         info!(self.gateway.logger, "request_ended"; "event" => "request_ended",
             "request" => &self.name, "end" => end, "reason" => reason, "sent" => tries.sent,
-            "unsent" => tries.unsent, "ms" => self.age().as_millis() as u64);
+            "unsent" => tries.unsent, "prompt" => self.ask.prompt_tokens,
+            "due_ms" => self.route.target.as_millis() as u64, "ms" => self.age().as_millis() as u64);
     }
 
     /// Notes how long the first event, or the whole answer, took.
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
-use kumquatdrum_types::{EndpointId, Moment, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use slog::info;
 use tokio::sync::Notify;
@@ -57,6 +57,8 @@
     pub announcement: Duration,
     /// This host's number among the hosts that dispatch.
     pub number: u32,
+    /// Where this host stands.
+    pub data_centre: DataCentre,
     /// Where decisions are told.
     pub logger: slog::Logger,
 }
@@ -132,7 +134,11 @@
         let retries = &self.parts.retries;
         let window = Duration::from_secs_f64(retries.window_s);
         let policy = match engine {
-            Some(engine) => Policy::Engines(Box::new(Planner::new(engine.clone()))),
+            Some(engine) => {
+                let here = group(&self.parts.data_centre);
+                let planner = Planner::new(engine.clone()).standing_in(here);
+                Policy::Engines(Box::new(planner))
+            }
             None => Policy::Plain(Balancer::default()),
         };
         let state = State {
@@ -170,11 +176,13 @@
         match &mut state.policy {
             Policy::Engines(planner) => {
                 let grouped = directory.iter();
-                planner.set_endpoints(grouped.map(|(key, endpoint)| (*key, group(endpoint))));
+                planner.set_endpoints(
+                    grouped.map(|(key, endpoint)| (*key, group(&endpoint.data_centre))),
+                );
             }
             Policy::Plain(balancer) => {
                 let slots = |(key, endpoint): (&EndpointKey, &Announcement)| {
-                    (*key, group(endpoint), endpoint.slots)
+                    (*key, group(&endpoint.data_centre), endpoint.slots)
                 };
                 balancer.set_endpoints(directory.iter().map(slots));
             }
@@ -415,8 +423,8 @@
 }
 
 /// Endpoints of one data centre are cut off together.
-fn group(endpoint: &Announcement) -> Group {
-    let name = EndpointId::new(endpoint.data_centre.as_str());
+fn group(data_centre: &DataCentre) -> Group {
+    let name = EndpointId::new(data_centre.as_str());
     Group(EndpointKey::of(&name, 0).0)
 }
 
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -172,6 +172,7 @@
         retries: settings.retries,
         announcement: Duration::from_millis(settings.announcement_ms),
         number: number(&settings),
+        data_centre: settings.data_centre.clone(),
         logger: logger.clone(),
     });
     let in_force = in_force::Store::new(protocol.clone(), logger.clone());
--- a/crates/kumquatdrum_placement/src/demand.rs
+++ b/crates/kumquatdrum_placement/src/demand.rs
@@ -17,10 +17,10 @@
 /// Tokens of a prompt that weigh as much as its mere presence: who sends ten times as much waits
 /// for ten times the work, while even the shortest prompt has somebody who waits.
 const WEIGHED_TOKENS: f64 = 10_000.0;
-/// What those who wait may lose for each unit that the prompt's caller gains. Near the engines'
-/// capacity each wait is passed on to about two others that come behind. Against 1.0 it raises
-/// what callers get of a swinging load from 0.90 to 0.94 of their worth (bench `policy`).
-const BORNE: f64 = 0.3;
+/// What those who wait may lose for each unit that the prompt's caller gains. The loss is an upper
+/// bound: it takes everybody who asks while the prompt is read to wait for all of it, while its
+/// engines are rarely the whole fleet.
+const BORNE: f64 = 1.5;
 
 /// What a prompt weighs among others.
 pub(crate) fn weight(prompt: u64) -> f64 {
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -58,6 +58,8 @@
     turns: Turns,
     demand: Demand,
     reach: Reach,
+    /// Where this host stands, if that is known.
+    here: Option<Group>,
 }
 
 #[derive(Debug)]
@@ -77,9 +79,30 @@
             turns: Turns::default(),
             demand: Demand::default(),
             reach: Reach::default(),
+            here: None,
         }
     }
 
+    /// The same planner for a host that stands in the data centre of this group of engines.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::{EndpointKey, Group, Planner};
+    /// # use kumquatdrum_routes::Engine;
+    /// # let engine = Engine {
+    /// #     slots: 16, memory_tokens: 300_000, pass_steps: 50, step_ms: 1.0, writer_ms: 0.01,
+    /// #     context_ms_per_k: 0.01, read_tokens_per_ms: 200.0, pairs_ms_per_m: 0.1,
+    /// #     chunk_tokens: 2_048, hop_ms: 0.05, usual_prompt: 10_000.0, usual_answer: 1_000.0,
+    /// # };
+    ///
+    /// let mut planner = Planner::new(engine).standing_in(Group(1));
+    /// planner.set_endpoints([(EndpointKey(7), Group(1)), (EndpointKey(8), Group(2))]);
+    /// ```
+    #[must_use]
+    pub fn standing_in(mut self, here: Group) -> Self {
+        self.here = Some(here);
+        self
+    }
+
     /// The engines that may be chosen from now on.
     pub fn set_endpoints(&mut self, usable: impl IntoIterator<Item = (EndpointKey, Group)>) {
         for endpoint in self.endpoints.values_mut() {
@@ -113,7 +136,11 @@
         let read_ms = self.cost.read_ms(job.prompt);
         let mut turn = turn(now, job, read_ms);
         let plan = if short::is_short(job, &sites, read_ms) {
-            let site = short::place(&self.cost, now, job, &sites, self.demand.rate());
+            let load = short::Load {
+                rate: self.demand.rate(),
+                here: self.here,
+            };
+            let site = short::place(&self.cost, now, job, &sites, &load);
             site.map(|site| {
                 let helpers = short::helpers(&sites, site, read_ms);
                 shared(job, site.key, helpers, read_ms)
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -1,15 +1,17 @@
 //! Prompts that one engine reads without making its other answers pause too long.
 //!
 //! Answers load: many short prompts, whose callers wait for a first token within a fraction of a
-//! second and for every event after it. They are packed on engines that write already, so that
-//! the others stay free for long reads that would make their answers pause.
+//! second and for every event after it. They are packed on engines that write such answers already,
+//! so that the others stay free for long reads that would make their answers pause; and on engines
+//! of the host's own data centre, so that no answer breaks when it is cut off from the others.
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use kumquatdrum_types::Moment;
 
 use crate::site::Site;
-use crate::{Cost, Job, Part};
+use crate::{Cost, Group, Job, Part};
 
 /// The share of a pause that a prompt's reading may take: the rest is for a pass of the answers.
 /// What takes longer is long.
@@ -19,6 +21,10 @@
 /// the same moment. Lower shares spread short answers over engines whose long reads make them
 /// pause, higher ones make first tokens late: 0.28 and 0.4 both cost 0.01 to 0.02 of all worth.
 const PACKED: f64 = 0.36;
+/// The share of the time to its due moment within which a first token is awaited behind what an
+/// engine reads already, rather than given to an engine that writes no such answers. The rest is for
+/// what other hosts send in the same moment.
+const BEHIND: f64 = 0.7;
 /// A short prompt is drawn among as many engines as prompts are sent in so long. What another host has
 /// sent in the last milliseconds is not known here, and hosts that all choose the engine with the
 /// least room to spare fill it beyond its slots: a first token then waits for another's last. Ten
@@ -40,37 +46,90 @@
     read_ms <= tightest.fold(own, f64::min) * PAUSE
 }
 
-/// The engine that gets a short prompt: one of those that write most among those that are soon
-/// enough, else the soonest. `rate` is how many prompts all hosts send a second.
+/// What a short prompt's host knows beside the engines.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    /// Prompts that all hosts send a second.
+    pub(crate) rate: f64,
+    /// The data centre that the host stands in, if that is known.
+    pub(crate) here: Option<Group>,
+}
+
+/// How gladly an engine is taken, the best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// It writes answers that bear as short a pause, and starts this one soon.
+    Packed,
+    /// It writes such answers, and has something to read before this prompt, which is on time.
+    Behind,
+    /// It writes no such answers: they would keep long reads off it from now on.
+    Clean,
+    /// The first token would be late, or nearly.
+    Late,
+}
+
+/// An engine's place among others: those of the host's own data centre come first, unless they
+/// would be late.
+type Place = (bool, bool, Rank, u64, u64);
+
+/// The engine that gets a short prompt: the first by rank, or one of the next, where many hosts
+/// would meet at the first.
 pub(crate) fn place<'a>(
     cost: &Cost,
     now: Moment,
     job: &Job,
     sites: &'a [Site<'a>],
-    rate: f64,
+    load: &Load,
 ) -> Option<&'a Site<'a>> {
     let slots = cost.engine().slots as usize;
     let left_ms = (job.due - now).as_secs_f64() * 1e3;
-    let read_ms = cost.read_ms(job.prompt).min(PART_MS);
     let fits = sites.iter().filter(|site| site.free >= job.tokens());
     let fits = fits.filter(|site| site.writers() < slots);
-    let key = |site: &&Site<'_>| {
-        let pass_ms = cost.pass_ms(site.writers() + 1, site.tokens());
-        let others_ms = site.backlog_ms + PASSES * pass_ms;
-        let first = ((others_ms + read_ms) * 1e3) as u64;
-        let is_soon = others_ms <= left_ms * PACKED && site.parts_ms <= 0.0;
-        if is_soon {
-            (0, (slots - site.writers()) as u64, first)
-        } else {
-            (1, first, 0)
+    let keyed = fits.map(|site| (place_of(cost, job, site, left_ms, load), site));
+    let mut keyed: Vec<(Place, &Site<'_>)> = keyed.collect();
+    keyed.sort_by_key(|(place, site)| (*place, site.key));
+    let ((is_late, is_far, ..), _) = keyed.first()?;
+    let alike = keyed.iter();
+    let alike = alike.filter(|((late, far, ..), _)| (late, far) == (is_late, is_far));
+    let alike = if *is_late { 1 } else { alike.count() };
+    let among = (1 + (senders(sites, load) * SPREAD.as_secs_f64()) as usize).min(alike);
+    let drawn = job.id.draw() % among as u64;
+    keyed.get(drawn as usize).map(|(_, site)| *site)
+}
+
+fn place_of(cost: &Cost, job: &Job, site: &Site<'_>, left_ms: f64, load: &Load) -> Place {
+    let read_ms = cost.read_ms(job.prompt).min(PART_MS);
+    let pass_ms = cost.pass_ms(site.writers() + 1, site.tokens());
+    let others_ms = site.backlog_ms + PASSES * pass_ms;
+    let first_us = ((others_ms + read_ms) * 1e3) as u64;
+    let answers = site.answers_as_tight(job.pause.as_secs_f64() * 1e3);
+    let is_soon = others_ms <= left_ms * PACKED && site.parts_ms <= 0.0;
+    let is_on_time = others_ms + read_ms <= left_ms * BEHIND;
+    let is_far = load.here.is_some_and(|here| here != site.group());
+    match answers {
+        1.. if is_soon => (
+            false,
+            is_far,
+            Rank::Packed,
+            u64::MAX - answers as u64,
+            first_us,
+        ),
+        1.. if is_on_time => (false, is_far, Rank::Behind, first_us, 0),
+        _ if is_soon => {
+            let writers = site.writers() as u64;
+            (false, is_far, Rank::Clean, u64::MAX - writers, first_us)
         }
-    };
-    let mut keyed: Vec<_> = fits.map(|site| (key(&site), site)).collect();
-    keyed.sort_by_key(|(key, site)| (*key, site.key));
-    let soon = keyed.iter().filter(|((late, ..), _)| *late == 0).count();
-    let among = (1 + (rate * SPREAD.as_secs_f64()) as usize).min(soon.max(1));
-    let place = job.id.draw() % among as u64;
-    keyed.get(place as usize).map(|(_, site)| *site)
+        _ => (true, false, Rank::Late, first_us, 0),
+    }
+}
+
+/// Prompts a second that are sent by hosts that choose among the same engines first.
+fn senders(sites: &[Site<'_>], load: &Load) -> f64 {
+    if load.here.is_none() {
+        return load.rate;
+    }
+    let groups: IndexSet<Group> = sites.iter().map(Site::group).collect();
+    load.rate / groups.len().max(1) as f64
 }
 
 /// Engines that share the reading of a prompt that is short, but longer than a pass: quiet ones,
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/site.rs
@@ -8,9 +8,9 @@
 /// The share of memory that is planned for: answers grow beyond their estimates.
 const FILLED: f64 = 0.97;
 
-/// The share of the longest pause from which on an answer counts as harmed: what else comes in
-/// the same pass is not known yet.
-const NEAR: f64 = 0.9;
+/// The share of the longest pause from which on an answer counts as harmed: what else comes in the
+/// same pass is not known yet, as the reading of a short prompt or two.
+const NEAR: f64 = 0.75;
 
 /// What a planner keeps of one engine.
 #[derive(Debug)]
@@ -81,11 +81,22 @@
 }
 
 impl Site<'_> {
+    /// Where it stands.
+    pub(crate) fn group(&self) -> Group {
+        self.endpoint.group
+    }
+
     /// Jobs that it answers.
     pub(crate) fn writers(&self) -> usize {
         self.endpoint.writers.len()
     }
 
+    /// Answers that bear no longer a pause than this, in milliseconds.
+    pub(crate) fn answers_as_tight(&self, pause_ms: f64) -> usize {
+        let writers = self.endpoint.writers.values();
+        writers.filter(|writer| writer.pause_ms <= pause_ms).count()
+    }
+
     /// Tokens of its memory that are spoken for.
     pub(crate) fn tokens(&self) -> u64 {
         self.endpoint.tokens
--- a/crates/kumquatdrum_placement/tests/model/play.rs
+++ b/crates/kumquatdrum_placement/tests/model/play.rs
@@ -25,6 +25,8 @@
     pub refused: usize,
     pub first_late: usize,
     pub paused: usize,
+    /// Answers that came from another data centre than their host's: a cut would break them.
+    pub far: usize,
     pub first_ms: Vec<f64>,
 }
 
@@ -36,6 +38,7 @@
         self.refused += other.refused;
         self.first_late += other.first_late;
         self.paused += other.paused;
+        self.far += other.far;
         self.first_ms.extend(other.first_ms);
     }
 
@@ -88,6 +91,8 @@
     pub hosts: usize,
     /// How long what a host does stays unknown to the others, in milliseconds.
     pub view_ms: f64,
+    /// Data centres over which hosts and engines are spread evenly.
+    pub data_centres: u64,
 }
 
 impl Scene {
@@ -98,8 +103,19 @@
             slots: figures().slots,
             hosts: 1,
             view_ms: 0.0,
+            data_centres: 1,
         }
     }
+
+    /// Where an engine stands.
+    fn group_of(&self, key: EndpointKey) -> Group {
+        Group(key.0 % self.data_centres)
+    }
+
+    /// Where a host stands.
+    fn group_at(&self, host: usize) -> Group {
+        Group(host as u64 % self.data_centres)
+    }
 }
 
 /// What a host tells the others.
@@ -124,13 +140,15 @@
 
 impl Planners {
     fn new(scene: &Scene, figures: &Figures) -> Self {
-        let planner = || {
-            let mut planner = Planner::new(figures.clone());
-            planner.set_endpoints((1..=scene.engines).map(|key| (EndpointKey(key), Group(0))));
+        let planner = |host| {
+            let planner = Planner::new(figures.clone());
+            let mut planner = planner.standing_in(scene.group_at(host));
+            let keys = (1..=scene.engines).map(EndpointKey);
+            planner.set_endpoints(keys.map(|key| (key, scene.group_of(key))));
             planner
         };
         Self {
-            hosts: (0..scene.hosts).map(|_| planner()).collect(),
+            hosts: (0..scene.hosts).map(planner).collect(),
             notices: BTreeMap::new(),
             sent: 0,
             view_ms: scene.view_ms,
@@ -280,6 +298,9 @@
                         true
                     }
                     Decision::Send(plan, _) => {
+                        let stands_at = scene.group_at(id.host as usize);
+                        let is_far = scene.group_of(plan.first) != stands_at;
+                        outcomes[prompt.kind].far += usize::from(is_far);
                         planners.tell(now, id.host, Notice::Sent(plan.clone()));
                         send(&mut engines, &cost, now, prompt, &plan);
                         under.insert(*id, start(prompt, plan));
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -108,6 +108,69 @@
     sent(planner.place(at(5_502), &job(102, 250_000, at(5_502))));
 }
 
+/// A planner that stands in data centre 0 of two, and a short answer at engine 1 there.
+fn two_data_centres() -> (Planner, Plan) {
+    let mut planner = Planner::new(figures()).standing_in(Group(0));
+    planner.set_endpoints([
+        (EndpointKey(1), Group(0)),
+        (EndpointKey(2), Group(0)),
+        (EndpointKey(3), Group(1)),
+        (EndpointKey(4), Group(1)),
+    ]);
+    let first = sent(planner.place(START, &job(1, 2_000, START)));
+    assert_eq!(first.first, EndpointKey(1));
+    let read = START + Duration::from_millis(50);
+    planner.began(read, first.job);
+    (planner, first)
+}
+
+fn part_at(key: u64, number: u64, part_ms: f32) -> Plan {
+    Plan {
+        job: JobId { host: 2, number },
+        first: EndpointKey(key),
+        helpers: vec![],
+        prompt: 100_000,
+        target_ms: 3_000,
+        part_ms,
+        tokens: 100_000,
+        pause_ms: 1_000,
+    }
+}
+
+#[test]
+fn a_short_prompt_waits_behind_a_part_rather_than_keep_long_reads_off_another_engine() {
+    let (mut planner, packed) = two_data_centres();
+    let at = START + Duration::from_millis(100);
+    planner.sent(at, part_at(packed.first.0, 1, 100.0));
+    let behind = sent(planner.place(at, &job(2, 2_000, at)));
+    assert_eq!(behind.first, packed.first);
+    // Behind a longer one its first token would be late.
+    planner.sent(at, part_at(packed.first.0, 2, 150.0));
+    let clean = sent(planner.place(at, &job(3, 2_000, at)));
+    assert_eq!(clean.first, EndpointKey(2));
+}
+
+#[test]
+fn a_short_prompt_leaves_the_data_centre_only_where_it_would_be_late_there() {
+    let (mut planner, packed) = two_data_centres();
+    let at = START + Duration::from_millis(100);
+    // The other data centre writes more, and is passed over.
+    for number in 1..=4 {
+        let other = Plan {
+            pause_ms: 250,
+            tokens: 3_000,
+            ..part_at(3, number, 0.0)
+        };
+        planner.running(at, other, false);
+    }
+    let near = sent(planner.place(at, &job(2, 2_000, at)));
+    assert_eq!(near.first, packed.first);
+    planner.sent(at, part_at(1, 11, 1_000.0));
+    planner.sent(at, part_at(2, 12, 1_000.0));
+    let far = sent(planner.place(at, &job(3, 2_000, at)));
+    assert_eq!(far.first, EndpointKey(3));
+}
+
 #[test]
 fn the_prompt_that_weighs_more_for_its_reading_goes_first_on_every_host() {
     let mut planner = planner(4);
--- a/crates/kumquatdrum_placement/tests/policy.rs
+++ b/crates/kumquatdrum_placement/tests/policy.rs
@@ -100,3 +100,21 @@
     at_least(&outcomes[LONG], 0.95);
     at_least(&outcomes[LONGEST], 0.73);
 }
+
+/// Where short prompts went to the fullest engine wherever it stands, 0.67 of their answers came from
+/// another data centre, and a cut broke them.
+#[test]
+fn short_answers_come_from_the_data_centre_of_their_host() {
+    let scene = Scene {
+        hosts: 6,
+        view_ms: 4.0,
+        data_centres: 3,
+        ..Scene::of(18)
+    };
+    let outcomes = outcomes_at(&KINDS, 2, 0.7, &SWINGING, &scene);
+    let short = &outcomes[SHORT];
+    let far = short.far as f64 / short.asked as f64;
+    assert!(far <= 0.05, "{far:.3} of the short answers are far");
+    at_least(short, 0.95);
+    at_least(&outcomes[LONG], 0.95);
+}
