--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -8,6 +8,7 @@
 use kumquatdrum_types::{EndpointId, ServiceName};
 use parking_lot::Mutex;
 use slog::info;
+use tokio::sync::Notify;
 
 /// How long a farewell is told again with each round, for hosts that missed it.
 const FAREWELL_TOLD: Duration = Duration::from_secs(10);
@@ -16,6 +17,8 @@
 pub struct Endpoints {
     clock: Clock,
     state: Mutex<State>,
+    /// Who is known, or is leaving, has changed.
+    changed: Notify,
     logger: slog::Logger,
 }
 
@@ -32,6 +35,7 @@
         Self {
             clock,
             state: Mutex::default(),
+            changed: Notify::new(),
             logger,
         }
     }
@@ -45,7 +49,7 @@
         state.heard.insert(id.clone());
         let update = state.registry.update(now, &id);
         drop(state);
-        self.log(change, update.as_ref(), "endpoint");
+        self.note(change, update.as_ref(), "endpoint");
         (change, update)
     }
 
@@ -56,6 +60,7 @@
         let update = state.registry.leave(now, id, incarnation);
         state.heard.insert(id.clone());
         drop(state);
+        self.changed.notify_one();
         info!(self.logger, "endpoint_left"; "event" => "endpoint_left", "endpoint" => id.as_str(),
             "incarnation" => incarnation, "known" => update.is_some());
         update
@@ -69,7 +74,7 @@
             let told = update.clone();
             let change = self.state.lock().registry.merge(now, update);
             has_changed |= matches!(change, Change::New | Change::Changed);
-            self.log(change, Some(&told), from);
+            self.note(change, Some(&told), from);
         }
         has_changed
     }
@@ -82,6 +87,7 @@
             .registry
             .displaced(now, &endpoint.id, endpoint.started);
         if update.is_some() {
+            self.changed.notify_one();
             info!(self.logger, "endpoint_displaced"; "event" => "endpoint_displaced",
                 "endpoint" => endpoint.id.as_str(), "address" => %endpoint.address);
         }
@@ -95,6 +101,11 @@
         usable.map(|(a, age)| (a.clone(), age)).collect()
     }
 
+    /// Waits until who is known, or is leaving, has changed since the last such wait.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
     /// All that is known.
     pub fn all(&self) -> Vec<Update> {
         let state = self.state.lock();
@@ -120,11 +131,12 @@
         told
     }
 
-    fn log(&self, change: Change, update: Option<&Update>, from: &str) {
+    fn note(&self, change: Change, update: Option<&Update>, from: &str) {
         let Some(update) = update.filter(|_| matches!(change, Change::New | Change::Changed))
         else {
             return;
         };
+        self.changed.notify_one();
         let endpoint = &update.announcement;
         info!(self.logger, "endpoint_known"; "event" => "endpoint_known",
             "endpoint" => endpoint.id.as_str(), "incarnation" => endpoint.started,
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -27,7 +27,7 @@
 use crate::replica::{Ask, Handle};
 use crate::spread::Spread;
 use crate::tell::Teller;
-use crate::{Protocol, Settings, in_force};
+use crate::{Protocol, Settings, in_force, recall};
 
 mod rounds;
 mod start;
@@ -110,7 +110,17 @@
     ) -> Result<(), StartError> {
         let logger = logger.new(o!("host" => settings.name.clone()));
         let stop_limit = Duration::from_millis(settings.stop_ms);
-        let (gateway, mut running) = start::start(settings, protocol, logger)?;
+        let file_of_endpoints = recall::file(&settings);
+        let announcement = Duration::from_millis(settings.announcement_ms);
+        let recalled = match &file_of_endpoints {
+            Some(file) => recall::read(file.clone(), announcement, &logger).await,
+            None => Vec::new(),
+        };
+        let (gateway, mut running) = start::start(settings, protocol, logger, recalled)?;
+        if let Some(file) = file_of_endpoints {
+            let (endpoints, logger) = (gateway.endpoints.clone(), gateway.logger.clone());
+            running.tasks.spawn(recall::keep(file, endpoints, logger));
+        }
         if let Some(file) = file {
             running.tasks.spawn(rounds::reload(gateway.clone(), file));
         }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use kumquatdrum_peer::{Client, Counters, Identity, Local, Secret};
 use kumquatdrum_process::clock::{Clock, unix_ms};
+use kumquatdrum_registry::Update;
 use kumquatdrum_types::BootId;
 use parking_lot::Mutex;
 use slog::{error, info};
@@ -101,6 +102,7 @@
     settings: Settings,
     protocol: Arc<dyn Protocol>,
     logger: slog::Logger,
+    recalled: Vec<Update>,
 ) -> Result<(Arc<Gateway>, Running), StartError> {
     let boot = BootId(unix_ms());
     let local = Local {
@@ -116,6 +118,7 @@
     let replica = settings.replica.as_ref().map(|_| Handle::new());
     let handle = replica.as_ref().map(|(handle, _)| handle.clone());
     let gateway = gateway(settings, protocol, logger, &local, handle)?;
+    gateway.take_endpoints(recalled, "disk");
     let (mut running, callers_open, others_open) = Running::new();
     let address = SocketAddr::new(gateway.settings.address, gateway.settings.peer_port);
     let listener = listen("peers", address)?;
--- a/crates/kumquatdrum_process/src/clock.rs
+++ b/crates/kumquatdrum_process/src/clock.rs
@@ -4,6 +4,10 @@
 
 use kumquatdrum_types::Moment;
 
+/// What a clock shows when it is made. What a host is told as it starts may be older than the host
+/// is: ages up to this one can be told from each other.
+const START: Moment = Moment::from_millis(60_000);
+
 /// Counts from when it was made.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -11,7 +15,7 @@
 }
 
 impl Clock {
-    /// A clock at zero.
+    /// A clock that has just begun to count.
     pub fn start() -> Self {
         Self {
             zero: Instant::now(),
@@ -20,7 +24,7 @@
 
     /// The time on it.
     pub fn now(&self) -> Moment {
-        Moment::ZERO + self.zero.elapsed()
+        START + self.zero.elapsed()
     }
 
     /// The same point for the runtime's timers; far moments are cut to a day ahead.
