--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -10,7 +10,7 @@
 
 use crate::demand::weight;
 use crate::site::Site;
-use crate::{Cost, Job, Part, Plan};
+use crate::{Cost, Group, Job, Part, Plan};
 
 /// The most engines that read one prompt together: the engines' own limit of sixteen helpers.
 pub(crate) const WIDEST: usize = 17;
@@ -52,7 +52,13 @@
 }
 
 /// The engines that read a long prompt.
-pub(crate) fn place(cost: &Cost, now: Moment, job: &Job, sites: &[Site<'_>]) -> Placement {
+pub(crate) fn place(
+    cost: &Cost,
+    now: Moment,
+    job: &Job,
+    sites: &[Site<'_>],
+    here: Option<Group>,
+) -> Placement {
     let read_ms = cost.read_ms(job.prompt);
     let all = sorted(sites.iter().collect());
     let taken_ms = cost.pass_ms(1, 0) * PASSES;
@@ -76,7 +82,7 @@
         _ => return Placement::Harmful { part_ms },
     };
     ready.truncate(width);
-    match hold(job, sites, ready, read_ms) {
+    match hold(job, sites, ready, read_ms, here) {
         Some(plan) => Placement::Send(plan),
         None => Placement::Blocked,
     }
@@ -112,16 +118,21 @@
     last.fold(0.0, f64::max) + part_ms + harm(sites, part_ms) * HARM_MS
 }
 
-/// Finds memory: at one engine where that is possible, else with reservations at others.
+/// Finds memory: at one engine where that is possible, else with reservations at others. The answer
+/// comes from an engine of the host's own data centre where one has the room: a cut between data
+/// centres doesn't break it.
 fn hold<'a>(
     job: &Job,
     sites: &'a [Site<'a>],
     mut members: Vec<&'a Site<'a>>,
     read_ms: f64,
+    here: Option<Group>,
 ) -> Option<Plan> {
     let part_ms = read_ms / members.len() as f64;
-    let roomiest = members.iter().enumerate().max_by_key(|(_, site)| site.free);
-    let (mut place, mut free) = roomiest.map(|(place, site)| (place, site.free))?;
+    let is_near = |site: &Site<'_>| here == Some(site.group()) && site.free >= job.tokens();
+    let preferred = members.iter().enumerate();
+    let preferred = preferred.max_by_key(|(_, site)| (is_near(site), site.free));
+    let (mut place, mut free) = preferred.map(|(place, site)| (place, site.free))?;
     if free < job.tokens() {
         // An engine outside may have the room that those inside lack.
         let outside = sites.iter().max_by_key(|site| site.free)?;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -146,7 +146,7 @@
                 shared(job, site.key, helpers, read_ms)
             })
         } else {
-            match long::place(&self.cost, now, job, &sites) {
+            match long::place(&self.cost, now, job, &sites, self.here) {
                 Placement::Send(plan) if self.turns.is_next(now, turn) => Some(plan),
                 Placement::Send(_) | Placement::Wait => None,
                 Placement::Blocked => {
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -171,6 +171,27 @@
     assert_eq!(far.first, EndpointKey(3));
 }
 
+#[test]
+fn a_long_answer_comes_from_the_own_data_centre_where_one_engine_there_has_the_room() {
+    let (mut planner, short) = two_data_centres();
+    let at = START + Duration::from_millis(100);
+    planner.ended(at, short.job);
+    // Engines 1 and 2 hold something, so that those elsewhere are roomier.
+    for key in [1, 2] {
+        let held = Plan {
+            tokens: 50_000,
+            pause_ms: 60_000,
+            ..part_at(key, key, 0.0)
+        };
+        planner.running(at, held, false);
+    }
+    let near = sent(planner.place(at, &job(2, 150_000, at)));
+    assert!([1, 2].contains(&near.first.0), "{near:?}");
+    planner.ended(at, near.job);
+    let too_large = sent(planner.place(at, &job(3, 280_000, at)));
+    assert!([3, 4].contains(&too_large.first.0), "{too_large:?}");
+}
+
 #[test]
 fn the_prompt_that_weighs_more_for_its_reading_goes_first_on_every_host() {
     let mut planner = planner(4);
