--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -233,6 +233,30 @@
         }
     }
 
+    /// Waits until a control host has kept the newest that it knows of an endpoint on its disk.
+    pub async fn keeps(&self, host: usize, endpoint: &Endpoint) {
+        let until = Instant::now() + PATIENCE;
+        let known = format!("endpoint={} event=endpoint_known", endpoint.id);
+        let heard = |log: &str| log.matches(&known).count();
+        let path = self.data(host).join("endpoints");
+        let mut before = 0;
+        loop {
+            let log = self.logged(host);
+            let is_kept = std::fs::read(&path).is_ok_and(|bytes| {
+                bytes
+                    .windows(endpoint.id.len())
+                    .any(|id| id == endpoint.id.as_bytes())
+            });
+            // A write gathers the changes of a moment, so what was heard a look ago is there.
+            if is_kept && before > 0 && heard(&log) == before {
+                return;
+            }
+            before = heard(&log);
+            assert!(Instant::now() < until, "not kept: {log}");
+            sleep(LOOK * 5).await;
+        }
+    }
+
     /// A counter or gauge of a host, by its name and labels as the text gives them.
     pub async fn meter(&self, host: usize, name: &str) -> u64 {
         let url = format!("http://{}/metrics", self.address(host, 8219));
--- a/crates/kumquatdrum/tests/gateway/control.rs
+++ b/crates/kumquatdrum/tests/gateway/control.rs
@@ -136,3 +136,50 @@
     }
     assert_eq!((leaving.runs(), staying.runs()), (0, 8));
 }
+
+/// Endpoints announce themselves about once a second. Hosts that forgot them all knew one or two in the
+/// first tenth of a second, packed short prompts on those, and refused long ones for want of room.
+#[tokio::test]
+async fn hosts_that_were_all_lost_at_once_know_who_is_there_before_anybody_announces_again() {
+    let mut cluster = Cluster::start(26);
+    cluster.apply(&config(1)).await;
+    let stays = Endpoint::start("i-1", Manner::Whole).await;
+    let leaves = Endpoint::start("i-2", Manner::Whole).await;
+    cluster.announce(&stays, "plain", "ready", 1).await;
+    cluster.announce(&leaves, "plain", "ready", 1).await;
+    cluster.ready(3, &leaves).await;
+    cluster.announce(&leaves, "plain", "draining", 2).await;
+    for host in 0..CONTROL {
+        cluster.keeps(host, &leaves).await;
+    }
+    for host in 0..HOSTS {
+        cluster.kill(host);
+    }
+    for host in 0..HOSTS {
+        cluster.start_host(host, false);
+    }
+    cluster.ready(3, &stays).await;
+    for number in 0..6 {
+        let attempt = format!("back-{number}");
+        let answer = cluster.call(3, "/safe/x", &attempt).send().await;
+        assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+    }
+    assert_eq!((stays.runs(), leaves.runs()), (6, 0));
+    let recalled = (0..CONTROL).filter(|host| cluster.logged(*host).contains("from=disk"));
+    assert!(recalled.count() > 0, "nobody read its disk");
+}
+
+#[tokio::test]
+async fn a_damaged_file_of_endpoints_is_told_and_does_no_harm() {
+    let mut cluster = Cluster::start(27);
+    cluster.apply(&config(1)).await;
+    let endpoint = Endpoint::start("i-1", Manner::Whole).await;
+    cluster.announce(&endpoint, "plain", "ready", 1).await;
+    cluster.keeps(0, &endpoint).await;
+    cluster.kill(0);
+    std::fs::write(cluster.data(0).join("endpoints"), "no endpoints").expect("a file");
+    cluster.start_host(0, false);
+    assert_eq!(cluster.read(0).await, config(1).to_string());
+    assert!(cluster.logged(0).contains("event=endpoints_not_recalled"));
+    cluster.announce(&endpoint, "plain", "ready", 2).await;
+}
