kumquatdrum losses: requests that were late, refused or cut, by cause and length, from the logs of hosts

The end of a stream is logged with its first token, its longest pause and what its route bears, as numbers.

--- a/crates/kumquatdrum/src/cli.rs
+++ b/crates/kumquatdrum/src/cli.rs
@@ -7,7 +7,7 @@
 use kumquatdrum_operator::command::{apply, audit, check, show, status};
 use kumquatdrum_operator::{Connection, Exit};
 
-use crate::{demo, explain, replay};
+use crate::{demo, explain, losses, replay};
 
 /// How long one host may take to answer an operator.
 const ANSWER: Duration = Duration::from_secs(10);
@@ -120,6 +120,11 @@
     /// Example: kumquatdrum explain 9c41d07be2a35f68 front-1.log front-2.log
     #[bpaf(command)]
     Explain(#[bpaf(external(explain::arguments))] explain::Arguments),
+    /// Counts requests that were late, refused or cut, by reason and length of the prompt
+    ///
+    /// Example: kumquatdrum losses --every 10 front-1.log front-2.log
+    #[bpaf(command)]
+    Losses(#[bpaf(external(losses::arguments))] losses::Arguments),
     /// Runs three hosts and small stand-in endpoints in this process, replays a trace and reports
     ///
     /// Example: kumquatdrum demo --mix treasury --json
@@ -215,6 +220,7 @@
         Command::Demo(_)
         | Command::Explain(_)
         | Command::Gateway { .. }
+        | Command::Losses(_)
         | Command::Serve { .. }
         | Command::Schema => Exit::Usage,
     }
--- a/crates/kumquatdrum/src/explain.rs
+++ b/crates/kumquatdrum/src/explain.rs
@@ -8,7 +8,7 @@
 mod line;
 mod story;
 
-use line::Line;
+pub use line::Line;
 use story::Story;
 
 /// What to explain, and from which logs
@@ -50,7 +50,8 @@
     }
 }
 
-fn read(file: &Path) -> std::io::Result<Vec<Line>> {
+/// The lines of one log.
+pub fn read(file: &Path) -> std::io::Result<Vec<Line>> {
     let text = std::fs::read(file)?;
     let text = String::from_utf8_lossy(&text);
     Ok(text.lines().filter_map(Line::parse).collect())
--- a/crates/kumquatdrum/src/explain/line.rs
+++ b/crates/kumquatdrum/src/explain/line.rs
@@ -34,6 +34,11 @@
         self.pairs.get(key).map_or("", String::as_str)
     }
 
+    /// A value as a number, where it is one.
+    pub fn number(&self, key: &str) -> Option<f64> {
+        self.pairs.get(key)?.parse().ok()
+    }
+
     /// What happened.
     pub fn event(&self) -> &str {
         self.get("event")
--- a/crates/kumquatdrum/src/main.rs
+++ b/crates/kumquatdrum/src/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod gateway;
 mod logging;
+mod losses;
 mod replay;
 mod serve;
 
@@ -26,6 +27,7 @@
     let exit = match command {
         Command::Serve { settings } => serve::run(&settings),
         Command::Explain(arguments) => explain::run(&arguments),
+        Command::Losses(arguments) => losses::run(&arguments),
         Command::Gateway { settings } => gateway::run(&settings),
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Schema => schema(),
--- /dev/null
+++ b/crates/kumquatdrum/tests/losses.rs
@@ -0,0 +1,107 @@
+//! Losses are counted by cause from logs alone.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// One request for each cause, with the lines that show it. The last two were answered on time.
+const LOG: &str = "\
+time=100.000 host=a prompt=300000 due_ms=2500 sent=0 reason=\"no room: too long a prompt for what else is asked for\" end=given_up request=r1 event=request_ended
+time=100.100 host=a sent=0 reason=\"no room: no endpoint is known\" end=given_up request=r2 event=request_ended
+time=100.200 host=a status=503 reason=\"this host does not know yet what is in force\" request=r3 event=request_refused
+time=100.300 host=a sent=1 reason=500 end=answered request=r4 event=request_ended
+time=100.400 host=a sent=1 reason=\"no answer in time\" end=given_up request=r5 event=request_ended
+time=100.500 host=a prompt=4000 waited_ms=0 backlog_ms=0.0 request=r6 event=placed
+time=100.600 host=a sent=1 request=r7 event=retry
+time=100.700 host=a prompt=4000 due_ms=300 first_ms=400 pause_ms=250 longest_pause_ms=90 end=streamed request=r7 event=request_ended
+time=100.800 host=a prompt=45000 waited_ms=900 backlog_ms=0.0 request=r8 event=placed
+time=100.900 host=a prompt=45000 due_ms=1500 first_ms=1700 pause_ms=600 longest_pause_ms=90 end=streamed request=r8 event=request_ended
+time=101.000 host=a prompt=4000 waited_ms=0 backlog_ms=110.0 request=r9 event=placed
+time=101.100 host=a prompt=4000 due_ms=300 first_ms=350 pause_ms=250 longest_pause_ms=90 end=streamed request=r9 event=request_ended
+time=101.200 host=a prompt=4000 waited_ms=0 backlog_ms=10.0 request=r10 event=placed
+time=101.300 host=a prompt=4000 due_ms=300 first_ms=350 pause_ms=250 longest_pause_ms=90 end=streamed request=r10 event=request_ended
+time=120.000 host=a after=3 request=r11 event=resume
+time=120.100 host=a prompt=4000 due_ms=300 first_ms=100 pause_ms=250 longest_pause_ms=400 end=streamed request=r11 event=request_ended
+time=120.200 host=a prompt=150000 due_ms=2500 first_ms=100 pause_ms=1000 longest_pause_ms=1200 end=streamed request=r12 event=request_ended
+time=120.300 host=a prompt=4000 due_ms=300 first_ms=100 pause_ms=250 longest_pause_ms=90 end=streamed request=r13 event=request_ended
+time=120.400 host=a sent=1 reason=200 end=answered request=r14 event=request_ended
+time=120.450 host=a peer=b event=host_lost
+a line that is cut off: time=120.5 host=a prom
+";
+
+const TABLE: &str = "\
+prompts                                  none    short     long  longest
+asked                                       5        6        1        2
+refused: too much else is asked for         0        0        0        1
+refused: no endpoint                        1        0        0        0
+refused: host not informed                  1        0        0        0
+failed: by its endpoint                     1        0        0        0
+failed: time up                             1        0        0        0
+no end: host lost or caller left            0        1        0        0
+late: retried                               0        1        0        0
+late: waited for its turn                   0        0        1        0
+late: behind what its engine read           0        1        0        0
+late: engine slower than foreseen           0        1        0        0
+pause: broken and resumed                   0        1        0        0
+pause: engine read meanwhile                0        0        0        1
+";
+
+fn losses(arguments: &[&str], files: &[PathBuf]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_kumquatdrum"))
+        .arg("losses")
+        .args(arguments)
+        .args(files)
+        .output()
+        .expect("the command")
+}
+
+fn written(folder: &TempDir, name: &str, text: &str) -> PathBuf {
+    let path = folder.path().join(name);
+    std::fs::write(&path, text).expect("a log");
+    path
+}
+
+#[test]
+fn each_lost_request_has_one_cause() {
+    let folder = TempDir::new().expect("a folder");
+    let log = written(&folder, "a.log", LOG);
+    let output = losses(&[], &[log]);
+    assert!(output.status.success());
+    assert_eq!(String::from_utf8_lossy(&output.stdout), TABLE);
+}
+
+#[test]
+fn spans_are_told_apart_in_json() {
+    let folder = TempDir::new().expect("a folder");
+    let log = written(&folder, "a.log", LOG);
+    let output = losses(&["--json", "--every", "10"], &[log]);
+    let told: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let seconds: Vec<&Value> = told["spans"]
+        .as_array()
+        .expect("spans")
+        .iter()
+        .map(|span| &span["second"])
+        .collect();
+    assert_eq!(seconds, [0, 20]);
+    let late = &told["spans"][1]["lost"]["pause: broken and resumed"];
+    assert_eq!((&late["short"], &late["long"]), (&1.into(), &0.into()));
+}
+
+#[test]
+fn what_is_no_log_is_told_and_the_others_are_used() {
+    let folder = TempDir::new().expect("a folder");
+    let log = written(&folder, "a.log", LOG);
+    let empty = written(&folder, "empty.log", "");
+    let other = written(&folder, "other.log", "GET / 200\n");
+    let missing = folder.path().join("missing.log");
+    let output = losses(&[], &[empty.clone(), other, missing, log]);
+    assert!(output.status.success());
+    assert_eq!(String::from_utf8_lossy(&output.stdout), TABLE);
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    for name in ["empty.log", "other.log", "missing.log"] {
+        assert!(told.contains(name), "{told}");
+    }
+    assert_eq!(losses(&[], &[empty]).status.code(), Some(1));
+}
--- a/crates/kumquatdrum_gateway/src/call/flow.rs
+++ b/crates/kumquatdrum_gateway/src/call/flow.rs
@@ -52,10 +52,10 @@
 
 /// What the caller has seen of a stream.
 #[derive(Debug, Clone, Copy, Default)]
-struct Passed {
-    first: Duration,
+pub(super) struct Passed {
+    pub(super) first: Duration,
     at: Moment,
-    longest_pause: Duration,
+    pub(super) longest_pause: Duration,
 }
 
 impl std::fmt::Display for Passed {
@@ -157,7 +157,7 @@
                     return Some(Ok(bytes));
                 }
                 Next::End => {
-                    call.log_end("streamed", &self.passed.to_string(), &self.tries);
+                    call.log_streamed(&self.passed, &self.tries);
                     self.exchange = None;
                     self.reservations.clear();
                     self.pick = None;
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -13,7 +13,7 @@
 
 use super::Call;
 use super::attempt::{Judgement, Outcome};
-use super::flow;
+use super::flow::{self, Passed};
 use crate::body::{self, Body};
 use crate::fleet::{Pick, Unplaced};
 use crate::problem::{Problem, seconds};
@@ -231,11 +231,24 @@
     }
 
     pub(super) fn log_end(&self, end: &str, reason: &str, tries: &Tries) {
+        self.log_ended(end, reason, tries, None);
+    }
+
+    /// Notes the end of a stream that the caller has got in full.
+    pub(super) fn log_streamed(&self, passed: &Passed, tries: &Tries) {
+        self.log_ended("streamed", &passed.to_string(), tries, Some(passed));
+    }
+
+    fn log_ended(&self, end: &str, reason: &str, tries: &Tries, passed: Option<&Passed>) {
+        let ms = |span: Duration| span.as_millis() as u64;
         self.gateway.meters.ended.with_label_values(&[end]).inc();
         info!(self.gateway.logger, "request_ended"; "event" => "request_ended",
             "request" => &self.name, "end" => end, "reason" => reason, "sent" => tries.sent,
             "unsent" => tries.unsent, "prompt" => self.ask.prompt_tokens,
-            "due_ms" => self.route.target.as_millis() as u64, "ms" => self.age().as_millis() as u64);
+            "due_ms" => ms(self.route.target), "ms" => ms(self.age()),
+            "first_ms" => passed.map(|passed| ms(passed.first)),
+            "pause_ms" => passed.map(|_| ms(self.pause())),
+            "longest_pause_ms" => passed.map(|passed| ms(passed.longest_pause)));
     }
 
     /// Notes how long the first event, or the whole answer, took.
