--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -22,10 +22,9 @@
 /// more than 0.01 of all worth (bench `policy`).
 const HARM_MS: f64 = 60.0;
 /// What the answers under way may lose by pauses for each unit that a prompt's caller gains. One prompt
-/// of 377,000 tokens made 40 answers on eight engines pause for 1.9 s. The same as for those who
-/// wait (`demand::BORNE`): from 0.1 to 0.5 callers get the same, and without a bound 0.02 of all worth
-/// less where the longest prompts are much of the load (bench `policy`); in days of mixed load and faults 0.073
-/// +/- 0.023 less.
+/// of 377,000 tokens made 40 answers on eight engines pause for 1.9 s. From 0.15 to 0.6 callers get
+/// the same within 0.01; without a bound 0.073 +/- 0.023 less of their worth before 18 engines (15 pairs
+/// of days of mixed load and faults).
 const HARM_BORNE: f64 = 0.3;
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
