Log what tells a late answer from a lost one: readings, confirmed leadership, holders of a record

Now the asked host says who answered and after how long, the leader the term, round, applied index and revision at which a majority confirmed it, an acknowledgement the replicas that hold it, a leader why it stepped down, and a start what the disk held.

--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -5,7 +5,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::node::{Node, Role};
-use crate::{Content, Member, ProposalOutcome, ReplicaId, Replicas, Token};
+use crate::{Content, Member, ProposalOutcome, ReplicaId, Replicas, Resignation, Token};
 
 /// A change of the voters that was asked for.
 #[derive(Debug)]
@@ -94,8 +94,7 @@
     /// The replica has led the change that removed it.
     fn leave(&mut self) {
         self.finish_change();
-        let term = self.hard_state.term;
-        self.become_follower(term, None);
+        self.give_up_leading(Resignation::Removed);
     }
 
     fn finish_change(&mut self) {
--- a/crates/kumquatdrum_consensus/src/election.rs
+++ b/crates/kumquatdrum_consensus/src/election.rs
@@ -5,7 +5,7 @@
 
 use crate::durability::Held;
 use crate::node::{Node, Role};
-use crate::{Body, ReplicaId, Term, Vote};
+use crate::{Body, ReplicaId, Resignation, Term, Vote};
 
 /// Those who agree to a candidate.
 #[derive(Debug, Default)]
@@ -191,7 +191,7 @@
 
     /// Follows, in this or a later term.
     pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
-        self.step_down();
+        self.step_down(Resignation::LaterTerm);
         if term > self.hard_state.term {
             self.hard_state.term = term;
             self.hard_state.vote = None;
--- a/crates/kumquatdrum_consensus/src/event.rs
+++ b/crates/kumquatdrum_consensus/src/event.rs
@@ -95,6 +95,8 @@
         token: Token,
         /// The state is at least as new as this entry.
         index: LogIndex,
+        /// The round of heartbeats that a majority has answered, begun after the question.
+        round: u64,
     },
     /// The node can't tell whether it is current.
     ReadRefused {
@@ -114,6 +116,8 @@
     SteppedDown {
         /// The term in which it led.
         term: Term,
+        /// Why it stopped.
+        reason: Resignation,
     },
     /// The disk failed; the node is silent until it is made anew from its store.
     Halted {
@@ -127,6 +131,41 @@
     },
 }
 
+/// Why a leader stopped leading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Resignation {
+    /// No majority has answered for an election timeout.
+    QuorumLost,
+    /// Its disk has owed an answer for too long.
+    DiskHangs,
+    /// Its disk has failed.
+    DiskFailed,
+    /// A later term has begun.
+    LaterTerm,
+    /// It was asked to, before a planned stop.
+    Asked,
+    /// A change of the replicas that it led has removed it.
+    Removed,
+}
+
+impl Resignation {
+    /// The name, for logs.
+    ///
+    /// ```
+    /// assert_eq!(kumquatdrum_consensus::Resignation::QuorumLost.as_str(), "quorum lost");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::QuorumLost => "quorum lost",
+            Self::DiskHangs => "disk hangs",
+            Self::DiskFailed => "disk failed",
+            Self::LaterTerm => "later term",
+            Self::Asked => "asked to",
+            Self::Removed => "removed",
+        }
+    }
+}
+
 /// What became of a proposal.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ProposalOutcome {
@@ -145,3 +184,19 @@
     /// Taken, and this replica stopped leading before it was committed; it may still be.
     Unknown,
 }
+
+impl ProposalOutcome {
+    /// The name, for logs.
+    ///
+    /// ```
+    /// assert_eq!(kumquatdrum_consensus::ProposalOutcome::Busy.name(), "busy");
+    /// ```
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Committed { .. } => "committed",
+            Self::NotLeader { .. } => "not leader",
+            Self::Busy => "busy",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- a/crates/kumquatdrum_consensus/src/leader.rs
+++ b/crates/kumquatdrum_consensus/src/leader.rs
@@ -10,8 +10,8 @@
 use crate::progress::Progress;
 use crate::read::Read;
 use crate::{
-    Body, Content, Entry, LogIndex, Member, Output, Proposal, ProposalOutcome, ReplicaId, Term,
-    Token,
+    Body, Content, Entry, LogIndex, Member, Output, Proposal, ProposalOutcome, ReplicaId,
+    Resignation, Term, Token,
 };
 
 /// State that only a leader needs.
@@ -98,9 +98,13 @@
     }
 
     pub(crate) fn on_leader_tick(&mut self) {
-        if self.lost_quorum() || self.disk_hangs() {
-            let term = self.hard_state.term;
-            self.become_follower(term, None);
+        let reason = match () {
+            () if self.lost_quorum() => Some(Resignation::QuorumLost),
+            () if self.disk_hangs() => Some(Resignation::DiskHangs),
+            () => None,
+        };
+        if let Some(reason) = reason {
+            self.give_up_leading(reason);
             return;
         }
         let Role::Leader(leader) = &self.role else {
@@ -164,15 +168,21 @@
         matches!(&self.role, Role::Leader(leader) if self.applied >= leader.first)
     }
 
+    /// Ends leading in the term that goes on.
+    pub(crate) fn give_up_leading(&mut self, reason: Resignation) {
+        self.step_down(reason);
+        self.become_follower(self.hard_state.term, None);
+    }
+
     /// Ends leading: whoever waits for an answer gets one.
-    pub(crate) fn step_down(&mut self) {
+    pub(crate) fn step_down(&mut self, reason: Resignation) {
         let role = std::mem::replace(&mut self.role, Role::Follower);
         let Role::Leader(leader) = role else {
             return;
         };
         self.leader = None;
         let term: Term = self.hard_state.term;
-        self.output(Output::SteppedDown { term });
+        self.output(Output::SteppedDown { term, reason });
         for waiting in leader.waiting {
             self.proposed(waiting.token, ProposalOutcome::Unknown);
         }
@@ -206,7 +216,7 @@
             return;
         };
         let term = self.hard_state.term;
-        self.become_follower(term, None);
+        self.give_up_leading(Resignation::Asked);
         self.send(&heir, Body::Succeed { term });
     }
 
--- a/crates/kumquatdrum_consensus/src/lib.rs
+++ b/crates/kumquatdrum_consensus/src/lib.rs
@@ -34,7 +34,7 @@
 mod storage;
 
 pub use entry::{Content, Entry, Snapshot};
-pub use event::{Input, Output, Proposal, ProposalOutcome};
+pub use event::{Input, Output, Proposal, ProposalOutcome, Resignation};
 pub use id::{ClusterId, Incarnation, LogIndex, Member, ReplicaId, Term, Token};
 pub use message::{Append, AppendAck, Body, Message, Probe, Reject, SnapshotChunk, Vote};
 pub use node::Node;
--- a/crates/kumquatdrum_consensus/src/node.rs
+++ b/crates/kumquatdrum_consensus/src/node.rs
@@ -12,7 +12,7 @@
 use crate::log::Log;
 use crate::{
     Body, ClusterId, Content, HardState, Input, LogIndex, Message, Output, Probe, Proposal,
-    ProposalOutcome, ReplicaId, Settings, Snapshot, Stored, Term,
+    ProposalOutcome, ReplicaId, Resignation, Settings, Snapshot, Stored, Term,
 };
 
 /// The part that a node plays, with the state that only this part needs.
@@ -265,7 +265,7 @@
     }
 
     fn on_persist_failed(&mut self, reason: String) {
-        self.step_down();
+        self.step_down(Resignation::DiskFailed);
         self.leader = None;
         self.halted = true;
         self.output(Output::Halted { reason });
--- a/crates/kumquatdrum_consensus/src/read.rs
+++ b/crates/kumquatdrum_consensus/src/read.rs
@@ -62,8 +62,12 @@
         let round = leader.round;
         let waits_for_next = leader.reads.front().is_some_and(|read| read.round > round);
         for read in done {
-            let (token, index) = (read.token, read.index.max(applied));
-            self.output(Output::ReadConfirmed { token, index });
+            let index = read.index.max(applied);
+            self.output(Output::ReadConfirmed {
+                token: read.token,
+                index,
+                round: confirmed,
+            });
         }
         if waits_for_next {
             self.beat();
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -69,12 +69,11 @@
         Ok(record) => record,
         Err(error) => return invalid(&[Finding::new("", error.to_string())]),
     };
-    let started = Instant::now();
-    let answer = ask_leader(gateway, Ask::Apply(record)).await;
-    let is_applied = matches!(answer, Answer::Applied);
+    let reply = ask_leader(gateway, Ask::Apply(record)).await;
+    let is_applied = matches!(reply.answer, Answer::Applied);
     info!(gateway.logger, "setup_asked"; "event" => "setup_asked", "revision" => setup.revision,
         "committed" => is_applied, "known" => gateway.in_force.revision(),
-        "ms" => started.elapsed().as_millis() as u64);
+        "by" => reply.by(), "asked" => reply.asked, "ms" => reply.ms());
     if is_applied {
         json(StatusCode::OK, "{}")
     } else {
@@ -94,9 +93,15 @@
 }
 
 async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
-    match ask_leader(gateway, Ask::Read).await {
+    let reply = ask_leader(gateway, Ask::Read).await;
+    match &reply.answer {
         Answer::Current(Some(record)) => match record.text() {
-            Ok(text) => json(StatusCode::OK, text),
+            Ok(text) => {
+                info!(gateway.logger, "setup_read"; "event" => "setup_read",
+                    "revision" => record.revision, "by" => reply.by(), "asked" => reply.asked,
+                    "ms" => reply.ms(), "bytes" => text.len());
+                json(StatusCode::OK, text)
+            }
             Err(error) => {
                 warn!(gateway.logger, "setup_unreadable"; "event" => "setup_unreadable",
                     "revision" => record.revision, "reason" => %error);
@@ -105,15 +110,38 @@
         },
         answer => {
             info!(gateway.logger, "read_refused"; "event" => "read_refused",
-                "is_empty" => matches!(answer, Answer::Current(None)));
+                "is_empty" => matches!(answer, Answer::Current(None)),
+                "asked" => reply.asked, "ms" => reply.ms());
             status(StatusCode::SERVICE_UNAVAILABLE)
         }
     }
 }
 
+/// What came of asking for the leader.
+struct Reply {
+    answer: Answer,
+    /// Who answered as the leader; none where nobody did.
+    by: Option<HostId>,
+    /// How many replicas were asked.
+    asked: u32,
+    started: Instant,
+}
+
+impl Reply {
+    fn by(&self) -> Option<&str> {
+        self.by.as_ref().map(HostId::as_str)
+    }
+
+    fn ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
+
 /// Asks until some replica answers as the leader. Both questions are idempotent.
-async fn ask_leader(gateway: &Arc<Gateway>, ask: Ask) -> Answer {
-    let until = Instant::now() + ALL;
+async fn ask_leader(gateway: &Arc<Gateway>, ask: Ask) -> Reply {
+    let started = Instant::now();
+    let until = started + ALL;
+    let mut asked = 0;
     let mut hint: Option<HostId> = None;
     loop {
         let own = gateway.hosts.local().id;
@@ -125,6 +153,7 @@
         }
         for host in candidates {
             let limit = ONE.min(until.saturating_duration_since(Instant::now()));
+            asked += 1;
             let answer = if host == own {
                 timeout(limit, gateway.ask_replica(ask.clone())).await
             } else {
@@ -136,11 +165,23 @@
                     break;
                 }
                 Ok(Answer::NotLeader(_) | Answer::Unavailable) | Err(_) => {}
-                Ok(answer) => return answer,
+                Ok(answer) => {
+                    return Reply {
+                        answer,
+                        by: Some(host),
+                        asked,
+                        started,
+                    };
+                }
             }
         }
         if Instant::now() + ROUND >= until {
-            return Answer::Unavailable;
+            return Reply {
+                answer: Answer::Unavailable,
+                by: None,
+                asked,
+                started,
+            };
         }
         sleep(ROUND).await;
     }
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -66,6 +66,31 @@
     Read,
 }
 
+impl Ask {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Apply(_) => "apply",
+            Self::Read => "read",
+        }
+    }
+}
+
+/// A question that waits until a majority has confirmed that this replica still leads.
+#[derive(Debug)]
+struct Unconfirmed {
+    ask: Ask,
+    sender: oneshot::Sender<Answer>,
+    asked: Moment,
+}
+
+/// A record that waits until a majority holds it on disk.
+#[derive(Debug)]
+struct Uncommitted {
+    revision: u64,
+    sender: oneshot::Sender<Answer>,
+    proposed: Moment,
+}
+
 /// The way to a running replica.
 #[derive(Debug, Clone)]
 pub struct Handle {
@@ -183,8 +208,11 @@
         id: folder.identity().replica(),
         data_centre: parts.settings.data_centre.clone(),
     };
+    let snapshot = stored.snapshot.as_ref().map(|snapshot| snapshot.index.0);
     info!(parts.logger, "disk_opened"; "event" => "disk_opened", "replica" => %member.id,
-        "entries" => stored.entries.len(), "term" => %stored.hard_state.term);
+        "entries" => stored.entries.len(), "term" => %stored.hard_state.term,
+        "snapshot" => snapshot,
+        "cluster" => stored.hard_state.cluster.map(|cluster| cluster.0));
     let events = handle.events.clone();
     let report: Report = Box::new(move |written| {
         let written = written.map_err(|error| error.to_string());
@@ -205,7 +233,7 @@
         tokens: 0,
         kept: 0,
         waiting: IndexMap::new(),
-        reads: IndexMap::new(),
+        unconfirmed: IndexMap::new(),
         silent: IndexMap::new(),
     })
 }
@@ -242,8 +270,8 @@
     tokens: u64,
     /// The revision that the last snapshot holds.
     kept: u64,
-    waiting: IndexMap<Token, oneshot::Sender<Answer>>,
-    reads: IndexMap<Token, (Ask, oneshot::Sender<Answer>)>,
+    waiting: IndexMap<Token, Uncommitted>,
+    unconfirmed: IndexMap<Token, Unconfirmed>,
     /// Voters that don't answer this leader, and since when.
     silent: IndexMap<ReplicaId, Moment>,
 }
@@ -272,11 +300,11 @@
                 _ = stop.wait_for(|stopped| *stopped) => break,
             }
         }
-        for (_, sender) in self.waiting.drain(..) {
-            let _ = sender.send(Answer::Unavailable);
+        for (_, uncommitted) in self.waiting.drain(..) {
+            let _ = uncommitted.sender.send(Answer::Unavailable);
         }
-        for (_, (_, sender)) in self.reads.drain(..) {
-            let _ = sender.send(Answer::NotLeader(None));
+        for (_, unconfirmed) in self.unconfirmed.drain(..) {
+            let _ = unconfirmed.sender.send(Answer::NotLeader(None));
         }
         self.parts.meters.leader.set(0);
     }
@@ -295,7 +323,9 @@
             // An apply is compared with the register, which a read makes sure to be current.
             Event::Ask(ask, sender) => {
                 let token = self.token();
-                self.reads.insert(token, (ask, sender));
+                let asked = self.parts.clock.now();
+                let unconfirmed = Unconfirmed { ask, sender, asked };
+                self.unconfirmed.insert(token, unconfirmed);
                 self.step(Input::ConfirmRead { token });
             }
         }
@@ -320,11 +350,9 @@
             Output::Apply { index, payload, .. } => self.apply(index, &payload),
             Output::Restore(snapshot) => self.restore(&snapshot.data),
             Output::Proposed { token, outcome } => self.proposed(token, &outcome),
-            Output::ReadConfirmed { token, .. } => self.confirmed(token),
+            Output::ReadConfirmed { token, round, .. } => self.confirmed(token, round),
             Output::ReadRefused { token, leader } => {
-                if let Some((_, sender)) = self.reads.swap_remove(&token) {
-                    let _ = sender.send(Answer::NotLeader(leader.map(|leader| leader.host)));
-                }
+                self.unconfirmed(token, leader.map(|leader| leader.host));
             }
             Output::SnapshotWanted => self.snapshot(),
             Output::BecameLeader { term } => {
@@ -333,10 +361,10 @@
                 info!(self.parts.logger, "became_leader"; "event" => "became_leader",
                     "term" => %term, "revision" => self.register.revision());
             }
-            Output::SteppedDown { term } => {
+            Output::SteppedDown { term, reason } => {
                 self.parts.meters.leader.set(0);
                 info!(self.parts.logger, "stepped_down"; "event" => "stepped_down",
-                    "term" => %term);
+                    "term" => %term, "reason" => reason.as_str(), "silent" => self.silent_voters());
             }
             Output::Halted { reason } => {
                 self.halted = true;
@@ -416,10 +444,14 @@
         }
     }
 
-    fn confirmed(&mut self, token: Token) {
-        let Some((ask, sender)) = self.reads.swap_remove(&token) else {
+    fn confirmed(&mut self, token: Token, round: u64) {
+        let Some(Unconfirmed { ask, sender, asked }) = self.unconfirmed.swap_remove(&token) else {
             return;
         };
+        info!(self.parts.logger, "leader_confirmed"; "event" => "leader_confirmed",
+            "question" => ask.name(), "term" => %self.node.term(), "round" => round,
+            "applied" => %self.node.applied(), "revision" => self.register.revision(),
+            "ms" => (self.parts.clock.now() - asked).as_millis() as u64);
         match ask {
             Ask::Read => {
                 let current = self.register.current().cloned();
@@ -432,11 +464,27 @@
         }
     }
 
+    fn unconfirmed(&mut self, token: Token, leader: Option<HostId>) {
+        let Some(Unconfirmed { ask, sender, asked }) = self.unconfirmed.swap_remove(&token) else {
+            return;
+        };
+        info!(self.parts.logger, "leader_unconfirmed"; "event" => "leader_unconfirmed",
+            "question" => ask.name(), "term" => %self.node.term(),
+            "leader" => leader.as_ref().map(|leader| leader.as_str().to_owned()),
+            "ms" => (self.parts.clock.now() - asked).as_millis() as u64);
+        let _ = sender.send(Answer::NotLeader(leader));
+    }
+
     fn propose(&mut self, record: &Record, sender: oneshot::Sender<Answer>) {
         match postcard::to_stdvec(record) {
             Ok(payload) => {
                 let token = self.token();
-                self.waiting.insert(token, sender);
+                let uncommitted = Uncommitted {
+                    revision: record.revision,
+                    sender,
+                    proposed: self.parts.clock.now(),
+                };
+                self.waiting.insert(token, uncommitted);
                 let payload = Bytes::from(payload);
                 self.step(Input::Propose(Proposal { token, payload }));
             }
@@ -449,9 +497,10 @@
     }
 
     fn proposed(&mut self, token: Token, outcome: &ProposalOutcome) {
-        let Some(sender) = self.waiting.swap_remove(&token) else {
+        let Some(uncommitted) = self.waiting.swap_remove(&token) else {
             return;
         };
+        self.tell_outcome(&uncommitted, outcome);
         let answer = match outcome {
             ProposalOutcome::Committed { .. } => Answer::Applied,
             ProposalOutcome::NotLeader { leader } => {
@@ -459,6 +508,32 @@
             }
             ProposalOutcome::Busy | ProposalOutcome::Unknown => Answer::Unavailable,
         };
-        let _ = sender.send(answer);
+        let _ = uncommitted.sender.send(answer);
+    }
+
+    /// An acknowledgement names the replicas that hold the entry, as they are what it rests on.
+    fn tell_outcome(&self, uncommitted: &Uncommitted, outcome: &ProposalOutcome) {
+        let ms = (self.parts.clock.now() - uncommitted.proposed).as_millis() as u64;
+        let (index, holders) = match outcome {
+            ProposalOutcome::Committed { index } => (Some(index.0), self.holders(*index)),
+            _ => (None, String::new()),
+        };
+        info!(self.parts.logger, "setup_proposed"; "event" => "setup_proposed",
+            "revision" => uncommitted.revision, "outcome" => outcome.name(),
+            "term" => %self.node.term(), "index" => index, "holders" => holders, "ms" => ms);
+    }
+
+    fn holders(&self, index: LogIndex) -> String {
+        let status = self.node.status();
+        let peers = status.peers.iter();
+        let held = peers.filter(|peer| peer.matched >= index);
+        let held = held.map(|peer| peer.id.to_string());
+        let own = std::iter::once(status.id.to_string());
+        own.chain(held).collect::<Vec<_>>().join(",")
+    }
+
+    fn silent_voters(&self) -> String {
+        let silent = self.silent.keys().map(ToString::to_string);
+        silent.collect::<Vec<_>>().join(",")
     }
 }
--- a/crates/kumquatdrum_host/src/control/machine.rs
+++ b/crates/kumquatdrum_host/src/control/machine.rs
@@ -299,10 +299,11 @@
                 self.parts.metrics.leader.set(1);
                 info!(self.parts.logger, ""; "event" => "became_leader", "term" => %term);
             }
-            Output::SteppedDown { term } => {
+            Output::SteppedDown { term, reason } => {
                 self.parts.metrics.leader.set(0);
                 self.answers.clear();
-                info!(self.parts.logger, ""; "event" => "stepped_down", "term" => %term);
+                info!(self.parts.logger, ""; "event" => "stepped_down", "term" => %term,
+                    "reason" => reason.as_str());
             }
             Output::Halted { reason } => {
                 error!(self.parts.logger, ""; "event" => "replica_halted", "reason" => reason);
