--- a/crates/kumquatdrum_routes/src/spread.rs
+++ b/crates/kumquatdrum_routes/src/spread.rs
@@ -1,10 +1,12 @@
-//! Which control host tells a host of a new record.
+//! Which control host tells a host of a new record, and how many hosts are told at once.
 //!
-//! Answers a change of a large setup before many hosts: a leader that sent the record to all of
-//! them by itself had no time left for its heartbeats. Each control host tells a share of the hosts,
-//! the same by all views that agree on who is live; where views differ, a host that was missed sees
-//! the higher revision in the answer to its next greeting and fetches the record.
+//! Answers changes of a large setup before many hosts: a leader that sent the record to all of
+//! them at once had no room left on its link for its heartbeats. Each control host tells a share of
+//! the hosts, the same by all views that agree on who is live; where views differ, a host that was
+//! missed sees the higher revision in the answer to its next greeting and asks to be told. Whoever
+//! is told, the bytes under way from one host are bounded.
 
+use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_types::{HostId, hash};
 
 /// The control host among those that are live that tells a host, by rendezvous hashing: where one
@@ -25,3 +27,49 @@
     let weight = |sender: &&'a HostId| (hash::pair(sender.as_str(), host.as_str()), *sender);
     control.into_iter().max_by_key(weight)
 }
+
+/// The hosts that one host has yet to tell of its newest record, and those that it is telling.
+///
+/// ```
+/// use kumquatdrum_routes::spread::Round;
+/// use kumquatdrum_types::HostId;
+///
+/// let mut round = Round::default();
+/// round.add([HostId::new("entry-1"), HostId::new("entry-1")]);
+/// let told = round.next(20_000).expect("a host to tell");
+/// assert_eq!(round.next(20_000), None);
+/// round.end(&told);
+/// ```
+#[derive(Debug, Default)]
+pub struct Round {
+    waiting: IndexSet<HostId>,
+    /// Bytes on their way, by host.
+    under_way: IndexMap<HostId, usize>,
+}
+
+impl Round {
+    /// Hosts to be told of what is the newest record when their turn comes.
+    pub fn add(&mut self, hosts: impl IntoIterator<Item = HostId>) {
+        self.waiting.extend(hosts);
+    }
+
+    /// A host to be told now of a record of so many bytes. One that is still being told of an
+    /// earlier record waits for the end of that.
+    pub fn next(&mut self, bytes: usize) -> Option<HostId> {
+        let free = |host: &&HostId| !self.under_way.contains_key(*host);
+        let host = self.waiting.iter().find(free)?.clone();
+        self.waiting.shift_remove(&host);
+        self.under_way.insert(host.clone(), bytes);
+        Some(host)
+    }
+
+    /// A host has the record, or is not waited for any more.
+    pub fn end(&mut self, host: &HostId) {
+        self.under_way.swap_remove(host);
+    }
+
+    /// Whether a host is being told.
+    pub fn is_telling(&self, host: &HostId) -> bool {
+        self.under_way.contains_key(host)
+    }
+}
