--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -213,11 +213,16 @@
     /// Another host, or this one's own log, tells of a committed record; `leads` where this host's
     /// replica leads.
     pub(crate) fn take_record(&self, record: &Record, from: &str, leads: bool) {
-        let Some(in_force) = self.in_force.take(record, from) else {
-            return;
-        };
-        self.fleet.configure(in_force.table.setup());
-        self.spread.tell(record, leads);
+        self.in_force.offer(record, from, leads);
+    }
+
+    /// Puts records in force as they come.
+    async fn take_records(self: Arc<Self>) {
+        loop {
+            let (in_force, leads) = self.in_force.next().await;
+            self.fleet.configure(in_force.table.setup());
+            self.spread.tell(&in_force.record, leads);
+        }
     }
 
     /// Another host tells of endpoints.
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -130,6 +130,7 @@
         start_replica(&gateway, &mut running, handle, received);
     }
     running.tasks.spawn(gateway.clone().greet());
+    running.tasks.spawn(gateway.clone().take_records());
     let spread = gateway.spread.clone();
     running.tasks.spawn(async move { spread.run().await });
     if let Some(teller) = gateway.teller.clone() {
--- a/crates/kumquatdrum_gateway/src/in_force.rs
+++ b/crates/kumquatdrum_gateway/src/in_force.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use kumquatdrum_routes::{Record, Setup, Table};
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use slog::{error, info};
+use tokio::sync::Notify;
 
 use crate::Protocol;
 
@@ -17,10 +18,21 @@
     pub table: Table,
 }
 
+/// A committed record that is not read yet.
+#[derive(Debug)]
+struct Offer {
+    record: Record,
+    from: String,
+    leads: bool,
+}
+
 /// Holds the record with the highest revision that this host has been told of.
 pub struct Store {
     protocol: Arc<dyn Protocol>,
     current: RwLock<Option<Arc<InForce>>>,
+    /// The newest record that is still to be read; earlier ones are overtaken.
+    offer: Mutex<Option<Offer>>,
+    wake: Notify,
     logger: slog::Logger,
 }
 
@@ -30,6 +42,8 @@
         Self {
             protocol,
             current: RwLock::new(None),
+            offer: Mutex::new(None),
+            wake: Notify::new(),
             logger,
         }
     }
@@ -47,8 +61,44 @@
             .map_or(0, |in_force| in_force.record.revision)
     }
 
-    /// Takes a committed record of a higher revision; a host never goes back.
-    pub fn take(&self, record: &Record, from: &str) -> Option<Arc<InForce>> {
+    /// A committed record, which [`Self::next`] puts in force where its revision is the highest;
+    /// `leads` where it comes from the log of a replica that leads.
+    pub fn offer(&self, record: &Record, from: &str, leads: bool) {
+        let mut offer = self.offer.lock();
+        let offered = offer.as_ref().map_or(0, |offer| offer.record.revision);
+        if record.revision <= self.revision().max(offered) {
+            return;
+        }
+        *offer = Some(Offer {
+            record: record.clone(),
+            from: from.to_owned(),
+            leads,
+        });
+        self.wake.notify_one();
+    }
+
+    /// Waits for a record of a higher revision and puts it in force, and says whether it was
+    /// offered by a leader.
+    pub async fn next(self: &Arc<Self>) -> (Arc<InForce>, bool) {
+        loop {
+            let offer = self.offer.lock().take();
+            let Some(Offer {
+                record,
+                from,
+                leads,
+            }) = offer
+            else {
+                self.wake.notified().await;
+                continue;
+            };
+            if let Some(in_force) = self.take(&record, &from) {
+                return (in_force, leads);
+            }
+        }
+    }
+
+    /// Takes a record of a higher revision; a host never goes back.
+    fn take(&self, record: &Record, from: &str) -> Option<Arc<InForce>> {
         let before = self.revision();
         if record.revision <= before {
             return None;
