Relay events between data centres, bundle them, and wake those that wait once a datagram

Cause: each dispatch, first token and end was a datagram from its host to each of the others, four in five of them to another data centre, and each woke every prompt that waits at its receiver.

Now a host tells those of its own data centre, and one relay of each other data centre, which passes events on there: those of long prompts after 4 ms, all others after 100 ms, together. Eight hosts of a data centre relay, by rendezvous; a sender's repetition of its jobs takes its second relay each other time, so that a lost relay is passed by before it is noticed. A data centre of eight hosts or fewer is told as before. Since two ways may overtake each other, a planner remembers for 5 s which jobs have ended.

--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{
     Balancer, Basis, Budget, Decision, EndpointKey, Group, Job, JobId, Plan, Planner, Turn,
 };
@@ -21,7 +22,7 @@
 use crate::message::Event;
 use crate::protocol::Helper;
 use crate::settings::Retries;
-use crate::tell::Teller;
+use crate::tell::{Teller, Way};
 
 mod pick;
 
@@ -208,8 +209,24 @@
             .is_some_and(|service| service.state.lock().budget.take(now, hosts))
     }
 
-    /// Takes what another host tells of its dispatches.
-    pub fn take(&self, event: Event) {
+    /// Takes what other hosts tell of their dispatches.
+    pub fn take(&self, events: Vec<Event>) {
+        let mut changed: Vec<Arc<Service>> = Vec::new();
+        for event in events {
+            let may_free = event.may_free();
+            let service = self.take_one(event).filter(|_| may_free);
+            if let Some(service) = service
+                && !changed.iter().any(|known| Arc::ptr_eq(known, &service))
+            {
+                changed.push(service);
+            }
+        }
+        for service in changed {
+            service.changed.notify_waiters();
+        }
+    }
+
+    fn take_one(&self, event: Event) -> Option<Arc<Service>> {
         let now = self.parts.clock.now();
         let (Event::Sent(name, _)
         | Event::Began(name, _)
@@ -217,12 +234,10 @@
         | Event::Waits(name, _)
         | Event::Left(name, _)
         | Event::Running(name, _)) = &event;
-        let Some(service) = self.find(name) else {
-            return;
-        };
+        let service = self.find(name)?;
         let mut state = service.state.lock();
         let Policy::Engines(planner) = &mut state.policy else {
-            return;
+            return None;
         };
         match event {
             Event::Sent(_, plan) => planner.sent(now, plan),
@@ -237,11 +252,11 @@
             }
         }
         drop(state);
-        service.changed.notify_waiters();
+        Some(service)
     }
 
     /// Tells other hosts of all jobs under way here, for those that have missed some.
-    pub fn retell(&self) {
+    pub fn retell(&self, way: Way) {
         let now = self.parts.clock.now();
         let services: Vec<Arc<Service>> = self.services.read().values().cloned().collect();
         for service in services {
@@ -250,7 +265,8 @@
                 Policy::Plain(_) => continue,
             };
             for jobs in batches(jobs) {
-                self.tell(Event::Running(service.name.clone(), jobs));
+                let event = Event::Running(service.name.clone(), jobs);
+                self.tell_by(event, Urgency::Usual, way);
             }
         }
     }
@@ -326,6 +342,7 @@
                     key,
                     readers: Vec::new(),
                     job: None,
+                    urgency: Urgency::Usual,
                 })
             }
         }
@@ -362,6 +379,7 @@
             "engines" => basis.engines, "backlog_ms" => format!("{:.1}", basis.backlog_ms),
             "writers" => basis.writers, "pass_ms" => format!("{:.1}", basis.pass_ms),
             "waited_ms" => (self.parts.clock.now() - job.arrived).as_millis() as u64);
+        let urgency = urgency(&plan);
         let pick = Pick {
             fleet: self.clone(),
             service: service.clone(),
@@ -369,14 +387,19 @@
             key: plan.first,
             readers: helpers.collect(),
             job: Some(plan.job),
+            urgency,
         };
-        self.tell(Event::Sent(service.name.clone(), plan));
+        self.tell(Event::Sent(service.name.clone(), plan), urgency);
         Ok(pick)
     }
 
-    fn tell(&self, event: Event) {
+    fn tell(&self, event: Event, urgency: Urgency) {
+        self.tell_by(event, urgency, Way::First);
+    }
+
+    fn tell_by(&self, event: Event, urgency: Urgency, way: Way) {
         if let Some(teller) = &self.parts.teller {
-            teller.tell(event);
+            teller.tell(event, urgency, way);
         }
     }
 
@@ -402,8 +425,8 @@
             .is_none_or(|(at, blocked)| now - at >= TELL_TURN || blocked != turn.blocked);
         if is_due {
             self.told = Some((now, turn.blocked));
-            self.fleet
-                .tell(Event::Waits(self.service.name.clone(), turn));
+            let event = Event::Waits(self.service.name.clone(), turn);
+            self.fleet.tell(event, Urgency::Urgent);
         }
     }
 }
@@ -417,7 +440,7 @@
             planner.left(self.job);
         }
         let event = Event::Left(self.service.name.clone(), self.job);
-        self.fleet.tell(event);
+        self.fleet.tell(event, Urgency::Urgent);
         self.service.changed.notify_waiters();
     }
 }
@@ -428,6 +451,15 @@
     Group(EndpointKey::of(&name, 0).0)
 }
 
+/// How soon hosts of other data centres have to hear of a job.
+fn urgency(plan: &Plan) -> Urgency {
+    if plan.has_parts() {
+        Urgency::Urgent
+    } else {
+        Urgency::Usual
+    }
+}
+
 /// The names of the engines that help, for logs.
 fn helper_names(state: &State, plan: &Plan) -> String {
     let helpers = plan.helpers.iter();
--- a/crates/kumquatdrum_gateway/src/fleet/pick.rs
+++ b/crates/kumquatdrum_gateway/src/fleet/pick.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{EndpointKey, Failure, JobId};
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_types::EndpointId;
@@ -35,6 +36,7 @@
     /// Engines that read parts of the prompt.
     pub readers: Vec<Reader>,
     pub(super) job: Option<JobId>,
+    pub(super) urgency: Urgency,
 }
 
 impl Pick {
@@ -48,8 +50,8 @@
             planner.began(now, job);
         }
         self.service.changed.notify_waiters();
-        self.fleet
-            .tell(Event::Began(self.service.name.clone(), job));
+        let event = Event::Began(self.service.name.clone(), job);
+        self.fleet.tell(event, self.urgency);
     }
 
     /// The endpoint has answered well, and may have told how much it has to do.
@@ -110,8 +112,8 @@
         }
         self.service.changed.notify_waiters();
         if let Some(job) = self.job {
-            self.fleet
-                .tell(Event::Ended(self.service.name.clone(), job));
+            let event = Event::Ended(self.service.name.clone(), job);
+            self.fleet.tell(event, self.urgency);
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -11,6 +11,7 @@
 use super::{FIRST_GREETING, File, Gateway};
 use crate::message::{Answer, Question};
 use crate::settings;
+use crate::tell::Way;
 
 /// How often hosts greet the control hosts: a host that was cut off knows what is in force within
 /// half a second of its return.
@@ -59,6 +60,9 @@
             }
             self.hosts.sweep();
             self.fleet.refresh();
+            if let Some(teller) = &self.teller {
+                teller.refresh();
+            }
             let pause = if is_new || self.spread.is_behind() {
                 FIRST_GREETING
             } else {
@@ -89,9 +93,9 @@
 
     pub(super) async fn retell(self: Arc<Self>) {
         let mut rounds = interval(RETELLING);
-        loop {
+        for way in [Way::Second, Way::First].into_iter().cycle() {
             rounds.tick().await;
-            self.fleet.retell();
+            self.fleet.retell(way);
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -136,7 +136,7 @@
     if let Some(teller) = gateway.teller.clone() {
         running.tasks.spawn(gateway.clone().retell());
         let gateway = gateway.clone();
-        let listening = async move { teller.listen(|event| gateway.fleet.take(event)).await };
+        let listening = async move { teller.listen(|events| gateway.fleet.take(events)).await };
         running.tasks.spawn(listening);
     }
     open(&gateway, &mut running, &callers_open, &others_open)?;
@@ -166,8 +166,9 @@
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
     let endpoints = Arc::new(Endpoints::new(clock, logger.clone()));
+    let meters = Arc::new(Meters::new()?);
     let teller = match settings.listen.callers {
-        Some(_) => Some(open_teller(&settings, &hosts, &logger)?),
+        Some(_) => Some(open_teller(&settings, clock, &hosts, &meters, &logger)?),
         None => None,
     };
     let fleet = Fleet::new(fleet::Parts {
@@ -197,7 +198,7 @@
         hosts,
         endpoints,
         fleet: Arc::new(fleet),
-        meters: Arc::new(Meters::new()?),
+        meters,
         drain: Arc::default(),
         logger,
         client,
@@ -304,11 +305,19 @@
 
 fn open_teller(
     settings: &Settings,
+    clock: Clock,
     hosts: &Arc<Hosts>,
+    meters: &Arc<Meters>,
     logger: &slog::Logger,
 ) -> Result<Arc<Teller>, StartError> {
     let address = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let opened = Teller::open(address, hosts.clone(), logger.clone());
+    let opened = Teller::open(
+        clock,
+        address,
+        hosts.clone(),
+        meters.clone(),
+        logger.clone(),
+    );
     opened.map(Arc::new).map_err(|reason| StartError::Listen {
         name: "datagrams",
         address,
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_consensus::Member as ReplicaMember;
+use kumquatdrum_fanout::{Audience, Place};
 use kumquatdrum_peer::Client;
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_types::{HostId, Moment};
@@ -36,8 +37,6 @@
 
 struct Seen {
     host: Host,
-    /// Its address, which its name is; read once, as each dispatch is told to all hosts.
-    ip: Option<IpAddr>,
     heard: Moment,
     is_lost: bool,
 }
@@ -129,7 +128,6 @@
                     "control" => host.control, "boot" => host.boot);
                 let is_lost = false;
                 let seen = Seen {
-                    ip: address(&id),
                     host,
                     heard,
                     is_lost,
@@ -237,16 +235,33 @@
         others.count() + usize::from(state.local.callers)
     }
 
-    /// Where to tell hosts that take callers of dispatches.
-    pub fn told(&self) -> Vec<SocketAddr> {
+    /// Whom this host tells of its dispatches: hosts that take callers.
+    pub fn audience(&self) -> Audience {
         let now = self.clock.now();
         let state = self.state.lock();
         let others = state.others.values();
         let others = others.filter(|seen| seen.host.callers && now - seen.heard <= FORGOTTEN);
-        let addresses = others.filter_map(|seen| seen.ip);
-        addresses
-            .map(|ip| SocketAddr::new(ip, self.peer_port + 1))
-            .collect()
+        let places = others.map(|seen| place(&seen.host, now - seen.heard <= LOST));
+        let places: Vec<Place> = places.collect();
+        Audience::of(&place(&state.local, true), &places)
+    }
+
+    /// Where the hosts that take callers in this host's data centre receive datagrams.
+    pub fn near_callers(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let near = state.others.values().filter(|seen| {
+            seen.host.callers
+                && seen.host.data_centre == state.local.data_centre
+                && now - seen.heard <= FORGOTTEN
+        });
+        let ids = near.map(|seen| &seen.host.id);
+        ids.filter_map(|id| self.datagrams_at(id)).collect()
+    }
+
+    /// Where a host receives datagrams.
+    pub fn datagrams_at(&self, id: &HostId) -> Option<SocketAddr> {
+        address(id).map(|ip| SocketAddr::new(ip, self.peer_port + 1))
     }
 
     /// Whether a majority of the control hosts was heard lately.
@@ -272,6 +287,14 @@
     }
 }
 
+fn place(host: &Host, is_heard: bool) -> Place {
+    Place {
+        id: host.id.clone(),
+        data_centre: host.data_centre.clone(),
+        is_live: is_heard && !host.stopping,
+    }
+}
+
 /// The address that a host's name is.
 fn address(id: &HostId) -> Option<IpAddr> {
     id.as_str().parse().ok()
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod settings;
 pub mod sockets;
 pub mod spread;
-mod tell;
+pub mod tell;
 pub mod upstream;
 
 pub use gateway::{File, Gateway, StartError};
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use kumquatdrum_consensus::Member as ReplicaMember;
+use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{JobId, Plan, Turn};
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
@@ -113,9 +114,20 @@
     }
 }
 
+/// Whom a datagram is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// Who receives it.
+    Host,
+    /// All hosts in the data centre of who receives it, which relays it.
+    DataCentre(Urgency),
+}
+
 /// A datagram between hosts that take callers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Datagram {
+    /// Whom it is for.
+    pub reach: Reach,
     /// What has happened.
     pub events: Vec<Event>,
 }
@@ -136,3 +148,13 @@
     /// These are under way, each with whether it is still read.
     Running(ServiceName, Vec<(Plan, bool)>),
 }
+
+impl Event {
+    /// Whether a job that waits may be sent after it.
+    pub const fn may_free(&self) -> bool {
+        match self {
+            Self::Sent(..) | Self::Began(..) | Self::Ended(..) | Self::Left(..) => true,
+            Self::Waits(..) | Self::Running(..) => false,
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/src/meters.rs
+++ b/crates/kumquatdrum_gateway/src/meters.rs
@@ -27,6 +27,8 @@
     pub leader: IntGauge,
     /// Hosts heard lately.
     pub hosts: IntGauge,
+    /// Datagrams to and from other hosts.
+    pub datagrams: IntCounterVec,
     /// Bytes of frames to and from other hosts, by channel and direction.
     pub peer_bytes: IntCounterVec,
 }
@@ -56,6 +58,11 @@
             revision: r.gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: r.gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
             hosts: r.gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
+            datagrams: r.counters(
+                "kumquatdrum_gateway_datagrams_total",
+                "Datagrams sent, of them relayed, received, and received but unreadable.",
+                &["direction"],
+            )?,
             peer_bytes: r.counters(
                 "kumquatdrum_gateway_peer_bytes_total",
                 "Bytes of frames to and from other hosts, by channel.",
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::short;
 use kumquatdrum_types::{EndpointId, Moment, hash};
 use serde::{Deserialize, Serialize};
 
@@ -117,6 +118,11 @@
 }
 
 impl Plan {
+    /// Whether engines read it as a part that others keep clear of: several share it, or it takes long.
+    pub fn has_parts(&self) -> bool {
+        !self.helpers.is_empty() || f64::from(self.part_ms) > short::PART_MS
+    }
+
     /// All engines that read.
     pub fn readers(&self) -> impl Iterator<Item = EndpointKey> + '_ {
         let helpers = self.helpers.iter().map(|part| part.endpoint);
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod cost;
 mod demand;
+mod ended;
 mod health;
 mod job;
 mod long;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -11,6 +11,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::demand::{Demand, weight};
+use crate::ended::Ended;
 use crate::long::Placement;
 use crate::reach::{Group, Reach};
 use crate::site::{Endpoint, Site, Writer};
@@ -56,6 +57,7 @@
     endpoints: IndexMap<EndpointKey, Endpoint>,
     jobs: IndexMap<JobId, Placed>,
     turns: Turns,
+    ended: Ended,
     demand: Demand,
     reach: Reach,
     /// Where this host stands, if that is known.
@@ -77,6 +79,7 @@
             endpoints: IndexMap::new(),
             jobs: IndexMap::new(),
             turns: Turns::default(),
+            ended: Ended::default(),
             demand: Demand::default(),
             reach: Reach::default(),
             here: None,
@@ -199,9 +202,12 @@
         self.turns.remove(plan.job);
         let target = Duration::from_millis(plan.target_ms.into());
         self.demand.add(now, plan.prompt.into(), target);
+        if self.ended.contains(plan.job) {
+            return;
+        }
         let part_ms = f64::from(plan.part_ms.max(0.0));
         let part = Duration::from_secs_f64(part_ms / 1e3);
-        let is_part = !plan.helpers.is_empty() || part_ms > short::PART_MS;
+        let is_part = plan.has_parts();
         for key in plan.readers() {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.read_until = endpoint.read_until.max(now) + part;
@@ -251,7 +257,9 @@
             }
             return;
         }
-        self.hold(now, plan, is_reading);
+        if !self.ended.contains(plan.job) {
+            self.hold(now, plan, is_reading);
+        }
     }
 
     /// This host's jobs, with whether each is still read, for hosts that have missed them.
@@ -275,8 +283,14 @@
         }
     }
 
-    /// A job has ended.
+    /// A job has ended. What was told of it before may still arrive, by another way.
     pub fn ended(&mut self, now: Moment, job: JobId) {
+        self.ended.add(job);
+        self.release(now, job);
+    }
+
+    /// Frees what a job holds, if it is known.
+    fn release(&mut self, now: Moment, job: JobId) {
         let Some(placed) = self.jobs.swap_remove(&job) else {
             return;
         };
@@ -345,8 +359,9 @@
         let old = old.filter(|(_, placed)| placed.forget_at <= now);
         let old: Vec<JobId> = old.map(|(job, _)| *job).collect();
         for job in old {
-            self.ended(now, job);
+            self.release(now, job);
         }
+        self.ended.forget(now);
         self.turns.forget(now);
         self.demand.forget(now);
     }
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -291,3 +291,18 @@
     planner.ended(now, plan.job);
     planner.began(now, plan.job);
 }
+
+/// A relay that froze, or one that bundles, hands on a dispatch after another way has told its end.
+#[test]
+fn news_of_a_job_that_has_ended_holds_nothing() {
+    let mut planner = planner(1);
+    let at = |ms| START + Duration::from_millis(ms);
+    let ended = part_at(1, 1, 3_000.0);
+    planner.ended(at(0), ended.job);
+    planner.sent(at(100), ended.clone());
+    planner.running(at(200), ended.clone(), true);
+    let plan = sent(planner.place(at(300), &job(2, 2_000, at(300))));
+    planner.ended(at(310), plan.job);
+    // Its memory and its reading time are free for a prompt that fills the engine.
+    sent(planner.place(at(400), &job(3, 250_000, at(400))));
+}
