Tell other data centres of endpoints by one relay each

Cause: the control host that takes a farewell asked each of 299 others itself, and pushed what it had heard to each of them every second; four in five of these stand in other data centres.

Now it asks and tells those of its own data centre, and one relay of each other one with the list of hosts there. Rounds take the second relay every other time. Data centres of up to eight hosts are told as before.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -30,6 +30,11 @@
 impl Cluster {
     /// Starts all hosts; `net` tells clusters of one test run apart.
     pub fn start(net: u8) -> Self {
+        Self::of(net, HOSTS)
+    }
+
+    /// The same with so many hosts, which stand in the data centres by turns.
+    pub fn of(net: u8, hosts: usize) -> Self {
         let client = Client::builder()
             .pool_max_idle_per_host(0)
             .build()
@@ -39,9 +44,9 @@
             client,
             folder,
             net,
-            hosts: (0..HOSTS).map(|_| None).collect(),
+            hosts: (0..hosts).map(|_| None).collect(),
         };
-        for host in 0..HOSTS {
+        for host in 0..hosts {
             cluster.start_host(host, true);
         }
         cluster
@@ -305,7 +310,7 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             self.kill(host);
         }
     }
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod endpoint;
 mod explain;
+mod fanout;
 mod path;
 mod proxy;
 mod soak;
--- a/crates/kumquatdrum_fanout/src/audience.rs
+++ b/crates/kumquatdrum_fanout/src/audience.rs
@@ -7,15 +7,15 @@
 /// lost; fewer fill their bundles better.
 const RELAYS: usize = 8;
 
-/// A host that takes callers, as another one knows it.
+/// A host, as another one knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
     /// The host.
     pub id: HostId,
     /// Where it stands.
     pub data_centre: DataCentre,
-    /// It was heard lately and is not about to stop.
-    pub is_live: bool,
+    /// It takes callers, was heard lately and is not about to stop.
+    pub may_relay: bool,
 }
 
 /// The hosts that pass an event on within another data centre.
@@ -26,6 +26,8 @@
     /// The one that gets every other repetition, so that the loss of the first is made good before it
     /// is noticed.
     pub second: HostId,
+    /// All that are to be told in the data centre, the relays among them.
+    pub hosts: Vec<HostId>,
 }
 
 /// Whom one host tells of its events.
@@ -47,7 +49,7 @@
     /// let place = |number: u32, data_centre: &str| Place {
     ///     id: format!("entry-{number}").as_str().into(),
     ///     data_centre: data_centre.into(),
-    ///     is_live: true,
+    ///     may_relay: true,
     /// };
     /// let near = (1..60).map(|number| place(number, "tartu"));
     /// let far = (60..120).map(|number| place(number, "riga"));
@@ -85,8 +87,8 @@
     if places.len() <= RELAYS {
         return None;
     }
-    let live = places.iter().filter(|place| place.is_live);
-    let mut pool: Vec<&HostId> = live.map(|place| &place.id).collect();
+    let relaying = places.iter().filter(|place| place.may_relay);
+    let mut pool: Vec<&HostId> = relaying.map(|place| &place.id).collect();
     if pool.is_empty() {
         // A data centre that was cut off may hear again at any moment.
         pool = places.iter().map(|place| &place.id).collect();
@@ -102,5 +104,6 @@
     Some(Relay {
         first: first.clone(),
         second: second.clone(),
+        hosts: places.iter().map(|place| place.id.clone()).collect(),
     })
 }
--- a/crates/kumquatdrum_fanout/tests/fanout.rs
+++ b/crates/kumquatdrum_fanout/tests/fanout.rs
@@ -17,7 +17,7 @@
         (1..=each).map(move |number| Place {
             id: HostId::new(format!("{data_centre}-{number}")),
             data_centre: data_centre.into(),
-            is_live: true,
+            may_relay: true,
         })
     };
     DATA_CENTRES.into_iter().flat_map(of).collect()
@@ -63,7 +63,7 @@
         for to in &audience.direct {
             self.deliver(&local.id, to, &[event]);
         }
-        for Relay { first, second } in &audience.relays {
+        for Relay { first, second, .. } in &audience.relays {
             let relay = if is_repeated { second } else { first };
             if !self.deliver(&local.id, relay, &[event]) {
                 continue;
@@ -155,7 +155,7 @@
     let before: Vec<Audience> = all.iter().map(|local| audience(local, &all)).collect();
     let gone = before[0].relays[0].first.clone();
     let place = all.iter_mut().find(|place| place.id == gone);
-    place.expect("the relay").is_live = false;
+    place.expect("the relay").may_relay = false;
     let mut pool: IndexSet<&HostId> = IndexSet::new();
     for relay in before.iter().flat_map(|audience| &audience.relays) {
         pool.extend([&relay.first, &relay.second]);
@@ -180,7 +180,7 @@
     let silent = |place: &&mut Place| place.data_centre.as_str() == "karlova";
     all.iter_mut()
         .filter(silent)
-        .for_each(|place| place.is_live = false);
+        .for_each(|place| place.may_relay = false);
     assert_eq!(audience(&all[0], &all).relays.len(), 4);
 }
 
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -13,7 +13,7 @@
 use kumquatdrum_routes::{Record, check};
 use kumquatdrum_types::{EndpointId, Finding, HostId};
 use slog::{error, info, warn};
-use tokio::task::{JoinError, JoinSet, spawn_blocking};
+use tokio::task::{JoinError, spawn_blocking};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::Gateway;
@@ -21,6 +21,7 @@
 use crate::message::{Answer, Question};
 use crate::protocol::{Operation, Protocol};
 use crate::replica::Ask;
+use crate::tell::Way;
 
 /// How long one replica may take to answer as the leader.
 const ONE: Duration = Duration::from_millis(900);
@@ -28,10 +29,6 @@
 const ALL: Duration = Duration::from_millis(2_800);
 /// The pause after all replicas were asked in vain.
 const ROUND: Duration = Duration::from_millis(60);
-/// How long other hosts may take to confirm that they know who leaves. An endpoint waits a
-/// second for its acknowledgement.
-const CONFIRMED: Duration = Duration::from_millis(600);
-
 /// Answers one call.
 pub async fn handle(
     gateway: Arc<Gateway>,
@@ -229,8 +226,8 @@
     let (change, update) = gateway.endpoints.announce(announcement);
     let update: Vec<Update> = update.into_iter().collect();
     match change {
-        Change::New if !is_leaving => gateway.push_endpoints(update),
-        Change::New | Change::Changed => confirm(gateway, update).await,
+        Change::New if !is_leaving => gateway.push_endpoints(update, Way::First),
+        Change::New | Change::Changed => gateway.confirm(update).await,
         Change::Refreshed | Change::Stale => {}
     }
     json(StatusCode::OK, "{}")
@@ -240,40 +237,11 @@
     let incarnation = gateway.protocol.farewell(body);
     let update = gateway.endpoints.leave(id, incarnation);
     if let Some(update) = update {
-        confirm(gateway, vec![update]).await;
+        gateway.confirm(vec![update]).await;
     }
     json(StatusCode::OK, "{}")
 }
 
-/// The acknowledgement is a promise of all hosts, so it waits until they know.
-async fn confirm(gateway: &Arc<Gateway>, updates: Vec<Update>) {
-    gateway.endpoints_changed();
-    let mut asked = JoinSet::new();
-    for host in gateway.hosts.live() {
-        let gateway = gateway.clone();
-        let question = Question::Endpoints(updates.clone());
-        asked.spawn(async move {
-            let answer = gateway
-                .ask(&host.id, Channel::Membership, &question, CONFIRMED)
-                .await;
-            (host.id, matches!(answer, Some(Answer::Taken)))
-        });
-    }
-    while let Some(answer) = asked.join_next().await {
-        match answer {
-            Ok((host, false)) => {
-                warn!(gateway.logger, "farewell_unconfirmed"; "event" => "farewell_unconfirmed",
-                    "peer" => host.as_str());
-            }
-            Ok(_) => {}
-            Err(error) => {
-                warn!(gateway.logger, "farewell_unconfirmed"; "event" => "farewell_unconfirmed",
-                    "reason" => %error);
-            }
-        }
-    }
-}
-
 fn status(status: StatusCode) -> Response<Body> {
     json(status, "{}")
 }
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use kumquatdrum_peer::{Channel, Client, Counters};
 use kumquatdrum_process::Drain;
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_registry::Update;
 use kumquatdrum_routes::{Limits, Record};
 use kumquatdrum_types::{HostId, Moment};
 use parking_lot::Mutex;
@@ -22,13 +21,14 @@
 use crate::endpoints::Endpoints;
 use crate::fleet::Fleet;
 use crate::hosts::Hosts;
-use crate::message::{Answer, Host, Notice, Question};
+use crate::message::{Answer, Host, Question};
 use crate::meters::Meters;
 use crate::replica::{Ask, Handle};
 use crate::spread::Spread;
 use crate::tell::Teller;
 use crate::{Protocol, Settings, in_force, recall};
 
+mod announced;
 mod rounds;
 mod start;
 
@@ -225,32 +225,6 @@
         }
     }
 
-    /// Another host tells of endpoints.
-    pub(crate) fn take_endpoints(&self, updates: Vec<Update>, from: &str) {
-        if self.endpoints.merge(updates, from) {
-            self.endpoints_changed();
-        }
-    }
-
-    /// What is known of endpoints has changed.
-    pub(crate) fn endpoints_changed(&self) {
-        self.fleet.refresh();
-    }
-
-    /// Tells all hosts of endpoints.
-    pub(crate) fn push_endpoints(&self, updates: Vec<Update>) {
-        if updates.is_empty() {
-            return;
-        }
-        let Some(bytes) = Notice::Endpoints(updates).encode(&self.logger) else {
-            return;
-        };
-        for host in self.hosts.live() {
-            let channel = Channel::Membership;
-            self.client.send(&host.id, channel, bytes.clone());
-        }
-    }
-
     /// Answers a greeting.
     pub(crate) fn welcome(
         self: &Arc<Self>,
--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -101,10 +101,10 @@
 
     pub(super) async fn pass_on(self: Arc<Self>) {
         let mut rounds = interval(ROUND);
-        loop {
+        for way in [Way::First, Way::Second].into_iter().cycle() {
             rounds.tick().await;
             let updates = self.endpoints.round();
-            self.push_endpoints(updates);
+            self.push_endpoints(updates, way);
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -246,6 +246,13 @@
         Audience::of(&place(&state.local, true), &places)
     }
 
+    /// Whom this host tells of endpoints: all hosts that were heard lately.
+    pub fn live_audience(&self) -> Audience {
+        let live = self.live();
+        let places: Vec<Place> = live.iter().map(|host| place(host, true)).collect();
+        Audience::of(&place(&self.local(), true), &places)
+    }
+
     /// Where the hosts that take callers in this host's data centre receive datagrams.
     pub fn near_callers(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
@@ -291,7 +298,7 @@
     Place {
         id: host.id.clone(),
         data_centre: host.data_centre.clone(),
-        is_live: is_heard && !host.stopping,
+        may_relay: host.callers && is_heard && !host.stopping,
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -41,6 +41,10 @@
             Ok(Notice::Endpoints(updates)) => {
                 gateway.take_endpoints(updates, from.host.as_str());
             }
+            Ok(Notice::RelayEndpoints { updates, hosts }) => {
+                gateway.relay_endpoints(&updates, &hosts);
+                gateway.take_endpoints(updates, from.host.as_str());
+            }
             Err(error) => unreadable(&gateway, from, &error),
         }
     }
@@ -83,6 +87,13 @@
             gateway.take_endpoints(updates, from.host.as_str());
             Answer::Taken
         }
+        Question::RelayEndpoints { updates, hosts } => {
+            gateway.take_endpoints(updates.clone(), from.host.as_str());
+            match gateway.confirm_near(&updates, hosts).await {
+                unconfirmed if unconfirmed.is_empty() => Answer::Taken,
+                unconfirmed => Answer::Unconfirmed(unconfirmed),
+            }
+        }
         Question::Apply(record) => gateway.ask_replica(Ask::Apply(record)).await,
         Question::Read => gateway.ask_replica(Ask::Read).await,
     }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -61,6 +61,13 @@
     Record(Record),
     /// Take what I know of endpoints, and say so.
     Endpoints(Vec<Update>),
+    /// Take it, have these hosts take it, and name those that have not.
+    RelayEndpoints {
+        /// What is known.
+        updates: Vec<Update>,
+        /// Hosts near the one that is asked.
+        hosts: Vec<HostId>,
+    },
     /// Commit this record. Only the leader does.
     Apply(Record),
     /// What is in force? Only the leader tells.
@@ -83,6 +90,8 @@
     },
     /// Taken; to `Fetch`, that the record will come as a question of its own.
     Taken,
+    /// Taken, but these have not confirmed that they have.
+    Unconfirmed(Vec<HostId>),
     /// Committed, or overtaken already.
     Applied,
     /// What is in force, confirmed by a majority.
@@ -98,6 +107,13 @@
 pub enum Notice {
     /// What is known of endpoints.
     Endpoints(Vec<Update>),
+    /// The same, to be passed on to hosts near the one that receives it.
+    RelayEndpoints {
+        /// What is known.
+        updates: Vec<Update>,
+        /// The hosts.
+        hosts: Vec<HostId>,
+    },
 }
 
 impl Notice {
