Tell hosts of changes in place of the list of all hosts

Cause: each entry host took the list of all hosts twice a second, 590 lists of 11 kB a second at 295.

A control host counts what changes: a host that is new, has restarted, stops, is lost or back. An entry host names the last count it heard from it and is told of what has changed since; whoever was told of as live and has not been mentioned since is live by that control host's word, for as long as that one answers. Control hosts go on telling each other ages: if they took each other's word, two of them would keep a lost host alive. Whether a host hears a majority of the control hosts rests on its own greetings, as before.

Also: the test of farewells used another test's addresses, which made both of them fail beside each other.

--- a/crates/kumquatdrum/tests/gateway/fanout.rs
+++ b/crates/kumquatdrum/tests/gateway/fanout.rs
@@ -24,7 +24,7 @@
 
 #[tokio::test]
 async fn a_farewell_is_known_everywhere_when_it_is_acknowledged_also_beside_a_frozen_relay() {
-    let cluster = Cluster::of(41, HOSTS);
+    let cluster = Cluster::of(51, HOSTS);
     cluster.apply(&config(1)).await;
     let endpoint = Endpoint::start("i-1", Manner::Whole).await;
     let next = Endpoint::start("i-2", Manner::Whole).await;
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::endpoints::Endpoints;
 use crate::fleet::Fleet;
 use crate::hosts::Hosts;
-use crate::message::{Answer, Host, Question};
+use crate::message::{Answer, Host, Question, Wanted};
 use crate::meters::Meters;
 use crate::replica::{Ask, Handle};
 use crate::spread::Spread;
@@ -231,18 +231,14 @@
         host: Host,
         revision: u64,
         is_new: bool,
-        wants_hosts: bool,
+        wanted: Wanted,
     ) -> Answer {
         let id = host.id.clone();
         self.hosts.heard(host);
         self.hears(id, revision);
         Answer::Welcome {
             host: self.hosts.local(),
-            hosts: if wants_hosts {
-                self.hosts.sightings()
-            } else {
-                Vec::new()
-            },
+            hosts: self.hosts.listing(wanted),
             revision: self.in_force.revision(),
             endpoints: if is_new {
                 self.endpoints.all()
--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -9,7 +9,7 @@
 use tokio::time::{interval, sleep};
 
 use super::{FIRST_GREETING, File, Gateway};
-use crate::message::{Answer, Question};
+use crate::message::{Answer, Question, Wanted};
 use crate::settings;
 use crate::tell::Way;
 
@@ -41,7 +41,11 @@
                     host: self.hosts.local(),
                     revision: self.in_force.revision(),
                     is_new,
-                    wants_hosts: teller.as_ref().is_none_or(|teller| *teller == host),
+                    hosts: if teller.as_ref().is_none_or(|teller| *teller == host) {
+                        self.hosts.wanted(&host)
+                    } else {
+                        Wanted::Nothing
+                    },
                 };
                 greetings.spawn(async move {
                     let channel = Channel::Membership;
@@ -85,7 +89,9 @@
         };
         let id = host.id.clone();
         self.hosts.heard(host);
-        self.hosts.merge(hosts);
+        if let Some(listing) = hosts {
+            self.hosts.merge(&id, listing);
+        }
         self.take_endpoints(endpoints, id.as_str());
         self.hears(id, revision);
         true
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -13,7 +13,11 @@
 use parking_lot::Mutex;
 use slog::info;
 
-use crate::message::{Host, Sighting};
+use crate::message::{Edition, Host, Listing, Sighting, Wanted};
+
+pub mod vouchers;
+
+use vouchers::Vouchers;
 
 /// A host that was not heard for so long counts as lost: four rounds of greetings.
 pub const LOST: Duration = Duration::from_secs(2);
@@ -33,12 +37,32 @@
     local: Host,
     seeds: Vec<HostId>,
     others: IndexMap<HostId, Seen>,
+    vouchers: Vouchers,
+    /// Counts the changes that listings tell of.
+    changes: u64,
+}
+
+impl State {
+    /// How long ago a host was heard, by this host or one that vouches for it.
+    fn age(&self, now: Moment, seen: &Seen) -> Duration {
+        let heard = now - seen.heard;
+        let vouched = self.vouchers.age(now, &seen.host.id);
+        vouched.map_or(heard, |vouched| vouched.min(heard))
+    }
+
+    /// Other hosts, each with how long ago it was heard.
+    fn aged(&self, now: Moment) -> impl Iterator<Item = (&Seen, Duration)> {
+        let others = self.others.values();
+        others.map(move |seen| (seen, self.age(now, seen)))
+    }
 }
 
 struct Seen {
     host: Host,
     heard: Moment,
     is_lost: bool,
+    /// The change that it was last part of.
+    changed: u64,
 }
 
 impl Hosts {
@@ -54,6 +78,8 @@
             local,
             seeds: Vec::new(),
             others: IndexMap::new(),
+            vouchers: Vouchers::default(),
+            changes: 0,
         };
         Self {
             clock,
@@ -92,13 +118,58 @@
         self.sighted(host, Duration::ZERO);
     }
 
-    /// Another host tells whom it has heard.
-    pub fn merge(&self, sightings: Vec<Sighting>) {
-        for sighting in sightings {
+    /// A control host tells of others.
+    pub fn merge(&self, from: &HostId, listing: Listing) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        // Control hosts that took each other's word would keep a lost host alive among them.
+        if !state.local.control {
+            state.vouchers.take(now, from, &listing, LOST);
+        }
+        drop(state);
+        for sighting in listing.hosts {
             self.sighted(sighting.host, Duration::from_millis(sighting.age_ms));
         }
     }
 
+    /// What to ask a control host for: what has changed since it last told of hosts.
+    pub fn wanted(&self, from: &HostId) -> Wanted {
+        let state = self.state.lock();
+        // None is known on a control host: it needs the ages of all.
+        let edition = state.vouchers.edition(from);
+        edition.map_or(Wanted::All, Wanted::Since)
+    }
+
+    /// What a greeting host wants to know.
+    pub fn listing(&self, wanted: Wanted) -> Option<Listing> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let edition = Edition {
+            boot: state.local.boot,
+            changes: state.changes,
+        };
+        let since = match wanted {
+            Wanted::Nothing => return None,
+            Wanted::Since(known) if known.boot == edition.boot => Some(known.changes),
+            Wanted::Since(_) | Wanted::All => None,
+        };
+        let local = Sighting {
+            host: state.local.clone(),
+            age_ms: 0,
+        };
+        let is_told = |seen: &Seen| since.is_none_or(|since| seen.changed > since);
+        let others = state.aged(now).filter(|(seen, _)| is_told(seen));
+        let others = others.map(|(seen, age)| Sighting {
+            host: seen.host.clone(),
+            age_ms: age.as_millis() as u64,
+        });
+        Some(Listing {
+            edition,
+            is_whole: since.is_none(),
+            hosts: std::iter::once(local).chain(others).collect(),
+        })
+    }
+
     fn sighted(&self, host: Host, age: Duration) {
         let now = self.clock.now();
         let heard = Moment {
@@ -109,18 +180,24 @@
             return;
         }
         let id = host.id.clone();
+        let change = state.changes + 1;
+        let mut has_changed = true;
         match state.others.get_mut(&id) {
-            Some(seen) if host.boot < seen.host.boot => {}
+            Some(seen) if host.boot < seen.host.boot => has_changed = false,
             Some(seen) => {
-                let is_newer = heard > seen.heard;
-                if is_newer {
+                has_changed = heard > seen.heard && seen.host != host;
+                if heard > seen.heard {
                     seen.host = host;
                     seen.heard = heard;
                 }
                 if seen.is_lost && now - seen.heard <= LOST {
                     seen.is_lost = false;
+                    has_changed = true;
                     info!(self.logger, "host_back"; "event" => "host_back", "peer" => id.as_str());
                 }
+                if has_changed {
+                    seen.changed = change;
+                }
             }
             None => {
                 info!(self.logger, "host_known"; "event" => "host_known", "peer" => id.as_str(),
@@ -131,33 +208,44 @@
                     host,
                     heard,
                     is_lost,
+                    changed: change,
                 };
                 state.others.insert(id.clone(), seen);
                 self.reach(&id);
             }
         }
+        state.changes += u64::from(has_changed);
     }
 
     /// Notes who has fallen silent, and forgets who has been for long.
     pub fn sweep(&self) {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        for (id, seen) in &mut state.others {
-            let age = now - seen.heard;
+        let State {
+            seeds,
+            others,
+            vouchers,
+            changes,
+            ..
+        } = &mut *state;
+        others.retain(|id, seen| {
+            let heard = now - seen.heard;
+            let vouched = vouchers.age(now, id);
+            let age = vouched.map_or(heard, |vouched| vouched.min(heard));
             if !seen.is_lost && age > LOST {
                 seen.is_lost = true;
+                *changes += 1;
+                seen.changed = *changes;
                 info!(self.logger, "host_lost"; "event" => "host_lost", "peer" => id.as_str(),
                     "silent_ms" => age.as_millis() as u64);
             }
-        }
-        let State { seeds, others, .. } = &mut *state;
-        others.retain(|id, seen| {
-            let is_kept = now - seen.heard <= FORGOTTEN;
+            let is_kept = age <= FORGOTTEN;
             if !is_kept && !seeds.contains(id) {
                 self.client.remove(id);
             }
             is_kept
         });
+        vouchers.retain(|id| others.contains_key(id));
     }
 
     /// Whom to greet: all control hosts that are known, and the seeds.
@@ -191,10 +279,9 @@
         let now = self.clock.now();
         let state = self.state.lock();
         let mut hosts: Vec<(bool, HostId)> = state
-            .others
-            .values()
-            .filter(|seen| seen.host.control && now - seen.heard <= LOST)
-            .map(|seen| {
+            .aged(now)
+            .filter(|(seen, age)| seen.host.control && *age <= LOST)
+            .map(|(seen, _)| {
                 let is_far = seen.host.data_centre != state.local.data_centre;
                 (is_far, seen.host.id.clone())
             })
@@ -207,24 +294,8 @@
     pub fn live(&self) -> Vec<Host> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let live = state.others.values();
-        let live = live.filter(|seen| now - seen.heard <= LOST);
-        live.map(|seen| seen.host.clone()).collect()
-    }
-
-    /// All hosts that are known, with their ages, this one first.
-    pub fn sightings(&self) -> Vec<Sighting> {
-        let now = self.clock.now();
-        let state = self.state.lock();
-        let local = Sighting {
-            host: state.local.clone(),
-            age_ms: 0,
-        };
-        let others = state.others.values().map(|seen| Sighting {
-            host: seen.host.clone(),
-            age_ms: (now - seen.heard).as_millis() as u64,
-        });
-        std::iter::once(local).chain(others).collect()
+        let live = state.aged(now).filter(|(_, age)| *age <= LOST);
+        live.map(|(seen, _)| seen.host.clone()).collect()
     }
 
     /// Hosts that take callers, this one included. Those that are silent but not forgotten
@@ -239,9 +310,9 @@
     pub fn audience(&self) -> Audience {
         let now = self.clock.now();
         let state = self.state.lock();
-        let others = state.others.values();
-        let others = others.filter(|seen| seen.host.callers && now - seen.heard <= FORGOTTEN);
-        let places = others.map(|seen| place(&seen.host, now - seen.heard <= LOST));
+        let others = state.aged(now);
+        let others = others.filter(|(seen, age)| seen.host.callers && *age <= FORGOTTEN);
+        let places = others.map(|(seen, age)| place(&seen.host, age <= LOST));
         let places: Vec<Place> = places.collect();
         Audience::of(&place(&state.local, true), &places)
     }
@@ -257,12 +328,12 @@
     pub fn near_callers(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let near = state.others.values().filter(|seen| {
+        let near = state.aged(now).filter(|(seen, age)| {
             seen.host.callers
                 && seen.host.data_centre == state.local.data_centre
-                && now - seen.heard <= FORGOTTEN
+                && *age <= FORGOTTEN
         });
-        let ids = near.map(|seen| &seen.host.id);
+        let ids = near.map(|(seen, _)| &seen.host.id);
         ids.filter_map(|id| self.datagrams_at(id)).collect()
     }
 
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -75,8 +75,8 @@
             host,
             revision,
             is_new,
-            wants_hosts,
-        } => gateway.welcome(host, revision, is_new, wants_hosts),
+            hosts,
+        } => gateway.welcome(host, revision, is_new, hosts),
         Question::Fetch { above } if gateway.spread.add(&from.host, above) => Answer::Taken,
         Question::Fetch { .. } => Answer::Unavailable,
         Question::Record(record) => {
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -38,6 +38,37 @@
     pub age_ms: u64,
 }
 
+/// Which hosts a greeting host wants to be told of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wanted {
+    /// None.
+    Nothing,
+    /// All.
+    All,
+    /// Those that have changed since an earlier listing.
+    Since(Edition),
+}
+
+/// Names a listing of the host that tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edition {
+    /// When that host started, in Unix milliseconds.
+    pub boot: u64,
+    /// Counts the changes that it has seen.
+    pub changes: u64,
+}
+
+/// Hosts, as a control host tells of them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Its name.
+    pub edition: Edition,
+    /// Whether it holds all hosts, and not only what has changed.
+    pub is_whole: bool,
+    /// The hosts.
+    pub hosts: Vec<Sighting>,
+}
+
 /// A question that is answered at once.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Question {
@@ -49,8 +80,8 @@
         revision: u64,
         /// It knows no endpoints yet.
         is_new: bool,
-        /// It wants to be told of all hosts.
-        wants_hosts: bool,
+        /// It wants to be told of hosts.
+        hosts: Wanted,
     },
     /// Send me the record that you go by, where it is newer than mine.
     Fetch {
@@ -81,8 +112,8 @@
     Welcome {
         /// Who answers.
         host: Host,
-        /// All hosts that it knows, where they were wanted.
-        hosts: Vec<Sighting>,
+        /// Hosts, where they were wanted.
+        hosts: Option<Listing>,
         /// What it goes by.
         revision: u64,
         /// What it knows of endpoints, for a host that knows none.
--- a/crates/kumquatdrum_gateway/tests/tell.rs
+++ b/crates/kumquatdrum_gateway/tests/tell.rs
@@ -9,7 +9,7 @@
 
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_gateway::hosts::Hosts;
-use kumquatdrum_gateway::message::{Event, Host, Sighting};
+use kumquatdrum_gateway::message::{Event, Host};
 use kumquatdrum_gateway::meters::Meters;
 use kumquatdrum_gateway::tell::{Teller, Way};
 use kumquatdrum_peer::{Client, Counters, Identity, Local, Secret};
@@ -58,11 +58,9 @@
         logger: logger.clone(),
     });
     let hosts = Hosts::new(clock, Arc::new(client), port, local.clone(), logger.clone());
-    let sightings = all.iter().map(|host| Sighting {
-        host: host.clone(),
-        age_ms: 0,
-    });
-    hosts.merge(sightings.collect());
+    for host in all {
+        hosts.heard(host.clone());
+    }
     let meters = Arc::new(Meters::new().expect("meters"));
     let ip: IpAddr = local.id.as_str().parse().expect("an address");
     let address = SocketAddr::new(ip, port + 1);
