Greet control hosts of other data centres every other round

At 295 hosts each control host answered 590 greetings a second. Those of the own data centre are greeted twice a second as before, others once, which is two chances before silence counts as a loss; whoever knows nothing yet or is behind greets all at once.

--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -13,8 +13,8 @@
 use crate::settings;
 use crate::tell::Way;
 
-/// How often hosts greet the control hosts: a host that was cut off knows what is in force within
-/// half a second of its return.
+/// How often hosts greet the control hosts of their data centre: a host that was cut off knows what is
+/// in force within half a second of its return.
 const GREETING: Duration = Duration::from_millis(500);
 /// How long a greeting may take.
 const GREETING_LIMIT: Duration = Duration::from_millis(700);
@@ -30,12 +30,14 @@
         let mut is_new = true;
         for round in 0.. {
             let mut greetings = JoinSet::new();
+            let at_once = is_new || self.spread.is_behind();
+            let greeted = self.hosts.greeted(round, at_once);
             let teller = if is_new {
                 None
             } else {
-                self.hosts.teller(round)
+                self.hosts.teller(round, &greeted)
             };
-            for host in self.hosts.greeted() {
+            for host in greeted {
                 let gateway = self.clone();
                 let question = Question::Hello {
                     host: self.hosts.local(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -23,6 +23,9 @@
 pub const LOST: Duration = Duration::from_secs(2);
 /// A host that was not heard for so long is not greeted any more, nor counted.
 const FORGOTTEN: Duration = Duration::from_secs(20);
+/// Control hosts of other data centres are greeted once in so many rounds: two greetings in the time
+/// after which silence counts as a loss.
+const FAR_ROUNDS: usize = 2;
 
 /// The other hosts, and this one.
 pub struct Hosts {
@@ -248,29 +251,36 @@
         vouchers.retain(|id| others.contains_key(id));
     }
 
-    /// Whom to greet: all control hosts that are known, and the seeds.
-    pub fn greeted(&self) -> Vec<HostId> {
+    /// Whom to greet in a round: control hosts of the own data centre, every other time those
+    /// elsewhere, and seeds that are not known. A control host greets all others, and so does whoever
+    /// has to know what is in force `at_once`.
+    pub fn greeted(&self, round: usize, at_once: bool) -> Vec<HostId> {
         let state = self.state.lock();
+        let greets_all = at_once || state.local.control;
         let known = state.others.values().filter(|seen| seen.host.control);
-        let known = known.map(|seen| seen.host.id.clone());
-        let mut greeted: Vec<HostId> = known.collect();
+        let due = known.enumerate().filter(|(number, seen)| {
+            let is_near = seen.host.data_centre == state.local.data_centre;
+            greets_all || is_near || (number + round).is_multiple_of(FAR_ROUNDS)
+        });
+        let mut greeted: Vec<HostId> = due.map(|(_, seen)| seen.host.id.clone()).collect();
         for seed in &state.seeds {
-            if *seed != state.local.id && !greeted.contains(seed) {
+            let is_known = state.others.contains_key(seed) || *seed == state.local.id;
+            if !is_known {
                 greeted.push(seed.clone());
             }
         }
         greeted
     }
 
-    /// The control host that tells this one of all hosts in a round of greetings; none where all
-    /// should. The list of all hosts is long, so each is asked for it in turn, by which a host takes
-    /// one list a round however many control hosts there are.
-    pub fn teller(&self, round: usize) -> Option<HostId> {
+    /// The control host among those that are greeted which tells this one of hosts; none where all
+    /// should. Each is asked in turn, so that one which is cut off does not hide hosts for long.
+    pub fn teller(&self, round: usize, greeted: &[HostId]) -> Option<HostId> {
         if self.state.lock().local.control {
             return None;
         }
-        let control = self.control();
-        let turn = round.checked_rem(control.len())?;
+        let mut control = self.control();
+        control.retain(|host| greeted.contains(host));
+        let turn = (round / FAR_ROUNDS).checked_rem(control.len())?;
         control.into_iter().nth(turn)
     }
 
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -126,6 +126,34 @@
     assert_eq!(names(&whole), ["10.0.0.1", "10.0.0.4"]);
 }
 
+#[tokio::test]
+async fn control_hosts_elsewhere_are_greeted_every_other_round() {
+    let far = |number| Host {
+        data_centre: "riga".into(),
+        ..host(number, 5, true)
+    };
+    let entry = hosts(&host(9, 5, false));
+    let seeds = [1, 2, 3, 4].map(|number| host(number, 5, true).id);
+    entry.set_seeds(seeds.to_vec());
+    assert_eq!(entry.greeted(0, false).len(), 4, "nobody is known yet");
+    entry.heard(host(1, 5, true));
+    (2..=4).for_each(|number| entry.heard(far(number)));
+    let mut greetings = [0; 4];
+    for round in 0..8 {
+        let greeted = entry.greeted(round, false);
+        let teller = entry.teller(round, &greeted).expect("a teller");
+        assert!(greeted.contains(&teller));
+        for (count, seed) in greetings.iter_mut().zip(&seeds) {
+            *count += u32::from(greeted.contains(seed));
+        }
+        assert_eq!(entry.greeted(round, true).len(), 4);
+    }
+    assert_eq!(greetings, [8, 4, 4, 4]);
+    let control = hosts(&host(8, 5, true));
+    (2..=4).for_each(|number| control.heard(far(number)));
+    assert_eq!(control.greeted(1, false).len(), 3);
+}
+
 #[tokio::test]
 async fn control_hosts_do_not_take_each_others_word() {
     let (one, other) = (hosts(&host(1, 5, true)), hosts(&host(2, 5, true)));
