Placement: names of the field, and comments without how values were chosen

Site is Candidate, waits and left are queued and cancelled, hold is allocate. Behaviour is unchanged.

--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -243,8 +243,8 @@
             Event::Sent(_, plan) => planner.sent(now, plan),
             Event::Began(_, job) => planner.began(now, job),
             Event::Ended(_, job) => planner.ended(now, job),
-            Event::Waits(_, turn) => planner.waits(now, turn),
-            Event::Left(_, job) => planner.left(job),
+            Event::Waits(_, turn) => planner.queued(now, turn),
+            Event::Left(_, job) => planner.cancelled(job),
             Event::Running(_, jobs) => {
                 for (plan, is_reading) in jobs {
                     planner.running(now, plan, is_reading);
@@ -437,7 +437,7 @@
             return;
         }
         if let Policy::Engines(planner) = &mut self.service.state.lock().policy {
-            planner.left(self.job);
+            planner.cancelled(self.job);
         }
         let event = Event::Left(self.service.name.clone(), self.job);
         self.fleet.tell(event, Urgency::Urgent);
--- a/crates/kumquatdrum_placement/src/site.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -40,7 +40,7 @@
 
 /// One engine at the moment of a decision.
 #[derive(Debug)]
-pub(crate) struct Site<'a> {
+pub(crate) struct Candidate<'a> {
     pub(crate) key: EndpointKey,
     pub(crate) endpoint: &'a Endpoint,
     pub(crate) backlog_ms: f64,
@@ -66,10 +66,10 @@
     }
 
     /// The engine as it is at this moment.
-    pub(crate) fn site(&self, now: Moment, key: EndpointKey, cost: &Cost) -> Site<'_> {
+    pub(crate) fn candidate(&self, now: Moment, key: EndpointKey, cost: &Cost) -> Candidate<'_> {
         let backlog = (self.read_until - now).as_secs_f64() * 1e3;
         let memory = (cost.engine().memory_tokens as f64 * FILLED) as u64;
-        Site {
+        Candidate {
             key,
             endpoint: self,
             backlog_ms: backlog + self.health.penalty_ms(),
@@ -80,7 +80,7 @@
     }
 }
 
-impl Site<'_> {
+impl Candidate<'_> {
     /// Where it stands.
     pub(crate) fn group(&self) -> Group {
         self.endpoint.group
--- a/crates/kumquatdrum_placement/src/demand.rs
+++ b/crates/kumquatdrum_placement/src/demand.rs
@@ -19,8 +19,7 @@
 const WEIGHED_TOKENS: f64 = 10_000.0;
 /// What those who wait may lose for each unit that the prompt's caller gains. The loss is an upper
 /// bound: it takes everybody who asks while the prompt is read to wait for all of it, while its
-/// engines are rarely the whole fleet. With 0.3 callers get 0.013 +/- 0.011 less of their worth before 18
-/// engines and 0.030 +/- 0.017 less before 23 (15 and 10 pairs of days of mixed load and faults).
+/// engines are rarely the whole fleet.
 const BORNE: f64 = 1.5;
 
 /// What a prompt weighs among others.
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod balancer;
 mod budget;
+mod candidate;
 mod cost;
 mod demand;
 mod ended;
@@ -18,7 +19,6 @@
 mod planner;
 mod reach;
 mod short;
-mod site;
 mod turns;
 
 pub use balancer::Balancer;
--- a/crates/kumquatdrum_placement/src/long.rs
+++ b/crates/kumquatdrum_placement/src/long.rs
@@ -8,8 +8,8 @@
 
 use kumquatdrum_types::Moment;
 
+use crate::candidate::Candidate;
 use crate::demand::weight;
-use crate::site::Site;
 use crate::{Cost, Group, Job, Part, Plan};
 
 /// The most engines that read one prompt together: the engines' own limit of sixteen helpers.
@@ -18,13 +18,10 @@
 /// of backlog: long reads keep off engines that write, also where no pause is too long yet.
 const WRITER_MS: f64 = 300.0;
 /// What answers that would pause too long weigh, in milliseconds until the first token for each unit of
-/// weight: a caller with a short prompt weighs one and a half. Of 30, 60 and 120 none is better by
-/// more than 0.01 of all worth (bench `policy`).
+/// weight: a caller with a short prompt weighs one and a half.
 const HARM_MS: f64 = 60.0;
-/// What the answers under way may lose by pauses for each unit that a prompt's caller gains. One prompt
-/// of 377,000 tokens made 40 answers on eight engines pause for 1.9 s. From 0.15 to 0.6 callers get
-/// the same within 0.01; without a bound 0.073 +/- 0.023 less of their worth before 18 engines (15 pairs
-/// of days of mixed load and faults).
+/// What the answers under way may lose by pauses for each unit that a prompt's caller gains: few
+/// engines that read a very long prompt make dozens of answers pause for seconds.
 const HARM_BORNE: f64 = 0.3;
 /// The share of an engine's free memory that a reservation may ask for: reports are late.
 const RESERVED: f64 = 0.9;
@@ -56,15 +53,15 @@
     cost: &Cost,
     now: Moment,
     job: &Job,
-    sites: &[Site<'_>],
+    candidates: &[Candidate<'_>],
     here: Option<Group>,
 ) -> Placement {
     let read_ms = cost.read_ms(job.prompt);
-    let all = sorted(sites.iter().collect());
+    let all = sorted(candidates.iter().collect());
     let taken_ms = cost.pass_ms(1, 0) * PASSES;
     let wanted = width(&all, read_ms, taken_ms, f64::INFINITY).unwrap_or(1);
-    let is_ready = |site: &&Site<'_>| site.parts_ms <= 0.0;
-    let mut ready = sorted(sites.iter().filter(is_ready).collect());
+    let is_ready = |candidate: &&Candidate<'_>| candidate.parts_ms <= 0.0;
+    let mut ready = sorted(candidates.iter().filter(is_ready).collect());
     let quorum = (wanted as f64 * QUORUM).ceil() as usize;
     if ready.len() < quorum {
         return Placement::Wait;
@@ -82,61 +79,67 @@
         _ => return Placement::Harmful { part_ms },
     };
     ready.truncate(width);
-    match hold(job, sites, ready, read_ms, here) {
+    match allocate(job, candidates, ready, read_ms, here) {
         Some(plan) => Placement::Send(plan),
         None => Placement::Blocked,
     }
 }
 
 /// The engines in the order in which they are taken.
-fn sorted<'a>(mut sites: Vec<&'a Site<'a>>) -> Vec<&'a Site<'a>> {
-    let weight = |site: &Site<'_>| site.backlog_ms + WRITER_MS * site.writers() as f64;
-    sites.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
-    sites
+fn sorted<'a>(mut candidates: Vec<&'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
+    let weight =
+        |candidate: &Candidate<'_>| candidate.backlog_ms + WRITER_MS * candidate.writers() as f64;
+    candidates.sort_by(|one, other| weight(one).total_cmp(&weight(other)));
+    candidates
 }
 
 /// How many of the engines read it soonest, with what the answers at them lose: of the widths at
 /// which they lose no more than `bound`, if any.
-fn width(sites: &[&Site<'_>], read_ms: f64, taken_ms: f64, bound: f64) -> Option<usize> {
+fn width(candidates: &[&Candidate<'_>], read_ms: f64, taken_ms: f64, bound: f64) -> Option<usize> {
     let finish = |width: usize| {
         let taken = taken_ms * width as f64;
-        finish_ms(&sites[..width], read_ms / width as f64) + taken
+        finish_ms(&candidates[..width], read_ms / width as f64) + taken
     };
-    let is_borne = |width: &usize| harm(&sites[..*width], read_ms / *width as f64) <= bound;
-    let widths = (1..=sites.len().min(WIDEST)).filter(is_borne);
+    let is_borne = |width: &usize| harm(&candidates[..*width], read_ms / *width as f64) <= bound;
+    let widths = (1..=candidates.len().min(WIDEST)).filter(is_borne);
     widths.min_by(|one, other| finish(*one).total_cmp(&finish(*other)))
 }
 
 /// The weight of the answers that would pause too long.
-fn harm(sites: &[&Site<'_>], part_ms: f64) -> f64 {
-    sites.iter().map(|site| site.harm(part_ms)).sum()
+fn harm(candidates: &[&Candidate<'_>], part_ms: f64) -> f64 {
+    candidates
+        .iter()
+        .map(|candidate| candidate.harm(part_ms))
+        .sum()
 }
 
 /// When the last of the engines has read its part, with what the answers at them lose.
-fn finish_ms(sites: &[&Site<'_>], part_ms: f64) -> f64 {
-    let last = sites.iter().map(|site| site.pass_ms);
-    last.fold(0.0, f64::max) + part_ms + harm(sites, part_ms) * HARM_MS
+fn finish_ms(candidates: &[&Candidate<'_>], part_ms: f64) -> f64 {
+    let last = candidates.iter().map(|candidate| candidate.pass_ms);
+    last.fold(0.0, f64::max) + part_ms + harm(candidates, part_ms) * HARM_MS
 }
 
 /// Finds memory: at one engine where that is possible, else with reservations at others. The answer
 /// comes from an engine of the host's own data centre where one has the room: a cut between data
 /// centres doesn't break it.
-fn hold<'a>(
+fn allocate<'a>(
     job: &Job,
-    sites: &'a [Site<'a>],
-    mut members: Vec<&'a Site<'a>>,
+    candidates: &'a [Candidate<'a>],
+    mut members: Vec<&'a Candidate<'a>>,
     read_ms: f64,
     here: Option<Group>,
 ) -> Option<Plan> {
     let part_ms = read_ms / members.len() as f64;
-    let is_near = |site: &Site<'_>| here == Some(site.group()) && site.free >= job.tokens();
+    let is_near = |candidate: &Candidate<'_>| {
+        here == Some(candidate.group()) && candidate.free >= job.tokens()
+    };
     let preferred = members.iter().enumerate();
-    let preferred = preferred.max_by_key(|(_, site)| (is_near(site), site.free));
-    let (mut place, mut free) = preferred.map(|(place, site)| (place, site.free))?;
+    let preferred = preferred.max_by_key(|(_, candidate)| (is_near(candidate), candidate.free));
+    let (mut place, mut free) = preferred.map(|(place, candidate)| (place, candidate.free))?;
     if free < job.tokens() {
         // An engine outside may have the room that those inside lack.
-        let outside = sites.iter().max_by_key(|site| site.free)?;
-        if outside.free > free && members.iter().all(|site| site.key != outside.key) {
+        let outside = candidates.iter().max_by_key(|candidate| candidate.free)?;
+        if outside.free > free && members.iter().all(|candidate| candidate.key != outside.key) {
             place = members.len() - 1;
             members[place] = outside;
             free = outside.free;
@@ -144,14 +147,14 @@
     }
     let first = members.swap_remove(place);
     let mut missing = job.tokens().saturating_sub(free);
-    members.sort_by_key(|site| std::cmp::Reverse(site.free));
+    members.sort_by_key(|candidate| std::cmp::Reverse(candidate.free));
     let mut helpers = Vec::with_capacity(members.len());
-    for site in members {
-        let room = (site.free as f64 * RESERVED) as u64;
+    for candidate in members {
+        let room = (candidate.free as f64 * RESERVED) as u64;
         let reserved = missing.min(room);
         missing -= reserved;
         helpers.push(Part {
-            endpoint: site.key,
+            endpoint: candidate.key,
             reserved: u32::try_from(reserved).unwrap_or(u32::MAX),
         });
     }
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -10,11 +10,11 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
+use crate::candidate::{Candidate, Endpoint, Writer};
 use crate::demand::{Demand, weight};
 use crate::ended::Ended;
 use crate::long::Placement;
 use crate::reach::{Group, Reach};
-use crate::site::{Endpoint, Site, Writer};
 use crate::turns::Turns;
 use crate::{Cost, EndpointKey, Failure, Job, JobId, Part, Plan, Turn, long, short};
 
@@ -125,31 +125,31 @@
     /// Places a job, or says why not. What is sent counts from now on.
     pub fn place(&mut self, now: Moment, job: &Job) -> Decision {
         self.forget(now);
-        let sites = self.sites(now, job);
-        if self.is_refused(job, &sites) {
+        let candidates = self.candidates(now, job);
+        if self.is_refused(job, &candidates) {
             return Decision::TooCostly;
         }
         let memory = self.cost.engine().memory_tokens;
-        if sites.is_empty() {
+        if candidates.is_empty() {
             return Decision::Nobody;
         }
-        if job.tokens() > memory * sites.len() as u64 {
+        if job.tokens() > memory * candidates.len() as u64 {
             return Decision::TooLarge;
         }
         let read_ms = self.cost.read_ms(job.prompt);
         let mut turn = turn(now, job, read_ms);
-        let plan = if short::is_short(job, &sites, read_ms) {
+        let plan = if short::is_short(job, &candidates, read_ms) {
             let load = short::Load {
                 rate: self.demand.rate(),
                 here: self.here,
             };
-            let site = short::place(&self.cost, now, job, &sites, &load);
-            site.map(|site| {
-                let helpers = short::helpers(&sites, site, read_ms);
-                shared(job, site.key, helpers, read_ms)
+            let candidate = short::place(&self.cost, now, job, &candidates, &load);
+            candidate.map(|candidate| {
+                let helpers = short::helpers(&candidates, candidate, read_ms);
+                shared(job, candidate.key, helpers, read_ms)
             })
         } else {
-            match long::place(&self.cost, now, job, &sites, self.here) {
+            match long::place(&self.cost, now, job, &candidates, self.here) {
                 Placement::Send(plan) if self.turns.is_next(now, turn) => Some(plan),
                 Placement::Send(_) | Placement::Wait => None,
                 Placement::Blocked => {
@@ -168,17 +168,20 @@
             self.turns.put(now, turn);
             return Decision::Wait(turn);
         };
-        let basis = basis(&plan, &sites);
+        let basis = basis(&plan, &candidates);
         self.sent(now, plan.clone());
         Decision::Send(plan, basis)
     }
 
     /// Whether others would lose more by a job than its caller gains. A job that waits already is
     /// not refused any more.
-    fn is_refused(&self, job: &Job, sites: &[Site<'_>]) -> bool {
-        let engines = sites.len();
+    fn is_refused(&self, job: &Job, candidates: &[Candidate<'_>]) -> bool {
+        let engines = candidates.len();
         let width = engines.clamp(1, long::WIDEST);
-        let free = sites.iter().filter(|site| site.parts_ms <= 0.0).count();
+        let free = candidates
+            .iter()
+            .filter(|candidate| candidate.parts_ms <= 0.0)
+            .count();
         // Where as many engines are left, nobody waits for it.
         if self.turns.contains(job.id) || free >= 2 * width {
             return false;
@@ -188,12 +191,12 @@
     }
 
     /// A job waits at another host.
-    pub fn waits(&mut self, now: Moment, turn: Turn) {
+    pub fn queued(&mut self, now: Moment, turn: Turn) {
         self.turns.put(now, turn);
     }
 
     /// A job waits no longer, and was not sent.
-    pub fn left(&mut self, job: JobId) {
+    pub fn cancelled(&mut self, job: JobId) {
         self.turns.remove(job);
     }
 
@@ -218,11 +221,11 @@
                 }
             }
         }
-        self.hold(now, plan, true);
+        self.allocate(now, plan, true);
     }
 
     /// Counts a job at its engines.
-    fn hold(&mut self, now: Moment, plan: Plan, is_reading: bool) {
+    fn allocate(&mut self, now: Moment, plan: Plan, is_reading: bool) {
         for key in plan.readers().filter(|_| is_reading) {
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
                 endpoint.reads += 1;
@@ -258,7 +261,7 @@
             return;
         }
         if !self.ended.contains(plan.job) {
-            self.hold(now, plan, is_reading);
+            self.allocate(now, plan, is_reading);
         }
     }
 
@@ -325,7 +328,7 @@
     }
 
     /// The engines that may get a job: those that are not spared, where any are.
-    fn sites(&self, now: Moment, job: &Job) -> Vec<Site<'_>> {
+    fn candidates(&self, now: Moment, job: &Job) -> Vec<Candidate<'_>> {
         let usable = |(key, endpoint): &(&EndpointKey, &Endpoint)| {
             endpoint.usable && !job.spared.contains(key)
         };
@@ -337,7 +340,7 @@
         let chosen = usable.into_iter();
         let chosen = chosen.filter(|(_, endpoint)| !has_sound || is_sound(endpoint));
         chosen
-            .map(|(key, endpoint)| endpoint.site(now, *key, &self.cost))
+            .map(|(key, endpoint)| endpoint.candidate(now, *key, &self.cost))
             .collect()
     }
 
@@ -378,15 +381,17 @@
     }
 }
 
-fn basis(plan: &Plan, sites: &[Site<'_>]) -> Basis {
-    let find = |key: EndpointKey| sites.iter().find(|site| site.key == key);
+fn basis(plan: &Plan, candidates: &[Candidate<'_>]) -> Basis {
+    let find = |key: EndpointKey| candidates.iter().find(|candidate| candidate.key == key);
     let first = find(plan.first);
     let chosen = plan.readers().filter_map(find);
     Basis {
-        engines: sites.len(),
-        backlog_ms: chosen.map(|site| site.backlog_ms).fold(0.0, f64::max),
-        writers: first.map_or(0, Site::writers),
-        pass_ms: first.map_or(0.0, |site| site.pass_ms),
+        engines: candidates.len(),
+        backlog_ms: chosen
+            .map(|candidate| candidate.backlog_ms)
+            .fold(0.0, f64::max),
+        writers: first.map_or(0, Candidate::writers),
+        pass_ms: first.map_or(0.0, |candidate| candidate.pass_ms),
     }
 }
 
--- a/crates/kumquatdrum_placement/src/short.rs
+++ b/crates/kumquatdrum_placement/src/short.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexSet;
 use kumquatdrum_types::Moment;
 
-use crate::site::Site;
+use crate::candidate::Candidate;
 use crate::{Cost, Group, Job, Part};
 
 /// The share of a pause that a prompt's reading may take: the rest is for a pass of the answers.
@@ -20,19 +20,17 @@
 /// The share of the time to its due moment that a first token may be held up by others for an
 /// engine to be packed further. The rest is for its own reading, and for what other hosts send in
 /// the same moment. Lower shares spread short answers over engines whose long reads make them
-/// pause, higher ones make first tokens late: 0.28 and 0.4 both cost 0.01 to 0.02 of all worth.
+/// pause, higher ones make first tokens late.
 const PACKED: f64 = 0.36;
 /// The share of the time to its due moment within which a first token is awaited behind what an
 /// engine reads already, rather than given to an engine that writes no such answers. The rest is for
-/// what other hosts send in the same moment. Callers get 0.011 +/- 0.006 more of their worth by it (15
-/// pairs of days of mixed load and faults before 18 engines).
+/// what other hosts send in the same moment.
 const BEHIND: f64 = 0.7;
 /// A short prompt is drawn among as many engines as prompts are sent in so long. What another host has
 /// sent in the last milliseconds is not known here, and hosts that all choose the engine with the
 /// least room to spare fill it beyond its slots: a first token then waits for another's last. Ten
 /// times the age of such a view keeps two of them from meeting, and opens few engines more than
-/// needed. With 85 hosts before 78 engines and views 8 ms old, 0.97 of the short prompts are answered
-/// on time, 0.67 without; 40 ms gives 0.95 (bench `policy`).
+/// needed.
 const SPREAD: Duration = Duration::from_millis(80);
 /// Passes until a first token, beside the reading: half of the present one, and the one in which
 /// the prompt is read.
@@ -42,9 +40,9 @@
 
 /// Whether a prompt is short: neither its own caller nor any of an answer under way would be kept
 /// from an event for too long by its reading.
-pub(crate) fn is_short(job: &Job, sites: &[Site<'_>], read_ms: f64) -> bool {
+pub(crate) fn is_short(job: &Job, candidates: &[Candidate<'_>], read_ms: f64) -> bool {
     let own = job.pause.as_secs_f64() * 1e3;
-    let tightest = sites.iter().map(Site::tightest_pause_ms);
+    let tightest = candidates.iter().map(Candidate::tightest_pause_ms);
     read_ms <= tightest.fold(own, f64::min) * PAUSE
 }
 
@@ -74,9 +72,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     is_late: bool,
-    /// It stands in another data centre; of no matter where the first token would be late. That near
-    /// engines come first gains 0.020 +/- 0.012 of all worth (15 pairs of days, most with a cut between
-    /// data centres), and keeps 44 of 49 streams whole that such a cut would break.
+    /// It stands in another data centre; of no matter where the first token would be late. A cut between
+    /// data centres breaks the streams that cross it.
     is_far: bool,
     rank: Rank,
     /// What it writes, where that counts.
@@ -91,37 +88,39 @@
     cost: &Cost,
     now: Moment,
     job: &Job,
-    sites: &'a [Site<'a>],
+    candidates: &'a [Candidate<'a>],
     load: &Load,
-) -> Option<&'a Site<'a>> {
+) -> Option<&'a Candidate<'a>> {
     let slots = cost.engine().slots as usize;
     let left_ms = (job.due - now).as_secs_f64() * 1e3;
-    let fits = sites.iter().filter(|site| site.free >= job.tokens());
-    let fits = fits.filter(|site| site.writers() < slots);
-    let keyed = fits.map(|site| (place_of(cost, job, site, left_ms, load), site));
-    let mut keyed: Vec<(Place, &Site<'_>)> = keyed.collect();
-    keyed.sort_by_key(|(place, site)| (*place, site.key));
+    let fits = candidates
+        .iter()
+        .filter(|candidate| candidate.free >= job.tokens());
+    let fits = fits.filter(|candidate| candidate.writers() < slots);
+    let keyed = fits.map(|candidate| (place_of(cost, job, candidate, left_ms, load), candidate));
+    let mut keyed: Vec<(Place, &Candidate<'_>)> = keyed.collect();
+    keyed.sort_by_key(|(place, candidate)| (*place, candidate.key));
     let (best, _) = keyed.first()?;
     let is_alike = |place: &Place| !place.is_late && place.is_far == best.is_far;
     let alike = keyed.iter().filter(|(place, _)| is_alike(place)).count();
-    let among = (1 + (senders(sites, load) * SPREAD.as_secs_f64()) as usize).min(alike.max(1));
+    let among = (1 + (senders(candidates, load) * SPREAD.as_secs_f64()) as usize).min(alike.max(1));
     let drawn = job.id.draw() % among as u64;
-    keyed.get(drawn as usize).map(|(_, site)| *site)
+    keyed.get(drawn as usize).map(|(_, candidate)| *candidate)
 }
 
-fn place_of(cost: &Cost, job: &Job, site: &Site<'_>, left_ms: f64, load: &Load) -> Place {
+fn place_of(cost: &Cost, job: &Job, candidate: &Candidate<'_>, left_ms: f64, load: &Load) -> Place {
     let read_ms = cost.read_ms(job.prompt).min(PART_MS);
-    let pass_ms = cost.pass_ms(site.writers() + 1, site.tokens());
-    let others_ms = site.backlog_ms + PASSES * pass_ms;
+    let pass_ms = cost.pass_ms(candidate.writers() + 1, candidate.tokens());
+    let others_ms = candidate.backlog_ms + PASSES * pass_ms;
     let first_us = ((others_ms + read_ms) * 1e3) as u64;
-    let answers = site.answers_as_tight(job.pause.as_secs_f64() * 1e3);
-    let is_soon = others_ms <= left_ms * PACKED && site.parts_ms <= 0.0;
+    let answers = candidate.answers_as_tight(job.pause.as_secs_f64() * 1e3);
+    let is_soon = others_ms <= left_ms * PACKED && candidate.parts_ms <= 0.0;
     let is_on_time = others_ms + read_ms <= left_ms * BEHIND;
-    let is_far = load.here.is_some_and(|here| here != site.group());
+    let is_far = load.here.is_some_and(|here| here != candidate.group());
     let (rank, fullness) = match answers {
         1.. if is_soon => (Rank::Packed, answers),
         1.. if is_on_time => (Rank::Behind, 0),
-        _ if is_soon => (Rank::Clean, site.writers()),
+        _ if is_soon => (Rank::Clean, candidate.writers()),
         _ => (Rank::Late, 0),
     };
     let is_late = rank == Rank::Late;
@@ -135,25 +134,33 @@
 }
 
 /// Prompts a second that are sent by hosts that choose among the same engines first.
-fn senders(sites: &[Site<'_>], load: &Load) -> f64 {
+fn senders(candidates: &[Candidate<'_>], load: &Load) -> f64 {
     if load.here.is_none() {
         return load.rate;
     }
-    let groups: IndexSet<Group> = sites.iter().map(Site::group).collect();
+    let groups: IndexSet<Group> = candidates.iter().map(Candidate::group).collect();
     load.rate / groups.len().max(1) as f64
 }
 
 /// Engines that share the reading of a prompt that is short, but longer than a pass: quiet ones,
 /// those that write least first.
-pub(crate) fn helpers(sites: &[Site<'_>], first: &Site<'_>, read_ms: f64) -> Vec<Part> {
+pub(crate) fn helpers(
+    candidates: &[Candidate<'_>],
+    first: &Candidate<'_>,
+    read_ms: f64,
+) -> Vec<Part> {
     let wanted = (read_ms / PART_MS) as usize;
-    let quiet = sites.iter().filter(|site| site.key != first.key);
-    let mut quiet: Vec<&Site<'_>> = quiet.filter(|site| site.parts_ms <= 0.0).collect();
-    quiet.sort_by_key(|site| site.writers());
+    let quiet = candidates
+        .iter()
+        .filter(|candidate| candidate.key != first.key);
+    let mut quiet: Vec<&Candidate<'_>> = quiet
+        .filter(|candidate| candidate.parts_ms <= 0.0)
+        .collect();
+    quiet.sort_by_key(|candidate| candidate.writers());
     let helpers = quiet.into_iter().take(wanted);
     helpers
-        .map(|site| Part {
-            endpoint: site.key,
+        .map(|candidate| Part {
+            endpoint: candidate.key,
             reserved: 0,
         })
         .collect()
--- a/crates/kumquatdrum_placement/tests/model/play.rs
+++ b/crates/kumquatdrum_placement/tests/model/play.rs
@@ -192,8 +192,8 @@
                 Notice::Sent(plan) => planner.sent(now, plan.clone()),
                 Notice::Began(job) => planner.began(now, *job),
                 Notice::Ended(job) => planner.ended(now, *job),
-                Notice::Waits(turn) => planner.waits(now, *turn),
-                Notice::Left(job) => planner.left(*job),
+                Notice::Waits(turn) => planner.queued(now, *turn),
+                Notice::Left(job) => planner.cancelled(*job),
                 Notice::Running(jobs) => {
                     for (plan, is_reading) in jobs {
                         planner.running(now, plan.clone(), *is_reading);
@@ -307,7 +307,7 @@
                         false
                     }
                     _ => {
-                        planners.own(*id).left(*id);
+                        planners.own(*id).cancelled(*id);
                         planners.tell(now, id.host, Notice::Left(*id));
                         outcomes[prompt.kind].refused += 1;
                         false
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -101,7 +101,7 @@
         Decision::Wait(turn) => assert!(turn.blocked),
         other => panic!("{other:?}"),
     }
-    planner.left(broken.id);
+    planner.cancelled(broken.id);
     for short in shorts {
         planner.ended(at(5_501), short.job);
     }
@@ -210,7 +210,7 @@
         "the other one goes first"
     );
     sent(planner.place(at, &long));
-    planner.left(long.id);
+    planner.cancelled(long.id);
 }
 
 #[test]
@@ -254,7 +254,7 @@
             let prompt = 1_000 + u64::from(random.next_u32()) % 260_000;
             match planner.place(now, &job(number, prompt, now)) {
                 Decision::Send(plan, _) => running.push(plan),
-                _ => planner.left(JobId { host: 1, number }),
+                _ => planner.cancelled(JobId { host: 1, number }),
             }
             if running.len() > 8 || random.next_u32() % 3 == 0 {
                 end_one(&mut planner, &mut running, now, random.next_u32());
