--- a/crates/kumquatdrum_fanout/src/audience.rs
+++ b/crates/kumquatdrum_fanout/src/audience.rs
@@ -22,10 +22,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Relay {
     /// The usual one.
-    pub first: HostId,
+    pub primary: HostId,
     /// The one that gets every other repetition, so that the loss of the first is made good before it
     /// is noticed.
-    pub second: HostId,
+    pub secondary: HostId,
     /// All that are to be told in the data centre, the relays among them.
     pub hosts: Vec<HostId>,
 }
@@ -102,8 +102,8 @@
     let first = pool.first().copied()?;
     let second = pool.get(1).copied().unwrap_or(first);
     Some(Relay {
-        first: first.clone(),
-        second: second.clone(),
+        primary: first.clone(),
+        secondary: second.clone(),
         hosts: places.iter().map(|place| place.id.clone()).collect(),
     })
 }
--- a/crates/kumquatdrum_fanout/tests/fanout.rs
+++ b/crates/kumquatdrum_fanout/tests/fanout.rs
@@ -63,8 +63,11 @@
         for to in &audience.direct {
             self.deliver(&local.id, to, &[event]);
         }
-        for Relay { first, second, .. } in &audience.relays {
-            let relay = if is_repeated { second } else { first };
+        for Relay {
+            primary, secondary, ..
+        } in &audience.relays
+        {
+            let relay = if is_repeated { secondary } else { primary };
             if !self.deliver(&local.id, relay, &[event]) {
                 continue;
             }
@@ -139,8 +142,8 @@
     let mut senders: IndexMap<HostId, usize> = IndexMap::new();
     for local in &all {
         for relay in audience(local, &all).relays {
-            assert_ne!(relay.first, relay.second);
-            *senders.entry(relay.first).or_default() += 1;
+            assert_ne!(relay.primary, relay.secondary);
+            *senders.entry(relay.primary).or_default() += 1;
         }
     }
     // Eight relays in each of five data centres, and 236 senders for each data centre.
@@ -153,23 +156,23 @@
 fn the_loss_of_a_relay_moves_its_senders_and_a_share_for_its_successor() {
     let mut all = places(59);
     let before: Vec<Audience> = all.iter().map(|local| audience(local, &all)).collect();
-    let gone = before[0].relays[0].first.clone();
+    let gone = before[0].relays[0].primary.clone();
     let place = all.iter_mut().find(|place| place.id == gone);
     place.expect("the relay").may_relay = false;
     let mut pool: IndexSet<&HostId> = IndexSet::new();
     for relay in before.iter().flat_map(|audience| &audience.relays) {
-        pool.extend([&relay.first, &relay.second]);
+        pool.extend([&relay.primary, &relay.secondary]);
     }
     for (local, before) in all.iter().zip(&before) {
         for (old, new) in before.relays.iter().zip(&audience(local, &all).relays) {
             // Whoever relays in its place takes a share of all senders, and others keep theirs.
-            let is_newcomer = !pool.contains(&new.first);
-            let expected = if old.first == gone {
-                &old.second
+            let is_newcomer = !pool.contains(&new.primary);
+            let expected = if old.primary == gone {
+                &old.secondary
             } else {
-                &old.first
+                &old.primary
             };
-            assert!(is_newcomer || new.first == *expected);
+            assert!(is_newcomer || new.primary == *expected);
         }
     }
 }
@@ -190,7 +193,7 @@
 fn a_repetition_passes_by_a_relay_that_is_lost() {
     let mut world = World::new(59);
     let relays = audience(&world.places[0], &world.places).relays;
-    world.lost.insert(relays[2].first.clone());
+    world.lost.insert(relays[2].primary.clone());
     world.tell(START, 0, 1, Urgency::Usual, false);
     world.tell(START, 0, 1, Urgency::Usual, true);
     world.tick(START + Duration::from_secs(1));
--- a/crates/kumquatdrum_gateway/src/tell.rs
+++ b/crates/kumquatdrum_gateway/src/broadcast.rs
@@ -27,7 +27,7 @@
 const UNREADABLE_LOGGED: Duration = Duration::from_secs(1);
 
 /// Tells other hosts of dispatches. What is lost is made good by the job's end, or its age.
-pub struct Teller {
+pub struct Broadcaster {
     clock: Clock,
     socket: UdpSocket,
     hosts: Arc<Hosts>,
@@ -49,20 +49,20 @@
 /// The addresses of a data centre's relays.
 #[derive(Debug)]
 struct Route {
-    first: SocketAddr,
-    second: SocketAddr,
+    primary: SocketAddr,
+    secondary: SocketAddr,
 }
 
 /// Which relays an event takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Way {
+pub enum RelayPath {
     /// The first of each data centre.
-    First,
+    Primary,
     /// The second.
-    Second,
+    Secondary,
 }
 
-impl Teller {
+impl Broadcaster {
     /// Opens the socket.
     pub fn open(
         clock: Clock,
@@ -92,7 +92,7 @@
             return;
         }
         if known.audience.relays != audience.relays {
-            let names = audience.relays.iter().map(|relay| relay.first.as_str());
+            let names = audience.relays.iter().map(|relay| relay.primary.as_str());
             let names: Vec<&str> = names.collect();
             info!(self.logger, "relays_changed"; "event" => "relays_changed",
                 "relays" => names.join(","), "direct" => audience.direct.len());
@@ -101,8 +101,8 @@
         let direct = direct.filter_map(|id| self.hosts.datagrams_at(id));
         let relays = audience.relays.iter().filter_map(|relay| {
             Some(Route {
-                first: self.hosts.datagrams_at(&relay.first)?,
-                second: self.hosts.datagrams_at(&relay.second)?,
+                primary: self.hosts.datagrams_at(&relay.primary)?,
+                secondary: self.hosts.datagrams_at(&relay.secondary)?,
             })
         });
         let peers = Peers {
@@ -115,7 +115,7 @@
     }
 
     /// Tells all hosts that take callers.
-    pub fn tell(&self, event: Event, urgency: Urgency, way: Way) {
+    pub fn tell(&self, event: Event, urgency: Urgency, path: RelayPath) {
         let peers = self.peers.lock().clone();
         let mut datagram = Datagram {
             reach: Reach::Host,
@@ -126,9 +126,9 @@
         }
         if !peers.relays.is_empty() {
             datagram.reach = Reach::DataCentre(urgency);
-            let relays = peers.relays.iter().map(|route| match way {
-                Way::First => route.first,
-                Way::Second => route.second,
+            let relays = peers.relays.iter().map(|route| match path {
+                RelayPath::Primary => route.primary,
+                RelayPath::Secondary => route.secondary,
             });
             let relays: Vec<SocketAddr> = relays.collect();
             self.send(&datagram, &relays);
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -18,10 +18,10 @@
 
 use crate::Gateway;
 use crate::body::{Body, json};
+use crate::broadcast::RelayPath;
 use crate::message::{Answer, Question};
 use crate::protocol::{Operation, Protocol};
 use crate::replica::Ask;
-use crate::tell::Way;
 
 /// How long one replica may take to answer as the leader.
 const ONE: Duration = Duration::from_millis(900);
@@ -226,7 +226,7 @@
     let (change, update) = gateway.endpoints.announce(announcement);
     let update: Vec<Update> = update.into_iter().collect();
     match change {
-        Change::New if !is_leaving => gateway.push_endpoints(update, Way::First),
+        Change::New if !is_leaving => gateway.push_endpoints(update, RelayPath::Primary),
         Change::New | Change::Changed => gateway.confirm(update).await,
         Change::Refreshed | Change::Stale => {}
     }
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -17,12 +17,12 @@
 use slog::info;
 use tokio::sync::Notify;
 
+use crate::broadcast::{Broadcaster, RelayPath};
 use crate::endpoints::Endpoints;
 use crate::hosts::Hosts;
 use crate::message::Event;
 use crate::protocol::Helper;
 use crate::settings::Retries;
-use crate::tell::{Teller, Way};
 
 mod pick;
 
@@ -51,7 +51,7 @@
     /// The other hosts.
     pub hosts: Arc<Hosts>,
     /// Tells other hosts of dispatches; absent on hosts that take no callers.
-    pub teller: Option<Arc<Teller>>,
+    pub broadcaster: Option<Arc<Broadcaster>>,
     /// Retries that all hosts may make.
     pub retries: Retries,
     /// How often endpoints announce themselves.
@@ -231,8 +231,8 @@
         let (Event::Sent(name, _)
         | Event::Began(name, _)
         | Event::Ended(name, _)
-        | Event::Waits(name, _)
-        | Event::Left(name, _)
+        | Event::Queued(name, _)
+        | Event::Cancelled(name, _)
         | Event::Running(name, _)) = &event;
         let service = self.find(name)?;
         let mut state = service.state.lock();
@@ -243,8 +243,8 @@
             Event::Sent(_, plan) => planner.sent(now, plan),
             Event::Began(_, job) => planner.began(now, job),
             Event::Ended(_, job) => planner.ended(now, job),
-            Event::Waits(_, turn) => planner.queued(now, turn),
-            Event::Left(_, job) => planner.cancelled(job),
+            Event::Queued(_, turn) => planner.queued(now, turn),
+            Event::Cancelled(_, job) => planner.cancelled(job),
             Event::Running(_, jobs) => {
                 for (plan, is_reading) in jobs {
                     planner.running(now, plan, is_reading);
@@ -256,7 +256,7 @@
     }
 
     /// Tells other hosts of all jobs under way here, for those that have missed some.
-    pub fn retell(&self, way: Way) {
+    pub fn retell(&self, path: RelayPath) {
         let now = self.parts.clock.now();
         let services: Vec<Arc<Service>> = self.services.read().values().cloned().collect();
         for service in services {
@@ -266,7 +266,7 @@
             };
             for jobs in batches(jobs) {
                 let event = Event::Running(service.name.clone(), jobs);
-                self.tell_by(event, Urgency::Usual, way);
+                self.tell_by(event, Urgency::Usual, path);
             }
         }
     }
@@ -394,12 +394,12 @@
     }
 
     fn tell(&self, event: Event, urgency: Urgency) {
-        self.tell_by(event, urgency, Way::First);
+        self.tell_by(event, urgency, RelayPath::Primary);
     }
 
-    fn tell_by(&self, event: Event, urgency: Urgency, way: Way) {
-        if let Some(teller) = &self.parts.teller {
-            teller.tell(event, urgency, way);
+    fn tell_by(&self, event: Event, urgency: Urgency, path: RelayPath) {
+        if let Some(broadcaster) = &self.parts.broadcaster {
+            broadcaster.tell(event, urgency, path);
         }
     }
 
@@ -425,7 +425,7 @@
             .is_none_or(|(at, blocked)| now - at >= TELL_TURN || blocked != turn.blocked);
         if is_due {
             self.told = Some((now, turn.blocked));
-            let event = Event::Waits(self.service.name.clone(), turn);
+            let event = Event::Queued(self.service.name.clone(), turn);
             self.fleet.tell(event, Urgency::Urgent);
         }
     }
@@ -439,7 +439,7 @@
         if let Policy::Engines(planner) = &mut self.service.state.lock().policy {
             planner.cancelled(self.job);
         }
-        let event = Event::Left(self.service.name.clone(), self.job);
+        let event = Event::Cancelled(self.service.name.clone(), self.job);
         self.fleet.tell(event, Urgency::Urgent);
         self.service.changed.notify_waiters();
     }
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::broadcast::Broadcaster;
 use crate::endpoints::Endpoints;
 use crate::fleet::Fleet;
 use crate::hosts::Hosts;
@@ -25,7 +26,6 @@
 use crate::meters::Meters;
 use crate::replica::{Ask, Handle};
 use crate::spread::Spread;
-use crate::tell::Teller;
 use crate::{Protocol, Settings, in_force, recall};
 
 mod announced;
@@ -90,7 +90,7 @@
     pub(crate) logger: slog::Logger,
     client: Arc<Client>,
     traffic: Arc<Counters>,
-    teller: Option<Arc<Teller>>,
+    broadcaster: Option<Arc<Broadcaster>>,
     replica: Option<Handle>,
     settings: Settings,
     started: Moment,
--- a/crates/kumquatdrum_gateway/src/gateway/announced.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/announced.rs
@@ -10,8 +10,8 @@
 use tokio::task::JoinSet;
 
 use super::Gateway;
+use crate::broadcast::RelayPath;
 use crate::message::{Answer, Notice, Question};
-use crate::tell::Way;
 
 /// How long other hosts may take to confirm that they know who leaves. An endpoint waits a
 /// second for its acknowledgement.
@@ -35,16 +35,16 @@
     }
 
     /// Tells all hosts of endpoints. What is lost comes with a later round.
-    pub(crate) fn push_endpoints(&self, updates: Vec<Update>, way: Way) {
+    pub(crate) fn push_endpoints(&self, updates: Vec<Update>, path: RelayPath) {
         if updates.is_empty() {
             return;
         }
         let audience = self.hosts.live_audience();
         self.relay_endpoints(&updates, &audience.direct);
         for relay in audience.relays {
-            let to = match way {
-                Way::First => &relay.first,
-                Way::Second => &relay.second,
+            let to = match path {
+                RelayPath::Primary => &relay.primary,
+                RelayPath::Secondary => &relay.secondary,
             };
             let hosts = relay.hosts.iter().filter(|host| *host != to);
             let notice = Notice::RelayEndpoints {
@@ -80,7 +80,9 @@
         for relay in audience.relays {
             let (gateway, updates) = (self.clone(), updates.clone());
             asked.spawn(async move {
-                let left = gateway.ask_relay(&updates, relay.first, relay.hosts).await;
+                let left = gateway
+                    .ask_relay(&updates, relay.primary, relay.hosts)
+                    .await;
                 gateway.ask_all(&updates, left, CONFIRMED_NEAR).await
             });
         }
--- a/crates/kumquatdrum_gateway/src/gateway/rounds.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/rounds.rs
@@ -9,9 +9,9 @@
 use tokio::time::{interval, sleep};
 
 use super::{FIRST_GREETING, File, Gateway};
+use crate::broadcast::RelayPath;
 use crate::message::{Answer, Question, Wanted};
 use crate::settings;
-use crate::tell::Way;
 
 /// How often hosts greet the control hosts of their data centre: a host that was cut off knows what is
 /// in force within half a second of its return.
@@ -32,10 +32,10 @@
             let mut greetings = JoinSet::new();
             let at_once = is_new || self.spread.is_behind();
             let greeted = self.hosts.greeted(round, at_once);
-            let teller = if is_new {
+            let lister = if is_new {
                 None
             } else {
-                self.hosts.teller(round, &greeted)
+                self.hosts.lister(round, &greeted)
             };
             for host in greeted {
                 let gateway = self.clone();
@@ -43,7 +43,7 @@
                     host: self.hosts.local(),
                     revision: self.in_force.revision(),
                     is_new,
-                    hosts: if teller.as_ref().is_none_or(|teller| *teller == host) {
+                    hosts: if lister.as_ref().is_none_or(|lister| *lister == host) {
                         self.hosts.wanted(&host)
                     } else {
                         Wanted::Nothing
@@ -66,8 +66,8 @@
             }
             self.hosts.sweep();
             self.fleet.refresh();
-            if let Some(teller) = &self.teller {
-                teller.refresh();
+            if let Some(broadcaster) = &self.broadcaster {
+                broadcaster.refresh();
             }
             let pause = if is_new || self.spread.is_behind() {
                 FIRST_GREETING
@@ -101,18 +101,24 @@
 
     pub(super) async fn retell(self: Arc<Self>) {
         let mut rounds = interval(RETELLING);
-        for way in [Way::Second, Way::First].into_iter().cycle() {
+        for path in [RelayPath::Secondary, RelayPath::Primary]
+            .into_iter()
+            .cycle()
+        {
             rounds.tick().await;
-            self.fleet.retell(way);
+            self.fleet.retell(path);
         }
     }
 
     pub(super) async fn pass_on(self: Arc<Self>) {
         let mut rounds = interval(ROUND);
-        for way in [Way::First, Way::Second].into_iter().cycle() {
+        for path in [RelayPath::Primary, RelayPath::Secondary]
+            .into_iter()
+            .cycle()
+        {
             rounds.tick().await;
             let updates = self.endpoints.round();
-            self.push_endpoints(updates, way);
+            self.push_endpoints(updates, path);
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -20,6 +20,7 @@
 
 use super::{Gateway, StartError};
 use crate::body::Body;
+use crate::broadcast::Broadcaster;
 use crate::callers::{self, Phase};
 use crate::endpoints::Endpoints;
 use crate::fleet::{self, Fleet};
@@ -29,7 +30,6 @@
 use crate::meters::Meters;
 use crate::replica::{self, Event, Handle};
 use crate::spread::Spread;
-use crate::tell::Teller;
 use crate::{Protocol, Settings, call, control, health, in_force, sockets};
 
 /// How long a host that stops still accepts: the balancer needs two misses, a second apart.
@@ -133,10 +133,14 @@
     running.tasks.spawn(gateway.clone().take_records());
     let spread = gateway.spread.clone();
     running.tasks.spawn(async move { spread.run().await });
-    if let Some(teller) = gateway.teller.clone() {
+    if let Some(broadcaster) = gateway.broadcaster.clone() {
         running.tasks.spawn(gateway.clone().retell());
         let gateway = gateway.clone();
-        let listening = async move { teller.listen(|events| gateway.fleet.take(events)).await };
+        let listening = async move {
+            broadcaster
+                .listen(|events| gateway.fleet.take(events))
+                .await;
+        };
         running.tasks.spawn(listening);
     }
     open(&gateway, &mut running, &callers_open, &others_open)?;
@@ -167,15 +171,17 @@
     hosts.set_seeds(settings.seed_hosts());
     let endpoints = Arc::new(Endpoints::new(clock, logger.clone()));
     let meters = Arc::new(Meters::new()?);
-    let teller = match settings.listen.callers {
-        Some(_) => Some(open_teller(&settings, clock, &hosts, &meters, &logger)?),
+    let broadcaster = match settings.listen.callers {
+        Some(_) => Some(open_broadcaster(
+            &settings, clock, &hosts, &meters, &logger,
+        )?),
         None => None,
     };
     let fleet = Fleet::new(fleet::Parts {
         clock,
         endpoints: endpoints.clone(),
         hosts: hosts.clone(),
-        teller: teller.clone(),
+        broadcaster: broadcaster.clone(),
         retries: settings.retries,
         announcement: Duration::from_millis(settings.announcement_ms),
         number: number(&settings),
@@ -203,7 +209,7 @@
         logger,
         client,
         traffic: local.counters.clone(),
-        teller,
+        broadcaster,
         replica,
         started: clock.now(),
         settings,
@@ -303,15 +309,15 @@
     Ok(())
 }
 
-fn open_teller(
+fn open_broadcaster(
     settings: &Settings,
     clock: Clock,
     hosts: &Arc<Hosts>,
     meters: &Arc<Meters>,
     logger: &slog::Logger,
-) -> Result<Arc<Teller>, StartError> {
+) -> Result<Arc<Broadcaster>, StartError> {
     let address = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let opened = Teller::open(
+    let opened = Broadcaster::open(
         clock,
         address,
         hosts.clone(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -274,7 +274,7 @@
 
     /// The control host among those that are greeted which tells this one of hosts; none where all
     /// should. Each is asked in turn, so that one which is cut off does not hide hosts for long.
-    pub fn teller(&self, round: usize, greeted: &[HostId]) -> Option<HostId> {
+    pub fn lister(&self, round: usize, greeted: &[HostId]) -> Option<HostId> {
         if self.state.lock().local.control {
             return None;
         }
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Protocol`]; this package knows none of their names.
 
 pub mod body;
+pub mod broadcast;
 pub mod call;
 pub mod callers;
 pub mod control;
@@ -27,7 +28,6 @@
 pub mod settings;
 pub mod sockets;
 pub mod spread;
-pub mod tell;
 pub mod upstream;
 
 pub use gateway::{File, Gateway, StartError};
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -189,9 +189,9 @@
     /// It has ended.
     Ended(ServiceName, JobId),
     /// It waits for its turn.
-    Waits(ServiceName, Turn),
+    Queued(ServiceName, Turn),
     /// It waits no longer, and was not sent.
-    Left(ServiceName, JobId),
+    Cancelled(ServiceName, JobId),
     /// These are under way, each with whether it is still read.
     Running(ServiceName, Vec<(Plan, bool)>),
 }
@@ -200,8 +200,8 @@
     /// Whether a job that waits may be sent after it.
     pub const fn may_free(&self) -> bool {
         match self {
-            Self::Sent(..) | Self::Began(..) | Self::Ended(..) | Self::Left(..) => true,
-            Self::Waits(..) | Self::Running(..) => false,
+            Self::Sent(..) | Self::Began(..) | Self::Ended(..) | Self::Cancelled(..) => true,
+            Self::Queued(..) | Self::Running(..) => false,
         }
     }
 }
--- a/crates/kumquatdrum_gateway/tests/tell.rs
+++ b/crates/kumquatdrum_gateway/tests/broadcast.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use kumquatdrum_fanout::Urgency;
+use kumquatdrum_gateway::broadcast::{Broadcaster, RelayPath};
 use kumquatdrum_gateway::hosts::Hosts;
 use kumquatdrum_gateway::message::{Event, Host};
 use kumquatdrum_gateway::meters::Meters;
-use kumquatdrum_gateway::tell::{Teller, Way};
 use kumquatdrum_peer::{Client, Counters, Identity, Local, Secret};
 use kumquatdrum_placement::JobId;
 use kumquatdrum_process::clock::Clock;
@@ -24,9 +24,9 @@
 const EACH: u8 = 12;
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// One host's teller, and the jobs whose first token it has heard of.
+/// One host's broadcaster, and the jobs whose first token it has heard of.
 struct Member {
-    teller: Arc<Teller>,
+    broadcaster: Arc<Broadcaster>,
     meters: Arc<Meters>,
     heard: Arc<Mutex<Vec<u64>>>,
     address: SocketAddr,
@@ -64,11 +64,11 @@
     let meters = Arc::new(Meters::new().expect("meters"));
     let ip: IpAddr = local.id.as_str().parse().expect("an address");
     let address = SocketAddr::new(ip, port + 1);
-    let teller = Teller::open(clock, address, Arc::new(hosts), meters.clone(), logger);
-    let teller = teller.expect("a socket");
-    teller.refresh();
+    let broadcaster = Broadcaster::open(clock, address, Arc::new(hosts), meters.clone(), logger);
+    let broadcaster = broadcaster.expect("a socket");
+    broadcaster.refresh();
     Member {
-        teller: Arc::new(teller),
+        broadcaster: Arc::new(broadcaster),
         meters,
         heard: Arc::default(),
         address,
@@ -83,7 +83,7 @@
     let all: Vec<Host> = of(1, "tartu").chain(of(2, "riga")).collect();
     let members: Vec<Member> = all.iter().map(|local| member(port, local, &all)).collect();
     for member in &members {
-        let (teller, heard) = (member.teller.clone(), member.heard.clone());
+        let (broadcaster, heard) = (member.broadcaster.clone(), member.heard.clone());
         listening.spawn(async move {
             let take = |events: Vec<Event>| {
                 let jobs = events.into_iter().filter_map(|event| match event {
@@ -92,7 +92,7 @@
                 });
                 heard.lock().extend(jobs);
             };
-            teller.listen(take).await;
+            broadcaster.listen(take).await;
         });
     }
     // A socket takes datagrams only once the runtime has seen it writable.
@@ -128,13 +128,13 @@
     let members = members(71, 7_310, &mut listening).await;
     let events: Vec<u64> = (0..20).collect();
     for number in &events {
-        let (urgency, way) = match number % 4 {
-            0 => (Urgency::Urgent, Way::First),
-            1 => (Urgency::Usual, Way::First),
-            2 => (Urgency::Urgent, Way::Second),
-            _ => (Urgency::Usual, Way::Second),
+        let (urgency, path) = match number % 4 {
+            0 => (Urgency::Urgent, RelayPath::Primary),
+            1 => (Urgency::Usual, RelayPath::Primary),
+            2 => (Urgency::Urgent, RelayPath::Secondary),
+            _ => (Urgency::Usual, RelayPath::Secondary),
         };
-        members[3].teller.tell(began(*number), urgency, way);
+        members[3].broadcaster.tell(began(*number), urgency, path);
     }
     all_have_heard(&members, 3, &events).await;
     let sent = members[3].meters.datagrams.with_label_values(&["sent"]);
@@ -171,8 +171,8 @@
         .await
         .expect("all are counted");
     members[1]
-        .teller
-        .tell(began(7), Urgency::Urgent, Way::First);
+        .broadcaster
+        .tell(began(7), Urgency::Urgent, RelayPath::Primary);
     all_have_heard(&members, 1, &[7]).await;
     listening.shutdown().await;
 }
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -141,7 +141,7 @@
     let mut greetings = [0; 4];
     for round in 0..8 {
         let greeted = entry.greeted(round, false);
-        let teller = entry.teller(round, &greeted).expect("a teller");
+        let teller = entry.lister(round, &greeted).expect("a teller");
         assert!(greeted.contains(&teller));
         for (count, seed) in greetings.iter_mut().zip(&seeds) {
             *count += u32::from(greeted.contains(seed));
