Relay events of short prompts after 20 ms, and repeated turns with them

A long prompt's host took engines of another data centre for idle whose answers had begun in the last 0.1 s. A turn that is told again, ten times a second for each prompt that is queued, need not be urgent: only its first word and a change are.

--- a/crates/kumquatdrum_fanout/src/bundle.rs
+++ b/crates/kumquatdrum_fanout/src/bundle.rs
@@ -7,8 +7,9 @@
 
 /// How long an urgent event may wait for others: well below the time to read a part of a prompt.
 const URGENT_DELAY: Duration = Duration::from_millis(4);
-/// How long any other event may wait: a small share of the second or two that a short answer takes.
-const USUAL_DELAY: Duration = Duration::from_millis(100);
+/// How long any other event may wait: a long prompt that is sent meanwhile makes answers pause that its
+/// host has not heard of.
+const USUAL_DELAY: Duration = Duration::from_millis(20);
 
 /// How soon an event has to reach hosts of other data centres.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/kumquatdrum_gateway/src/fleet.rs
+++ b/crates/kumquatdrum_gateway/src/fleet.rs
@@ -424,9 +424,15 @@
             .told
             .is_none_or(|(at, blocked)| now - at >= TELL_TURN || blocked != turn.blocked);
         if is_due {
+            let is_news = self.told.is_none_or(|(_, blocked)| blocked != turn.blocked);
             self.told = Some((now, turn.blocked));
             let event = Event::Queued(self.service.name.clone(), turn);
-            self.fleet.tell(event, Urgency::Urgent);
+            let urgency = if is_news {
+                Urgency::Urgent
+            } else {
+                Urgency::Usual
+            };
+            self.fleet.tell(event, urgency);
         }
     }
 }
