--- a/crates/kumquatdrum_host/tests/support/mod.rs
+++ b/crates/kumquatdrum_host/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod log;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,7 +43,7 @@
 }
 
 pub fn logger() -> slog::Logger {
-    slog::Logger::root(slog::Discard, slog::o!())
+    slog::Logger::root(log::Captured, slog::o!())
 }
 
 /// Three hosts in as many data centres, or one.
