Gateway: log whether an endpoint crashed, and the fingerprint of the request

After a broken connection the host now opens one to the endpoint's address: refused without an announced leave means that its process has ended. The line endpoint_inspected carries the verdict and a fingerprint of method, path, workspace and body. No decision uses either yet.

--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! Handling of callers' requests: admission, forwarding to endpoints, and the response.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatdrum_process::random;
+use kumquatdrum_quarantine::Fingerprint;
 use kumquatdrum_routes::{Delivery, Route};
 use kumquatdrum_types::{Moment, ServiceName, WorkspaceName};
 use slog::info;
@@ -20,6 +21,7 @@
 use crate::protocol::Metadata;
 
 mod attempt;
+mod crash;
 mod run;
 mod stream;
 
@@ -39,6 +41,7 @@
     pub(crate) deadline: Moment,
     /// The caller's attempt id, for logs.
     pub(crate) attempt_id: String,
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 /// Handles one request from a caller.
@@ -169,6 +172,7 @@
         workspace: admission.workspace,
         arrived,
         deadline,
+        fingerprint: OnceLock::new(),
     })
 }
 
@@ -210,6 +214,17 @@
         self.gateway.clock.instant(self.deadline)
     }
 
+    /// Returns the request's identity across attempts and hosts. Computed on first use, since few
+    /// requests need it.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.head.uri.path_and_query();
+            let path = path.map_or(self.head.uri.path(), |path| path.as_str());
+            let workspace = self.workspace.as_ref();
+            Fingerprint::of(self.head.method.as_str(), path, workspace, &self.body)
+        })
+    }
+
     /// Returns the time since the request arrived.
     pub(crate) fn elapsed(&self) -> Duration {
         self.gateway.clock.now() - self.arrived
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -65,6 +65,7 @@
             Err(upstream::Error::Lost(reason)) => {
                 pick.record_failure(Failure::Broken);
                 self.log_attempt(pick, "lost", &reason);
+                self.inspect(pick, false).await;
                 return Outcome::Lost(reason);
             }
             Err(upstream::Error::TimedOut) => {
@@ -104,6 +105,7 @@
             Ok(Err(error)) => {
                 pick.record_failure(Failure::Broken);
                 self.log_attempt(pick, "broken", &error.to_string());
+                self.inspect(pick, false).await;
                 return Outcome::Lost(error.to_string());
             }
             Err(_) => {
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -67,6 +67,7 @@
                     Ok(started) => return started.response(call, work),
                     Err((pick, reason)) => {
                         call.log_attempt(&pick, "broken", &reason);
+                        call.inspect(&pick, false).await;
                         attempts.excluded.push(pick.key);
                         Outcome::Lost(reason)
                     }
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -175,6 +175,9 @@
                     }
                 }
                 Received::Broken(reason) => {
+                    if let Some(pick) = &self.pick {
+                        call.inspect(pick, true).await;
+                    }
                     if let Err(error) = self.resume(call, &reason).await {
                         return Some(Err(error));
                     }
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -102,6 +102,16 @@
         usable.map(|(a, age)| (a.clone(), age)).collect()
     }
 
+    /// Returns whether an endpoint is known to be leaving or gone, or its incarnation is unknown.
+    pub fn is_leaving(&self, endpoint: &Announcement) -> bool {
+        let state = self.state.lock();
+        let update = state.registry.update_for(self.clock.now(), &endpoint.id);
+        update.is_none_or(|update| {
+            let known = update.announcement;
+            update.gone || known.leaving || known.started != endpoint.started
+        })
+    }
+
     /// Waits for a change in the known endpoints since the previous call.
     pub async fn wait_for_change(&self) {
         self.changed.notified().await;
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 //! Connections are not reused, so that no request is sent on a dead connection or receives the
 //! response to an earlier request. This costs one round trip per request.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::sockets;
 
@@ -22,6 +23,29 @@
 /// SYN packet, so that another endpoint is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The timeout for a liveness check, which delays a retry: a few round trips.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Whether an endpoint's address accepts connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// The address accepts connections.
+    Listening,
+    /// The host of the endpoint refuses connections: no process listens.
+    Refusing,
+    /// There was no answer.
+    Unknown,
+}
+
+/// Opens a connection to an address and closes it.
+pub async fn check(address: SocketAddr) -> Liveness {
+    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Liveness::Listening,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Liveness::Refusing,
+        Ok(Err(_)) | Err(_) => Liveness::Unknown,
+    }
+}
+
 /// The reason why there is no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
