--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -9,9 +9,12 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
+/// The body of a request that crashes the endpoint: it closes all connections and its listener.
+pub const CRASHING_BODY: &str = "crash";
+
 /// How the endpoint answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -64,9 +67,20 @@
         let record = Arc::new(Record::default());
         let (name, shared) = (id.to_owned(), record.clone());
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (name, shared) = (name.clone(), shared.clone());
-                tokio::spawn(async move { serve(stream, &name, behaviour, &shared).await });
+            let mut serving = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        let (name, shared) = (name.clone(), shared.clone());
+                        serving.spawn(async move { serve(stream, &name, behaviour, &shared).await });
+                    }
+                    Some(ended) = serving.join_next() => {
+                        if matches!(ended, Ok(End::Crashed)) {
+                            return;
+                        }
+                    }
+                }
             }
         });
         Self {
@@ -88,9 +102,15 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, name: &str, behaviour: Behaviour, record: &Record) {
+/// How a connection to the endpoint ended.
+enum End {
+    Served,
+    Crashed,
+}
+
+async fn serve(mut stream: TcpStream, name: &str, behaviour: Behaviour, record: &Record) -> End {
     let Some(request) = read_request(&mut stream).await else {
-        return;
+        return End::Served;
     };
     let header = |name: &str| {
         let mut lines = request.lines().map(|line| line.split_once(": "));
@@ -105,11 +125,14 @@
     if header("Kumquatdrum-Expect-Instance") != name {
         let answer = head("421 Misdirected Request", &attempt, "Content-Length: 0\r\n");
         let _ = stream.write_all(answer.as_bytes()).await;
-        return;
+        return End::Served;
     }
     record.runs.fetch_add(1, Ordering::Relaxed);
     let after: u64 = header("Last-Event-Id").parse().unwrap_or(0);
     *record.attempts.lock().entry(attempt.clone()).or_default() += 1;
+    if request.ends_with(&format!("\r\n\r\n{CRASHING_BODY}")) {
+        return End::Crashed;
+    }
     let behaviour = match behaviour {
         Behaviour::StreamOrCompleteBody if request.contains(" /stream/") => SIX_EVENTS,
         Behaviour::StreamOrCompleteBody => Behaviour::CompleteBody,
@@ -122,6 +145,7 @@
     {
         record.disconnects.fetch_add(1, Ordering::Relaxed);
     }
+    End::Served
 }
 
 async fn send_answer(
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod control;
+mod crash;
 mod endpoint;
 mod explain;
 mod fanout;
