Gateway: refuse requests that have crashed three endpoints, on all hosts

Seen (BUDGET): one request, repeated by its caller at any host, ended 49 endpoints; 402 of 763 other requests were served.

Cause: what a request did was forgotten with the call that carried it. Attempts were counted for one attempt of the caller at one host; a repetition has a new attempt id, so each host sent it to two more endpoints, for ever.

Evidence is a set, so that hosts merge it in any order; it is broadcast at once and carried by hellos, which also bring it to hosts that restart or return.

--- a/crates/kumquatdrum_gateway/src/broadcast.rs
+++ b/crates/kumquatdrum_gateway/src/broadcast.rs
@@ -21,7 +21,7 @@
 /// The maximum size of the encoded events in a datagram; the rest is for its header.
 const MAX_BATCH_BYTES: usize = 1_300;
 /// The version of the encoding. Datagrams of other versions are rejected.
-const ENCODING_VERSION: u8 = 2;
+const ENCODING_VERSION: u8 = 3;
 /// The minimum interval between log lines about unreadable datagrams.
 const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -121,7 +121,10 @@
         match (execution, &reply.failed_endpoint) {
             (_, Some(id)) if *id != pick.endpoint.id.as_str() => pick.record_helper_failure(id),
             _ if reply.is_misdirected => pick.mark_displaced(),
-            (Execution::Ran, _) => pick.record_success(load),
+            (Execution::Ran, _) => {
+                pick.record_success(load);
+                self.record_completion();
+            }
             (Execution::NotRun, _) => pick.record_failure(Failure::Busy),
             (Execution::Failed, _) => pick.record_failure(Failure::Error),
         }
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -59,6 +59,9 @@
         let Some(reservations) = call.reserve(&pick, &mut attempts).await else {
             continue;
         };
+        if let Err(problem) = call.check_block() {
+            return call.give_up(&mut attempts, problem);
+        }
         let outcome = call.attempt(&pick, None).await;
         attempts.sent += u32::from(!matches!(outcome, Outcome::Unsent(_)));
         let outcome = match outcome {
@@ -107,7 +110,11 @@
             .gateway
             .pool
             .pick(&self.service, &self.attempt_id, &job);
-        let picked = picked.await;
+        let picked = tokio::select! {
+            biased;
+            problem = self.wait_for_block() => return Err(problem),
+            picked = picked => picked,
+        };
         picked.map_err(|rejection| match rejection {
             Rejection::NoEndpoint => Problem::Refused {
                 reason: "no endpoint is known",
@@ -195,6 +202,7 @@
         };
         let is_allowed = can_retry
             && attempts.sent < self.route.max_attempts
+            && self.check_block().is_ok()
             && self.gateway.pool.take_retry(&self.service);
         if is_allowed {
             return None;
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -160,6 +160,7 @@
                     return Some(Ok(bytes));
                 }
                 Received::End => {
+                    call.record_completion();
                     call.log_streamed(&self.timing, &self.attempts);
                     self.exchange = None;
                     self.reservations.clear();
@@ -232,6 +233,7 @@
         self.splitter = Splitter::default();
         let is_allowed = call.route.delivery.is_idempotent()
             && self.attempts.sent < call.route.max_attempts
+            && call.check_block().is_ok()
             && call.gateway.pool.take_retry(&call.service);
         if !is_allowed {
             call.log_end("cut", reason, &self.attempts);
@@ -248,6 +250,9 @@
             let Some(reservations) = call.reserve(&pick, &mut self.attempts).await else {
                 continue;
             };
+            if call.check_block().is_err() {
+                break;
+            }
             match call.attempt(&pick, self.last_event_id).await {
                 Outcome::Stream(exchange) => {
                     self.exchange = Some(*exchange);
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -22,9 +22,10 @@
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
 use crate::hosts::Hosts;
-use crate::message::{Host, Request, Response, Selection};
+use crate::message::{Event, Hello, Request, Response};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::quarantine;
 use crate::replica::{Command, Handle};
 use crate::{Protocol, Settings, active_setup, endpoint_cache};
 
@@ -85,6 +86,7 @@
     pub(crate) active_setup: Arc<active_setup::Store>,
     pub(crate) distributor: Arc<Distributor>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) quarantine: Arc<quarantine::Store>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
     pub(crate) logger: slog::Logger,
@@ -178,6 +180,9 @@
         self.metrics.revision.set(revision);
         self.metrics.hosts.set(self.hosts.live_hosts().len() as i64);
         self.metrics.in_flight.set(self.drain.in_flight());
+        let (suspects, blocked) = self.quarantine.counts();
+        self.metrics.suspects.set(suspects as i64);
+        self.metrics.blocked.set(blocked as i64);
         self.metrics.update_peer_bytes(&self.traffic);
     }
 
@@ -233,28 +238,37 @@
     }
 
     /// Answers a hello.
-    pub(crate) fn answer_hello(
-        self: &Arc<Self>,
-        host: Host,
-        revision: u64,
-        is_new: bool,
-        selection: Selection,
-    ) -> Response {
-        let id = host.id.clone();
-        self.hosts.record_contact(host);
-        self.observe_revision(id, revision);
+    pub(crate) fn answer_hello(self: &Arc<Self>, hello: Hello) -> Response {
+        let id = hello.host.id.clone();
+        self.hosts.record_contact(hello.host);
+        let evidence = hello.evidence.suspects;
+        self.quarantine.merge(evidence, id.as_str());
+        self.observe_revision(id, hello.revision);
         Response::Welcome {
             host: self.hosts.local(),
-            hosts: self.hosts.listing(selection),
+            hosts: self.hosts.listing(hello.hosts),
             revision: self.active_setup.revision(),
-            endpoints: if is_new {
+            endpoints: if hello.is_new {
                 self.endpoints.all_updates()
             } else {
                 Vec::new()
             },
+            evidence: self.quarantine.answer(hello.known_evidence),
         }
     }
 
+    /// Applies events from other hosts.
+    fn apply_events(&self, events: Vec<Event>) {
+        let mut job_events = Vec::with_capacity(events.len());
+        for event in events {
+            match event {
+                Event::Suspected(suspect) => self.quarantine.merge(vec![suspect], "broadcast"),
+                event => job_events.push(event),
+            }
+        }
+        self.pool.apply_events(job_events);
+    }
+
     /// Records another host's active revision, and fetches it if it is higher.
     fn observe_revision(self: &Arc<Self>, host: HostId, revision: u64) {
         if self.distributor.observe_revision(revision) {
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -10,7 +10,7 @@
 
 use super::{Gateway, INITIAL_HELLO_INTERVAL, SettingsFile};
 use crate::broadcast::RelayPath;
-use crate::message::{Request, Response, Selection};
+use crate::message::{Hello, Request, Response, Selection, Version};
 use crate::settings;
 
 /// The interval between hellos to the control hosts of the local data centre.
@@ -39,7 +39,9 @@
             };
             for host in targets {
                 let gateway = self.clone();
-                let request = Request::Hello {
+                let (evidence, known_evidence) = self.quarantine.outgoing(&host);
+                let sent = evidence.version;
+                let request = Request::Hello(Hello {
                     host: self.hosts.local(),
                     revision: self.active_setup.revision(),
                     is_new,
@@ -48,12 +50,14 @@
                     } else {
                         Selection::Nothing
                     },
-                };
+                    evidence,
+                    known_evidence,
+                });
                 hellos.spawn(async move {
                     let channel = Channel::Membership;
                     let response = gateway.send_request(&host, channel, &request, HELLO_TIMEOUT);
                     match response.await {
-                        Some(response) => gateway.apply_welcome(response),
+                        Some(response) => gateway.apply_welcome(response, sent),
                         None => false,
                     }
                 });
@@ -65,6 +69,7 @@
                 }
             }
             self.hosts.expire_silent();
+            self.quarantine.expire();
             self.pool.refresh();
             if let Some(broadcaster) = &self.broadcaster {
                 broadcaster.refresh();
@@ -78,23 +83,26 @@
         }
     }
 
-    /// Applies the response to a hello. Returns whether it is a welcome.
-    fn apply_welcome(self: &Arc<Self>, response: Response) -> bool {
+    /// Applies the response to a hello that carried the evidence up to `sent`. Returns whether it is
+    /// a welcome.
+    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Version) -> bool {
         let Response::Welcome {
             host,
             hosts,
             revision,
             endpoints,
+            evidence,
         } = response
         else {
             return false;
         };
-        let id = host.id.clone();
+        let (id, boot) = (host.id.clone(), host.boot);
         self.hosts.record_contact(host);
         if let Some(listing) = hosts {
             self.hosts.merge_listing(&id, listing);
         }
         self.merge_endpoints(endpoints, id.as_str());
+        self.quarantine.record_exchange(&id, boot, sent, evidence);
         self.observe_revision(id, revision);
         true
     }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -30,7 +30,7 @@
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
 use crate::replica::{self, Event, Handle};
-use crate::{Protocol, Settings, active_setup, call, control, health, sockets};
+use crate::{Protocol, Settings, active_setup, call, control, health, quarantine, sockets};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
 /// fail before the listener closes.
@@ -139,7 +139,7 @@
         let gateway = gateway.clone();
         let listening = async move {
             broadcaster
-                .listen(|events| gateway.pool.apply_events(events))
+                .listen(|events| gateway.apply_events(events))
                 .await;
         };
         running.tasks.spawn(listening);
@@ -183,6 +183,12 @@
         )?),
         None => None,
     };
+    let quarantine = quarantine::Store::new(
+        clock,
+        local.identity.boot.0,
+        broadcaster.clone(),
+        logger.clone(),
+    );
     let pool = Pool::new(pool::Dependencies {
         clock,
         endpoints: endpoints.clone(),
@@ -210,6 +216,7 @@
         hosts,
         endpoints,
         pool: Arc::new(pool),
+        quarantine: Arc::new(quarantine),
         metrics,
         drain: Arc::default(),
         logger,
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -71,12 +71,7 @@
 
 async fn handle_request(gateway: &Arc<Gateway>, from: &Identity, request: Request) -> Response {
     match request {
-        Request::Hello {
-            host,
-            revision,
-            is_new,
-            hosts,
-        } => gateway.answer_hello(host, revision, is_new, hosts),
+        Request::Hello(hello) => gateway.answer_hello(hello),
         Request::Fetch { above } if gateway.distributor.enqueue(&from.host, above) => {
             Response::Taken
         }
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod problem;
 pub mod protocol;
+pub mod quarantine;
 pub mod replica;
 pub mod reservation;
 pub mod settings;
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -4,6 +4,7 @@
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{JobId, Plan, Waiter};
+use kumquatdrum_quarantine::Suspect;
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
 use kumquatdrum_types::{DataCentre, HostId, ServiceName};
@@ -49,15 +50,41 @@
     Since(Version),
 }
 
-/// The version of a control host's listing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// The version of a host's state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Version {
-    /// The control host's start time in Unix milliseconds.
+    /// The host's start time in Unix milliseconds.
     pub boot: u64,
-    /// The number of changes that the control host has seen.
+    /// The number of changes that the host has seen.
     pub changes: u64,
 }
 
+/// A host's evidence against requests that crash endpoints, as far as the recipient lacks it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The version that the recipient has after it merges the suspects.
+    pub version: Version,
+    /// The suspects that have changed.
+    pub suspects: Vec<Suspect>,
+}
+
+/// Reports that a host is live, and its active revision.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender.
+    pub host: Host,
+    /// The sender's active revision.
+    pub revision: u64,
+    /// Whether the sender has just started and knows no endpoints.
+    pub is_new: bool,
+    /// The hosts that the sender requests.
+    pub hosts: Selection,
+    /// The sender's evidence that the recipient lacks.
+    pub evidence: Evidence,
+    /// The version of the recipient's evidence that the sender has.
+    pub known_evidence: Version,
+}
+
 /// A control host's list of hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
@@ -73,17 +100,8 @@
 /// A request to another host.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Request {
-    /// Reports that the sender is live, and its active revision.
-    Hello {
-        /// The sender.
-        host: Host,
-        /// The sender's active revision.
-        revision: u64,
-        /// Whether the sender has just started and knows no endpoints.
-        is_new: bool,
-        /// The hosts that the sender requests.
-        hosts: Selection,
-    },
+    /// A hello.
+    Hello(Hello),
     /// Requests the active record if it is newer than the sender's.
     Fetch {
         /// The sender's active revision, or 0 if there is none.
@@ -119,6 +137,8 @@
         revision: u64,
         /// All endpoints known to the responder, for a host that has just started.
         endpoints: Vec<Update>,
+        /// The responder's evidence that the requester lacks.
+        evidence: Evidence,
     },
     /// The message was accepted. In response to `Fetch`, the record follows as a separate request.
     Taken,
@@ -180,7 +200,7 @@
     pub events: Vec<Event>,
 }
 
-/// A change in the state of a job.
+/// A change that other hosts need to know at once.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Event {
     /// The job was sent to an engine.
@@ -195,14 +215,29 @@
     Cancelled(ServiceName, JobId),
     /// Jobs in flight, each with whether its prefill is still in progress.
     Running(ServiceName, Vec<(Plan, bool)>),
+    /// A request was in flight at endpoints that crashed, or is cleared of it.
+    Suspected(Suspect),
 }
 
 impl Event {
+    /// Returns the service whose jobs the event concerns, if any.
+    pub const fn service(&self) -> Option<&ServiceName> {
+        match self {
+            Self::Sent(name, _)
+            | Self::Began(name, _)
+            | Self::Ended(name, _)
+            | Self::Queued(name, _)
+            | Self::Cancelled(name, _)
+            | Self::Running(name, _) => Some(name),
+            Self::Suspected(_) => None,
+        }
+    }
+
     /// Returns whether the event may free capacity for a queued job.
     pub const fn can_free_capacity(&self) -> bool {
         match self {
             Self::Sent(..) | Self::Began(..) | Self::Ended(..) | Self::Cancelled(..) => true,
-            Self::Queued(..) | Self::Running(..) => false,
+            Self::Queued(..) | Self::Running(..) | Self::Suspected(_) => false,
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -27,6 +27,10 @@
     pub leader: IntGauge,
     /// The number of live hosts.
     pub hosts: IntGauge,
+    /// Requests that were in flight at an endpoint that crashed.
+    pub suspects: IntGauge,
+    /// Requests that are blocked because they crash endpoints.
+    pub blocked: IntGauge,
     /// Datagrams to and from other hosts, by direction.
     pub datagrams: IntCounterVec,
     /// Bytes of frames to and from other hosts, by channel and direction.
@@ -58,6 +62,14 @@
             revision: r.gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: r.gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
             hosts: r.gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
+            suspects: r.gauge(
+                "kumquatdrum_gateway_suspects",
+                "Requests that were in flight at an endpoint that crashed.",
+            )?,
+            blocked: r.gauge(
+                "kumquatdrum_gateway_blocked",
+                "Requests that are blocked because they crash endpoints.",
+            )?,
             datagrams: r.counter_vec(
                 "kumquatdrum_gateway_datagrams_total",
                 "Datagrams sent, of them relayed, received, and received but unreadable.",
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -229,13 +229,7 @@
 
     fn apply_event(&self, event: Event) -> Option<Arc<Service>> {
         let now = self.dependencies.clock.now();
-        let (Event::Sent(name, _)
-        | Event::Began(name, _)
-        | Event::Ended(name, _)
-        | Event::Queued(name, _)
-        | Event::Cancelled(name, _)
-        | Event::Running(name, _)) = &event;
-        let service = self.find_service(name)?;
+        let service = self.find_service(event.service()?)?;
         let mut state = service.state.lock();
         let Policy::Engines(planner) = &mut state.policy else {
             return None;
@@ -251,6 +245,7 @@
                     planner.renew_job(now, plan, is_prefilling);
                 }
             }
+            Event::Suspected(_) => return None,
         }
         drop(state);
         Some(service)
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/quarantine.rs
@@ -0,0 +1,202 @@
+//! The quarantine of this host: requests that crash endpoints are refused.
+//!
+//! New evidence is broadcast at once, best effort. Hellos carry the evidence that a control host
+//! has not seen yet, and its responses that of all other hosts, so that lost broadcasts, restarts
+//! and partitions leave no host without it.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use kumquatdrum_fanout::Urgency;
+use kumquatdrum_process::clock::Clock;
+use kumquatdrum_quarantine::{Block, Fingerprint, Incarnation, Quarantine, Suspect};
+use kumquatdrum_types::HostId;
+use parking_lot::Mutex;
+use slog::{info, warn};
+use tokio::sync::watch;
+
+use crate::broadcast::{Broadcaster, RelayPath};
+use crate::message::{Event, Evidence, Version};
+
+/// The maximum number of suspects in a message. More follow with the next hello.
+const MAX_SUSPECTS_PER_MESSAGE: usize = 128;
+
+/// Holds the evidence known to this host.
+pub struct Store {
+    clock: Clock,
+    /// This host's start time in Unix milliseconds.
+    boot: u64,
+    broadcaster: Option<Arc<Broadcaster>>,
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
+    logger: slog::Logger,
+}
+
+#[derive(Default)]
+struct State {
+    quarantine: Quarantine,
+    /// For each control host, the version of this host's evidence that it has.
+    sent: IndexMap<HostId, Version>,
+    /// For each control host, the version of its evidence that this host has.
+    received: IndexMap<HostId, Version>,
+}
+
+impl Store {
+    /// Creates an empty store.
+    pub fn new(
+        clock: Clock,
+        boot: u64,
+        broadcaster: Option<Arc<Broadcaster>>,
+        logger: slog::Logger,
+    ) -> Self {
+        Self {
+            clock,
+            boot,
+            broadcaster,
+            state: Mutex::default(),
+            changed: watch::Sender::new(()),
+            logger,
+        }
+    }
+
+    /// Returns the block on a request, or `None` if it may be sent. The fingerprint is computed only
+    /// if there are suspects.
+    pub fn block(&self, request: impl FnOnce() -> Fingerprint) -> Option<Block> {
+        if self.state.lock().quarantine.is_empty() {
+            return None;
+        }
+        let request = request();
+        self.state
+            .lock()
+            .quarantine
+            .block(self.clock.now(), request)
+    }
+
+    /// Waits until a request is blocked.
+    pub async fn wait_for_block(&self, request: impl Fn() -> Fingerprint) -> Block {
+        let mut changed = self.changed.subscribe();
+        loop {
+            if let Some(block) = self.block(&request) {
+                return block;
+            }
+            if changed.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Records that an endpoint crashed while a request was in flight there, and broadcasts it.
+    pub fn record_crash(&self, request: Fingerprint, endpoint: Incarnation, had_begun: bool) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let suspect = state
+            .quarantine
+            .record_crash(now, request, endpoint, had_begun);
+        drop(state);
+        if let Some(suspect) = suspect {
+            self.publish(suspect);
+        }
+    }
+
+    /// Records that a request has run to completion, and broadcasts it if the request is a suspect.
+    pub fn record_completion(&self, request: impl FnOnce() -> Fingerprint) {
+        if self.state.lock().quarantine.is_empty() {
+            return;
+        }
+        let request = request();
+        let now = self.clock.now();
+        let cleared = self.state.lock().quarantine.record_completion(now, request);
+        if let Some(suspect) = cleared {
+            info!(self.logger, "request_cleared"; "event" => "request_cleared",
+                "fingerprint" => %request);
+            self.publish(suspect);
+        }
+    }
+
+    /// Merges evidence from another host.
+    pub fn merge(&self, suspects: Vec<Suspect>, from: &str) {
+        let now = self.clock.now();
+        for suspect in suspects {
+            let request = suspect.request;
+            if self.state.lock().quarantine.merge(now, suspect) {
+                self.log_and_notify(request, from);
+            }
+        }
+    }
+
+    /// Forgets old evidence.
+    pub fn expire(&self) {
+        self.state.lock().quarantine.expire(self.clock.now());
+    }
+
+    /// Returns the number of suspects and of blocked requests.
+    pub fn counts(&self) -> (usize, usize) {
+        let state = self.state.lock();
+        let blocked = state.quarantine.count_blocked(self.clock.now());
+        (state.quarantine.len(), blocked)
+    }
+
+    /// Returns the evidence that a control host has not received from this host, and the version of
+    /// its evidence that this host has.
+    pub fn outgoing(&self, to: &HostId) -> (Evidence, Version) {
+        let state = self.state.lock();
+        let sent = state.sent.get(to).copied().unwrap_or_default();
+        let received = state.received.get(to).copied().unwrap_or_default();
+        (self.evidence_since(&state, sent.changes), received)
+    }
+
+    /// Returns the evidence that another host does not have, given the version that it has.
+    pub fn answer(&self, known: Version) -> Evidence {
+        let changes = if known.boot == self.boot {
+            known.changes
+        } else {
+            0
+        };
+        self.evidence_since(&self.state.lock(), changes)
+    }
+
+    /// Records that a control host, started at `boot`, has received this host's evidence up to
+    /// `version` and has answered with its own.
+    pub fn record_exchange(&self, from: &HostId, boot: u64, version: Version, answer: Evidence) {
+        let mut state = self.state.lock();
+        let known = state.sent.get(from);
+        // A host that has restarted since the last exchange needs all evidence again.
+        let has_restarted = known.is_some_and(|known| known.boot != boot);
+        let changes = if has_restarted { 0 } else { version.changes };
+        state.sent.insert(from.clone(), Version { boot, changes });
+        state.received.insert(from.clone(), answer.version);
+        drop(state);
+        self.merge(answer.suspects, from.as_str());
+    }
+
+    fn evidence_since(&self, state: &State, changes: u64) -> Evidence {
+        let now = self.clock.now();
+        let quarantine = &state.quarantine;
+        let (suspects, changes) = quarantine.changed_since(now, changes, MAX_SUSPECTS_PER_MESSAGE);
+        let boot = self.boot;
+        Evidence {
+            version: Version { boot, changes },
+            suspects,
+        }
+    }
+
+    fn publish(&self, suspect: Suspect) {
+        self.log_and_notify(suspect.request, "this host");
+        if let Some(broadcaster) = &self.broadcaster {
+            let event = Event::Suspected(suspect);
+            broadcaster.broadcast(event, Urgency::Urgent, RelayPath::Primary);
+        }
+    }
+
+    fn log_and_notify(&self, request: Fingerprint, from: &str) {
+        let block = self.block(|| request);
+        match block {
+            Some(block) => warn!(self.logger, "request_blocked"; "event" => "request_blocked",
+                "fingerprint" => %request, "crashes" => block.crashes,
+                "remaining_s" => block.remaining.as_secs(), "from" => from),
+            None => info!(self.logger, "request_suspected"; "event" => "request_suspected",
+                "fingerprint" => %request, "from" => from),
+        }
+        self.changed.send_replace(());
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_quarantine/src/suspect.rs
@@ -0,0 +1,50 @@
+//! Evidence against a request, as hosts exchange it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Fingerprint;
+
+/// Identifies one incarnation of an endpoint, equally on every host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// A request that was in flight at endpoints when these crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    pub request: Fingerprint,
+    /// The crashes.
+    pub crashes: Vec<Crash>,
+}
+
+/// A crash of an endpoint while a request was in flight there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The endpoint that crashed.
+    pub endpoint: Incarnation,
+    /// The time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the first event of the answer had arrived.
+    pub had_begun: bool,
+    /// Whether the request has since run to completion.
+    pub is_cleared: bool,
+}
+
+impl Crash {
+    /// Returns the time since the crash.
+    pub const fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms)
+    }
+}
+
+/// The block on a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Block {
+    /// The number of endpoints that crashed while they had the request.
+    pub crashes: usize,
+    /// The time until the request may be sent again.
+    pub remaining: Duration,
+}
