--- a/crates/kumquatdrum/tests/gateway/crash.rs
+++ b/crates/kumquatdrum/tests/gateway/crash.rs
@@ -1,8 +1,11 @@
 //! Requests that crash the endpoints that run them.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use reqwest::{Response, StatusCode};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::cluster::{Cluster, config};
@@ -62,3 +65,86 @@
     let other = send(&cluster, 4, "at-other", "another body").await;
     assert_eq!(other.status(), StatusCode::OK);
 }
+
+#[tokio::test]
+async fn other_callers_are_served_while_a_request_crashes_endpoints() {
+    let (cluster, endpoints) = start_with_endpoints(62, 8).await;
+    let (cluster, is_over) = (Arc::new(cluster), Arc::new(AtomicBool::new(false)));
+    let mut callers = JoinSet::new();
+    for caller in 0..6 {
+        let (cluster, is_over) = (cluster.clone(), is_over.clone());
+        callers.spawn(async move {
+            let mut statuses = Vec::new();
+            while !is_over.load(Ordering::Relaxed) {
+                let attempt = format!("at-{caller}-{}", statuses.len());
+                let answer = send(&cluster, 3 + caller % 2, &attempt, "common").await;
+                let status = answer.status();
+                statuses.push((status, answer.text().await.is_ok()));
+            }
+            statuses
+        });
+    }
+    for repetition in 0..12 {
+        let attempt = format!("at-crash-{repetition}");
+        send(&cluster, 3 + repetition % 2, &attempt, CRASHING_BODY).await;
+        sleep(PAUSE).await;
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let statuses = callers.join_all().await.concat();
+    let served = statuses
+        .iter()
+        .filter(|(status, is_whole)| *status == StatusCode::OK && *is_whole);
+    assert_eq!(served.count(), statuses.len(), "{statuses:?}");
+    assert!(statuses.len() > 20, "{statuses:?}");
+    let ended = endpoints.iter().filter(|endpoint| endpoint.has_ended());
+    assert_eq!(ended.count(), MAX_CRASHES);
+}
+
+#[tokio::test]
+async fn resets_by_endpoints_that_keep_running_block_no_request() {
+    let cluster = Cluster::start(63);
+    cluster.apply(&config(3)).await;
+    let mut endpoints = Vec::new();
+    for number in 0..4 {
+        let endpoint = Endpoint::start(&format!("i-{number}"), Behaviour::ResetInBody).await;
+        cluster.announce(&endpoint, "plain", "ready", 1).await;
+        cluster.wait_until_ready(3, &endpoint).await;
+        endpoints.push(endpoint);
+    }
+    for repetition in 0..=MAX_CRASHES {
+        let runs = count_runs(&endpoints);
+        let attempt = format!("at-{repetition}");
+        let answer = cluster.request(3, "/safe/x", &attempt).send().await;
+        assert_eq!(answer.expect("an answer").status(), StatusCode::BAD_GATEWAY);
+        assert!(count_runs(&endpoints) > runs, "{}", cluster.read_log(3));
+    }
+}
+
+#[tokio::test]
+async fn endpoints_that_end_after_their_leave_block_no_request() {
+    let cluster = Cluster::start(64);
+    cluster.apply(&config(3)).await;
+    let pause = Duration::from_millis(300);
+    for number in 0..=MAX_CRASHES {
+        let behaviour = Behaviour::CompleteStream { events: 4, pause };
+        let endpoint = Endpoint::start(&format!("i-{number}"), behaviour).await;
+        cluster.announce(&endpoint, "plain", "ready", 1).await;
+        cluster.wait_until_ready(3, &endpoint).await;
+        let is_last = number == MAX_CRASHES;
+        let leave = async {
+            if !is_last {
+                sleep(pause).await;
+                cluster.announce(&endpoint, "plain", "draining", 2).await;
+                sleep(pause).await;
+                endpoint.stop();
+            }
+        };
+        let request = async {
+            let answer = send(&cluster, 3, &format!("at-{number}"), "same").await;
+            assert_eq!(answer.status(), StatusCode::OK);
+            answer.text().await.is_ok()
+        };
+        let (is_whole, ()) = tokio::join!(request, leave);
+        assert_eq!(is_whole, is_last);
+    }
+}
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -91,6 +91,16 @@
         }
     }
 
+    /// Closes all connections and the listener.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+
+    /// Returns whether a request has crashed the endpoint, or it was stopped.
+    pub fn has_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
     pub fn runs(&self) -> usize {
         self.record.runs.load(Ordering::Relaxed)
     }
