Placement: endpoints that crash do not make their data centre unreachable

A refused connection shows that the data centre can be reached and that one process has ended. It now ejects that incarnation alone, for the longest time at once, as does a crash that was inspected.

With Failure::Unreachable in its place, as before, the new test fails: all six requests go to the other data centre.

--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -62,6 +62,11 @@
                 self.log_attempt(pick, "unsent", &reason);
                 return Outcome::Unsent(reason);
             }
+            Err(upstream::Error::Refused(reason)) => {
+                pick.record_failure(Failure::Down);
+                self.log_attempt(pick, "unsent", &reason);
+                return Outcome::Unsent(reason);
+            }
             Err(upstream::Error::Lost(reason)) => {
                 pick.record_failure(Failure::Broken);
                 self.log_attempt(pick, "lost", &reason);
--- a/crates/kumquatdrum_gateway/src/call/crash.rs
+++ b/crates/kumquatdrum_gateway/src/call/crash.rs
@@ -1,5 +1,6 @@
 //! Requests that crash endpoints: detection after a connection breaks, and refusal.
 
+use kumquatdrum_placement::Failure;
 use kumquatdrum_quarantine::{Block, Incarnation};
 use slog::info;
 
@@ -22,6 +23,7 @@
             "incarnation" => endpoint.started, "liveness" => ?liveness, "leaving" => is_leaving,
             "had_begun" => had_begun, "crashed" => has_crashed);
         if has_crashed {
+            pick.record_failure(Failure::Down);
             let endpoint = Incarnation(pick.key.0);
             let quarantine = &self.gateway.quarantine;
             quarantine.record_crash(self.fingerprint(), endpoint, had_begun);
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -52,6 +52,9 @@
     /// No part of the request was sent.
     #[error("not connected: {0}")]
     Unsent(String),
+    /// No part of the request was sent, as no process listens at the address.
+    #[error("refused: {0}")]
+    Refused(String),
     /// The connection failed after the request may have been read.
     #[error("lost: {0}")]
     Lost(String),
@@ -92,7 +95,10 @@
     let connected = timeout_at(limit, TcpStream::connect(address)).await;
     let stream = connected
         .map_err(|_| Error::Unsent("connecting took too long".to_owned()))?
-        .map_err(|error| unsent(&error))?;
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
+            _ => unsent(&error),
+        })?;
     sockets::set_liveness_timeouts(&stream).map_err(|error| unsent(&error))?;
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(|error| unsent(&error))?;
--- a/crates/kumquatdrum_placement/src/health.rs
+++ b/crates/kumquatdrum_placement/src/health.rs
@@ -9,6 +9,8 @@
 pub enum Failure {
     /// The connection could not be established.
     Unreachable,
+    /// The endpoint's host refused the connection: no process listens.
+    Down,
     /// The connection broke, timed out or carried an invalid response.
     Broken,
     /// The endpoint had no capacity.
@@ -52,14 +54,18 @@
         self.failure_rate = self.failure_rate * (1.0 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
         self.consecutive_failures += 1;
         let ejects = match failure {
-            Failure::Unreachable => true,
+            Failure::Unreachable | Failure::Down => true,
             Failure::Broken => self.consecutive_failures >= FAILURES_BEFORE_EJECTION,
             Failure::Busy | Failure::Error => false,
         };
         if ejects {
             let doublings = self.consecutive_failures.saturating_sub(1).min(8);
-            let ejection = MIN_EJECTION * (1 << doublings);
-            self.ejected_until = now + ejection.min(MAX_EJECTION);
+            let ejection = match failure {
+                // A process that starts again is another incarnation, with a health of its own.
+                Failure::Down => MAX_EJECTION,
+                _ => MAX_EJECTION.min(MIN_EJECTION * (1 << doublings)),
+            };
+            self.ejected_until = now + ejection;
         }
         ejects
     }
--- a/crates/kumquatdrum_placement/tests/retries_and_ejection.rs
+++ b/crates/kumquatdrum_placement/tests/retries_and_ejection.rs
@@ -80,3 +80,16 @@
         "one response makes the data centre usable again"
     );
 }
+
+#[test]
+fn crashed_endpoints_do_not_eject_their_data_centre() {
+    let mut balancer = Balancer::default();
+    let endpoints = (0..5).map(|number| (EndpointKey(number), DataCentreKey(number / 4), 4));
+    balancer.set_endpoints(endpoints);
+    for key in 0..3 {
+        assert!(balancer.record_failure(START, EndpointKey(key), Failure::Down));
+    }
+    let chosen: Vec<_> = (0..6).filter_map(|_| balancer.choose(START, &[])).collect();
+    assert!(chosen.contains(&EndpointKey(3)), "{chosen:?}");
+    assert!(chosen.iter().all(|key| key.0 >= 3), "{chosen:?}");
+}
