--- a/crates/kumquatdrum/src/losses/cause.rs
+++ b/crates/kumquatdrum/src/losses/cause.rs
@@ -17,6 +17,8 @@
     NoEndpoint,
     /// The host had not received the setup in force.
     NotInformed,
+    /// Endpoints crashed while they ran the request.
+    Blocked,
     /// An endpoint failed, and no other one was tried or left.
     EndpointFailed,
     /// The deadline passed.
@@ -43,6 +45,7 @@
             Self::Overload => "refused: too much else is asked for",
             Self::NoEndpoint => "refused: no endpoint",
             Self::NotInformed => "refused: host not informed",
+            Self::Blocked => "refused: it crashes endpoints",
             Self::EndpointFailed => "failed: by its endpoint",
             Self::TimedOut => "failed: time up",
             Self::NoEnd => "no end: host lost or caller left",
@@ -73,6 +76,7 @@
         (_, "answered") if reason.starts_with('5') => Some(Cause::EndpointFailed),
         (_, "answered") => None,
         _ if reason.contains("what else is asked for") => Some(Cause::Overload),
+        _ if reason.contains("is blocked") => Some(Cause::Blocked),
         _ if reason.contains("no room") => Some(Cause::NoEndpoint),
         _ if reason.contains("time") => Some(Cause::TimedOut),
         _ => Some(Cause::EndpointFailed),
--- a/crates/kumquatdrum/tests/losses.rs
+++ b/crates/kumquatdrum/tests/losses.rs
@@ -11,6 +11,7 @@
 time=100.000 host=a prompt=300000 due_ms=2500 sent=0 reason=\"no room: too long a prompt for what else is asked for\" end=given_up request=r1 event=request_ended
 time=100.100 host=a sent=0 reason=\"no room: no endpoint is known\" end=given_up request=r2 event=request_ended
 time=100.200 host=a status=503 reason=\"this host does not know yet what is in force\" request=r3 event=request_refused
+time=100.250 host=a sent=0 reason=\"the request 0a1b is blocked: 3 endpoints crashed while they ran it\" end=given_up request=r15 event=request_ended
 time=100.300 host=a sent=1 reason=500 end=answered request=r4 event=request_ended
 time=100.400 host=a sent=1 reason=\"no answer in time\" end=given_up request=r5 event=request_ended
 time=100.500 host=a prompt=4000 waited_ms=0 backlog_ms=0.0 request=r6 event=placed
@@ -33,10 +34,11 @@
 
 const TABLE: &str = "\
 prompts                                  none    short     long  longest
-asked                                       5        6        1        2
+asked                                       6        6        1        2
 refused: too much else is asked for         0        0        0        1
 refused: no endpoint                        1        0        0        0
 refused: host not informed                  1        0        0        0
+refused: it crashes endpoints               1        0        0        0
 failed: by its endpoint                     1        0        0        0
 failed: time up                             1        0        0        0
 no end: host lost or caller left            0        1        0        0
--- a/crates/kumquatdrum_gateway/src/call/crash.rs
+++ b/crates/kumquatdrum_gateway/src/call/crash.rs
@@ -40,19 +40,20 @@
     pub(super) async fn wait_for_block(&self) -> Problem {
         let quarantine = &self.gateway.quarantine;
         let block = quarantine.wait_for_block(|| self.fingerprint()).await;
-        to_problem(&block)
+        self.to_problem(&block)
     }
 
     /// Returns an error if the request is blocked.
     pub(super) fn check_block(&self) -> Result<(), Problem> {
         let block = self.gateway.quarantine.block(|| self.fingerprint());
-        block.map_or(Ok(()), |block| Err(to_problem(&block)))
+        block.map_or(Ok(()), |block| Err(self.to_problem(&block)))
     }
-}
 
-fn to_problem(block: &Block) -> Problem {
-    Problem::Refused {
-        reason: "the request is blocked, as endpoints that ran it crashed",
-        retry_after: block.remaining,
+    fn to_problem(&self, block: &Block) -> Problem {
+        Problem::Blocked {
+            fingerprint: self.fingerprint(),
+            crashes: block.crashes,
+            retry_after: block.remaining,
+        }
     }
 }
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -242,6 +242,9 @@
             Problem::Refused { reason, .. } if attempts.may_have_run => {
                 Problem::Failed(reason.to_owned())
             }
+            Problem::Blocked { .. } if attempts.may_have_run => {
+                Problem::Failed(problem.to_string())
+            }
             problem => problem,
         };
         // An endpoint's response is more specific than the lack of another endpoint.
--- a/crates/kumquatdrum_gateway/src/problem.rs
+++ b/crates/kumquatdrum_gateway/src/problem.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode, header};
+use kumquatdrum_quarantine::Fingerprint;
 
 use crate::body::{self, Body};
 
@@ -36,6 +37,16 @@
         /// The delay after which to retry.
         retry_after: Duration,
     },
+    /// The request has not run and is refused for some time.
+    #[error("the request {fingerprint} is blocked: {crashes} endpoints crashed while they ran it")]
+    Blocked {
+        /// The request's identity in the logs.
+        fingerprint: Fingerprint,
+        /// The number of endpoints that crashed.
+        crashes: usize,
+        /// The time until the request may be sent again.
+        retry_after: Duration,
+    },
     /// The request was sent and may have run.
     #[error("the endpoint failed: {0}")]
     Failed(String),
@@ -52,7 +63,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Unreadable(_) => StatusCode::BAD_REQUEST,
-            Self::NotReady | Self::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Refused { .. } | Self::Blocked { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -61,7 +74,9 @@
     /// Returns the delay after which the caller may retry, if the request has not run.
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Refused { retry_after, .. } => Some(*retry_after),
+            Self::Refused { retry_after, .. } | Self::Blocked { retry_after, .. } => {
+                Some(*retry_after)
+            }
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
             _ => None,
         }
