Gateway: control hosts keep suspects on their disks

The evidence was lost when all hosts restarted at the same time, and a blocked request crashed three more endpoints. The new test does that; the code of the endpoint cache that reads and writes the file is shared.

--- a/crates/kumquatdrum/tests/gateway/crash.rs
+++ b/crates/kumquatdrum/tests/gateway/crash.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::cluster::{Cluster, config};
+use crate::cluster::{Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
 
 /// The number of endpoints that a request may crash.
@@ -66,6 +66,29 @@
     assert_eq!(other.status(), StatusCode::OK);
 }
 
+#[tokio::test]
+async fn a_block_survives_the_restart_of_all_hosts() {
+    let (mut cluster, endpoints) = start_with_endpoints(65, 5).await;
+    for repetition in 0..3 {
+        let attempt = format!("at-{repetition}");
+        send(&cluster, 3, &attempt, CRASHING_BODY).await;
+        sleep(PAUSE).await;
+    }
+    assert_eq!(count_runs(&endpoints), MAX_CRASHES);
+    // Evidence reaches the disks of the control hosts with the next hello.
+    sleep(Duration::from_secs(2)).await;
+    for host in 0..HOSTS {
+        cluster.kill(host);
+    }
+    for host in 0..HOSTS {
+        cluster.start_host(host, false);
+    }
+    cluster.wait_until_ready(4, &endpoints[4]).await;
+    let refused = send(&cluster, 4, "at-restarted", CRASHING_BODY).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(count_runs(&endpoints), MAX_CRASHES);
+}
+
 #[tokio::test]
 async fn other_callers_are_served_while_a_request_crashes_endpoints() {
     let (cluster, endpoints) = start_with_endpoints(62, 8).await;
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -27,7 +27,7 @@
 use crate::pool::Pool;
 use crate::quarantine;
 use crate::replica::{Command, Handle};
-use crate::{Protocol, Settings, active_setup, endpoint_cache};
+use crate::{Protocol, Settings, active_setup, cache, endpoint_cache};
 
 mod endpoint_updates;
 mod periodic;
@@ -113,13 +113,19 @@
     ) -> Result<(), StartError> {
         let logger = logger.new(o!("host" => settings.name.clone()));
         let stop_limit = Duration::from_millis(settings.stop_ms);
-        let cache_file = endpoint_cache::file(&settings);
+        let cache_file = cache::file(&settings, endpoint_cache::FILE_NAME);
+        let quarantine_file = cache::file(&settings, quarantine::FILE_NAME);
         let announcement_interval = Duration::from_millis(settings.announcement_ms);
         let cached = match &cache_file {
             Some(file) => endpoint_cache::load(file.clone(), announcement_interval, &logger).await,
             None => Vec::new(),
         };
         let (gateway, mut running) = start::start(settings, protocol, logger, cached)?;
+        if let Some(file) = quarantine_file {
+            gateway.quarantine.load(file.clone()).await;
+            let quarantine = gateway.quarantine.clone();
+            running.tasks.spawn(quarantine.persist(file));
+        }
         if let Some(file) = cache_file {
             let (endpoints, logger) = (gateway.endpoints.clone(), gateway.logger.clone());
             running
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod active_setup;
 pub mod body;
 pub mod broadcast;
+mod cache;
 pub mod call;
 pub mod control;
 pub mod distribution;
--- a/crates/kumquatdrum_gateway/src/quarantine.rs
+++ b/crates/kumquatdrum_gateway/src/quarantine.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use kumquatdrum_disk::Blob;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_quarantine::{Block, Fingerprint, Incarnation, Quarantine, Suspect};
@@ -14,13 +15,18 @@
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::broadcast::{Broadcaster, RelayPath};
+use crate::cache;
 use crate::message::{Event, Evidence, Version};
 
 /// The maximum number of suspects in a message. More follow with the next hello.
 const MAX_SUSPECTS_PER_MESSAGE: usize = 128;
 
+/// The name of the file with the evidence in a control host's data folder.
+pub(crate) const FILE_NAME: &str = "suspects";
+
 /// Holds the evidence known to this host.
 pub struct Store {
     clock: Clock,
@@ -124,6 +130,33 @@
         }
     }
 
+    /// Loads the evidence that this host kept on its disk.
+    pub(crate) async fn load(&self, file: Blob) {
+        match cache::read::<Vec<Suspect>>(file).await {
+            Ok(suspects) => self.merge(suspects, "disk"),
+            Err(reason) => warn!(self.logger, "suspects_not_recalled";
+                "event" => "suspects_not_recalled", "reason" => reason),
+        }
+    }
+
+    /// Writes the evidence to disk after each change, until the task is aborted.
+    pub(crate) async fn persist(self: Arc<Self>, file: Blob) {
+        let mut changed = self.changed.subscribe();
+        while changed.changed().await.is_ok() {
+            let now = self.clock.now();
+            let (all, _) = self
+                .state
+                .lock()
+                .quarantine
+                .changed_since(now, 0, usize::MAX);
+            if let Err(reason) = cache::write(file.clone(), &all).await {
+                warn!(self.logger, "suspects_not_kept"; "event" => "suspects_not_kept",
+                    "reason" => reason);
+            }
+            sleep(cache::WRITE_INTERVAL).await;
+        }
+    }
+
     /// Forgets old evidence.
     pub fn expire(&self) {
         self.state.lock().quarantine.expire(self.clock.now());
