Soak: requests that crash endpoints while hosts are killed and frozen

Checks that no more than three endpoints crash later than 3 s after the third, and that most other requests are served. Two seeds by default.

--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/crash_soak.rs
@@ -0,0 +1,215 @@
+//! Randomised test of requests that crash endpoints, while hosts are killed and frozen.
+//!
+//! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway crash_soak` runs more seeds.
+
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use reqwest::StatusCode;
+use tokio::sync::RwLock;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
+use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
+
+/// Seeds that run by default.
+const DEFAULT_SEEDS: Range<u64> = 0..2;
+/// Duration of the load per seed.
+const DURATION: Duration = Duration::from_secs(10);
+const ENDPOINTS: u64 = 6;
+const CALLERS: u64 = 4;
+/// The crashes after which a request is blocked.
+const MAX_CRASHES: usize = 3;
+/// The time in which all hosts learn of a crash.
+const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+/// The number of endpoints that a request may reach after that.
+const MAX_LATE_RUNS: usize = 3;
+/// The time between an endpoint's crash and its next start.
+const RESTART_PAUSE: Duration = Duration::from_millis(600);
+
+/// State shared by the tasks of the test.
+struct Soak {
+    cluster: RwLock<Cluster>,
+    /// The running endpoints.
+    endpoints: Mutex<Vec<Endpoint>>,
+    next_id: AtomicU64,
+    /// When an endpoint crashed.
+    crashes: Mutex<Vec<Instant>>,
+    /// When each other request ended, and whether it was served.
+    others: Mutex<Vec<(Instant, bool)>>,
+    is_over: AtomicBool,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crash_soak() {
+    let seeds = match std::env::var("SOAK_SEEDS") {
+        Ok(text) => {
+            let (first, last) = text.split_once("..").expect("FIRST..LAST");
+            first.parse().expect("a seed")..last.parse().expect("a seed")
+        }
+        Err(_) => DEFAULT_SEEDS,
+    };
+    for seed in seeds {
+        run_seed(seed).await;
+    }
+}
+
+async fn run_seed(seed: u64) {
+    let cluster = Cluster::start(200 + (seed % 50) as u8);
+    cluster.apply(&config(1)).await;
+    let soak = Arc::new(Soak {
+        cluster: RwLock::new(cluster),
+        endpoints: Mutex::default(),
+        next_id: AtomicU64::new(0),
+        crashes: Mutex::default(),
+        others: Mutex::default(),
+        is_over: AtomicBool::new(false),
+    });
+    let mut tasks = JoinSet::new();
+    for _ in 0..ENDPOINTS {
+        tasks.spawn(run_endpoint(soak.clone()));
+    }
+    for host in [3, 4] {
+        let until = Instant::now() + Duration::from_secs(20);
+        while soak
+            .cluster
+            .read()
+            .await
+            .read_log(host)
+            .matches("event=endpoint_known")
+            .count()
+            < ENDPOINTS as usize
+        {
+            assert!(Instant::now() < until, "seed {seed}: endpoints not known");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    for caller in 0..CALLERS {
+        tasks.spawn(run_caller(soak.clone(), seed * 100 + caller));
+    }
+    inject_faults(&soak, seed).await;
+    soak.is_over.store(true, Ordering::Relaxed);
+    while let Some(ended) = tasks.join_next().await {
+        ended.expect("a task panicked");
+    }
+    check(&soak, seed);
+}
+
+/// Runs an endpoint, which starts again under another id and address after each crash.
+async fn run_endpoint(soak: Arc<Soak>) {
+    while !soak.is_over.load(Ordering::Relaxed) {
+        let id = format!("i-{}", soak.next_id.fetch_add(1, Ordering::Relaxed));
+        let endpoint = Endpoint::start(&id, Behaviour::StreamOrCompleteBody).await;
+        let mut sequence = 0;
+        while !endpoint.has_ended() && !soak.is_over.load(Ordering::Relaxed) {
+            sequence += 1;
+            for host in 0..CONTROL_HOSTS {
+                let cluster = soak.cluster.read().await;
+                let call = cluster.try_announce(host, &endpoint, "plain", "ready", sequence);
+                let call = tokio::time::timeout(Duration::from_millis(300), call).await;
+                if call.unwrap_or(false) {
+                    break;
+                }
+            }
+            let until = Instant::now() + Duration::from_millis(250);
+            while !endpoint.has_ended() && Instant::now() < until {
+                sleep(Duration::from_millis(2)).await;
+            }
+        }
+        if endpoint.has_ended() {
+            soak.crashes.lock().push(Instant::now());
+            sleep(RESTART_PAUSE).await;
+        }
+        soak.endpoints.lock().push(endpoint);
+    }
+}
+
+async fn run_caller(soak: Arc<Soak>, seed: u64) {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut number = 0;
+    while !soak.is_over.load(Ordering::Relaxed) {
+        number += 1;
+        let attempt = format!("{seed}-{number}");
+        let is_crashing = random.next_u32() % 4 == 0;
+        let body = if is_crashing { CRASHING_BODY } else { "common" };
+        let host = CONTROL_HOSTS + random.next_u32() as usize % (HOSTS - CONTROL_HOSTS);
+        let call = soak
+            .cluster
+            .read()
+            .await
+            .request(host, "/stream/x", &attempt);
+        let call = call.body(body).timeout(Duration::from_secs(4)).send().await;
+        let is_served = match call {
+            Ok(answer) if answer.status() == StatusCode::OK => answer.text().await.is_ok(),
+            Ok(_) | Err(_) => false,
+        };
+        if !is_crashing {
+            soak.others.lock().push((Instant::now(), is_served));
+        }
+        sleep(Duration::from_millis(u64::from(random.next_u32() % 100))).await;
+    }
+}
+
+/// Kills, freezes and stops one host after the other.
+async fn inject_faults(soak: &Soak, seed: u64) {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let until = Instant::now() + DURATION;
+    while Instant::now() < until {
+        let host = random.next_u32() as usize % HOSTS;
+        let pause = Duration::from_millis(200 + u64::from(random.next_u32() % 900));
+        match random.next_u32() % 3 {
+            0 => {
+                soak.cluster.write().await.kill(host);
+                sleep(pause).await;
+                soak.cluster.write().await.start_host(host, false);
+            }
+            1 => {
+                soak.cluster.read().await.signal(host, "-STOP");
+                sleep(pause).await;
+                soak.cluster.read().await.signal(host, "-CONT");
+            }
+            _ => sleep(pause).await,
+        }
+        sleep(pause).await;
+    }
+}
+
+fn check(soak: &Soak, seed: u64) {
+    let crashes = soak.crashes.lock();
+    let mut crashes: Vec<Instant> = crashes.clone();
+    crashes.sort();
+    let Some(third) = crashes.get(MAX_CRASHES - 1) else {
+        return;
+    };
+    let late = crashes
+        .iter()
+        .filter(|at| **at > *third + PROPAGATION_LIMIT);
+    let since: Vec<Duration> = crashes.iter().map(|at| *at - *third).collect();
+    assert!(
+        late.count() <= MAX_LATE_RUNS,
+        "seed {seed}: crashes at {since:?}"
+    );
+    let others = soak.others.lock();
+    let after = others
+        .iter()
+        .filter(|(at, _)| *at > *third + PROPAGATION_LIMIT);
+    let (mut served, mut total) = (0, 0);
+    for (_, is_served) in after {
+        total += 1;
+        served += usize::from(*is_served);
+    }
+    assert!(
+        served * 2 > total,
+        "seed {seed}: {served} of {total} others served"
+    );
+    println!(
+        "seed {seed}: {} crashes, {served} of {total} others served after it",
+        crashes.len()
+    );
+}
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod control;
 mod crash;
+mod crash_soak;
 mod endpoint;
 mod explain;
 mod fanout;
