--- /dev/null
+++ b/crates/kumquatdrum_gateway/tests/quarantine_size.rs
@@ -0,0 +1,51 @@
+//! Encoded sizes of the evidence that hosts exchange.
+
+use kumquatdrum_gateway::message::{Event, Evidence, Version};
+use kumquatdrum_quarantine::{Crash, Fingerprint, Incarnation, Suspect};
+
+/// The maximum size of a datagram's events.
+const MAX_BATCH_BYTES: usize = 1_300;
+/// The maximum number of bytes that hellos carry without news.
+const MAX_IDLE_BYTES: usize = 16;
+
+fn suspect(crashes: u64) -> Suspect {
+    let crash = |endpoint: u64| Crash {
+        endpoint: Incarnation(u64::MAX - endpoint),
+        age_ms: 3_600_000,
+        had_begun: false,
+        is_cleared: false,
+    };
+    Suspect {
+        request: Fingerprint::of("POST", "/x/", None, b"text"),
+        crashes: (0..crashes).map(crash).collect(),
+    }
+}
+
+#[test]
+fn a_suspect_with_the_most_crashes_fits_a_datagram() {
+    let bytes = postcard::to_stdvec(&Event::Suspected(suspect(16))).expect("bytes");
+    assert!(bytes.len() < MAX_BATCH_BYTES, "{}", bytes.len());
+    println!(
+        "1 crash: {}",
+        postcard::to_stdvec(&Event::Suspected(suspect(1)))
+            .expect("bytes")
+            .len()
+    );
+    println!("16 crashes: {}", bytes.len());
+}
+
+#[test]
+fn evidence_without_news_adds_few_bytes_to_a_hello() {
+    let version = Version {
+        boot: 1_768_712_430_021,
+        changes: 40_000,
+    };
+    let evidence = Evidence {
+        version,
+        suspects: Vec::new(),
+    };
+    let answer = postcard::to_stdvec(&evidence).expect("bytes").len();
+    let known = postcard::to_stdvec(&version).expect("bytes").len();
+    assert!(answer <= MAX_IDLE_BYTES && known <= MAX_IDLE_BYTES);
+    println!("hello: {}, answer: {answer}", answer + known);
+}
