--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
+use kumquatdrum_placement::Rate;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::Setup;
 use kumquatdrum_types::{EndpointId, Finding, Load, WorkspaceName};
@@ -79,6 +80,20 @@
     pub failed_endpoint: Option<String>,
     /// The endpoint's load.
     pub load: Option<Load>,
+    /// The limit on the requests that the endpoint takes.
+    pub limit: Limit,
+}
+
+/// The limit that an endpoint names in a response on the requests from all hosts together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Limit {
+    /// The response names no limit.
+    #[default]
+    Absent,
+    /// The endpoint takes this many requests.
+    Rate(Rate),
+    /// The value is not a valid rate.
+    Invalid(String),
 }
 
 /// An engine's acknowledgement of an order.
