--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -354,6 +354,18 @@
     })
 }
 
+/// Returns a config like [`config`], whose service is a model engine.
+pub fn engine_config(version: u64) -> Value {
+    let mut config = config(version);
+    config["services"][0]["engine"] = json!({
+        "slots": 16, "kvCapacityTokens": 315_000, "stride": 51, "step_ms": 0.85,
+        "per_seq_ms": 0.00425, "context_per_k": 0.00285, "read_per_s": 177_000.0,
+        "pairs_per_m": 0.184, "chunk": 2048, "usual": {"prompt": 5_000, "answer": 300},
+        "hopMs": 0.05,
+    });
+    config
+}
+
 /// Returns whether a folder exists.
 pub fn is_folder(path: &Path) -> bool {
     path.is_dir()
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The body of a request that crashes the endpoint: it closes all connections and its listener.
 pub const CRASHING_BODY: &str = "crash";
@@ -51,6 +51,10 @@
     pub requests: Mutex<Vec<String>>,
     /// Number of runs by attempt id.
     pub attempts: Mutex<HashMap<String, usize>>,
+    /// When each request arrived.
+    pub arrivals: Mutex<Vec<Instant>>,
+    /// The requests per second that the endpoint names in its answers.
+    pub limit: Mutex<Option<f64>>,
 }
 
 pub struct Endpoint {
@@ -138,6 +142,7 @@
         return End::Served;
     }
     record.runs.fetch_add(1, Ordering::Relaxed);
+    record.arrivals.lock().push(Instant::now());
     let after: u64 = header("Last-Event-Id").parse().unwrap_or(0);
     *record.attempts.lock().entry(attempt.clone()).or_default() += 1;
     if request.ends_with(&format!("\r\n\r\n{CRASHING_BODY}")) {
@@ -149,7 +154,11 @@
         behaviour => behaviour,
     };
     record.requests.lock().push(request.clone());
-    if send_answer(&mut stream, &attempt, behaviour, after)
+    let extra = match *record.limit.lock() {
+        Some(limit) => format!("Server-Limit: {limit}\r\n"),
+        None => String::new(),
+    };
+    if send_answer(&mut stream, (&attempt, &extra), behaviour, after)
         .await
         .is_err()
     {
@@ -158,14 +167,17 @@
     End::Served
 }
 
+/// Sends the answer to an attempt, with extra header lines.
 async fn send_answer(
     stream: &mut TcpStream,
-    attempt: &str,
+    (attempt, extra): (&str, &str),
     behaviour: Behaviour,
     after: u64,
 ) -> std::io::Result<()> {
-    let complete = |attempt: &str| head("200 OK", attempt, "Content-Length: 5\r\n") + "whole";
+    let whole = format!("Content-Length: 5\r\n{extra}");
+    let complete = |attempt: &str| head("200 OK", attempt, &whole) + "whole";
     let events = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    let events = &format!("{events}{extra}");
     match behaviour {
         Behaviour::CompleteBody | Behaviour::StreamOrCompleteBody => {
             stream.write_all(complete(attempt).as_bytes()).await
--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/limit.rs
@@ -0,0 +1,108 @@
+//! Endpoints that name the requests per second that they take from all hosts together.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use serde_json::Value;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::cluster::{Cluster, HOSTS, config, engine_config};
+use crate::endpoint::{Behaviour, Endpoint};
+
+/// The span in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// The time in which all hosts learn of a limit.
+const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+const LOAD_DURATION: Duration = Duration::from_secs(9);
+const LIMIT: f64 = 2.0;
+
+/// Returns the number of requests that a limited endpoint may get in [`WINDOW`].
+fn allowed(limit: f64) -> usize {
+    (limit * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
+}
+
+/// Returns the most requests that arrived within [`WINDOW`], after `since`.
+fn busiest_window(endpoint: &Endpoint, since: Instant) -> usize {
+    let arrivals = endpoint.record.arrivals.lock();
+    let late: Vec<Instant> = arrivals.iter().copied().filter(|at| *at > since).collect();
+    let in_window = |start: &Instant| {
+        let end = *start + WINDOW;
+        late.iter().filter(|at| *at >= start && **at <= end).count()
+    };
+    late.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// Starts two endpoints, the first of which names a limit.
+async fn start(subnet: u8, config: &Value) -> (Cluster, Endpoint, Endpoint) {
+    let cluster = Cluster::start(subnet);
+    cluster.apply(config).await;
+    let limited = Endpoint::start("i-limited", Behaviour::StreamOrCompleteBody).await;
+    let other = Endpoint::start("i-other", Behaviour::StreamOrCompleteBody).await;
+    for endpoint in [&limited, &other] {
+        cluster.announce(endpoint, "plain", "ready", 1).await;
+    }
+    for host in 3..HOSTS {
+        cluster.wait_until_ready(host, &limited).await;
+        cluster.wait_until_ready(host, &other).await;
+    }
+    (cluster, limited, other)
+}
+
+/// Sends requests to all hosts, one after the other from each of eight callers, and returns the
+/// number of requests and of those that were served.
+async fn load(cluster: Arc<Cluster>, path: &'static str, until: Instant) -> (usize, usize) {
+    let mut callers = JoinSet::new();
+    for caller in 0..8 {
+        let cluster = cluster.clone();
+        callers.spawn(async move {
+            let (mut sent, mut served) = (0, 0);
+            while Instant::now() < until {
+                sent += 1;
+                let attempt = format!("at-{caller}-{sent}");
+                let call = cluster.request(3 + caller % 2, path, &attempt);
+                let answer = call
+                    .header("Kumquatdrum-Token-Count", "2000,100")
+                    .send()
+                    .await;
+                let answer = answer.expect("an answer");
+                let is_ok = answer.status() == StatusCode::OK;
+                served += usize::from(answer.text().await.is_ok() && is_ok);
+                sleep(Duration::from_millis(10)).await;
+            }
+            (sent, served)
+        });
+    }
+    let counts = callers.join_all().await;
+    let sum = |one: (usize, usize), other: (usize, usize)| (one.0 + other.0, one.1 + other.1);
+    counts.into_iter().fold((0, 0), sum)
+}
+
+async fn check_limit(subnet: u8, config: Value, path: &'static str) {
+    let (cluster, limited, _other) = start(subnet, &config).await;
+    let cluster = Arc::new(cluster);
+    *limited.record.limit.lock() = Some(LIMIT);
+    let started = Instant::now();
+    let (sent, served) = load(cluster.clone(), path, started + LOAD_DURATION).await;
+    let busiest = busiest_window(&limited, started + PROPAGATION_LIMIT);
+    assert!(
+        busiest <= allowed(LIMIT),
+        "{busiest} requests in {WINDOW:?}"
+    );
+    assert!(
+        busiest >= LIMIT as usize * 2,
+        "only {busiest} requests in {WINDOW:?}"
+    );
+    assert_eq!(served, sent);
+}
+
+#[tokio::test]
+async fn a_plain_endpoint_gets_no_more_requests_from_all_hosts_than_it_names() {
+    check_limit(71, config(3), "/safe/x").await;
+}
+
+#[tokio::test]
+async fn an_engine_gets_no_more_requests_from_all_hosts_than_it_names() {
+    check_limit(72, engine_config(3), "/stream/x").await;
+}
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod explain;
 mod fanout;
+mod limit;
 mod path;
 mod proxy;
 mod soak;
