Gateway: keep the requests of all hosts to an endpoint within the limit that it names

Seen (LIMIT): an endpoint that named 2 requests a second got 21 in 4 s, another that named 1.8 got 23.

Cause: the header was not read; hosts packed short prompts on the same three engines as before (4 to 10 a second each). Ruled out by the code and the log: a limit kept per host, a limit heard late.

Each host keeps a token bucket for each limited endpoint and takes a token for each request of any host: hosts already broadcast the dispatches to engines, and now also limits and the requests to limited plain endpoints. Simultaneous requests overdraw the bucket by one for each other sharer, and the debt delays what follows; the endpoint is shared by 5 + 1.75 rate hosts at most, those with the highest hash: 4 rate + (1 + rate / 4) + (4 + 1.75 rate) = 6 rate + 5 in 4 s. What cannot go to a limited endpoint goes to others, waits in order, or is refused at once if its turn would come after its deadline.

--- a/crates/kumquatdrum/tests/gateway/limit.rs
+++ b/crates/kumquatdrum/tests/gateway/limit.rs
@@ -106,3 +106,73 @@
 async fn an_engine_gets_no_more_requests_from_all_hosts_than_it_names() {
     check_limit(72, engine_config(3), "/stream/x").await;
 }
+
+#[tokio::test]
+async fn requests_beyond_the_limits_of_all_endpoints_are_refused_at_once() {
+    let cluster = Arc::new(Cluster::start(73));
+    cluster.apply(&config(3)).await;
+    let endpoint = Endpoint::start("i-limited", Behaviour::CompleteBody).await;
+    *endpoint.record.limit.lock() = Some(LIMIT);
+    cluster.announce(&endpoint, "plain", "ready", 1).await;
+    cluster.wait_until_ready(3, &endpoint).await;
+    let first = cluster.request(3, "/safe/x", "at-first").send().await;
+    assert_eq!(first.expect("an answer").status(), StatusCode::OK);
+    let mut calls = JoinSet::new();
+    for number in 0..30 {
+        let cluster = cluster.clone();
+        calls.spawn(async move {
+            let sent = Instant::now();
+            let call = cluster.request(3, "/safe/x", &format!("at-{number}"));
+            let answer = call.send().await.expect("an answer");
+            (
+                answer.status(),
+                answer.headers().contains_key("retry-after"),
+                sent.elapsed(),
+            )
+        });
+    }
+    let answers = calls.join_all().await;
+    let served = answers
+        .iter()
+        .filter(|(status, ..)| *status == StatusCode::OK);
+    let served = served.count();
+    // Two a second, for as long as callers wait.
+    assert!((12..=18).contains(&served), "{answers:?}");
+    let refused = answers
+        .iter()
+        .filter(|(status, ..)| *status != StatusCode::OK);
+    for (status, has_retry_after, elapsed) in refused {
+        assert_eq!(*status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(
+            *has_retry_after && *elapsed < Duration::from_secs(1),
+            "{elapsed:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn an_endpoint_whose_limit_ends_gets_more_requests_again() {
+    let (cluster, limited, other) = start(74, &config(3)).await;
+    let cluster = Arc::new(cluster);
+    *limited.record.limit.lock() = Some(LIMIT);
+    load(
+        cluster.clone(),
+        "/safe/x",
+        Instant::now() + Duration::from_secs(2),
+    )
+    .await;
+    *limited.record.limit.lock() = None;
+    load(
+        cluster.clone(),
+        "/safe/x",
+        Instant::now() + Duration::from_secs(2),
+    )
+    .await;
+    let (before, before_other) = (limited.runs(), other.runs());
+    load(cluster, "/safe/x", Instant::now() + Duration::from_secs(1)).await;
+    let (share, share_other) = (limited.runs() - before, other.runs() - before_other);
+    assert!(
+        share * 3 > share_other,
+        "{share} and {share_other} requests"
+    );
+}
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -5,12 +5,12 @@
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use kumquatdrum_placement::Failure;
-use slog::{info, warn};
+use slog::info;
 use tokio::time::timeout_at;
 
 use super::Call;
 use crate::pool::Pick;
-use crate::protocol::{Annotation, Helper, Limit, Reply};
+use crate::protocol::{Annotation, Helper, Reply};
 use crate::upstream::{self, Exchange};
 
 /// Hop-by-hop headers (RFC 9110, 7.6.1), in addition to those listed in `Connection`.
@@ -86,7 +86,9 @@
             self.log_attempt(pick, "crossed", "a response to another request");
             return Outcome::Lost("a response to another request".to_owned());
         }
-        self.log_limit(pick, &reply.limit);
+        if !reply.is_misdirected {
+            pick.record_limit(&reply.limit);
+        }
         if self.is_stream() && status == StatusCode::OK {
             return Outcome::Stream(Box::new(exchange));
         }
@@ -170,23 +172,6 @@
         request
     }
 
-    fn log_limit(&self, pick: &Pick, limit: &Limit) {
-        let logger = &self.gateway.logger;
-        match limit {
-            Limit::Absent => {}
-            Limit::Rate(rate) => {
-                info!(logger, "limit_named"; "event" => "limit_named",
-                    "request" => &self.attempt_id, "endpoint" => pick.endpoint.id.as_str(),
-                    "per_second" => rate.per_second());
-            }
-            Limit::Invalid(value) => {
-                warn!(logger, "limit_invalid"; "event" => "limit_invalid",
-                    "request" => &self.attempt_id, "endpoint" => pick.endpoint.id.as_str(),
-                    "value" => value);
-            }
-        }
-    }
-
     pub(super) fn log_attempt(&self, pick: &Pick, outcome: &str, reason: &str) {
         let metrics = &self.gateway.metrics;
         metrics.attempts.with_label_values(&[outcome]).inc();
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -128,6 +128,10 @@
                 reason: "the prompt is larger than any engine's memory",
                 retry_after: self.time_left(),
             },
+            Rejection::Limited(wait) => Problem::Refused {
+                reason: "its endpoints have reached the limits that they name",
+                retry_after: wait,
+            },
             Rejection::NoCapacity(_) => Problem::Refused {
                 reason: "no engine had room",
                 retry_after: NO_CAPACITY_RETRY_AFTER,
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -23,7 +23,7 @@
 use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
-use crate::hosts::Hosts;
+use crate::hosts::{self, Hosts};
 use crate::inbox::Inbox;
 use crate::listener::{self, Phase};
 use crate::message::Host;
@@ -196,7 +196,7 @@
         broadcaster: broadcaster.clone(),
         retries: settings.retries,
         announcement_interval: Duration::from_millis(settings.announcement_ms),
-        number: dispatcher_number(&settings),
+        number: hosts::number(settings.address),
         data_centre: settings.data_centre.clone(),
         logger: logger.clone(),
     });
@@ -352,15 +352,6 @@
     })
 }
 
-/// Returns a number that identifies this host: its IPv4 address, or the low 32 bits of its IPv6
-/// address.
-fn dispatcher_number(settings: &Settings) -> u32 {
-    match settings.address {
-        std::net::IpAddr::V4(address) => u32::from(address),
-        std::net::IpAddr::V6(address) => (u128::from(address) & u128::from(u32::MAX)) as u32,
-    }
-}
-
 async fn serve_peers(
     listener: TcpListener,
     gateway: Arc<Gateway>,
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -319,6 +319,19 @@
         others.count() + usize::from(state.local.accepts_callers)
     }
 
+    /// Returns the numbers of the live hosts that accept callers, including this one.
+    pub fn caller_numbers(&self) -> Vec<u32> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let others = state.aged(now);
+        let others = others.filter(|(_, age)| *age <= LOST_AFTER);
+        let all = others.map(|(entry, _)| &entry.host);
+        let all = all.chain(std::iter::once(&state.local));
+        let callers = all.filter(|host| host.accepts_callers && !host.is_stopping);
+        let addresses = callers.filter_map(|host| address(&host.id));
+        addresses.map(number).collect()
+    }
+
     /// Returns the recipients of dispatch events: hosts that accept callers.
     pub fn event_recipients(&self) -> Recipients {
         let now = self.clock.now();
@@ -388,6 +401,15 @@
     }
 }
 
+/// Returns a number that identifies a host: its IPv4 address, or the low 32 bits of its IPv6
+/// address.
+pub fn number(address: IpAddr) -> u32 {
+    match address {
+        IpAddr::V4(address) => u32::from(address),
+        IpAddr::V6(address) => (u128::from(address) & u128::from(u32::MAX)) as u32,
+    }
+}
+
 /// Parses a host id as an address.
 fn address(id: &HostId) -> Option<IpAddr> {
     id.as_str().parse().ok()
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_fanout::Urgency;
-use kumquatdrum_placement::{JobId, Plan, Waiter};
+use kumquatdrum_placement::{EndpointKey, JobId, Plan, Rate, Waiter};
 use kumquatdrum_quarantine::Suspect;
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
@@ -215,12 +215,16 @@
     Cancelled(ServiceName, JobId),
     /// Jobs in flight, each with whether its prefill is still in progress.
     Running(ServiceName, Vec<(Plan, bool)>),
+    /// An endpoint names a limit, or no longer does.
+    Limited(ServiceName, EndpointKey, Option<Rate>),
+    /// A host, given by its number, sent a request to a limited endpoint of a plain service.
+    Taken(ServiceName, EndpointKey, u32),
     /// A request was in flight at endpoints that crashed, or is cleared of it.
     Suspected(Suspect),
 }
 
 impl Event {
-    /// Returns the service whose jobs the event concerns, if any.
+    /// Returns the service that the event concerns, if any.
     pub const fn service(&self) -> Option<&ServiceName> {
         match self {
             Self::Sent(name, _)
@@ -228,7 +232,9 @@
             | Self::Ended(name, _)
             | Self::Queued(name, _)
             | Self::Cancelled(name, _)
-            | Self::Running(name, _) => Some(name),
+            | Self::Running(name, _)
+            | Self::Limited(name, ..)
+            | Self::Taken(name, ..) => Some(name),
             Self::Suspected(_) => None,
         }
     }
@@ -236,8 +242,12 @@
     /// Returns whether the event may free capacity for a queued job.
     pub const fn can_free_capacity(&self) -> bool {
         match self {
-            Self::Sent(..) | Self::Began(..) | Self::Ended(..) | Self::Cancelled(..) => true,
-            Self::Queued(..) | Self::Running(..) | Self::Suspected(_) => false,
+            Self::Sent(..)
+            | Self::Began(..)
+            | Self::Ended(..)
+            | Self::Cancelled(..)
+            | Self::Limited(..) => true,
+            Self::Queued(..) | Self::Running(..) | Self::Taken(..) | Self::Suspected(_) => false,
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! The endpoint pool: picks endpoints for requests by the load known to this host.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -7,13 +8,12 @@
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{
-    Balancer, Budget, DataCentreKey, Decision, Diagnostics, EndpointKey, Job, JobId, Plan, Planner,
-    Waiter,
+    Budget, DataCentreKey, Decision, Diagnostics, EndpointKey, Job, JobId, Plan, Planner, Waiter,
 };
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
-use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use slog::info;
 use tokio::sync::Notify;
@@ -25,17 +25,21 @@
 use crate::protocol::Helper;
 use crate::settings::Retries;
 
+mod limit;
 mod pick;
+mod policy;
+mod queue;
 
+use limit::Turn;
 pub use pick::{Pick, Prefiller};
+use policy::Policy;
+use queue::QueueEntry;
 
 /// The number of announcement intervals after which a silent endpoint is not used. It tolerates a
 /// lost announcement and a late one.
 const MAX_MISSED_ANNOUNCEMENTS: u32 = 4;
 /// The interval at which a queued request is retried without a notification.
 const RETRY_INTERVAL: Duration = Duration::from_millis(25);
-/// The interval at which a queued job is broadcast again if nothing about it changes.
-const QUEUE_BROADCAST_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum encoded size of a plan without its parts, in bytes.
 const MAX_PLAN_BYTES: usize = 48;
 /// The maximum encoded size of a part, in bytes.
@@ -76,6 +80,8 @@
     name: ServiceName,
     state: Mutex<State>,
     changed: Notify,
+    /// The jobs that wait for a limited endpoint, in order.
+    limited: Mutex<VecDeque<JobId>>,
 }
 
 struct State {
@@ -85,11 +91,6 @@
     directory: IndexMap<EndpointKey, Announcement>,
 }
 
-enum Policy {
-    Engines(Box<Planner>),
-    Plain(Balancer),
-}
-
 /// The reason why no endpoint was picked.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Rejection {
@@ -101,6 +102,8 @@
     TooCostly,
     /// No engine had capacity in time.
     NoCapacity(Waiter),
+    /// All endpoints have reached the limits that they name. Holds the expected wait.
+    Limited(Duration),
 }
 
 impl Pool {
@@ -141,7 +144,7 @@
                 let planner = Planner::new(engine.clone()).with_data_centre(local_key);
                 Policy::Engines(Box::new(planner))
             }
-            None => Policy::Plain(Balancer::default()),
+            None => Policy::Plain(Box::default()),
         };
         let state = State {
             engine: engine.cloned(),
@@ -153,6 +156,7 @@
             name: name.clone(),
             state: Mutex::new(state),
             changed: Notify::new(),
+            limited: Mutex::default(),
         }
     }
 
@@ -190,6 +194,7 @@
             }
         }
         state.directory = directory;
+        self.refresh_limits(&mut state);
         drop(state);
         service.changed.notify_waiters();
     }
@@ -231,8 +236,18 @@
         let now = self.dependencies.clock.now();
         let service = self.find_service(event.service()?)?;
         let mut state = service.state.lock();
-        let Policy::Engines(planner) = &mut state.policy else {
-            return None;
+        let planner = match (&mut state.policy, &event) {
+            (policy, Event::Limited(_, key, rate)) => {
+                self.apply_limit(&service, policy, *key, *rate);
+                drop(state);
+                return Some(service);
+            }
+            (policy, Event::Taken(_, key, host)) => {
+                policy.limits_mut().record(now, *key, *host);
+                return None;
+            }
+            (Policy::Engines(planner), _) => planner,
+            (Policy::Plain(_), _) => return None,
         };
         match event {
             Event::Sent(_, plan) => planner.record_dispatch(now, plan),
@@ -245,7 +260,7 @@
                     planner.renew_job(now, plan, is_prefilling);
                 }
             }
-            Event::Suspected(_) => return None,
+            Event::Limited(..) | Event::Taken(..) | Event::Suspected(_) => return None,
         }
         drop(state);
         Some(service)
@@ -291,9 +306,16 @@
             last_broadcast: None,
         };
         let clock = &self.dependencies.clock;
+        let mut turn = Turn::new(&service, job.id);
         loop {
             let changed = service.changed.notified();
-            match self.try_pick(&service, request, job) {
+            let picked = if turn.is_next() {
+                self.try_pick(&service, request, job)
+            } else {
+                Err(Rejection::Limited(self.limited_wait(&service)))
+            };
+            match picked {
+                Err(Rejection::Limited(wait)) => self.await_turn(&mut turn, request, job, wait)?,
                 Err(Rejection::NoCapacity(waiter)) if clock.now() < job.deadline => {
                     entry.broadcast_if_due(waiter);
                 }
@@ -322,15 +344,32 @@
                     Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
                     Decision::TooCostly => return Err(Rejection::TooCostly),
                     Decision::TooLarge => return Err(Rejection::TooLarge),
+                    Decision::Limited => {
+                        let wait = self.expected_wait(&state);
+                        return Err(Rejection::Limited(wait));
+                    }
                     Decision::NoEngine => return Err(Rejection::NoEndpoint),
                 };
                 self.dispatch(service, &state, (request, job), plan, &diagnostics)
             }
             Policy::Plain(balancer) => {
-                let key = balancer.choose(now, &job.excluded);
-                let key = key.ok_or(Rejection::NoEndpoint)?;
+                let Some(key) = balancer.choose(now, &job.excluded) else {
+                    let is_limited = balancer.has_exhausted(now, &job.excluded);
+                    let limited = Rejection::Limited(self.expected_wait(&state));
+                    let rejection = if is_limited {
+                        limited
+                    } else {
+                        Rejection::NoEndpoint
+                    };
+                    return Err(rejection);
+                };
+                let is_limited = balancer.limits().contains(key);
                 let endpoint = state.directory.get(&key).cloned();
                 let endpoint = endpoint.ok_or(Rejection::NoEndpoint)?;
+                if is_limited {
+                    let event = Event::Taken(service.name.clone(), key, self.dependencies.number);
+                    self.broadcast(event, Urgency::Urgent);
+                }
                 Ok(Pick {
                     pool: self.clone(),
                     service: service.clone(),
@@ -404,52 +443,6 @@
     }
 }
 
-/// A queued job. Dropping it broadcasts that the job has left the queue.
-struct QueueEntry<'a> {
-    pool: &'a Pool,
-    service: &'a Service,
-    job: JobId,
-    /// The time of the last broadcast, and whether the job was reported as blocked.
-    last_broadcast: Option<(Moment, bool)>,
-}
-
-impl QueueEntry<'_> {
-    /// Broadcasts the job's queue state if it has changed or the interval has passed.
-    fn broadcast_if_due(&mut self, waiter: Waiter) {
-        let now = self.pool.dependencies.clock.now();
-        let is_due = self.last_broadcast.is_none_or(|(at, is_blocked)| {
-            now - at >= QUEUE_BROADCAST_INTERVAL || is_blocked != waiter.is_blocked
-        });
-        if is_due {
-            let has_changed = self
-                .last_broadcast
-                .is_none_or(|(_, is_blocked)| is_blocked != waiter.is_blocked);
-            self.last_broadcast = Some((now, waiter.is_blocked));
-            let event = Event::Queued(self.service.name.clone(), waiter);
-            let urgency = if has_changed {
-                Urgency::Urgent
-            } else {
-                Urgency::Usual
-            };
-            self.pool.broadcast(event, urgency);
-        }
-    }
-}
-
-impl Drop for QueueEntry<'_> {
-    fn drop(&mut self) {
-        if self.last_broadcast.is_none() {
-            return;
-        }
-        if let Policy::Engines(planner) = &mut self.service.state.lock().policy {
-            planner.dequeue(self.job);
-        }
-        let event = Event::Cancelled(self.service.name.clone(), self.job);
-        self.pool.broadcast(event, Urgency::Urgent);
-        self.service.changed.notify_waiters();
-    }
-}
-
 /// Returns the key that identifies a data centre to the planner and the balancer.
 fn data_centre_key(data_centre: &DataCentre) -> DataCentreKey {
     let name = EndpointId::new(data_centre.as_str());
--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -6,7 +6,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::reachability::{DataCentreKey, Reachability};
-use crate::{EndpointKey, Failure, Health};
+use crate::{EndpointKey, Failure, Health, Limits};
 
 /// How long a reported load is used: roughly the run time of a plain request.
 const REPORT_EXPIRY: Duration = Duration::from_millis(250);
@@ -16,6 +16,7 @@
 pub struct Balancer {
     endpoints: IndexMap<EndpointKey, Endpoint>,
     reachability: Reachability,
+    limits: Limits,
     rotation: usize,
 }
 
@@ -50,13 +51,31 @@
             .retain(|_, endpoint| endpoint.is_usable || endpoint.in_flight > 0);
     }
 
-    /// Chooses the least loaded endpoint that is not in `excluded` and counts the request as in
-    /// flight.
+    /// Returns the limits of the endpoints.
+    pub const fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Returns the limits of the endpoints.
+    pub const fn limits_mut(&mut self) -> &mut Limits {
+        &mut self.limits
+    }
+
+    /// Returns whether an endpoint that is not in `excluded` has reached its limit.
+    pub fn has_exhausted(&self, now: Moment, excluded: &[EndpointKey]) -> bool {
+        let usable = self.endpoints.iter();
+        let mut usable =
+            usable.filter(|(key, endpoint)| endpoint.is_usable && !excluded.contains(key));
+        usable.any(|(key, _)| self.limits.is_exhausted(now, *key))
+    }
+
+    /// Chooses the least loaded endpoint that is not in `excluded` and has not reached its limit,
+    /// and counts the request as in flight.
     pub fn choose(&mut self, now: Moment, excluded: &[EndpointKey]) -> Option<EndpointKey> {
         self.rotation = self.rotation.wrapping_add(1);
         let count = self.endpoints.len().max(1);
         let is_usable = |(_, (key, endpoint)): &(usize, (&EndpointKey, &Endpoint))| {
-            endpoint.is_usable && !excluded.contains(key)
+            endpoint.is_usable && !excluded.contains(key) && !self.limits.is_exhausted(now, **key)
         };
         let order = |(index, (_, endpoint)): &(usize, (&EndpointKey, &Endpoint))| {
             let is_unreachable = self.reachability.is_unreachable(now, endpoint.data_centre);
@@ -69,6 +88,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.in_flight += 1;
         }
+        self.limits.record_local(now, key);
         Some(key)
     }
 
--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -52,6 +52,8 @@
     /// The duration of a decode pass.
     pub(crate) pass_ms: f64,
     pub(crate) free_tokens: u64,
+    /// Whether the engine limits its requests.
+    pub(crate) is_limited: bool,
 }
 
 impl Endpoint {
@@ -80,6 +82,7 @@
             long_prefill_ms: (self.long_prefill_until - now).as_secs_f64() * 1e3,
             pass_ms: cost.pass_ms(self.decodes.len(), self.used_tokens),
             free_tokens: memory.saturating_sub(self.used_tokens),
+            is_limited: false,
         }
     }
 }
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -4,6 +4,7 @@
 //!   the backlog of each engine and chooses how many engines share the prefill of a long prompt.
 //! - [`Balancer`] balances requests over the endpoints of a plain service.
 //! - [`Health`] detects unhealthy endpoints from their responses.
+//! - [`Limits`] keeps the requests of all hosts to an endpoint within the rate that it names.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
 
 mod balancer;
@@ -12,6 +13,7 @@
 mod demand;
 mod health;
 mod job;
+mod limits;
 mod long_prompt;
 mod planner;
 mod queue;
@@ -25,6 +27,7 @@
 pub use cost::Cost;
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
+pub use limits::{Limits, Summary};
 pub use planner::{Decision, Diagnostics, Planner};
 pub use rate::Rate;
 pub use reachability::DataCentreKey;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -16,7 +16,7 @@
 use crate::reachability::{DataCentreKey, Reachability};
 use crate::tombstones::Tombstones;
 use crate::{
-    Cost, EndpointKey, Failure, Helper, Job, JobId, Plan, Waiter, long_prompt, short_prompt,
+    Cost, EndpointKey, Failure, Helper, Job, JobId, Limits, Plan, Waiter, long_prompt, short_prompt,
 };
 
 /// The time after which a job is dropped unless its host announces it: four missed announcements
@@ -34,6 +34,8 @@
     TooLarge,
     /// The delay to other callers would outweigh the prompt.
     TooCostly,
+    /// All usable engines have reached their limits.
+    Limited,
     /// No engine is usable.
     NoEngine,
 }
@@ -61,6 +63,7 @@
     tombstones: Tombstones,
     demand: Demand,
     reachability: Reachability,
+    limits: Limits,
     /// The data centre of this host, if known.
     local_data_centre: Option<DataCentreKey>,
 }
@@ -83,6 +86,7 @@
             tombstones: Tombstones::default(),
             demand: Demand::default(),
             reachability: Reachability::default(),
+            limits: Limits::default(),
             local_data_centre: None,
         }
     }
@@ -107,6 +111,16 @@
         self
     }
 
+    /// Returns the limits of the engines.
+    pub const fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Returns the limits of the engines.
+    pub const fn limits_mut(&mut self) -> &mut Limits {
+        &mut self.limits
+    }
+
     /// Replaces the set of usable engines.
     pub fn set_endpoints(
         &mut self,
@@ -129,7 +143,12 @@
     /// Decides where to place a job. A plan that is returned counts as dispatched.
     pub fn place(&mut self, now: Moment, job: &Job) -> Decision {
         self.expire(now);
-        let candidates = self.candidates(now, job);
+        let mut candidates = self.candidates(now, job);
+        let engines = candidates.len();
+        candidates.retain(|candidate| !self.limits.is_exhausted(now, candidate.key));
+        if candidates.is_empty() && engines > 0 {
+            return Decision::Limited;
+        }
         if self.is_rejected(job, &candidates) {
             return Decision::TooCostly;
         }
@@ -137,12 +156,17 @@
         if candidates.is_empty() {
             return Decision::NoEngine;
         }
-        if job.memory_tokens() > memory_tokens * candidates.len() as u64 {
+        if job.memory_tokens() > memory_tokens * engines as u64 {
             return Decision::TooLarge;
         }
         let prefill_ms = self.cost.prefill_ms(job.prompt_tokens);
         let mut waiter = new_waiter(now, job, prefill_ms);
-        let plan = if short_prompt::is_short(job, &candidates, prefill_ms) {
+        let is_short = short_prompt::is_short(job, &candidates, prefill_ms);
+        let unlimited = candidates.iter().filter(|candidate| !candidate.is_limited);
+        if !is_short && job.memory_tokens() <= memory_tokens * unlimited.count() as u64 {
+            candidates.retain(|candidate| !candidate.is_limited);
+        }
+        let plan = if is_short {
             let conditions = short_prompt::Conditions {
                 dispatch_rate: self.demand.dispatch_rate(),
                 local_data_centre: self.local_data_centre,
@@ -210,6 +234,9 @@
         self.queue.remove(plan.job);
         let target = Duration::from_millis(plan.target_ms.into());
         self.demand.add(now, plan.prompt_tokens.into(), target);
+        if !self.jobs.contains_key(&plan.job) {
+            self.record_requests(now, &plan);
+        }
         if self.tombstones.contains(plan.job) {
             return;
         }
@@ -269,10 +296,18 @@
             return;
         }
         if !self.tombstones.contains(plan.job) {
+            self.record_requests(now, &plan);
             self.add_assignment(now, plan, is_prefilling);
         }
     }
 
+    /// Counts a plan against the limits of its engines.
+    fn record_requests(&mut self, now: Moment, plan: &Plan) {
+        for key in plan.prefill_engines() {
+            self.limits.record(now, key, plan.job.host);
+        }
+    }
+
     /// Renews this host's jobs and returns them, each with whether it is in prefill, for
     /// announcement to other hosts.
     pub fn renew_jobs(&mut self, now: Moment, host: u32) -> Vec<(Plan, bool)> {
@@ -355,7 +390,10 @@
         let chosen = usable.into_iter();
         let chosen = chosen.filter(|(_, endpoint)| !has_healthy || is_healthy(endpoint));
         chosen
-            .map(|(key, endpoint)| endpoint.candidate(now, *key, &self.cost))
+            .map(|(key, endpoint)| Candidate {
+                is_limited: self.limits.contains(*key),
+                ..endpoint.candidate(now, *key, &self.cost)
+            })
             .collect()
     }
 
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -165,7 +165,7 @@
         .iter()
         .filter(|candidate| candidate.key != first.key);
     let mut available: Vec<&Candidate<'_>> = available
-        .filter(|candidate| candidate.long_prefill_ms <= 0.0)
+        .filter(|candidate| candidate.long_prefill_ms <= 0.0 && !candidate.is_limited)
         .collect();
     available.sort_by_key(|candidate| candidate.decodes());
     let helpers = available.into_iter().take(wanted);
