--- a/crates/kumquatdrum/tests/gateway/crash.rs
+++ b/crates/kumquatdrum/tests/gateway/crash.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::cluster::{Cluster, HOSTS, config};
-use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
+use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint, SLOWLY_CRASHING_BODY};
 
 /// The number of endpoints that a request may crash.
 const MAX_CRASHES: usize = 3;
@@ -66,6 +66,19 @@
     assert_eq!(other.status(), StatusCode::OK);
 }
 
+#[tokio::test]
+async fn a_crash_counts_although_the_listener_closes_after_the_connection() {
+    let (cluster, endpoints) = start_with_endpoints(66, 8).await;
+    for repetition in 0..8 {
+        let attempt = format!("at-{repetition}");
+        send(&cluster, 3 + repetition % 2, &attempt, SLOWLY_CRASHING_BODY).await;
+        sleep(PAUSE).await;
+    }
+    // One more copy may be sent before the third crash is known.
+    let crashes = count_runs(&endpoints);
+    assert!(crashes <= MAX_CRASHES + 1, "{crashes} endpoints crashed");
+}
+
 #[tokio::test]
 async fn a_block_survives_the_restart_of_all_hosts() {
     let (mut cluster, endpoints) = start_with_endpoints(65, 5).await;
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -12,8 +12,12 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 
-/// The body of a request that crashes the endpoint: it closes all connections and its listener.
+/// The body of a request that crashes the endpoint: it closes its listener and all connections.
 pub const CRASHING_BODY: &str = "crash";
+/// The body of a request that crashes the endpoint, whose listener is closed last.
+pub const SLOWLY_CRASHING_BODY: &str = "crash slowly";
+/// The time until the listener is closed.
+const SLOW_CRASH: Duration = Duration::from_millis(20);
 
 /// How the endpoint answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,11 +83,18 @@
                         let (name, shared) = (name.clone(), shared.clone());
                         serving.spawn(async move { serve(stream, &name, behaviour, &shared).await });
                     }
-                    Some(ended) = serving.join_next() => {
-                        if matches!(ended, Ok(End::Crashed)) {
+                    Some(ended) = serving.join_next() => match ended {
+                        Ok(End::Crashed(connection)) => {
+                            drop(listener);
+                            drop(connection);
                             return;
                         }
-                    }
+                        Ok(End::CrashedSlowly) => {
+                            sleep(SLOW_CRASH).await;
+                            return;
+                        }
+                        Ok(End::Served) | Err(_) => {}
+                    },
                 }
             }
         });
@@ -119,7 +130,10 @@
 /// How a connection to the endpoint ended.
 enum End {
     Served,
-    Crashed,
+    /// The endpoint crashes, and closes this connection after its listener.
+    Crashed(TcpStream),
+    /// The endpoint crashes, and closes its listener later.
+    CrashedSlowly,
 }
 
 async fn serve(mut stream: TcpStream, name: &str, behaviour: Behaviour, record: &Record) -> End {
@@ -145,8 +159,10 @@
     record.arrivals.lock().push(Instant::now());
     let after: u64 = header("Last-Event-Id").parse().unwrap_or(0);
     *record.attempts.lock().entry(attempt.clone()).or_default() += 1;
-    if request.ends_with(&format!("\r\n\r\n{CRASHING_BODY}")) {
-        return End::Crashed;
+    match request.rsplit("\r\n").next() {
+        Some(CRASHING_BODY) => return End::Crashed(stream),
+        Some(SLOWLY_CRASHING_BODY) => return End::CrashedSlowly,
+        _ => {}
     }
     let behaviour = match behaviour {
         Behaviour::StreamOrCompleteBody if request.contains(" /stream/") => SIX_EVENTS,
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -23,8 +23,8 @@
 /// SYN packet, so that another endpoint is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The timeout for a liveness check, which delays a retry: a few round trips.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// The timeout for opening a connection to check an endpoint's liveness.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Whether an endpoint's address accepts connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
