Soak: endpoints that name limits, beside requests that crash endpoints

Counts the requests of hosts that were not killed or frozen within 3 s, and holds them to the rule. The load is ten callers now.

--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -55,8 +55,8 @@
     pub requests: Mutex<Vec<String>>,
     /// Number of runs by attempt id.
     pub attempts: Mutex<HashMap<String, usize>>,
-    /// When each request arrived.
-    pub arrivals: Mutex<Vec<Instant>>,
+    /// When each attempt arrived.
+    pub arrivals: Mutex<Vec<(Instant, String)>>,
     /// The requests per second that the endpoint names in its answers.
     pub limit: Mutex<Option<f64>>,
 }
@@ -156,7 +156,8 @@
         return End::Served;
     }
     record.runs.fetch_add(1, Ordering::Relaxed);
-    record.arrivals.lock().push(Instant::now());
+    let arrival = (Instant::now(), attempt.clone());
+    record.arrivals.lock().push(arrival);
     let after: u64 = header("Last-Event-Id").parse().unwrap_or(0);
     *record.attempts.lock().entry(attempt.clone()).or_default() += 1;
     match request.rsplit("\r\n").next() {
--- a/crates/kumquatdrum/tests/gateway/crash_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
@@ -1,6 +1,7 @@
-//! Randomised test of requests that crash endpoints, while hosts are killed and frozen.
+//! Randomised test of requests that crash endpoints and of endpoints that name limits, while hosts
+//! are killed and frozen.
 //!
-//! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway crash_soak` runs more seeds.
+//! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway endpoint_soak` runs more seeds.
 
 use std::ops::Range;
 use std::sync::Arc;
@@ -17,17 +18,16 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
+use crate::limit::{PROPAGATION_LIMIT, allowed, count_busiest};
 
 /// Seeds that run by default.
 const DEFAULT_SEEDS: Range<u64> = 0..2;
 /// Duration of the load per seed.
 const DURATION: Duration = Duration::from_secs(10);
 const ENDPOINTS: u64 = 6;
-const CALLERS: u64 = 4;
+const CALLERS: u64 = 10;
 /// The crashes after which a request is blocked.
 const MAX_CRASHES: usize = 3;
-/// The time in which all hosts learn of a crash.
-const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
 /// The number of endpoints that a request may reach after that.
 const MAX_LATE_RUNS: usize = 3;
 /// The time between an endpoint's crash and its next start.
@@ -36,8 +36,9 @@
 /// State shared by the tasks of the test.
 struct Soak {
     cluster: RwLock<Cluster>,
-    /// The running endpoints.
-    endpoints: Mutex<Vec<Endpoint>>,
+    ended: Mutex<Vec<Ended>>,
+    /// Hosts that were killed or frozen, with the time until they ran again.
+    disturbances: Mutex<Vec<(usize, Instant, Instant)>>,
     next_id: AtomicU64,
     /// When an endpoint crashed.
     crashes: Mutex<Vec<Instant>>,
@@ -46,8 +47,15 @@
     is_over: AtomicBool,
 }
 
+/// An endpoint that has ended.
+struct Ended {
+    endpoint: Endpoint,
+    /// The limit that it named, and from when on.
+    limit: Option<(f64, Instant)>,
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn crash_soak() {
+async fn endpoint_soak() {
     let seeds = match std::env::var("SOAK_SEEDS") {
         Ok(text) => {
             let (first, last) = text.split_once("..").expect("FIRST..LAST");
@@ -65,15 +73,16 @@
     cluster.apply(&config(1)).await;
     let soak = Arc::new(Soak {
         cluster: RwLock::new(cluster),
-        endpoints: Mutex::default(),
+        ended: Mutex::default(),
+        disturbances: Mutex::default(),
         next_id: AtomicU64::new(0),
         crashes: Mutex::default(),
         others: Mutex::default(),
         is_over: AtomicBool::new(false),
     });
     let mut tasks = JoinSet::new();
-    for _ in 0..ENDPOINTS {
-        tasks.spawn(run_endpoint(soak.clone()));
+    for number in 0..ENDPOINTS {
+        tasks.spawn(run_endpoint(soak.clone(), seed * 100 + number));
     }
     for host in [3, 4] {
         let until = Instant::now() + Duration::from_secs(20);
@@ -98,17 +107,27 @@
     while let Some(ended) = tasks.join_next().await {
         ended.expect("a task panicked");
     }
+    check_limits(&soak, seed);
     check(&soak, seed);
 }
 
-/// Runs an endpoint, which starts again under another id and address after each crash.
-async fn run_endpoint(soak: Arc<Soak>) {
+/// Runs an endpoint, which starts again under another id and address after each crash. Half of the
+/// endpoints name a limit after a while.
+async fn run_endpoint(soak: Arc<Soak>, seed: u64) {
+    let mut random = Pcg32::seed_from_u64(seed);
     while !soak.is_over.load(Ordering::Relaxed) {
         let id = format!("i-{}", soak.next_id.fetch_add(1, Ordering::Relaxed));
         let endpoint = Endpoint::start(&id, Behaviour::StreamOrCompleteBody).await;
         let mut sequence = 0;
+        let limit = 1.5 + f64::from(random.next_u32() % 4);
+        let named_from = (random.next_u32() % 2 == 0).then_some(2 + random.next_u32() % 8);
+        let mut named = None;
         while !endpoint.has_ended() && !soak.is_over.load(Ordering::Relaxed) {
             sequence += 1;
+            if named_from.is_some_and(|from| sequence == u64::from(from)) {
+                *endpoint.record.limit.lock() = Some(limit);
+                named = Some((limit, Instant::now()));
+            }
             for host in 0..CONTROL_HOSTS {
                 let cluster = soak.cluster.read().await;
                 let call = cluster.try_announce(host, &endpoint, "plain", "ready", sequence);
@@ -126,7 +145,8 @@
             soak.crashes.lock().push(Instant::now());
             sleep(RESTART_PAUSE).await;
         }
-        soak.endpoints.lock().push(endpoint);
+        let limit = named;
+        soak.ended.lock().push(Ended { endpoint, limit });
     }
 }
 
@@ -135,10 +155,10 @@
     let mut number = 0;
     while !soak.is_over.load(Ordering::Relaxed) {
         number += 1;
-        let attempt = format!("{seed}-{number}");
         let is_crashing = random.next_u32() % 4 == 0;
         let body = if is_crashing { CRASHING_BODY } else { "common" };
         let host = CONTROL_HOSTS + random.next_u32() as usize % (HOSTS - CONTROL_HOSTS);
+        let attempt = format!("{seed}-{number}@{host}");
         let call = soak
             .cluster
             .read()
@@ -163,6 +183,7 @@
     while Instant::now() < until {
         let host = random.next_u32() as usize % HOSTS;
         let pause = Duration::from_millis(200 + u64::from(random.next_u32() % 900));
+        let from = Instant::now();
         match random.next_u32() % 3 {
             0 => {
                 soak.cluster.write().await.kill(host);
@@ -174,12 +195,53 @@
                 sleep(pause).await;
                 soak.cluster.read().await.signal(host, "-CONT");
             }
-            _ => sleep(pause).await,
+            _ => {
+                sleep(pause).await;
+                continue;
+            }
         }
+        let disturbance = (host, from, Instant::now());
+        soak.disturbances.lock().push(disturbance);
         sleep(pause).await;
     }
 }
 
+/// Checks the requests to limited endpoints, except those of hosts that were disturbed shortly
+/// before.
+fn check_limits(soak: &Soak, seed: u64) {
+    let disturbances = soak.disturbances.lock();
+    let is_disturbed = |at: Instant, host: usize| {
+        let mut disturbances = disturbances.iter();
+        disturbances.any(|(disturbed, from, to)| {
+            *disturbed == host && *from <= at && at <= *to + PROPAGATION_LIMIT
+        })
+    };
+    for Ended { endpoint, limit } in soak.ended.lock().iter() {
+        let Some((limit, since)) = limit else {
+            continue;
+        };
+        let arrivals = endpoint.record.arrivals.lock();
+        let counted = arrivals.iter().filter(|(at, attempt)| {
+            let host = attempt
+                .rsplit('@')
+                .next()
+                .and_then(|host| host.parse().ok());
+            *at > *since + PROPAGATION_LIMIT && !is_disturbed(*at, host.expect("a host"))
+        });
+        let counted: Vec<Instant> = counted.map(|(at, _)| *at).collect();
+        let busiest = count_busiest(&counted);
+        let id = &endpoint.id;
+        assert!(
+            busiest <= allowed(*limit),
+            "seed {seed}: {busiest} at {id}, limit {limit}"
+        );
+        println!(
+            "seed {seed}: {id} at limit {limit}: {busiest} of {}",
+            allowed(*limit)
+        );
+    }
+}
+
 fn check(soak: &Soak, seed: u64) {
     let crashes = soak.crashes.lock();
     let mut crashes: Vec<Instant> = crashes.clone();
--- a/crates/kumquatdrum/tests/gateway/limit.rs
+++ b/crates/kumquatdrum/tests/gateway/limit.rs
@@ -14,24 +14,30 @@
 /// The span in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// The time in which all hosts learn of a limit.
-const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+pub const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
 const LOAD_DURATION: Duration = Duration::from_secs(9);
 const LIMIT: f64 = 2.0;
 
 /// Returns the number of requests that a limited endpoint may get in [`WINDOW`].
-fn allowed(limit: f64) -> usize {
+pub fn allowed(limit: f64) -> usize {
     (limit * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
 }
 
 /// Returns the most requests that arrived within [`WINDOW`], after `since`.
 fn busiest_window(endpoint: &Endpoint, since: Instant) -> usize {
     let arrivals = endpoint.record.arrivals.lock();
-    let late: Vec<Instant> = arrivals.iter().copied().filter(|at| *at > since).collect();
+    let late = arrivals.iter().map(|(at, _)| *at);
+    count_busiest(&late.filter(|at| *at > since).collect::<Vec<_>>())
+}
+
+/// Returns the most requests that arrived within [`WINDOW`].
+pub fn count_busiest(arrivals: &[Instant]) -> usize {
     let in_window = |start: &Instant| {
         let end = *start + WINDOW;
-        late.iter().filter(|at| *at >= start && **at <= end).count()
+        let within = arrivals.iter().filter(|at| *at >= start && **at <= end);
+        within.count()
     };
-    late.iter().map(in_window).max().unwrap_or(0)
+    arrivals.iter().map(in_window).max().unwrap_or(0)
 }
 
 /// Starts two endpoints, the first of which names a limit.
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -3,8 +3,8 @@
 mod cluster;
 mod control;
 mod crash;
-mod crash_soak;
 mod endpoint;
+mod endpoint_soak;
 mod explain;
 mod fanout;
 mod limit;
