--- a/crates/kumquatdrum_gateway/tests/quarantine_size.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -1,6 +1,7 @@
-//! Encoded sizes of the evidence that hosts exchange.
+//! Encoded sizes of what hosts exchange about crashes and limits.
 
-use kumquatdrum_gateway::message::{Event, Evidence, Version};
+use kumquatdrum_gateway::message::{Datagram, Event, Evidence, Reach, Version};
+use kumquatdrum_placement::{EndpointKey, Rate};
 use kumquatdrum_quarantine::{Crash, Fingerprint, Incarnation, Suspect};
 
 /// The maximum size of a datagram's events.
@@ -49,3 +50,19 @@
     assert!(answer <= MAX_IDLE_BYTES && known <= MAX_IDLE_BYTES);
     println!("hello: {}, answer: {answer}", answer + known);
 }
+
+#[test]
+fn datagrams_about_limits_are_small() {
+    let (service, key) = ("confdraft-llm", EndpointKey(u64::MAX));
+    for event in [
+        Event::Limited(service.into(), key, Rate::new(1.8)),
+        Event::Taken(service.into(), key, u32::MAX),
+    ] {
+        let datagram = Datagram {
+            reach: Reach::Host,
+            events: vec![event],
+        };
+        let bytes = postcard::to_stdvec(&datagram).expect("bytes");
+        assert!(bytes.len() < 60, "{}", bytes.len());
+    }
+}
