Gateway: count blocked requests, and explain them

Blocked requests end as 'blocked' in kumquatdrum_gateway_ended_total, where they were among those given up.

--- a/crates/kumquatdrum/tests/gateway/explain.rs
+++ b/crates/kumquatdrum/tests/gateway/explain.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use crate::cluster::{Cluster, config};
-use crate::endpoint::{Behaviour, Endpoint};
+use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
 
 /// Runs `explain` on the logs of both hosts that take callers, and returns its JSON.
 fn explain(cluster: &Cluster, id: &str) -> Value {
@@ -89,3 +89,25 @@
         "{cause}"
     );
 }
+
+#[tokio::test]
+async fn a_blocked_request_names_the_crashes() {
+    let cluster = Cluster::start(44);
+    cluster.apply(&config(1)).await;
+    let mut endpoints = Vec::new();
+    for number in 0..4 {
+        let endpoint = Endpoint::start(&format!("i-{number}"), Behaviour::CompleteBody).await;
+        cluster.announce(&endpoint, "plain", "ready", 1).await;
+        cluster.wait_until_ready(3, &endpoint).await;
+        endpoints.push(endpoint);
+    }
+    for id in ["at-1", "at-2", "at-blocked"] {
+        let call = cluster.request(3, "/safe/x", id).body(CRASHING_BODY);
+        call.send().await.expect("an answer");
+    }
+    let cause = wait_for_cause(&cluster, "at-blocked").await;
+    assert!(cause.contains("is blocked: 3 endpoints crashed"), "{cause}");
+    let blocked = "kumquatdrum_gateway_ended_total{end=\"blocked\"}";
+    assert_eq!(cluster.metric(3, blocked).await, 1);
+    assert_eq!(cluster.metric(3, "kumquatdrum_gateway_blocked").await, 1);
+}
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -255,7 +255,11 @@
         if attempts.response.is_some() && !matches!(problem, Problem::TimedOut) {
             return self.respond(attempts);
         }
-        self.log_end("given_up", &problem.to_string(), attempts);
+        let end = match problem {
+            Problem::Blocked { .. } => "blocked",
+            _ => "given_up",
+        };
+        self.log_end(end, &problem.to_string(), attempts);
         problem.response()
     }
 
--- a/crates/kumquatdrum_quarantine/src/quarantine.rs
+++ b/crates/kumquatdrum_quarantine/src/quarantine.rs
@@ -34,13 +34,13 @@
 /// Tracks suspects and decides which are blocked.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    suspects: IndexMap<Fingerprint, Evidence>,
-    /// The number of changes so far, used as the version of the evidence.
+    suspects: IndexMap<Fingerprint, Entry>,
+    /// The number of changes so far, used as the version of the entry.
     changes: u64,
 }
 
 #[derive(Debug, Default)]
-struct Evidence {
+struct Entry {
     crashes: IndexMap<Incarnation, Observation>,
     /// The value of [`Quarantine::changes`] at the last change.
     changed: u64,
@@ -57,7 +57,7 @@
 
 impl Quarantine {
     /// Records that a request was in flight at an endpoint that crashed. `had_begun` states whether
-    /// the first event of the answer had arrived. Returns the suspect if that is new evidence.
+    /// the first event of the answer had arrived. Returns the suspect if that is new entry.
     ///
     /// ```
     /// use kumquatdrum_quarantine::{Fingerprint, Incarnation, Quarantine};
@@ -95,15 +95,15 @@
     /// Records that a request has run to completion, which clears it of the crashes known so far.
     /// Returns the suspect if any was not cleared before.
     pub fn record_completion(&mut self, now: Moment, request: Fingerprint) -> Option<Suspect> {
-        let evidence = self.suspects.get_mut(&request)?;
-        let uncleared = evidence.crashes.values_mut();
+        let entry = self.suspects.get_mut(&request)?;
+        let uncleared = entry.crashes.values_mut();
         let uncleared = uncleared.filter(|crash| !crash.is_cleared);
         let cleared = uncleared.map(|crash| crash.is_cleared = true).count();
         if cleared == 0 {
             return None;
         }
         self.changes += 1;
-        evidence.changed = self.changes;
+        entry.changed = self.changes;
         self.find(now, request)
     }
 
@@ -115,14 +115,14 @@
         if recent.peek().is_none() {
             return false;
         }
-        let evidence = self.suspects.entry(suspect.request).or_default();
+        let entry = self.suspects.entry(suspect.request).or_default();
         let mut has_changed = false;
         for crash in recent {
-            has_changed |= evidence.merge(now, &crash);
+            has_changed |= entry.merge(now, &crash);
         }
         if has_changed {
             self.changes += 1;
-            evidence.changed = self.changes;
+            entry.changed = self.changes;
             self.evict(now, suspect.request);
         }
         has_changed
@@ -146,9 +146,7 @@
     /// Returns the number of blocked requests.
     pub fn count_blocked(&self, now: Moment) -> usize {
         let blocked = self.suspects.values();
-        blocked
-            .filter(|evidence| evidence.block(now).is_some())
-            .count()
+        blocked.filter(|entry| entry.block(now).is_some()).count()
     }
 
     /// Returns up to `limit` suspects that have changed since a version, in the order of their
@@ -156,19 +154,17 @@
     pub fn changed_since(&self, now: Moment, version: u64, limit: usize) -> (Vec<Suspect>, u64) {
         let changed = self.suspects.iter();
         let mut changed: Vec<_> = changed
-            .filter(|(_, evidence)| evidence.changed > version)
+            .filter(|(_, entry)| entry.changed > version)
             .collect();
         if changed.is_empty() {
             return (Vec::new(), self.changes);
         }
-        changed.sort_by_key(|(_, evidence)| evidence.changed);
+        changed.sort_by_key(|(_, entry)| entry.changed);
         let is_complete = changed.len() <= limit;
         changed.truncate(limit);
-        let last = changed
-            .last()
-            .map_or(version, |(_, evidence)| evidence.changed);
+        let last = changed.last().map_or(version, |(_, entry)| entry.changed);
         let suspects = changed.into_iter();
-        let suspects = suspects.map(|(request, evidence)| evidence.suspect(now, *request));
+        let suspects = suspects.map(|(request, entry)| entry.suspect(now, *request));
         (
             suspects.collect(),
             if is_complete { self.changes } else { last },
@@ -177,17 +173,15 @@
 
     /// Forgets crashes older than the retention time, and suspects without crashes.
     pub fn expire(&mut self, now: Moment) {
-        self.suspects.retain(|_, evidence| {
-            evidence
-                .crashes
-                .retain(|_, crash| crash.age(now) < RETENTION);
-            !evidence.crashes.is_empty()
+        self.suspects.retain(|_, entry| {
+            entry.crashes.retain(|_, crash| crash.age(now) < RETENTION);
+            !entry.crashes.is_empty()
         });
     }
 
     fn find(&self, now: Moment, request: Fingerprint) -> Option<Suspect> {
-        let evidence = self.suspects.get(&request)?;
-        Some(evidence.suspect(now, request))
+        let entry = self.suspects.get(&request)?;
+        Some(entry.suspect(now, request))
     }
 
     /// Removes the least suspicious request other than `newest` if there are too many.
@@ -199,12 +193,8 @@
             .suspects
             .iter()
             .filter(|(request, _)| **request != newest);
-        let least = others.min_by_key(|(request, evidence)| {
-            (
-                evidence.score(),
-                std::cmp::Reverse(evidence.age(now)),
-                **request,
-            )
+        let least = others.min_by_key(|(request, entry)| {
+            (entry.score(), std::cmp::Reverse(entry.age(now)), **request)
         });
         if let Some(request) = least.map(|(request, _)| *request) {
             self.suspects.swap_remove(&request);
@@ -212,7 +202,7 @@
     }
 }
 
-impl Evidence {
+impl Entry {
     fn merge(&mut self, now: Moment, crash: &Crash) -> bool {
         let received = Observation {
             recorded_at: now,
