--- a/crates/kumquatdrum/tests/gateway/explain.rs
+++ b/crates/kumquatdrum/tests/gateway/explain.rs
@@ -111,3 +111,24 @@
     assert_eq!(cluster.metric(3, blocked).await, 1);
     assert_eq!(cluster.metric(3, "kumquatdrum_gateway_blocked").await, 1);
 }
+
+#[tokio::test]
+async fn a_request_that_is_refused_for_a_limit_names_it() {
+    let cluster = Cluster::start(45);
+    cluster.apply(&config(1)).await;
+    let limited = Endpoint::start("i-limited", Behaviour::CompleteBody).await;
+    *limited.record.limit.lock() = Some(0.1);
+    cluster.announce(&limited, "plain", "ready", 1).await;
+    cluster.wait_until_ready(3, &limited).await;
+    for id in ["at-1", "at-limited"] {
+        let answer = cluster.request(3, "/safe/x", id).send().await;
+        answer.expect("an answer");
+    }
+    let cause = wait_for_cause(&cluster, "at-limited").await;
+    assert!(cause.contains("limits that they name"), "{cause}");
+    let timeline = explain(&cluster, "at-limited").to_string();
+    assert!(
+        timeline.contains("request_limited") && timeline.contains("\"0.10\""),
+        "{timeline}"
+    );
+}
