--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Returns the number of hosts.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Returns whether a host's process was started and has neither been killed nor awaited since.
     pub fn is_running(&self, host: usize) -> bool {
         self.hosts[host].is_some()
--- a/crates/kumquatdrum/tests/gateway/limit.rs
+++ b/crates/kumquatdrum/tests/gateway/limit.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
-use crate::cluster::{Cluster, HOSTS, config, engine_config};
+use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config, engine_config};
 use crate::endpoint::{Behaviour, Endpoint};
 
 /// The span in which requests are counted.
@@ -41,15 +41,15 @@
 }
 
 /// Starts two endpoints, the first of which names a limit.
-async fn start(subnet: u8, config: &Value) -> (Cluster, Endpoint, Endpoint) {
-    let cluster = Cluster::start(subnet);
+async fn start(subnet: u8, hosts: usize, config: &Value) -> (Cluster, Endpoint, Endpoint) {
+    let cluster = Cluster::with_hosts(subnet, hosts);
     cluster.apply(config).await;
     let limited = Endpoint::start("i-limited", Behaviour::StreamOrCompleteBody).await;
     let other = Endpoint::start("i-other", Behaviour::StreamOrCompleteBody).await;
     for endpoint in [&limited, &other] {
         cluster.announce(endpoint, "plain", "ready", 1).await;
     }
-    for host in 3..HOSTS {
+    for host in CONTROL_HOSTS..hosts {
         cluster.wait_until_ready(host, &limited).await;
         cluster.wait_until_ready(host, &other).await;
     }
@@ -59,6 +59,7 @@
 /// Sends requests to all hosts, one after the other from each of eight callers, and returns the
 /// number of requests and of those that were served.
 async fn load(cluster: Arc<Cluster>, path: &'static str, until: Instant) -> (usize, usize) {
+    let caller_hosts = cluster.hosts() - CONTROL_HOSTS;
     let mut callers = JoinSet::new();
     for caller in 0..8 {
         let cluster = cluster.clone();
@@ -67,7 +68,8 @@
             while Instant::now() < until {
                 sent += 1;
                 let attempt = format!("at-{caller}-{sent}");
-                let call = cluster.request(3 + caller % 2, path, &attempt);
+                let host = CONTROL_HOSTS + (caller + sent) % caller_hosts;
+                let call = cluster.request(host, path, &attempt);
                 let answer = call
                     .header("Kumquatdrum-Token-Count", "2000,100")
                     .send()
@@ -85,8 +87,8 @@
     counts.into_iter().fold((0, 0), sum)
 }
 
-async fn check_limit(subnet: u8, config: Value, path: &'static str) {
-    let (cluster, limited, _other) = start(subnet, &config).await;
+async fn check_limit(subnet: u8, hosts: usize, config: Value, path: &'static str) {
+    let (cluster, limited, _other) = start(subnet, hosts, &config).await;
     let cluster = Arc::new(cluster);
     *limited.record.limit.lock() = Some(LIMIT);
     let started = Instant::now();
@@ -105,12 +107,17 @@
 
 #[tokio::test]
 async fn a_plain_endpoint_gets_no_more_requests_from_all_hosts_than_it_names() {
-    check_limit(71, config(3), "/safe/x").await;
+    check_limit(71, HOSTS, config(3), "/safe/x").await;
 }
 
 #[tokio::test]
 async fn an_engine_gets_no_more_requests_from_all_hosts_than_it_names() {
-    check_limit(72, engine_config(3), "/stream/x").await;
+    check_limit(72, HOSTS, engine_config(3), "/stream/x").await;
+}
+
+#[tokio::test]
+async fn thirty_hosts_together_send_no_more_requests_than_an_engine_names() {
+    check_limit(75, CONTROL_HOSTS + 30, engine_config(3), "/stream/x").await;
 }
 
 #[tokio::test]
@@ -158,7 +165,7 @@
 
 #[tokio::test]
 async fn an_endpoint_whose_limit_ends_gets_more_requests_again() {
-    let (cluster, limited, other) = start(74, &config(3)).await;
+    let (cluster, limited, other) = start(74, HOSTS, &config(3)).await;
     let cluster = Arc::new(cluster);
     *limited.record.limit.lock() = Some(LIMIT);
     load(
