--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use kumquatdrum_peer::Channel;
+use kumquatdrum_types::Checkpoint;
 use slog::{error, info};
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 
 use super::{Gateway, INITIAL_HELLO_INTERVAL, SettingsFile};
 use crate::broadcast::RelayPath;
-use crate::message::{Hello, Request, Response, Selection, Version};
+use crate::message::{Hello, Request, Response, Selection};
 use crate::settings;
 
 /// The interval between hellos to the control hosts of the local data centre.
@@ -40,7 +41,7 @@
             for host in targets {
                 let gateway = self.clone();
                 let (evidence, known_evidence) = self.quarantine.outgoing(&host);
-                let sent = evidence.version;
+                let sent = evidence.checkpoint;
                 let request = Request::Hello(Hello {
                     host: self.hosts.local(),
                     revision: self.active_setup.revision(),
@@ -85,7 +86,7 @@
 
     /// Applies the response to a hello that carried the evidence up to `sent`. Returns whether it is
     /// a welcome.
-    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Version) -> bool {
+    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> bool {
         let Response::Welcome {
             host,
             hosts,
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -9,11 +9,11 @@
 use kumquatdrum_fanout::{Peer, Recipients};
 use kumquatdrum_peer::Client;
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_types::{HostId, Moment};
+use kumquatdrum_types::{Checkpoint, HostId, Moment};
 use parking_lot::Mutex;
 use slog::info;
 
-use crate::message::{Host, Listing, Member, Selection, Version};
+use crate::message::{Host, Listing, Member, Selection};
 
 pub mod reports;
 
@@ -147,7 +147,7 @@
     pub fn listing(&self, selection: Selection) -> Option<Listing> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let version = Version {
+        let version = Checkpoint {
             boot: state.local.boot,
             changes: state.changes,
         };
--- a/crates/kumquatdrum_gateway/src/hosts/reports.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/reports.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use kumquatdrum_types::{HostId, Moment};
+use kumquatdrum_types::{Checkpoint, HostId, Moment};
 
-use crate::message::{Listing, Member, Version};
+use crate::message::{Listing, Member};
 
 /// The latest report of each control host.
 #[derive(Debug, Default)]
@@ -18,7 +18,7 @@
 
 #[derive(Debug)]
 struct Report {
-    version: Version,
+    version: Checkpoint,
     received: Moment,
     live: IndexSet<HostId>,
 }
@@ -47,7 +47,7 @@
     }
 
     /// Returns the version of the last listing from a control host.
-    pub fn version(&self, from: &HostId) -> Option<Version> {
+    pub fn version(&self, from: &HostId) -> Option<Checkpoint> {
         self.reports.get(from).map(|report| report.version)
     }
 
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -4,10 +4,10 @@
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{EndpointKey, JobId, Plan, Rate, Waiter};
-use kumquatdrum_quarantine::Suspect;
+use kumquatdrum_quarantine::{Evidence, Suspect};
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
-use kumquatdrum_types::{DataCentre, HostId, ServiceName};
+use kumquatdrum_types::{Checkpoint, DataCentre, HostId, ServiceName};
 use serde::{Deserialize, Serialize};
 use slog::error;
 
@@ -47,25 +47,7 @@
     /// All hosts.
     All,
     /// The hosts that have changed since an earlier listing.
-    Since(Version),
-}
-
-/// The version of a host's state.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Version {
-    /// The host's start time in Unix milliseconds.
-    pub boot: u64,
-    /// The number of changes that the host has seen.
-    pub changes: u64,
-}
-
-/// A host's evidence against requests that crash endpoints, as far as the recipient lacks it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// The version that the recipient has after it merges the suspects.
-    pub version: Version,
-    /// The suspects that have changed.
-    pub suspects: Vec<Suspect>,
+    Since(Checkpoint),
 }
 
 /// Reports that a host is live, and its active revision.
@@ -81,8 +63,8 @@
     pub hosts: Selection,
     /// The sender's evidence that the recipient lacks.
     pub evidence: Evidence,
-    /// The version of the recipient's evidence that the sender has.
-    pub known_evidence: Version,
+    /// The checkpoint of the recipient's evidence that the sender has.
+    pub known_evidence: Checkpoint,
 }
 
 /// A control host's list of hosts.
@@ -90,7 +72,7 @@
 pub struct Listing {
     /// The version of the listing.
     #[serde(rename = "edition")]
-    pub version: Version,
+    pub version: Checkpoint,
     /// Whether the listing contains all hosts, not only the changed ones.
     pub is_complete: bool,
     /// The listed hosts.
--- a/crates/kumquatdrum_gateway/src/quarantine.rs
+++ b/crates/kumquatdrum_gateway/src/quarantine.rs
@@ -6,12 +6,11 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
 use kumquatdrum_disk::Blob;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_quarantine::{Block, Fingerprint, Incarnation, Quarantine, Suspect};
-use kumquatdrum_types::HostId;
+use kumquatdrum_quarantine::{Block, Evidence, Exchange, Fingerprint, Incarnation, Suspect};
+use kumquatdrum_types::{Checkpoint, HostId};
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -19,10 +18,7 @@
 
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::cache;
-use crate::message::{Event, Evidence, Version};
-
-/// The maximum number of suspects in a message. More follow with the next hello.
-const MAX_SUSPECTS_PER_MESSAGE: usize = 128;
+use crate::message::Event;
 
 /// The name of the file with the evidence in a control host's data folder.
 pub(crate) const FILE_NAME: &str = "suspects";
@@ -30,25 +26,14 @@
 /// Holds the evidence known to this host.
 pub struct Store {
     clock: Clock,
-    /// This host's start time in Unix milliseconds.
-    boot: u64,
     broadcaster: Option<Arc<Broadcaster>>,
-    state: Mutex<State>,
+    state: Mutex<Exchange>,
     changed: watch::Sender<()>,
     logger: slog::Logger,
 }
 
-#[derive(Default)]
-struct State {
-    quarantine: Quarantine,
-    /// For each control host, the version of this host's evidence that it has.
-    sent: IndexMap<HostId, Version>,
-    /// For each control host, the version of its evidence that this host has.
-    received: IndexMap<HostId, Version>,
-}
-
 impl Store {
-    /// Creates an empty store.
+    /// Creates the empty store of a process started at `boot`, in Unix milliseconds.
     pub fn new(
         clock: Clock,
         boot: u64,
@@ -57,9 +42,8 @@
     ) -> Self {
         Self {
             clock,
-            boot,
             broadcaster,
-            state: Mutex::default(),
+            state: Mutex::new(Exchange::new(boot)),
             changed: watch::Sender::new(()),
             logger,
         }
@@ -68,13 +52,13 @@
     /// Returns the block on a request, or `None` if it may be sent. The fingerprint is computed only
     /// if there are suspects.
     pub fn block(&self, request: impl FnOnce() -> Fingerprint) -> Option<Block> {
-        if self.state.lock().quarantine.is_empty() {
+        if self.state.lock().quarantine().is_empty() {
             return None;
         }
         let request = request();
         self.state
             .lock()
-            .quarantine
+            .quarantine()
             .block(self.clock.now(), request)
     }
 
@@ -96,7 +80,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         let suspect = state
-            .quarantine
+            .quarantine_mut()
             .record_crash(now, request, endpoint, had_begun);
         drop(state);
         if let Some(suspect) = suspect {
@@ -106,12 +90,16 @@
 
     /// Records that a request has run to completion, and broadcasts it if the request is a suspect.
     pub fn record_completion(&self, request: impl FnOnce() -> Fingerprint) {
-        if self.state.lock().quarantine.is_empty() {
+        if self.state.lock().quarantine().is_empty() {
             return;
         }
         let request = request();
         let now = self.clock.now();
-        let cleared = self.state.lock().quarantine.record_completion(now, request);
+        let cleared = self
+            .state
+            .lock()
+            .quarantine_mut()
+            .record_completion(now, request);
         if let Some(suspect) = cleared {
             info!(self.logger, "request_cleared"; "event" => "request_cleared",
                 "fingerprint" => %request);
@@ -124,7 +112,7 @@
         let now = self.clock.now();
         for suspect in suspects {
             let request = suspect.request;
-            if self.state.lock().quarantine.merge(now, suspect) {
+            if self.state.lock().quarantine_mut().merge(now, suspect) {
                 self.log_and_notify(request, from);
             }
         }
@@ -147,7 +135,7 @@
             let (all, _) = self
                 .state
                 .lock()
-                .quarantine
+                .quarantine()
                 .changed_since(now, 0, usize::MAX);
             if let Err(reason) = cache::write(file.clone(), &all).await {
                 warn!(self.logger, "suspects_not_kept"; "event" => "suspects_not_kept",
@@ -159,58 +147,33 @@
 
     /// Forgets old evidence.
     pub fn expire(&self) {
-        self.state.lock().quarantine.expire(self.clock.now());
+        self.state.lock().quarantine_mut().expire(self.clock.now());
     }
 
     /// Returns the number of suspects and of blocked requests.
     pub fn counts(&self) -> (usize, usize) {
         let state = self.state.lock();
-        let blocked = state.quarantine.count_blocked(self.clock.now());
-        (state.quarantine.len(), blocked)
+        let blocked = state.quarantine().count_blocked(self.clock.now());
+        (state.quarantine().len(), blocked)
     }
 
-    /// Returns the evidence that a control host has not received from this host, and the version of
-    /// its evidence that this host has.
-    pub fn outgoing(&self, to: &HostId) -> (Evidence, Version) {
-        let state = self.state.lock();
-        let sent = state.sent.get(to).copied().unwrap_or_default();
-        let received = state.received.get(to).copied().unwrap_or_default();
-        (self.evidence_since(&state, sent.changes), received)
+    /// Returns the evidence that a control host has not received from this host, and the checkpoint
+    /// of its evidence that this host has.
+    pub fn outgoing(&self, to: &HostId) -> (Evidence, Checkpoint) {
+        self.state.lock().outgoing(self.clock.now(), to)
     }
 
-    /// Returns the evidence that another host does not have, given the version that it has.
-    pub fn answer(&self, known: Version) -> Evidence {
-        let changes = if known.boot == self.boot {
-            known.changes
-        } else {
-            0
-        };
-        self.evidence_since(&self.state.lock(), changes)
+    /// Returns the evidence that another host lacks, given the checkpoint that it has.
+    pub fn answer(&self, known: Checkpoint) -> Evidence {
+        self.state.lock().answer(self.clock.now(), known)
     }
 
     /// Records that a control host, started at `boot`, has received this host's evidence up to
-    /// `version` and has answered with its own.
-    pub fn record_exchange(&self, from: &HostId, boot: u64, version: Version, answer: Evidence) {
-        let mut state = self.state.lock();
-        let known = state.sent.get(from);
-        // A host that has restarted since the last exchange needs all evidence again.
-        let has_restarted = known.is_some_and(|known| known.boot != boot);
-        let changes = if has_restarted { 0 } else { version.changes };
-        state.sent.insert(from.clone(), Version { boot, changes });
-        state.received.insert(from.clone(), answer.version);
-        drop(state);
+    /// `sent` and has answered with its own.
+    pub fn record_exchange(&self, from: &HostId, boot: u64, sent: Checkpoint, answer: Evidence) {
         self.merge(answer.suspects, from.as_str());
-    }
-
-    fn evidence_since(&self, state: &State, changes: u64) -> Evidence {
-        let now = self.clock.now();
-        let quarantine = &state.quarantine;
-        let (suspects, changes) = quarantine.changed_since(now, changes, MAX_SUSPECTS_PER_MESSAGE);
-        let boot = self.boot;
-        Evidence {
-            version: Version { boot, changes },
-            suspects,
-        }
+        let mut state = self.state.lock();
+        state.record(from, boot, sent, answer.checkpoint);
     }
 
     fn publish(&self, suspect: Suspect) {
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -7,10 +7,10 @@
 
 use kumquatdrum_gateway::hosts::reports::Reports;
 use kumquatdrum_gateway::hosts::{Hosts, LOST_AFTER};
-use kumquatdrum_gateway::message::{Host, Listing, Member, Selection, Version};
+use kumquatdrum_gateway::message::{Host, Listing, Member, Selection};
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_types::{BootId, HostId, Moment};
+use kumquatdrum_types::{BootId, Checkpoint, HostId, Moment};
 use slog::{Discard, Logger, o};
 
 const START: Moment = Moment::from_millis(100_000);
@@ -93,7 +93,7 @@
     // A lost listing is requested again.
     let again = listing(
         &sender,
-        Selection::Since(Version {
+        Selection::Since(Checkpoint {
             changes: changed.version.changes - 1,
             ..changed.version
         }),
@@ -176,7 +176,7 @@
         age_ms: *age_ms,
     });
     Listing {
-        version: Version { boot: 5, changes },
+        version: Checkpoint { boot: 5, changes },
         is_complete,
         hosts: hosts.collect(),
     }
@@ -236,7 +236,7 @@
     assert_eq!(reports.version(&near), None);
     assert_eq!(
         reports.version(&far),
-        Some(Version {
+        Some(Checkpoint {
             boot: 5,
             changes: 2
         })
--- a/crates/kumquatdrum_gateway/tests/sizes.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -1,8 +1,9 @@
 //! Encoded sizes of what hosts exchange about crashes and limits.
 
-use kumquatdrum_gateway::message::{Datagram, Event, Evidence, Reach, Version};
+use kumquatdrum_gateway::message::{Datagram, Event, Reach};
 use kumquatdrum_placement::{EndpointKey, Rate};
-use kumquatdrum_quarantine::{Crash, Fingerprint, Incarnation, Suspect};
+use kumquatdrum_quarantine::{Crash, Evidence, Fingerprint, Incarnation, Suspect};
+use kumquatdrum_types::Checkpoint;
 
 /// The maximum size of a datagram's events.
 const MAX_BATCH_BYTES: usize = 1_300;
@@ -37,16 +38,16 @@
 
 #[test]
 fn evidence_without_news_adds_few_bytes_to_a_hello() {
-    let version = Version {
+    let checkpoint = Checkpoint {
         boot: 1_768_712_430_021,
         changes: 40_000,
     };
     let evidence = Evidence {
-        version,
+        checkpoint,
         suspects: Vec::new(),
     };
     let answer = postcard::to_stdvec(&evidence).expect("bytes").len();
-    let known = postcard::to_stdvec(&version).expect("bytes").len();
+    let known = postcard::to_stdvec(&checkpoint).expect("bytes").len();
     assert!(answer <= MAX_IDLE_BYTES && known <= MAX_IDLE_BYTES);
     println!("hello: {}, answer: {answer}", answer + known);
 }
--- a/crates/kumquatdrum_quarantine/src/quarantine.rs
+++ b/crates/kumquatdrum_quarantine/src/quarantine.rs
@@ -143,6 +143,11 @@
         self.suspects.len()
     }
 
+    /// Returns the number of changes so far.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the number of blocked requests.
     pub fn count_blocked(&self, now: Moment) -> usize {
         let blocked = self.suspects.values();
--- a/crates/kumquatdrum_types/src/lib.rs
+++ b/crates/kumquatdrum_types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Shared identifiers, clock types and messages.
 
+pub mod checkpoint;
 pub mod digest;
 pub mod endpoint;
 pub mod exchange;
@@ -10,6 +11,7 @@
 pub mod outcome;
 pub mod time;
 
+pub use checkpoint::Checkpoint;
 pub use endpoint::Announcement;
 pub use finding::Finding;
 pub use id::{
