--- a/crates/kumquatdrum_gateway/src/call/crash.rs
+++ b/crates/kumquatdrum_gateway/src/call/crash.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kumquatdrum_placement::Failure;
+use kumquatdrum_process::liveness::{self, Liveness};
 use kumquatdrum_quarantine::{Block, Fingerprint, Incarnation};
 use kumquatdrum_registry::Announcement;
 use slog::info;
@@ -14,7 +15,6 @@
 use crate::Gateway;
 use crate::pool::Pick;
 use crate::problem::Problem;
-use crate::upstream::{self, Liveness};
 
 /// How long a retry waits for the check of the endpoint that failed.
 const INSPECTION_WAIT: Duration = Duration::from_millis(100);
@@ -92,7 +92,7 @@
     /// Returns whether the endpoint has crashed, and records that in the quarantine.
     async fn check(&self) -> bool {
         let endpoint = &self.endpoint;
-        let liveness = upstream::check(endpoint.address).await;
+        let liveness = liveness::check(endpoint.address).await;
         let is_leaving = self.gateway.endpoints.is_leaving(endpoint);
         let has_crashed = liveness == Liveness::Refusing && !is_leaving;
         info!(self.gateway.logger, "endpoint_inspected"; "event" => "endpoint_inspected",
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use kumquatdrum_consensus::Message;
 use kumquatdrum_peer::{Channel, Client, Counters};
-use kumquatdrum_process::Drain;
 use kumquatdrum_process::clock::Clock;
+use kumquatdrum_process::{Drain, quarantine};
 use kumquatdrum_routes::{Limits, Record};
 use kumquatdrum_types::{HostId, Moment};
 use parking_lot::Mutex;
@@ -25,7 +25,7 @@
 use crate::message::{Event, Hello, Request, Response};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::quarantine;
+use crate::quarantine_cache;
 use crate::replica::{Command, Handle};
 use crate::{Protocol, Settings, active_setup, cache, endpoint_cache};
 
@@ -114,7 +114,7 @@
         let logger = logger.new(o!("host" => settings.name.clone()));
         let stop_limit = Duration::from_millis(settings.stop_ms);
         let cache_file = cache::file(&settings, endpoint_cache::FILE_NAME);
-        let quarantine_file = cache::file(&settings, quarantine::FILE_NAME);
+        let quarantine_file = cache::file(&settings, quarantine_cache::FILE_NAME);
         let announcement_interval = Duration::from_millis(settings.announcement_ms);
         let cached = match &cache_file {
             Some(file) => endpoint_cache::load(file.clone(), announcement_interval, &logger).await,
@@ -122,9 +122,11 @@
         };
         let (gateway, mut running) = start::start(settings, protocol, logger, cached)?;
         if let Some(file) = quarantine_file {
-            gateway.quarantine.load(file.clone()).await;
-            let quarantine = gateway.quarantine.clone();
-            running.tasks.spawn(quarantine.persist(file));
+            let (quarantine, logger) = (gateway.quarantine.clone(), gateway.logger.clone());
+            quarantine_cache::load(file.clone(), &quarantine, &logger).await;
+            running
+                .tasks
+                .spawn(quarantine_cache::persist(file, quarantine, logger));
         }
         if let Some(file) = cache_file {
             let (endpoints, logger) = (gateway.endpoints.clone(), gateway.logger.clone());
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -7,8 +7,10 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
+use kumquatdrum_fanout::Urgency;
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
 use kumquatdrum_process::clock::{Clock, unix_ms};
+use kumquatdrum_process::quarantine;
 use kumquatdrum_registry::Update;
 use kumquatdrum_types::BootId;
 use parking_lot::Mutex;
@@ -20,7 +22,7 @@
 
 use super::{Gateway, StartError};
 use crate::body::Body;
-use crate::broadcast::Broadcaster;
+use crate::broadcast::{Broadcaster, RelayPath};
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
 use crate::hosts::{self, Hosts};
@@ -30,7 +32,7 @@
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
 use crate::replica::{self, Event, Handle};
-use crate::{Protocol, Settings, active_setup, call, control, health, quarantine, sockets};
+use crate::{Protocol, Settings, active_setup, call, control, health, message, sockets};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
 /// fail before the listener closes.
@@ -183,12 +185,15 @@
         )?),
         None => None,
     };
-    let quarantine = quarantine::Store::new(
-        clock,
-        local.identity.boot.0,
-        broadcaster.clone(),
-        logger.clone(),
-    );
+    let publisher = broadcaster.clone();
+    let publish = move |suspect| {
+        if let Some(broadcaster) = &publisher {
+            let event = message::Event::Suspected(suspect);
+            broadcaster.broadcast(event, Urgency::Urgent, RelayPath::Primary);
+        }
+    };
+    let boot = local.identity.boot.0;
+    let quarantine = quarantine::Store::new(clock, boot, publish, logger.clone());
     let pool = Pool::new(pool::Dependencies {
         clock,
         endpoints: endpoints.clone(),
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod pool;
 pub mod problem;
 pub mod protocol;
-pub mod quarantine;
+mod quarantine_cache;
 pub mod replica;
 pub mod reservation;
 pub mod settings;
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::sockets;
 
@@ -23,29 +23,6 @@
 /// SYN packet, so that another endpoint is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The timeout for opening a connection to check an endpoint's liveness.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Whether an endpoint's address accepts connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Liveness {
-    /// The address accepts connections.
-    Listening,
-    /// The host of the endpoint refuses connections: no process listens.
-    Refusing,
-    /// There was no answer.
-    Unknown,
-}
-
-/// Opens a connection to an address and closes it.
-pub async fn check(address: SocketAddr) -> Liveness {
-    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Liveness::Listening,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Liveness::Refusing,
-        Ok(Err(_)) | Err(_) => Liveness::Unknown,
-    }
-}
-
 /// The reason why there is no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
--- a/crates/kumquatdrum_peer/src/channel.rs
+++ b/crates/kumquatdrum_peer/src/channel.rs
@@ -15,16 +15,19 @@
     Limits,
     /// Claims, orders and operator calls forwarded to a control replica.
     Control,
+    /// Evidence against requests that crash endpoints.
+    Quarantine,
 }
 
 impl Channel {
     /// All channels in order of their indices.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Membership,
         Self::Consensus,
         Self::Setup,
         Self::Limits,
         Self::Control,
+        Self::Quarantine,
     ];
 
     /// Returns the channel's name in metrics and logs.
@@ -39,6 +42,7 @@
             Self::Setup => "setup",
             Self::Limits => "limits",
             Self::Control => "control",
+            Self::Quarantine => "quarantine",
         }
     }
 
@@ -54,6 +58,7 @@
             Self::Setup => generated::Channel::Setup,
             Self::Limits => generated::Channel::Limits,
             Self::Control => generated::Channel::Control,
+            Self::Quarantine => generated::Channel::Quarantine,
         }
     }
 
--- a/crates/kumquatdrum_peer/src/generated.rs
+++ b/crates/kumquatdrum_peer/src/generated.rs
@@ -37,6 +37,7 @@
     Setup = 3,
     Limits = 4,
     Control = 5,
+    Quarantine = 6,
 }
 impl Channel {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -51,6 +52,7 @@
             Self::Setup => "CHANNEL_SETUP",
             Self::Limits => "CHANNEL_LIMITS",
             Self::Control => "CHANNEL_CONTROL",
+            Self::Quarantine => "CHANNEL_QUARANTINE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -62,6 +64,7 @@
             "CHANNEL_SETUP" => Some(Self::Setup),
             "CHANNEL_LIMITS" => Some(Self::Limits),
             "CHANNEL_CONTROL" => Some(Self::Control),
+            "CHANNEL_QUARANTINE" => Some(Self::Quarantine),
             _ => None,
         }
     }
--- a/crates/kumquatdrum_process/src/lib.rs
+++ b/crates/kumquatdrum_process/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod clock;
 pub mod drain;
+pub mod liveness;
 pub mod metrics;
 pub mod monitoring;
+pub mod quarantine;
 pub mod random;
 pub mod registry;
 pub mod signal;
--- a/crates/kumquatdrum_gateway/src/quarantine.rs
+++ b/crates/kumquatdrum_process/src/quarantine.rs
@@ -1,32 +1,23 @@
-//! The quarantine of this host: requests that crash endpoints are refused.
+//! The quarantine of a host: requests that crash endpoints are refused.
 //!
-//! New evidence is broadcast at once, best effort. Hellos carry the evidence that a control host
-//! has not seen yet, and its responses that of all other hosts, so that lost broadcasts, restarts
-//! and partitions leave no host without it.
+//! The owner of a [`Store`] publishes new evidence at once, best effort, and exchanges with other
+//! hosts what each lacks, so that lost messages, restarts and partitions leave no host without it.
 
-use std::sync::Arc;
-
-use kumquatdrum_disk::Blob;
-use kumquatdrum_fanout::Urgency;
-use kumquatdrum_process::clock::Clock;
 use kumquatdrum_quarantine::{Block, Evidence, Exchange, Fingerprint, Incarnation, Suspect};
 use kumquatdrum_types::{Checkpoint, HostId};
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::sync::watch;
-use tokio::time::sleep;
 
-use crate::broadcast::{Broadcaster, RelayPath};
-use crate::cache;
-use crate::message::Event;
+use crate::clock::Clock;
 
-/// The name of the file with the evidence in a control host's data folder.
-pub(crate) const FILE_NAME: &str = "suspects";
+/// Sends new evidence of this host to others.
+type Publish = Box<dyn Fn(Suspect) + Send + Sync>;
 
 /// Holds the evidence known to this host.
 pub struct Store {
     clock: Clock,
-    broadcaster: Option<Arc<Broadcaster>>,
+    publish: Publish,
     state: Mutex<Exchange>,
     changed: watch::Sender<()>,
     logger: slog::Logger,
@@ -37,12 +28,12 @@
     pub fn new(
         clock: Clock,
         boot: u64,
-        broadcaster: Option<Arc<Broadcaster>>,
+        publish: impl Fn(Suspect) + Send + Sync + 'static,
         logger: slog::Logger,
     ) -> Self {
         Self {
             clock,
-            broadcaster,
+            publish: Box::new(publish),
             state: Mutex::new(Exchange::new(boot)),
             changed: watch::Sender::new(()),
             logger,
@@ -118,31 +109,25 @@
         }
     }
 
-    /// Loads the evidence that this host kept on its disk.
-    pub(crate) async fn load(&self, file: Blob) {
-        match cache::read::<Vec<Suspect>>(file).await {
-            Ok(suspects) => self.merge(suspects, "disk"),
-            Err(reason) => warn!(self.logger, "suspects_not_recalled";
-                "event" => "suspects_not_recalled", "reason" => reason),
-        }
+    /// Returns all evidence.
+    pub fn all(&self) -> Vec<Suspect> {
+        let now = self.clock.now();
+        let (all, _) = self
+            .state
+            .lock()
+            .quarantine()
+            .changed_since(now, 0, usize::MAX);
+        all
     }
 
-    /// Writes the evidence to disk after each change, until the task is aborted.
-    pub(crate) async fn persist(self: Arc<Self>, file: Blob) {
-        let mut changed = self.changed.subscribe();
-        while changed.changed().await.is_ok() {
-            let now = self.clock.now();
-            let (all, _) = self
-                .state
-                .lock()
-                .quarantine()
-                .changed_since(now, 0, usize::MAX);
-            if let Err(reason) = cache::write(file.clone(), &all).await {
-                warn!(self.logger, "suspects_not_kept"; "event" => "suspects_not_kept",
-                    "reason" => reason);
-            }
-            sleep(cache::WRITE_INTERVAL).await;
-        }
+    /// Returns a receiver that is notified of new evidence.
+    pub fn subscribe(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// Returns whether another host lacks evidence of this host.
+    pub fn has_news(&self, to: &HostId) -> bool {
+        self.state.lock().has_news(to)
     }
 
     /// Forgets old evidence.
@@ -157,7 +142,7 @@
         (state.quarantine().len(), blocked)
     }
 
-    /// Returns the evidence that a control host has not received from this host, and the checkpoint
+    /// Returns the evidence that another host has not received from this host, and the checkpoint
     /// of its evidence that this host has.
     pub fn outgoing(&self, to: &HostId) -> (Evidence, Checkpoint) {
         self.state.lock().outgoing(self.clock.now(), to)
@@ -168,7 +153,7 @@
         self.state.lock().answer(self.clock.now(), known)
     }
 
-    /// Records that a control host, started at `boot`, has received this host's evidence up to
+    /// Records that another host, started at `boot`, has received this host's evidence up to
     /// `sent` and has answered with its own.
     pub fn record_exchange(&self, from: &HostId, boot: u64, sent: Checkpoint, answer: Evidence) {
         self.merge(answer.suspects, from.as_str());
@@ -178,10 +163,7 @@
 
     fn publish(&self, suspect: Suspect) {
         self.log_and_notify(suspect.request, "this host");
-        if let Some(broadcaster) = &self.broadcaster {
-            let event = Event::Suspected(suspect);
-            broadcaster.broadcast(event, Urgency::Urgent, RelayPath::Primary);
-        }
+        (self.publish)(suspect);
     }
 
     fn log_and_notify(&self, request: Fingerprint, from: &str) {
