Serve: refuse requests that have crashed three engines, on all hosts

The driver checks an engine that a probe does not reach, and a plain endpoint that broke its connection, before it takes a retry; evidence is exchanged through the coordinators of the workspaces' limits, a question a second, at once with news. Refusal::Blocked is the code callers get.

--- a/crates/kumquatdrum_caller/src/admission.rs
+++ b/crates/kumquatdrum_caller/src/admission.rs
@@ -217,6 +217,7 @@
         Refusal::ConcurrencyLimited => (429, "the workspace has too many requests in flight"),
         Refusal::Overloaded => (503, "the service can't meet the deadline now"),
         Refusal::NoEndpoint => (503, "no endpoint of the service can take the request now"),
+        Refusal::Blocked => (503, "endpoints crashed while they ran the request"),
         Refusal::DeadlineBeforeDispatch => (504, "the deadline came before an endpoint was free"),
         Refusal::ClaimUnavailable => (
             503,
--- a/crates/kumquatdrum_host/src/context.rs
+++ b/crates/kumquatdrum_host/src/context.rs
@@ -5,7 +5,7 @@
 
 use kumquatdrum_daemon::body::Budget;
 use kumquatdrum_engine::Engine;
-use kumquatdrum_process::{Drain, Metrics};
+use kumquatdrum_process::{Drain, Metrics, quarantine};
 use kumquatdrum_service::Service;
 use kumquatdrum_setup::Control;
 use kumquatdrum_types::exchange::Target;
@@ -53,6 +53,8 @@
     pub members: Arc<Members>,
     /// The workspaces' limits.
     pub quota: Arc<Quota>,
+    /// The requests that crash endpoints.
+    pub quarantine: Arc<quarantine::Store>,
     /// The memory budget for request bodies.
     pub body_budget: Arc<Budget>,
     /// The tasks of requests in flight, joined at shutdown.
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_membership::Member;
 use kumquatdrum_operator::Operators;
 use kumquatdrum_peer::{Client, Counters, LocalDaemon};
-use kumquatdrum_process::{Metrics, monitoring};
+use kumquatdrum_process::{Metrics, monitoring, quarantine};
 use kumquatdrum_setup::Control;
 use kumquatdrum_types::{BootId, HostId};
 use slog::{error, info};
@@ -31,6 +31,7 @@
 use crate::orders;
 use crate::orphans;
 use crate::peers::Inbox;
+use crate::quarantine::Exchanger;
 use crate::quota::{self, Quota};
 use crate::settings::Settings;
 use crate::web::{self, Server};
@@ -154,8 +155,13 @@
             &settings, boot, clock, &client, &in_force, &members,
         ));
         tasks.spawn(quota.clone().run(stop.clone()));
+        let store = quarantine::Store::new(clock, boot.0, |_| {}, logger.clone());
+        let exchanger = build_exchanger(&settings, store, &client, &members, &logger);
+        let quarantine = exchanger.store.clone();
+        tasks.spawn(exchanger.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
             replica: replica.clone(),
+            exchanger,
             quota: quota.clone(),
             members: members.clone(),
             logger: logger.clone(),
@@ -177,6 +183,7 @@
             control: proxy,
             quota,
             members: members.clone(),
+            quarantine,
             body_budget: Budget::new(settings.limits.held_body_bytes),
             requests: TaskTracker::new(),
             request_count: AtomicU64::new(0),
@@ -186,16 +193,8 @@
         tasks.spawn(gauges::run(context.clone(), counters.clone(), stop.clone()));
         spawn_engine_tasks(&mut tasks, &context, &members, replica.clone(), &stop);
         let (caller_server, other_servers) = open_listeners(&context, &members).await?;
-        let addresses = Addresses {
-            callers: caller_server.address,
-            endpoints: other_servers[0].address,
-            operators: other_servers[1].address,
-            platform: other_servers[2].address,
-            peers: peers_address,
-        };
-        info!(context.logger, ""; "event" => "started", "callers" => %addresses.callers,
-            "endpoints" => %addresses.endpoints, "operators" => %addresses.operators,
-            "peers" => %addresses.peers, "platform" => %addresses.platform);
+        let addresses = list_addresses(&caller_server, &other_servers, peers_address);
+        log_start(&context.logger, &addresses);
         Ok(Self {
             addresses,
             context,
@@ -297,6 +296,39 @@
     }
 }
 
+fn list_addresses(callers: &Server, others: &[Server], peers: SocketAddr) -> Addresses {
+    Addresses {
+        callers: callers.address,
+        endpoints: others[0].address,
+        operators: others[1].address,
+        platform: others[2].address,
+        peers,
+    }
+}
+
+fn log_start(logger: &slog::Logger, addresses: &Addresses) {
+    info!(logger, ""; "event" => "started", "callers" => %addresses.callers,
+        "endpoints" => %addresses.endpoints, "operators" => %addresses.operators,
+        "peers" => %addresses.peers, "platform" => %addresses.platform);
+}
+
+/// Builds the exchange of evidence, which watches the store and sends what is new.
+fn build_exchanger(
+    settings: &Settings,
+    store: quarantine::Store,
+    client: &Arc<Client>,
+    members: &Arc<Members>,
+    logger: &slog::Logger,
+) -> Arc<Exchanger> {
+    Arc::new(Exchanger {
+        host: settings.host.clone(),
+        store: Arc::new(store),
+        client: client.clone(),
+        members: members.clone(),
+        logger: logger.clone(),
+    })
+}
+
 fn build_quota(
     settings: &Settings,
     boot: BootId,
--- a/crates/kumquatdrum_host/src/members.rs
+++ b/crates/kumquatdrum_host/src/members.rs
@@ -26,9 +26,10 @@
 use crate::in_force::Store;
 use crate::reservations::Reservations;
 use crate::routers::Routers;
-use kumquatdrum_process::clock::{Clock, unix_ms};
+use kumquatdrum_process::clock::Clock;
 
 mod report;
+mod view;
 
 use report::endpoint_condition;
 
@@ -451,36 +452,6 @@
     pub fn is_reaper(&self) -> bool {
         self.state.lock().membership.is_relay()
     }
-
-    /// Returns the hosts that aren't known to be dead, including this one.
-    pub fn live_hosts(&self) -> Vec<HostId> {
-        let state = self.state.lock();
-        let others = state.membership.hosts();
-        let live = others.filter(|view| view.condition != Condition::Dead);
-        let live = live.map(|view| view.member.host.clone());
-        live.chain([self.local.host.clone()]).collect()
-    }
-
-    /// Returns whether this host has lost contact with the majority of the replicas.
-    pub fn is_cut_off(&self) -> bool {
-        self.state.lock().propagation.cut_off_since().is_some()
-    }
-
-    /// Returns the time of the last contact with a majority; now, unless this host is cut off.
-    pub fn last_majority_unix_ms(&self) -> Option<u64> {
-        let since = self.state.lock().propagation.cut_off_since();
-        let ago = since.map_or(Duration::ZERO, |since| {
-            self.dependencies.clock.now() - since
-        });
-        Some(unix_ms().saturating_sub(ago.as_millis() as u64))
-    }
-
-    /// Returns the data centres without a reachable host.
-    pub fn unreachable_data_centres(&self) -> Vec<DataCentre> {
-        let state = self.state.lock();
-        let unreachable = state.membership.unreachable_data_centres();
-        unreachable.cloned().collect()
-    }
 }
 
 fn build_host_input(member: &Member, is_alive: bool) -> propagation::Input {
--- a/crates/kumquatdrum_host/src/peers.rs
+++ b/crates/kumquatdrum_host/src/peers.rs
@@ -10,6 +10,7 @@
 
 use crate::control;
 use crate::members::Members;
+use crate::quarantine::Exchanger;
 use crate::quota::Quota;
 
 /// Passes messages and requests of other daemons to the host's components.
@@ -20,6 +21,8 @@
     pub members: Arc<Members>,
     /// The workspaces' limits.
     pub quota: Arc<Quota>,
+    /// The exchange of evidence against requests that crash endpoints.
+    pub exchanger: Arc<Exchanger>,
     /// The logger of events.
     pub logger: slog::Logger,
 }
@@ -39,6 +42,7 @@
             }
             (Channel::Membership, _) => self.members.handle_membership_message(from, &body),
             (Channel::Limits, _) => self.quota.handle_message(&from.host, &body),
+            (Channel::Quarantine, _) => self.exchanger.handle_message(from, &body),
             (Channel::Setup, _) => self.members.handle_setup_message(from, &body),
             _ => Ok(()),
         };
--- a/crates/kumquatdrum_host/src/quota.rs
+++ b/crates/kumquatdrum_host/src/quota.rs
@@ -18,10 +18,6 @@
 use crate::members::Members;
 use kumquatdrum_process::clock::Clock;
 
-/// The maximum number of hosts that act as coordinators, which bounds the number of demand
-/// messages.
-const MAX_COORDINATORS: usize = 9;
-
 /// A message between hosts about workspace limits.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -152,10 +148,9 @@
     }
 
     fn send_demands(&self) {
-        let mut live = self.members.live_hosts();
-        live.sort();
-        live.truncate(MAX_COORDINATORS);
-        let demands = self.limiter.lock().build_demands(self.clock.now(), &live);
+        let coordinators = self.members.coordinators();
+        let now = self.clock.now();
+        let demands = self.limiter.lock().build_demands(now, &coordinators);
         let mut by_coordinator: IndexMap<HostId, Vec<Demand>> = IndexMap::new();
         for (coordinator, demand) in demands {
             by_coordinator.entry(coordinator).or_default().push(demand);
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -8,6 +8,7 @@
 use kumquatdrum_caller::Reply;
 use kumquatdrum_daemon::lifecycle::{Input, Lifecycle, Output, Timing};
 use kumquatdrum_engine::engine::Events;
+use kumquatdrum_quarantine::Block;
 use kumquatdrum_routing::{self as routing, Failure, Progress};
 use kumquatdrum_types::exchange::{Call, Event, Fault, Target, Usage};
 use kumquatdrum_types::{AttemptId, EndpointId, Moment, Refusal};
@@ -18,6 +19,8 @@
 use crate::key;
 use crate::routers::{Decision, Placement};
 
+mod claim;
+mod crash;
 mod ending;
 mod job;
 
@@ -37,6 +40,7 @@
 
 /// An event that a driver waits for.
 enum Signal {
+    Blocked(Block),
     CallerGone,
     Completed(Completion),
     Decided(Option<Decision>),
@@ -137,12 +141,7 @@
             Output::Withdraw => self.withdraw(),
             Output::Claim => self.claim(),
             Output::Dispatch(target, attempt) => self.dispatch(target, attempt),
-            Output::Probe(target, attempt) => {
-                let probe = self.context.engine.probe(&target, &attempt);
-                self.start_operation(async move {
-                    probe.await.map_or(Input::Unreachable, Input::Probed)
-                });
-            }
+            Output::Probe(target, attempt) => self.probe(&target, &attempt),
             Output::Cancel(target, attempt) => {
                 self.events = None;
                 self.context.engine.drop_pooled_connections(&target);
@@ -172,6 +171,10 @@
         self.settle_attempt(Progress::Failed(Failure::Broken));
         self.events = None;
         self.operation = None;
+        if let Some(block) = self.context.quarantine.block(|| self.job.fingerprint()) {
+            let refused = Input::Refused(Refusal::Blocked, Some(block.remaining));
+            return self.start_operation(async move { refused });
+        }
         let mut request = self.job.routing.clone();
         request.excluded = excluded;
         self.placement = Some(self.context.routers.submit(&self.job.service, request));
@@ -201,18 +204,6 @@
         self.settle_attempt(Progress::Failed(Failure::Cancelled));
     }
 
-    fn claim(&mut self) {
-        let Some(key) = self.job.key.clone() else {
-            return;
-        };
-        self.claim = ClaimState::InFlight;
-        let context = Arc::clone(&self.context);
-        let deadline = self.job.policy.deadline;
-        self.operation = Some(Box::pin(async move {
-            Completion::Claim(key.claim(&context, deadline).await)
-        }));
-    }
-
     fn dispatch(&mut self, target: Target, attempt: AttemptId) {
         self.received = 0;
         self.pending = match self.dispatches {
@@ -275,6 +266,10 @@
     async fn next_input(&mut self) -> Input {
         loop {
             let input = match self.next_signal().await {
+                Signal::Blocked(block) => {
+                    self.withdraw();
+                    Some(Input::Refused(Refusal::Blocked, Some(block.remaining)))
+                }
                 Signal::CallerGone => {
                     self.is_caller_gone = true;
                     Some(Input::CallerGone)
@@ -308,10 +303,15 @@
         let next_tick = self.context.clock.instant(self.lifecycle.next_tick());
         let (replies, pending) = (&self.replies, &mut self.pending);
         let can_receive = pending.is_none();
+        let is_waiting = self.placement.is_some();
+        let (quarantine, job) = (&self.context.quarantine, &self.job);
         tokio::select! {
             biased;
             () = replies.closed(), if !self.is_caller_gone => Signal::CallerGone,
             Some(completion) = or_pending(self.operation.as_mut()) => Signal::Completed(completion),
+            block = quarantine.wait_for_block(|| job.fingerprint()), if is_waiting => {
+                Signal::Blocked(block)
+            }
             Some(decision) = or_pending(self.placement.as_mut()) => Signal::Decided(decision.ok()),
             Ok(permit) = replies.reserve(), if !can_receive => {
                 if let Some(reply) = pending.take() {
@@ -382,41 +382,8 @@
         }));
     }
 
-    fn handle_claim(&mut self, outcome: key::Outcome) -> Option<Input> {
-        match outcome {
-            key::Outcome::Granted => {
-                self.claim = ClaimState::Granted;
-                Some(Input::Claimed)
-            }
-            key::Outcome::Refused(refusal, wait) => {
-                self.claim = ClaimState::None;
-                Some(Input::ClaimRefused(refusal, wait))
-            }
-            key::Outcome::Follow(target, attempt) => {
-                self.settle_attempt(Progress::Failed(Failure::Cancelled));
-                let policy = self.job.policy.clone();
-                let lifecycle = Lifecycle::attach(policy, Timing::default(), target, attempt);
-                self.lifecycle = lifecycle;
-                self.claim = ClaimState::None;
-                for output in self.lifecycle.start() {
-                    self.execute(output);
-                }
-                None
-            }
-            key::Outcome::Problem(problem) => {
-                self.settle_attempt(Progress::Failed(Failure::Cancelled));
-                self.claim = ClaimState::None;
-                self.pending = Some(Reply::Problem(problem));
-                Some(Input::ClaimRefused(Refusal::ClaimUnavailable, None))
-            }
-        }
-    }
-
     fn handle_event(&mut self, event: Option<Event>) -> Option<Input> {
-        let Some(event) = event else {
-            self.events = None;
-            return Some(Input::Fault(Fault::Broken));
-        };
+        let event = event.unwrap_or(Event::Fault(Fault::Broken));
         match event {
             Event::Accepted(head) => {
                 self.report_progress(Progress::Started);
@@ -446,6 +413,11 @@
                 Some(Input::Progress(self.received))
             }
             Event::Finished => Some(Input::Finished),
+            Event::Fault(Fault::Broken) if !self.job.policy.is_resumable => {
+                self.events = None;
+                self.inspect_before(Input::Fault(Fault::Broken));
+                None
+            }
             Event::Fault(fault) => {
                 self.events = None;
                 self.report_failure_if(fault == Fault::NotSent);
--- a/crates/kumquatdrum_host/src/request/ending.rs
+++ b/crates/kumquatdrum_host/src/request/ending.rs
@@ -29,6 +29,10 @@
             _ => Progress::Failed(Failure::Broken),
         };
         self.settle_attempt(progress);
+        if matches!(ending, Ending::Finished) {
+            let quarantine = &self.context.quarantine;
+            quarantine.record_completion(|| self.job.fingerprint());
+        }
         self.job.permit.set_used(self.count_used_tokens(&ending));
         let key = self.unclaimed_key();
         self.settle_key(&ending).await;
--- a/crates/kumquatdrum_types/src/outcome.rs
+++ b/crates/kumquatdrum_types/src/outcome.rs
@@ -40,6 +40,8 @@
     Overloaded,
     /// No endpoint of the service is known to be alive.
     NoEndpoint,
+    /// Endpoints crashed while they ran the request.
+    Blocked,
     /// The deadline expired before the dispatch.
     DeadlineBeforeDispatch,
     /// The idempotency key can't be claimed because no quorum of control replicas responds.
