Quarantine: probe a blocked request whose crashes another one explains

All copies of the common request were at the crashes of the culprit, before their first event; it was blocked, and no copy was left to complete and clear it.

A blocked request that was at no crash without another blocked one is sent once more by one host, 1 s after the last crash, and again after 10 s. If it completes, it is cleared everywhere. The new test fails without probes.

--- a/crates/kumquatdrum/tests/gateway/crash.rs
+++ b/crates/kumquatdrum/tests/gateway/crash.rs
@@ -79,6 +79,63 @@
     assert!(crashes <= MAX_CRASHES + 1, "{crashes} endpoints crashed");
 }
 
+#[tokio::test]
+async fn a_common_request_that_was_at_all_crashes_is_served_again() {
+    let cluster = Arc::new(Cluster::start(67));
+    cluster.apply(&config(3)).await;
+    let pause = Duration::from_millis(400);
+    let mut endpoints = Vec::new();
+    for number in 0..6 {
+        let behaviour = Behaviour::CompleteStream { events: 2, pause };
+        let endpoint = Endpoint::start(&format!("i-{number}"), behaviour).await;
+        endpoints.push(endpoint);
+    }
+    let announce = async |endpoints: &[Endpoint]| {
+        for endpoint in endpoints {
+            cluster.announce(endpoint, "plain", "ready", 1).await;
+            cluster.wait_until_ready(3, endpoint).await;
+            cluster.wait_until_ready(4, endpoint).await;
+        }
+    };
+    announce(&endpoints[..4]).await;
+    let mut callers = JoinSet::new();
+    for number in 0..14 {
+        let cluster = cluster.clone();
+        callers.spawn(async move {
+            send(&cluster, 3 + number % 2, &format!("at-{number}"), "common").await;
+        });
+    }
+    // Each endpoint crashes before the first event of its common requests.
+    sleep(PAUSE).await;
+    for number in 0..3 {
+        send(&cluster, 3, &format!("at-crash-{number}"), CRASHING_BODY).await;
+    }
+    callers.join_all().await;
+    announce(&endpoints[4..]).await;
+    let mut statuses = Vec::new();
+    while statuses.last() != Some(&StatusCode::OK) && statuses.len() < 60 {
+        let number = statuses.len();
+        let attempt = format!("at-again-{number}");
+        let answer = send(&cluster, 3 + number % 2, &attempt, "common").await;
+        statuses.push(answer.status());
+        sleep(PAUSE).await;
+    }
+    assert_eq!(statuses[0], StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(statuses.last(), Some(&StatusCode::OK), "{statuses:?}");
+    // The crashing request was at the same crashes, so it may be probed as well.
+    for number in 0..4 {
+        send(
+            &cluster,
+            3 + number % 2,
+            &format!("at-crash-again-{number}"),
+            CRASHING_BODY,
+        )
+        .await;
+    }
+    let ended = endpoints.iter().filter(|endpoint| endpoint.has_ended());
+    assert!(ended.count() <= MAX_CRASHES + 1);
+}
+
 #[tokio::test]
 async fn a_block_survives_the_restart_of_all_hosts() {
     let (mut cluster, endpoints) = start_with_endpoints(65, 5).await;
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -42,6 +42,8 @@
     /// The caller's attempt id, for logs.
     pub(crate) attempt_id: String,
     fingerprint: OnceLock<Fingerprint>,
+    /// Whether the request is sent although it is blocked.
+    is_probe: bool,
 }
 
 /// Handles one request from a caller.
@@ -60,7 +62,10 @@
         Ok(admission) => {
             let call = receive(&gateway, head, body, metadata, admission, arrived).await;
             match call {
-                Ok(call) => run::run(Arc::new(call), work).await,
+                Ok(mut call) => {
+                    call.is_probe = call.try_probe();
+                    run::run(Arc::new(call), work).await
+                }
                 Err(problem) => refuse(&gateway, &attempt_id, &problem, arrived),
             }
         }
@@ -173,6 +178,7 @@
         arrived,
         deadline,
         fingerprint: OnceLock::new(),
+        is_probe: false,
     })
 }
 
--- a/crates/kumquatdrum_gateway/src/call/crash.rs
+++ b/crates/kumquatdrum_gateway/src/call/crash.rs
@@ -56,13 +56,29 @@
         quarantine.record_completion(|| self.fingerprint());
     }
 
-    /// Waits until the request is blocked.
+    /// Returns whether the request is to be sent although it is blocked.
+    pub(super) fn try_probe(&self) -> bool {
+        self.gateway.quarantine.try_probe(|| self.fingerprint())
+    }
+
+    /// Waits until the request is blocked. A probe is not.
     pub(super) async fn wait_for_block(&self) -> Problem {
+        if self.is_probe {
+            return std::future::pending().await;
+        }
         let quarantine = &self.gateway.quarantine;
         let block = quarantine.wait_for_block(|| self.fingerprint()).await;
         self.to_problem(&block)
     }
 
+    /// Returns an error if the request must not be sent for the first time.
+    pub(super) fn check_send(&self) -> Result<(), Problem> {
+        if self.is_probe {
+            return Ok(());
+        }
+        self.check_block()
+    }
+
     /// Returns an error if the request is blocked.
     pub(super) fn check_block(&self) -> Result<(), Problem> {
         let block = self.gateway.quarantine.block(|| self.fingerprint());
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -59,7 +59,7 @@
         let Some(reservations) = call.reserve(&pick, &mut attempts).await else {
             continue;
         };
-        if let Err(problem) = call.check_block() {
+        if let Err(problem) = call.check_send() {
             return call.give_up(&mut attempts, problem);
         }
         let outcome = call.attempt(&pick, None).await;
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -11,6 +11,7 @@
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
 use kumquatdrum_process::clock::{Clock, unix_ms};
 use kumquatdrum_process::quarantine;
+use kumquatdrum_quarantine::Fingerprint;
 use kumquatdrum_registry::Update;
 use kumquatdrum_types::BootId;
 use parking_lot::Mutex;
@@ -193,7 +194,9 @@
         }
     };
     let boot = local.identity.boot.0;
-    let quarantine = quarantine::Store::new(clock, boot, publish, logger.clone());
+    let is_prober = hosts.clone();
+    let is_prober = move |request: Fingerprint| is_prober.is_first_by_hash(request.hash());
+    let quarantine = quarantine::Store::new(clock, boot, publish, is_prober, logger.clone());
     let pool = Pool::new(pool::Dependencies {
         clock,
         endpoints: endpoints.clone(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_fanout::{Peer, Recipients};
 use kumquatdrum_peer::Client;
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_types::{Checkpoint, HostId, Moment};
+use kumquatdrum_types::{Checkpoint, HostId, Moment, hash};
 use parking_lot::Mutex;
 use slog::info;
 
@@ -332,6 +332,14 @@
         addresses.map(number).collect()
     }
 
+    /// Returns whether this host is the one that rendezvous hashing selects for a key, among the live
+    /// hosts that accept callers.
+    pub fn is_first_by_hash(&self, key: u64) -> bool {
+        let rank = |host: &u32| hash::mix(key ^ hash::mix(u64::from(*host)));
+        let local = address(&self.state.lock().local.id).map(number);
+        self.caller_numbers().into_iter().max_by_key(rank) == local
+    }
+
     /// Returns the recipients of dispatch events: hosts that accept callers.
     pub fn event_recipients(&self) -> Recipients {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/tests/sizes.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -2,7 +2,7 @@
 
 use kumquatdrum_gateway::message::{Datagram, Event, Reach};
 use kumquatdrum_placement::{EndpointKey, Rate};
-use kumquatdrum_quarantine::{Crash, Evidence, Fingerprint, Incarnation, Suspect};
+use kumquatdrum_quarantine::{Crash, Evidence, Fingerprint, Incarnation, Probe, Suspect};
 use kumquatdrum_types::Checkpoint;
 
 /// The maximum size of a datagram's events.
@@ -17,9 +17,15 @@
         had_begun: false,
         is_cleared: false,
     };
+    let probe = |id: u64| Probe {
+        id: u64::MAX - id,
+        age_ms: 3_600_000,
+        is_cleared: false,
+    };
     Suspect {
         request: Fingerprint::of("POST", "/x/", None, b"text"),
         crashes: (0..crashes).map(crash).collect(),
+        probes: (0..crashes / 2).map(probe).collect(),
     }
 }
 
--- a/crates/kumquatdrum_host/src/host.rs
+++ b/crates/kumquatdrum_host/src/host.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_membership::Member;
 use kumquatdrum_operator::Operators;
 use kumquatdrum_peer::{Client, Counters, LocalDaemon};
-use kumquatdrum_process::{Metrics, monitoring, quarantine};
+use kumquatdrum_process::{Metrics, monitoring};
 use kumquatdrum_setup::Control;
 use kumquatdrum_types::{BootId, HostId};
 use slog::{error, info};
@@ -31,8 +31,6 @@
 use crate::orders;
 use crate::orphans;
 use crate::peers::Inbox;
-use crate::quarantine::Exchanger;
-use crate::quota::{self, Quota};
 use crate::settings::Settings;
 use crate::web::{self, Server};
 use kumquatdrum_process::clock::Clock;
@@ -151,12 +149,12 @@
             in_force.clone(),
             members.clone(),
         ));
-        let quota = Arc::new(build_quota(
+        let quota = Arc::new(components::build_quota(
             &settings, boot, clock, &client, &in_force, &members,
         ));
         tasks.spawn(quota.clone().run(stop.clone()));
-        let store = quarantine::Store::new(clock, boot.0, |_| {}, logger.clone());
-        let exchanger = build_exchanger(&settings, store, &client, &members, &logger);
+        let exchanger =
+            components::build_exchanger(&settings, boot, clock, &client, &members, &logger);
         let quarantine = exchanger.store.clone();
         tasks.spawn(exchanger.clone().run(stop.clone()));
         let inbox = Arc::new(Inbox {
@@ -312,43 +310,6 @@
         "peers" => %addresses.peers, "platform" => %addresses.platform);
 }
 
-/// Builds the exchange of evidence, which watches the store and sends what is new.
-fn build_exchanger(
-    settings: &Settings,
-    store: quarantine::Store,
-    client: &Arc<Client>,
-    members: &Arc<Members>,
-    logger: &slog::Logger,
-) -> Arc<Exchanger> {
-    Arc::new(Exchanger {
-        host: settings.host.clone(),
-        store: Arc::new(store),
-        client: client.clone(),
-        members: members.clone(),
-        logger: logger.clone(),
-    })
-}
-
-fn build_quota(
-    settings: &Settings,
-    boot: BootId,
-    clock: Clock,
-    client: &Arc<Client>,
-    in_force: &Arc<Store>,
-    members: &Arc<Members>,
-) -> Quota {
-    Quota::new(quota::Dependencies {
-        host: settings.host.clone(),
-        boot,
-        hosts: settings.hosts.len() + 1,
-        max_request_duration: Duration::from_millis(settings.drain.longest_ms),
-        clock,
-        client: client.clone(),
-        in_force: in_force.clone(),
-        members: members.clone(),
-    })
-}
-
 /// Spawns the tasks that poll and reconcile engines.
 fn spawn_engine_tasks(
     tasks: &mut JoinSet<()>,
--- a/crates/kumquatdrum_host/src/host/components.rs
+++ b/crates/kumquatdrum_host/src/host/components.rs
@@ -1,16 +1,20 @@
 //! Construction of the components that are created before any task runs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
-use kumquatdrum_process::{Drain, Metrics};
+use kumquatdrum_process::{Drain, Metrics, quarantine};
+use kumquatdrum_quarantine::Fingerprint;
 use kumquatdrum_types::BootId;
 use slog::o;
 
 use super::StartError;
 use crate::canceller::Canceller;
 use crate::in_force::Store;
-use crate::members;
+use crate::members::{self, Members};
+use crate::quarantine::Exchanger;
+use crate::quota::{self, Quota};
 use crate::reservations::Reservations;
 use crate::routers::Routers;
 use crate::settings::Settings;
@@ -104,3 +108,44 @@
         logger: logger.clone(),
     }
 }
+
+/// Builds the exchange of evidence, which watches the store and sends what is new.
+pub(super) fn build_exchanger(
+    settings: &Settings,
+    boot: BootId,
+    clock: Clock,
+    client: &Arc<Client>,
+    members: &Arc<Members>,
+    logger: &slog::Logger,
+) -> Arc<Exchanger> {
+    let prober = members.clone();
+    let is_prober = move |request: Fingerprint| prober.is_first_by_hash(request.hash());
+    let store = quarantine::Store::new(clock, boot.0, |_| {}, is_prober, logger.clone());
+    Arc::new(Exchanger {
+        host: settings.host.clone(),
+        store: Arc::new(store),
+        client: client.clone(),
+        members: members.clone(),
+        logger: logger.clone(),
+    })
+}
+
+pub(super) fn build_quota(
+    settings: &Settings,
+    boot: BootId,
+    clock: Clock,
+    client: &Arc<Client>,
+    in_force: &Arc<Store>,
+    members: &Arc<Members>,
+) -> Quota {
+    Quota::new(quota::Dependencies {
+        host: settings.host.clone(),
+        boot,
+        hosts: settings.hosts.len() + 1,
+        max_request_duration: Duration::from_millis(settings.drain.longest_ms),
+        clock,
+        client: client.clone(),
+        in_force: in_force.clone(),
+        members: members.clone(),
+    })
+}
--- a/crates/kumquatdrum_host/src/members/view.rs
+++ b/crates/kumquatdrum_host/src/members/view.rs
@@ -4,7 +4,7 @@
 
 use kumquatdrum_membership::Condition;
 use kumquatdrum_process::clock::unix_ms;
-use kumquatdrum_types::{BootId, DataCentre, EndpointId, HostId};
+use kumquatdrum_types::{BootId, DataCentre, EndpointId, HostId, hash};
 
 use super::Members;
 
@@ -29,6 +29,17 @@
         live
     }
 
+    /// Returns whether this host is the one that rendezvous hashing selects for a key, among the live
+    /// hosts.
+    pub fn is_first_by_hash(&self, key: u64) -> bool {
+        let rank = |host: &HostId| {
+            let bytes = host.as_str().bytes();
+            hash::mix(key ^ hash::extend(hash::OFFSET_BASIS, bytes))
+        };
+        let first = self.live_hosts().into_iter().max_by_key(rank);
+        first.is_some_and(|first| first == self.local.host)
+    }
+
     /// Returns whether an incarnation of an endpoint is known to accept new work.
     pub fn is_staying(&self, endpoint: &EndpointId, boot: BootId) -> bool {
         let state = self.state.lock();
--- a/crates/kumquatdrum_host/src/request.rs
+++ b/crates/kumquatdrum_host/src/request.rs
@@ -85,6 +85,8 @@
     arrived: Moment,
     has_first_token: bool,
     is_caller_gone: bool,
+    /// Whether the request is sent although it is blocked.
+    is_probe: bool,
     claim: ClaimState,
 }
 
@@ -112,6 +114,7 @@
             arrived,
             has_first_token: false,
             is_caller_gone: false,
+            is_probe: false,
             claim: ClaimState::None,
         }
     }
@@ -171,7 +174,9 @@
         self.settle_attempt(Progress::Failed(Failure::Broken));
         self.events = None;
         self.operation = None;
-        if let Some(block) = self.context.quarantine.block(|| self.job.fingerprint()) {
+        self.is_probe = self.dispatches == 0 && self.try_probe();
+        let block = self.context.quarantine.block(|| self.job.fingerprint());
+        if let Some(block) = block.filter(|_| !self.is_probe) {
             let refused = Input::Refused(Refusal::Blocked, Some(block.remaining));
             return self.start_operation(async move { refused });
         }
@@ -303,7 +308,7 @@
         let next_tick = self.context.clock.instant(self.lifecycle.next_tick());
         let (replies, pending) = (&self.replies, &mut self.pending);
         let can_receive = pending.is_none();
-        let is_waiting = self.placement.is_some();
+        let is_waiting = self.placement.is_some() && !self.is_probe;
         let (quarantine, job) = (&self.context.quarantine, &self.job);
         tokio::select! {
             biased;
--- a/crates/kumquatdrum_host/src/request/crash.rs
+++ b/crates/kumquatdrum_host/src/request/crash.rs
@@ -41,6 +41,12 @@
 }
 
 impl Driver {
+    /// Returns whether the request is to be sent although it is blocked.
+    pub(super) fn try_probe(&self) -> bool {
+        let quarantine = &self.context.quarantine;
+        quarantine.try_probe(|| self.job.fingerprint())
+    }
+
     /// Requests the attempt's status. An engine that can't be reached is checked for a crash.
     pub(super) fn probe(&mut self, target: &Target, attempt: &AttemptId) {
         let probe = self.context.engine.probe(target, attempt);
--- a/crates/kumquatdrum_process/src/quarantine.rs
+++ b/crates/kumquatdrum_process/src/quarantine.rs
@@ -10,14 +10,19 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::random;
 
 /// Sends new evidence of this host to others.
 type Publish = Box<dyn Fn(Suspect) + Send + Sync>;
 
+/// Returns whether this host is the one that probes a request.
+type IsProber = Box<dyn Fn(Fingerprint) -> bool + Send + Sync>;
+
 /// Holds the evidence known to this host.
 pub struct Store {
     clock: Clock,
     publish: Publish,
+    is_prober: IsProber,
     state: Mutex<Exchange>,
     changed: watch::Sender<()>,
     logger: slog::Logger,
@@ -29,11 +34,13 @@
         clock: Clock,
         boot: u64,
         publish: impl Fn(Suspect) + Send + Sync + 'static,
+        is_prober: impl Fn(Fingerprint) -> bool + Send + Sync + 'static,
         logger: slog::Logger,
     ) -> Self {
         Self {
             clock,
             publish: Box::new(publish),
+            is_prober: Box::new(is_prober),
             state: Mutex::new(Exchange::new(boot)),
             changed: watch::Sender::new(()),
             logger,
@@ -53,6 +60,32 @@
             .block(self.clock.now(), request)
     }
 
+    /// Returns whether a blocked request is to be sent as a probe, which may turn out to be a
+    /// bystander of others' crashes.
+    pub fn try_probe(&self, request: impl FnOnce() -> Fingerprint) -> bool {
+        if self.state.lock().quarantine().is_empty() {
+            return false;
+        }
+        let request = request();
+        if !(self.is_prober)(request) {
+            return false;
+        }
+        let now = self.clock.now();
+        let id = random::number();
+        let mut state = self.state.lock();
+        let suspect = state.quarantine_mut().try_probe(now, request, id);
+        drop(state);
+        match suspect {
+            Some(suspect) => {
+                info!(self.logger, "request_probed"; "event" => "request_probed",
+                    "fingerprint" => %request, "probes" => suspect.probes.len());
+                self.publish(suspect);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Waits until a request is blocked.
     pub async fn wait_for_block(&self, request: impl Fn() -> Fingerprint) -> Block {
         let mut changed = self.changed.subscribe();
--- a/crates/kumquatdrum_quarantine/src/fingerprint.rs
+++ b/crates/kumquatdrum_quarantine/src/fingerprint.rs
@@ -44,6 +44,13 @@
     }
 }
 
+impl Fingerprint {
+    /// Returns a uniformly distributed hash of the fingerprint.
+    pub const fn hash(self) -> u64 {
+        u128::from_le_bytes(self.0) as u64
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/kumquatdrum_quarantine/src/lib.rs
+++ b/crates/kumquatdrum_quarantine/src/lib.rs
@@ -13,4 +13,4 @@
 pub use exchange::{Evidence, Exchange};
 pub use fingerprint::Fingerprint;
 pub use quarantine::Quarantine;
-pub use suspect::{Block, Crash, Incarnation, Suspect};
+pub use suspect::{Block, Crash, Incarnation, Probe, Suspect};
--- a/crates/kumquatdrum_quarantine/src/quarantine.rs
+++ b/crates/kumquatdrum_quarantine/src/quarantine.rs
@@ -3,6 +3,9 @@
 //! Every request in flight at a crash is a suspect, since a crash does not tell which request caused
 //! it. A request that is in flight at several crashes and never completes is blocked.
 //!
+//! A bystander of the same crashes, of which no copy is left to complete, is probed: a copy is sent
+//! to find out whether it completes.
+//!
 //! The evidence is a set of crashes for each request, identified by the endpoint's incarnation.
 //! Hosts merge each other's sets in any order and any number of times with the same result.
 
@@ -11,7 +14,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::Moment;
 
-use crate::suspect::{Crash, Incarnation, Suspect};
+use crate::suspect::{Crash, Incarnation, Probe, Suspect};
 use crate::{Block, Fingerprint};
 
 /// The score at which a request is blocked.
@@ -26,8 +29,12 @@
 /// How long a crash is remembered. A request whose block has expired is blocked again by one more
 /// crash within this time.
 const RETENTION: Duration = Duration::from_secs(60 * 60);
+/// The time after the last crash or probe before a first and a second probe.
+const PROBE_DELAYS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(10)];
 /// The maximum number of suspects.
 const MAX_SUSPECTS: usize = 1_024;
+/// The maximum number of probes remembered for a suspect.
+const MAX_PROBES: usize = 8;
 /// The maximum number of crashes remembered for a suspect.
 const MAX_CRASHES: usize = 16;
 
@@ -42,6 +49,7 @@
 #[derive(Debug, Default)]
 struct Entry {
     crashes: IndexMap<Incarnation, Observation>,
+    probes: IndexMap<u64, Observation>,
     /// The value of [`Quarantine::changes`] at the last change.
     changed: u64,
 }
@@ -87,6 +95,7 @@
         let suspect = Suspect {
             request,
             crashes: vec![crash],
+            probes: Vec::new(),
         };
         let is_new = self.merge(now, suspect);
         is_new.then(|| self.find(now, request)).flatten()
@@ -96,7 +105,7 @@
     /// Returns the suspect if any was not cleared before.
     pub fn record_completion(&mut self, now: Moment, request: Fingerprint) -> Option<Suspect> {
         let entry = self.suspects.get_mut(&request)?;
-        let uncleared = entry.crashes.values_mut();
+        let uncleared = entry.crashes.values_mut().chain(entry.probes.values_mut());
         let uncleared = uncleared.filter(|crash| !crash.is_cleared);
         let cleared = uncleared.map(|crash| crash.is_cleared = true).count();
         if cleared == 0 {
@@ -120,6 +129,9 @@
         for crash in recent {
             has_changed |= entry.merge(now, &crash);
         }
+        for probe in suspect.probes {
+            has_changed |= entry.merge_probe(now, &probe);
+        }
         if has_changed {
             self.changes += 1;
             entry.changed = self.changes;
@@ -133,6 +145,32 @@
         self.suspects.get(&request)?.block(now)
     }
 
+    /// Decides whether to send a copy of a blocked request as a probe, with a new id. Only requests
+    /// whose crashes another blocked request explains are probed, a limited number of times.
+    /// Returns the suspect if the copy is to be sent.
+    pub fn try_probe(&mut self, now: Moment, request: Fingerprint, id: u64) -> Option<Suspect> {
+        let entry = self.suspects.get(&request)?;
+        entry.block(now)?;
+        let sent = entry.probes.values().filter(|probe| !probe.is_cleared);
+        let ages: Vec<Duration> = sent.map(|probe| probe.age(now)).collect();
+        let delay = PROBE_DELAYS.get(ages.len())?;
+        let is_due = ages
+            .into_iter()
+            .chain([entry.age(now)])
+            .all(|age| age >= *delay);
+        let mut others = self.suspects.iter().filter(|(other, _)| **other != request);
+        let is_explained =
+            others.any(|(_, other)| other.block(now).is_some() && other.explains(entry));
+        if !is_due || !is_explained {
+            return None;
+        }
+        let entry = self.suspects.get_mut(&request)?;
+        entry.probes.insert(id, Observation::new(now));
+        self.changes += 1;
+        entry.changed = self.changes;
+        self.find(now, request)
+    }
+
     /// Returns whether there are no suspects.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -231,6 +269,36 @@
         has_changed
     }
 
+    fn merge_probe(&mut self, now: Moment, probe: &Probe) -> bool {
+        let received = Observation {
+            initial_age: Duration::from_millis(probe.age_ms),
+            is_cleared: probe.is_cleared,
+            ..Observation::new(now)
+        };
+        let has_room = self.probes.len() < MAX_PROBES;
+        match self.probes.get_mut(&probe.id) {
+            Some(known) => {
+                let has_changed = received.is_cleared && !known.is_cleared;
+                known.is_cleared |= received.is_cleared;
+                has_changed
+            }
+            None if has_room => {
+                self.probes.insert(probe.id, received);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Returns whether the request was in flight at all crashes of another one.
+    fn explains(&self, other: &Self) -> bool {
+        let mut crashes = other.crashes.iter().filter(|(_, crash)| !crash.is_cleared);
+        crashes.all(|(endpoint, _)| {
+            let own = self.crashes.get(endpoint);
+            own.is_some_and(|crash| !crash.is_cleared)
+        })
+    }
+
     fn drop_oldest(&mut self, now: Moment) {
         if self.crashes.len() <= MAX_CRASHES {
             return;
@@ -279,14 +347,29 @@
             had_begun: crash.had_begun,
             is_cleared: crash.is_cleared,
         });
+        let probes = self.probes.iter().map(|(id, probe)| Probe {
+            id: *id,
+            age_ms: probe.age(now).as_millis() as u64,
+            is_cleared: probe.is_cleared,
+        });
         Suspect {
             request,
             crashes: crashes.collect(),
+            probes: probes.collect(),
         }
     }
 }
 
 impl Observation {
+    fn new(now: Moment) -> Self {
+        Self {
+            recorded_at: now,
+            initial_age: Duration::ZERO,
+            had_begun: false,
+            is_cleared: false,
+        }
+    }
+
     fn age(&self, now: Moment) -> Duration {
         self.initial_age + (now - self.recorded_at)
     }
--- a/crates/kumquatdrum_quarantine/src/suspect.rs
+++ b/crates/kumquatdrum_quarantine/src/suspect.rs
@@ -18,6 +18,8 @@
     pub request: Fingerprint,
     /// The crashes.
     pub crashes: Vec<Crash>,
+    /// The copies that were sent although the request was blocked.
+    pub probes: Vec<Probe>,
 }
 
 /// A crash of an endpoint while a request was in flight there.
@@ -40,6 +42,17 @@
     }
 }
 
+/// A copy of a blocked request that was sent to find out whether it completes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probe {
+    /// A number that no other probe has.
+    pub id: u64,
+    /// The time since the probe was sent, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the request has since run to completion.
+    pub is_cleared: bool,
+}
+
 /// The block on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Block {
--- a/crates/kumquatdrum_quarantine/tests/quarantine.rs
+++ b/crates/kumquatdrum_quarantine/tests/quarantine.rs
@@ -178,3 +178,39 @@
         Ok(())
     });
 }
+
+#[test]
+fn a_blocked_bystander_with_no_copy_left_is_probed_and_cleared() {
+    let (culprit, bystander) = (request(0), request(1));
+    let mut quarantine = Quarantine::default();
+    for endpoint in 1..=4 {
+        quarantine.record_crash(START, culprit, Incarnation(endpoint), false);
+        if endpoint > 1 {
+            quarantine.record_crash(START, bystander, Incarnation(endpoint), false);
+        }
+    }
+    assert!(quarantine.block(START, bystander).is_some());
+    let later = START + Duration::from_millis(1_100);
+    // The crashes of the bystander are those of the culprit, not the other way round.
+    assert!(quarantine.try_probe(later, culprit, 1).is_none());
+    assert!(quarantine.try_probe(later, bystander, 2).is_some());
+    assert!(quarantine.try_probe(later, bystander, 3).is_none());
+    quarantine.record_completion(later, bystander);
+    assert!(quarantine.block(later, bystander).is_none());
+    assert!(quarantine.block(later, culprit).is_some());
+}
+
+#[test]
+fn a_blocked_request_is_probed_twice_at_most() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..2 {
+        for endpoint in 1..=3 {
+            quarantine.record_crash(START, request(number), Incarnation(endpoint), false);
+        }
+    }
+    let probes = (0..1_000).filter(|second| {
+        let now = START + Duration::from_secs(*second);
+        quarantine.try_probe(now, request(0), *second).is_some()
+    });
+    assert_eq!(probes.count(), 2);
+}
