Gateway: a job that waits for capacity gives up its turn at limited endpoints

Found in reading: the first job in turn that then waited for memory or a long prefill kept its turn and held up all others of the service. The log names the endpoint of a limit, and explain shows it.

--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -106,6 +106,7 @@
             | "endpoint_left"
             | "endpoint_displaced"
             | "endpoint_ejected"
+            | "endpoint_limit"
             | "helper_failed"
             | "reloaded"
     )
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -236,18 +236,20 @@
         let now = self.dependencies.clock.now();
         let service = self.find_service(event.service()?)?;
         let mut state = service.state.lock();
-        let planner = match (&mut state.policy, &event) {
-            (policy, Event::Limited(_, key, rate)) => {
-                self.apply_limit(&service, policy, *key, *rate);
+        match &event {
+            Event::Limited(_, key, rate) => {
+                self.apply_limit(&mut state, *key, *rate);
                 drop(state);
                 return Some(service);
             }
-            (policy, Event::Taken(_, key, host)) => {
-                policy.limits_mut().record(now, *key, *host);
+            Event::Taken(_, key, host) => {
+                state.policy.limits_mut().record(now, *key, *host);
                 return None;
             }
-            (Policy::Engines(planner), _) => planner,
-            (Policy::Plain(_), _) => return None,
+            _ => {}
+        }
+        let Policy::Engines(planner) = &mut state.policy else {
+            return None;
         };
         match event {
             Event::Sent(_, plan) => planner.record_dispatch(now, plan),
@@ -317,6 +319,7 @@
             match picked {
                 Err(Rejection::Limited(wait)) => self.await_turn(&mut turn, request, job, wait)?,
                 Err(Rejection::NoCapacity(waiter)) if clock.now() < job.deadline => {
+                    turn.leave();
                     entry.broadcast_if_due(waiter);
                 }
                 Ok(pick) => {
--- a/crates/kumquatdrum_gateway/src/pool/limit.rs
+++ b/crates/kumquatdrum_gateway/src/pool/limit.rs
@@ -6,7 +6,7 @@
 use kumquatdrum_placement::{EndpointKey, Job, JobId, Rate};
 use slog::{info, warn};
 
-use super::{Pick, Policy, Pool, Rejection, Service, State};
+use super::{Pick, Pool, Rejection, Service, State};
 use crate::message::Event;
 use crate::protocol::Limit;
 
@@ -47,15 +47,23 @@
     }
 }
 
-impl Drop for Turn<'_> {
-    fn drop(&mut self) {
+impl Turn<'_> {
+    /// Gives the place up, so that a job that waits for anything else holds up no other.
+    pub(super) fn leave(&mut self) {
         if self.is_waiting {
+            self.is_waiting = false;
             self.service.limited.lock().retain(|job| *job != self.job);
             self.service.changed.notify_waiters();
         }
     }
 }
 
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
 impl Pool {
     /// Updates the hosts that share limited endpoints.
     pub(super) fn refresh_limits(&self, state: &mut State) {
@@ -75,21 +83,21 @@
     /// Records a limit, or its end. Returns whether other hosts need to know.
     pub(super) fn apply_limit(
         &self,
-        service: &Service,
-        policy: &mut Policy,
+        state: &mut State,
         key: EndpointKey,
         rate: Option<Rate>,
     ) -> bool {
         let now = self.dependencies.clock.now();
-        let limits = policy.limits_mut();
-        let is_known = limits.contains(key);
+        let limits = state.policy.limits_mut();
+        let was_limited = limits.contains(key);
         let is_news = match rate {
             Some(rate) => limits.name(now, key, rate),
             None => limits.end(now, key),
         };
-        if is_known != limits.contains(key) {
+        if was_limited != limits.contains(key) {
+            let endpoint = state.directory.get(&key);
             info!(self.dependencies.logger, "endpoint_limit"; "event" => "endpoint_limit",
-                "service" => service.name.as_str(), "endpoint_key" => key.0,
+                "endpoint" => endpoint.map_or("unknown", |endpoint| endpoint.id.as_str()),
                 "per_second" => rate.map(Rate::per_second));
         }
         is_news
@@ -158,8 +166,7 @@
                 return;
             }
         };
-        let policy = &mut state.policy;
-        let is_news = self.pool.apply_limit(&self.service, policy, self.key, rate);
+        let is_news = self.pool.apply_limit(&mut state, self.key, rate);
         if rate.is_some() {
             self.pool.refresh_limits(&mut state);
         }
