--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -108,6 +108,7 @@
             | "endpoint_ejected"
             | "endpoint_limit"
             | "helper_failed"
+            | "request_blocked"
             | "reloaded"
     )
 }
--- a/crates/kumquatdrum_quarantine/src/quarantine.rs
+++ b/crates/kumquatdrum_quarantine/src/quarantine.rs
@@ -42,7 +42,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: IndexMap<Fingerprint, Entry>,
-    /// The number of changes so far, used as the version of the entry.
+    /// The number of changes so far, used as the version of the evidence.
     changes: u64,
 }
 
