--- a/crates/kumquatdrum/src/losses/cause.rs
+++ b/crates/kumquatdrum/src/losses/cause.rs
@@ -2,12 +2,48 @@
 
 use std::fmt;
 
+use indexmap::IndexMap;
+
 use crate::logs::Line;
 
 /// Share of the target time to first token above which a queue wait or an engine's backlog counts
 /// as the cause of a late first token. The rest is needed for the prompt's own prefill.
 const DELAY_SHARE: f64 = 0.3;
 
+/// The time after a start in which a host may not know endpoints or the setup yet.
+const START_SECONDS: f64 = 5.0;
+
+/// When hosts started, by host.
+#[derive(Debug, Default)]
+pub struct Starts(IndexMap<String, Vec<f64>>);
+
+impl Starts {
+    /// Collects the starts in a log.
+    pub fn from_lines(lines: &[Line]) -> Self {
+        let mut starts: IndexMap<String, Vec<f64>> = IndexMap::new();
+        for line in lines.iter().filter(|line| line.event() == "started") {
+            let host = line.get("host").to_owned();
+            starts.entry(host).or_default().push(line.time);
+        }
+        Self(starts)
+    }
+
+    /// Returns whether the host of a line started shortly before it.
+    fn precede(&self, line: &Line) -> bool {
+        let is_recent = |start: &f64| (0.0..START_SECONDS).contains(&(line.time - start));
+        self.of(line).iter().any(is_recent)
+    }
+
+    /// Returns whether the host of a line started after it.
+    fn follow(&self, line: &Line) -> bool {
+        self.of(line).iter().any(|start| *start > line.time)
+    }
+
+    fn of(&self, line: &Line) -> &[f64] {
+        self.0.get(line.get("host")).map_or(&[], Vec::as_slice)
+    }
+}
+
 /// Why a request was not answered in full and on time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Cause {
@@ -17,16 +53,24 @@
     NoEndpoint,
     /// The host had not received the setup in force.
     NotInformed,
+    /// The host had started shortly before, and knew no endpoint or no setup.
+    Starting,
     /// Endpoints crashed while they ran the request.
     Blocked,
     /// An endpoint failed, and no other one was tried or left.
     EndpointFailed,
+    /// An engine that shared the prefill failed, and no other plan was tried.
+    HelperFailed,
     /// The deadline passed.
     TimedOut,
-    /// No log contains the request's end.
+    /// The host restarted before the request's end.
+    HostLost,
+    /// No log contains the request's end, and its host ran on.
     NoEnd,
     /// Late first token: an attempt at another endpoint failed first.
     Retried,
+    /// Late first token: an engine that shared the prefill failed first.
+    HelperRetried,
     /// Late first token: the request waited in the queue.
     Queued,
     /// Late first token: the engine had other prompts to prefill first.
@@ -45,11 +89,15 @@
             Self::Overload => "refused: too much else is asked for",
             Self::NoEndpoint => "refused: no endpoint",
             Self::NotInformed => "refused: host not informed",
+            Self::Starting => "refused: host starting",
             Self::Blocked => "refused: it crashes endpoints",
             Self::EndpointFailed => "failed: by its endpoint",
+            Self::HelperFailed => "failed: by a helper",
             Self::TimedOut => "failed: time up",
-            Self::NoEnd => "no end: host lost or caller left",
+            Self::HostLost => "no end: host lost",
+            Self::NoEnd => "no end: caller left",
             Self::Retried => "late: retried",
+            Self::HelperRetried => "late: a helper failed",
             Self::Queued => "late: waited for its turn",
             Self::Backlog => "late: behind what its engine read",
             Self::SlowEngine => "late: engine slower than foreseen",
@@ -59,24 +107,37 @@
     }
 }
 
-/// Returns why a request was late, refused or cut, given its lines in order.
+/// Returns why a request was late, refused or cut, given its lines in order and the starts of the
+/// hosts.
 ///
 /// Returns `None` if the request was answered on time, was refused with a status other than 503, or
 /// was streamed on a route without a target time to first token.
-pub fn classify(lines: &[Line]) -> Option<Cause> {
+pub fn classify(lines: &[Line], starts: &Starts) -> Option<Cause> {
     let end = lines.iter().rev().find(|line| is_end(line));
     let Some(end) = end else {
-        return Some(Cause::NoEnd);
+        let is_lost = lines.last().is_some_and(|line| starts.follow(line));
+        return Some(if is_lost {
+            Cause::HostLost
+        } else {
+            Cause::NoEnd
+        });
     };
     let reason = end.get("reason");
+    let is_helper_failed = lines.iter().any(|line| line.event() == "helper_failed");
+    let is_starting = starts.precede(end);
     match (end.event(), end.get("end")) {
+        ("request_refused", _) if end.get("status") == "503" && is_starting => {
+            Some(Cause::Starting)
+        }
         ("request_refused", _) if end.get("status") == "503" => Some(Cause::NotInformed),
         ("request_refused", _) => None,
         (_, "streamed") => classify_stream(lines, end),
+        (_, "answered") if reason.starts_with('5') && is_helper_failed => Some(Cause::HelperFailed),
         (_, "answered") if reason.starts_with('5') => Some(Cause::EndpointFailed),
         (_, "answered") => None,
         _ if reason.contains("what else is asked for") => Some(Cause::Overload),
         _ if reason.contains("is blocked") => Some(Cause::Blocked),
+        _ if reason.contains("no endpoint is known") && is_starting => Some(Cause::Starting),
         _ if reason.contains("no room") => Some(Cause::NoEndpoint),
         _ if reason.contains("time") => Some(Cause::TimedOut),
         _ => Some(Cause::EndpointFailed),
@@ -98,11 +159,13 @@
         let delay_ms = placement.and_then(|placement| placement.number(key));
         delay_ms.is_some_and(|delay_ms| delay_ms > due_ms * DELAY_SHARE)
     };
-    let is_retried = lines.iter().any(|line| line.event() == "retry");
-    let is_resumed = lines.iter().any(|line| line.event() == "resume");
+    let has = |event| lines.iter().any(|line| line.event() == event);
+    let is_retried = has("retry");
+    let is_resumed = has("resume");
     let pause_ms = end.number("pause_ms").unwrap_or(f64::INFINITY);
     let longest_ms = end.number("longest_pause_ms").unwrap_or(0.0);
     match () {
+        () if first_ms > due_ms && has("helper_failed") => Some(Cause::HelperRetried),
         () if first_ms > due_ms && is_retried => Some(Cause::Retried),
         () if first_ms > due_ms && is_delayed_by("waited_ms") => Some(Cause::Queued),
         () if first_ms > due_ms && is_delayed_by("backlog_ms") => Some(Cause::Backlog),
--- a/crates/kumquatdrum/src/losses/table.rs
+++ b/crates/kumquatdrum/src/losses/table.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde_json::{Value, json};
 
-use super::cause::{self, Cause};
+use super::cause::{self, Cause, Starts};
 use crate::logs::Line;
 
 /// Classes of prompt length, as in the metrics of the first token.
@@ -31,6 +31,7 @@
     pub fn from_lines(mut lines: Vec<Line>, span_seconds: u32) -> Self {
         lines.sort_by(|one, other| one.time.total_cmp(&other.time));
         let start = lines.first().map_or(0.0, |line| line.time);
+        let starts = Starts::from_lines(&lines);
         let mut requests: IndexMap<String, Vec<Line>> = IndexMap::new();
         for line in lines {
             let id = line.get("request").to_owned();
@@ -42,7 +43,7 @@
         for lines in requests.values() {
             let second = lines.first().map_or(0.0, |line| line.time - start) as u64;
             let span = second - second.checked_rem(span_seconds.into()).unwrap_or(second);
-            spans.entry(span).or_default().add(lines);
+            spans.entry(span).or_default().add(lines, &starts);
         }
         spans.sort_keys();
         Self {
@@ -69,10 +70,10 @@
 }
 
 impl Span {
-    fn add(&mut self, lines: &[Line]) {
+    fn add(&mut self, lines: &[Line], starts: &Starts) {
         let class = prompt_class(lines);
         self.total[class] += 1;
-        if let Some(cause) = cause::classify(lines) {
+        if let Some(cause) = cause::classify(lines, starts) {
             self.lost.entry(cause).or_default()[class] += 1;
         }
         self.lost.sort_unstable_keys();
--- a/crates/kumquatdrum/tests/losses.rs
+++ b/crates/kumquatdrum/tests/losses.rs
@@ -29,20 +29,33 @@
 time=120.300 host=a prompt=4000 due_ms=300 first_ms=100 pause_ms=250 longest_pause_ms=90 end=streamed request=r13 event=request_ended
 time=120.400 host=a sent=1 reason=200 end=answered request=r14 event=request_ended
 time=120.450 host=a peer=b event=host_lost
+time=120.500 host=a helper=c request=r16 event=helper_failed
+time=120.510 host=a sent=1 prompt=150000 reason=503 end=answered request=r16 event=request_ended
+time=120.520 host=a helper=c request=r17 event=helper_failed
+time=120.530 host=a sent=1 request=r17 event=retry
+time=120.540 host=a prompt=45000 due_ms=1500 first_ms=1700 pause_ms=600 longest_pause_ms=90 end=streamed request=r17 event=request_ended
+time=120.600 host=b prompt=4000 waited_ms=0 backlog_ms=0.0 request=r18 event=placed
+time=121.000 host=b address=10.0.0.2 event=started
+time=121.100 host=b sent=0 reason=\"no room: no endpoint is known\" end=given_up request=r19 event=request_ended
+time=121.200 host=b status=503 reason=\"this host does not know yet what is in force\" request=r20 event=request_refused
 a line that is cut off: time=120.5 host=a prom
 ";
 
 const TABLE: &str = "\
 prompts                                  none    short     long  longest
-asked                                       6        6        1        2
+asked                                       8        7        2        3
 refused: too much else is asked for         0        0        0        1
 refused: no endpoint                        1        0        0        0
 refused: host not informed                  1        0        0        0
+refused: host starting                      2        0        0        0
 refused: it crashes endpoints               1        0        0        0
 failed: by its endpoint                     1        0        0        0
+failed: by a helper                         0        0        0        1
 failed: time up                             1        0        0        0
-no end: host lost or caller left            0        1        0        0
+no end: host lost                           0        1        0        0
+no end: caller left                         0        1        0        0
 late: retried                               0        1        0        0
+late: a helper failed                       0        0        1        0
 late: waited for its turn                   0        0        1        0
 late: behind what its engine read           0        1        0        0
 late: engine slower than foreseen           0        1        0        0
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -127,7 +127,9 @@
         };
         let load = reply.load.as_ref().map(|load| load.running + load.waiting);
         match (execution, &reply.failed_endpoint) {
-            (_, Some(id)) if *id != pick.endpoint.id.as_str() => pick.record_helper_failure(id),
+            (_, Some(id)) if *id != pick.endpoint.id.as_str() => {
+                pick.record_helper_failure(id, &self.attempt_id)
+            }
             _ if reply.is_misdirected => pick.mark_displaced(),
             (Execution::Ran, _) => {
                 pick.record_success(load);
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -8,7 +8,8 @@
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{
-    Budget, DataCentreKey, Decision, Diagnostics, EndpointKey, Job, JobId, Plan, Planner, Waiter,
+    Budget, DataCentreKey, Decision, Diagnostics, EndpointKey, Job, JobId, Plan, Planner, Refusal,
+    Waiter,
 };
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -345,7 +346,10 @@
                 let (plan, diagnostics) = match planner.place(now, job) {
                     Decision::Send(plan, diagnostics) => (plan, diagnostics),
                     Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
-                    Decision::TooCostly => return Err(Rejection::TooCostly),
+                    Decision::TooCostly(refusal) => {
+                        self.log_refusal(request, job, &refusal);
+                        return Err(Rejection::TooCostly);
+                    }
                     Decision::TooLarge => return Err(Rejection::TooLarge),
                     Decision::Limited => {
                         let wait = self.expected_wait(&state);
@@ -431,6 +435,14 @@
         Ok(pick)
     }
 
+    fn log_refusal(&self, request: &str, job: &Job, refusal: &Refusal) {
+        info!(self.dependencies.logger, "too_costly"; "event" => "too_costly",
+            "request" => request, "prompt" => job.prompt_tokens, "harm" => ?refusal.harm,
+            "engines" => refusal.engines, "ready" => refusal.ready,
+            "part_ms" => format!("{:.1}", refusal.part_ms),
+            "left_ms" => (job.due - self.dependencies.clock.now()).as_millis() as u64);
+    }
+
     fn broadcast(&self, event: Event, urgency: Urgency) {
         self.broadcast_via(event, urgency, RelayPath::Primary);
     }
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -76,8 +76,9 @@
         }
     }
 
-    /// Records the failure of a helper, given by its id or address.
-    pub fn record_helper_failure(&self, name: &str) {
+    /// Records that a helper, given by its id or address, failed a caller's request, given by its
+    /// attempt id.
+    pub fn record_helper_failure(&self, name: &str, request: &str) {
         let now = self.pool.dependencies.clock.now();
         let mut state = self.service.state.lock();
         let is_named = |endpoint: &Announcement| {
@@ -92,7 +93,7 @@
             planner.record_failure(now, key, Failure::Unreachable);
         }
         warn!(self.pool.dependencies.logger, "helper_failed"; "event" => "helper_failed",
-            "endpoint" => self.endpoint.id.as_str(), "helper" => name);
+            "request" => request, "endpoint" => self.endpoint.id.as_str(), "helper" => name);
     }
 
     /// Marks the endpoint as gone because another endpoint answers at its address.
--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -93,6 +93,11 @@
         self.endpoint.data_centre
     }
 
+    /// Returns whether the engine has finished earlier long prefills.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.long_prefill_ms <= 0.0
+    }
+
     /// Returns the number of answers on the engine.
     pub(crate) fn decodes(&self) -> usize {
         self.endpoint.decodes.len()
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -28,7 +28,7 @@
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
 pub use limits::{Limits, Summary};
-pub use planner::{Decision, Diagnostics, Planner};
+pub use planner::{Decision, Diagnostics, Harm, Planner, Refusal};
 pub use rate::Rate;
 pub use reachability::DataCentreKey;
 pub use retry::Budget;
--- a/crates/kumquatdrum_placement/src/long_prompt.rs
+++ b/crates/kumquatdrum_placement/src/long_prompt.rs
@@ -66,8 +66,8 @@
         f64::INFINITY,
     )
     .unwrap_or(1);
-    let is_ready = |candidate: &&Candidate<'_>| candidate.long_prefill_ms <= 0.0;
-    let mut ready = sort_by_load(candidates.iter().filter(is_ready).collect());
+    let ready = candidates.iter().filter(|candidate| candidate.is_ready());
+    let mut ready = sort_by_load(ready.collect());
     let min_ready = (wanted as f64 * READY_SHARE).ceil() as usize;
     if ready.len() < min_ready {
         return Placement::Wait;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -32,14 +32,36 @@
     Wait(Waiter),
     /// The engines' combined memory cannot hold the prompt.
     TooLarge,
-    /// The delay to other callers would outweigh the prompt.
-    TooCostly,
+    /// The cost to other callers would outweigh the prompt.
+    TooCostly(Refusal),
     /// All usable engines have reached their limits.
     Limited,
     /// No engine is usable.
     NoEngine,
 }
 
+/// How a prompt would cost other callers too much.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// Other prompts would wait for the engines.
+    Delay,
+    /// Answers in progress would pause for too long.
+    Pauses,
+}
+
+/// Why a prompt was refused, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Refusal {
+    /// What outweighs the prompt.
+    pub harm: Harm,
+    /// Candidate engines.
+    pub engines: usize,
+    /// Candidate engines without a long prefill.
+    pub ready: usize,
+    /// The prefill time of one part, in milliseconds.
+    pub part_ms: f64,
+}
+
 /// The state that a placement was based on, for logs.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Diagnostics {
@@ -149,8 +171,8 @@
         if candidates.is_empty() && engines > 0 {
             return Decision::Limited;
         }
-        if self.is_rejected(job, &candidates) {
-            return Decision::TooCostly;
+        if let Some(refusal) = self.find_delay(job, &candidates) {
+            return Decision::TooCostly(refusal);
         }
         let memory_tokens = self.cost.engine().memory_tokens;
         if candidates.is_empty() {
@@ -189,7 +211,10 @@
                     waiter.is_blocked = true;
                     None
                 }
-                Placement::TooDisruptive { .. } => return Decision::TooCostly,
+                Placement::TooDisruptive { part_ms } => {
+                    let refusal = refuse(Harm::Pauses, &candidates, part_ms);
+                    return Decision::TooCostly(refusal);
+                }
             }
         };
         let Some(plan) = plan else {
@@ -201,22 +226,21 @@
         Decision::Send(plan, diagnostics)
     }
 
-    /// Returns whether the delay to other callers would outweigh the job. A job that already waits
-    /// is not rejected.
-    fn is_rejected(&self, job: &Job, candidates: &[Candidate<'_>]) -> bool {
+    /// Returns a refusal if the delay to other callers would outweigh the job. A job that already
+    /// waits is not refused.
+    fn find_delay(&self, job: &Job, candidates: &[Candidate<'_>]) -> Option<Refusal> {
         let engines = candidates.len();
         let max_engines = engines.clamp(1, long_prompt::MAX_PREFILL_ENGINES);
-        let unoccupied = candidates
-            .iter()
-            .filter(|candidate| candidate.long_prefill_ms <= 0.0)
-            .count();
+        let part_ms = self.cost.prefill_ms(job.prompt_tokens) / max_engines as f64;
+        let refusal = refuse(Harm::Delay, candidates, part_ms);
         // Enough other engines remain available, so no other caller is delayed.
-        if self.queue.contains(job.id) || unoccupied >= 2 * max_engines {
-            return false;
+        if self.queue.contains(job.id) || refusal.ready >= 2 * max_engines {
+            return None;
         }
-        let part_ms = self.cost.prefill_ms(job.prompt_tokens) / max_engines as f64;
-        self.demand
-            .is_too_costly(job, part_ms, max_engines, engines)
+        let is_too_costly = self
+            .demand
+            .is_too_costly(job, part_ms, max_engines, engines);
+        is_too_costly.then_some(refusal)
     }
 
     /// Adds or updates a job that waits at another host.
@@ -435,6 +459,16 @@
     }
 }
 
+fn refuse(harm: Harm, candidates: &[Candidate<'_>], part_ms: f64) -> Refusal {
+    let ready = candidates.iter().filter(|candidate| candidate.is_ready());
+    Refusal {
+        harm,
+        engines: candidates.len(),
+        ready: ready.count(),
+        part_ms,
+    }
+}
+
 fn diagnose(plan: &Plan, candidates: &[Candidate<'_>]) -> Diagnostics {
     let find = |key: EndpointKey| candidates.iter().find(|candidate| candidate.key == key);
     let first = find(plan.first);
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -122,7 +122,7 @@
     let delay_ms = candidate.backlog_ms + PASSES_TO_FIRST_TOKEN * pass_ms;
     let first_token_us = ((delay_ms + prefill_ms) * 1e3) as u64;
     let packed_decodes = candidate.decodes_within(job.max_pause.as_secs_f64() * 1e3);
-    let can_start_soon = delay_ms <= left_ms * START_SOON_SHARE && candidate.long_prefill_ms <= 0.0;
+    let can_start_soon = delay_ms <= left_ms * START_SOON_SHARE && candidate.is_ready();
     let is_on_time = delay_ms + prefill_ms <= left_ms * ON_TIME_SHARE;
     let is_remote = conditions
         .local_data_centre
@@ -165,7 +165,7 @@
         .iter()
         .filter(|candidate| candidate.key != first.key);
     let mut available: Vec<&Candidate<'_>> = available
-        .filter(|candidate| candidate.long_prefill_ms <= 0.0 && !candidate.is_limited)
+        .filter(|candidate| candidate.is_ready() && !candidate.is_limited)
         .collect();
     available.sort_by_key(|candidate| candidate.decodes());
     let helpers = available.into_iter().take(wanted);
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use kumquatdrum_placement::{DataCentreKey, Decision, EndpointKey, Job, JobId, Plan, Planner};
+use kumquatdrum_placement::{
+    DataCentreKey, Decision, EndpointKey, Harm, Job, JobId, Plan, Planner,
+};
 use kumquatdrum_types::Moment;
 use model::simulation::engine_settings;
 use rand_core::{Rng, SeedableRng};
@@ -94,7 +96,10 @@
     expect_sent(planner.place(at(3_501), &job(101, 2_000, at(3_501))));
     // Its first token can no longer be in time.
     let late = planner.place(at(5_500), &very_long);
-    assert_eq!(late, Decision::TooCostly);
+    let Decision::TooCostly(refusal) = late else {
+        panic!("{late:?}");
+    };
+    assert_eq!(refusal.harm, Harm::Pauses);
     // A resumed answer is late in any case and is not rejected.
     let resumed = job(103, 250_000, START);
     match planner.place(at(5_500), &resumed) {
