--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -59,6 +59,10 @@
     pub arrivals: Mutex<Vec<(Instant, String)>>,
     /// The requests per second that the endpoint names in its answers.
     pub limit: Mutex<Option<f64>>,
+    /// Engines that the endpoint cannot reach as helpers.
+    pub unreachable: Mutex<Vec<SocketAddr>>,
+    /// Requests that were not run because a helper could not be reached.
+    pub refusals: AtomicUsize,
 }
 
 pub struct Endpoint {
@@ -119,6 +123,10 @@
     pub fn runs(&self) -> usize {
         self.record.runs.load(Ordering::Relaxed)
     }
+
+    pub fn refusals(&self) -> usize {
+        self.record.refusals.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for Endpoint {
@@ -155,6 +163,17 @@
         let _ = stream.write_all(answer.as_bytes()).await;
         return End::Served;
     }
+    let helpers = header("Kumquatdrum-Helpers");
+    let unreachable = record.unreachable.lock().clone();
+    let is_named = |address: &&SocketAddr| helpers.contains(&address.to_string());
+    if let Some(helper) = unreachable.iter().find(is_named) {
+        record.refusals.fetch_add(1, Ordering::Relaxed);
+        let headers =
+            format!("Kumquatdrum-Not-Run: 1\r\nAt-Server: {helper}\r\nContent-Length: 0\r\n");
+        let answer = head("503 Service Unavailable", &attempt, &headers);
+        let _ = stream.write_all(answer.as_bytes()).await;
+        return End::Served;
+    }
     record.runs.fetch_add(1, Ordering::Relaxed);
     let arrival = (Instant::now(), attempt.clone());
     record.arrivals.lock().push(arrival);
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod endpoint_soak;
 mod explain;
 mod fanout;
+mod helpers;
 mod limit;
 mod path;
 mod proxy;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -4,7 +4,7 @@
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
-use kumquatdrum_placement::Failure;
+use kumquatdrum_placement::{EndpointKey, Failure};
 use slog::info;
 use tokio::time::timeout_at;
 
@@ -29,6 +29,8 @@
 pub(super) enum Outcome {
     /// A complete response, which the caller gets unless a retry succeeds.
     Complete(Response<Bytes>, Execution),
+    /// The endpoint did not run the request because an engine that shares the prefill failed.
+    HelperFailed(Response<Bytes>, EndpointKey),
     /// A stream of events has started.
     Stream(Box<Exchange>),
     /// No part of the request was sent.
@@ -126,9 +128,10 @@
             }
         };
         let load = reply.load.as_ref().map(|load| load.running + load.waiting);
+        let mut failed_helper = None;
         match (execution, &reply.failed_endpoint) {
             (_, Some(id)) if *id != pick.endpoint.id.as_str() => {
-                pick.record_helper_failure(id, &self.attempt_id)
+                failed_helper = pick.record_helper_failure(id, &self.attempt_id);
             }
             _ if reply.is_misdirected => pick.mark_displaced(),
             (Execution::Ran, _) => {
@@ -143,7 +146,12 @@
         let mut response = Response::new(body);
         *response.status_mut() = status;
         *response.headers_mut() = end_to_end_headers(exchange.response.headers());
-        Outcome::Complete(response, execution)
+        match failed_helper {
+            Some(helper) if execution == Execution::NotRun => {
+                Outcome::HelperFailed(response, helper)
+            }
+            _ => Outcome::Complete(response, execution),
+        }
     }
 
     fn build_request(&self, pick: &Pick, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -29,6 +29,8 @@
 /// The maximum number of attempts that are repeated elsewhere because no part of the request was
 /// sent.
 const MAX_UNSENT_ATTEMPTS: usize = 8;
+/// The maximum number of attempts that are repeated with other helpers.
+const MAX_FAILED_HELPERS: usize = 4;
 
 /// The attempts made so far for a request.
 #[derive(Default)]
@@ -36,6 +38,10 @@
     pub(super) sent: u32,
     unsent: usize,
     excluded: Vec<EndpointKey>,
+    /// How often another engine than the one that got the request failed it.
+    failed_helpers: usize,
+    /// The engine that got the request last, if it is the only one that may get it again.
+    only: Option<EndpointKey>,
     /// The last complete response.
     response: Option<Response<Bytes>>,
     may_have_run: bool,
@@ -46,6 +52,14 @@
     pub(super) fn exclude(&mut self, key: EndpointKey) {
         self.excluded.push(key);
     }
+
+    /// Excludes a helper that failed. Once the request has been sent to `max_sent` endpoints, only
+    /// `first`, which got it last, may get it again.
+    fn record_helper_failure(&mut self, helper: EndpointKey, first: EndpointKey, max_sent: u32) {
+        self.exclude(helper);
+        self.failed_helpers += 1;
+        self.only = (self.sent >= max_sent).then_some(first);
+    }
 }
 
 /// Sends a request to endpoints until one answers or no further attempt is allowed.
@@ -63,7 +77,8 @@
             return call.give_up(&mut attempts, problem);
         }
         let outcome = call.attempt(&pick, None).await;
-        attempts.sent += u32::from(!matches!(outcome, Outcome::Unsent(_)));
+        let is_new = attempts.only != Some(pick.key);
+        attempts.sent += u32::from(is_new && !matches!(outcome, Outcome::Unsent(_)));
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
                 match stream::start(&call, pick, reservations, *exchange, &mut attempts).await {
@@ -76,6 +91,10 @@
                     }
                 }
             }
+            Outcome::HelperFailed(response, helper) => {
+                attempts.record_helper_failure(helper, pick.key, call.route.max_attempts);
+                Outcome::HelperFailed(response, helper)
+            }
             outcome => {
                 attempts.excluded.push(pick.key);
                 drop(pick);
@@ -105,6 +124,7 @@
             due: self.arrived + self.route.target_latency,
             deadline: self.deadline,
             excluded: attempts.excluded.clone(),
+            first: attempts.only,
         };
         let picked = self
             .gateway
@@ -174,6 +194,8 @@
     /// Returns the response for an outcome, or `None` if another endpoint may be tried.
     fn resolve(&self, attempts: &mut Attempts, outcome: Outcome) -> Option<Response<Body>> {
         let is_idempotent = self.route.delivery.is_idempotent();
+        let can_replan = attempts.failed_helpers <= MAX_FAILED_HELPERS;
+        let is_helper_failed = matches!(outcome, Outcome::HelperFailed(..));
         let (can_retry, problem) = match outcome {
             Outcome::Complete(response, execution) => {
                 let can_retry = match execution {
@@ -185,6 +207,10 @@
                 attempts.response = Some(response);
                 (can_retry, None)
             }
+            Outcome::HelperFailed(response, _) => {
+                attempts.response = Some(response);
+                (can_replan, None)
+            }
             Outcome::Unsent(reason) => {
                 attempts.unsent += 1;
                 if attempts.unsent <= MAX_UNSENT_ATTEMPTS
@@ -205,7 +231,7 @@
             Outcome::Stream(_) => (false, None),
         };
         let is_allowed = can_retry
-            && attempts.sent < self.route.max_attempts
+            && (attempts.sent < self.route.max_attempts || is_helper_failed)
             && self.check_block().is_ok()
             && self.gateway.pool.take_retry(&self.service);
         if is_allowed {
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -77,8 +77,8 @@
     }
 
     /// Records that a helper, given by its id or address, failed a caller's request, given by its
-    /// attempt id.
-    pub fn record_helper_failure(&self, name: &str, request: &str) {
+    /// attempt id. Returns the helper's key, if it is known.
+    pub fn record_helper_failure(&self, name: &str, request: &str) -> Option<EndpointKey> {
         let now = self.pool.dependencies.clock.now();
         let mut state = self.service.state.lock();
         let is_named = |endpoint: &Announcement| {
@@ -86,14 +86,13 @@
         };
         let found = state.directory.iter();
         let mut found = found.filter(|(_, endpoint)| is_named(endpoint));
-        let Some(key) = found.next().map(|(key, _)| *key) else {
-            return;
-        };
+        let key = found.next().map(|(key, _)| *key)?;
         if let Policy::Engines(planner) = &mut state.policy {
             planner.record_failure(now, key, Failure::Unreachable);
         }
         warn!(self.pool.dependencies.logger, "helper_failed"; "event" => "helper_failed",
             "request" => request, "endpoint" => self.endpoint.id.as_str(), "helper" => name);
+        Some(key)
     }
 
     /// Marks the endpoint as gone because another endpoint answers at its address.
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -61,9 +61,16 @@
     pub deadline: Moment,
     /// Endpoints that have failed the job.
     pub excluded: Vec<EndpointKey>,
+    /// The only engine that may be the first, if the job may be sent to no other.
+    pub first: Option<EndpointKey>,
 }
 
 impl Job {
+    /// Returns whether the job may be sent to an engine.
+    pub(crate) fn may_be_sent_to(&self, key: EndpointKey) -> bool {
+        self.first.is_none_or(|first| first == key)
+    }
+
     /// Returns the tokens of memory that the job needs.
     pub const fn memory_tokens(&self) -> u64 {
         self.prompt_tokens + self.answer_tokens
--- a/crates/kumquatdrum_placement/src/long_prompt.rs
+++ b/crates/kumquatdrum_placement/src/long_prompt.rs
@@ -150,11 +150,18 @@
             && candidate.free_tokens >= job.memory_tokens()
     };
     let preferred = members.iter().enumerate();
-    let preferred =
-        preferred.max_by_key(|(_, candidate)| (is_local(candidate), candidate.free_tokens));
-    let (mut index, mut free_tokens) =
-        preferred.map(|(index, candidate)| (index, candidate.free_tokens))?;
-    if free_tokens < job.memory_tokens() {
+    let preferred = preferred.max_by_key(|(_, candidate)| {
+        let may_be_first = job.may_be_sent_to(candidate.key);
+        (may_be_first, is_local(candidate), candidate.free_tokens)
+    });
+    let (mut index, preferred) = preferred?;
+    if let Some(only) = job.first.filter(|only| *only != preferred.key) {
+        let only = candidates.iter().find(|candidate| candidate.key == only)?;
+        index = members.len() - 1;
+        members[index] = only;
+    }
+    let mut free_tokens = members[index].free_tokens;
+    if free_tokens < job.memory_tokens() && job.first.is_none() {
         // Another engine may have more memory than the chosen ones.
         let other = candidates
             .iter()
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -175,7 +175,10 @@
             return Decision::TooCostly(refusal);
         }
         let memory_tokens = self.cost.engine().memory_tokens;
-        if candidates.is_empty() {
+        if !candidates
+            .iter()
+            .any(|candidate| job.may_be_sent_to(candidate.key))
+        {
             return Decision::NoEngine;
         }
         if job.memory_tokens() > memory_tokens * engines as u64 {
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -94,6 +94,7 @@
         .iter()
         .filter(|candidate| candidate.free_tokens >= job.memory_tokens());
     let fits = fits.filter(|candidate| candidate.decodes() < slots);
+    let fits = fits.filter(|candidate| job.may_be_sent_to(candidate.key));
     let ranked = fits.map(|candidate| (rank(cost, job, candidate, left_ms, conditions), candidate));
     let mut ranked: Vec<(Rank, &Candidate<'_>)> = ranked.collect();
     ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.key));
--- a/crates/kumquatdrum_placement/tests/limits.rs
+++ b/crates/kumquatdrum_placement/tests/limits.rs
@@ -252,6 +252,7 @@
         due: after(300),
         deadline: after(10_000),
         excluded: Vec::new(),
+        first: None,
     }
 }
 
--- a/crates/kumquatdrum_placement/tests/model/simulation.rs
+++ b/crates/kumquatdrum_placement/tests/model/simulation.rs
@@ -359,6 +359,7 @@
         due: arrived + prompt.target,
         deadline: arrived + std::time::Duration::from_secs(10),
         excluded: Vec::new(),
+        first: None,
     }
 }
 
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -35,6 +35,7 @@
         due: arrived + Duration::from_millis(target),
         deadline: arrived + Duration::from_secs(10),
         excluded: Vec::new(),
+        first: None,
     }
 }
 
