Placement: hosts tell each other which engines could not be reached

Now the host tells the others which engine could not be reached and from which data centre. Hosts count that if it is their own data centre or the engine's; the engine is then avoided until it has announced itself since, 400 ms at least and 5 s at most. Two engines of a remote data centre that failed, and none of it that announced itself since, mean that it is cut off.

Cost: one event, sent when an engine is not suspected yet: 8, 28, 63 datagrams at 9, 81, 300 hosts for a failure, under 50 bytes each (worked out, from the recipients of a broadcast).

--- a/crates/kumquatdrum/tests/gateway/helpers.rs
+++ b/crates/kumquatdrum/tests/gateway/helpers.rs
@@ -57,3 +57,27 @@
         .filter(|engine| engine.runs() + engine.refusals() > 0);
     assert!(asked.count() <= MAX_ATTEMPTS, "{log}");
 }
+
+#[tokio::test]
+async fn hosts_learn_of_a_dead_engine_from_each_other() {
+    let hosts = CONTROL_HOSTS + 3;
+    let (cluster, engines) = start(77, hosts, 1).await;
+    let send = async |host: usize, attempt: String| {
+        let call = cluster.request(host, "/stream/x", &attempt);
+        let call = call.header("Kumquatdrum-Token-Count", LONG_PROMPT);
+        let answer = call.send().await.expect("an answer");
+        let status = answer.status();
+        answer.text().await.expect("a body");
+        status
+    };
+    let first = send(CONTROL_HOSTS, "at-first".to_owned()).await;
+    let log = cluster.read_log(CONTROL_HOSTS);
+    assert_eq!(first, StatusCode::OK, "{log}");
+    let refusals = || engines.iter().map(Endpoint::refusals).sum::<usize>();
+    let before = refusals();
+    for host in CONTROL_HOSTS + 1..hosts {
+        let status = send(host, format!("at-{host}")).await;
+        assert_eq!(status, StatusCode::OK, "{}", cluster.read_log(host));
+    }
+    assert_eq!(refusals(), before, "other hosts chose a dead helper");
+}
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_fanout::Urgency;
-use kumquatdrum_placement::{EndpointKey, JobId, Plan, Rate, Waiter};
+use kumquatdrum_placement::{DataCentreKey, EndpointKey, JobId, Plan, Rate, Waiter};
 use kumquatdrum_quarantine::{Evidence, Suspect};
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Record;
@@ -203,6 +203,8 @@
     Taken(ServiceName, EndpointKey, u32),
     /// A request was in flight at endpoints that crashed, or is cleared of it.
     Suspected(Suspect),
+    /// An engine could not be reached from a data centre, by a host or another engine there.
+    Unreachable(ServiceName, EndpointKey, DataCentreKey),
 }
 
 impl Event {
@@ -216,7 +218,8 @@
             | Self::Cancelled(name, _)
             | Self::Running(name, _)
             | Self::Limited(name, ..)
-            | Self::Taken(name, ..) => Some(name),
+            | Self::Taken(name, ..)
+            | Self::Unreachable(name, ..) => Some(name),
             Self::Suspected(_) => None,
         }
     }
@@ -229,7 +232,11 @@
             | Self::Ended(..)
             | Self::Cancelled(..)
             | Self::Limited(..) => true,
-            Self::Queued(..) | Self::Running(..) | Self::Taken(..) | Self::Suspected(_) => false,
+            Self::Queued(..)
+            | Self::Running(..)
+            | Self::Taken(..)
+            | Self::Suspected(_)
+            | Self::Unreachable(..) => false,
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -14,7 +14,7 @@
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
-use kumquatdrum_types::{DataCentre, EndpointId, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use slog::info;
 use tokio::sync::Notify;
@@ -176,9 +176,17 @@
         let includes_silent = fresh * 2 < known.len();
         let usable = known.into_iter();
         let usable = usable.filter(|(_, age)| includes_silent || *age <= limit);
-        let directory: IndexMap<EndpointKey, Announcement> = usable
-            .map(|(endpoint, _)| (EndpointKey::of(&endpoint.id, endpoint.started), endpoint))
-            .collect();
+        let usable: Vec<_> = usable.collect();
+        let now = self.dependencies.clock.now();
+        let mut announced = Vec::with_capacity(usable.len());
+        let usable = usable.into_iter().map(|(endpoint, age)| {
+            let key = EndpointKey::of(&endpoint.id, endpoint.started);
+            let age = age.as_micros() as u64;
+            let micros = now.micros.saturating_sub(age);
+            announced.push((key, Moment { micros }));
+            (key, endpoint)
+        });
+        let directory: IndexMap<EndpointKey, Announcement> = usable.collect();
         let mut state = service.state.lock();
         match &mut state.policy {
             Policy::Engines(planner) => {
@@ -186,6 +194,9 @@
                 planner.set_endpoints(
                     grouped.map(|(key, endpoint)| (*key, data_centre_key(&endpoint.data_centre))),
                 );
+                for (key, at) in announced {
+                    planner.record_announcement(key, at);
+                }
             }
             Policy::Plain(balancer) => {
                 let slots = |(key, endpoint): (&EndpointKey, &Announcement)| {
@@ -263,6 +274,9 @@
                     planner.renew_job(now, plan, is_prefilling);
                 }
             }
+            Event::Unreachable(_, key, from) => {
+                planner.record_unreachable(now, key, from);
+            }
             Event::Limited(..) | Event::Taken(..) | Event::Suspected(_) => return None,
         }
         drop(state);
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use kumquatdrum_fanout::Urgency;
-use kumquatdrum_placement::{EndpointKey, Failure, JobId};
+use kumquatdrum_placement::{DataCentreKey, EndpointKey, Failure, JobId};
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_types::EndpointId;
 use slog::warn;
 
-use super::{Policy, Pool, Service};
+use super::{Policy, Pool, Service, data_centre_key};
 use crate::message::Event;
 use crate::protocol::Helper;
 
@@ -67,7 +67,14 @@
     pub fn record_failure(&self, failure: Failure) {
         let now = self.pool.dependencies.clock.now();
         let is_ejected = match &mut self.service.state.lock().policy {
-            Policy::Engines(planner) => planner.record_failure(now, self.key, failure),
+            Policy::Engines(planner) => {
+                let from = data_centre_key(&self.pool.dependencies.data_centre);
+                let is_unreachable = matches!(failure, Failure::Unreachable | Failure::Down);
+                if is_unreachable && planner.record_unreachable(now, self.key, from) {
+                    self.broadcast_unreachable(self.key, from);
+                }
+                planner.record_failure(now, self.key, failure)
+            }
             Policy::Plain(balancer) => balancer.record_failure(now, self.key, failure),
         };
         if is_ejected {
@@ -87,14 +94,22 @@
         let found = state.directory.iter();
         let mut found = found.filter(|(_, endpoint)| is_named(endpoint));
         let key = found.next().map(|(key, _)| *key)?;
-        if let Policy::Engines(planner) = &mut state.policy {
-            planner.record_failure(now, key, Failure::Unreachable);
+        if let Policy::Engines(planner) = &mut state.policy
+            && let Some(from) = planner.data_centre(self.key)
+            && planner.record_unreachable(now, key, from)
+        {
+            self.broadcast_unreachable(key, from);
         }
         warn!(self.pool.dependencies.logger, "helper_failed"; "event" => "helper_failed",
             "request" => request, "endpoint" => self.endpoint.id.as_str(), "helper" => name);
         Some(key)
     }
 
+    fn broadcast_unreachable(&self, key: EndpointKey, from: DataCentreKey) {
+        let event = Event::Unreachable(self.service.name.clone(), key, from);
+        self.pool.broadcast(event, Urgency::Urgent);
+    }
+
     /// Marks the endpoint as gone because another endpoint answers at its address.
     pub fn mark_displaced(&self) {
         self.pool
--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::Moment;
 
+use crate::suspicion::Suspicion;
 use crate::{Cost, DataCentreKey, EndpointKey, Health, JobId};
 
 /// The share of memory that may be allocated; the rest is left for answers that grow beyond their
@@ -19,6 +20,7 @@
     pub(crate) data_centre: DataCentreKey,
     pub(crate) is_usable: bool,
     pub(crate) health: Health,
+    pub(crate) suspicion: Suspicion,
     /// The estimated end of all prefills assigned to the engine.
     pub(crate) prefill_until: Moment,
     /// The estimated end of all long prefills assigned to the engine, see
@@ -63,6 +65,7 @@
             data_centre,
             is_usable: false,
             health: Health::default(),
+            suspicion: Suspicion::default(),
             prefill_until: Moment::ZERO,
             long_prefill_until: Moment::ZERO,
             prefills: 0,
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -21,6 +21,7 @@
 mod reachability;
 mod retry;
 mod short_prompt;
+mod suspicion;
 mod tombstones;
 
 pub use balancer::Balancer;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
@@ -23,6 +23,10 @@
 /// mean that the host is paused, unreachable or gone.
 const JOB_EXPIRY: Duration = Duration::from_millis(2_200);
 
+/// The engines of a data centre that must have failed for it to appear cut off; fewer may have
+/// crashed.
+const MIN_FAILED_ENGINES: usize = 2;
+
 /// The result of a placement.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -403,14 +407,71 @@
         endpoint.health.record_failure(now, failure)
     }
 
+    /// Records when an engine last announced itself.
+    pub fn record_announcement(&mut self, key: EndpointKey, at: Moment) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.suspicion.record_announcement(at);
+        }
+    }
+
+    /// Records that an engine could not be reached from a data centre. Returns whether the engine is
+    /// suspected from now on. Failures seen from other data centres count only if the engine's own
+    /// data centre has seen them, since a network partition may separate the two.
+    pub fn record_unreachable(
+        &mut self,
+        now: Moment,
+        key: EndpointKey,
+        from: DataCentreKey,
+    ) -> bool {
+        let local_data_centre = self.local_data_centre;
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        let is_seen_here = local_data_centre.is_none_or(|local| local == from);
+        let counts = is_seen_here || endpoint.data_centre == from;
+        counts && endpoint.suspicion.record_failure(now)
+    }
+
+    /// Returns an engine's data centre.
+    pub fn data_centre(&self, key: EndpointKey) -> Option<DataCentreKey> {
+        self.endpoints
+            .get(&key)
+            .map(|endpoint| endpoint.data_centre)
+    }
+
+    /// Returns the data centres that appear to be cut off: several of their engines could not be
+    /// reached, and none has announced itself since.
+    fn cut_off(&self, now: Moment) -> IndexSet<DataCentreKey> {
+        let mut announced: IndexMap<DataCentreKey, Moment> = IndexMap::new();
+        for endpoint in self.endpoints.values() {
+            let latest = announced.entry(endpoint.data_centre).or_default();
+            *latest = (*latest).max(endpoint.suspicion.announced_at());
+        }
+        let is_cut_off = |(data_centre, announced_at): &(DataCentreKey, Moment)| {
+            let engines = self.endpoints.values();
+            let engines = engines.filter(|endpoint| endpoint.data_centre == *data_centre);
+            let failed =
+                engines.filter(|endpoint| endpoint.suspicion.is_newer_than(now, *announced_at));
+            failed.count() >= MIN_FAILED_ENGINES
+        };
+        let is_remote = |(data_centre, _): &(DataCentreKey, Moment)| {
+            self.local_data_centre != Some(*data_centre)
+        };
+        let cut_off = announced.into_iter().filter(is_remote).filter(is_cut_off);
+        cut_off.map(|(data_centre, _)| data_centre).collect()
+    }
+
     /// Returns the candidate engines for a job: the healthy ones, or all if none is healthy.
     fn candidates(&self, now: Moment, job: &Job) -> Vec<Candidate<'_>> {
         let is_usable = |(key, endpoint): &(&EndpointKey, &Endpoint)| {
             endpoint.is_usable && !job.excluded.contains(key)
         };
         let usable: Vec<_> = self.endpoints.iter().filter(is_usable).collect();
+        let cut_off = self.cut_off(now);
         let is_healthy = |endpoint: &Endpoint| {
             !endpoint.health.is_ejected(now)
+                && !endpoint.suspicion.is_active(now)
+                && !cut_off.contains(&endpoint.data_centre)
                 && !self.reachability.is_unreachable(now, endpoint.data_centre)
         };
         let has_healthy = usable.iter().any(|(_, endpoint)| is_healthy(endpoint));
--- a/crates/kumquatdrum_placement/src/reachability.rs
+++ b/crates/kumquatdrum_placement/src/reachability.rs
@@ -5,11 +5,13 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_types::Moment;
+use serde::{Deserialize, Serialize};
 
 use crate::{Failure, Health};
 
 /// Identifies a data centre, whose endpoints become unreachable together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct DataCentreKey(pub u64);
 
 /// Tracks failures to reach each data centre.
