--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -12,5 +12,6 @@
 mod path;
 mod proxy;
 mod soak;
+mod start;
 mod stop;
 mod streams;
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -56,7 +56,7 @@
     let (head, body) = request.into_parts();
     let metadata = gateway.protocol.parse_request(&head.headers);
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
-    gateway.wait_for_setup(metadata.timeout).await;
+    gateway.wait_until_informed(metadata.timeout).await;
     let admission = admit(&gateway, &head, &metadata);
     let mut response = match admission {
         Ok(admission) => {
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -165,16 +165,25 @@
         Duration::from_millis(self.settings.unused_memory_ms).mul_f64(LEASE_FRACTION)
     }
 
-    /// Waits on a newly started host until it has an active setup, since a caller whose first host
-    /// failed may retry only once.
-    pub(crate) async fn wait_for_setup(&self, timeout: Option<Duration>) {
+    /// Waits on a newly started host until it has applied a setup and knows endpoints, since a caller
+    /// whose first host failed may retry only once.
+    pub(crate) async fn wait_until_informed(&self, timeout: Option<Duration>) {
         let wait = timeout.map_or(SETUP_WAIT, |timeout| timeout.mul_f64(SETUP_WAIT_FRACTION));
         let deadline = self.clock.now() + wait.min(SETUP_WAIT);
-        while self.active_setup.current().is_none() && self.clock.now() < deadline {
+        while !self.is_informed() && self.clock.now() < deadline {
             sleep(INITIAL_HELLO_INTERVAL / 4).await;
         }
     }
 
+    /// Returns whether this host can place requests, as far as it may expect to. A host that has run
+    /// for a while without endpoints has none to wait for.
+    fn is_informed(&self) -> bool {
+        let is_starting = self.clock.now() - self.started < SETUP_WAIT;
+        self.active_setup.current().is_some()
+            && self.pool.is_configured()
+            && (!is_starting || self.pool.has_endpoints())
+    }
+
     /// Returns whether this host accepts callers.
     pub(crate) fn is_ready(&self) -> bool {
         let can_trust_setup =
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -75,6 +75,7 @@
     dependencies: Dependencies,
     services: RwLock<IndexMap<ServiceName, Arc<Service>>>,
     next_job: AtomicU64,
+    is_configured: AtomicBool,
 }
 
 struct Service {
@@ -116,6 +117,7 @@
             dependencies,
             services: RwLock::default(),
             next_job: AtomicU64::new(first),
+            is_configured: AtomicBool::new(false),
         }
     }
 
@@ -134,6 +136,7 @@
         }
         drop(services);
         self.refresh();
+        self.is_configured.store(true, Ordering::Release);
     }
 
     fn build_service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
@@ -161,6 +164,18 @@
         }
     }
 
+    /// Returns whether a setup has been applied.
+    pub fn is_configured(&self) -> bool {
+        self.is_configured.load(Ordering::Acquire)
+    }
+
+    /// Returns whether an endpoint of any service is known.
+    pub fn has_endpoints(&self) -> bool {
+        let services = self.services.read();
+        let mut services = services.values();
+        services.any(|service| !service.state.lock().directory.is_empty())
+    }
+
     /// Replaces the endpoints of all services with the currently announced ones.
     pub fn refresh(&self) {
         for service in self.services.read().values() {
