--- a/crates/kumquatdrum_fanout/src/recipients.rs
+++ b/crates/kumquatdrum_fanout/src/recipients.rs
@@ -3,8 +3,8 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::{DataCentre, HostId, hash};
 
-/// The number of relays in a data centre. More relays spread the load, fewer fill their batches
-/// better.
+/// The number of relays in a data centre. More relays spread the load, and the loss of one is
+/// noticed less; fewer fill their batches better.
 const RELAYS_PER_DATA_CENTRE: usize = 8;
 
 /// Another host as a potential recipient.
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -26,9 +26,10 @@
 
 /// The silence after which a stream is resumed elsewhere, in multiples of the caller's maximum
 /// pause. Shorter silences are more likely caused by an engine that is busy with prefill than by a
-/// failure.
+/// failure, and resuming would only add to the prefill.
 const MAX_SILENT_PAUSES: u32 = 8;
-/// The maximum number of endpoints that are tried to resume a stream.
+/// The maximum number of endpoints that are tried to resume a stream. At most one of them is sent
+/// the request.
 const MAX_RESUME_ATTEMPTS: usize = 6;
 /// The minimum silence after which a stream is resumed elsewhere.
 const MIN_SILENCE: Duration = Duration::from_secs(2);
--- a/crates/kumquatdrum_gateway/src/distribution.rs
+++ b/crates/kumquatdrum_gateway/src/distribution.rs
@@ -23,7 +23,8 @@
 /// The timeout for sending a record. It allows the largest record to be sent over a slow, busy
 /// link.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
-/// The time after which an unacknowledged transfer stops blocking those to other hosts.
+/// The time after which an unacknowledged transfer stops blocking those to other hosts. The largest
+/// record takes less over the slowest link.
 const BLOCKING_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time after which a record that was requested but not received is requested again.
 const FETCH_RETRY_AFTER: Duration = Duration::from_millis(800);
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -14,7 +14,8 @@
 use crate::message::{Hello, Request, Response, Selection};
 use crate::settings;
 
-/// The interval between hellos to the control hosts of the local data centre.
+/// The interval between hellos to the control hosts of the local data centre. A host that was cut
+/// off learns of the active setup within this time of its return.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// The timeout for the response to a hello.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -26,7 +26,8 @@
 /// The number of control hosts that a new host requests the known hosts and endpoints from in a
 /// round. More than one, because a control host may not have started yet.
 const STATE_SOURCES: usize = 2;
-/// The number of rounds between hellos to a control host of another data centre.
+/// The number of rounds between hellos to a control host of another data centre. Two of these
+/// hellos fit into the silence after which a host counts as lost.
 const REMOTE_HELLO_ROUNDS: usize = 2;
 
 /// Tracks the other hosts and describes this one.
--- a/crates/kumquatdrum_placement/src/demand.rs
+++ b/crates/kumquatdrum_placement/src/demand.rs
@@ -10,12 +10,15 @@
 
 use crate::Job;
 
-/// The time for which a dispatch counts as recent; longer than the usual gap between long prompts.
+/// The time for which a dispatch counts as recent; longer than the usual gap between long prompts,
+/// and shorter than a load lasts before it turns.
 const WINDOW: Duration = Duration::from_secs(3);
-/// The number of prompt tokens that adds as much weight as the request itself.
+/// The number of prompt tokens that adds as much weight as the request itself. A caller with ten
+/// times the tokens waits for ten times the work, but somebody waits even for the shortest prompt.
 const TOKENS_PER_WEIGHT: f64 = 10_000.0;
 /// The allowed ratio of the other callers' loss to the weight of the prompt. The loss is an upper
-/// bound: it assumes that every request during the prefill waits until its end.
+/// bound: it assumes that every request during the prefill waits until its end, while the prefill
+/// rarely occupies all engines.
 const MAX_LOSS_RATIO: f64 = 1.5;
 
 /// Returns the weight of a prompt, which grows with its length.
--- a/crates/kumquatdrum_placement/src/health.rs
+++ b/crates/kumquatdrum_placement/src/health.rs
@@ -29,14 +29,14 @@
 }
 
 /// The duration of an ejection after one failure, doubled by each further consecutive failure. It
-/// is short, so that a transient failure costs little.
+/// is short, a few round trips of the longest link, so that a transient failure costs little.
 const MIN_EJECTION: Duration = Duration::from_millis(400);
-/// The longest ejection.
+/// The longest ejection, and so the longest time between two requests that probe the endpoint.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 /// The number of consecutive failures at which a broken response ejects the endpoint; fewer may be
 /// isolated errors.
 const FAILURES_BEFORE_EJECTION: u32 = 3;
-/// The weight of the newest response in the failure rate.
+/// The weight of the newest response in the failure rate, which covers about the last ten.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// The latency penalty of an endpoint that always fails: the cost of a retry.
 const FAILURE_PENALTY_MS: f64 = 400.0;
--- a/crates/kumquatdrum_placement/src/long_prompt.rs
+++ b/crates/kumquatdrum_placement/src/long_prompt.rs
@@ -15,9 +15,10 @@
 /// The most engines that share a prefill: one and the sixteen helpers that engines accept.
 pub(crate) const MAX_PREFILL_ENGINES: usize = 17;
 /// The cost of an answer in progress when engines are compared, in milliseconds of backlog. It
-/// keeps long prefills off busy engines.
+/// keeps long prefills off busy engines, even if no answer would pause for too long yet.
 const DECODE_PENALTY_MS: f64 = 300.0;
-/// The cost of disrupted answers, in milliseconds of time to first token per unit of weight.
+/// The cost of disrupted answers, in milliseconds of time to first token per unit of weight. The
+/// answer to a short prompt weighs about one and a half.
 const DISRUPTION_PENALTY_MS: f64 = 60.0;
 /// The allowed ratio of disrupted answers' weight to the prompt's weight. It prevents very long
 /// prefills on a few engines, which would stall many answers for seconds.
@@ -30,7 +31,8 @@
 /// slowest costs more than sharing among fewer.
 const READY_SHARE: f64 = 0.9;
 /// The overhead of each engine that takes part, in passes, because the engine completes its current
-/// pass first. It limits the number of parts.
+/// pass first. It limits the number of parts: a part that is short beside that pass wastes the
+/// engine's time.
 const PASSES_LOST_PER_ENGINE: f64 = 0.25;
 
 /// The outcome of placing a long prompt.
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -19,6 +19,8 @@
 const PREFILL_PAUSE_SHARE: f64 = 0.8;
 /// The share of the time left until the first token is due that queueing may take on an engine that
 /// can start soon. The rest is left for the prefill and for concurrent dispatches of other hosts.
+/// Lower shares spread short answers over engines whose long prefills make them pause, higher ones
+/// make first tokens late.
 const START_SOON_SHARE: f64 = 0.36;
 /// The share of the time left until the first token is due that queueing and prefill may take
 /// before an engine that isn't packed yet is preferred. The rest is left for concurrent dispatches
@@ -26,7 +28,8 @@
 const ON_TIME_SHARE: f64 = 0.7;
 /// The choice is pseudo-random among as many engines as prompts are dispatched in this window. Hosts
 /// learn of each other's dispatches late, and would otherwise all choose the same engine and exceed
-/// its slots.
+/// its slots, so that a first token waits for another answer's end. The window is ten times the age
+/// of what a host knows of the others; a longer one would use more engines than needed.
 const SPREAD_WINDOW: Duration = Duration::from_millis(80);
 /// Passes before the first token besides the prefill: half of the current one, and the one that
 /// runs the prefill.
--- a/crates/kumquatdrum_process/src/clock.rs
+++ b/crates/kumquatdrum_process/src/clock.rs
@@ -5,7 +5,7 @@
 use kumquatdrum_types::Moment;
 
 /// The reading of a new clock. It is above zero, since other hosts report events from before this
-/// host's start.
+/// host's start; ages up to this reading can be told apart.
 const START: Moment = Moment::from_millis(60_000);
 
 /// A monotonic clock that counts from its creation.
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -8,7 +8,8 @@
 use crate::{Announcement, Update};
 
 /// How long an entry is kept after its last announcement. Entries of endpoints that have left are
-/// kept as tombstones, so that delayed announcements are rejected.
+/// kept as tombstones, so that delayed announcements are rejected. These arrive seconds late; a
+/// minute is an order of magnitude more.
 const ENTRY_TTL: Duration = Duration::from_secs(60);
 
 /// The effect of an announcement on the registry.
