Placement: a prompt that is late on any number of engines does not take those that others need

A prompt that can be in time is admitted as before where enough engines are left. One that can't is now weighed against the recent demand, whatever is free.

Test: a_prompt_that_is_always_late_does_not_take_engines_that_others_need.

--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -175,7 +175,7 @@
         if candidates.is_empty() && engines > 0 {
             return Decision::Limited;
         }
-        if let Some(refusal) = self.find_delay(job, &candidates) {
+        if let Some(refusal) = self.find_delay(now, job, &candidates) {
             return Decision::TooCostly(refusal);
         }
         let memory_tokens = self.cost.engine().memory_tokens;
@@ -235,13 +235,18 @@
 
     /// Returns a refusal if the delay to other callers would outweigh the job. A job that already
     /// waits is not refused.
-    fn find_delay(&self, job: &Job, candidates: &[Candidate<'_>]) -> Option<Refusal> {
+    fn find_delay(&self, now: Moment, job: &Job, candidates: &[Candidate<'_>]) -> Option<Refusal> {
         let engines = candidates.len();
         let max_engines = engines.clamp(1, long_prompt::MAX_PREFILL_ENGINES);
         let part_ms = self.cost.prefill_ms(job.prompt_tokens) / max_engines as f64;
         let refusal = refuse(Harm::Delay, candidates, part_ms);
-        // Enough other engines remain available, so no other caller is delayed.
-        if self.queue.contains(job.id) || refusal.ready >= 2 * max_engines {
+        let left_ms = (job.due - now).as_secs_f64() * 1e3;
+        // An overdue job, such as a resumed answer, is not one that was late from the start.
+        let is_always_late = left_ms > 0.0 && part_ms > left_ms;
+        // Enough other engines remain available, so no other caller is delayed. If the load turns
+        // to short prompts during a prefill of seconds, they need all engines.
+        let leaves_enough = refusal.ready >= 2 * max_engines && !is_always_late;
+        if self.queue.contains(job.id) || leaves_enough {
             return None;
         }
         let is_too_costly = self
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -317,3 +317,33 @@
     // The engine's memory and prefill time are free for a prompt that fills it.
     expect_sent(planner.place(at(400), &job(3, 250_000, at(400))));
 }
+
+/// Load: a prompt whose first token is late on any number of engines, while others send short
+/// prompts or nothing.
+#[test]
+fn a_prompt_that_is_always_late_does_not_take_engines_that_others_need() {
+    for (short_prompts, is_sent) in [(0, true), (20, true), (500, false)] {
+        let mut planner = planner(46);
+        for number in 1..=short_prompts {
+            let at = START + Duration::from_micros(5_000 * number);
+            let plan = expect_sent(planner.place(at, &job(number, 4_000, at)));
+            planner.record_end(at, plan.job);
+        }
+        let at = START + Duration::from_micros(5_000 * short_prompts);
+        let decision = planner.place(at, &job(1_000, 900_000, at));
+        match decision {
+            Decision::Send(..) => assert!(is_sent, "sent beside {short_prompts}"),
+            Decision::TooCostly(refusal) => {
+                assert!(!is_sent, "refused beside {short_prompts}");
+                assert_eq!(refusal.harm, Harm::Delay);
+            }
+            other => panic!("{other:?}"),
+        }
+        // A prompt that can be in time is read: most engines stay free.
+        let decision = planner.place(at, &job(1_001, 200_000, at));
+        assert!(
+            matches!(decision, Decision::Send(..) | Decision::Wait(_)),
+            "{decision:?}"
+        );
+    }
+}
