--- a/crates/kumquatdrum/tests/gateway/helpers.rs
+++ b/crates/kumquatdrum/tests/gateway/helpers.rs
@@ -33,7 +33,7 @@
     }
     let engines = live;
     for engine in &engines {
-        *engine.record.unreachable.lock() = addresses.clone();
+        engine.record.unreachable.lock().clone_from(&addresses);
     }
     (cluster, engines)
 }
