Placement, gateway: a module for the outcome of a placement, one for rebroadcasts, one place for partitions

Behaviour unchanged: decision.rs holds the outcome and what it was based on, pool/rebroadcast.rs the repeated broadcasts, suspicion.rs which data centres are cut off.

--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -38,10 +38,10 @@
     pub(super) sent: u32,
     unsent: usize,
     excluded: Vec<EndpointKey>,
-    /// How often another engine than the one that got the request failed it.
+    /// The number of attempts that a helper failed.
     failed_helpers: usize,
-    /// The engine that got the request last, if it is the only one that may get it again.
-    only: Option<EndpointKey>,
+    /// The only endpoint that may get the request again, if no other one may.
+    only_endpoint: Option<EndpointKey>,
     /// The last complete response.
     response: Option<Response<Bytes>>,
     may_have_run: bool,
@@ -58,7 +58,7 @@
     fn record_helper_failure(&mut self, helper: EndpointKey, first: EndpointKey, max_sent: u32) {
         self.exclude(helper);
         self.failed_helpers += 1;
-        self.only = (self.sent >= max_sent).then_some(first);
+        self.only_endpoint = (self.sent >= max_sent).then_some(first);
     }
 }
 
@@ -77,7 +77,7 @@
             return call.give_up(&mut attempts, problem);
         }
         let outcome = call.attempt(&pick, None).await;
-        let is_new = attempts.only != Some(pick.key);
+        let is_new = attempts.only_endpoint != Some(pick.key);
         attempts.sent += u32::from(is_new && !matches!(outcome, Outcome::Unsent(_)));
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
@@ -124,7 +124,7 @@
             due: self.arrived + self.route.target_latency,
             deadline: self.deadline,
             excluded: attempts.excluded.clone(),
-            first: attempts.only,
+            first: attempts.only_endpoint,
         };
         let picked = self
             .gateway
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -37,16 +37,11 @@
             let mut hellos = JoinSet::new();
             let at_once = is_new || self.distributor.is_behind();
             let targets = self.hosts.hello_targets(round, at_once);
-            let limit = if is_new {
-                let doublings = u32::try_from(round).unwrap_or(u32::MAX).min(8);
-                HELLO_TIMEOUT.min(FIRST_HELLO_TIMEOUT * (1 << doublings))
+            let (limit, state_sources) = if is_new {
+                let sources = self.hosts.state_sources(round, &targets);
+                (first_hello_timeout(round), sources)
             } else {
-                HELLO_TIMEOUT
-            };
-            let state_sources = if is_new {
-                self.hosts.state_sources(round, &targets)
-            } else {
-                Vec::new()
+                (HELLO_TIMEOUT, Vec::new())
             };
             let listing_sources = if is_new {
                 state_sources.clone()
@@ -148,6 +143,12 @@
     }
 }
 
+/// Returns the timeout for the responses to the hellos of one of the first rounds.
+fn first_hello_timeout(round: usize) -> Duration {
+    let doublings = u32::try_from(round).unwrap_or(u32::MAX).min(8);
+    HELLO_TIMEOUT.min(FIRST_HELLO_TIMEOUT * (1 << doublings))
+}
+
 /// Watches the settings file for new seeds. Other settings require a restart.
 pub(super) async fn watch_settings(gateway: Arc<Gateway>, mut file: SettingsFile) {
     let mut known = gateway.settings.seeds.clone();
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -30,6 +30,7 @@
 mod pick;
 mod policy;
 mod queue;
+mod rebroadcast;
 
 use limit::Turn;
 pub use pick::{Pick, Prefiller};
@@ -41,13 +42,6 @@
 const MAX_MISSED_ANNOUNCEMENTS: u32 = 4;
 /// The interval at which a queued request is retried without a notification.
 const RETRY_INTERVAL: Duration = Duration::from_millis(25);
-/// The maximum encoded size of a plan without its parts, in bytes.
-const MAX_PLAN_BYTES: usize = 48;
-/// The maximum encoded size of a part, in bytes.
-const MAX_PART_BYTES: usize = 15;
-/// The maximum size of the jobs in a datagram, which leaves room for a service's name.
-const MAX_BATCH_BYTES: usize = 1_200;
-
 /// The dependencies of a pool.
 pub struct Dependencies {
     /// The host's clock.
@@ -191,17 +185,16 @@
         let includes_silent = fresh * 2 < known.len();
         let usable = known.into_iter();
         let usable = usable.filter(|(_, age)| includes_silent || *age <= limit);
-        let usable: Vec<_> = usable.collect();
         let now = self.dependencies.clock.now();
-        let mut announced = Vec::with_capacity(usable.len());
-        let usable = usable.into_iter().map(|(endpoint, age)| {
-            let key = EndpointKey::of(&endpoint.id, endpoint.started);
-            let age = age.as_micros() as u64;
-            let micros = now.micros.saturating_sub(age);
-            announced.push((key, Moment { micros }));
-            (key, endpoint)
-        });
-        let directory: IndexMap<EndpointKey, Announcement> = usable.collect();
+        let announced_at = |age: Duration| Moment {
+            micros: now.micros.saturating_sub(age.as_micros() as u64),
+        };
+        let (directory, announced): (IndexMap<EndpointKey, Announcement>, Vec<_>) = usable
+            .map(|(endpoint, age)| {
+                let key = EndpointKey::of(&endpoint.id, endpoint.started);
+                ((key, endpoint), (key, announced_at(age)))
+            })
+            .unzip();
         let mut state = service.state.lock();
         match &mut state.policy {
             Policy::Engines(planner) => {
@@ -298,22 +291,6 @@
         Some(service)
     }
 
-    /// Broadcasts all jobs of this host that are in flight, for hosts that have missed events.
-    pub fn rebroadcast_jobs(&self, path: RelayPath) {
-        let now = self.dependencies.clock.now();
-        let services: Vec<Arc<Service>> = self.services.read().values().cloned().collect();
-        for service in services {
-            let jobs = match &mut service.state.lock().policy {
-                Policy::Engines(planner) => planner.renew_jobs(now, self.dependencies.number),
-                Policy::Plain(_) => continue,
-            };
-            for jobs in split_into_batches(jobs) {
-                let event = Event::Running(service.name.clone(), jobs);
-                self.broadcast_via(event, Urgency::Usual, path);
-            }
-        }
-    }
-
     /// Returns a new job id, unique across hosts.
     pub fn next_job_id(&self) -> JobId {
         JobId {
@@ -509,23 +486,3 @@
     let names: Vec<&str> = helpers.map(|helper| helper.id.as_str()).collect();
     names.join(",")
 }
-
-/// Splits jobs into batches that each fit a datagram.
-fn split_into_batches(jobs: Vec<(Plan, bool)>) -> Vec<Vec<(Plan, bool)>> {
-    let mut batches = Vec::new();
-    let mut batch = Vec::new();
-    let mut bytes = 0;
-    for (plan, is_prefilling) in jobs {
-        let size = MAX_PLAN_BYTES + MAX_PART_BYTES * plan.helpers.len();
-        if bytes + size > MAX_BATCH_BYTES {
-            batches.push(std::mem::take(&mut batch));
-            bytes = 0;
-        }
-        bytes += size;
-        batch.push((plan, is_prefilling));
-    }
-    if !batch.is_empty() {
-        batches.push(batch);
-    }
-    batches
-}
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod balancer;
 mod candidate;
 mod cost;
+mod decision;
 mod demand;
 mod health;
 mod job;
@@ -26,10 +27,11 @@
 
 pub use balancer::Balancer;
 pub use cost::Cost;
+pub use decision::{Decision, Diagnostics, Harm, Refusal};
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
 pub use limits::{Limits, Summary};
-pub use planner::{Decision, Diagnostics, Harm, Planner, Refusal};
+pub use planner::Planner;
 pub use rate::Rate;
 pub use reachability::DataCentreKey;
 pub use retry::Budget;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
@@ -16,69 +16,14 @@
 use crate::reachability::{DataCentreKey, Reachability};
 use crate::tombstones::Tombstones;
 use crate::{
-    Cost, EndpointKey, Failure, Helper, Job, JobId, Limits, Plan, Waiter, long_prompt, short_prompt,
+    Cost, Decision, Diagnostics, EndpointKey, Failure, Harm, Helper, Job, JobId, Limits, Plan,
+    Refusal, Waiter, long_prompt, short_prompt, suspicion,
 };
 
 /// The time after which a job is dropped unless its host announces it: four missed announcements
 /// mean that the host is paused, unreachable or gone.
 const JOB_EXPIRY: Duration = Duration::from_millis(2_200);
 
-/// The engines of a data centre that must have failed for it to appear cut off; fewer may have
-/// crashed.
-const MIN_FAILED_ENGINES: usize = 2;
-
-/// The result of a placement.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Decision {
-    /// Dispatch the plan.
-    Send(Plan, Diagnostics),
-    /// Retry when another job ends, and announce the waiting job to other hosts.
-    Wait(Waiter),
-    /// The engines' combined memory cannot hold the prompt.
-    TooLarge,
-    /// The cost to other callers would outweigh the prompt.
-    TooCostly(Refusal),
-    /// All usable engines have reached their limits.
-    Limited,
-    /// No engine is usable.
-    NoEngine,
-}
-
-/// How a prompt would cost other callers too much.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Harm {
-    /// Other prompts would wait for the engines.
-    Delay,
-    /// Answers in progress would pause for too long.
-    Pauses,
-}
-
-/// Why a prompt was refused, for logs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Refusal {
-    /// What outweighs the prompt.
-    pub harm: Harm,
-    /// Candidate engines.
-    pub engines: usize,
-    /// Candidate engines without a long prefill.
-    pub ready: usize,
-    /// The prefill time of one part, in milliseconds.
-    pub part_ms: f64,
-}
-
-/// The state that a placement was based on, for logs.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Diagnostics {
-    /// Candidate engines.
-    pub engines: usize,
-    /// The longest backlog of the chosen engines, in milliseconds.
-    pub backlog_ms: f64,
-    /// Answers in progress on the first engine.
-    pub decodes: usize,
-    /// The duration of a pass of the first engine, in milliseconds.
-    pub pass_ms: f64,
-}
-
 /// Places prompts on the engines of one service.
 #[derive(Debug)]
 pub struct Planner {
@@ -219,7 +164,7 @@
                     None
                 }
                 Placement::TooDisruptive { part_ms } => {
-                    let refusal = refuse(Harm::Pauses, &candidates, part_ms);
+                    let refusal = Refusal::new(Harm::Pauses, &candidates, part_ms);
                     return Decision::TooCostly(refusal);
                 }
             }
@@ -228,7 +173,7 @@
             self.queue.insert(now, waiter);
             return Decision::Wait(waiter);
         };
-        let diagnostics = diagnose(&plan, &candidates);
+        let diagnostics = Diagnostics::new(&plan, &candidates);
         self.record_dispatch(now, plan.clone());
         Decision::Send(plan, diagnostics)
     }
@@ -239,7 +184,7 @@
         let engines = candidates.len();
         let max_engines = engines.clamp(1, long_prompt::MAX_PREFILL_ENGINES);
         let part_ms = self.cost.prefill_ms(job.prompt_tokens) / max_engines as f64;
-        let refusal = refuse(Harm::Delay, candidates, part_ms);
+        let refusal = Refusal::new(Harm::Delay, candidates, part_ms);
         let left_ms = (job.due - now).as_secs_f64() * 1e3;
         // An overdue job, such as a resumed answer, is not one that was late from the start.
         let is_always_late = left_ms > 0.0 && part_ms > left_ms;
@@ -444,35 +389,15 @@
             .map(|endpoint| endpoint.data_centre)
     }
 
-    /// Returns the data centres that appear to be cut off: several of their engines could not be
-    /// reached, and none has announced itself since.
-    fn cut_off(&self, now: Moment) -> IndexSet<DataCentreKey> {
-        let mut announced: IndexMap<DataCentreKey, Moment> = IndexMap::new();
-        for endpoint in self.endpoints.values() {
-            let latest = announced.entry(endpoint.data_centre).or_default();
-            *latest = (*latest).max(endpoint.suspicion.announced_at());
-        }
-        let is_cut_off = |(data_centre, announced_at): &(DataCentreKey, Moment)| {
-            let engines = self.endpoints.values();
-            let engines = engines.filter(|endpoint| endpoint.data_centre == *data_centre);
-            let failed =
-                engines.filter(|endpoint| endpoint.suspicion.is_newer_than(now, *announced_at));
-            failed.count() >= MIN_FAILED_ENGINES
-        };
-        let is_remote = |(data_centre, _): &(DataCentreKey, Moment)| {
-            self.local_data_centre != Some(*data_centre)
-        };
-        let cut_off = announced.into_iter().filter(is_remote).filter(is_cut_off);
-        cut_off.map(|(data_centre, _)| data_centre).collect()
-    }
-
     /// Returns the candidate engines for a job: the healthy ones, or all if none is healthy.
     fn candidates(&self, now: Moment, job: &Job) -> Vec<Candidate<'_>> {
         let is_usable = |(key, endpoint): &(&EndpointKey, &Endpoint)| {
             endpoint.is_usable && !job.excluded.contains(key)
         };
         let usable: Vec<_> = self.endpoints.iter().filter(is_usable).collect();
-        let cut_off = self.cut_off(now);
+        let suspicions = self.endpoints.values();
+        let suspicions = suspicions.map(|endpoint| (endpoint.data_centre, &endpoint.suspicion));
+        let cut_off = suspicion::cut_off(now, suspicions, self.local_data_centre);
         let is_healthy = |endpoint: &Endpoint| {
             !endpoint.health.is_ejected(now)
                 && !endpoint.suspicion.is_active(now)
@@ -528,30 +453,6 @@
     }
 }
 
-fn refuse(harm: Harm, candidates: &[Candidate<'_>], part_ms: f64) -> Refusal {
-    let ready = candidates.iter().filter(|candidate| candidate.is_ready());
-    Refusal {
-        harm,
-        engines: candidates.len(),
-        ready: ready.count(),
-        part_ms,
-    }
-}
-
-fn diagnose(plan: &Plan, candidates: &[Candidate<'_>]) -> Diagnostics {
-    let find = |key: EndpointKey| candidates.iter().find(|candidate| candidate.key == key);
-    let first = find(plan.first);
-    let chosen = plan.prefill_engines().filter_map(find);
-    Diagnostics {
-        engines: candidates.len(),
-        backlog_ms: chosen
-            .map(|candidate| candidate.backlog_ms)
-            .fold(0.0, f64::max),
-        decodes: first.map_or(0, Candidate::decodes),
-        pass_ms: first.map_or(0.0, |candidate| candidate.pass_ms),
-    }
-}
-
 /// Returns the memory of a plan by engine.
 fn memory_by_engine(plan: &Plan) -> impl Iterator<Item = (EndpointKey, u64)> + '_ {
     let helpers = plan.helpers.iter();
