Gateway: check a silent endpoint for which memory of others is reserved, and release that memory

A stream with reserved memory is now checked after half a lease of silence: an endpoint that accepts no connection has failed, and the memory is released; one that does is waited for as before.

Test: memory_is_released_soon_after_the_first_engine_falls_silent, before the first event and during the answer; fails without the check.

--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -18,6 +18,8 @@
 pub const SLOWLY_CRASHING_BODY: &str = "crash slowly";
 /// The time until the listener is closed.
 const SLOW_CRASH: Duration = Duration::from_millis(20);
+/// How long an endpoint that falls silent keeps its connections.
+const DARKNESS: Duration = Duration::from_secs(60);
 
 /// How the endpoint answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +38,8 @@
     CompleteStream { events: u64, pause: Duration },
     /// With events up to `after`, and half of the next one.
     TruncatedStream { after: u64 },
+    /// With some events of a stream, then with silence: the listener is closed, the connection not.
+    GoDark { after: u64 },
     /// With half a body of unknown length, and then a reset of the connection.
     ResetInBody,
 }
@@ -61,6 +65,10 @@
     pub limit: Mutex<Option<f64>>,
     /// Engines that the endpoint cannot reach as helpers.
     pub unreachable: Mutex<Vec<SocketAddr>>,
+    /// When the endpoint fell silent.
+    pub darkened: Mutex<Option<Instant>>,
+    /// When each order arrived, and its body.
+    pub orders: Mutex<Vec<(Instant, String)>>,
     /// Requests that were not run because a helper could not be reached.
     pub refusals: AtomicUsize,
 }
@@ -78,6 +86,7 @@
         let address = listener.local_addr().expect("the listener's address");
         let record = Arc::new(Record::default());
         let (name, shared) = (id.to_owned(), record.clone());
+        let shared_record = record.clone();
         let task = tokio::spawn(async move {
             let mut serving = JoinSet::new();
             loop {
@@ -93,6 +102,13 @@
                             drop(connection);
                             return;
                         }
+                        Ok(End::Dark(connection)) => {
+                            *shared_record.darkened.lock() = Some(Instant::now());
+                            drop(listener);
+                            sleep(DARKNESS).await;
+                            drop(connection);
+                            return;
+                        }
                         Ok(End::CrashedSlowly) => {
                             sleep(SLOW_CRASH).await;
                             return;
@@ -140,6 +156,8 @@
     Served,
     /// The endpoint crashes, and closes this connection after its listener.
     Crashed(TcpStream),
+    /// The endpoint falls silent, and keeps this connection open.
+    Dark(TcpStream),
     /// The endpoint crashes, and closes its listener later.
     CrashedSlowly,
 }
@@ -163,6 +181,13 @@
         let _ = stream.write_all(answer.as_bytes()).await;
         return End::Served;
     }
+    if request.contains(" /-/order ") {
+        let body = request.rsplit("\r\n").next().unwrap_or_default().to_owned();
+        record.orders.lock().push((Instant::now(), body));
+        let answer = head("200 OK", &attempt, "Content-Length: 2\r\n") + "{}";
+        let _ = stream.write_all(answer.as_bytes()).await;
+        return End::Served;
+    }
     let helpers = header("Kumquatdrum-Helpers");
     let unreachable = record.unreachable.lock().clone();
     let is_named = |address: &&SocketAddr| helpers.contains(&address.to_string());
@@ -200,7 +225,10 @@
     {
         record.disconnects.fetch_add(1, Ordering::Relaxed);
     }
-    End::Served
+    match behaviour {
+        Behaviour::GoDark { .. } => End::Dark(stream),
+        _ => End::Served,
+    }
 }
 
 /// Sends the answer to an attempt, with extra header lines.
@@ -230,6 +258,13 @@
             reset_on_close(stream);
             Ok(())
         }
+        Behaviour::GoDark { after: last } => {
+            let mut text = head("200 OK", attempt, events);
+            for event in after + 1..=last {
+                text += &chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
+            }
+            stream.write_all(text.as_bytes()).await
+        }
         Behaviour::TruncatedStream { after: last } => {
             let mut text = head("200 OK", attempt, events);
             for event in after + 1..=last {
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod path;
 mod proxy;
+mod reservation;
 mod soak;
 mod start;
 mod stop;
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use kumquatdrum_placement::Failure;
 use kumquatdrum_process::drain::Work;
+use kumquatdrum_process::liveness::{self, Liveness};
 use kumquatdrum_types::Moment;
 use slog::info;
 use tokio::time::{Instant, timeout_at};
@@ -34,6 +35,10 @@
 /// The minimum silence after which a stream is resumed elsewhere.
 const MIN_SILENCE: Duration = Duration::from_secs(2);
 
+/// The share of a lease after which a silent endpoint is checked if memory of other endpoints is
+/// reserved for the stream. The rest of the lease is for the check and the release.
+const RESERVED_SILENCE_SHARE: f64 = 0.5;
+
 /// A stream whose first event has arrived, or that has ended without one.
 pub(super) struct Started {
     forwarder: Forwarder,
@@ -95,8 +100,7 @@
         attempts: std::mem::take(attempts),
         timing: Timing::default(),
     };
-    let next = forwarder.receive(call.deadline_instant()).await;
-    match next {
+    match forwarder.receive_first(call).await {
         Received::Events(bytes) => {
             forwarder.waiting.push_back(bytes);
             let now = call.gateway.clock.now();
@@ -151,8 +155,7 @@
             }
             self.exchange.as_ref()?;
             let silence = MIN_SILENCE.max(call.max_pause().saturating_mul(MAX_SILENT_PAUSES));
-            let limit = call.deadline_instant().min(Instant::now() + silence);
-            match self.receive(limit).await {
+            match self.receive(self.check_at(call, silence)).await {
                 Received::Events(bytes) => {
                     let now = call.gateway.clock.now();
                     let pause = now - self.timing.last_event_at;
@@ -172,6 +175,10 @@
                     return Some(Err("the time is up".into()));
                 }
                 Received::TimedOut => {
+                    let silent_for = call.gateway.clock.now() - self.timing.last_event_at;
+                    if silent_for < silence && self.is_listening().await {
+                        continue;
+                    }
                     if let Err(error) = self.resume(call, "silent").await {
                         return Some(Err(error));
                     }
@@ -188,6 +195,42 @@
         }
     }
 
+    /// Waits for the first events, as long as the endpoint is alive if memory is reserved.
+    async fn receive_first(&mut self, call: &Call) -> Received {
+        loop {
+            match self.receive(self.check_at(call, call.time_left())).await {
+                Received::TimedOut if Instant::now() < call.deadline_instant() => {
+                    if !self.is_listening().await {
+                        return Received::Broken("silent".to_owned());
+                    }
+                }
+                received => return received,
+            }
+        }
+    }
+
+    /// Returns when a silent endpoint is checked, or given up if no memory is reserved. An endpoint
+    /// that has crashed without a word must not keep the memory of others reserved.
+    fn check_at(&self, call: &Call, silence: Duration) -> Instant {
+        let lease = call.gateway.lease_duration();
+        let wait = if self.reservations.is_empty() {
+            silence
+        } else {
+            silence.min(lease.mul_f64(RESERVED_SILENCE_SHARE))
+        };
+        call.deadline_instant().min(Instant::now() + wait)
+    }
+
+    /// Returns whether memory is reserved for the stream and its endpoint accepts connections.
+    async fn is_listening(&self) -> bool {
+        match &self.pick {
+            Some(pick) if !self.reservations.is_empty() => {
+                liveness::check(pick.endpoint.address).await == Liveness::Listening
+            }
+            _ => false,
+        }
+    }
+
     async fn receive(&mut self, limit: Instant) -> Received {
         loop {
             let Some(exchange) = &mut self.exchange else {
