Gateway: take back the first hellos' short timeouts and their few state sources

Suspected, not traced: an answer that takes longer than the first timeouts, as all do when 300 hosts start at once, is dropped and requested again.

--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -19,9 +19,6 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// The timeout for the response to a hello.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(700);
-/// The timeout for the responses to the first hellos, doubled in each round up to
-/// [`HELLO_TIMEOUT`]. After an outage, the control hosts may start a little later than this host.
-const FIRST_HELLO_TIMEOUT: Duration = Duration::from_millis(100);
 /// The interval at which a control host publishes endpoint updates.
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval at which a host rebroadcasts its jobs, so that a starting host knows them before it
@@ -37,27 +34,20 @@
             let mut hellos = JoinSet::new();
             let at_once = is_new || self.distributor.is_behind();
             let targets = self.hosts.hello_targets(round, at_once);
-            let (limit, state_sources) = if is_new {
-                let sources = self.hosts.state_sources(round, &targets);
-                (first_hello_timeout(round), sources)
+            let listing_source = if is_new {
+                None
             } else {
-                (HELLO_TIMEOUT, Vec::new())
-            };
-            let listing_sources = if is_new {
-                state_sources.clone()
-            } else {
-                self.hosts.listing_sources(round, &targets)
+                self.hosts.listing_source(round, &targets)
             };
             for host in targets {
                 let gateway = self.clone();
-                let wants_state = state_sources.contains(&host);
                 let (evidence, known_evidence) = self.quarantine.outgoing(&host);
                 let sent = evidence.checkpoint;
                 let request = Request::Hello(Hello {
                     host: self.hosts.local(),
                     revision: self.active_setup.revision(),
-                    is_new: wants_state,
-                    hosts: if listing_sources.contains(&host) {
+                    is_new,
+                    hosts: if listing_source.as_ref().is_none_or(|source| *source == host) {
                         self.hosts.listing_selection(&host)
                     } else {
                         Selection::Nothing
@@ -67,15 +57,15 @@
                 });
                 hellos.spawn(async move {
                     let channel = Channel::Membership;
-                    let response = gateway.send_request(&host, channel, &request, limit);
+                    let response = gateway.send_request(&host, channel, &request, HELLO_TIMEOUT);
                     match response.await {
-                        Some(response) => gateway.apply_welcome(response, sent) && wants_state,
+                        Some(response) => gateway.apply_welcome(response, sent),
                         None => false,
                     }
                 });
             }
-            while let Some(has_state) = hellos.join_next().await {
-                is_new &= !has_state.unwrap_or(false);
+            while let Some(is_welcomed) = hellos.join_next().await {
+                is_new &= !is_welcomed.unwrap_or(false);
                 if self.hosts.has_control_majority() && !self.distributor.is_behind() {
                     *self.has_confirmed_setup.lock() = true;
                 }
@@ -143,12 +133,6 @@
     }
 }
 
-/// Returns the timeout for the responses to the hellos of one of the first rounds.
-fn first_hello_timeout(round: usize) -> Duration {
-    let doublings = u32::try_from(round).unwrap_or(u32::MAX).min(8);
-    HELLO_TIMEOUT.min(FIRST_HELLO_TIMEOUT * (1 << doublings))
-}
-
 /// Watches the settings file for new seeds. Other settings require a restart.
 pub(super) async fn watch_settings(gateway: Arc<Gateway>, mut file: SettingsFile) {
     let mut known = gateway.settings.seeds.clone();
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -23,9 +23,6 @@
 pub const LOST_AFTER: Duration = Duration::from_secs(2);
 /// The silence after which a host is removed.
 const EXPIRE_AFTER: Duration = Duration::from_secs(20);
-/// The number of control hosts that a new host requests the known hosts and endpoints from in a
-/// round. More than one, because a control host may not have started yet.
-const STATE_SOURCES: usize = 2;
 /// The number of rounds between hellos to a control host of another data centre. Two of these
 /// hellos fit into the silence after which a host counts as lost.
 const REMOTE_HELLO_ROUNDS: usize = 2;
@@ -276,31 +273,16 @@
         targets
     }
 
-    /// Returns the control hosts to request a listing from: one of them in rotation, so that a
-    /// partitioned one does not hide hosts for long, or all if this host is a control host or knows
-    /// none.
-    pub fn listing_sources(&self, round: usize, targets: &[HostId]) -> Vec<HostId> {
+    /// Returns the control host to request a listing from, in rotation, so that a partitioned one
+    /// does not hide hosts for long. Returns `None` if all targets should send one.
+    pub fn listing_source(&self, round: usize, targets: &[HostId]) -> Option<HostId> {
         if self.state.lock().local.is_control {
-            return targets.to_vec();
+            return None;
         }
         let mut control = self.control_hosts();
         control.retain(|host| targets.contains(host));
-        match (round / REMOTE_HELLO_ROUNDS).checked_rem(control.len()) {
-            Some(turn) => vec![control.swap_remove(turn)],
-            None => targets.to_vec(),
-        }
-    }
-
-    /// Returns the control hosts that a new host requests all hosts and endpoints from: a few in
-    /// rotation, different for each host, since the answers of all control hosts to all new hosts
-    /// would keep them busy for seconds after an outage.
-    pub fn state_sources(&self, round: usize, targets: &[HostId]) -> Vec<HostId> {
-        let local = address(&self.state.lock().local.id).map(number);
-        let start = hash::mix(u64::from(local.unwrap_or(0))) as usize % targets.len().max(1);
-        let from = start + round * STATE_SOURCES;
-        let rotated = targets.iter().cycle().skip(from % targets.len().max(1));
-        let count = STATE_SOURCES.min(targets.len());
-        rotated.take(count).cloned().collect()
+        let turn = (round / REMOTE_HELLO_ROUNDS).checked_rem(control.len())?;
+        control.into_iter().nth(turn)
     }
 
     /// Returns the other live control hosts, those of the local data centre first.
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -144,9 +144,10 @@
     let mut hellos = [0; 4];
     for round in 0..8 {
         let hello_targets = caller_host.hello_targets(round, false);
-        let sources = caller_host.listing_sources(round, &hello_targets);
-        assert_eq!(sources.len(), 1);
-        assert!(hello_targets.contains(&sources[0]));
+        let source = caller_host
+            .listing_source(round, &hello_targets)
+            .expect("a listing source");
+        assert!(hello_targets.contains(&source));
         for (count, seed) in hellos.iter_mut().zip(&seeds) {
             *count += u32::from(hello_targets.contains(seed));
         }
@@ -158,33 +159,6 @@
     assert_eq!(control.hello_targets(1, false).len(), 3);
 }
 
-#[tokio::test]
-async fn new_hosts_request_the_state_evenly_and_from_all_control_hosts_in_turn() {
-    let targets: Vec<HostId> = (1..=6).map(|number| host(number, 5, true).id).collect();
-    let mut answers = [0; 6];
-    for number in 10..240 {
-        let new_host = hosts(&host(number, 5, false));
-        let mut asked = Vec::new();
-        for round in 0..3 {
-            let sources = new_host.state_sources(round, &targets);
-            assert_eq!(sources.len(), 2);
-            asked.extend(sources);
-        }
-        for (count, target) in answers.iter_mut().zip(&targets) {
-            *count += usize::from(new_host.state_sources(0, &targets).contains(target));
-            assert!(asked.contains(target), "{target:?} is never asked");
-        }
-    }
-    let mean = answers.iter().sum::<usize>() / answers.len();
-    assert!(
-        answers.iter().all(|count| *count < mean * 3 / 2),
-        "{answers:?}"
-    );
-    let alone = hosts(&host(9, 5, false));
-    assert_eq!(alone.state_sources(5, &targets[..1]), &targets[..1]);
-    assert!(alone.state_sources(0, &[]).is_empty());
-}
-
 #[tokio::test]
 async fn control_hosts_ignore_each_others_reports() {
     let (first, second) = (hosts(&host(1, 5, true)), hosts(&host(2, 5, true)));
