Gateway: a job that joins those waiting for limited endpoints gets its turn

Cause: the expected wait of a job counted a whole interval of the rate for the first of the waiting jobs, though its token was nearly there. With 15 jobs, 2 a second and 8 s, the wait of the last one equals the time left each time just before a token is taken, every 0.5 s; a job that looked then was refused. The number of jobs let in had no slack for delays either.

Now: the wait counts the tokens that are there and any debt; a newcomer needs 250 ms to spare; a job that waits is refused only once its turn lies beyond its deadline. The decision moved into the placement package, one summary serves it, the log line and Retry-After. A first job with a slow rate is no longer refused though its token comes in time.

Also: sharers of a limit are computed when the list of hosts or the limit changes, no longer for each response; and a limit heard from another host first is shared from then on, not from the next announcement.

--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -321,30 +321,31 @@
             let picked = if turn.is_next() {
                 self.try_pick(&service, request, job)
             } else {
-                Err(Rejection::Limited(self.limited_wait(&service)))
+                Ok(None)
             };
             match picked {
-                Err(Rejection::Limited(wait)) => self.await_turn(&mut turn, request, job, wait)?,
+                Ok(None) => self.await_turn(&mut turn, request, job)?,
                 Err(Rejection::NoCapacity(waiter)) if clock.now() < job.deadline => {
                     turn.leave();
                     entry.broadcast_if_due(waiter);
                 }
-                Ok(pick) => {
+                Ok(Some(pick)) => {
                     entry.last_broadcast = None;
                     return Ok(pick);
                 }
-                result => return result,
+                Err(rejection) => return Err(rejection),
             }
             let _ = tokio::time::timeout(RETRY_INTERVAL, changed).await;
         }
     }
 
+    /// Picks an endpoint, or `None` if all endpoints have reached their limits.
     fn try_pick(
         self: &Arc<Self>,
         service: &Arc<Service>,
         request: &str,
         job: &Job,
-    ) -> Result<Pick, Rejection> {
+    ) -> Result<Option<Pick>, Rejection> {
         let now = self.dependencies.clock.now();
         let mut state = service.state.lock();
         match &mut state.policy {
@@ -357,24 +358,19 @@
                         return Err(Rejection::TooCostly);
                     }
                     Decision::TooLarge => return Err(Rejection::TooLarge),
-                    Decision::Limited => {
-                        let wait = self.expected_wait(&state);
-                        return Err(Rejection::Limited(wait));
-                    }
+                    Decision::Limited => return Ok(None),
                     Decision::NoEngine => return Err(Rejection::NoEndpoint),
                 };
-                self.dispatch(service, &state, (request, job), plan, &diagnostics)
+                let pick = self.dispatch(service, &state, (request, job), plan, &diagnostics)?;
+                Ok(Some(pick))
             }
             Policy::Plain(balancer) => {
                 let Some(key) = balancer.choose(now, &job.excluded) else {
-                    let is_limited = balancer.has_exhausted(now, &job.excluded);
-                    let limited = Rejection::Limited(self.expected_wait(&state));
-                    let rejection = if is_limited {
-                        limited
+                    return if balancer.has_exhausted(now, &job.excluded) {
+                        Ok(None)
                     } else {
-                        Rejection::NoEndpoint
+                        Err(Rejection::NoEndpoint)
                     };
-                    return Err(rejection);
                 };
                 let is_limited = balancer.limits().contains(key);
                 let endpoint = state.directory.get(&key).cloned();
@@ -383,7 +379,7 @@
                     let event = Event::Taken(service.name.clone(), key, self.dependencies.number);
                     self.broadcast(event, Urgency::Urgent);
                 }
-                Ok(Pick {
+                Ok(Some(Pick {
                     pool: self.clone(),
                     service: service.clone(),
                     endpoint,
@@ -391,7 +387,7 @@
                     prefillers: Vec::new(),
                     job: None,
                     urgency: Urgency::Usual,
-                })
+                }))
             }
         }
     }
--- a/crates/kumquatdrum_gateway/src/pool/limit.rs
+++ b/crates/kumquatdrum_gateway/src/pool/limit.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use kumquatdrum_fanout::Urgency;
-use kumquatdrum_placement::{EndpointKey, Job, JobId, Rate};
+use kumquatdrum_placement::{EndpointKey, Job, JobId, Place, Rate, Summary};
+use kumquatdrum_types::Moment;
 use slog::{info, warn};
 
 use super::{Pick, Pool, Rejection, Service, State};
@@ -99,58 +100,54 @@
             info!(self.dependencies.logger, "endpoint_limit"; "event" => "endpoint_limit",
                 "endpoint" => endpoint.map_or("unknown", |endpoint| endpoint.id.as_str()),
                 "per_second" => rate.map(Rate::per_second));
+            self.refresh_limits(state);
         }
         is_news
     }
 
-    /// Returns the time between two requests of this host to limited endpoints.
-    pub(super) fn expected_wait(&self, state: &State) -> Duration {
-        let now = self.dependencies.clock.now();
-        let is_in_use = |key: EndpointKey| state.directory.contains_key(&key);
-        let summary = state.policy.limits().summarise(now, is_in_use);
-        let seconds = 1.0 / summary.local_per_second;
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
-    }
-
-    pub(super) fn limited_wait(&self, service: &Service) -> Duration {
-        self.expected_wait(&service.state.lock())
-    }
-
-    /// Makes a job wait for its turn at limited endpoints, or rejects it if its turn would come
-    /// after its deadline. `spacing` is the time between two requests.
+    /// Makes a job wait for its turn at limited endpoints, or rejects it if its turn would come too
+    /// late.
     pub(super) fn await_turn(
         &self,
         turn: &mut Turn<'_>,
         request: &str,
         job: &Job,
-        spacing: Duration,
     ) -> Result<(), Rejection> {
         let now = self.dependencies.clock.now();
-        let is_first_wait = !turn.is_waiting;
-        let ahead = turn.join();
-        let jobs = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        let wait = spacing.checked_mul(jobs).unwrap_or(Duration::MAX);
-        let is_rejected = wait >= job.deadline - now;
-        if is_first_wait || is_rejected {
-            let state = turn.service.state.lock();
-            let is_in_use = |key: EndpointKey| state.directory.contains_key(&key);
-            let summary = state.policy.limits().summarise(now, is_in_use);
+        let is_new = !turn.is_waiting;
+        let place = Place {
+            ahead: turn.join(),
+            left: job.deadline - now,
+            is_new,
+        };
+        let summary = turn.service.state.lock().summarise_limits(now);
+        let wait = summary.wait(place.ahead);
+        let is_in_time = summary.is_in_time(place);
+        if is_new || !is_in_time {
             info!(self.dependencies.logger, "request_limited"; "event" => "request_limited",
                 "request" => request, "endpoints" => summary.endpoints,
                 "per_second" => format!("{:.2}", summary.per_second),
                 "local_per_second" => format!("{:.2}", summary.local_per_second),
                 "hosts" => summary.sharers, "limit_age_ms" => summary.age.as_millis() as u64,
-                "ahead" => ahead, "wait_ms" => wait.as_millis() as u64,
-                "rejected" => is_rejected);
+                "ahead" => place.ahead, "wait_ms" => wait.map(|wait| wait.as_millis() as u64),
+                "left_ms" => place.left.as_millis() as u64, "rejected" => !is_in_time);
         }
-        match is_rejected {
-            true if wait == Duration::MAX => Err(Rejection::Limited(OTHER_HOSTS_WAIT)),
-            true => Err(Rejection::Limited(wait)),
-            false => Ok(()),
+        if is_in_time {
+            Ok(())
+        } else {
+            Err(Rejection::Limited(wait.unwrap_or(OTHER_HOSTS_WAIT)))
         }
     }
 }
 
+impl State {
+    /// Summarises the limits of the endpoints that are in use.
+    fn summarise_limits(&self, now: Moment) -> Summary {
+        let is_in_use = |key: EndpointKey| self.directory.contains_key(&key);
+        self.policy.limits().summarise(now, is_in_use)
+    }
+}
+
 impl Pick {
     /// Records the limit that a response of the endpoint names.
     pub fn record_limit(&self, limit: &Limit) {
@@ -167,9 +164,6 @@
             }
         };
         let is_news = self.pool.apply_limit(&mut state, self.key, rate);
-        if rate.is_some() {
-            self.pool.refresh_limits(&mut state);
-        }
         drop(state);
         if is_news {
             let event = Event::Limited(self.service.name.clone(), self.key, rate);
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -30,7 +30,7 @@
 pub use decision::{Decision, Diagnostics, Harm, Refusal};
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
-pub use limits::{Limits, Summary};
+pub use limits::{Limits, Place, Summary};
 pub use planner::Planner;
 pub use rate::Rate;
 pub use reachability::DataCentreKey;
--- a/crates/kumquatdrum_placement/tests/limits.rs
+++ b/crates/kumquatdrum_placement/tests/limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kumquatdrum_placement::{
-    Balancer, DataCentreKey, Decision, EndpointKey, Job, JobId, Limits, Planner, Rate,
+    Balancer, DataCentreKey, Decision, EndpointKey, Job, JobId, Limits, Place, Planner, Rate,
 };
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
@@ -332,3 +332,110 @@
     assert_eq!(balancer.choose(START, &[EndpointKey(2)]), None);
     assert!(balancer.has_exhausted(START, &[EndpointKey(2)]));
 }
+
+/// What became of jobs that came to one host at the same moment.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Turns {
+    /// Jobs refused on arrival.
+    refused: usize,
+    sent: usize,
+    /// Jobs refused after they had waited.
+    given_up: usize,
+}
+
+/// Plays jobs that all come at [`START`] to one host, each with the given time until its deadline.
+/// The host looks at the waiting jobs at an interval of up to `max_interval_ms`, and at the last
+/// one before it sends the first one.
+fn play_turns(
+    jobs: usize,
+    per_second: f64,
+    left: Duration,
+    max_interval_ms: u32,
+    seed: u64,
+) -> Turns {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut limits = Limits::default();
+    limits.name(START, KEY, rate(per_second));
+    let deadline = START + left;
+    let mut turns = Turns::default();
+    let mut waiting = 0;
+    for _ in 0..jobs {
+        let place = Place {
+            ahead: waiting,
+            left,
+            is_new: true,
+        };
+        if limits.summarise(START, |_| true).is_in_time(place) {
+            waiting += 1;
+        } else {
+            turns.refused += 1;
+        }
+    }
+    let mut now = START;
+    while waiting > 0 {
+        now = now + Duration::from_millis(u64::from(1 + random.next_u32() % max_interval_ms));
+        let summary = limits.summarise(now, |_| true);
+        let is_in_time = |ahead| {
+            let left = deadline - now;
+            let is_new = false;
+            summary.is_in_time(Place {
+                ahead,
+                left,
+                is_new,
+            })
+        };
+        let kept = (0..waiting).filter(|ahead| is_in_time(*ahead)).count();
+        turns.given_up += waiting - kept;
+        waiting = kept;
+        if waiting > 0 && !limits.is_exhausted(now, KEY) {
+            limits.record_local(now, KEY);
+            waiting -= 1;
+            turns.sent += 1;
+        }
+    }
+    turns
+}
+
+#[test]
+fn a_job_that_joins_the_waiting_jobs_gets_its_turn() {
+    let left = Duration::from_secs(8);
+    for (per_second, sent) in [(2.0, 15), (0.5, 3), (20.0, 154), (0.3, 2)] {
+        for seed in 0..50 {
+            let turns = play_turns(200, per_second, left, 50, seed);
+            let expected = Turns {
+                refused: 200 - sent,
+                sent,
+                given_up: 0,
+            };
+            assert_eq!(turns, expected, "{per_second} per second, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn the_first_of_the_waiting_jobs_waits_for_a_token_that_comes_in_time() {
+    let mut limits = Limits::default();
+    limits.name(START, KEY, rate(0.2));
+    let place = Place {
+        ahead: 0,
+        left: Duration::from_secs(2),
+        is_new: true,
+    };
+    assert!(!limits.summarise(START, |_| true).is_in_time(place));
+    assert!(limits.summarise(after(4_000), |_| true).is_in_time(place));
+}
+
+#[test]
+fn a_debt_to_other_hosts_delays_the_waiting_jobs() {
+    let mut limits = Limits::default();
+    limits.set_hosts(1, 1..=2);
+    limits.name(START, KEY, rate(2.0));
+    for _ in 0..4 {
+        limits.record(START, KEY, 2);
+    }
+    let wait = limits.summarise(START, |_| true).wait(0).expect("a wait");
+    // Four requests of the other host are paid off at 2 per second; then a token comes at no less
+    // than half of the rate.
+    assert!(wait >= Duration::from_millis(2_500), "{wait:?}");
+    assert!(wait <= Duration::from_secs(3), "{wait:?}");
+}
