--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -176,9 +176,7 @@
 
     fn observe(&self, host: Host, age: Duration) {
         let now = self.clock.now();
-        let last_contact = Moment {
-            micros: now.micros.saturating_sub(age.as_micros() as u64),
-        };
+        let last_contact = now.saturating_sub(age);
         let mut state = self.state.lock();
         if host.id == state.local.id || age > EXPIRE_AFTER {
             return;
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -14,7 +14,7 @@
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
-use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use slog::info;
 use tokio::sync::Notify;
@@ -186,13 +186,10 @@
         let usable = known.into_iter();
         let usable = usable.filter(|(_, age)| includes_silent || *age <= limit);
         let now = self.dependencies.clock.now();
-        let announced_at = |age: Duration| Moment {
-            micros: now.micros.saturating_sub(age.as_micros() as u64),
-        };
         let (directory, announced): (IndexMap<EndpointKey, Announcement>, Vec<_>) = usable
             .map(|(endpoint, age)| {
                 let key = EndpointKey::of(&endpoint.id, endpoint.started);
-                ((key, endpoint), (key, announced_at(age)))
+                ((key, endpoint), (key, now.saturating_sub(age)))
             })
             .unzip();
         let mut state = service.state.lock();
--- a/crates/kumquatdrum_membership/src/propagation/machine.rs
+++ b/crates/kumquatdrum_membership/src/propagation/machine.rs
@@ -1,6 +1,7 @@
 //! The propagation state machine.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_types::{BootId, DataCentre, HostId, Moment, Version};
@@ -233,9 +234,7 @@
         let Some(age) = age else {
             return;
         };
-        let at = Moment {
-            micros: now.micros.saturating_sub(u64::from(age) * 1_000),
-        };
+        let at = now.saturating_sub(Duration::from_millis(age.into()));
         if self.control_replicas.contains(from) {
             self.direct_majority_at = self.direct_majority_at.max(Some(at));
         }
--- a/crates/kumquatdrum_membership/src/propagation/notification.rs
+++ b/crates/kumquatdrum_membership/src/propagation/notification.rs
@@ -72,7 +72,7 @@
         };
         // A retry goes to another host, because the contact may be dead.
         let since = match notification.count {
-            0 => moment_before(now, EXCHANGE_INTERVAL * 2),
+            0 => now.saturating_sub(EXCHANGE_INTERVAL * 2),
             _ => Moment::NEVER,
         };
         notification.count += 1;
@@ -111,7 +111,7 @@
         let max_contact_age = EXCHANGE_INTERVAL * 2 * others.len() as u32;
         if let Some(to) = self
             .topology
-            .select_contact(id, moment_before(now, max_contact_age))
+            .select_contact(id, now.saturating_sub(max_contact_age))
         {
             send(out, &to, self.have_message_with(now, Vec::new(), true));
         }
@@ -151,10 +151,3 @@
             .collect()
     }
 }
-
-fn moment_before(now: Moment, age: Duration) -> Moment {
-    let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-    Moment {
-        micros: now.micros.saturating_sub(age),
-    }
-}
--- a/crates/kumquatdrum_membership/src/table.rs
+++ b/crates/kumquatdrum_membership/src/table.rs
@@ -104,7 +104,7 @@
         source: Option<HostId>,
         out: &mut Vec<Output>,
     ) -> Outcome {
-        let renewed_at = moment_before(now, age);
+        let renewed_at = now.saturating_sub(age);
         let known = self.records.get(&announcement.endpoint);
         match known.map(|record| (ordering_key(record), record.liveness)) {
             // A leaving notice is never outdated within an incarnation.
@@ -390,10 +390,3 @@
         endpoint::Kind::Plain => None,
     }
 }
-
-fn moment_before(now: Moment, age: Duration) -> Moment {
-    let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-    Moment {
-        micros: now.micros.saturating_sub(age),
-    }
-}
--- a/crates/kumquatdrum_placement/src/queue.rs
+++ b/crates/kumquatdrum_placement/src/queue.rs
@@ -33,12 +33,9 @@
 impl Queue {
     /// Adds or renews a waiting prompt.
     pub(crate) fn insert(&mut self, now: Moment, waiter: Waiter) {
-        let elapsed = Duration::from_millis(waiter.waited_ms.into()).as_micros() as u64;
         let entry = Entry {
             waiter,
-            arrived: Moment {
-                micros: now.micros.saturating_sub(elapsed),
-            },
+            arrived: now.saturating_sub(Duration::from_millis(waiter.waited_ms.into())),
             due: now + Duration::from_millis(waiter.left_ms.into()),
             renewed_at: now,
         };
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -64,10 +64,7 @@
 
     /// Applies an update received from another host.
     pub fn merge(&mut self, now: Moment, update: Update) -> Change {
-        let age = Duration::from_millis(update.age_ms).as_micros() as u64;
-        let heard_at = Moment {
-            micros: now.micros.saturating_sub(age),
-        };
+        let heard_at = now.saturating_sub(Duration::from_millis(update.age_ms));
         self.apply(heard_at, update.announcement, update.gone)
     }
 
--- a/crates/kumquatdrum_routing/src/router.rs
+++ b/crates/kumquatdrum_routing/src/router.rs
@@ -173,10 +173,7 @@
             rates.service_time(size, request.prompt_tokens, request.expected_output_tokens);
         // Service times are estimates; refuse only requests that would need twice the estimated
         // speed.
-        let min_service_time = u64::try_from(service_time.as_micros()).unwrap_or(u64::MAX) / 2;
-        let latest_start = Moment {
-            micros: request.deadline.micros.saturating_sub(min_service_time),
-        };
+        let latest_start = request.deadline.saturating_sub(service_time / 2);
         let job = Job {
             request,
             size,
--- a/crates/kumquatdrum_types/src/time.rs
+++ b/crates/kumquatdrum_types/src/time.rs
@@ -43,6 +43,24 @@
         }
     }
 
+    /// Returns the moment that lies `age` earlier, or the clock's origin if that is later.
+    ///
+    /// ```
+    /// use kumquatdrum_types::Moment;
+    /// use std::time::Duration;
+    ///
+    /// let now = Moment::from_millis(5);
+    /// assert_eq!(now.saturating_sub(Duration::from_millis(3)), Moment::from_millis(2));
+    /// assert_eq!(now.saturating_sub(Duration::from_millis(8)), Moment::ZERO);
+    /// ```
+    #[must_use]
+    pub fn saturating_sub(self, age: Duration) -> Self {
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            micros: self.micros.saturating_sub(age),
+        }
+    }
+
     /// Returns the time since the clock's origin.
     ///
     /// ```
