Process: one inspection of endpoints that broke a connection, for the gateway and `serve`

The code of `serve` looked once, that of the gateway again after 50 ms, since a process that ends may close its connections before its listener. Both computed the hash of an incarnation.

Now both run the same inspection: a first look that a retry awaits for 100 ms at most, a second one in the background. The identity of an incarnation is computed in one place.

Test: `a_crash_counts_although_the_listener_closes_after_the_connections`, with a stand-in that dies slowly.

--- a/crates/kumquatdrum_gateway/src/call/crash.rs
+++ b/crates/kumquatdrum_gateway/src/call/crash.rs
@@ -1,51 +1,31 @@
 //! Requests that crash endpoints: detection after a connection breaks, and refusal.
 
-use std::sync::Arc;
-use std::time::Duration;
-
 use kumquatdrum_placement::Failure;
-use kumquatdrum_process::liveness::{self, Liveness};
-use kumquatdrum_quarantine::{Block, Fingerprint, Incarnation};
-use kumquatdrum_registry::Announcement;
-use slog::info;
-use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use kumquatdrum_process::Inspection;
+use kumquatdrum_quarantine::Block;
 
 use super::Call;
-use crate::Gateway;
 use crate::pool::Pick;
 use crate::problem::Problem;
 
-/// How long a retry waits for the check of the endpoint that failed.
-const INSPECTION_WAIT: Duration = Duration::from_millis(100);
-/// The pause before an endpoint that still listens is checked again: a process that ends may close
-/// its connections before its listener.
-const RECHECK_PAUSE: Duration = Duration::from_millis(50);
-
 impl Call {
     /// Checks whether an endpoint that broke the connection has crashed, which makes the request a
-    /// suspect. `had_begun` states whether the first event had arrived. A slow check continues in
-    /// the background, so that it does not delay a retry for long.
+    /// suspect. `had_begun` states whether the first event had arrived.
     pub(super) async fn inspect(&self, pick: &Pick, had_begun: bool) {
+        let gateway = self.gateway.clone();
+        let endpoint = pick.endpoint.clone();
         let inspection = Inspection {
-            gateway: self.gateway.clone(),
             request: self.attempt_id.clone(),
             fingerprint: self.fingerprint(),
-            endpoint: pick.endpoint.clone(),
-            incarnation: Incarnation(pick.key.0),
+            endpoint: endpoint.id.clone(),
+            address: endpoint.address,
+            incarnation: endpoint.started,
             had_begun,
+            is_leaving: Box::new(move || gateway.endpoints.is_leaving(&endpoint)),
+            quarantine: self.gateway.quarantine.clone(),
+            logger: self.gateway.logger.clone(),
         };
-        let (sender, has_crashed) = oneshot::channel();
-        self.gateway.spawn(async move {
-            let has_crashed = inspection.check().await;
-            // The receiver is gone if the check was slow.
-            let _ = sender.send(has_crashed);
-            if !has_crashed {
-                sleep(RECHECK_PAUSE).await;
-                inspection.check().await;
-            }
-        });
-        if let Ok(Ok(true)) = timeout(INSPECTION_WAIT, has_crashed).await {
+        if inspection.run(|task| self.gateway.spawn(task)).await {
             pick.record_failure(Failure::Down);
         }
     }
@@ -93,33 +73,3 @@
         }
     }
 }
-
-/// A check of an endpoint that broke a connection.
-struct Inspection {
-    gateway: Arc<Gateway>,
-    request: String,
-    fingerprint: Fingerprint,
-    endpoint: Announcement,
-    incarnation: Incarnation,
-    had_begun: bool,
-}
-
-impl Inspection {
-    /// Returns whether the endpoint has crashed, and records that in the quarantine.
-    async fn check(&self) -> bool {
-        let endpoint = &self.endpoint;
-        let liveness = liveness::check(endpoint.address).await;
-        let is_leaving = self.gateway.endpoints.is_leaving(endpoint);
-        let has_crashed = liveness == Liveness::Refusing && !is_leaving;
-        info!(self.gateway.logger, "endpoint_inspected"; "event" => "endpoint_inspected",
-            "request" => &self.request, "fingerprint" => %self.fingerprint,
-            "endpoint" => endpoint.id.as_str(), "address" => %endpoint.address,
-            "incarnation" => endpoint.started, "liveness" => ?liveness, "leaving" => is_leaving,
-            "had_begun" => self.had_begun, "crashed" => has_crashed);
-        if has_crashed {
-            let quarantine = &self.gateway.quarantine;
-            quarantine.record_crash(self.fingerprint, self.incarnation, self.had_begun);
-        }
-        has_crashed
-    }
-}
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -28,7 +28,7 @@
 pub struct EndpointKey(pub u64);
 
 impl EndpointKey {
-    /// Computes FNV-1a over the name and the incarnation.
+    /// Returns the key of an endpoint's incarnation.
     ///
     /// ```
     /// use kumquatdrum_placement::EndpointKey;
@@ -37,8 +37,7 @@
     /// assert_ne!(first, next);
     /// ```
     pub fn of(id: &EndpointId, incarnation: u64) -> Self {
-        let bytes = id.as_str().bytes().chain(incarnation.to_le_bytes());
-        Self(hash::extend(hash::OFFSET_BASIS, bytes))
+        Self(hash::incarnation(id, incarnation))
     }
 }
 
--- a/crates/kumquatdrum_process/src/lib.rs
+++ b/crates/kumquatdrum_process/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod drain;
+pub mod inspection;
 pub mod liveness;
 pub mod metrics;
 pub mod monitoring;
@@ -12,5 +13,6 @@
 pub mod sockets;
 
 pub use drain::Drain;
+pub use inspection::Inspection;
 pub use metrics::Metrics;
 pub use registry::Registry;
--- a/crates/kumquatdrum_quarantine/src/suspect.rs
+++ b/crates/kumquatdrum_quarantine/src/suspect.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kumquatdrum_types::{EndpointId, hash};
 use serde::{Deserialize, Serialize};
 
 use crate::Fingerprint;
@@ -11,6 +12,18 @@
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Returns the identity of an endpoint's incarnation, given by the number that it announces.
+    ///
+    /// ```
+    /// use kumquatdrum_quarantine::Incarnation;
+    /// assert_ne!(Incarnation::of(&"e".into(), 1), Incarnation::of(&"e".into(), 2));
+    /// ```
+    pub fn of(endpoint: &EndpointId, number: u64) -> Self {
+        Self(hash::incarnation(endpoint, number))
+    }
+}
+
 /// A request that was in flight at endpoints when these crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
--- a/crates/kumquatdrum_testing/src/condition.rs
+++ b/crates/kumquatdrum_testing/src/condition.rs
@@ -21,6 +21,8 @@
     pub mode: Mode,
     /// Connections opened in an earlier epoch carry no bytes.
     pub epoch: u64,
+    /// Whether a dead stand-in closes its listener a little later than its connections.
+    pub closes_listener_late: bool,
 }
 
 /// Sets the condition that every task of the stand-in watches.
@@ -55,6 +57,14 @@
         });
     }
 
+    /// Kills the stand-in; its listener closes a little later than its connections.
+    pub fn die_slowly(&self) {
+        self.0.send_modify(|condition| {
+            condition.mode = Mode::Dead;
+            condition.closes_listener_late = true;
+        });
+    }
+
     /// Silences the connections that are open now.
     pub fn silence_open(&self) {
         self.0.send_modify(|condition| condition.epoch += 1);
--- a/crates/kumquatdrum_testing/src/fault.rs
+++ b/crates/kumquatdrum_testing/src/fault.rs
@@ -11,6 +11,8 @@
 pub enum Fault {
     /// Stop abruptly: open connections are reset, new ones refused. It can't be undone.
     Die,
+    /// Stop abruptly, with the listener closed a little later than the connections.
+    DieSlowly,
     /// Stop all work and answer nothing, with connections open.
     Freeze,
     /// Continue after a freeze.
@@ -54,7 +56,7 @@
     },
     /// Run each request in part and answer 500, until `Heal`.
     Fail,
-    /// End all faults except `Die` and `SilenceOpen`.
+    /// End all faults except `Die`, `DieSlowly` and `SilenceOpen`.
     Heal,
 }
 
@@ -104,7 +106,7 @@
             Fault::Refuse { count } => active.refuse = count,
             Fault::Fail => active.fail = true,
             Fault::Heal => *active = Active::default(),
-            Fault::Die | Fault::Freeze | Fault::Thaw | Fault::SilenceOpen => {}
+            Fault::Die | Fault::DieSlowly | Fault::Freeze | Fault::Thaw | Fault::SilenceOpen => {}
         }
     }
 
--- a/crates/kumquatdrum_testing/src/process.rs
+++ b/crates/kumquatdrum_testing/src/process.rs
@@ -150,6 +150,7 @@
 pub(crate) fn apply(switch: &Switch, fault: &Fault) {
     match fault {
         Fault::Die => switch.set(Mode::Dead),
+        Fault::DieSlowly => switch.die_slowly(),
         Fault::Freeze => switch.set(Mode::Frozen),
         Fault::Thaw | Fault::Heal => switch.set(Mode::Running),
         Fault::SilenceOpen => switch.silence_open(),
--- a/crates/kumquatdrum_testing/src/relay.rs
+++ b/crates/kumquatdrum_testing/src/relay.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -12,10 +13,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
 
 use crate::condition::{Dead, Gate};
 
 const BUFFER_BYTES: usize = 64 * 1024;
+/// How long the listener stays open after a slow death.
+const LISTENER_DELAY: Duration = Duration::from_millis(15);
 
 /// The open connections, by the address from which the relay connects to the server.
 ///
@@ -96,6 +100,9 @@
             },
         }
     }
+    if gate.current().closes_listener_late {
+        sleep(LISTENER_DELAY).await;
+    }
     drop(listener);
     while tasks.join_next().await.is_some() {}
 }
--- a/crates/kumquatdrum_types/src/hash.rs
+++ b/crates/kumquatdrum_types/src/hash.rs
@@ -1,5 +1,7 @@
 //! Hashes that have the same value on all hosts.
 
+use crate::EndpointId;
+
 /// FNV-1a offset basis, the initial value for [`extend`].
 pub const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
@@ -39,6 +41,17 @@
     })
 }
 
+/// Returns the hash of one incarnation of an endpoint.
+///
+/// ```
+/// use kumquatdrum_types::hash;
+/// assert_ne!(hash::incarnation(&"e".into(), 1), hash::incarnation(&"e".into(), 2));
+/// ```
+pub fn incarnation(endpoint: &EndpointId, number: u64) -> u64 {
+    let bytes = endpoint.as_str().bytes().chain(number.to_le_bytes());
+    extend(OFFSET_BASIS, bytes)
+}
+
 /// Mixes the bits of a number with the finaliser of `MurmurHash3`.
 ///
 /// ```
