Gateway: log a new suspicion of an engine on each host that holds it

A suspicion heard from another host changed what a host believed without a line, so neither the log nor `explain` could tell why it avoided an engine. Decisions unchanged.

--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -31,11 +31,13 @@
 mod policy;
 mod queue;
 mod rebroadcast;
+mod unreachable;
 
 use limit::Turn;
 pub use pick::{Pick, Prefiller};
 use policy::Policy;
 use queue::QueueEntry;
+use unreachable::Witness;
 
 /// The number of announcement intervals after which a silent endpoint is not used. It tolerates a
 /// lost announcement and a late one.
@@ -263,6 +265,10 @@
                 state.policy.limits_mut().record(now, *key, *host);
                 return None;
             }
+            Event::Unreachable(_, key, from) => {
+                self.record_unreachable(&service, &mut state, *key, *from, Witness::Remote);
+                return None;
+            }
             _ => {}
         }
         let Policy::Engines(planner) = &mut state.policy else {
@@ -279,10 +285,10 @@
                     planner.renew_job(now, plan, is_prefilling);
                 }
             }
-            Event::Unreachable(_, key, from) => {
-                planner.record_unreachable(now, key, from);
-            }
-            Event::Limited(..) | Event::Taken(..) | Event::Suspected(_) => return None,
+            Event::Limited(..)
+            | Event::Taken(..)
+            | Event::Unreachable(..)
+            | Event::Suspected(_) => return None,
         }
         drop(state);
         Some(service)
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -8,7 +8,7 @@
 use kumquatdrum_types::EndpointId;
 use slog::warn;
 
-use super::{Policy, Pool, Service, data_centre_key};
+use super::{Policy, Pool, Service, State, Witness, data_centre_key};
 use crate::message::Event;
 use crate::protocol::Helper;
 
@@ -66,17 +66,16 @@
     /// Records a failure of the endpoint.
     pub fn record_failure(&self, failure: Failure) {
         let now = self.pool.dependencies.clock.now();
-        let is_ejected = match &mut self.service.state.lock().policy {
-            Policy::Engines(planner) => {
-                let from = data_centre_key(&self.pool.dependencies.data_centre);
-                let is_unreachable = matches!(failure, Failure::Unreachable | Failure::Down);
-                if is_unreachable && planner.record_unreachable(now, self.key, from) {
-                    self.broadcast_unreachable(self.key, from);
-                }
-                planner.record_failure(now, self.key, failure)
-            }
+        let mut state = self.service.state.lock();
+        if matches!(failure, Failure::Unreachable | Failure::Down) {
+            let from = data_centre_key(&self.pool.dependencies.data_centre);
+            self.record_unreachable(&mut state, self.key, from);
+        }
+        let is_ejected = match &mut state.policy {
+            Policy::Engines(planner) => planner.record_failure(now, self.key, failure),
             Policy::Plain(balancer) => balancer.record_failure(now, self.key, failure),
         };
+        drop(state);
         if is_ejected {
             warn!(self.pool.dependencies.logger, "endpoint_ejected"; "event" => "endpoint_ejected",
                 "endpoint" => self.endpoint.id.as_str(), "failure" => ?failure);
@@ -86,7 +85,6 @@
     /// Records that a helper, given by its id or address, failed a caller's request, given by its
     /// attempt id. Returns the helper's key, if it is known.
     pub fn record_helper_failure(&self, name: &str, request: &str) -> Option<EndpointKey> {
-        let now = self.pool.dependencies.clock.now();
         let mut state = self.service.state.lock();
         let is_named = |endpoint: &Announcement| {
             endpoint.id.as_str() == name || endpoint.address.to_string() == name
@@ -94,20 +92,21 @@
         let found = state.directory.iter();
         let mut found = found.filter(|(_, endpoint)| is_named(endpoint));
         let key = found.next().map(|(key, _)| *key)?;
-        if let Policy::Engines(planner) = &mut state.policy
-            && let Some(from) = planner.data_centre(self.key)
-            && planner.record_unreachable(now, key, from)
-        {
-            self.broadcast_unreachable(key, from);
+        let from = match &state.policy {
+            Policy::Engines(planner) => planner.data_centre(self.key),
+            Policy::Plain(_) => None,
+        };
+        if let Some(from) = from {
+            self.record_unreachable(&mut state, key, from);
         }
         warn!(self.pool.dependencies.logger, "helper_failed"; "event" => "helper_failed",
             "request" => request, "endpoint" => self.endpoint.id.as_str(), "helper" => name);
         Some(key)
     }
 
-    fn broadcast_unreachable(&self, key: EndpointKey, from: DataCentreKey) {
-        let event = Event::Unreachable(self.service.name.clone(), key, from);
-        self.pool.broadcast(event, Urgency::Urgent);
+    fn record_unreachable(&self, state: &mut State, key: EndpointKey, from: DataCentreKey) {
+        self.pool
+            .record_unreachable(&self.service, state, key, from, Witness::Local);
     }
 
     /// Marks the endpoint as gone because another endpoint answers at its address.
