Gateway: a setup is active only once the pool knows its services

Cause: the store made a setup the active one before the pool had its services, so for an instant each request for a new service was refused as "no endpoint is known", and a revision counted as known to this host before it could serve by it. At the start of a host, `is_configured` worked around it.

Now the setup is passed to the pool, then it is active, then services that it doesn't declare are removed. The workaround is gone.

--- a/crates/kumquatdrum_gateway/src/active_setup.rs
+++ b/crates/kumquatdrum_gateway/src/active_setup.rs
@@ -79,68 +79,72 @@
         self.wake.notify_one();
     }
 
-    /// Waits for a record of a higher revision and activates it. Also returns the record's
+    /// Waits for a record of a higher revision, passes its setup to `prepare` and then activates it.
+    /// A request therefore finds all that an active setup refers to. Also returns the record's
     /// `is_leader` as passed to [`Self::offer`].
-    pub async fn activate_next(self: &Arc<Self>) -> (Arc<Revision>, bool) {
+    pub async fn activate_next(
+        self: &Arc<Self>,
+        prepare: impl Fn(&Setup),
+    ) -> (Arc<Revision>, bool) {
         loop {
             let offer = self.offer.lock().take();
             let Some(offer) = offer else {
                 self.wake.notified().await;
                 continue;
             };
-            let is_leader = offer.is_leader;
-            // Decoding a large setup takes longer than a heartbeat interval, so it runs on another
-            // thread.
-            let store = self.clone();
-            let activating = spawn_blocking(move || store.activate(&offer.record, &offer.from));
-            match activating.await {
-                Ok(Some(active_setup)) => return (active_setup, is_leader),
-                Ok(None) => {}
-                Err(reason) => error!(self.logger, "setup_unreadable";
-                    "event" => "setup_unreadable", "reason" => %reason),
+            let Offer {
+                record,
+                from,
+                is_leader,
+            } = offer;
+            // It may have been offered while a higher revision was decoded.
+            if record.revision <= self.revision() {
+                continue;
+            }
+            if let Some(revision) = self.decode(record, &from).await {
+                prepare(revision.table.setup());
+                self.activate(revision.clone(), &from);
+                return (revision, is_leader);
             }
         }
     }
 
-    /// Activates a record if its revision is higher than the active one.
-    fn activate(&self, record: &Record, from: &str) -> Option<Arc<Revision>> {
-        let before = self.revision();
-        if record.revision <= before {
-            return None;
-        }
-        let setup = match self.decode(record) {
-            Ok(setup) => setup,
+    /// Decodes a record on another thread, because decoding a large setup takes longer than a
+    /// heartbeat interval. Returns `None` if it can't be decoded.
+    async fn decode(&self, record: Record, from: &str) -> Option<Arc<Revision>> {
+        let protocol = self.protocol.clone();
+        let number = record.revision;
+        let decoding = spawn_blocking(move || decode(protocol.as_ref(), record));
+        let decoded = decoding.await;
+        match decoded.unwrap_or_else(|panic| Err(panic.to_string())) {
+            Ok(revision) => Some(Arc::new(revision)),
             Err(reason) => {
                 // The record was validated before it was committed, so another release wrote it.
                 error!(self.logger, "setup_unreadable"; "event" => "setup_unreadable",
-                    "revision" => record.revision, "from" => from, "reason" => reason);
-                return None;
-            }
-        };
-        let active_setup = Arc::new(Revision {
-            record: record.clone(),
-            table: Table::new(setup),
-        });
-        {
-            let mut current = self.current.write();
-            let known = current.as_ref().map_or(0, |known| known.record.revision);
-            if known >= record.revision {
-                return None;
+                    "revision" => number, "from" => from, "reason" => reason);
+                None
             }
-            *current = Some(active_setup.clone());
         }
-        info!(self.logger, "setup_in_force"; "event" => "setup_in_force",
-            "revision" => record.revision, "before" => before, "from" => from,
-            "routes" => active_setup.table.setup().routes.len());
-        Some(active_setup)
     }
 
-    fn decode(&self, record: &Record) -> Result<Setup, String> {
-        let text = record.text().map_err(|error| error.to_string())?;
-        let setup = self.protocol.decode_setup(&text);
-        setup.map_err(|findings| {
-            let first = findings.first().map(ToString::to_string);
-            format!("{} findings, the first: {first:?}", findings.len())
-        })
+    fn activate(&self, revision: Arc<Revision>, from: &str) {
+        let before = self.revision();
+        info!(self.logger, "setup_in_force"; "event" => "setup_in_force",
+            "revision" => revision.record.revision, "before" => before, "from" => from,
+            "routes" => revision.table.setup().routes.len());
+        *self.current.write() = Some(revision);
     }
 }
+
+fn decode(protocol: &dyn Protocol, record: Record) -> Result<Revision, String> {
+    let text = record.text().map_err(|error| error.to_string())?;
+    let setup = protocol.decode_setup(&text);
+    let setup = setup.map_err(|findings| {
+        let first = findings.first().map(ToString::to_string);
+        format!("{} findings, the first: {first:?}", findings.len())
+    })?;
+    Ok(Revision {
+        record,
+        table: Table::new(setup),
+    })
+}
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use kumquatdrum_peer::{Channel, Client, Counters};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_process::{Drain, quarantine};
-use kumquatdrum_routes::{Limits, Record};
+use kumquatdrum_routes::{Limits, Record, Setup};
 use kumquatdrum_types::{HostId, Moment};
 use parking_lot::Mutex;
 use slog::{error, info, o};
@@ -179,9 +179,7 @@
     /// for a while without endpoints has none to wait for.
     fn is_informed(&self) -> bool {
         let is_starting = self.clock.now() - self.started < SETUP_WAIT;
-        self.active_setup.current().is_some()
-            && self.pool.is_configured()
-            && (!is_starting || self.pool.has_endpoints())
+        self.active_setup.current().is_some() && (!is_starting || self.pool.has_endpoints())
     }
 
     /// Returns whether this host accepts callers.
@@ -248,8 +246,9 @@
     /// Activates offered records and distributes them.
     async fn activate_records(self: Arc<Self>) {
         loop {
-            let (active_setup, is_leader) = self.active_setup.activate_next().await;
-            self.pool.configure(active_setup.table.setup());
+            let prepare = |setup: &Setup| self.pool.configure(setup);
+            let (active_setup, is_leader) = self.active_setup.activate_next(prepare).await;
+            self.pool.remove_undeclared(active_setup.table.setup());
             self.distributor.distribute(&active_setup.record, is_leader);
         }
     }
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -44,6 +44,7 @@
 const MAX_MISSED_ANNOUNCEMENTS: u32 = 4;
 /// The interval at which a queued request is retried without a notification.
 const RETRY_INTERVAL: Duration = Duration::from_millis(25);
+
 /// The dependencies of a pool.
 pub struct Dependencies {
     /// The host's clock.
@@ -71,7 +72,6 @@
     dependencies: Dependencies,
     services: RwLock<IndexMap<ServiceName, Arc<Service>>>,
     next_job: AtomicU64,
-    is_configured: AtomicBool,
 }
 
 struct Service {
@@ -113,14 +113,12 @@
             dependencies,
             services: RwLock::default(),
             next_job: AtomicU64::new(first),
-            is_configured: AtomicBool::new(false),
         }
     }
 
-    /// Adds, replaces and removes services to match a setup.
+    /// Adds and replaces services to match a setup.
     pub fn configure(&self, setup: &Setup) {
         let mut services = self.services.write();
-        services.retain(|name, _| setup.services.contains_key(name));
         for (name, declared) in &setup.services {
             let is_same = services
                 .get(name)
@@ -132,7 +130,12 @@
         }
         drop(services);
         self.refresh();
-        self.is_configured.store(true, Ordering::Release);
+    }
+
+    /// Removes services that a setup doesn't declare.
+    pub fn remove_undeclared(&self, setup: &Setup) {
+        let mut services = self.services.write();
+        services.retain(|name, _| setup.services.contains_key(name));
     }
 
     fn build_service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
@@ -160,11 +163,6 @@
         }
     }
 
-    /// Returns whether a setup has been applied.
-    pub fn is_configured(&self) -> bool {
-        self.is_configured.load(Ordering::Acquire)
-    }
-
     /// Returns whether an endpoint of any service is known.
     pub fn has_endpoints(&self) -> bool {
         let services = self.services.read();
--- a/crates/kumquatdrum_gateway/tests/active_setup.rs
+++ b/crates/kumquatdrum_gateway/tests/active_setup.rs
@@ -100,7 +100,7 @@
     let store = Arc::new(Store::new(Arc::new(decoder), logger()));
     store.offer(&record(1), "log", true);
     let activating = store.clone();
-    let activated = tokio::spawn(async move { activating.activate_next().await });
+    let activated = tokio::spawn(async move { activating.activate_next(|_| ()).await });
     // Other tasks, such as heartbeats, run before decoding ends.
     tokio::task::yield_now().await;
     tokio::task::yield_now().await;
@@ -119,11 +119,29 @@
         store.offer(&record(revision), "log", false);
     }
     unblock.send(()).expect("the decoder waits");
-    let (active_setup, _) = store.activate_next().await;
+    let (active_setup, _) = store.activate_next(|_| ()).await;
     assert_eq!(active_setup.record.revision, 9);
     // An offer older than the active revision is ignored.
     store.offer(&record(8), "another host", false);
     store.offer(&record(10), "another host", false);
     unblock.send(()).expect("the decoder waits");
-    assert_eq!(store.activate_next().await.0.record.revision, 10);
+    assert_eq!(store.activate_next(|_| ()).await.0.record.revision, 10);
+}
+
+#[tokio::test]
+async fn a_setup_is_active_only_once_all_is_prepared_for_it() {
+    let (decoder, unblock, _) = Decoder::new();
+    let store = Arc::new(Store::new(Arc::new(decoder), logger()));
+    for revision in [1, 2] {
+        store.offer(&record(revision), "log", false);
+        unblock.send(()).expect("the decoder waits");
+        let was_prepared = AtomicBool::new(false);
+        let prepare = |_: &Setup| {
+            assert_eq!(store.revision(), revision - 1);
+            was_prepared.store(true, Ordering::Relaxed);
+        };
+        store.activate_next(prepare).await;
+        assert!(was_prepared.load(Ordering::Relaxed));
+        assert_eq!(store.revision(), revision);
+    }
 }
