--- a/crates/kumquatdrum/tests/gateway/helpers.rs
+++ b/crates/kumquatdrum/tests/gateway/helpers.rs
@@ -80,4 +80,31 @@
         assert_eq!(status, StatusCode::OK, "{}", cluster.read_log(host));
     }
     assert_eq!(refusals(), before, "other hosts chose a dead helper");
+    let log = cluster.read_log(CONTROL_HOSTS + 1);
+    assert!(log.contains("event=endpoint_suspected"), "{log}");
+}
+
+#[tokio::test]
+async fn a_resumed_stream_survives_the_failure_of_a_helper() {
+    let (cluster, engines) = start(81, CONTROL_HOSTS + 1, 0).await;
+    let call = cluster.request(CONTROL_HOSTS, "/stream/x", "at-resumed");
+    let call = call.header("Kumquatdrum-Token-Count", LONG_PROMPT);
+    let mut answer = call.send().await.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::OK);
+    let start = answer.chunk().await.expect("a stream").expect("an event");
+    // One helper crashes without a word, then the engine that answers.
+    let is_first = |engine: &&Endpoint| engine.runs() > 0;
+    let (first, helpers): (Vec<_>, Vec<_>) = engines.iter().partition(is_first);
+    helpers[0].stop();
+    for engine in &helpers[1..] {
+        engine.record.unreachable.lock().push(helpers[0].address);
+    }
+    first[0].stop();
+    let rest = answer.text().await.expect("the rest of the stream");
+    let log = cluster.read_log(CONTROL_HOSTS);
+    assert!(start.starts_with(b"id: 1"), "{start:?}");
+    assert!(rest.contains("piece 6"), "{rest}: {log}");
+    assert!(log.contains("event=helper_failed"), "{log}");
+    let runs = engines.iter().map(Endpoint::runs).sum::<usize>();
+    assert_eq!(runs, MAX_ATTEMPTS, "{log}");
 }
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -41,7 +41,7 @@
     /// The number of attempts that a helper failed.
     failed_helpers: usize,
     /// The only endpoint that may get the request again, if no other one may.
-    only_endpoint: Option<EndpointKey>,
+    pub(super) only_endpoint: Option<EndpointKey>,
     /// The last complete response.
     response: Option<Response<Bytes>>,
     may_have_run: bool,
@@ -55,11 +55,21 @@
 
     /// Excludes a helper that failed. Once the request has been sent to `max_sent` endpoints, only
     /// `first`, which got it last, may get it again.
-    fn record_helper_failure(&mut self, helper: EndpointKey, first: EndpointKey, max_sent: u32) {
+    pub(super) fn record_helper_failure(
+        &mut self,
+        helper: EndpointKey,
+        first: EndpointKey,
+        max_sent: u32,
+    ) {
         self.exclude(helper);
         self.failed_helpers += 1;
         self.only_endpoint = (self.sent >= max_sent).then_some(first);
     }
+
+    /// Returns whether the request may be repeated with other helpers.
+    pub(super) const fn can_replan(&self) -> bool {
+        self.failed_helpers <= MAX_FAILED_HELPERS
+    }
 }
 
 /// Sends a request to endpoints until one answers or no further attempt is allowed.
@@ -194,7 +204,6 @@
     /// Returns the response for an outcome, or `None` if another endpoint may be tried.
     fn resolve(&self, attempts: &mut Attempts, outcome: Outcome) -> Option<Response<Body>> {
         let is_idempotent = self.route.delivery.is_idempotent();
-        let can_replan = attempts.failed_helpers <= MAX_FAILED_HELPERS;
         let is_helper_failed = matches!(outcome, Outcome::HelperFailed(..));
         let (can_retry, problem) = match outcome {
             Outcome::Complete(response, execution) => {
@@ -209,7 +218,7 @@
             }
             Outcome::HelperFailed(response, _) => {
                 attempts.response = Some(response);
-                (can_replan, None)
+                (attempts.can_replan(), None)
             }
             Outcome::Unsent(reason) => {
                 attempts.unsent += 1;
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -176,7 +176,7 @@
                 }
                 Received::TimedOut => {
                     let silent_for = call.gateway.clock.now() - self.timing.last_event_at;
-                    if silent_for < silence && self.is_listening().await {
+                    if silent_for < silence && self.is_listening(call).await {
                         continue;
                     }
                     if let Err(error) = self.resume(call, "silent").await {
@@ -198,12 +198,12 @@
     /// Waits for the first events, as long as the endpoint is alive if memory is reserved.
     async fn receive_first(&mut self, call: &Call) -> Received {
         loop {
-            match self.receive(self.check_at(call, call.time_left())).await {
-                Received::TimedOut if Instant::now() < call.deadline_instant() => {
-                    if !self.is_listening().await {
-                        return Received::Broken("silent".to_owned());
-                    }
-                }
+            let received = self.receive(self.check_at(call, call.time_left())).await;
+            let is_checked =
+                matches!(received, Received::TimedOut) && Instant::now() < call.deadline_instant();
+            match received {
+                Received::TimedOut if is_checked && self.is_listening(call).await => {}
+                Received::TimedOut if is_checked => return Received::Broken("silent".to_owned()),
                 received => return received,
             }
         }
@@ -212,20 +212,23 @@
     /// Returns when a silent endpoint is checked, or given up if no memory is reserved. An endpoint
     /// that has crashed without a word must not keep the memory of others reserved.
     fn check_at(&self, call: &Call, silence: Duration) -> Instant {
-        let lease = call.gateway.lease_duration();
         let wait = if self.reservations.is_empty() {
             silence
         } else {
+            let lease = call.gateway.lease_duration();
             silence.min(lease.mul_f64(RESERVED_SILENCE_SHARE))
         };
         call.deadline_instant().min(Instant::now() + wait)
     }
 
     /// Returns whether memory is reserved for the stream and its endpoint accepts connections.
-    async fn is_listening(&self) -> bool {
+    /// The check ends at the caller's deadline.
+    async fn is_listening(&self, call: &Call) -> bool {
         match &self.pick {
             Some(pick) if !self.reservations.is_empty() => {
-                liveness::check(pick.endpoint.address).await == Liveness::Listening
+                let check = liveness::check(pick.endpoint.address);
+                let liveness = timeout_at(call.deadline_instant(), check).await;
+                liveness.is_ok_and(|liveness| liveness == Liveness::Listening)
             }
             _ => false,
         }
@@ -275,6 +278,7 @@
         self.exchange = None;
         self.reservations.clear();
         self.splitter = Splitter::default();
+        self.attempts.only_endpoint = None;
         let is_allowed = call.route.delivery.is_idempotent()
             && self.attempts.sent < call.route.max_attempts
             && call.check_block().is_ok()
@@ -305,6 +309,14 @@
                     return Ok(());
                 }
                 Outcome::Unsent(_) => self.attempts.exclude(pick.key),
+                Outcome::HelperFailed(_, helper) => {
+                    // The attempt is counted for this endpoint, so no other one may get it.
+                    let sent = self.attempts.sent;
+                    self.attempts.record_helper_failure(helper, pick.key, sent);
+                    if !self.attempts.can_replan() || !call.gateway.pool.take_retry(&call.service) {
+                        break;
+                    }
+                }
                 _ => break,
             }
         }
