Placement, losses: remove repeated conditions

The delay of a job that already waits is not computed; a suspicion's age is checked in one condition; `losses` has one function that looks for an event.

--- a/crates/kumquatdrum/src/losses/cause.rs
+++ b/crates/kumquatdrum/src/losses/cause.rs
@@ -123,7 +123,7 @@
         });
     };
     let reason = end.get("reason");
-    let is_helper_failed = lines.iter().any(|line| line.event() == "helper_failed");
+    let is_helper_failed = has(lines, "helper_failed");
     let is_starting = starts.precede(end);
     match (end.event(), end.get("end")) {
         ("request_refused", _) if end.get("status") == "503" && is_starting => {
@@ -144,6 +144,10 @@
     }
 }
 
+fn has(lines: &[Line], event: &str) -> bool {
+    lines.iter().any(|line| line.event() == event)
+}
+
 fn is_end(line: &Line) -> bool {
     matches!(line.event(), "request_ended" | "request_refused")
 }
@@ -159,18 +163,15 @@
         let delay_ms = placement.and_then(|placement| placement.number(key));
         delay_ms.is_some_and(|delay_ms| delay_ms > due_ms * DELAY_SHARE)
     };
-    let has = |event| lines.iter().any(|line| line.event() == event);
-    let is_retried = has("retry");
-    let is_resumed = has("resume");
     let pause_ms = end.number("pause_ms").unwrap_or(f64::INFINITY);
     let longest_ms = end.number("longest_pause_ms").unwrap_or(0.0);
     match () {
-        () if first_ms > due_ms && has("helper_failed") => Some(Cause::HelperRetried),
-        () if first_ms > due_ms && is_retried => Some(Cause::Retried),
+        () if first_ms > due_ms && has(lines, "helper_failed") => Some(Cause::HelperRetried),
+        () if first_ms > due_ms && has(lines, "retry") => Some(Cause::Retried),
         () if first_ms > due_ms && is_delayed_by("waited_ms") => Some(Cause::Queued),
         () if first_ms > due_ms && is_delayed_by("backlog_ms") => Some(Cause::Backlog),
         () if first_ms > due_ms => Some(Cause::SlowEngine),
-        () if longest_ms > pause_ms && is_resumed => Some(Cause::Resumed),
+        () if longest_ms > pause_ms && has(lines, "resume") => Some(Cause::Resumed),
         () if longest_ms > pause_ms => Some(Cause::Stalled),
         () => None,
     }
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -181,6 +181,9 @@
     /// Returns a refusal if the delay to other callers would outweigh the job. A job that already
     /// waits is not refused.
     fn find_delay(&self, now: Moment, job: &Job, candidates: &[Candidate<'_>]) -> Option<Refusal> {
+        if self.queue.contains(job.id) {
+            return None;
+        }
         let engines = candidates.len();
         let max_engines = engines.clamp(1, long_prompt::MAX_PREFILL_ENGINES);
         let part_ms = self.cost.prefill_ms(job.prompt_tokens) / max_engines as f64;
@@ -191,12 +194,10 @@
         // Enough other engines remain available, so no other caller is delayed. If the load turns
         // to short prompts during a prefill of seconds, they need all engines.
         let leaves_enough = refusal.ready >= 2 * max_engines && !is_always_late;
-        if self.queue.contains(job.id) || leaves_enough {
-            return None;
-        }
-        let is_too_costly = self
-            .demand
-            .is_too_costly(job, part_ms, max_engines, engines);
+        let is_too_costly = !leaves_enough
+            && self
+                .demand
+                .is_too_costly(job, part_ms, max_engines, engines);
         is_too_costly.then_some(refusal)
     }
 
--- a/crates/kumquatdrum_placement/src/suspicion.rs
+++ b/crates/kumquatdrum_placement/src/suspicion.rs
@@ -50,9 +50,10 @@
         age < MIN_SUSPICION || (age < MAX_SUSPICION && self.announced_at <= failed_at)
     }
 
-    /// Returns whether the engine is suspected because of a failure after `moment`.
+    /// Returns whether the engine failed lately, and after `moment`.
     fn has_failed_since(&self, now: Moment, moment: Moment) -> bool {
-        self.is_active(now) && self.failed_at.is_some_and(|failed_at| failed_at > moment)
+        let is_recent = |failed_at: Moment| now - failed_at < MAX_SUSPICION && failed_at > moment;
+        self.failed_at.is_some_and(is_recent)
     }
 }
 
