Gateway: a starting host requests all endpoints from one control host after another

Each starting host asked each of the six control hosts for all endpoints, in each hello until one answered within 0.7 s; an answer that came later was dropped and asked for again. 294 hosts, 3,000 endpoints of some 120 bytes: about 850 Mbit from each control host, 5 s of its link, each time; a third of its processor. Ruled out: the election (0.8 s, the setup is served from disks before), the registry's lag.

Now hellos are light: all endpoints come from two control hosts, one after the other, with 3 s each; the nearest ones, over which hosts spread by a hash. The endpoints that have left come with the first answer of every control host, as before, so a host that is ready knows every acknowledged leave that those know. A host is ready once it has all endpoints of one control host. A control host still asks all others. Messages are unchanged.

Tests: sources spread and are near; fails without by definition (the function is new).

--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -120,7 +120,13 @@
     /// Returns updates for all known endpoints.
     pub fn all_updates(&self) -> Vec<Update> {
         let state = self.state.lock();
-        state.registry.updates(self.clock.now(), Duration::MAX)
+        state.registry.updates(self.clock.now())
+    }
+
+    /// Returns updates for the endpoints that are leaving or gone.
+    pub fn departures(&self) -> Vec<Update> {
+        let state = self.state.lock();
+        state.registry.departures(self.clock.now())
     }
 
     /// Returns the updates to publish in this round: endpoints that announced themselves to this
@@ -129,7 +135,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         let unpublished = std::mem::take(&mut state.unpublished);
-        let updates = state.registry.updates(now, Duration::MAX);
+        let updates = state.registry.updates(now);
         let is_published = |update: &Update| {
             let is_leaving = update.gone || update.announcement.leaving;
             let is_recent = Duration::from_millis(update.age_ms) < LEAVE_REPEAT_DURATION;
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +23,7 @@
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
 use crate::hosts::Hosts;
-use crate::message::{Event, Hello, Request, Response};
+use crate::message::{Event, Hello, Request, Response, Selection};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::quarantine_cache;
@@ -30,6 +31,7 @@
 use crate::{Protocol, Settings, active_setup, cache, endpoint_cache};
 
 mod endpoint_updates;
+mod initial_endpoints;
 mod periodic;
 mod start;
 
@@ -99,6 +101,8 @@
     /// Whether this host had the newest known setup while in contact with a majority of the control
     /// hosts.
     has_confirmed_setup: Mutex<bool>,
+    /// Whether a control host has sent all endpoints to this host.
+    has_initial_endpoints: AtomicBool,
     background: Mutex<JoinSet<()>>,
 }
 
@@ -256,6 +260,7 @@
     /// Answers a hello.
     pub(crate) fn answer_hello(self: &Arc<Self>, hello: Hello) -> Response {
         let id = hello.host.id.clone();
+        let is_control = hello.host.is_control;
         self.hosts.record_contact(hello.host);
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
@@ -264,10 +269,11 @@
             host: self.hosts.local(),
             hosts: self.hosts.listing(hello.hosts),
             revision: self.active_setup.revision(),
-            endpoints: if hello.is_new {
-                self.endpoints.all_updates()
-            } else {
-                Vec::new()
+            endpoints: match hello.hosts {
+                _ if hello.is_new => self.endpoints.all_updates(),
+                // The sender has had no answer of this host yet; control hosts always request all.
+                Selection::All if !is_control => self.endpoints.departures(),
+                _ => Vec::new(),
             },
             evidence: self.quarantine.answer(hello.known_evidence),
         }
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -1,10 +1,11 @@
 //! Periodic tasks: hellos, endpoint updates, rebroadcast of jobs, and reloading of settings.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kumquatdrum_peer::Channel;
-use kumquatdrum_types::Checkpoint;
+use kumquatdrum_types::{Checkpoint, HostId};
 use slog::{error, info};
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
@@ -40,33 +41,23 @@
                 self.hosts.listing_source(round, &targets)
             };
             for host in targets {
+                let listed = if listing_source.as_ref().is_none_or(|source| *source == host) {
+                    self.hosts.listing_selection(&host)
+                } else {
+                    Selection::Nothing
+                };
+                let hello = self.build_hello(&host, listed, false);
                 let gateway = self.clone();
-                let (evidence, known_evidence) = self.quarantine.outgoing(&host);
-                let sent = evidence.checkpoint;
-                let request = Request::Hello(Hello {
-                    host: self.hosts.local(),
-                    revision: self.active_setup.revision(),
-                    is_new,
-                    hosts: if listing_source.as_ref().is_none_or(|source| *source == host) {
-                        self.hosts.listing_selection(&host)
-                    } else {
-                        Selection::Nothing
-                    },
-                    evidence,
-                    known_evidence,
-                });
-                hellos.spawn(async move {
-                    let channel = Channel::Membership;
-                    let response = gateway.send_request(&host, channel, &request, HELLO_TIMEOUT);
-                    match response.await {
-                        Some(response) => gateway.apply_welcome(response, sent),
-                        None => false,
-                    }
-                });
+                hellos.spawn(
+                    async move { gateway.exchange_hello(&host, hello, HELLO_TIMEOUT).await },
+                );
             }
             while let Some(is_welcomed) = hellos.join_next().await {
                 is_new &= !is_welcomed.unwrap_or(false);
-                if self.hosts.has_control_majority() && !self.distributor.is_behind() {
+                if self.hosts.has_control_majority()
+                    && !self.distributor.is_behind()
+                    && self.has_requested_endpoints()
+                {
                     *self.has_confirmed_setup.lock() = true;
                 }
             }
@@ -85,6 +76,40 @@
         }
     }
 
+    /// Builds a hello to a host that requests hosts, and all endpoints if `is_new`.
+    pub(super) fn build_hello(&self, to: &HostId, hosts: Selection, is_new: bool) -> Hello {
+        let (evidence, known_evidence) = self.quarantine.outgoing(to);
+        Hello {
+            host: self.hosts.local(),
+            revision: self.active_setup.revision(),
+            is_new,
+            hosts,
+            evidence,
+            known_evidence,
+        }
+    }
+
+    /// Sends a hello and applies the response. Returns whether there was one in time.
+    pub(super) async fn exchange_hello(
+        self: &Arc<Self>,
+        to: &HostId,
+        hello: Hello,
+        limit: Duration,
+    ) -> bool {
+        let sent = hello.evidence.checkpoint;
+        let request = Request::Hello(hello);
+        let response = self.send_request(to, Channel::Membership, &request, limit);
+        match response.await {
+            Some(response) => self.apply_welcome(response, sent),
+            None => false,
+        }
+    }
+
+    /// Returns whether this host has received all endpoints of a control host, or none can send them.
+    fn has_requested_endpoints(&self) -> bool {
+        self.has_initial_endpoints.load(Ordering::Acquire) || self.hosts.control_hosts().is_empty()
+    }
+
     /// Applies the response to a hello that carried the evidence up to `sent`. Returns whether it is
     /// a welcome.
     fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> bool {
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -134,6 +135,7 @@
         start_replica(&gateway, &mut running, handle, received);
     }
     running.tasks.spawn(gateway.clone().send_hellos());
+    running.tasks.spawn(gateway.clone().fetch_endpoints());
     running.tasks.spawn(gateway.clone().activate_records());
     let distributor = gateway.distributor.clone();
     running.tasks.spawn(async move { distributor.run().await });
@@ -235,6 +237,7 @@
         started: clock.now(),
         settings,
         has_confirmed_setup: Mutex::new(false),
+        has_initial_endpoints: AtomicBool::new(false),
         background: Mutex::default(),
     }))
 }
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -283,6 +283,23 @@
         control.into_iter().nth(turn)
     }
 
+    /// Returns the control host to request all endpoints from: a live one, of the local data centre
+    /// if possible, that is not in `asked`. Hosts spread over those that are equally near.
+    pub fn endpoint_source(&self, asked: &[HostId]) -> Option<HostId> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let local = &state.local;
+        let control = state.aged(now).filter(|(entry, age)| {
+            entry.host.is_control && *age <= LOST_AFTER && !asked.contains(&entry.host.id)
+        });
+        let hosts = control.map(|(entry, _)| &entry.host);
+        let rank = |host: &&Host| {
+            let is_remote = host.data_centre != local.data_centre;
+            (is_remote, hash::pair(local.id.as_str(), host.id.as_str()))
+        };
+        hosts.min_by_key(rank).map(|host| host.id.clone())
+    }
+
     /// Returns the other live control hosts, those of the local data centre first.
     pub fn control_hosts(&self) -> Vec<HostId> {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -57,7 +57,7 @@
     pub host: Host,
     /// The sender's active revision.
     pub revision: u64,
-    /// Whether the sender has just started and knows no endpoints.
+    /// Whether the sender has just started and requests all endpoints.
     pub is_new: bool,
     /// The hosts that the sender requests.
     pub hosts: Selection,
@@ -117,7 +117,7 @@
         hosts: Option<Listing>,
         /// The responder's active revision.
         revision: u64,
-        /// All endpoints known to the responder, for a host that has just started.
+        /// Endpoints for a host that has just started: all, or those that have left.
         endpoints: Vec<Update>,
         /// The responder's evidence that the requester lacks.
         evidence: Evidence,
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -242,3 +242,47 @@
         })
     );
 }
+
+#[tokio::test]
+async fn starting_hosts_spread_over_the_control_hosts_for_all_endpoints() {
+    let control: Vec<Host> = (1..=6).map(|number| host(number, 1, true)).collect();
+    let mut requests = vec![0; control.len()];
+    for number in 10..250 {
+        let starting = hosts(&host(number, 1, false));
+        let mut asked = Vec::new();
+        assert_eq!(starting.endpoint_source(&asked), None);
+        for host in &control {
+            starting.record_contact(host.clone());
+        }
+        for _ in 0..2 {
+            let source = starting.endpoint_source(&asked).expect("a control host");
+            let position = control.iter().position(|host| host.id == source);
+            requests[position.expect("a known control host")] += 1;
+            asked.push(source);
+        }
+        assert_ne!(asked[0], asked[1]);
+    }
+    // All of them asked each control host before, 240 times.
+    let most = requests.iter().max();
+    assert!(most <= Some(&120), "{requests:?}");
+}
+
+#[tokio::test]
+async fn all_endpoints_are_requested_in_the_local_data_centre_first() {
+    let starting = hosts(&host(10, 1, false));
+    let remote = Host {
+        data_centre: "riga".into(),
+        ..host(1, 1, true)
+    };
+    starting.record_contact(remote.clone());
+    starting.record_contact(host(2, 1, true));
+    starting.record_contact(host(3, 1, false));
+    let first = starting.endpoint_source(&[]).expect("a control host");
+    assert_eq!(first.as_str(), "10.0.0.2");
+    let asked = [first];
+    assert_eq!(starting.endpoint_source(&asked), Some(remote.id.clone()));
+    assert_eq!(
+        starting.endpoint_source(&[asked[0].clone(), remote.id]),
+        None
+    );
+}
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -98,13 +98,16 @@
         usable.map(move |entry| (&entry.announcement, now - entry.heard_at))
     }
 
-    /// Returns updates for the endpoints heard within `recent`, and for all that are leaving or
-    /// gone.
-    pub fn updates(&self, now: Moment, recent: Duration) -> Vec<Update> {
-        let is_included = |entry: &&Entry| {
-            entry.is_gone || entry.announcement.leaving || now - entry.heard_at <= recent
-        };
-        let entries = self.entries.values().filter(is_included);
+    /// Returns updates for all endpoints.
+    pub fn updates(&self, now: Moment) -> Vec<Update> {
+        let entries = self.entries.values();
+        entries.map(|entry| to_update(entry, now)).collect()
+    }
+
+    /// Returns updates for the endpoints that are leaving or gone.
+    pub fn departures(&self, now: Moment) -> Vec<Update> {
+        let has_departed = |entry: &&Entry| entry.is_gone || entry.announcement.leaving;
+        let entries = self.entries.values().filter(has_departed);
         entries.map(|entry| to_update(entry, now)).collect()
     }
 
