--- a/crates/kumquatdrum_gateway/src/active_setup.rs
+++ b/crates/kumquatdrum_gateway/src/active_setup.rs
@@ -114,7 +114,7 @@
     async fn decode(&self, record: Record, from: &str) -> Option<Arc<Revision>> {
         let protocol = self.protocol.clone();
         let number = record.revision;
-        let decoding = spawn_blocking(move || decode(protocol.as_ref(), record));
+        let decoding = spawn_blocking(move || decode_revision(protocol.as_ref(), record));
         let decoded = decoding.await;
         match decoded.unwrap_or_else(|panic| Err(panic.to_string())) {
             Ok(revision) => Some(Arc::new(revision)),
@@ -136,7 +136,7 @@
     }
 }
 
-fn decode(protocol: &dyn Protocol, record: Record) -> Result<Revision, String> {
+fn decode_revision(protocol: &dyn Protocol, record: Record) -> Result<Revision, String> {
     let text = record.text().map_err(|error| error.to_string())?;
     let setup = protocol.decode_setup(&text);
     let setup = setup.map_err(|findings| {
--- a/crates/kumquatdrum_gateway/src/gateway/initial_endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/initial_endpoints.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use slog::info;
 use tokio::time::sleep;
 
 use super::{Gateway, INITIAL_HELLO_INTERVAL};
@@ -18,8 +19,8 @@
 const SOURCES: usize = 2;
 /// The timeout for all endpoints. It covers the requests of other hosts that start as well.
 const TIMEOUT: Duration = Duration::from_secs(3);
-/// The time after which a host stops looking for sources. By then endpoints have announced
-/// themselves again.
+/// The time after which a host that has had all endpoints once looks for no further source. By then
+/// endpoints have announced themselves again.
 const MAX_DURATION: Duration = Duration::from_secs(10);
 
 impl Gateway {
@@ -32,7 +33,7 @@
         };
         let mut asked = Vec::new();
         let mut received = 0;
-        while received < sources && self.clock.now() - self.started < MAX_DURATION {
+        while received < sources && (received == 0 || self.elapsed() < MAX_DURATION) {
             let Some(source) = self.hosts.endpoint_source(&asked) else {
                 if received == 0 {
                     asked.clear();
@@ -42,10 +43,19 @@
             };
             asked.push(source.clone());
             let request = self.build_hello(&source, Selection::Nothing, true);
-            if self.exchange_hello(&source, request, TIMEOUT).await {
+            let is_received = self.exchange_hello(&source, request, TIMEOUT).await;
+            info!(self.logger, "endpoints_requested"; "event" => "endpoints_requested",
+                "from" => source.as_str(), "received" => is_received,
+                "elapsed_ms" => self.elapsed().as_millis() as u64);
+            if is_received {
                 received += 1;
                 self.has_initial_endpoints.store(true, Ordering::Release);
             }
         }
     }
+
+    /// Returns the time since the start of this host.
+    fn elapsed(&self) -> Duration {
+        self.clock.now() - self.started
+    }
 }
