--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -96,7 +96,7 @@
                     Err((pick, reason)) => {
                         call.log_attempt(&pick, "broken", &reason);
                         call.inspect(&pick, false).await;
-                        attempts.excluded.push(pick.key);
+                        attempts.exclude(pick.key);
                         Outcome::Lost(reason)
                     }
                 }
@@ -106,7 +106,7 @@
                 Outcome::HelperFailed(response, helper)
             }
             outcome => {
-                attempts.excluded.push(pick.key);
+                attempts.exclude(pick.key);
                 drop(pick);
                 outcome
             }
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -100,7 +100,7 @@
     started: Moment,
     /// Whether this host had the newest known setup while in contact with a majority of the control
     /// hosts.
-    has_confirmed_setup: Mutex<bool>,
+    has_confirmed_setup: AtomicBool,
     /// Whether a control host has sent all endpoints to this host.
     has_initial_endpoints: AtomicBool,
     background: Mutex<JoinSet<()>>,
@@ -182,14 +182,19 @@
     /// Returns whether this host can place requests, as far as it may expect to. A host that has run
     /// for a while without endpoints has none to wait for.
     fn is_informed(&self) -> bool {
-        let is_starting = self.clock.now() - self.started < SETUP_WAIT;
+        let is_starting = self.uptime() < SETUP_WAIT;
         self.active_setup.current().is_some() && (!is_starting || self.pool.has_endpoints())
     }
 
+    /// Returns the time since the start of this host.
+    fn uptime(&self) -> Duration {
+        self.clock.now() - self.started
+    }
+
     /// Returns whether this host accepts callers.
     pub(crate) fn is_ready(&self) -> bool {
         let can_trust_setup =
-            *self.has_confirmed_setup.lock() || self.clock.now() - self.started > MAJORITY_WAIT;
+            self.has_confirmed_setup.load(Ordering::Acquire) || self.uptime() > MAJORITY_WAIT;
         !self.drain.is_draining() && can_trust_setup && self.active_setup.current().is_some()
     }
 
@@ -270,8 +275,9 @@
             hosts: self.hosts.listing(hello.hosts),
             revision: self.active_setup.revision(),
             endpoints: match hello.hosts {
-                _ if hello.is_new => self.endpoints.all_updates(),
-                // The sender has had no answer of this host yet; control hosts always request all.
+                _ if hello.requests_endpoints => self.endpoints.all_updates(),
+                // A host requests all hosts until it has an answer of this one. Control hosts always do,
+                // and request all endpoints when they start.
                 Selection::All if !is_control => self.endpoints.departures(),
                 _ => Vec::new(),
             },
--- a/crates/kumquatdrum_gateway/src/gateway/initial_endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/initial_endpoints.rs
@@ -33,7 +33,7 @@
         };
         let mut asked = Vec::new();
         let mut received = 0;
-        while received < sources && (received == 0 || self.elapsed() < MAX_DURATION) {
+        while received < sources && (received == 0 || self.uptime() < MAX_DURATION) {
             let Some(source) = self.hosts.endpoint_source(&asked) else {
                 if received == 0 {
                     asked.clear();
@@ -46,16 +46,11 @@
             let is_received = self.exchange_hello(&source, request, TIMEOUT).await;
             info!(self.logger, "endpoints_requested"; "event" => "endpoints_requested",
                 "from" => source.as_str(), "received" => is_received,
-                "elapsed_ms" => self.elapsed().as_millis() as u64);
+                "elapsed_ms" => self.uptime().as_millis() as u64);
             if is_received {
                 received += 1;
                 self.has_initial_endpoints.store(true, Ordering::Release);
             }
         }
     }
-
-    /// Returns the time since the start of this host.
-    fn elapsed(&self) -> Duration {
-        self.clock.now() - self.started
-    }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -30,15 +30,15 @@
 
 impl Gateway {
     pub(super) async fn send_hellos(self: Arc<Self>) {
-        let mut is_new = true;
+        let mut has_contact = false;
         for round in 0.. {
             let mut hellos = JoinSet::new();
-            let at_once = is_new || self.distributor.is_behind();
+            let at_once = !has_contact || self.distributor.is_behind();
             let targets = self.hosts.hello_targets(round, at_once);
-            let listing_source = if is_new {
-                None
-            } else {
+            let listing_source = if has_contact {
                 self.hosts.listing_source(round, &targets)
+            } else {
+                None
             };
             for host in targets {
                 let listed = if listing_source.as_ref().is_none_or(|source| *source == host) {
@@ -53,12 +53,12 @@
                 );
             }
             while let Some(is_welcomed) = hellos.join_next().await {
-                is_new &= !is_welcomed.unwrap_or(false);
+                has_contact |= is_welcomed.unwrap_or(false);
                 if self.hosts.has_control_majority()
                     && !self.distributor.is_behind()
                     && self.has_requested_endpoints()
                 {
-                    *self.has_confirmed_setup.lock() = true;
+                    self.has_confirmed_setup.store(true, Ordering::Release);
                 }
             }
             self.hosts.expire_silent();
@@ -67,7 +67,7 @@
             if let Some(broadcaster) = &self.broadcaster {
                 broadcaster.refresh();
             }
-            let pause = if is_new || self.distributor.is_behind() {
+            let pause = if !has_contact || self.distributor.is_behind() {
                 INITIAL_HELLO_INTERVAL
             } else {
                 HELLO_INTERVAL
@@ -76,13 +76,18 @@
         }
     }
 
-    /// Builds a hello to a host that requests hosts, and all endpoints if `is_new`.
-    pub(super) fn build_hello(&self, to: &HostId, hosts: Selection, is_new: bool) -> Hello {
+    /// Builds a hello to a host that requests hosts, and all endpoints if `requests_endpoints`.
+    pub(super) fn build_hello(
+        &self,
+        to: &HostId,
+        hosts: Selection,
+        requests_endpoints: bool,
+    ) -> Hello {
         let (evidence, known_evidence) = self.quarantine.outgoing(to);
         Hello {
             host: self.hosts.local(),
             revision: self.active_setup.revision(),
-            is_new,
+            requests_endpoints,
             hosts,
             evidence,
             known_evidence,
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -236,7 +236,7 @@
         replica,
         started: clock.now(),
         settings,
-        has_confirmed_setup: Mutex::new(false),
+        has_confirmed_setup: AtomicBool::new(false),
         has_initial_endpoints: AtomicBool::new(false),
         background: Mutex::default(),
     }))
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -59,6 +59,14 @@
         let others = self.others.values();
         others.map(move |entry| (entry, self.age(now, entry)))
     }
+
+    /// Returns the other live control hosts, each with whether its data centre is a remote one.
+    fn live_control_hosts(&self, now: Moment) -> impl Iterator<Item = (bool, &Host)> {
+        let control = self.aged(now);
+        let control = control.filter(|(entry, age)| entry.host.is_control && *age <= LOST_AFTER);
+        let is_remote = |host: &Host| host.data_centre != self.local.data_centre;
+        control.map(move |(entry, _)| (is_remote(&entry.host), &entry.host))
+    }
 }
 
 struct Entry {
@@ -288,30 +296,21 @@
     pub fn endpoint_source(&self, asked: &[HostId]) -> Option<HostId> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let local = &state.local;
-        let control = state.aged(now).filter(|(entry, age)| {
-            entry.host.is_control && *age <= LOST_AFTER && !asked.contains(&entry.host.id)
-        });
-        let hosts = control.map(|(entry, _)| &entry.host);
-        let rank = |host: &&Host| {
-            let is_remote = host.data_centre != local.data_centre;
-            (is_remote, hash::pair(local.id.as_str(), host.id.as_str()))
-        };
-        hosts.min_by_key(rank).map(|host| host.id.clone())
+        let control = state.live_control_hosts(now);
+        let control = control.filter(|(_, host)| !asked.contains(&host.id));
+        let local = state.local.id.as_str();
+        let rank =
+            |(is_remote, host): &(bool, &Host)| (*is_remote, hash::pair(local, host.id.as_str()));
+        control.min_by_key(rank).map(|(_, host)| host.id.clone())
     }
 
     /// Returns the other live control hosts, those of the local data centre first.
     pub fn control_hosts(&self) -> Vec<HostId> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let mut hosts: Vec<(bool, HostId)> = state
-            .aged(now)
-            .filter(|(entry, age)| entry.host.is_control && *age <= LOST_AFTER)
-            .map(|(entry, _)| {
-                let is_remote = entry.host.data_centre != state.local.data_centre;
-                (is_remote, entry.host.id.clone())
-            })
-            .collect();
+        let hosts = state.live_control_hosts(now);
+        let hosts = hosts.map(|(is_remote, host)| (is_remote, host.id.clone()));
+        let mut hosts: Vec<(bool, HostId)> = hosts.collect();
         hosts.sort();
         hosts.into_iter().map(|(_, id)| id).collect()
     }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -57,8 +57,8 @@
     pub host: Host,
     /// The sender's active revision.
     pub revision: u64,
-    /// Whether the sender has just started and requests all endpoints.
-    pub is_new: bool,
+    /// Whether the sender requests all endpoints, as it has just started.
+    pub requests_endpoints: bool,
     /// The hosts that the sender requests.
     pub hosts: Selection,
     /// The sender's evidence that the recipient lacks.
--- a/crates/kumquatdrum_host/src/request/crash.rs
+++ b/crates/kumquatdrum_host/src/request/crash.rs
@@ -32,21 +32,22 @@
     /// Requests the attempt's status. An engine that can't be reached is checked for a crash.
     pub(super) fn probe(&mut self, target: &Target, attempt: &AttemptId) {
         let probe = self.context.engine.probe(target, attempt);
-        let inspection = self.inspection(target);
-        let requests = self.context.requests.clone();
+        let inspection = self.inspect(target);
         self.start_operation(async move {
             if let Ok(status) = probe.await {
                 return Input::Probed(status);
             }
-            inspection.run(|task| drop(requests.spawn(task))).await;
+            inspection.await;
             Input::Unreachable
         });
     }
 
-    fn inspection(&self, target: &Target) -> Inspection {
+    /// Returns the check of an endpoint, which begins when it is awaited.
+    fn inspect(&self, target: &Target) -> impl Future<Output = ()> + use<> {
         let members = self.context.members.clone();
+        let requests = self.context.requests.clone();
         let Target { endpoint, boot, .. } = target.clone();
-        Inspection {
+        let inspection = Inspection {
             request: self.job.request.to_string(),
             fingerprint: self.job.fingerprint(),
             endpoint: endpoint.clone(),
@@ -56,16 +57,18 @@
             is_leaving: Box::new(move || !members.is_staying(&endpoint, boot)),
             quarantine: self.context.quarantine.clone(),
             logger: self.context.logger.clone(),
+        };
+        async move {
+            inspection.run(|task| drop(requests.spawn(task))).await;
         }
     }
 
     /// Checks the endpoint of the current attempt before the life cycle gets `input`.
     pub(super) fn inspect_before(&mut self, input: Input) {
-        let inspection = self.target.as_ref().map(|target| self.inspection(target));
-        let requests = self.context.requests.clone();
+        let inspection = self.target.as_ref().map(|target| self.inspect(target));
         self.start_operation(async move {
             if let Some(inspection) = inspection {
-                inspection.run(|task| drop(requests.spawn(task))).await;
+                inspection.await;
             }
             input
         });
