Gateway: log the back-off and the leaving that responses state

The attempt's line says 503 and no more, so the log could not tell whether an endpoint's request for a pause was not read, or read and ended early.

--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -5,12 +5,12 @@
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use kumquatdrum_placement::{EndpointKey, Failure};
-use slog::info;
+use slog::{info, warn};
 use tokio::time::timeout_at;
 
 use super::Call;
 use crate::pool::Pick;
-use crate::protocol::{Annotation, Helper, Reply};
+use crate::protocol::{Annotation, Backoff, Helper, Reply};
 use crate::upstream::{self, Exchange};
 
 /// Hop-by-hop headers (RFC 9110, 7.6.1), in addition to those listed in `Connection`.
@@ -83,6 +83,7 @@
         let status = exchange.response.status();
         let headers = exchange.response.headers();
         let reply = self.gateway.protocol.parse_response(status, headers);
+        self.log_holds(pick, &reply);
         if reply.attempt_id != self.metadata.attempt_id {
             pick.record_failure(Failure::Broken);
             self.log_attempt(pick, "crossed", "a response to another request");
@@ -182,6 +183,27 @@
         request
     }
 
+    /// Logs what a response says about the requests that its endpoint wants.
+    fn log_holds(&self, pick: &Pick, reply: &Reply) {
+        let endpoint = pick.endpoint.id.as_str();
+        match &reply.backoff {
+            Backoff::Absent => {}
+            Backoff::For(delay) => {
+                info!(self.gateway.logger, "endpoint_backoff"; "event" => "endpoint_backoff",
+                    "endpoint" => endpoint, "request" => &self.attempt_id,
+                    "delay_ms" => delay.as_millis() as u64);
+            }
+            Backoff::Invalid(value) => {
+                warn!(self.gateway.logger, "backoff_invalid"; "event" => "backoff_invalid",
+                    "endpoint" => endpoint, "request" => &self.attempt_id, "value" => value);
+            }
+        }
+        if reply.is_leaving {
+            info!(self.gateway.logger, "endpoint_leaving"; "event" => "endpoint_leaving",
+                "endpoint" => endpoint, "request" => &self.attempt_id);
+        }
+    }
+
     pub(super) fn log_attempt(&self, pick: &Pick, outcome: &str, reason: &str) {
         let metrics = &self.gateway.metrics;
         metrics.attempts.with_label_values(&[outcome]).inc();
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -82,6 +82,10 @@
     pub load: Option<Load>,
     /// The limit on the requests that the endpoint takes.
     pub limit: Limit,
+    /// The time for which the endpoint asks this host not to send it requests.
+    pub backoff: Backoff,
+    /// Whether the endpoint is leaving.
+    pub is_leaving: bool,
 }
 
 /// The limit that an endpoint names in a response on the requests from all hosts together.
@@ -96,6 +100,18 @@
     Invalid(String),
 }
 
+/// The back-off that an endpoint requests of this host when it rejects a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Backoff {
+    /// The response requests no back-off.
+    #[default]
+    Absent,
+    /// The endpoint wants no requests from this host for this long.
+    For(Duration),
+    /// The value is not a valid time.
+    Invalid(String),
+}
+
 /// An engine's acknowledgement of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Acknowledgement {
