Test: endpoints that request a back-off or say that they leave get more requests

Hosts as processes, stand-in endpoints that reject with Retry-After or say in their answers that they leave.

--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -71,6 +71,37 @@
     pub orders: Mutex<Vec<(Instant, String)>>,
     /// Requests that were not run because a helper could not be reached.
     pub refusals: AtomicUsize,
+    /// The `Retry-After` with which the endpoint rejects all requests, in seconds.
+    pub backoff: Mutex<Option<f64>>,
+    /// When the endpoint rejected an attempt with a back-off, which attempt, and for how long.
+    pub backoffs: Mutex<Vec<(Instant, String, Duration)>>,
+    /// Whether the endpoint says in all its answers that it is leaving.
+    pub is_leaving: AtomicBool,
+    /// When the endpoint sent an answer that says so, and to which attempt.
+    pub leaving_answers: Mutex<Vec<(Instant, String)>>,
+}
+
+impl Record {
+    /// Returns the header line that says whether the endpoint is leaving.
+    fn leaving_header(&self, attempt: &str) -> &'static str {
+        if !self.is_leaving.load(Ordering::Relaxed) {
+            return "";
+        }
+        let answer = (Instant::now(), attempt.to_owned());
+        self.leaving_answers.lock().push(answer);
+        "Server-Leaving: 1\r\n"
+    }
+
+    /// Records a rejection with a back-off, if the endpoint requests one, and returns its headers.
+    fn reject(&self, attempt: &str) -> Option<String> {
+        let seconds = (*self.backoff.lock())?;
+        let delay = Duration::from_secs_f64(seconds);
+        let rejection = (Instant::now(), attempt.to_owned(), delay);
+        self.backoffs.lock().push(rejection);
+        Some(format!(
+            "Kumquatdrum-Not-Run: 1\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n"
+        ))
+    }
 }
 
 pub struct Endpoint {
@@ -184,7 +215,18 @@
     if request.contains(" /-/order ") {
         let body = request.rsplit("\r\n").next().unwrap_or_default().to_owned();
         record.orders.lock().push((Instant::now(), body));
-        let answer = head("200 OK", &attempt, "Content-Length: 2\r\n") + "{}";
+        let headers = record.leaving_header(&attempt).to_owned() + "Content-Length: 2\r\n";
+        let answer = head("200 OK", &attempt, &headers) + "{}";
+        let _ = stream.write_all(answer.as_bytes()).await;
+        return End::Served;
+    }
+    let leaving = record.leaving_header(&attempt);
+    if let Some(headers) = record.reject(&attempt) {
+        record
+            .arrivals
+            .lock()
+            .push((Instant::now(), attempt.clone()));
+        let answer = head("503 Service Unavailable", &attempt, &(headers + leaving));
         let _ = stream.write_all(answer.as_bytes()).await;
         return End::Served;
     }
@@ -216,8 +258,8 @@
     };
     record.requests.lock().push(request.clone());
     let extra = match *record.limit.lock() {
-        Some(limit) => format!("Server-Limit: {limit}\r\n"),
-        None => String::new(),
+        Some(limit) => format!("Server-Limit: {limit}\r\n{leaving}"),
+        None => leaving.to_owned(),
     };
     if send_answer(&mut stream, (&attempt, &extra), behaviour, after)
         .await
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Gateway hosts as real processes on loopback, in front of stand-in endpoints.
 
+mod backoff;
 mod cluster;
 mod control;
 mod crash;
@@ -8,6 +9,7 @@
 mod explain;
 mod fanout;
 mod helpers;
+mod leaving;
 mod limit;
 mod path;
 mod proxy;
