Gateway: send nothing to an endpoint that has asked this host for a back-off

Cause: Retry-After in an endpoint's response was not read. Such a 503 was a plain failure, which costs an engine 40 ms of backlog in the planner; long prompts took the engine all the same, as nobody decodes there. Evidence: the 'placed' lines of the three requests are 0.8 to 2.5 s younger than the 503 and show backlog_ms 40, 76, 108. The class: what an endpoint says of itself doesn't reach those who send, and each sender has to remember to ask.

Now upstream::Upstream is the only way to send something to an endpoint. Placement leaves such endpoints out; where no other is left a request waits in order if the first back-off ends in its time, else it is refused at once with that time. A back-off is no failure of the endpoint. A request that was rejected once avoids endpoints that may reject it again.

--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -107,6 +107,7 @@
             | "endpoint_displaced"
             | "endpoint_ejected"
             | "endpoint_limit"
+            | "endpoint_backoff"
             | "endpoint_suspected"
             | "helper_failed"
             | "request_blocked"
--- a/crates/kumquatdrum/src/losses/cause.rs
+++ b/crates/kumquatdrum/src/losses/cause.rs
@@ -51,6 +51,8 @@
     Overload,
     /// No endpoint was known, reachable or had room.
     NoEndpoint,
+    /// The endpoints had asked the host for a back-off.
+    BackedOff,
     /// The host had not received the setup in force.
     NotInformed,
     /// The host had started shortly before, and knew no endpoint or no setup.
@@ -71,6 +73,8 @@
     Retried,
     /// Late first token: an engine that shared the prefill failed first.
     HelperRetried,
+    /// Late first token: an endpoint that had asked for a back-off held it back.
+    Held,
     /// Late first token: the request waited in the queue.
     Queued,
     /// Late first token: the engine had other prompts to prefill first.
@@ -88,6 +92,7 @@
         f.pad(match self {
             Self::Overload => "refused: too much else is asked for",
             Self::NoEndpoint => "refused: no endpoint",
+            Self::BackedOff => "refused: endpoints in back-off",
             Self::NotInformed => "refused: host not informed",
             Self::Starting => "refused: host starting",
             Self::Blocked => "refused: it crashes endpoints",
@@ -98,6 +103,7 @@
             Self::NoEnd => "no end: caller left",
             Self::Retried => "late: retried",
             Self::HelperRetried => "late: a helper failed",
+            Self::Held => "late: held back by an endpoint",
             Self::Queued => "late: waited for its turn",
             Self::Backlog => "late: behind what its engine read",
             Self::SlowEngine => "late: engine slower than foreseen",
@@ -133,10 +139,14 @@
         ("request_refused", _) => None,
         (_, "streamed") => classify_stream(lines, end),
         (_, "answered") if reason.starts_with('5') && is_helper_failed => Some(Cause::HelperFailed),
+        (_, "answered") if reason == "503" && has(lines, "endpoint_backoff") => {
+            Some(Cause::BackedOff)
+        }
         (_, "answered") if reason.starts_with('5') => Some(Cause::EndpointFailed),
         (_, "answered") => None,
         _ if reason.contains("what else is asked for") => Some(Cause::Overload),
         _ if reason.contains("is blocked") => Some(Cause::Blocked),
+        _ if reason.contains("asked for a back-off") => Some(Cause::BackedOff),
         _ if reason.contains("no endpoint is known") && is_starting => Some(Cause::Starting),
         _ if reason.contains("no room") => Some(Cause::NoEndpoint),
         _ if reason.contains("time") => Some(Cause::TimedOut),
@@ -167,6 +177,7 @@
     let longest_ms = end.number("longest_pause_ms").unwrap_or(0.0);
     match () {
         () if first_ms > due_ms && has(lines, "helper_failed") => Some(Cause::HelperRetried),
+        () if first_ms > due_ms && has(lines, "request_held") => Some(Cause::Held),
         () if first_ms > due_ms && has(lines, "retry") => Some(Cause::Retried),
         () if first_ms > due_ms && is_delayed_by("waited_ms") => Some(Cause::Queued),
         () if first_ms > due_ms && is_delayed_by("backlog_ms") => Some(Cause::Backlog),
--- a/crates/kumquatdrum/tests/gateway/backoff.rs
+++ b/crates/kumquatdrum/tests/gateway/backoff.rs
@@ -78,14 +78,38 @@
     during.max().unwrap_or(0)
 }
 
+/// Sends requests to a host until each of the endpoints has rejected one.
+async fn reject_once(cluster: &Cluster, host: usize, path: &str, endpoints: &[Endpoint]) {
+    let suffix = format!("@{host}");
+    let has_rejected = |endpoint: &Endpoint| {
+        let backoffs = endpoint.record.backoffs.lock();
+        backoffs
+            .iter()
+            .any(|(_, attempt, _)| attempt.ends_with(&suffix))
+    };
+    for number in 0..40 {
+        if endpoints.iter().all(has_rejected) {
+            return;
+        }
+        let call = cluster.request(host, path, &format!("at-first-{number}@{host}"));
+        let call = call.header("Kumquatdrum-Token-Count", "2000,100").send();
+        call.await.expect("an answer").text().await.expect("a body");
+    }
+    panic!("an endpoint has rejected nothing of host {host}");
+}
+
 async fn check_backoff(subnet: u8, config: Value, path: &'static str) {
     let (cluster, endpoints) = start(subnet, &config, 3).await;
     let shedding = &endpoints[..2];
     for endpoint in shedding {
         *endpoint.record.backoff.lock() = Some(BACKOFF);
     }
-    let rejected = Instant::now() + Duration::from_secs(3);
-    let (sent, served) = load(&cluster, path, rejected).await;
+    // Both endpoints may reject one of the first requests, which then has no attempt left.
+    for host in CONTROL_HOSTS..HOSTS {
+        reject_once(&cluster, host, path, shedding).await;
+    }
+    let until = Instant::now() + Duration::from_secs(3);
+    let (sent, served) = load(&cluster, path, until).await;
     for endpoint in shedding {
         let rejections = endpoint.record.backoffs.lock().len();
         assert!(rejections > 0, "{} rejected nothing", endpoint.id);
--- a/crates/kumquatdrum/tests/gateway/explain.rs
+++ b/crates/kumquatdrum/tests/gateway/explain.rs
@@ -112,6 +112,29 @@
     assert_eq!(cluster.metric(3, "kumquatdrum_gateway_blocked").await, 1);
 }
 
+#[tokio::test]
+async fn a_request_that_is_refused_for_a_back_off_names_it() {
+    let cluster = Cluster::start(46);
+    cluster.apply(&config(1)).await;
+    let shedding = Endpoint::start("i-shedding", Behaviour::CompleteBody).await;
+    *shedding.record.backoff.lock() = Some(30.0);
+    cluster.announce(&shedding, "plain", "ready", 1).await;
+    cluster.wait_until_ready(3, &shedding).await;
+    for id in ["at-1", "at-held"] {
+        let answer = cluster.request(3, "/safe/x", id).send().await;
+        answer.expect("an answer");
+    }
+    let cause = wait_for_cause(&cluster, "at-held").await;
+    assert!(cause.contains("asked for a back-off"), "{cause}");
+    let timeline = explain(&cluster, "at-held").to_string();
+    assert!(
+        timeline.contains("request_held") && timeline.contains("endpoint_backoff"),
+        "{timeline}"
+    );
+    let holds = "kumquatdrum_gateway_endpoint_holds_total{reason=\"backoff\"}";
+    assert_eq!(cluster.metric(3, holds).await, 1);
+}
+
 #[tokio::test]
 async fn a_request_that_is_refused_for_a_limit_names_it() {
     let cluster = Cluster::start(45);
--- a/crates/kumquatdrum/tests/losses.rs
+++ b/crates/kumquatdrum/tests/losses.rs
@@ -38,14 +38,20 @@
 time=121.000 host=b address=10.0.0.2 event=started
 time=121.100 host=b sent=0 reason=\"no room: no endpoint is known\" end=given_up request=r19 event=request_ended
 time=121.200 host=b status=503 reason=\"this host does not know yet what is in force\" request=r20 event=request_refused
+time=121.300 host=b prompt=4000 sent=0 reason=\"no room: its endpoints have asked for a back-off\" end=given_up request=r21 event=request_ended
+time=121.400 host=b delay_ms=3000 request=r22 event=endpoint_backoff
+time=121.410 host=b sent=1 reason=503 end=answered request=r22 event=request_ended
+time=121.500 host=b decision=waits hold=backoff request=r23 event=request_held
+time=121.900 host=b prompt=4000 due_ms=300 first_ms=400 pause_ms=250 longest_pause_ms=90 end=streamed request=r23 event=request_ended
 a line that is cut off: time=120.5 host=a prom
 ";
 
 const TABLE: &str = "\
 prompts                                  none    short     long  longest
-asked                                       8        7        2        3
+asked                                       9        9        2        3
 refused: too much else is asked for         0        0        0        1
 refused: no endpoint                        1        0        0        0
+refused: endpoints in back-off              1        1        0        0
 refused: host not informed                  1        0        0        0
 refused: host starting                      2        0        0        0
 refused: it crashes endpoints               1        0        0        0
@@ -56,6 +62,7 @@
 no end: caller left                         0        1        0        0
 late: retried                               0        1        0        0
 late: a helper failed                       0        0        1        0
+late: held back by an endpoint              0        1        0        0
 late: waited for its turn                   0        0        1        0
 late: behind what its engine read           0        1        0        0
 late: engine slower than foreseen           0        1        0        0
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -5,13 +5,13 @@
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use kumquatdrum_placement::{EndpointKey, Failure};
-use slog::{info, warn};
+use slog::info;
 use tokio::time::timeout_at;
 
 use super::Call;
 use crate::pool::Pick;
-use crate::protocol::{Annotation, Backoff, Helper, Reply};
-use crate::upstream::{self, Exchange};
+use crate::protocol::{Annotation, Helper};
+use crate::upstream::{self, Exchange, Target};
 
 /// Hop-by-hop headers (RFC 9110, 7.6.1), in addition to those listed in `Connection`.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -35,6 +35,8 @@
     Stream(Box<Exchange>),
     /// No part of the request was sent.
     Unsent(String),
+    /// No part of the request was sent, as an endpoint must not get it now.
+    Held(String),
     /// The request was sent, but the endpoint's response to it was lost.
     Lost(String),
     /// The request was sent, and the deadline has passed.
@@ -56,7 +58,15 @@
     /// Sends the request to the picked endpoint.
     pub(super) async fn attempt(&self, pick: &Pick, last_event_id: Option<u64>) -> Outcome {
         let request = self.build_request(pick, last_event_id);
-        let sent = upstream::send(pick.endpoint.address, request, self.deadline_instant()).await;
+        let target = Target {
+            endpoint: &pick.endpoint,
+            prefillers: &pick.prefillers,
+            request: &self.attempt_id,
+        };
+        let upstream = &self.gateway.upstream;
+        let sent = upstream
+            .send(target, request, self.deadline_instant())
+            .await;
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(upstream::Error::Unsent(reason)) => {
@@ -69,6 +79,10 @@
                 self.log_attempt(pick, "unsent", &reason);
                 return Outcome::Unsent(reason);
             }
+            Err(error @ upstream::Error::Held { .. }) => {
+                pick.refresh_endpoints();
+                return Outcome::Held(error.to_string());
+            }
             Err(upstream::Error::Lost(reason)) => {
                 pick.record_failure(Failure::Broken);
                 self.log_attempt(pick, "lost", &reason);
@@ -81,9 +95,7 @@
             }
         };
         let status = exchange.response.status();
-        let headers = exchange.response.headers();
-        let reply = self.gateway.protocol.parse_response(status, headers);
-        self.log_holds(pick, &reply);
+        let reply = &exchange.reply;
         if reply.attempt_id != self.metadata.attempt_id {
             pick.record_failure(Failure::Broken);
             self.log_attempt(pick, "crossed", "a response to another request");
@@ -95,11 +107,14 @@
         if self.is_stream() && status == StatusCode::OK {
             return Outcome::Stream(Box::new(exchange));
         }
-        self.collect(pick, exchange, &reply).await
+        self.collect(pick, exchange).await
     }
 
-    async fn collect(&self, pick: &Pick, exchange: Exchange, reply: &Reply) -> Outcome {
-        let Exchange { response, .. } = &exchange;
+    async fn collect(&self, pick: &Pick, exchange: Exchange) -> Outcome {
+        let Exchange {
+            response, reply, ..
+        } = &exchange;
+        let reply = reply.clone();
         let execution = match response.status() {
             _ if reply.has_not_run || reply.is_misdirected => Execution::NotRun,
             status if status.is_server_error() => Execution::Failed,
@@ -139,6 +154,8 @@
                 pick.record_success(load);
                 self.record_completion();
             }
+            // An endpoint that asks for a back-off has not failed.
+            (Execution::NotRun | Execution::Failed, _) if reply.requests_backoff() => {}
             (Execution::NotRun, _) => pick.record_failure(Failure::Busy),
             (Execution::Failed, _) => pick.record_failure(Failure::Error),
         }
@@ -183,27 +200,6 @@
         request
     }
 
-    /// Logs what a response says about the requests that its endpoint wants.
-    fn log_holds(&self, pick: &Pick, reply: &Reply) {
-        let endpoint = pick.endpoint.id.as_str();
-        match &reply.backoff {
-            Backoff::Absent => {}
-            Backoff::For(delay) => {
-                info!(self.gateway.logger, "endpoint_backoff"; "event" => "endpoint_backoff",
-                    "endpoint" => endpoint, "request" => &self.attempt_id,
-                    "delay_ms" => delay.as_millis() as u64);
-            }
-            Backoff::Invalid(value) => {
-                warn!(self.gateway.logger, "backoff_invalid"; "event" => "backoff_invalid",
-                    "endpoint" => endpoint, "request" => &self.attempt_id, "value" => value);
-            }
-        }
-        if reply.is_leaving {
-            info!(self.gateway.logger, "endpoint_leaving"; "event" => "endpoint_leaving",
-                "endpoint" => endpoint, "request" => &self.attempt_id);
-        }
-    }
-
     pub(super) fn log_attempt(&self, pick: &Pick, outcome: &str, reason: &str) {
         let metrics = &self.gateway.metrics;
         metrics.attempts.with_label_values(&[outcome]).inc();
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -29,6 +29,8 @@
 /// The maximum number of attempts that are repeated elsewhere because no part of the request was
 /// sent.
 const MAX_UNSENT_ATTEMPTS: usize = 8;
+/// The maximum number of placements that are given up as an endpoint must not get the request.
+const MAX_HELD_ATTEMPTS: usize = 32;
 /// The maximum number of attempts that are repeated with other helpers.
 const MAX_FAILED_HELPERS: usize = 4;
 
@@ -37,6 +39,8 @@
 pub(super) struct Attempts {
     pub(super) sent: u32,
     unsent: usize,
+    /// The number of placements that were given up as an endpoint must not get the request.
+    held: usize,
     excluded: Vec<EndpointKey>,
     /// The number of attempts that a helper failed.
     failed_helpers: usize,
@@ -88,7 +92,8 @@
         }
         let outcome = call.attempt(&pick, None).await;
         let is_new = attempts.only_endpoint != Some(pick.key);
-        attempts.sent += u32::from(is_new && !matches!(outcome, Outcome::Unsent(_)));
+        let is_sent = !matches!(outcome, Outcome::Unsent(_) | Outcome::Held(_));
+        attempts.sent += u32::from(is_new && is_sent);
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
                 match stream::start(&call, pick, reservations, *exchange, &mut attempts).await {
@@ -105,6 +110,7 @@
                 attempts.record_helper_failure(helper, pick.key, call.route.max_attempts);
                 Outcome::HelperFailed(response, helper)
             }
+            Outcome::Held(reason) => Outcome::Held(reason),
             outcome => {
                 attempts.exclude(pick.key);
                 drop(pick);
@@ -162,6 +168,10 @@
                 reason: "its endpoints have reached the limits that they name",
                 retry_after: wait,
             },
+            Rejection::Held(wait) => Problem::Refused {
+                reason: "its endpoints have asked for a back-off",
+                retry_after: wait,
+            },
             Rejection::NoCapacity(_) => Problem::Refused {
                 reason: "no engine had room",
                 retry_after: NO_CAPACITY_RETRY_AFTER,
@@ -181,10 +191,8 @@
             Some((prefiller, name))
         });
         let reserved = helpers.map(|(prefiller, name)| async move {
-            let address = prefiller.helper.address;
             let tokens = prefiller.reserved_tokens;
-            let reserved =
-                reservation::reserve(&self.gateway, &prefiller.endpoint, address, name, tokens);
+            let reserved = reservation::reserve(&self.gateway, &prefiller.endpoint, name, tokens);
             reserved.await.map_err(|_| prefiller.key)
         });
         let mut reservations = Vec::new();
@@ -220,6 +228,13 @@
                 attempts.response = Some(response);
                 (attempts.can_replan(), None)
             }
+            Outcome::Held(reason) => {
+                attempts.held += 1;
+                if attempts.held <= MAX_HELD_ATTEMPTS {
+                    return None;
+                }
+                (false, Some(Self::unsent_problem(attempts, reason)))
+            }
             Outcome::Unsent(reason) => {
                 attempts.unsent += 1;
                 if attempts.unsent <= MAX_UNSENT_ATTEMPTS
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -309,6 +309,7 @@
                     return Ok(());
                 }
                 Outcome::Unsent(_) => self.attempts.exclude(pick.key),
+                Outcome::Held(_) => {}
                 Outcome::HelperFailed(_, helper) => {
                     // The attempt is counted for this endpoint, so no other one may get it.
                     let sent = self.attempts.sent;
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::pool::Pool;
 use crate::quarantine_cache;
 use crate::replica::{Command, Handle};
+use crate::upstream::Upstream;
 use crate::{Protocol, Settings, active_setup, cache, endpoint_cache};
 
 mod endpoint_updates;
@@ -88,6 +89,7 @@
     pub(crate) active_setup: Arc<active_setup::Store>,
     pub(crate) distributor: Arc<Distributor>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) upstream: Upstream,
     pub(crate) quarantine: Arc<quarantine::Store>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -27,6 +27,7 @@
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
+use crate::holds::{self, Holds};
 use crate::hosts::{self, Hosts};
 use crate::inbox::Inbox;
 use crate::listener::{self, Phase};
@@ -34,6 +35,7 @@
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
 use crate::replica::{self, Event, Handle};
+use crate::upstream::Upstream;
 use crate::{Protocol, Settings, active_setup, call, control, health, message, sockets};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
@@ -182,6 +184,14 @@
     hosts.set_seeds(settings.seed_hosts());
     let endpoints = Arc::new(Endpoints::new(clock, logger.clone()));
     let metrics = Arc::new(Metrics::new()?);
+    let number = hosts::number(settings.address);
+    let holds = Holds::new(holds::Dependencies {
+        clock,
+        number,
+        metrics: metrics.clone(),
+        logger: logger.clone(),
+    });
+    let holds = Arc::new(holds);
     let broadcaster = match settings.listen.callers {
         Some(_) => Some(open_broadcaster(
             &settings, clock, &hosts, &metrics, &logger,
@@ -202,11 +212,12 @@
     let pool = Pool::new(pool::Dependencies {
         clock,
         endpoints: endpoints.clone(),
+        holds: holds.clone(),
         hosts: hosts.clone(),
         broadcaster: broadcaster.clone(),
         retries: settings.retries,
         announcement_interval: Duration::from_millis(settings.announcement_ms),
-        number: hosts::number(settings.address),
+        number,
         data_centre: settings.data_centre.clone(),
         logger: logger.clone(),
     });
@@ -218,7 +229,8 @@
         active_setup.clone(),
         logger.clone(),
     );
-    Ok(Arc::new(Gateway {
+    let gateway = Arc::new(Gateway {
+        upstream: Upstream::new(protocol.clone(), holds),
         active_setup,
         distributor: Arc::new(distributor),
         protocol,
@@ -239,7 +251,8 @@
         has_confirmed_setup: AtomicBool::new(false),
         has_initial_endpoints: AtomicBool::new(false),
         background: Mutex::default(),
-    }))
+    });
+    Ok(gateway)
 }
 
 fn start_replica(
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod gateway;
 pub mod health;
+pub mod holds;
 pub mod hosts;
 pub mod inbox;
 pub mod listener;
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub suspects: IntGauge,
     /// Requests that are blocked because they crash endpoints.
     pub blocked: IntGauge,
+    /// Responses that keep further requests from their endpoint, by reason.
+    pub holds: IntCounterVec,
     /// Datagrams to and from other hosts, by direction.
     pub datagrams: IntCounterVec,
     /// Bytes of frames to and from other hosts, by channel and direction.
@@ -70,6 +72,11 @@
                 "kumquatdrum_gateway_blocked",
                 "Requests that are blocked because they crash endpoints.",
             )?,
+            holds: r.counter_vec(
+                "kumquatdrum_gateway_endpoint_holds_total",
+                "Responses that keep further requests from their endpoint, by reason.",
+                &["reason"],
+            )?,
             datagrams: r.counter_vec(
                 "kumquatdrum_gateway_datagrams_total",
                 "Datagrams sent, of them relayed, received, and received but unreadable.",
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -21,11 +21,13 @@
 
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::endpoints::Endpoints;
+use crate::holds::Holds;
 use crate::hosts::Hosts;
 use crate::message::Event;
 use crate::protocol::Helper;
 use crate::settings::Retries;
 
+mod hold;
 mod limit;
 mod pick;
 mod policy;
@@ -33,6 +35,7 @@
 mod rebroadcast;
 mod unreachable;
 
+use hold::{is_any_held, without};
 use limit::Turn;
 pub use pick::{Pick, Prefiller};
 use policy::Policy;
@@ -51,6 +54,8 @@
     pub clock: Clock,
     /// Announced endpoints.
     pub endpoints: Arc<Endpoints>,
+    /// What the endpoints may be sent.
+    pub holds: Arc<Holds>,
     /// The other hosts.
     pub hosts: Arc<Hosts>,
     /// Broadcasts dispatch events. `None` on hosts that do not accept callers.
@@ -102,6 +107,8 @@
     NoCapacity(Waiter),
     /// All endpoints have reached the limits that they name. Holds the expected wait.
     Limited(Duration),
+    /// All endpoints have asked for a back-off. Holds the expected wait.
+    Held(Duration),
 }
 
 impl Pool {
@@ -319,13 +326,14 @@
         let mut turn = Turn::new(&service, job.id);
         loop {
             let changed = service.changed.notified();
-            let picked = if turn.is_next() {
+            let is_next = turn.is_next();
+            let picked = if is_next {
                 self.try_pick(&service, request, job)
             } else {
                 Ok(None)
             };
             match picked {
-                Ok(None) => self.await_turn(&mut turn, request, job)?,
+                Ok(None) => self.await_turn(&mut turn, request, job, is_next)?,
                 Err(Rejection::NoCapacity(waiter)) if clock.now() < job.deadline => {
                     turn.leave();
                     entry.broadcast_if_due(waiter);
@@ -340,7 +348,7 @@
         }
     }
 
-    /// Picks an endpoint, or `None` if all endpoints have reached their limits.
+    /// Picks an endpoint, or `None` if all endpoints have reached their limits or are held back.
     fn try_pick(
         self: &Arc<Self>,
         service: &Arc<Service>,
@@ -349,6 +357,10 @@
     ) -> Result<Option<Pick>, Rejection> {
         let now = self.dependencies.clock.now();
         let mut state = service.state.lock();
+        let held = self.dependencies.holds.held(state.directory.keys());
+        let is_held = is_any_held(&held, job);
+        let avoided = self.avoided(&state, job, &held);
+        let job = &without(job, &avoided);
         match &mut state.policy {
             Policy::Engines(planner) => {
                 let (plan, diagnostics) = match planner.place(now, job) {
@@ -358,21 +370,24 @@
                         self.log_refusal(request, job, &refusal);
                         return Err(Rejection::TooCostly);
                     }
+                    Decision::TooLarge | Decision::NoEngine if is_held => return Ok(None),
                     Decision::TooLarge => return Err(Rejection::TooLarge),
                     Decision::Limited => return Ok(None),
                     Decision::NoEngine => return Err(Rejection::NoEndpoint),
                 };
+                self.dependencies.holds.admit(plan.first);
                 let pick = self.dispatch(service, &state, (request, job), plan, &diagnostics)?;
                 Ok(Some(pick))
             }
             Policy::Plain(balancer) => {
                 let Some(key) = balancer.choose(now, &job.excluded) else {
-                    return if balancer.has_exhausted(now, &job.excluded) {
+                    return if is_held || balancer.has_exhausted(now, &job.excluded) {
                         Ok(None)
                     } else {
                         Err(Rejection::NoEndpoint)
                     };
                 };
+                self.dependencies.holds.admit(key);
                 let is_limited = balancer.limits().contains(key);
                 let endpoint = state.directory.get(&key).cloned();
                 let endpoint = endpoint.ok_or(Rejection::NoEndpoint)?;
@@ -408,7 +423,7 @@
             let helper = state.directory.get(&part.endpoint)?;
             let name = || format!("{:x}-{:x}-{place}", plan.job.host, plan.job.number);
             Some(Prefiller {
-                endpoint: helper.id.clone(),
+                endpoint: helper.clone(),
                 key: part.endpoint,
                 reserved_tokens: u64::from(part.reserved_tokens),
                 helper: Helper {
--- a/crates/kumquatdrum_gateway/src/pool/limit.rs
+++ b/crates/kumquatdrum_gateway/src/pool/limit.rs
@@ -18,7 +18,10 @@
 pub(super) struct Turn<'a> {
     service: &'a Service,
     job: JobId,
-    is_waiting: bool,
+    /// Whether the job has a place in the queue.
+    is_queued: bool,
+    /// Whether the job has been let wait before.
+    has_waited: bool,
 }
 
 impl<'a> Turn<'a> {
@@ -26,7 +29,8 @@
         Self {
             service,
             job,
-            is_waiting: false,
+            is_queued: false,
+            has_waited: false,
         }
     }
 
@@ -39,8 +43,8 @@
     /// Joins the waiting jobs. Returns the number of jobs ahead.
     fn join(&mut self) -> usize {
         let mut waiting = self.service.limited.lock();
-        if !self.is_waiting {
-            self.is_waiting = true;
+        if !self.is_queued {
+            self.is_queued = true;
             waiting.push_back(self.job);
         }
         let place = waiting.iter().position(|job| *job == self.job);
@@ -51,8 +55,8 @@
 impl Turn<'_> {
     /// Gives the place up, so that a job that waits for anything else holds up no other.
     pub(super) fn leave(&mut self) {
-        if self.is_waiting {
-            self.is_waiting = false;
+        if self.is_queued {
+            self.is_queued = false;
             self.service.limited.lock().retain(|job| *job != self.job);
             self.service.changed.notify_waiters();
         }
@@ -112,30 +116,51 @@
         turn: &mut Turn<'_>,
         request: &str,
         job: &Job,
+        was_next: bool,
     ) -> Result<(), Rejection> {
         let now = self.dependencies.clock.now();
-        let is_new = !turn.is_waiting;
+        let is_new = !std::mem::replace(&mut turn.has_waited, true);
+        let state = turn.service.state.lock();
+        let mut summary = state.summarise_limits(now);
+        let hold_end = self.first_hold_end(&state, job);
+        // Without a limit or a hold, the job waits for others to be sent first.
+        let is_free = summary.endpoints == 0 && hold_end.is_none();
+        let hold_end = hold_end.or(is_free.then_some(now));
+        summary.held_for = hold_end.map(|end| end - now);
+        // Only its own exclusions keep such a job waiting, so it must not hold up others.
+        let is_alone = was_next && self.has_free_endpoint(&state, now);
+        drop(state);
+        let ahead = if is_alone {
+            turn.leave();
+            0
+        } else {
+            turn.join()
+        };
         let place = Place {
-            ahead: turn.join(),
+            ahead,
             left: job.deadline - now,
             is_new,
         };
-        let summary = turn.service.state.lock().summarise_limits(now);
         let wait = summary.wait(place.ahead);
         let is_in_time = summary.is_in_time(place);
-        if is_new || !is_in_time {
+        let is_limited = summary.endpoints > 0;
+        if is_limited && (is_new || !is_in_time) {
             info!(self.dependencies.logger, "request_limited"; "event" => "request_limited",
                 "request" => request, "endpoints" => summary.endpoints,
                 "per_second" => format!("{:.2}", summary.per_second),
                 "local_per_second" => format!("{:.2}", summary.local_per_second),
                 "hosts" => summary.sharers, "limit_age_ms" => summary.age.as_millis() as u64,
+                "held_ms" => summary.held_for.map(|held| held.as_millis() as u64),
                 "ahead" => place.ahead, "wait_ms" => wait.map(|wait| wait.as_millis() as u64),
                 "left_ms" => place.left.as_millis() as u64, "rejected" => !is_in_time);
+        } else if is_new || !is_in_time {
+            self.log_wait(request, place, wait, is_in_time);
         }
-        if is_in_time {
-            Ok(())
-        } else {
-            Err(Rejection::Limited(wait.unwrap_or(OTHER_HOSTS_WAIT)))
+        let wait = wait.unwrap_or(OTHER_HOSTS_WAIT);
+        match is_in_time {
+            true => Ok(()),
+            false if is_limited => Err(Rejection::Limited(wait)),
+            false => Err(Rejection::Held(wait)),
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -5,7 +5,6 @@
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{DataCentreKey, EndpointKey, Failure, JobId};
 use kumquatdrum_registry::Announcement;
-use kumquatdrum_types::EndpointId;
 use slog::warn;
 
 use super::{Policy, Pool, Service, State, Witness, data_centre_key};
@@ -15,8 +14,8 @@
 /// An engine that prefills a part of a prompt for the picked engine.
 #[derive(Debug, Clone)]
 pub struct Prefiller {
-    /// The engine's id.
-    pub endpoint: EndpointId,
+    /// The engine.
+    pub endpoint: Announcement,
     /// The engine's key.
     pub key: EndpointKey,
     /// The number of tokens to reserve in the engine's memory.
@@ -109,13 +108,18 @@
             .record_unreachable(&self.service, state, key, from, Witness::Local);
     }
 
+    /// Updates the endpoints that this one was picked from.
+    pub fn refresh_endpoints(&self) {
+        self.pool.refresh_service(&self.service);
+    }
+
     /// Marks the endpoint as gone because another endpoint answers at its address.
     pub fn mark_displaced(&self) {
         self.pool
             .dependencies
             .endpoints
             .mark_displaced(&self.endpoint);
-        self.pool.refresh_service(&self.service);
+        self.refresh_endpoints();
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -88,6 +88,13 @@
     pub is_leaving: bool,
 }
 
+impl Reply {
+    /// Returns whether the endpoint asks this host for a back-off.
+    pub fn requests_backoff(&self) -> bool {
+        matches!(self.backoff, Backoff::For(delay) if !delay.is_zero())
+    }
+}
+
 /// The limit that an endpoint names in a response on the requests from all hosts together.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum Limit {
--- a/crates/kumquatdrum_gateway/src/reservation.rs
+++ b/crates/kumquatdrum_gateway/src/reservation.rs
@@ -4,18 +4,18 @@
 //! expires if this host fails. An order whose response is lost may take effect late, so the lease
 //! is shorter than the maximum time that memory may stay unused.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatdrum_types::EndpointId;
+use kumquatdrum_registry::Announcement;
 use slog::{info, warn};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 use crate::Gateway;
+use crate::holds::Hold;
 use crate::protocol::Acknowledgement;
-use crate::upstream;
+use crate::upstream::{self, Target};
 
 /// The timeout for the response to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -33,15 +33,14 @@
 
 struct Lease {
     gateway: Arc<Gateway>,
-    endpoint: EndpointId,
-    address: SocketAddr,
+    endpoint: Announcement,
     name: String,
     tokens: u64,
 }
 
 impl std::fmt::Debug for Lease {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Lease({} at {})", self.name, self.endpoint)
+        write!(f, "Lease({} at {})", self.name, self.endpoint.id)
     }
 }
 
@@ -50,6 +49,8 @@
 pub enum Error {
     /// The engine has too little free memory.
     Full,
+    /// The engine must not get the order now.
+    Held,
     /// The engine rejected the order or did not acknowledge it. It may still take effect.
     Unanswered,
 }
@@ -57,28 +58,27 @@
 /// Reserves memory at an engine under a name.
 pub async fn reserve(
     gateway: &Arc<Gateway>,
-    endpoint: &EndpointId,
-    address: SocketAddr,
+    endpoint: &Announcement,
     name: String,
     tokens: u64,
 ) -> Result<Reservation, Error> {
     let lease = Arc::new(Lease {
         gateway: gateway.clone(),
         endpoint: endpoint.clone(),
-        address,
         name,
         tokens,
     });
     let acknowledgement = lease.order().await;
-    info!(gateway.logger, "reserved"; "event" => "reserved", "endpoint" => endpoint.as_str(),
+    info!(gateway.logger, "reserved"; "event" => "reserved", "endpoint" => endpoint.id.as_str(),
         "reservation" => &lease.name, "tokens" => tokens, "outcome" => ?acknowledgement);
     match acknowledgement {
-        Some(Acknowledgement::Done) => {
+        Ok(Acknowledgement::Done) => {
             let renewal = tokio::spawn(renew(lease.clone()));
             Ok(Reservation { lease, renewal })
         }
-        Some(Acknowledgement::Full) => Err(Error::Full),
-        Some(Acknowledgement::Refused) | None => {
+        Ok(Acknowledgement::Full) => Err(Error::Full),
+        Err(upstream::Error::Held { .. }) => Err(Error::Held),
+        Ok(Acknowledgement::Refused) | Err(_) => {
             gateway.spawn(release(lease));
             Err(Error::Unanswered)
         }
@@ -87,30 +87,37 @@
 
 impl Lease {
     /// Requests or renews the reservation.
-    async fn order(&self) -> Option<Acknowledgement> {
+    async fn order(&self) -> Result<Acknowledgement, upstream::Error> {
         let gateway = &self.gateway;
-        let hold = gateway.lease_duration();
+        let (endpoint, hold) = (&self.endpoint, gateway.lease_duration());
         let request = gateway
             .protocol
-            .build_reserve(&self.endpoint, &self.name, self.tokens, hold);
-        let sent = upstream::send(self.address, request, Instant::now() + ORDER_TIMEOUT).await;
-        let exchange = sent.ok()?;
-        Some(
-            gateway
-                .protocol
-                .parse_acknowledgement(exchange.response.status()),
-        )
+            .build_reserve(&endpoint.id, &self.name, self.tokens, hold);
+        let deadline = Instant::now() + ORDER_TIMEOUT;
+        let target = Target::order(endpoint);
+        let exchange = gateway.upstream.send(target, request, deadline).await?;
+        let status = exchange.response.status();
+        Ok(gateway.protocol.parse_acknowledgement(status))
     }
 }
 
 async fn renew(lease: Arc<Lease>) {
-    let pause = lease.gateway.lease_duration() / RENEWALS_PER_LEASE;
+    let interval = lease.gateway.lease_duration() / RENEWALS_PER_LEASE;
+    let mut pause = interval;
     loop {
         sleep(pause).await;
         let renewed = lease.order().await;
-        if renewed != Some(Acknowledgement::Done) {
+        pause = match renewed {
+            // The lease may last until the end of the back-off.
+            Err(upstream::Error::Held {
+                hold: Hold::Backoff(until),
+                ..
+            }) => until - lease.gateway.clock.now(),
+            _ => interval,
+        };
+        if !matches!(renewed, Ok(Acknowledgement::Done)) {
             warn!(lease.gateway.logger, "not_renewed"; "event" => "not_renewed",
-                "endpoint" => lease.endpoint.as_str(), "reservation" => &lease.name,
+                "endpoint" => lease.endpoint.id.as_str(), "reservation" => &lease.name,
                 "outcome" => ?renewed);
         }
     }
@@ -119,14 +126,20 @@
 async fn release(lease: Arc<Lease>) {
     for _ in 0..MAX_RELEASE_ATTEMPTS {
         let gateway = &lease.gateway;
-        let request = gateway.protocol.build_release(&lease.endpoint, &lease.name);
-        let sent = upstream::send(lease.address, request, Instant::now() + ORDER_TIMEOUT).await;
-        if sent.is_ok() {
-            return;
+        let request = gateway
+            .protocol
+            .build_release(&lease.endpoint.id, &lease.name);
+        let target = Target::order(&lease.endpoint);
+        let deadline = Instant::now() + ORDER_TIMEOUT;
+        match gateway.upstream.send(target, request, deadline).await {
+            Ok(_) => return,
+            // The memory is free when the lease expires.
+            Err(upstream::Error::Held { .. }) => break,
+            Err(_) => {}
         }
     }
     warn!(lease.gateway.logger, "not_released"; "event" => "not_released",
-        "endpoint" => lease.endpoint.as_str(), "reservation" => &lease.name);
+        "endpoint" => lease.endpoint.id.as_str(), "reservation" => &lease.name);
 }
 
 impl Drop for Reservation {
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -5,8 +5,10 @@
 //! - [`Balancer`] balances requests over the endpoints of a plain service.
 //! - [`Health`] detects unhealthy endpoints from their responses.
 //! - [`Limits`] keeps the requests of all hosts to an endpoint within the rate that it names.
+//! - [`Backoffs`] keeps requests away from endpoints that ask this host for a pause.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
 
+mod backoff;
 mod balancer;
 mod candidate;
 mod cost;
@@ -25,6 +27,7 @@
 mod suspicion;
 mod tombstones;
 
+pub use backoff::Backoffs;
 pub use balancer::Balancer;
 pub use cost::Cost;
 pub use decision::{Decision, Diagnostics, Harm, Refusal};
--- a/crates/kumquatdrum_placement/src/limits/summary.rs
+++ b/crates/kumquatdrum_placement/src/limits/summary.rs
@@ -1,6 +1,7 @@
-//! The limits in force on a service's endpoints, and how long a job waits for its turn there.
+//! What keeps requests from a service's endpoints, and how long a job waits for its turn there.
 //!
-//! The load: one host gets more requests than limited endpoints take. A job that joins those that
+//! The load: one host gets more requests than limited endpoints take, or all endpoints have asked
+//! it for a back-off. A job that joins those that
 //! wait should also get its turn, so its wait counts the tokens that are there already, and a
 //! newcomer needs some time to spare.
 
@@ -10,7 +11,7 @@
 /// of the jobs ahead.
 const JOINING_MARGIN: Duration = Duration::from_millis(250);
 
-/// The limits in force on some endpoints.
+/// The limits and back-offs in force on some endpoints.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Summary {
     /// The number of limited endpoints.
@@ -26,6 +27,8 @@
     pub age: Duration,
     /// The most hosts that share one of the endpoints.
     pub sharers: usize,
+    /// The time until the first endpoint that is held back may get a request again.
+    pub held_for: Option<Duration>,
 }
 
 /// A job's place among those of this host that wait for limited endpoints.
@@ -41,7 +44,7 @@
 
 impl Summary {
     /// Returns the expected time until a job may be sent that has the given number of jobs ahead,
-    /// or `None` if other hosts share all limited endpoints.
+    /// or `None` if other hosts share all limited endpoints and none is held back.
     ///
     /// ```
     /// use kumquatdrum_placement::Summary;
@@ -56,6 +59,11 @@
     /// assert_eq!(summary.wait(3), Some(Duration::from_millis(1_750)));
     /// ```
     pub fn wait(&self, ahead: usize) -> Option<Duration> {
+        let limited = self.wait_for_limit(ahead);
+        limited.into_iter().chain(self.held_for).min()
+    }
+
+    fn wait_for_limit(&self, ahead: usize) -> Option<Duration> {
         let seconds = self.seconds_to_next? + ahead as f64 / self.local_per_second;
         Duration::try_from_secs_f64(seconds).ok()
     }
