Gateway: an endpoint that says in a response that it leaves gets no more work

Cause: the same as of the back-off, a header that nobody carried to those who send. Renewals and releases of memory that running prompts hold go on. The host tells one control host, which publishes it with its next round as it does for announced leaves: one small message for each host that learns it by itself.

An endpoint that is the last of its service serves on for the drain time (setting drain_ms, less 0.5 s on the way), announced leaves included, which so far were refused at once; a prompt that would outlive it isn't begun.

New: the last endpoint, other hosts learn of it, the registry's by themselves.

--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -108,6 +108,7 @@
             | "endpoint_ejected"
             | "endpoint_limit"
             | "endpoint_backoff"
+            | "endpoint_leaving"
             | "endpoint_suspected"
             | "helper_failed"
             | "request_blocked"
--- a/crates/kumquatdrum/src/losses/cause.rs
+++ b/crates/kumquatdrum/src/losses/cause.rs
@@ -73,7 +73,7 @@
     Retried,
     /// Late first token: an engine that shared the prefill failed first.
     HelperRetried,
-    /// Late first token: an endpoint that had asked for a back-off held it back.
+    /// Late first token: an endpoint that had asked for a back-off or was leaving held it back.
     Held,
     /// Late first token: the request waited in the queue.
     Queued,
--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -85,6 +85,7 @@
             "seeds": seeds,
             "cluster": {"name": "test", "secret": "test"},
             "announcement_ms": 300,
+            "drain_ms": 2000,
             "stop_ms": 8000,
         });
         if host < CONTROL_HOSTS {
--- a/crates/kumquatdrum/tests/gateway/leaving.rs
+++ b/crates/kumquatdrum/tests/gateway/leaving.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use reqwest::StatusCode;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
@@ -11,6 +12,8 @@
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config, engine_config};
 use crate::endpoint::{Behaviour, Endpoint};
 
+/// The time for which a leaving endpoint serves, as in the settings of the hosts.
+const DRAIN: Duration = Duration::from_secs(2);
 /// The time in which requests that were already sent arrive.
 const IN_TRANSIT: Duration = Duration::from_millis(200);
 
@@ -62,3 +65,72 @@
 async fn an_engine_that_says_that_it_leaves_gets_no_more_prompts() {
     check_leaving(84, engine_config(3), "/stream/x").await;
 }
+
+#[tokio::test]
+async fn the_last_endpoint_of_a_service_serves_until_its_drain_ends() {
+    let cluster = Arc::new(Cluster::start(85));
+    cluster.apply(&config(3)).await;
+    let last = Endpoint::start("i-last", Behaviour::CompleteBody).await;
+    cluster.announce(&last, "plain", "ready", 1).await;
+    cluster.wait_until_ready(3, &last).await;
+    last.record.is_leaving.store(true, Ordering::Relaxed);
+    let first = cluster.request(3, "/safe/x", "at-first@3").send().await;
+    assert_eq!(first.expect("an answer").status(), StatusCode::OK);
+    let told = Instant::now();
+    let (mut served, mut refused) = (Vec::new(), Vec::new());
+    for number in 0..60 {
+        cluster.announce(&last, "plain", "ready", number + 2).await;
+        let sent = Instant::now();
+        let call = cluster.request(3, "/safe/x", &format!("at-{number}@3"));
+        let status = call.send().await.expect("an answer").status();
+        if status == StatusCode::OK {
+            served.push(told.elapsed());
+        } else {
+            assert!(
+                sent.elapsed() < Duration::from_secs(1),
+                "{status} after a wait"
+            );
+            refused.push(told.elapsed());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    let latest = served.last().copied().unwrap_or_default();
+    assert!(
+        latest > DRAIN / 2 && latest < DRAIN,
+        "served until {latest:?}"
+    );
+    assert!(!refused.is_empty());
+}
+
+#[tokio::test]
+async fn other_hosts_learn_that_an_endpoint_leaves() {
+    let cluster = Arc::new(Cluster::start(88));
+    cluster.apply(&config(3)).await;
+    let leaving = Endpoint::start("i-leaving", Behaviour::CompleteBody).await;
+    let other = Endpoint::start("i-other", Behaviour::CompleteBody).await;
+    for endpoint in [&leaving, &other] {
+        cluster.announce(endpoint, "plain", "ready", 1).await;
+        cluster.wait_until_ready(3, endpoint).await;
+        cluster.wait_until_ready(4, endpoint).await;
+    }
+    leaving.record.is_leaving.store(true, Ordering::Relaxed);
+    let mut number = 0;
+    while leaving.record.leaving_answers.lock().is_empty() {
+        number += 1;
+        let call = cluster.request(3, "/safe/x", &format!("at-{number}@3"));
+        call.send().await.expect("an answer");
+    }
+    sleep(DRAIN).await;
+    for number in 0..20 {
+        let call = cluster.request(4, "/safe/x", &format!("at-{number}@4"));
+        assert_eq!(
+            call.send().await.expect("an answer").status(),
+            StatusCode::OK
+        );
+    }
+    let arrivals = leaving.record.arrivals.lock();
+    let from_other_host = arrivals
+        .iter()
+        .filter(|(_, attempt)| attempt.ends_with("@4"));
+    assert_eq!(from_other_host.count(), 0);
+}
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout_at;
 
 use super::Call;
+use crate::holds::Purpose;
 use crate::pool::Pick;
 use crate::protocol::{Annotation, Helper};
 use crate::upstream::{self, Exchange, Target};
@@ -61,6 +62,7 @@
         let target = Target {
             endpoint: &pick.endpoint,
             prefillers: &pick.prefillers,
+            purpose: Purpose::Work,
             request: &self.attempt_id,
         };
         let upstream = &self.gateway.upstream;
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::{Announcement, Change, Registry, Update};
-use kumquatdrum_types::{EndpointId, ServiceName};
+use kumquatdrum_types::{EndpointId, Moment, ServiceName};
 use parking_lot::Mutex;
 use slog::info;
 use tokio::sync::Notify;
@@ -13,15 +13,29 @@
 /// How long an endpoint's departure is published again in each round, for hosts that missed it.
 const LEAVE_REPEAT_DURATION: Duration = Duration::from_secs(10);
 
+/// The longest time from the last check of a request to its arrival at a leaving endpoint.
+const MAX_TRANSIT: Duration = Duration::from_millis(500);
+
 /// The announced endpoints known to this host.
 pub struct Endpoints {
     clock: Clock,
+    /// The time for which a leaving endpoint gets requests if its service has no other.
+    grace: Duration,
     state: Mutex<State>,
     /// Notified when an endpoint is added, is leaving or is removed.
     changed: Notify,
     logger: slog::Logger,
 }
 
+/// The endpoints of a service that accept requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Usable {
+    /// The endpoints, each with the time since its last announcement.
+    pub endpoints: Vec<(Announcement, Duration)>,
+    /// When the last of them ends if all are leaving.
+    pub until: Option<Moment>,
+}
+
 #[derive(Default)]
 struct State {
     registry: Registry,
@@ -30,10 +44,11 @@
 }
 
 impl Endpoints {
-    /// Creates an empty registry.
-    pub fn new(clock: Clock, logger: slog::Logger) -> Self {
+    /// Creates an empty registry. Leaving endpoints serve for `drain` after hosts have been told.
+    pub fn new(clock: Clock, drain: Duration, logger: slog::Logger) -> Self {
         Self {
             clock,
+            grace: drain.saturating_sub(MAX_TRANSIT),
             state: Mutex::default(),
             changed: Notify::new(),
             logger,
@@ -93,13 +108,50 @@
         }
     }
 
-    /// Returns the endpoints that accept requests for a service, each with the time since its last
-    /// announcement.
-    pub fn usable(&self, service: &ServiceName) -> Vec<(Announcement, Duration)> {
+    /// Marks an endpoint as leaving because one of its responses says so. Returns the update for other
+    /// hosts if this is news.
+    pub fn mark_leaving(&self, endpoint: &Announcement) -> Option<Update> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let update = state
+            .registry
+            .mark_leaving(now, &endpoint.id, endpoint.started);
+        drop(state);
+        if update.is_some() {
+            self.changed.notify_one();
+        }
+        update
+    }
+
+    /// Returns whether an endpoint may get new requests.
+    pub fn accepts(&self, endpoint: &Announcement) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        state.registry.accepts(now, endpoint, self.grace)
+    }
+
+    /// Returns the endpoints that accept requests for a service: those that stay or, if there is none,
+    /// those that are leaving and serve for some time.
+    pub fn usable(&self, service: &ServiceName) -> Usable {
         let now = self.clock.now();
         let state = self.state.lock();
         let usable = state.registry.usable(now, service);
-        usable.map(|(a, age)| (a.clone(), age)).collect()
+        let staying: Vec<_> = usable.map(|(a, age)| (a.clone(), age)).collect();
+        if !staying.is_empty() {
+            return Usable {
+                endpoints: staying,
+                until: None,
+            };
+        }
+        let leaving = state.registry.leaving(now, service, self.grace);
+        let leaving: Vec<_> = leaving.collect();
+        Usable {
+            until: leaving.iter().map(|(.., until)| *until).max(),
+            endpoints: leaving
+                .into_iter()
+                .map(|(a, age, _)| (a.clone(), age))
+                .collect(),
+        }
     }
 
     /// Returns whether an endpoint is known to be leaving or gone, or its incarnation is unknown.
--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -8,6 +8,7 @@
 use kumquatdrum_registry::Update;
 use kumquatdrum_types::HostId;
 use slog::{info, warn};
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
 use super::Gateway;
@@ -59,6 +60,19 @@
         }
     }
 
+    /// Tells a control host of endpoints whose leaving this host has learned from a response. The
+    /// control host publishes them to all hosts in its next round.
+    pub(super) async fn announce_departures(
+        self: Arc<Self>,
+        mut departures: mpsc::UnboundedReceiver<Update>,
+    ) {
+        while let Some(update) = departures.recv().await {
+            self.refresh_pool();
+            let control_host = self.hosts.control_hosts().into_iter().next();
+            self.send_endpoints(&[update], control_host.as_slice());
+        }
+    }
+
     /// Sends endpoint updates directly to the given hosts.
     pub(crate) fn send_endpoints(&self, updates: &[Update], hosts: &[HostId]) {
         let notice = Notice::Endpoints(updates.to_vec());
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -124,7 +124,7 @@
     };
     let replica = settings.replica.as_ref().map(|_| Handle::new());
     let handle = replica.as_ref().map(|(handle, _)| handle.clone());
-    let gateway = build_gateway(settings, protocol, logger, &local, handle)?;
+    let (gateway, departures) = build_gateway(settings, protocol, logger, &local, handle)?;
     gateway.merge_endpoints(cached, "disk");
     let (mut running, callers_phase_receiver, auxiliary_phase_receiver) = Running::new();
     let address = SocketAddr::new(gateway.settings.address, gateway.settings.peer_port);
@@ -139,6 +139,9 @@
     running.tasks.spawn(gateway.clone().send_hellos());
     running.tasks.spawn(gateway.clone().fetch_endpoints());
     running.tasks.spawn(gateway.clone().activate_records());
+    running
+        .tasks
+        .spawn(gateway.clone().announce_departures(departures));
     let distributor = gateway.distributor.clone();
     running.tasks.spawn(async move { distributor.run().await });
     if let Some(broadcaster) = gateway.broadcaster.clone() {
@@ -166,7 +169,7 @@
     logger: slog::Logger,
     local: &LocalDaemon,
     replica: Option<Handle>,
-) -> Result<Arc<Gateway>, StartError> {
+) -> Result<(Arc<Gateway>, mpsc::UnboundedReceiver<Update>), StartError> {
     let clock = Clock::start();
     let client = Arc::new(Client::new(local.clone()));
     let host = Host {
@@ -182,11 +185,13 @@
     let hosts = Hosts::new(clock, client.clone(), port, host, logger.clone());
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
-    let endpoints = Arc::new(Endpoints::new(clock, logger.clone()));
+    let drain = Duration::from_millis(settings.drain_ms);
+    let endpoints = Arc::new(Endpoints::new(clock, drain, logger.clone()));
     let metrics = Arc::new(Metrics::new()?);
     let number = hosts::number(settings.address);
-    let holds = Holds::new(holds::Dependencies {
+    let (holds, departures) = Holds::new(holds::Dependencies {
         clock,
+        endpoints: endpoints.clone(),
         number,
         metrics: metrics.clone(),
         logger: logger.clone(),
@@ -252,7 +257,7 @@
         has_initial_endpoints: AtomicBool::new(false),
         background: Mutex::default(),
     });
-    Ok(gateway)
+    Ok((gateway, departures))
 }
 
 fn start_replica(
--- a/crates/kumquatdrum_gateway/src/holds.rs
+++ b/crates/kumquatdrum_gateway/src/holds.rs
@@ -8,11 +8,13 @@
 
 use kumquatdrum_placement::{Backoffs, EndpointKey};
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_registry::Announcement;
+use kumquatdrum_registry::{Announcement, Update};
 use kumquatdrum_types::{EndpointId, Moment};
 use parking_lot::Mutex;
 use slog::{info, warn};
+use tokio::sync::mpsc;
 
+use crate::endpoints::Endpoints;
 use crate::metrics::Metrics;
 use crate::protocol::{Backoff, Reply};
 
@@ -21,6 +23,8 @@
 pub enum Hold {
     /// The endpoint asked for a back-off, which ends at this time.
     Backoff(Moment),
+    /// The endpoint is leaving or gone.
+    Leaving,
 }
 
 impl Hold {
@@ -28,6 +32,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Backoff(_) => "backoff",
+            Self::Leaving => "leaving",
         }
     }
 }
@@ -36,14 +41,26 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Backoff(_) => "it asked for a back-off",
+            Self::Leaving => "it is leaving",
         })
     }
 }
 
+/// What a request to an endpoint is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// New work, which a leaving endpoint does not get.
+    Work,
+    /// Upkeep of work that the endpoint has already: the renewal or release of a reservation.
+    Upkeep,
+}
+
 /// The dependencies of [`Holds`].
 pub struct Dependencies {
     /// The host's clock.
     pub clock: Clock,
+    /// Announced endpoints.
+    pub endpoints: Arc<Endpoints>,
     /// A number that identifies this host among all hosts.
     pub number: u32,
     /// The host's metrics.
@@ -52,28 +69,39 @@
     pub logger: slog::Logger,
 }
 
-/// Keeps requests away from endpoints that have asked for a back-off.
+/// Keeps requests away from endpoints that have asked for a back-off or are leaving.
 pub struct Holds {
     dependencies: Dependencies,
     backoffs: Mutex<Backoffs>,
+    /// Endpoints whose leaving this host has learned from a response.
+    departures: mpsc::UnboundedSender<Update>,
 }
 
 impl Holds {
-    /// Creates the state of a host without holds.
-    pub fn new(dependencies: Dependencies) -> Self {
+    /// Creates the state of a host without holds, and the receiver of the endpoints whose leaving
+    /// it learns from responses.
+    pub fn new(dependencies: Dependencies) -> (Self, mpsc::UnboundedReceiver<Update>) {
+        let (departures, received) = mpsc::unbounded_channel();
         let backoffs = Mutex::new(Backoffs::new(dependencies.number));
-        Self {
+        let holds = Self {
             dependencies,
             backoffs,
-        }
+            departures,
+        };
+        (holds, received)
     }
 
     /// Returns an error if an endpoint must not be sent a request now.
-    pub fn check(&self, endpoint: &Announcement) -> Result<(), Hold> {
+    pub fn check(&self, endpoint: &Announcement, purpose: Purpose) -> Result<(), Hold> {
         let now = self.dependencies.clock.now();
         let key = EndpointKey::of(&endpoint.id, endpoint.started);
         let backoff_end = self.backoffs.lock().end(now, key);
-        backoff_end.map_or(Ok(()), |until| Err(Hold::Backoff(until)))
+        let endpoints = &self.dependencies.endpoints;
+        match backoff_end {
+            Some(until) => Err(Hold::Backoff(until)),
+            None if purpose == Purpose::Upkeep || endpoints.accepts(endpoint) => Ok(()),
+            None => Err(Hold::Leaving),
+        }
     }
 
     /// Records what a response says about further requests to its endpoint. `request` is the caller's
@@ -147,9 +175,16 @@
     }
 
     fn record_leaving(&self, endpoint: &Announcement, request: &str) {
+        let Some(update) = self.dependencies.endpoints.mark_leaving(endpoint) else {
+            return;
+        };
+        let metrics = &self.dependencies.metrics;
+        metrics.holds.with_label_values(&["leaving"]).inc();
         info!(self.dependencies.logger, "endpoint_leaving"; "event" => "endpoint_leaving",
             "endpoint" => endpoint.id.as_str(), "incarnation" => endpoint.started,
             "request" => request);
+        // The receiver is dropped only when the host stops.
+        let _ = self.departures.send(update);
     }
 
     /// Logs that a request was not sent to an endpoint it had been placed on.
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -14,7 +14,7 @@
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
-use kumquatdrum_types::{DataCentre, EndpointId, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use slog::info;
 use tokio::sync::Notify;
@@ -93,6 +93,8 @@
     policy: Policy,
     budget: Budget,
     directory: IndexMap<EndpointKey, Announcement>,
+    /// When the last endpoint ends if all are leaving.
+    serves_until: Option<Moment>,
 }
 
 /// The reason why no endpoint was picked.
@@ -162,6 +164,7 @@
             policy,
             budget: Budget::new(retries.ratio, retries.slack, window),
             directory: IndexMap::new(),
+            serves_until: None,
         };
         Service {
             name: name.clone(),
@@ -186,7 +189,8 @@
     }
 
     fn refresh_service(&self, service: &Service) {
-        let known = self.dependencies.endpoints.usable(&service.name);
+        let usable = self.dependencies.endpoints.usable(&service.name);
+        let (known, serves_until) = (usable.endpoints, usable.until);
         let limit = self.dependencies.announcement_interval * MAX_MISSED_ANNOUNCEMENTS;
         let fresh = known.iter().filter(|(_, age)| *age <= limit).count();
         // If most endpoints are silent, the network is more likely at fault than the endpoints.
@@ -219,6 +223,7 @@
             }
         }
         state.directory = directory;
+        state.serves_until = serves_until;
         self.refresh_limits(&mut state);
         drop(state);
         service.changed.notify_waiters();
@@ -302,8 +307,13 @@
         let is_held = is_any_held(&held, job);
         let avoided = self.avoided(&state, job, &held);
         let job = &without(job, &avoided);
+        let serves_until = state.serves_until;
         match &mut state.policy {
             Policy::Engines(planner) => {
+                let would_outlive = |until: Moment| now + planner.expected_duration(job) > until;
+                if serves_until.is_some_and(would_outlive) {
+                    return Err(Rejection::NoEndpoint);
+                }
                 let (plan, diagnostics) = match planner.place(now, job) {
                     Decision::Send(plan, diagnostics) => (plan, diagnostics),
                     Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
--- a/crates/kumquatdrum_gateway/src/reservation.rs
+++ b/crates/kumquatdrum_gateway/src/reservation.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::Gateway;
-use crate::holds::Hold;
+use crate::holds::{Hold, Purpose};
 use crate::protocol::Acknowledgement;
 use crate::upstream::{self, Target};
 
@@ -68,7 +68,7 @@
         name,
         tokens,
     });
-    let acknowledgement = lease.order().await;
+    let acknowledgement = lease.order(Purpose::Work).await;
     info!(gateway.logger, "reserved"; "event" => "reserved", "endpoint" => endpoint.id.as_str(),
         "reservation" => &lease.name, "tokens" => tokens, "outcome" => ?acknowledgement);
     match acknowledgement {
@@ -87,14 +87,14 @@
 
 impl Lease {
     /// Requests or renews the reservation.
-    async fn order(&self) -> Result<Acknowledgement, upstream::Error> {
+    async fn order(&self, purpose: Purpose) -> Result<Acknowledgement, upstream::Error> {
         let gateway = &self.gateway;
         let (endpoint, hold) = (&self.endpoint, gateway.lease_duration());
         let request = gateway
             .protocol
             .build_reserve(&endpoint.id, &self.name, self.tokens, hold);
         let deadline = Instant::now() + ORDER_TIMEOUT;
-        let target = Target::order(endpoint);
+        let target = Target::order(endpoint, purpose);
         let exchange = gateway.upstream.send(target, request, deadline).await?;
         let status = exchange.response.status();
         Ok(gateway.protocol.parse_acknowledgement(status))
@@ -106,7 +106,7 @@
     let mut pause = interval;
     loop {
         sleep(pause).await;
-        let renewed = lease.order().await;
+        let renewed = lease.order(Purpose::Upkeep).await;
         pause = match renewed {
             // The lease may last until the end of the back-off.
             Err(upstream::Error::Held {
@@ -129,7 +129,7 @@
         let request = gateway
             .protocol
             .build_release(&lease.endpoint.id, &lease.name);
-        let target = Target::order(&lease.endpoint);
+        let target = Target::order(&lease.endpoint, Purpose::Upkeep);
         let deadline = Instant::now() + ORDER_TIMEOUT;
         match gateway.upstream.send(target, request, deadline).await {
             Ok(_) => return,
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -38,6 +38,10 @@
     /// The maximum time that reserved engine memory may stay unused, in milliseconds.
     #[serde(default = "default_unused_memory_ms")]
     pub unused_memory_ms: u64,
+    /// The time in milliseconds for which a leaving endpoint serves after hosts have been told. If 0,
+    /// a leaving endpoint gets no requests.
+    #[serde(default)]
+    pub drain_ms: u64,
     /// The maximum duration of a graceful shutdown in milliseconds.
     pub stop_ms: u64,
 }
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::Protocol;
-use crate::holds::{Hold, Holds};
+use crate::holds::{Hold, Holds, Purpose};
 use crate::pool::Prefiller;
 use crate::protocol::Reply;
 use crate::sockets;
@@ -85,16 +85,19 @@
     pub endpoint: &'a Announcement,
     /// The engines that prefill parts of the prompt.
     pub prefillers: &'a [Prefiller],
+    /// What the request is for.
+    pub purpose: Purpose,
     /// The caller's attempt id, for logs.
     pub request: &'a str,
 }
 
 impl<'a> Target<'a> {
     /// Returns the target of an order to an endpoint.
-    pub const fn order(endpoint: &'a Announcement) -> Self {
+    pub const fn order(endpoint: &'a Announcement, purpose: Purpose) -> Self {
         Self {
             endpoint,
             prefillers: &[],
+            purpose,
             request: "",
         }
     }
@@ -140,7 +143,7 @@
         let helpers = target.prefillers.iter();
         let helpers = helpers.map(|prefiller| &prefiller.endpoint);
         for endpoint in std::iter::once(target.endpoint).chain(helpers) {
-            let checked = self.holds.check(endpoint);
+            let checked = self.holds.check(endpoint, target.purpose);
             checked.map_err(|hold| {
                 self.holds.log_held(target.request, &endpoint.id, hold);
                 Error::Held {
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -36,6 +36,8 @@
     announcement: Announcement,
     is_gone: bool,
     heard_at: Moment,
+    /// When this host first knew that the endpoint is leaving.
+    leaving_since: Option<Moment>,
 }
 
 impl Registry {
@@ -84,6 +86,66 @@
         Some(to_update(entry, now))
     }
 
+    /// Marks an incarnation as leaving because one of its responses says so. Returns `None` if this is
+    /// no news.
+    ///
+    /// ```
+    /// use kumquatdrum_registry::Registry;
+    /// # use kumquatdrum_types::Moment;
+    ///
+    /// let mut registry = Registry::default();
+    /// assert_eq!(registry.mark_leaving(Moment::ZERO, &"e".into(), 1), None);
+    /// ```
+    pub fn mark_leaving(
+        &mut self,
+        now: Moment,
+        id: &EndpointId,
+        incarnation: u64,
+    ) -> Option<Update> {
+        let entry = self.entries.get_mut(id)?;
+        let known = &mut entry.announcement;
+        if entry.is_gone || known.leaving || known.started != incarnation {
+            return None;
+        }
+        known.leaving = true;
+        entry.leaving_since = Some(now);
+        Some(to_update(entry, now))
+    }
+
+    /// Returns whether an endpoint may get new requests. One that is leaving still may for the
+    /// `grace` time if no other endpoint of its service is usable.
+    pub fn accepts(&self, now: Moment, endpoint: &Announcement, grace: Duration) -> bool {
+        let Some(entry) = self.entries.get(&endpoint.id) else {
+            return true;
+        };
+        let known = &entry.announcement;
+        match entry {
+            entry if entry.is_gone || known.started > endpoint.started => false,
+            entry if known.leaving => {
+                entry.serves_until(grace).is_some_and(|until| now < until)
+                    && self.usable(now, &known.service).next().is_none()
+            }
+            _ => true,
+        }
+    }
+
+    /// Returns the endpoints of a service that are leaving and serve until the `grace` time after
+    /// this host knew, each with the time since its last announcement and that time's end.
+    pub fn leaving<'a>(
+        &'a self,
+        now: Moment,
+        service: &'a ServiceName,
+        grace: Duration,
+    ) -> impl Iterator<Item = (&'a Announcement, Duration, Moment)> + 'a {
+        let entries = self.entries.values();
+        let of_service =
+            entries.filter(move |entry| !entry.is_gone && entry.announcement.service == *service);
+        of_service.filter_map(move |entry| {
+            let until = entry.serves_until(grace).filter(|until| now < *until)?;
+            Some((&entry.announcement, now - entry.heard_at, until))
+        })
+    }
+
     /// Returns the endpoints that accept new requests for a service, each with the time since its
     /// last announcement.
     pub fn usable<'a>(
@@ -140,6 +202,7 @@
                 announcement: announcement.clone(),
                 is_gone,
                 heard_at,
+                leaving_since: announcement.leaving.then_some(heard_at),
             };
             self.entries.insert(announcement.id.clone(), entry);
             return Change::New;
@@ -152,6 +215,7 @@
                 entry.announcement = announcement.clone();
                 entry.is_gone = is_gone;
                 entry.heard_at = heard_at;
+                entry.leaving_since = announcement.leaving.then_some(heard_at);
                 Change::New
             }
             order => {
@@ -162,6 +226,9 @@
                     entry.heard_at = entry.heard_at.max(heard_at);
                 }
                 entry.announcement.leaving = leaving;
+                if leaving {
+                    entry.leaving_since.get_or_insert(heard_at);
+                }
                 entry.is_gone |= is_gone;
                 let after = (entry.is_gone, leaving, entry.announcement.address);
                 match order {
@@ -196,6 +263,13 @@
     }
 }
 
+impl Entry {
+    /// Returns until when the endpoint serves if it is leaving.
+    fn serves_until(&self, grace: Duration) -> Option<Moment> {
+        self.leaving_since.map(|since| since + grace)
+    }
+}
+
 fn to_update(entry: &Entry, now: Moment) -> Update {
     Update {
         announcement: entry.announcement.clone(),
--- a/crates/kumquatdrum_registry/tests/registry.rs
+++ b/crates/kumquatdrum_registry/tests/registry.rs
@@ -123,3 +123,64 @@
     let later = NOW + Duration::from_secs(61);
     assert_eq!(registry.evict_expired(later), [EndpointId::new("a")]);
 }
+
+#[test]
+fn an_endpoint_whose_response_says_that_it_leaves_stays_leaving() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, announcement("a", 1, 1));
+    let id = EndpointId::new("a");
+    assert_eq!(
+        registry.mark_leaving(NOW, &id, 2),
+        None,
+        "another incarnation"
+    );
+    let update = registry.mark_leaving(NOW, &id, 1);
+    assert!(
+        update
+            .as_ref()
+            .is_some_and(|update| update.announcement.leaving)
+    );
+    assert_eq!(registry.mark_leaving(NOW, &id, 1), None, "no news");
+    // Neither an announcement that overtakes nor a later one lifts it.
+    registry.announce(NOW, announcement("a", 1, 1));
+    registry.announce(NOW, announcement("a", 1, 7));
+    assert_eq!(usable(&registry), []);
+    // Another host that knows the same announcement learns of it.
+    let mut other = Registry::default();
+    other.announce(NOW, announcement("a", 1, 1));
+    assert_eq!(
+        other.merge(NOW, update.expect("an update")),
+        Change::Changed
+    );
+    assert_eq!(usable(&other), []);
+    // The same endpoint starts again.
+    registry.announce(NOW, announcement("a", 2, 1));
+    assert_eq!(usable(&registry), single("a", 2));
+}
+
+#[test]
+fn only_the_last_endpoint_of_a_service_accepts_requests_while_it_leaves() {
+    let grace = Duration::from_secs(1);
+    let mut registry = Registry::default();
+    let other = Announcement {
+        address: "10.0.0.2:80".parse().expect("an address"),
+        ..announcement("b", 1, 1)
+    };
+    registry.announce(NOW, announcement("a", 1, 1));
+    registry.announce(NOW, other.clone());
+    registry.mark_leaving(NOW, &EndpointId::new("a"), 1);
+    let known = announcement("a", 1, 1);
+    assert!(!registry.accepts(NOW, &known, grace));
+    assert!(registry.accepts(NOW, &other, grace));
+
+    registry.leave(NOW, &EndpointId::new("b"), None);
+    assert!(!registry.accepts(NOW, &other, grace), "it has left");
+    assert!(registry.accepts(NOW, &known, grace));
+    // Later announcements do not prolong the time.
+    registry.announce(NOW + grace / 2, leaving("a", 1, 2));
+    assert!(registry.accepts(NOW + grace / 2, &known, grace));
+    assert!(!registry.accepts(NOW + grace, &known, grace));
+    let service = ServiceName::new("s");
+    let serving = |at| registry.leaving(at, &service, grace).count();
+    assert_eq!((serving(NOW), serving(NOW + grace)), (1, 0));
+}
