Placement: failures of an endpoint fade, so that it is used again

Cause: the failure rate fell with successes alone, and an endpoint that is avoided has none; one failure costs 0.4 requests per slot, which idle endpoints never exceed. Now rejections for lack of capacity fade within seconds, other failures within half a minute, so that endpoints that go on failing are still met seldom.

Both new tests failed before ([0, 228, 228] requests) and pass.

--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -141,6 +141,6 @@
         let is_fresh = now - self.reported_at <= REPORT_EXPIRY && self.reported_at > Moment::ZERO;
         let reported_load = if is_fresh { self.reported_load } else { 0 };
         let requests = self.in_flight.max(reported_load) + u32::from(self.in_flight > 0);
-        f64::from(requests) / f64::from(self.slots) + self.health.penalty_ms() / 100.0
+        f64::from(requests) / f64::from(self.slots) + self.health.penalty_ms(now) / 100.0
     }
 }
--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -81,7 +81,7 @@
         Candidate {
             key,
             endpoint: self,
-            backlog_ms: backlog + self.health.penalty_ms(),
+            backlog_ms: backlog + self.health.penalty_ms(now),
             long_prefill_ms: (self.long_prefill_until - now).as_secs_f64() * 1e3,
             pass_ms: cost.pass_ms(self.decodes.len(), self.used_tokens),
             free_tokens: memory.saturating_sub(self.used_tokens),
--- a/crates/kumquatdrum_placement/tests/retries_and_ejection.rs
+++ b/crates/kumquatdrum_placement/tests/retries_and_ejection.rs
@@ -93,3 +93,48 @@
     assert!(chosen.contains(&EndpointKey(3)), "{chosen:?}");
     assert!(chosen.iter().all(|key| key.0 >= 3), "{chosen:?}");
 }
+
+/// Plays 90 requests a second of 20 ms each on three endpoints, the first of which fails until `sick_for`.
+/// Returns the requests that each got later than `since`.
+fn play_failing_endpoint(failure: Failure, sick_for: Duration, since: Duration) -> [usize; 3] {
+    const REQUEST: Duration = Duration::from_millis(20);
+    const INTERVAL: Duration = Duration::from_millis(11);
+    let mut balancer = Balancer::default();
+    balancer.set_endpoints((0..3).map(|number| (EndpointKey(number), DataCentreKey(0), 6)));
+    let mut running: Vec<(Moment, EndpointKey)> = Vec::new();
+    let mut counts = [0; 3];
+    let mut now = START;
+    while now < START + since + Duration::from_secs(5) {
+        now = now + INTERVAL;
+        let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(at, _)| *at <= now);
+        running = rest;
+        for (at, key) in ended {
+            balancer.record_end(key);
+            if key == EndpointKey(0) && at < START + sick_for {
+                balancer.record_failure(at, key, failure);
+            } else {
+                balancer.record_success(at, key, None);
+            }
+        }
+        let key = balancer.choose(now, &[]).expect("an endpoint");
+        running.push((now + REQUEST, key));
+        counts[key.0 as usize] += usize::from(now > START + since);
+    }
+    counts
+}
+
+#[test]
+fn an_endpoint_that_was_full_gets_its_share_again() {
+    let second = Duration::from_secs(1);
+    let counts = play_failing_endpoint(Failure::Busy, second, 4 * second);
+    let total: usize = counts.iter().sum();
+    assert!(counts[0] * 6 > total, "{counts:?}");
+}
+
+#[test]
+fn an_endpoint_that_returned_errors_is_tried_again() {
+    let second = Duration::from_secs(1);
+    let counts = play_failing_endpoint(Failure::Error, second, 40 * second);
+    let total: usize = counts.iter().sum();
+    assert!(counts[0] * 6 > total, "{counts:?}");
+}
