Soak: endpoints that ask for back-offs and say that they leave

endpoint_soak's seeds play as before; a second test draws back-offs of 0.5 to 3 s and departures from a generator of its own, beside crashes, limits, kills and freezes. It checks that no more than two requests of a host reach an endpoint in a back-off (0.5 s after it was asked for), and none later than the drain time after an answer that says that it leaves.

--- a/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
@@ -1,5 +1,5 @@
-//! Randomised test of requests that crash endpoints and of endpoints that name limits, while hosts
-//! are killed and frozen.
+//! Randomised tests of requests that crash endpoints and of endpoints that name limits, while hosts
+//! are killed and frozen. In one of them, endpoints also ask for back-offs and say that they leave.
 //!
 //! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway endpoint_soak` runs more seeds.
 
@@ -18,6 +18,7 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
+use crate::leaving::DRAIN;
 use crate::limit::{PROPAGATION_LIMIT, allowed, count_busiest};
 
 /// Seeds that run by default.
@@ -30,6 +31,12 @@
 const MAX_CRASHES: usize = 3;
 /// The number of endpoints that a request may reach after that.
 const MAX_LATE_RUNS: usize = 3;
+/// The requests of a host that may reach an endpoint during a back-off requested of it, later than
+/// [`MAX_TRANSIT`] after that.
+const MAX_DURING_BACKOFF: usize = 2;
+const MAX_TRANSIT: Duration = Duration::from_millis(500);
+/// How long an endpoint that says that it leaves goes on serving.
+const SERVES_WHILE_LEAVING: Duration = Duration::from_millis(3_500);
 /// The time between an endpoint's crash and its next start.
 const RESTART_PAUSE: Duration = Duration::from_millis(600);
 
@@ -54,22 +61,40 @@
     limit: Option<(f64, Instant)>,
 }
 
+/// Whether endpoints ask for back-offs and say that they leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Holds {
+    None,
+    Random,
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endpoint_soak() {
-    let seeds = match std::env::var("SOAK_SEEDS") {
+    for seed in seeds() {
+        run_seed(seed, 200, Holds::None).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endpoint_soak_with_back_offs_and_departures() {
+    for seed in seeds() {
+        run_seed(seed, 150, Holds::Random).await;
+    }
+}
+
+fn seeds() -> Range<u64> {
+    match std::env::var("SOAK_SEEDS") {
         Ok(text) => {
             let (first, last) = text.split_once("..").expect("FIRST..LAST");
             first.parse().expect("a seed")..last.parse().expect("a seed")
         }
         Err(_) => DEFAULT_SEEDS,
-    };
-    for seed in seeds {
-        run_seed(seed).await;
     }
 }
 
-async fn run_seed(seed: u64) {
-    let cluster = Cluster::start(200 + (seed % 50) as u8);
+/// Runs a seed on a cluster in one of 50 subnets.
+async fn run_seed(seed: u64, first_subnet: u8, holds: Holds) {
+    let cluster = Cluster::start(first_subnet + (seed % 50) as u8);
     cluster.apply(&config(1)).await;
     let soak = Arc::new(Soak {
         cluster: RwLock::new(cluster),
@@ -82,7 +107,7 @@
     });
     let mut tasks = JoinSet::new();
     for number in 0..ENDPOINTS {
-        tasks.spawn(run_endpoint(soak.clone(), seed * 100 + number));
+        tasks.spawn(run_endpoint(soak.clone(), seed * 100 + number, holds));
     }
     for host in [3, 4] {
         let until = Instant::now() + Duration::from_secs(20);
@@ -108,13 +133,15 @@
         ended.expect("a task panicked");
     }
     check_limits(&soak, seed);
+    check_holds(&soak, seed);
     check(&soak, seed);
 }
 
 /// Runs an endpoint, which starts again under another id and address after each crash. Half of the
 /// endpoints name a limit after a while.
-async fn run_endpoint(soak: Arc<Soak>, seed: u64) {
+async fn run_endpoint(soak: Arc<Soak>, seed: u64, holds: Holds) {
     let mut random = Pcg32::seed_from_u64(seed);
+    let mut hold_random = Pcg32::seed_from_u64(!seed);
     while !soak.is_over.load(Ordering::Relaxed) {
         let id = format!("i-{}", soak.next_id.fetch_add(1, Ordering::Relaxed));
         let endpoint = Endpoint::start(&id, Behaviour::StreamOrCompleteBody).await;
@@ -122,8 +149,31 @@
         let limit = 1.5 + f64::from(random.next_u32() % 4);
         let named_from = (random.next_u32() % 2 == 0).then_some(2 + random.next_u32() % 8);
         let mut named = None;
-        while !endpoint.has_ended() && !soak.is_over.load(Ordering::Relaxed) {
+        let mut sheds_until = 0;
+        let mut leaving_since: Option<Instant> = None;
+        let has_served = |since: &Option<Instant>| {
+            since.is_some_and(|since| since.elapsed() > SERVES_WHILE_LEAVING)
+        };
+        while !endpoint.has_ended()
+            && !has_served(&leaving_since)
+            && !soak.is_over.load(Ordering::Relaxed)
+        {
             sequence += 1;
+            let mut is_drawn =
+                |one_in: u32| holds == Holds::Random && hold_random.next_u32() % one_in == 0;
+            let (sheds, leaves) = (is_drawn(12), is_drawn(24));
+            if sheds_until == 0 && sheds {
+                sheds_until = sequence + 1 + u64::from(hold_random.next_u32() % 4);
+                let seconds = 0.5 + f64::from(hold_random.next_u32() % 6) / 2.0;
+                *endpoint.record.backoff.lock() = Some(seconds);
+            } else if sheds_until == sequence {
+                sheds_until = 0;
+                *endpoint.record.backoff.lock() = None;
+            }
+            if leaving_since.is_none() && leaves {
+                leaving_since = Some(Instant::now());
+                endpoint.record.is_leaving.store(true, Ordering::Relaxed);
+            }
             if named_from.is_some_and(|from| sequence == u64::from(from)) {
                 *endpoint.record.limit.lock() = Some(limit);
                 named = Some((limit, Instant::now()));
@@ -206,27 +256,72 @@
     }
 }
 
+/// Checks the requests to endpoints that asked a host for a back-off, or told it that they leave,
+/// except those of hosts that were disturbed since.
+fn check_holds(soak: &Soak, seed: u64) {
+    let (mut backoffs, mut departures) = (0, 0);
+    for Ended { endpoint, .. } in soak.ended.lock().iter() {
+        let id = &endpoint.id;
+        let arrivals = endpoint.record.arrivals.lock();
+        let from_host = |host: usize, from: Instant, until: Instant| {
+            let is_counted = move |(at, attempt): &&(Instant, String)| {
+                host_of(attempt) == host
+                    && *at > from
+                    && *at < until
+                    && !soak.is_disturbed(host, from - MAX_TRANSIT, *at)
+            };
+            arrivals.iter().filter(is_counted).count()
+        };
+        for (at, attempt, delay) in endpoint.record.backoffs.lock().iter() {
+            let during = from_host(host_of(attempt), *at + MAX_TRANSIT, *at + *delay);
+            assert!(
+                during <= MAX_DURING_BACKOFF,
+                "seed {seed}: {during} requests at {id} in a back-off of {delay:?}"
+            );
+            backoffs += 1;
+        }
+        for (at, attempt) in endpoint.record.leaving_answers.lock().iter() {
+            let late = from_host(
+                host_of(attempt),
+                *at + DRAIN,
+                *at + SERVES_WHILE_LEAVING * 4,
+            );
+            assert_eq!(late, 0, "seed {seed}: requests at {id}, which had left");
+            departures += 1;
+        }
+    }
+    println!("seed {seed}: {backoffs} back-offs, {departures} answers of leaving endpoints");
+}
+
+/// Returns the host that an attempt was sent to, by its id.
+fn host_of(attempt: &str) -> usize {
+    let host = attempt.rsplit('@').next();
+    host.and_then(|host| host.parse().ok()).expect("a host")
+}
+
+impl Soak {
+    /// Returns whether a host was killed or frozen, or ran again only shortly before, at any moment
+    /// of a span.
+    fn is_disturbed(&self, host: usize, from: Instant, until: Instant) -> bool {
+        let disturbances = self.disturbances.lock();
+        let mut disturbances = disturbances.iter();
+        disturbances.any(|(disturbed, start, end)| {
+            *disturbed == host && *start <= until && from <= *end + PROPAGATION_LIMIT
+        })
+    }
+}
+
 /// Checks the requests to limited endpoints, except those of hosts that were disturbed shortly
 /// before.
 fn check_limits(soak: &Soak, seed: u64) {
-    let disturbances = soak.disturbances.lock();
-    let is_disturbed = |at: Instant, host: usize| {
-        let mut disturbances = disturbances.iter();
-        disturbances.any(|(disturbed, from, to)| {
-            *disturbed == host && *from <= at && at <= *to + PROPAGATION_LIMIT
-        })
-    };
+    let is_disturbed = |at: Instant, host: usize| soak.is_disturbed(host, at, at);
     for Ended { endpoint, limit } in soak.ended.lock().iter() {
         let Some((limit, since)) = limit else {
             continue;
         };
         let arrivals = endpoint.record.arrivals.lock();
         let counted = arrivals.iter().filter(|(at, attempt)| {
-            let host = attempt
-                .rsplit('@')
-                .next()
-                .and_then(|host| host.parse().ok());
-            *at > *since + PROPAGATION_LIMIT && !is_disturbed(*at, host.expect("a host"))
+            *at > *since + PROPAGATION_LIMIT && !is_disturbed(*at, host_of(attempt))
         });
         let counted: Vec<Instant> = counted.map(|(at, _)| *at).collect();
         let busiest = count_busiest(&counted);
--- a/crates/kumquatdrum/tests/gateway/leaving.rs
+++ b/crates/kumquatdrum/tests/gateway/leaving.rs
@@ -13,7 +13,7 @@
 use crate::endpoint::{Behaviour, Endpoint};
 
 /// The time for which a leaving endpoint serves, as in the settings of the hosts.
-const DRAIN: Duration = Duration::from_secs(2);
+pub const DRAIN: Duration = Duration::from_secs(2);
 /// The time in which requests that were already sent arrive.
 const IN_TRANSIT: Duration = Duration::from_millis(200);
 
