--- a/crates/kumquatdrum/tests/gateway/backoff.rs
+++ b/crates/kumquatdrum/tests/gateway/backoff.rs
@@ -125,12 +125,12 @@
 
 #[tokio::test]
 async fn an_engine_that_requests_a_backoff_gets_no_prompts_during_it() {
-    check_backoff(79, engine_config(3), "/stream/x").await;
+    check_backoff(89, engine_config(3), "/stream/x").await;
 }
 
 #[tokio::test]
 async fn an_endpoint_gets_its_share_again_after_its_backoff() {
-    let (cluster, endpoints) = start(80, &config(3), 3).await;
+    let (cluster, endpoints) = start(90, &config(3), 3).await;
     *endpoints[0].record.backoff.lock() = Some(0.5);
     let second = Duration::from_secs(1);
     load(&cluster, "/safe/x", Instant::now() + second).await;
@@ -194,3 +194,54 @@
     let wait: f64 = wait.parse().expect("a number");
     assert!((20.0..=31.0).contains(&wait), "{wait}");
 }
+
+#[tokio::test]
+async fn a_rejection_is_passed_on_unchanged_if_no_other_endpoint_can_serve() {
+    let (cluster, endpoints) = start(91, &config(3), 1).await;
+    *endpoints[0].record.backoff.lock() = Some(1.5);
+    let call = cluster.request(3, "/safe/x", "at-rejected@3");
+    let answer = call.send().await.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.headers()["retry-after"], "1.5");
+    assert_eq!(
+        answer.headers()["kumquatdrum-response-stamp"],
+        "stamp-at-rejected@3"
+    );
+}
+
+#[tokio::test]
+async fn an_engine_that_asked_for_a_backoff_is_no_helper() {
+    let (cluster, engines) = start(92, &engine_config(3), 6).await;
+    for engine in &engines {
+        *engine.record.backoff.lock() = Some(30.0);
+    }
+    let call = cluster.request(3, "/stream/x", "at-rejected@3");
+    let answer = call.header("Kumquatdrum-Token-Count", "2000,100").send();
+    let status = answer.await.expect("an answer").status();
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    for engine in &engines {
+        *engine.record.backoff.lock() = None;
+    }
+    let has_rejected = |engine: &&Endpoint| !engine.record.backoffs.lock().is_empty();
+    let shedding: Vec<&Endpoint> = engines.iter().filter(has_rejected).collect();
+    assert!(!shedding.is_empty());
+    for number in 0..4 {
+        let call = cluster.request(3, "/stream/x", &format!("at-long-{number}@3"));
+        let call = call.header("Kumquatdrum-Token-Count", "60000,100");
+        let answer = call.send().await.expect("an answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+        answer.text().await.expect("a stream");
+    }
+    let requests: String = engines
+        .iter()
+        .map(|engine| engine.record.requests.lock().concat())
+        .collect();
+    let requests = requests.to_lowercase();
+    assert!(requests.contains("kumquatdrum-helpers"), "{requests}");
+    for engine in shedding {
+        assert!(
+            !requests.contains(&engine.address.to_string()),
+            "{requests}"
+        );
+    }
+}
