Gateway: a back-off holds for five minutes at most; a prompt that no engines can hold doesn't wait for one

A longer back-off than a minute would have been asked for again each minute, which is more than two requests in it. And a prompt larger than the memory of all engines together is refused at once also while some of them are in a back-off; the test covers it.

--- a/crates/kumquatdrum/tests/gateway/backoff.rs
+++ b/crates/kumquatdrum/tests/gateway/backoff.rs
@@ -245,3 +245,23 @@
         );
     }
 }
+
+#[tokio::test]
+async fn a_prompt_that_no_engines_can_hold_does_not_wait_for_a_backoff() {
+    let (cluster, engines) = start(93, &engine_config(3), 2).await;
+    for engine in &engines {
+        *engine.record.backoff.lock() = Some(3.0);
+    }
+    let send = async |attempt: &str, tokens: &str| {
+        let call = cluster.request(3, "/stream/x", attempt);
+        let call = call.header("Kumquatdrum-Token-Count", tokens).send();
+        let answer = call.await.expect("an answer");
+        (answer.status(), answer.text().await.expect("a body"))
+    };
+    send("at-rejected@3", "2000,100").await;
+    let sent = Instant::now();
+    let (status, body) = send("at-large@3", "900000,100").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+    assert!(body.contains("memory"), "{body}");
+    assert!(sent.elapsed() < Duration::from_secs(1));
+}
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -308,8 +308,12 @@
         let avoided = self.avoided(&state, job, &held);
         let job = &without(job, &avoided);
         let serves_until = state.serves_until;
+        let can_hold = state.can_hold(job);
         match &mut state.policy {
             Policy::Engines(planner) => {
+                if is_held && !can_hold {
+                    return Err(Rejection::TooLarge);
+                }
                 let would_outlive = |until: Moment| now + planner.expected_duration(job) > until;
                 if serves_until.is_some_and(would_outlive) {
                     return Err(Rejection::NoEndpoint);
--- a/crates/kumquatdrum_gateway/src/pool/hold.rs
+++ b/crates/kumquatdrum_gateway/src/pool/hold.rs
@@ -32,6 +32,15 @@
     eligible.map(|(_, until)| *until).min()
 }
 
+impl State {
+    /// Returns whether the memory of all engines together can hold a job.
+    pub(super) fn can_hold(&self, job: &Job) -> bool {
+        let engine = self.engine.as_ref();
+        let memory_tokens = engine.map_or(0, |engine| engine.memory_tokens);
+        job.memory_tokens() <= memory_tokens * self.directory.len() as u64
+    }
+}
+
 impl Pool {
     /// Returns the endpoints that a job avoids: those that are held back. A job that an endpoint has
     /// rejected also avoids those that may reject it again, if another one is left.
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -145,7 +145,9 @@
         for endpoint in std::iter::once(target.endpoint).chain(helpers) {
             let checked = self.holds.check(endpoint, target.purpose);
             checked.map_err(|hold| {
-                self.holds.log_held(target.request, &endpoint.id, hold);
+                if target.purpose == Purpose::Work {
+                    self.holds.log_held(target.request, &endpoint.id, hold);
+                }
                 Error::Held {
                     endpoint: endpoint.id.clone(),
                     hold,
--- a/crates/kumquatdrum_placement/src/backoff.rs
+++ b/crates/kumquatdrum_placement/src/backoff.rs
@@ -14,7 +14,7 @@
 use crate::EndpointKey;
 
 /// The longest back-off, so that an invalid value does not exclude an endpoint for good.
-const MAX_BACKOFF: Duration = Duration::from_secs(60);
+const MAX_BACKOFF: Duration = Duration::from_secs(300);
 /// The longest time by which a host extends a back-off to spread the ends.
 const MAX_SPREAD: Duration = Duration::from_millis(250);
 /// The share of a back-off by which a host extends it at most.
