--- a/crates/kumquatdrum/tests/gateway/backoff.rs
+++ b/crates/kumquatdrum/tests/gateway/backoff.rs
@@ -259,9 +259,9 @@
         (answer.status(), answer.text().await.expect("a body"))
     };
     send("at-rejected@3", "2000,100").await;
-    let sent = Instant::now();
+    let started = Instant::now();
     let (status, body) = send("at-large@3", "900000,100").await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
     assert!(body.contains("memory"), "{body}");
-    assert!(sent.elapsed() < Duration::from_secs(1));
+    assert!(started.elapsed() < Duration::from_secs(1));
 }
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -113,11 +113,8 @@
     }
 
     async fn collect(&self, pick: &Pick, exchange: Exchange) -> Outcome {
-        let Exchange {
-            response, reply, ..
-        } = &exchange;
-        let reply = reply.clone();
-        let execution = match response.status() {
+        let reply = exchange.reply.clone();
+        let execution = match exchange.response.status() {
             _ if reply.has_not_run || reply.is_misdirected => Execution::NotRun,
             status if status.is_server_error() => Execution::Failed,
             _ => Execution::Ran,
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -301,66 +301,90 @@
         request: &str,
         job: &Job,
     ) -> Result<Option<Pick>, Rejection> {
-        let now = self.dependencies.clock.now();
         let mut state = service.state.lock();
         let held = self.dependencies.holds.held(state.directory.keys());
         let is_held = is_any_held(&held, job);
         let avoided = self.avoided(&state, job, &held);
         let job = &without(job, &avoided);
-        let serves_until = state.serves_until;
-        let can_hold = state.can_hold(job);
-        match &mut state.policy {
-            Policy::Engines(planner) => {
-                if is_held && !can_hold {
-                    return Err(Rejection::TooLarge);
-                }
-                let would_outlive = |until: Moment| now + planner.expected_duration(job) > until;
-                if serves_until.is_some_and(would_outlive) {
-                    return Err(Rejection::NoEndpoint);
-                }
-                let (plan, diagnostics) = match planner.place(now, job) {
-                    Decision::Send(plan, diagnostics) => (plan, diagnostics),
-                    Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
-                    Decision::TooCostly(refusal) => {
-                        self.log_refusal(request, job, &refusal);
-                        return Err(Rejection::TooCostly);
-                    }
-                    Decision::TooLarge | Decision::NoEngine if is_held => return Ok(None),
-                    Decision::TooLarge => return Err(Rejection::TooLarge),
-                    Decision::Limited => return Ok(None),
-                    Decision::NoEngine => return Err(Rejection::NoEndpoint),
-                };
-                self.dependencies.holds.admit(plan.first);
-                let pick = self.dispatch(service, &state, (request, job), plan, &diagnostics)?;
-                Ok(Some(pick))
-            }
-            Policy::Plain(balancer) => {
-                let Some(key) = balancer.choose(now, &job.excluded) else {
-                    return if is_held || balancer.has_exhausted(now, &job.excluded) {
-                        Ok(None)
-                    } else {
-                        Err(Rejection::NoEndpoint)
-                    };
-                };
-                self.dependencies.holds.admit(key);
-                let is_limited = balancer.limits().contains(key);
-                let endpoint = state.directory.get(&key).cloned();
-                let endpoint = endpoint.ok_or(Rejection::NoEndpoint)?;
-                if is_limited {
-                    let event = Event::Taken(service.name.clone(), key, self.dependencies.number);
-                    self.broadcast(event, Urgency::Urgent);
-                }
-                Ok(Some(Pick {
-                    pool: self.clone(),
-                    service: service.clone(),
-                    endpoint,
-                    key,
-                    prefillers: Vec::new(),
-                    job: None,
-                    urgency: Urgency::Usual,
-                }))
+        match state.policy {
+            Policy::Engines(_) => self.pick_engine(service, &mut state, (request, job), is_held),
+            Policy::Plain(_) => self.pick_plain(service, &mut state, job, is_held),
+        }
+    }
+
+    /// Picks an engine. `is_held` states whether another one is held back from the job.
+    fn pick_engine(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        state: &mut State,
+        (request, job): (&str, &Job),
+        is_held: bool,
+    ) -> Result<Option<Pick>, Rejection> {
+        let now = self.dependencies.clock.now();
+        let is_too_large = is_held && !state.can_hold(job);
+        let Policy::Engines(planner) = &mut state.policy else {
+            return Err(Rejection::NoEndpoint);
+        };
+        let would_outlive = |until: Moment| now + planner.expected_duration(job) > until;
+        match state.serves_until {
+            _ if is_too_large => return Err(Rejection::TooLarge),
+            Some(until) if would_outlive(until) => return Err(Rejection::NoEndpoint),
+            _ => {}
+        }
+        let (plan, diagnostics) = match planner.place(now, job) {
+            Decision::Send(plan, diagnostics) => (plan, diagnostics),
+            Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
+            Decision::TooCostly(refusal) => {
+                self.log_refusal(request, job, &refusal);
+                return Err(Rejection::TooCostly);
             }
+            Decision::TooLarge | Decision::NoEngine if is_held => return Ok(None),
+            Decision::TooLarge => return Err(Rejection::TooLarge),
+            Decision::Limited => return Ok(None),
+            Decision::NoEngine => return Err(Rejection::NoEndpoint),
+        };
+        self.dependencies.holds.admit(plan.first);
+        let pick = self.dispatch(service, state, (request, job), plan, &diagnostics)?;
+        Ok(Some(pick))
+    }
+
+    /// Picks an endpoint of a plain service. `is_held` states whether another one is held back from
+    /// the job.
+    fn pick_plain(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        state: &mut State,
+        job: &Job,
+        is_held: bool,
+    ) -> Result<Option<Pick>, Rejection> {
+        let now = self.dependencies.clock.now();
+        let Policy::Plain(balancer) = &mut state.policy else {
+            return Err(Rejection::NoEndpoint);
+        };
+        let Some(key) = balancer.choose(now, &job.excluded) else {
+            return if is_held || balancer.has_exhausted(now, &job.excluded) {
+                Ok(None)
+            } else {
+                Err(Rejection::NoEndpoint)
+            };
+        };
+        self.dependencies.holds.admit(key);
+        let is_limited = balancer.limits().contains(key);
+        let endpoint = state.directory.get(&key).cloned();
+        let endpoint = endpoint.ok_or(Rejection::NoEndpoint)?;
+        if is_limited {
+            let event = Event::Taken(service.name.clone(), key, self.dependencies.number);
+            self.broadcast(event, Urgency::Urgent);
         }
+        Ok(Some(Pick {
+            pool: self.clone(),
+            service: service.clone(),
+            endpoint,
+            key,
+            prefillers: Vec::new(),
+            job: None,
+            urgency: Urgency::Usual,
+        }))
     }
 
     fn dispatch(
--- a/crates/kumquatdrum_gateway/src/pool/hold.rs
+++ b/crates/kumquatdrum_gateway/src/pool/hold.rs
@@ -51,7 +51,7 @@
         held: &[(EndpointKey, Moment)],
     ) -> Vec<EndpointKey> {
         let mut avoided: Vec<EndpointKey> = held.iter().map(|(key, _)| *key).collect();
-        if job.excluded.is_empty() {
+        if job.excluded.is_empty() || job.first.is_some() {
             return avoided;
         }
         let recovering = self.dependencies.holds.recovering(state.directory.keys());
