Gateway: leaving endpoints serve what no other endpoint can

Cause: a leaving endpoint was used only if no staying one was known, and three crashed ones were known until their announcements aged. Now the leaving ones stay in the pool; a job is placed on them if placement on the staying ones finds none, that is also when these are down, held back or too small together, and such a placement alone passes the check when it is sent.

The new test leaving::a_leaving_endpoint_serves_while_the_others_have_crashed plays it.

--- a/crates/kumquatdrum/tests/gateway/leaving.rs
+++ b/crates/kumquatdrum/tests/gateway/leaving.rs
@@ -134,3 +134,29 @@
         .filter(|(_, attempt)| attempt.ends_with("@4"));
     assert_eq!(from_other_host.count(), 0);
 }
+
+#[tokio::test]
+async fn a_leaving_endpoint_serves_while_the_others_have_crashed() {
+    let cluster = Arc::new(Cluster::start(94));
+    cluster.apply(&config(3)).await;
+    let leaving = Endpoint::start("i-leaving", Behaviour::CompleteBody).await;
+    let crashed = Endpoint::start("i-crashed", Behaviour::CompleteBody).await;
+    for endpoint in [&leaving, &crashed] {
+        cluster.announce(endpoint, "plain", "ready", 1).await;
+        cluster.wait_until_ready(3, endpoint).await;
+    }
+    leaving.record.is_leaving.store(true, Ordering::Relaxed);
+    let send = async |attempt: &str| {
+        let call = cluster.request(3, "/unsafe/x", attempt).send().await;
+        call.expect("an answer").status()
+    };
+    let mut number = 0;
+    while leaving.record.leaving_answers.lock().is_empty() {
+        number += 1;
+        send(&format!("at-{number}@3")).await;
+    }
+    crashed.stop();
+    for number in 0..5 {
+        assert_eq!(send(&format!("at-after-{number}@3")).await, StatusCode::OK);
+    }
+}
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -9,7 +9,6 @@
 use tokio::time::timeout_at;
 
 use super::Call;
-use crate::holds::Purpose;
 use crate::pool::Pick;
 use crate::protocol::{Annotation, Helper};
 use crate::upstream::{self, Exchange, Target};
@@ -62,7 +61,7 @@
         let target = Target {
             endpoint: &pick.endpoint,
             prefillers: &pick.prefillers,
-            purpose: Purpose::Work,
+            purpose: pick.purpose,
             request: &self.attempt_id,
         };
         let upstream = &self.gateway.upstream;
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -192,7 +192,9 @@
         });
         let reserved = helpers.map(|(prefiller, name)| async move {
             let tokens = prefiller.reserved_tokens;
-            let reserved = reservation::reserve(&self.gateway, &prefiller.endpoint, name, tokens);
+            let endpoint = &prefiller.endpoint;
+            let reserved =
+                reservation::reserve(&self.gateway, endpoint, name, tokens, pick.purpose);
             reserved.await.map_err(|_| prefiller.key)
         });
         let mut reservations = Vec::new();
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexSet;
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_registry::{Announcement, Change, Registry, Update};
+use kumquatdrum_registry::{Announcement, Change, Presence, Registry, Update};
 use kumquatdrum_types::{EndpointId, Moment, ServiceName};
 use parking_lot::Mutex;
 use slog::info;
@@ -19,7 +19,7 @@
 /// The announced endpoints known to this host.
 pub struct Endpoints {
     clock: Clock,
-    /// The time for which a leaving endpoint gets requests if its service has no other.
+    /// The time for which a leaving endpoint gets requests that no other endpoint can serve.
     grace: Duration,
     state: Mutex<State>,
     /// Notified when an endpoint is added, is leaving or is removed.
@@ -27,15 +27,6 @@
     logger: slog::Logger,
 }
 
-/// The endpoints of a service that accept requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Usable {
-    /// The endpoints, each with the time since its last announcement.
-    pub endpoints: Vec<(Announcement, Duration)>,
-    /// When the last of them ends if all are leaving.
-    pub until: Option<Moment>,
-}
-
 #[derive(Default)]
 struct State {
     registry: Registry,
@@ -123,35 +114,30 @@
         update
     }
 
-    /// Returns whether an endpoint may get new requests.
-    pub fn accepts(&self, endpoint: &Announcement) -> bool {
-        let now = self.clock.now();
+    /// Returns whether an endpoint stays.
+    pub fn presence(&self, endpoint: &Announcement) -> Presence {
         let state = self.state.lock();
-        state.registry.accepts(now, endpoint, self.grace)
+        state.registry.presence(endpoint, self.grace)
     }
 
-    /// Returns the endpoints that accept requests for a service: those that stay or, if there is none,
-    /// those that are leaving and serve for some time.
-    pub fn usable(&self, service: &ServiceName) -> Usable {
+    /// Returns the endpoints that accept requests for a service, each with the time since its last
+    /// announcement.
+    pub fn usable(&self, service: &ServiceName) -> Vec<(Announcement, Duration)> {
         let now = self.clock.now();
         let state = self.state.lock();
         let usable = state.registry.usable(now, service);
-        let staying: Vec<_> = usable.map(|(a, age)| (a.clone(), age)).collect();
-        if !staying.is_empty() {
-            return Usable {
-                endpoints: staying,
-                until: None,
-            };
-        }
+        usable.map(|(a, age)| (a.clone(), age)).collect()
+    }
+
+    /// Returns the endpoints that are leaving and serve requests that no other endpoint can, each with
+    /// the time since its last announcement and the time until which it serves.
+    pub fn leaving(&self, service: &ServiceName) -> Vec<(Announcement, Duration, Moment)> {
+        let now = self.clock.now();
+        let state = self.state.lock();
         let leaving = state.registry.leaving(now, service, self.grace);
-        let leaving: Vec<_> = leaving.collect();
-        Usable {
-            until: leaving.iter().map(|(.., until)| *until).max(),
-            endpoints: leaving
-                .into_iter()
-                .map(|(a, age, _)| (a.clone(), age))
-                .collect(),
-        }
+        leaving
+            .map(|(a, age, until)| (a.clone(), age, until))
+            .collect()
     }
 
     /// Returns whether an endpoint is known to be leaving or gone, or its incarnation is unknown.
--- a/crates/kumquatdrum_gateway/src/holds.rs
+++ b/crates/kumquatdrum_gateway/src/holds.rs
@@ -8,7 +8,7 @@
 
 use kumquatdrum_placement::{Backoffs, EndpointKey};
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_registry::{Announcement, Update};
+use kumquatdrum_registry::{Announcement, Presence, Update};
 use kumquatdrum_types::{EndpointId, Moment};
 use parking_lot::Mutex;
 use slog::{info, warn};
@@ -51,6 +51,8 @@
 pub enum Purpose {
     /// New work, which a leaving endpoint does not get.
     Work,
+    /// New work that only a leaving endpoint can do.
+    LastResort,
     /// Upkeep of work that the endpoint has already: the renewal or release of a reservation.
     Upkeep,
 }
@@ -96,11 +98,13 @@
         let now = self.dependencies.clock.now();
         let key = EndpointKey::of(&endpoint.id, endpoint.started);
         let backoff_end = self.backoffs.lock().end(now, key);
-        let endpoints = &self.dependencies.endpoints;
-        match backoff_end {
-            Some(until) => Err(Hold::Backoff(until)),
-            None if purpose == Purpose::Upkeep || endpoints.accepts(endpoint) => Ok(()),
-            None => Err(Hold::Leaving),
+        if let Some(until) = backoff_end {
+            return Err(Hold::Backoff(until));
+        }
+        match (purpose, self.dependencies.endpoints.presence(endpoint)) {
+            (Purpose::Upkeep, _) | (_, Presence::Staying) => Ok(()),
+            (Purpose::LastResort, Presence::LeavingAt(until)) if now < until => Ok(()),
+            _ => Err(Hold::Leaving),
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -7,16 +7,12 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
-use kumquatdrum_placement::{
-    Budget, DataCentreKey, Decision, Diagnostics, EndpointKey, Job, JobId, Plan, Planner, Refusal,
-    Waiter,
-};
+use kumquatdrum_placement::{Budget, DataCentreKey, EndpointKey, Job, JobId, Planner, Waiter};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
 use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 use parking_lot::{Mutex, RwLock};
-use slog::info;
 use tokio::sync::Notify;
 
 use crate::broadcast::{Broadcaster, RelayPath};
@@ -24,19 +20,18 @@
 use crate::holds::Holds;
 use crate::hosts::Hosts;
 use crate::message::Event;
-use crate::protocol::Helper;
 use crate::settings::Retries;
 
 mod events;
 mod hold;
 mod limit;
 mod pick;
+mod place;
 mod policy;
 mod queue;
 mod rebroadcast;
 mod unreachable;
 
-use hold::{is_any_held, without};
 use limit::Turn;
 pub use pick::{Pick, Prefiller};
 use policy::Policy;
@@ -93,8 +88,8 @@
     policy: Policy,
     budget: Budget,
     directory: IndexMap<EndpointKey, Announcement>,
-    /// When the last endpoint ends if all are leaving.
-    serves_until: Option<Moment>,
+    /// The endpoints that are leaving, and until when they serve.
+    leaving: IndexMap<EndpointKey, Moment>,
 }
 
 /// The reason why no endpoint was picked.
@@ -164,7 +159,7 @@
             policy,
             budget: Budget::new(retries.ratio, retries.slack, window),
             directory: IndexMap::new(),
-            serves_until: None,
+            leaving: IndexMap::new(),
         };
         Service {
             name: name.clone(),
@@ -189,14 +184,21 @@
     }
 
     fn refresh_service(&self, service: &Service) {
-        let usable = self.dependencies.endpoints.usable(&service.name);
-        let (known, serves_until) = (usable.endpoints, usable.until);
+        let known = self.dependencies.endpoints.usable(&service.name);
+        let leaving = self.dependencies.endpoints.leaving(&service.name);
         let limit = self.dependencies.announcement_interval * MAX_MISSED_ANNOUNCEMENTS;
         let fresh = known.iter().filter(|(_, age)| *age <= limit).count();
         // If most endpoints are silent, the network is more likely at fault than the endpoints.
         let includes_silent = fresh * 2 < known.len();
         let usable = known.into_iter();
         let usable = usable.filter(|(_, age)| includes_silent || *age <= limit);
+        let leaving_keys = leaving.iter().map(|(endpoint, _, until)| {
+            let key = EndpointKey::of(&endpoint.id, endpoint.started);
+            (key, *until)
+        });
+        let leaving_keys = leaving_keys.collect();
+        let leaving = leaving.into_iter();
+        let usable = usable.chain(leaving.map(|(endpoint, age, _)| (endpoint, age)));
         let now = self.dependencies.clock.now();
         let (directory, announced): (IndexMap<EndpointKey, Announcement>, Vec<_>) = usable
             .map(|(endpoint, age)| {
@@ -223,7 +225,7 @@
             }
         }
         state.directory = directory;
-        state.serves_until = serves_until;
+        state.leaving = leaving_keys;
         self.refresh_limits(&mut state);
         drop(state);
         service.changed.notify_waiters();
@@ -294,152 +296,6 @@
         }
     }
 
-    /// Picks an endpoint, or `None` if all endpoints have reached their limits or are held back.
-    fn try_pick(
-        self: &Arc<Self>,
-        service: &Arc<Service>,
-        request: &str,
-        job: &Job,
-    ) -> Result<Option<Pick>, Rejection> {
-        let mut state = service.state.lock();
-        let held = self.dependencies.holds.held(state.directory.keys());
-        let is_held = is_any_held(&held, job);
-        let avoided = self.avoided(&state, job, &held);
-        let job = &without(job, &avoided);
-        match state.policy {
-            Policy::Engines(_) => self.pick_engine(service, &mut state, (request, job), is_held),
-            Policy::Plain(_) => self.pick_plain(service, &mut state, job, is_held),
-        }
-    }
-
-    /// Picks an engine. `is_held` states whether another one is held back from the job.
-    fn pick_engine(
-        self: &Arc<Self>,
-        service: &Arc<Service>,
-        state: &mut State,
-        (request, job): (&str, &Job),
-        is_held: bool,
-    ) -> Result<Option<Pick>, Rejection> {
-        let now = self.dependencies.clock.now();
-        let is_too_large = is_held && !state.can_hold(job);
-        let Policy::Engines(planner) = &mut state.policy else {
-            return Err(Rejection::NoEndpoint);
-        };
-        let would_outlive = |until: Moment| now + planner.expected_duration(job) > until;
-        match state.serves_until {
-            _ if is_too_large => return Err(Rejection::TooLarge),
-            Some(until) if would_outlive(until) => return Err(Rejection::NoEndpoint),
-            _ => {}
-        }
-        let (plan, diagnostics) = match planner.place(now, job) {
-            Decision::Send(plan, diagnostics) => (plan, diagnostics),
-            Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
-            Decision::TooCostly(refusal) => {
-                self.log_refusal(request, job, &refusal);
-                return Err(Rejection::TooCostly);
-            }
-            Decision::TooLarge | Decision::NoEngine if is_held => return Ok(None),
-            Decision::TooLarge => return Err(Rejection::TooLarge),
-            Decision::Limited => return Ok(None),
-            Decision::NoEngine => return Err(Rejection::NoEndpoint),
-        };
-        self.dependencies.holds.admit(plan.first);
-        let pick = self.dispatch(service, state, (request, job), plan, &diagnostics)?;
-        Ok(Some(pick))
-    }
-
-    /// Picks an endpoint of a plain service. `is_held` states whether another one is held back from
-    /// the job.
-    fn pick_plain(
-        self: &Arc<Self>,
-        service: &Arc<Service>,
-        state: &mut State,
-        job: &Job,
-        is_held: bool,
-    ) -> Result<Option<Pick>, Rejection> {
-        let now = self.dependencies.clock.now();
-        let Policy::Plain(balancer) = &mut state.policy else {
-            return Err(Rejection::NoEndpoint);
-        };
-        let Some(key) = balancer.choose(now, &job.excluded) else {
-            return if is_held || balancer.has_exhausted(now, &job.excluded) {
-                Ok(None)
-            } else {
-                Err(Rejection::NoEndpoint)
-            };
-        };
-        self.dependencies.holds.admit(key);
-        let is_limited = balancer.limits().contains(key);
-        let endpoint = state.directory.get(&key).cloned();
-        let endpoint = endpoint.ok_or(Rejection::NoEndpoint)?;
-        if is_limited {
-            let event = Event::Taken(service.name.clone(), key, self.dependencies.number);
-            self.broadcast(event, Urgency::Urgent);
-        }
-        Ok(Some(Pick {
-            pool: self.clone(),
-            service: service.clone(),
-            endpoint,
-            key,
-            prefillers: Vec::new(),
-            job: None,
-            urgency: Urgency::Usual,
-        }))
-    }
-
-    fn dispatch(
-        self: &Arc<Self>,
-        service: &Arc<Service>,
-        state: &State,
-        (request, job): (&str, &Job),
-        plan: Plan,
-        diagnostics: &Diagnostics,
-    ) -> Result<Pick, Rejection> {
-        let endpoint = state.directory.get(&plan.first).cloned();
-        let endpoint = endpoint.ok_or(Rejection::NoEndpoint)?;
-        let helpers = plan.helpers.iter().enumerate();
-        let helpers = helpers.filter_map(|(place, part)| {
-            let helper = state.directory.get(&part.endpoint)?;
-            let name = || format!("{:x}-{:x}-{place}", plan.job.host, plan.job.number);
-            Some(Prefiller {
-                endpoint: helper.clone(),
-                key: part.endpoint,
-                reserved_tokens: u64::from(part.reserved_tokens),
-                helper: Helper {
-                    address: helper.address,
-                    reservation: (part.reserved_tokens > 0).then(name),
-                },
-            })
-        });
-        info!(self.dependencies.logger, "placed"; "event" => "placed", "request" => request,
-            "endpoint" => endpoint.id.as_str(), "prompt" => job.prompt_tokens,
-            "readers" => plan.helpers.len() + 1, "helpers" => helper_names(state, &plan),
-            "part_ms" => format!("{:.1}", plan.part_ms),
-            "engines" => diagnostics.engines, "backlog_ms" => format!("{:.1}", diagnostics.backlog_ms),
-            "writers" => diagnostics.decodes, "pass_ms" => format!("{:.1}", diagnostics.pass_ms),
-            "waited_ms" => (self.dependencies.clock.now() - job.arrived).as_millis() as u64);
-        let urgency = urgency(&plan);
-        let pick = Pick {
-            pool: self.clone(),
-            service: service.clone(),
-            endpoint,
-            key: plan.first,
-            prefillers: helpers.collect(),
-            job: Some(plan.job),
-            urgency,
-        };
-        self.broadcast(Event::Sent(service.name.clone(), plan), urgency);
-        Ok(pick)
-    }
-
-    fn log_refusal(&self, request: &str, job: &Job, refusal: &Refusal) {
-        info!(self.dependencies.logger, "too_costly"; "event" => "too_costly",
-            "request" => request, "prompt" => job.prompt_tokens, "harm" => ?refusal.harm,
-            "engines" => refusal.engines, "ready" => refusal.ready,
-            "part_ms" => format!("{:.1}", refusal.part_ms),
-            "left_ms" => (job.due - self.dependencies.clock.now()).as_millis() as u64);
-    }
-
     fn broadcast(&self, event: Event, urgency: Urgency) {
         self.broadcast_via(event, urgency, RelayPath::Primary);
     }
@@ -460,20 +316,3 @@
     let name = EndpointId::new(data_centre.as_str());
     DataCentreKey(EndpointKey::of(&name, 0).0)
 }
-
-/// Returns the urgency of events about a plan.
-fn urgency(plan: &Plan) -> Urgency {
-    if plan.has_long_prefill() {
-        Urgency::Urgent
-    } else {
-        Urgency::Usual
-    }
-}
-
-/// Returns the ids of a plan's helpers, for logs.
-fn helper_names(state: &State, plan: &Plan) -> String {
-    let helpers = plan.helpers.iter();
-    let helpers = helpers.filter_map(|part| state.directory.get(&part.endpoint));
-    let names: Vec<&str> = helpers.map(|helper| helper.id.as_str()).collect();
-    names.join(",")
-}
--- a/crates/kumquatdrum_gateway/src/pool/hold.rs
+++ b/crates/kumquatdrum_gateway/src/pool/hold.rs
@@ -7,7 +7,7 @@
 use kumquatdrum_types::Moment;
 use slog::info;
 
-use super::{Pool, State};
+use super::{Policy, Pool, State};
 
 /// Returns whether a hold keeps an endpoint from a job that could go there otherwise.
 pub(super) fn is_any_held(held: &[(EndpointKey, Moment)], job: &Job) -> bool {
@@ -15,8 +15,12 @@
 }
 
 /// Returns a job that may go to none of the given endpoints.
-pub(super) fn without<'a>(job: &'a Job, endpoints: &[EndpointKey]) -> Cow<'a, Job> {
-    if endpoints.is_empty() {
+pub(super) fn without<'a, 'b>(
+    job: &'a Job,
+    endpoints: impl Iterator<Item = &'b EndpointKey>,
+) -> Cow<'a, Job> {
+    let mut endpoints = endpoints.peekable();
+    if endpoints.peek().is_none() {
         return Cow::Borrowed(job);
     }
     let mut job = job.clone();
@@ -59,12 +63,28 @@
             let mut excluded = job.excluded.iter().chain(&avoided).chain(&recovering);
             !excluded.any(|other| other == key)
         };
-        if !recovering.is_empty() && state.directory.keys().any(is_left) {
+        let mut staying = state.directory.keys();
+        let mut staying = staying
+            .by_ref()
+            .filter(|key| !state.leaving.contains_key(*key));
+        if !recovering.is_empty() && staying.any(is_left) {
             avoided.extend(recovering);
         }
         avoided
     }
 
+    /// Returns the leaving endpoints that end before they could complete a job.
+    pub(super) fn leaves_too_early(&self, state: &State, job: &Job) -> Vec<EndpointKey> {
+        let now = self.dependencies.clock.now();
+        let duration = match &state.policy {
+            Policy::Engines(planner) => planner.expected_duration(job),
+            Policy::Plain(_) => Duration::ZERO,
+        };
+        let leaving = state.leaving.iter();
+        let too_early = leaving.filter(|(_, until)| now + duration >= **until);
+        too_early.map(|(key, _)| *key).collect()
+    }
+
     /// Returns the end of the first hold on an endpoint to which a job may go.
     pub(super) fn first_hold_end(&self, state: &State, job: &Job) -> Option<Moment> {
         let held = self.dependencies.holds.held(state.directory.keys());
@@ -92,6 +112,9 @@
         let is_held = |key: EndpointKey| held.iter().any(|(other, _)| *other == key);
         let limits = state.policy.limits();
         let mut keys = state.directory.keys();
-        keys.any(|key| !is_held(*key) && !limits.is_exhausted(now, *key))
+        keys.any(|key| {
+            let is_leaving = state.leaving.contains_key(key);
+            !is_leaving && !is_held(*key) && !limits.is_exhausted(now, *key)
+        })
     }
 }
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -8,6 +8,7 @@
 use slog::warn;
 
 use super::{Policy, Pool, Service, State, Witness, data_centre_key};
+use crate::holds::Purpose;
 use crate::message::Event;
 use crate::protocol::Helper;
 
@@ -34,6 +35,8 @@
     pub key: EndpointKey,
     /// The engines that prefill parts of the prompt.
     pub prefillers: Vec<Prefiller>,
+    /// Whether only leaving endpoints could serve the request.
+    pub purpose: Purpose,
     pub(super) job: Option<JobId>,
     pub(super) urgency: Urgency,
 }
--- a/crates/kumquatdrum_gateway/src/reservation.rs
+++ b/crates/kumquatdrum_gateway/src/reservation.rs
@@ -55,12 +55,13 @@
     Unanswered,
 }
 
-/// Reserves memory at an engine under a name.
+/// Reserves memory at an engine under a name, for new work of this purpose.
 pub async fn reserve(
     gateway: &Arc<Gateway>,
     endpoint: &Announcement,
     name: String,
     tokens: u64,
+    purpose: Purpose,
 ) -> Result<Reservation, Error> {
     let lease = Arc::new(Lease {
         gateway: gateway.clone(),
@@ -68,7 +69,7 @@
         name,
         tokens,
     });
-    let acknowledgement = lease.order(Purpose::Work).await;
+    let acknowledgement = lease.order(purpose).await;
     info!(gateway.logger, "reserved"; "event" => "reserved", "endpoint" => endpoint.id.as_str(),
         "reservation" => &lease.name, "tokens" => tokens, "outcome" => ?acknowledgement);
     match acknowledgement {
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -145,7 +145,7 @@
         for endpoint in std::iter::once(target.endpoint).chain(helpers) {
             let checked = self.holds.check(endpoint, target.purpose);
             checked.map_err(|hold| {
-                if target.purpose == Purpose::Work {
+                if target.purpose != Purpose::Upkeep {
                     self.holds.log_held(target.request, &endpoint.id, hold);
                 }
                 Error::Held {
--- a/crates/kumquatdrum_registry/src/lib.rs
+++ b/crates/kumquatdrum_registry/src/lib.rs
@@ -8,4 +8,4 @@
 mod registry;
 
 pub use announcement::{Announcement, Update};
-pub use registry::{Change, Registry};
+pub use registry::{Change, Presence, Registry};
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -25,6 +25,17 @@
     Stale,
 }
 
+/// Whether an endpoint stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// The endpoint gets requests.
+    Staying,
+    /// The endpoint is leaving. Until this time it gets requests that no other endpoint can serve.
+    LeavingAt(Moment),
+    /// The endpoint has left, or was replaced by another incarnation.
+    Gone,
+}
+
 /// Tracks the endpoints known to a host.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -112,20 +123,16 @@
         Some(to_update(entry, now))
     }
 
-    /// Returns whether an endpoint may get new requests. One that is leaving still may for the
-    /// `grace` time if no other endpoint of its service is usable.
-    pub fn accepts(&self, now: Moment, endpoint: &Announcement, grace: Duration) -> bool {
+    /// Returns whether an endpoint stays. One that is not known does.
+    pub fn presence(&self, endpoint: &Announcement, grace: Duration) -> Presence {
         let Some(entry) = self.entries.get(&endpoint.id) else {
-            return true;
+            return Presence::Staying;
         };
-        let known = &entry.announcement;
-        match entry {
-            entry if entry.is_gone || known.started > endpoint.started => false,
-            entry if known.leaving => {
-                entry.serves_until(grace).is_some_and(|until| now < until)
-                    && self.usable(now, &known.service).next().is_none()
-            }
-            _ => true,
+        let is_superseded = entry.announcement.started > endpoint.started;
+        match entry.serves_until(grace) {
+            _ if entry.is_gone || is_superseded => Presence::Gone,
+            Some(until) => Presence::LeavingAt(until),
+            None => Presence::Staying,
         }
     }
 
