--- a/crates/kumquatdrum_placement/src/backoff.rs
+++ b/crates/kumquatdrum_placement/src/backoff.rs
@@ -95,6 +95,20 @@
 
     /// Returns until when an endpoint gets no further request: until the end of its back-off or,
     /// while it recovers, the time by which it should have answered.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::{Backoffs, EndpointKey};
+    /// # use kumquatdrum_types::Moment;
+    /// # use std::time::Duration;
+    ///
+    /// let (key, now) = (EndpointKey(1), Moment::from_millis(1_000));
+    /// let mut backoffs = Backoffs::new(7);
+    /// let until = backoffs.request(now, key, Duration::from_secs(2)).expect("a back-off");
+    /// assert_eq!(backoffs.held_until(until, key), None);
+    /// // One request finds out whether the endpoint has recovered.
+    /// backoffs.admit(until, key);
+    /// assert!(backoffs.held_until(until, key).is_some());
+    /// ```
     pub fn held_until(&self, now: Moment, key: EndpointKey) -> Option<Moment> {
         let state = self.states.get(&key)?;
         let answered_by = state.admitted_at + RESPONSE_TIMEOUT;
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -47,6 +47,15 @@
     }
 }
 
+#[test]
+fn only_short_prompts_are_expected_to_complete_on_an_engine_that_leaves_soon() {
+    let planner = planner(1);
+    let duration = |tokens| planner.expected_duration(&job(1, tokens, START));
+    let drain = Duration::from_millis(1_500);
+    assert!(duration(5_000) < drain, "{:?}", duration(5_000));
+    assert!(duration(150_000) > 2 * drain, "{:?}", duration(150_000));
+}
+
 #[test]
 fn long_prefills_never_overlap_on_an_engine() {
     let mut planner = planner(20);
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -123,7 +123,7 @@
         Some(to_update(entry, now))
     }
 
-    /// Returns whether an endpoint stays. One that is not known does.
+    /// Returns whether an endpoint stays. One that is not known counts as staying.
     pub fn presence(&self, endpoint: &Announcement, grace: Duration) -> Presence {
         let Some(entry) = self.entries.get(&endpoint.id) else {
             return Presence::Staying;
