--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -88,7 +88,7 @@
     policy: Policy,
     budget: Budget,
     directory: IndexMap<EndpointKey, Announcement>,
-    /// The endpoints that are leaving, and until when they serve.
+    /// The endpoints of `directory` that are leaving, and until when they serve.
     leaving: IndexMap<EndpointKey, Moment>,
 }
 
--- a/crates/kumquatdrum_gateway/src/pool/limit.rs
+++ b/crates/kumquatdrum_gateway/src/pool/limit.rs
@@ -109,8 +109,8 @@
         is_news
     }
 
-    /// Makes a job wait for its turn at limited endpoints, or rejects it if its turn would come too
-    /// late.
+    /// Makes a job wait for its turn at endpoints that are limited or held back, or rejects it if its
+    /// turn would come too late. `was_next` states whether the job had its turn and was not placed.
     pub(super) fn await_turn(
         &self,
         turn: &mut Turn<'_>,
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -35,7 +35,7 @@
     pub key: EndpointKey,
     /// The engines that prefill parts of the prompt.
     pub prefillers: Vec<Prefiller>,
-    /// Whether only leaving endpoints could serve the request.
+    /// What the pick is for, which decides whether a leaving endpoint gets the request.
     pub purpose: Purpose,
     pub(super) job: Option<JobId>,
     pub(super) urgency: Urgency,
--- a/crates/kumquatdrum_gateway/src/pool/place.rs
+++ b/crates/kumquatdrum_gateway/src/pool/place.rs
@@ -14,6 +14,7 @@
 
 impl Pool {
     /// Picks an endpoint, or `None` if all endpoints have reached their limits or are held back.
+    /// Leaving endpoints serve what the others can't.
     pub(super) fn try_pick(
         self: &Arc<Self>,
         service: &Arc<Service>,
@@ -34,8 +35,8 @@
         {
             return picked;
         }
-        let too_late = self.leaves_too_early(&state, job);
-        let last_resort = without(job, avoided.iter().chain(&too_late));
+        let too_early = self.leaves_too_early(&state, job);
+        let last_resort = without(job, avoided.iter().chain(&too_early));
         match self.pick_among(service, &mut state, (request, &last_resort), is_held) {
             Ok(Some(mut pick)) => {
                 pick.purpose = Purpose::LastResort;
