--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -118,6 +118,11 @@
         std::fs::read_to_string(self.log_path(host)).unwrap_or_default()
     }
 
+    /// Returns the id of a host's process.
+    pub fn process(&self, host: usize) -> u32 {
+        self.hosts[host].as_ref().expect("the host runs").id()
+    }
+
     /// Sends a signal to a host's process.
     pub fn signal(&self, host: usize, signal: &str) {
         let child = self.hosts[host].as_ref().expect("the host runs");
--- a/crates/kumquatdrum/tests/gateway/proxy.rs
+++ b/crates/kumquatdrum/tests/gateway/proxy.rs
@@ -1,5 +1,6 @@
-//! A loopback proxy that delays, resets or blocks connections.
+//! A loopback proxy that delays, resets or blocks connections, of all processes or of some.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::diagnosis;
+
 /// How the proxy treats connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -29,30 +32,71 @@
 
 pub struct Proxy {
     pub address: SocketAddr,
-    mode: Arc<Mutex<Mode>>,
+    modes: Arc<Mutex<Modes>>,
     task: JoinHandle<()>,
 }
 
+/// How connections are treated: those of listed processes by their own mode.
+#[derive(Debug)]
+struct Modes {
+    usual: Mode,
+    by_process: HashMap<u32, Mode>,
+}
+
+/// The modes of a proxy, as they apply to a connection.
+#[derive(Clone)]
+struct Treatment {
+    modes: Arc<Mutex<Modes>>,
+    process: Option<u32>,
+}
+
+impl Treatment {
+    fn mode(&self) -> Mode {
+        let modes = self.modes.lock();
+        let own = self
+            .process
+            .and_then(|process| modes.by_process.get(&process));
+        own.copied().unwrap_or(modes.usual)
+    }
+}
+
 impl Proxy {
     pub async fn start(target: SocketAddr) -> Self {
+        Self::for_processes(target, Vec::new()).await
+    }
+
+    /// Starts a proxy that can treat the connections of these processes differently.
+    pub async fn for_processes(target: SocketAddr, processes: Vec<u32>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("the listener's address");
-        let mode = Arc::new(Mutex::new(Mode::Pass));
-        let shared = mode.clone();
+        let modes = Arc::new(Mutex::new(Modes {
+            usual: Mode::Pass,
+            by_process: HashMap::new(),
+        }));
+        let shared = modes.clone();
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, target, shared.clone()));
+            while let Ok((stream, peer)) = listener.accept().await {
+                let treatment = Treatment {
+                    modes: shared.clone(),
+                    process: owner(peer, address, &processes),
+                };
+                tokio::spawn(forward(stream, target, treatment));
             }
         });
         Self {
             address,
-            mode,
+            modes,
             task,
         }
     }
 
     pub fn set_mode(&self, mode: Mode) {
-        *self.mode.lock() = mode;
+        self.modes.lock().usual = mode;
+    }
+
+    /// Sets the mode of one process's connections.
+    pub fn set_process_mode(&self, process: u32, mode: Mode) {
+        self.modes.lock().by_process.insert(process, mode);
     }
 }
 
@@ -62,8 +106,20 @@
     }
 }
 
-async fn forward(client: TcpStream, target: SocketAddr, mode: Arc<Mutex<Mode>>) {
-    if *mode.lock() == Mode::Reset {
+/// Returns which of the processes owns the socket that connects `local` to `remote`.
+fn owner(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
+    let inode = diagnosis::socket_inode(local, remote).ok()?;
+    let socket = format!("socket:[{inode}]");
+    let has_socket = |process: &&u32| {
+        let files = std::fs::read_dir(format!("/proc/{process}/fd"));
+        let mut files = files.into_iter().flatten().flatten();
+        files.any(|file| std::fs::read_link(file.path()).is_ok_and(|to| to.as_os_str() == &*socket))
+    };
+    processes.iter().find(has_socket).copied()
+}
+
+async fn forward(client: TcpStream, target: SocketAddr, treatment: Treatment) {
+    if treatment.mode() == Mode::Reset {
         let linger = Some(Duration::ZERO);
         socket2::SockRef::from(&client)
             .set_linger(linger)
@@ -77,15 +133,15 @@
     let (server_read, server_write) = server.into_split();
     // When one side closes, both connections close.
     tokio::select! {
-        () = copy(client_read, server_write, mode.clone(), false) => {}
-        () = copy(server_read, client_write, mode, true) => {}
+        () = copy(client_read, server_write, treatment.clone(), false) => {}
+        () = copy(server_read, client_write, treatment, true) => {}
     }
 }
 
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mode: Arc<Mutex<Mode>>,
+    treatment: Treatment,
     is_answer: bool,
 ) {
     let mut buffer = [0; 4096];
@@ -94,8 +150,7 @@
             return;
         }
         loop {
-            let current = *mode.lock();
-            match current {
+            match treatment.mode() {
                 Mode::Reset => return,
                 Mode::Silent => sleep(DELAY).await,
                 Mode::OneWay if is_answer => sleep(DELAY).await,
