--- a/crates/kumquatdrum/tests/gateway/outage.rs
+++ b/crates/kumquatdrum/tests/gateway/outage.rs
@@ -147,11 +147,13 @@
     let until = Instant::now() + LEAD + OUTAGE + LEAD;
     let outage = async {
         sleep(LEAD).await;
-        hosts.iter().for_each(|host| site.set_mode(*host, mode));
+        for host in hosts {
+            site.set_mode(*host, mode);
+        }
         sleep(OUTAGE).await;
-        hosts
-            .iter()
-            .for_each(|host| site.set_mode(*host, Mode::Pass));
+        for host in hosts {
+            site.set_mode(*host, Mode::Pass);
+        }
     };
     let load = load(site.clone(), path, until);
     let (outcomes, (), ()) = tokio::join!(load, outage, site.announce_until(until));
