Peer: requests whose response arrives in parts

A request between hosts has one response of one piece. A host that sends a request to an endpoint for another one has to pass on a stream as it arrives, and to cancel it when the other host does. Each part is authenticated like a frame and covers the code of the part before it.

--- a/crates/kumquatdrum_peer/src/channel.rs
+++ b/crates/kumquatdrum_peer/src/channel.rs
@@ -17,17 +17,20 @@
     Control,
     /// Evidence against requests that crash endpoints.
     Quarantine,
+    /// Callers' requests and orders that a host sends to an endpoint for another host.
+    Requests,
 }
 
 impl Channel {
     /// All channels in order of their indices.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Membership,
         Self::Consensus,
         Self::Setup,
         Self::Limits,
         Self::Control,
         Self::Quarantine,
+        Self::Requests,
     ];
 
     /// Returns the channel's name in metrics and logs.
@@ -43,6 +46,7 @@
             Self::Limits => "limits",
             Self::Control => "control",
             Self::Quarantine => "quarantine",
+            Self::Requests => "requests",
         }
     }
 
@@ -59,6 +63,7 @@
             Self::Limits => generated::Channel::Limits,
             Self::Control => generated::Channel::Control,
             Self::Quarantine => generated::Channel::Quarantine,
+            Self::Requests => generated::Channel::Requests,
         }
     }
 
--- a/crates/kumquatdrum_peer/src/client.rs
+++ b/crates/kumquatdrum_peer/src/client.rs
@@ -15,7 +15,7 @@
 use crate::frame::BODY_LIMIT_BYTES;
 use crate::outbox::Outbox;
 use crate::peer::Peer;
-use crate::{Channel, Error, LocalDaemon};
+use crate::{Channel, Error, Exchange, LocalDaemon};
 
 /// Time for sending queued messages during shutdown.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -105,21 +105,23 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, Error> {
-        if *self.closed.borrow() {
-            return Err(Error::Closed);
-        }
-        if body.len() > BODY_LIMIT_BYTES {
-            return Err(Error::TooLarge {
-                bytes: body.len(),
-                limit: BODY_LIMIT_BYTES,
-            });
-        }
-        let peer = self
-            .peer(host)
-            .ok_or_else(|| Error::UnknownHost(host.clone()))?;
+        let peer = self.checked_peer(host, &body)?;
         peer.ask(channel, body, limit).await
     }
 
+    /// Sends a request whose response arrives in parts, over a connection that is open or opens within
+    /// `limit`.
+    pub async fn exchange(
+        &self,
+        host: &HostId,
+        channel: Channel,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Exchange, Error> {
+        let peer = self.checked_peer(host, &body)?;
+        peer.exchange(channel, body, limit).await
+    }
+
     /// Sends queued messages for at most a second, then ends and joins all tasks.
     pub async fn shutdown(&self) {
         self.closed.send_replace(true);
@@ -128,6 +130,21 @@
         self.peers.write().clear();
     }
 
+    /// Returns the peer that a request with this body can be sent to.
+    fn checked_peer(&self, host: &HostId, body: &Bytes) -> Result<Arc<Peer>, Error> {
+        if *self.closed.borrow() {
+            return Err(Error::Closed);
+        }
+        if body.len() > BODY_LIMIT_BYTES {
+            return Err(Error::TooLarge {
+                bytes: body.len(),
+                limit: BODY_LIMIT_BYTES,
+            });
+        }
+        self.peer(host)
+            .ok_or_else(|| Error::UnknownHost(host.clone()))
+    }
+
     fn peer(&self, host: &HostId) -> Option<Arc<Peer>> {
         self.peers
             .read()
--- a/crates/kumquatdrum_peer/src/frame.rs
+++ b/crates/kumquatdrum_peer/src/frame.rs
@@ -39,8 +39,12 @@
 pub(crate) enum Purpose<'a> {
     Send,
     Request,
+    /// Request whose response arrives in parts.
+    Exchange,
     /// Response to the request with this code.
     Response(&'a [u8]),
+    /// Part of a response, after the request or the part with this code.
+    Part(&'a [u8]),
 }
 
 /// Builds an authenticated frame for a host.
@@ -91,14 +95,16 @@
 }
 
 fn code(local: &LocalDaemon, frame: &Frame, purpose: Purpose<'_>) -> Code {
-    let (role, request_code): (&[u8], &[u8]) = match purpose {
+    let (role, earlier_code): (&[u8], &[u8]) = match purpose {
         Purpose::Send => (b"send", b""),
         Purpose::Request => (b"ask", b""),
+        Purpose::Exchange => (b"exchange", b""),
         Purpose::Response(request_code) => (b"answer", request_code),
+        Purpose::Part(previous_code) => (b"part", previous_code),
     };
     let mac = Mac::new(local.secret.as_bytes())
         .update_field(role)
-        .update_field(request_code)
+        .update_field(earlier_code)
         .update_field(&frame.channel.to_be_bytes())
         .update_field(frame.cluster.as_bytes())
         .update_field(frame.from.as_bytes())
--- a/crates/kumquatdrum_peer/src/peer.rs
+++ b/crates/kumquatdrum_peer/src/peer.rs
@@ -18,7 +18,7 @@
 use crate::generated::{Ack, Frame};
 use crate::link::{Connection, Link};
 use crate::queue::Queues;
-use crate::{Channel, Error, LocalDaemon};
+use crate::{Channel, Error, Exchange, LocalDaemon};
 
 /// Timeout for the acknowledgement of a frame; the transfer time of its bodies is added.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
@@ -110,13 +110,7 @@
         limit: Duration,
     ) -> Result<Bytes, Error> {
         let start = Instant::now();
-        let mut connection =
-            timeout(limit, self.link.connection())
-                .await
-                .map_err(|_| Error::Unreachable {
-                    host: self.host.clone(),
-                    reason: "timed out while connecting".to_owned(),
-                })??;
+        let mut connection = self.connect(limit).await?;
         let request = frame::build(
             &self.local,
             &self.host,
@@ -139,12 +133,41 @@
             }
             Err(_) => return Err(self.timeout_error(limit)),
         };
-        self.accept(response, &code)
+        self.accept(response, Purpose::Response(&code))
     }
 
-    fn accept(&self, response: Frame, request_code: &[u8]) -> Result<Bytes, Error> {
+    /// Sends a request whose response arrives in parts.
+    pub(crate) async fn exchange(
+        self: Arc<Self>,
+        channel: Channel,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Exchange, Error> {
+        let mut connection = self.connect(limit).await?;
+        let purpose = Purpose::Exchange;
+        let request = frame::build(&self.local, &self.host, channel, vec![body], purpose);
+        let code = request.code.clone();
+        self.local
+            .counters
+            .record_sent(channel, 1, request.encoded_len());
+        let response = connection.client.exchange(Request::new(request)).await;
+        let parts = self
+            .handle_response(&connection, Ok(response), limit)
+            .await?;
+        Ok(Exchange::new(self, connection, parts, code))
+    }
+
+    async fn connect(&self, limit: Duration) -> Result<Connection, Error> {
+        let connected = timeout(limit, self.link.connection()).await;
+        connected.map_err(|_| Error::Unreachable {
+            host: self.host.clone(),
+            reason: "timed out while connecting".to_owned(),
+        })?
+    }
+
+    pub(crate) fn accept(&self, response: Frame, purpose: Purpose<'_>) -> Result<Bytes, Error> {
         let size = response.encoded_len();
-        let accepted = frame::accept(&self.local, response, Purpose::Response(request_code));
+        let accepted = frame::accept(&self.local, response, purpose);
         match accepted {
             Ok(accepted) if accepted.from.host == self.host => {
                 self.local
@@ -165,25 +188,28 @@
         response: Result<Result<tonic::Response<T>, Status>, tokio::time::error::Elapsed>,
         limit: Duration,
     ) -> Result<T, Error> {
-        let error = match response {
-            Ok(Ok(response)) => return Ok(response.into_inner()),
-            Ok(Err(status)) if status.code() == Code::Unauthenticated => {
-                return Err(self.refusal_error(status.message().to_owned()));
+        match response {
+            Ok(Ok(response)) => Ok(response.into_inner()),
+            Ok(Err(status)) => Err(self.handle_status(connection, &status).await),
+            Err(_) => {
+                self.link.discard(connection).await;
+                Err(self.timeout_error(limit))
             }
-            Ok(Err(status)) if status.code() == Code::Aborted => {
-                return Err(Error::Failed {
-                    host: self.host.clone(),
-                    reason: status.message().to_owned(),
-                });
+        }
+    }
+
+    /// Converts the status of a failed call, and discards the connection if it was lost.
+    pub(crate) async fn handle_status(&self, connection: &Connection, status: &Status) -> Error {
+        let host = self.host.clone();
+        let reason = status.message().to_owned();
+        match status.code() {
+            Code::Unauthenticated => self.refusal_error(reason),
+            Code::Aborted => Error::Failed { host, reason },
+            _ => {
+                self.link.discard(connection).await;
+                Error::Lost { host, reason }
             }
-            Ok(Err(status)) => Error::Lost {
-                host: self.host.clone(),
-                reason: status.message().to_owned(),
-            },
-            Err(_) => self.timeout_error(limit),
-        };
-        self.link.discard(connection).await;
-        Err(error)
+        }
     }
 
     fn timeout_error(&self, limit: Duration) -> Error {
--- a/crates/kumquatdrum_peer/src/server.rs
+++ b/crates/kumquatdrum_peer/src/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::stream::{BoxStream, StreamExt};
 use kumquatdrum_types::HostId;
 use parking_lot::Mutex;
 use prost::Message;
@@ -140,6 +141,36 @@
         let response = self.response_frame(&accepted.from.host, accepted.channel, body, &code);
         Ok(Response::new(response))
     }
+
+    type ExchangeStream = BoxStream<'static, Result<Frame, Status>>;
+
+    async fn exchange(
+        &self,
+        request: Request<Frame>,
+    ) -> Result<Response<Self::ExchangeStream>, Status> {
+        let mut code = request.get_ref().code.clone();
+        let Accepted {
+            from,
+            channel,
+            bodies,
+        } = self.accept(request, Purpose::Exchange)?;
+        let request_body = bodies.into_iter().next().unwrap_or_default();
+        let parts = self.handler.exchange(&from, channel, request_body);
+        let local = self.local.clone();
+        let frames = parts.map(move |body| {
+            let frame = frame::build(
+                &local,
+                &from.host,
+                channel,
+                vec![body],
+                Purpose::Part(&code),
+            );
+            code = frame.code.clone();
+            local.counters.record_sent(channel, 1, frame.encoded_len());
+            Ok(frame)
+        });
+        Ok(Response::new(frames.boxed()))
+    }
 }
 
 impl Service {
--- a/crates/kumquatdrum_peer/tests/exchange.rs
+++ b/crates/kumquatdrum_peer/tests/exchange.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::FutureExt;
+use futures::{FutureExt, StreamExt, stream};
 use kumquatdrum_peer::{
-    Channel, Client, Error, Handler, Identity, LocalDaemon, ResponseFuture, Secret, serve,
+    Channel, Client, Error, Handler, Identity, LocalDaemon, Parts, ResponseFuture, Secret, serve,
 };
 use kumquatdrum_types::{BootId, HostId};
 
@@ -43,6 +43,39 @@
         }
         .boxed()
     }
+
+    fn exchange(&self, from: &Identity, channel: Channel, body: Bytes) -> Parts {
+        let first = stream::iter([Bytes::from("first"), body.clone()]);
+        match &body[..] {
+            b"hang" => {
+                // Tells when the response is dropped.
+                let dropped = Dropped {
+                    deliveries: self.deliveries.clone(),
+                    from: from.clone(),
+                    channel,
+                };
+                let pending = stream::unfold(dropped, |dropped| async move {
+                    std::future::pending::<()>().await;
+                    Some((Bytes::new(), dropped))
+                });
+                first.chain(pending).boxed()
+            }
+            _ => first.boxed(),
+        }
+    }
+}
+
+struct Dropped {
+    deliveries: mpsc::UnboundedSender<Delivery>,
+    from: Identity,
+    channel: Channel,
+}
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        let delivery = (self.from.clone(), self.channel, Bytes::from("cancelled"));
+        let _ = self.deliveries.send(delivery);
+    }
 }
 
 struct Daemon {
@@ -113,6 +146,44 @@
         .await
 }
 
+#[tokio::test]
+async fn the_parts_of_a_response_arrive_in_order() {
+    let daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "secret", &host, daemon.address);
+    let body = Bytes::from("second");
+    let opened = client.exchange(&host, Channel::Requests, body, TEST_TIMEOUT);
+    let mut exchange = opened.await.expect("an exchange");
+    for part in ["first", "second"] {
+        assert_eq!(exchange.next().await, Ok(Some(Bytes::from(part))));
+    }
+    assert_eq!(exchange.next().await, Ok(None));
+}
+
+#[tokio::test]
+async fn a_dropped_exchange_cancels_the_request() {
+    let mut daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "secret", &host, daemon.address);
+    let body = Bytes::from("hang");
+    let opened = client.exchange(&host, Channel::Requests, body, TEST_TIMEOUT);
+    let mut exchange = opened.await.expect("an exchange");
+    assert_eq!(exchange.next().await, Ok(Some(Bytes::from("first"))));
+    drop(exchange);
+    assert_eq!(next(&mut daemon).await.2, Bytes::from("cancelled"));
+}
+
+#[tokio::test]
+async fn an_exchange_with_another_secret_is_refused() {
+    let daemon = daemon("entry-2").await;
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "another secret", &host, daemon.address);
+    let body = Bytes::from("second");
+    let opened = client.exchange(&host, Channel::Requests, body, TEST_TIMEOUT);
+    let refused = opened.await.expect_err("a refusal");
+    assert!(matches!(refused, Error::Refused { .. }), "{refused}");
+}
+
 #[tokio::test]
 async fn messages_arrive_once_in_order_and_requests_are_answered() {
     let mut daemon = daemon("entry-2").await;
