Peer: responses do not wait for acknowledgements of earlier packets

tcp_nodelay of the server's builder has no effect on a listener that is handed over, so accepted connections kept Nagle's algorithm: the second packet of a response waited for a delayed acknowledgement.

--- a/crates/kumquatdrum_peer/src/server.rs
+++ b/crates/kumquatdrum_peer/src/server.rs
@@ -12,8 +12,8 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 use crate::frame::{self, Accepted, FRAME_LIMIT_BYTES, Purpose, Violation};
@@ -49,14 +49,15 @@
     })
     .max_decoding_message_size(FRAME_LIMIT_BYTES)
     .max_encoding_message_size(FRAME_LIMIT_BYTES);
+    // Without it, the parts of a response wait for the acknowledgement of earlier ones.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     Server::builder()
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT))
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .tcp_nodelay(true)
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), shutdown)
+        .serve_with_incoming_shutdown(incoming, shutdown)
         .await
         .map_err(|error| Error::Handler(error.to_string()))
 }
