Gateway: requests take another host's connection if this host does not reach an endpoint

Cause: a host had one way to an endpoint, its own connection, and each retry took the same one.

Now Upstream, the only sender, sends through another host what this host does not reach: at once for the same endpoint when no connection opens, and all requests of a service once its path is in doubt. Paths tells that from the requests' own outcomes, core kumquatdrum_placement::Path; probes four times a second tell a cut from endpoints that are down and notice its end. The caller's host stays in charge of attempts, deadline and budgets.

Why it works: nothing was sent when no connection opens, so the same request may go by a relay; what may have been read is repeated only if it is idempotent, within its route's attempts and the retry budget. Both hosts check and record back-offs and departures.

--- a/crates/kumquatdrum/tests/gateway/outage.rs
+++ b/crates/kumquatdrum/tests/gateway/outage.rs
@@ -85,6 +85,7 @@
 /// One request of a caller.
 #[derive(Debug, Clone, Copy)]
 pub struct Outcome {
+    number: u32,
     host: usize,
     /// When it was sent, from the start of the load.
     sent: Duration,
@@ -119,6 +120,7 @@
                 Err(_) => None,
             };
             Outcome {
+                number,
                 host,
                 sent: sent - start,
                 took: sent.elapsed(),
@@ -175,6 +177,15 @@
          elsewhere {elsewhere:.2} in {time_elsewhere:?}"
     );
     println!("{mode:?} {path}: {summary}");
+    for one in outcomes.iter().filter(|one| !one.is_served()) {
+        println!("not served: {one:?}");
+        let attempt = format!("request=at-{}@{} ", one.number, one.host);
+        for host in CONTROL_HOSTS..HOSTS {
+            let log = site.cluster.read_log(host);
+            let lines = log.lines().filter(|line| line.contains(&attempt));
+            lines.for_each(|line| println!("  host {host}: {line}"));
+        }
+    }
     assert!(elsewhere > 0.95, "{summary}");
     assert!(there >= 0.95 * elsewhere, "{summary}");
     assert!(first >= 0.8, "{summary}");
@@ -182,8 +193,8 @@
     assert!(healed > 0.95, "served {healed:.2} after the outage");
     for endpoint in &site.endpoints {
         let attempts = endpoint.record.attempts.lock();
-        let runs = attempts.values().max().copied().unwrap_or(0);
-        assert!(runs <= 1, "{runs} runs of one attempt at an endpoint");
+        let most = attempts.values().max().copied().unwrap_or(0);
+        assert!(most <= 1, "{most} runs of one attempt at an endpoint");
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -1,5 +1,7 @@
 //! Sending a request to one endpoint and classifying the outcome.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Request, Response, StatusCode, Version};
@@ -23,6 +25,8 @@
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
 ];
+/// The minimum time after which a response is late.
+const MIN_PATIENCE: Duration = Duration::from_millis(150);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// The outcome of sending a request to one endpoint.
@@ -37,6 +41,8 @@
     Unsent(String),
     /// No part of the request was sent, as an endpoint must not get it now.
     Held(String),
+    /// No part of the request was sent, as no host reaches the service.
+    CutOff,
     /// The request was sent, but the endpoint's response to it was lost.
     Lost(String),
     /// The request was sent, and the deadline has passed.
@@ -55,20 +61,25 @@
 }
 
 impl Call {
-    /// Sends the request to the picked endpoint.
-    pub(super) async fn attempt(&self, pick: &Pick, last_event_id: Option<u64>) -> Outcome {
+    /// Sends the request to the picked endpoint, after it was sent to `sent` others.
+    pub(super) async fn attempt(
+        &self,
+        pick: &Pick,
+        sent: u32,
+        last_event_id: Option<u64>,
+    ) -> Outcome {
         let request = self.build_request(pick, last_event_id);
         let target = Target {
             endpoint: &pick.endpoint,
             prefillers: &pick.prefillers,
             purpose: pick.purpose,
             request: &self.attempt_id,
+            patience: Some(self.patience()),
+            is_repeatable: self.can_repeat(sent),
         };
         let upstream = &self.gateway.upstream;
-        let sent = upstream
-            .send(target, request, self.deadline_instant())
-            .await;
-        let exchange = match sent {
+        let deadline = self.deadline_instant();
+        let exchange = match upstream.send(target, request, deadline).await {
             Ok(exchange) => exchange,
             Err(upstream::Error::Unsent(reason)) => {
                 pick.record_failure(Failure::Unreachable);
@@ -84,6 +95,14 @@
                 pick.refresh_endpoints();
                 return Outcome::Held(error.to_string());
             }
+            Err(upstream::Error::CutOff) => {
+                self.log_attempt(pick, "cut_off", "no host reaches the endpoint");
+                return Outcome::CutOff;
+            }
+            Err(upstream::Error::PathLost(reason)) => {
+                self.log_attempt(pick, "path_lost", &reason);
+                return Outcome::Lost(reason);
+            }
             Err(upstream::Error::Lost(reason)) => {
                 pick.record_failure(Failure::Broken);
                 self.log_attempt(pick, "lost", &reason);
@@ -127,6 +146,9 @@
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
+                self.gateway
+                    .upstream
+                    .record_broken(&exchange, &pick.endpoint);
                 pick.record_failure(Failure::Broken);
                 self.log_attempt(pick, "broken", &error.to_string());
                 self.inspect(pick, false).await;
@@ -170,6 +192,16 @@
         }
     }
 
+    /// Returns the time after which a response is late.
+    fn patience(&self) -> Duration {
+        MIN_PATIENCE.max(self.route.target_latency / 2)
+    }
+
+    /// Returns whether the request may be sent once more after it was sent to one more endpoint.
+    pub(super) fn can_repeat(&self, sent: u32) -> bool {
+        self.route.delivery.is_idempotent() && sent + 1 < self.route.max_attempts
+    }
+
     fn build_request(&self, pick: &Pick, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -26,6 +26,10 @@
 /// The retry delay if a prompt is rejected because of overload; equals the window over which the
 /// planner measures demand.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// The reason for a rejection if neither this host nor others reach the endpoints.
+const CUT_OFF: &str = "no host reaches its endpoints";
+/// The retry delay if no host reaches the endpoints.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The maximum number of attempts that are repeated elsewhere because no part of the request was
 /// sent.
 const MAX_UNSENT_ATTEMPTS: usize = 8;
@@ -90,9 +94,12 @@
         if let Err(problem) = call.check_send() {
             return call.give_up(&mut attempts, problem);
         }
-        let outcome = call.attempt(&pick, None).await;
+        let outcome = call.attempt(&pick, attempts.sent, None).await;
         let is_new = attempts.only_endpoint != Some(pick.key);
-        let is_sent = !matches!(outcome, Outcome::Unsent(_) | Outcome::Held(_));
+        let is_sent = !matches!(
+            outcome,
+            Outcome::Unsent(_) | Outcome::Held(_) | Outcome::CutOff
+        );
         attempts.sent += u32::from(is_new && is_sent);
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
@@ -246,6 +253,7 @@
                 }
                 (false, Some(Self::unsent_problem(attempts, reason)))
             }
+            Outcome::CutOff => (false, Some(Self::cut_off_problem(attempts))),
             Outcome::Lost(reason) => {
                 attempts.may_have_run = true;
                 (is_idempotent, Some(Problem::Failed(reason)))
@@ -279,6 +287,16 @@
         }
     }
 
+    fn cut_off_problem(attempts: &Attempts) -> Problem {
+        if attempts.may_have_run {
+            return Problem::Failed(CUT_OFF.to_owned());
+        }
+        Problem::Refused {
+            reason: CUT_OFF,
+            retry_after: CUT_OFF_RETRY_AFTER,
+        }
+    }
+
     fn respond(&self, attempts: &mut Attempts) -> Response<Body> {
         let Some(mut response) = attempts.response.take() else {
             return Problem::TimedOut.response();
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -11,10 +11,9 @@
 use http_body_util::{BodyExt, StreamBody};
 use kumquatdrum_placement::Failure;
 use kumquatdrum_process::drain::Work;
-use kumquatdrum_process::liveness::{self, Liveness};
 use kumquatdrum_types::Moment;
 use slog::info;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::Call;
 use super::attempt::{Outcome, end_to_end_headers};
@@ -35,6 +34,12 @@
 /// The minimum silence after which a stream is resumed elsewhere.
 const MIN_SILENCE: Duration = Duration::from_secs(2);
 
+/// The silence after which a stream is resumed elsewhere if the path is cut, in multiples of the
+/// caller's maximum pause. Streams on open connections may live on during a cut.
+const CUT_SILENCE_PAUSES: u32 = 2;
+/// The minimum of that silence.
+const MIN_CUT_SILENCE: Duration = Duration::from_millis(250);
+
 /// The share of a lease after which a silent endpoint is checked if memory of other endpoints is
 /// reserved for the stream. The rest of the lease is for the check and the release.
 const RESERVED_SILENCE_SHARE: f64 = 0.5;
@@ -155,7 +160,7 @@
             }
             self.exchange.as_ref()?;
             let silence = MIN_SILENCE.max(call.max_pause().saturating_mul(MAX_SILENT_PAUSES));
-            match self.receive(self.check_at(call, silence)).await {
+            match self.receive_unless_cut(call, silence).await {
                 Received::Events(bytes) => {
                     let now = call.gateway.clock.now();
                     let pause = now - self.timing.last_event_at;
@@ -184,6 +189,7 @@
                     }
                 }
                 Received::Broken(reason) => {
+                    self.record_broken(call);
                     if let Some(pick) = &self.pick {
                         call.inspect(pick, true).await;
                     }
@@ -198,7 +204,7 @@
     /// Waits for the first events, as long as the endpoint is alive if memory is reserved.
     async fn receive_first(&mut self, call: &Call) -> Received {
         loop {
-            let received = self.receive(self.check_at(call, call.time_left())).await;
+            let received = self.receive_unless_cut(call, call.time_left()).await;
             let is_checked =
                 matches!(received, Received::TimedOut) && Instant::now() < call.deadline_instant();
             match received {
@@ -209,6 +215,30 @@
         }
     }
 
+    /// Waits for the next events until the endpoint is to be checked, see [`Self::check_at`]. A silent
+    /// stream that may be resumed breaks as soon as the path turns out to be cut.
+    async fn receive_unless_cut(&mut self, call: &Call, silence: Duration) -> Received {
+        let limit = self.check_at(call, silence);
+        let can_resume =
+            call.route.delivery.is_idempotent() && self.attempts.sent < call.route.max_attempts;
+        let is_direct = self.exchange.as_ref().is_some_and(Exchange::is_direct);
+        if !can_resume || !is_direct {
+            return self.receive(limit).await;
+        }
+        let pause = MIN_CUT_SILENCE.max(call.max_pause().saturating_mul(CUT_SILENCE_PAUSES));
+        let silent_at = Instant::now() + pause;
+        let cut = async {
+            sleep_until(silent_at).await;
+            let paths = call.gateway.upstream.paths();
+            paths.wait_for_cut(&call.service).await;
+        };
+        tokio::select! {
+            biased;
+            received = self.receive(limit) => received,
+            () = cut => Received::Broken("endpoints answer other hosts only".to_owned()),
+        }
+    }
+
     /// Returns when a silent endpoint is checked, or given up if no memory is reserved. An endpoint
     /// that has crashed without a word must not keep the memory of others reserved.
     fn check_at(&self, call: &Call, silence: Duration) -> Instant {
@@ -223,12 +253,12 @@
 
     /// Returns whether memory is reserved for the stream and its endpoint accepts connections.
     /// The check ends at the caller's deadline.
-    async fn is_listening(&self, call: &Call) -> bool {
+    async fn is_listening(&mut self, call: &Call) -> bool {
         match &self.pick {
             Some(pick) if !self.reservations.is_empty() => {
-                let check = liveness::check(pick.endpoint.address);
-                let liveness = timeout_at(call.deadline_instant(), check).await;
-                liveness.is_ok_and(|liveness| liveness == Liveness::Listening)
+                let check = call.gateway.is_listening(&pick.endpoint);
+                let is_listening = timeout_at(call.deadline_instant(), check).await;
+                is_listening.unwrap_or(false)
             }
             _ => false,
         }
@@ -268,6 +298,14 @@
         }
     }
 
+    /// Records that the response broke off.
+    fn record_broken(&self, call: &Call) {
+        if let (Some(pick), Some(exchange)) = (&self.pick, &self.exchange) {
+            let upstream = &call.gateway.upstream;
+            upstream.record_broken(exchange, &pick.endpoint);
+        }
+    }
+
     /// Resumes the stream at another endpoint, after the last complete event.
     async fn resume(&mut self, call: &Call, reason: &str) -> Result<(), body::Error> {
         if let Some(pick) = self.pick.take() {
@@ -289,6 +327,7 @@
         }
         info!(call.gateway.logger, "resume"; "event" => "resume", "request" => &call.attempt_id,
             "after" => self.last_event_id, "reason" => reason);
+        let sent = self.attempts.sent;
         self.attempts.sent += 1;
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let pick = call.pick(&self.attempts).await.map_err(|problem| {
@@ -301,7 +340,7 @@
             if call.check_block().is_err() {
                 break;
             }
-            match call.attempt(&pick, self.last_event_id).await {
+            match call.attempt(&pick, sent, self.last_event_id).await {
                 Outcome::Stream(exchange) => {
                     self.exchange = Some(*exchange);
                     self.pick = Some(pick);
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -129,6 +129,21 @@
         usable.map(|(a, age)| (a.clone(), age)).collect()
     }
 
+    /// Returns the number of a service's endpoints, including those that leave and still serve.
+    pub fn count_usable(&self, service: &ServiceName) -> usize {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let leaving = state.registry.leaving(now, service, self.grace).count();
+        state.registry.usable(now, service).count() + leaving
+    }
+
+    /// Returns the announcement of an endpoint's incarnation, if it is the newest one known.
+    pub fn find(&self, id: &EndpointId, started: u64) -> Option<Announcement> {
+        let state = self.state.lock();
+        let update = state.registry.update_for(self.clock.now(), id)?;
+        Some(update.announcement).filter(|known| known.started == started)
+    }
+
     /// Returns the endpoints that are leaving and serve requests that no other endpoint can, each with
     /// the time since its last announcement and the time until which it serves.
     pub fn leaving(&self, service: &ServiceName) -> Vec<(Announcement, Duration, Moment)> {
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -29,11 +29,13 @@
 use crate::quarantine_cache;
 use crate::replica::{Command, Handle};
 use crate::upstream::Upstream;
-use crate::{Protocol, Settings, active_setup, cache, endpoint_cache};
+use crate::{Protocol, Settings, active_setup, cache, endpoint_cache, relay};
 
 mod endpoint_updates;
 mod initial_endpoints;
+mod liveness;
 mod periodic;
+mod probe;
 mod start;
 
 /// The interval between hellos until the host knows the active setup.
@@ -90,6 +92,7 @@
     pub(crate) distributor: Arc<Distributor>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) upstream: Upstream,
+    pub(crate) relay_server: Arc<relay::Server>,
     pub(crate) quarantine: Arc<quarantine::Store>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/gateway/probe.rs
@@ -0,0 +1,80 @@
+//! Probes of paths that are in doubt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatdrum_registry::Announcement;
+use kumquatdrum_types::ServiceName;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, timeout};
+
+use super::Gateway;
+use crate::holds::Purpose;
+use crate::upstream::{Error, Target};
+
+/// The interval between probes of a path.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The longest timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Gateway {
+    /// Probes the services that this host may not reach.
+    pub(super) async fn probe_paths(self: Arc<Self>) {
+        let mut turns: IndexMap<ServiceName, usize> = IndexMap::new();
+        let mut next_probes = Instant::now();
+        loop {
+            let changed = self.upstream.paths().wait_for_change();
+            // A new doubt is probed at once.
+            let is_new = timeout(PROBE_INTERVAL, changed).await.is_ok();
+            if !is_new && Instant::now() < next_probes {
+                continue;
+            }
+            next_probes = Instant::now() + PROBE_INTERVAL;
+            let services = self.upstream.paths().services_in_doubt();
+            turns.retain(|service, _| services.contains(service));
+            let mut probes = JoinSet::new();
+            for service in services {
+                let turn = turns.entry(service.clone()).or_default();
+                *turn += 1;
+                probes.spawn(self.clone().probe(service, *turn));
+            }
+            while probes.join_next().await.is_some() {}
+        }
+    }
+
+    /// Probes one of a service's endpoints directly.
+    async fn probe(self: Arc<Self>, service: ServiceName, turn: usize) {
+        let paths = self.upstream.paths();
+        let mut endpoints = self.endpoints.usable(&service);
+        let is_suspect = |(endpoint, _): &(Announcement, Duration)| paths.is_suspect(endpoint);
+        if !endpoints.iter().all(is_suspect) {
+            endpoints.retain(|endpoint| !is_suspect(endpoint));
+        }
+        let Some((endpoint, _)) = endpoints.get(turn % endpoints.len().max(1)) else {
+            return;
+        };
+        let Some(declared) = self.active_setup.current() else {
+            return;
+        };
+        let Some(declared) = declared.table.setup().services.get(&service) else {
+            return;
+        };
+        let request = self.protocol.build_probe(&endpoint.id, declared);
+        let target = Target {
+            endpoint,
+            prefillers: &[],
+            purpose: Purpose::Work,
+            request: "",
+            patience: None,
+            is_repeatable: false,
+        };
+        let deadline = Instant::now() + paths.patience(&service, PROBE_TIMEOUT);
+        let sent = self.upstream.send_directly(&target, request, deadline);
+        match sent.await {
+            // The answer is recorded when it arrives. A hold says nothing about the path.
+            Ok(_) | Err(Error::Held { .. }) => {}
+            Err(_) => paths.record_failed_probe(endpoint),
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
 use kumquatdrum_process::clock::{Clock, unix_ms};
-use kumquatdrum_process::quarantine;
+use kumquatdrum_process::{Drain, quarantine};
 use kumquatdrum_quarantine::Fingerprint;
 use kumquatdrum_registry::Update;
 use kumquatdrum_types::BootId;
@@ -33,9 +33,11 @@
 use crate::listener::{self, Phase};
 use crate::message::Host;
 use crate::metrics::Metrics;
+use crate::paths::{self, Paths};
 use crate::pool::{self, Pool};
+use crate::relay::{self, Relays};
 use crate::replica::{self, Event, Handle};
-use crate::upstream::Upstream;
+use crate::upstream::{self, Upstream};
 use crate::{Protocol, Settings, active_setup, call, control, health, message, sockets};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
@@ -85,7 +87,11 @@
             sleep(DRAIN_DELAY).await;
             self.callers_phase.send_replace(Phase::Closing);
             let remaining = limit.saturating_sub(DRAIN_DELAY + CLEANUP_TIME);
-            let joined = async { while self.callers.join_next().await.is_some() {} };
+            let joined = async {
+                while self.callers.join_next().await.is_some() {}
+                // Requests that this host relays for others.
+                gateway.drain.wait_until_idle().await;
+            };
             let is_joined = timeout(remaining, joined).await.is_ok();
             if !is_joined {
                 info!(gateway.logger, "requests_cut"; "event" => "requests_cut",
@@ -139,6 +145,7 @@
     running.tasks.spawn(gateway.clone().send_hellos());
     running.tasks.spawn(gateway.clone().fetch_endpoints());
     running.tasks.spawn(gateway.clone().activate_records());
+    running.tasks.spawn(gateway.clone().probe_paths());
     running
         .tasks
         .spawn(gateway.clone().announce_departures(departures));
@@ -172,21 +179,14 @@
 ) -> Result<(Arc<Gateway>, mpsc::UnboundedReceiver<Update>), StartError> {
     let clock = Clock::start();
     let client = Arc::new(Client::new(local.clone()));
-    let host = Host {
-        id: settings.host(),
-        data_centre: settings.data_centre.clone(),
-        boot: local.identity.boot.0,
-        accepts_callers: settings.listen.callers.is_some(),
-        is_control: settings.listen.control.is_some(),
-        replica: None,
-        is_stopping: false,
-    };
+    let host = describe(&settings, local);
     let port = settings.peer_port;
     let hosts = Hosts::new(clock, client.clone(), port, host, logger.clone());
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
-    let drain = Duration::from_millis(settings.drain_ms);
-    let endpoints = Arc::new(Endpoints::new(clock, drain, logger.clone()));
+    let endpoint_drain = Duration::from_millis(settings.drain_ms);
+    let endpoints = Endpoints::new(clock, endpoint_drain, logger.clone());
+    let endpoints = Arc::new(endpoints);
     let metrics = Arc::new(Metrics::new()?);
     let number = hosts::number(settings.address);
     let (holds, departures) = Holds::new(holds::Dependencies {
@@ -197,23 +197,41 @@
         logger: logger.clone(),
     });
     let holds = Arc::new(holds);
-    let broadcaster = match settings.listen.callers {
-        Some(_) => Some(open_broadcaster(
-            &settings, clock, &hosts, &metrics, &logger,
-        )?),
-        None => None,
-    };
-    let publisher = broadcaster.clone();
-    let publish = move |suspect| {
-        if let Some(broadcaster) = &publisher {
-            let event = message::Event::Suspected(suspect);
-            broadcaster.broadcast(event, Urgency::Urgent, RelayPath::Primary);
-        }
-    };
+    let broadcaster = settings
+        .listen
+        .callers
+        .map(|_| open_broadcaster(&settings, clock, &hosts, &metrics, &logger));
+    let broadcaster = broadcaster.transpose()?;
     let boot = local.identity.boot.0;
-    let is_prober = hosts.clone();
-    let is_prober = move |request: Fingerprint| is_prober.is_first_by_hash(request.hash());
-    let quarantine = quarantine::Store::new(clock, boot, publish, is_prober, logger.clone());
+    let quarantine = build_quarantine(clock, boot, broadcaster.clone(), &hosts, &logger);
+    let paths = Arc::new(Paths::new(paths::Dependencies {
+        clock,
+        endpoints: endpoints.clone(),
+        metrics: metrics.clone(),
+        logger: logger.clone(),
+    }));
+    let relays = Relays::new(relay::Dependencies {
+        clock,
+        hosts: hosts.clone(),
+        client: client.clone(),
+        metrics: metrics.clone(),
+        logger: logger.clone(),
+    });
+    let upstream = Upstream::new(upstream::Dependencies {
+        clock,
+        protocol: protocol.clone(),
+        holds: holds.clone(),
+        paths,
+        relays,
+    });
+    let drain = Arc::<Drain>::default();
+    let relay_server = relay::Server::new(relay::ServerDependencies {
+        boot,
+        upstream: upstream.clone(),
+        endpoints: endpoints.clone(),
+        drain: drain.clone(),
+        logger: logger.clone(),
+    });
     let pool = Pool::new(pool::Dependencies {
         clock,
         endpoints: endpoints.clone(),
@@ -226,8 +244,7 @@
         data_centre: settings.data_centre.clone(),
         logger: logger.clone(),
     });
-    let active_setup = active_setup::Store::new(protocol.clone(), logger.clone());
-    let active_setup = Arc::new(active_setup);
+    let active_setup = Arc::new(active_setup::Store::new(protocol.clone(), logger.clone()));
     let distributor = Distributor::new(
         hosts.clone(),
         client.clone(),
@@ -235,7 +252,8 @@
         logger.clone(),
     );
     let gateway = Arc::new(Gateway {
-        upstream: Upstream::new(protocol.clone(), holds),
+        upstream,
+        relay_server: Arc::new(relay_server),
         active_setup,
         distributor: Arc::new(distributor),
         protocol,
@@ -245,7 +263,7 @@
         pool: Arc::new(pool),
         quarantine: Arc::new(quarantine),
         metrics,
-        drain: Arc::default(),
+        drain,
         logger,
         client,
         traffic: local.counters.clone(),
@@ -260,6 +278,38 @@
     Ok((gateway, departures))
 }
 
+/// Returns this host's description of itself.
+fn describe(settings: &Settings, local: &LocalDaemon) -> Host {
+    Host {
+        id: settings.host(),
+        data_centre: settings.data_centre.clone(),
+        boot: local.identity.boot.0,
+        accepts_callers: settings.listen.callers.is_some(),
+        is_control: settings.listen.control.is_some(),
+        replica: None,
+        is_stopping: false,
+    }
+}
+
+/// Builds the store of requests that crash endpoints.
+fn build_quarantine(
+    clock: Clock,
+    boot: u64,
+    broadcaster: Option<Arc<Broadcaster>>,
+    hosts: &Arc<Hosts>,
+    logger: &slog::Logger,
+) -> quarantine::Store {
+    let publish = move |suspect| {
+        if let Some(broadcaster) = &broadcaster {
+            let event = message::Event::Suspected(suspect);
+            broadcaster.broadcast(event, Urgency::Urgent, RelayPath::Primary);
+        }
+    };
+    let hosts = hosts.clone();
+    let is_prober = move |request: Fingerprint| hosts.is_first_by_hash(request.hash());
+    quarantine::Store::new(clock, boot, publish, is_prober, logger.clone())
+}
+
 fn start_replica(
     gateway: &Arc<Gateway>,
     running: &mut Running,
--- a/crates/kumquatdrum_gateway/src/holds.rs
+++ b/crates/kumquatdrum_gateway/src/holds.rs
@@ -11,6 +11,7 @@
 use kumquatdrum_registry::{Announcement, Presence, Update};
 use kumquatdrum_types::{EndpointId, Moment};
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
@@ -47,7 +48,7 @@
 }
 
 /// What a request to an endpoint is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Purpose {
     /// New work, which a leaving endpoint does not get.
     Work,
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -69,6 +69,17 @@
     }
 }
 
+/// A host that can send requests to endpoints for this host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayCandidate {
+    /// The host.
+    pub id: HostId,
+    /// The host's incarnation.
+    pub boot: u64,
+    /// Whether the host is in another data centre.
+    pub is_remote: bool,
+}
+
 struct Entry {
     host: Host,
     last_contact: Moment,
@@ -323,6 +334,21 @@
         live.map(|(entry, _)| entry.host.clone()).collect()
     }
 
+    /// Returns the other live hosts that can send requests to endpoints for this host.
+    pub fn relay_candidates(&self) -> Vec<RelayCandidate> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let live = state.aged(now).filter(|(_, age)| *age <= LOST_AFTER);
+        let hosts = live.map(|(entry, _)| &entry.host);
+        let hosts = hosts.filter(|host| host.accepts_callers && !host.is_stopping);
+        let candidates = hosts.map(|host| RelayCandidate {
+            id: host.id.clone(),
+            boot: host.boot,
+            is_remote: host.data_centre != state.local.data_centre,
+        });
+        candidates.collect()
+    }
+
     /// Returns the number of hosts that accept callers, including this one. Lost hosts count until
     /// they are removed, since they may still serve.
     pub fn count_caller_hosts(&self) -> usize {
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, Weak};
 
 use bytes::Bytes;
+use futures::stream::{self, StreamExt};
 use kumquatdrum_consensus::Message;
-use kumquatdrum_peer::{Channel, Error, Handler, Identity, ResponseFuture};
+use kumquatdrum_peer::{Channel, Error, Handler, Identity, Parts, ResponseFuture};
 use slog::warn;
 
 use crate::Gateway;
@@ -67,6 +68,13 @@
                 .map_err(|error| Error::Handler(error.to_string()))
         })
     }
+
+    fn exchange(&self, from: &Identity, _channel: Channel, body: Bytes) -> Parts {
+        match self.gateway.upgrade() {
+            Some(gateway) => gateway.relay_server.clone().serve(from, &body),
+            None => stream::empty().boxed(),
+        }
+    }
 }
 
 async fn handle_request(gateway: &Arc<Gateway>, from: &Identity, request: Request) -> Response {
@@ -91,6 +99,7 @@
                 unconfirmed => Response::Unconfirmed(unconfirmed),
             }
         }
+        Request::Check(endpoint) => gateway.answer_check(&endpoint).await,
         Request::Apply(record) => gateway.send_command(Command::Apply(record)).await,
         Request::Read => gateway.send_command(Command::Read).await,
     }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use slog::error;
 
+use crate::relay::Incarnation;
+
 /// A host's description of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
@@ -100,6 +102,8 @@
         /// The hosts to relay to, in the receiver's data centre.
         hosts: Vec<HostId>,
     },
+    /// Asks whether an endpoint's incarnation accepts connections of the receiver.
+    Check(Incarnation),
     /// Commits a record. Only the leader accepts this.
     Apply(Record),
     /// Reads the active record. Only the leader accepts this.
@@ -126,6 +130,8 @@
     Taken,
     /// The message was accepted, but these hosts did not acknowledge it.
     Unconfirmed(Vec<HostId>),
+    /// In response to `Check`: whether the endpoint accepts connections.
+    Listening(bool),
     /// The record was committed, or superseded by a higher revision.
     Applied,
     /// The active record, confirmed by a majority.
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -33,6 +33,12 @@
     pub blocked: IntGauge,
     /// Responses that keep further requests from their endpoint, by reason.
     pub holds: IntCounterVec,
+    /// Requests that were sent through another host, by outcome.
+    pub relayed: IntCounterVec,
+    /// Changes of what this host reaches, by kind.
+    pub path_changes: IntCounterVec,
+    /// The number of services that this host does not reach directly.
+    pub cut_services: IntGauge,
     /// Datagrams to and from other hosts, by direction.
     pub datagrams: IntCounterVec,
     /// Bytes of frames to and from other hosts, by channel and direction.
@@ -77,6 +83,20 @@
                 "Responses that keep further requests from their endpoint, by reason.",
                 &["reason"],
             )?,
+            relayed: r.counter_vec(
+                "kumquatdrum_gateway_relayed_total",
+                "Requests that were sent through another host, by outcome.",
+                &["outcome"],
+            )?,
+            path_changes: r.counter_vec(
+                "kumquatdrum_gateway_path_changes_total",
+                "Changes of what this host reaches, by kind.",
+                &["change"],
+            )?,
+            cut_services: r.gauge(
+                "kumquatdrum_gateway_cut_services",
+                "Services that this host does not reach directly.",
+            )?,
             datagrams: r.counter_vec(
                 "kumquatdrum_gateway_datagrams_total",
                 "Datagrams sent, of them relayed, received, and received but unreadable.",
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -25,6 +25,23 @@
     pub helper: Helper,
 }
 
+impl Prefiller {
+    /// Returns an engine that is only checked for whether it may be sent to.
+    pub fn unreserved(endpoint: Announcement) -> Self {
+        let key = EndpointKey::of(&endpoint.id, endpoint.started);
+        let address = endpoint.address;
+        Self {
+            endpoint,
+            key,
+            reserved_tokens: 0,
+            helper: Helper {
+                address,
+                reservation: None,
+            },
+        }
+    }
+}
+
 /// A picked endpoint. Dropping it broadcasts that the request has ended.
 pub struct Pick {
     pub(super) pool: Arc<Pool>,
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use kumquatdrum_placement::Rate;
 use kumquatdrum_registry::Announcement;
-use kumquatdrum_routes::Setup;
+use kumquatdrum_routes::{Service, Setup};
 use kumquatdrum_types::{EndpointId, Finding, Load, WorkspaceName};
 
 /// An operation requested through the control listener.
@@ -156,6 +156,9 @@
     /// Parses the head of an endpoint's response.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
 
+    /// Builds a request that an endpoint of the service answers at once, whatever it says.
+    fn build_probe(&self, endpoint: &EndpointId, service: &Service) -> Request<Full<Bytes>>;
+
     /// Builds an order that reserves an engine's memory for the `hold` time, or renews the
     /// reservation.
     fn build_reserve(
--- a/crates/kumquatdrum_gateway/src/reservation.rs
+++ b/crates/kumquatdrum_gateway/src/reservation.rs
@@ -95,7 +95,7 @@
             .protocol
             .build_reserve(&endpoint.id, &self.name, self.tokens, hold);
         let deadline = Instant::now() + ORDER_TIMEOUT;
-        let target = Target::order(endpoint, purpose);
+        let target = Target::order(endpoint, purpose, ORDER_TIMEOUT / 2);
         let exchange = gateway.upstream.send(target, request, deadline).await?;
         let status = exchange.response.status();
         Ok(gateway.protocol.parse_acknowledgement(status))
@@ -130,7 +130,7 @@
         let request = gateway
             .protocol
             .build_release(&lease.endpoint.id, &lease.name);
-        let target = Target::order(&lease.endpoint, Purpose::Upkeep);
+        let target = Target::order(&lease.endpoint, Purpose::Upkeep, ORDER_TIMEOUT / 2);
         let deadline = Instant::now() + ORDER_TIMEOUT;
         match gateway.upstream.send(target, request, deadline).await {
             Ok(_) => return,
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -1,37 +1,44 @@
 //! Requests to endpoints, each on its own connection.
 //!
 //! [`Upstream`] is the only way to send a request: it checks right before that the endpoint may get
-//! it, and records what the response says about further ones.
+//! it, and records what the response says about further ones. A request takes this host's own
+//! connection, or that of a relay if this host does not reach the endpoint.
 //!
 //! Connections are not reused, so that no request is sent on a dead connection or receives the
 //! response to an earlier request. This costs one round trip per request.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use kumquatdrum_placement::{Route, Trouble};
+use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
-use kumquatdrum_types::EndpointId;
+use kumquatdrum_types::{EndpointId, HostId, Moment};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::Protocol;
+use crate::body::Body;
 use crate::holds::{Hold, Holds, Purpose};
+use crate::paths::Paths;
 use crate::pool::Prefiller;
 use crate::protocol::Reply;
+use crate::relay::{self, Relays};
 use crate::sockets;
 
 /// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
-/// SYN packet, so that another endpoint is tried instead.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// SYN packet, so that a relay or another endpoint is tried instead.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The reason why there is no response.
 #[derive(Debug, thiserror::Error)]
@@ -50,9 +57,16 @@
         /// The reason.
         hold: Hold,
     },
+    /// No part of the request was sent, as neither this host nor a relay reaches the service.
+    #[error("no host reaches the endpoint")]
+    CutOff,
     /// The connection failed after the request may have been read.
     #[error("lost: {0}")]
     Lost(String),
+    /// The path to the endpoint failed after the request may have been read. The endpoint is not at
+    /// fault.
+    #[error("the path is lost: {0}")]
+    PathLost(String),
     /// The endpoint did not respond in time; the request may have been read.
     #[error("no answer in time")]
     TimedOut,
@@ -62,10 +76,26 @@
 #[derive(Debug)]
 pub struct Exchange {
     /// The response, whose body is still arriving.
-    pub response: Response<Incoming>,
+    pub response: Response<Body>,
     /// What the head of the response says.
     pub reply: Reply,
-    _driver: Driver,
+    /// The host whose connection the response arrives on, if it is not this one.
+    pub relay: Option<HostId>,
+    _driver: Option<Driver>,
+}
+
+impl Exchange {
+    /// Returns whether the response arrives on this host's own connection.
+    pub const fn is_direct(&self) -> bool {
+        self.relay.is_none()
+    }
+}
+
+/// A connection to an endpoint on which nothing has been sent yet.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    opened_at: Moment,
 }
 
 /// The task that drives a connection. Dropping it aborts the task and closes the connection.
@@ -89,31 +119,54 @@
     pub purpose: Purpose,
     /// The caller's attempt id, for logs.
     pub request: &'a str,
+    /// The longest time after which the answer is late, if that is known.
+    pub patience: Option<Duration>,
+    /// Whether the request may be repeated although it may have been read.
+    pub is_repeatable: bool,
 }
 
 impl<'a> Target<'a> {
-    /// Returns the target of an order to an endpoint.
-    pub const fn order(endpoint: &'a Announcement, purpose: Purpose) -> Self {
+    /// Returns the target of an order to an endpoint. Orders name what they are about, so they may be
+    /// repeated.
+    pub const fn order(endpoint: &'a Announcement, purpose: Purpose, patience: Duration) -> Self {
         Self {
             endpoint,
             prefillers: &[],
             purpose,
             request: "",
+            patience: Some(patience),
+            is_repeatable: true,
         }
     }
 }
 
+/// The dependencies of [`Upstream`].
+pub struct Dependencies {
+    /// The host's clock.
+    pub clock: Clock,
+    /// Parses responses.
+    pub protocol: Arc<dyn Protocol>,
+    /// What the endpoints may be sent.
+    pub holds: Arc<Holds>,
+    /// What this host reaches directly.
+    pub paths: Arc<Paths>,
+    /// Sends requests through other hosts.
+    pub relays: Relays,
+}
+
 /// Sends requests to endpoints.
 #[derive(Clone)]
-pub struct Upstream {
-    protocol: Arc<dyn Protocol>,
-    holds: Arc<Holds>,
-}
+pub struct Upstream(Arc<Dependencies>);
 
 impl Upstream {
     /// Creates a sender that respects the holds of a host.
-    pub fn new(protocol: Arc<dyn Protocol>, holds: Arc<Holds>) -> Self {
-        Self { protocol, holds }
+    pub fn new(dependencies: Dependencies) -> Self {
+        Self(Arc::new(dependencies))
+    }
+
+    /// Returns what this host reaches directly.
+    pub fn paths(&self) -> &Paths {
+        &self.0.paths
     }
 
     /// Sends a request and waits for the head of the response.
@@ -124,29 +177,206 @@
         deadline: Instant,
     ) -> Result<Exchange, Error> {
         self.check(&target)?;
-        let stream = connect(target.endpoint.address, deadline).await?;
-        // The endpoint may have asked for a back-off while the connection was opened.
-        self.check(&target)?;
-        let (response, driver) = exchange(stream, target.endpoint, request, deadline).await?;
-        let reply = self
-            .protocol
-            .parse_response(response.status(), response.headers());
-        self.holds.record(target.endpoint, target.request, &reply);
+        let paths = &self.0.paths;
+        let route = paths.route(target.endpoint);
+        if route != Route::Direct {
+            match self.send_by_relay(&target, &request, deadline).await {
+                Err(relay::Error::NoHost) => {}
+                Err(relay::Error::Unavailable) if route == Route::RelayFirst => {}
+                Err(relay::Error::Unavailable) => {
+                    let error = Error::Unsent("no relay reaches the endpoint".to_owned());
+                    return Err(self.or_cut_off(&target, error));
+                }
+                Err(relay::Error::Failed(error)) => return Err(error),
+                Ok(exchange) => {
+                    paths.record_relayed_answer(target.endpoint);
+                    return Ok(exchange);
+                }
+            }
+        }
+        let error = match self.connect(&target, deadline).await {
+            Ok(connection) => return self.exchange(connection, &target, request, deadline).await,
+            Err(error @ Error::Held { .. }) => return Err(error),
+            Err(error) if route != Route::Direct => return Err(self.or_cut_off(&target, error)),
+            Err(error) => error,
+        };
+        // Nothing was sent, so another host can try: if it connects, this host's path is at fault.
+        match self.send_by_relay(&target, &request, deadline).await {
+            Ok(exchange) => {
+                paths.record_second_opinion(target.endpoint);
+                Ok(exchange)
+            }
+            Err(relay::Error::Failed(error)) => Err(error),
+            Err(relay::Error::NoHost | relay::Error::Unavailable) => {
+                Err(self.or_cut_off(&target, error))
+            }
+        }
+    }
+
+    /// Sends a request directly. The outcome tells whether this host reaches the endpoint.
+    pub async fn send_directly(
+        &self,
+        target: &Target<'_>,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Exchange, Error> {
+        let connection = self.connect(target, deadline).await?;
+        self.exchange(connection, target, request, deadline).await
+    }
+
+    /// Returns the error of a request that neither this host nor a relay could send.
+    fn or_cut_off(&self, target: &Target<'_>, error: Error) -> Error {
+        if self.0.paths.is_isolated(&target.endpoint.service) {
+            Error::CutOff
+        } else {
+            error
+        }
+    }
+
+    async fn send_by_relay(
+        &self,
+        target: &Target<'_>,
+        request: &Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Exchange, relay::Error> {
+        let mut request = request.clone();
+        add_host(&mut request, target.endpoint);
+        let sent = self.0.relays.send(target, &request, deadline);
+        let (relay, response) = sent.await?;
+        let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
             response,
             reply,
-            _driver: driver,
+            relay: Some(relay),
+            _driver: None,
+        })
+    }
+
+    /// Opens a connection to an endpoint that may be sent to.
+    pub async fn connect(
+        &self,
+        target: &Target<'_>,
+        deadline: Instant,
+    ) -> Result<Connection, Error> {
+        self.check(target)?;
+        let opened_at = self.0.clock.now();
+        let connected = connect(target.endpoint.address, deadline).await;
+        let stream = connected.inspect_err(|error| {
+            // A refusal shows the state of the path now, a timeout since the start.
+            let from = match error {
+                Error::Refused(_) => self.0.clock.now(),
+                _ => opened_at,
+            };
+            let paths = &self.0.paths;
+            paths.record_trouble(target.endpoint, Trouble::Unconnected, from);
+        })?;
+        // The endpoint may have asked for a back-off while the connection was opened.
+        self.check(target)?;
+        Ok(Connection { stream, opened_at })
+    }
+
+    /// Sends a request on a connection and waits for the head of the response.
+    pub async fn exchange(
+        &self,
+        connection: Connection,
+        target: &Target<'_>,
+        mut request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Exchange, Error> {
+        let Connection { stream, opened_at } = connection;
+        add_host(&mut request, target.endpoint);
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let (mut sender, connection) = handshake
+            .await
+            .map_err(|error| Error::Unsent(error.to_string()))?;
+        let driver = Driver(tokio::spawn(async move {
+            // The response body reports the connection's errors.
+            let _ = connection.await;
+        }));
+        let paths = &self.0.paths;
+        let answer = sender.send_request(request);
+        let response = match self.await_answer(answer, target, opened_at, deadline).await {
+            Ok(response) => response,
+            Err(error) => {
+                if matches!(error, Error::Lost(_)) {
+                    let now = self.0.clock.now();
+                    paths.record_trouble(target.endpoint, Trouble::Broken, now);
+                }
+                return Err(error);
+            }
+        };
+        paths.record_answer(target.endpoint, opened_at);
+        let reply = self.record(target, response.status(), response.headers());
+        Ok(Exchange {
+            response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
+            reply,
+            relay: None,
+            _driver: Some(driver),
         })
     }
 
+    /// Waits for the head of a response. Gives up a late answer if the path turns out to be cut and the
+    /// request may be repeated.
+    async fn await_answer(
+        &self,
+        answer: impl Future<Output = hyper::Result<Response<Incoming>>>,
+        target: &Target<'_>,
+        opened_at: Moment,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Error> {
+        let mut answer = pin!(answer);
+        let service = &target.endpoint.service;
+        let paths = &self.0.paths;
+        let patience = target
+            .patience
+            .map(|patience| paths.patience(service, patience));
+        let late_at = patience.map(|patience| Instant::now() + patience);
+        let late_at = late_at.filter(|late_at| *late_at < deadline);
+        let first_limit = late_at.unwrap_or(deadline);
+        match timeout_at(first_limit, &mut answer).await {
+            Ok(answer) => return answer.map_err(|error| Error::Lost(error.to_string())),
+            Err(_) if late_at.is_none() => return Err(Error::TimedOut),
+            Err(_) => {}
+        }
+        paths.record_trouble(target.endpoint, Trouble::Late, opened_at);
+        tokio::select! {
+            biased;
+            answer = answer => answer.map_err(|error| Error::Lost(error.to_string())),
+            () = paths.wait_for_cut(service), if target.is_repeatable => {
+                Err(Error::PathLost("endpoints answer other hosts only".to_owned()))
+            }
+            () = sleep_until(deadline) => Err(Error::TimedOut),
+        }
+    }
+
+    /// Records that a response that arrived directly broke off.
+    pub fn record_broken(&self, exchange: &Exchange, endpoint: &Announcement) {
+        if exchange.is_direct() {
+            let now = self.0.clock.now();
+            self.0.paths.record_trouble(endpoint, Trouble::Broken, now);
+        }
+    }
+
+    fn record(
+        &self,
+        target: &Target<'_>,
+        status: http::StatusCode,
+        headers: &http::HeaderMap,
+    ) -> Reply {
+        let reply = self.0.protocol.parse_response(status, headers);
+        self.0.holds.record(target.endpoint, target.request, &reply);
+        reply
+    }
+
     fn check(&self, target: &Target<'_>) -> Result<(), Error> {
+        let holds = &self.0.holds;
         let helpers = target.prefillers.iter();
         let helpers = helpers.map(|prefiller| &prefiller.endpoint);
         for endpoint in std::iter::once(target.endpoint).chain(helpers) {
-            let checked = self.holds.check(endpoint, target.purpose);
+            let checked = holds.check(endpoint, target.purpose);
             checked.map_err(|hold| {
                 if target.purpose != Purpose::Upkeep {
-                    self.holds.log_held(target.request, &endpoint.id, hold);
+                    holds.log_held(target.request, &endpoint.id, hold);
                 }
                 Error::Held {
                     endpoint: endpoint.id.clone(),
@@ -158,6 +388,12 @@
     }
 }
 
+fn add_host(request: &mut Request<Full<Bytes>>, endpoint: &Announcement) {
+    if let Ok(host) = HeaderValue::from_str(&endpoint.address.to_string()) {
+        request.headers_mut().entry(header::HOST).or_insert(host);
+    }
+}
+
 async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Error> {
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let connected = timeout_at(limit, TcpStream::connect(address)).await;
@@ -170,27 +406,3 @@
     sockets::set_liveness_timeouts(&stream).map_err(|error| Error::Unsent(error.to_string()))?;
     Ok(stream)
 }
-
-async fn exchange(
-    stream: TcpStream,
-    endpoint: &Announcement,
-    mut request: Request<Full<Bytes>>,
-    deadline: Instant,
-) -> Result<(Response<Incoming>, Driver), Error> {
-    if let Ok(host) = HeaderValue::from_str(&endpoint.address.to_string()) {
-        request.headers_mut().entry(header::HOST).or_insert(host);
-    }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
-    let (mut sender, connection) = handshake
-        .await
-        .map_err(|error| Error::Unsent(error.to_string()))?;
-    let driver = Driver(tokio::spawn(async move {
-        // The response body reports the connection's errors.
-        let _ = connection.await;
-    }));
-    match timeout_at(deadline, sender.send_request(request)).await {
-        Ok(Ok(response)) => Ok((response, driver)),
-        Ok(Err(error)) => Err(Error::Lost(error.to_string())),
-        Err(_) => Err(Error::TimedOut),
-    }
-}
--- a/crates/kumquatdrum_gateway/tests/active_setup.rs
+++ b/crates/kumquatdrum_gateway/tests/active_setup.rs
@@ -15,7 +15,7 @@
 use kumquatdrum_gateway::active_setup::Store;
 use kumquatdrum_gateway::protocol::{Acknowledgement, Annotation, Metadata, Operation, Reply};
 use kumquatdrum_registry::Announcement;
-use kumquatdrum_routes::{Record, Setup};
+use kumquatdrum_routes::{Record, Service, Setup};
 use kumquatdrum_types::{EndpointId, Finding};
 use parking_lot::Mutex;
 
@@ -73,6 +73,10 @@
         Reply::default()
     }
 
+    fn build_probe(&self, _: &EndpointId, _: &Service) -> Request<Full<Bytes>> {
+        Request::default()
+    }
+
     fn build_reserve(&self, _: &EndpointId, _: &str, _: u64, _: Duration) -> Request<Full<Bytes>> {
         Request::default()
     }
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Health`] detects unhealthy endpoints from their responses.
 //! - [`Limits`] keeps the requests of all hosts to an endpoint within the rate that it names.
 //! - [`Backoffs`] keeps requests away from endpoints that ask this host for a pause.
+//! - [`Path`] tells whether this host reaches the endpoints of a service.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
 
 mod backoff;
@@ -18,6 +19,7 @@
 mod job;
 mod limits;
 mod long_prompt;
+mod path;
 mod planner;
 mod queue;
 mod rate;
@@ -34,6 +36,7 @@
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
 pub use limits::{Limits, Place, Summary};
+pub use path::{Change, Path, Route, Trouble};
 pub use planner::Planner;
 pub use rate::Rate;
 pub use reachability::DataCentreKey;
--- a/crates/kumquatdrum_routes/src/setup.rs
+++ b/crates/kumquatdrum_routes/src/setup.rs
@@ -86,6 +86,8 @@
 pub struct Service {
     /// The maximum number of connections to one endpoint, summed over all hosts.
     pub max_connections: u32,
+    /// The path of health checks.
+    pub health_path: String,
     /// The cost model of the service's engines. `None` for plain services.
     pub engine: Option<Engine>,
 }
