Gateway: a host tells others nothing of endpoints that its own path hides

What callers saw: nothing directly yet.

Cause: a refused connection was taken for the endpoint's word. Evidence: endpoint_inspected with liveness=Refusing crashed=true at 5.02 s, in the second of the cut, and request_suspected on all hosts, 35 each.

Now an inspection that finds an endpoint refusing asks two other hosts, one of another data centre if there is one, and waits for a doubt about the own path to settle; a host keeps an unreachable engine to itself for 150 ms and drops the word if its path comes into doubt; and once a path counts as cut, or is restored, the failures that it explains are forgotten on that host.

The stand-ins can't refuse one process a connection on loopback, so the report's delay has no test over processes.

--- a/crates/kumquatdrum_gateway/src/call/crash.rs
+++ b/crates/kumquatdrum_gateway/src/call/crash.rs
@@ -1,5 +1,7 @@
 //! Requests that crash endpoints: detection after a connection breaks, and refusal.
 
+use std::pin::Pin;
+
 use kumquatdrum_placement::Failure;
 use kumquatdrum_process::Inspection;
 use kumquatdrum_quarantine::Block;
@@ -14,6 +16,13 @@
     pub(super) async fn inspect(&self, pick: &Pick, had_begun: bool) {
         let gateway = self.gateway.clone();
         let endpoint = pick.endpoint.clone();
+        let confirm = {
+            let (gateway, endpoint) = (gateway.clone(), endpoint.clone());
+            move || -> Pin<Box<dyn Future<Output = bool> + Send>> {
+                let (gateway, endpoint) = (gateway.clone(), endpoint.clone());
+                Box::pin(async move { gateway.is_down_elsewhere(&endpoint).await })
+            }
+        };
         let inspection = Inspection {
             request: self.attempt_id.clone(),
             fingerprint: self.fingerprint(),
@@ -22,6 +31,7 @@
             incarnation: endpoint.started,
             had_begun,
             is_leaving: Box::new(move || gateway.endpoints.is_leaving(&endpoint)),
+            confirm: Box::new(confirm),
             quarantine: self.gateway.quarantine.clone(),
             logger: self.gateway.logger.clone(),
         };
--- a/crates/kumquatdrum_gateway/src/gateway/probe.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/probe.rs
@@ -17,16 +17,28 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// The interval at which failures are reported to other hosts that do not turn out to be this host's.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Gateway {
-    /// Probes the services that this host may not reach.
+    /// Probes the services that this host may not reach, and reports failures of endpoints once this
+    /// host's path is ruled out as their cause.
     pub(super) async fn probe_paths(self: Arc<Self>) {
         let mut turns: IndexMap<ServiceName, usize> = IndexMap::new();
         let mut next_probes = Instant::now();
         loop {
             let changed = self.upstream.paths().wait_for_change();
+            let pause = if self.pool.has_unreported_failures() {
+                REPORT_INTERVAL
+            } else {
+                PROBE_INTERVAL
+            };
             // A new doubt is probed at once.
-            let is_new = timeout(PROBE_INTERVAL, changed).await.is_ok();
+            let is_new = timeout(pause, changed).await.is_ok();
+            for service in self.upstream.paths().take_failed() {
+                self.pool.forget_failures(&service);
+            }
+            self.pool.report_failures();
             if !is_new && Instant::now() < next_probes {
                 continue;
             }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -221,7 +221,7 @@
         clock,
         protocol: protocol.clone(),
         holds: holds.clone(),
-        paths,
+        paths: paths.clone(),
         relays,
     });
     let drain = Arc::<Drain>::default();
@@ -234,6 +234,7 @@
     });
     let pool = Pool::new(pool::Dependencies {
         clock,
+        paths,
         endpoints: endpoints.clone(),
         holds: holds.clone(),
         hosts: hosts.clone(),
--- a/crates/kumquatdrum_gateway/src/paths.rs
+++ b/crates/kumquatdrum_gateway/src/paths.rs
@@ -31,6 +31,8 @@
 pub struct Paths {
     dependencies: Dependencies,
     services: Mutex<IndexMap<ServiceName, Path>>,
+    /// Services whose path has failed, until failures of their endpoints are forgotten.
+    failed: Mutex<Vec<ServiceName>>,
     /// Notified when a path has changed.
     changed: Notify,
 }
@@ -41,6 +43,7 @@
         Self {
             dependencies,
             services: Mutex::default(),
+            failed: Mutex::default(),
             changed: Notify::new(),
         }
     }
@@ -81,6 +84,24 @@
         path.is_some_and(|path| path.is_suspect(now, key(endpoint)))
     }
 
+    /// Takes the services whose path has failed, which explains failures of their endpoints.
+    pub fn take_failed(&self) -> Vec<ServiceName> {
+        std::mem::take(&mut *self.failed.lock())
+    }
+
+    /// Waits until the path to a service is not in doubt any more, or counts as cut.
+    pub async fn wait_until_settled(&self, service: &ServiceName) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if !self.is_in_doubt(service) || self.is_cut(service) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Returns whether this host reaches no endpoint of a service, whoever is at fault.
     pub fn is_isolated(&self, service: &ServiceName) -> bool {
         let services = self.services.lock();
@@ -181,6 +202,9 @@
                     "endpoint" => endpoint.id.as_str(), "unanswered_ms" => silence_ms);
             }
         }
+        if matches!(change, Change::Cut | Change::Restored) {
+            self.failed.lock().push(endpoint.service.clone());
+        }
         self.changed.notify_waiters();
     }
 }
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -20,6 +20,7 @@
 use crate::holds::Holds;
 use crate::hosts::Hosts;
 use crate::message::Event;
+use crate::paths::Paths;
 use crate::settings::Retries;
 
 mod events;
@@ -36,7 +37,7 @@
 pub use pick::{Pick, Prefiller};
 use policy::Policy;
 use queue::QueueEntry;
-use unreachable::Witness;
+use unreachable::{Unreported, Witness};
 
 /// The number of announcement intervals after which a silent endpoint is not used. It tolerates a
 /// lost announcement and a late one.
@@ -52,6 +53,8 @@
     pub endpoints: Arc<Endpoints>,
     /// What the endpoints may be sent.
     pub holds: Arc<Holds>,
+    /// What this host reaches directly.
+    pub paths: Arc<Paths>,
     /// The other hosts.
     pub hosts: Arc<Hosts>,
     /// Broadcasts dispatch events. `None` on hosts that do not accept callers.
@@ -73,6 +76,8 @@
     dependencies: Dependencies,
     services: RwLock<IndexMap<ServiceName, Arc<Service>>>,
     next_job: AtomicU64,
+    /// Failures that other hosts have not been told yet.
+    unreported: Mutex<Vec<Unreported>>,
 }
 
 struct Service {
@@ -118,6 +123,7 @@
             dependencies,
             services: RwLock::default(),
             next_job: AtomicU64::new(first),
+            unreported: Mutex::default(),
         }
     }
 
--- a/crates/kumquatdrum_host/src/request/crash.rs
+++ b/crates/kumquatdrum_host/src/request/crash.rs
@@ -55,6 +55,7 @@
             incarnation: boot.0,
             had_begun: self.received > 0,
             is_leaving: Box::new(move || !members.is_staying(&endpoint, boot)),
+            confirm: Box::new(|| Box::pin(std::future::ready(true))),
             quarantine: self.context.quarantine.clone(),
             logger: self.context.logger.clone(),
         };
--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Forgets the failures of all endpoints, which the path to them explains.
+    pub fn forget_failures(&mut self) {
+        self.reachability = Reachability::default();
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.health = Health::default();
+        }
+    }
+
     /// Records a failure; returns whether it ejects the endpoint.
     pub fn record_failure(&mut self, now: Moment, key: EndpointKey, failure: Failure) -> bool {
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Forgets the engine's failures.
+    pub(crate) fn forget_failures(&mut self) {
+        self.health = Health::default();
+        self.suspicion.forget_failure();
+    }
+
     /// Returns the engine's state at `now`.
     pub(crate) fn candidate(&self, now: Moment, key: EndpointKey, cost: &Cost) -> Candidate<'_> {
         let backlog = (self.prefill_until - now).as_secs_f64() * 1e3;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -358,6 +358,14 @@
         endpoint.health.record_failure(now, failure)
     }
 
+    /// Forgets the failures of all engines, which the path to them explains.
+    pub fn forget_failures(&mut self) {
+        self.reachability = Reachability::default();
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.forget_failures();
+        }
+    }
+
     /// Records when an engine last announced itself.
     pub fn record_announcement(&mut self, key: EndpointKey, at: Moment) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
--- a/crates/kumquatdrum_placement/src/suspicion.rs
+++ b/crates/kumquatdrum_placement/src/suspicion.rs
@@ -41,6 +41,11 @@
         self.announced_at = self.announced_at.max(at);
     }
 
+    /// Forgets the last failure.
+    pub(crate) fn forget_failure(&mut self) {
+        self.failed_at = None;
+    }
+
     /// Returns whether the engine is suspected at `now`.
     pub(crate) fn is_active(&self, now: Moment) -> bool {
         let Some(failed_at) = self.failed_at else {
--- a/crates/kumquatdrum_placement/tests/retries_and_ejection.rs
+++ b/crates/kumquatdrum_placement/tests/retries_and_ejection.rs
@@ -138,3 +138,14 @@
     let total: usize = counts.iter().sum();
     assert!(counts[0] * 6 > total, "{counts:?}");
 }
+
+#[test]
+fn failures_that_the_path_explains_are_forgotten() {
+    let mut balancer = Balancer::default();
+    let keys = [EndpointKey(1), EndpointKey(2)];
+    balancer.set_endpoints(keys.map(|key| (key, DataCentreKey(0), 4)));
+    balancer.record_failure(START, EndpointKey(1), Failure::Down);
+    balancer.forget_failures();
+    let chosen = [(); 2].map(|()| balancer.choose(START, &[]).expect("an endpoint"));
+    assert_ne!(chosen[0], chosen[1], "both endpoints get requests again");
+}
--- a/crates/kumquatdrum_placement/tests/suspicion.rs
+++ b/crates/kumquatdrum_placement/tests/suspicion.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use kumquatdrum_placement::{DataCentreKey, Decision, EndpointKey, Job, JobId, Plan, Planner};
+use kumquatdrum_placement::{
+    DataCentreKey, Decision, EndpointKey, Failure, Job, JobId, Plan, Planner,
+};
 use kumquatdrum_types::Moment;
 use model::simulation::engine_settings;
 
@@ -167,3 +169,19 @@
     excluded.excluded.push(EndpointKey(4));
     assert_eq!(planner.place(START, &excluded), Decision::NoEngine);
 }
+
+#[test]
+fn suspicions_that_the_path_explains_are_forgotten() {
+    let mut planner = planner();
+    announce(&mut planner, 0..ENGINES, START);
+    let now = START + Duration::from_millis(100);
+    let failed: Vec<u64> = (0..ENGINES / 2).collect();
+    for key in &failed {
+        planner.record_unreachable(now, EndpointKey(*key), LOCAL);
+        planner.record_failure(now, EndpointKey(*key), Failure::Down);
+    }
+    let is_used = |plan: &Plan| engines(plan).iter().any(|key| failed.contains(key));
+    assert!(!is_used(&place(&mut planner, 1, now)));
+    planner.forget_failures();
+    assert!(is_used(&place(&mut planner, 2, now)));
+}
--- a/crates/kumquatdrum_process/src/inspection.rs
+++ b/crates/kumquatdrum_process/src/inspection.rs
@@ -23,6 +23,9 @@
 /// The checks of an inspection, to be run in the background.
 pub type Task = Pin<Box<dyn Future<Output = ()> + Send>>;
 
+/// Asks others whether an endpoint is down.
+pub type Confirm = Box<dyn Fn() -> Pin<Box<dyn Future<Output = bool> + Send>> + Send + Sync>;
+
 /// An inspection of an endpoint that broke a connection.
 pub struct Inspection {
     /// The request, for logs.
@@ -39,6 +42,8 @@
     pub had_begun: bool,
     /// Returns whether the endpoint has announced that it leaves, and so may end without a crash.
     pub is_leaving: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Returns whether other hosts find the endpoint down too, since this host's path may be at fault.
+    pub confirm: Confirm,
     /// Records crashes.
     pub quarantine: Arc<quarantine::Store>,
     /// The logger.
@@ -67,7 +72,8 @@
     async fn check(&self) -> bool {
         let liveness = liveness::check(self.address).await;
         let is_leaving = (self.is_leaving)();
-        let has_crashed = liveness == Liveness::Refusing && !is_leaving;
+        let is_suspected = liveness == Liveness::Refusing && !is_leaving;
+        let has_crashed = is_suspected && (self.confirm)().await;
         info!(self.logger, "endpoint_inspected"; "event" => "endpoint_inspected",
             "request" => &self.request, "fingerprint" => %self.fingerprint,
             "endpoint" => self.endpoint.as_str(), "address" => %self.address,
