--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -111,6 +111,11 @@
             | "endpoint_leaving"
             | "endpoint_suspected"
             | "helper_failed"
+            | "path_doubted"
+            | "path_cut"
+            | "path_cleared"
+            | "path_recovering"
+            | "path_restored"
             | "request_blocked"
             | "reloaded"
     )
--- a/crates/kumquatdrum/src/losses/cause.rs
+++ b/crates/kumquatdrum/src/losses/cause.rs
@@ -51,6 +51,8 @@
     Overload,
     /// No endpoint was known, reachable or had room.
     NoEndpoint,
+    /// Neither the host nor a relay reached the endpoints.
+    CutOff,
     /// The endpoints had asked the host for a back-off.
     BackedOff,
     /// The host had not received the setup in force.
@@ -61,6 +63,8 @@
     Blocked,
     /// An endpoint failed, and no other one was tried or left.
     EndpointFailed,
+    /// The path to the endpoint was lost, and the request was not repeated.
+    PathLost,
     /// An engine that shared the prefill failed, and no other plan was tried.
     HelperFailed,
     /// The deadline passed.
@@ -71,6 +75,8 @@
     NoEnd,
     /// Late first token: an attempt at another endpoint failed first.
     Retried,
+    /// Late first token: the path to an endpoint was lost first.
+    PathRetried,
     /// Late first token: an engine that shared the prefill failed first.
     HelperRetried,
     /// Late first token: an endpoint that had asked for a back-off or was leaving held it back.
@@ -92,16 +98,19 @@
         f.pad(match self {
             Self::Overload => "refused: too much else is asked for",
             Self::NoEndpoint => "refused: no endpoint",
+            Self::CutOff => "refused: no host reaches endpoints",
             Self::BackedOff => "refused: endpoints in back-off",
             Self::NotInformed => "refused: host not informed",
             Self::Starting => "refused: host starting",
             Self::Blocked => "refused: it crashes endpoints",
             Self::EndpointFailed => "failed: by its endpoint",
+            Self::PathLost => "failed: path to its endpoint lost",
             Self::HelperFailed => "failed: by a helper",
             Self::TimedOut => "failed: time up",
             Self::HostLost => "no end: host lost",
             Self::NoEnd => "no end: caller left",
             Self::Retried => "late: retried",
+            Self::PathRetried => "late: path to an endpoint lost",
             Self::HelperRetried => "late: a helper failed",
             Self::Held => "late: held back by an endpoint",
             Self::Queued => "late: waited for its turn",
@@ -148,7 +157,9 @@
         _ if reason.contains("is blocked") => Some(Cause::Blocked),
         _ if reason.contains("asked for a back-off") => Some(Cause::BackedOff),
         _ if reason.contains("no endpoint is known") && is_starting => Some(Cause::Starting),
+        _ if reason.contains("no host reaches") => Some(Cause::CutOff),
         _ if reason.contains("no room") => Some(Cause::NoEndpoint),
+        _ if ends_with_lost_path(lines) => Some(Cause::PathLost),
         _ if reason.contains("time") => Some(Cause::TimedOut),
         _ => Some(Cause::EndpointFailed),
     }
@@ -158,6 +169,16 @@
     lines.iter().any(|line| line.event() == event)
 }
 
+fn is_path_lost(line: &Line) -> bool {
+    line.event() == "attempt" && line.get("outcome") == "path_lost"
+}
+
+/// Returns whether the path to the endpoint of the last attempt was lost.
+fn ends_with_lost_path(lines: &[Line]) -> bool {
+    let attempt = lines.iter().rev().find(|line| line.event() == "attempt");
+    attempt.is_some_and(is_path_lost)
+}
+
 fn is_end(line: &Line) -> bool {
     matches!(line.event(), "request_ended" | "request_refused")
 }
@@ -178,6 +199,7 @@
     match () {
         () if first_ms > due_ms && has(lines, "helper_failed") => Some(Cause::HelperRetried),
         () if first_ms > due_ms && has(lines, "request_held") => Some(Cause::Held),
+        () if first_ms > due_ms && lines.iter().any(is_path_lost) => Some(Cause::PathRetried),
         () if first_ms > due_ms && has(lines, "retry") => Some(Cause::Retried),
         () if first_ms > due_ms && is_delayed_by("waited_ms") => Some(Cause::Queued),
         () if first_ms > due_ms && is_delayed_by("backlog_ms") => Some(Cause::Backlog),
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Response};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use kumquatdrum_placement::Failure;
+use kumquatdrum_placement::{Failure, Trouble};
 use kumquatdrum_process::drain::Work;
 use kumquatdrum_types::Moment;
 use slog::info;
@@ -226,10 +226,15 @@
             return self.receive(limit).await;
         }
         let pause = MIN_CUT_SILENCE.max(call.max_pause().saturating_mul(CUT_SILENCE_PAUSES));
+        let endpoint = self.pick.as_ref().map(|pick| pick.endpoint.clone());
+        let waits_from = call.gateway.clock.now();
         let silent_at = Instant::now() + pause;
         let cut = async {
             sleep_until(silent_at).await;
             let paths = call.gateway.upstream.paths();
+            if let Some(endpoint) = &endpoint {
+                paths.record_trouble(endpoint, Trouble::Late, waits_from);
+            }
             paths.wait_for_cut(&call.service).await;
         };
         tokio::select! {
--- a/crates/kumquatdrum_gateway/src/gateway/probe.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/probe.rs
@@ -11,7 +11,7 @@
 
 use super::Gateway;
 use crate::holds::Purpose;
-use crate::upstream::{Error, Target};
+use crate::upstream::Target;
 
 /// The interval between probes of a path.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -82,11 +82,6 @@
             is_repeatable: false,
         };
         let deadline = Instant::now() + paths.patience(&service, PROBE_TIMEOUT);
-        let sent = self.upstream.send_directly(&target, request, deadline);
-        match sent.await {
-            // The answer is recorded when it arrives. A hold says nothing about the path.
-            Ok(_) | Err(Error::Held { .. }) => {}
-            Err(_) => paths.record_failed_probe(endpoint),
-        }
+        self.upstream.probe(&target, request, deadline).await;
     }
 }
--- a/crates/kumquatdrum_gateway/src/relay.rs
+++ b/crates/kumquatdrum_gateway/src/relay.rs
@@ -44,6 +44,8 @@
 /// The timeout for a relay's word that it is connected to the endpoint; longer than the relay's own
 /// timeout for that.
 const CONNECTED_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time in which relays usually respond. One that has taken longer is asked after the others.
+const USUAL_RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// How long a relay that takes no requests is not asked again.
 const BUSY_COOLDOWN: Duration = Duration::from_millis(100);
 /// How long a relay that reaches no endpoint is not asked again.
@@ -89,6 +91,8 @@
 struct State {
     /// The number of the last request to each relay.
     numbers: HashMap<HostId, u64>,
+    /// The relays that have not yet responded to a request, each with the time of the first such one.
+    unanswered: HashMap<HostId, Moment>,
     /// The relays that have failed lately, each with the end of its cooldown.
     cooldowns: HashMap<HostId, (Moment, Cooldown)>,
 }
@@ -168,8 +172,8 @@
         Err(Error::Unavailable)
     }
 
-    /// Returns the hosts to ask. Hosts that do not respond come last, those of the local data centre
-    /// first. The order differs between requests, so that they spread over all hosts.
+    /// Returns the hosts to ask. Those of the local data centre come first, and hosts that do not
+    /// respond last. The order differs between requests, so that they spread over all hosts.
     fn choose(&self, mut candidates: Vec<RelayCandidate>) -> Vec<RelayCandidate> {
         let now = self.dependencies.clock.now();
         let mut state = self.state.lock();
@@ -182,7 +186,10 @@
         let seed = random::number();
         let rank = |candidate: &RelayCandidate| {
             let spread = hash::mix(seed ^ hash::pair("relay", candidate.id.as_str()));
-            (cooldown(candidate).is_some(), candidate.is_remote, spread)
+            let asked_at = state.unanswered.get(&candidate.id);
+            let is_slow = asked_at.is_some_and(|at| now - *at > USUAL_RESPONSE_TIME);
+            let is_last = is_slow || cooldown(candidate).is_some();
+            (is_last, candidate.is_remote, spread)
         };
         candidates.sort_by_cached_key(rank);
         drop(state);
@@ -196,6 +203,12 @@
         candidates
     }
 
+    fn record_asked(&self, candidate: &RelayCandidate) {
+        let now = self.dependencies.clock.now();
+        let mut state = self.state.lock();
+        state.unanswered.entry(candidate.id.clone()).or_insert(now);
+    }
+
     fn cool_down(&self, host: HostId, cooldown: Cooldown) {
         let duration = match cooldown {
             Cooldown::Busy => BUSY_COOLDOWN,
@@ -204,6 +217,7 @@
         };
         let until = self.dependencies.clock.now() + duration;
         let mut state = self.state.lock();
+        state.unanswered.remove(&host);
         state.cooldowns.insert(host, (until, cooldown));
     }
 
@@ -226,6 +240,7 @@
             CONNECT_TIMEOUT,
         );
         let limit = deadline.min(Instant::now() + CONNECTED_TIMEOUT);
+        self.record_asked(candidate);
         let mut parts = match timeout_at(limit, opened).await {
             Ok(Ok(parts)) => parts,
             Ok(Err(error)) if error.is_unsent() => {
@@ -234,7 +249,11 @@
             Ok(Err(error)) => return Err(self.lose(candidate, error.to_string())),
             Err(_) => return Err(self.lose(candidate, "it does not respond".to_owned())),
         };
-        match timeout_at(limit, receive(&mut parts)).await {
+        let first = timeout_at(limit, receive(&mut parts)).await;
+        if first.is_ok() {
+            self.state.lock().unanswered.remove(&candidate.id);
+        }
+        match first {
             Ok(Ok(Part::Connected)) => {}
             Ok(Ok(part)) => return Err(self.refusal(candidate, part)),
             Ok(Err(reason)) => return Err(self.lose(candidate, reason)),
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -213,15 +213,33 @@
         }
     }
 
-    /// Sends a request directly. The outcome tells whether this host reaches the endpoint.
-    pub async fn send_directly(
+    /// Finds out whether an endpoint answers directly and, if not, whether it answers a relay.
+    pub async fn probe(
         &self,
         target: &Target<'_>,
         request: Request<Full<Bytes>>,
         deadline: Instant,
-    ) -> Result<Exchange, Error> {
-        let connection = self.connect(target, deadline).await?;
-        self.exchange(connection, target, request, deadline).await
+    ) {
+        let timeout = deadline - Instant::now();
+        let connected = self.connect(target, deadline).await;
+        let answered = match connected {
+            Ok(connection) => {
+                let request = request.clone();
+                self.exchange(connection, target, request, deadline).await
+            }
+            Err(error) => Err(error),
+        };
+        let paths = &self.0.paths;
+        match answered {
+            // The answer is recorded when it arrives. A hold says nothing about the path.
+            Ok(_) | Err(Error::Held { .. }) => return,
+            Err(_) => paths.record_failed_probe(target.endpoint),
+        }
+        let is_known = paths.is_cut(&target.endpoint.service);
+        let deadline = Instant::now() + timeout;
+        if !is_known && self.send_by_relay(target, &request, deadline).await.is_ok() {
+            paths.record_relayed_answer(target.endpoint);
+        }
     }
 
     /// Returns the error of a request that neither this host nor a relay could send.
