--- a/crates/kumquatdrum_placement/src/path.rs
+++ b/crates/kumquatdrum_placement/src/path.rs
@@ -57,7 +57,7 @@
     Doubted,
     /// Endpoints answer through a relay, but not directly.
     Cut,
-    /// Endpoints answer directly after a doubt; other endpoints than those in trouble were at fault.
+    /// An endpoint answers directly after a doubt: the endpoints in trouble were at fault.
     Cleared,
     /// An endpoint answers directly after a cut.
     Recovering,
