--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -180,6 +180,7 @@
         let paths = &self.0.paths;
         let route = paths.route(target.endpoint);
         if route != Route::Direct {
+            let sent_at = self.0.clock.now();
             match self.send_by_relay(&target, &request, deadline).await {
                 Err(relay::Error::NoHost) => {}
                 Err(relay::Error::Unavailable) if route == Route::RelayFirst => {}
@@ -189,7 +190,7 @@
                 }
                 Err(relay::Error::Failed(error)) => return Err(error),
                 Ok(exchange) => {
-                    paths.record_relayed_answer(target.endpoint);
+                    self.record_relayed(&target, sent_at);
                     return Ok(exchange);
                 }
             }
@@ -213,6 +214,18 @@
         }
     }
 
+    /// Records an answer through a relay, unless it took as long as answers that count as late.
+    fn record_relayed(&self, target: &Target<'_>, sent_at: Moment) {
+        let paths = &self.0.paths;
+        let patience = target
+            .patience
+            .map(|patience| paths.patience(&target.endpoint.service, patience));
+        let took = self.0.clock.now() - sent_at;
+        if patience.is_none_or(|patience| took < patience) {
+            paths.record_relayed_answer(target.endpoint);
+        }
+    }
+
     /// Finds out whether an endpoint answers directly and, if not, whether it answers a relay.
     pub async fn probe(
         &self,
