--- a/crates/kumquatdrum_routes/src/register.rs
+++ b/crates/kumquatdrum_routes/src/register.rs
@@ -1,13 +1,13 @@
-//! The replicated register that holds the current setup.
-
-use serde::{Deserialize, Serialize};
+//! The replicated register that holds the current setup and the evacuations.
 
 use crate::Record;
+use crate::evacuation::{Change, Evacuations, Outcome};
 
-/// Holds the record with the highest revision applied so far.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Holds the record with the highest revision applied so far, and the evacuations.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Register {
     current: Option<Record>,
+    evacuations: Evacuations,
 }
 
 impl Register {
@@ -21,6 +21,11 @@
         true
     }
 
+    /// Applies an order to evacuate a data centre, or to end that.
+    pub fn evacuate(&mut self, change: &Change) -> Outcome {
+        self.evacuations.apply(change)
+    }
+
     /// Returns the current revision, or 0 if there is none.
     pub fn revision(&self) -> u64 {
         self.current.as_ref().map_or(0, |record| record.revision)
@@ -31,6 +36,11 @@
         self.current.as_ref()
     }
 
+    /// Returns the evacuations.
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Encodes the register for a snapshot.
     ///
     /// ```
@@ -41,11 +51,20 @@
     /// assert_eq!(Register::decode(&bytes), Ok(register));
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        let bytes = postcard::to_stdvec(&self.current)?;
+        postcard::to_extend(&self.evacuations, bytes)
     }
 
-    /// Decodes a register from a snapshot.
+    /// Decodes a register from a snapshot. Snapshots of earlier releases end after the record.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let (current, rest) = postcard::take_from_bytes(bytes)?;
+        let evacuations = match rest {
+            [] => Evacuations::default(),
+            rest => postcard::from_bytes(rest)?,
+        };
+        Ok(Self {
+            current,
+            evacuations,
+        })
     }
 }
