Gateway: evacuation of a data centre

Operators order an evacuation or its end at any control host. The order is a log entry that applies only if no other order to the data centre was applied since its state was read; the read ends 900 ms after the order arrived, by CLOCK_BOOTTIME. Hosts get the whole state by pushes, hellos and welcomes; a resumed host waits for news before it sends. Holds::check, which each send passes, and the pool leave out endpoints of evacuated data centres; without any other endpoint a request is refused at once.

The acknowledgement waits until a majority of the control hosts has stored the state outside the log.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -181,6 +181,17 @@
         request.timeout(Duration::from_secs(5)).send().await.ok()
     }
 
+    /// Returns a request without a body to a control host.
+    pub fn control_request(
+        &self,
+        host: usize,
+        method: reqwest::Method,
+        path: &str,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.address(host, 8229));
+        self.client.request(method, url)
+    }
+
     /// Applies a config, retrying on all control hosts, and returns the one that acknowledged it.
     pub async fn apply(&self, config: &Value) -> usize {
         let until = Instant::now() + TIMEOUT;
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod endings;
 mod endpoint;
 mod endpoint_soak;
+mod evacuation;
 mod explain;
 mod fanout;
 mod helpers;
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -25,6 +25,8 @@
 /// The retry delay if a prompt is rejected because of overload; equals the window over which the
 /// planner measures demand.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// The retry delay if all endpoints are in evacuated data centres. An operator ends that.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The reason for a rejection if neither this host nor others reach the endpoints.
 const CUT_OFF: &str = "no host reaches its endpoints";
 /// The retry delay if no host reaches the endpoints.
@@ -178,6 +180,10 @@
                 reason: "its endpoints have asked for a back-off",
                 retry_after: wait,
             },
+            Rejection::Evacuated => Problem::Refused {
+                reason: "its endpoints are in evacuated data centres",
+                retry_after: EVACUATED_RETRY_AFTER,
+            },
             Rejection::NoCapacity(_) => Problem::Refused {
                 reason: "no engine had room",
                 retry_after: NO_CAPACITY_RETRY_AFTER,
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -19,10 +19,13 @@
 use crate::Gateway;
 use crate::body::{Body, json};
 use crate::broadcast::RelayPath;
+use crate::listener::Peer;
 use crate::message;
 use crate::protocol::{Operation, Protocol};
 use crate::replica::Command;
 
+mod evacuations;
+
 /// The timeout for a response from one replica.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(900);
 /// The timeout for a response from the leader; covers an election.
@@ -36,9 +39,12 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let (head, body) = request.into_parts();
-    let operation = gateway
-        .protocol
-        .parse_operation(&head.method, head.uri.path());
+    let order = evacuations::Order::received_now(head.extensions.get::<Peer>().copied());
+    let operation = evacuations::parse_operation(&head.method, head.uri.path());
+    let operation = operation.unwrap_or_else(|| {
+        let protocol = &gateway.protocol;
+        protocol.parse_operation(&head.method, head.uri.path())
+    });
     let body = match Limited::new(body, Record::MAX_TEXT_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
@@ -51,6 +57,13 @@
         Operation::Read => read(&gateway).await,
         Operation::Announce(id) => announce(&gateway, id, &body).await,
         Operation::Leave(id) => leave(&gateway, &id, &body).await,
+        Operation::StartEvacuation(data_centre) => {
+            evacuations::order(&gateway, &data_centre, true, order).await
+        }
+        Operation::EndEvacuation(data_centre) => {
+            evacuations::order(&gateway, &data_centre, false, order).await
+        }
+        Operation::ReadEvacuations => evacuations::read(&gateway).await,
         Operation::Unknown => status(StatusCode::NOT_FOUND),
     })
 }
@@ -213,6 +226,10 @@
     let request = match command {
         Command::Apply(record) => message::Request::Apply(record.clone()),
         Command::Read => message::Request::Read,
+        Command::Evacuations { includes_audit } => message::Request::ReadEvacuations {
+            includes_audit: *includes_audit,
+        },
+        Command::Evacuate(change) => message::Request::Evacuate(change.clone()),
     };
     gateway
         .send_request(host, Channel::Control, &request, limit)
@@ -253,8 +270,12 @@
     json(status, "{}")
 }
 
-fn invalid(findings: &[Finding]) -> Response<Body> {
-    let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
-    let text = serde_json::json!({ "findings": findings }).to_string();
-    json(StatusCode::BAD_REQUEST, text)
+fn invalid(list: &[Finding]) -> Response<Body> {
+    findings(StatusCode::BAD_REQUEST, list)
+}
+
+fn findings(status: StatusCode, list: &[Finding]) -> Response<Body> {
+    let list: Vec<String> = list.iter().map(ToString::to_string).collect();
+    let text = serde_json::json!({ "findings": list }).to_string();
+    json(status, text)
 }
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -0,0 +1,248 @@
+//! Handlers for operators' orders to evacuate a data centre, and for their status.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Response, StatusCode};
+use kumquatdrum_process::clock::{boot_ms, unix_ms};
+use kumquatdrum_routes::Evacuations;
+use kumquatdrum_routes::evacuation::Change;
+use kumquatdrum_types::{DataCentre, Finding};
+use serde::Serialize;
+use slog::info;
+use tokio::time::timeout;
+
+use super::{findings, send_to_leader, status};
+use crate::Gateway;
+use crate::body::{Body, json};
+use crate::listener::Peer;
+use crate::message;
+use crate::protocol::Operation;
+use crate::replica::Command;
+
+/// The path of the native API.
+const PATH: &str = "/evacuations";
+/// The time from the arrival of an order to its last read of the state. Operators repeat an order
+/// after 1 s, so an order that was read later could be an abandoned one.
+const READ_LIMIT_MS: u64 = 900;
+
+/// When an order arrived, and from where.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Order {
+    peer: Option<Peer>,
+    /// In milliseconds of a clock that counts suspensions.
+    arrived_ms: u64,
+}
+
+impl Order {
+    pub(super) fn received_now(peer: Option<Peer>) -> Self {
+        Self {
+            peer,
+            arrived_ms: boot_ms(),
+        }
+    }
+
+    /// Returns the time that is left for reading the state, or `None` if it is over.
+    fn time_left(&self) -> Option<Duration> {
+        let elapsed = boot_ms().saturating_sub(self.arrived_ms);
+        let left = READ_LIMIT_MS.checked_sub(elapsed);
+        left.filter(|left| *left > 0).map(Duration::from_millis)
+    }
+}
+
+/// Parses a request to the native API.
+pub(super) fn parse_operation(method: &Method, path: &str) -> Option<Operation> {
+    let rest = path.strip_prefix(PATH)?;
+    let data_centre = rest.strip_prefix('/').filter(|name| !name.is_empty());
+    match data_centre {
+        None if rest.is_empty() && method == Method::GET => Some(Operation::ReadEvacuations),
+        Some(name) if method == Method::PUT => {
+            Some(Operation::StartEvacuation(DataCentre::new(name)))
+        }
+        Some(name) if method == Method::DELETE => {
+            Some(Operation::EndEvacuation(DataCentre::new(name)))
+        }
+        _ => None,
+    }
+}
+
+/// Commits an order. Each attempt ends when its caller disconnects, since its connection's task drops
+/// it.
+pub(super) async fn order(
+    gateway: &Arc<Gateway>,
+    data_centre: &DataCentre,
+    is_active: bool,
+    order: Order,
+) -> Response<Body> {
+    let by = order
+        .peer
+        .map_or_else(String::new, |peer| peer.0.ip().to_string());
+    info!(gateway.logger, "evacuation_ordered"; "event" => "evacuation_ordered",
+        "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by);
+    if !is_known(gateway, data_centre) {
+        let finding = Finding::new("", format!("unknown data centre: {data_centre}"));
+        return findings(StatusCode::NOT_FOUND, &[finding]);
+    }
+    let committed = commit(gateway, data_centre, is_active, (&order, &by)).await;
+    info!(gateway.logger, "evacuation_asked"; "event" => "evacuation_asked",
+        "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by,
+        "outcome" => committed.as_ref().map_or_else(|reason| reason, |_| &"committed"),
+        "ms" => boot_ms().saturating_sub(order.arrived_ms));
+    match committed {
+        Ok(evacuations) => {
+            gateway.adopt_evacuations(&evacuations, "leader", false);
+            if gateway.confirm_evacuations().await {
+                json(StatusCode::OK, "{}")
+            } else {
+                status(StatusCode::SERVICE_UNAVAILABLE)
+            }
+        }
+        Err(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+/// Commits an order, and returns the state after it or the reason why that is unknown or failed.
+async fn commit(
+    gateway: &Arc<Gateway>,
+    data_centre: &DataCentre,
+    is_active: bool,
+    (order, by): (&Order, &str),
+) -> Result<Evacuations, &'static str> {
+    // The order may have arrived before the suspension.
+    if gateway.evacuations.suspension().has_resumed_lately() {
+        return Err("suspended");
+    }
+    loop {
+        let left = order.time_left().ok_or("too late")?;
+        let read = send_to_leader(
+            gateway,
+            Command::Evacuations {
+                includes_audit: false,
+            },
+        );
+        let read = timeout(left, read).await.map_err(|_| "too late")?;
+        order.time_left().ok_or("too late")?;
+        let message::Response::Evacuations(current) = read.response else {
+            return Err("not read");
+        };
+        let change = Change {
+            base: current.base(data_centre),
+            data_centre: data_centre.clone(),
+            is_active,
+            by: by.to_owned(),
+            at_ms: unix_ms(),
+        };
+        match send_to_leader(gateway, Command::Evacuate(change))
+            .await
+            .response
+        {
+            message::Response::Evacuations(evacuations) => return Ok(evacuations),
+            message::Response::Stale => {}
+            _ => return Err("unknown"),
+        }
+    }
+}
+
+/// Returns whether a data centre exists, by the settings or by a known host, endpoint or order.
+fn is_known(gateway: &Gateway, data_centre: &DataCentre) -> bool {
+    let settings = &gateway.settings;
+    let current = gateway.evacuations.current();
+    let is_host = || {
+        let hosts = gateway.hosts.live_hosts();
+        hosts.iter().any(|host| host.data_centre == *data_centre)
+    };
+    let is_endpoint = || {
+        let updates = gateway.endpoints.all_updates();
+        let mut endpoints = updates.iter().map(|update| &update.announcement);
+        endpoints.any(|endpoint| endpoint.data_centre == *data_centre)
+    };
+    settings.data_centre == *data_centre
+        || settings.data_centres.contains(data_centre)
+        || current
+            .data_centres()
+            .any(|(known, _)| known == data_centre)
+        || is_host()
+        || is_endpoint()
+}
+
+/// The status of all evacuations.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Status<'a> {
+    version: u64,
+    /// Whether a majority of the control hosts has confirmed the state.
+    is_confirmed: bool,
+    /// The time within which an order is in effect on all hosts.
+    bound_ms: u64,
+    data_centres: Vec<Progress<'a>>,
+    /// The live hosts that do not have the newest version yet.
+    hosts_behind: Vec<String>,
+    audit: Vec<Audit<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Progress<'a> {
+    data_centre: &'a str,
+    is_evacuated: bool,
+    since_ms: u64,
+    /// The number of requests that still run there.
+    running: u32,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Audit<'a> {
+    version: u64,
+    data_centre: &'a str,
+    change: &'static str,
+    by: &'a str,
+    at_ms: u64,
+}
+
+/// Reads the status. Without a confirmed state, it is that of this host.
+pub(super) async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
+    let command = Command::Evacuations {
+        includes_audit: true,
+    };
+    let reply = send_to_leader(gateway, command).await;
+    let (evacuations, is_confirmed) = match reply.response {
+        message::Response::Evacuations(evacuations) => (evacuations, true),
+        _ => ((*gateway.evacuations.current()).clone(), false),
+    };
+    gateway.adopt_evacuations(&evacuations, "leader", false);
+    let version = evacuations.version();
+    let running = gateway.evacuations.count_running();
+    let data_centres = evacuations.data_centres();
+    let live = gateway.hosts.live_hosts();
+    let live = live.into_iter().map(|host| host.id);
+    let behind = live.filter(|host| gateway.evacuations.version_of(host).unwrap_or(0) < version);
+    let status = Status {
+        version,
+        is_confirmed,
+        bound_ms: gateway.settings.evacuate_ms,
+        data_centres: data_centres
+            .map(|(data_centre, state)| Progress {
+                data_centre: data_centre.as_str(),
+                is_evacuated: state.is_active,
+                since_ms: state.changed_ms,
+                running: running.get(data_centre).copied().unwrap_or(0),
+            })
+            .collect(),
+        hosts_behind: behind.map(|host| host.to_string()).collect(),
+        audit: evacuations
+            .audit()
+            .map(|entry| Audit {
+                version: entry.version,
+                data_centre: entry.data_centre.as_str(),
+                change: if entry.is_active { "start" } else { "end" },
+                by: &entry.by,
+                at_ms: entry.at_ms,
+            })
+            .collect(),
+    };
+    match serde_json::to_vec(&status) {
+        Ok(text) => json(StatusCode::OK, text),
+        Err(_) => super::status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
+use crate::evacuations as evacuation_store;
 use crate::hosts::Hosts;
 use crate::message::{Event, Hello, Request, Response, Selection};
 use crate::metrics::Metrics;
@@ -29,9 +30,10 @@
 use crate::quarantine_cache;
 use crate::replica::{Command, Handle};
 use crate::upstream::Upstream;
-use crate::{Protocol, Settings, active_setup, cache, endpoint_cache, relay};
+use crate::{Protocol, Settings, active_setup, cache, endpoint_cache, evacuation_cache, relay};
 
 mod endpoint_updates;
+mod evacuations;
 mod initial_endpoints;
 mod liveness;
 mod periodic;
@@ -88,6 +90,8 @@
     pub(crate) clock: Clock,
     pub(crate) hosts: Arc<Hosts>,
     pub(crate) endpoints: Arc<Endpoints>,
+    pub(crate) evacuations: Arc<evacuation_store::Store>,
+    evacuation_cache: evacuation_cache::Cache,
     pub(crate) active_setup: Arc<active_setup::Store>,
     pub(crate) distributor: Arc<Distributor>,
     pub(crate) pool: Arc<Pool>,
@@ -101,7 +105,7 @@
     traffic: Arc<Counters>,
     broadcaster: Option<Arc<Broadcaster>>,
     replica: Option<Handle>,
-    settings: Settings,
+    pub(crate) settings: Settings,
     started: Moment,
     /// Whether this host had the newest known setup while in contact with a majority of the control
     /// hosts.
@@ -129,6 +133,14 @@
             Some(file) => endpoint_cache::load(file.clone(), announcement_interval, &logger).await,
             None => Vec::new(),
         };
+        let evacuation_file = cache::file(&settings, evacuation_cache::FILE_NAME);
+        let evacuation_cache = evacuation_cache::Cache::new(evacuation_file, logger.clone());
+        let evacuations = evacuation_cache.load().await;
+        let cached = start::Cached {
+            endpoints: cached,
+            evacuations,
+            evacuation_cache,
+        };
         let (gateway, mut running) = start::start(settings, protocol, logger, cached)?;
         if let Some(file) = quarantine_file {
             let (quarantine, logger) = (gateway.quarantine.clone(), gateway.logger.clone());
@@ -185,10 +197,12 @@
     }
 
     /// Returns whether this host can place requests, as far as it may expect to. A host that has run
-    /// for a while without endpoints has none to wait for.
+    /// for a while without endpoints has none to wait for. A starting host learns of evacuations by a
+    /// majority of the control hosts, which have stored them.
     fn is_informed(&self) -> bool {
         let is_starting = self.uptime() < SETUP_WAIT;
-        self.active_setup.current().is_some() && (!is_starting || self.pool.has_endpoints())
+        self.active_setup.current().is_some()
+            && (!is_starting || (self.pool.has_endpoints() && self.hosts.has_control_majority()))
     }
 
     /// Returns the time since the start of this host.
@@ -212,6 +226,10 @@
         let (suspects, blocked) = self.quarantine.counts();
         self.metrics.suspects.set(suspects as i64);
         self.metrics.blocked.set(blocked as i64);
+        let evacuated = self.evacuations.current().active().count();
+        self.metrics.evacuated.set(evacuated as i64);
+        let running = self.evacuations.count_local();
+        self.metrics.evacuated_running.set(running.into());
         self.metrics.update_peer_bytes(&self.traffic);
     }
 
@@ -274,6 +292,7 @@
         self.hosts.record_contact(hello.host);
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
+        self.observe_evacuations(&id, &hello.evacuations);
         self.observe_revision(id, hello.revision);
         Response::Welcome {
             host: self.hosts.local(),
@@ -287,6 +306,7 @@
                 _ => Vec::new(),
             },
             evidence: self.quarantine.answer(hello.known_evidence),
+            evacuations: self.evacuations.report_to(Some(hello.evacuations.version)),
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -62,6 +62,8 @@
                 }
             }
             self.hosts.expire_silent();
+            self.evacuations
+                .retain_hosts(|host| self.hosts.is_known(host));
             self.quarantine.expire();
             self.pool.refresh();
             if let Some(broadcaster) = &self.broadcaster {
@@ -91,6 +93,7 @@
             hosts,
             evidence,
             known_evidence,
+            evacuations: self.evacuations.report_to(self.evacuations.version_of(to)),
         }
     }
 
@@ -102,10 +105,17 @@
         limit: Duration,
     ) -> bool {
         let sent = hello.evidence.checkpoint;
+        let sent_ms = self.evacuations.suspension().tick();
         let request = Request::Hello(hello);
         let response = self.send_request(to, Channel::Membership, &request, limit);
         match response.await {
-            Some(response) => self.apply_welcome(response, sent),
+            Some(response) => {
+                let is_welcomed = self.apply_welcome(response, sent);
+                if is_welcomed {
+                    self.evacuations.suspension().record_news(sent_ms);
+                }
+                is_welcomed
+            }
             None => false,
         }
     }
@@ -124,6 +134,7 @@
             revision,
             endpoints,
             evidence,
+            evacuations,
         } = response
         else {
             return false;
@@ -135,6 +146,7 @@
         }
         self.merge_endpoints(endpoints, id.as_str());
         self.quarantine.record_exchange(&id, boot, sent, evidence);
+        self.observe_evacuations(&id, &evacuations);
         self.observe_revision(id, revision);
         true
     }
--- a/crates/kumquatdrum_gateway/src/gateway/probe.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/probe.rs
@@ -59,6 +59,8 @@
     async fn probe(self: Arc<Self>, service: ServiceName, turn: usize) {
         let paths = self.upstream.paths();
         let mut endpoints = self.endpoints.usable(&service);
+        let evacuations = self.evacuations.current();
+        endpoints.retain(|(endpoint, _)| !evacuations.is_active(&endpoint.data_centre));
         let is_suspect = |(endpoint, _): &(Announcement, Duration)| paths.is_suspect(endpoint);
         if !endpoints.iter().all(is_suspect) {
             endpoints.retain(|endpoint| !is_suspect(endpoint));
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -14,6 +14,7 @@
 use kumquatdrum_process::{Drain, quarantine};
 use kumquatdrum_quarantine::Fingerprint;
 use kumquatdrum_registry::Update;
+use kumquatdrum_routes::Evacuations;
 use kumquatdrum_types::BootId;
 use parking_lot::Mutex;
 use slog::{error, info};
@@ -27,6 +28,7 @@
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
+use crate::evacuations;
 use crate::holds::{self, Holds};
 use crate::hosts::{self, Hosts};
 use crate::inbox::Inbox;
@@ -38,7 +40,9 @@
 use crate::relay::{self, Relays};
 use crate::replica::{self, Event, Handle};
 use crate::upstream::{self, Upstream};
-use crate::{Protocol, Settings, active_setup, call, control, health, message, sockets};
+use crate::{
+    Protocol, Settings, active_setup, call, control, evacuation_cache, health, message, sockets,
+};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
 /// fail before the listener closes.
@@ -110,12 +114,19 @@
     }
 }
 
+/// What a control host has read from its disk.
+pub(super) struct Cached {
+    pub(super) endpoints: Vec<Update>,
+    pub(super) evacuations: Evacuations,
+    pub(super) evacuation_cache: evacuation_cache::Cache,
+}
+
 /// Opens all listeners and starts all tasks.
 pub(super) fn start(
     settings: Settings,
     protocol: Arc<dyn Protocol>,
     logger: slog::Logger,
-    cached: Vec<Update>,
+    cached: Cached,
 ) -> Result<(Arc<Gateway>, Running), StartError> {
     let boot = BootId(unix_ms());
     let local = LocalDaemon {
@@ -130,8 +141,11 @@
     };
     let replica = settings.replica.as_ref().map(|_| Handle::new());
     let handle = replica.as_ref().map(|(handle, _)| handle.clone());
-    let (gateway, departures) = build_gateway(settings, protocol, logger, &local, handle)?;
-    gateway.merge_endpoints(cached, "disk");
+    let cache = cached.evacuation_cache;
+    let built = build_gateway(settings, protocol, logger, &local, (handle, cache))?;
+    let (gateway, departures) = built;
+    gateway.evacuations.adopt(&cached.evacuations, "disk");
+    gateway.merge_endpoints(cached.endpoints, "disk");
     let (mut running, callers_phase_receiver, auxiliary_phase_receiver) = Running::new();
     let address = SocketAddr::new(gateway.settings.address, gateway.settings.peer_port);
     let listener = listen("peers", address)?;
@@ -146,6 +160,7 @@
     running.tasks.spawn(gateway.clone().fetch_endpoints());
     running.tasks.spawn(gateway.clone().activate_records());
     running.tasks.spawn(gateway.clone().probe_paths());
+    running.tasks.spawn(gateway.clone().watch_suspension());
     running
         .tasks
         .spawn(gateway.clone().announce_departures(departures));
@@ -175,7 +190,7 @@
     protocol: Arc<dyn Protocol>,
     logger: slog::Logger,
     local: &LocalDaemon,
-    replica: Option<Handle>,
+    (replica, evacuation_cache): (Option<Handle>, evacuation_cache::Cache),
 ) -> Result<(Arc<Gateway>, mpsc::UnboundedReceiver<Update>), StartError> {
     let clock = Clock::start();
     let client = Arc::new(Client::new(local.clone()));
@@ -184,14 +199,14 @@
     let hosts = Hosts::new(clock, client.clone(), port, host, logger.clone());
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
-    let endpoint_drain = Duration::from_millis(settings.drain_ms);
-    let endpoints = Endpoints::new(clock, endpoint_drain, logger.clone());
-    let endpoints = Arc::new(endpoints);
+    let endpoints = build_endpoints(&settings, clock, &logger);
     let metrics = Arc::new(Metrics::new()?);
     let number = hosts::number(settings.address);
+    let evacuations = Arc::new(evacuations::Store::new(logger.clone()));
     let (holds, departures) = Holds::new(holds::Dependencies {
         clock,
         endpoints: endpoints.clone(),
+        evacuations: evacuations.clone(),
         number,
         metrics: metrics.clone(),
         logger: logger.clone(),
@@ -210,16 +225,11 @@
         metrics: metrics.clone(),
         logger: logger.clone(),
     }));
-    let relays = Relays::new(relay::Dependencies {
-        clock,
-        hosts: hosts.clone(),
-        client: client.clone(),
-        metrics: metrics.clone(),
-        logger: logger.clone(),
-    });
+    let relays = build_relays(clock, &hosts, &client, &metrics, &logger);
     let upstream = Upstream::new(upstream::Dependencies {
         clock,
         protocol: protocol.clone(),
+        evacuations: evacuations.clone(),
         holds: holds.clone(),
         paths: paths.clone(),
         relays,
@@ -236,6 +246,7 @@
         clock,
         paths,
         endpoints: endpoints.clone(),
+        evacuations: evacuations.clone(),
         holds: holds.clone(),
         hosts: hosts.clone(),
         broadcaster: broadcaster.clone(),
@@ -255,6 +266,8 @@
     let gateway = Arc::new(Gateway {
         upstream,
         relay_server: Arc::new(relay_server),
+        evacuations,
+        evacuation_cache,
         active_setup,
         distributor: Arc::new(distributor),
         protocol,
@@ -279,6 +292,27 @@
     Ok((gateway, departures))
 }
 
+fn build_endpoints(settings: &Settings, clock: Clock, logger: &slog::Logger) -> Arc<Endpoints> {
+    let drain = Duration::from_millis(settings.drain_ms);
+    Arc::new(Endpoints::new(clock, drain, logger.clone()))
+}
+
+fn build_relays(
+    clock: Clock,
+    hosts: &Arc<Hosts>,
+    client: &Arc<Client>,
+    metrics: &Arc<Metrics>,
+    logger: &slog::Logger,
+) -> Relays {
+    Relays::new(relay::Dependencies {
+        clock,
+        hosts: hosts.clone(),
+        client: client.clone(),
+        metrics: metrics.clone(),
+        logger: logger.clone(),
+    })
+}
+
 /// Returns this host's description of itself.
 fn describe(settings: &Settings, local: &LocalDaemon) -> Host {
     Host {
@@ -318,11 +352,15 @@
     received: mpsc::UnboundedReceiver<Event>,
 ) {
     let target = gateway.clone();
+    let evacuations_target = gateway.clone();
     let dependencies = replica::Dependencies {
         settings: gateway.settings.clone(),
         client: gateway.client.clone(),
         hosts: gateway.hosts.clone(),
         on_commit: Box::new(move |record, is_leader| target.offer_record(record, "log", is_leader)),
+        on_evacuations: Box::new(move |evacuations, is_leader| {
+            evacuations_target.adopt_evacuations(evacuations, "log", is_leader);
+        }),
         clock: gateway.clock,
         metrics: gateway.metrics.clone(),
         logger: gateway.logger.clone(),
--- a/crates/kumquatdrum_gateway/src/holds.rs
+++ b/crates/kumquatdrum_gateway/src/holds.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::endpoints::Endpoints;
+use crate::evacuations;
 use crate::metrics::Metrics;
 use crate::protocol::{Backoff, Reply};
 
@@ -26,6 +27,8 @@
     Backoff(Moment),
     /// The endpoint is leaving or gone.
     Leaving,
+    /// The endpoint's data centre is evacuated.
+    Evacuated,
 }
 
 impl Hold {
@@ -34,6 +37,7 @@
         match self {
             Self::Backoff(_) => "backoff",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -43,6 +47,7 @@
         f.write_str(match self {
             Self::Backoff(_) => "it asked for a back-off",
             Self::Leaving => "it is leaving",
+            Self::Evacuated => "its data centre is evacuated",
         })
     }
 }
@@ -64,6 +69,8 @@
     pub clock: Clock,
     /// Announced endpoints.
     pub endpoints: Arc<Endpoints>,
+    /// The evacuated data centres.
+    pub evacuations: Arc<evacuations::Store>,
     /// A number that identifies this host among all hosts.
     pub number: u32,
     /// The host's metrics.
@@ -72,7 +79,8 @@
     pub logger: slog::Logger,
 }
 
-/// Keeps requests away from endpoints that have asked for a back-off or are leaving.
+/// Keeps requests away from endpoints that have asked for a back-off, are leaving, or are in an
+/// evacuated data centre.
 pub struct Holds {
     dependencies: Dependencies,
     backoffs: Mutex<Backoffs>,
@@ -96,6 +104,13 @@
 
     /// Returns an error if an endpoint must not be sent a request now.
     pub fn check(&self, endpoint: &Announcement, purpose: Purpose) -> Result<(), Hold> {
+        let is_evacuated = self
+            .dependencies
+            .evacuations
+            .is_active(&endpoint.data_centre);
+        if is_evacuated && purpose != Purpose::Upkeep {
+            return Err(Hold::Evacuated);
+        }
         let now = self.dependencies.clock.now();
         let key = EndpointKey::of(&endpoint.id, endpoint.started);
         let backoff_end = self.backoffs.lock().end(now, key);
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -60,6 +60,13 @@
         others.map(move |entry| (entry, self.age(now, entry)))
     }
 
+    /// Returns the number of known control hosts, including this one if it is one.
+    fn count_control_hosts(&self) -> usize {
+        let others = self.others.values().filter(|entry| entry.host.is_control);
+        let known = others.count() + usize::from(self.local.is_control);
+        known.max(self.seeds.len())
+    }
+
     /// Returns the other live control hosts, each with whether its data centre is a remote one.
     fn live_control_hosts(&self, now: Moment) -> impl Iterator<Item = (bool, &Host)> {
         let control = self.aged(now);
@@ -326,6 +333,11 @@
         hosts.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// Returns whether a host is known, as live or as lost.
+    pub fn is_known(&self, host: &HostId) -> bool {
+        self.state.lock().others.contains_key(host)
+    }
+
     /// Returns the other live hosts.
     pub fn live_hosts(&self) -> Vec<Host> {
         let now = self.clock.now();
@@ -424,14 +436,14 @@
         let now = self.clock.now();
         let state = self.state.lock();
         let control = state.others.values().filter(|entry| entry.host.is_control);
-        let (mut known, mut live) = (0, 0);
-        for entry in control {
-            known += 1;
-            live += usize::from(now - entry.last_contact <= LOST_AFTER);
-        }
+        let live = control.filter(|entry| now - entry.last_contact <= LOST_AFTER);
         let own = usize::from(state.local.is_control);
-        let known = (known + own).max(state.seeds.len());
-        (live + own) * 2 > known
+        (live.count() + own) * 2 > state.count_control_hosts()
+    }
+
+    /// Returns the number of control hosts that are a majority of all known ones.
+    pub fn control_majority(&self) -> usize {
+        self.state.lock().count_control_hosts() / 2 + 1
     }
 
     fn register_address(&self, id: &HostId) {
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -102,6 +102,16 @@
         Request::Check(endpoint) => gateway.answer_check(&endpoint).await,
         Request::Apply(record) => gateway.send_command(Command::Apply(record)).await,
         Request::Read => gateway.send_command(Command::Read).await,
+        Request::Evacuations(evacuations) => {
+            gateway
+                .take_evacuations(&evacuations, from.host.as_str())
+                .await
+        }
+        Request::ReadEvacuations { includes_audit } => {
+            let command = Command::Evacuations { includes_audit };
+            gateway.send_command(command).await
+        }
+        Request::Evacuate(change) => gateway.send_command(Command::Evacuate(change)).await,
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod distribution;
 mod endpoint_cache;
 pub mod endpoints;
+mod evacuation_cache;
+pub mod evacuations;
 pub mod gateway;
 pub mod health;
 pub mod holds;
@@ -31,6 +33,7 @@
 pub mod reservation;
 pub mod settings;
 pub mod sockets;
+pub mod suspension;
 pub mod upstream;
 
 pub use gateway::{Gateway, SettingsFile, StartError};
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -26,6 +27,10 @@
 /// The minimum limit on the size of a request head in bytes.
 const MIN_HEADER_BYTES: usize = 16 * 1024;
 
+/// The address of the other end of a request's connection, as an extension of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Peer(pub SocketAddr);
+
 /// The phase of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -86,12 +91,16 @@
         warn!(gateway.logger, "socket_refused"; "event" => "socket_refused", "reason" => %error);
         return;
     }
+    let peer = stream.peer_addr().ok().map(Peer);
     let limits = gateway.limits();
     let ends_response = Arc::new(AtomicBool::new(false));
     let stream = Connection::new(stream, ends_response.clone());
     let service = service_fn({
         let gateway = gateway.clone();
-        move |request| {
+        move |mut request: Request<Incoming>| {
+            if let Some(peer) = peer {
+                request.extensions_mut().insert(peer);
+            }
             let ends_response = ends_response.clone();
             let is_old = request.version() == Version::HTTP_10;
             let answer = handler(gateway.clone(), request);
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -6,11 +6,13 @@
 use kumquatdrum_placement::{DataCentreKey, EndpointKey, JobId, Plan, Rate, Waiter};
 use kumquatdrum_quarantine::{Evidence, Suspect};
 use kumquatdrum_registry::Update;
-use kumquatdrum_routes::Record;
+use kumquatdrum_routes::evacuation::Change;
+use kumquatdrum_routes::{Evacuations, Record};
 use kumquatdrum_types::{Checkpoint, DataCentre, HostId, ServiceName};
 use serde::{Deserialize, Serialize};
 use slog::error;
 
+use crate::evacuations::Report;
 use crate::relay::Incarnation;
 
 /// A host's description of itself.
@@ -67,6 +69,8 @@
     pub evidence: Evidence,
     /// The checkpoint of the recipient's evidence that the sender has.
     pub known_evidence: Checkpoint,
+    /// What the sender knows of evacuations.
+    pub evacuations: Report,
 }
 
 /// A control host's list of hosts.
@@ -108,6 +112,15 @@
     Apply(Record),
     /// Reads the active record. Only the leader accepts this.
     Read,
+    /// The newest known evacuations.
+    Evacuations(Evacuations),
+    /// Reads the evacuations. Only the leader accepts this.
+    ReadEvacuations {
+        /// Whether to include the audit entries.
+        includes_audit: bool,
+    },
+    /// Commits an order to evacuate a data centre, or to end that. Only the leader accepts this.
+    Evacuate(Change),
 }
 
 /// The response to a request.
@@ -125,6 +138,8 @@
         endpoints: Vec<Update>,
         /// The responder's evidence that the requester lacks.
         evidence: Evidence,
+        /// What the responder knows of evacuations.
+        evacuations: Report,
     },
     /// The message was accepted. In response to `Fetch`, the record follows as a separate request.
     Taken,
@@ -136,6 +151,10 @@
     Applied,
     /// The active record, confirmed by a majority.
     Current(Option<Record>),
+    /// The evacuations, confirmed by a majority.
+    Evacuations(Evacuations),
+    /// The order was committed but not applied, as its base was stale.
+    Stale,
     /// The replica is not the leader. Holds the presumed leader, if known.
     NotLeader(Option<HostId>),
     /// The request cannot be answered now.
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -33,6 +33,10 @@
     pub blocked: IntGauge,
     /// Responses that keep further requests from their endpoint, by reason.
     pub holds: IntCounterVec,
+    /// Evacuated data centres.
+    pub evacuated: IntGauge,
+    /// This host's requests that run in evacuated data centres.
+    pub evacuated_running: IntGauge,
     /// Requests that were sent through another host, by outcome.
     pub relayed: IntCounterVec,
     /// Changes of what this host reaches, by kind.
@@ -83,6 +87,14 @@
                 "Responses that keep further requests from their endpoint, by reason.",
                 &["reason"],
             )?,
+            evacuated: r.gauge(
+                "kumquatdrum_gateway_evacuated_data_centres",
+                "Data centres whose endpoints get no requests, by an operator's order.",
+            )?,
+            evacuated_running: r.gauge(
+                "kumquatdrum_gateway_evacuated_running",
+                "Requests of this host that run in evacuated data centres.",
+            )?,
             relayed: r.counter_vec(
                 "kumquatdrum_gateway_relayed_total",
                 "Requests that were sent through another host, by outcome.",
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -17,12 +17,15 @@
 
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::endpoints::Endpoints;
+use crate::evacuations;
 use crate::holds::Holds;
 use crate::hosts::Hosts;
 use crate::message::Event;
 use crate::paths::Paths;
 use crate::settings::Retries;
 
+mod cold;
+mod evacuated;
 mod events;
 mod hold;
 mod limit;
@@ -51,6 +54,8 @@
     pub clock: Clock,
     /// Announced endpoints.
     pub endpoints: Arc<Endpoints>,
+    /// The evacuated data centres.
+    pub evacuations: Arc<evacuations::Store>,
     /// What the endpoints may be sent.
     pub holds: Arc<Holds>,
     /// What this host reaches directly.
@@ -95,6 +100,8 @@
     directory: IndexMap<EndpointKey, Announcement>,
     /// The endpoints of `directory` that are leaving, and until when they serve.
     leaving: IndexMap<EndpointKey, Moment>,
+    /// Whether `directory` is empty because its endpoints are in evacuated data centres.
+    is_evacuated: bool,
 }
 
 /// The reason why no endpoint was picked.
@@ -110,6 +117,8 @@
     NoCapacity(Waiter),
     /// All endpoints have reached the limits that they name. Holds the expected wait.
     Limited(Duration),
+    /// All endpoints are in evacuated data centres.
+    Evacuated,
     /// All endpoints have asked for a back-off. Holds the expected wait.
     Held(Duration),
 }
@@ -166,6 +175,7 @@
             budget: Budget::new(retries.ratio, retries.slack, window),
             directory: IndexMap::new(),
             leaving: IndexMap::new(),
+            is_evacuated: false,
         };
         Service {
             name: name.clone(),
@@ -175,11 +185,14 @@
         }
     }
 
-    /// Returns whether an endpoint of any service is known.
+    /// Returns whether an endpoint of any service is known, in an evacuated data centre or not.
     pub fn has_endpoints(&self) -> bool {
         let services = self.services.read();
         let mut services = services.values();
-        services.any(|service| !service.state.lock().directory.is_empty())
+        services.any(|service| {
+            let state = service.state.lock();
+            !state.directory.is_empty() || state.is_evacuated
+        })
     }
 
     /// Replaces the endpoints of all services with the currently announced ones.
@@ -190,8 +203,10 @@
     }
 
     fn refresh_service(&self, service: &Service) {
-        let known = self.dependencies.endpoints.usable(&service.name);
-        let leaving = self.dependencies.endpoints.leaving(&service.name);
+        let mut known = self.dependencies.endpoints.usable(&service.name);
+        let mut leaving = self.dependencies.endpoints.leaving(&service.name);
+        let has_evacuated = self.remove_evacuated(&mut known, |(endpoint, _)| endpoint)
+            | self.remove_evacuated(&mut leaving, |(endpoint, ..)| endpoint);
         let limit = self.dependencies.announcement_interval * MAX_MISSED_ANNOUNCEMENTS;
         let fresh = known.iter().filter(|(_, age)| *age <= limit).count();
         // If most endpoints are silent, the network is more likely at fault than the endpoints.
@@ -230,6 +245,7 @@
                 balancer.set_endpoints(directory.iter().map(slots));
             }
         }
+        state.is_evacuated = has_evacuated && directory.is_empty();
         state.directory = directory;
         state.leaving = leaving_keys;
         self.refresh_limits(&mut state);
@@ -280,6 +296,9 @@
         let mut turn = Turn::new(&service, job.id);
         loop {
             let changed = service.changed.notified();
+            if service.is_evacuated() {
+                return Err(Rejection::Evacuated);
+            }
             let is_next = turn.is_next();
             let picked = if is_next {
                 self.try_pick(&service, request, job)
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -10,7 +10,7 @@
 use kumquatdrum_placement::Rate;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Service, Setup};
-use kumquatdrum_types::{EndpointId, Finding, Load, WorkspaceName};
+use kumquatdrum_types::{DataCentre, EndpointId, Finding, Load, WorkspaceName};
 
 /// An operation requested through the control listener.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +23,12 @@
     Announce(EndpointId),
     /// Deregisters an endpoint.
     Leave(EndpointId),
+    /// Starts the evacuation of a data centre.
+    StartEvacuation(DataCentre),
+    /// Ends the evacuation of a data centre.
+    EndEvacuation(DataCentre),
+    /// Reads the evacuations and their progress.
+    ReadEvacuations,
     /// Any other request.
     Unknown,
 }
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_consensus::{
     Incarnation, Input, LogIndex, Member, Message, Node, Output, ReplicaId, StoredState, Token,
 };
@@ -12,7 +12,8 @@
 use kumquatdrum_peer::{Channel, Client};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_process::random;
-use kumquatdrum_routes::{Record, Register};
+use kumquatdrum_routes::evacuation::Change;
+use kumquatdrum_routes::{Entry, Evacuations, Record, Register};
 use kumquatdrum_types::{HostId, Moment};
 use slog::{error, info};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -23,6 +24,7 @@
 use crate::settings::Settings;
 
 mod commands;
+mod evacuations;
 mod voters;
 
 use commands::{PendingCommand, PendingProposal};
@@ -67,6 +69,13 @@
     Apply(Record),
     /// Reads the active record.
     Read,
+    /// Reads the evacuations, with the audit entries if set.
+    Evacuations {
+        /// Whether to include the audit entries.
+        includes_audit: bool,
+    },
+    /// Commits an order to evacuate a data centre, or to end that.
+    Evacuate(Change),
 }
 
 impl Command {
@@ -74,6 +83,8 @@
         match self {
             Self::Apply(_) => "apply",
             Self::Read => "read",
+            Self::Evacuations { .. } => "evacuations",
+            Self::Evacuate(_) => "evacuate",
         }
     }
 }
@@ -114,6 +125,9 @@
 /// A callback for a committed record and whether this replica is the leader.
 pub type Callback = Box<dyn Fn(&Record, bool) + Send + Sync>;
 
+/// A callback for applied evacuations and whether this replica is the leader.
+pub type EvacuationCallback = Box<dyn Fn(&Evacuations, bool) + Send + Sync>;
+
 /// The dependencies of a replica.
 pub struct Dependencies {
     /// The host's settings.
@@ -124,6 +138,8 @@
     pub hosts: Arc<Hosts>,
     /// The callback for committed records.
     pub on_commit: Callback,
+    /// The callback for applied evacuations.
+    pub on_evacuations: EvacuationCallback,
     /// The host's clock.
     pub clock: Clock,
     /// The host's metrics.
@@ -220,6 +236,7 @@
         is_halted: false,
         last_token: 0,
         snapshot_revision: 0,
+        stale_changes: IndexSet::new(),
         pending_proposals: IndexMap::new(),
         pending_commands: IndexMap::new(),
         silent: IndexMap::new(),
@@ -259,6 +276,8 @@
     last_token: u64,
     /// The revision in the last snapshot.
     snapshot_revision: u64,
+    /// The entries of pending proposals that were not applied since their base was stale.
+    stale_changes: IndexSet<LogIndex>,
     pending_proposals: IndexMap<Token, PendingProposal>,
     pending_commands: IndexMap<Token, PendingCommand>,
     /// Voters that do not respond to this leader, with the start of their silence.
@@ -309,6 +328,10 @@
                 let leader = self.node.leader().map(|leader| leader.host.clone());
                 let _ = sender.send(Response::NotLeader(leader));
             }
+            // The base of a change takes the place of a confirmation.
+            Event::Command(Command::Evacuate(change), sender) => {
+                self.propose_change(change, sender);
+            }
             // Confirming leadership ensures that the register is current, which `Apply` needs too.
             Event::Command(command, sender) => {
                 let token = self.next_token();
@@ -380,12 +403,13 @@
     }
 
     fn apply(&mut self, index: LogIndex, payload: &[u8]) {
-        match postcard::from_bytes::<Record>(payload) {
-            Ok(record) => {
+        match Entry::decode(payload) {
+            Ok(Entry::Record(record)) => {
                 if self.register.apply(record) {
                     self.publish_current();
                 }
             }
+            Ok(Entry::Evacuation(change)) => self.apply_change(index, &change),
             // Skipping an entry written by a later release would make this replica diverge.
             Err(reason) => {
                 self.is_halted = true;
@@ -405,6 +429,7 @@
                 self.register = register;
                 self.snapshot_revision = self.register.revision();
                 self.publish_current();
+                self.publish_evacuations();
             }
             Err(reason) => {
                 self.is_halted = true;
--- a/crates/kumquatdrum_gateway/src/replica/commands.rs
+++ b/crates/kumquatdrum_gateway/src/replica/commands.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use kumquatdrum_consensus::{Input, LogIndex, Proposal, ProposalOutcome, Token};
-use kumquatdrum_routes::Record;
+use kumquatdrum_routes::Entry;
 use kumquatdrum_types::{HostId, Moment};
 use slog::{error, info};
 use tokio::sync::oneshot;
@@ -18,14 +18,23 @@
     pub(super) received: Moment,
 }
 
-/// A record that waits to be stored by a majority.
+/// An entry that waits to be stored by a majority.
 #[derive(Debug)]
 pub(super) struct PendingProposal {
-    pub(super) revision: u64,
+    pub(super) subject: Subject,
     pub(super) sender: oneshot::Sender<Response>,
     pub(super) proposed: Moment,
 }
 
+/// What an entry changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Subject {
+    /// The setup, to this revision.
+    Setup(u64),
+    /// The evacuations.
+    Evacuations,
+}
+
 impl Replica {
     pub(super) fn handle_read_confirmed(&mut self, token: Token, round: u64) {
         let Some(PendingCommand {
@@ -48,7 +57,19 @@
             Command::Apply(record) if record.revision <= self.register.revision() => {
                 let _ = sender.send(Response::Applied);
             }
-            Command::Apply(record) => self.propose(&record, sender),
+            Command::Apply(record) => {
+                let subject = Subject::Setup(record.revision);
+                self.propose(&Entry::Record(record), subject, sender);
+            }
+            Command::Evacuations { includes_audit } => {
+                let evacuations = self.register.evacuations();
+                let _ = sender.send(Response::Evacuations(if includes_audit {
+                    evacuations.clone()
+                } else {
+                    evacuations.without_audit()
+                }));
+            }
+            Command::Evacuate(change) => self.propose_change(change, sender),
         }
     }
 
@@ -68,12 +89,17 @@
         let _ = sender.send(Response::NotLeader(leader));
     }
 
-    fn propose(&mut self, record: &Record, sender: oneshot::Sender<Response>) {
-        match postcard::to_stdvec(record) {
+    pub(super) fn propose(
+        &mut self,
+        entry: &Entry,
+        subject: Subject,
+        sender: oneshot::Sender<Response>,
+    ) {
+        match entry.encode() {
             Ok(payload) => {
                 let token = self.next_token();
                 let pending = PendingProposal {
-                    revision: record.revision,
+                    subject,
                     sender,
                     proposed: self.dependencies.clock.now(),
                 };
@@ -95,7 +121,7 @@
         };
         self.log_outcome(&proposal, outcome);
         let response = match outcome {
-            ProposalOutcome::Committed { .. } => Response::Applied,
+            ProposalOutcome::Committed { index } => self.committed_response(&proposal, *index),
             ProposalOutcome::NotLeader { leader } => {
                 Response::NotLeader(leader.as_ref().map(|leader| leader.host.clone()))
             }
@@ -112,8 +138,12 @@
             ProposalOutcome::Committed { index } => (Some(index.0), self.holders(*index)),
             _ => (None, String::new()),
         };
-        info!(self.dependencies.logger, "setup_proposed"; "event" => "setup_proposed",
-            "revision" => proposal.revision, "outcome" => outcome.as_str(),
+        let (event, revision) = match proposal.subject {
+            Subject::Setup(revision) => ("setup_proposed", Some(revision)),
+            Subject::Evacuations => ("evacuation_proposed", None),
+        };
+        info!(self.dependencies.logger, "{}", event; "event" => event,
+            "revision" => revision, "outcome" => outcome.as_str(),
             "term" => %self.node.term(), "index" => index, "holders" => holders, "ms" => ms);
     }
 
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -42,6 +42,13 @@
     /// a leaving endpoint gets no requests.
     #[serde(default)]
     pub drain_ms: u64,
+    /// The data centres of the installation, in addition to those of known hosts and endpoints.
+    #[serde(default)]
+    pub data_centres: Vec<DataCentre>,
+    /// The maximum time from the acknowledgement of an evacuation until it is in effect on all hosts,
+    /// in milliseconds.
+    #[serde(default = "default_evacuate_ms")]
+    pub evacuate_ms: u64,
     /// The maximum duration of a graceful shutdown in milliseconds.
     pub stop_ms: u64,
 }
@@ -108,6 +115,10 @@
     4_000
 }
 
+const fn default_evacuate_ms() -> u64 {
+    5_000
+}
+
 const fn default_lost_replicas() -> usize {
     1
 }
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -30,6 +30,7 @@
 
 use crate::Protocol;
 use crate::body::Body;
+use crate::evacuations::{self, Running};
 use crate::holds::{Hold, Holds, Purpose};
 use crate::paths::Paths;
 use crate::pool::Prefiller;
@@ -85,6 +86,7 @@
     /// The host whose connection the response arrives on, if it is not this one.
     pub relay: Option<HostId>,
     _driver: Option<Driver>,
+    _running: Option<Running>,
 }
 
 impl Exchange {
@@ -149,6 +151,8 @@
     pub clock: Clock,
     /// Parses responses.
     pub protocol: Arc<dyn Protocol>,
+    /// The evacuated data centres.
+    pub evacuations: Arc<evacuations::Store>,
     /// What the endpoints may be sent.
     pub holds: Arc<Holds>,
     /// What this host reaches directly.
@@ -179,7 +183,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Exchange, Error> {
-        self.check(&target)?;
+        self.check_informed(&target).await?;
         let paths = &self.0.paths;
         let route = paths.route(target.endpoint);
         if route != Route::Direct {
@@ -273,6 +277,8 @@
         request: &Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Exchange, relay::Error> {
+        let checked = self.check_informed(target).await;
+        checked.map_err(relay::Error::Failed)?;
         let mut request = request.clone();
         add_host(&mut request, target.endpoint);
         let sent = self.0.relays.send(target, &request, deadline);
@@ -285,6 +291,7 @@
             framing,
             relay: Some(relay),
             _driver: None,
+            _running: None,
         })
     }
 
@@ -294,7 +301,7 @@
         target: &Target<'_>,
         deadline: Instant,
     ) -> Result<Connection, Error> {
-        self.check(target)?;
+        self.check_informed(target).await?;
         let opened_at = self.0.clock.now();
         let connected = connect(target.endpoint.address, deadline).await;
         let stream = connected.inspect_err(|error| {
@@ -307,7 +314,7 @@
             paths.record_trouble(target.endpoint, Trouble::Unconnected, from);
         })?;
         // The endpoint may have asked for a back-off while the connection was opened.
-        self.check(target)?;
+        self.check_informed(target).await?;
         Ok(Connection { stream, opened_at })
     }
 
@@ -320,6 +327,10 @@
         deadline: Instant,
     ) -> Result<Exchange, Error> {
         let Connection { stream, opened_at } = connection;
+        let data_centre = &target.endpoint.data_centre;
+        let running = self.0.evacuations.begin(data_centre);
+        // For another host, this one may have waited since it was connected.
+        self.check_informed(target).await?;
         add_host(&mut request, target.endpoint);
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
         let (mut sender, connection) = handshake
@@ -351,6 +362,7 @@
             framing,
             relay: None,
             _driver: Some(driver),
+            _running: Some(running),
         })
     }
 
@@ -407,6 +419,14 @@
         reply
     }
 
+    /// Checks a request as [`Self::check`] does, on a host that was suspended after it has had news.
+    async fn check_informed(&self, target: &Target<'_>) -> Result<(), Error> {
+        if target.purpose != Purpose::Upkeep {
+            self.0.evacuations.suspension().wait_for_news().await;
+        }
+        self.check(target)
+    }
+
     fn check(&self, target: &Target<'_>) -> Result<(), Error> {
         let holds = &self.0.holds;
         let helpers = target.prefillers.iter();
--- a/crates/kumquatdrum_process/src/clock.rs
+++ b/crates/kumquatdrum_process/src/clock.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// Returns the time since the machine's start in milliseconds, including the time for which it was
+/// suspended.
+pub fn boot_ms() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let millis = now.tv_sec * 1_000 + now.tv_nsec / 1_000_000;
+    u64::try_from(millis).unwrap_or(0)
+}
+
 /// Returns the wall-clock time in milliseconds since the Unix epoch. It may jump, so durations are
 /// measured with [`Clock`].
 pub fn unix_ms() -> u64 {
