--- a/crates/kumquatdrum/src/cli.rs
+++ b/crates/kumquatdrum/src/cli.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use kumquatdrum_operator::command::{apply, audit, check, show, status};
+use kumquatdrum_operator::command::{apply, audit, check, evacuate, show, status};
 use kumquatdrum_operator::{Connection, Exit};
 
 use crate::{demo, explain, losses, replay};
@@ -110,6 +110,11 @@
         #[bpaf(external)]
         json: bool,
     },
+    /// Evacuates a data centre of a gateway: no more requests are sent to its endpoints
+    ///
+    /// Example: kumquatdrum evacuate start ams-1 --control 10.0.0.1:7403
+    #[bpaf(command)]
+    Evacuate(#[bpaf(external(evacuate_command))] EvacuateCommand),
     /// Sends a recorded trace to a running system and checks each answer
     ///
     /// Example: kumquatdrum replay trace.jsonl --target 127.0.0.1:7101 --keys keys.json
@@ -132,6 +137,66 @@
     Demo(#[bpaf(external(demo::arguments))] demo::Arguments),
 }
 
+/// Subcommands of `evacuate`.
+#[derive(Debug, Clone, Bpaf)]
+pub enum EvacuateCommand {
+    /// Starts an evacuation; requests that run in the data centre finish there
+    #[bpaf(command)]
+    Start {
+        #[bpaf(external)]
+        gateway: Gateway,
+        /// The data centre
+        #[bpaf(positional("DATA-CENTRE"))]
+        data_centre: String,
+    },
+    /// Ends an evacuation
+    #[bpaf(command)]
+    End {
+        #[bpaf(external)]
+        gateway: Gateway,
+        /// The data centre
+        #[bpaf(positional("DATA-CENTRE"))]
+        data_centre: String,
+    },
+    /// Shows evacuations, requests that still run, hosts that lag behind, and who ordered what
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        gateway: Gateway,
+        #[bpaf(external)]
+        json: bool,
+    },
+}
+
+/// Gateway hosts to connect to:
+#[derive(Debug, Clone, Bpaf)]
+pub struct Gateway {
+    /// A control listener of a gateway, such as `http://10.0.0.1:7403`; several are tried in turn
+    #[bpaf(argument("URL"), some("at least one --control is required"))]
+    control: Vec<String>,
+}
+
+impl From<EvacuateCommand> for evacuate::Options {
+    fn from(command: EvacuateCommand) -> Self {
+        let (gateway, action, json) = match command {
+            EvacuateCommand::Start {
+                gateway,
+                data_centre,
+            } => (gateway, evacuate::Action::Start(data_centre), false),
+            EvacuateCommand::End {
+                gateway,
+                data_centre,
+            } => (gateway, evacuate::Action::End(data_centre), false),
+            EvacuateCommand::Status { gateway, json } => (gateway, evacuate::Action::Status, json),
+        };
+        Self {
+            control: gateway.control,
+            action,
+            json,
+        }
+    }
+}
+
 pub(crate) fn json() -> impl bpaf::Parser<bool> {
     bpaf::long("json").help("Print JSON").switch()
 }
@@ -216,6 +281,7 @@
             };
             status::run(&options, out).await
         }
+        Command::Evacuate(command) => evacuate::run(&command.into(), out).await,
         Command::Replay(arguments) => replay::run(&arguments).await,
         Command::Demo(_)
         | Command::Explain(_)
--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -152,6 +152,43 @@
     );
 }
 
+/// Runs the command against a control host, and returns its exit code and output.
+async fn run(cluster: &Cluster, arguments: &[&str]) -> (Option<i32>, String) {
+    let request = cluster.control_request(1, Method::GET, "").build();
+    let url = request.expect("a request").url().to_string();
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_kumquatdrum"));
+    command
+        .arg("evacuate")
+        .args(arguments)
+        .args(["--control", &url]);
+    let output = command.output().await.expect("the command runs");
+    let text = String::from_utf8(output.stdout).expect("text");
+    (output.status.code(), text)
+}
+
+#[tokio::test]
+async fn the_commands_give_orders_and_show_the_status() {
+    let (cluster, _endpoints) = start(207, &["zone-0"], Behaviour::CompleteBody).await;
+    find_leader(&cluster).await;
+    let (code, text) = run(&cluster, &["start", "nowhere"]).await;
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("unknown data centre: nowhere"), "{text}");
+    let (code, text) = run(&cluster, &["start", "zone-0"]).await;
+    assert_eq!(code, Some(0), "{text}");
+    let (_, text) = run(&cluster, &["status"]).await;
+    assert!(text.contains("zone-0  evacuated since"), "{text}");
+    let (code, text) = run(&cluster, &["end", "zone-0"]).await;
+    assert_eq!(code, Some(0), "{text}");
+    let (code, text) = run(&cluster, &["status", "--json"]).await;
+    let status: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &status["version"]), (Some(0), &json!(2)));
+    assert_eq!(status["audit"][1]["change"], "end");
+    let nobody = ["status", "--control", "127.0.0.1:1"];
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_kumquatdrum"));
+    let output = command.arg("evacuate").args(nobody).output().await;
+    assert_eq!(output.expect("the command runs").status.code(), Some(3));
+}
+
 /// Guards against requests that wait until their deadline, and against streams that are cut off.
 #[tokio::test]
 async fn without_an_endpoint_requests_are_refused_at_once_and_streams_finish() {
--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -7,7 +7,7 @@
 use kumquatdrum_process::clock::{boot_ms, unix_ms};
 use kumquatdrum_routes::Evacuations;
 use kumquatdrum_routes::evacuation::Change;
-use kumquatdrum_types::{DataCentre, Finding};
+use kumquatdrum_types::{DataCentre, Finding, HostId};
 use serde::Serialize;
 use slog::info;
 use tokio::time::timeout;
@@ -212,11 +212,12 @@
     };
     gateway.adopt_evacuations(&evacuations, "leader", false);
     let version = evacuations.version();
-    let running = gateway.evacuations.count_running();
     let data_centres = evacuations.data_centres();
     let live = gateway.hosts.live_hosts();
-    let live = live.into_iter().map(|host| host.id);
-    let behind = live.filter(|host| gateway.evacuations.version_of(host).unwrap_or(0) < version);
+    let live: Vec<HostId> = live.into_iter().map(|host| host.id).collect();
+    let running = gateway.evacuations.count_running(&live);
+    let is_behind = |host: &&HostId| gateway.evacuations.version_of(host).unwrap_or(0) < version;
+    let behind = live.iter().filter(is_behind);
     let status = Status {
         version,
         is_confirmed,
@@ -229,7 +230,7 @@
                 running: running.get(data_centre).copied().unwrap_or(0),
             })
             .collect(),
-        hosts_behind: behind.map(|host| host.to_string()).collect(),
+        hosts_behind: behind.map(ToString::to_string).collect(),
         audit: evacuations
             .audit()
             .map(|entry| Audit {
--- a/crates/kumquatdrum_gateway/src/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/evacuations.rs
@@ -125,12 +125,13 @@
     }
 
     /// Returns the number of requests that run in each evacuated data centre: this host's and those
-    /// that other hosts reported.
-    pub fn count_running(&self) -> IndexMap<DataCentre, u32> {
+    /// that other hosts reported, as far as they are live.
+    pub fn count_running(&self, live: &[HostId]) -> IndexMap<DataCentre, u32> {
         let current = self.current();
         let local = self.running_in(&current);
         let hosts = self.hosts.lock();
-        let reported = hosts.values().flat_map(|known| known.running.clone());
+        let reported = live.iter().filter_map(|host| hosts.get(host));
+        let reported = reported.flat_map(|known| known.running.clone());
         let mut sums = IndexMap::new();
         for (data_centre, count) in local.into_iter().chain(reported) {
             *sums.entry(data_centre).or_insert(0) += count;
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -6,6 +6,7 @@
 use futures::stream::FuturesUnordered;
 use futures::{Stream, StreamExt};
 use kumquatdrum_peer::Channel;
+use kumquatdrum_process::clock::unix_ms;
 use kumquatdrum_routes::{Evacuations, distribution};
 use kumquatdrum_types::HostId;
 use slog::info;
@@ -17,6 +18,9 @@
 use crate::message::{Host, Request, Response, Selection};
 use crate::suspension::TICK_INTERVAL;
 
+/// The time after the end of an evacuation in which endpoints may still be cold because of it. A host
+/// that starts or resumes learns of all earlier evacuations.
+const MAX_COLD_MS: u64 = 600_000;
 /// The timeout for a push of the state. A host that misses it learns of the version by a hello.
 const PUSH_TIMEOUT: Duration = Duration::from_millis(700);
 /// The time for which an order waits for all hosts to have the new state. Together with the commit
@@ -41,8 +45,10 @@
         let Some(before) = self.evacuations.adopt(newer, from) else {
             return;
         };
-        for data_centre in newer.ended_since(&before) {
-            self.pool.expect_cold(data_centre);
+        for (data_centre, ended_ms) in newer.ended_since(&before) {
+            if unix_ms().saturating_sub(ended_ms) < MAX_COLD_MS {
+                self.pool.expect_cold(data_centre);
+            }
         }
         self.pool.refresh();
         let local = self.hosts.local();
--- a/crates/kumquatdrum_gateway/src/suspension.rs
+++ b/crates/kumquatdrum_gateway/src/suspension.rs
@@ -75,11 +75,14 @@
     /// Waits on a resumed host for news, but not longer than half a second after the resumption.
     pub async fn wait_for_news(&self) {
         loop {
-            let informed = self.informed.notified();
             let now = self.tick();
             if !self.awaits_news.load(Ordering::Acquire) {
                 return;
             }
+            let informed = self.informed.notified();
+            if !self.awaits_news.load(Ordering::Acquire) {
+                return;
+            }
             let end = self.resumed_ms.load(Ordering::Acquire) + NEWS_WAIT_MS;
             let left = end.saturating_sub(now);
             if left == 0 {
--- a/crates/kumquatdrum_operator/src/command.rs
+++ b/crates/kumquatdrum_operator/src/command.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod audit;
 pub mod check;
+pub mod evacuate;
 pub mod show;
 pub mod status;
 
@@ -58,6 +59,12 @@
     /// No host responded, or a host rejected the request.
     #[error(transparent)]
     Client(#[from] Error),
+    /// A gateway refused the order.
+    #[error("{0}")]
+    Refused(String),
+    /// No gateway answered, or the outcome is unknown.
+    #[error("{0}")]
+    Unanswered(String),
     /// The output cannot be written.
     #[error("the output can't be written: {0}")]
     Output(#[from] io::Error),
@@ -70,8 +77,8 @@
             Self::Client(Error::Rejected(Report::Unauthorized | Report::BadRequest { .. })) => {
                 Exit::Usage
             }
-            Self::Client(Error::Rejected(_)) => Exit::Failure,
-            Self::Client(_) | Self::Output(_) => Exit::Unknown,
+            Self::Client(Error::Rejected(_)) | Self::Refused(_) => Exit::Failure,
+            Self::Client(_) | Self::Unanswered(_) | Self::Output(_) => Exit::Unknown,
         }
     }
 }
--- a/crates/kumquatdrum_routes/src/evacuation.rs
+++ b/crates/kumquatdrum_routes/src/evacuation.rs
@@ -167,12 +167,16 @@
         active.map(|(data_centre, _)| data_centre)
     }
 
-    /// Returns the data centres whose evacuation ended since an earlier state.
-    pub fn ended_since<'a>(&'a self, earlier: &'a Self) -> impl Iterator<Item = &'a DataCentre> {
+    /// Returns the data centres whose evacuation ended since an earlier state, each with the time of the
+    /// end in Unix milliseconds.
+    pub fn ended_since<'a>(
+        &'a self,
+        earlier: &'a Self,
+    ) -> impl Iterator<Item = (&'a DataCentre, u64)> {
         self.data_centres.iter().filter_map(|(data_centre, state)| {
             let known = earlier.data_centres.get(data_centre);
             let changes = known.map_or(0, |known| known.changes);
-            (!state.is_active && state.changes > changes).then_some(data_centre)
+            (!state.is_active && state.changes > changes).then_some((data_centre, state.changed_ms))
         })
     }
 
