--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -104,6 +104,11 @@
         SocketAddr::from(([127, 77, self.subnet, host as u8 + 1], port))
     }
 
+    /// Returns the address at which other hosts connect to a host.
+    pub fn peer_address(&self, host: usize) -> SocketAddr {
+        self.address(host, 7340)
+    }
+
     pub fn data_path(&self, host: usize) -> PathBuf {
         self.folder.path().join(format!("data-{host}"))
     }
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod path;
 mod proxy;
 mod raw;
+mod recovery;
 mod reservation;
 mod soak;
 mod start;
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::Gateway;
+use crate::backlog;
 use crate::body::Body;
 use crate::problem::Problem;
 use crate::protocol::{Metadata, PartId, Prompt};
@@ -27,6 +28,9 @@
 
 /// The timeout of requests without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+/// The maximum retry delay while a starting host does not know the active setup. It covers an
+/// election and a hello exchange, since callers may retry only once.
+const MAX_NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// An admitted request with its complete body.
 pub(crate) struct Call {
@@ -56,8 +60,10 @@
     let (head, body) = request.into_parts();
     let metadata = gateway.protocol.parse_request(&head.headers);
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
-    gateway.wait_until_informed(metadata.timeout).await;
-    let admission = admit(&gateway, &head, &metadata);
+    let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    gateway.wait_until_informed(arrived, timeout).await;
+    let left = arrived + timeout - gateway.clock.now();
+    let admission = admit(&gateway, &head, &metadata, left);
     let mut response = match admission {
         Ok(admission) => {
             let call = receive(&gateway, head, body, metadata, admission, arrived).await;
@@ -90,8 +96,14 @@
     gateway: &Gateway,
     head: &request::Parts,
     metadata: &Metadata,
+    left: Duration,
 ) -> Result<Admission, Problem> {
-    let active_setup = gateway.active_setup.current().ok_or(Problem::NotReady)?;
+    let not_ready = Problem::NotReady {
+        retry_after: backlog::retry_after(left, MAX_NOT_READY_RETRY_AFTER),
+    };
+    let Some(active_setup) = gateway.active_setup.current() else {
+        return Err(not_ready);
+    };
     let table = &active_setup.table;
     let host = head.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -101,7 +113,7 @@
         if has_majority {
             problem
         } else {
-            Problem::NotReady
+            not_ready.clone()
         }
     };
     let route = table.route(host, head.uri.path());
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -0,0 +1,396 @@
+//! The schedule of a host's requests to control hosts: hellos, listings of hosts, and all endpoints.
+//!
+//! A state machine without clock and network. Each control host has a schedule of its own with at most
+//! one hello in flight, so that one that doesn't answer delays nothing. Hellos to a control host that
+//! has not answered request no lists. All endpoints are requested from one control host at a time that
+//! has answered, and not again while its answer is under way: with hundreds of hosts that start at
+//! once, answers take seconds, and requests that are repeated earlier overload control hosts.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatdrum_types::{HostId, Moment, hash};
+
+/// The interval between hellos to a control host of the local data centre. A host that was cut off
+/// learns of the active setup within this time of its return.
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval between hellos to a control host of another data centre, except those of control
+/// hosts. Two of these hellos fit into the silence after which a host counts as lost.
+const REMOTE_HELLO_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The delay after a hello that was not answered, or by a control host without a setup.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// The number of hellos in a row after [`RETRY_DELAY`] that a control host doesn't answer. Afterwards,
+/// the usual interval applies.
+const MAX_QUICK_RETRIES: u32 = 30;
+/// The number of hellos after [`RETRY_DELAY`] to a control host without a setup. It sends its setup to
+/// the hosts that it knows once it has one.
+const MAX_SETUP_RETRIES: u32 = 3;
+/// How long after the first answer the preferred source of all hosts and endpoints is awaited, so that
+/// hosts that start at once spread over the control hosts.
+const SOURCE_WAIT: Duration = Duration::from_millis(40);
+/// The minimum interval between listings that are requested of any control host.
+const LISTING_INTERVAL: Duration = Duration::from_millis(450);
+/// How long a listing waits for the control host whose listing is the oldest.
+const LISTING_TURN_WAIT: Duration = Duration::from_millis(300);
+/// The time after which a missing listing of changes is requested from another control host. Without
+/// listings, hosts count as lost after 2 s.
+const LISTING_PATIENCE: Duration = Duration::from_millis(1_000);
+/// The number of control hosts that send all endpoints to a host. A second one makes up for a first
+/// that lost its disk. A control host requests them from all others.
+const ENDPOINT_SOURCES: usize = 2;
+/// The time after which a host that has had all endpoints once looks for no further source. By then
+/// endpoints have announced themselves again.
+const MAX_ENDPOINT_DURATION: Duration = Duration::from_secs(10);
+
+/// A known control host, or a seed that is not known yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The control host.
+    pub host: HostId,
+    /// Whether the control host is known to be in another data centre.
+    pub is_remote: bool,
+}
+
+/// A request to send. Its result must be recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// A hello.
+    Hello {
+        /// The receiver.
+        to: HostId,
+        /// Whether it requests a listing of hosts.
+        requests_listing: bool,
+        /// Whether it requests the endpoints that have left.
+        requests_departures: bool,
+    },
+    /// A request for all endpoints.
+    Endpoints {
+        /// The receiver.
+        from: HostId,
+    },
+}
+
+/// The result of a hello.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// There was no welcome in time.
+    Missing,
+    /// The control host has answered.
+    Welcome {
+        /// Whether the control host has a setup.
+        has_setup: bool,
+    },
+}
+
+/// Decides which control host is sent what, and when.
+///
+/// ```
+/// use kumquatdrum_gateway::contact::{Schedule, Target};
+/// use kumquatdrum_types::{HostId, Moment};
+///
+/// let now = Moment::from_millis(100);
+/// let mut schedule = Schedule::new(now, HostId::new("10.0.0.9"), false);
+/// let seed = Target { host: HostId::new("10.0.0.1"), is_remote: false };
+/// schedule.set_targets([seed]);
+/// assert_eq!(schedule.poll(now).len(), 1);
+/// assert!(schedule.poll(now).is_empty(), "one hello is in flight");
+/// ```
+#[derive(Debug)]
+pub struct Schedule {
+    local: HostId,
+    is_control: bool,
+    started: Moment,
+    contacts: IndexMap<HostId, Contact>,
+    first_answer: Option<Moment>,
+    listing: Listing,
+    endpoints: Endpoints,
+}
+
+/// The listings of this host. Control hosts request one with each hello instead.
+#[derive(Debug, Default)]
+struct Listing {
+    /// The control host that was last asked, and when.
+    asked: Option<(HostId, Moment)>,
+    is_in_flight: bool,
+    is_received: bool,
+}
+
+#[derive(Debug, Default)]
+struct Endpoints {
+    asked: Vec<HostId>,
+    is_in_flight: bool,
+    received: usize,
+    /// The end of the pause after a request without an answer.
+    resume_at: Moment,
+}
+
+#[derive(Debug)]
+struct Contact {
+    is_remote: bool,
+    /// When the next hello is due.
+    due: Moment,
+    hello: Option<Hello>,
+    /// Whether the last hello was answered.
+    is_answering: bool,
+    /// The number of hellos without an answer since the last answer.
+    missing: u32,
+    setup_retries: u32,
+    has_departures: bool,
+    /// When a listing was last requested.
+    listed: Moment,
+}
+
+/// A hello in flight.
+#[derive(Debug, Clone, Copy)]
+struct Hello {
+    requests_listing: bool,
+    requests_departures: bool,
+}
+
+impl Schedule {
+    /// Creates the schedule of a host that starts now.
+    pub fn new(now: Moment, local: HostId, is_control: bool) -> Self {
+        Self {
+            local,
+            is_control,
+            started: now,
+            contacts: IndexMap::new(),
+            first_answer: None,
+            listing: Listing::default(),
+            endpoints: Endpoints::default(),
+        }
+    }
+
+    /// Replaces the control hosts. A new one is sent a hello at once.
+    pub fn set_targets(&mut self, targets: impl IntoIterator<Item = Target>) {
+        let mut known = std::mem::take(&mut self.contacts);
+        for Target { host, is_remote } in targets {
+            let mut contact = known.swap_remove(&host).unwrap_or_else(|| Contact {
+                is_remote,
+                due: Moment::ZERO,
+                hello: None,
+                is_answering: false,
+                missing: 0,
+                setup_retries: 0,
+                has_departures: false,
+                listed: Moment::ZERO,
+            });
+            contact.is_remote = is_remote;
+            self.contacts.insert(host, contact);
+        }
+        for (host, _) in known {
+            if self.is_listing_awaited_from(&host) {
+                self.listing.is_in_flight = false;
+            }
+        }
+    }
+
+    /// Returns the requests to send now.
+    pub fn poll(&mut self, now: Moment) -> Vec<Order> {
+        let mut orders = Vec::new();
+        if let Some(from) = self.endpoint_source(now) {
+            self.endpoints.is_in_flight = true;
+            self.endpoints.asked.push(from.clone());
+            orders.push(Order::Endpoints { from });
+        }
+        self.expedite_listing(now);
+        let due = self.contacts.iter();
+        let due = due.filter(|(_, contact)| contact.hello.is_none() && contact.due <= now);
+        let due: Vec<HostId> = due.map(|(host, _)| host.clone()).collect();
+        for to in due {
+            let requests_listing = self.is_listing_due(now, &to);
+            if requests_listing {
+                self.listing.asked = Some((to.clone(), now));
+                self.listing.is_in_flight = true;
+            }
+            let Some(contact) = self.contacts.get_mut(&to) else {
+                continue;
+            };
+            if requests_listing {
+                contact.listed = now;
+            }
+            let requests_departures = !self.is_control && !contact.has_departures;
+            contact.hello = Some(Hello {
+                requests_listing,
+                requests_departures,
+            });
+            orders.push(Order::Hello {
+                to,
+                requests_listing,
+                requests_departures,
+            });
+        }
+        orders
+    }
+
+    /// Returns when to poll next if nothing is recorded before.
+    pub fn next_due(&self, now: Moment) -> Option<Moment> {
+        let idle = self.contacts.values();
+        let idle = idle.filter(|contact| contact.hello.is_none());
+        let due = idle.map(|contact| contact.due);
+        let source_wait = self.first_answer.map(|at| at + SOURCE_WAIT);
+        let resume_at = (!self.endpoints.is_in_flight).then_some(self.endpoints.resume_at);
+        let others = source_wait.into_iter().chain(resume_at);
+        let others = others.chain(self.overdue_at());
+        due.chain(others.filter(|at| *at > now)).min()
+    }
+
+    /// Records the result of a hello.
+    pub fn record_hello(&mut self, now: Moment, from: &HostId, reply: Reply) {
+        let Some(contact) = self.contacts.get_mut(from) else {
+            return;
+        };
+        let Some(hello) = contact.hello.take() else {
+            return;
+        };
+        let interval = if contact.is_remote && !self.is_control {
+            REMOTE_HELLO_INTERVAL
+        } else {
+            HELLO_INTERVAL
+        };
+        let is_quick = match reply {
+            Reply::Missing => {
+                contact.missing += 1;
+                contact.missing <= MAX_QUICK_RETRIES
+            }
+            Reply::Welcome { has_setup } => {
+                contact.missing = 0;
+                contact.has_departures |= hello.requests_departures;
+                contact.setup_retries += u32::from(!has_setup);
+                !has_setup && contact.setup_retries <= MAX_SETUP_RETRIES
+            }
+        };
+        contact.due = now + if is_quick { RETRY_DELAY } else { interval };
+        contact.is_answering = reply != Reply::Missing;
+        if contact.is_answering {
+            self.first_answer.get_or_insert(now);
+        }
+        if hello.requests_listing {
+            self.listing.is_received |= reply != Reply::Missing;
+            if self.is_listing_awaited_from(from) {
+                self.listing.is_in_flight = false;
+            }
+        }
+    }
+
+    /// Records the result of a request for all endpoints.
+    pub fn record_endpoints(&mut self, now: Moment, is_received: bool) {
+        self.endpoints.is_in_flight = false;
+        self.endpoints.received += usize::from(is_received);
+        if !is_received {
+            self.endpoints.resume_at = now + RETRY_DELAY;
+        }
+    }
+
+    /// Returns whether the listing in flight, if any, is the one requested from a control host.
+    fn is_listing_awaited_from(&self, host: &HostId) -> bool {
+        let asked = self.listing.asked.as_ref();
+        asked.is_some_and(|(asked, _)| asked == host)
+    }
+
+    /// Returns the control host to request all endpoints from.
+    fn endpoint_source(&mut self, now: Moment) -> Option<HostId> {
+        let endpoints = &self.endpoints;
+        let sources = if self.is_control {
+            usize::MAX
+        } else {
+            ENDPOINT_SOURCES
+        };
+        let is_over = endpoints.received > 0 && now - self.started >= MAX_ENDPOINT_DURATION;
+        if endpoints.is_in_flight
+            || endpoints.received >= sources
+            || is_over
+            || now < endpoints.resume_at
+        {
+            return None;
+        }
+        let source = self.source(now, &endpoints.asked);
+        if source.is_none() && endpoints.received == 0 {
+            // All that answer have failed to send them: the next one is asked again.
+            self.endpoints.asked.clear();
+        }
+        source
+    }
+
+    /// Returns the preferred control host that answers and is not in `asked`: one of the local data
+    /// centre if possible. Hosts spread over those that are equally near.
+    fn source(&self, now: Moment, asked: &[HostId]) -> Option<HostId> {
+        let first_answer = self.first_answer?;
+        let rank = |(host, contact): &(&HostId, &Contact)| {
+            let weight = hash::pair(self.local.as_str(), host.as_str());
+            (contact.is_remote, weight)
+        };
+        let others = self.contacts.iter();
+        let others = others.filter(|(host, _)| !asked.contains(host));
+        let answering = others.clone().filter(|(_, contact)| contact.is_answering);
+        let preferred = others.min_by_key(rank)?;
+        let best = answering.min_by_key(rank)?;
+        let is_due = best.0 == preferred.0 || now >= first_answer + SOURCE_WAIT;
+        is_due.then(|| best.0.clone())
+    }
+
+    /// Makes the hello due that requests the first listing or an overdue one. Control hosts request
+    /// their first ones of each other.
+    fn expedite_listing(&mut self, now: Moment) {
+        if self.is_control {
+            let contacts = self.contacts.values_mut();
+            let unlisted =
+                |contact: &&mut Contact| contact.is_answering && contact.listed == Moment::ZERO;
+            contacts
+                .filter(unlisted)
+                .for_each(|contact| contact.due = contact.due.min(now));
+            return;
+        }
+        let source = match self.listing.is_received {
+            true if self.overdue_at().is_some_and(|at| at <= now) => self.oldest_listed(),
+            false if !self.listing.is_in_flight => self.source(now, &[]),
+            _ => None,
+        };
+        if let Some(contact) = source.and_then(|source| self.contacts.get_mut(&source)) {
+            contact.due = contact.due.min(now);
+        }
+    }
+
+    /// Returns whether a hello that is sent now to a control host requests a listing. The first
+    /// listing is complete and awaited; later ones contain changes and come from all control hosts in
+    /// turn, so that a partitioned one does not hide hosts for long.
+    fn is_listing_due(&self, now: Moment, to: &HostId) -> bool {
+        let Some(contact) = self.contacts.get(to) else {
+            return false;
+        };
+        if !contact.is_answering || self.is_control {
+            return contact.is_answering;
+        }
+        let since = self.listing.asked.as_ref().map(|(_, at)| now - *at);
+        let is_awaited = self.listing.is_in_flight;
+        if !self.listing.is_received {
+            return !is_awaited && self.source(now, &[]).as_ref() == Some(to);
+        }
+        let minimum = if is_awaited {
+            LISTING_PATIENCE
+        } else {
+            LISTING_INTERVAL
+        };
+        if since.is_some_and(|since| since < minimum) {
+            return false;
+        }
+        let oldest = self.oldest_listed();
+        let oldest = oldest.and_then(|oldest| self.contacts.get_key_value(&oldest));
+        oldest.is_none_or(|(host, other)| host == to || other.due > now + LISTING_TURN_WAIT)
+    }
+
+    /// Returns when a new listing is due at the latest, after the first one.
+    fn overdue_at(&self) -> Option<Moment> {
+        let asked = self.listing.asked.as_ref();
+        let asked = asked.filter(|_| self.listing.is_received && !self.is_control);
+        asked.map(|(_, at)| *at + LISTING_PATIENCE)
+    }
+
+    /// Returns the control host whose listing is the oldest of those that could be sent a hello.
+    fn oldest_listed(&self) -> Option<HostId> {
+        let idle = self.contacts.iter();
+        let idle = idle.filter(|(_, contact)| contact.is_answering && contact.hello.is_none());
+        let oldest = idle.min_by_key(|(_, contact)| contact.listed);
+        oldest.map(|(host, _)| host.clone())
+    }
+}
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,13 +17,13 @@
 use slog::{error, info, o};
 use tokio::signal::unix::Signal;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
 
+use crate::backlog::Backlog;
 use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
 use crate::hosts::Hosts;
-use crate::message::{Event, Hello, Request, Response, Selection};
+use crate::message::{EndpointSelection, Event, Hello, Request, Response};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::quarantine_cache;
@@ -31,19 +31,14 @@
 use crate::upstream::Upstream;
 use crate::{Protocol, Settings, active_setup, cache, endpoint_cache, relay};
 
+mod contacts;
 mod endpoint_updates;
-mod initial_endpoints;
+mod held_requests;
 mod liveness;
 mod periodic;
 mod probe;
 mod start;
 
-/// The interval between hellos until the host knows the active setup.
-const INITIAL_HELLO_INTERVAL: Duration = Duration::from_millis(100);
-/// The maximum time that a request waits for an active setup; covers an election and a hello.
-const SETUP_WAIT: Duration = Duration::from_secs(2);
-/// The maximum fraction of a caller's timeout that a request waits for an active setup.
-const SETUP_WAIT_FRACTION: f64 = 0.4;
 /// How long a starting host waits for a majority of the control hosts before it becomes ready
 /// without one.
 const MAJORITY_WAIT: Duration = Duration::from_secs(3);
@@ -108,6 +103,9 @@
     has_confirmed_setup: AtomicBool,
     /// Whether a control host has sent all endpoints to this host.
     has_initial_endpoints: AtomicBool,
+    /// When the first setup came into force.
+    setup_known_at: OnceLock<Moment>,
+    backlog: Backlog,
     background: Mutex<JoinSet<()>>,
 }
 
@@ -174,23 +172,6 @@
         Duration::from_millis(self.settings.unused_memory_ms).mul_f64(LEASE_FRACTION)
     }
 
-    /// Waits on a newly started host until it has applied a setup and knows endpoints, since a caller
-    /// whose first host failed may retry only once.
-    pub(crate) async fn wait_until_informed(&self, timeout: Option<Duration>) {
-        let wait = timeout.map_or(SETUP_WAIT, |timeout| timeout.mul_f64(SETUP_WAIT_FRACTION));
-        let deadline = self.clock.now() + wait.min(SETUP_WAIT);
-        while !self.is_informed() && self.clock.now() < deadline {
-            sleep(INITIAL_HELLO_INTERVAL / 4).await;
-        }
-    }
-
-    /// Returns whether this host can place requests, as far as it may expect to. A host that has run
-    /// for a while without endpoints has none to wait for.
-    fn is_informed(&self) -> bool {
-        let is_starting = self.uptime() < SETUP_WAIT;
-        self.active_setup.current().is_some() && (!is_starting || self.pool.has_endpoints())
-    }
-
     /// Returns the time since the start of this host.
     fn uptime(&self) -> Duration {
         self.clock.now() - self.started
@@ -262,6 +243,8 @@
         loop {
             let prepare = |setup: &Setup| self.pool.configure(setup);
             let (active_setup, is_leader) = self.active_setup.activate_next(prepare).await;
+            self.setup_known_at.get_or_init(|| self.clock.now());
+            self.update_readiness();
             self.pool.remove_undeclared(active_setup.table.setup());
             self.distributor.distribute(&active_setup.record, is_leader);
         }
@@ -270,7 +253,6 @@
     /// Answers a hello.
     pub(crate) fn answer_hello(self: &Arc<Self>, hello: Hello) -> Response {
         let id = hello.host.id.clone();
-        let is_control = hello.host.is_control;
         self.hosts.record_contact(hello.host);
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
@@ -279,12 +261,10 @@
             host: self.hosts.local(),
             hosts: self.hosts.listing(hello.hosts),
             revision: self.active_setup.revision(),
-            endpoints: match hello.hosts {
-                _ if hello.requests_endpoints => self.endpoints.all_updates(),
-                // A host requests all hosts until it has an answer of this one. Control hosts always do,
-                // and request all endpoints when they start.
-                Selection::All if !is_control => self.endpoints.departures(),
-                _ => Vec::new(),
+            endpoints: match hello.endpoints {
+                EndpointSelection::Nothing => Vec::new(),
+                EndpointSelection::Departures => self.endpoints.departures(),
+                EndpointSelection::All => self.endpoints.all_updates(),
             },
             evidence: self.quarantine.answer(hello.known_evidence),
         }
@@ -310,10 +290,16 @@
     }
 
     /// Fetches a record from the control host assigned to this one, which then does not send it
-    /// twice, or else from the host that reported the revision.
+    /// twice, or else from the host that reported the revision. The latter has just answered, so a
+    /// host without a setup asks it first.
     async fn fetch_record(self: Arc<Self>, host: HostId, revision: u64) {
         let sender = self.distributor.sender().filter(|sender| *sender != host);
-        for target in sender.into_iter().chain([host]) {
+        let targets = match sender {
+            Some(sender) if self.active_setup.revision() == 0 => vec![host, sender],
+            Some(sender) => vec![sender, host],
+            None => vec![host],
+        };
+        for target in targets {
             let channel = Channel::Setup;
             let request = Request::Fetch {
                 above: self.active_setup.revision(),
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -0,0 +1,166 @@
+//! Requests to control hosts: hellos, listings of hosts, and all endpoints for a host that has just
+//! started. [`Schedule`] decides what is sent when.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kumquatdrum_peer::Channel;
+use kumquatdrum_types::{Checkpoint, HostId};
+use slog::info;
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep_until};
+
+use super::Gateway;
+use crate::contact::{Order, Reply, Schedule};
+use crate::message::{EndpointSelection, Hello, Request, Response, Selection};
+
+/// The timeout for the response to a hello or a request for all endpoints. It covers the requests of
+/// other hosts that start as well. A lost connection is noticed earlier.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The interval at which silent hosts and old entries are removed.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The result of a request to a control host.
+enum Outcome {
+    Hello(HostId, Reply),
+    Endpoints(bool),
+}
+
+impl Gateway {
+    /// Sends hellos to control hosts, and requests what a host that starts needs.
+    pub(super) async fn contact_control_hosts(self: Arc<Self>) {
+        let local = self.hosts.local();
+        let mut schedule = Schedule::new(self.clock.now(), local.id, local.is_control);
+        let mut requests = JoinSet::new();
+        let mut expiry = interval(EXPIRY_INTERVAL);
+        loop {
+            schedule.set_targets(self.hosts.contact_targets());
+            let now = self.clock.now();
+            for order in schedule.poll(now) {
+                requests.spawn(self.clone().execute(order));
+            }
+            let next = schedule.next_due(now).unwrap_or(now + EXPIRY_INTERVAL);
+            tokio::select! {
+                Some(outcome) = requests.join_next(), if !requests.is_empty() => {
+                    let now = self.clock.now();
+                    match outcome {
+                        Ok(Outcome::Hello(from, reply)) => schedule.record_hello(now, &from, reply),
+                        Ok(Outcome::Endpoints(is_received)) => {
+                            schedule.record_endpoints(now, is_received);
+                        }
+                        Err(error) => info!(self.logger, "request_ended_early";
+                            "event" => "request_ended_early", "reason" => %error),
+                    }
+                    self.update_readiness();
+                }
+                _ = expiry.tick() => self.expire(),
+                () = sleep_until(self.clock.instant(next)) => {}
+            }
+        }
+    }
+
+    fn expire(&self) {
+        self.hosts.expire_silent();
+        self.quarantine.expire();
+        self.pool.refresh();
+        if let Some(broadcaster) = &self.broadcaster {
+            broadcaster.refresh();
+        }
+        self.update_readiness();
+    }
+
+    async fn execute(self: Arc<Self>, order: Order) -> Outcome {
+        match order {
+            Order::Hello {
+                to,
+                requests_listing,
+                requests_departures,
+            } => {
+                let hosts = if requests_listing {
+                    self.hosts.listing_selection(&to)
+                } else {
+                    Selection::Nothing
+                };
+                let endpoints = if requests_departures {
+                    EndpointSelection::Departures
+                } else {
+                    EndpointSelection::Nothing
+                };
+                let reply = self.exchange_hello(&to, hosts, endpoints).await;
+                Outcome::Hello(to, reply)
+            }
+            Order::Endpoints { from } => {
+                let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::All);
+                let reply = self.exchange_hello(&from, hosts, endpoints).await;
+                let is_received = reply != Reply::Missing;
+                if is_received {
+                    self.has_initial_endpoints.store(true, Ordering::Release);
+                }
+                info!(self.logger, "endpoints_requested"; "event" => "endpoints_requested",
+                    "from" => from.as_str(), "received" => is_received,
+                    "elapsed_ms" => self.uptime().as_millis() as u64);
+                Outcome::Endpoints(is_received)
+            }
+        }
+    }
+
+    /// Sends a hello and applies the response.
+    async fn exchange_hello(
+        self: &Arc<Self>,
+        to: &HostId,
+        hosts: Selection,
+        endpoints: EndpointSelection,
+    ) -> Reply {
+        let (evidence, known_evidence) = self.quarantine.outgoing(to);
+        let sent = evidence.checkpoint;
+        let request = Request::Hello(Hello {
+            host: self.hosts.local(),
+            revision: self.active_setup.revision(),
+            endpoints,
+            hosts,
+            evidence,
+            known_evidence,
+        });
+        let response = self.send_request(to, Channel::Membership, &request, RESPONSE_TIMEOUT);
+        match response.await {
+            Some(response) => self.apply_welcome(response, sent),
+            None => Reply::Missing,
+        }
+    }
+
+    /// Applies the response to a hello that carried the evidence up to `sent`.
+    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> Reply {
+        let Response::Welcome {
+            host,
+            hosts,
+            revision,
+            endpoints,
+            evidence,
+        } = response
+        else {
+            return Reply::Missing;
+        };
+        let (id, boot) = (host.id.clone(), host.boot);
+        self.hosts.record_contact(host);
+        self.observe_revision(id.clone(), revision);
+        if let Some(listing) = hosts {
+            self.hosts.merge_listing(&id, listing);
+        }
+        self.merge_endpoints(endpoints, id.as_str());
+        self.quarantine.record_exchange(&id, boot, sent, evidence);
+        Reply::Welcome {
+            has_setup: revision > 0,
+        }
+    }
+
+    /// Trusts the setup once this host has the newest known one and all endpoints of a control host,
+    /// while in contact with a majority of the control hosts.
+    pub(super) fn update_readiness(&self) {
+        let has_endpoints = self.has_initial_endpoints.load(Ordering::Acquire)
+            || self.hosts.control_hosts().is_empty();
+        if has_endpoints && self.hosts.has_control_majority() && !self.distributor.is_behind() {
+            self.has_confirmed_setup.store(true, Ordering::Release);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
@@ -0,0 +1,66 @@
+//! Requests that reach a host before it can place them.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kumquatdrum_types::Moment;
+use slog::info;
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout_at};
+
+use super::Gateway;
+use crate::backlog;
+
+/// The interval between checks while requests are held.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// How long after the first setup all endpoints of a control host are awaited if some are known
+/// already, so that the first requests are not all placed on those.
+const ALL_ENDPOINTS_WAIT: Duration = Duration::from_millis(500);
+/// How long after the first setup endpoints are awaited. A host that has run for longer without has
+/// none to wait for.
+const ENDPOINT_WAIT: Duration = Duration::from_secs(2);
+
+impl Gateway {
+    /// Holds a request on a newly started host until it has applied a setup and knows endpoints, as
+    /// long as the request can still be served: a caller may retry only once.
+    pub(crate) async fn wait_until_informed(&self, arrived: Moment, timeout: Duration) {
+        if self.is_informed() && self.backlog.is_empty() {
+            return;
+        }
+        let until = self.clock.instant(arrived + backlog::max_hold(timeout));
+        let mut held = self.backlog.add(arrived + timeout);
+        let _ = timeout_at(until, held.wait()).await;
+    }
+
+    /// Releases held requests in the order of their deadlines once they can be placed.
+    pub(super) async fn release_held_requests(self: Arc<Self>) {
+        loop {
+            self.backlog.wait_for_requests().await;
+            while !self.is_informed() && !self.backlog.is_empty() {
+                sleep(CHECK_INTERVAL).await;
+            }
+            let mut released = 0;
+            while self.backlog.release_next() {
+                released += 1;
+                // Lets the request reach its placement before the next one.
+                yield_now().await;
+            }
+            if released > 0 {
+                info!(self.logger, "requests_released"; "event" => "requests_released",
+                    "requests" => released, "elapsed_ms" => self.uptime().as_millis() as u64);
+            }
+        }
+    }
+
+    /// Returns whether this host can place requests, as far as it may expect to.
+    fn is_informed(&self) -> bool {
+        let Some(known_at) = self.setup_known_at.get() else {
+            return false;
+        };
+        let known_for = self.clock.now() - *known_at;
+        let has_all = self.has_initial_endpoints.load(Ordering::Acquire);
+        known_for >= ENDPOINT_WAIT
+            || (self.pool.has_endpoints() && (has_all || known_for >= ALL_ENDPOINTS_WAIT))
+    }
+}
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -1,25 +1,15 @@
-//! Periodic tasks: hellos, endpoint updates, rebroadcast of jobs, and reloading of settings.
+//! Periodic tasks: endpoint updates, rebroadcast of jobs, and reloading of settings.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kumquatdrum_peer::Channel;
-use kumquatdrum_types::{Checkpoint, HostId};
 use slog::{error, info};
-use tokio::task::JoinSet;
-use tokio::time::{interval, sleep};
+use tokio::time::interval;
 
-use super::{Gateway, INITIAL_HELLO_INTERVAL, SettingsFile};
+use super::{Gateway, SettingsFile};
 use crate::broadcast::RelayPath;
-use crate::message::{Hello, Request, Response, Selection};
 use crate::settings;
 
-/// The interval between hellos to the control hosts of the local data centre. A host that was cut
-/// off learns of the active setup within this time of its return.
-const HELLO_INTERVAL: Duration = Duration::from_millis(500);
-/// The timeout for the response to a hello.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(700);
 /// The interval at which a control host publishes endpoint updates.
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval at which a host rebroadcasts its jobs, so that a starting host knows them before it
@@ -29,116 +19,6 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Gateway {
-    pub(super) async fn send_hellos(self: Arc<Self>) {
-        let mut has_contact = false;
-        for round in 0.. {
-            let mut hellos = JoinSet::new();
-            let at_once = !has_contact || self.distributor.is_behind();
-            let targets = self.hosts.hello_targets(round, at_once);
-            let listing_source = if has_contact {
-                self.hosts.listing_source(round, &targets)
-            } else {
-                None
-            };
-            for host in targets {
-                let listed = if listing_source.as_ref().is_none_or(|source| *source == host) {
-                    self.hosts.listing_selection(&host)
-                } else {
-                    Selection::Nothing
-                };
-                let hello = self.build_hello(&host, listed, false);
-                let gateway = self.clone();
-                hellos.spawn(
-                    async move { gateway.exchange_hello(&host, hello, HELLO_TIMEOUT).await },
-                );
-            }
-            while let Some(is_welcomed) = hellos.join_next().await {
-                has_contact |= is_welcomed.unwrap_or(false);
-                if self.hosts.has_control_majority()
-                    && !self.distributor.is_behind()
-                    && self.has_requested_endpoints()
-                {
-                    self.has_confirmed_setup.store(true, Ordering::Release);
-                }
-            }
-            self.hosts.expire_silent();
-            self.quarantine.expire();
-            self.pool.refresh();
-            if let Some(broadcaster) = &self.broadcaster {
-                broadcaster.refresh();
-            }
-            let pause = if !has_contact || self.distributor.is_behind() {
-                INITIAL_HELLO_INTERVAL
-            } else {
-                HELLO_INTERVAL
-            };
-            sleep(pause).await;
-        }
-    }
-
-    /// Builds a hello to a host that requests hosts, and all endpoints if `requests_endpoints`.
-    pub(super) fn build_hello(
-        &self,
-        to: &HostId,
-        hosts: Selection,
-        requests_endpoints: bool,
-    ) -> Hello {
-        let (evidence, known_evidence) = self.quarantine.outgoing(to);
-        Hello {
-            host: self.hosts.local(),
-            revision: self.active_setup.revision(),
-            requests_endpoints,
-            hosts,
-            evidence,
-            known_evidence,
-        }
-    }
-
-    /// Sends a hello and applies the response. Returns whether there was one in time.
-    pub(super) async fn exchange_hello(
-        self: &Arc<Self>,
-        to: &HostId,
-        hello: Hello,
-        limit: Duration,
-    ) -> bool {
-        let sent = hello.evidence.checkpoint;
-        let request = Request::Hello(hello);
-        let response = self.send_request(to, Channel::Membership, &request, limit);
-        match response.await {
-            Some(response) => self.apply_welcome(response, sent),
-            None => false,
-        }
-    }
-
-    /// Returns whether this host has received all endpoints of a control host, or none can send them.
-    fn has_requested_endpoints(&self) -> bool {
-        self.has_initial_endpoints.load(Ordering::Acquire) || self.hosts.control_hosts().is_empty()
-    }
-
-    /// Applies the response to a hello that carried the evidence up to `sent`. Returns whether it is
-    /// a welcome.
-    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> bool {
-        let Response::Welcome {
-            host,
-            hosts,
-            revision,
-            endpoints,
-            evidence,
-        } = response
-        else {
-            return false;
-        };
-        let (id, boot) = (host.id.clone(), host.boot);
-        self.hosts.record_contact(host);
-        if let Some(listing) = hosts {
-            self.hosts.merge_listing(&id, listing);
-        }
-        self.merge_endpoints(endpoints, id.as_str());
-        self.quarantine.record_exchange(&id, boot, sent, evidence);
-        self.observe_revision(id, revision);
-        true
-    }
-
     pub(super) async fn rebroadcast_jobs(self: Arc<Self>) {
         let mut rounds = interval(JOB_REBROADCAST_INTERVAL);
         for path in [RelayPath::Secondary, RelayPath::Primary]
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -23,6 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{Gateway, StartError};
+use crate::backlog::Backlog;
 use crate::body::Body;
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::distribution::Distributor;
@@ -142,8 +143,8 @@
     if let Some((handle, received)) = replica {
         start_replica(&gateway, &mut running, handle, received);
     }
-    running.tasks.spawn(gateway.clone().send_hellos());
-    running.tasks.spawn(gateway.clone().fetch_endpoints());
+    running.tasks.spawn(gateway.clone().contact_control_hosts());
+    running.tasks.spawn(gateway.clone().release_held_requests());
     running.tasks.spawn(gateway.clone().activate_records());
     running.tasks.spawn(gateway.clone().probe_paths());
     running
@@ -274,6 +275,8 @@
         settings,
         has_confirmed_setup: AtomicBool::new(false),
         has_initial_endpoints: AtomicBool::new(false),
+        setup_known_at: OnceLock::new(),
+        backlog: Backlog::default(),
         background: Mutex::default(),
     });
     Ok((gateway, departures))
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use slog::info;
 
+use crate::contact::Target;
 use crate::message::{Host, Listing, Member, Selection};
 
 pub mod reports;
@@ -23,10 +24,6 @@
 pub const LOST_AFTER: Duration = Duration::from_secs(2);
 /// The silence after which a host is removed.
 const EXPIRE_AFTER: Duration = Duration::from_secs(20);
-/// The number of rounds between hellos to a control host of another data centre. Two of these
-/// hellos fit into the silence after which a host counts as lost.
-const REMOTE_HELLO_ROUNDS: usize = 2;
-
 /// Tracks the other hosts and describes this one.
 pub struct Hosts {
     clock: Clock,
@@ -269,50 +266,22 @@
         reports.retain(|id| others.contains_key(id));
     }
 
-    /// Returns the hosts to send a hello to in a round: unknown seeds and the other control hosts.
-    /// Those of other data centres are included every other round only, unless this host is a
-    /// control host or `at_once` is set.
-    pub fn hello_targets(&self, round: usize, at_once: bool) -> Vec<HostId> {
+    /// Returns the hosts to send hellos to: unknown seeds and the other control hosts.
+    pub fn contact_targets(&self) -> Vec<Target> {
         let state = self.state.lock();
-        let includes_all = at_once || state.local.is_control;
-        let known = state.others.values().filter(|entry| entry.host.is_control);
-        let due = known.enumerate().filter(|(number, entry)| {
-            let is_local = entry.host.data_centre == state.local.data_centre;
-            includes_all || is_local || (number + round).is_multiple_of(REMOTE_HELLO_ROUNDS)
+        let known = state.others.values().map(|entry| &entry.host);
+        let known = known.filter(|host| host.is_control);
+        let known = known.map(|host| Target {
+            host: host.id.clone(),
+            is_remote: host.data_centre != state.local.data_centre,
         });
-        let mut targets: Vec<HostId> = due.map(|(_, entry)| entry.host.id.clone()).collect();
-        for seed in &state.seeds {
-            let is_known = state.others.contains_key(seed) || *seed == state.local.id;
-            if !is_known {
-                targets.push(seed.clone());
-            }
-        }
-        targets
-    }
-
-    /// Returns the control host to request a listing from, in rotation, so that a partitioned one
-    /// does not hide hosts for long. Returns `None` if all targets should send one.
-    pub fn listing_source(&self, round: usize, targets: &[HostId]) -> Option<HostId> {
-        if self.state.lock().local.is_control {
-            return None;
-        }
-        let mut control = self.control_hosts();
-        control.retain(|host| targets.contains(host));
-        let turn = (round / REMOTE_HELLO_ROUNDS).checked_rem(control.len())?;
-        control.into_iter().nth(turn)
-    }
-
-    /// Returns the control host to request all endpoints from: a live one, of the local data centre
-    /// if possible, that is not in `asked`. Hosts spread over those that are equally near.
-    pub fn endpoint_source(&self, asked: &[HostId]) -> Option<HostId> {
-        let now = self.clock.now();
-        let state = self.state.lock();
-        let control = state.live_control_hosts(now);
-        let control = control.filter(|(_, host)| !asked.contains(&host.id));
-        let local = state.local.id.as_str();
-        let rank =
-            |(is_remote, host): &(bool, &Host)| (*is_remote, hash::pair(local, host.id.as_str()));
-        control.min_by_key(rank).map(|(_, host)| host.id.clone())
+        let is_unknown =
+            |seed: &&HostId| !state.others.contains_key(*seed) && **seed != state.local.id;
+        let unknown = state.seeds.iter().filter(is_unknown).map(|seed| Target {
+            host: seed.clone(),
+            is_remote: false,
+        });
+        known.chain(unknown).collect()
     }
 
     /// Returns the other live control hosts, those of the local data centre first.
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -5,10 +5,12 @@
 //! and endpoints. [`Protocol`] abstracts the wire protocol of callers, operators and endpoints.
 
 pub mod active_setup;
+pub mod backlog;
 pub mod body;
 pub mod broadcast;
 mod cache;
 pub mod call;
+pub mod contact;
 pub mod control;
 pub mod distribution;
 mod endpoint_cache;
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -52,6 +52,17 @@
     Since(Checkpoint),
 }
 
+/// The endpoints that a host requests in a hello.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndpointSelection {
+    /// No endpoints.
+    Nothing,
+    /// Those that have left. A host requests them of each control host once.
+    Departures,
+    /// All endpoints, for a host that has just started.
+    All,
+}
+
 /// Reports that a host is live, and its active revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Hello {
@@ -59,8 +70,8 @@
     pub host: Host,
     /// The sender's active revision.
     pub revision: u64,
-    /// Whether the sender requests all endpoints, as it has just started.
-    pub requests_endpoints: bool,
+    /// The endpoints that the sender requests.
+    pub endpoints: EndpointSelection,
     /// The hosts that the sender requests.
     pub hosts: Selection,
     /// The sender's evidence that the recipient lacks.
@@ -121,7 +132,7 @@
         hosts: Option<Listing>,
         /// The responder's active revision.
         revision: u64,
-        /// Endpoints for a host that has just started: all, or those that have left.
+        /// The requested endpoints.
         endpoints: Vec<Update>,
         /// The responder's evidence that the requester lacks.
         evidence: Evidence,
--- a/crates/kumquatdrum_gateway/src/problem.rs
+++ b/crates/kumquatdrum_gateway/src/problem.rs
@@ -9,10 +9,6 @@
 use crate::body::{self, Body};
 use crate::protocol::PartId;
 
-/// The retry delay while a starting host does not know the active setup. It covers an election and
-/// a hello exchange, since callers may retry only once.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(2);
-
 /// What is refused because it crashes endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Blocked {
@@ -48,7 +44,10 @@
     Unreadable(String),
     /// This host may not know the active setup.
     #[error("this host does not know yet what is in force")]
-    NotReady,
+    NotReady {
+        /// The delay after which to retry.
+        retry_after: Duration,
+    },
     /// The request has not run and may be retried.
     #[error("no room: {reason}")]
     Refused {
@@ -83,7 +82,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Unreadable(_) => StatusCode::BAD_REQUEST,
-            Self::NotReady | Self::Refused { .. } | Self::Blocked { .. } => {
+            Self::NotReady { .. } | Self::Refused { .. } | Self::Blocked { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
@@ -94,10 +93,9 @@
     /// Returns the delay after which the caller may retry, if the request has not run.
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Refused { retry_after, .. } | Self::Blocked { retry_after, .. } => {
-                Some(*retry_after)
-            }
-            Self::NotReady => Some(NOT_READY_RETRY_AFTER),
+            Self::NotReady { retry_after }
+            | Self::Refused { retry_after, .. }
+            | Self::Blocked { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -0,0 +1,338 @@
+//! The schedule of requests to control hosts, played by seeds without clock and network.
+//!
+//! Guards against hellos that wait for control hosts that are not up, and against requests for lists
+//! and endpoints that are repeated while their answers are under way, which overloaded control hosts
+//! when 300 hosts started at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatdrum_gateway::contact::{Order, Reply, Schedule, Target};
+use kumquatdrum_types::{HostId, Moment, hash};
+
+const START: u64 = 60_000;
+const CONTROL_HOSTS: usize = 6;
+/// The adapter's timeout for any answer.
+const TIMEOUT_MS: u64 = 3_000;
+
+fn control(number: usize) -> HostId {
+    HostId::new(format!("10.0.0.{}", number + 1))
+}
+
+/// Six control hosts, of which two are near.
+fn targets() -> Vec<Target> {
+    let target = |number| Target {
+        host: control(number),
+        is_remote: number >= 2,
+    };
+    (0..CONTROL_HOSTS).map(target).collect()
+}
+
+/// The behaviour of the control hosts in one play.
+struct Play {
+    seed: u64,
+    /// When each control host is up, in milliseconds after the start.
+    up: [u64; CONTROL_HOSTS],
+    /// The time that a control host needs to send all endpoints to one host, in milliseconds.
+    endpoints_ms: u64,
+    /// One in how many answers is lost; 0: none.
+    lost_one_in: u64,
+    /// The number of control hosts that freeze, and when.
+    frozen: (usize, u64),
+    hosts: usize,
+    length_ms: u64,
+}
+
+/// What one host has sent and received.
+#[derive(Debug, Default)]
+struct Record {
+    hellos: IndexMap<HostId, usize>,
+    /// When a listing was requested, and of which control host.
+    listings: Vec<(u64, HostId)>,
+    /// When all endpoints were requested.
+    endpoints: Vec<(u64, HostId)>,
+    first_answer: Option<u64>,
+    endpoints_received: Option<u64>,
+}
+
+impl Play {
+    fn draw(&self, number: u64) -> u64 {
+        hash::mix(self.seed ^ hash::mix(number))
+    }
+
+    fn run(&self) -> Vec<Record> {
+        let mut records: Vec<Record> = Vec::new();
+        let mut schedules = Vec::new();
+        for host in 0..self.hosts {
+            let id = HostId::new(format!("10.1.{}.{}", host / 200, host % 200));
+            let mut schedule = Schedule::new(Moment::from_millis(START), id, false);
+            schedule.set_targets(targets());
+            schedules.push(schedule);
+            records.push(Record::default());
+        }
+        // Answers by time, then host, control host and whether they are for all endpoints.
+        let mut answers: BTreeMap<u64, Vec<(usize, usize, bool, bool)>> = BTreeMap::new();
+        let mut in_flight = IndexMap::new();
+        let mut busy_until = [0; CONTROL_HOSTS];
+        let mut drawn = 0;
+        for at in 0..self.length_ms {
+            let now = Moment::from_millis(START + at);
+            for (host, from, is_endpoints, is_answered) in answers.remove(&at).unwrap_or_default() {
+                in_flight.swap_remove(&(host, from, is_endpoints));
+                let record = &mut records[host];
+                if is_endpoints {
+                    schedules[host].record_endpoints(now, is_answered);
+                    record.endpoints_received =
+                        record.endpoints_received.or(is_answered.then_some(at));
+                } else {
+                    let reply = if is_answered {
+                        Reply::Welcome { has_setup: true }
+                    } else {
+                        Reply::Missing
+                    };
+                    schedules[host].record_hello(now, &control(from), reply);
+                    record.first_answer = record.first_answer.or(is_answered.then_some(at));
+                }
+            }
+            for (host, schedule) in schedules.iter_mut().enumerate() {
+                for order in schedule.poll(now) {
+                    let (to, is_endpoints) = match order {
+                        Order::Hello {
+                            to,
+                            requests_listing,
+                            ..
+                        } => {
+                            *records[host].hellos.entry(to.clone()).or_default() += 1;
+                            if requests_listing {
+                                records[host].listings.push((at, to.clone()));
+                            }
+                            (to, false)
+                        }
+                        Order::Endpoints { from } => {
+                            records[host].endpoints.push((at, from.clone()));
+                            (from, true)
+                        }
+                    };
+                    let number = (0..CONTROL_HOSTS).find(|number| control(*number) == to);
+                    let number = number.expect("a control host");
+                    let is_new = in_flight.insert((host, number, is_endpoints), at).is_none();
+                    assert!(is_new, "seed {}: repeated while under way", self.seed);
+                    drawn += 1;
+                    let is_frozen = number < self.frozen.0 && at >= self.frozen.1;
+                    let is_lost = is_frozen
+                        || self.lost_one_in > 0 && self.draw(drawn) % self.lost_one_in == 0;
+                    let up = self.up[number];
+                    // A connection to a machine without power is retried until the machine is up.
+                    let delay = match () {
+                        () if is_lost || up >= at + TIMEOUT_MS => TIMEOUT_MS,
+                        () if is_endpoints => {
+                            let begun = busy_until[number].max(at.max(up));
+                            busy_until[number] = begun + self.endpoints_ms;
+                            (busy_until[number] - at).min(TIMEOUT_MS)
+                        }
+                        () => up.saturating_sub(at) + 2 + self.draw(drawn + 1) % 10,
+                    };
+                    let is_answered = delay < TIMEOUT_MS;
+                    let answer = (host, number, is_endpoints, is_answered);
+                    answers.entry(at + delay).or_default().push(answer);
+                }
+            }
+        }
+        records
+    }
+}
+
+/// Control hosts that come up one after another, 0.1 to 0.5 s after the first host.
+fn ups(seed: u64) -> [u64; CONTROL_HOSTS] {
+    std::array::from_fn(|number| 100 + hash::mix(seed ^ number as u64) % 400)
+}
+
+#[test]
+fn hosts_are_informed_soon_after_the_first_control_host_is_up() {
+    for seed in 0..20 {
+        let up = ups(seed);
+        let first = up.into_iter().min().unwrap_or_default();
+        let play = Play {
+            seed,
+            up,
+            endpoints_ms: 2,
+            lost_one_in: 0,
+            frozen: (0, 0),
+            hosts: 12,
+            length_ms: 3_000,
+        };
+        for record in play.run() {
+            // Hellos waited 700 ms for control hosts that were not up, and paused for 100 ms.
+            let answered = record.first_answer.expect("an answer");
+            assert!(answered <= first + 20, "seed {seed}: {record:?}");
+            let (listed, _) = record.listings[0];
+            assert!(listed >= answered && listed <= answered + 50, "seed {seed}");
+            let received = record.endpoints_received.expect("all endpoints");
+            assert!(received <= first + 150, "seed {seed}: {record:?}");
+        }
+    }
+}
+
+#[test]
+fn three_hundred_hosts_request_all_endpoints_once_from_each_of_two_control_hosts() {
+    for seed in 0..3 {
+        let play = Play {
+            seed,
+            up: ups(seed),
+            // 100 answers take 2 s.
+            endpoints_ms: 20,
+            lost_one_in: 0,
+            frozen: (0, 0),
+            hosts: 300,
+            length_ms: 9_000,
+        };
+        let records = play.run();
+        let mut by_source: IndexMap<HostId, usize> = IndexMap::new();
+        for record in &records {
+            assert!(record.endpoints_received.is_some(), "seed {seed}");
+            for (_, source) in &record.endpoints {
+                *by_source.entry(source.clone()).or_default() += 1;
+            }
+        }
+        let requests: usize = by_source.values().sum();
+        // Two sources a host; those that time out are asked no more than once again.
+        assert!(requests <= 300 * 4, "seed {seed}: {by_source:?}");
+    }
+}
+
+#[test]
+fn nothing_is_repeated_and_all_are_informed_if_answers_are_lost() {
+    for seed in 0..20 {
+        let play = Play {
+            seed,
+            up: ups(seed),
+            endpoints_ms: 5,
+            lost_one_in: 4,
+            frozen: (0, 0),
+            hosts: 8,
+            length_ms: 30_000,
+        };
+        for record in play.run() {
+            assert!(record.endpoints_received.is_some(), "seed {seed}");
+            assert!(record.listings.len() > 10, "seed {seed}: {record:?}");
+        }
+    }
+}
+
+#[test]
+fn listings_continue_while_control_hosts_are_frozen() {
+    for (seed, frozen) in (0..20).flat_map(|seed| (1..4).map(move |frozen| (seed, frozen))) {
+        let play = Play {
+            seed,
+            up: ups(seed),
+            endpoints_ms: 5,
+            lost_one_in: 0,
+            frozen: (frozen, 5_000),
+            hosts: 4,
+            length_ms: 15_000,
+        };
+        for record in play.run() {
+            let gaps = record.listings.windows(2).map(|pair| pair[1].0 - pair[0].0);
+            // Hosts count as lost 2 s after the last listing.
+            assert!(
+                gaps.max() < Some(1_900),
+                "seed {seed}: {:?}",
+                record.listings
+            );
+        }
+    }
+}
+
+#[test]
+fn hellos_and_listings_are_not_more_than_before_in_the_steady_state() {
+    let play = Play {
+        seed: 1,
+        up: [0; CONTROL_HOSTS],
+        endpoints_ms: 5,
+        lost_one_in: 0,
+        frozen: (0, 0),
+        hosts: 1,
+        length_ms: 20_000,
+    };
+    for record in play.run() {
+        // Near ones each 0.5 s, far ones each second, and up to two at the start.
+        for number in 0..CONTROL_HOSTS {
+            let most = if number < 2 { 42 } else { 22 };
+            let hellos = record.hellos[&control(number)];
+            assert!((most - 6..=most).contains(&hellos), "{record:?}");
+        }
+        assert!(record.listings.len() <= 41, "{:?}", record.listings);
+        // Hosts count as lost 2 s after the last listing.
+        let gaps = record.listings.windows(2).map(|pair| pair[1].0 - pair[0].0);
+        assert!(gaps.max() <= Some(1_000), "{:?}", record.listings);
+        let sources: IndexMap<&HostId, ()> =
+            record.listings.iter().map(|(_, from)| (from, ())).collect();
+        assert_eq!(sources.len(), CONTROL_HOSTS, "a partitioned one hides none");
+    }
+}
+
+#[test]
+fn a_frozen_control_host_delays_nothing() {
+    for frozen in 0..CONTROL_HOSTS {
+        let mut up = [0; CONTROL_HOSTS];
+        up[frozen] = u64::MAX / 2;
+        let play = Play {
+            seed: 1,
+            up,
+            endpoints_ms: 5,
+            lost_one_in: 0,
+            frozen: (0, 0),
+            hosts: 1,
+            length_ms: 10_000,
+        };
+        let record = &play.run()[0];
+        assert!(record.endpoints_received <= Some(100), "{record:?}");
+        for number in (0..CONTROL_HOSTS).filter(|number| *number != frozen) {
+            let least = if number < 2 { 18 } else { 9 };
+            assert!(record.hellos[&control(number)] >= least, "{record:?}");
+        }
+        // One hello is in flight at a time.
+        assert!(record.hellos[&control(frozen)] <= 4, "{record:?}");
+    }
+}
+
+#[test]
+fn starting_hosts_spread_over_the_near_control_hosts() {
+    let play = Play {
+        seed: 1,
+        up: [10; CONTROL_HOSTS],
+        endpoints_ms: 1,
+        lost_one_in: 0,
+        frozen: (0, 0),
+        hosts: 240,
+        length_ms: 200,
+    };
+    let mut first: IndexMap<HostId, usize> = IndexMap::new();
+    for record in play.run() {
+        *first.entry(record.endpoints[0].1.clone()).or_default() += 1;
+    }
+    let most = first.values().max();
+    assert!(most <= Some(&144) && first.len() >= 2, "{first:?}");
+    assert!(first.contains_key(&control(0)) && first.contains_key(&control(1)));
+}
+
+#[test]
+fn a_control_host_without_an_answer_is_retried_quickly_for_a_while_only() {
+    let mut schedule = Schedule::new(Moment::from_millis(START), control(9), false);
+    let target = Target {
+        host: control(0),
+        is_remote: false,
+    };
+    let mut hellos = 0;
+    for at in 0..20_000 {
+        let now = Moment::from_millis(START) + Duration::from_millis(at);
+        schedule.set_targets([target.clone()]);
+        for _refused in schedule.poll(now) {
+            hellos += 1;
+            schedule.record_hello(now, &control(0), Reply::Missing);
+        }
+    }
+    // 30 at 100 ms, and one each 500 ms in the remaining 17 s.
+    assert!((60..=70).contains(&hellos), "{hellos}");
+}
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -125,40 +125,6 @@
     assert_eq!(names(&complete), ["10.0.0.1", "10.0.0.4"]);
 }
 
-#[tokio::test]
-async fn remote_control_hosts_receive_a_hello_every_other_round() {
-    let far = |number| Host {
-        data_centre: "riga".into(),
-        ..host(number, 5, true)
-    };
-    let caller_host = hosts(&host(9, 5, false));
-    let seeds = [1, 2, 3, 4].map(|number| host(number, 5, true).id);
-    caller_host.set_seeds(seeds.to_vec());
-    assert_eq!(
-        caller_host.hello_targets(0, false).len(),
-        4,
-        "only the seeds are known"
-    );
-    caller_host.record_contact(host(1, 5, true));
-    (2..=4).for_each(|number| caller_host.record_contact(far(number)));
-    let mut hellos = [0; 4];
-    for round in 0..8 {
-        let hello_targets = caller_host.hello_targets(round, false);
-        let source = caller_host
-            .listing_source(round, &hello_targets)
-            .expect("a listing source");
-        assert!(hello_targets.contains(&source));
-        for (count, seed) in hellos.iter_mut().zip(&seeds) {
-            *count += u32::from(hello_targets.contains(seed));
-        }
-        assert_eq!(caller_host.hello_targets(round, true).len(), 4);
-    }
-    assert_eq!(hellos, [8, 4, 4, 4]);
-    let control = hosts(&host(8, 5, true));
-    (2..=4).for_each(|number| control.record_contact(far(number)));
-    assert_eq!(control.hello_targets(1, false).len(), 3);
-}
-
 #[tokio::test]
 async fn control_hosts_ignore_each_others_reports() {
     let (first, second) = (hosts(&host(1, 5, true)), hosts(&host(2, 5, true)));
@@ -242,47 +208,3 @@
         })
     );
 }
-
-#[tokio::test]
-async fn starting_hosts_spread_over_the_control_hosts_for_all_endpoints() {
-    let control: Vec<Host> = (1..=6).map(|number| host(number, 1, true)).collect();
-    let mut requests = vec![0; control.len()];
-    for number in 10..250 {
-        let starting = hosts(&host(number, 1, false));
-        let mut asked = Vec::new();
-        assert_eq!(starting.endpoint_source(&asked), None);
-        for host in &control {
-            starting.record_contact(host.clone());
-        }
-        for _ in 0..2 {
-            let source = starting.endpoint_source(&asked).expect("a control host");
-            let position = control.iter().position(|host| host.id == source);
-            requests[position.expect("a known control host")] += 1;
-            asked.push(source);
-        }
-        assert_ne!(asked[0], asked[1]);
-    }
-    // All of them asked each control host before, 240 times.
-    let most = requests.iter().max();
-    assert!(most <= Some(&120), "{requests:?}");
-}
-
-#[tokio::test]
-async fn all_endpoints_are_requested_in_the_local_data_centre_first() {
-    let starting = hosts(&host(10, 1, false));
-    let remote = Host {
-        data_centre: "riga".into(),
-        ..host(1, 1, true)
-    };
-    starting.record_contact(remote.clone());
-    starting.record_contact(host(2, 1, true));
-    starting.record_contact(host(3, 1, false));
-    let first = starting.endpoint_source(&[]).expect("a control host");
-    assert_eq!(first.as_str(), "10.0.0.2");
-    let asked = [first];
-    assert_eq!(starting.endpoint_source(&asked), Some(remote.id.clone()));
-    assert_eq!(
-        starting.endpoint_source(&[asked[0].clone(), remote.id]),
-        None
-    );
-}
--- a/crates/kumquatdrum_peer/src/link.rs
+++ b/crates/kumquatdrum_peer/src/link.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use kumquatdrum_types::HostId;
 use parking_lot::Mutex;
-use tokio::time::Instant;
+use tokio::time::{Instant, interval, timeout};
 use tonic::transport::{Channel, Endpoint};
 
 use crate::Error;
@@ -14,8 +16,17 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval between connection attempts while none is answered. A host that was not up doesn't answer
+/// earlier ones, and the kernel repeats them only after a second. They stay open, since the answer may
+/// be late.
+const ATTEMPT_INTERVAL: Duration = Duration::from_millis(100);
+/// The same for a host that has not answered for [`MAX_QUICK_OPENS`] times [`CONNECT_TIMEOUT`].
+const SLOW_ATTEMPT_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of failed openings after which attempts become slower. Covers a power loss of all hosts that
+/// start one after another.
+const MAX_QUICK_OPENS: u32 = 5;
 /// Time after a failed attempt during which calls fail without another attempt.
-const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+const RECONNECT_DELAY: Duration = Duration::from_millis(90);
 /// Time without received data after which a waiting call sends an HTTP/2 ping.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a response to a ping after which the connection is closed.
@@ -36,6 +47,8 @@
 struct State {
     open: Option<Connection>,
     opened: u64,
+    /// The number of openings that have timed out since the last connection.
+    timed_out: u32,
     failed: Option<(Instant, Error)>,
 }
 
@@ -73,9 +86,15 @@
             _ => {}
         }
         state.open = None;
-        match self.open(address).await {
+        let pace = if state.timed_out < MAX_QUICK_OPENS {
+            ATTEMPT_INTERVAL
+        } else {
+            SLOW_ATTEMPT_INTERVAL
+        };
+        match self.open(address, pace).await {
             Ok(channel) => {
                 state.opened += 1;
+                state.timed_out = 0;
                 let connection = Connection {
                     address,
                     number: state.opened,
@@ -87,9 +106,10 @@
                 state.open = Some(connection.clone());
                 Ok(connection)
             }
-            Err(error) => {
-                state.failed = Some((Instant::now(), error.clone()));
-                Err(error)
+            Err(failure) => {
+                state.timed_out += u32::from(failure.is_timeout);
+                state.failed = Some((Instant::now(), failure.error.clone()));
+                Err(failure.error)
             }
         }
     }
@@ -106,22 +126,42 @@
         }
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Channel, Error> {
-        let unreachable = |reason: String| Error::Unreachable {
-            host: self.host.clone(),
-            reason,
+    /// Opens a connection by attempts at an interval of `pace`, the first that succeeds. A refused
+    /// attempt ends the opening, as the machine is up and its process isn't.
+    async fn open(&self, address: SocketAddr, pace: Duration) -> Result<Channel, Failure> {
+        let failure = |reason: String, is_timeout: bool| Failure {
+            error: Error::Unreachable {
+                host: self.host.clone(),
+                reason,
+            },
+            is_timeout,
         };
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
-            .map_err(|error| unreachable(error.to_string()))?
-            .connect_timeout(CONNECT_TIMEOUT)
+            .map_err(|error| failure(error.to_string(), false))?
             .http2_keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
-        match tokio::time::timeout(CONNECT_TIMEOUT, endpoint.connect()).await {
+        let connecting = async {
+            let mut attempts = FuturesUnordered::new();
+            let mut rounds = interval(pace);
+            loop {
+                tokio::select! {
+                    Some(connected) = attempts.next(), if !attempts.is_empty() => return connected,
+                    _ = rounds.tick() => attempts.push(endpoint.connect()),
+                }
+            }
+        };
+        match timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(channel)) => Ok(channel),
-            Ok(Err(error)) => Err(unreachable(error.to_string())),
-            Err(_) => Err(unreachable("timed out while connecting".to_owned())),
+            Ok(Err(error)) => Err(failure(error.to_string(), false)),
+            Err(_) => Err(failure("timed out while connecting".to_owned(), true)),
         }
     }
 }
+
+/// A failed opening.
+struct Failure {
+    error: Error,
+    is_timeout: bool,
+}
--- a/crates/kumquatdrum_peer/tests/exchange.rs
+++ b/crates/kumquatdrum_peer/tests/exchange.rs
@@ -13,7 +13,7 @@
 use kumquatdrum_types::{BootId, HostId};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -105,6 +105,10 @@
 
 async fn daemon_with(local: LocalDaemon) -> Daemon {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    serve_on(listener, local)
+}
+
+fn serve_on(listener: TcpListener, local: LocalDaemon) -> Daemon {
     let address = listener.local_addr().unwrap();
     let (sender, deliveries) = mpsc::unbounded_channel();
     let (stop, stopped) = oneshot::channel();
@@ -438,3 +442,27 @@
     assert_eq!(ask(&client, &host, "who").await.unwrap(), "control:who");
     client.shutdown().await;
 }
+
+/// A connection to a machine without power hangs, as the kernel repeats its request only after a
+/// second. A listener whose queue is full drops connection requests in the same way.
+#[tokio::test]
+async fn a_host_that_comes_up_during_a_request_is_reached_by_it() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let listener = socket.listen(1).unwrap();
+    let mut fillers = Vec::new();
+    while let Ok(filler) = timeout(Duration::from_millis(100), TcpStream::connect(address)).await {
+        fillers.push(filler.unwrap());
+    }
+    let host = HostId::new("entry-2");
+    let (client, _) = client("salons", "secret", &host, address);
+    let request = tokio::spawn(async move { ask(&client, &host, "now").await });
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    for _ in fillers.drain(..) {
+        listener.accept().await.unwrap();
+    }
+    let _daemon = serve_on(listener, local("entry-2", "salons", "secret"));
+    let response = request.await.unwrap();
+    assert_eq!(response, Ok(Bytes::from("control:now")));
+}
