--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -16,7 +16,7 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval between hellos to a control host of another data centre, except those of control
 /// hosts. Two of these hellos fit into the silence after which a host counts as lost.
-const REMOTE_HELLO_INTERVAL: Duration = Duration::from_millis(1_000);
+const REMOTE_HELLO_INTERVAL: Duration = Duration::from_secs(1);
 /// The delay after a hello that was not answered, or by a control host without a setup.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The number of hellos in a row after [`RETRY_DELAY`] that a control host doesn't answer. Afterwards,
@@ -34,7 +34,7 @@
 const LISTING_TURN_WAIT: Duration = Duration::from_millis(300);
 /// The time after which a missing listing of changes is requested from another control host. Without
 /// listings, hosts count as lost after 2 s.
-const LISTING_PATIENCE: Duration = Duration::from_millis(1_000);
+const LISTING_PATIENCE: Duration = Duration::from_secs(1);
 /// The number of control hosts that send all endpoints to a host. A second one makes up for a first
 /// that lost its disk. A control host requests them from all others.
 const ENDPOINT_SOURCES: usize = 2;
@@ -165,7 +165,7 @@
     pub fn set_targets(&mut self, targets: impl IntoIterator<Item = Target>) {
         let mut known = std::mem::take(&mut self.contacts);
         for Target { host, is_remote } in targets {
-            let mut contact = known.swap_remove(&host).unwrap_or_else(|| Contact {
+            let mut contact = known.swap_remove(&host).unwrap_or(Contact {
                 is_remote,
                 due: Moment::ZERO,
                 hello: None,
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +18,6 @@
 use tokio::signal::unix::Signal;
 use tokio::task::JoinSet;
 
-use crate::backlog::Backlog;
 use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
@@ -38,6 +37,9 @@
 mod periodic;
 mod probe;
 mod start;
+mod startup;
+
+use startup::Startup;
 
 /// How long a starting host waits for a majority of the control hosts before it becomes ready
 /// without one.
@@ -98,14 +100,7 @@
     replica: Option<Handle>,
     settings: Settings,
     started: Moment,
-    /// Whether this host had the newest known setup while in contact with a majority of the control
-    /// hosts.
-    has_confirmed_setup: AtomicBool,
-    /// Whether a control host has sent all endpoints to this host.
-    has_initial_endpoints: AtomicBool,
-    /// When the first setup came into force.
-    setup_known_at: OnceLock<Moment>,
-    backlog: Backlog,
+    startup: Startup,
     background: Mutex<JoinSet<()>>,
 }
 
@@ -179,8 +174,8 @@
 
     /// Returns whether this host accepts callers.
     pub(crate) fn is_ready(&self) -> bool {
-        let can_trust_setup =
-            self.has_confirmed_setup.load(Ordering::Acquire) || self.uptime() > MAJORITY_WAIT;
+        let can_trust_setup = self.startup.has_confirmed_setup.load(Ordering::Acquire)
+            || self.uptime() > MAJORITY_WAIT;
         !self.drain.is_draining() && can_trust_setup && self.active_setup.current().is_some()
     }
 
@@ -243,7 +238,7 @@
         loop {
             let prepare = |setup: &Setup| self.pool.configure(setup);
             let (active_setup, is_leader) = self.active_setup.activate_next(prepare).await;
-            self.setup_known_at.get_or_init(|| self.clock.now());
+            self.startup.setup_known_at.get_or_init(|| self.clock.now());
             self.update_readiness();
             self.pool.remove_undeclared(active_setup.table.setup());
             self.distributor.distribute(&active_setup.record, is_leader);
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -95,7 +95,9 @@
                 let reply = self.exchange_hello(&from, hosts, endpoints).await;
                 let is_received = reply != Reply::Missing;
                 if is_received {
-                    self.has_initial_endpoints.store(true, Ordering::Release);
+                    self.startup
+                        .has_initial_endpoints
+                        .store(true, Ordering::Release);
                 }
                 info!(self.logger, "endpoints_requested"; "event" => "endpoints_requested",
                     "from" => from.as_str(), "received" => is_received,
@@ -157,10 +159,12 @@
     /// Trusts the setup once this host has the newest known one and all endpoints of a control host,
     /// while in contact with a majority of the control hosts.
     pub(super) fn update_readiness(&self) {
-        let has_endpoints = self.has_initial_endpoints.load(Ordering::Acquire)
+        let has_endpoints = self.startup.has_initial_endpoints.load(Ordering::Acquire)
             || self.hosts.control_hosts().is_empty();
         if has_endpoints && self.hosts.has_control_majority() && !self.distributor.is_behind() {
-            self.has_confirmed_setup.store(true, Ordering::Release);
+            self.startup
+                .has_confirmed_setup
+                .store(true, Ordering::Release);
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
@@ -25,23 +25,23 @@
     /// Holds a request on a newly started host until it has applied a setup and knows endpoints, as
     /// long as the request can still be served: a caller may retry only once.
     pub(crate) async fn wait_until_informed(&self, arrived: Moment, timeout: Duration) {
-        if self.is_informed() && self.backlog.is_empty() {
+        if self.is_informed() && self.startup.backlog.is_empty() {
             return;
         }
         let until = self.clock.instant(arrived + backlog::max_hold(timeout));
-        let mut held = self.backlog.add(arrived + timeout);
+        let mut held = self.startup.backlog.add(arrived + timeout);
         let _ = timeout_at(until, held.wait()).await;
     }
 
     /// Releases held requests in the order of their deadlines once they can be placed.
     pub(super) async fn release_held_requests(self: Arc<Self>) {
         loop {
-            self.backlog.wait_for_requests().await;
-            while !self.is_informed() && !self.backlog.is_empty() {
+            self.startup.backlog.wait_for_requests().await;
+            while !self.is_informed() && !self.startup.backlog.is_empty() {
                 sleep(CHECK_INTERVAL).await;
             }
             let mut released = 0;
-            while self.backlog.release_next() {
+            while self.startup.backlog.release_next() {
                 released += 1;
                 // Lets the request reach its placement before the next one.
                 yield_now().await;
@@ -55,11 +55,11 @@
 
     /// Returns whether this host can place requests, as far as it may expect to.
     fn is_informed(&self) -> bool {
-        let Some(known_at) = self.setup_known_at.get() else {
+        let Some(known_at) = self.startup.setup_known_at.get() else {
             return false;
         };
         let known_for = self.clock.now() - *known_at;
-        let has_all = self.has_initial_endpoints.load(Ordering::Acquire);
+        let has_all = self.startup.has_initial_endpoints.load(Ordering::Acquire);
         known_for >= ENDPOINT_WAIT
             || (self.pool.has_endpoints() && (has_all || known_for >= ALL_ENDPOINTS_WAIT))
     }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -2,8 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -22,8 +21,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::startup::Startup;
 use super::{Gateway, StartError};
-use crate::backlog::Backlog;
 use crate::body::Body;
 use crate::broadcast::{Broadcaster, RelayPath};
 use crate::distribution::Distributor;
@@ -273,10 +272,7 @@
         replica,
         started: clock.now(),
         settings,
-        has_confirmed_setup: AtomicBool::new(false),
-        has_initial_endpoints: AtomicBool::new(false),
-        setup_known_at: OnceLock::new(),
-        backlog: Backlog::default(),
+        startup: Startup::default(),
         background: Mutex::default(),
     });
     Ok((gateway, departures))
