--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -121,7 +121,8 @@
                     drawn += 1;
                     let is_frozen = number < self.frozen.0 && at >= self.frozen.1;
                     let is_lost = is_frozen
-                        || self.lost_one_in > 0 && self.draw(drawn) % self.lost_one_in == 0;
+                        || self.lost_one_in > 0
+                            && self.draw(drawn).is_multiple_of(self.lost_one_in);
                     let up = self.up[number];
                     // A connection to a machine without power is retried until the machine is up.
                     let delay = match () {
