--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -35,6 +35,9 @@
 /// The time after which a missing listing of changes is requested from another control host. Without
 /// listings, hosts count as lost after 2 s.
 const LISTING_PATIENCE: Duration = Duration::from_secs(1);
+/// The factor by which [`RETRY_DELAY`] grows at most for requests for all endpoints, as control hosts
+/// refuse them while too many hosts start.
+const MAX_ENDPOINT_RETRY_FACTOR: u32 = 5;
 /// The number of control hosts that send all endpoints to a host. A second one makes up for a first
 /// that lost its disk. A control host requests them from all others.
 const ENDPOINT_SOURCES: usize = 2;
@@ -120,6 +123,8 @@
     asked: Vec<HostId>,
     is_in_flight: bool,
     received: usize,
+    /// The number of requests without an answer since the last answer.
+    failed: u32,
     /// The end of the pause after a request without an answer.
     resume_at: Moment,
 }
@@ -277,8 +282,12 @@
     pub fn record_endpoints(&mut self, now: Moment, is_received: bool) {
         self.endpoints.is_in_flight = false;
         self.endpoints.received += usize::from(is_received);
-        if !is_received {
-            self.endpoints.resume_at = now + RETRY_DELAY;
+        if is_received {
+            self.endpoints.failed = 0;
+        } else {
+            self.endpoints.failed += 1;
+            let delay = RETRY_DELAY * self.endpoints.failed.min(MAX_ENDPOINT_RETRY_FACTOR);
+            self.endpoints.resume_at = now + delay;
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -252,15 +252,19 @@
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
         self.observe_revision(id, hello.revision);
+        let endpoints = match hello.endpoints {
+            EndpointSelection::Nothing => Vec::new(),
+            EndpointSelection::Departures => self.endpoints.departures(),
+            EndpointSelection::All => match self.all_endpoints() {
+                Some(endpoints) => endpoints,
+                None => return Response::Unavailable,
+            },
+        };
         Response::Welcome {
             host: self.hosts.local(),
             hosts: self.hosts.listing(hello.hosts),
             revision: self.active_setup.revision(),
-            endpoints: match hello.endpoints {
-                EndpointSelection::Nothing => Vec::new(),
-                EndpointSelection::Departures => self.endpoints.departures(),
-                EndpointSelection::All => self.endpoints.all_updates(),
-            },
+            endpoints,
             evidence: self.quarantine.answer(hello.known_evidence),
         }
     }
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use kumquatdrum_peer::Channel;
+use kumquatdrum_registry::Update;
 use kumquatdrum_types::{Checkpoint, HostId};
 use slog::info;
 use tokio::task::JoinSet;
@@ -21,6 +22,9 @@
 /// The interval at which silent hosts and old entries are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The approximate size of an endpoint in a response.
+const UPDATE_BYTES: usize = 120;
+
 /// The result of a request to a control host.
 enum Outcome {
     Hello(HostId, Reply),
@@ -60,6 +64,16 @@
         }
     }
 
+    /// Returns all endpoints for a host that starts, unless too many have been sent lately.
+    pub(super) fn all_endpoints(&self) -> Option<Vec<Update>> {
+        let updates = self.endpoints.all_updates();
+        let bytes = updates.len() * UPDATE_BYTES;
+        let mut allowance = self.startup.allowance.lock();
+        allowance
+            .try_take(self.clock.now(), bytes)
+            .then_some(updates)
+    }
+
     fn expire(&self) {
         self.hosts.expire_silent();
         self.quarantine.expire();
--- a/crates/kumquatdrum_gateway/src/gateway/startup.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/startup.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::AtomicBool;
 
 use kumquatdrum_types::Moment;
+use parking_lot::Mutex;
 
+use crate::allowance::Allowance;
 use crate::backlog::Backlog;
 
 /// The progress of a host's start, and the requests that wait for it.
@@ -19,4 +21,6 @@
     pub(super) setup_known_at: OnceLock<Moment>,
     /// The requests that wait until they can be placed.
     pub(super) backlog: Backlog,
+    /// What a control host may send to other hosts that start.
+    pub(super) allowance: Mutex<Allowance>,
 }
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! and endpoints. [`Protocol`] abstracts the wire protocol of callers, operators and endpoints.
 
 pub mod active_setup;
+pub mod allowance;
 pub mod backlog;
 pub mod body;
 pub mod broadcast;
--- a/crates/kumquatdrum_gateway/tests/sizes.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -1,11 +1,14 @@
 //! Encoded sizes of what hosts exchange about crashes and limits.
 
-use kumquatdrum_gateway::message::{Datagram, Event, Reach};
+use kumquatdrum_gateway::message::{
+    Datagram, EndpointSelection, Event, Hello, Host, Listing, Member, Reach, Request, Response,
+    Selection,
+};
 use kumquatdrum_placement::{EndpointKey, Rate};
 use kumquatdrum_quarantine::{
     Crash, Evidence, Fingerprint, Incarnation, Origin, Probe, Subject, Suspect,
 };
-use kumquatdrum_types::Checkpoint;
+use kumquatdrum_types::{Checkpoint, HostId};
 
 /// The maximum size of a datagram's events.
 const MAX_BATCH_BYTES: usize = 1_300;
@@ -83,3 +86,52 @@
         assert!(bytes.len() < 60, "{}", bytes.len());
     }
 }
+
+/// Prints the sizes from which docs/design/recovery.md derives what a start of all hosts costs.
+#[test]
+fn a_light_hello_and_its_answer_are_small() {
+    let host = Host {
+        id: HostId::new("10.10.100.100"),
+        data_centre: "data-centre-1".into(),
+        boot: 1_768_712_430_021,
+        accepts_callers: true,
+        is_control: false,
+        replica: None,
+        is_stopping: false,
+    };
+    let evidence = || Evidence {
+        checkpoint: Checkpoint::default(),
+        suspects: Vec::new(),
+    };
+    let hello = Request::Hello(Hello {
+        host: host.clone(),
+        revision: 40_000,
+        endpoints: EndpointSelection::Departures,
+        hosts: Selection::Nothing,
+        evidence: evidence(),
+        known_evidence: Checkpoint::default(),
+    });
+    let welcome = |hosts| Response::Welcome {
+        host: host.clone(),
+        hosts,
+        revision: 40_000,
+        endpoints: Vec::new(),
+        evidence: evidence(),
+    };
+    let member = Member {
+        host: host.clone(),
+        age_ms: 500,
+    };
+    let listing = Listing {
+        version: Checkpoint::default(),
+        is_complete: true,
+        hosts: vec![member; 300],
+    };
+    let hello = postcard::to_stdvec(&hello).expect("bytes").len();
+    let light = postcard::to_stdvec(&welcome(None)).expect("bytes").len();
+    let listed = postcard::to_stdvec(&welcome(Some(listing)))
+        .expect("bytes")
+        .len();
+    println!("hello: {hello}, answer: {light}, with a listing of 300 hosts: {listed}");
+    assert!(hello < 100 && light < 100, "{hello}, {light}");
+}
