--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,14 +17,13 @@
 use slog::{error, info, o};
 use tokio::signal::unix::Signal;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
 
 use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
 use crate::evacuations as evacuation_store;
 use crate::hosts::Hosts;
-use crate::message::{Event, Hello, Request, Response, Selection};
+use crate::message::{EndpointSelection, Event, Hello, Request, Response};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::quarantine_cache;
@@ -32,20 +31,18 @@
 use crate::upstream::Upstream;
 use crate::{Protocol, Settings, active_setup, cache, endpoint_cache, evacuation_cache, relay};
 
+mod contacts;
 mod endpoint_updates;
 mod evacuations;
-mod initial_endpoints;
+mod held_requests;
 mod liveness;
 mod periodic;
 mod probe;
 mod start;
+mod startup;
+
+use startup::Startup;
 
-/// The interval between hellos until the host knows the active setup.
-const INITIAL_HELLO_INTERVAL: Duration = Duration::from_millis(100);
-/// The maximum time that a request waits for an active setup; covers an election and a hello.
-const SETUP_WAIT: Duration = Duration::from_secs(2);
-/// The maximum fraction of a caller's timeout that a request waits for an active setup.
-const SETUP_WAIT_FRACTION: f64 = 0.4;
 /// How long a starting host waits for a majority of the control hosts before it becomes ready
 /// without one.
 const MAJORITY_WAIT: Duration = Duration::from_secs(3);
@@ -107,11 +104,7 @@
     replica: Option<Handle>,
     pub(crate) settings: Settings,
     started: Moment,
-    /// Whether this host had the newest known setup while in contact with a majority of the control
-    /// hosts.
-    has_confirmed_setup: AtomicBool,
-    /// Whether a control host has sent all endpoints to this host.
-    has_initial_endpoints: AtomicBool,
+    startup: Startup,
     background: Mutex<JoinSet<()>>,
 }
 
@@ -186,25 +179,6 @@
         Duration::from_millis(self.settings.unused_memory_ms).mul_f64(LEASE_FRACTION)
     }
 
-    /// Waits on a newly started host until it has applied a setup and knows endpoints, since a caller
-    /// whose first host failed may retry only once.
-    pub(crate) async fn wait_until_informed(&self, timeout: Option<Duration>) {
-        let wait = timeout.map_or(SETUP_WAIT, |timeout| timeout.mul_f64(SETUP_WAIT_FRACTION));
-        let deadline = self.clock.now() + wait.min(SETUP_WAIT);
-        while !self.is_informed() && self.clock.now() < deadline {
-            sleep(INITIAL_HELLO_INTERVAL / 4).await;
-        }
-    }
-
-    /// Returns whether this host can place requests, as far as it may expect to. A host that has run
-    /// for a while without endpoints has none to wait for. A starting host learns of evacuations by a
-    /// majority of the control hosts, which have stored them.
-    fn is_informed(&self) -> bool {
-        let is_starting = self.uptime() < SETUP_WAIT;
-        self.active_setup.current().is_some()
-            && (!is_starting || (self.pool.has_endpoints() && self.hosts.has_control_majority()))
-    }
-
     /// Returns the time since the start of this host.
     fn uptime(&self) -> Duration {
         self.clock.now() - self.started
@@ -212,8 +186,8 @@
 
     /// Returns whether this host accepts callers.
     pub(crate) fn is_ready(&self) -> bool {
-        let can_trust_setup =
-            self.has_confirmed_setup.load(Ordering::Acquire) || self.uptime() > MAJORITY_WAIT;
+        let can_trust_setup = self.startup.has_confirmed_setup.load(Ordering::Acquire)
+            || self.uptime() > MAJORITY_WAIT;
         !self.drain.is_draining() && can_trust_setup && self.active_setup.current().is_some()
     }
 
@@ -280,6 +254,8 @@
         loop {
             let prepare = |setup: &Setup| self.pool.configure(setup);
             let (active_setup, is_leader) = self.active_setup.activate_next(prepare).await;
+            self.startup.setup_known_at.get_or_init(|| self.clock.now());
+            self.update_readiness();
             self.pool.remove_undeclared(active_setup.table.setup());
             self.distributor.distribute(&active_setup.record, is_leader);
         }
@@ -288,23 +264,24 @@
     /// Answers a hello.
     pub(crate) fn answer_hello(self: &Arc<Self>, hello: Hello) -> Response {
         let id = hello.host.id.clone();
-        let is_control = hello.host.is_control;
         self.hosts.record_contact(hello.host);
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
         self.observe_evacuations(&id, &hello.evacuations);
         self.observe_revision(id, hello.revision);
+        let endpoints = match hello.endpoints {
+            EndpointSelection::Nothing => Vec::new(),
+            EndpointSelection::Departures => self.endpoints.departures(),
+            EndpointSelection::All => match self.all_endpoints() {
+                Some(endpoints) => endpoints,
+                None => return Response::Unavailable,
+            },
+        };
         Response::Welcome {
             host: self.hosts.local(),
             hosts: self.hosts.listing(hello.hosts),
             revision: self.active_setup.revision(),
-            endpoints: match hello.hosts {
-                _ if hello.requests_endpoints => self.endpoints.all_updates(),
-                // A host requests all hosts until it has an answer of this one. Control hosts always do,
-                // and request all endpoints when they start.
-                Selection::All if !is_control => self.endpoints.departures(),
-                _ => Vec::new(),
-            },
+            endpoints,
             evidence: self.quarantine.answer(hello.known_evidence),
             evacuations: self.evacuations.report_to(Some(hello.evacuations.version)),
         }
@@ -330,10 +307,16 @@
     }
 
     /// Fetches a record from the control host assigned to this one, which then does not send it
-    /// twice, or else from the host that reported the revision.
+    /// twice, or else from the host that reported the revision. The latter has just answered, so a
+    /// host without a setup asks it first.
     async fn fetch_record(self: Arc<Self>, host: HostId, revision: u64) {
         let sender = self.distributor.sender().filter(|sender| *sender != host);
-        for target in sender.into_iter().chain([host]) {
+        let targets = match sender {
+            Some(sender) if self.active_setup.revision() == 0 => vec![host, sender],
+            Some(sender) => vec![sender, host],
+            None => vec![host],
+        };
+        for target in targets {
             let channel = Channel::Setup;
             let request = Request::Fetch {
                 above: self.active_setup.revision(),
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -11,11 +11,11 @@
 use kumquatdrum_types::HostId;
 use slog::info;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, timeout_at};
+use tokio::time::{Instant, interval, timeout, timeout_at};
 
 use super::Gateway;
 use crate::evacuations::Report;
-use crate::message::{Host, Request, Response, Selection};
+use crate::message::{EndpointSelection, Host, Request, Response, Selection};
 use crate::suspension::TICK_INTERVAL;
 
 /// The time after the end of an evacuation in which endpoints may still be cold because of it. A host
@@ -174,12 +174,12 @@
             info!(self.logger, "resumed"; "event" => "resumed",
                 "version" => self.evacuations.current().version());
             let mut hellos = JoinSet::new();
-            for host in self.hosts.hello_targets(0, true) {
-                let hello = self.build_hello(&host, Selection::Nothing, false);
+            for target in self.hosts.contact_targets() {
                 let gateway = self.clone();
                 hellos.spawn(async move {
-                    let limit = RESUMED_HELLO_TIMEOUT;
-                    gateway.exchange_hello(&host, hello, limit).await
+                    let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::Nothing);
+                    let hello = gateway.exchange_hello(&target.host, hosts, endpoints);
+                    timeout(RESUMED_HELLO_TIMEOUT, hello).await
                 });
             }
             while hellos.join_next().await.is_some() {}
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -23,6 +22,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::startup::Startup;
 use super::{Gateway, StartError};
 use crate::body::Body;
 use crate::broadcast::{Broadcaster, RelayPath};
@@ -156,8 +156,8 @@
     if let Some((handle, received)) = replica {
         start_replica(&gateway, &mut running, handle, received);
     }
-    running.tasks.spawn(gateway.clone().send_hellos());
-    running.tasks.spawn(gateway.clone().fetch_endpoints());
+    running.tasks.spawn(gateway.clone().contact_control_hosts());
+    running.tasks.spawn(gateway.clone().release_held_requests());
     running.tasks.spawn(gateway.clone().activate_records());
     running.tasks.spawn(gateway.clone().probe_paths());
     running.tasks.spawn(gateway.clone().watch_suspension());
@@ -285,8 +285,7 @@
         replica,
         started: clock.now(),
         settings,
-        has_confirmed_setup: AtomicBool::new(false),
-        has_initial_endpoints: AtomicBool::new(false),
+        startup: Startup::default(),
         background: Mutex::default(),
     });
     Ok((gateway, departures))
