--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -112,7 +112,9 @@
         callers.spawn(async move {
             for request in requests {
                 let answer = request.send().await.expect("an answer");
-                assert_eq!(answer.status(), StatusCode::OK);
+                let status = answer.status();
+                let body = answer.text().await.expect("a body");
+                assert_eq!(status, StatusCode::OK, "{body}");
                 sleep(Duration::from_millis(5)).await;
             }
         });
