--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -166,6 +166,10 @@
                 reason: "too long a prompt for what else is asked for",
                 retry_after: OVERLOAD_RETRY_AFTER,
             },
+            Rejection::Expired => Problem::Refused {
+                reason: "no engine had a slot in time",
+                retry_after: OVERLOAD_RETRY_AFTER,
+            },
             Rejection::TooLarge => Problem::Refused {
                 reason: "the prompt is larger than any engine's memory",
                 retry_after: self.time_left(),
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -108,6 +108,8 @@
     TooCostly,
     /// No engine had capacity in time.
     NoCapacity(Waiter),
+    /// The prompt has waited for a slot for as long as its caller would.
+    Expired,
     /// All endpoints have reached the limits that they name. Holds the expected wait.
     Limited(Duration),
     /// All endpoints have asked for a back-off. Holds the expected wait.
--- a/crates/kumquatdrum_gateway/src/pool/place.rs
+++ b/crates/kumquatdrum_gateway/src/pool/place.rs
@@ -79,6 +79,7 @@
         let (plan, diagnostics) = match planner.place(now, job) {
             Decision::Send(plan, diagnostics) => (plan, diagnostics),
             Decision::Wait(waiter) => return Err(Rejection::NoCapacity(waiter)),
+            Decision::Expired => return Err(Rejection::Expired),
             Decision::TooCostly(refusal) => {
                 self.log_refusal(request, job, &refusal);
                 return Err(Rejection::TooCostly);
--- a/crates/kumquatdrum_gateway/src/pool/queue.rs
+++ b/crates/kumquatdrum_gateway/src/pool/queue.rs
@@ -17,22 +17,22 @@
     pub(super) pool: &'a Pool,
     pub(super) service: &'a Service,
     pub(super) job: JobId,
-    /// The time of the last broadcast, and whether the job was reported as blocked.
-    pub(super) last_broadcast: Option<(Moment, bool)>,
+    /// The time of the last broadcast, and the state that was reported.
+    pub(super) last_broadcast: Option<(Moment, Waiter)>,
 }
 
 impl QueueEntry<'_> {
     /// Broadcasts the job's queue state if it has changed or the interval has passed.
     pub(super) fn broadcast_if_due(&mut self, waiter: Waiter) {
         let now = self.pool.dependencies.clock.now();
-        let is_due = self.last_broadcast.is_none_or(|(at, is_blocked)| {
-            now - at >= QUEUE_BROADCAST_INTERVAL || is_blocked != waiter.is_blocked
+        let has_changed = self.last_broadcast.is_none_or(|(_, reported)| {
+            (reported.is_blocked, reported.slot_order) != (waiter.is_blocked, waiter.slot_order)
         });
-        if is_due {
-            let has_changed = self
-                .last_broadcast
-                .is_none_or(|(_, is_blocked)| is_blocked != waiter.is_blocked);
-            self.last_broadcast = Some((now, waiter.is_blocked));
+        let is_due = self
+            .last_broadcast
+            .is_none_or(|(at, _)| now - at >= QUEUE_BROADCAST_INTERVAL);
+        if has_changed || is_due {
+            self.last_broadcast = Some((now, waiter));
             let event = Event::Queued(self.service.name.clone(), waiter);
             let urgency = if has_changed {
                 Urgency::Urgent
--- a/crates/kumquatdrum_placement/benches/policy.rs
+++ b/crates/kumquatdrum_placement/benches/policy.rs
@@ -17,7 +17,7 @@
 const NAMES: [&str; 3] = ["short", "long", "longest"];
 /// Engines, load scale (1 is the load of 23 engines), hosts that place prompts, the delay of
 /// updates between hosts in milliseconds, and prompt classes.
-const SCENARIOS: [(u64, f64, usize, f64, &[workload::Class; 3]); 8] = [
+const SCENARIOS: [(u64, f64, usize, f64, &[workload::Class; 3]); 9] = [
     (23, 1.0, 1, 0.0, &PROMPT_CLASSES),
     (23, 0.8, 1, 0.0, &PROMPT_CLASSES),
     (14, 0.6, 1, 0.0, &PROMPT_CLASSES),
@@ -26,6 +26,8 @@
     (78, 2.7, 85, 8.0, &PROMPT_CLASSES),
     (23, 0.8, 8, 4.0, &LONGER_PROMPT_CLASSES),
     (78, 2.7, 85, 8.0, &LONGER_PROMPT_CLASSES),
+    // More short prompts than slots after each turn of the load.
+    (42, 2.05, 27, 8.0, &PROMPT_CLASSES),
 ];
 /// Slots of an engine in scenarios with many hosts.
 const SLOTS: u32 = 12;
--- a/crates/kumquatdrum_placement/src/decision.rs
+++ b/crates/kumquatdrum_placement/src/decision.rs
@@ -10,6 +10,8 @@
     Send(Plan, Diagnostics),
     /// Retry when another job ends, and announce the waiting job to other hosts.
     Wait(Waiter),
+    /// The job has waited for a slot for as long as its caller would.
+    Expired,
     /// The engines' combined memory cannot hold the prompt.
     TooLarge,
     /// The cost to other callers would outweigh the prompt.
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -112,6 +112,20 @@
     pub left_ms: u32,
     /// Whether the job waits for answers to end, so that other jobs may overtake it.
     pub is_blocked: bool,
+    /// How the job is ordered among others that wait for a slot. `None` if it waits for a shared
+    /// prefill.
+    pub slot_order: Option<SlotOrder>,
+}
+
+/// The order of short prompts that wait for a slot, first to last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum SlotOrder {
+    /// The prompt was overdue when it came: it continues an answer that its caller is reading.
+    Resumed,
+    /// The prompt's first token can be in time if it gets the next slot.
+    InTime,
+    /// The prompt's first token will be late.
+    Late,
 }
 
 /// An engine that runs part of a prefill for another engine.
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -26,6 +26,7 @@
 mod reachability;
 mod retry;
 mod short_prompt;
+mod slot_queue;
 mod suspicion;
 mod tombstones;
 
@@ -34,7 +35,7 @@
 pub use cost::Cost;
 pub use decision::{Decision, Diagnostics, Harm, Refusal};
 pub use health::{Failure, Health};
-pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
+pub use job::{EndpointKey, Helper, Job, JobId, Plan, SlotOrder, Waiter};
 pub use limits::{Limits, Place, Summary};
 pub use path::{Change, Path, Route, Trouble};
 pub use planner::Planner;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -14,6 +14,7 @@
 use crate::long_prompt::Placement;
 use crate::queue::Queue;
 use crate::reachability::{DataCentreKey, Reachability};
+use crate::slot_queue::{self, Turn};
 use crate::tombstones::Tombstones;
 use crate::{
     Cost, Decision, Diagnostics, EndpointKey, Failure, Harm, Helper, Job, JobId, Limits, Plan,
@@ -141,11 +142,17 @@
             candidates.retain(|candidate| !candidate.is_limited);
         }
         let plan = if is_short {
+            let queued_for = self.queue.queued_for(now, job.id);
+            let turn = slot_queue::turn(&self.cost, job, &mut waiter, &self.queue, queued_for);
+            if turn == Turn::Expired {
+                return Decision::Expired;
+            }
             let conditions = short_prompt::Conditions {
                 dispatch_rate: self.demand.dispatch_rate(),
                 local_data_centre: self.local_data_centre,
             };
-            let candidate = short_prompt::place(&self.cost, now, job, &candidates, &conditions);
+            let candidate =
+                short_prompt::place(&self.cost, now, job, &candidates, &conditions, turn);
             candidate.map(|candidate| {
                 let helpers = short_prompt::choose_helpers(&candidates, candidate, prefill_ms);
                 plan_short(job, candidate.key, helpers, prefill_ms)
@@ -467,6 +474,7 @@
         waited_ms: (now - job.arrived).as_millis() as u32,
         left_ms: (job.due - now).as_millis() as u32,
         is_blocked: false,
+        slot_order: None,
     }
 }
 
--- a/crates/kumquatdrum_placement/src/queue.rs
+++ b/crates/kumquatdrum_placement/src/queue.rs
@@ -27,16 +27,19 @@
     waiter: Waiter,
     arrived: Moment,
     due: Moment,
+    queued_at: Moment,
     renewed_at: Moment,
 }
 
 impl Queue {
     /// Adds or renews a waiting prompt.
     pub(crate) fn insert(&mut self, now: Moment, waiter: Waiter) {
+        let known = self.entries.get(&waiter.job);
         let entry = Entry {
             waiter,
             arrived: now.saturating_sub(Duration::from_millis(waiter.waited_ms.into())),
             due: now + Duration::from_millis(waiter.left_ms.into()),
+            queued_at: known.map_or(now, |known| known.queued_at),
             renewed_at: now,
         };
         self.entries.insert(waiter.job, entry);
@@ -47,6 +50,31 @@
         self.entries.contains_key(&job)
     }
 
+    /// Returns the last state of a waiting prompt.
+    pub(crate) fn waiter(&self, job: JobId) -> Option<&Waiter> {
+        self.entries.get(&job).map(|entry| &entry.waiter)
+    }
+
+    /// Returns how long a prompt has been in the queue.
+    pub(crate) fn queued_for(&self, now: Moment, job: JobId) -> Option<Duration> {
+        self.entries.get(&job).map(|entry| now - entry.queued_at)
+    }
+
+    /// Returns the number of prompts ahead of one that waits for a slot, or `None` if no other one
+    /// does. Equal orders are sorted by hash: an order by time would depend on the delay with which
+    /// hosts learn of each other's prompts.
+    pub(crate) fn slot_waiters_ahead(&self, waiter: &Waiter) -> Option<usize> {
+        let rank = |waiter: &Waiter| (waiter.slot_order, waiter.job.uniform_hash());
+        let own = rank(waiter);
+        let others = self.entries.values().map(|entry| &entry.waiter);
+        let others = others.filter(|other| other.slot_order.is_some() && other.job != waiter.job);
+        let mut ahead = None;
+        for other in others {
+            *ahead.get_or_insert(0) += usize::from(rank(other) < own);
+        }
+        ahead
+    }
+
     /// Removes a prompt.
     pub(crate) fn remove(&mut self, job: JobId) {
         self.entries.swap_remove(&job);
@@ -64,8 +92,10 @@
         let elapsed = Duration::from_millis(waiter.waited_ms.into());
         let own = score(&waiter, elapsed, remaining);
         let others = self.entries.values();
-        let mut others =
-            others.filter(|other| !other.waiter.is_blocked && other.waiter.job != waiter.job);
+        let mut others = others.filter(|other| {
+            let other = &other.waiter;
+            !other.is_blocked && other.slot_order.is_none() && other.job != waiter.job
+        });
         others.all(|other| {
             let score = score(&other.waiter, now - other.arrived, other.due - now);
             (own, waiter.job) >= (score, other.waiter.job)
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -12,6 +12,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::candidate::Candidate;
+use crate::slot_queue::{self, Turn};
 use crate::{Cost, DataCentreKey, Helper, Job};
 
 /// The share of the longest pause that a short prompt's prefill may take; the rest is left for a
@@ -33,7 +34,7 @@
 const SPREAD_WINDOW: Duration = Duration::from_millis(80);
 /// Passes before the first token besides the prefill: half of the current one, and the one that
 /// runs the prefill.
-const PASSES_TO_FIRST_TOKEN: f64 = 1.5;
+pub(crate) const PASSES_TO_FIRST_TOKEN: f64 = 1.5;
 /// The shortest part that is worth another engine, in milliseconds of prefill: about one pass.
 pub(crate) const MIN_PART_MS: f64 = 60.0;
 
@@ -83,13 +84,14 @@
 }
 
 /// Chooses the engine for a short prompt: the best one, or one of the next best if other hosts
-/// dispatch at the same time.
+/// dispatch at the same time. If others wait for a slot, the engine is that of the prompt's turn.
 pub(crate) fn place<'a>(
     cost: &Cost,
     now: Moment,
     job: &Job,
     candidates: &'a [Candidate<'a>],
     conditions: &Conditions,
+    turn: Turn,
 ) -> Option<&'a Candidate<'a>> {
     let slots = cost.engine().slots as usize;
     let left_ms = (job.due - now).as_secs_f64() * 1e3;
@@ -101,6 +103,14 @@
     let ranked = fits.map(|candidate| (rank(cost, job, candidate, left_ms, conditions), candidate));
     let mut ranked: Vec<(Rank, &Candidate<'_>)> = ranked.collect();
     ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.key));
+    match turn {
+        Turn::Uncontended => {}
+        Turn::Behind(ahead) => {
+            let sorted = ranked.into_iter().map(|(_, candidate)| candidate);
+            return slot_queue::take_slot(slots, sorted, ahead);
+        }
+        Turn::Unsettled | Turn::Expired => return None,
+    }
     let (best, _) = ranked.first()?;
     let is_equivalent = |rank: &Rank| !rank.is_late && rank.is_remote == best.is_remote;
     let equivalent = ranked
