--- a/crates/kumquatdrum_placement/tests/policy.rs
+++ b/crates/kumquatdrum_placement/tests/policy.rs
@@ -131,3 +131,23 @@
     assert_on_time(short, 0.95);
     assert_on_time(&outcomes[LONG], 0.95);
 }
+
+/// Guards against hosts that all send their waiting prompts to the slot that becomes free next: more
+/// short prompts come than there are slots for, and first tokens wait on the engines.
+#[test]
+fn more_short_prompts_than_slots_are_answered_in_time_as_far_as_there_are_slots() {
+    let scenario = Scenario {
+        hosts: 27,
+        propagation_ms: 8.0,
+        slots: 12,
+        ..Scenario::of(42)
+    };
+    let outcomes = run_scenario(&PROMPT_CLASSES, 2, 2.05, &ALTERNATING, &scenario);
+    assert_on_time(&outcomes[SHORT], 0.75);
+    assert_on_time(&outcomes[LONG], 0.90);
+    let refused = outcomes[SHORT].refused as f64 / outcomes[SHORT].requests as f64;
+    assert!(
+        refused <= 0.05,
+        "{refused:.3} of the short prompts are refused"
+    );
+}
