Placement: waiting short prompts get slots in one order of engines, and are refused only if no slot is free

Cause, found in review: the order of engines depended on the host's data centre, so that two hosts could take one slot while another stayed free; prompts that were late for other reasons counted as resumed answers; a prompt was refused without a look for a slot; jobs pinned to one engine reserved slots of others.

--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -49,6 +49,8 @@
     failed_helpers: usize,
     /// The only endpoint that may get the request again, if no other one may.
     pub(super) only_endpoint: Option<EndpointKey>,
+    /// Whether the caller has received a part of the answer.
+    pub(super) is_resumed: bool,
     /// The last complete answer of an endpoint.
     answer: Option<Answer>,
     may_have_run: bool,
@@ -147,6 +149,7 @@
             deadline: self.deadline,
             excluded: attempts.excluded.clone(),
             first: attempts.only_endpoint,
+            is_resumed: attempts.is_resumed,
         };
         let picked = self
             .gateway
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -389,6 +389,7 @@
         let sent = self.attempts.sent;
         self.attempts.sent += 1;
         for _ in 0..MAX_RESUME_ATTEMPTS {
+            self.attempts.is_resumed = true;
             let pick = call.pick(&self.attempts).await.map_err(|problem| {
                 call.log_end("cut", &problem.to_string(), &self.attempts);
                 body::Error::from(problem)
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -62,6 +62,8 @@
     pub excluded: Vec<EndpointKey>,
     /// The only engine that may be the first, if the job may be sent to no other.
     pub first: Option<EndpointKey>,
+    /// Whether the job continues an answer that its caller is reading.
+    pub is_resumed: bool,
 }
 
 impl Job {
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -14,11 +14,11 @@
 use crate::long_prompt::Placement;
 use crate::queue::Queue;
 use crate::reachability::{DataCentreKey, Reachability};
-use crate::slot_queue::{self, Turn};
+use crate::slot_queue;
 use crate::tombstones::Tombstones;
 use crate::{
-    Cost, Decision, Diagnostics, EndpointKey, Failure, Harm, Helper, Job, JobId, Limits, Plan,
-    Refusal, Waiter, long_prompt, short_prompt, suspicion,
+    Cost, Decision, Diagnostics, EndpointKey, Failure, Harm, Job, JobId, Limits, Plan, Refusal,
+    Waiter, long_prompt, short_prompt, suspicion,
 };
 
 /// The time after which a job is dropped unless its host announces it: four missed announcements
@@ -141,12 +141,11 @@
         if !is_short && job.memory_tokens() <= memory_tokens * unlimited.count() as u64 {
             candidates.retain(|candidate| !candidate.is_limited);
         }
+        let queued_for = self.queue.queued_for(now, job.id);
         let plan = if is_short {
-            let queued_for = self.queue.queued_for(now, job.id);
-            let turn = slot_queue::turn(&self.cost, job, &mut waiter, &self.queue, queued_for);
-            if turn == Turn::Expired {
-                return Decision::Expired;
-            }
+            let free = short_prompt::free_slots(&self.cost, job, &candidates);
+            let turn =
+                slot_queue::turn(&self.cost, job, &mut waiter, &self.queue, queued_for, free);
             let conditions = short_prompt::Conditions {
                 dispatch_rate: self.demand.dispatch_rate(),
                 local_data_centre: self.local_data_centre,
@@ -155,7 +154,7 @@
                 short_prompt::place(&self.cost, now, job, &candidates, &conditions, turn);
             candidate.map(|candidate| {
                 let helpers = short_prompt::choose_helpers(&candidates, candidate, prefill_ms);
-                plan_short(job, candidate.key, helpers, prefill_ms)
+                short_prompt::plan(job, candidate.key, helpers, prefill_ms)
             })
         } else {
             match long_prompt::place(&self.cost, now, job, &candidates, self.local_data_centre) {
@@ -177,6 +176,9 @@
             }
         };
         let Some(plan) = plan else {
+            if is_short && slot_queue::has_expired(job, queued_for) {
+                return Decision::Expired;
+            }
             self.queue.insert(now, waiter);
             return Decision::Wait(waiter);
         };
@@ -484,17 +486,3 @@
     let helpers = helpers.map(|helper| (helper.endpoint, u64::from(helper.reserved_tokens)));
     std::iter::once((plan.first, u64::from(plan.memory_tokens))).chain(helpers)
 }
-
-fn plan_short(job: &Job, first: EndpointKey, helpers: Vec<Helper>, prefill_ms: f64) -> Plan {
-    let prefill_engines = helpers.len() + 1;
-    Plan {
-        job: job.id,
-        first,
-        helpers,
-        prompt_tokens: u32::try_from(job.prompt_tokens).unwrap_or(u32::MAX),
-        target_ms: (job.due - job.arrived).as_millis() as u32,
-        part_ms: (prefill_ms / prefill_engines as f64) as f32,
-        memory_tokens: u32::try_from(job.memory_tokens()).unwrap_or(u32::MAX),
-        pause_ms: job.max_pause.as_millis() as u32,
-    }
-}
--- a/crates/kumquatdrum_placement/src/queue.rs
+++ b/crates/kumquatdrum_placement/src/queue.rs
@@ -1,4 +1,4 @@
-//! Orders the long prompts that wait on all hosts.
+//! Orders the prompts that wait on all hosts.
 //!
 //! Hosts announce their waiting prompts to each other and order them alike, so that each host
 //! dispatches only when its own prompt is next.
@@ -9,6 +9,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::demand::weight;
+use crate::slot_queue::Contention;
 use crate::{JobId, Waiter};
 
 /// The time after which an entry is dropped unless its host renews it: three missed announcements.
@@ -16,7 +17,7 @@
 /// The weight factor of a prompt whose first token is overdue.
 const LATE_FACTOR: f64 = 0.25;
 
-/// Long prompts that wait for dispatch.
+/// Prompts that wait for dispatch.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     entries: IndexMap<JobId, Entry>,
@@ -50,29 +51,25 @@
         self.entries.contains_key(&job)
     }
 
-    /// Returns the last state of a waiting prompt.
-    pub(crate) fn waiter(&self, job: JobId) -> Option<&Waiter> {
-        self.entries.get(&job).map(|entry| &entry.waiter)
-    }
-
     /// Returns how long a prompt has been in the queue.
-    pub(crate) fn queued_for(&self, now: Moment, job: JobId) -> Option<Duration> {
-        self.entries.get(&job).map(|entry| now - entry.queued_at)
+    pub(crate) fn queued_for(&self, now: Moment, job: JobId) -> Duration {
+        let entry = self.entries.get(&job);
+        entry.map_or(Duration::ZERO, |entry| now - entry.queued_at)
     }
 
-    /// Returns the number of prompts ahead of one that waits for a slot, or `None` if no other one
-    /// does. Equal orders are sorted by hash: an order by time would depend on the delay with which
-    /// hosts learn of each other's prompts.
-    pub(crate) fn slot_waiters_ahead(&self, waiter: &Waiter) -> Option<usize> {
+    /// Counts the prompts that compete with one for a slot. Equal orders are sorted by hash: an order
+    /// by time would depend on the delay with which hosts learn of each other's prompts.
+    pub(crate) fn slot_contention(&self, waiter: &Waiter) -> Contention {
         let rank = |waiter: &Waiter| (waiter.slot_order, waiter.job.uniform_hash());
         let own = rank(waiter);
         let others = self.entries.values().map(|entry| &entry.waiter);
         let others = others.filter(|other| other.slot_order.is_some() && other.job != waiter.job);
-        let mut ahead = None;
+        let mut contention = Contention::default();
         for other in others {
-            *ahead.get_or_insert(0) += usize::from(rank(other) < own);
+            contention.others += 1;
+            contention.ahead += usize::from(rank(other) < own);
         }
-        ahead
+        contention
     }
 
     /// Removes a prompt.
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -13,7 +13,7 @@
 
 use crate::candidate::Candidate;
 use crate::slot_queue::{self, Turn};
-use crate::{Cost, DataCentreKey, Helper, Job};
+use crate::{Cost, DataCentreKey, EndpointKey, Helper, Job, Plan};
 
 /// The share of the longest pause that a short prompt's prefill may take; the rest is left for a
 /// decode pass.
@@ -83,6 +83,16 @@
     first_token_us: u64,
 }
 
+/// Returns the number of free slots on engines with enough memory for a job.
+pub(crate) fn free_slots(cost: &Cost, job: &Job, candidates: &[Candidate<'_>]) -> usize {
+    let slots = cost.engine().slots as usize;
+    let fits = candidates
+        .iter()
+        .filter(|candidate| candidate.free_tokens >= job.memory_tokens());
+    let free = fits.map(|candidate| slots.saturating_sub(candidate.decodes()));
+    free.sum()
+}
+
 /// Chooses the engine for a short prompt: the best one, or one of the next best if other hosts
 /// dispatch at the same time. If others wait for a slot, the engine is that of the prompt's turn.
 pub(crate) fn place<'a>(
@@ -106,10 +116,10 @@
     match turn {
         Turn::Uncontended => {}
         Turn::Behind(ahead) => {
-            let sorted = ranked.into_iter().map(|(_, candidate)| candidate);
-            return slot_queue::take_slot(slots, sorted, ahead);
+            let candidates = ranked.into_iter().map(|(_, candidate)| candidate);
+            return slot_queue::take_slot(slots, candidates.collect(), ahead);
         }
-        Turn::Unsettled | Turn::Expired => return None,
+        Turn::Unsettled => return None,
     }
     let (best, _) = ranked.first()?;
     let is_equivalent = |rank: &Rank| !rank.is_late && rank.is_remote == best.is_remote;
@@ -190,3 +200,18 @@
         })
         .collect()
 }
+
+/// Returns the plan of a short prompt.
+pub(crate) fn plan(job: &Job, first: EndpointKey, helpers: Vec<Helper>, prefill_ms: f64) -> Plan {
+    let prefill_engines = helpers.len() + 1;
+    Plan {
+        job: job.id,
+        first,
+        helpers,
+        prompt_tokens: u32::try_from(job.prompt_tokens).unwrap_or(u32::MAX),
+        target_ms: (job.due - job.arrived).as_millis() as u32,
+        part_ms: (prefill_ms / prefill_engines as f64) as f32,
+        memory_tokens: u32::try_from(job.memory_tokens()).unwrap_or(u32::MAX),
+        pause_ms: job.max_pause.as_millis() as u32,
+    }
+}
--- a/crates/kumquatdrum_placement/src/slot_queue.rs
+++ b/crates/kumquatdrum_placement/src/slot_queue.rs
@@ -33,53 +33,61 @@
 /// A short prompt's place among the prompts that wait for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Turn {
-    /// No other prompt waits.
+    /// No other prompt waits, or the prompt waits for an engine of its own.
     Uncontended,
     /// The prompt may take a slot after those of the given number of prompts ahead.
     Behind(usize),
     /// Other hosts may not know of the prompt yet.
     Unsettled,
-    /// The prompt has waited for as long as its caller would.
-    Expired,
 }
 
 /// Determines the order of a prompt, and its turn. `queued_for` is the time for which it has waited for
-/// a slot, or none if it is new.
+/// a slot.
 pub(crate) fn turn(
     cost: &Cost,
     job: &Job,
     waiter: &mut Waiter,
     queue: &Queue,
-    queued_for: Option<Duration>,
+    queued_for: Duration,
+    free_slots: usize,
 ) -> Turn {
-    let known = queue.waiter(job.id).and_then(|known| known.slot_order);
-    let order = match known {
-        Some(SlotOrder::Resumed) => SlotOrder::Resumed,
-        _ if queued_for.is_none() && waiter.left_ms == 0 => SlotOrder::Resumed,
-        _ if is_in_time(cost, waiter) => SlotOrder::InTime,
-        _ => SlotOrder::Late,
-    };
-    waiter.slot_order = Some(order);
-    let queued_for = queued_for.unwrap_or_default();
-    match queue.slot_waiters_ahead(waiter) {
-        _ if queued_for > max_wait(job) => Turn::Expired,
-        // It competes for the slots of one engine only.
-        _ if job.first.is_some() => Turn::Uncontended,
-        None => Turn::Uncontended,
-        Some(_) if queued_for < SETTLING_TIME => Turn::Unsettled,
-        Some(ahead) => Turn::Behind(ahead),
+    // Such a job waits for one engine; others do not wait for it.
+    if job.first.is_some() {
+        return Turn::Uncontended;
     }
+    waiter.slot_order = Some(match job.is_resumed {
+        true => SlotOrder::Resumed,
+        false if is_in_time(cost, waiter) => SlotOrder::InTime,
+        false => SlotOrder::Late,
+    });
+    let Contention { ahead, others } = queue.slot_contention(waiter);
+    match others {
+        0 => Turn::Uncontended,
+        _ if queued_for < SETTLING_TIME && others >= free_slots => Turn::Unsettled,
+        _ => Turn::Behind(ahead),
+    }
+}
+
+/// The other prompts that wait for a slot.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Contention {
+    /// Those that precede the prompt.
+    pub(crate) ahead: usize,
+    /// All of them.
+    pub(crate) others: usize,
 }
 
 /// Chooses the engine for a prompt with a number of prompts ahead: each of those takes the first free
-/// slot that is left on engines sorted by preference.
+/// slot that is left. The engines are in the same order on all hosts, those without a long prefill
+/// first; an order by locality would let two hosts choose the same slot.
 pub(crate) fn take_slot<'a>(
     slots: usize,
-    sorted: impl IntoIterator<Item = &'a Candidate<'a>>,
+    mut candidates: Vec<&'a Candidate<'a>>,
     ahead: usize,
 ) -> Option<&'a Candidate<'a>> {
+    candidates.sort_by_key(|candidate| (!candidate.is_ready(), candidate.key));
     let mut ahead = ahead;
-    sorted.into_iter().find(|candidate| {
+    candidates.into_iter().find(|candidate| {
         let free = slots.saturating_sub(candidate.decodes());
         let is_reached = ahead < free;
         ahead = ahead.saturating_sub(free);
@@ -87,6 +95,11 @@
     })
 }
 
+/// Returns whether a job that found no slot has waited for as long as its caller would.
+pub(crate) fn has_expired(job: &Job, queued_for: Duration) -> bool {
+    !job.is_resumed && queued_for > max_wait(job)
+}
+
 /// Returns whether a prompt's first token is in time if it gets the next slot.
 fn is_in_time(cost: &Cost, waiter: &Waiter) -> bool {
     let slots = cost.engine().slots as usize;
--- a/crates/kumquatdrum_placement/tests/limits.rs
+++ b/crates/kumquatdrum_placement/tests/limits.rs
@@ -253,6 +253,7 @@
         deadline: after(10_000),
         excluded: Vec::new(),
         first: None,
+        is_resumed: false,
     }
 }
 
--- a/crates/kumquatdrum_placement/tests/model/simulation.rs
+++ b/crates/kumquatdrum_placement/tests/model/simulation.rs
@@ -360,6 +360,7 @@
         deadline: arrived + std::time::Duration::from_secs(10),
         excluded: Vec::new(),
         first: None,
+        is_resumed: false,
     }
 }
 
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -36,6 +36,7 @@
         deadline: arrived + Duration::from_secs(10),
         excluded: Vec::new(),
         first: None,
+        is_resumed: false,
     }
 }
 
--- a/crates/kumquatdrum_placement/tests/suspicion.rs
+++ b/crates/kumquatdrum_placement/tests/suspicion.rs
@@ -47,6 +47,7 @@
         deadline: now + Duration::from_secs(15),
         excluded: Vec::new(),
         first: None,
+        is_resumed: false,
     }
 }
 
