--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -51,6 +51,8 @@
     failed_helpers: usize,
     /// The only endpoint that may get the request again, if no other one may.
     pub(super) only_endpoint: Option<EndpointKey>,
+    /// Whether the caller has received a part of the answer.
+    pub(super) is_resumed: bool,
     /// The last complete answer of an endpoint.
     answer: Option<Answer>,
     may_have_run: bool,
@@ -149,6 +151,7 @@
             deadline: self.deadline,
             excluded: attempts.excluded.clone(),
             first: attempts.only_endpoint,
+            is_resumed: attempts.is_resumed,
         };
         let picked = self
             .gateway
@@ -168,6 +171,10 @@
                 reason: "too long a prompt for what else is asked for",
                 retry_after: OVERLOAD_RETRY_AFTER,
             },
+            Rejection::Expired => Problem::Refused {
+                reason: "no engine had a slot in time",
+                retry_after: OVERLOAD_RETRY_AFTER,
+            },
             Rejection::TooLarge => Problem::Refused {
                 reason: "the prompt is larger than any engine's memory",
                 retry_after: self.time_left(),
--- a/crates/kumquatdrum_placement/src/queue.rs
+++ b/crates/kumquatdrum_placement/src/queue.rs
@@ -1,4 +1,4 @@
-//! Orders the long prompts that wait on all hosts.
+//! Orders the prompts that wait on all hosts.
 //!
 //! Hosts announce their waiting prompts to each other and order them alike, so that each host
 //! dispatches only when its own prompt is next.
@@ -9,6 +9,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::demand::weight;
+use crate::slot_queue::Contention;
 use crate::{JobId, Waiter};
 
 /// The time after which an entry is dropped unless its host renews it: three missed announcements.
@@ -16,7 +17,7 @@
 /// The weight factor of a prompt whose first token is overdue.
 const LATE_FACTOR: f64 = 0.25;
 
-/// Long prompts that wait for dispatch.
+/// Prompts that wait for dispatch.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     entries: IndexMap<JobId, Entry>,
@@ -27,16 +28,19 @@
     waiter: Waiter,
     arrived: Moment,
     due: Moment,
+    queued_at: Moment,
     renewed_at: Moment,
 }
 
 impl Queue {
     /// Adds or renews a waiting prompt.
     pub(crate) fn insert(&mut self, now: Moment, waiter: Waiter) {
+        let known = self.entries.get(&waiter.job);
         let entry = Entry {
             waiter,
             arrived: now.saturating_sub(Duration::from_millis(waiter.waited_ms.into())),
             due: now + Duration::from_millis(waiter.left_ms.into()),
+            queued_at: known.map_or(now, |known| known.queued_at),
             renewed_at: now,
         };
         self.entries.insert(waiter.job, entry);
@@ -47,6 +51,27 @@
         self.entries.contains_key(&job)
     }
 
+    /// Returns how long a prompt has been in the queue.
+    pub(crate) fn queued_for(&self, now: Moment, job: JobId) -> Duration {
+        let entry = self.entries.get(&job);
+        entry.map_or(Duration::ZERO, |entry| now - entry.queued_at)
+    }
+
+    /// Counts the prompts that compete with one for a slot. Equal orders are sorted by hash: an order
+    /// by time would depend on the delay with which hosts learn of each other's prompts.
+    pub(crate) fn slot_contention(&self, waiter: &Waiter) -> Contention {
+        let rank = |waiter: &Waiter| (waiter.slot_order, waiter.job.uniform_hash());
+        let own = rank(waiter);
+        let others = self.entries.values().map(|entry| &entry.waiter);
+        let others = others.filter(|other| other.slot_order.is_some() && other.job != waiter.job);
+        let mut contention = Contention::default();
+        for other in others {
+            contention.others += 1;
+            contention.ahead += usize::from(rank(other) < own);
+        }
+        contention
+    }
+
     /// Removes a prompt.
     pub(crate) fn remove(&mut self, job: JobId) {
         self.entries.swap_remove(&job);
@@ -64,8 +89,10 @@
         let elapsed = Duration::from_millis(waiter.waited_ms.into());
         let own = score(&waiter, elapsed, remaining);
         let others = self.entries.values();
-        let mut others =
-            others.filter(|other| !other.waiter.is_blocked && other.waiter.job != waiter.job);
+        let mut others = others.filter(|other| {
+            let other = &other.waiter;
+            !other.is_blocked && other.slot_order.is_none() && other.job != waiter.job
+        });
         others.all(|other| {
             let score = score(&other.waiter, now - other.arrived, other.due - now);
             (own, waiter.job) >= (score, other.waiter.job)
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -12,7 +12,8 @@
 use kumquatdrum_types::Moment;
 
 use crate::candidate::Candidate;
-use crate::{Cost, DataCentreKey, Helper, Job};
+use crate::slot_queue::{self, Turn};
+use crate::{Cost, DataCentreKey, EndpointKey, Helper, Job, Plan};
 
 /// The share of the longest pause that a short prompt's prefill may take; the rest is left for a
 /// decode pass.
@@ -33,7 +34,7 @@
 const SPREAD_WINDOW: Duration = Duration::from_millis(80);
 /// Passes before the first token besides the prefill: half of the current one, and the one that
 /// runs the prefill.
-const PASSES_TO_FIRST_TOKEN: f64 = 1.5;
+pub(crate) const PASSES_TO_FIRST_TOKEN: f64 = 1.5;
 /// The shortest part that is worth another engine, in milliseconds of prefill: about one pass.
 pub(crate) const MIN_PART_MS: f64 = 60.0;
 
@@ -82,14 +83,25 @@
     first_token_us: u64,
 }
 
+/// Returns the number of free slots on engines with enough memory for a job.
+pub(crate) fn free_slots(cost: &Cost, job: &Job, candidates: &[Candidate<'_>]) -> usize {
+    let slots = cost.engine().slots as usize;
+    let fits = candidates
+        .iter()
+        .filter(|candidate| candidate.free_tokens >= job.memory_tokens());
+    let free = fits.map(|candidate| slots.saturating_sub(candidate.decodes()));
+    free.sum()
+}
+
 /// Chooses the engine for a short prompt: the best one, or one of the next best if other hosts
-/// dispatch at the same time.
+/// dispatch at the same time. If others wait for a slot, the engine is that of the prompt's turn.
 pub(crate) fn place<'a>(
     cost: &Cost,
     now: Moment,
     job: &Job,
     candidates: &'a [Candidate<'a>],
     conditions: &Conditions,
+    turn: Turn,
 ) -> Option<&'a Candidate<'a>> {
     let slots = cost.engine().slots as usize;
     let left_ms = (job.due - now).as_secs_f64() * 1e3;
@@ -101,6 +113,14 @@
     let ranked = fits.map(|candidate| (rank(cost, job, candidate, left_ms, conditions), candidate));
     let mut ranked: Vec<(Rank, &Candidate<'_>)> = ranked.collect();
     ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.key));
+    match turn {
+        Turn::Uncontended => {}
+        Turn::Behind(ahead) => {
+            let candidates = ranked.into_iter().map(|(_, candidate)| candidate);
+            return slot_queue::take_slot(slots, candidates.collect(), ahead);
+        }
+        Turn::Unsettled => return None,
+    }
     let (best, _) = ranked.first()?;
     let is_equivalent = |rank: &Rank| !rank.is_late && rank.is_remote == best.is_remote;
     let equivalent = ranked
@@ -180,3 +200,18 @@
         })
         .collect()
 }
+
+/// Returns the plan of a short prompt.
+pub(crate) fn plan(job: &Job, first: EndpointKey, helpers: Vec<Helper>, prefill_ms: f64) -> Plan {
+    let prefill_engines = helpers.len() + 1;
+    Plan {
+        job: job.id,
+        first,
+        helpers,
+        prompt_tokens: u32::try_from(job.prompt_tokens).unwrap_or(u32::MAX),
+        target_ms: (job.due - job.arrived).as_millis() as u32,
+        part_ms: (prefill_ms / prefill_engines as f64) as f32,
+        memory_tokens: u32::try_from(job.memory_tokens()).unwrap_or(u32::MAX),
+        pause_ms: job.max_pause.as_millis() as u32,
+    }
+}
