Held requests: a starting host awaits a majority of control hosts for 200 ms

Cause: requests were placed after the first welcome, which may come from a control host that has not stored an acknowledged evacuation. A service counted as having endpoints if the few known ones were all evacuated, so that its requests were refused before the others were known. Change: release also needs answers of a majority of the control hosts, or 200 ms since the first setup. Evacuated endpoints count only once the complete list has arrived.

--- a/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
@@ -20,6 +20,10 @@
 /// How long after the first setup endpoints are awaited. A host that has run for longer without has
 /// none to wait for.
 const ENDPOINT_WAIT: Duration = Duration::from_secs(2);
+/// How long after the first setup a majority of the control hosts is awaited: the first to answer may
+/// lack an acknowledged evacuation, but one of each majority has stored it. A longer wait would delay
+/// the first responses after the loss of all hosts, which are due 0.3 s after the start.
+const MAJORITY_GRACE: Duration = Duration::from_millis(200);
 
 impl Gateway {
     /// Holds a request on a newly started host until it has applied a setup and knows endpoints, as
@@ -61,6 +65,8 @@
         let known_for = self.clock.now() - *known_at;
         let has_all = self.startup.has_initial_endpoints.load(Ordering::Acquire);
         known_for >= ENDPOINT_WAIT
-            || (self.pool.has_endpoints() && (has_all || known_for >= ALL_ENDPOINTS_WAIT))
+            || (self.pool.has_endpoints(has_all)
+                && (has_all || known_for >= ALL_ENDPOINTS_WAIT)
+                && (self.hosts.has_control_majority() || known_for >= MAJORITY_GRACE))
     }
 }
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -187,13 +187,14 @@
         }
     }
 
-    /// Returns whether an endpoint of any service is known, in an evacuated data centre or not.
-    pub fn has_endpoints(&self) -> bool {
+    /// Returns whether an endpoint of any service is known. Endpoints in evacuated data centres count
+    /// if `has_all`, that is, if it is known that a service has no others.
+    pub fn has_endpoints(&self, has_all: bool) -> bool {
         let services = self.services.read();
         let mut services = services.values();
         services.any(|service| {
             let state = service.state.lock();
-            !state.directory.is_empty() || state.is_evacuated
+            !state.directory.is_empty() || (has_all && state.is_evacuated)
         })
     }
 
