--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod distribution;
 mod endpoint_cache;
 pub mod endpoints;
-mod evacuation_cache;
+pub mod evacuation_cache;
 pub mod evacuations;
 pub mod gateway;
 pub mod health;
