Evacuations: a hung disk of a control host does not stop the distribution

Cause: a control host stored a state before it pushed it, and answered a push only after its own store, without a limit.

--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -67,8 +67,9 @@
         let assigned: Vec<HostId> = assigned.map(|host| host.id.clone()).collect();
         let gateway = self.clone();
         self.spawn(async move {
-            gateway.evacuation_cache.store(&gateway.evacuations).await;
-            gateway.push_evacuations(assigned).count().await;
+            // A hung disk must not stop the distribution.
+            let store = gateway.evacuation_cache.store(&gateway.evacuations);
+            tokio::join!(store, gateway.push_evacuations(assigned).count());
         });
     }
 
@@ -79,10 +80,10 @@
         from: &str,
     ) -> Response {
         self.adopt_evacuations(newer, from, false);
-        if self.evacuation_cache.store(&self.evacuations).await {
-            Response::Taken
-        } else {
-            Response::Unavailable
+        let store = self.evacuation_cache.store(&self.evacuations);
+        match timeout(STORE_TIMEOUT, store).await {
+            Ok(true) => Response::Taken,
+            Ok(false) | Err(_) => Response::Unavailable,
         }
     }
 
