Evacuations: an order without effect is not acknowledged

Cause: if control disks were lost beyond tolerance, other hosts may keep a version above that of the leader. They ignored a newly committed state, but its order was acknowledged. Change: if this host knows a version above the committed one, the leader is read again, as another order may have been committed since. If its version is still lower, an error is logged and the response is 503. No test covers this case.

--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_types::{DataCentre, Finding, HostId};
 use serde::Serialize;
-use slog::info;
+use slog::{error, info};
 use tokio::time::timeout;
 
 use super::{findings, send_to_leader, status};
@@ -88,17 +88,40 @@
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by,
         "outcome" => committed.as_ref().map_or_else(|reason| reason, |_| &"committed"),
         "ms" => boot_ms().saturating_sub(order.arrived_ms));
-    match committed {
-        Ok(evacuations) => {
-            gateway.adopt_evacuations(&evacuations, "leader", false);
-            if gateway.confirm_evacuations().await {
-                json(StatusCode::OK, "{}")
-            } else {
-                status(StatusCode::SERVICE_UNAVAILABLE)
-            }
-        }
-        Err(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+    let Ok(evacuations) = committed else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    if adopt_committed(gateway, &evacuations).await && gateway.confirm_evacuations().await {
+        json(StatusCode::OK, "{}")
+    } else {
+        status(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+/// Adopts a committed state. Returns whether it is in effect, which it is not if this host knows a
+/// version that the leader lacks: hosts keep the highest version. This happens if more disks of control
+/// hosts were lost than tolerated, while other hosts kept a later state.
+async fn adopt_committed(gateway: &Arc<Gateway>, committed: &Evacuations) -> bool {
+    gateway.adopt_evacuations(committed, "leader", false);
+    let known = gateway.evacuations.current().version();
+    if known <= committed.version() {
+        return true;
+    }
+    // Another order may have been committed since.
+    let command = Command::Evacuations {
+        includes_audit: false,
+    };
+    let read = send_to_leader(gateway, command).await;
+    let message::Response::Evacuations(newest) = read.response else {
+        return false;
+    };
+    gateway.adopt_evacuations(&newest, "leader", false);
+    let is_in_effect = known <= newest.version();
+    if !is_in_effect {
+        error!(gateway.logger, "evacuation_without_effect"; "event" => "evacuation_without_effect",
+            "committed" => newest.version(), "known" => known);
     }
+    is_in_effect
 }
 
 /// Commits an order, and returns the state after it or the reason why that is unknown or failed.
