Evacuations: a frozen control host leaves time for an order at another one

Cause: the timeout of 900 ms for one replica equals the limit of the read, so a frozen replica used up the time of the order. Change: a replica has 200 ms for a read and 400 ms for a proposal, which goes first to the replica that has just answered as the leader. What is left of 980 ms since the arrival limits the acknowledgement.

--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -16,6 +16,9 @@
 /// Longer than the time in which a host that lags behind an order learns of it by hellos.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Longer than an election, and than the silence after which a host counts as lost.
+const FREEZE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Starts a cluster with one endpoint in each of the given data centres.
 async fn start(
     subnet: u8,
@@ -236,6 +239,48 @@
     }
 }
 
+/// Asserts that an order is acknowledged at the first attempt. If the machine had stopped the asked host
+/// for over a second, it has to refuse; only then, the order is repeated.
+async fn assert_single_order(cluster: &Cluster, asked: usize, order: &str, context: &str) {
+    let path = format!("/-/Evacuation.{order}");
+    let count_suspended = || cluster.read_log(asked).matches("outcome=suspended").count();
+    let until = Instant::now() + TIMEOUT;
+    loop {
+        let before = count_suspended();
+        let answer = cluster.call_control(asked, &path, Some(&json!({}))).await;
+        let answer = answer.map(|answer| answer.status());
+        if answer == Some(StatusCode::OK) {
+            return;
+        }
+        let log = cluster.read_log(asked);
+        let is_suspended = answer == Some(StatusCode::SERVICE_UNAVAILABLE)
+            && count_suspended() > before
+            && Instant::now() < until;
+        assert!(is_suspended, "{answer:?} to {context}: {log}");
+        sleep(REPEAT_AFTER).await;
+    }
+}
+
+/// Guards against a frozen control host that uses up the time for an order at another one.
+#[tokio::test]
+async fn a_single_order_is_acknowledged_while_one_control_host_is_frozen() {
+    let (cluster, _endpoints) = start(208, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    for asked in 0..CONTROL_HOSTS {
+        find_leader(&cluster).await;
+        let others = (0..CONTROL_HOSTS).filter(|host| *host != asked);
+        for frozen in others {
+            cluster.signal(frozen, "-STOP");
+            sleep(FREEZE_TIME).await;
+            for order in ["Start/zone-0", "End/zone-0"] {
+                let context = format!("{order} at {asked}, {frozen} frozen");
+                assert_single_order(&cluster, asked, order, &context).await;
+            }
+            cluster.signal(frozen, "-CONT");
+            sleep(SETTLE_TIME).await;
+        }
+    }
+}
+
 /// Guards against a frozen control host that carries out an abandoned order when it resumes.
 #[tokio::test]
 async fn a_control_host_that_is_frozen_over_an_order_does_not_undo_later_ones() {
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -97,7 +97,7 @@
         }
     };
     let revision = record.revision;
-    let reply = send_to_leader(gateway, Command::Apply(record)).await;
+    let reply = send_to_leader(gateway, Command::Apply(record), Limits::default()).await;
     let is_applied = matches!(reply.response, message::Response::Applied);
     info!(gateway.logger, "setup_asked"; "event" => "setup_asked", "revision" => revision,
         "committed" => is_applied, "known" => gateway.active_setup.revision(),
@@ -120,7 +120,7 @@
 }
 
 async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
-    let reply = send_to_leader(gateway, Command::Read).await;
+    let reply = send_to_leader(gateway, Command::Read, Limits::default()).await;
     let record = match &reply.response {
         message::Response::Current(Some(record)) => record.clone(),
         response => {
@@ -167,12 +167,33 @@
     }
 }
 
+/// The limits on a command sent to the leader.
+#[derive(Debug, Clone)]
+struct Limits {
+    /// The timeout for a response from one replica.
+    replica: Duration,
+    /// The timeout for a response from the leader.
+    leader: Duration,
+    /// The replica that is asked first, if it is known which one leads.
+    first: Option<HostId>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            replica: REPLICA_TIMEOUT,
+            leader: LEADER_TIMEOUT,
+            first: None,
+        }
+    }
+}
+
 /// Sends an idempotent command to replicas until one answers as the leader.
-async fn send_to_leader(gateway: &Arc<Gateway>, command: Command) -> Reply {
+async fn send_to_leader(gateway: &Arc<Gateway>, command: Command, limits: Limits) -> Reply {
     let started = Instant::now();
-    let deadline = started + LEADER_TIMEOUT;
+    let deadline = started + limits.leader;
     let mut requests = 0;
-    let mut hint: Option<HostId> = None;
+    let mut hint = limits.first;
     loop {
         let local = gateway.hosts.local().id;
         let mut candidates = vec![local.clone()];
@@ -182,7 +203,8 @@
             candidates.insert(0, hint);
         }
         for host in candidates {
-            let limit = REPLICA_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
+            let left = deadline.saturating_duration_since(Instant::now());
+            let limit = limits.replica.min(left);
             requests += 1;
             let response = if host == local {
                 timeout(limit, gateway.send_command(command.clone())).await
--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -12,7 +12,7 @@
 use slog::{error, info};
 use tokio::time::timeout;
 
-use super::{findings, send_to_leader, status};
+use super::{LEADER_TIMEOUT, Limits, Reply, findings, send_to_leader, status};
 use crate::Gateway;
 use crate::body::{Body, json};
 use crate::listener::Peer;
@@ -25,6 +25,15 @@
 /// The time from the arrival of an order to its last read of the state. Operators repeat an order
 /// after 1 s, so an order that was read later could be an abandoned one.
 const READ_LIMIT_MS: u64 = 900;
+/// The time from the arrival of an order to its acknowledgement. After 1 s operators repeat an order;
+/// the rest is for the way of the response.
+const ANSWER_LIMIT_MS: u64 = 980;
+/// The timeout for a read by one replica. A frozen replica that is asked must leave time for the
+/// others.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// The timeout for a proposal to one replica. The first is the one that has just answered as the leader,
+/// and a sync of a slow disk may take longer than a read.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// When an order arrived, and from where.
 #[derive(Debug, Clone, Copy)]
@@ -43,10 +52,19 @@
     }
 
     /// Returns the time that is left for reading the state, or `None` if it is over.
-    fn time_left(&self) -> Option<Duration> {
+    fn time_to_read(&self) -> Option<Duration> {
+        let left = self.time_left(READ_LIMIT_MS);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Returns the time that is left for the acknowledgement.
+    fn time_to_answer(&self) -> Duration {
+        self.time_left(ANSWER_LIMIT_MS)
+    }
+
+    fn time_left(&self, limit_ms: u64) -> Duration {
         let elapsed = boot_ms().saturating_sub(self.arrived_ms);
-        let left = READ_LIMIT_MS.checked_sub(elapsed);
-        left.filter(|left| *left > 0).map(Duration::from_millis)
+        Duration::from_millis(limit_ms.saturating_sub(elapsed))
     }
 }
 
@@ -91,7 +109,8 @@
     let Ok(evacuations) = committed else {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     };
-    if adopt_committed(gateway, &evacuations).await && gateway.confirm_evacuations().await {
+    let is_in_effect = adopt_committed(gateway, &evacuations, &order).await;
+    if is_in_effect && gateway.confirm_evacuations(order.time_to_answer()).await {
         json(StatusCode::OK, "{}")
     } else {
         status(StatusCode::SERVICE_UNAVAILABLE)
@@ -101,17 +120,14 @@
 /// Adopts a committed state. Returns whether it is in effect, which it is not if this host knows a
 /// version that the leader lacks: hosts keep the highest version. This happens if more disks of control
 /// hosts were lost than tolerated, while other hosts kept a later state.
-async fn adopt_committed(gateway: &Arc<Gateway>, committed: &Evacuations) -> bool {
+async fn adopt_committed(gateway: &Arc<Gateway>, committed: &Evacuations, order: &Order) -> bool {
     gateway.adopt_evacuations(committed, "leader", false);
     let known = gateway.evacuations.current().version();
     if known <= committed.version() {
         return true;
     }
     // Another order may have been committed since.
-    let command = Command::Evacuations {
-        includes_audit: false,
-    };
-    let read = send_to_leader(gateway, command).await;
+    let read = read_from_leader(gateway, false, order.time_to_answer()).await;
     let message::Response::Evacuations(newest) = read.response else {
         return false;
     };
@@ -136,15 +152,10 @@
         return Err("suspended");
     }
     loop {
-        let left = order.time_left().ok_or("too late")?;
-        let read = send_to_leader(
-            gateway,
-            Command::Evacuations {
-                includes_audit: false,
-            },
-        );
+        let left = order.time_to_read().ok_or("too late")?;
+        let read = read_from_leader(gateway, false, left);
         let read = timeout(left, read).await.map_err(|_| "too late")?;
-        order.time_left().ok_or("too late")?;
+        order.time_to_read().ok_or("too late")?;
         let message::Response::Evacuations(current) = read.response else {
             return Err("not read");
         };
@@ -155,10 +166,13 @@
             by: by.to_owned(),
             at_ms: unix_ms(),
         };
-        match send_to_leader(gateway, Command::Evacuate(change))
-            .await
-            .response
-        {
+        let limits = Limits {
+            replica: PROPOSAL_TIMEOUT,
+            leader: order.time_to_answer(),
+            first: read.leader,
+        };
+        let proposed = send_to_leader(gateway, Command::Evacuate(change), limits).await;
+        match proposed.response {
             message::Response::Evacuations(evacuations) => return Ok(evacuations),
             message::Response::Stale => {}
             _ => return Err("unknown"),
@@ -166,6 +180,16 @@
     }
 }
 
+/// Reads the state from the leader.
+async fn read_from_leader(gateway: &Arc<Gateway>, includes_audit: bool, limit: Duration) -> Reply {
+    let limits = Limits {
+        replica: READ_TIMEOUT,
+        leader: limit,
+        first: None,
+    };
+    send_to_leader(gateway, Command::Evacuations { includes_audit }, limits).await
+}
+
 /// Returns whether a data centre exists, by the settings or by a known host, endpoint or order.
 fn is_known(gateway: &Gateway, data_centre: &DataCentre) -> bool {
     let settings = &gateway.settings;
@@ -225,10 +249,7 @@
 
 /// Reads the status. Without a confirmed state, it is that of this host.
 pub(super) async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
-    let command = Command::Evacuations {
-        includes_audit: true,
-    };
-    let reply = send_to_leader(gateway, command).await;
+    let reply = read_from_leader(gateway, true, LEADER_TIMEOUT).await;
     let (evacuations, is_confirmed) = match reply.response {
         message::Response::Evacuations(evacuations) => (evacuations, true),
         _ => ((*gateway.evacuations.current()).clone(), false),
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -89,8 +89,8 @@
 
     /// Pushes the newest state to all live hosts, and waits for a short time until they have it.
     /// Returns whether a majority of the control hosts has stored it, so that a restart of all hosts
-    /// does not lose sight of it until an election.
-    pub(crate) async fn confirm_evacuations(self: &Arc<Self>) -> bool {
+    /// does not lose sight of it until an election. `left` is the time that is left for this.
+    pub(crate) async fn confirm_evacuations(self: &Arc<Self>, left: Duration) -> bool {
         let live = self.hosts.live_hosts();
         let control = live.iter().filter(|host| host.is_control);
         let control: Vec<HostId> = control.map(|host| host.id.clone()).collect();
@@ -114,7 +114,7 @@
             } else {
                 CONFIRM_TIMEOUT
             };
-            match timeout_at(started + limit, pushes.next()).await {
+            match timeout_at(started + limit.min(left), pushes.next()).await {
                 Ok(Some(Some(host))) => {
                     let is_local = !hosts.contains(&host);
                     told += usize::from(!is_local);
