Evacuations: fewer pushes for an order, and only stored states count as stored

Cause: each repeated order pushed the state to all hosts again. The local host counted as one that has stored the state without a file. Change: hosts that are known to have the version are not pushed to, except for control hosts. The local host counts only if it is a control host with a file.

--- a/crates/kumquatdrum_gateway/src/evacuation_cache.rs
+++ b/crates/kumquatdrum_gateway/src/evacuation_cache.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Returns whether there is a file.
+    pub const fn has_file(&self) -> bool {
+        self.file.is_some()
+    }
+
     /// Reads the cached evacuations.
     pub async fn load(&self) -> Evacuations {
         let Some(file) = self.file.clone() else {
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -87,19 +87,24 @@
         }
     }
 
-    /// Pushes the newest state to all live hosts, and waits for a short time until they have it.
-    /// Returns whether a majority of the control hosts has stored it, so that a restart of all hosts
+    /// Pushes the newest state to the live hosts that may lack it, and to all live control hosts, which
+    /// may not have stored it. Waits for a short time until they have it. Returns whether a majority of the control hosts has stored it, so that a restart of all hosts
     /// does not lose sight of it until an election. `left` is the time that is left for this.
     pub(crate) async fn confirm_evacuations(self: &Arc<Self>, left: Duration) -> bool {
         let live = self.hosts.live_hosts();
         let control = live.iter().filter(|host| host.is_control);
         let control: Vec<HostId> = control.map(|host| host.id.clone()).collect();
-        let hosts: Vec<HostId> = live.into_iter().map(|host| host.id).collect();
         let version = self.evacuations.current().version();
+        let is_pushed =
+            |host: &Host| host.is_control || self.evacuations.version_of(&host.id) < Some(version);
+        let pushed = live.into_iter().filter(is_pushed);
+        let hosts: Vec<HostId> = pushed.map(|host| host.id).collect();
         let started = Instant::now();
         let store = async {
+            let local = self.hosts.local();
             let is_stored = self.evacuation_cache.store(&self.evacuations).await;
-            is_stored.then(|| self.hosts.local().id)
+            let counts = is_stored && local.is_control && self.evacuation_cache.has_file();
+            counts.then_some(local.id)
         };
         let pushes = futures::stream::select(
             futures::stream::once(store),
