Evacuations: an unknown data centre is decided after the read of the leader

Cause: a host that had just started answered 404 to an order for a data centre that it did not know yet, though an earlier order names it. The check cloned all endpoints. Change: the data centres in the leader's state count as well. A lookup in the registry replaces the clones.

--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -35,6 +35,9 @@
 /// and a sync of a slow disk may take longer than a read.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The reason why an order to an unknown data centre is refused.
+const UNKNOWN_DATA_CENTRE: &str = "unknown data centre";
+
 /// When an order arrived, and from where.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Order {
@@ -97,17 +100,18 @@
         .map_or_else(String::new, |peer| peer.0.ip().to_string());
     info!(gateway.logger, "evacuation_ordered"; "event" => "evacuation_ordered",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by);
-    if !is_known(gateway, data_centre) {
-        let finding = Finding::new("", format!("unknown data centre: {data_centre}"));
-        return findings(StatusCode::NOT_FOUND, &[finding]);
-    }
     let committed = commit(gateway, data_centre, is_active, (&order, &by)).await;
     info!(gateway.logger, "evacuation_asked"; "event" => "evacuation_asked",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by,
         "outcome" => committed.as_ref().map_or_else(|reason| reason, |_| &"committed"),
         "ms" => boot_ms().saturating_sub(order.arrived_ms));
-    let Ok(evacuations) = committed else {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
+    let evacuations = match committed {
+        Ok(evacuations) => evacuations,
+        Err(UNKNOWN_DATA_CENTRE) => {
+            let finding = Finding::new("", format!("unknown data centre: {data_centre}"));
+            return findings(StatusCode::NOT_FOUND, &[finding]);
+        }
+        Err(_) => return status(StatusCode::SERVICE_UNAVAILABLE),
     };
     let is_in_effect = adopt_committed(gateway, &evacuations, &order).await;
     if is_in_effect && gateway.confirm_evacuations(order.time_to_answer()).await {
@@ -159,6 +163,11 @@
         let message::Response::Evacuations(current) = read.response else {
             return Err("not read");
         };
+        // A host that has just started may not know the data centre of an earlier order.
+        let mut ordered = current.data_centres();
+        if !is_known(gateway, data_centre) && !ordered.any(|(known, _)| known == data_centre) {
+            return Err(UNKNOWN_DATA_CENTRE);
+        }
         let change = Change {
             base: current.base(data_centre),
             data_centre: data_centre.clone(),
@@ -190,7 +199,8 @@
     send_to_leader(gateway, Command::Evacuations { includes_audit }, limits).await
 }
 
-/// Returns whether a data centre exists, by the settings or by a known host, endpoint or order.
+/// Returns whether a data centre exists, by the settings or by a host, endpoint or order that this host
+/// knows.
 fn is_known(gateway: &Gateway, data_centre: &DataCentre) -> bool {
     let settings = &gateway.settings;
     let current = gateway.evacuations.current();
@@ -198,18 +208,13 @@
         let hosts = gateway.hosts.live_hosts();
         hosts.iter().any(|host| host.data_centre == *data_centre)
     };
-    let is_endpoint = || {
-        let updates = gateway.endpoints.all_updates();
-        let mut endpoints = updates.iter().map(|update| &update.announcement);
-        endpoints.any(|endpoint| endpoint.data_centre == *data_centre)
-    };
     settings.data_centre == *data_centre
         || settings.data_centres.contains(data_centre)
         || current
             .data_centres()
             .any(|(known, _)| known == data_centre)
         || is_host()
-        || is_endpoint()
+        || gateway.endpoints.has_data_centre(data_centre)
 }
 
 /// The status of all evacuations.
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::{Announcement, Change, Presence, Registry, Update};
-use kumquatdrum_types::{EndpointId, Moment, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 use parking_lot::Mutex;
 use slog::info;
 use tokio::sync::Notify;
@@ -176,6 +176,12 @@
         state.registry.updates(self.clock.now())
     }
 
+    /// Returns whether any known endpoint is in a data centre.
+    pub fn has_data_centre(&self, data_centre: &DataCentre) -> bool {
+        let state = self.state.lock();
+        state.registry.has_data_centre(data_centre)
+    }
+
     /// Returns updates for the endpoints that are leaving or gone.
     pub fn departures(&self) -> Vec<Update> {
         let state = self.state.lock();
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_types::{EndpointId, Moment, ServiceName};
+use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 
 use crate::{Announcement, Update};
 
@@ -173,6 +173,12 @@
         entries.map(|entry| to_update(entry, now)).collect()
     }
 
+    /// Returns whether any known endpoint is in a data centre.
+    pub fn has_data_centre(&self, data_centre: &DataCentre) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.announcement.data_centre == *data_centre)
+    }
+
     /// Returns updates for the endpoints that are leaving or gone.
     pub fn departures(&self, now: Moment) -> Vec<Update> {
         let has_departed = |entry: &&Entry| entry.is_gone || entry.announcement.leaving;
