Suspension: only the welcome of a host with current state counts as news

Cause: hosts that were suspended together took each other's welcomes as news and sent by old state. Change: reports say whether their sender waits for news itself, for half a second at most. No test covers hosts that are suspended together.

--- a/crates/kumquatdrum_gateway/src/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/evacuations.rs
@@ -18,6 +18,8 @@
     pub version: u64,
     /// The newest state, if the receiver is known to lack it.
     pub newest: Option<Box<Evacuations>>,
+    /// Whether the sender does not itself wait for news after a suspension.
+    pub is_current: bool,
     /// The number of the sender's requests that run in each evacuated data centre.
     pub running: Vec<(DataCentre, u32)>,
 }
@@ -93,6 +95,7 @@
         Report {
             version: current.version(),
             newest: is_behind.then(|| Box::new((*current).clone())),
+            is_current: !self.suspension.awaits_news(),
             running: self.running_in(&current),
         }
     }
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -143,18 +143,19 @@
             evacuations: self.evacuations.report_to(self.evacuations.version_of(to)),
         });
         let response = self.send_request(to, Channel::Membership, &request, RESPONSE_TIMEOUT);
-        let reply = match response.await {
-            Some(response) => self.apply_welcome(response, sent),
+        match response.await {
+            Some(response) => self.apply_welcome(response, sent, sent_ms),
             None => Reply::Missing,
-        };
-        if reply != Reply::Missing {
-            self.evacuations.suspension().record_news(sent_ms);
         }
-        reply
     }
 
-    /// Applies the response to a hello that carried the evidence up to `sent`.
-    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> Reply {
+    /// Applies the response to a hello that carried the evidence up to `sent` and was sent at `sent_ms`.
+    fn apply_welcome(
+        self: &Arc<Self>,
+        response: Response,
+        sent: Checkpoint,
+        sent_ms: u64,
+    ) -> Reply {
         let Response::Welcome {
             host,
             hosts,
@@ -169,6 +170,9 @@
         let (id, boot) = (host.id.clone(), host.boot);
         self.hosts.record_contact(host);
         self.observe_evacuations(&id, &evacuations);
+        if evacuations.is_current {
+            self.evacuations.suspension().record_news(sent_ms);
+        }
         self.observe_revision(id.clone(), revision);
         if let Some(listing) = hosts {
             self.hosts.merge_listing(&id, listing);
--- a/crates/kumquatdrum_gateway/src/suspension.rs
+++ b/crates/kumquatdrum_gateway/src/suspension.rs
@@ -67,6 +67,14 @@
         resumed_ms > 0 && now.saturating_sub(resumed_ms) < MIN_SUSPENSION_MS
     }
 
+    /// Returns whether the host waits for news after a suspension. Hosts that were suspended together
+    /// have no news for each other, so this ends after half a second at the latest.
+    pub fn awaits_news(&self) -> bool {
+        let now = self.tick();
+        let end = self.resumed_ms.load(Ordering::Acquire) + NEWS_WAIT_MS;
+        self.awaits_news.load(Ordering::Acquire) && now < end
+    }
+
     /// Waits until the host was suspended.
     pub async fn wait_for_resumption(&self) {
         self.resumed.notified().await;
