--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -101,7 +101,7 @@
     info!(gateway.logger, "evacuation_ordered"; "event" => "evacuation_ordered",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by);
     let committed = commit(gateway, data_centre, is_active, (&order, &by)).await;
-    info!(gateway.logger, "evacuation_asked"; "event" => "evacuation_asked",
+    info!(gateway.logger, "evacuation_answered"; "event" => "evacuation_answered",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by,
         "outcome" => committed.as_ref().map_or_else(|reason| reason, |_| &"committed"),
         "ms" => boot_ms().saturating_sub(order.arrived_ms));
--- a/crates/kumquatdrum_gateway/src/evacuation_cache.rs
+++ b/crates/kumquatdrum_gateway/src/evacuation_cache.rs
@@ -48,7 +48,7 @@
         };
         let read = cache::read::<Evacuations>(file).await;
         read.unwrap_or_else(|reason| {
-            warn!(self.logger, "evacuations_not_recalled"; "event" => "evacuations_not_recalled",
+            warn!(self.logger, "evacuations_not_loaded"; "event" => "evacuations_not_loaded",
                 "reason" => reason);
             Evacuations::default()
         })
@@ -66,7 +66,7 @@
         let writing = spawn_blocking(move || write_newest(&file, &mut stored, &evacuations));
         let written = writing.await.unwrap_or_else(|error| Err(error.to_string()));
         if let Err(reason) = &written {
-            warn!(self.logger, "evacuations_not_kept"; "event" => "evacuations_not_kept",
+            warn!(self.logger, "evacuations_not_stored"; "event" => "evacuations_not_stored",
                 "reason" => reason);
         }
         written.is_ok()
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_types::HostId;
 use slog::info;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, timeout, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 
 use super::Gateway;
 use crate::evacuations::Report;
@@ -95,10 +95,10 @@
         let control = live.iter().filter(|host| host.is_control);
         let control: Vec<HostId> = control.map(|host| host.id.clone()).collect();
         let version = self.evacuations.current().version();
-        let is_pushed =
+        let may_lack =
             |host: &Host| host.is_control || self.evacuations.version_of(&host.id) < Some(version);
-        let pushed = live.into_iter().filter(is_pushed);
-        let hosts: Vec<HostId> = pushed.map(|host| host.id).collect();
+        let targets = live.into_iter().filter(may_lack);
+        let hosts: Vec<HostId> = targets.map(|host| host.id).collect();
         let started = Instant::now();
         let store = async {
             let local = self.hosts.local();
@@ -129,7 +129,7 @@
                 Ok(None) | Err(_) => break,
             }
         }
-        info!(self.logger, "evacuations_told"; "event" => "evacuations_told",
+        info!(self.logger, "evacuations_confirmed"; "event" => "evacuations_confirmed",
             "version" => version, "told" => told, "of" => hosts.len(), "stored" => stored,
             "majority" => majority, "ms" => started.elapsed().as_millis() as u64);
         stored >= majority
@@ -169,6 +169,7 @@
     pub(super) async fn watch_suspension(self: Arc<Self>) {
         let suspension = self.evacuations.suspension();
         let mut ticks = interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = suspension.wait_for_resumption() => {}
