--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -9,10 +9,10 @@
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_types::{DataCentre, Finding, HostId};
 use serde::Serialize;
-use slog::info;
+use slog::{error, info};
 use tokio::time::timeout;
 
-use super::{findings, send_to_leader, status};
+use super::{LEADER_TIMEOUT, Limits, Reply, findings, send_to_leader, status};
 use crate::Gateway;
 use crate::body::{Body, json};
 use crate::listener::Peer;
@@ -25,6 +25,18 @@
 /// The time from the arrival of an order to its last read of the state. Operators repeat an order
 /// after 1 s, so an order that was read later could be an abandoned one.
 const READ_LIMIT_MS: u64 = 900;
+/// The time from the arrival of an order to its acknowledgement. After 1 s operators repeat an order;
+/// the rest is for the way of the response.
+const ANSWER_LIMIT_MS: u64 = 980;
+/// The timeout for a read by one replica. A frozen replica that is asked must leave time for the
+/// others.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// The timeout for a proposal to one replica. The first is the one that has just answered as the leader,
+/// and a sync of a slow disk may take longer than a read.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The reason why an order to an unknown data centre is refused.
+const UNKNOWN_DATA_CENTRE: &str = "unknown data centre";
 
 /// When an order arrived, and from where.
 #[derive(Debug, Clone, Copy)]
@@ -43,10 +55,19 @@
     }
 
     /// Returns the time that is left for reading the state, or `None` if it is over.
-    fn time_left(&self) -> Option<Duration> {
+    fn time_to_read(&self) -> Option<Duration> {
+        let left = self.time_left(READ_LIMIT_MS);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Returns the time that is left for the acknowledgement.
+    fn time_to_answer(&self) -> Duration {
+        self.time_left(ANSWER_LIMIT_MS)
+    }
+
+    fn time_left(&self, limit_ms: u64) -> Duration {
         let elapsed = boot_ms().saturating_sub(self.arrived_ms);
-        let left = READ_LIMIT_MS.checked_sub(elapsed);
-        left.filter(|left| *left > 0).map(Duration::from_millis)
+        Duration::from_millis(limit_ms.saturating_sub(elapsed))
     }
 }
 
@@ -79,28 +100,50 @@
         .map_or_else(String::new, |peer| peer.0.ip().to_string());
     info!(gateway.logger, "evacuation_ordered"; "event" => "evacuation_ordered",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by);
-    if !is_known(gateway, data_centre) {
-        let finding = Finding::new("", format!("unknown data centre: {data_centre}"));
-        return findings(StatusCode::NOT_FOUND, &[finding]);
-    }
     let committed = commit(gateway, data_centre, is_active, (&order, &by)).await;
-    info!(gateway.logger, "evacuation_asked"; "event" => "evacuation_asked",
+    info!(gateway.logger, "evacuation_answered"; "event" => "evacuation_answered",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by,
         "outcome" => committed.as_ref().map_or_else(|reason| reason, |_| &"committed"),
         "ms" => boot_ms().saturating_sub(order.arrived_ms));
-    match committed {
-        Ok(evacuations) => {
-            gateway.adopt_evacuations(&evacuations, "leader", false);
-            if gateway.confirm_evacuations().await {
-                json(StatusCode::OK, "{}")
-            } else {
-                status(StatusCode::SERVICE_UNAVAILABLE)
-            }
+    let evacuations = match committed {
+        Ok(evacuations) => evacuations,
+        Err(UNKNOWN_DATA_CENTRE) => {
+            let finding = Finding::new("", format!("unknown data centre: {data_centre}"));
+            return findings(StatusCode::NOT_FOUND, &[finding]);
         }
-        Err(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+        Err(_) => return status(StatusCode::SERVICE_UNAVAILABLE),
+    };
+    let is_in_effect = adopt_committed(gateway, &evacuations, &order).await;
+    if is_in_effect && gateway.confirm_evacuations(order.time_to_answer()).await {
+        json(StatusCode::OK, "{}")
+    } else {
+        status(StatusCode::SERVICE_UNAVAILABLE)
     }
 }
 
+/// Adopts a committed state. Returns whether it is in effect, which it is not if this host knows a
+/// version that the leader lacks: hosts keep the highest version. This happens if more disks of control
+/// hosts were lost than tolerated, while other hosts kept a later state.
+async fn adopt_committed(gateway: &Arc<Gateway>, committed: &Evacuations, order: &Order) -> bool {
+    gateway.adopt_evacuations(committed, "leader", false);
+    let known = gateway.evacuations.current().version();
+    if known <= committed.version() {
+        return true;
+    }
+    // Another order may have been committed since.
+    let read = read_from_leader(gateway, false, order.time_to_answer()).await;
+    let message::Response::Evacuations(newest) = read.response else {
+        return false;
+    };
+    gateway.adopt_evacuations(&newest, "leader", false);
+    let is_in_effect = known <= newest.version();
+    if !is_in_effect {
+        error!(gateway.logger, "evacuation_without_effect"; "event" => "evacuation_without_effect",
+            "committed" => newest.version(), "known" => known);
+    }
+    is_in_effect
+}
+
 /// Commits an order, and returns the state after it or the reason why that is unknown or failed.
 async fn commit(
     gateway: &Arc<Gateway>,
@@ -113,18 +156,18 @@
         return Err("suspended");
     }
     loop {
-        let left = order.time_left().ok_or("too late")?;
-        let read = send_to_leader(
-            gateway,
-            Command::Evacuations {
-                includes_audit: false,
-            },
-        );
+        let left = order.time_to_read().ok_or("too late")?;
+        let read = read_from_leader(gateway, false, left);
         let read = timeout(left, read).await.map_err(|_| "too late")?;
-        order.time_left().ok_or("too late")?;
+        order.time_to_read().ok_or("too late")?;
         let message::Response::Evacuations(current) = read.response else {
             return Err("not read");
         };
+        // A host that has just started may not know the data centre of an earlier order.
+        let mut ordered = current.data_centres();
+        if !is_known(gateway, data_centre) && !ordered.any(|(known, _)| known == data_centre) {
+            return Err(UNKNOWN_DATA_CENTRE);
+        }
         let change = Change {
             base: current.base(data_centre),
             data_centre: data_centre.clone(),
@@ -132,10 +175,13 @@
             by: by.to_owned(),
             at_ms: unix_ms(),
         };
-        match send_to_leader(gateway, Command::Evacuate(change))
-            .await
-            .response
-        {
+        let limits = Limits {
+            replica: PROPOSAL_TIMEOUT,
+            leader: order.time_to_answer(),
+            first: read.leader,
+        };
+        let proposed = send_to_leader(gateway, Command::Evacuate(change), limits).await;
+        match proposed.response {
             message::Response::Evacuations(evacuations) => return Ok(evacuations),
             message::Response::Stale => {}
             _ => return Err("unknown"),
@@ -143,7 +189,18 @@
     }
 }
 
-/// Returns whether a data centre exists, by the settings or by a known host, endpoint or order.
+/// Reads the state from the leader.
+async fn read_from_leader(gateway: &Arc<Gateway>, includes_audit: bool, limit: Duration) -> Reply {
+    let limits = Limits {
+        replica: READ_TIMEOUT,
+        leader: limit,
+        first: None,
+    };
+    send_to_leader(gateway, Command::Evacuations { includes_audit }, limits).await
+}
+
+/// Returns whether a data centre exists, by the settings or by a host, endpoint or order that this host
+/// knows.
 fn is_known(gateway: &Gateway, data_centre: &DataCentre) -> bool {
     let settings = &gateway.settings;
     let current = gateway.evacuations.current();
@@ -151,18 +208,13 @@
         let hosts = gateway.hosts.live_hosts();
         hosts.iter().any(|host| host.data_centre == *data_centre)
     };
-    let is_endpoint = || {
-        let updates = gateway.endpoints.all_updates();
-        let mut endpoints = updates.iter().map(|update| &update.announcement);
-        endpoints.any(|endpoint| endpoint.data_centre == *data_centre)
-    };
     settings.data_centre == *data_centre
         || settings.data_centres.contains(data_centre)
         || current
             .data_centres()
             .any(|(known, _)| known == data_centre)
         || is_host()
-        || is_endpoint()
+        || gateway.endpoints.has_data_centre(data_centre)
 }
 
 /// The status of all evacuations.
@@ -202,10 +254,7 @@
 
 /// Reads the status. Without a confirmed state, it is that of this host.
 pub(super) async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
-    let command = Command::Evacuations {
-        includes_audit: true,
-    };
-    let reply = send_to_leader(gateway, command).await;
+    let reply = read_from_leader(gateway, true, LEADER_TIMEOUT).await;
     let (evacuations, is_confirmed) = match reply.response {
         message::Response::Evacuations(evacuations) => (evacuations, true),
         _ => ((*gateway.evacuations.current()).clone(), false),
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_types::HostId;
 use slog::info;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, timeout, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 
 use super::Gateway;
 use crate::evacuations::Report;
@@ -67,8 +67,9 @@
         let assigned: Vec<HostId> = assigned.map(|host| host.id.clone()).collect();
         let gateway = self.clone();
         self.spawn(async move {
-            gateway.evacuation_cache.store(&gateway.evacuations).await;
-            gateway.push_evacuations(assigned).count().await;
+            // A hung disk must not stop the distribution.
+            let store = gateway.evacuation_cache.store(&gateway.evacuations);
+            tokio::join!(store, gateway.push_evacuations(assigned).count());
         });
     }
 
@@ -79,26 +80,31 @@
         from: &str,
     ) -> Response {
         self.adopt_evacuations(newer, from, false);
-        if self.evacuation_cache.store(&self.evacuations).await {
-            Response::Taken
-        } else {
-            Response::Unavailable
+        let store = self.evacuation_cache.store(&self.evacuations);
+        match timeout(STORE_TIMEOUT, store).await {
+            Ok(true) => Response::Taken,
+            Ok(false) | Err(_) => Response::Unavailable,
         }
     }
 
-    /// Pushes the newest state to all live hosts, and waits for a short time until they have it.
-    /// Returns whether a majority of the control hosts has stored it, so that a restart of all hosts
-    /// does not lose sight of it until an election.
-    pub(crate) async fn confirm_evacuations(self: &Arc<Self>) -> bool {
+    /// Pushes the newest state to the live hosts that may lack it, and to all live control hosts, which
+    /// may not have stored it. Waits for a short time until they have it. Returns whether a majority of the control hosts has stored it, so that a restart of all hosts
+    /// does not lose sight of it until an election. `left` is the time that is left for this.
+    pub(crate) async fn confirm_evacuations(self: &Arc<Self>, left: Duration) -> bool {
         let live = self.hosts.live_hosts();
         let control = live.iter().filter(|host| host.is_control);
         let control: Vec<HostId> = control.map(|host| host.id.clone()).collect();
-        let hosts: Vec<HostId> = live.into_iter().map(|host| host.id).collect();
         let version = self.evacuations.current().version();
+        let may_lack =
+            |host: &Host| host.is_control || self.evacuations.version_of(&host.id) < Some(version);
+        let targets = live.into_iter().filter(may_lack);
+        let hosts: Vec<HostId> = targets.map(|host| host.id).collect();
         let started = Instant::now();
         let store = async {
+            let local = self.hosts.local();
             let is_stored = self.evacuation_cache.store(&self.evacuations).await;
-            is_stored.then(|| self.hosts.local().id)
+            let counts = is_stored && local.is_control && self.evacuation_cache.has_file();
+            counts.then_some(local.id)
         };
         let pushes = futures::stream::select(
             futures::stream::once(store),
@@ -113,7 +119,7 @@
             } else {
                 CONFIRM_TIMEOUT
             };
-            match timeout_at(started + limit, pushes.next()).await {
+            match timeout_at(started + limit.min(left), pushes.next()).await {
                 Ok(Some(Some(host))) => {
                     let is_local = !hosts.contains(&host);
                     told += usize::from(!is_local);
@@ -123,7 +129,7 @@
                 Ok(None) | Err(_) => break,
             }
         }
-        info!(self.logger, "evacuations_told"; "event" => "evacuations_told",
+        info!(self.logger, "evacuations_confirmed"; "event" => "evacuations_confirmed",
             "version" => version, "told" => told, "of" => hosts.len(), "stored" => stored,
             "majority" => majority, "ms" => started.elapsed().as_millis() as u64);
         stored >= majority
@@ -163,6 +169,7 @@
     pub(super) async fn watch_suspension(self: Arc<Self>) {
         let suspension = self.evacuations.suspension();
         let mut ticks = interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = suspension.wait_for_resumption() => {}
