Gateway: a refusal or an empty answer is no source of all endpoints

A control host that refused, or that had lost its disk and sent nothing, counted as asked, so most hosts got no second source while hundreds started. Refused ones are asked again in the next pass, an empty answer counts only if all control hosts that answer are empty, and control hosts are exempt from the allowance.

--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -85,6 +85,20 @@
     },
 }
 
+/// The result of a request for all endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointsReply {
+    /// The control host has sent the endpoints that it knows.
+    Received {
+        /// Whether it knows none, as a control host that lost its disk.
+        is_empty: bool,
+    },
+    /// The control host sends none for now.
+    Refused,
+    /// There was no answer in time.
+    Missing,
+}
+
 /// Decides which control host is sent what, and when.
 ///
 /// ```
@@ -120,10 +134,14 @@
 
 #[derive(Debug, Default)]
 struct Endpoints {
-    asked: Vec<HostId>,
     is_in_flight: bool,
-    received: usize,
-    /// The number of requests without an answer since the last answer.
+    /// The control hosts that have sent endpoints.
+    sources: Vec<HostId>,
+    /// The control hosts that knew none.
+    empty: Vec<HostId>,
+    /// The control hosts that have refused or not answered since all were last asked.
+    passed: Vec<HostId>,
+    /// The number of requests without endpoints since the last answer.
     failed: u32,
     /// The end of the pause after a request without an answer.
     resume_at: Moment,
@@ -195,7 +213,6 @@
         let mut orders = Vec::new();
         if let Some(from) = self.endpoint_source(now) {
             self.endpoints.is_in_flight = true;
-            self.endpoints.asked.push(from.clone());
             orders.push(Order::Endpoints { from });
         }
         self.expedite_listing(now);
@@ -279,18 +296,37 @@
     }
 
     /// Records the result of a request for all endpoints.
-    pub fn record_endpoints(&mut self, now: Moment, is_received: bool) {
-        self.endpoints.is_in_flight = false;
-        self.endpoints.received += usize::from(is_received);
-        if is_received {
-            self.endpoints.failed = 0;
-        } else {
-            self.endpoints.failed += 1;
-            let delay = RETRY_DELAY * self.endpoints.failed.min(MAX_ENDPOINT_RETRY_FACTOR);
-            self.endpoints.resume_at = now + delay;
+    pub fn record_endpoints(&mut self, now: Moment, from: &HostId, reply: EndpointsReply) {
+        let endpoints = &mut self.endpoints;
+        endpoints.is_in_flight = false;
+        match reply {
+            EndpointsReply::Received { is_empty } => {
+                endpoints.failed = 0;
+                let answered = if is_empty {
+                    &mut endpoints.empty
+                } else {
+                    &mut endpoints.sources
+                };
+                answered.push(from.clone());
+            }
+            EndpointsReply::Refused | EndpointsReply::Missing => {
+                endpoints.failed += 1;
+                let delay = RETRY_DELAY * endpoints.failed.min(MAX_ENDPOINT_RETRY_FACTOR);
+                endpoints.resume_at = now + delay;
+                endpoints.passed.push(from.clone());
+            }
         }
     }
 
+    /// Returns whether a control host has sent endpoints, or all that answer know none.
+    pub fn has_initial_endpoints(&self) -> bool {
+        let endpoints = &self.endpoints;
+        let mut answering = self.contacts.iter().filter(|(_, it)| it.is_answering);
+        !endpoints.sources.is_empty()
+            || (!endpoints.empty.is_empty()
+                && answering.all(|(host, _)| endpoints.empty.contains(host)))
+    }
+
     /// Returns whether the listing in flight, if any, is the one requested from a control host.
     fn is_listing_awaited_from(&self, host: &HostId) -> bool {
         let asked = self.listing.asked.as_ref();
@@ -300,25 +336,28 @@
     /// Returns the control host to request all endpoints from.
     fn endpoint_source(&mut self, now: Moment) -> Option<HostId> {
         let endpoints = &self.endpoints;
-        let sources = if self.is_control {
+        let most = if self.is_control {
             usize::MAX
         } else {
             ENDPOINT_SOURCES
         };
-        let is_over = endpoints.received > 0 && now - self.started >= MAX_ENDPOINT_DURATION;
-        if endpoints.is_in_flight
-            || endpoints.received >= sources
-            || is_over
-            || now < endpoints.resume_at
-        {
+        let received = endpoints.sources.len();
+        let is_over = received > 0 && now - self.started >= MAX_ENDPOINT_DURATION;
+        if endpoints.is_in_flight || received >= most || is_over || now < endpoints.resume_at {
             return None;
         }
-        let source = self.source(now, &endpoints.asked);
-        if source.is_none() && endpoints.received == 0 {
-            // All that answer have failed to send them: the next one is asked again.
-            self.endpoints.asked.clear();
+        let answered = [&endpoints.sources[..], &endpoints.empty].concat();
+        let asked = [&answered[..], &endpoints.passed].concat();
+        if self
+            .contacts
+            .iter()
+            .any(|(host, contact)| contact.is_answering && !asked.contains(host))
+        {
+            return self.source(now, &asked);
         }
-        source
+        // All that answer were asked: those that failed to send them are asked again.
+        self.endpoints.passed.clear();
+        self.source(now, &answered)
     }
 
     /// Returns the preferred control host that answers and is not in `asked`: one of the local data
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -264,6 +264,7 @@
     /// Answers a hello.
     pub(crate) fn answer_hello(self: &Arc<Self>, hello: Hello) -> Response {
         let id = hello.host.id.clone();
+        let is_control = hello.host.is_control;
         self.hosts.record_contact(hello.host);
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
@@ -272,7 +273,7 @@
         let endpoints = match hello.endpoints {
             EndpointSelection::Nothing => Vec::new(),
             EndpointSelection::Departures => self.endpoints.departures(),
-            EndpointSelection::All => match self.all_endpoints() {
+            EndpointSelection::All => match self.all_endpoints(is_control) {
                 Some(endpoints) => endpoints,
                 None => return Response::Unavailable,
             },
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -13,7 +13,7 @@
 use tokio::time::{interval, sleep_until};
 
 use super::Gateway;
-use crate::contact::{Order, Reply, Schedule};
+use crate::contact::{EndpointsReply, Order, Reply, Schedule};
 use crate::message::{EndpointSelection, Hello, Request, Response, Selection};
 
 /// The timeout for the response to a hello or a request for all endpoints. It covers the requests of
@@ -28,7 +28,18 @@
 /// The result of a request to a control host.
 enum Outcome {
     Hello(HostId, Reply),
-    Endpoints(bool),
+    Endpoints(HostId, EndpointsReply),
+}
+
+/// The answer to a hello.
+enum Answer {
+    Welcome {
+        has_setup: bool,
+        /// Whether it contained no endpoints.
+        is_empty: bool,
+    },
+    Refused,
+    Missing,
 }
 
 impl Gateway {
@@ -50,12 +61,15 @@
                     let now = self.clock.now();
                     match outcome {
                         Ok(Outcome::Hello(from, reply)) => schedule.record_hello(now, &from, reply),
-                        Ok(Outcome::Endpoints(is_received)) => {
-                            schedule.record_endpoints(now, is_received);
+                        Ok(Outcome::Endpoints(from, reply)) => {
+                            schedule.record_endpoints(now, &from, reply);
                         }
                         Err(error) => info!(self.logger, "request_ended_early";
                             "event" => "request_ended_early", "reason" => %error),
                     }
+                    self.startup
+                        .has_initial_endpoints
+                        .store(schedule.has_initial_endpoints(), Ordering::Release);
                     self.update_readiness();
                 }
                 _ = expiry.tick() => self.expire(),
@@ -64,9 +78,13 @@
         }
     }
 
-    /// Returns all endpoints for a host that starts, unless too many have been sent lately.
-    pub(super) fn all_endpoints(&self) -> Option<Vec<Update>> {
+    /// Returns all endpoints for a host that starts, unless too many have been sent lately. Control
+    /// hosts are few and inform all others, so they are never refused.
+    pub(super) fn all_endpoints(&self, is_control: bool) -> Option<Vec<Update>> {
         let updates = self.endpoints.all_updates();
+        if is_control {
+            return Some(updates);
+        }
         let bytes = updates.len() * UPDATE_BYTES;
         let mut allowance = self.startup.allowance.lock();
         allowance
@@ -108,17 +126,16 @@
             }
             Order::Endpoints { from } => {
                 let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::All);
-                let reply = self.exchange_hello(&from, hosts, endpoints).await;
-                let is_received = reply != Reply::Missing;
-                if is_received {
-                    self.startup
-                        .has_initial_endpoints
-                        .store(true, Ordering::Release);
-                }
+                let answer = self.exchange(&from, hosts, endpoints).await;
+                let reply = match answer {
+                    Answer::Welcome { is_empty, .. } => EndpointsReply::Received { is_empty },
+                    Answer::Refused => EndpointsReply::Refused,
+                    Answer::Missing => EndpointsReply::Missing,
+                };
                 info!(self.logger, "endpoints_requested"; "event" => "endpoints_requested",
-                    "from" => from.as_str(), "received" => is_received,
+                    "from" => from.as_str(), "reply" => ?reply,
                     "elapsed_ms" => self.uptime().as_millis() as u64);
-                Outcome::Endpoints(is_received)
+                Outcome::Endpoints(from, reply)
             }
         }
     }
@@ -130,6 +147,18 @@
         hosts: Selection,
         endpoints: EndpointSelection,
     ) -> Reply {
+        match self.exchange(to, hosts, endpoints).await {
+            Answer::Welcome { has_setup, .. } => Reply::Welcome { has_setup },
+            Answer::Refused | Answer::Missing => Reply::Missing,
+        }
+    }
+
+    async fn exchange(
+        self: &Arc<Self>,
+        to: &HostId,
+        hosts: Selection,
+        endpoints: EndpointSelection,
+    ) -> Answer {
         let (evidence, known_evidence) = self.quarantine.outgoing(to);
         let sent = evidence.checkpoint;
         let sent_ms = self.evacuations.suspension().tick();
@@ -143,18 +172,18 @@
             evacuations: self.evacuations.report_to(self.evacuations.version_of(to)),
         });
         let response = self.send_request(to, Channel::Membership, &request, RESPONSE_TIMEOUT);
-        let reply = match response.await {
+        let answer = match response.await {
             Some(response) => self.apply_welcome(response, sent),
-            None => Reply::Missing,
+            None => Answer::Missing,
         };
-        if reply != Reply::Missing {
+        if matches!(answer, Answer::Welcome { .. }) {
             self.evacuations.suspension().record_news(sent_ms);
         }
-        reply
+        answer
     }
 
     /// Applies the response to a hello that carried the evidence up to `sent`.
-    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> Reply {
+    fn apply_welcome(self: &Arc<Self>, response: Response, sent: Checkpoint) -> Answer {
         let Response::Welcome {
             host,
             hosts,
@@ -164,8 +193,12 @@
             evacuations,
         } = response
         else {
-            return Reply::Missing;
+            return match response {
+                Response::Unavailable => Answer::Refused,
+                _ => Answer::Missing,
+            };
         };
+        let is_empty = endpoints.is_empty();
         let (id, boot) = (host.id.clone(), host.boot);
         self.hosts.record_contact(host);
         self.observe_evacuations(&id, &evacuations);
@@ -175,8 +208,9 @@
         }
         self.merge_endpoints(endpoints, id.as_str());
         self.quarantine.record_exchange(&id, boot, sent, evidence);
-        Reply::Welcome {
+        Answer::Welcome {
             has_setup: revision > 0,
+            is_empty,
         }
     }
 
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_gateway::contact::{Order, Reply, Schedule, Target};
+use kumquatdrum_gateway::allowance::Allowance;
+use kumquatdrum_gateway::contact::{EndpointsReply, Order, Reply, Schedule, Target};
 use kumquatdrum_types::{HostId, Moment, hash};
 
 const START: u64 = 60_000;
@@ -29,7 +30,15 @@
     (0..CONTROL_HOSTS).map(target).collect()
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    Given,
+    Refused,
+    Lost,
+}
+
 /// The behaviour of the control hosts in one play.
+#[derive(Default)]
 struct Play {
     seed: u64,
     /// When each control host is up, in milliseconds after the start.
@@ -44,6 +53,11 @@
     frozen: (usize, u64),
     hosts: usize,
     length_ms: u64,
+    /// The number of control hosts that have lost their disks and send no endpoints.
+    empty: usize,
+    /// The size of all endpoints, of which control hosts send as much as their allowance permits; 0: no
+    /// limit.
+    endpoint_bytes: usize,
 }
 
 /// What one host has sent and received.
@@ -58,6 +72,10 @@
     endpoints_received: Option<u64>,
     /// The number of answers with all endpoints.
     endpoints_sent: usize,
+    /// The control hosts whose endpoints arrived.
+    sources: Vec<HostId>,
+    /// When the schedule had its initial endpoints.
+    informed: Option<u64>,
 }
 
 impl Play {
@@ -76,19 +94,29 @@
             records.push(Record::default());
         }
         // Answers by time, then host, control host and whether they are for all endpoints.
-        let mut answers: BTreeMap<u64, Vec<(usize, usize, bool, bool)>> = BTreeMap::new();
+        let mut answers: BTreeMap<u64, Vec<(usize, usize, bool, Answer)>> = BTreeMap::new();
         let mut in_flight = IndexMap::new();
         let mut busy_until = [0; CONTROL_HOSTS];
+        let mut allowances: [Allowance; CONTROL_HOSTS] = Default::default();
         let mut drawn = 0;
         for at in 0..self.length_ms {
             let now = Moment::from_millis(START + at);
-            for (host, from, is_endpoints, is_answered) in answers.remove(&at).unwrap_or_default() {
+            for (host, from, is_endpoints, answer) in answers.remove(&at).unwrap_or_default() {
+                let is_answered = answer == Answer::Given;
                 in_flight.swap_remove(&(host, from, is_endpoints));
                 let record = &mut records[host];
                 if is_endpoints {
-                    schedules[host].record_endpoints(now, is_answered);
-                    record.endpoints_received =
-                        record.endpoints_received.or(is_answered.then_some(at));
+                    let is_empty = from < self.empty;
+                    let reply = match answer {
+                        Answer::Given => EndpointsReply::Received { is_empty },
+                        Answer::Refused => EndpointsReply::Refused,
+                        Answer::Lost => EndpointsReply::Missing,
+                    };
+                    schedules[host].record_endpoints(now, &control(from), reply);
+                    if is_answered && !is_empty {
+                        record.endpoints_received.get_or_insert(at);
+                        record.sources.push(control(from));
+                    }
                 } else {
                     let reply = if is_answered {
                         Reply::Welcome { has_setup: true }
@@ -98,6 +126,9 @@
                     schedules[host].record_hello(now, &control(from), reply);
                     record.first_answer = record.first_answer.or(is_answered.then_some(at));
                 }
+                if schedules[host].has_initial_endpoints() {
+                    record.informed.get_or_insert(at);
+                }
             }
             for (host, schedule) in schedules.iter_mut().enumerate() {
                 for order in schedule.poll(now) {
@@ -134,7 +165,9 @@
                         () if is_lost || up >= at + TIMEOUT_MS => TIMEOUT_MS,
                         () if is_endpoints
                             && up <= at
-                            && busy_until[number] > at + self.max_queue_ms =>
+                            && (busy_until[number] > at + self.max_queue_ms
+                                || self.endpoint_bytes > 0
+                                    && !allowances[number].try_take(now, self.endpoint_bytes)) =>
                         {
                             is_refused = true;
                             2
@@ -147,8 +180,12 @@
                         }
                         () => up.saturating_sub(at) + 2 + self.draw(drawn + 1) % 10,
                     };
-                    let is_answered = delay < TIMEOUT_MS && !is_refused;
-                    let answer = (host, number, is_endpoints, is_answered);
+                    let answer = match () {
+                        () if is_refused => Answer::Refused,
+                        () if delay < TIMEOUT_MS => Answer::Given,
+                        () => Answer::Lost,
+                    };
+                    let answer = (host, number, is_endpoints, answer);
                     answers.entry(at + delay).or_default().push(answer);
                 }
             }
@@ -176,6 +213,7 @@
             frozen: (0, 0),
             hosts: 12,
             length_ms: 3_000,
+            ..Play::default()
         };
         for record in play.run() {
             // Hellos waited 700 ms for control hosts that were not up, and paused for 100 ms.
@@ -195,18 +233,22 @@
         let play = Play {
             seed,
             up: ups(seed),
-            // 100 answers take 2 s.
-            endpoints_ms: 20,
+            // 360 KB at 21 MB/s.
+            endpoints_ms: 17,
+            endpoint_bytes: 360_000,
             lost_one_in: 0,
-            max_queue_ms: 1_000,
+            max_queue_ms: u64::MAX / 2,
             frozen: (0, 0),
             hosts: 300,
             length_ms: 9_000,
+            ..Play::default()
         };
         let records = play.run();
         let mut by_source: IndexMap<HostId, usize> = IndexMap::new();
         for record in &records {
-            assert!(record.endpoints_received.is_some(), "seed {seed}");
+            // Refusals by the allowance counted as sources, so most hosts got no second one.
+            assert_eq!(record.sources.len(), 2, "seed {seed}: {record:?}");
+            assert_ne!(record.sources[0], record.sources[1], "seed {seed}");
             for (_, source) in &record.endpoints {
                 *by_source.entry(source.clone()).or_default() += 1;
             }
@@ -220,6 +262,32 @@
     }
 }
 
+/// Guards against placing by the empty answer of a control host without its disk.
+#[test]
+fn control_hosts_without_disks_are_no_sources() {
+    for (seed, empty) in (0..10).flat_map(|seed| (0..=CONTROL_HOSTS).map(move |n| (seed, n))) {
+        let play = Play {
+            seed,
+            up: [0; CONTROL_HOSTS],
+            endpoints_ms: 5,
+            max_queue_ms: 1_000,
+            hosts: 4,
+            length_ms: 3_000,
+            empty,
+            ..Play::default()
+        };
+        for record in play.run() {
+            assert_eq!(record.sources.len(), (CONTROL_HOSTS - empty).min(2));
+            if empty < CONTROL_HOSTS {
+                assert_eq!(record.informed, record.endpoints_received, "seed {seed}");
+            }
+            assert!(record.informed.is_some(), "seed {seed}: {record:?}");
+            let requests = record.endpoints.len();
+            assert!(requests <= CONTROL_HOSTS, "seed {seed}: {record:?}");
+        }
+    }
+}
+
 #[test]
 fn nothing_is_repeated_and_all_are_informed_if_answers_are_lost() {
     for seed in 0..20 {
@@ -232,6 +300,7 @@
             frozen: (0, 0),
             hosts: 8,
             length_ms: 30_000,
+            ..Play::default()
         };
         for record in play.run() {
             assert!(record.endpoints_received.is_some(), "seed {seed}");
@@ -252,6 +321,7 @@
             frozen: (frozen, 5_000),
             hosts: 4,
             length_ms: 15_000,
+            ..Play::default()
         };
         for record in play.run() {
             let gaps = record.listings.windows(2).map(|pair| pair[1].0 - pair[0].0);
@@ -276,6 +346,7 @@
         frozen: (0, 0),
         hosts: 1,
         length_ms: 20_000,
+        ..Play::default()
     };
     for record in play.run() {
         // Near ones each 0.5 s, far ones each second, and up to two at the start.
@@ -308,6 +379,7 @@
             frozen: (0, 0),
             hosts: 1,
             length_ms: 10_000,
+            ..Play::default()
         };
         let record = &play.run()[0];
         assert!(record.endpoints_received <= Some(100), "{record:?}");
@@ -331,6 +403,7 @@
         frozen: (0, 0),
         hosts: 240,
         length_ms: 200,
+        ..Play::default()
     };
     let mut first: IndexMap<HostId, usize> = IndexMap::new();
     for record in play.run() {
