Gateway: a slow answer of a control host delays no hello

Hellos tell control hosts that a host is alive, but one in flight for up to 3 s stopped the next ones, and hosts count as lost after 2 s. Hellos without lists to a control host that has answered time out after 1 s and don't wait for a listing in flight. Each answer is recorded for its hello by number. Types and the play moved to files of their own.

--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -6,11 +6,15 @@
 //! has answered, and not again while its answer is under way: with hundreds of hosts that start at
 //! once, answers take seconds, and requests that are repeated earlier overload control hosts.
 
+mod request;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use kumquatdrum_types::{HostId, Moment, hash};
 
+pub use self::request::{EndpointsReply, Hello, Order, Reply, Target};
+
 /// The interval between hellos to a control host of the local data centre. A host that was cut off
 /// learns of the active setup within this time of its return.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
@@ -44,60 +48,12 @@
 /// The time after which a host that has had all endpoints once looks for no further source. By then
 /// endpoints have announced themselves again.
 const MAX_ENDPOINT_DURATION: Duration = Duration::from_secs(10);
-
-/// A known control host, or a seed that is not known yet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Target {
-    /// The control host.
-    pub host: HostId,
-    /// Whether the control host is known to be in another data centre.
-    pub is_remote: bool,
-}
-
-/// A request to send. Its result must be recorded.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Order {
-    /// A hello.
-    Hello {
-        /// The receiver.
-        to: HostId,
-        /// Whether it requests a listing of hosts.
-        requests_listing: bool,
-        /// Whether it requests the endpoints that have left.
-        requests_departures: bool,
-    },
-    /// A request for all endpoints.
-    Endpoints {
-        /// The receiver.
-        from: HostId,
-    },
-}
-
-/// The result of a hello.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reply {
-    /// There was no welcome in time.
-    Missing,
-    /// The control host has answered.
-    Welcome {
-        /// Whether the control host has a setup.
-        has_setup: bool,
-    },
-}
-
-/// The result of a request for all endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndpointsReply {
-    /// The control host has sent the endpoints that it knows.
-    Received {
-        /// Whether it knows none, as a control host that lost its disk.
-        is_empty: bool,
-    },
-    /// The control host sends none for now.
-    Refused,
-    /// There was no answer in time.
-    Missing,
-}
+/// The timeout for the first answer, a listing or all endpoints. It covers the requests of other hosts
+/// that start as well. A lost connection is noticed earlier.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The timeout for a hello without lists to a control host that has answered. Hosts count as lost
+/// after 2 s without hellos, so a longer wait for a slow answer would make them lost.
+const LIGHT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Decides which control host is sent what, and when.
 ///
@@ -121,6 +77,7 @@
     first_answer: Option<Moment>,
     listing: Listing,
     endpoints: Endpoints,
+    last_hello: u64,
 }
 
 /// The listings of this host. Control hosts request one with each hello instead.
@@ -152,9 +109,14 @@
     is_remote: bool,
     /// When the next hello is due.
     due: Moment,
-    hello: Option<Hello>,
+    /// The hello without a listing in flight.
+    hello: Option<u64>,
+    /// The hello with a listing in flight, which no other hello waits for.
+    listing: Option<u64>,
     /// Whether the last hello was answered.
     is_answering: bool,
+    /// When a hello was last answered.
+    answered: Option<Moment>,
     /// The number of hellos without an answer since the last answer.
     missing: u32,
     setup_retries: u32,
@@ -163,11 +125,14 @@
     listed: Moment,
 }
 
-/// A hello in flight.
-#[derive(Debug, Clone, Copy)]
-struct Hello {
-    requests_listing: bool,
-    requests_departures: bool,
+impl Contact {
+    fn interval(&self, is_control: bool) -> Duration {
+        if self.is_remote && !is_control {
+            REMOTE_HELLO_INTERVAL
+        } else {
+            HELLO_INTERVAL
+        }
+    }
 }
 
 impl Schedule {
@@ -181,6 +146,7 @@
             first_answer: None,
             listing: Listing::default(),
             endpoints: Endpoints::default(),
+            last_hello: 0,
         }
     }
 
@@ -192,7 +158,9 @@
                 is_remote,
                 due: Moment::ZERO,
                 hello: None,
+                listing: None,
                 is_answering: false,
+                answered: None,
                 missing: 0,
                 setup_retries: 0,
                 has_departures: false,
@@ -228,19 +196,27 @@
             let Some(contact) = self.contacts.get_mut(&to) else {
                 continue;
             };
+            self.last_hello += 1;
             if requests_listing {
                 contact.listed = now;
+                contact.listing = Some(self.last_hello);
+                contact.due = now + contact.interval(self.is_control);
+            } else {
+                contact.hello = Some(self.last_hello);
             }
-            let requests_departures = !self.is_control && !contact.has_departures;
-            contact.hello = Some(Hello {
-                requests_listing,
-                requests_departures,
-            });
-            orders.push(Order::Hello {
+            let timeout = if contact.answered.is_some() && !requests_listing {
+                LIGHT_TIMEOUT
+            } else {
+                RESPONSE_TIMEOUT
+            };
+            orders.push(Order::Hello(Hello {
+                number: self.last_hello,
+                sent: now,
                 to,
                 requests_listing,
-                requests_departures,
-            });
+                requests_departures: !self.is_control && !contact.has_departures,
+                timeout,
+            }));
         }
         orders
     }
@@ -258,18 +234,22 @@
     }
 
     /// Records the result of a hello.
-    pub fn record_hello(&mut self, now: Moment, from: &HostId, reply: Reply) {
-        let Some(contact) = self.contacts.get_mut(from) else {
-            return;
-        };
-        let Some(hello) = contact.hello.take() else {
+    pub fn record_hello(&mut self, now: Moment, hello: &Hello, reply: Reply) {
+        let Some(contact) = self.contacts.get_mut(&hello.to) else {
             return;
         };
-        let interval = if contact.is_remote && !self.is_control {
-            REMOTE_HELLO_INTERVAL
+        let in_flight = if hello.requests_listing {
+            &mut contact.listing
         } else {
-            HELLO_INTERVAL
+            &mut contact.hello
         };
+        if in_flight
+            .take_if(|number| *number == hello.number)
+            .is_none()
+        {
+            return;
+        }
+        let interval = contact.interval(self.is_control);
         let is_quick = match reply {
             Reply::Missing => {
                 contact.missing += 1;
@@ -282,14 +262,23 @@
                 !has_setup && contact.setup_retries <= MAX_SETUP_RETRIES
             }
         };
-        contact.due = now + if is_quick { RETRY_DELAY } else { interval };
-        contact.is_answering = reply != Reply::Missing;
-        if contact.is_answering {
+        let quick = now + RETRY_DELAY;
+        contact.due = match (hello.requests_listing, is_quick) {
+            (false, false) => quick.max(hello.sent + interval),
+            (false, true) => quick,
+            (true, false) => contact.due,
+            (true, true) => contact.due.min(quick),
+        };
+        if reply != Reply::Missing {
+            contact.is_answering = true;
+            contact.answered = Some(now);
             self.first_answer.get_or_insert(now);
+        } else if contact.answered.is_none_or(|at| at <= hello.sent) {
+            contact.is_answering = false;
         }
         if hello.requests_listing {
             self.listing.is_received |= reply != Reply::Missing;
-            if self.is_listing_awaited_from(from) {
+            if self.is_listing_awaited_from(&hello.to) {
                 self.listing.is_in_flight = false;
             }
         }
@@ -406,8 +395,8 @@
         let Some(contact) = self.contacts.get(to) else {
             return false;
         };
-        if !contact.is_answering || self.is_control {
-            return contact.is_answering;
+        if !contact.is_answering || contact.listing.is_some() || self.is_control {
+            return contact.is_answering && contact.listing.is_none();
         }
         let since = self.listing.asked.as_ref().map(|(_, at)| now - *at);
         let is_awaited = self.listing.is_in_flight;
@@ -437,7 +426,9 @@
     /// Returns the control host whose listing is the oldest of those that could be sent a hello.
     fn oldest_listed(&self) -> Option<HostId> {
         let idle = self.contacts.iter();
-        let idle = idle.filter(|(_, contact)| contact.is_answering && contact.hello.is_none());
+        let idle = idle.filter(|(_, contact)| {
+            contact.is_answering && contact.hello.is_none() && contact.listing.is_none()
+        });
         let oldest = idle.min_by_key(|(_, contact)| contact.listed);
         oldest.map(|(host, _)| host.clone())
     }
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -13,12 +13,9 @@
 use tokio::time::{interval, sleep_until};
 
 use super::Gateway;
-use crate::contact::{EndpointsReply, Order, Reply, Schedule};
+use crate::contact::{self, EndpointsReply, Order, RESPONSE_TIMEOUT, Reply, Schedule};
 use crate::message::{EndpointSelection, Hello, Request, Response, Selection};
 
-/// The timeout for the response to a hello or a request for all endpoints. It covers the requests of
-/// other hosts that start as well. A lost connection is noticed earlier.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The interval at which silent hosts and old entries are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -27,7 +24,7 @@
 
 /// The result of a request to a control host.
 enum Outcome {
-    Hello(HostId, Reply),
+    Hello(contact::Hello, Reply),
     Endpoints(HostId, EndpointsReply),
 }
 
@@ -42,6 +39,15 @@
     Missing,
 }
 
+impl From<Answer> for Reply {
+    fn from(answer: Answer) -> Self {
+        match answer {
+            Answer::Welcome { has_setup, .. } => Self::Welcome { has_setup },
+            Answer::Refused | Answer::Missing => Self::Missing,
+        }
+    }
+}
+
 impl Gateway {
     /// Sends hellos to control hosts, and requests what a host that starts needs.
     pub(super) async fn contact_control_hosts(self: Arc<Self>) {
@@ -60,7 +66,7 @@
                 Some(outcome) = requests.join_next(), if !requests.is_empty() => {
                     let now = self.clock.now();
                     match outcome {
-                        Ok(Outcome::Hello(from, reply)) => schedule.record_hello(now, &from, reply),
+                        Ok(Outcome::Hello(hello, reply)) => schedule.record_hello(now, &hello, reply),
                         Ok(Outcome::Endpoints(from, reply)) => {
                             schedule.record_endpoints(now, &from, reply);
                         }
@@ -106,27 +112,27 @@
 
     async fn execute(self: Arc<Self>, order: Order) -> Outcome {
         match order {
-            Order::Hello {
-                to,
-                requests_listing,
-                requests_departures,
-            } => {
-                let hosts = if requests_listing {
-                    self.hosts.listing_selection(&to)
+            Order::Hello(hello) => {
+                let hosts = if hello.requests_listing {
+                    self.hosts.listing_selection(&hello.to)
                 } else {
                     Selection::Nothing
                 };
-                let endpoints = if requests_departures {
+                let endpoints = if hello.requests_departures {
                     EndpointSelection::Departures
                 } else {
                     EndpointSelection::Nothing
                 };
-                let reply = self.exchange_hello(&to, hosts, endpoints).await;
-                Outcome::Hello(to, reply)
+                let answer = self
+                    .exchange(&hello.to, hosts, endpoints, hello.timeout)
+                    .await;
+                Outcome::Hello(hello, answer.into())
             }
             Order::Endpoints { from } => {
                 let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::All);
-                let answer = self.exchange(&from, hosts, endpoints).await;
+                let answer = self
+                    .exchange(&from, hosts, endpoints, RESPONSE_TIMEOUT)
+                    .await;
                 let reply = match answer {
                     Answer::Welcome { is_empty, .. } => EndpointsReply::Received { is_empty },
                     Answer::Refused => EndpointsReply::Refused,
@@ -147,10 +153,8 @@
         hosts: Selection,
         endpoints: EndpointSelection,
     ) -> Reply {
-        match self.exchange(to, hosts, endpoints).await {
-            Answer::Welcome { has_setup, .. } => Reply::Welcome { has_setup },
-            Answer::Refused | Answer::Missing => Reply::Missing,
-        }
+        let answer = self.exchange(to, hosts, endpoints, RESPONSE_TIMEOUT);
+        answer.await.into()
     }
 
     async fn exchange(
@@ -158,6 +162,7 @@
         to: &HostId,
         hosts: Selection,
         endpoints: EndpointSelection,
+        limit: Duration,
     ) -> Answer {
         let (evidence, known_evidence) = self.quarantine.outgoing(to);
         let sent = evidence.checkpoint;
@@ -171,7 +176,7 @@
             known_evidence,
             evacuations: self.evacuations.report_to(self.evacuations.version_of(to)),
         });
-        let response = self.send_request(to, Channel::Membership, &request, RESPONSE_TIMEOUT);
+        let response = self.send_request(to, Channel::Membership, &request, limit);
         let answer = match response.await {
             Some(response) => self.apply_welcome(response, sent),
             None => Answer::Missing,
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -4,195 +4,16 @@
 //! and endpoints that are repeated while their answers are under way, which overloaded control hosts
 //! when 300 hosts started at once.
 
-use std::collections::BTreeMap;
+#[path = "support/play.rs"]
+mod play;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_gateway::allowance::Allowance;
-use kumquatdrum_gateway::contact::{EndpointsReply, Order, Reply, Schedule, Target};
+use kumquatdrum_gateway::contact::{Order, Reply, Schedule, Target};
 use kumquatdrum_types::{HostId, Moment, hash};
 
-const START: u64 = 60_000;
-const CONTROL_HOSTS: usize = 6;
-/// The adapter's timeout for any answer.
-const TIMEOUT_MS: u64 = 3_000;
-
-fn control(number: usize) -> HostId {
-    HostId::new(format!("10.0.0.{}", number + 1))
-}
-
-/// Six control hosts, of which two are near.
-fn targets() -> Vec<Target> {
-    let target = |number| Target {
-        host: control(number),
-        is_remote: number >= 2,
-    };
-    (0..CONTROL_HOSTS).map(target).collect()
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Answer {
-    Given,
-    Refused,
-    Lost,
-}
-
-/// The behaviour of the control hosts in one play.
-#[derive(Default)]
-struct Play {
-    seed: u64,
-    /// When each control host is up, in milliseconds after the start.
-    up: [u64; CONTROL_HOSTS],
-    /// The time that a control host needs to send all endpoints to one host, in milliseconds.
-    endpoints_ms: u64,
-    /// One in how many answers is lost; 0: none.
-    lost_one_in: u64,
-    /// How far a control host is behind with sending endpoints before it refuses to.
-    max_queue_ms: u64,
-    /// The number of control hosts that freeze, and when.
-    frozen: (usize, u64),
-    hosts: usize,
-    length_ms: u64,
-    /// The number of control hosts that have lost their disks and send no endpoints.
-    empty: usize,
-    /// The size of all endpoints, of which control hosts send as much as their allowance permits; 0: no
-    /// limit.
-    endpoint_bytes: usize,
-}
-
-/// What one host has sent and received.
-#[derive(Debug, Default)]
-struct Record {
-    hellos: IndexMap<HostId, usize>,
-    /// When a listing was requested, and of which control host.
-    listings: Vec<(u64, HostId)>,
-    /// When all endpoints were requested.
-    endpoints: Vec<(u64, HostId)>,
-    first_answer: Option<u64>,
-    endpoints_received: Option<u64>,
-    /// The number of answers with all endpoints.
-    endpoints_sent: usize,
-    /// The control hosts whose endpoints arrived.
-    sources: Vec<HostId>,
-    /// When the schedule had its initial endpoints.
-    informed: Option<u64>,
-}
-
-impl Play {
-    fn draw(&self, number: u64) -> u64 {
-        hash::mix(self.seed ^ hash::mix(number))
-    }
-
-    fn run(&self) -> Vec<Record> {
-        let mut records: Vec<Record> = Vec::new();
-        let mut schedules = Vec::new();
-        for host in 0..self.hosts {
-            let id = HostId::new(format!("10.1.{}.{}", host / 200, host % 200));
-            let mut schedule = Schedule::new(Moment::from_millis(START), id, false);
-            schedule.set_targets(targets());
-            schedules.push(schedule);
-            records.push(Record::default());
-        }
-        // Answers by time, then host, control host and whether they are for all endpoints.
-        let mut answers: BTreeMap<u64, Vec<(usize, usize, bool, Answer)>> = BTreeMap::new();
-        let mut in_flight = IndexMap::new();
-        let mut busy_until = [0; CONTROL_HOSTS];
-        let mut allowances: [Allowance; CONTROL_HOSTS] = Default::default();
-        let mut drawn = 0;
-        for at in 0..self.length_ms {
-            let now = Moment::from_millis(START + at);
-            for (host, from, is_endpoints, answer) in answers.remove(&at).unwrap_or_default() {
-                let is_answered = answer == Answer::Given;
-                in_flight.swap_remove(&(host, from, is_endpoints));
-                let record = &mut records[host];
-                if is_endpoints {
-                    let is_empty = from < self.empty;
-                    let reply = match answer {
-                        Answer::Given => EndpointsReply::Received { is_empty },
-                        Answer::Refused => EndpointsReply::Refused,
-                        Answer::Lost => EndpointsReply::Missing,
-                    };
-                    schedules[host].record_endpoints(now, &control(from), reply);
-                    if is_answered && !is_empty {
-                        record.endpoints_received.get_or_insert(at);
-                        record.sources.push(control(from));
-                    }
-                } else {
-                    let reply = if is_answered {
-                        Reply::Welcome { has_setup: true }
-                    } else {
-                        Reply::Missing
-                    };
-                    schedules[host].record_hello(now, &control(from), reply);
-                    record.first_answer = record.first_answer.or(is_answered.then_some(at));
-                }
-                if schedules[host].has_initial_endpoints() {
-                    record.informed.get_or_insert(at);
-                }
-            }
-            for (host, schedule) in schedules.iter_mut().enumerate() {
-                for order in schedule.poll(now) {
-                    let (to, is_endpoints) = match order {
-                        Order::Hello {
-                            to,
-                            requests_listing,
-                            ..
-                        } => {
-                            *records[host].hellos.entry(to.clone()).or_default() += 1;
-                            if requests_listing {
-                                records[host].listings.push((at, to.clone()));
-                            }
-                            (to, false)
-                        }
-                        Order::Endpoints { from } => {
-                            records[host].endpoints.push((at, from.clone()));
-                            (from, true)
-                        }
-                    };
-                    let number = (0..CONTROL_HOSTS).find(|number| control(*number) == to);
-                    let number = number.expect("a control host");
-                    let is_new = in_flight.insert((host, number, is_endpoints), at).is_none();
-                    assert!(is_new, "seed {}: repeated while under way", self.seed);
-                    drawn += 1;
-                    let is_frozen = number < self.frozen.0 && at >= self.frozen.1;
-                    let is_lost = is_frozen
-                        || self.lost_one_in > 0
-                            && self.draw(drawn).is_multiple_of(self.lost_one_in);
-                    let up = self.up[number];
-                    // A connection to a machine without power is retried until the machine is up.
-                    let mut is_refused = false;
-                    let delay = match () {
-                        () if is_lost || up >= at + TIMEOUT_MS => TIMEOUT_MS,
-                        () if is_endpoints
-                            && up <= at
-                            && (busy_until[number] > at + self.max_queue_ms
-                                || self.endpoint_bytes > 0
-                                    && !allowances[number].try_take(now, self.endpoint_bytes)) =>
-                        {
-                            is_refused = true;
-                            2
-                        }
-                        () if is_endpoints => {
-                            records[host].endpoints_sent += 1;
-                            let begun = busy_until[number].max(at.max(up));
-                            busy_until[number] = begun + self.endpoints_ms;
-                            (busy_until[number] - at).min(TIMEOUT_MS)
-                        }
-                        () => up.saturating_sub(at) + 2 + self.draw(drawn + 1) % 10,
-                    };
-                    let answer = match () {
-                        () if is_refused => Answer::Refused,
-                        () if delay < TIMEOUT_MS => Answer::Given,
-                        () => Answer::Lost,
-                    };
-                    let answer = (host, number, is_endpoints, answer);
-                    answers.entry(at + delay).or_default().push(answer);
-                }
-            }
-        }
-        records
-    }
-}
+use self::play::{CONTROL_HOSTS, Play, START, control};
 
 /// Control hosts that come up one after another, 0.1 to 0.5 s after the first host.
 fn ups(seed: u64) -> [u64; CONTROL_HOSTS] {
@@ -262,6 +83,36 @@
     }
 }
 
+/// Guards against hellos that wait for a slow answer or a listing, so that a host counts as lost, which
+/// it does after 2 s.
+#[test]
+fn slow_answers_do_not_delay_the_next_hello() {
+    for seed in 0..20 {
+        let play = Play {
+            seed,
+            endpoints_ms: 5,
+            max_queue_ms: 1_000,
+            hosts: 4,
+            length_ms: 60_000,
+            max_hello_ms: 5_000,
+            ..Play::default()
+        };
+        for record in play.run() {
+            for number in 0..CONTROL_HOSTS {
+                let from = control(number);
+                // The first hello is awaited for 3 s until one was answered.
+                let answered = record.answered_by.get(&from);
+                let &answered = answered.expect("an answer within a minute");
+                let sent = record.hello_times.iter();
+                let sent = sent.filter(|(at, to)| *to == from && *at >= answered);
+                let times: Vec<u64> = sent.map(|(at, _)| *at).chain([play.length_ms]).collect();
+                let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+                assert!(gaps.max() <= Some(1_600), "seed {seed}: {times:?}");
+            }
+        }
+    }
+}
+
 /// Guards against placing by the empty answer of a control host without its disk.
 #[test]
 fn control_hosts_without_disks_are_no_sources() {
@@ -425,9 +276,12 @@
     for at in 0..20_000 {
         let now = Moment::from_millis(START) + Duration::from_millis(at);
         schedule.set_targets([target.clone()]);
-        for _refused in schedule.poll(now) {
+        for order in schedule.poll(now) {
+            let Order::Hello(hello) = order else {
+                panic!("no control host has answered");
+            };
             hellos += 1;
-            schedule.record_hello(now, &control(0), Reply::Missing);
+            schedule.record_hello(now, &hello, Reply::Missing);
         }
     }
     // 30 at 100 ms, and one each 500 ms in the remaining 17 s.
