Gateway: a request to a control host that panics is recorded as missing

Its slot stayed in flight for ever, so the control host got no more hellos. Requests are kept by the id of their task. Test: the late answer to an earlier hello does not end the wait for the next one.

--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -1,6 +1,7 @@
 //! Requests to control hosts: hellos, listings of hosts, and all endpoints for a host that has just
 //! started. [`Schedule`] decides what is sent when.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -28,6 +29,16 @@
     Endpoints(HostId, EndpointsReply),
 }
 
+impl Outcome {
+    /// Returns the outcome of a request whose task has panicked.
+    fn missing(request: Order) -> Self {
+        match request {
+            Order::Hello(hello) => Self::Hello(hello, Reply::Missing),
+            Order::Endpoints { from } => Self::Endpoints(from, EndpointsReply::Missing),
+        }
+    }
+}
+
 /// The answer to a hello.
 enum Answer {
     Welcome {
@@ -54,24 +65,34 @@
         let local = self.hosts.local();
         let mut schedule = Schedule::new(self.clock.now(), local.id, local.is_control);
         let mut requests = JoinSet::new();
+        let mut in_flight = HashMap::new();
         let mut expiry = interval(EXPIRY_INTERVAL);
         loop {
             schedule.set_targets(self.hosts.contact_targets());
             let now = self.clock.now();
             for order in schedule.poll(now) {
-                requests.spawn(self.clone().execute(order));
+                let task = requests.spawn(self.clone().execute(order.clone()));
+                in_flight.insert(task.id(), order);
             }
             let next = schedule.next_due(now).unwrap_or(now + EXPIRY_INTERVAL);
             tokio::select! {
-                Some(outcome) = requests.join_next(), if !requests.is_empty() => {
+                Some(outcome) = requests.join_next_with_id(), if !requests.is_empty() => {
                     let now = self.clock.now();
-                    match outcome {
-                        Ok(Outcome::Hello(hello, reply)) => schedule.record_hello(now, &hello, reply),
-                        Ok(Outcome::Endpoints(from, reply)) => {
+                    let (id, outcome) = match outcome {
+                        Ok((id, outcome)) => (id, Some(outcome)),
+                        Err(error) => {
+                            info!(self.logger, "request_ended_early";
+                                "event" => "request_ended_early", "reason" => %error);
+                            (error.id(), None)
+                        }
+                    };
+                    let request = in_flight.remove(&id);
+                    match outcome.or_else(|| request.map(Outcome::missing)) {
+                        Some(Outcome::Hello(hello, reply)) => schedule.record_hello(now, &hello, reply),
+                        Some(Outcome::Endpoints(from, reply)) => {
                             schedule.record_endpoints(now, &from, reply);
                         }
-                        Err(error) => info!(self.logger, "request_ended_early";
-                            "event" => "request_ended_early", "reason" => %error),
+                        None => {}
                     }
                     self.startup
                         .has_initial_endpoints
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -265,6 +265,31 @@
     assert!(first.contains_key(&control(0)) && first.contains_key(&control(1)));
 }
 
+/// Guards against the late answer to a hello before a removal that ends the wait for the next one.
+#[test]
+fn a_late_answer_is_not_taken_for_the_next_hello() {
+    let now = Moment::from_millis(START);
+    let mut schedule = Schedule::new(now, control(9), false);
+    let target = Target {
+        host: control(0),
+        is_remote: false,
+    };
+    schedule.set_targets([target.clone()]);
+    let first = schedule.poll(now);
+    schedule.set_targets([]);
+    schedule.set_targets([target]);
+    let second = schedule.poll(now);
+    let [Order::Hello(first), Order::Hello(second)] = [&first[0], &second[0]] else {
+        panic!("hellos were expected: {first:?} {second:?}");
+    };
+    let welcome = Reply::Welcome { has_setup: true };
+    schedule.record_hello(now, first, welcome);
+    let later = now + Duration::from_millis(500);
+    assert!(schedule.poll(later).is_empty(), "the second is in flight");
+    schedule.record_hello(later, second, welcome);
+    assert!(!schedule.poll(later).is_empty());
+}
+
 #[test]
 fn a_control_host_without_an_answer_is_retried_quickly_for_a_while_only() {
     let mut schedule = Schedule::new(Moment::from_millis(START), control(9), false);
