--- a/crates/kumquatdrum_peer/src/client.rs
+++ b/crates/kumquatdrum_peer/src/client.rs
@@ -15,7 +15,7 @@
 use crate::frame::BODY_LIMIT_BYTES;
 use crate::outbox::Outbox;
 use crate::peer::Peer;
-use crate::{Channel, Error, Exchange, LocalDaemon};
+use crate::{Channel, Error, Exchange, LocalDaemon, Pace};
 
 /// Time for sending queued messages during shutdown.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Sets the pace at which connections to a known host are attempted.
+    pub fn set_pace(&self, host: &HostId, pace: Pace) {
+        if let Some(entry) = self.peers.read().get(host) {
+            entry.peer.link().set_pace(pace);
+        }
+    }
+
     /// Removes a host and drops the messages queued for it.
     pub fn remove(&self, host: &HostId) {
         self.peers.write().swap_remove(host);
--- a/crates/kumquatdrum_peer/src/lib.rs
+++ b/crates/kumquatdrum_peer/src/lib.rs
@@ -30,5 +30,6 @@
 pub use error::Error;
 pub use exchange::Exchange;
 pub use handler::{Handler, Parts, ResponseFuture};
+pub use link::Pace;
 pub use local::{Identity, LocalDaemon, Secret};
 pub use server::serve;
--- a/crates/kumquatdrum_peer/src/link.rs
+++ b/crates/kumquatdrum_peer/src/link.rs
@@ -1,5 +1,6 @@
 //! Connection to one peer, opened on demand and discarded after a failure.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use futures::stream::FuturesUnordered;
 use kumquatdrum_types::HostId;
 use parking_lot::Mutex;
-use tokio::time::{Instant, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use tonic::transport::{Channel, Endpoint};
 
 use crate::Error;
@@ -34,11 +35,24 @@
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
 
+/// When further connection attempts are made while the first one is not answered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Pace {
+    /// There is one attempt at a time.
+    #[default]
+    Single,
+    /// An attempt follows each 100 ms, and each 500 ms once the host has not answered for 5 s.
+    Slowing,
+    /// An attempt follows each 100 ms.
+    Quick,
+}
+
 /// Connection to one peer.
 #[derive(Debug)]
 pub(crate) struct Link {
     host: HostId,
     address: Mutex<SocketAddr>,
+    pace: Mutex<Pace>,
     // Locked while a connection is being opened, so that calls share one attempt.
     state: tokio::sync::Mutex<State>,
 }
@@ -65,6 +79,7 @@
         Self {
             host,
             address: Mutex::new(address),
+            pace: Mutex::default(),
             state: tokio::sync::Mutex::default(),
         }
     }
@@ -74,6 +89,11 @@
         *self.address.lock() = address;
     }
 
+    /// Changes the pace of attempts from the next opening on.
+    pub(crate) fn set_pace(&self, pace: Pace) {
+        *self.pace.lock() = pace;
+    }
+
     /// Returns the open connection, or opens a new one.
     pub(crate) async fn connection(&self) -> Result<Connection, Error> {
         let mut state = self.state.lock().await;
@@ -86,12 +106,13 @@
             _ => {}
         }
         state.open = None;
-        let pace = if state.timed_out < MAX_QUICK_OPENS {
-            ATTEMPT_INTERVAL
-        } else {
-            SLOW_ATTEMPT_INTERVAL
+        let pace = *self.pace.lock();
+        let interval = match pace {
+            Pace::Single => None,
+            Pace::Slowing if state.timed_out >= MAX_QUICK_OPENS => Some(SLOW_ATTEMPT_INTERVAL),
+            Pace::Slowing | Pace::Quick => Some(ATTEMPT_INTERVAL),
         };
-        match self.open(address, pace).await {
+        match self.open(address, interval).await {
             Ok(channel) => {
                 state.opened += 1;
                 state.timed_out = 0;
@@ -126,9 +147,10 @@
         }
     }
 
-    /// Opens a connection by attempts at an interval of `pace`, the first that succeeds. A refused
-    /// attempt ends the opening, as the machine is up and its process isn't.
-    async fn open(&self, address: SocketAddr, pace: Duration) -> Result<Channel, Failure> {
+    /// Opens a connection by one attempt, or by attempts at an interval, the first that succeeds. A
+    /// refused attempt ends the opening, as the machine is up and its process isn't. After other
+    /// failures, e.g. of a route that is not up yet, attempts continue.
+    async fn open(&self, address: SocketAddr, pace: Option<Duration>) -> Result<Channel, Failure> {
         let failure = |reason: String, is_timeout: bool| Failure {
             error: Error::Unreachable {
                 host: self.host.clone(),
@@ -144,10 +166,17 @@
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         let connecting = async {
             let mut attempts = FuturesUnordered::new();
+            let Some(pace) = pace else {
+                return endpoint.connect().await;
+            };
             let mut rounds = interval(pace);
+            rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
                 tokio::select! {
-                    Some(connected) = attempts.next(), if !attempts.is_empty() => return connected,
+                    Some(connected) = attempts.next(), if !attempts.is_empty() => match connected {
+                        Err(error) if !is_refusal(&error) => {}
+                        connected => return connected,
+                    },
                     _ = rounds.tick() => attempts.push(endpoint.connect()),
                 }
             }
@@ -160,6 +189,15 @@
     }
 }
 
+/// Returns whether a connection was refused.
+fn is_refusal(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut causes = std::iter::successors(Some(error), |error| error.source());
+    causes.any(|cause| {
+        let cause = cause.downcast_ref::<io::Error>();
+        cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionRefused)
+    })
+}
+
 /// A failed opening.
 struct Failure {
     error: Error,
--- a/crates/kumquatdrum_peer/tests/exchange.rs
+++ b/crates/kumquatdrum_peer/tests/exchange.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
 use kumquatdrum_peer::{
-    Channel, Client, Error, Handler, Identity, LocalDaemon, Parts, ResponseFuture, Secret, serve,
+    Channel, Client, Error, Handler, Identity, LocalDaemon, Pace, Parts, ResponseFuture, Secret,
+    serve,
 };
 use kumquatdrum_types::{BootId, HostId};
 
@@ -457,6 +458,7 @@
     }
     let host = HostId::new("entry-2");
     let (client, _) = client("salons", "secret", &host, address);
+    client.set_pace(&host, Pace::Quick);
     let request = tokio::spawn(async move { ask(&client, &host, "now").await });
     tokio::time::sleep(Duration::from_millis(250)).await;
     for _ in fillers.drain(..) {
