Gateway: a host that knows no control host yet does not slow down

After 3 s of refusals hellos came each 500 ms, and connection attempts after 5 s. Both stay at 100 ms until the first answer.

--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -24,7 +24,8 @@
 /// The delay after a hello that was not answered, or by a control host without a setup.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The number of hellos in a row after [`RETRY_DELAY`] that a control host doesn't answer. Afterwards,
-/// the usual interval applies.
+/// the usual interval applies, but not before the first answer of any control host: a host that knows
+/// none can serve nothing, however long control hosts take to start.
 const MAX_QUICK_RETRIES: u32 = 30;
 /// The number of hellos after [`RETRY_DELAY`] to a control host without a setup. It sends its setup to
 /// the hosts that it knows once it has one.
@@ -253,7 +254,7 @@
         let is_quick = match reply {
             Reply::Missing => {
                 contact.missing += 1;
-                contact.missing <= MAX_QUICK_RETRIES
+                contact.missing <= MAX_QUICK_RETRIES || self.first_answer.is_none()
             }
             Reply::Welcome { has_setup } => {
                 contact.missing = 0;
@@ -307,6 +308,11 @@
         }
     }
 
+    /// Returns whether no control host has answered yet.
+    pub fn is_searching(&self) -> bool {
+        self.first_answer.is_none()
+    }
+
     /// Returns whether a control host has sent endpoints, or all that answer know none.
     pub fn has_initial_endpoints(&self) -> bool {
         let endpoints = &self.endpoints;
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kumquatdrum_peer::Channel;
+use kumquatdrum_peer::{Channel, Pace};
 use kumquatdrum_registry::Update;
 use kumquatdrum_types::{Checkpoint, HostId};
 use slog::info;
@@ -68,7 +68,16 @@
         let mut in_flight = HashMap::new();
         let mut expiry = interval(EXPIRY_INTERVAL);
         loop {
-            schedule.set_targets(self.hosts.contact_targets());
+            let targets = self.hosts.contact_targets();
+            let pace = if schedule.is_searching() {
+                Pace::Quick
+            } else {
+                Pace::Slowing
+            };
+            for target in &targets {
+                self.client.set_pace(&target.host, pace);
+            }
+            schedule.set_targets(targets);
             let now = self.clock.now();
             for order in schedule.poll(now) {
                 let task = requests.spawn(self.clone().execute(order.clone()));
