--- a/crates/kumquatdrum_gateway/src/backlog.rs
+++ b/crates/kumquatdrum_gateway/src/backlog.rs
@@ -34,6 +34,9 @@
     left.mul_f64(RETRY_FRACTION).min(limit)
 }
 
+/// The maximum number of held requests, since they occupy memory and connections.
+const MAX_HELD: usize = 4_096;
+
 /// The held requests in the order of their deadlines.
 #[derive(Debug, Default)]
 pub struct Backlog {
@@ -56,14 +59,24 @@
 }
 
 impl Backlog {
-    /// Adds a request with a deadline.
+    /// Adds a request with a deadline. If too many are held, the one with the latest deadline is
+    /// released, which is then refused.
     pub fn add(&self, deadline: Moment) -> Entry<'_> {
         let (sender, released) = oneshot::channel();
         let mut state = self.state.lock();
         state.last += 1;
         let key = (deadline, state.last);
         state.held.insert(key, sender);
+        let latest = if state.held.len() > MAX_HELD {
+            state.held.pop_last()
+        } else {
+            None
+        };
         drop(state);
+        if let Some((_, sender)) = latest {
+            // The request may have been given up.
+            let _ = sender.send(());
+        }
         self.added.notify_one();
         Entry {
             backlog: self,
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -27,7 +27,7 @@
 mod stream;
 
 /// The timeout of requests without a deadline header.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// The maximum retry delay while a starting host does not know the active setup. It covers an
 /// election and a hello exchange, since callers may retry only once.
 const MAX_NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -61,7 +61,7 @@
     let metadata = gateway.protocol.parse_request(&head.headers);
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
     let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    gateway.wait_until_informed(arrived, timeout).await;
+    gateway.wait_until_informed(arrived, metadata.timeout).await;
     let left = arrived + timeout - gateway.clock.now();
     let admission = admit(&gateway, &head, &metadata, left);
     let mut response = match admission {
--- a/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::Gateway;
-use crate::backlog;
+use crate::{backlog, call};
 
 /// The interval between checks while requests are held.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -20,24 +20,33 @@
 /// How long after the first setup endpoints are awaited. A host that has run for longer without has
 /// none to wait for.
 const ENDPOINT_WAIT: Duration = Duration::from_secs(2);
+/// How long a request without a deadline is held, as its caller may give up at any time.
+const MAX_HOLD_WITHOUT_DEADLINE: Duration = Duration::from_secs(3);
 
 impl Gateway {
     /// Holds a request on a newly started host until it has applied a setup and knows endpoints, as
     /// long as the request can still be served: a caller may retry only once.
-    pub(crate) async fn wait_until_informed(&self, arrived: Moment, timeout: Duration) {
-        if self.is_informed() && self.startup.backlog.is_empty() {
+    pub(crate) async fn wait_until_informed(&self, arrived: Moment, timeout: Option<Duration>) {
+        let is_informed = self.is_informed() && self.startup.backlog.is_empty();
+        if is_informed || self.drain.is_draining() {
             return;
         }
-        let until = self.clock.instant(arrived + backlog::max_hold(timeout));
-        let mut held = self.startup.backlog.add(arrived + timeout);
+        let hold = timeout.map_or(MAX_HOLD_WITHOUT_DEADLINE, backlog::max_hold);
+        let until = self.clock.instant(arrived + hold);
+        let deadline = arrived + timeout.unwrap_or(call::DEFAULT_TIMEOUT);
+        let mut held = self.startup.backlog.add(deadline);
         let _ = timeout_at(until, held.wait()).await;
     }
 
-    /// Releases held requests in the order of their deadlines once they can be placed.
+    /// Releases held requests in the order of their deadlines once they can be placed, or to be
+    /// refused when this host stops.
     pub(super) async fn release_held_requests(self: Arc<Self>) {
         loop {
             self.startup.backlog.wait_for_requests().await;
-            while !self.is_informed() && !self.startup.backlog.is_empty() {
+            while !self.is_informed()
+                && !self.drain.is_draining()
+                && !self.startup.backlog.is_empty()
+            {
                 sleep(CHECK_INTERVAL).await;
             }
             let mut released = 0;
