Gateway: the setup is requested again while a host is behind

After failed requests to the assigned control host and the one that reported the revision, the next request waited for a later hello. fetch_record now goes on over the live control hosts in hash order, with pauses of 100 ms for up to 0.7 s. No test of its own.

--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use slog::{error, info, o};
 use tokio::signal::unix::Signal;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
@@ -49,6 +50,10 @@
 
 /// The timeout for the response to a fetch request.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// The pause before a further request for the active record after those to the preferred hosts.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+/// How long further requests are made. The next hello with a higher revision starts new ones.
+const FETCH_DURATION: Duration = Duration::from_millis(700);
 
 /// The duration of a reservation's lease, as a fraction of the maximum time that memory may stay
 /// unused. The rest allows for orders in flight when the lease ends.
@@ -309,15 +314,34 @@
 
     /// Fetches a record from the control host assigned to this one, which then does not send it
     /// twice, or else from the host that reported the revision. The latter has just answered, so a
-    /// host without a setup asks it first.
+    /// host without a setup asks it first. If both fail, other control hosts are asked while this host
+    /// is behind.
     async fn fetch_record(self: Arc<Self>, host: HostId, revision: u64) {
         let sender = self.distributor.sender().filter(|sender| *sender != host);
         let targets = match sender {
-            Some(sender) if self.active_setup.revision() == 0 => vec![host, sender],
-            Some(sender) => vec![sender, host],
-            None => vec![host],
+            Some(sender) if self.active_setup.revision() == 0 => vec![host.clone(), sender],
+            Some(sender) => vec![sender, host.clone()],
+            None => vec![host.clone()],
         };
-        for target in targets {
+        let started = self.clock.now();
+        let mut asked = 0;
+        while self.active_setup.revision() < revision && !self.drain.is_draining() {
+            // After the preferred ones, all live control hosts, in an order that differs by host.
+            let target = match targets.get(asked) {
+                Some(target) => target.clone(),
+                None => {
+                    sleep(FETCH_PAUSE).await;
+                    let control = self.hosts.control_hosts_by_hash();
+                    match control.len() {
+                        0 => host.clone(),
+                        count => control[(asked - targets.len()) % count].clone(),
+                    }
+                }
+            };
+            asked += 1;
+            if asked > targets.len() && self.clock.now() - started >= FETCH_DURATION {
+                break;
+            }
             let channel = Channel::Setup;
             let request = Request::Fetch {
                 above: self.active_setup.revision(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -302,6 +302,15 @@
         hosts.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// Returns the other live control hosts by the hash of each with this host, so that hosts that ask
+    /// them in this order spread.
+    pub fn control_hosts_by_hash(&self) -> Vec<HostId> {
+        let local = self.local().id;
+        let mut hosts = self.control_hosts();
+        hosts.sort_by_key(|host| hash::pair(local.as_str(), host.as_str()));
+        hosts
+    }
+
     /// Returns whether a host is known, as live or as lost.
     pub fn is_known(&self, host: &HostId) -> bool {
         self.state.lock().others.contains_key(host)
