Tests: spread, near sources, control hosts and contact targets as before; clearer names

Tests for requests over six near control hosts (both counted, at most 120 of 480 each), a near one within SOURCE_WAIT, the schedules of control hosts and Hosts::contact_targets.

--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -13,7 +13,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::{HostId, Moment, hash};
 
-pub use self::request::{EndpointsReply, Hello, Order, Reply, Target};
+pub use self::request::{ContactRequest, EndpointsReply, Hello, Reply, Target};
 
 /// The interval between hellos to a control host of the local data centre. A host that was cut off
 /// learns of the active setup within this time of its return.
@@ -180,11 +180,11 @@
     }
 
     /// Returns the requests to send now.
-    pub fn poll(&mut self, now: Moment) -> Vec<Order> {
-        let mut orders = Vec::new();
+    pub fn poll(&mut self, now: Moment) -> Vec<ContactRequest> {
+        let mut requests = Vec::new();
         if let Some(from) = self.endpoint_source(now) {
             self.endpoints.is_in_flight = true;
-            orders.push(Order::Endpoints { from });
+            requests.push(ContactRequest::Endpoints { from });
         }
         self.expedite_listing(now);
         let due = self.contacts.iter();
@@ -212,7 +212,7 @@
             } else {
                 RESPONSE_TIMEOUT
             };
-            orders.push(Order::Hello(Hello {
+            requests.push(ContactRequest::Hello(Hello {
                 number: self.last_hello,
                 sent: now,
                 to,
@@ -221,7 +221,7 @@
                 timeout,
             }));
         }
-        orders
+        requests
     }
 
     /// Returns when to poll next if nothing is recorded before.
--- a/crates/kumquatdrum_gateway/src/contact/request.rs
+++ b/crates/kumquatdrum_gateway/src/contact/request.rs
@@ -15,7 +15,7 @@
 
 /// A request to send. Its result must be recorded.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Order {
+pub enum ContactRequest {
     /// A hello.
     Hello(Hello),
     /// A request for all endpoints.
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -14,14 +14,14 @@
 use tokio::time::{interval, sleep_until};
 
 use super::Gateway;
-use crate::contact::{self, EndpointsReply, Order, RESPONSE_TIMEOUT, Reply, Schedule};
+use crate::contact::{self, ContactRequest, EndpointsReply, RESPONSE_TIMEOUT, Reply, Schedule};
 use crate::message::{EndpointSelection, Hello, Request, Response, Selection};
 
 /// The interval at which silent hosts and old entries are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The approximate size of an endpoint in a response.
-const UPDATE_BYTES: usize = 120;
+const ESTIMATED_UPDATE_BYTES: usize = 120;
 
 /// The result of a request to a control host.
 enum Outcome {
@@ -31,10 +31,10 @@
 
 impl Outcome {
     /// Returns the outcome of a request whose task has panicked.
-    fn missing(request: Order) -> Self {
+    fn missing(request: ContactRequest) -> Self {
         match request {
-            Order::Hello(hello) => Self::Hello(hello, Reply::Missing),
-            Order::Endpoints { from } => Self::Endpoints(from, EndpointsReply::Missing),
+            ContactRequest::Hello(hello) => Self::Hello(hello, Reply::Missing),
+            ContactRequest::Endpoints { from } => Self::Endpoints(from, EndpointsReply::Missing),
         }
     }
 }
@@ -121,7 +121,7 @@
         if is_control {
             return Some(updates);
         }
-        let bytes = updates.len() * UPDATE_BYTES;
+        let bytes = updates.len() * ESTIMATED_UPDATE_BYTES;
         let mut allowance = self.startup.allowance.lock();
         allowance
             .try_take(self.clock.now(), bytes)
@@ -140,9 +140,9 @@
         self.update_readiness();
     }
 
-    async fn execute(self: Arc<Self>, order: Order) -> Outcome {
+    async fn execute(self: Arc<Self>, order: ContactRequest) -> Outcome {
         match order {
-            Order::Hello(hello) => {
+            ContactRequest::Hello(hello) => {
                 let hosts = if hello.requests_listing {
                     self.hosts.listing_selection(&hello.to)
                 } else {
@@ -158,7 +158,7 @@
                     .await;
                 Outcome::Hello(hello, answer.into())
             }
-            Order::Endpoints { from } => {
+            ContactRequest::Endpoints { from } => {
                 let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::All);
                 let answer = self
                     .exchange(&from, hosts, endpoints, RESPONSE_TIMEOUT)
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_gateway::contact::{Order, Reply, Schedule, Target};
+use kumquatdrum_gateway::contact::{ContactRequest, Reply, Schedule, Target};
 use kumquatdrum_types::{HostId, Moment, hash};
 
 use self::play::{CONTROL_HOSTS, Play, START, control};
@@ -282,7 +282,8 @@
     schedule.set_targets([]);
     schedule.set_targets([target]);
     let second = schedule.poll(now);
-    let [Order::Hello(first), Order::Hello(second)] = [&first[0], &second[0]] else {
+    let [ContactRequest::Hello(first), ContactRequest::Hello(second)] = [&first[0], &second[0]]
+    else {
         panic!("hellos were expected: {first:?} {second:?}");
     };
     let welcome = Reply::Welcome { has_setup: true };
@@ -299,7 +300,7 @@
     for at in range {
         let now = Moment::from_millis(START) + Duration::from_millis(at);
         for request in schedule.poll(now) {
-            let Order::Hello(hello) = request else {
+            let ContactRequest::Hello(hello) = request else {
                 continue;
             };
             let reply = if hello.to == *from {
@@ -345,3 +346,75 @@
     // 30 at 100 ms, and one each 500 ms in the remaining 17 s.
     assert!((60..=70).contains(&hellos), "{hellos}");
 }
+
+/// Guards against control hosts that send all endpoints to most hosts that start.
+#[test]
+fn starting_hosts_spread_over_six_near_control_hosts() {
+    let play = Play {
+        seed: 1,
+        up: [10; CONTROL_HOSTS],
+        endpoints_ms: 1,
+        max_queue_ms: 1_000,
+        hosts: 240,
+        length_ms: 1_000,
+        is_all_near: true,
+        ..Play::default()
+    };
+    let mut requests: IndexMap<HostId, usize> = IndexMap::new();
+    for record in play.run() {
+        assert_eq!(record.endpoints.len(), 2, "{record:?}");
+        for (_, from) in record.endpoints {
+            *requests.entry(from).or_default() += 1;
+        }
+    }
+    assert_eq!(requests.len(), CONTROL_HOSTS, "{requests:?}");
+    assert!(requests.values().max() <= Some(&120), "{requests:?}");
+}
+
+/// Guards against requests to far control hosts just because their answers arrived first.
+#[test]
+fn a_near_control_host_that_answers_a_little_later_is_asked_first() {
+    for late_ms in [25, 60] {
+        let play = Play {
+            seed: 1,
+            up: [late_ms, late_ms, 0, 0, 0, 0],
+            endpoints_ms: 1,
+            max_queue_ms: 1_000,
+            hosts: 20,
+            length_ms: 500,
+            ..Play::default()
+        };
+        for record in play.run() {
+            let (at, from) = &record.endpoints[0];
+            let is_near = *from == control(0) || *from == control(1);
+            // The wait for near ones ends 40 ms after the first answer.
+            assert_eq!(is_near, late_ms == 25, "{late_ms}: {record:?}");
+            assert!(*at <= 60, "{late_ms}: {record:?}");
+        }
+    }
+}
+
+/// Guards against control hosts that lack the hosts or endpoints that only another one knows.
+#[test]
+fn control_hosts_request_all_endpoints_and_listings_of_all_others() {
+    let play = Play {
+        seed: 1,
+        up: ups(1),
+        endpoints_ms: 5,
+        max_queue_ms: 1_000,
+        hosts: 2,
+        length_ms: 10_000,
+        is_control: true,
+        ..Play::default()
+    };
+    for record in play.run() {
+        assert_eq!(record.sources.len(), CONTROL_HOSTS, "{record:?}");
+        for number in 0..CONTROL_HOSTS {
+            let from = control(number);
+            assert!(record.sources.contains(&from), "{record:?}");
+            let listings = record.listings.iter().filter(|(_, asked)| *asked == from);
+            // Each 0.5 s, also of those in other data centres.
+            assert!((17..=21).contains(&listings.count()), "{record:?}");
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -208,3 +208,26 @@
         })
     );
 }
+
+/// Guards against a host that never greets a seed, or greets itself or hosts without control.
+#[tokio::test]
+async fn contact_targets_are_unknown_seeds_and_known_control_hosts() {
+    let local = host(1, 5, true);
+    let hosts = hosts(&local);
+    hosts.set_seeds([1, 2, 3].map(|number| host(number, 5, true).id).to_vec());
+    let far = Host {
+        data_centre: "narva".into(),
+        ..host(2, 5, true)
+    };
+    hosts.record_contact(far);
+    hosts.record_contact(host(4, 5, true));
+    hosts.record_contact(host(5, 5, false));
+    let targets = hosts.contact_targets();
+    let mut targets: Vec<(&str, bool)> = targets
+        .iter()
+        .map(|target| (target.host.as_str(), target.is_remote))
+        .collect();
+    targets.sort_unstable();
+    let expected = [("10.0.0.2", true), ("10.0.0.3", false), ("10.0.0.4", false)];
+    assert_eq!(targets, expected);
+}
--- a/crates/kumquatdrum_gateway/tests/support/play.rs
+++ b/crates/kumquatdrum_gateway/tests/support/play.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_gateway::allowance::Allowance;
-use kumquatdrum_gateway::contact::{EndpointsReply, Order, Reply, Schedule, Target};
+use kumquatdrum_gateway::contact::{ContactRequest, EndpointsReply, Reply, Schedule, Target};
 use kumquatdrum_types::{HostId, Moment, hash};
 
 pub const START: u64 = 60_000;
@@ -16,11 +16,11 @@
     HostId::new(format!("10.0.0.{}", number + 1))
 }
 
-/// Six control hosts, of which two are near.
-pub fn targets() -> Vec<Target> {
+/// Six control hosts, of which two or all are near.
+pub fn targets(is_all_near: bool) -> Vec<Target> {
     let target = |number| Target {
         host: control(number),
-        is_remote: number >= 2,
+        is_remote: number >= 2 && !is_all_near,
     };
     (0..CONTROL_HOSTS).map(target).collect()
 }
@@ -55,13 +55,17 @@
     pub endpoint_bytes: usize,
     /// The longest time that control hosts need to answer a hello, besides 12 ms.
     pub max_hello_ms: u64,
+    /// Whether all control hosts are near; else two are.
+    pub is_all_near: bool,
+    /// Whether the hosts are control hosts.
+    pub is_control: bool,
 }
 
 /// Returns the kind of a request, of which one is in flight to a control host at a time.
-pub fn kind(order: &Order) -> u8 {
+pub fn kind(order: &ContactRequest) -> u8 {
     match order {
-        Order::Hello(hello) => u8::from(hello.requests_listing),
-        Order::Endpoints { .. } => 2,
+        ContactRequest::Hello(hello) => u8::from(hello.requests_listing),
+        ContactRequest::Endpoints { .. } => 2,
     }
 }
 
@@ -97,13 +101,14 @@
         let mut schedules = Vec::new();
         for host in 0..self.hosts {
             let id = HostId::new(format!("10.1.{}.{}", host / 200, host % 200));
-            let mut schedule = Schedule::new(Moment::from_millis(START), id, false);
-            schedule.set_targets(targets());
+            let mut schedule = Schedule::new(Moment::from_millis(START), id, self.is_control);
+            schedule.set_targets(targets(self.is_all_near));
             schedules.push(schedule);
             records.push(Record::default());
         }
         // Answers by time, then host, control host and whether they are for all endpoints.
-        let mut answers: BTreeMap<u64, Vec<(usize, usize, Order, Answer)>> = BTreeMap::new();
+        let mut answers: BTreeMap<u64, Vec<(usize, usize, ContactRequest, Answer)>> =
+            BTreeMap::new();
         let mut in_flight = IndexMap::new();
         let mut busy_until = [0; CONTROL_HOSTS];
         let mut allowances: [Allowance; CONTROL_HOSTS] = Default::default();
@@ -114,7 +119,7 @@
                 let is_answered = answer == Answer::Given;
                 in_flight.swap_remove(&(host, from, kind(&order)));
                 let record = &mut records[host];
-                if let Order::Hello(hello) = order {
+                if let ContactRequest::Hello(hello) = order {
                     let reply = if is_answered {
                         Reply::Welcome { has_setup: true }
                     } else {
@@ -149,7 +154,7 @@
                 for order in schedule.poll(now) {
                     let mut timeout_ms = TIMEOUT_MS;
                     let (to, is_endpoints) = match &order {
-                        Order::Hello(hello) => {
+                        ContactRequest::Hello(hello) => {
                             let to = &hello.to;
                             *records[host].hellos.entry(to.clone()).or_default() += 1;
                             records[host].hello_times.push((at, to.clone()));
@@ -159,7 +164,7 @@
                             timeout_ms = hello.timeout.as_millis() as u64;
                             (to.clone(), false)
                         }
-                        Order::Endpoints { from } => {
+                        ContactRequest::Endpoints { from } => {
                             records[host].endpoints.push((at, from.clone()));
                             (from.clone(), true)
                         }
