--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -6,11 +6,15 @@
 //! has answered, and not again while its answer is under way: with hundreds of hosts that start at
 //! once, answers take seconds, and requests that are repeated earlier overload control hosts.
 
+mod request;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use kumquatdrum_types::{HostId, Moment, hash};
 
+pub use self::request::{ContactRequest, EndpointsReply, Hello, Reply, Target};
+
 /// The interval between hellos to a control host of the local data centre. A host that was cut off
 /// learns of the active setup within this time of its return.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
@@ -20,7 +24,8 @@
 /// The delay after a hello that was not answered, or by a control host without a setup.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The number of hellos in a row after [`RETRY_DELAY`] that a control host doesn't answer. Afterwards,
-/// the usual interval applies.
+/// the usual interval applies, but not before the first answer of any control host: a host that knows
+/// none can serve nothing, however long control hosts take to start.
 const MAX_QUICK_RETRIES: u32 = 30;
 /// The number of hellos after [`RETRY_DELAY`] to a control host without a setup. It sends its setup to
 /// the hosts that it knows once it has one.
@@ -34,7 +39,7 @@
 const LISTING_TURN_WAIT: Duration = Duration::from_millis(300);
 /// The time after which a missing listing of changes is requested from another control host. Without
 /// listings, hosts count as lost after 2 s.
-const LISTING_PATIENCE: Duration = Duration::from_secs(1);
+const LISTING_PATIENCE: Duration = Duration::from_millis(600);
 /// The factor by which [`RETRY_DELAY`] grows at most for requests for all endpoints, as control hosts
 /// refuse them while too many hosts start.
 const MAX_ENDPOINT_RETRY_FACTOR: u32 = 5;
@@ -44,46 +49,12 @@
 /// The time after which a host that has had all endpoints once looks for no further source. By then
 /// endpoints have announced themselves again.
 const MAX_ENDPOINT_DURATION: Duration = Duration::from_secs(10);
-
-/// A known control host, or a seed that is not known yet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Target {
-    /// The control host.
-    pub host: HostId,
-    /// Whether the control host is known to be in another data centre.
-    pub is_remote: bool,
-}
-
-/// A request to send. Its result must be recorded.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Order {
-    /// A hello.
-    Hello {
-        /// The receiver.
-        to: HostId,
-        /// Whether it requests a listing of hosts.
-        requests_listing: bool,
-        /// Whether it requests the endpoints that have left.
-        requests_departures: bool,
-    },
-    /// A request for all endpoints.
-    Endpoints {
-        /// The receiver.
-        from: HostId,
-    },
-}
-
-/// The result of a hello.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reply {
-    /// There was no welcome in time.
-    Missing,
-    /// The control host has answered.
-    Welcome {
-        /// Whether the control host has a setup.
-        has_setup: bool,
-    },
-}
+/// The timeout for the first answer, a listing or all endpoints. It covers the requests of other hosts
+/// that start as well. A lost connection is noticed earlier.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The timeout for a hello without lists to a control host that has answered. Hosts count as lost
+/// after 2 s without hellos, so a longer wait for a slow answer would make them lost.
+const LIGHT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Decides which control host is sent what, and when.
 ///
@@ -107,6 +78,7 @@
     first_answer: Option<Moment>,
     listing: Listing,
     endpoints: Endpoints,
+    last_hello: u64,
 }
 
 /// The listings of this host. Control hosts request one with each hello instead.
@@ -116,14 +88,20 @@
     asked: Option<(HostId, Moment)>,
     is_in_flight: bool,
     is_received: bool,
+    /// Whether the last result was a missing listing.
+    is_missing: bool,
 }
 
 #[derive(Debug, Default)]
 struct Endpoints {
-    asked: Vec<HostId>,
     is_in_flight: bool,
-    received: usize,
-    /// The number of requests without an answer since the last answer.
+    /// The control hosts that have sent endpoints.
+    sources: Vec<HostId>,
+    /// The control hosts that knew none.
+    empty: Vec<HostId>,
+    /// The control hosts that have refused or not answered since all were last asked.
+    passed: Vec<HostId>,
+    /// The number of requests without endpoints since the last answer.
     failed: u32,
     /// The end of the pause after a request without an answer.
     resume_at: Moment,
@@ -134,9 +112,14 @@
     is_remote: bool,
     /// When the next hello is due.
     due: Moment,
-    hello: Option<Hello>,
+    /// The hello without a listing in flight.
+    hello: Option<u64>,
+    /// The hello with a listing in flight, which no other hello waits for.
+    listing: Option<u64>,
     /// Whether the last hello was answered.
     is_answering: bool,
+    /// When a hello was last answered.
+    answered: Option<Moment>,
     /// The number of hellos without an answer since the last answer.
     missing: u32,
     setup_retries: u32,
@@ -145,11 +128,14 @@
     listed: Moment,
 }
 
-/// A hello in flight.
-#[derive(Debug, Clone, Copy)]
-struct Hello {
-    requests_listing: bool,
-    requests_departures: bool,
+impl Contact {
+    fn interval(&self, is_control: bool) -> Duration {
+        if self.is_remote && !is_control {
+            REMOTE_HELLO_INTERVAL
+        } else {
+            HELLO_INTERVAL
+        }
+    }
 }
 
 impl Schedule {
@@ -163,6 +149,7 @@
             first_answer: None,
             listing: Listing::default(),
             endpoints: Endpoints::default(),
+            last_hello: 0,
         }
     }
 
@@ -174,7 +161,9 @@
                 is_remote,
                 due: Moment::ZERO,
                 hello: None,
+                listing: None,
                 is_answering: false,
+                answered: None,
                 missing: 0,
                 setup_retries: 0,
                 has_departures: false,
@@ -191,12 +180,11 @@
     }
 
     /// Returns the requests to send now.
-    pub fn poll(&mut self, now: Moment) -> Vec<Order> {
-        let mut orders = Vec::new();
+    pub fn poll(&mut self, now: Moment) -> Vec<ContactRequest> {
+        let mut requests = Vec::new();
         if let Some(from) = self.endpoint_source(now) {
             self.endpoints.is_in_flight = true;
-            self.endpoints.asked.push(from.clone());
-            orders.push(Order::Endpoints { from });
+            requests.push(ContactRequest::Endpoints { from });
         }
         self.expedite_listing(now);
         let due = self.contacts.iter();
@@ -211,21 +199,29 @@
             let Some(contact) = self.contacts.get_mut(&to) else {
                 continue;
             };
+            self.last_hello += 1;
             if requests_listing {
                 contact.listed = now;
+                contact.listing = Some(self.last_hello);
+                contact.due = now + contact.interval(self.is_control);
+            } else {
+                contact.hello = Some(self.last_hello);
             }
-            let requests_departures = !self.is_control && !contact.has_departures;
-            contact.hello = Some(Hello {
-                requests_listing,
-                requests_departures,
-            });
-            orders.push(Order::Hello {
+            let timeout = if contact.answered.is_some() && !requests_listing {
+                LIGHT_TIMEOUT
+            } else {
+                RESPONSE_TIMEOUT
+            };
+            requests.push(ContactRequest::Hello(Hello {
+                number: self.last_hello,
+                sent: now,
                 to,
                 requests_listing,
-                requests_departures,
-            });
+                requests_departures: !self.is_control && !contact.has_departures,
+                timeout,
+            }));
         }
-        orders
+        requests
     }
 
     /// Returns when to poll next if nothing is recorded before.
@@ -241,22 +237,26 @@
     }
 
     /// Records the result of a hello.
-    pub fn record_hello(&mut self, now: Moment, from: &HostId, reply: Reply) {
-        let Some(contact) = self.contacts.get_mut(from) else {
-            return;
-        };
-        let Some(hello) = contact.hello.take() else {
+    pub fn record_hello(&mut self, now: Moment, hello: &Hello, reply: Reply) {
+        let Some(contact) = self.contacts.get_mut(&hello.to) else {
             return;
         };
-        let interval = if contact.is_remote && !self.is_control {
-            REMOTE_HELLO_INTERVAL
+        let in_flight = if hello.requests_listing {
+            &mut contact.listing
         } else {
-            HELLO_INTERVAL
+            &mut contact.hello
         };
+        if in_flight
+            .take_if(|number| *number == hello.number)
+            .is_none()
+        {
+            return;
+        }
+        let interval = contact.interval(self.is_control);
         let is_quick = match reply {
             Reply::Missing => {
                 contact.missing += 1;
-                contact.missing <= MAX_QUICK_RETRIES
+                contact.missing <= MAX_QUICK_RETRIES || self.first_answer.is_none()
             }
             Reply::Welcome { has_setup } => {
                 contact.missing = 0;
@@ -265,32 +265,66 @@
                 !has_setup && contact.setup_retries <= MAX_SETUP_RETRIES
             }
         };
-        contact.due = now + if is_quick { RETRY_DELAY } else { interval };
-        contact.is_answering = reply != Reply::Missing;
-        if contact.is_answering {
+        let quick = now + RETRY_DELAY;
+        contact.due = match (hello.requests_listing, is_quick) {
+            (false, false) => quick.max(hello.sent + interval),
+            (false, true) => quick,
+            (true, false) => contact.due,
+            (true, true) => contact.due.min(quick),
+        };
+        if reply != Reply::Missing {
+            contact.is_answering = true;
+            contact.answered = Some(now);
             self.first_answer.get_or_insert(now);
+        } else if contact.answered.is_none_or(|at| at <= hello.sent) {
+            contact.is_answering = false;
         }
         if hello.requests_listing {
             self.listing.is_received |= reply != Reply::Missing;
-            if self.is_listing_awaited_from(from) {
+            self.listing.is_missing = reply == Reply::Missing;
+            if self.is_listing_awaited_from(&hello.to) {
                 self.listing.is_in_flight = false;
             }
         }
     }
 
     /// Records the result of a request for all endpoints.
-    pub fn record_endpoints(&mut self, now: Moment, is_received: bool) {
-        self.endpoints.is_in_flight = false;
-        self.endpoints.received += usize::from(is_received);
-        if is_received {
-            self.endpoints.failed = 0;
-        } else {
-            self.endpoints.failed += 1;
-            let delay = RETRY_DELAY * self.endpoints.failed.min(MAX_ENDPOINT_RETRY_FACTOR);
-            self.endpoints.resume_at = now + delay;
+    pub fn record_endpoints(&mut self, now: Moment, from: &HostId, reply: EndpointsReply) {
+        let endpoints = &mut self.endpoints;
+        endpoints.is_in_flight = false;
+        match reply {
+            EndpointsReply::Received { is_empty } => {
+                endpoints.failed = 0;
+                let answered = if is_empty {
+                    &mut endpoints.empty
+                } else {
+                    &mut endpoints.sources
+                };
+                answered.push(from.clone());
+            }
+            EndpointsReply::Refused | EndpointsReply::Missing => {
+                endpoints.failed += 1;
+                let delay = RETRY_DELAY * endpoints.failed.min(MAX_ENDPOINT_RETRY_FACTOR);
+                endpoints.resume_at = now + delay;
+                endpoints.passed.push(from.clone());
+            }
         }
     }
 
+    /// Returns whether no control host has answered yet.
+    pub fn is_searching(&self) -> bool {
+        self.first_answer.is_none()
+    }
+
+    /// Returns whether a control host has sent endpoints, or all that answer know none.
+    pub fn has_initial_endpoints(&self) -> bool {
+        let endpoints = &self.endpoints;
+        let mut answering = self.contacts.iter().filter(|(_, it)| it.is_answering);
+        !endpoints.sources.is_empty()
+            || (!endpoints.empty.is_empty()
+                && answering.all(|(host, _)| endpoints.empty.contains(host)))
+    }
+
     /// Returns whether the listing in flight, if any, is the one requested from a control host.
     fn is_listing_awaited_from(&self, host: &HostId) -> bool {
         let asked = self.listing.asked.as_ref();
@@ -300,25 +334,28 @@
     /// Returns the control host to request all endpoints from.
     fn endpoint_source(&mut self, now: Moment) -> Option<HostId> {
         let endpoints = &self.endpoints;
-        let sources = if self.is_control {
+        let most = if self.is_control {
             usize::MAX
         } else {
             ENDPOINT_SOURCES
         };
-        let is_over = endpoints.received > 0 && now - self.started >= MAX_ENDPOINT_DURATION;
-        if endpoints.is_in_flight
-            || endpoints.received >= sources
-            || is_over
-            || now < endpoints.resume_at
-        {
+        let received = endpoints.sources.len();
+        let is_over = received > 0 && now - self.started >= MAX_ENDPOINT_DURATION;
+        if endpoints.is_in_flight || received >= most || is_over || now < endpoints.resume_at {
             return None;
         }
-        let source = self.source(now, &endpoints.asked);
-        if source.is_none() && endpoints.received == 0 {
-            // All that answer have failed to send them: the next one is asked again.
-            self.endpoints.asked.clear();
+        let answered = [&endpoints.sources[..], &endpoints.empty].concat();
+        let asked = [&answered[..], &endpoints.passed].concat();
+        if self
+            .contacts
+            .iter()
+            .any(|(host, contact)| contact.is_answering && !asked.contains(host))
+        {
+            return self.source(now, &asked);
         }
-        source
+        // All that answer were asked: those that failed to send them are asked again.
+        self.endpoints.passed.clear();
+        self.source(now, &answered)
     }
 
     /// Returns the preferred control host that answers and is not in `asked`: one of the local data
@@ -351,7 +388,7 @@
             return;
         }
         let source = match self.listing.is_received {
-            true if self.overdue_at().is_some_and(|at| at <= now) => self.oldest_listed(),
+            true if self.overdue_at().is_some_and(|at| at <= now) => self.next_listed(),
             false if !self.listing.is_in_flight => self.source(now, &[]),
             _ => None,
         };
@@ -367,8 +404,8 @@
         let Some(contact) = self.contacts.get(to) else {
             return false;
         };
-        if !contact.is_answering || self.is_control {
-            return contact.is_answering;
+        if !contact.is_answering || contact.listing.is_some() || self.is_control {
+            return contact.is_answering && contact.listing.is_none();
         }
         let since = self.listing.asked.as_ref().map(|(_, at)| now - *at);
         let is_awaited = self.listing.is_in_flight;
@@ -383,9 +420,9 @@
         if since.is_some_and(|since| since < minimum) {
             return false;
         }
-        let oldest = self.oldest_listed();
-        let oldest = oldest.and_then(|oldest| self.contacts.get_key_value(&oldest));
-        oldest.is_none_or(|(host, other)| host == to || other.due > now + LISTING_TURN_WAIT)
+        let next = self.next_listed();
+        let next = next.and_then(|next| self.contacts.get_key_value(&next));
+        next.is_none_or(|(host, other)| host == to || other.due > now + LISTING_TURN_WAIT)
     }
 
     /// Returns when a new listing is due at the latest, after the first one.
@@ -395,11 +432,18 @@
         asked.map(|(_, at)| *at + LISTING_PATIENCE)
     }
 
-    /// Returns the control host whose listing is the oldest of those that could be sent a hello.
-    fn oldest_listed(&self) -> Option<HostId> {
+    /// Returns the control host whose listing is the oldest of those that could be sent a hello, or the
+    /// one that answered last while a listing is missing, as others may be frozen too.
+    fn next_listed(&self) -> Option<HostId> {
         let idle = self.contacts.iter();
-        let idle = idle.filter(|(_, contact)| contact.is_answering && contact.hello.is_none());
-        let oldest = idle.min_by_key(|(_, contact)| contact.listed);
-        oldest.map(|(host, _)| host.clone())
+        let idle = idle.filter(|(_, contact)| {
+            contact.is_answering && contact.hello.is_none() && contact.listing.is_none()
+        });
+        let next = if self.listing.is_in_flight || self.listing.is_missing {
+            idle.max_by_key(|(_, contact)| contact.answered)
+        } else {
+            idle.min_by_key(|(_, contact)| contact.listed)
+        };
+        next.map(|(host, _)| host.clone())
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -1,11 +1,12 @@
 //! Requests to control hosts: hellos, listings of hosts, and all endpoints for a host that has just
 //! started. [`Schedule`] decides what is sent when.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kumquatdrum_peer::Channel;
+use kumquatdrum_peer::{Channel, Pace};
 use kumquatdrum_registry::Update;
 use kumquatdrum_types::{Checkpoint, HostId};
 use slog::info;
@@ -13,22 +14,49 @@
 use tokio::time::{interval, sleep_until};
 
 use super::Gateway;
-use crate::contact::{Order, Reply, Schedule};
+use crate::contact::{self, ContactRequest, EndpointsReply, RESPONSE_TIMEOUT, Reply, Schedule};
 use crate::message::{EndpointSelection, Hello, Request, Response, Selection};
 
-/// The timeout for the response to a hello or a request for all endpoints. It covers the requests of
-/// other hosts that start as well. A lost connection is noticed earlier.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The interval at which silent hosts and old entries are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The approximate size of an endpoint in a response.
-const UPDATE_BYTES: usize = 120;
+const ESTIMATED_UPDATE_BYTES: usize = 120;
 
 /// The result of a request to a control host.
 enum Outcome {
-    Hello(HostId, Reply),
-    Endpoints(bool),
+    Hello(contact::Hello, Reply),
+    Endpoints(HostId, EndpointsReply),
+}
+
+impl Outcome {
+    /// Returns the outcome of a request whose task has panicked.
+    fn missing(request: ContactRequest) -> Self {
+        match request {
+            ContactRequest::Hello(hello) => Self::Hello(hello, Reply::Missing),
+            ContactRequest::Endpoints { from } => Self::Endpoints(from, EndpointsReply::Missing),
+        }
+    }
+}
+
+/// The answer to a hello.
+enum Answer {
+    Welcome {
+        has_setup: bool,
+        /// Whether it contained no endpoints.
+        is_empty: bool,
+    },
+    Refused,
+    Missing,
+}
+
+impl From<Answer> for Reply {
+    fn from(answer: Answer) -> Self {
+        match answer {
+            Answer::Welcome { has_setup, .. } => Self::Welcome { has_setup },
+            Answer::Refused | Answer::Missing => Self::Missing,
+        }
+    }
 }
 
 impl Gateway {
@@ -37,25 +65,47 @@
         let local = self.hosts.local();
         let mut schedule = Schedule::new(self.clock.now(), local.id, local.is_control);
         let mut requests = JoinSet::new();
+        let mut in_flight = HashMap::new();
         let mut expiry = interval(EXPIRY_INTERVAL);
         loop {
-            schedule.set_targets(self.hosts.contact_targets());
+            let targets = self.hosts.contact_targets();
+            let pace = if schedule.is_searching() {
+                Pace::Quick
+            } else {
+                Pace::Slowing
+            };
+            for target in &targets {
+                self.client.set_pace(&target.host, pace);
+            }
+            schedule.set_targets(targets);
             let now = self.clock.now();
             for order in schedule.poll(now) {
-                requests.spawn(self.clone().execute(order));
+                let task = requests.spawn(self.clone().execute(order.clone()));
+                in_flight.insert(task.id(), order);
             }
             let next = schedule.next_due(now).unwrap_or(now + EXPIRY_INTERVAL);
             tokio::select! {
-                Some(outcome) = requests.join_next(), if !requests.is_empty() => {
+                Some(outcome) = requests.join_next_with_id(), if !requests.is_empty() => {
                     let now = self.clock.now();
-                    match outcome {
-                        Ok(Outcome::Hello(from, reply)) => schedule.record_hello(now, &from, reply),
-                        Ok(Outcome::Endpoints(is_received)) => {
-                            schedule.record_endpoints(now, is_received);
+                    let (id, outcome) = match outcome {
+                        Ok((id, outcome)) => (id, Some(outcome)),
+                        Err(error) => {
+                            info!(self.logger, "request_ended_early";
+                                "event" => "request_ended_early", "reason" => %error);
+                            (error.id(), None)
+                        }
+                    };
+                    let request = in_flight.remove(&id);
+                    match outcome.or_else(|| request.map(Outcome::missing)) {
+                        Some(Outcome::Hello(hello, reply)) => schedule.record_hello(now, &hello, reply),
+                        Some(Outcome::Endpoints(from, reply)) => {
+                            schedule.record_endpoints(now, &from, reply);
                         }
-                        Err(error) => info!(self.logger, "request_ended_early";
-                            "event" => "request_ended_early", "reason" => %error),
+                        None => {}
                     }
+                    self.startup
+                        .has_initial_endpoints
+                        .store(schedule.has_initial_endpoints(), Ordering::Release);
                     self.update_readiness();
                 }
                 _ = expiry.tick() => self.expire(),
@@ -64,10 +114,14 @@
         }
     }
 
-    /// Returns all endpoints for a host that starts, unless too many have been sent lately.
-    pub(super) fn all_endpoints(&self) -> Option<Vec<Update>> {
+    /// Returns all endpoints for a host that starts, unless too many have been sent lately. Control
+    /// hosts are few and inform all others, so they are never refused.
+    pub(super) fn all_endpoints(&self, is_control: bool) -> Option<Vec<Update>> {
         let updates = self.endpoints.all_updates();
-        let bytes = updates.len() * UPDATE_BYTES;
+        if is_control {
+            return Some(updates);
+        }
+        let bytes = updates.len() * ESTIMATED_UPDATE_BYTES;
         let mut allowance = self.startup.allowance.lock();
         allowance
             .try_take(self.clock.now(), bytes)
@@ -86,39 +140,38 @@
         self.update_readiness();
     }
 
-    async fn execute(self: Arc<Self>, order: Order) -> Outcome {
+    async fn execute(self: Arc<Self>, order: ContactRequest) -> Outcome {
         match order {
-            Order::Hello {
-                to,
-                requests_listing,
-                requests_departures,
-            } => {
-                let hosts = if requests_listing {
-                    self.hosts.listing_selection(&to)
+            ContactRequest::Hello(hello) => {
+                let hosts = if hello.requests_listing {
+                    self.hosts.listing_selection(&hello.to)
                 } else {
                     Selection::Nothing
                 };
-                let endpoints = if requests_departures {
+                let endpoints = if hello.requests_departures {
                     EndpointSelection::Departures
                 } else {
                     EndpointSelection::Nothing
                 };
-                let reply = self.exchange_hello(&to, hosts, endpoints).await;
-                Outcome::Hello(to, reply)
+                let answer = self
+                    .exchange(&hello.to, hosts, endpoints, hello.timeout)
+                    .await;
+                Outcome::Hello(hello, answer.into())
             }
-            Order::Endpoints { from } => {
+            ContactRequest::Endpoints { from } => {
                 let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::All);
-                let reply = self.exchange_hello(&from, hosts, endpoints).await;
-                let is_received = reply != Reply::Missing;
-                if is_received {
-                    self.startup
-                        .has_initial_endpoints
-                        .store(true, Ordering::Release);
-                }
+                let answer = self
+                    .exchange(&from, hosts, endpoints, RESPONSE_TIMEOUT)
+                    .await;
+                let reply = match answer {
+                    Answer::Welcome { is_empty, .. } => EndpointsReply::Received { is_empty },
+                    Answer::Refused => EndpointsReply::Refused,
+                    Answer::Missing => EndpointsReply::Missing,
+                };
                 info!(self.logger, "endpoints_requested"; "event" => "endpoints_requested",
-                    "from" => from.as_str(), "received" => is_received,
+                    "from" => from.as_str(), "reply" => ?reply,
                     "elapsed_ms" => self.uptime().as_millis() as u64);
-                Outcome::Endpoints(is_received)
+                Outcome::Endpoints(from, reply)
             }
         }
     }
@@ -130,6 +183,17 @@
         hosts: Selection,
         endpoints: EndpointSelection,
     ) -> Reply {
+        let answer = self.exchange(to, hosts, endpoints, RESPONSE_TIMEOUT);
+        answer.await.into()
+    }
+
+    async fn exchange(
+        self: &Arc<Self>,
+        to: &HostId,
+        hosts: Selection,
+        endpoints: EndpointSelection,
+        limit: Duration,
+    ) -> Answer {
         let (evidence, known_evidence) = self.quarantine.outgoing(to);
         let sent = evidence.checkpoint;
         let sent_ms = self.evacuations.suspension().tick();
@@ -142,10 +206,10 @@
             known_evidence,
             evacuations: self.evacuations.report_to(self.evacuations.version_of(to)),
         });
-        let response = self.send_request(to, Channel::Membership, &request, RESPONSE_TIMEOUT);
+        let response = self.send_request(to, Channel::Membership, &request, limit);
         match response.await {
             Some(response) => self.apply_welcome(response, sent, sent_ms),
-            None => Reply::Missing,
+            None => Answer::Missing,
         }
     }
 
@@ -155,7 +219,7 @@
         response: Response,
         sent: Checkpoint,
         sent_ms: u64,
-    ) -> Reply {
+    ) -> Answer {
         let Response::Welcome {
             host,
             hosts,
@@ -165,8 +229,12 @@
             evacuations,
         } = response
         else {
-            return Reply::Missing;
+            return match response {
+                Response::Unavailable => Answer::Refused,
+                _ => Answer::Missing,
+            };
         };
+        let is_empty = endpoints.is_empty();
         let (id, boot) = (host.id.clone(), host.boot);
         self.hosts.record_contact(host);
         self.observe_evacuations(&id, &evacuations);
@@ -179,8 +247,9 @@
         }
         self.merge_endpoints(endpoints, id.as_str());
         self.quarantine.record_exchange(&id, boot, sent, evidence);
-        Reply::Welcome {
+        Answer::Welcome {
             has_setup: revision > 0,
+            is_empty,
         }
     }
 
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -4,158 +4,16 @@
 //! and endpoints that are repeated while their answers are under way, which overloaded control hosts
 //! when 300 hosts started at once.
 
-use std::collections::BTreeMap;
+#[path = "support/play.rs"]
+mod play;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_gateway::contact::{Order, Reply, Schedule, Target};
+use kumquatdrum_gateway::contact::{ContactRequest, Reply, Schedule, Target};
 use kumquatdrum_types::{HostId, Moment, hash};
 
-const START: u64 = 60_000;
-const CONTROL_HOSTS: usize = 6;
-/// The adapter's timeout for any answer.
-const TIMEOUT_MS: u64 = 3_000;
-
-fn control(number: usize) -> HostId {
-    HostId::new(format!("10.0.0.{}", number + 1))
-}
-
-/// Six control hosts, of which two are near.
-fn targets() -> Vec<Target> {
-    let target = |number| Target {
-        host: control(number),
-        is_remote: number >= 2,
-    };
-    (0..CONTROL_HOSTS).map(target).collect()
-}
-
-/// The behaviour of the control hosts in one play.
-struct Play {
-    seed: u64,
-    /// When each control host is up, in milliseconds after the start.
-    up: [u64; CONTROL_HOSTS],
-    /// The time that a control host needs to send all endpoints to one host, in milliseconds.
-    endpoints_ms: u64,
-    /// One in how many answers is lost; 0: none.
-    lost_one_in: u64,
-    /// How far a control host is behind with sending endpoints before it refuses to.
-    max_queue_ms: u64,
-    /// The number of control hosts that freeze, and when.
-    frozen: (usize, u64),
-    hosts: usize,
-    length_ms: u64,
-}
-
-/// What one host has sent and received.
-#[derive(Debug, Default)]
-struct Record {
-    hellos: IndexMap<HostId, usize>,
-    /// When a listing was requested, and of which control host.
-    listings: Vec<(u64, HostId)>,
-    /// When all endpoints were requested.
-    endpoints: Vec<(u64, HostId)>,
-    first_answer: Option<u64>,
-    endpoints_received: Option<u64>,
-    /// The number of answers with all endpoints.
-    endpoints_sent: usize,
-}
-
-impl Play {
-    fn draw(&self, number: u64) -> u64 {
-        hash::mix(self.seed ^ hash::mix(number))
-    }
-
-    fn run(&self) -> Vec<Record> {
-        let mut records: Vec<Record> = Vec::new();
-        let mut schedules = Vec::new();
-        for host in 0..self.hosts {
-            let id = HostId::new(format!("10.1.{}.{}", host / 200, host % 200));
-            let mut schedule = Schedule::new(Moment::from_millis(START), id, false);
-            schedule.set_targets(targets());
-            schedules.push(schedule);
-            records.push(Record::default());
-        }
-        // Answers by time, then host, control host and whether they are for all endpoints.
-        let mut answers: BTreeMap<u64, Vec<(usize, usize, bool, bool)>> = BTreeMap::new();
-        let mut in_flight = IndexMap::new();
-        let mut busy_until = [0; CONTROL_HOSTS];
-        let mut drawn = 0;
-        for at in 0..self.length_ms {
-            let now = Moment::from_millis(START + at);
-            for (host, from, is_endpoints, is_answered) in answers.remove(&at).unwrap_or_default() {
-                in_flight.swap_remove(&(host, from, is_endpoints));
-                let record = &mut records[host];
-                if is_endpoints {
-                    schedules[host].record_endpoints(now, is_answered);
-                    record.endpoints_received =
-                        record.endpoints_received.or(is_answered.then_some(at));
-                } else {
-                    let reply = if is_answered {
-                        Reply::Welcome { has_setup: true }
-                    } else {
-                        Reply::Missing
-                    };
-                    schedules[host].record_hello(now, &control(from), reply);
-                    record.first_answer = record.first_answer.or(is_answered.then_some(at));
-                }
-            }
-            for (host, schedule) in schedules.iter_mut().enumerate() {
-                for order in schedule.poll(now) {
-                    let (to, is_endpoints) = match order {
-                        Order::Hello {
-                            to,
-                            requests_listing,
-                            ..
-                        } => {
-                            *records[host].hellos.entry(to.clone()).or_default() += 1;
-                            if requests_listing {
-                                records[host].listings.push((at, to.clone()));
-                            }
-                            (to, false)
-                        }
-                        Order::Endpoints { from } => {
-                            records[host].endpoints.push((at, from.clone()));
-                            (from, true)
-                        }
-                    };
-                    let number = (0..CONTROL_HOSTS).find(|number| control(*number) == to);
-                    let number = number.expect("a control host");
-                    let is_new = in_flight.insert((host, number, is_endpoints), at).is_none();
-                    assert!(is_new, "seed {}: repeated while under way", self.seed);
-                    drawn += 1;
-                    let is_frozen = number < self.frozen.0 && at >= self.frozen.1;
-                    let is_lost = is_frozen
-                        || self.lost_one_in > 0
-                            && self.draw(drawn).is_multiple_of(self.lost_one_in);
-                    let up = self.up[number];
-                    // A connection to a machine without power is retried until the machine is up.
-                    let mut is_refused = false;
-                    let delay = match () {
-                        () if is_lost || up >= at + TIMEOUT_MS => TIMEOUT_MS,
-                        () if is_endpoints
-                            && up <= at
-                            && busy_until[number] > at + self.max_queue_ms =>
-                        {
-                            is_refused = true;
-                            2
-                        }
-                        () if is_endpoints => {
-                            records[host].endpoints_sent += 1;
-                            let begun = busy_until[number].max(at.max(up));
-                            busy_until[number] = begun + self.endpoints_ms;
-                            (busy_until[number] - at).min(TIMEOUT_MS)
-                        }
-                        () => up.saturating_sub(at) + 2 + self.draw(drawn + 1) % 10,
-                    };
-                    let is_answered = delay < TIMEOUT_MS && !is_refused;
-                    let answer = (host, number, is_endpoints, is_answered);
-                    answers.entry(at + delay).or_default().push(answer);
-                }
-            }
-        }
-        records
-    }
-}
+use self::play::{CONTROL_HOSTS, Play, START, control};
 
 /// Control hosts that come up one after another, 0.1 to 0.5 s after the first host.
 fn ups(seed: u64) -> [u64; CONTROL_HOSTS] {
@@ -176,6 +34,7 @@
             frozen: (0, 0),
             hosts: 12,
             length_ms: 3_000,
+            ..Play::default()
         };
         for record in play.run() {
             // Hellos waited 700 ms for control hosts that were not up, and paused for 100 ms.
@@ -195,18 +54,22 @@
         let play = Play {
             seed,
             up: ups(seed),
-            // 100 answers take 2 s.
-            endpoints_ms: 20,
+            // 360 KB at 21 MB/s.
+            endpoints_ms: 17,
+            endpoint_bytes: 360_000,
             lost_one_in: 0,
-            max_queue_ms: 1_000,
+            max_queue_ms: u64::MAX / 2,
             frozen: (0, 0),
             hosts: 300,
             length_ms: 9_000,
+            ..Play::default()
         };
         let records = play.run();
         let mut by_source: IndexMap<HostId, usize> = IndexMap::new();
         for record in &records {
-            assert!(record.endpoints_received.is_some(), "seed {seed}");
+            // Refusals by the allowance counted as sources, so most hosts got no second one.
+            assert_eq!(record.sources.len(), 2, "seed {seed}: {record:?}");
+            assert_ne!(record.sources[0], record.sources[1], "seed {seed}");
             for (_, source) in &record.endpoints {
                 *by_source.entry(source.clone()).or_default() += 1;
             }
@@ -220,6 +83,62 @@
     }
 }
 
+/// Guards against hellos that wait for a slow answer or a listing, so that a host counts as lost, which
+/// it does after 2 s.
+#[test]
+fn slow_answers_do_not_delay_the_next_hello() {
+    for seed in 0..20 {
+        let play = Play {
+            seed,
+            endpoints_ms: 5,
+            max_queue_ms: 1_000,
+            hosts: 4,
+            length_ms: 60_000,
+            max_hello_ms: 5_000,
+            ..Play::default()
+        };
+        for record in play.run() {
+            for number in 0..CONTROL_HOSTS {
+                let from = control(number);
+                // The first hello is awaited for 3 s until one was answered.
+                let answered = record.answered_by.get(&from);
+                let &answered = answered.expect("an answer within a minute");
+                let sent = record.hello_times.iter();
+                let sent = sent.filter(|(at, to)| *to == from && *at >= answered);
+                let times: Vec<u64> = sent.map(|(at, _)| *at).chain([play.length_ms]).collect();
+                let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+                assert!(gaps.max() <= Some(1_600), "seed {seed}: {times:?}");
+            }
+        }
+    }
+}
+
+/// Guards against placing by the empty answer of a control host without its disk.
+#[test]
+fn control_hosts_without_disks_are_no_sources() {
+    for (seed, empty) in (0..10).flat_map(|seed| (0..=CONTROL_HOSTS).map(move |n| (seed, n))) {
+        let play = Play {
+            seed,
+            up: [0; CONTROL_HOSTS],
+            endpoints_ms: 5,
+            max_queue_ms: 1_000,
+            hosts: 4,
+            length_ms: 3_000,
+            empty,
+            ..Play::default()
+        };
+        for record in play.run() {
+            assert_eq!(record.sources.len(), (CONTROL_HOSTS - empty).min(2));
+            if empty < CONTROL_HOSTS {
+                assert_eq!(record.informed, record.endpoints_received, "seed {seed}");
+            }
+            assert!(record.informed.is_some(), "seed {seed}: {record:?}");
+            let requests = record.endpoints.len();
+            assert!(requests <= CONTROL_HOSTS, "seed {seed}: {record:?}");
+        }
+    }
+}
+
 #[test]
 fn nothing_is_repeated_and_all_are_informed_if_answers_are_lost() {
     for seed in 0..20 {
@@ -232,6 +151,7 @@
             frozen: (0, 0),
             hosts: 8,
             length_ms: 30_000,
+            ..Play::default()
         };
         for record in play.run() {
             assert!(record.endpoints_received.is_some(), "seed {seed}");
@@ -242,24 +162,28 @@
 
 #[test]
 fn listings_continue_while_control_hosts_are_frozen() {
-    for (seed, frozen) in (0..20).flat_map(|seed| (1..4).map(move |frozen| (seed, frozen))) {
+    let frozen = (0..20).flat_map(|seed| (1..4).map(move |frozen| (seed, frozen)));
+    for ((seed, frozen), max_hello_ms) in frozen.flat_map(|it| [(it, 0), (it, 400)]) {
         let play = Play {
             seed,
             up: ups(seed),
             endpoints_ms: 5,
-            lost_one_in: 0,
             max_queue_ms: 1_000,
             frozen: (frozen, 5_000),
             hosts: 4,
             length_ms: 15_000,
+            max_hello_ms,
+            ..Play::default()
         };
         for record in play.run() {
-            let gaps = record.listings.windows(2).map(|pair| pair[1].0 - pair[0].0);
-            // Hosts count as lost 2 s after the last listing.
+            // Hosts count as lost 2 s after the last listing that has arrived.
+            let times = &record.listings_received;
+            let gaps = [&times[..], &[play.length_ms]].concat();
+            let gaps = gaps.windows(2).map(|pair| pair[1] - pair[0]);
             assert!(
-                gaps.max() < Some(1_900),
-                "seed {seed}: {:?}",
-                record.listings
+                times.len() > 1 && gaps.max() < Some(2_000),
+                "seed {seed}, {frozen} frozen, {max_hello_ms} ms: {:?}",
+                record.listings_received
             );
         }
     }
@@ -276,6 +200,7 @@
         frozen: (0, 0),
         hosts: 1,
         length_ms: 20_000,
+        ..Play::default()
     };
     for record in play.run() {
         // Near ones each 0.5 s, far ones each second, and up to two at the start.
@@ -308,6 +233,7 @@
             frozen: (0, 0),
             hosts: 1,
             length_ms: 10_000,
+            ..Play::default()
         };
         let record = &play.run()[0];
         assert!(record.endpoints_received <= Some(100), "{record:?}");
@@ -331,6 +257,7 @@
         frozen: (0, 0),
         hosts: 240,
         length_ms: 200,
+        ..Play::default()
     };
     let mut first: IndexMap<HostId, usize> = IndexMap::new();
     for record in play.run() {
@@ -341,22 +268,153 @@
     assert!(first.contains_key(&control(0)) && first.contains_key(&control(1)));
 }
 
+/// Guards against the late answer to a hello before a removal that ends the wait for the next one.
 #[test]
-fn a_control_host_without_an_answer_is_retried_quickly_for_a_while_only() {
-    let mut schedule = Schedule::new(Moment::from_millis(START), control(9), false);
+fn a_late_answer_is_not_taken_for_the_next_hello() {
+    let now = Moment::from_millis(START);
+    let mut schedule = Schedule::new(now, control(9), false);
     let target = Target {
         host: control(0),
         is_remote: false,
     };
+    schedule.set_targets([target.clone()]);
+    let first = schedule.poll(now);
+    schedule.set_targets([]);
+    schedule.set_targets([target]);
+    let second = schedule.poll(now);
+    let [ContactRequest::Hello(first), ContactRequest::Hello(second)] = [&first[0], &second[0]]
+    else {
+        panic!("hellos were expected: {first:?} {second:?}");
+    };
+    let welcome = Reply::Welcome { has_setup: true };
+    schedule.record_hello(now, first, welcome);
+    let later = now + Duration::from_millis(500);
+    assert!(schedule.poll(later).is_empty(), "the second is in flight");
+    schedule.record_hello(later, second, welcome);
+    assert!(!schedule.poll(later).is_empty());
+}
+
+/// Refuses all hellos to a control host for some milliseconds, and returns the number of hellos.
+fn refuse(schedule: &mut Schedule, from: &HostId, range: std::ops::Range<u64>) -> usize {
     let mut hellos = 0;
-    for at in 0..20_000 {
+    for at in range {
         let now = Moment::from_millis(START) + Duration::from_millis(at);
-        schedule.set_targets([target.clone()]);
-        for _refused in schedule.poll(now) {
-            hellos += 1;
-            schedule.record_hello(now, &control(0), Reply::Missing);
+        for request in schedule.poll(now) {
+            let ContactRequest::Hello(hello) = request else {
+                continue;
+            };
+            let reply = if hello.to == *from {
+                hellos += 1;
+                Reply::Missing
+            } else {
+                Reply::Welcome { has_setup: true }
+            };
+            schedule.record_hello(now, &hello, reply);
         }
     }
+    hellos
+}
+
+fn near(number: usize) -> Target {
+    Target {
+        host: control(number),
+        is_remote: false,
+    }
+}
+
+/// Guards against a host that finds the first control host late because it was refused for long.
+#[test]
+fn a_host_that_knows_no_control_host_does_not_slow_down() {
+    for refused_ms in [10_000, 20_000] {
+        let mut schedule = Schedule::new(Moment::from_millis(START), control(9), false);
+        schedule.set_targets([near(0)]);
+        let hellos = refuse(&mut schedule, &control(0), 0..refused_ms);
+        assert!(hellos as u64 >= refused_ms / 100, "{hellos}");
+        let next = (refused_ms..).find(|at| {
+            let now = Moment::from_millis(START) + Duration::from_millis(*at);
+            !schedule.poll(now).is_empty()
+        });
+        assert!(next <= Some(refused_ms + 150), "{next:?}");
+    }
+}
+
+#[test]
+fn a_control_host_without_an_answer_is_retried_quickly_for_a_while_only() {
+    let mut schedule = Schedule::new(Moment::from_millis(START), control(9), false);
+    schedule.set_targets([near(0), near(1)]);
+    let hellos = refuse(&mut schedule, &control(0), 0..20_000);
     // 30 at 100 ms, and one each 500 ms in the remaining 17 s.
     assert!((60..=70).contains(&hellos), "{hellos}");
 }
+
+/// Guards against control hosts that send all endpoints to most hosts that start.
+#[test]
+fn starting_hosts_spread_over_six_near_control_hosts() {
+    let play = Play {
+        seed: 1,
+        up: [10; CONTROL_HOSTS],
+        endpoints_ms: 1,
+        max_queue_ms: 1_000,
+        hosts: 240,
+        length_ms: 1_000,
+        is_all_near: true,
+        ..Play::default()
+    };
+    let mut requests: IndexMap<HostId, usize> = IndexMap::new();
+    for record in play.run() {
+        assert_eq!(record.endpoints.len(), 2, "{record:?}");
+        for (_, from) in record.endpoints {
+            *requests.entry(from).or_default() += 1;
+        }
+    }
+    assert_eq!(requests.len(), CONTROL_HOSTS, "{requests:?}");
+    assert!(requests.values().max() <= Some(&120), "{requests:?}");
+}
+
+/// Guards against requests to far control hosts just because their answers arrived first.
+#[test]
+fn a_near_control_host_that_answers_a_little_later_is_asked_first() {
+    for late_ms in [25, 60] {
+        let play = Play {
+            seed: 1,
+            up: [late_ms, late_ms, 0, 0, 0, 0],
+            endpoints_ms: 1,
+            max_queue_ms: 1_000,
+            hosts: 20,
+            length_ms: 500,
+            ..Play::default()
+        };
+        for record in play.run() {
+            let (at, from) = &record.endpoints[0];
+            let is_near = *from == control(0) || *from == control(1);
+            // The wait for near ones ends 40 ms after the first answer.
+            assert_eq!(is_near, late_ms == 25, "{late_ms}: {record:?}");
+            assert!(*at <= 60, "{late_ms}: {record:?}");
+        }
+    }
+}
+
+/// Guards against control hosts that lack the hosts or endpoints that only another one knows.
+#[test]
+fn control_hosts_request_all_endpoints_and_listings_of_all_others() {
+    let play = Play {
+        seed: 1,
+        up: ups(1),
+        endpoints_ms: 5,
+        max_queue_ms: 1_000,
+        hosts: 2,
+        length_ms: 10_000,
+        is_control: true,
+        ..Play::default()
+    };
+    for record in play.run() {
+        assert_eq!(record.sources.len(), CONTROL_HOSTS, "{record:?}");
+        for number in 0..CONTROL_HOSTS {
+            let from = control(number);
+            assert!(record.sources.contains(&from), "{record:?}");
+            let listings = record.listings.iter().filter(|(_, asked)| *asked == from);
+            // Each 0.5 s, also of those in other data centres.
+            assert!((17..=21).contains(&listings.count()), "{record:?}");
+        }
+    }
+}
