Placement: limits of cold endpoints that need no messages

An endpoint crashes above a rate while it is cold, and hosts that count each other's requests overdraw such a rate in a partition. Rendezvous hashing now selects the sharers of a cold endpoint, each of which leaves a time between its requests; engines that are cold take part in no gang.

--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -4,7 +4,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::suspicion::Suspicion;
-use crate::{Cost, DataCentreKey, EndpointKey, Health, JobId};
+use crate::{Cost, DataCentreKey, EndpointKey, Health, Job, JobId, Limits};
 
 /// The share of memory that may be allocated; the rest is left for answers that grow beyond their
 /// estimates.
@@ -54,8 +54,9 @@
     /// The duration of a decode pass.
     pub(crate) pass_ms: f64,
     pub(crate) free_tokens: u64,
-    /// Whether the engine limits its requests.
+    /// Whether the engine names a limit or is cold.
     pub(crate) is_limited: bool,
+    pub(crate) is_cold: bool,
 }
 
 impl Endpoint {
@@ -92,8 +93,39 @@
             pass_ms: cost.pass_ms(self.decodes.len(), self.used_tokens),
             free_tokens: memory.saturating_sub(self.used_tokens),
             is_limited: false,
+            is_cold: false,
         }
     }
+
+    /// Returns the engine's state at `now` with what its limits say.
+    pub(crate) fn limited_candidate(
+        &self,
+        now: Moment,
+        key: EndpointKey,
+        cost: &Cost,
+        limits: &Limits,
+    ) -> Candidate<'_> {
+        let is_cold = limits.warmups().is_cold(now, key);
+        Candidate {
+            is_limited: is_cold || limits.contains(key),
+            is_cold,
+            ..self.candidate(now, key, cost)
+        }
+    }
+}
+
+/// Removes cold engines, which take part in no prefill of several engines. If all are cold, one
+/// that may run the job alone is left.
+pub(crate) fn remove_cold(job: &Job, candidates: &mut Vec<Candidate<'_>>) {
+    if candidates.iter().any(|candidate| !candidate.is_cold) {
+        candidates.retain(|candidate| !candidate.is_cold);
+        return;
+    }
+    let alone = candidates.iter();
+    let alone = alone.filter(|candidate| job.may_be_sent_to(candidate.key));
+    let alone = alone.max_by_key(|candidate| candidate.free_tokens);
+    let alone = alone.map(|candidate| candidate.key);
+    candidates.retain(|candidate| Some(candidate.key) == alone);
 }
 
 impl Candidate<'_> {
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -4,7 +4,8 @@
 //!   the backlog of each engine and chooses how many engines share the prefill of a long prompt.
 //! - [`Balancer`] balances requests over the endpoints of a plain service.
 //! - [`Health`] detects unhealthy endpoints from their responses.
-//! - [`Limits`] keeps the requests of all hosts to an endpoint within the rate that it names.
+//! - [`Limits`] keeps the requests of all hosts to an endpoint within the rate that it names, and
+//!   those to a cold endpoint within an [`Allowance`].
 //! - [`Backoffs`] keeps requests away from endpoints that ask this host for a pause.
 //! - [`Path`] tells whether this host reaches the endpoints of a service.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
@@ -35,7 +36,7 @@
 pub use decision::{Decision, Diagnostics, Harm, Refusal};
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, Waiter};
-pub use limits::{Limits, Place, Summary};
+pub use limits::{Allowance, Limits, Place, Summary, Warmups};
 pub use path::{Change, Path, Route, Trouble};
 pub use planner::Planner;
 pub use rate::Rate;
--- a/crates/kumquatdrum_placement/src/limits.rs
+++ b/crates/kumquatdrum_placement/src/limits.rs
@@ -5,6 +5,8 @@
 //! same moment, before they have heard of each other's, overdraw the bucket by at most one for each
 //! other host. The debt delays later requests, so such requests don't add up. To bound the debt with
 //! hundreds of hosts, only a few of them share an endpoint while it is limited.
+//!
+//! The limits of cold endpoints, see [`Warmups`], hold at the same time.
 
 use std::time::Duration;
 
@@ -15,9 +17,11 @@
 
 mod bucket;
 mod summary;
+mod warmup;
 
 use bucket::Bucket;
 pub use summary::{Place, Summary};
+pub use warmup::{Allowance, Warmups};
 
 /// The interval at which a limit that does not change is announced to other hosts.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,9 +37,20 @@
     local: u32,
     /// The hosts that accept callers, including this one; empty if not known.
     hosts: Vec<u32>,
+    warmups: Warmups,
 }
 
 impl Limits {
+    /// Returns the cold endpoints.
+    pub const fn warmups(&self) -> &Warmups {
+        &self.warmups
+    }
+
+    /// Returns the cold endpoints.
+    pub const fn warmups_mut(&mut self) -> &mut Warmups {
+        &mut self.warmups
+    }
+
     /// Sets the hosts that accept callers, among them this one, by their numbers.
     pub fn set_hosts(&mut self, local: u32, hosts: impl IntoIterator<Item = u32>) {
         let hosts: Vec<u32> = hosts.into_iter().collect();
@@ -49,7 +64,7 @@
         }
     }
 
-    /// Returns whether no endpoint has a limit.
+    /// Returns whether no endpoint names a limit.
     pub fn is_empty(&self) -> bool {
         self.buckets.is_empty()
     }
@@ -72,6 +87,7 @@
             buckets,
             local,
             hosts,
+            ..
         } = self;
         let bucket = buckets.entry(key).or_insert_with(|| Bucket::new(now, rate));
         let is_changed = bucket.rate != rate || bucket.announced_at == Moment::ZERO;
@@ -104,14 +120,18 @@
         if let Some(bucket) = self.buckets.get_mut(&key) {
             bucket.take(now, is_remote);
         }
+        self.warmups.record(now, key, host);
     }
 
     /// Records a request that this host sends to an endpoint.
     pub fn record_local(&mut self, now: Moment, key: EndpointKey) {
-        self.record(now, key, self.local);
+        if let Some(bucket) = self.buckets.get_mut(&key) {
+            bucket.take(now, false);
+        }
+        self.warmups.record_local(now, key);
     }
 
-    /// Returns whether an endpoint has a limit.
+    /// Returns whether an endpoint names a limit.
     pub fn contains(&self, key: EndpointKey) -> bool {
         self.buckets.contains_key(&key)
     }
@@ -120,6 +140,7 @@
     pub fn is_exhausted(&self, now: Moment, key: EndpointKey) -> bool {
         let bucket = self.buckets.get(&key);
         bucket.is_some_and(|bucket| !bucket.is_shared(now) || bucket.tokens_at(now) < 1.0)
+            || self.warmups.is_exhausted(now, key)
     }
 
     /// Forgets limits of endpoints that have not been in use for long.
@@ -127,6 +148,7 @@
         let is_recent = |bucket: &Bucket| now - bucket.named_at <= FORGET_AFTER;
         self.buckets
             .retain(|key, bucket| is_in_use(*key) || is_recent(bucket));
+        self.warmups.retain(now, is_in_use);
     }
 
     /// Summarises the limits of the endpoints that are in use.
@@ -144,6 +166,7 @@
             summary.age = summary.age.max(now - bucket.named_at);
             summary.sharers = summary.sharers.max(bucket.sharers);
         }
+        self.warmups.summarise(now, is_in_use, &mut summary);
         summary
     }
 }
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
-use crate::candidate::{Candidate, Decode, Endpoint};
+use crate::candidate::{Candidate, Decode, Endpoint, remove_cold};
 use crate::demand::{Demand, weight};
 use crate::long_prompt::Placement;
 use crate::queue::Queue;
@@ -139,6 +139,8 @@
         let unlimited = candidates.iter().filter(|candidate| !candidate.is_limited);
         if !is_short && job.memory_tokens() <= memory_tokens * unlimited.count() as u64 {
             candidates.retain(|candidate| !candidate.is_limited);
+        } else if !is_short {
+            remove_cold(job, &mut candidates);
         }
         let plan = if is_short {
             let conditions = short_prompt::Conditions {
@@ -425,10 +427,7 @@
         let chosen = usable.into_iter();
         let chosen = chosen.filter(|(_, endpoint)| !has_healthy || is_healthy(endpoint));
         chosen
-            .map(|(key, endpoint)| Candidate {
-                is_limited: self.limits.contains(*key),
-                ..endpoint.candidate(now, *key, &self.cost)
-            })
+            .map(|(key, endpoint)| endpoint.limited_candidate(now, *key, &self.cost, &self.limits))
             .collect()
     }
 
