Setup and settings: requests to cold endpoints

A service names how long its endpoints are cold and how many requests they take then (coldStartS, coldPerS); the settings name the overage and slack (bounds.coldOverage, bounds.coldSlack). Responses may carry Kumquatdrum-Cold-Ms. Without them nothing is limited.

--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -113,6 +113,8 @@
     pub backoff: Backoff,
     /// Whether the endpoint is leaving.
     pub is_leaving: bool,
+    /// How long the endpoint will be cold, if the response says so.
+    pub cold: Option<Duration>,
 }
 
 impl Reply {
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -35,6 +35,9 @@
     /// The retry budget, shared by all hosts.
     #[serde(default)]
     pub retries: Retries,
+    /// The requests that cold endpoints may get. If missing, they are not limited.
+    #[serde(default)]
+    pub cold: Option<Cold>,
     /// The maximum time that reserved engine memory may stay unused, in milliseconds.
     #[serde(default = "default_unused_memory_ms")]
     pub unused_memory_ms: u64,
@@ -92,6 +95,16 @@
     pub window_s: f64,
 }
 
+/// The requests that all hosts together may send to a cold endpoint in any second, by the rate that
+/// its service takes.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Cold {
+    /// The factor on the rate.
+    pub overage: f64,
+    /// The number of requests in addition to that.
+    pub slack: f64,
+}
+
 impl Default for Retries {
     /// Returns a budget of a tenth of the requests and a few more, which prevents retry storms.
     fn default() -> Self {
--- a/crates/kumquatdrum_placement/tests/cold.rs
+++ b/crates/kumquatdrum_placement/tests/cold.rs
@@ -164,9 +164,10 @@
                 let warmups = host.limits.warmups_mut();
                 warmups.begin(now, KEY, Some(at(end)), is_new);
             }
-            let is_due = match host.is_informed {
-                true => !host.limits.is_exhausted(now, KEY),
-                false => share(&mut random) < course.usual_per_second / 1e3,
+            let is_due = if host.is_informed {
+                !host.limits.is_exhausted(now, KEY)
+            } else {
+                share(&mut random) < course.usual_per_second / 1e3
             };
             if is_due {
                 host.limits.record_local(now, KEY);
--- a/crates/kumquatdrum_routes/src/setup.rs
+++ b/crates/kumquatdrum_routes/src/setup.rs
@@ -90,6 +90,10 @@
     pub health_path: String,
     /// The cost model of the service's engines. `None` for plain services.
     pub engine: Option<Engine>,
+    /// How long an endpoint is cold after its start.
+    pub cold_start: Duration,
+    /// The requests per second that a cold endpoint takes from all hosts; 0 if it is not limited.
+    pub cold_per_second: f64,
 }
 
 /// The capacity and cost model of a model engine.
