Gateway: limit the requests to cold endpoints

Hosts ignored the announced cold time and sent a started endpoint its full load. A state machine (placement::cold) tells from announcements, responses, failures, returns from evacuation, starts and suspensions which endpoints are cold; the pool applies it to the limits, with a line in the log and two metrics. An endpoint that turns cold is broadcast at once.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -87,6 +87,7 @@
             "announcement_ms": 300,
             "drain_ms": 2000,
             "stop_ms": 8000,
+            "cold": {"overage": 1.5, "slack": 5.0},
         });
         if host < CONTROL_HOSTS {
             listen["control"] = json!(self.address(host, 8229).to_string());
@@ -238,8 +239,18 @@
             "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0, "seq": sequence,
             "born": 1,
         });
+        self.send_announcement(host, endpoint, &announcement).await
+    }
+
+    /// Sends an endpoint's announcement once and returns whether that was acknowledged.
+    pub async fn send_announcement(
+        &self,
+        host: usize,
+        endpoint: &Endpoint,
+        announcement: &Value,
+    ) -> bool {
         let path = format!("/-/Instances.Heartbeat/{}", endpoint.id);
-        let answer = self.call_control(host, &path, Some(&announcement)).await;
+        let answer = self.call_control(host, &path, Some(announcement)).await;
         answer.is_some_and(|answer| answer.status() == StatusCode::OK)
     }
 
--- a/crates/kumquatdrum/tests/gateway/limit.rs
+++ b/crates/kumquatdrum/tests/gateway/limit.rs
@@ -58,7 +58,7 @@
 
 /// Sends requests to all hosts, one after the other from each of eight callers, and returns the
 /// number of requests and of those that were served.
-async fn load(cluster: Arc<Cluster>, path: &'static str, until: Instant) -> (usize, usize) {
+pub async fn load(cluster: Arc<Cluster>, path: &'static str, until: Instant) -> (usize, usize) {
     let caller_hosts = cluster.hosts() - CONTROL_HOSTS;
     let mut callers = JoinSet::new();
     for caller in 0..8 {
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod cluster;
+mod cold;
 mod control;
 mod crash;
 mod crash_part;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -131,6 +131,7 @@
         }
         if !reply.is_misdirected {
             pick.record_limit(&reply.limit);
+            pick.record_cold(reply.cold);
         }
         if self.is_stream() && status == StatusCode::OK {
             return Outcome::Stream(Box::new(exchange));
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -171,7 +171,7 @@
                 retry_after: self.time_left(),
             },
             Rejection::Limited(wait) => Problem::Refused {
-                reason: "its endpoints have reached the limits that they name",
+                reason: "its endpoints have reached their limits",
                 retry_after: wait,
             },
             Rejection::Held(wait) => Problem::Refused {
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -79,7 +79,7 @@
         for update in updates {
             let received = update.clone();
             let change = self.state.lock().registry.merge(now, update);
-            has_changed |= matches!(change, Change::New | Change::Changed);
+            has_changed |= change.is_news();
             self.log_and_notify(change, Some(&received), from);
         }
         has_changed
@@ -204,8 +204,7 @@
 
     /// Logs a new or changed endpoint, and wakes the task that waits for changes.
     fn log_and_notify(&self, change: Change, update: Option<&Update>, from: &str) {
-        let Some(update) = update.filter(|_| matches!(change, Change::New | Change::Changed))
-        else {
+        let Some(update) = update.filter(|_| change.is_news()) else {
             return;
         };
         self.changed.notify_one();
@@ -214,6 +213,7 @@
             "endpoint" => endpoint.id.as_str(), "incarnation" => endpoint.started,
             "sequence" => endpoint.sequence, "service" => endpoint.service.as_str(),
             "address" => %endpoint.address, "leaving" => endpoint.leaving,
+            "cold_ms" => endpoint.warming_ms,
             "gone" => update.gone, "age_ms" => update.age_ms, "from" => from);
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -212,6 +212,7 @@
         let (suspects, blocked) = self.quarantine.counts();
         self.metrics.suspects.set(suspects as i64);
         self.metrics.blocked.set(blocked as i64);
+        self.metrics.cold.set(self.pool.count_cold() as i64);
         self.metrics.update_peer_bytes(&self.traffic);
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/probe.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/probe.rs
@@ -82,6 +82,9 @@
             is_repeatable: false,
         };
         let deadline = Instant::now() + paths.patience(&service, PROBE_TIMEOUT);
-        self.upstream.probe(&target, request, deadline).await;
+        let reply = self.upstream.probe(&target, request, deadline).await;
+        if let Some(reply) = reply.filter(|reply| !reply.is_misdirected) {
+            self.pool.record_cold(endpoint, reply.cold);
+        }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -204,12 +204,7 @@
     let broadcaster = broadcaster.transpose()?;
     let boot = local.identity.boot.0;
     let quarantine = build_quarantine(clock, boot, broadcaster.clone(), &hosts, &logger);
-    let paths = Arc::new(Paths::new(paths::Dependencies {
-        clock,
-        endpoints: endpoints.clone(),
-        metrics: metrics.clone(),
-        logger: logger.clone(),
-    }));
+    let paths = build_paths(clock, &endpoints, &metrics, &logger);
     let relays = Relays::new(relay::Dependencies {
         clock,
         hosts: hosts.clone(),
@@ -240,6 +235,8 @@
         hosts: hosts.clone(),
         broadcaster: broadcaster.clone(),
         retries: settings.retries,
+        cold: settings.cold,
+        metrics: metrics.clone(),
         announcement_interval: Duration::from_millis(settings.announcement_ms),
         number,
         data_centre: settings.data_centre.clone(),
@@ -279,6 +276,20 @@
     Ok((gateway, departures))
 }
 
+fn build_paths(
+    clock: Clock,
+    endpoints: &Arc<Endpoints>,
+    metrics: &Arc<Metrics>,
+    logger: &slog::Logger,
+) -> Arc<Paths> {
+    Arc::new(Paths::new(paths::Dependencies {
+        clock,
+        endpoints: endpoints.clone(),
+        metrics: metrics.clone(),
+        logger: logger.clone(),
+    }))
+}
+
 /// Returns this host's description of itself.
 fn describe(settings: &Settings, local: &LocalDaemon) -> Host {
     Host {
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -360,6 +360,27 @@
         others.count() + usize::from(state.local.accepts_callers)
     }
 
+    /// Returns the numbers of the hosts that [`Self::count_caller_hosts`] counts, in order.
+    pub fn remembered_caller_numbers(&self) -> Vec<u32> {
+        let state = self.state.lock();
+        let others = state.others.values().map(|entry| &entry.host);
+        let all = others.chain(std::iter::once(&state.local));
+        let callers = all.filter(|host| host.accepts_callers);
+        let addresses = callers.filter_map(|host| address(&host.id));
+        let mut numbers: Vec<u32> = addresses.map(number).collect();
+        numbers.sort_unstable();
+        numbers
+    }
+
+    /// Returns whether this host has had a complete listing and contact to a majority of the control
+    /// hosts.
+    pub fn has_complete_listing(&self) -> bool {
+        let state = self.state.lock();
+        let has_listing = state.local.is_control || !state.reports.is_empty();
+        drop(state);
+        has_listing && self.has_control_majority()
+    }
+
     /// Returns the numbers of the live hosts that accept callers, including this one.
     pub fn caller_numbers(&self) -> Vec<u32> {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/src/hosts/reports.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/reports.rs
@@ -46,6 +46,11 @@
         report.received = now;
     }
 
+    /// Returns whether no control host has reported. The first report is complete.
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+    }
+
     /// Returns the version of the last listing from a control host.
     pub fn version(&self, from: &HostId) -> Option<Checkpoint> {
         self.reports.get(from).map(|report| report.version)
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use kumquatdrum_peer::{Channel, Counters};
 use kumquatdrum_process::Registry;
-use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 /// The bucket bounds in seconds, around the expected times to the first token.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] = [
@@ -33,6 +33,10 @@
     pub blocked: IntGauge,
     /// Responses that keep further requests from their endpoint, by reason.
     pub holds: IntCounterVec,
+    /// Cold endpoints.
+    pub cold: IntGauge,
+    /// Requests that were placed while a cold endpoint could not get them.
+    pub moved_from_cold: IntCounter,
     /// Requests that were sent through another host, by outcome.
     pub relayed: IntCounterVec,
     /// Changes of what this host reaches, by kind.
@@ -83,6 +87,11 @@
                 "Responses that keep further requests from their endpoint, by reason.",
                 &["reason"],
             )?,
+            cold: r.gauge("kumquatdrum_gateway_cold_endpoints", "Cold endpoints.")?,
+            moved_from_cold: r.counter(
+                "kumquatdrum_gateway_moved_from_cold_total",
+                "Requests placed elsewhere while a cold endpoint had had its share.",
+            )?,
             relayed: r.counter_vec(
                 "kumquatdrum_gateway_relayed_total",
                 "Requests that were sent through another host, by outcome.",
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
+use kumquatdrum_placement::cold::Tracker;
 use kumquatdrum_placement::{Budget, DataCentreKey, EndpointKey, Job, JobId, Planner, Waiter};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -20,9 +21,11 @@
 use crate::holds::Holds;
 use crate::hosts::Hosts;
 use crate::message::Event;
+use crate::metrics::Metrics;
 use crate::paths::Paths;
-use crate::settings::Retries;
+use crate::settings::{Cold, Retries};
 
+mod cold;
 mod events;
 mod hold;
 mod limit;
@@ -61,6 +64,10 @@
     pub broadcaster: Option<Arc<Broadcaster>>,
     /// The retry budget, shared by all hosts.
     pub retries: Retries,
+    /// The requests that cold endpoints may get; if `None`, they are not limited.
+    pub cold: Option<Cold>,
+    /// The host's metrics.
+    pub metrics: Arc<Metrics>,
     /// The interval between an endpoint's announcements.
     pub announcement_interval: Duration,
     /// A number that identifies this host among the dispatching hosts.
@@ -78,6 +85,8 @@
     next_job: AtomicU64,
     /// Failures that other hosts have not been told yet.
     unreported: Mutex<Vec<Unreported>>,
+    /// Which endpoints are cold. Locked after the state of a service.
+    cold: Mutex<Tracker>,
 }
 
 struct Service {
@@ -92,6 +101,8 @@
     engine: Option<Engine>,
     policy: Policy,
     budget: Budget,
+    /// How long an endpoint is cold after its start.
+    cold_start: Duration,
     directory: IndexMap<EndpointKey, Announcement>,
     /// The endpoints of `directory` that are leaving, and until when they serve.
     leaving: IndexMap<EndpointKey, Moment>,
@@ -108,7 +119,7 @@
     TooCostly,
     /// No engine had capacity in time.
     NoCapacity(Waiter),
-    /// All endpoints have reached the limits that they name. Holds the expected wait.
+    /// All endpoints have reached their limits. Holds the expected wait.
     Limited(Duration),
     /// All endpoints have asked for a back-off. Holds the expected wait.
     Held(Duration),
@@ -119,7 +130,11 @@
     pub fn new(dependencies: Dependencies) -> Self {
         // Job numbers must not repeat after a restart of this host.
         let first = kumquatdrum_process::clock::unix_ms() << 16;
+        let interval = dependencies.announcement_interval;
+        let max_silence = interval * MAX_MISSED_ANNOUNCEMENTS;
+        let cold = Tracker::new(dependencies.clock.now(), interval, max_silence);
         Self {
+            cold: Mutex::new(cold),
             dependencies,
             services: RwLock::default(),
             next_job: AtomicU64::new(first),
@@ -140,6 +155,7 @@
             }
         }
         drop(services);
+        self.configure_cold(setup);
         self.refresh();
     }
 
@@ -164,6 +180,7 @@
             engine: engine.cloned(),
             policy,
             budget: Budget::new(retries.ratio, retries.slack, window),
+            cold_start: Duration::ZERO,
             directory: IndexMap::new(),
             leaving: IndexMap::new(),
         };
@@ -184,6 +201,8 @@
 
     /// Replaces the endpoints of all services with the currently announced ones.
     pub fn refresh(&self) {
+        let now = self.dependencies.clock.now();
+        self.cold.lock().record_activity(now);
         for service in self.services.read().values() {
             self.refresh_service(service);
         }
@@ -213,6 +232,7 @@
             })
             .unzip();
         let mut state = service.state.lock();
+        let made_at: Vec<Moment> = announced.iter().map(|(_, at)| *at).collect();
         match &mut state.policy {
             Policy::Engines(planner) => {
                 let grouped = directory.iter();
@@ -233,6 +253,7 @@
         state.directory = directory;
         state.leaving = leaving_keys;
         self.refresh_limits(&mut state);
+        self.refresh_cold(service, &mut state, &made_at);
         drop(state);
         service.changed.notify_waiters();
     }
--- a/crates/kumquatdrum_gateway/src/pool/limit.rs
+++ b/crates/kumquatdrum_gateway/src/pool/limit.rs
@@ -1,4 +1,4 @@
-//! Limits that endpoints name, and the jobs that wait for them.
+//! Limits of endpoints, and the jobs that wait for them.
 
 use std::time::Duration;
 
@@ -126,7 +126,8 @@
         // Without a limit or a hold, the job waits for others to be sent first.
         let is_free = summary.endpoints == 0 && hold_end.is_none();
         let hold_end = hold_end.or(is_free.then_some(now));
-        summary.held_for = hold_end.map(|end| end - now);
+        let held_for = hold_end.map(|end| end - now);
+        summary.held_for = summary.held_for.into_iter().chain(held_for).min();
         // Only its own exclusions keep such a job waiting, so it must not hold up others.
         let is_alone = was_next && self.has_free_endpoint(&state, now);
         drop(state);
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -90,6 +90,9 @@
             let from = data_centre_key(&self.pool.dependencies.data_centre);
             self.record_unreachable(&mut state, self.key, from);
         }
+        if failure.breaks_connection() {
+            self.pool.record_cold_failure(&mut state, self.key);
+        }
         let is_ejected = match &mut state.policy {
             Policy::Engines(planner) => planner.record_failure(now, self.key, failure),
             Policy::Plain(balancer) => balancer.record_failure(now, self.key, failure),
@@ -118,6 +121,7 @@
         if let Some(from) = from {
             self.record_unreachable(&mut state, key, from);
         }
+        self.pool.record_cold_failure(&mut state, key);
         warn!(self.pool.dependencies.logger, "helper_failed"; "event" => "helper_failed",
             "request" => request, "endpoint" => self.endpoint.id.as_str(), "helper" => name);
         Some(key)
--- a/crates/kumquatdrum_gateway/src/pool/place.rs
+++ b/crates/kumquatdrum_gateway/src/pool/place.rs
@@ -21,6 +21,7 @@
         request: &str,
         job: &Job,
     ) -> Result<Option<Pick>, Rejection> {
+        self.note_activity();
         let mut state = service.state.lock();
         let held = self.dependencies.holds.held(state.directory.keys());
         let avoided = self.avoided(&state, job, &held);
@@ -55,10 +56,14 @@
         (request, job): (&str, &Job),
         is_held: bool,
     ) -> Result<Option<Pick>, Rejection> {
-        match state.policy {
+        let picked = match state.policy {
             Policy::Engines(_) => self.pick_engine(service, state, (request, job), is_held),
             Policy::Plain(_) => self.pick_plain(service, state, job, is_held),
+        };
+        if matches!(picked, Ok(Some(_))) {
+            self.count_moved(state);
         }
+        picked
     }
 
     /// Picks an engine, see [`Self::pick_among`].
--- a/crates/kumquatdrum_gateway/src/pool/unreachable.rs
+++ b/crates/kumquatdrum_gateway/src/pool/unreachable.rs
@@ -49,6 +49,7 @@
         if !planner.record_unreachable(now, key, from) {
             return;
         }
+        self.record_cold_failure(state, key);
         let endpoint = state.directory.get(&key);
         info!(self.dependencies.logger, "endpoint_suspected"; "event" => "endpoint_suspected",
             "endpoint" => endpoint.map_or("unknown", |endpoint| endpoint.id.as_str()),
@@ -90,10 +91,13 @@
         let Some(service) = self.find_service(name) else {
             return;
         };
-        match &mut service.state.lock().policy {
+        let mut state = service.state.lock();
+        match &mut state.policy {
             Policy::Engines(planner) => planner.forget_failures(),
             Policy::Plain(balancer) => balancer.forget_failures(),
         }
+        self.forget_cold_failures(&mut state);
+        drop(state);
         service.changed.notify_waiters();
     }
 }
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -229,13 +229,14 @@
         }
     }
 
-    /// Finds out whether an endpoint answers directly and, if not, whether it answers a relay.
+    /// Finds out whether an endpoint answers directly and, if not, whether it answers a relay. Returns
+    /// what a direct answer says.
     pub async fn probe(
         &self,
         target: &Target<'_>,
         request: Request<Full<Bytes>>,
         deadline: Instant,
-    ) {
+    ) -> Option<Reply> {
         let timeout = deadline - Instant::now();
         let connected = self.connect(target, deadline).await;
         let answered = match connected {
@@ -248,7 +249,8 @@
         let paths = &self.0.paths;
         match answered {
             // The answer is recorded when it arrives. A hold says nothing about the path.
-            Ok(_) | Err(Error::Held { .. }) => return,
+            Ok(exchange) => return Some(exchange.reply),
+            Err(Error::Held { .. }) => return None,
             Err(_) => paths.record_failed_probe(target.endpoint),
         }
         let is_known = paths.is_cut(&target.endpoint.service);
@@ -256,6 +258,7 @@
         if !is_known && self.send_by_relay(target, &request, deadline).await.is_ok() {
             paths.record_relayed_answer(target.endpoint);
         }
+        None
     }
 
     /// Returns the error of a request that neither this host nor a relay could send.
--- /dev/null
+++ b/crates/kumquatdrum_placement/src/cold.rs
@@ -0,0 +1,321 @@
+//! Tells which endpoints are cold, from their announcements, responses and failures.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use kumquatdrum_types::{Moment, ServiceName};
+
+use crate::{DataCentreKey, EndpointKey};
+
+/// The time between two signs of this host's activity above which it was suspended. A busy host
+/// refreshes its endpoints every 1.3 s at most.
+const SUSPENDED_AFTER: Duration = Duration::from_secs(3);
+/// The least time by which an announcement must be later than an event to be made after it. It
+/// covers the transit of announcements, by which they seem to be later than they are.
+const TRANSIT_MARGIN: Duration = Duration::from_millis(100);
+/// How long an endpoint that is no longer announced is remembered. An incarnation that returns after
+/// a network partition has not started anew.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// The time for which a host knows all hosts before it sends requests to cold endpoints. Other hosts
+/// learn of it meanwhile: hellos are sent every second at least, listings requested twice a second.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// The time without a majority of the control hosts after which a host sends no requests to cold
+/// endpoints. It ends before the majority forgets the host, which takes 20 s.
+const MAX_ISOLATION: Duration = Duration::from_secs(15);
+/// The time in which a host that was isolated for longer learns of the hosts that it has forgotten,
+/// from each control host in turn.
+const RESETTLE_TIME: Duration = Duration::from_secs(8);
+
+/// The reason why an endpoint is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Its announcement says so.
+    Announced,
+    /// One of its responses says so.
+    Responded,
+    /// It has started.
+    Started,
+    /// It failed and has not announced itself since.
+    Failed,
+    /// The evacuation of its data centre has ended.
+    Returned,
+    /// This host has started or was suspended, and has not heard from it since.
+    Unheard,
+    /// It is silent, while other endpoints of its service are not.
+    Silent,
+}
+
+/// That an endpoint is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status {
+    /// The reason that holds for the longest time.
+    pub reason: Reason,
+    /// The end of the cold time. `None` if it ends with an announcement of the endpoint.
+    pub end: Option<Moment>,
+}
+
+/// What is known of an endpoint at some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Assessment {
+    /// That the endpoint is cold; `None` if it is warm.
+    pub status: Option<Status>,
+    /// Whether the endpoint has turned cold or warm since the last assessment.
+    pub has_turned: bool,
+    /// Whether the endpoint has just appeared, so that this host has sent it no requests.
+    pub is_new: bool,
+}
+
+/// The newest announcement of an endpoint's incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sighting {
+    /// The incarnation's key.
+    pub key: EndpointKey,
+    /// The endpoint's data centre.
+    pub data_centre: DataCentreKey,
+    /// When the announcement was made.
+    pub made_at: Moment,
+    /// How long the endpoint was to stay cold then.
+    pub warming: Duration,
+}
+
+/// The cold endpoints of all services, as known to one host.
+#[derive(Debug)]
+pub struct Tracker {
+    /// The age above which an endpoint's last announcement makes it silent.
+    max_silence: Duration,
+    /// Announcements made before do not show that an endpoint is warm.
+    heard_after: Moment,
+    active_at: Moment,
+    /// The services whose endpoints have been seen.
+    services: IndexSet<ServiceName>,
+    endpoints: IndexMap<EndpointKey, Endpoint>,
+    /// When the evacuations of data centres ended.
+    returned: IndexMap<DataCentreKey, Moment>,
+    membership: Membership,
+    /// Whether this host has known all hosts for long enough once. Endpoints that appeared earlier
+    /// were there when it started.
+    has_started: bool,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    sighting: Sighting,
+    cold_start: Duration,
+    /// Whether any endpoint of the service is not silent.
+    has_heard_siblings: bool,
+    seen_at: Moment,
+    /// When the incarnation appeared. `None` if it was there when this host started.
+    appeared_at: Option<Moment>,
+    failed_at: Option<Moment>,
+    /// When a response said that the endpoint is cold, and until when.
+    responded: Option<(Moment, Moment)>,
+    /// Whether the endpoint was cold when it was last assessed. `None` before.
+    was_cold: Option<bool>,
+}
+
+/// What a host knows of the other hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Membership {
+    Unknown,
+    /// All hosts are known to this one, and it to them from the second time on.
+    Known {
+        confirmed_at: Moment,
+        settled_at: Moment,
+    },
+    /// This host was isolated for long.
+    Isolated,
+}
+
+impl Tracker {
+    /// Creates the state of a host that starts, whose endpoints announce themselves at an interval and
+    /// are silent if their last announcement is older than `max_silence`.
+    pub fn new(now: Moment, announcement_interval: Duration, max_silence: Duration) -> Self {
+        Self {
+            max_silence,
+            heard_after: now.saturating_sub(announcement_interval),
+            active_at: now,
+            services: IndexSet::new(),
+            endpoints: IndexMap::new(),
+            returned: IndexMap::new(),
+            membership: Membership::Unknown,
+            has_started: false,
+        }
+    }
+
+    /// Records that this host is active. Returns whether it was suspended before, so that what it knows
+    /// of endpoints is out of date.
+    pub fn record_activity(&mut self, now: Moment) -> bool {
+        let is_resumed = now - self.active_at > SUSPENDED_AFTER;
+        self.active_at = self.active_at.max(now);
+        if is_resumed {
+            self.heard_after = now;
+        }
+        is_resumed
+    }
+
+    /// Returns whether this host may send requests to cold endpoints, as it knows all hosts that do.
+    /// `is_complete` states whether it has a listing of all hosts and contact to a majority of the
+    /// control hosts.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::cold::Tracker;
+    /// # use kumquatdrum_types::Moment;
+    /// # use std::time::Duration;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let start = Moment::from_millis(60_000);
+    /// let mut tracker = Tracker::new(start, second, second * 4);
+    /// assert!(!tracker.settle(start, true));
+    /// assert!(tracker.settle(start + second * 2, true));
+    /// // A short isolation changes nothing.
+    /// assert!(tracker.settle(start + second * 10, false));
+    /// assert!(!tracker.settle(start + second * 20, false));
+    /// ```
+    pub fn settle(&mut self, now: Moment, is_complete: bool) -> bool {
+        self.membership = match self.membership {
+            Membership::Unknown if is_complete => Membership::Known {
+                confirmed_at: now,
+                settled_at: now + SETTLE_TIME,
+            },
+            Membership::Known { confirmed_at, .. } if now - confirmed_at > MAX_ISOLATION => {
+                Membership::Isolated
+            }
+            Membership::Known { settled_at, .. } if is_complete => Membership::Known {
+                confirmed_at: now,
+                settled_at,
+            },
+            Membership::Isolated if is_complete => Membership::Known {
+                confirmed_at: now,
+                settled_at: now + RESETTLE_TIME,
+            },
+            membership => membership,
+        };
+        let is_settled =
+            matches!(self.membership, Membership::Known { settled_at, .. } if now >= settled_at);
+        self.has_started |= is_settled;
+        is_settled
+    }
+
+    /// Records the endpoints of a service that are known now.
+    pub fn update(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        cold_start: Duration,
+        sightings: &[Sighting],
+    ) {
+        let is_silent = |sighting: &Sighting| now - sighting.made_at > self.max_silence;
+        let has_heard_siblings = sightings.iter().any(|sighting| !is_silent(sighting));
+        let was_there = self.services.insert(service.clone()) || !self.has_started;
+        for sighting in sightings {
+            let endpoint = self.endpoints.entry(sighting.key);
+            let endpoint = endpoint.or_insert_with(|| Endpoint {
+                sighting: *sighting,
+                cold_start,
+                has_heard_siblings,
+                seen_at: now,
+                appeared_at: (!was_there).then_some(now),
+                failed_at: None,
+                responded: None,
+                was_cold: None,
+            });
+            endpoint.sighting = *sighting;
+            endpoint.cold_start = cold_start;
+            endpoint.has_heard_siblings = has_heard_siblings;
+            endpoint.seen_at = now;
+        }
+        self.endpoints
+            .retain(|_, endpoint| now - endpoint.seen_at <= FORGET_AFTER);
+    }
+
+    /// Records that an endpoint could not be connected to, or broke a connection.
+    pub fn record_failure(&mut self, now: Moment, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.failed_at = Some(now);
+        }
+    }
+
+    /// Forgets the failures of endpoints, which the path to them explains.
+    pub fn forget_failures(&mut self, keys: impl IntoIterator<Item = EndpointKey>) {
+        for key in keys {
+            if let Some(endpoint) = self.endpoints.get_mut(&key) {
+                endpoint.failed_at = None;
+            }
+        }
+    }
+
+    /// Records that a response of an endpoint says how long it will be cold.
+    pub fn record_response(&mut self, now: Moment, key: EndpointKey, left: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.responded = Some((now, now + left));
+        }
+    }
+
+    /// Records that the endpoints of a data centre get requests again after an evacuation.
+    pub fn record_return(&mut self, now: Moment, data_centre: DataCentreKey) {
+        self.returned.insert(data_centre, now);
+    }
+
+    /// Tells whether an endpoint is cold.
+    pub fn assess(&mut self, now: Moment, key: EndpointKey) -> Assessment {
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return Assessment {
+                status: None,
+                has_turned: false,
+                is_new: false,
+            };
+        };
+        let returned_at = self.returned.get(&endpoint.sighting.data_centre);
+        let is_silent = now - endpoint.sighting.made_at > self.max_silence;
+        let status = endpoint.status(now, self.heard_after, returned_at.copied(), is_silent);
+        let was_cold = endpoint.was_cold.replace(status.is_some());
+        Assessment {
+            status,
+            has_turned: was_cold.unwrap_or(false) != status.is_some(),
+            is_new: was_cold.is_none() && endpoint.appeared_at.is_some(),
+        }
+    }
+}
+
+impl Endpoint {
+    fn status(
+        &self,
+        now: Moment,
+        heard_after: Moment,
+        returned_at: Option<Moment>,
+        is_silent: bool,
+    ) -> Option<Status> {
+        let Sighting {
+            made_at, warming, ..
+        } = self.sighting;
+        let has_spoken_since = |since: Moment| made_at > since + TRANSIT_MARGIN;
+        let is_warm_since = |since: Moment| warming.is_zero() && has_spoken_since(since);
+        let ends_at = |reason, end: Moment| Status {
+            reason,
+            end: Some(end),
+        };
+        let lasts = |reason| Status { reason, end: None };
+        let cold_start = self.cold_start;
+        let announced = ends_at(Reason::Announced, made_at + warming);
+        let started = self.appeared_at;
+        let started = started.map(|at| ends_at(Reason::Started, at + cold_start));
+        let responded = self.responded.filter(|(at, _)| !is_warm_since(*at));
+        let responded = responded.map(|(_, until)| ends_at(Reason::Responded, until));
+        let failed = self.failed_at.filter(|at| !has_spoken_since(*at));
+        // If no announcements arrive, none can end the cold time.
+        let failed = failed.filter(|at| self.has_heard_siblings || now < *at + cold_start);
+        let failed = failed.map(|_| lasts(Reason::Failed));
+        let returned = returned_at.filter(|at| !is_warm_since(*at));
+        let returned = returned.map(|at| ends_at(Reason::Returned, at + cold_start));
+        let is_unheard = made_at < heard_after && now < heard_after + cold_start;
+        let unheard = is_unheard.then(|| lasts(Reason::Unheard));
+        let silent = is_silent && self.has_heard_siblings;
+        let silent = silent.then(|| lasts(Reason::Silent));
+        let reasons = [Some(announced), started, responded, failed];
+        let reasons = reasons.into_iter().chain([returned, unheard, silent]);
+        let in_force = reasons
+            .flatten()
+            .filter(|status| status.end.is_none_or(|end| now < end));
+        in_force.max_by_key(|status| status.end.unwrap_or(Moment::NEVER))
+    }
+}
--- a/crates/kumquatdrum_placement/src/health.rs
+++ b/crates/kumquatdrum_placement/src/health.rs
@@ -19,6 +19,13 @@
     Error,
 }
 
+impl Failure {
+    /// Returns whether no connection could be opened or one broke, as if the endpoint had crashed.
+    pub const fn breaks_connection(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Down | Self::Broken)
+    }
+}
+
 /// Tracks the failures of an endpoint and ejects it.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Health`] detects unhealthy endpoints from their responses.
 //! - [`Limits`] keeps the requests of all hosts to an endpoint within the rate that it names, and
 //!   those to a cold endpoint within an [`Allowance`].
+//! - [`cold`] tells which endpoints are cold.
 //! - [`Backoffs`] keeps requests away from endpoints that ask this host for a pause.
 //! - [`Path`] tells whether this host reaches the endpoints of a service.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
@@ -13,6 +14,7 @@
 mod backoff;
 mod balancer;
 mod candidate;
+pub mod cold;
 mod cost;
 mod decision;
 mod demand;
--- a/crates/kumquatdrum_placement/src/limits/warmup.rs
+++ b/crates/kumquatdrum_placement/src/limits/warmup.rs
@@ -13,7 +13,8 @@
 use super::Summary;
 use crate::{EndpointKey, Rate};
 
-/// The expected time until an endpoint announces itself, if it is cold until then.
+/// The expected time until an endpoint announces itself, if it is cold until then, and until a host
+/// knows all hosts.
 const EXPECTED_NEWS: Duration = Duration::from_millis(1_500);
 /// How long the last request to an endpoint is remembered after the endpoint was cold.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -239,7 +240,9 @@
         for (_, warmup) in cold {
             summary.endpoints += 1;
             summary.per_second += allowance.rate.per_second();
-            let held_for = [summary.held_for, warmup.expected_end(now)];
+            // A host that doesn't know all hosts soon will.
+            let settles = self.hosts.is_none().then_some(EXPECTED_NEWS);
+            let held_for = [summary.held_for, warmup.expected_end(now), settles];
             summary.held_for = held_for.into_iter().flatten().min();
             if let Some(share) = warmup.share {
                 let next = (warmup.sent_at + share.interval - now).as_secs_f64();
--- a/crates/kumquatdrum_placement/tests/cold.rs
+++ b/crates/kumquatdrum_placement/tests/cold.rs
@@ -273,6 +273,15 @@
 #[test]
 fn jobs_wait_for_the_end_of_the_cold_time_at_a_host_that_may_not_send() {
     let mut limits = limits();
+    let others = (0..300).filter(|number| *number != 1);
+    let is_sharer = |limits: &mut Limits, hosts: Vec<u32>| {
+        limits.warmups_mut().set_hosts(START, 1, Some(hosts));
+        !limits.is_exhausted(at(3_900), KEY)
+    };
+    limits
+        .warmups_mut()
+        .begin(START, KEY, Some(at(4_000)), false);
+    assert!(!is_sharer(&mut limits, others.chain([1]).collect()));
     limits
         .warmups_mut()
         .begin(START, KEY, Some(at(4_000)), false);
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -19,12 +19,21 @@
     New,
     /// The endpoint is leaving, has left, or has a new address.
     Changed,
+    /// The endpoint has turned cold.
+    Cooled,
     /// The announcement is newer but changes nothing else.
     Refreshed,
     /// The announcement is not newer than the registered one.
     Stale,
 }
 
+impl Change {
+    /// Returns whether anything but the age of the announcement has changed.
+    pub const fn is_news(self) -> bool {
+        matches!(self, Self::New | Self::Changed | Self::Cooled)
+    }
+}
+
 /// Whether an endpoint stays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Presence {
@@ -228,6 +237,7 @@
             order => {
                 let before = (entry.is_gone, known.leaving, known.address);
                 let leaving = known.leaving || announcement.leaving;
+                let has_cooled = known.warming_ms == 0 && announcement.warming_ms > 0;
                 if order == std::cmp::Ordering::Greater {
                     entry.announcement = announcement.clone();
                     entry.heard_at = entry.heard_at.max(heard_at);
@@ -240,6 +250,7 @@
                 let after = (entry.is_gone, leaving, entry.announcement.address);
                 match order {
                     _ if before != after => Change::Changed,
+                    std::cmp::Ordering::Greater if has_cooled => Change::Cooled,
                     std::cmp::Ordering::Greater => Change::Refreshed,
                     _ => Change::Stale,
                 }
--- a/crates/kumquatdrum_registry/tests/registry.rs
+++ b/crates/kumquatdrum_registry/tests/registry.rs
@@ -184,3 +184,17 @@
     assert_eq!(registry.presence(&next, grace), Presence::Staying);
     assert_eq!(registry.presence(&known, grace), Presence::Gone);
 }
+
+#[test]
+fn an_endpoint_that_turns_cold_is_news_once_and_by_its_newest_announcement_only() {
+    let warming = |sequence, warming_ms| Announcement {
+        warming_ms,
+        ..announcement("a", 1, sequence)
+    };
+    let mut registry = Registry::default();
+    registry.announce(NOW, warming(1, 0));
+    assert_eq!(registry.announce(NOW, warming(3, 9_000)), Change::Cooled);
+    assert_eq!(registry.announce(NOW, warming(4, 8_000)), Change::Refreshed);
+    assert_eq!(registry.announce(NOW, warming(2, 0)), Change::Stale);
+    assert_eq!(registry.announce(NOW, warming(5, 0)), Change::Refreshed);
+}
