--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -158,12 +158,15 @@
 }
 
 /// Chooses the engines that share a short prefill longer than a pass, those with the fewest answers
-/// first.
+/// first. A cold engine prefills alone.
 pub(crate) fn choose_helpers(
     candidates: &[Candidate<'_>],
     first: &Candidate<'_>,
     prefill_ms: f64,
 ) -> Vec<Helper> {
+    if first.is_cold {
+        return Vec::new();
+    }
     let wanted = (prefill_ms / MIN_PART_MS) as usize;
     let available = candidates
         .iter()
--- a/crates/kumquatdrum_placement/tests/cold.rs
+++ b/crates/kumquatdrum_placement/tests/cold.rs
@@ -392,6 +392,20 @@
     }
 }
 
+#[test]
+fn a_cold_engine_prefills_a_short_prompt_alone() {
+    // All engines but the cold one are excluded as the first.
+    let mut planner = planner(6, [1]);
+    let job = Job {
+        first: Some(EndpointKey(1)),
+        ..job(1, 24_000)
+    };
+    match planner.place(at(1_000), &job) {
+        Decision::Send(plan, _) => assert_eq!(plan.prefill_engines().count(), 1),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn prompts_wait_if_all_engines_are_cold_and_have_had_their_requests() {
     let mut planner = planner(2, 1..=2);
