--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -286,3 +286,22 @@
         None
     );
 }
+
+/// A host that chose the senders to cold endpoints among the few hosts that it knows, or only among
+/// live ones, would choose others than the rest do.
+#[tokio::test]
+async fn a_host_knows_all_caller_hosts_with_the_listing_of_a_majority_only() {
+    let local = hosts(&host(3, 5, false));
+    let control = [1, 2].map(|number| host(number, 5, true));
+    local.set_seeds(control.iter().map(|host| host.id.clone()).collect());
+    local.record_contact(control[0].clone());
+    let lost_ms = 9_000;
+    let listing = build_listing(1, true, &[(4, 100), (5, lost_ms)]);
+    local.merge_listing(&control[0].id, listing);
+    assert!(!local.has_complete_listing());
+    local.record_contact(control[1].clone());
+    assert!(local.has_complete_listing());
+    let numbers = [3, 4, 5].map(|number| 0x0a00_0000 + number);
+    assert_eq!(local.remembered_caller_numbers(), numbers);
+    assert_eq!(local.caller_numbers().len(), 2);
+}
--- a/crates/kumquatdrum_placement/src/cold.rs
+++ b/crates/kumquatdrum_placement/src/cold.rs
@@ -13,6 +13,8 @@
 /// The least time by which an announcement must be later than an event to be made after it. It
 /// covers the transit of announcements, by which they seem to be later than they are.
 const TRANSIT_MARGIN: Duration = Duration::from_millis(100);
+/// The time after its start in which a host learns of the endpoints that were there before.
+const STARTING_TIME: Duration = Duration::from_secs(10);
 /// How long an endpoint that is no longer announced is remembered. An incarnation that returns after
 /// a network partition has not started anew.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
@@ -92,9 +94,9 @@
     /// When the evacuations of data centres ended.
     returned: IndexMap<DataCentreKey, Moment>,
     membership: Membership,
-    /// Whether this host has known all hosts for long enough once. Endpoints that appeared earlier
-    /// were there when it started.
-    has_started: bool,
+    started_at: Moment,
+    /// Whether this host has settled once. Endpoints that appeared earlier were there when it started.
+    has_settled: bool,
 }
 
 #[derive(Debug)]
@@ -138,7 +140,8 @@
             endpoints: IndexMap::new(),
             returned: IndexMap::new(),
             membership: Membership::Unknown,
-            has_started: false,
+            started_at: now,
+            has_settled: false,
         }
     }
 
@@ -192,7 +195,7 @@
         };
         let is_settled =
             matches!(self.membership, Membership::Known { settled_at, .. } if now >= settled_at);
-        self.has_started |= is_settled;
+        self.has_settled |= is_settled;
         is_settled
     }
 
@@ -206,7 +209,8 @@
     ) {
         let is_silent = |sighting: &Sighting| now - sighting.made_at > self.max_silence;
         let has_heard_siblings = sightings.iter().any(|sighting| !is_silent(sighting));
-        let was_there = self.services.insert(service.clone()) || !self.has_started;
+        let is_starting = !self.has_settled || now - self.started_at < STARTING_TIME;
+        let was_there = self.services.insert(service.clone()) || is_starting;
         for sighting in sightings {
             let endpoint = self.endpoints.entry(sighting.key);
             let endpoint = endpoint.or_insert_with(|| Endpoint {
--- a/crates/kumquatdrum_placement/tests/cold_reasons.rs
+++ b/crates/kumquatdrum_placement/tests/cold_reasons.rs
@@ -37,9 +37,14 @@
     status.map(|status| status.reason)
 }
 
-/// Returns a host that has been running for 4 s and knows the endpoint [`OLD`], which is warm.
+/// Returns a host that has been running for 14 s and knows the endpoint [`OLD`], which is warm.
 fn tracker() -> Tracker {
-    let mut tracker = Tracker::new(START, INTERVAL, INTERVAL * 4);
+    let started = START.saturating_sub(INTERVAL * 10);
+    let mut tracker = Tracker::new(started, INTERVAL, INTERVAL * 4);
+    for seconds in 0..10 {
+        tracker.record_activity(started + INTERVAL * seconds);
+        tracker.settle(started + INTERVAL * seconds, true);
+    }
     see(&mut tracker, 0, &[(OLD, 0, 0)]);
     see(&mut tracker, 2_000, &[(OLD, 2_000, 0)]);
     see(&mut tracker, 4_000, &[(OLD, 4_000, 0)]);
@@ -67,6 +72,17 @@
     assert_eq!(reason(&mut tracker, 35_000, 2), None);
 }
 
+#[test]
+fn an_endpoint_that_a_starting_host_learns_of_late_is_not_new() {
+    let mut tracker = Tracker::new(START, INTERVAL, INTERVAL * 4);
+    for ms in [0, 2_000, 4_000] {
+        see(&mut tracker, ms, &[(OLD, ms, 0)]);
+    }
+    // The response with all endpoints takes seconds if many hosts start at once.
+    see(&mut tracker, 5_000, &[(OLD, 5_000, 0), (2, 5_000, 0)]);
+    assert_eq!(reason(&mut tracker, 5_000, 2), None);
+}
+
 #[test]
 fn an_endpoint_that_fails_is_cold_until_an_announcement_made_later() {
     let mut tracker = tracker();
