Gateway: a reason of its own for refusals by cold endpoints

Refusals for limits and for cold endpoints shared a reworded reason, which explain::a_request_that_is_refused_ for_a_limit_names_it rejected. Limits that endpoints name have their earlier reason again; that test and gateway::cold pass.

--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -171,7 +171,11 @@
                 retry_after: self.time_left(),
             },
             Rejection::Limited(wait) => Problem::Refused {
-                reason: "its endpoints have reached their limits",
+                reason: "its endpoints have reached the limits that they name",
+                retry_after: wait,
+            },
+            Rejection::Cold(wait) => Problem::Refused {
+                reason: "its endpoints are cold and have had the requests that they take",
                 retry_after: wait,
             },
             Rejection::Held(wait) => Problem::Refused {
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -119,8 +119,10 @@
     TooCostly,
     /// No engine had capacity in time.
     NoCapacity(Waiter),
-    /// All endpoints have reached their limits. Holds the expected wait.
+    /// All endpoints have reached the limits that they name. Holds the expected wait.
     Limited(Duration),
+    /// All endpoints are cold and have had the requests that they take. Holds the expected wait.
+    Cold(Duration),
     /// All endpoints have asked for a back-off. Holds the expected wait.
     Held(Duration),
 }
--- a/crates/kumquatdrum_gateway/src/pool/limit.rs
+++ b/crates/kumquatdrum_gateway/src/pool/limit.rs
@@ -130,6 +130,7 @@
         summary.held_for = summary.held_for.into_iter().chain(held_for).min();
         // Only its own exclusions keep such a job waiting, so it must not hold up others.
         let is_alone = was_next && self.has_free_endpoint(&state, now);
+        let is_cold = state.policy.limits().is_empty();
         drop(state);
         let ahead = if is_alone {
             turn.leave();
@@ -160,6 +161,7 @@
         let wait = wait.unwrap_or(OTHER_HOSTS_WAIT);
         match is_in_time {
             true => Ok(()),
+            false if is_limited && is_cold => Err(Rejection::Cold(wait)),
             false if is_limited => Err(Rejection::Limited(wait)),
             false => Err(Rejection::Held(wait)),
         }
