Cold endpoints: a starting host trusts what control hosts remember

After the loss of all hosts nothing was placed for 1 to 1.5 s although the engines were warm: control hosts raise the ages of endpoints that they read from disk to two announcement intervals, and a starting host counted all older than one as unheard.

A host that starts now trusts announcements up to the silence after which an endpoint is not used. A resumed host still needs a later one. An announcement after a gap of 1.5 intervals is news (Change::Heard): control hosts broadcast it and each host applies it at once.

--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -234,12 +234,12 @@
     let update: Vec<Update> = update.into_iter().collect();
     match change {
         Change::New if !is_leaving => gateway.broadcast_endpoints(update, RelayPath::Primary),
-        Change::Cooled if !is_leaving => {
+        Change::Cooled | Change::Heard if !is_leaving => {
             gateway.broadcast_endpoints(update, RelayPath::Primary);
             gateway.refresh_pool();
         }
         Change::New | Change::Changed => gateway.confirm_endpoints(update).await,
-        Change::Cooled | Change::Refreshed | Change::Stale => {}
+        Change::Cooled | Change::Heard | Change::Refreshed | Change::Stale => {}
     }
     json(StatusCode::OK, "{}")
 }
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -27,7 +27,6 @@
     logger: slog::Logger,
 }
 
-#[derive(Default)]
 struct State {
     registry: Registry,
     /// Endpoints that sent an announcement or a leave request to this host since the last round.
@@ -36,11 +35,20 @@
 
 impl Endpoints {
     /// Creates an empty registry. Leaving endpoints serve for `drain` after hosts have been told.
-    pub fn new(clock: Clock, drain: Duration, logger: slog::Logger) -> Self {
+    pub fn new(
+        clock: Clock,
+        drain: Duration,
+        announcement_interval: Duration,
+        logger: slog::Logger,
+    ) -> Self {
+        let state = State {
+            registry: Registry::with_max_gap(announcement_interval * 3 / 2),
+            unpublished: IndexSet::new(),
+        };
         Self {
             clock,
             grace: drain.saturating_sub(MAX_TRANSIT),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             changed: Notify::new(),
             logger,
         }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -185,7 +185,8 @@
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
     let endpoint_drain = Duration::from_millis(settings.drain_ms);
-    let endpoints = Endpoints::new(clock, endpoint_drain, logger.clone());
+    let announcement_interval = Duration::from_millis(settings.announcement_ms);
+    let endpoints = Endpoints::new(clock, endpoint_drain, announcement_interval, logger.clone());
     let endpoints = Arc::new(endpoints);
     let metrics = Arc::new(Metrics::new()?);
     let number = hosts::number(settings.address);
@@ -237,7 +238,7 @@
         retries: settings.retries,
         cold: settings.cold,
         metrics: metrics.clone(),
-        announcement_interval: Duration::from_millis(settings.announcement_ms),
+        announcement_interval,
         number,
         data_centre: settings.data_centre.clone(),
         logger: logger.clone(),
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -134,7 +134,7 @@
         let first = kumquatdrum_process::clock::unix_ms() << 16;
         let interval = dependencies.announcement_interval;
         let max_silence = interval * MAX_MISSED_ANNOUNCEMENTS;
-        let cold = Tracker::new(dependencies.clock.now(), interval, max_silence);
+        let cold = Tracker::new(dependencies.clock.now(), max_silence);
         Self {
             cold: Mutex::new(cold),
             dependencies,
--- a/crates/kumquatdrum_placement/src/cold.rs
+++ b/crates/kumquatdrum_placement/src/cold.rs
@@ -41,7 +41,8 @@
     Failed,
     /// The evacuation of its data centre has ended.
     Returned,
-    /// This host has started or was suspended, and has not heard from it since.
+    /// This host was suspended and has not heard from it since, or its last announcement was too old
+    /// when this host started.
     Unheard,
     /// It is silent, while other endpoints of its service are not.
     Silent,
@@ -129,12 +130,13 @@
 }
 
 impl Tracker {
-    /// Creates the state of a host that starts, whose endpoints announce themselves at an interval and
-    /// are silent if their last announcement is older than `max_silence`.
-    pub fn new(now: Moment, announcement_interval: Duration, max_silence: Duration) -> Self {
+    /// Creates the state of a host that starts, whose endpoints are silent if their last announcement
+    /// is older than `max_silence`. Until they are, it trusts what control hosts remember: an endpoint
+    /// that was restarted meanwhile refuses requests to its earlier incarnation.
+    pub fn new(now: Moment, max_silence: Duration) -> Self {
         Self {
             max_silence,
-            heard_after: now.saturating_sub(announcement_interval),
+            heard_after: now.saturating_sub(max_silence),
             active_at: now,
             services: IndexSet::new(),
             endpoints: IndexMap::new(),
@@ -167,7 +169,7 @@
     ///
     /// let second = Duration::from_secs(1);
     /// let start = Moment::from_millis(60_000);
-    /// let mut tracker = Tracker::new(start, second, second * 4);
+    /// let mut tracker = Tracker::new(start, second * 4);
     /// assert!(!tracker.settle(start, true));
     /// assert!(tracker.settle(start + second * 2, true));
     /// // A short isolation changes nothing.
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -21,6 +21,8 @@
     Changed,
     /// The endpoint has turned cold.
     Cooled,
+    /// The endpoint has announced itself after a silence.
+    Heard,
     /// The announcement is newer but changes nothing else.
     Refreshed,
     /// The announcement is not newer than the registered one.
@@ -30,7 +32,7 @@
 impl Change {
     /// Returns whether anything but the age of the announcement has changed.
     pub const fn is_news(self) -> bool {
-        matches!(self, Self::New | Self::Changed | Self::Cooled)
+        matches!(self, Self::New | Self::Changed | Self::Cooled | Self::Heard)
     }
 }
 
@@ -49,6 +51,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     entries: IndexMap<EndpointId, Entry>,
+    /// The time between two announcements above which the later one is news. `None` if it never is.
+    max_gap: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -61,6 +65,22 @@
 }
 
 impl Registry {
+    /// Creates an empty registry in which an announcement is news if it was made more than `max_gap`
+    /// after the one before. In the default registry, this makes none news.
+    ///
+    /// ```
+    /// use kumquatdrum_registry::Registry;
+    /// # use std::time::Duration;
+    ///
+    /// let registry = Registry::with_max_gap(Duration::from_millis(1_500));
+    /// ```
+    pub fn with_max_gap(max_gap: Duration) -> Self {
+        Self {
+            entries: IndexMap::new(),
+            max_gap: Some(max_gap),
+        }
+    }
+
     /// Applies an announcement received from the endpoint itself.
     pub fn announce(&mut self, now: Moment, announcement: Announcement) -> Change {
         self.apply(now, announcement, false)
@@ -237,6 +257,8 @@
             order => {
                 let before = (entry.is_gone, known.leaving, known.address);
                 let leaving = known.leaving || announcement.leaving;
+                let gap = heard_at - entry.heard_at;
+                let ends_silence = self.max_gap.is_some_and(|max_gap| gap > max_gap);
                 let has_cooled = known.warming_ms == 0 && announcement.warming_ms > 0;
                 if order == std::cmp::Ordering::Greater {
                     entry.announcement = announcement.clone();
@@ -251,6 +273,7 @@
                 match order {
                     _ if before != after => Change::Changed,
                     std::cmp::Ordering::Greater if has_cooled => Change::Cooled,
+                    std::cmp::Ordering::Greater if ends_silence => Change::Heard,
                     std::cmp::Ordering::Greater => Change::Refreshed,
                     _ => Change::Stale,
                 }
--- a/crates/kumquatdrum_registry/tests/registry.rs
+++ b/crates/kumquatdrum_registry/tests/registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatdrum_registry::{Announcement, Change, Presence, Registry};
+use kumquatdrum_registry::{Announcement, Change, Presence, Registry, Update};
 use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 
 const NOW: Moment = Moment::from_millis(100_000);
@@ -198,3 +198,40 @@
     assert_eq!(registry.announce(NOW, warming(2, 0)), Change::Stale);
     assert_eq!(registry.announce(NOW, warming(5, 0)), Change::Refreshed);
 }
+
+/// Hosts that count a silent endpoint as cold would do so until their next regular refresh.
+#[test]
+fn an_announcement_that_ends_a_silence_is_news_once() {
+    let second = Duration::from_secs(1);
+    let mut registry = Registry::with_max_gap(second * 3 / 2);
+    registry.announce(NOW, announcement("a", 1, 1));
+    let announce = |registry: &mut Registry, at, sequence| {
+        registry.announce(at, announcement("a", 1, sequence))
+    };
+    let later = NOW + second * 3 / 2;
+    assert_eq!(announce(&mut registry, later, 2), Change::Refreshed);
+    let later = later + second * 2;
+    assert_eq!(announce(&mut registry, later, 2), Change::Stale);
+    assert_eq!(announce(&mut registry, later, 3), Change::Heard);
+    assert!(Change::Heard.is_news());
+    assert_eq!(
+        announce(&mut registry, later + second, 4),
+        Change::Refreshed
+    );
+}
+
+/// The ages that a control host reads from its disk are raised, so that the first announcement that
+/// follows reaches all hosts at once.
+#[test]
+fn an_announcement_of_a_remembered_endpoint_is_news() {
+    let second = Duration::from_secs(1);
+    let mut registry = Registry::with_max_gap(second * 3 / 2);
+    let remembered = Update {
+        announcement: announcement("a", 1, 1),
+        gone: false,
+        age_ms: 2_000,
+    };
+    assert_eq!(registry.merge(NOW, remembered), Change::New);
+    let heard = registry.announce(NOW + second / 10, announcement("a", 1, 2));
+    assert_eq!(heard, Change::Heard);
+}
