Cold endpoints: silence counts only if at least half are heard

One endpoint that was heard made all silent ones of its service cold, and kept failed ones cold without end, while the pool deliberately keeps silent endpoints in use if fewer than half are fresh. Both reasons use the threshold of the pool now. The new test, with 3 and 45 endpoints, fails with the old rule. cold_reasons: 12 passed.

--- a/crates/kumquatdrum_placement/src/cold.rs
+++ b/crates/kumquatdrum_placement/src/cold.rs
@@ -44,7 +44,7 @@
     /// This host was suspended and has not heard from it since, or its last announcement was too old
     /// when this host started.
     Unheard,
-    /// It is silent, while other endpoints of its service are not.
+    /// It is silent, while at least half of the endpoints of its service are not.
     Silent,
 }
 
@@ -104,8 +104,9 @@
 struct Endpoint {
     sighting: Sighting,
     cold_start: Duration,
-    /// Whether any endpoint of the service is not silent.
-    has_heard_siblings: bool,
+    /// Whether at least half of the service's endpoints are not silent. Otherwise the network or the
+    /// control hosts are more likely at fault than the endpoints.
+    has_heard_most: bool,
     seen_at: Moment,
     /// When the incarnation appeared. `None` if it was there when this host started.
     appeared_at: Option<Moment>,
@@ -210,7 +211,8 @@
         sightings: &[Sighting],
     ) {
         let is_silent = |sighting: &Sighting| now - sighting.made_at > self.max_silence;
-        let has_heard_siblings = sightings.iter().any(|sighting| !is_silent(sighting));
+        let fresh = sightings.iter().filter(|sighting| !is_silent(sighting));
+        let has_heard_most = fresh.count() * 2 >= sightings.len();
         let is_starting = !self.has_settled || now - self.started_at < STARTING_TIME;
         let was_there = self.services.insert(service.clone()) || is_starting;
         for sighting in sightings {
@@ -218,7 +220,7 @@
             let endpoint = endpoint.or_insert_with(|| Endpoint {
                 sighting: *sighting,
                 cold_start,
-                has_heard_siblings,
+                has_heard_most,
                 seen_at: now,
                 appeared_at: (!was_there).then_some(now),
                 failed_at: None,
@@ -227,7 +229,7 @@
             });
             endpoint.sighting = *sighting;
             endpoint.cold_start = cold_start;
-            endpoint.has_heard_siblings = has_heard_siblings;
+            endpoint.has_heard_most = has_heard_most;
             endpoint.seen_at = now;
         }
         self.endpoints
@@ -309,13 +311,13 @@
         let responded = responded.map(|(_, until)| ends_at(Reason::Responded, until));
         let failed = self.failed_at.filter(|at| !has_spoken_since(*at));
         // If no announcements arrive, none can end the cold time.
-        let failed = failed.filter(|at| self.has_heard_siblings || now < *at + cold_start);
+        let failed = failed.filter(|at| self.has_heard_most || now < *at + cold_start);
         let failed = failed.map(|_| lasts(Reason::Failed));
         let returned = returned_at.filter(|at| !is_warm_since(*at));
         let returned = returned.map(|at| ends_at(Reason::Returned, at + cold_start));
         let is_unheard = made_at < heard_after && now < heard_after + cold_start;
         let unheard = is_unheard.then(|| lasts(Reason::Unheard));
-        let silent = is_silent && self.has_heard_siblings;
+        let silent = is_silent && self.has_heard_most;
         let silent = silent.then(|| lasts(Reason::Silent));
         let reasons = [Some(announced), started, responded, failed];
         let reasons = reasons.into_iter().chain([returned, unheard, silent]);
--- a/crates/kumquatdrum_placement/tests/cold_reasons.rs
+++ b/crates/kumquatdrum_placement/tests/cold_reasons.rs
@@ -216,3 +216,38 @@
         }
     }
 }
+
+/// One endpoint that is heard made all others cold, of which the pool keeps those that are silent
+/// unless half are heard.
+#[test]
+fn silence_of_most_endpoints_makes_none_cold() {
+    for (count, heard, is_cold) in [(3, 1, false), (3, 2, true), (45, 1, false), (45, 23, true)] {
+        let mut tracker = Tracker::new(START, INTERVAL * 4);
+        let see = |tracker: &mut Tracker, ms, heard: u64| {
+            let made_ms = |number| if number < heard { ms } else { 4_000 };
+            let seen: Vec<_> = (0..count).map(|n| (n + 1, made_ms(n), 0)).collect();
+            see(tracker, ms, &seen);
+        };
+        for ms in [4_000, 6_000, 8_000] {
+            see(&mut tracker, ms, count);
+        }
+        tracker.record_failure(at(8_500), EndpointKey(count));
+        for ms in [10_000, 12_000] {
+            see(&mut tracker, ms, heard);
+        }
+        let silent = is_cold.then_some(Reason::Silent);
+        for number in heard + 1..count {
+            let reason = reason(&mut tracker, 12_000, number);
+            assert_eq!(reason, silent, "{number} of {count}, {heard} heard");
+        }
+        assert_eq!(reason(&mut tracker, 12_000, 1), None);
+        // The failed one is cold, for the time of a start at most if most are silent.
+        let failed = silent.or(Some(Reason::Failed));
+        assert_eq!(reason(&mut tracker, 12_000, count), failed);
+        assert_eq!(
+            reason(&mut tracker, 38_500, count),
+            silent,
+            "{count}, {heard}"
+        );
+    }
+}
