Placement: a job for one engine waits while that engine is exhausted

A job that may be sent to one engine only was refused as if the engine were not known when the engine was limited or cold and had had its requests. It waits now, and the removals of limited and cold engines keep that engine. A cold one gets such a job alone, as no plan of several engines goes to a cold engine.

--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -114,9 +114,34 @@
     }
 }
 
+/// Returns whether any engine may be the first of a job's engines.
+pub(crate) fn has_first(job: &Job, candidates: &[Candidate<'_>]) -> bool {
+    let mut candidates = candidates.iter();
+    candidates.any(|candidate| job.may_be_sent_to(candidate.key))
+}
+
+/// Removes limited engines if the others have memory for a long job, and cold ones in any case. The
+/// only engine that may be the first stays.
+pub(crate) fn remove_limited(job: &Job, memory_tokens: u64, candidates: &mut Vec<Candidate<'_>>) {
+    let is_only = |candidate: &Candidate<'_>| job.first == Some(candidate.key);
+    if candidates
+        .iter()
+        .any(|candidate| candidate.is_cold && is_only(candidate))
+    {
+        candidates.retain(is_only);
+        return;
+    }
+    let unlimited = candidates.iter().filter(|candidate| !candidate.is_limited);
+    if job.memory_tokens() <= memory_tokens * unlimited.count() as u64 {
+        candidates.retain(|candidate| !candidate.is_limited || is_only(candidate));
+    } else {
+        remove_cold(job, candidates);
+    }
+}
+
 /// Removes cold engines, which take part in no prefill of several engines. If all are cold, one
 /// that may run the job alone is left.
-pub(crate) fn remove_cold(job: &Job, candidates: &mut Vec<Candidate<'_>>) {
+fn remove_cold(job: &Job, candidates: &mut Vec<Candidate<'_>>) {
     if candidates.iter().any(|candidate| !candidate.is_cold) {
         candidates.retain(|candidate| !candidate.is_cold);
         return;
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -9,7 +9,7 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 
-use crate::candidate::{Candidate, Decode, Endpoint, remove_cold};
+use crate::candidate::{Candidate, Decode, Endpoint, has_first, remove_limited};
 use crate::demand::{Demand, weight};
 use crate::long_prompt::Placement;
 use crate::queue::Queue;
@@ -116,18 +116,18 @@
         self.expire(now);
         let mut candidates = self.candidates(now, job);
         let engines = candidates.len();
+        let is_possible = has_first(job, &candidates);
         candidates.retain(|candidate| !self.limits.is_exhausted(now, candidate.key));
-        if candidates.is_empty() && engines > 0 {
+        let is_all_limited = candidates.is_empty() && engines > 0;
+        // An exhausted engine that is the only possible one takes requests again.
+        if is_all_limited || (is_possible && !has_first(job, &candidates)) {
             return Decision::Limited;
         }
         if let Some(refusal) = self.find_delay(now, job, &candidates) {
             return Decision::TooCostly(refusal);
         }
         let memory_tokens = self.cost.engine().memory_tokens;
-        if !candidates
-            .iter()
-            .any(|candidate| job.may_be_sent_to(candidate.key))
-        {
+        if !has_first(job, &candidates) {
             return Decision::NoEngine;
         }
         if job.memory_tokens() > memory_tokens * engines as u64 {
@@ -136,11 +136,8 @@
         let prefill_ms = self.cost.prefill_ms(job.prompt_tokens);
         let mut waiter = new_waiter(now, job, prefill_ms);
         let is_short = short_prompt::is_short(job, &candidates, prefill_ms);
-        let unlimited = candidates.iter().filter(|candidate| !candidate.is_limited);
-        if !is_short && job.memory_tokens() <= memory_tokens * unlimited.count() as u64 {
-            candidates.retain(|candidate| !candidate.is_limited);
-        } else if !is_short {
-            remove_cold(job, &mut candidates);
+        if !is_short {
+            remove_limited(job, memory_tokens, &mut candidates);
         }
         let plan = if is_short {
             let conditions = short_prompt::Conditions {
--- a/crates/kumquatdrum_placement/tests/cold.rs
+++ b/crates/kumquatdrum_placement/tests/cold.rs
@@ -416,3 +416,44 @@
     });
     assert_eq!(sent.count(), 2);
 }
+
+/// Such a job was refused as if its engine were not known, though it only has to wait.
+#[test]
+fn a_job_waits_for_the_only_engine_that_it_may_be_sent_to() {
+    let on_cold = |number, prompt_tokens| Job {
+        first: Some(EndpointKey(1)),
+        ..job(number, prompt_tokens)
+    };
+    for prompt_tokens in [2_000, 150_000] {
+        let mut planner = planner(6, [1]);
+        let early = planner.place(START, &on_cold(1, prompt_tokens));
+        assert_eq!(early, Decision::Limited, "{prompt_tokens}");
+        match planner.place(at(1_000), &on_cold(2, prompt_tokens)) {
+            Decision::Send(plan, _) => {
+                let keys: Vec<EndpointKey> = plan.prefill_engines().collect();
+                assert_eq!(keys, [EndpointKey(1)]);
+            }
+            other => panic!("{other:?}"),
+        }
+        let unknown = Job {
+            first: Some(EndpointKey(9)),
+            ..job(3, prompt_tokens)
+        };
+        assert_eq!(planner.place(at(1_000), &unknown), Decision::NoEngine);
+    }
+}
+
+#[test]
+fn a_long_job_gets_the_only_engine_that_it_may_be_sent_to_though_it_names_a_limit() {
+    let mut planner = planner(6, []);
+    let rate = Rate::new(5.0).expect("a rate");
+    planner.limits_mut().name(START, EndpointKey(1), rate);
+    let job = Job {
+        first: Some(EndpointKey(1)),
+        ..job(1, 150_000)
+    };
+    match planner.place(at(1_000), &job) {
+        Decision::Send(plan, _) => assert_eq!(plan.first, EndpointKey(1)),
+        other => panic!("{other:?}"),
+    }
+}
