Cold endpoints: jobs wait for announcements that are on their way

For reasons without a known end the wait was estimated as 1.5 s, after which all jobs were refused at once, though the news can take an announcement interval, a publish round and a hello. The estimate is derived from these now, and 250 ms after it, so that jobs wait on while they have time left.

--- a/crates/kumquatdrum_gateway/src/pool/cold.rs
+++ b/crates/kumquatdrum_gateway/src/pool/cold.rs
@@ -19,8 +19,9 @@
                 let mut state = service.state.lock();
                 state.cold_start = declared.cold_start;
                 let allowance = self.allowance(declared);
-                let limits = state.policy.limits_mut();
-                limits.warmups_mut().set_allowance(allowance);
+                let warmups = state.policy.limits_mut().warmups_mut();
+                warmups.set_allowance(allowance);
+                warmups.set_announcement_interval(self.dependencies.announcement_interval);
             }
         }
     }
--- a/crates/kumquatdrum_placement/src/limits/warmup.rs
+++ b/crates/kumquatdrum_placement/src/limits/warmup.rs
@@ -13,9 +13,13 @@
 use super::Summary;
 use crate::{EndpointKey, Rate};
 
-/// The expected time until an endpoint announces itself, if it is cold until then, and until a host
-/// knows all hosts.
-const EXPECTED_NEWS: Duration = Duration::from_millis(1_500);
+/// The longest usual time from an announcement until all hosts know it: the round in which a control
+/// host publishes it (1 s), and a hello to the control hosts (1 s), for a host that missed it.
+const PROPAGATION_TIME: Duration = Duration::from_secs(2);
+/// The estimate that follows if an expected announcement is overdue.
+const OVERDUE_NEWS: Duration = Duration::from_millis(250);
+/// The expected time until a host knows all hosts.
+const EXPECTED_SETTLING: Duration = Duration::from_millis(1_500);
 /// How long the last request to an endpoint is remembered after the endpoint was cold.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -62,6 +66,7 @@
     /// later.
     settled_at: Moment,
     endpoints: IndexMap<EndpointKey, Warmup>,
+    announcement_interval: Duration,
 }
 
 /// An endpoint that is cold, or was recently.
@@ -99,6 +104,12 @@
         self.share_all();
     }
 
+    /// Sets the interval at which endpoints announce themselves, for estimates of the time until they
+    /// do.
+    pub const fn set_announcement_interval(&mut self, interval: Duration) {
+        self.announcement_interval = interval;
+    }
+
     /// Returns whether cold endpoints are limited.
     pub const fn is_enabled(&self) -> bool {
         self.allowance.is_some()
@@ -235,14 +246,19 @@
         let Some(allowance) = self.allowance else {
             return;
         };
+        let expected_news = self.announcement_interval + PROPAGATION_TIME;
         let cold = self.endpoints.iter();
         let cold = cold.filter(|(key, warmup)| warmup.is_cold(now) && is_in_use(**key));
         for (_, warmup) in cold {
             summary.endpoints += 1;
             summary.per_second += allowance.rate.per_second();
             // A host that doesn't know all hosts soon will.
-            let settles = self.hosts.is_none().then_some(EXPECTED_NEWS);
-            let held_for = [summary.held_for, warmup.expected_end(now), settles];
+            let settles = self.hosts.is_none().then_some(EXPECTED_SETTLING);
+            let held_for = [
+                summary.held_for,
+                Some(warmup.expected_end(now, expected_news)),
+                settles,
+            ];
             summary.held_for = held_for.into_iter().flatten().min();
             if let Some(share) = warmup.share {
                 let next = (warmup.sent_at + share.interval - now).as_secs_f64();
@@ -289,12 +305,12 @@
         self.end.is_none_or(|end| now < end)
     }
 
-    /// Returns the time until the expected end of the cold time. An endpoint without news for long
-    /// has probably failed.
-    fn expected_end(&self, now: Moment) -> Option<Duration> {
+    /// Returns the time until the expected end of the cold time, of which there is news within the
+    /// given time. Late news may still come in time for a job, so jobs wait on while they have time.
+    fn expected_end(&self, now: Moment, expected_news: Duration) -> Duration {
         match self.end {
-            Some(end) => Some(end - now),
-            None => Some(self.began_at + EXPECTED_NEWS - now).filter(|left| !left.is_zero()),
+            Some(end) => end - now,
+            None => (self.began_at + expected_news - now).max(OVERDUE_NEWS),
         }
     }
 
