Cold endpoints: no mutex for each attempt

Each attempt locked a mutex of the whole process to record that the host is active, and the first attempt after a suspension recorded the activity before the services had been refreshed, so that others were placed by what was known before. The time is in an atomic now; after a suspension, attempts wait for the refresh, which records the time at its end. The hosts that may send to cold endpoints are determined once for each refresh, outside the locks of services.

--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
-use kumquatdrum_placement::cold::Tracker;
+use kumquatdrum_placement::cold::{Activity, Tracker};
 use kumquatdrum_placement::{Budget, DataCentreKey, EndpointKey, Job, JobId, Planner, Waiter};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -87,6 +87,9 @@
     unreported: Mutex<Vec<Unreported>>,
     /// Which endpoints are cold. Locked after the state of a service.
     cold: Mutex<Tracker>,
+    activity: Activity,
+    /// Locked while all services are refreshed. Locked before the state of a service.
+    refreshing: Mutex<()>,
 }
 
 struct Service {
@@ -134,9 +137,11 @@
         let first = kumquatdrum_process::clock::unix_ms() << 16;
         let interval = dependencies.announcement_interval;
         let max_silence = interval * MAX_MISSED_ANNOUNCEMENTS;
-        let cold = Tracker::new(dependencies.clock.now(), max_silence);
+        let now = dependencies.clock.now();
         Self {
-            cold: Mutex::new(cold),
+            cold: Mutex::new(Tracker::new(now, max_silence)),
+            activity: Activity::new(now),
+            refreshing: Mutex::default(),
             dependencies,
             services: RwLock::default(),
             next_job: AtomicU64::new(first),
@@ -203,14 +208,26 @@
 
     /// Replaces the endpoints of all services with the currently announced ones.
     pub fn refresh(&self) {
+        let _refreshing = self.refreshing.lock();
+        self.refresh_all();
+    }
+
+    /// Refreshes all services and then records this host's activity, so that no request is placed by
+    /// what was known before a suspension.
+    fn refresh_all(&self) {
         let now = self.dependencies.clock.now();
-        self.cold.lock().record_activity(now);
+        if self.activity.is_suspended(now) {
+            self.cold.lock().resume(now);
+        }
+        let senders = self.find_senders();
         for service in self.services.read().values() {
-            self.refresh_service(service);
+            self.refresh_service(service, senders.as_deref());
         }
+        self.activity.resume(now);
     }
 
-    fn refresh_service(&self, service: &Service) {
+    /// Refreshes a service. `senders` are the hosts that may send requests to cold endpoints, if known.
+    fn refresh_service(&self, service: &Service, senders: Option<&[u32]>) {
         let known = self.dependencies.endpoints.usable(&service.name);
         let leaving = self.dependencies.endpoints.leaving(&service.name);
         let limit = self.dependencies.announcement_interval * MAX_MISSED_ANNOUNCEMENTS;
@@ -255,7 +272,7 @@
         state.directory = directory;
         state.leaving = leaving_keys;
         self.refresh_limits(&mut state);
-        self.refresh_cold(service, &mut state, &made_at);
+        self.refresh_cold(service, &mut state, &made_at, senders);
         drop(state);
         service.changed.notify_waiters();
     }
--- a/crates/kumquatdrum_gateway/src/pool/cold.rs
+++ b/crates/kumquatdrum_gateway/src/pool/cold.rs
@@ -32,9 +32,26 @@
         rate.map(|rate| Allowance::new(rate, cold.overage, cold.slack))
     }
 
+    /// Returns the hosts that may send requests to cold endpoints. `None` if cold endpoints are not
+    /// limited or this host does not know all of them.
+    pub(super) fn find_senders(&self) -> Option<Vec<u32>> {
+        let dependencies = &self.dependencies;
+        dependencies.cold?;
+        let now = dependencies.clock.now();
+        let is_complete = dependencies.hosts.has_complete_listing();
+        let is_settled = self.cold.lock().settle(now, is_complete);
+        is_settled.then(|| dependencies.hosts.remembered_caller_numbers())
+    }
+
     /// Updates the cold endpoints of a service, and the hosts that may send to them. `made_at` are the
     /// times of the newest announcements, in the order of the directory.
-    pub(super) fn refresh_cold(&self, service: &Service, state: &mut State, made_at: &[Moment]) {
+    pub(super) fn refresh_cold(
+        &self,
+        service: &Service,
+        state: &mut State,
+        made_at: &[Moment],
+        senders: Option<&[u32]>,
+    ) {
         if !state.policy.limits().warmups().is_enabled() {
             return;
         }
@@ -49,17 +66,15 @@
         });
         let sightings: Vec<Sighting> = sightings.collect();
         let mut tracker = self.cold.lock();
-        let is_settled = tracker.settle(now, dependencies.hosts.has_complete_listing());
         tracker.update(now, &service.name, state.cold_start, &sightings);
         drop(tracker);
-        let hosts = is_settled.then(|| dependencies.hosts.remembered_caller_numbers());
         let State {
             policy, directory, ..
         } = &mut *state;
         let limits = policy.limits_mut();
         limits.retain(now, |key| directory.contains_key(&key));
         let warmups = limits.warmups_mut();
-        warmups.set_hosts(now, dependencies.number, hosts);
+        warmups.set_hosts(now, dependencies.number, senders.map(<[u32]>::to_vec));
         for sighting in sightings {
             self.assess(state, sighting.key);
         }
@@ -134,12 +149,15 @@
     }
 
     /// Refreshes the endpoints if this host was suspended, so that none counts as warm by what was
-    /// known before.
+    /// known before. Other requests wait for that.
     pub(super) fn note_activity(&self) {
-        let now = self.dependencies.clock.now();
-        let is_resumed = self.cold.lock().record_activity(now);
-        if is_resumed {
-            self.refresh();
+        let clock = &self.dependencies.clock;
+        if self.activity.record(clock.now()) {
+            return;
+        }
+        let _refreshing = self.refreshing.lock();
+        if !self.activity.record(clock.now()) {
+            self.refresh_all();
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -134,7 +134,8 @@
 
     /// Updates the endpoints that this one was picked from.
     pub fn refresh_endpoints(&self) {
-        self.pool.refresh_service(&self.service);
+        let senders = self.pool.find_senders();
+        self.pool.refresh_service(&self.service, senders.as_deref());
     }
 
     /// Marks the endpoint as gone because another endpoint answers at its address.
--- a/crates/kumquatdrum_placement/src/cold.rs
+++ b/crates/kumquatdrum_placement/src/cold.rs
@@ -1,5 +1,6 @@
 //! Tells which endpoints are cold, from their announcements, responses and failures.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -88,7 +89,6 @@
     max_silence: Duration,
     /// Announcements made before do not show that an endpoint is warm.
     heard_after: Moment,
-    active_at: Moment,
     /// The services whose endpoints have been seen.
     services: IndexSet<ServiceName>,
     endpoints: IndexMap<EndpointKey, Endpoint>,
@@ -117,6 +117,57 @@
     was_cold: Option<bool>,
 }
 
+/// When this host was last active, shared by the tasks that place requests.
+///
+/// ```
+/// use kumquatdrum_placement::cold::Activity;
+/// # use kumquatdrum_types::Moment;
+/// # use std::time::Duration;
+///
+/// let (start, second) = (Moment::from_millis(60_000), Duration::from_secs(1));
+/// let activity = Activity::new(start);
+/// assert!(activity.record(start + second));
+/// // The host was suspended, until it has refreshed what it knows.
+/// assert!(!activity.record(start + second * 20));
+/// assert!(!activity.record(start + second * 20));
+/// activity.resume(start + second * 20);
+/// assert!(activity.record(start + second * 21));
+/// ```
+#[derive(Debug)]
+pub struct Activity {
+    active_micros: AtomicU64,
+}
+
+impl Activity {
+    /// Creates the state of a host that starts.
+    pub const fn new(now: Moment) -> Self {
+        Self {
+            active_micros: AtomicU64::new(now.micros),
+        }
+    }
+
+    /// Records that this host is active, unless it was suspended and has not resumed yet. Returns
+    /// whether it was recorded.
+    pub fn record(&self, now: Moment) -> bool {
+        let is_suspended = self.is_suspended(now);
+        if !is_suspended {
+            self.resume(now);
+        }
+        !is_suspended
+    }
+
+    /// Returns whether this host was suspended and has not resumed yet.
+    pub fn is_suspended(&self, now: Moment) -> bool {
+        let micros = self.active_micros.load(Ordering::Acquire);
+        now - Moment { micros } > SUSPENDED_AFTER
+    }
+
+    /// Records that this host is active with what it has refreshed since it was suspended.
+    pub fn resume(&self, now: Moment) {
+        self.active_micros.fetch_max(now.micros, Ordering::AcqRel);
+    }
+}
+
 /// What a host knows of the other hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Membership {
@@ -138,7 +189,6 @@
         Self {
             max_silence,
             heard_after: now.saturating_sub(max_silence),
-            active_at: now,
             services: IndexSet::new(),
             endpoints: IndexMap::new(),
             returned: IndexMap::new(),
@@ -148,15 +198,9 @@
         }
     }
 
-    /// Records that this host is active. Returns whether it was suspended before, so that what it knows
-    /// of endpoints is out of date.
-    pub fn record_activity(&mut self, now: Moment) -> bool {
-        let is_resumed = now - self.active_at > SUSPENDED_AFTER;
-        self.active_at = self.active_at.max(now);
-        if is_resumed {
-            self.heard_after = now;
-        }
-        is_resumed
+    /// Records that this host was suspended, so that what it knows of endpoints is out of date.
+    pub fn resume(&mut self, now: Moment) {
+        self.heard_after = now;
     }
 
     /// Returns whether this host may send requests to cold endpoints, as it knows all hosts that do.
--- a/crates/kumquatdrum_placement/tests/cold_reasons.rs
+++ b/crates/kumquatdrum_placement/tests/cold_reasons.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatdrum_placement::cold::{Reason, Sighting, Tracker};
+use kumquatdrum_placement::cold::{Activity, Reason, Sighting, Tracker};
 use kumquatdrum_placement::{Allowance, Balancer, DataCentreKey, EndpointKey, Rate};
 use kumquatdrum_types::{Moment, ServiceName};
 
@@ -27,7 +27,6 @@
             warming: Duration::from_millis(*warming_ms),
         });
     let sightings: Vec<Sighting> = sightings.collect();
-    tracker.record_activity(at(ms));
     tracker.settle(at(ms), true);
     tracker.update(at(ms), &ServiceName::new("m"), COLD_START, &sightings);
 }
@@ -51,7 +50,6 @@
     let started = START.saturating_sub(INTERVAL * 10);
     let mut tracker = Tracker::new(started, INTERVAL * 4);
     for seconds in 0..10 {
-        tracker.record_activity(started + INTERVAL * seconds);
         tracker.settle(started + INTERVAL * seconds, true);
     }
     see(&mut tracker, 0, &[(OLD, 0, 0)]);
@@ -138,6 +136,7 @@
     assert_eq!(reason(&mut tracker, 500, OLD), None);
     assert_eq!(reason(&mut tracker, 500, 2), None);
     // The host is suspended for 20 s.
+    tracker.resume(at(20_500));
     see(&mut tracker, 20_500, &[(OLD, 20_000, 0)]);
     assert_eq!(reason(&mut tracker, 20_500, OLD), Some(Reason::Unheard));
     see(&mut tracker, 21_000, &[(OLD, 20_900, 0)]);
@@ -197,7 +196,6 @@
             warmups.set_allowance(Some(Allowance::new(rate, 1.5, 5.0)));
             let learned_ms = start_ms + 100;
             for ms in (learned_ms..learned_ms + 1_500).step_by(50) {
-                tracker.record_activity(at(ms));
                 tracker.settle(at(ms), false);
                 // The first announcement after the restart comes after 1.5 s.
                 let made_at = at(0).saturating_sub(INTERVAL * 2);
@@ -251,3 +249,22 @@
         );
     }
 }
+
+/// If the first request after a suspension recorded the activity, others would be placed by what
+/// was known before while the endpoints are refreshed.
+#[test]
+fn a_suspended_host_is_active_only_once_it_has_resumed() {
+    let activity = Activity::new(START);
+    for ms in [1_300, 2_600, 5_600] {
+        assert!(activity.record(at(ms)), "{ms}");
+    }
+    // A request that read the clock earlier doesn't turn it back.
+    assert!(activity.record(at(4_000)));
+    assert!(activity.record(at(8_600)));
+    for _ in 0..2 {
+        assert!(!activity.record(at(11_601)));
+        assert!(activity.is_suspended(at(11_601)));
+    }
+    activity.resume(at(11_601));
+    assert!(activity.record(at(11_700)));
+}
