Cold endpoints: settings below one request, and which requests are moved

With (overage - 1) * rate + slack below one, one host still sent, which could exceed the allowance. None sends now if one host alone would exceed it. The metric of moved requests also counted requests sent to a cold endpoint; it counts those placed on an endpoint that is not cold while a cold one is exhausted.

The interval for a tiny rate could not panic, as Rate has a lower bound of 0.05 requests per second; the conversion doesn't depend on that now.

--- a/crates/kumquatdrum_gateway/src/pool/cold.rs
+++ b/crates/kumquatdrum_gateway/src/pool/cold.rs
@@ -161,10 +161,10 @@
         }
     }
 
-    /// Counts a request that was placed while a cold endpoint could not get it.
-    pub(super) fn count_moved(&self, state: &State) {
+    /// Counts a request that was placed on a warm endpoint while a cold one could not get it.
+    pub(super) fn count_moved(&self, state: &State, key: EndpointKey) {
         let now = self.dependencies.clock.now();
-        if state.policy.limits().warmups().is_any_exhausted(now) {
+        if state.policy.limits().warmups().is_moved(now, key) {
             self.dependencies.metrics.moved_from_cold.inc();
         }
     }
--- a/crates/kumquatdrum_gateway/src/pool/place.rs
+++ b/crates/kumquatdrum_gateway/src/pool/place.rs
@@ -60,8 +60,8 @@
             Policy::Engines(_) => self.pick_engine(service, state, (request, job), is_held),
             Policy::Plain(_) => self.pick_plain(service, state, job, is_held),
         };
-        if matches!(picked, Ok(Some(_))) {
-            self.count_moved(state);
+        if let Ok(Some(pick)) = &picked {
+            self.count_moved(state, pick.key);
         }
         picked
     }
--- a/crates/kumquatdrum_placement/src/limits/warmup.rs
+++ b/crates/kumquatdrum_placement/src/limits/warmup.rs
@@ -31,7 +31,8 @@
 }
 
 impl Allowance {
-    /// Returns the allowance of at most `rate * overage + slack` requests in any second.
+    /// Returns the allowance of at most `rate * overage + slack` requests in any second. If one host
+    /// alone would send more at the rate, none sends any.
     ///
     /// ```
     /// use kumquatdrum_placement::{Allowance, Rate};
@@ -42,9 +43,11 @@
     pub fn new(rate: Rate, overage: f64, slack: f64) -> Self {
         // In a second, each sharer sends one request more than its part of the rate.
         let spare = (overage - 1.0) * rate.per_second() + slack;
+        let allowed = rate.per_second() * overage + slack;
+        let may_send = 1.0 + rate.per_second().floor() <= allowed;
         Self {
             rate,
-            max_sharers: (spare as usize).max(1),
+            max_sharers: (spare as usize).max(usize::from(may_send)),
         }
     }
 
@@ -202,10 +205,12 @@
         warmup.is_some_and(|warmup| warmup.is_cold(now) && !warmup.has_token(now))
     }
 
-    /// Returns whether this host may not send a request to some cold endpoint now.
-    pub fn is_any_exhausted(&self, now: Moment) -> bool {
+    /// Returns whether a request to an endpoint might have gone to a cold one otherwise: the endpoint
+    /// is not cold, and this host may not send a request to some cold endpoint now.
+    pub fn is_moved(&self, now: Moment, key: EndpointKey) -> bool {
         let mut warmups = self.endpoints.values();
-        warmups.any(|warmup| warmup.is_cold(now) && !warmup.has_token(now))
+        let is_any_exhausted = warmups.any(|warmup| warmup.is_cold(now) && !warmup.has_token(now));
+        is_any_exhausted && !self.is_cold(now, key)
     }
 
     /// Returns the number of cold endpoints.
@@ -290,8 +295,9 @@
         let rank = |host: u32| hash::mix(key.0 ^ hash::mix(u64::from(host)));
         let local = rank(self.local);
         let ahead = hosts.iter().filter(|host| rank(**host) > local).count();
-        let sharers = hosts.len().clamp(1, allowance.max_sharers);
-        let interval = Duration::from_secs_f64(sharers as f64 / allowance.rate.per_second());
+        let sharers = hosts.len().max(1).min(allowance.max_sharers);
+        let seconds = sharers as f64 / allowance.rate.per_second();
+        let interval = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
         (ahead < sharers).then_some(Share {
             ahead,
             sharers,
