Cold endpoints: a host settles after 2 s without interruption

A host settled 2 s after one instant with a complete listing and contact to a majority, while the design needs both for these 2 s: others learn of the host meanwhile. An interruption before it has settled makes it wait for 2 s more now, also after an isolation.

--- a/crates/kumquatdrum_placement/src/cold.rs
+++ b/crates/kumquatdrum_placement/src/cold.rs
@@ -238,10 +238,18 @@
                 confirmed_at: now,
                 settled_at: now + RESETTLE_TIME,
             },
+            // Until this host has settled, the time starts again when it is not known to others.
+            Membership::Known {
+                confirmed_at,
+                settled_at,
+            } if confirmed_at < settled_at => Membership::Known {
+                confirmed_at,
+                settled_at: settled_at.max(now + SETTLE_TIME),
+            },
             membership => membership,
         };
-        let is_settled =
-            matches!(self.membership, Membership::Known { settled_at, .. } if now >= settled_at);
+        let is_settled = matches!(self.membership, Membership::Known { confirmed_at, settled_at }
+            if confirmed_at >= settled_at);
         self.has_settled |= is_settled;
         is_settled
     }
--- a/crates/kumquatdrum_placement/tests/cold_reasons.rs
+++ b/crates/kumquatdrum_placement/tests/cold_reasons.rs
@@ -268,3 +268,26 @@
     activity.resume(at(11_601));
     assert!(activity.record(at(11_700)));
 }
+
+/// A host settled 2 s after it had been complete at one instant, though others need those 2 s of
+/// contact to learn of it.
+#[test]
+fn a_host_settles_after_two_seconds_of_completeness_without_interruption() {
+    let mut tracker = Tracker::new(START, INTERVAL * 4);
+    assert!(!tracker.settle(START, true));
+    for ms in [500, 1_900, 2_100] {
+        assert!(!tracker.settle(at(ms), false), "{ms}");
+    }
+    for ms in [2_500, 4_000] {
+        assert!(!tracker.settle(at(ms), true), "{ms}");
+    }
+    assert!(tracker.settle(at(4_100), true));
+    // The same holds after an isolation.
+    assert!(tracker.settle(at(19_000), false));
+    assert!(!tracker.settle(at(20_000), false));
+    assert!(!tracker.settle(at(30_000), true));
+    assert!(!tracker.settle(at(37_500), false));
+    assert!(!tracker.settle(at(39_400), true));
+    assert!(tracker.settle(at(39_500), true));
+    assert!(tracker.settle(at(40_000), false));
+}
