--- a/crates/kumquatdrum/tests/gateway/cold.rs
+++ b/crates/kumquatdrum/tests/gateway/cold.rs
@@ -122,3 +122,35 @@
 async fn cold_engines_get_few_requests_from_all_hosts() {
     check_cold(69, engine_config(3), "/stream/x").await;
 }
+
+/// Nothing was placed for more than a second after the loss of all hosts, as warm endpoints that
+/// control hosts recalled from disk counted as cold.
+#[tokio::test]
+async fn hosts_that_all_restart_place_at_once_on_endpoints_that_were_warm() {
+    let mut config = config(3);
+    config["services"][0]["coldStartS"] = json!(COLD_START.as_secs_f64());
+    config["services"][0]["coldPerS"] = json!(14);
+    let mut cluster = Cluster::with_hosts(70, CONTROL_HOSTS + 2);
+    cluster.apply(&config).await;
+    let warm = Endpoint::start("i-warm", Behaviour::CompleteBody).await;
+    cluster.announce(&warm, "plain", "ready", 1).await;
+    for host in 0..CONTROL_HOSTS {
+        cluster.wait_until_stored(host, &warm).await;
+    }
+    for host in 0..cluster.hosts() {
+        cluster.kill(host);
+    }
+    for host in 0..cluster.hosts() {
+        cluster.start_host(host, false);
+    }
+    // The endpoint doesn't announce itself again.
+    for host in CONTROL_HOSTS..cluster.hosts() {
+        cluster.wait_until_ready(host, &warm).await;
+        let answer = cluster.request(host, "/safe/x", &format!("at-{host}"));
+        let answer = answer.send().await.expect("an answer");
+        assert_eq!(answer.status(), reqwest::StatusCode::OK);
+        let log = cluster.read_log(host);
+        let restarted = log.rfind("event=started").unwrap_or(0);
+        assert!(!log[restarted..].contains("event=endpoint_cold"), "{log}");
+    }
+}
