--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -183,6 +183,10 @@
                 reason: "its endpoints have reached the limits that they name",
                 retry_after: wait,
             },
+            Rejection::Cold(wait) => Problem::Refused {
+                reason: "its endpoints are cold and have had the requests that they take",
+                retry_after: wait,
+            },
             Rejection::Held(wait) => Problem::Refused {
                 reason: "its endpoints have asked for a back-off",
                 retry_after: wait,
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -27,7 +27,6 @@
     logger: slog::Logger,
 }
 
-#[derive(Default)]
 struct State {
     registry: Registry,
     /// Endpoints that sent an announcement or a leave request to this host since the last round.
@@ -36,11 +35,20 @@
 
 impl Endpoints {
     /// Creates an empty registry. Leaving endpoints serve for `drain` after hosts have been told.
-    pub fn new(clock: Clock, drain: Duration, logger: slog::Logger) -> Self {
+    pub fn new(
+        clock: Clock,
+        drain: Duration,
+        announcement_interval: Duration,
+        logger: slog::Logger,
+    ) -> Self {
+        let state = State {
+            registry: Registry::with_max_gap(announcement_interval * 3 / 2),
+            unpublished: IndexSet::new(),
+        };
         Self {
             clock,
             grace: drain.saturating_sub(MAX_TRANSIT),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             changed: Notify::new(),
             logger,
         }
@@ -79,7 +87,7 @@
         for update in updates {
             let received = update.clone();
             let change = self.state.lock().registry.merge(now, update);
-            has_changed |= matches!(change, Change::New | Change::Changed);
+            has_changed |= change.is_news();
             self.log_and_notify(change, Some(&received), from);
         }
         has_changed
@@ -210,8 +218,7 @@
 
     /// Logs a new or changed endpoint, and wakes the task that waits for changes.
     fn log_and_notify(&self, change: Change, update: Option<&Update>, from: &str) {
-        let Some(update) = update.filter(|_| matches!(change, Change::New | Change::Changed))
-        else {
+        let Some(update) = update.filter(|_| change.is_news()) else {
             return;
         };
         self.changed.notify_one();
@@ -220,6 +227,7 @@
             "endpoint" => endpoint.id.as_str(), "incarnation" => endpoint.started,
             "sequence" => endpoint.sequence, "service" => endpoint.service.as_str(),
             "address" => %endpoint.address, "leaving" => endpoint.leaving,
+            "cold_ms" => endpoint.warming_ms,
             "gone" => update.gone, "age_ms" => update.age_ms, "from" => from);
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -209,6 +209,7 @@
         self.metrics.evacuated.set(evacuated as i64);
         let running = self.evacuations.count_local();
         self.metrics.evacuated_running.set(running.into());
+        self.metrics.cold.set(self.pool.count_cold() as i64);
         self.metrics.update_peer_bytes(&self.traffic);
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
@@ -38,8 +38,8 @@
         let hold = timeout.map_or(MAX_HOLD_WITHOUT_DEADLINE, backlog::max_hold);
         let until = self.clock.instant(arrived + hold);
         let deadline = arrived + timeout.unwrap_or(call::DEFAULT_TIMEOUT);
-        let mut held = self.startup.backlog.add(deadline);
-        let _ = timeout_at(until, held.wait()).await;
+        let mut entry = self.startup.backlog.add(deadline);
+        let _ = timeout_at(until, entry.wait()).await;
     }
 
     /// Releases held requests in the order of their deadlines once they can be placed, or to be
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -219,12 +219,7 @@
     let broadcaster = broadcaster.transpose()?;
     let boot = local.identity.boot.0;
     let quarantine = build_quarantine(clock, boot, broadcaster.clone(), &hosts, &logger);
-    let paths = Arc::new(Paths::new(paths::Dependencies {
-        clock,
-        endpoints: endpoints.clone(),
-        metrics: metrics.clone(),
-        logger: logger.clone(),
-    }));
+    let paths = build_paths(clock, &endpoints, &metrics, &logger);
     let relays = build_relays(clock, &hosts, &client, &metrics, &logger);
     let upstream = Upstream::new(upstream::Dependencies {
         clock,
@@ -251,6 +246,8 @@
         hosts: hosts.clone(),
         broadcaster: broadcaster.clone(),
         retries: settings.retries,
+        cold: settings.cold,
+        metrics: metrics.clone(),
         announcement_interval: Duration::from_millis(settings.announcement_ms),
         number,
         data_centre: settings.data_centre.clone(),
@@ -293,7 +290,13 @@
 
 fn build_endpoints(settings: &Settings, clock: Clock, logger: &slog::Logger) -> Arc<Endpoints> {
     let drain = Duration::from_millis(settings.drain_ms);
-    Arc::new(Endpoints::new(clock, drain, logger.clone()))
+    let announcement_interval = Duration::from_millis(settings.announcement_ms);
+    Arc::new(Endpoints::new(
+        clock,
+        drain,
+        announcement_interval,
+        logger.clone(),
+    ))
 }
 
 fn build_relays(
@@ -312,6 +315,20 @@
     })
 }
 
+fn build_paths(
+    clock: Clock,
+    endpoints: &Arc<Endpoints>,
+    metrics: &Arc<Metrics>,
+    logger: &slog::Logger,
+) -> Arc<Paths> {
+    Arc::new(Paths::new(paths::Dependencies {
+        clock,
+        endpoints: endpoints.clone(),
+        metrics: metrics.clone(),
+        logger: logger.clone(),
+    }))
+}
+
 /// Returns this host's description of itself.
 fn describe(settings: &Settings, local: &LocalDaemon) -> Host {
     Host {
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
+use kumquatdrum_placement::cold::{Activity, Tracker};
 use kumquatdrum_placement::{Budget, DataCentreKey, EndpointKey, Job, JobId, Planner, Waiter};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
@@ -21,8 +22,9 @@
 use crate::holds::Holds;
 use crate::hosts::Hosts;
 use crate::message::Event;
+use crate::metrics::Metrics;
 use crate::paths::Paths;
-use crate::settings::Retries;
+use crate::settings::{Cold, Retries};
 
 mod cold;
 mod evacuated;
@@ -66,6 +68,10 @@
     pub broadcaster: Option<Arc<Broadcaster>>,
     /// The retry budget, shared by all hosts.
     pub retries: Retries,
+    /// The requests that cold endpoints may get; if `None`, they are not limited.
+    pub cold: Option<Cold>,
+    /// The host's metrics.
+    pub metrics: Arc<Metrics>,
     /// The interval between an endpoint's announcements.
     pub announcement_interval: Duration,
     /// A number that identifies this host among the dispatching hosts.
@@ -83,6 +89,11 @@
     next_job: AtomicU64,
     /// Failures that other hosts have not been told yet.
     unreported: Mutex<Vec<Unreported>>,
+    /// Which endpoints are cold. Locked after the state of a service.
+    cold: Mutex<Tracker>,
+    activity: Activity,
+    /// Locked while all services are refreshed. Locked before the state of a service.
+    refreshing: Mutex<()>,
 }
 
 struct Service {
@@ -97,6 +108,8 @@
     engine: Option<Engine>,
     policy: Policy,
     budget: Budget,
+    /// How long an endpoint is cold after its start.
+    cold_start: Duration,
     directory: IndexMap<EndpointKey, Announcement>,
     /// The endpoints of `directory` that are leaving, and until when they serve.
     leaving: IndexMap<EndpointKey, Moment>,
@@ -121,6 +134,8 @@
     Limited(Duration),
     /// All endpoints are in evacuated data centres.
     Evacuated,
+    /// All endpoints are cold and have had the requests that they take. Holds the expected wait.
+    Cold(Duration),
     /// All endpoints have asked for a back-off. Holds the expected wait.
     Held(Duration),
 }
@@ -130,7 +145,13 @@
     pub fn new(dependencies: Dependencies) -> Self {
         // Job numbers must not repeat after a restart of this host.
         let first = kumquatdrum_process::clock::unix_ms() << 16;
+        let interval = dependencies.announcement_interval;
+        let max_silence = interval * MAX_MISSED_ANNOUNCEMENTS;
+        let now = dependencies.clock.now();
         Self {
+            cold: Mutex::new(Tracker::new(now, max_silence)),
+            activity: Activity::new(now),
+            refreshing: Mutex::default(),
             dependencies,
             services: RwLock::default(),
             next_job: AtomicU64::new(first),
@@ -151,6 +172,7 @@
             }
         }
         drop(services);
+        self.configure_cold(setup);
         self.refresh();
     }
 
@@ -175,6 +197,7 @@
             engine: engine.cloned(),
             policy,
             budget: Budget::new(retries.ratio, retries.slack, window),
+            cold_start: Duration::ZERO,
             directory: IndexMap::new(),
             leaving: IndexMap::new(),
             is_evacuated: false,
@@ -200,12 +223,26 @@
 
     /// Replaces the endpoints of all services with the currently announced ones.
     pub fn refresh(&self) {
+        let _refreshing = self.refreshing.lock();
+        self.refresh_all();
+    }
+
+    /// Refreshes all services and then records this host's activity, so that no request is placed by
+    /// what was known before a suspension.
+    fn refresh_all(&self) {
+        let now = self.dependencies.clock.now();
+        if self.activity.is_suspended(now) {
+            self.cold.lock().resume(now);
+        }
+        let senders = self.find_senders();
         for service in self.services.read().values() {
-            self.refresh_service(service);
+            self.refresh_service(service, senders.as_deref());
         }
+        self.activity.resume(now);
     }
 
-    fn refresh_service(&self, service: &Service) {
+    /// Refreshes a service. `senders` are the hosts that may send requests to cold endpoints, if known.
+    fn refresh_service(&self, service: &Service, senders: Option<&[u32]>) {
         let mut known = self.dependencies.endpoints.usable(&service.name);
         let mut leaving = self.dependencies.endpoints.leaving(&service.name);
         let has_evacuated = self.remove_evacuated(&mut known, |(endpoint, _)| endpoint)
@@ -231,6 +268,7 @@
             })
             .unzip();
         let mut state = service.state.lock();
+        let made_at: Vec<Moment> = announced.iter().map(|(_, at)| *at).collect();
         match &mut state.policy {
             Policy::Engines(planner) => {
                 let grouped = directory.iter();
@@ -252,6 +290,7 @@
         state.directory = directory;
         state.leaving = leaving_keys;
         self.refresh_limits(&mut state);
+        self.refresh_cold(service, &mut state, &made_at, senders);
         drop(state);
         service.changed.notify_waiters();
     }
