--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -327,15 +327,14 @@
         let mut asked = 0;
         while self.active_setup.revision() < revision && !self.drain.is_draining() {
             // After the preferred ones, all live control hosts, in an order that differs by host.
-            let target = match targets.get(asked) {
-                Some(target) => target.clone(),
-                None => {
-                    sleep(FETCH_PAUSE).await;
-                    let control = self.hosts.control_hosts_by_hash();
-                    match control.len() {
-                        0 => host.clone(),
-                        count => control[(asked - targets.len()) % count].clone(),
-                    }
+            let target = if let Some(target) = targets.get(asked) {
+                target.clone()
+            } else {
+                sleep(FETCH_PAUSE).await;
+                let control = self.hosts.control_hosts_by_hash();
+                match control.len() {
+                    0 => host.clone(),
+                    count => control[(asked - targets.len()) % count].clone(),
                 }
             };
             asked += 1;
--- a/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/held_requests.rs
@@ -31,8 +31,8 @@
         if is_informed || self.drain.is_draining() {
             return;
         }
-        let hold = timeout.map_or(MAX_HOLD_WITHOUT_DEADLINE, backlog::max_hold);
-        let until = self.clock.instant(arrived + hold);
+        let longest = timeout.map_or(MAX_HOLD_WITHOUT_DEADLINE, backlog::max_hold);
+        let until = self.clock.instant(arrived + longest);
         let deadline = arrived + timeout.unwrap_or(call::DEFAULT_TIMEOUT);
         let mut held = self.startup.backlog.add(deadline);
         let _ = timeout_at(until, held.wait()).await;
