--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -31,9 +31,6 @@
 /// The timeout for a read by one replica. A frozen replica that is asked must leave time for the
 /// others.
 const READ_TIMEOUT: Duration = Duration::from_millis(200);
-/// The timeout for a proposal to one replica. The first is the one that has just answered as the leader,
-/// and a sync of a slow disk may take longer than a read.
-const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The reason why an order to an unknown data centre is refused.
 const UNKNOWN_DATA_CENTRE: &str = "unknown data centre";
@@ -175,8 +172,10 @@
             by: by.to_owned(),
             at_ms: unix_ms(),
         };
+        // The replica that has just answered as the leader has all the time that is left: a proposal
+        // that is sent again while the first one is being committed finds its base stale.
         let limits = Limits {
-            replica: PROPOSAL_TIMEOUT,
+            replica: order.time_to_answer(),
             leader: order.time_to_answer(),
             first: read.leader,
         };
