--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -7,11 +7,9 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use kumquatdrum_fanout::Urgency;
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
+use kumquatdrum_process::Drain;
 use kumquatdrum_process::clock::{Clock, unix_ms};
-use kumquatdrum_process::{Drain, quarantine};
-use kumquatdrum_quarantine::Fingerprint;
 use kumquatdrum_registry::Update;
 use kumquatdrum_routes::Evacuations;
 use kumquatdrum_types::BootId;
@@ -23,26 +21,23 @@
 use tokio::time::{sleep, timeout};
 
 use super::startup::Startup;
+mod components;
+
 use super::{Gateway, StartError};
 use crate::body::Body;
-use crate::broadcast::{Broadcaster, RelayPath};
+use crate::broadcast::Broadcaster;
 use crate::distribution::Distributor;
-use crate::endpoints::Endpoints;
 use crate::evacuations;
 use crate::holds::{self, Holds};
 use crate::hosts::{self, Hosts};
 use crate::inbox::Inbox;
 use crate::listener::{self, Phase};
-use crate::message::Host;
 use crate::metrics::Metrics;
-use crate::paths::{self, Paths};
 use crate::pool::{self, Pool};
-use crate::relay::{self, Relays};
+use crate::relay;
 use crate::replica::{self, Event, Handle};
 use crate::upstream::{self, Upstream};
-use crate::{
-    Protocol, Settings, active_setup, call, control, evacuation_cache, health, message, sockets,
-};
+use crate::{Protocol, Settings, active_setup, call, control, evacuation_cache, health, sockets};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
 /// fail before the listener closes.
@@ -194,12 +189,12 @@
 ) -> Result<(Arc<Gateway>, mpsc::UnboundedReceiver<Update>), StartError> {
     let clock = Clock::start();
     let client = Arc::new(Client::new(local.clone()));
-    let host = describe(&settings, local);
+    let host = components::describe(&settings, local);
     let port = settings.peer_port;
     let hosts = Hosts::new(clock, client.clone(), port, host, logger.clone());
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
-    let endpoints = build_endpoints(&settings, clock, &logger);
+    let endpoints = components::build_endpoints(&settings, clock, &logger);
     let metrics = Arc::new(Metrics::new()?);
     let number = hosts::number(settings.address);
     let evacuations = Arc::new(evacuations::Store::new(logger.clone()));
@@ -218,9 +213,10 @@
         .map(|_| open_broadcaster(&settings, clock, &hosts, &metrics, &logger));
     let broadcaster = broadcaster.transpose()?;
     let boot = local.identity.boot.0;
-    let quarantine = build_quarantine(clock, boot, broadcaster.clone(), &hosts, &logger);
-    let paths = build_paths(clock, &endpoints, &metrics, &logger);
-    let relays = build_relays(clock, &hosts, &client, &metrics, &logger);
+    let quarantine =
+        components::build_quarantine(clock, boot, broadcaster.clone(), &hosts, &logger);
+    let paths = components::build_paths(clock, &endpoints, &metrics, &logger);
+    let relays = components::build_relays(clock, &hosts, &client, &metrics, &logger);
     let upstream = Upstream::new(upstream::Dependencies {
         clock,
         protocol: protocol.clone(),
@@ -288,79 +284,6 @@
     Ok((gateway, departures))
 }
 
-fn build_endpoints(settings: &Settings, clock: Clock, logger: &slog::Logger) -> Arc<Endpoints> {
-    let drain = Duration::from_millis(settings.drain_ms);
-    let announcement_interval = Duration::from_millis(settings.announcement_ms);
-    Arc::new(Endpoints::new(
-        clock,
-        drain,
-        announcement_interval,
-        logger.clone(),
-    ))
-}
-
-fn build_relays(
-    clock: Clock,
-    hosts: &Arc<Hosts>,
-    client: &Arc<Client>,
-    metrics: &Arc<Metrics>,
-    logger: &slog::Logger,
-) -> Relays {
-    Relays::new(relay::Dependencies {
-        clock,
-        hosts: hosts.clone(),
-        client: client.clone(),
-        metrics: metrics.clone(),
-        logger: logger.clone(),
-    })
-}
-
-fn build_paths(
-    clock: Clock,
-    endpoints: &Arc<Endpoints>,
-    metrics: &Arc<Metrics>,
-    logger: &slog::Logger,
-) -> Arc<Paths> {
-    Arc::new(Paths::new(paths::Dependencies {
-        clock,
-        endpoints: endpoints.clone(),
-        metrics: metrics.clone(),
-        logger: logger.clone(),
-    }))
-}
-
-/// Returns this host's description of itself.
-fn describe(settings: &Settings, local: &LocalDaemon) -> Host {
-    Host {
-        id: settings.host(),
-        data_centre: settings.data_centre.clone(),
-        boot: local.identity.boot.0,
-        accepts_callers: settings.listen.callers.is_some(),
-        is_control: settings.listen.control.is_some(),
-        replica: None,
-        is_stopping: false,
-    }
-}
-
-/// Builds the store of requests that crash endpoints.
-fn build_quarantine(
-    clock: Clock,
-    boot: u64,
-    broadcaster: Option<Arc<Broadcaster>>,
-    hosts: &Arc<Hosts>,
-    logger: &slog::Logger,
-) -> quarantine::Store {
-    let publish = move |suspect| {
-        if let Some(broadcaster) = &broadcaster {
-            let event = message::Event::Suspected(suspect);
-            broadcaster.broadcast(event, Urgency::Urgent, RelayPath::Primary);
-        }
-    };
-    let hosts = hosts.clone();
-    let is_prober = move |request: Fingerprint| hosts.is_first_by_hash(request.hash());
-    quarantine::Store::new(clock, boot, publish, is_prober, logger.clone())
-}
-
 fn start_replica(
     gateway: &Arc<Gateway>,
     running: &mut Running,
