--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -109,15 +109,19 @@
     let mut callers = JoinSet::new();
     for caller in 0..6 {
         let host = CONTROL_HOSTS + caller % 2;
-        let requests: Vec<_> = (0..300)
-            .map(|number| cluster.request(host, "/safe/x", &format!("at-{caller}-{number}")))
+        let log_path = cluster.log_path(host);
+        let attempts = (0..300).map(|number| format!("at-{caller}-{number}"));
+        let requests: Vec<_> = attempts
+            .map(|attempt| (cluster.request(host, "/safe/x", &attempt), attempt))
             .collect();
         callers.spawn(async move {
-            for request in requests {
+            for (request, attempt) in requests {
                 let answer = request.send().await.expect("an answer");
                 let status = answer.status();
                 let body = answer.text().await.expect("a body");
-                assert_eq!(status, StatusCode::OK, "{body}");
+                let log = std::fs::read_to_string(&log_path).unwrap_or_default();
+                let lines: Vec<&str> = log.lines().filter(|line| line.contains(&attempt)).collect();
+                assert_eq!(status, StatusCode::OK, "{body}: {lines:#?}");
                 sleep(Duration::from_millis(5)).await;
             }
         });
