--- a/crates/kumquatdrum_placement/tests/policy.rs
+++ b/crates/kumquatdrum_placement/tests/policy.rs
@@ -142,7 +142,7 @@
         slots: 12,
         ..Scenario::of(42)
     };
-    let outcomes = run_scenario(&PROMPT_CLASSES, 2, 2.05, &ALTERNATING, &scenario);
+    let outcomes = run_scenario(&PROMPT_CLASSES, 4, 2.05, &ALTERNATING, &scenario);
     assert_on_time(&outcomes[SHORT], 0.75);
     assert_on_time(&outcomes[LONG], 0.90);
     let refused = outcomes[SHORT].refused as f64 / outcomes[SHORT].requests as f64;
