--- a/crates/kumquatdrum_gateway/src/distribution.rs
+++ b/crates/kumquatdrum_gateway/src/distribution.rs
@@ -74,23 +74,13 @@
     /// to all control hosts, since not all of them have a voting replica.
     pub fn distribute(&self, record: &Record, is_leader: bool) {
         self.state.lock().fetch_started = None;
-        let local = self.hosts.local();
-        if !local.is_control {
+        if !self.hosts.local().is_control {
             return;
         }
         let live = self.hosts.live_hosts();
-        let control = live.iter().filter(|host| host.is_control);
-        let mut control: Vec<&HostId> = control.map(|host| &host.id).collect();
-        control.push(&local.id);
-        let is_assigned = |host: &&Host| {
-            (host.is_control && is_leader)
-                || distribution::sender(&host.id, control.iter().copied()) == Some(&local.id)
-        };
-        let mut assigned: Vec<&Host> = live.iter().filter(is_assigned).collect();
-        assigned.sort_by_key(|host| !host.is_control);
+        let assigned = assigned_hosts(&self.hosts.local().id, &live, is_leader);
         info!(self.logger, "setup_told"; "event" => "setup_told", "revision" => record.revision,
             "hosts" => assigned.len(), "of" => live.len(), "bytes" => record.packed_len());
-        let assigned = assigned.into_iter().map(|host| host.id.clone());
         self.state.lock().queue.add(assigned);
         self.wake.notify_one();
     }
@@ -195,3 +185,18 @@
             .is_none_or(|active| active.record.revision < highest_reported)
     }
 }
+
+/// Returns the live hosts that a control host sends new state to, control hosts first: its share, and on
+/// the leader all control hosts, since not all of them have a voting replica.
+pub fn assigned_hosts(local: &HostId, live: &[Host], is_leader: bool) -> Vec<HostId> {
+    let control = live.iter().filter(|host| host.is_control);
+    let mut control: Vec<&HostId> = control.map(|host| &host.id).collect();
+    control.push(local);
+    let is_assigned = |host: &&Host| {
+        (host.is_control && is_leader)
+            || distribution::sender(&host.id, control.iter().copied()) == Some(local)
+    };
+    let mut assigned: Vec<&Host> = live.iter().filter(is_assigned).collect();
+    assigned.sort_by_key(|host| !host.is_control);
+    assigned.into_iter().map(|host| host.id.clone()).collect()
+}
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -7,13 +7,14 @@
 use futures::{Stream, StreamExt};
 use kumquatdrum_peer::Channel;
 use kumquatdrum_process::clock::unix_ms;
-use kumquatdrum_routes::{Evacuations, distribution};
+use kumquatdrum_routes::Evacuations;
 use kumquatdrum_types::HostId;
 use slog::info;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 
 use super::Gateway;
+use crate::distribution::assigned_hosts;
 use crate::evacuations::Report;
 use crate::message::{EndpointSelection, Host, Request, Response, Selection};
 use crate::suspension::TICK_INTERVAL;
@@ -55,16 +56,7 @@
         if !local.is_control {
             return;
         }
-        let live = self.hosts.live_hosts();
-        let control = live.iter().filter(|host| host.is_control);
-        let mut control: Vec<&HostId> = control.map(|host| &host.id).collect();
-        control.push(&local.id);
-        let is_assigned = |host: &&Host| {
-            (host.is_control && is_leader)
-                || distribution::sender(&host.id, control.iter().copied()) == Some(&local.id)
-        };
-        let assigned = live.iter().filter(is_assigned);
-        let assigned: Vec<HostId> = assigned.map(|host| host.id.clone()).collect();
+        let assigned = assigned_hosts(&local.id, &self.hosts.live_hosts(), is_leader);
         let gateway = self.clone();
         self.spawn(async move {
             // A hung disk must not stop the distribution.
