--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -105,7 +105,7 @@
 /// Guards against requests that a host sends by an outdated state.
 #[tokio::test]
 async fn traffic_reaches_no_evacuated_endpoint_once_the_order_is_acknowledged() {
-    let (cluster, endpoints) = start(201, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    let (cluster, endpoints) = start(53, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
     let mut callers = JoinSet::new();
     for caller in 0..6 {
         let host = CONTROL_HOSTS + caller % 2;
@@ -177,7 +177,7 @@
 
 #[tokio::test]
 async fn the_commands_give_orders_and_show_the_status() {
-    let (cluster, _endpoints) = start(207, &["zone-0"], Behaviour::CompleteBody).await;
+    let (cluster, _endpoints) = start(59, &["zone-0"], Behaviour::CompleteBody).await;
     find_leader(&cluster).await;
     let (code, text) = run(&cluster, &["start", "nowhere"]).await;
     assert_eq!(code, Some(1), "{text}");
@@ -201,7 +201,7 @@
 /// Guards against requests that wait until their deadline, and against streams that are cut off.
 #[tokio::test]
 async fn without_an_endpoint_requests_are_refused_at_once_and_streams_finish() {
-    let (cluster, endpoints) = start(202, &["zone-0", "zone-0"], SIX_EVENTS).await;
+    let (cluster, endpoints) = start(54, &["zone-0", "zone-0"], SIX_EVENTS).await;
     let stream = cluster.request(3, "/stream/x", "at-1").send().await;
     let mut stream = stream.expect("an answer");
     let first = stream.chunk().await.expect("a stream").expect("an event");
@@ -225,8 +225,7 @@
 /// Guards against an order that is lost with the leader, or applied twice.
 #[tokio::test]
 async fn an_order_survives_the_leader_that_is_lost_before_the_acknowledgement() {
-    let (mut cluster, _endpoints) =
-        start(203, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    let (mut cluster, _endpoints) = start(55, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
     let leader = find_leader(&cluster).await;
     let others: Vec<usize> = (0..CONTROL_HOSTS).filter(|host| *host != leader).collect();
     let path = "/-/Evacuation.Start/zone-0";
@@ -268,7 +267,7 @@
 /// Guards against a frozen control host that uses up the time for an order at another one.
 #[tokio::test]
 async fn a_single_order_is_acknowledged_while_one_control_host_is_frozen() {
-    let (cluster, _endpoints) = start(208, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    let (cluster, _endpoints) = start(60, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
     for asked in 0..CONTROL_HOSTS {
         find_leader(&cluster).await;
         let others = (0..CONTROL_HOSTS).filter(|host| *host != asked);
@@ -288,7 +287,7 @@
 /// Guards against a frozen control host that carries out an abandoned order when it resumes.
 #[tokio::test]
 async fn a_control_host_that_is_frozen_over_an_order_does_not_undo_later_ones() {
-    let (cluster, _endpoints) = start(204, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    let (cluster, _endpoints) = start(56, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
     let leader = find_leader(&cluster).await;
     let frozen = (leader + 1) % CONTROL_HOSTS;
     let others: Vec<usize> = (0..CONTROL_HOSTS).filter(|host| *host != frozen).collect();
@@ -309,7 +308,7 @@
 /// Guards against a resumed host that sends by the state from before its suspension.
 #[tokio::test]
 async fn a_host_that_was_frozen_over_an_order_sends_nothing_to_the_data_centre() {
-    let (cluster, endpoints) = start(205, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    let (cluster, endpoints) = start(57, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
     cluster.signal(3, "-STOP");
     order(&cluster, &[0, 1, 2], "Start/zone-0").await;
     sleep(SETTLE_TIME).await;
@@ -327,7 +326,7 @@
 /// Guards against an acknowledged order that hosts forget when all of them lose power.
 #[tokio::test]
 async fn an_acknowledged_order_survives_the_loss_of_all_hosts() {
-    let (mut cluster, endpoints) = start(206, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
+    let (mut cluster, endpoints) = start(58, &["zone-0", "zone-1"], Behaviour::CompleteBody).await;
     for host in 0..CONTROL_HOSTS {
         for endpoint in &endpoints {
             cluster.wait_until_stored(host, endpoint).await;
--- a/crates/kumquatdrum/tests/gateway/recovery.rs
+++ b/crates/kumquatdrum/tests/gateway/recovery.rs
@@ -117,7 +117,7 @@
 
 #[tokio::test]
 async fn requests_are_held_while_control_hosts_start_late() {
-    let (cluster, _endpoint) = start_cluster(183).await;
+    let (cluster, _endpoint) = start_cluster(47).await;
     // More than a fixed wait of two seconds, and far less than the eight that callers allow.
     let (cluster, statuses) = restart_all(cluster, Duration::from_secs(3)).await;
     print_steps(&cluster);
@@ -129,7 +129,7 @@
 #[tokio::test]
 #[ignore = "prints times"]
 async fn steps_of_a_recovery() {
-    let (cluster, _endpoint) = start_cluster(184).await;
+    let (cluster, _endpoint) = start_cluster(48).await;
     let (cluster, statuses) = restart_all(cluster, Duration::from_millis(250)).await;
     print_steps(&cluster);
     println!("{statuses:?}");
