Placement: prompts are spread over idle engines while most engines are idle

Ruled out: late news alone; with 20 ms the old choice packs as many. Now engines without answers are preferred for short prompts, and equally good ones come in an order by prompt and engine, while more than half of the engines and more than 68 have none. Below that nothing changes.

--- a/crates/kumquatdrum_placement/src/candidate.rs
+++ b/crates/kumquatdrum_placement/src/candidate.rs
@@ -164,6 +164,12 @@
         self.long_prefill_ms <= 0.0
     }
 
+    /// Returns whether the engine has neither answers nor prefills, and is neither limited nor cold.
+    pub(crate) fn is_idle(&self) -> bool {
+        let endpoint = self.endpoint;
+        endpoint.decodes.is_empty() && endpoint.prefills == 0 && !self.is_limited
+    }
+
     /// Returns the number of answers on the engine.
     pub(crate) fn decodes(&self) -> usize {
         self.endpoint.decodes.len()
--- a/crates/kumquatdrum_placement/src/long_prompt.rs
+++ b/crates/kumquatdrum_placement/src/long_prompt.rs
@@ -10,6 +10,7 @@
 
 use crate::candidate::Candidate;
 use crate::demand::weight;
+use crate::short_prompt::{is_spread, spread_order};
 use crate::{Cost, DataCentreKey, Helper, Job, Plan};
 
 /// The most engines that share a prefill: one and the sixteen helpers that engines accept.
@@ -59,7 +60,8 @@
     local_data_centre: Option<DataCentreKey>,
 ) -> Placement {
     let prefill_ms = cost.prefill_ms(job.prompt_tokens);
-    let sorted_candidates = sort_by_load(candidates.iter().collect());
+    let spreads = is_spread(candidates);
+    let sorted_candidates = sort_by_load(job, candidates.iter().collect(), spreads);
     let engine_cost_ms = cost.pass_ms(1, 0) * PASSES_LOST_PER_ENGINE;
     let wanted = best_engine_count(
         &sorted_candidates,
@@ -69,7 +71,7 @@
     )
     .unwrap_or(1);
     let ready = candidates.iter().filter(|candidate| candidate.is_ready());
-    let mut ready = sort_by_load(ready.collect());
+    let mut ready = sort_by_load(job, ready.collect(), spreads);
     let min_ready = (wanted as f64 * READY_SHARE).ceil() as usize;
     if ready.len() < min_ready {
         return Placement::Wait;
@@ -94,11 +96,19 @@
     }
 }
 
-/// Sorts engines by load, lowest first.
-fn sort_by_load<'a>(mut candidates: Vec<&'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
+/// Sorts engines by load, lowest first. If prompts are spread, engines with the same load are in an
+/// order that differs by job.
+fn sort_by_load<'a>(
+    job: &Job,
+    mut candidates: Vec<&'a Candidate<'a>>,
+    spreads: bool,
+) -> Vec<&'a Candidate<'a>> {
     let load = |candidate: &Candidate<'_>| {
         candidate.backlog_ms + DECODE_PENALTY_MS * candidate.decodes() as f64
     };
+    if spreads {
+        candidates.sort_by_cached_key(|candidate| spread_order(job, candidate));
+    }
     candidates.sort_by(|one, other| load(one).total_cmp(&load(other)));
     candidates
 }
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -148,11 +148,12 @@
             let conditions = short_prompt::Conditions {
                 dispatch_rate: self.demand.dispatch_rate(),
                 local_data_centre: self.local_data_centre,
+                is_spread: short_prompt::is_spread(&candidates),
             };
             let candidate =
                 short_prompt::place(&self.cost, now, job, &candidates, &conditions, turn);
             candidate.map(|candidate| {
-                let helpers = short_prompt::choose_helpers(&candidates, candidate, prefill_ms);
+                let helpers = short_prompt::choose_helpers(job, &candidates, candidate, prefill_ms);
                 short_prompt::plan(job, candidate.key, helpers, prefill_ms)
             })
         } else {
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -4,14 +4,19 @@
 //! prompts are packed on engines that already decode answers with equally short pauses, which
 //! leaves other engines free for long prefills, and on engines of the host's own data centre, whose
 //! streams survive a network partition.
+//!
+//! While most engines have no answers, long prefills find enough of them, and prompts are spread over
+//! those: hundreds of hosts that know of each other's dispatches late would pack more prompts on the
+//! same engines than these have slots.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use kumquatdrum_types::Moment;
+use kumquatdrum_types::{Moment, hash};
 
 use crate::candidate::Candidate;
+use crate::long_prompt::MAX_PREFILL_ENGINES;
 use crate::slot_queue::{self, Turn};
 use crate::{Cost, DataCentreKey, EndpointKey, Helper, Job, Plan};
 
@@ -32,6 +37,11 @@
 /// its slots, so that a first token waits for another answer's end. The window is ten times the age
 /// of what a host knows of the others; a longer one would use more engines than needed.
 const SPREAD_WINDOW: Duration = Duration::from_millis(80);
+/// The engines without answers that stay free for long prefills before short prompts are spread: as many
+/// as four of them share.
+const MIN_IDLE_ENGINES: usize = 4 * MAX_PREFILL_ENGINES;
+/// The share of the engines that must have no answers before short prompts are spread.
+const MIN_IDLE_SHARE: f64 = 0.5;
 /// Passes before the first token besides the prefill: half of the current one, and the one that
 /// runs the prefill.
 pub(crate) const PASSES_TO_FIRST_TOKEN: f64 = 1.5;
@@ -53,11 +63,22 @@
     pub(crate) dispatch_rate: f64,
     /// The data centre of this host, if known.
     pub(crate) local_data_centre: Option<DataCentreKey>,
+    /// Whether prompts are spread over engines without answers.
+    pub(crate) is_spread: bool,
+}
+
+/// Returns whether so many engines have no answers that prompts are spread over these.
+pub(crate) fn is_spread(candidates: &[Candidate<'_>]) -> bool {
+    let idle = candidates.iter().filter(|candidate| candidate.is_idle());
+    let share = (candidates.len() as f64 * MIN_IDLE_SHARE) as usize;
+    idle.count() > share.max(MIN_IDLE_ENGINES)
 }
 
 /// The preference among engines, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Preference {
+    /// The engine has no answers, and prompts are spread.
+    Idle,
     /// The engine decodes answers with equally short pauses and can start soon.
     Packed,
     /// The engine decodes such answers and has a backlog, but the first token is in time.
@@ -112,7 +133,11 @@
     let fits = fits.filter(|candidate| job.may_be_sent_to(candidate.key));
     let ranked = fits.map(|candidate| (rank(cost, job, candidate, left_ms, conditions), candidate));
     let mut ranked: Vec<(Rank, &Candidate<'_>)> = ranked.collect();
-    ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.key));
+    if conditions.is_spread {
+        ranked.sort_by_cached_key(|(rank, candidate)| (*rank, spread_order(job, candidate)));
+    } else {
+        ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.key));
+    }
     match turn {
         Turn::Uncontended => {}
         Turn::Behind(ahead) => {
@@ -152,6 +177,7 @@
         .local_data_centre
         .is_some_and(|local_data_centre| local_data_centre != candidate.data_centre());
     let (preference, decodes) = match packed_decodes {
+        0 if conditions.is_spread && candidate.is_idle() && can_start_soon => (Preference::Idle, 0),
         1.. if can_start_soon => (Preference::Packed, packed_decodes),
         1.. if is_on_time => (Preference::Delayed, 0),
         _ if can_start_soon => (Preference::Unpacked, candidate.decodes()),
@@ -167,6 +193,12 @@
     }
 }
 
+/// Returns the place of an engine among equally good ones. Prompts of hosts that do not know of each
+/// other yet choose different engines.
+pub(crate) fn spread_order(job: &Job, candidate: &Candidate<'_>) -> u64 {
+    hash::mix(job.id.uniform_hash() ^ candidate.key.0)
+}
+
 /// Returns the dispatches per second of hosts that prefer the same engines.
 fn competing_rate(candidates: &[Candidate<'_>], conditions: &Conditions) -> f64 {
     if conditions.local_data_centre.is_none() {
@@ -180,6 +212,7 @@
 /// Chooses the engines that share a short prefill longer than a pass, those with the fewest answers
 /// first. A cold engine prefills alone.
 pub(crate) fn choose_helpers(
+    job: &Job,
     candidates: &[Candidate<'_>],
     first: &Candidate<'_>,
     prefill_ms: f64,
@@ -194,7 +227,11 @@
     let mut available: Vec<&Candidate<'_>> = available
         .filter(|candidate| candidate.is_ready() && !candidate.is_limited)
         .collect();
-    available.sort_by_key(|candidate| candidate.decodes());
+    if is_spread(candidates) {
+        available.sort_by_cached_key(|it| (it.decodes(), spread_order(job, it)));
+    } else {
+        available.sort_by_key(|candidate| candidate.decodes());
+    }
     let helpers = available.into_iter().take(wanted);
     helpers
         .map(|candidate| Helper {
