Fan-out: relays send a bounded number of datagrams; groups of at most 32 hosts

Cause: a relay sends each batch to each host of its data centre, a batch each 4 to 20 ms: 200 hosts are up to 10,000 datagrams a second and more than its link (the busiest entry host of the fleet: 2,089 kB/s). The time between two batches now grows with the hosts: 5,000 datagrams a second at 200 and 400 hosts, events 39 and 79 ms late at most; up to 60 hosts nothing changes (20 ms). Recipients::select_groups splits hosts for messages that each of them confirms: at most 32 for a relay, 35 requests of the sender at 1,000 hosts and 65 at 2,000. Not in use yet.

--- a/crates/kumquatdrum_fanout/src/batch.rs
+++ b/crates/kumquatdrum_fanout/src/batch.rs
@@ -11,6 +11,9 @@
 /// The maximum time that any other event waits in a batch. Until a dispatch is known, other hosts
 /// may place a long prompt on the same engine.
 const MAX_USUAL_DELAY: Duration = Duration::from_millis(20);
+/// The datagrams that a relay sends per second at most, besides batches that are full. A batch goes to
+/// each host of the data centre, so the time between two batches grows with these, and not the work.
+const MAX_DATAGRAMS_PER_SECOND: u32 = 5_000;
 
 /// The urgency with which an event is delivered to other data centres.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -37,6 +40,10 @@
     bytes: usize,
     max_bytes: usize,
     due: Option<Moment>,
+    /// The earliest time of the next batch that is not full.
+    next: Moment,
+    /// The number of hosts that each batch is sent to.
+    recipients: u32,
 }
 
 impl<T> Batch<T> {
@@ -59,9 +66,16 @@
             bytes: 0,
             max_bytes,
             due: None,
+            next: Moment::ZERO,
+            recipients: 0,
         }
     }
 
+    /// Sets the number of hosts that batches are sent to.
+    pub const fn set_recipients(&mut self, recipients: usize) {
+        self.recipients = recipients as u32;
+    }
+
     /// Adds events whose encoding takes `bytes` bytes. If they do not fit, returns the previous
     /// events, which must be sent at once.
     pub fn add(
@@ -75,7 +89,7 @@
         let full = if is_full { self.take() } else { None };
         self.events.extend(events);
         self.bytes += bytes;
-        let due = now + urgency.max_delay();
+        let due = (now + urgency.max_delay()).max(self.next);
         self.due = Some(self.due.map_or(due, |known| known.min(due)));
         full
     }
@@ -87,7 +101,9 @@
 
     /// Removes and returns the waiting events if they are due.
     pub fn take_due(&mut self, now: Moment) -> Option<Vec<T>> {
-        self.due.filter(|due| *due <= now).and_then(|_| self.take())
+        self.due.filter(|due| *due <= now)?;
+        self.next = now + Duration::from_secs(1) * self.recipients / MAX_DATAGRAMS_PER_SECOND;
+        self.take()
     }
 
     fn take(&mut self) -> Option<Vec<T>> {
--- a/crates/kumquatdrum_fanout/src/recipients.rs
+++ b/crates/kumquatdrum_fanout/src/recipients.rs
@@ -7,6 +7,9 @@
 /// noticed less; fewer fill their batches better.
 const RELAYS_PER_DATA_CENTRE: usize = 8;
 
+/// The maximum number of hosts that one relay sends to with [`Recipients::select_groups`].
+const MAX_GROUP_HOSTS: usize = 32;
+
 /// Another host as a potential recipient.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -59,24 +62,74 @@
     /// ```
     pub fn select<'a>(local: &Peer, others: impl IntoIterator<Item = &'a Peer>) -> Self {
         let mut recipients = Self::default();
-        let mut distant: IndexMap<&DataCentre, Vec<&Peer>> = IndexMap::new();
-        for other in others {
-            if other.data_centre == local.data_centre {
-                recipients.direct.push(other.id.clone());
+        for (data_centre, peers) in by_data_centre(others) {
+            if *data_centre == local.data_centre {
+                recipients.add_direct(&peers);
             } else {
-                distant.entry(&other.data_centre).or_default().push(other);
+                recipients.add_relay(&local.id, data_centre, &peers);
             }
         }
-        for (data_centre, peers) in distant {
-            match select_relay(&local.id, data_centre, &peers) {
-                Some(relay) => recipients.relays.push(relay),
-                None => recipients
-                    .direct
-                    .extend(peers.into_iter().map(|peer| peer.id.clone())),
+        recipients
+    }
+
+    /// Selects the recipients such that the host sends to few hosts, and each relay to few hosts as well:
+    /// the hosts of a data centre are split into groups with a relay each, also those of the local one
+    /// if they are more than a group. For messages that each host acknowledges.
+    ///
+    /// ```
+    /// use kumquatdrum_fanout::{Peer, Recipients};
+    ///
+    /// let peer = |number: u32| Peer {
+    ///     id: format!("entry-{number}").as_str().into(),
+    ///     data_centre: "tartu".into(),
+    ///     can_relay: true,
+    /// };
+    /// let others: Vec<Peer> = (1..200).map(peer).collect();
+    /// let recipients = Recipients::select_groups(&peer(0), &others);
+    /// assert_eq!(recipients.relays.len(), 7);
+    /// assert!(recipients.relays.iter().all(|relay| relay.hosts.len() <= 32));
+    /// ```
+    pub fn select_groups<'a>(local: &Peer, others: impl IntoIterator<Item = &'a Peer>) -> Self {
+        let mut recipients = Self::default();
+        for (data_centre, mut peers) in by_data_centre(others) {
+            let is_local = *data_centre == local.data_centre;
+            let groups = peers.len().div_ceil(MAX_GROUP_HOSTS);
+            if is_local && groups == 1 {
+                recipients.add_direct(&peers);
+                continue;
+            }
+            // Senders split the hosts differently, so that none relays for all of them.
+            peers.sort_by_cached_key(|peer| hash::pair(local.id.as_str(), peer.id.as_str()));
+            for group in peers.chunks(peers.len().div_ceil(groups)) {
+                recipients.add_relay(&local.id, data_centre, group);
             }
         }
         recipients
     }
+
+    fn add_direct(&mut self, peers: &[&Peer]) {
+        let hosts = peers.iter().map(|peer| peer.id.clone());
+        self.direct.extend(hosts);
+    }
+
+    /// Adds hosts of a data centre with a relay, or as direct recipients if they are few.
+    fn add_relay(&mut self, from: &HostId, data_centre: &DataCentre, peers: &[&Peer]) {
+        match select_relay(from, data_centre, peers) {
+            Some(relay) => self.relays.push(relay),
+            None => self.add_direct(peers),
+        }
+    }
+}
+
+fn by_data_centre<'a>(
+    peers: impl IntoIterator<Item = &'a Peer>,
+) -> IndexMap<&'a DataCentre, Vec<&'a Peer>> {
+    let mut by_data_centre: IndexMap<&DataCentre, Vec<&Peer>> = IndexMap::new();
+    for peer in peers {
+        let peers = by_data_centre.entry(&peer.data_centre).or_default();
+        peers.push(peer);
+    }
+    by_data_centre
 }
 
 /// Selects the relays for a host's events in a data centre; `None` if it has too few hosts.
--- a/crates/kumquatdrum_fanout/tests/fanout.rs
+++ b/crates/kumquatdrum_fanout/tests/fanout.rs
@@ -276,3 +276,66 @@
     })
     .seed(0x1_0000_0258);
 }
+
+/// Guards against relays whose work grows with the hosts of their data centre: with 200 of them, a batch
+/// for each event was more than a relay's link takes.
+#[test]
+fn a_relay_sends_a_bounded_number_of_datagrams_at_any_size() {
+    for hosts in [17, 60, 200, 400] {
+        let mut batch = Batch::new(MAX_BYTES);
+        batch.set_recipients(hosts);
+        let (mut datagrams, mut longest, mut first) = (0, Duration::ZERO, None);
+        // An event each 5 ms, one in five of them urgent.
+        for ms in 0..10_000 {
+            let now = START + Duration::from_millis(ms);
+            let urgency = if ms % 25 == 0 {
+                Urgency::Urgent
+            } else {
+                Urgency::Usual
+            };
+            let full = match ms % 5 {
+                0 => batch.add(now, [ms], EVENT_BYTES, urgency),
+                _ => None,
+            };
+            first = first.or((ms % 5 == 0).then_some(now));
+            if full.or(batch.take_due(now)).is_some() {
+                datagrams += hosts;
+                longest = longest.max(first.take().map_or(Duration::ZERO, |first| now - first));
+            }
+        }
+        println!("{hosts} hosts: {} datagrams/s, {longest:?}", datagrams / 10);
+        assert!(datagrams <= 10 * 5_000 + 2 * hosts, "{hosts}: {datagrams}");
+        // What urgent events wait for below 60 hosts, and 80 ms at 400.
+        let limit = Duration::from_millis(25).max(Duration::from_millis(hosts as u64) / 5 * 2);
+        assert!(longest <= limit, "{hosts}: {longest:?}");
+    }
+}
+
+/// Guards against a host that confirms a message with each of hundreds of hosts itself, and against a
+/// relay that does so for its data centre: both took longer than endpoints wait for an acknowledgement.
+#[test]
+fn confirmed_messages_reach_each_host_by_a_tree_of_bounded_degree() {
+    for hosts_per_data_centre in [3, 20, 32, 33, 200, 400] {
+        let all = peers(hosts_per_data_centre);
+        let local = &all[0];
+        let others = all.iter().filter(|other| other.id != local.id);
+        let recipients = Recipients::select_groups(local, others);
+        let mut reached = recipients.direct.clone();
+        for relay in &recipients.relays {
+            assert!(relay.hosts.len() <= 32, "{}", relay.hosts.len());
+            assert!(relay.hosts.contains(&relay.primary) && relay.hosts.contains(&relay.secondary));
+            reached.extend(relay.hosts.iter().cloned());
+        }
+        let unique: IndexSet<&HostId> = reached.iter().collect();
+        assert_eq!(
+            (unique.len(), reached.len()),
+            (all.len() - 1, all.len() - 1)
+        );
+        let sent = recipients.direct.len() + recipients.relays.len();
+        println!("{} hosts: {sent} sent", all.len());
+        assert!(
+            sent <= 31 + 5 * hosts_per_data_centre.div_ceil(32).max(8),
+            "{sent}"
+        );
+    }
+}
--- a/crates/kumquatdrum_gateway/src/broadcast.rs
+++ b/crates/kumquatdrum_gateway/src/broadcast.rs
@@ -179,6 +179,7 @@
     fn accept(&self, datagram: Datagram, length: usize, batch: &mut Batch<Event>) -> Vec<Event> {
         if let Reach::DataCentre(urgency) = datagram.reach {
             let events = datagram.events.clone();
+            batch.set_recipients(self.addresses.lock().local.len());
             let full = batch.add(self.clock.now(), events, length, urgency);
             self.relay(full);
         }
