Registry: news since a number of changes, with refreshes for mere announcements

Endpoints that have only announced themselves again are sent as id, incarnation, sequence number and age. Whether an address belongs to a later endpoint is compared with all others only when an incarnation takes its address, not with each announcement.

--- a/crates/kumquatdrum_registry/src/announcement.rs
+++ b/crates/kumquatdrum_registry/src/announcement.rs
@@ -28,6 +28,18 @@
     pub warming_ms: u64,
 }
 
+impl Announcement {
+    /// Returns whether another announcement of the same incarnation says the same but for its sequence
+    /// number.
+    pub(crate) fn has_same_terms(&self, other: &Self) -> bool {
+        let renumbered = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == renumbered
+    }
+}
+
 /// A host's knowledge of an endpoint, as sent to other hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
@@ -38,3 +50,34 @@
     /// The time since any host last heard from the endpoint, in milliseconds.
     pub age_ms: u64,
 }
+
+/// A later announcement of a known incarnation that changes nothing but its sequence number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refresh {
+    /// The endpoint's id.
+    pub id: EndpointId,
+    /// The incarnation.
+    pub started: u64,
+    /// The sequence number of the announcement.
+    pub sequence: u64,
+    /// The time since any host last heard from the endpoint, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What has changed in a registry since an earlier state of it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The endpoints that are new or have changed.
+    pub updates: Vec<Update>,
+    /// The endpoints that have only announced themselves again.
+    pub refreshes: Vec<Refresh>,
+}
+
+impl From<Vec<Update>> for News {
+    fn from(updates: Vec<Update>) -> Self {
+        Self {
+            updates,
+            refreshes: Vec::new(),
+        }
+    }
+}
--- a/crates/kumquatdrum_registry/src/lib.rs
+++ b/crates/kumquatdrum_registry/src/lib.rs
@@ -7,5 +7,5 @@
 mod announcement;
 mod registry;
 
-pub use announcement::{Announcement, Update};
+pub use announcement::{Announcement, News, Refresh, Update};
 pub use registry::{Change, Presence, Registry};
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 
-use crate::{Announcement, Update};
+use crate::{Announcement, News, Refresh, Update};
 
 /// How long an entry is kept after its last announcement. Entries of endpoints that have left are
 /// kept as tombstones, so that delayed announcements are rejected. These arrive seconds late; a
@@ -53,6 +53,8 @@
     entries: IndexMap<EndpointId, Entry>,
     /// The time between two announcements above which the later one is news. `None` if it never is.
     max_gap: Option<Duration>,
+    /// The number of changes so far.
+    changes: u64,
 }
 
 #[derive(Debug)]
@@ -60,6 +62,10 @@
     announcement: Announcement,
     is_gone: bool,
     heard_at: Moment,
+    /// The value of [`Registry::changes`] at the last change of anything but age and sequence number.
+    changed: u64,
+    /// The same at the last newer announcement.
+    refreshed: u64,
     /// When this host first knew that the endpoint is leaving.
     leaving_since: Option<Moment>,
 }
@@ -78,9 +84,58 @@
         Self {
             entries: IndexMap::new(),
             max_gap: Some(max_gap),
+            changes: 0,
         }
     }
 
+    /// Returns the number of changes so far, for [`Self::news_since`].
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns what has changed since the registry had a number of changes: updates for endpoints of
+    /// which more than the age and the sequence number has changed, and refreshes for others.
+    ///
+    /// ```
+    /// use kumquatdrum_registry::Registry;
+    /// # use kumquatdrum_types::Moment;
+    ///
+    /// let registry = Registry::default();
+    /// assert!(registry.news_since(Moment::ZERO, 0).updates.is_empty());
+    /// ```
+    pub fn news_since(&self, now: Moment, changes: u64) -> News {
+        let mut news = News::default();
+        for entry in self.entries.values() {
+            if entry.changed > changes {
+                news.updates.push(to_update(entry, now));
+            } else if entry.refreshed > changes {
+                news.refreshes.push(Refresh {
+                    id: entry.announcement.id.clone(),
+                    started: entry.announcement.started,
+                    sequence: entry.announcement.sequence,
+                    age_ms: entry.age_ms(now),
+                });
+            }
+        }
+        news
+    }
+
+    /// Applies a later announcement of a known incarnation that changes nothing else. Returns `None` if
+    /// the incarnation is not known.
+    pub fn refresh(&mut self, now: Moment, refresh: &Refresh) -> Option<Change> {
+        let entry = self.entries.get(&refresh.id)?;
+        let announcement = match entry.announcement.started.cmp(&refresh.started) {
+            std::cmp::Ordering::Less => return None,
+            std::cmp::Ordering::Equal => Announcement {
+                sequence: refresh.sequence,
+                ..entry.announcement.clone()
+            },
+            std::cmp::Ordering::Greater => return Some(Change::Stale),
+        };
+        let heard_at = now.saturating_sub(Duration::from_millis(refresh.age_ms));
+        Some(self.upsert(heard_at, &announcement, false))
+    }
+
     /// Applies an announcement received from the endpoint itself.
     pub fn announce(&mut self, now: Moment, announcement: Announcement) -> Change {
         self.apply(now, announcement, false)
@@ -101,6 +156,8 @@
         }
         entry.is_gone = true;
         entry.heard_at = now;
+        self.changes += 1;
+        entry.changed = self.changes;
         Some(to_update(entry, now))
     }
 
@@ -123,6 +180,8 @@
         }
         entry.is_gone = true;
         entry.heard_at = now;
+        self.changes += 1;
+        entry.changed = self.changes;
         Some(to_update(entry, now))
     }
 
@@ -149,6 +208,8 @@
         }
         known.leaving = true;
         entry.leaving_since = Some(now);
+        self.changes += 1;
+        entry.changed = self.changes;
         Some(to_update(entry, now))
     }
 
@@ -230,7 +291,9 @@
     }
 
     fn apply(&mut self, heard_at: Moment, announcement: Announcement, is_gone: bool) -> Change {
-        let is_gone = is_gone || self.is_displaced(&announcement);
+        // A known incarnation was compared with all others when it took its address.
+        let is_known = self.is_known_at(&announcement);
+        let is_gone = is_gone || (!is_known && self.is_displaced(&announcement));
         let change = self.upsert(heard_at, &announcement, is_gone);
         if matches!(change, Change::New) && !is_gone {
             self.displace_earlier(&announcement);
@@ -239,14 +302,18 @@
     }
 
     fn upsert(&mut self, heard_at: Moment, announcement: &Announcement, is_gone: bool) -> Change {
+        let change = self.changes + 1;
         let Some(entry) = self.entries.get_mut(&announcement.id) else {
             let entry = Entry {
                 announcement: announcement.clone(),
                 is_gone,
                 heard_at,
+                changed: change,
+                refreshed: change,
                 leaving_since: announcement.leaving.then_some(heard_at),
             };
             self.entries.insert(announcement.id.clone(), entry);
+            self.changes = change;
             return Change::New;
         };
         let known = &entry.announcement;
@@ -258,6 +325,9 @@
                 entry.is_gone = is_gone;
                 entry.heard_at = heard_at;
                 entry.leaving_since = announcement.leaving.then_some(heard_at);
+                entry.changed = change;
+                entry.refreshed = change;
+                self.changes = change;
                 Change::New
             }
             order => {
@@ -266,9 +336,13 @@
                 let gap = heard_at - entry.heard_at;
                 let ends_silence = self.max_gap.is_some_and(|max_gap| gap > max_gap);
                 let has_cooled = known.warming_ms == 0 && announcement.warming_ms > 0;
-                if order == std::cmp::Ordering::Greater {
+                let is_newer = order == std::cmp::Ordering::Greater;
+                let has_new_terms = is_newer && !known.has_same_terms(announcement);
+                if is_newer {
                     entry.announcement = announcement.clone();
                     entry.heard_at = entry.heard_at.max(heard_at);
+                    entry.refreshed = change;
+                    self.changes = change;
                 }
                 entry.announcement.leaving = leaving;
                 if leaving {
@@ -276,6 +350,10 @@
                 }
                 entry.is_gone |= is_gone;
                 let after = (entry.is_gone, leaving, entry.announcement.address);
+                if before != after || has_new_terms {
+                    entry.changed = change;
+                    self.changes = change;
+                }
                 match order {
                     _ if before != after => Change::Changed,
                     std::cmp::Ordering::Greater if has_cooled => Change::Cooled,
@@ -287,6 +365,15 @@
         }
     }
 
+    /// Returns whether an incarnation is known at the address that it announces.
+    fn is_known_at(&self, announcement: &Announcement) -> bool {
+        let known = self.entries.get(&announcement.id);
+        known.is_some_and(|entry| {
+            let known = &entry.announcement;
+            known.started == announcement.started && known.address == announcement.address
+        })
+    }
+
     /// Returns whether another endpoint, started later, uses the announced address.
     fn is_displaced(&self, announcement: &Announcement) -> bool {
         self.entries.values().any(|entry| {
@@ -305,12 +392,19 @@
                 other.address == announcement.address && other.id != announcement.id;
             if has_same_address && other.started < announcement.started {
                 entry.is_gone = true;
+                self.changes += 1;
+                entry.changed = self.changes;
             }
         }
     }
 }
 
 impl Entry {
+    /// Returns the time since the last announcement, in milliseconds.
+    fn age_ms(&self, now: Moment) -> u64 {
+        (now - self.heard_at).as_millis() as u64
+    }
+
     /// Returns until when the endpoint serves if it is leaving.
     fn serves_until(&self, grace: Duration) -> Option<Moment> {
         self.leaving_since.map(|since| since + grace)
@@ -321,6 +415,6 @@
     Update {
         announcement: entry.announcement.clone(),
         gone: entry.is_gone,
-        age_ms: (now - entry.heard_at).as_millis() as u64,
+        age_ms: entry.age_ms(now),
     }
 }
--- a/crates/kumquatdrum_registry/tests/registry.rs
+++ b/crates/kumquatdrum_registry/tests/registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatdrum_registry::{Announcement, Change, Presence, Registry, Update};
+use kumquatdrum_registry::{Announcement, Change, News, Presence, Refresh, Registry, Update};
 use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
 
 const NOW: Moment = Moment::from_millis(100_000);
@@ -235,3 +235,131 @@
     let heard = registry.announce(NOW + second / 10, announcement("a", 1, 2));
     assert_eq!(heard, Change::Heard);
 }
+
+fn addressed(number: u8, sequence: u64) -> Announcement {
+    Announcement {
+        address: format!("10.0.0.{number}:80").parse().expect("an address"),
+        ..announcement(&format!("e{number}"), 1, sequence)
+    }
+}
+
+/// Merges news as another host does that has the registry's endpoints up to a version.
+fn follow(follower: &mut Registry, news: News) -> bool {
+    for update in news.updates {
+        follower.merge(NOW, update);
+    }
+    let mut refreshes = news.refreshes.iter();
+    refreshes.all(|refresh| follower.refresh(NOW, refresh).is_some())
+}
+
+#[test]
+fn announcements_that_change_nothing_else_are_small_news() {
+    let mut registry = Registry::default();
+    for number in 1..=100 {
+        registry.announce(NOW, addressed(number, 1));
+    }
+    let mut follower = Registry::default();
+    assert!(follow(&mut follower, registry.news_since(NOW, 0)));
+    let known = registry.changes();
+    assert_eq!(registry.news_since(NOW, known), News::default());
+    for number in 1..=100 {
+        registry.announce(NOW, addressed(number, 2));
+    }
+    registry.announce(
+        NOW,
+        Announcement {
+            leaving: true,
+            ..addressed(7, 3)
+        },
+    );
+    registry.announce(
+        NOW,
+        Announcement {
+            warming_ms: 900,
+            ..addressed(8, 3)
+        },
+    );
+    registry.mark_displaced(NOW, &"e9".into(), 1);
+    let news = registry.news_since(NOW, known);
+    let updated: Vec<&str> = news
+        .updates
+        .iter()
+        .map(|it| it.announcement.id.as_str())
+        .collect();
+    assert_eq!(updated, ["e7", "e8", "e9"]);
+    assert_eq!(news.refreshes.len(), 97);
+    assert!(follow(&mut follower, news));
+    let by_id = |registry: &Registry| {
+        let mut all = registry.updates(NOW);
+        all.sort_by_key(|update| update.announcement.id.clone());
+        all
+    };
+    assert_eq!(by_id(&follower), by_id(&registry));
+}
+
+/// Plays registries that follow another one with lost answers, restarts of endpoints and departures: a
+/// follower with a version ends with what the other one has, or knows that it lacks something.
+#[test]
+fn a_follower_ends_with_the_endpoints_of_the_other_registry() {
+    arbtest::arbtest(|random| {
+        let mut registry = Registry::default();
+        let mut follower = Registry::default();
+        let (mut version, mut sequence) = (0, 0);
+        for _ in 0..random.int_in_range(1..=40)? {
+            sequence += 1;
+            let number = random.int_in_range(1..=4)?;
+            let announced = Announcement {
+                started: random.int_in_range(1..=2)?,
+                leaving: random.ratio(1, 8)?,
+                ..addressed(number, sequence)
+            };
+            match random.int_in_range(0..=5)? {
+                0 => {
+                    registry.leave(NOW, &announced.id, None);
+                }
+                1 => {
+                    registry.mark_displaced(NOW, &announced.id, announced.started);
+                }
+                _ => {
+                    registry.announce(NOW, announced);
+                }
+            }
+            if random.ratio(1, 2)? {
+                let news = registry.news_since(NOW, version);
+                assert!(follow(&mut follower, news));
+                version = registry.changes();
+            }
+        }
+        assert!(follow(&mut follower, registry.news_since(NOW, version)));
+        let service = ServiceName::new("s");
+        let usable = |registry: &Registry| {
+            let usable = registry.usable(NOW, &service);
+            let usable = usable.map(|(it, _)| (it.id.clone(), it.started, it.sequence));
+            let mut usable: Vec<_> = usable.collect();
+            usable.sort();
+            usable
+        };
+        assert_eq!(usable(&follower), usable(&registry));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_refresh_of_an_unknown_incarnation_is_not_applied() {
+    let mut registry = Registry::default();
+    let refresh = |started, sequence| Refresh {
+        id: "a".into(),
+        started,
+        sequence,
+        age_ms: 100,
+    };
+    assert_eq!(registry.refresh(NOW, &refresh(1, 2)), None);
+    registry.announce(NOW, announcement("a", 2, 5));
+    assert_eq!(registry.refresh(NOW, &refresh(3, 6)), None);
+    assert_eq!(registry.refresh(NOW, &refresh(1, 9)), Some(Change::Stale));
+    assert_eq!(registry.refresh(NOW, &refresh(2, 4)), Some(Change::Stale));
+    assert_eq!(
+        registry.refresh(NOW, &refresh(2, 6)),
+        Some(Change::Refreshed)
+    );
+}
