--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -1,11 +1,16 @@
 //! The schedule of a host's requests to control hosts: hellos, listings of hosts, and all endpoints.
 //!
-//! A state machine without clock and network. Each control host has a schedule of its own with at most
-//! one hello in flight, so that one that doesn't answer delays nothing. Hellos to a control host that
-//! has not answered request no lists. All endpoints are requested from one control host at a time that
+//! A state machine without clock and network. A host sends hellos to a few control hosts, its contacts,
+//! so that what hosts and control hosts spend on hellos doesn't grow with the number of control hosts.
+//! Each has a schedule of its own with at most one hello in flight, so that one that doesn't answer
+//! delays nothing, and another control host becomes a contact in its place until it answers again.
+//! Control hosts send hellos to all control hosts. Hellos to a control host that has not answered request
+//! the control hosts alone. All endpoints are requested from one control host at a time that
 //! has answered, and not again while its answer is under way: with hundreds of hosts that start at
 //! once, answers take seconds, and requests that are repeated earlier overload control hosts.
 
+mod choice;
+mod listing;
 mod request;
 
 use std::time::Duration;
@@ -13,8 +18,11 @@
 use indexmap::IndexMap;
 use kumquatdrum_types::{HostId, Moment, hash};
 
-pub use self::request::{ContactRequest, EndpointsReply, Hello, Reply, Target};
+pub use self::request::{ContactRequest, EndpointsReply, Hello, Lists, Reply, Target};
 
+/// The time after which contacts without endpoints are asked again if too few have sent any. Endpoints
+/// count as silent later than that.
+const EMPTY_RETRY_DELAY: Duration = Duration::from_secs(3);
 /// The interval between hellos to a control host of the local data centre. A host that was cut off
 /// learns of the active setup within this time of its return.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
@@ -33,21 +41,14 @@
 /// How long after the first answer the preferred source of all hosts and endpoints is awaited, so that
 /// hosts that start at once spread over the control hosts.
 const SOURCE_WAIT: Duration = Duration::from_millis(40);
-/// The minimum interval between listings that are requested of any control host.
-const LISTING_INTERVAL: Duration = Duration::from_millis(450);
-/// How long a listing waits for the control host whose listing is the oldest.
-const LISTING_TURN_WAIT: Duration = Duration::from_millis(300);
-/// The time after which a missing listing of changes is requested from another control host. Without
-/// listings, hosts count as lost after 2 s.
-const LISTING_PATIENCE: Duration = Duration::from_millis(600);
 /// The factor by which [`RETRY_DELAY`] grows at most for requests for all endpoints, as control hosts
 /// refuse them while too many hosts start.
 const MAX_ENDPOINT_RETRY_FACTOR: u32 = 5;
-/// The number of control hosts that send all endpoints to a host. A second one makes up for a first
-/// that lost its disk. A control host requests them from all others.
+/// The number of contacts that send all endpoints to a host, and then their changes. A second one makes
+/// up for a first that lost its disk. A control host requests them from all others.
 const ENDPOINT_SOURCES: usize = 2;
-/// The time after which a host that has had all endpoints once looks for no further source. By then
-/// endpoints have announced themselves again.
+/// The time after which a control host that has had all endpoints once looks for no further source. By
+/// then endpoints have announced themselves again.
 const MAX_ENDPOINT_DURATION: Duration = Duration::from_secs(10);
 /// The timeout for the first answer, a listing or all endpoints. It covers the requests of other hosts
 /// that start as well. A lost connection is noticed earlier.
@@ -79,6 +80,10 @@
     listing: Listing,
     endpoints: Endpoints,
     last_hello: u64,
+    /// The places of the contacts in the order of preference.
+    order: Vec<usize>,
+    /// When the contacts are to be chosen again if nothing is recorded before; `None`: at once.
+    reconsider_at: Option<Moment>,
 }
 
 /// The listings of this host. Control hosts request one with each hello instead.
@@ -95,10 +100,14 @@
 #[derive(Debug, Default)]
 struct Endpoints {
     is_in_flight: bool,
+    /// The number of answers with endpoints.
+    received: usize,
     /// The control hosts that have sent endpoints.
     sources: Vec<HostId>,
     /// The control hosts that knew none.
     empty: Vec<HostId>,
+    /// When the first of these answered.
+    empty_since: Moment,
     /// The control hosts that have refused or not answered since all were last asked.
     passed: Vec<HostId>,
     /// The number of requests without endpoints since the last answer.
@@ -110,10 +119,12 @@
 #[derive(Debug)]
 struct Contact {
     is_remote: bool,
+    /// Whether hellos are sent to it.
+    is_active: bool,
     /// When the next hello is due.
     due: Moment,
-    /// The hello without a listing in flight.
-    hello: Option<u64>,
+    /// The hello without a listing in flight, and when it was sent.
+    hello: Option<(u64, Moment)>,
     /// The hello with a listing in flight, which no other hello waits for.
     listing: Option<u64>,
     /// Whether the last hello was answered.
@@ -150,15 +161,27 @@
             listing: Listing::default(),
             endpoints: Endpoints::default(),
             last_hello: 0,
+            order: Vec::new(),
+            reconsider_at: None,
         }
     }
 
-    /// Replaces the control hosts. A new one is sent a hello at once.
+    /// Replaces the control hosts. A new contact is sent a hello at once.
     pub fn set_targets(&mut self, targets: impl IntoIterator<Item = Target>) {
+        let targets: Vec<Target> = targets.into_iter().collect();
+        let known = self.contacts.iter();
+        let known = known.map(|(host, contact)| (host, contact.is_remote));
+        if known.eq(targets
+            .iter()
+            .map(|target| (&target.host, target.is_remote)))
+        {
+            return;
+        }
         let mut known = std::mem::take(&mut self.contacts);
         for Target { host, is_remote } in targets {
             let mut contact = known.swap_remove(&host).unwrap_or(Contact {
                 is_remote,
+                is_active: false,
                 due: Moment::ZERO,
                 hello: None,
                 listing: None,
@@ -177,18 +200,23 @@
                 self.listing.is_in_flight = false;
             }
         }
+        self.order = self.sorted_places();
+        self.reconsider_at = None;
     }
 
     /// Returns the requests to send now.
     pub fn poll(&mut self, now: Moment) -> Vec<ContactRequest> {
         let mut requests = Vec::new();
+        self.choose_contacts(now);
         if let Some(from) = self.endpoint_source(now) {
             self.endpoints.is_in_flight = true;
             requests.push(ContactRequest::Endpoints { from });
         }
         self.expedite_listing(now);
         let due = self.contacts.iter();
-        let due = due.filter(|(_, contact)| contact.hello.is_none() && contact.due <= now);
+        let due = due.filter(|(_, contact)| {
+            contact.is_active && contact.hello.is_none() && contact.due <= now
+        });
         let due: Vec<HostId> = due.map(|(host, _)| host.clone()).collect();
         for to in due {
             let requests_listing = self.is_listing_due(now, &to);
@@ -205,18 +233,25 @@
                 contact.listing = Some(self.last_hello);
                 contact.due = now + contact.interval(self.is_control);
             } else {
-                contact.hello = Some(self.last_hello);
+                contact.hello = Some((self.last_hello, now));
+                let slow_at = contact.slow_at();
+                self.reconsider_at = self.reconsider_at.into_iter().chain(slow_at).min();
             }
             let timeout = if contact.answered.is_some() && !requests_listing {
                 LIGHT_TIMEOUT
             } else {
                 RESPONSE_TIMEOUT
             };
+            let lists = match contact.answered {
+                _ if requests_listing => Lists::Hosts,
+                None => Lists::ControlHosts,
+                Some(_) => Lists::None,
+            };
             requests.push(ContactRequest::Hello(Hello {
                 number: self.last_hello,
                 sent: now,
                 to,
-                requests_listing,
+                lists,
                 requests_departures: !self.is_control && !contact.has_departures,
                 timeout,
             }));
@@ -227,12 +262,13 @@
     /// Returns when to poll next if nothing is recorded before.
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
         let idle = self.contacts.values();
-        let idle = idle.filter(|contact| contact.hello.is_none());
+        let idle = idle.filter(|contact| contact.is_active && contact.hello.is_none());
         let due = idle.map(|contact| contact.due);
+        let slow_at = self.contacts.values().filter_map(Contact::slow_at);
         let source_wait = self.first_answer.map(|at| at + SOURCE_WAIT);
         let resume_at = (!self.endpoints.is_in_flight).then_some(self.endpoints.resume_at);
         let others = source_wait.into_iter().chain(resume_at);
-        let others = others.chain(self.overdue_at());
+        let others = others.chain(self.overdue_at()).chain(slow_at);
         due.chain(others.filter(|at| *at > now)).min()
     }
 
@@ -241,24 +277,26 @@
         let Some(contact) = self.contacts.get_mut(&hello.to) else {
             return;
         };
-        let in_flight = if hello.requests_listing {
-            &mut contact.listing
+        let requests_listing = hello.lists == Lists::Hosts;
+        let is_awaited = if requests_listing {
+            let listing = &mut contact.listing;
+            listing.take_if(|number| *number == hello.number).is_some()
         } else {
-            &mut contact.hello
+            let sent = &mut contact.hello;
+            sent.take_if(|(number, _)| *number == hello.number)
+                .is_some()
         };
-        if in_flight
-            .take_if(|number| *number == hello.number)
-            .is_none()
-        {
+        if !is_awaited {
             return;
         }
+        self.reconsider_at = None;
         let interval = contact.interval(self.is_control);
         let is_quick = match reply {
             Reply::Missing => {
                 contact.missing += 1;
                 contact.missing <= MAX_QUICK_RETRIES || self.first_answer.is_none()
             }
-            Reply::Welcome { has_setup } => {
+            Reply::Welcome { has_setup, .. } => {
                 contact.missing = 0;
                 contact.has_departures |= hello.requests_departures;
                 contact.setup_retries += u32::from(!has_setup);
@@ -266,20 +304,29 @@
             }
         };
         let quick = now + RETRY_DELAY;
-        contact.due = match (hello.requests_listing, is_quick) {
+        contact.due = match (requests_listing, is_quick) {
             (false, false) => quick.max(hello.sent + interval),
             (false, true) => quick,
             (true, false) => contact.due,
             (true, true) => contact.due.min(quick),
         };
         if reply != Reply::Missing {
-            contact.is_answering = true;
+            contact.is_answering = contact.is_active;
             contact.answered = Some(now);
             self.first_answer.get_or_insert(now);
         } else if contact.answered.is_none_or(|at| at <= hello.sent) {
             contact.is_answering = false;
         }
-        if hello.requests_listing {
+        if matches!(
+            reply,
+            Reply::Welcome {
+                lacks_endpoints: true,
+                ..
+            }
+        ) {
+            self.endpoints.sources.retain(|source| *source != hello.to);
+        }
+        if requests_listing {
             self.listing.is_received |= reply != Reply::Missing;
             self.listing.is_missing = reply == Reply::Missing;
             if self.is_listing_awaited_from(&hello.to) {
@@ -295,6 +342,10 @@
         match reply {
             EndpointsReply::Received { is_empty } => {
                 endpoints.failed = 0;
+                endpoints.received += usize::from(!is_empty);
+                if is_empty && endpoints.empty.is_empty() {
+                    endpoints.empty_since = now;
+                }
                 let answered = if is_empty {
                     &mut endpoints.empty
                 } else {
@@ -309,6 +360,8 @@
                 endpoints.passed.push(from.clone());
             }
         }
+        self.reconsider_at = None;
+        self.choose_contacts(now);
     }
 
     /// Returns whether no control host has answered yet.
@@ -316,13 +369,19 @@
         self.first_answer.is_none()
     }
 
-    /// Returns whether a control host has sent endpoints, or all that answer know none.
+    /// Returns whether no contact answers.
+    pub fn is_isolated(&self) -> bool {
+        !self.contacts.values().any(|contact| contact.is_answering)
+    }
+
+    /// Returns whether a control host has sent endpoints, or all contacts know none.
     pub fn has_initial_endpoints(&self) -> bool {
         let endpoints = &self.endpoints;
-        let mut answering = self.contacts.iter().filter(|(_, it)| it.is_answering);
-        !endpoints.sources.is_empty()
-            || (!endpoints.empty.is_empty()
-                && answering.all(|(host, _)| endpoints.empty.contains(host)))
+        let mut asked = self.contacts.iter();
+        let is_empty = |(host, contact): (&HostId, &Contact)| {
+            !contact.is_active || contact.missing > 0 || endpoints.empty.contains(host)
+        };
+        endpoints.received > 0 || (!endpoints.empty.is_empty() && asked.all(is_empty))
     }
 
     /// Returns whether the listing in flight, if any, is the one requested from a control host.
@@ -334,16 +393,22 @@
     /// Returns the control host to request all endpoints from.
     fn endpoint_source(&mut self, now: Moment) -> Option<HostId> {
         let endpoints = &self.endpoints;
-        let most = if self.is_control {
-            usize::MAX
-        } else {
-            ENDPOINT_SOURCES
+        // Once there were two sources, one is enough to receive changes from.
+        let most = match endpoints.received {
+            _ if self.is_control => usize::MAX,
+            0..ENDPOINT_SOURCES => ENDPOINT_SOURCES,
+            _ => 1,
         };
-        let received = endpoints.sources.len();
-        let is_over = received > 0 && now - self.started >= MAX_ENDPOINT_DURATION;
-        if endpoints.is_in_flight || received >= most || is_over || now < endpoints.resume_at {
+        let sources = endpoints.sources.len();
+        let is_old = now - self.started >= MAX_ENDPOINT_DURATION;
+        let is_over = self.is_control && sources > 0 && is_old;
+        if endpoints.is_in_flight || sources >= most || is_over || now < endpoints.resume_at {
             return None;
         }
+        if now - self.endpoints.empty_since >= EMPTY_RETRY_DELAY {
+            self.endpoints.empty.clear();
+        }
+        let endpoints = &self.endpoints;
         let answered = [&endpoints.sources[..], &endpoints.empty].concat();
         let asked = [&answered[..], &endpoints.passed].concat();
         if self
@@ -367,83 +432,11 @@
             (contact.is_remote, weight)
         };
         let others = self.contacts.iter();
-        let others = others.filter(|(host, _)| !asked.contains(host));
+        let others = others.filter(|(host, contact)| contact.is_active && !asked.contains(host));
         let answering = others.clone().filter(|(_, contact)| contact.is_answering);
         let preferred = others.min_by_key(rank)?;
         let best = answering.min_by_key(rank)?;
         let is_due = best.0 == preferred.0 || now >= first_answer + SOURCE_WAIT;
         is_due.then(|| best.0.clone())
     }
-
-    /// Makes the hello due that requests the first listing or an overdue one. Control hosts request
-    /// their first ones of each other.
-    fn expedite_listing(&mut self, now: Moment) {
-        if self.is_control {
-            let contacts = self.contacts.values_mut();
-            let unlisted =
-                |contact: &&mut Contact| contact.is_answering && contact.listed == Moment::ZERO;
-            contacts
-                .filter(unlisted)
-                .for_each(|contact| contact.due = contact.due.min(now));
-            return;
-        }
-        let source = match self.listing.is_received {
-            true if self.overdue_at().is_some_and(|at| at <= now) => self.next_listed(),
-            false if !self.listing.is_in_flight => self.source(now, &[]),
-            _ => None,
-        };
-        if let Some(contact) = source.and_then(|source| self.contacts.get_mut(&source)) {
-            contact.due = contact.due.min(now);
-        }
-    }
-
-    /// Returns whether a hello that is sent now to a control host requests a listing. The first
-    /// listing is complete and awaited; later ones contain changes and come from all control hosts in
-    /// turn, so that a partitioned one does not hide hosts for long.
-    fn is_listing_due(&self, now: Moment, to: &HostId) -> bool {
-        let Some(contact) = self.contacts.get(to) else {
-            return false;
-        };
-        if !contact.is_answering || contact.listing.is_some() || self.is_control {
-            return contact.is_answering && contact.listing.is_none();
-        }
-        let since = self.listing.asked.as_ref().map(|(_, at)| now - *at);
-        let is_awaited = self.listing.is_in_flight;
-        if !self.listing.is_received {
-            return !is_awaited && self.source(now, &[]).as_ref() == Some(to);
-        }
-        let minimum = if is_awaited {
-            LISTING_PATIENCE
-        } else {
-            LISTING_INTERVAL
-        };
-        if since.is_some_and(|since| since < minimum) {
-            return false;
-        }
-        let next = self.next_listed();
-        let next = next.and_then(|next| self.contacts.get_key_value(&next));
-        next.is_none_or(|(host, other)| host == to || other.due > now + LISTING_TURN_WAIT)
-    }
-
-    /// Returns when a new listing is due at the latest, after the first one.
-    fn overdue_at(&self) -> Option<Moment> {
-        let asked = self.listing.asked.as_ref();
-        let asked = asked.filter(|_| self.listing.is_received && !self.is_control);
-        asked.map(|(_, at)| *at + LISTING_PATIENCE)
-    }
-
-    /// Returns the control host whose listing is the oldest of those that could be sent a hello, or the
-    /// one that answered last while a listing is missing, as others may be frozen too.
-    fn next_listed(&self) -> Option<HostId> {
-        let idle = self.contacts.iter();
-        let idle = idle.filter(|(_, contact)| {
-            contact.is_answering && contact.hello.is_none() && contact.listing.is_none()
-        });
-        let next = if self.listing.is_in_flight || self.listing.is_missing {
-            idle.max_by_key(|(_, contact)| contact.answered)
-        } else {
-            idle.min_by_key(|(_, contact)| contact.listed)
-        };
-        next.map(|(host, _)| host.clone())
-    }
 }
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/contact/listing.rs
@@ -0,0 +1,94 @@
+//! When a hello requests a listing of hosts, and of which contact.
+
+use std::time::Duration;
+
+use kumquatdrum_types::{HostId, Moment};
+
+use super::{Contact, Schedule};
+
+/// The minimum interval between listings that are requested of any control host.
+const LISTING_INTERVAL: Duration = Duration::from_millis(450);
+/// How long a listing waits for the control host whose listing is the oldest.
+const LISTING_TURN_WAIT: Duration = Duration::from_millis(300);
+/// The time after which a missing listing of changes is requested from another control host. Without
+/// listings, hosts count as lost after 2 s.
+const LISTING_PATIENCE: Duration = Duration::from_millis(600);
+
+impl Schedule {
+    /// Makes the hello due that requests the first listing or an overdue one. Control hosts request
+    /// their first ones of each other.
+    pub(super) fn expedite_listing(&mut self, now: Moment) {
+        if self.is_control {
+            let contacts = self.contacts.values_mut();
+            let unlisted =
+                |contact: &&mut Contact| contact.is_answering && contact.listed == Moment::ZERO;
+            contacts
+                .filter(unlisted)
+                .for_each(|contact| contact.due = contact.due.min(now));
+            return;
+        }
+        let source = match self.listing.is_received {
+            true if self.overdue_at().is_some_and(|at| at <= now) => self.next_listed(),
+            false if !self.listing.is_in_flight => self.source(now, &[]),
+            _ => None,
+        };
+        if let Some(contact) = source.and_then(|source| self.contacts.get_mut(&source)) {
+            contact.due = contact.due.min(now);
+        }
+    }
+
+    /// Returns whether a hello that is sent now to a control host requests a listing. The first
+    /// listing is complete and awaited; later ones contain changes and come from all control hosts in
+    /// turn, so that a partitioned one does not hide hosts for long.
+    pub(super) fn is_listing_due(&self, now: Moment, to: &HostId) -> bool {
+        let Some(contact) = self.contacts.get(to) else {
+            return false;
+        };
+        if contact.listing.is_some() {
+            return false;
+        }
+        if !contact.is_answering || self.is_control {
+            // A contact in place of others that do not answer is asked with its first hello.
+            let is_overdue = self.overdue_at().is_some_and(|at| at <= now);
+            return contact.is_answering || (is_overdue && contact.missing == 0);
+        }
+        let since = self.listing.asked.as_ref().map(|(_, at)| now - *at);
+        let is_awaited = self.listing.is_in_flight;
+        if !self.listing.is_received {
+            return !is_awaited && self.source(now, &[]).as_ref() == Some(to);
+        }
+        let minimum = if is_awaited {
+            LISTING_PATIENCE
+        } else {
+            LISTING_INTERVAL
+        };
+        if since.is_some_and(|since| since < minimum) {
+            return false;
+        }
+        let next = self.next_listed();
+        let next = next.and_then(|next| self.contacts.get_key_value(&next));
+        next.is_none_or(|(host, other)| host == to || other.due > now + LISTING_TURN_WAIT)
+    }
+
+    /// Returns when a new listing is due at the latest, after the first one.
+    pub(super) fn overdue_at(&self) -> Option<Moment> {
+        let asked = self.listing.asked.as_ref();
+        let asked = asked.filter(|_| self.listing.is_received && !self.is_control);
+        asked.map(|(_, at)| *at + LISTING_PATIENCE)
+    }
+
+    /// Returns the control host whose listing is the oldest of those that could be sent a hello, or the
+    /// one that answered last while a listing is missing, as others may be frozen too.
+    fn next_listed(&self) -> Option<HostId> {
+        let idle = self.contacts.iter();
+        let idle = idle.filter(|(_, contact)| {
+            contact.is_answering && contact.hello.is_none() && contact.listing.is_none()
+        });
+        let next = if self.listing.is_in_flight || self.listing.is_missing {
+            idle.max_by_key(|(_, contact)| contact.answered)
+        } else {
+            idle.min_by_key(|(_, contact)| contact.listed)
+        };
+        next.map(|(host, _)| host.clone())
+    }
+}
--- a/crates/kumquatdrum_gateway/src/contact/request.rs
+++ b/crates/kumquatdrum_gateway/src/contact/request.rs
@@ -25,6 +25,17 @@
     },
 }
 
+/// The hosts that a hello requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lists {
+    /// None.
+    None,
+    /// The control hosts, as this host may know few of them.
+    ControlHosts,
+    /// A listing of all hosts or of the changes since the last one, with the changed endpoints.
+    Hosts,
+}
+
 /// A hello to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Hello {
@@ -33,8 +44,8 @@
     pub(super) sent: Moment,
     /// The receiver.
     pub to: HostId,
-    /// Whether it requests a listing of hosts.
-    pub requests_listing: bool,
+    /// The hosts that it requests.
+    pub lists: Lists,
     /// Whether it requests the endpoints that have left.
     pub requests_departures: bool,
     /// How long the answer is awaited.
@@ -50,6 +61,9 @@
     Welcome {
         /// Whether the control host has a setup.
         has_setup: bool,
+        /// Whether all endpoints are to be requested of it again, as its changes do not complete those
+        /// that were received before.
+        lacks_endpoints: bool,
     },
 }
 
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use kumquatdrum_peer::Channel;
-use kumquatdrum_registry::{Change, Update};
+use kumquatdrum_registry::Change;
 use kumquatdrum_routes::{Record, validate};
 use kumquatdrum_types::{EndpointId, Finding, HostId};
 use slog::{error, info, warn};
@@ -270,15 +270,18 @@
     };
     let is_leaving = announcement.leaving;
     let (change, update) = gateway.endpoints.announce(announcement);
-    let update: Vec<Update> = update.into_iter().collect();
-    match change {
-        Change::New if !is_leaving => gateway.broadcast_endpoints(update, RelayPath::Primary),
-        Change::Cooled | Change::Heard if !is_leaving => {
-            gateway.broadcast_endpoints(update, RelayPath::Primary);
+    match (change, update) {
+        (Change::New | Change::Heard, Some(update)) if !is_leaving => {
+            gateway.broadcast_addition(update);
+        }
+        (Change::Cooled, Some(update)) if !is_leaving => {
+            gateway.broadcast_endpoints(vec![update], RelayPath::Primary);
             gateway.refresh_pool();
         }
-        Change::New | Change::Changed => gateway.confirm_endpoints(update).await,
-        Change::Cooled | Change::Heard | Change::Refreshed | Change::Stale => {}
+        (Change::New | Change::Changed, Some(update)) => {
+            gateway.confirm_endpoints(vec![update]).await;
+        }
+        _ => {}
     }
     json(StatusCode::OK, "{}")
 }
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -2,23 +2,38 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_registry::{Announcement, Change, Presence, Registry, Update};
-use kumquatdrum_types::{DataCentre, EndpointId, Moment, ServiceName};
+use kumquatdrum_registry::{Announcement, Change, News, Presence, Refresh, Registry, Update};
+use kumquatdrum_types::{Checkpoint, DataCentre, EndpointId, HostId, Moment, ServiceName};
 use parking_lot::Mutex;
 use slog::info;
 use tokio::sync::Notify;
 
+use crate::message::EndpointSelection;
+
 /// How long an endpoint's departure is published again in each round, for hosts that missed it.
 const LEAVE_REPEAT_DURATION: Duration = Duration::from_secs(10);
 
 /// The longest time from the last check of a request to its arrival at a leaving endpoint.
 const MAX_TRANSIT: Duration = Duration::from_millis(500);
 
+/// What updates from another host have changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Effect {
+    /// Nothing but ages.
+    Nothing,
+    /// Endpoints were added.
+    Added,
+    /// Endpoints that were known have changed.
+    Changed,
+}
+
 /// The announced endpoints known to this host.
 pub struct Endpoints {
     clock: Clock,
+    /// The start of this host, which the versions of its news name.
+    boot: u64,
     /// The time for which a leaving endpoint gets requests that no other endpoint can serve.
     grace: Duration,
     state: Mutex<State>,
@@ -31,12 +46,16 @@
     registry: Registry,
     /// Endpoints that sent an announcement or a leave request to this host since the last round.
     unpublished: IndexSet<EndpointId>,
+    /// The version of the last news from each control host that has sent all endpoints.
+    received: IndexMap<HostId, Checkpoint>,
 }
 
 impl Endpoints {
-    /// Creates an empty registry. Leaving endpoints serve for `drain` after hosts have been told.
+    /// Creates the empty registry of a host started at `boot`. Leaving endpoints serve for `drain` after
+    /// hosts have been told.
     pub fn new(
         clock: Clock,
+        boot: u64,
         drain: Duration,
         announcement_interval: Duration,
         logger: slog::Logger,
@@ -44,9 +63,11 @@
         let state = State {
             registry: Registry::with_max_gap(announcement_interval * 3 / 2),
             unpublished: IndexSet::new(),
+            received: IndexMap::new(),
         };
         Self {
             clock,
+            boot,
             grace: drain.saturating_sub(MAX_TRANSIT),
             state: Mutex::new(state),
             changed: Notify::new(),
@@ -80,17 +101,82 @@
         update
     }
 
-    /// Merges updates from another host. Returns whether anything but ages has changed.
-    pub fn merge(&self, updates: Vec<Update>, from: &str) -> bool {
+    /// Merges updates from another host.
+    pub fn merge(&self, updates: Vec<Update>, from: &str) -> Effect {
         let now = self.clock.now();
-        let mut has_changed = false;
+        let mut effect = Effect::Nothing;
         for update in updates {
             let received = update.clone();
             let change = self.state.lock().registry.merge(now, update);
-            has_changed |= change.is_news();
+            effect = effect.max(match change {
+                Change::New if !received.gone && !received.announcement.leaving => Effect::Added,
+                change if change.is_news() => Effect::Changed,
+                _ => Effect::Nothing,
+            });
             self.log_and_notify(change, Some(&received), from);
         }
-        has_changed
+        effect
+    }
+
+    /// Returns the news for a host that has this host's endpoints up to a version. `None` if that is not
+    /// a version of this incarnation.
+    pub fn news_since(&self, known: Checkpoint) -> Option<News> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let is_own = known.boot == self.boot;
+        is_own.then(|| state.registry.news_since(now, known.changes))
+    }
+
+    /// Returns the version of this host's endpoints.
+    pub fn version(&self) -> Checkpoint {
+        Checkpoint {
+            boot: self.boot,
+            changes: self.state.lock().registry.changes(),
+        }
+    }
+
+    /// Returns what to request of a control host with a listing: its news since those received last, if
+    /// it has sent all endpoints before.
+    pub fn selection(&self, from: &HostId) -> EndpointSelection {
+        let state = self.state.lock();
+        let received = state.received.get(from);
+        received.map_or(EndpointSelection::Nothing, |version| {
+            EndpointSelection::Since(*version)
+        })
+    }
+
+    /// Records the version up to which a control host's endpoints were received. `None` if they are to
+    /// be requested again.
+    pub fn record_version(&self, from: &HostId, version: Option<Checkpoint>) {
+        let mut state = self.state.lock();
+        match version {
+            Some(version) => {
+                state.received.insert(from.clone(), version);
+            }
+            None => {
+                state.received.swap_remove(from);
+            }
+        }
+    }
+
+    /// Applies announcements that change nothing else. Returns whether anything but ages has changed, or
+    /// `None` if an endpoint is not known.
+    pub fn refresh(&self, refreshes: &[Refresh], from: &str) -> Option<bool> {
+        let now = self.clock.now();
+        let (mut has_changed, mut is_complete) = (false, true);
+        let mut state = self.state.lock();
+        for refresh in refreshes {
+            match state.registry.refresh(now, refresh) {
+                Some(change) if change.is_news() => {
+                    has_changed = true;
+                    let update = state.registry.update_for(now, &refresh.id);
+                    self.log_and_notify(change, update.as_ref(), from);
+                }
+                Some(_) => {}
+                None => is_complete = false,
+            }
+        }
+        is_complete.then_some(has_changed)
     }
 
     /// Marks an endpoint as gone because another endpoint answers at its address.
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use kumquatdrum_peer::{Channel, Client, Counters};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_process::{Drain, quarantine};
+use kumquatdrum_registry::News;
 use kumquatdrum_routes::{Limits, Record, Setup};
 use kumquatdrum_types::{HostId, Moment};
 use parking_lot::Mutex;
@@ -42,6 +43,7 @@
 mod start;
 mod startup;
 
+use endpoint_updates::Additions;
 use startup::Startup;
 
 /// How long a starting host waits for a majority of the control hosts before it becomes ready
@@ -110,6 +112,7 @@
     pub(crate) settings: Settings,
     started: Moment,
     startup: Startup,
+    added: Additions,
     background: Mutex<JoinSet<()>>,
 }
 
@@ -276,19 +279,28 @@
         self.quarantine.merge(evidence, id.as_str());
         self.observe_evacuations(&id, &hello.evacuations);
         self.observe_revision(id, hello.revision);
-        let endpoints = match hello.endpoints {
-            EndpointSelection::Nothing => Vec::new(),
-            EndpointSelection::Departures => self.endpoints.departures(),
+        // Changes that are made meanwhile are sent again with the next answer.
+        let version = self.endpoints.version();
+        let (news, endpoints_version) = match hello.endpoints {
+            EndpointSelection::Nothing => (News::default(), None),
+            EndpointSelection::Departures => (self.endpoints.departures().into(), None),
             EndpointSelection::All => match self.all_endpoints(is_control) {
-                Some(endpoints) => endpoints,
+                Some(endpoints) => (endpoints.into(), Some(version)),
                 None => return Response::Unavailable,
             },
+            EndpointSelection::Since(known) => match self.endpoints.news_since(known) {
+                Some(news) => (news, Some(version)),
+                None => (News::default(), None),
+            },
         };
         Response::Welcome {
             host: self.hosts.local(),
-            hosts: self.hosts.listing(hello.hosts),
+            hosts: self.hosts.listing(hello.hosts, is_control),
+            has_majority: self.hosts.has_control_majority(),
             revision: self.active_setup.revision(),
-            endpoints,
+            endpoints: news.updates,
+            refreshes: news.refreshes,
+            endpoints_version,
             evidence: self.quarantine.answer(hello.known_evidence),
             evacuations: self.evacuations.report_to(Some(hello.evacuations.version)),
         }
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -14,7 +14,9 @@
 use tokio::time::{interval, sleep_until};
 
 use super::Gateway;
-use crate::contact::{self, ContactRequest, EndpointsReply, RESPONSE_TIMEOUT, Reply, Schedule};
+use crate::contact::{
+    self, ContactRequest, EndpointsReply, Lists, RESPONSE_TIMEOUT, Reply, Schedule,
+};
 use crate::message::{EndpointSelection, Hello, Request, Response, Selection};
 
 /// The interval at which silent hosts and old entries are removed.
@@ -39,12 +41,23 @@
     }
 }
 
+/// What a hello contained that its answer is applied by.
+struct Sent {
+    /// The checkpoint of the evidence.
+    evidence: Checkpoint,
+    /// When it was sent, in milliseconds of a clock that counts suspensions.
+    at_ms: u64,
+    endpoints: EndpointSelection,
+}
+
 /// The answer to a hello.
 enum Answer {
     Welcome {
         has_setup: bool,
         /// Whether it contained no endpoints.
         is_empty: bool,
+        /// Whether all endpoints are to be requested again.
+        lacks_endpoints: bool,
     },
     Refused,
     Missing,
@@ -53,7 +66,14 @@
 impl From<Answer> for Reply {
     fn from(answer: Answer) -> Self {
         match answer {
-            Answer::Welcome { has_setup, .. } => Self::Welcome { has_setup },
+            Answer::Welcome {
+                has_setup,
+                lacks_endpoints,
+                ..
+            } => Self::Welcome {
+                has_setup,
+                lacks_endpoints,
+            },
             Answer::Refused | Answer::Missing => Self::Missing,
         }
     }
@@ -69,10 +89,10 @@
         let mut expiry = interval(EXPIRY_INTERVAL);
         loop {
             let targets = self.hosts.contact_targets();
-            let pace = if schedule.is_searching() {
-                Pace::Quick
-            } else {
-                Pace::Slowing
+            let pace = match () {
+                () if schedule.is_searching() => Pace::Quick,
+                () if local.is_control || schedule.is_isolated() => Pace::Slowing,
+                () => Pace::Single,
             };
             for target in &targets {
                 self.client.set_pace(&target.host, pace);
@@ -143,15 +163,18 @@
     async fn execute(self: Arc<Self>, order: ContactRequest) -> Outcome {
         match order {
             ContactRequest::Hello(hello) => {
-                let hosts = if hello.requests_listing {
-                    self.hosts.listing_selection(&hello.to)
-                } else {
-                    Selection::Nothing
+                let hosts = match hello.lists {
+                    Lists::None => Selection::Nothing,
+                    Lists::ControlHosts => Selection::ControlHosts,
+                    Lists::Hosts => self.hosts.listing_selection(&hello.to),
                 };
-                let endpoints = if hello.requests_departures {
-                    EndpointSelection::Departures
-                } else {
-                    EndpointSelection::Nothing
+                let endpoints = match hello.lists {
+                    _ if hello.requests_departures => EndpointSelection::Departures,
+                    // Control hosts publish to each other what they receive.
+                    Lists::Hosts if !self.hosts.local().is_control => {
+                        self.endpoints.selection(&hello.to)
+                    }
+                    _ => EndpointSelection::Nothing,
                 };
                 let answer = self
                     .exchange(&hello.to, hosts, endpoints, hello.timeout)
@@ -195,8 +218,11 @@
         limit: Duration,
     ) -> Answer {
         let (evidence, known_evidence) = self.quarantine.outgoing(to);
-        let sent = evidence.checkpoint;
-        let sent_ms = self.evacuations.suspension().tick();
+        let sent = Sent {
+            evidence: evidence.checkpoint,
+            at_ms: self.evacuations.suspension().tick(),
+            endpoints,
+        };
         let request = Request::Hello(Hello {
             host: self.hosts.local(),
             revision: self.active_setup.revision(),
@@ -208,23 +234,21 @@
         });
         let response = self.send_request(to, Channel::Membership, &request, limit);
         match response.await {
-            Some(response) => self.apply_welcome(response, sent, sent_ms),
+            Some(response) => self.apply_welcome(response, &sent),
             None => Answer::Missing,
         }
     }
 
-    /// Applies the response to a hello that carried the evidence up to `sent` and was sent at `sent_ms`.
-    fn apply_welcome(
-        self: &Arc<Self>,
-        response: Response,
-        sent: Checkpoint,
-        sent_ms: u64,
-    ) -> Answer {
+    /// Applies the response to a hello.
+    fn apply_welcome(self: &Arc<Self>, response: Response, sent: &Sent) -> Answer {
         let Response::Welcome {
             host,
             hosts,
+            has_majority,
             revision,
             endpoints,
+            refreshes,
+            endpoints_version,
             evidence,
             evacuations,
         } = response
@@ -237,19 +261,31 @@
         let is_empty = endpoints.is_empty();
         let (id, boot) = (host.id.clone(), host.boot);
         self.hosts.record_contact(host);
+        self.hosts.record_majority(&id, has_majority);
         self.observe_evacuations(&id, &evacuations);
         if evacuations.is_current {
-            self.evacuations.suspension().record_news(sent_ms);
+            self.evacuations.suspension().record_news(sent.at_ms);
         }
         self.observe_revision(id.clone(), revision);
         if let Some(listing) = hosts {
             self.hosts.merge_listing(&id, listing);
         }
         self.merge_endpoints(endpoints, id.as_str());
-        self.quarantine.record_exchange(&id, boot, sent, evidence);
+        let lacks_endpoints = match sent.endpoints {
+            EndpointSelection::All | EndpointSelection::Since(_) => {
+                let is_complete = self.refresh_endpoints(&refreshes, id.as_str());
+                let version = endpoints_version.filter(|_| is_complete);
+                self.endpoints.record_version(&id, version);
+                version.is_none()
+            }
+            EndpointSelection::Nothing | EndpointSelection::Departures => false,
+        };
+        self.quarantine
+            .record_exchange(&id, boot, sent.evidence, evidence);
         Answer::Welcome {
             has_setup: revision > 0,
             is_empty,
+            lacks_endpoints,
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -5,14 +5,17 @@
 use std::time::Duration;
 
 use kumquatdrum_peer::Channel;
-use kumquatdrum_registry::Update;
+use kumquatdrum_registry::{Refresh, Update};
 use kumquatdrum_types::HostId;
+use parking_lot::Mutex;
 use slog::{info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use super::Gateway;
 use crate::broadcast::RelayPath;
+use crate::endpoints::Effect;
 use crate::message::{Notice, Request, Response};
 
 /// The timeout for other hosts to confirm that an endpoint is leaving. Endpoints wait a second for
@@ -20,14 +23,75 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 /// The timeout for hosts in a relay's data centre, and for those asked after the relay failed.
 const LOCAL_CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
+/// The interval at which added endpoints are applied to the pool.
+const ADDITION_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval at which any control host broadcasts added endpoints.
+const BROADCAST_INTERVAL: Duration = Duration::from_millis(50);
 /// The timeout for a relay.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Endpoints that were added lately.
+#[derive(Debug, Default)]
+pub(super) struct Additions {
+    /// Notified when endpoints were added that the pool does not have yet.
+    endpoints_added: Notify,
+    /// The updates to broadcast.
+    unsent: Mutex<Vec<Update>>,
+    has_unsent: Notify,
+}
+
 impl Gateway {
     /// Merges endpoint updates from another host.
     pub(crate) fn merge_endpoints(&self, updates: Vec<Update>, from: &str) {
-        if self.endpoints.merge(updates, from) {
+        match self.endpoints.merge(updates, from) {
+            Effect::Nothing => {}
+            Effect::Added => self.added.endpoints_added.notify_one(),
+            Effect::Changed => self.refresh_pool(),
+        }
+    }
+
+    /// Applies added endpoints to the pool: the first at once, and those that follow closely together, as
+    /// a thousand endpoints that start announce themselves within a second.
+    pub(super) async fn apply_added_endpoints(self: Arc<Self>) {
+        loop {
+            self.added.endpoints_added.notified().await;
             self.refresh_pool();
+            sleep(ADDITION_INTERVAL).await;
+        }
+    }
+
+    /// Broadcasts endpoints that are new or have ended a silence, with those that follow closely.
+    pub(crate) fn broadcast_addition(&self, update: Update) {
+        self.added.unsent.lock().push(update);
+        self.added.has_unsent.notify_one();
+    }
+
+    /// Broadcasts added endpoints at an interval that grows with the control hosts, so that the messages
+    /// which a host receives don't. Hosts also receive them with listings.
+    pub(super) async fn broadcast_additions(self: Arc<Self>) {
+        loop {
+            self.added.has_unsent.notified().await;
+            let updates = std::mem::take(&mut *self.added.unsent.lock());
+            self.broadcast_endpoints(updates, RelayPath::Primary);
+            let control_hosts = self.hosts.control_hosts().len() + 1;
+            sleep(BROADCAST_INTERVAL * control_hosts as u32).await;
+        }
+    }
+
+    /// Applies announcements of known endpoints that change nothing else. Returns whether all those
+    /// endpoints are known.
+    pub(super) fn refresh_endpoints(&self, refreshes: &[Refresh], from: &str) -> bool {
+        let has_changed = self.endpoints.refresh(refreshes, from);
+        if has_changed != Some(false) {
+            self.refresh_pool();
+        }
+        has_changed.is_some()
+    }
+
+    /// Publishes announcements to the other control hosts. Other hosts receive them with listings.
+    pub(super) fn publish_round(&self, updates: &[Update]) {
+        if !updates.is_empty() {
+            self.send_endpoints(updates, &self.hosts.control_hosts());
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -16,7 +16,7 @@
 use super::Gateway;
 use crate::distribution::assigned_hosts;
 use crate::evacuations::Report;
-use crate::message::{EndpointSelection, Host, Request, Response, Selection};
+use crate::message::{Host, Request, Response, Selection};
 use crate::suspension::TICK_INTERVAL;
 
 /// The time after the end of an evacuation in which endpoints may still be cold because of it. A host
@@ -176,7 +176,8 @@
             for target in self.hosts.contact_targets() {
                 let gateway = self.clone();
                 hellos.spawn(async move {
-                    let (hosts, endpoints) = (Selection::Nothing, EndpointSelection::Nothing);
+                    let hosts = Selection::Nothing;
+                    let endpoints = gateway.endpoints.selection(&target.host);
                     let hello = gateway.exchange_hello(&target.host, hosts, endpoints);
                     timeout(RESUMED_HELLO_TIMEOUT, hello).await
                 });
--- a/crates/kumquatdrum_gateway/src/gateway/periodic.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/periodic.rs
@@ -10,7 +10,7 @@
 use crate::broadcast::RelayPath;
 use crate::settings;
 
-/// The interval at which a control host publishes endpoint updates.
+/// The interval at which a control host publishes announcements to the others.
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval at which a host rebroadcasts its jobs, so that a starting host knows them before it
 /// accepts callers.
@@ -32,13 +32,10 @@
 
     pub(super) async fn publish_endpoints(self: Arc<Self>) {
         let mut rounds = interval(PUBLISH_INTERVAL);
-        for path in [RelayPath::Primary, RelayPath::Secondary]
-            .into_iter()
-            .cycle()
-        {
+        loop {
             rounds.tick().await;
             let updates = self.endpoints.take_round();
-            self.broadcast_endpoints(updates, path);
+            self.publish_round(&updates);
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::endpoint_updates::Additions;
 use super::startup::Startup;
 mod components;
 
@@ -155,6 +156,7 @@
     running.tasks.spawn(gateway.clone().release_held_requests());
     running.tasks.spawn(gateway.clone().activate_records());
     running.tasks.spawn(gateway.clone().probe_paths());
+    running.tasks.spawn(gateway.clone().apply_added_endpoints());
     running.tasks.spawn(gateway.clone().watch_suspension());
     running
         .tasks
@@ -194,7 +196,8 @@
     let hosts = Hosts::new(clock, client.clone(), port, host, logger.clone());
     let hosts = Arc::new(hosts);
     hosts.set_seeds(settings.seed_hosts());
-    let endpoints = components::build_endpoints(&settings, clock, &logger);
+    let boot = local.identity.boot.0;
+    let endpoints = components::build_endpoints(&settings, clock, boot, &logger);
     let metrics = Arc::new(Metrics::new()?);
     let number = hosts::number(settings.address);
     let evacuations = Arc::new(evacuations::Store::new(logger.clone()));
@@ -212,7 +215,6 @@
         .callers
         .map(|_| open_broadcaster(&settings, clock, &hosts, &metrics, &logger));
     let broadcaster = broadcaster.transpose()?;
-    let boot = local.identity.boot.0;
     let quarantine =
         components::build_quarantine(clock, boot, broadcaster.clone(), &hosts, &logger);
     let paths = components::build_paths(clock, &endpoints, &metrics, &logger);
@@ -279,6 +281,7 @@
         started: clock.now(),
         settings,
         startup: Startup::default(),
+        added: Additions::default(),
         background: Mutex::default(),
     });
     Ok((gateway, departures))
@@ -309,6 +312,7 @@
         .tasks
         .spawn(replica::run(dependencies, handle, received, stop));
     running.tasks.spawn(gateway.clone().publish_endpoints());
+    running.tasks.spawn(gateway.clone().broadcast_additions());
 }
 
 fn open_listeners(
--- a/crates/kumquatdrum_gateway/src/gateway/start/components.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start/components.rs
@@ -21,12 +21,14 @@
 pub(super) fn build_endpoints(
     settings: &Settings,
     clock: Clock,
+    boot: u64,
     logger: &slog::Logger,
 ) -> Arc<Endpoints> {
     let drain = Duration::from_millis(settings.drain_ms);
     let announcement_interval = Duration::from_millis(settings.announcement_ms);
     Arc::new(Endpoints::new(
         clock,
+        boot,
         drain,
         announcement_interval,
         logger.clone(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -2,77 +2,33 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
 
-use indexmap::IndexMap;
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_fanout::{Peer, Recipients};
 use kumquatdrum_peer::Client;
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_types::{Checkpoint, HostId, Moment, hash};
+use kumquatdrum_types::{HostId, hash};
 use parking_lot::Mutex;
 use slog::info;
 
 use crate::contact::Target;
-use crate::message::{Host, Listing, Member, Selection};
+use crate::message::{Host, Listing, Selection};
 
 pub mod reports;
+pub mod table;
 
-use reports::Reports;
+pub use table::LOST_AFTER;
+use table::{EXPIRE_AFTER, Expiry, Table};
 
-/// The silence after which a host counts as lost.
-pub const LOST_AFTER: Duration = Duration::from_secs(2);
-/// The silence after which a host is removed.
-const EXPIRE_AFTER: Duration = Duration::from_secs(20);
 /// Tracks the other hosts and describes this one.
 pub struct Hosts {
     clock: Clock,
     client: Arc<Client>,
     peer_port: u16,
-    state: Mutex<State>,
+    state: Mutex<Table>,
     logger: slog::Logger,
 }
 
-struct State {
-    local: Host,
-    seeds: Vec<HostId>,
-    others: IndexMap<HostId, Entry>,
-    reports: Reports,
-    /// The number of membership changes so far, used as the version of the listings.
-    changes: u64,
-}
-
-impl State {
-    /// Returns the time since a host was last heard from, directly or through a control host's
-    /// report.
-    fn age(&self, now: Moment, entry: &Entry) -> Duration {
-        let direct = now - entry.last_contact;
-        let reported = self.reports.age(now, &entry.host.id);
-        reported.map_or(direct, |reported| reported.min(direct))
-    }
-
-    /// Returns the other hosts, each with the time since it was last heard from.
-    fn aged(&self, now: Moment) -> impl Iterator<Item = (&Entry, Duration)> {
-        let others = self.others.values();
-        others.map(move |entry| (entry, self.age(now, entry)))
-    }
-
-    /// Returns the number of known control hosts, including this one if it is one.
-    fn count_control_hosts(&self) -> usize {
-        let others = self.others.values().filter(|entry| entry.host.is_control);
-        let known = others.count() + usize::from(self.local.is_control);
-        known.max(self.seeds.len())
-    }
-
-    /// Returns the other live control hosts, each with whether its data centre is a remote one.
-    fn live_control_hosts(&self, now: Moment) -> impl Iterator<Item = (bool, &Host)> {
-        let control = self.aged(now);
-        let control = control.filter(|(entry, age)| entry.host.is_control && *age <= LOST_AFTER);
-        let is_remote = |host: &Host| host.data_centre != self.local.data_centre;
-        control.map(move |(entry, _)| (is_remote(&entry.host), &entry.host))
-    }
-}
-
 /// A host that can send requests to endpoints for this host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayCandidate {
@@ -84,14 +40,6 @@
     pub is_remote: bool,
 }
 
-struct Entry {
-    host: Host,
-    last_contact: Moment,
-    is_lost: bool,
-    /// The value of [`State::changes`] at the host's last change.
-    changed: u64,
-}
-
 impl Hosts {
     /// Creates a membership list with only this host.
     pub fn new(
@@ -101,18 +49,11 @@
         local: Host,
         logger: slog::Logger,
     ) -> Self {
-        let state = State {
-            local,
-            seeds: Vec::new(),
-            others: IndexMap::new(),
-            reports: Reports::default(),
-            changes: 0,
-        };
         Self {
             clock,
             client,
             peer_port,
-            state: Mutex::new(state),
+            state: Mutex::new(Table::new(local)),
             logger,
         }
     }
@@ -142,138 +83,71 @@
 
     /// Records a message from a host.
     pub fn record_contact(&self, host: Host) {
-        self.observe(host, Duration::ZERO);
+        let (id, now) = (host.id.clone(), self.clock.now());
+        let event = self.state.lock().record_contact(now, host);
+        self.apply_event(&id, event);
+    }
+
+    /// Records whether a control host was in contact with a majority of the control hosts when it
+    /// answered.
+    pub fn record_majority(&self, from: &HostId, has_majority: bool) {
+        self.state.lock().record_majority(from, has_majority);
     }
 
     /// Merges a control host's listing.
     pub fn merge_listing(&self, from: &HostId, listing: Listing) {
         let now = self.clock.now();
-        let mut state = self.state.lock();
-        // Control hosts ignore each other's reports, which would otherwise keep a lost host alive.
-        if !state.local.is_control {
-            state.reports.apply(now, from, &listing, LOST_AFTER);
-        }
-        drop(state);
-        for member in listing.hosts {
-            self.observe(member.host, Duration::from_millis(member.age_ms));
+        let events = self.state.lock().merge_listing(now, from, listing);
+        for (id, event) in events {
+            self.apply_event(&id, Some(event));
         }
     }
 
     /// Returns the selection to request from a control host: the changes since its last listing.
     pub fn listing_selection(&self, from: &HostId) -> Selection {
-        let state = self.state.lock();
-        // Control hosts store no reports, so they always request all hosts.
-        let version = state.reports.version(from);
-        version.map_or(Selection::All, Selection::Since)
+        self.state.lock().listing_selection(from)
     }
 
-    /// Returns a listing of the selected hosts.
-    pub fn listing(&self, selection: Selection) -> Option<Listing> {
+    /// Returns a listing of the selected hosts for another host, which may be a control host.
+    pub fn listing(&self, selection: Selection, for_control: bool) -> Option<Listing> {
         let now = self.clock.now();
-        let state = self.state.lock();
-        let version = Checkpoint {
-            boot: state.local.boot,
-            changes: state.changes,
-        };
-        let since = match selection {
-            Selection::Nothing => return None,
-            Selection::Since(known) if known.boot == version.boot => Some(known.changes),
-            Selection::Since(_) | Selection::All => None,
-        };
-        let local = Member {
-            host: state.local.clone(),
-            age_ms: 0,
-        };
-        let is_selected = |entry: &Entry| since.is_none_or(|since| entry.changed > since);
-        let others = state.aged(now).filter(|(entry, _)| is_selected(entry));
-        let others = others.map(|(entry, age)| Member {
-            host: entry.host.clone(),
-            age_ms: age.as_millis() as u64,
-        });
-        Some(Listing {
-            version,
-            is_complete: since.is_none(),
-            hosts: std::iter::once(local).chain(others).collect(),
-        })
+        self.state.lock().listing(now, selection, for_control)
     }
 
-    fn observe(&self, host: Host, age: Duration) {
+    /// Marks silent hosts as lost, and removes those that have been silent for too long.
+    pub fn expire_silent(&self) {
         let now = self.clock.now();
-        let last_contact = now.saturating_sub(age);
         let mut state = self.state.lock();
-        if host.id == state.local.id || age > EXPIRE_AFTER {
-            return;
-        }
-        let id = host.id.clone();
-        let change = state.changes + 1;
-        let mut has_changed = true;
-        match state.others.get_mut(&id) {
-            Some(entry) if host.boot < entry.host.boot => has_changed = false,
-            Some(entry) => {
-                has_changed = last_contact > entry.last_contact && entry.host != host;
-                if last_contact > entry.last_contact {
-                    entry.host = host;
-                    entry.last_contact = last_contact;
-                }
-                if entry.is_lost && now - entry.last_contact <= LOST_AFTER {
-                    entry.is_lost = false;
-                    has_changed = true;
-                    info!(self.logger, "host_back"; "event" => "host_back", "peer" => id.as_str());
+        let events = state.expire_silent(now);
+        for (id, event) in events {
+            match event {
+                Expiry::Lost(silent) => {
+                    info!(self.logger, "host_lost"; "event" => "host_lost", "peer" => id.as_str(),
+                        "silent_ms" => silent.as_millis() as u64);
                 }
-                if has_changed {
-                    entry.changed = change;
-                }
-            }
-            None => {
-                info!(self.logger, "host_known"; "event" => "host_known", "peer" => id.as_str(),
-                    "data_centre" => host.data_centre.as_str(), "callers" => host.accepts_callers,
-                    "control" => host.is_control, "boot" => host.boot);
-                let is_lost = false;
-                let entry = Entry {
-                    host,
-                    last_contact,
-                    is_lost,
-                    changed: change,
-                };
-                state.others.insert(id.clone(), entry);
-                self.register_address(&id);
+                Expiry::Removed if !state.is_seed(&id) => self.client.remove(&id),
+                Expiry::Removed => {}
             }
         }
-        state.changes += u64::from(has_changed);
     }
 
-    /// Marks silent hosts as lost, and removes those that have been silent for too long.
-    pub fn expire_silent(&self) {
-        let now = self.clock.now();
-        let mut state = self.state.lock();
-        let State {
-            seeds,
-            others,
-            reports,
-            changes,
-            ..
-        } = &mut *state;
-        others.retain(|id, entry| {
-            let direct = now - entry.last_contact;
-            let reported = reports.age(now, id);
-            let age = reported.map_or(direct, |reported| reported.min(direct));
-            if !entry.is_lost && age > LOST_AFTER {
-                entry.is_lost = true;
-                *changes += 1;
-                entry.changed = *changes;
-                info!(self.logger, "host_lost"; "event" => "host_lost", "peer" => id.as_str(),
-                    "silent_ms" => age.as_millis() as u64);
+    /// Logs a change, and makes a new host known to the client.
+    fn apply_event(&self, id: &HostId, event: Option<table::Event>) {
+        match event {
+            Some(table::Event::Known(host)) => {
+                info!(self.logger, "host_known"; "event" => "host_known", "peer" => id.as_str(),
+                    "data_centre" => host.data_centre.as_str(), "callers" => host.accepts_callers,
+                    "control" => host.is_control, "boot" => host.boot);
+                self.register_address(id);
             }
-            let is_kept = age <= EXPIRE_AFTER;
-            if !is_kept && !seeds.contains(id) {
-                self.client.remove(id);
+            Some(table::Event::Back) => {
+                info!(self.logger, "host_back"; "event" => "host_back", "peer" => id.as_str());
             }
-            is_kept
-        });
-        reports.retain(|id| others.contains_key(id));
+            None => {}
+        }
     }
 
-    /// Returns the hosts to send hellos to: unknown seeds and the other control hosts.
+    /// Returns the hosts that hellos may be sent to: unknown seeds and the other control hosts.
     pub fn contact_targets(&self) -> Vec<Target> {
         let state = self.state.lock();
         let known = state.others.values().map(|entry| &entry.host);
@@ -408,7 +282,7 @@
     pub fn live_recipients(&self) -> Recipients {
         let live = self.live_hosts();
         let peers: Vec<Peer> = live.iter().map(|host| to_peer(host, true)).collect();
-        Recipients::select(&to_peer(&self.local(), true), &peers)
+        Recipients::select_groups(&to_peer(&self.local(), true), &peers)
     }
 
     /// Returns the datagram addresses of the hosts that accept callers in the local data centre.
@@ -429,15 +303,11 @@
         address(id).map(|ip| SocketAddr::new(ip, self.peer_port + 1))
     }
 
-    /// Returns whether this host has recently heard from a majority of the control hosts, itself
-    /// included.
+    /// Returns whether a control host has recently heard from a majority of the control hosts, itself
+    /// included. For other hosts, one of those that they hear from says so.
     pub fn has_control_majority(&self) -> bool {
         let now = self.clock.now();
-        let state = self.state.lock();
-        let control = state.others.values().filter(|entry| entry.host.is_control);
-        let live = control.filter(|entry| now - entry.last_contact <= LOST_AFTER);
-        let own = usize::from(state.local.is_control);
-        (live.count() + own) * 2 > state.count_control_hosts()
+        self.state.lock().has_control_majority(now)
     }
 
     /// Returns the number of control hosts that are a majority of all known ones.
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -5,7 +5,7 @@
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{DataCentreKey, EndpointKey, JobId, Plan, Rate, Waiter};
 use kumquatdrum_quarantine::{Evidence, Suspect};
-use kumquatdrum_registry::Update;
+use kumquatdrum_registry::{Refresh, Update};
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_routes::{Evacuations, Record};
 use kumquatdrum_types::{Checkpoint, DataCentre, HostId, ServiceName};
@@ -52,6 +52,8 @@
     All,
     /// The hosts that have changed since an earlier listing.
     Since(Checkpoint),
+    /// The control hosts, for a host that knows none yet.
+    ControlHosts,
 }
 
 /// The endpoints that a host requests in a hello.
@@ -63,6 +65,8 @@
     Departures,
     /// All endpoints, for a host that has just started.
     All,
+    /// What has changed since an earlier answer.
+    Since(Checkpoint),
 }
 
 /// Reports that a host is live, and its active revision.
@@ -143,10 +147,17 @@
         host: Host,
         /// The requested hosts.
         hosts: Option<Listing>,
+        /// Whether the responder is in contact with a majority of the control hosts.
+        has_majority: bool,
         /// The responder's active revision.
         revision: u64,
         /// The requested endpoints.
         endpoints: Vec<Update>,
+        /// Announcements of known endpoints that change nothing else, with [`EndpointSelection::Since`].
+        refreshes: Vec<Refresh>,
+        /// The version of the responder's endpoints. `None` if the answer does not complete those that
+        /// the requester has.
+        endpoints_version: Option<Checkpoint>,
         /// The responder's evidence that the requester lacks.
         evidence: Evidence,
         /// What the responder knows of evacuations.
--- a/crates/kumquatdrum_gateway/tests/sizes.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -116,8 +116,11 @@
     let welcome = |hosts| Response::Welcome {
         host: host.clone(),
         hosts,
+        has_majority: true,
         revision: 40_000,
         endpoints: Vec::new(),
+        refreshes: Vec::new(),
+        endpoints_version: None,
         evidence: evidence(),
         evacuations: Report::default(),
     };
