--- a/crates/kumquatdrum_gateway/src/hosts/table.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/table.rs
@@ -206,9 +206,10 @@
                 entry.is_lost = !entry.is_lost;
                 *changes += 1;
                 entry.changed = *changes;
-                let expiry = match entry.is_lost {
-                    true => Expiry::Lost(age),
-                    false => Expiry::Back,
+                let expiry = if entry.is_lost {
+                    Expiry::Lost(age)
+                } else {
+                    Expiry::Back
                 };
                 events.push((id.clone(), expiry));
             }
