--- a/crates/kumquatdrum_gateway/tests/support/fleet.rs
+++ b/crates/kumquatdrum_gateway/tests/support/fleet.rs
@@ -256,9 +256,10 @@
             Event::Expire(number) if self.nodes[number].is_up => {
                 let node = &mut self.nodes[number];
                 node.table.expire_silent(now);
-                let interval = match node.host.is_control {
-                    true => CONTROL_EXPIRY_MS,
-                    false => EXPIRY_MS,
+                let interval = if node.host.is_control {
+                    CONTROL_EXPIRY_MS
+                } else {
+                    EXPIRY_MS
                 };
                 self.push(self.at_ms + interval, Event::Expire(number));
             }
@@ -364,9 +365,10 @@
         let side = |number: usize| Some(number as u64 % DATA_CENTRES) == self.cut;
         let drawn = self.draw(self.bodies.len() as u64 ^ 0xde1a);
         let is_slow = self.slow_one_in > 0 && drawn.is_multiple_of(self.slow_one_in);
-        let delay = match is_slow {
-            true => SLOW_MS,
-            false => 1 + drawn / 500 % 4,
+        let delay = if is_slow {
+            SLOW_MS
+        } else {
+            1 + drawn / 500 % 4
         };
         let arrives = side(from) == side(to) && Duration::from_millis(delay) < timeout;
         arrives.then_some(delay)
