Contacts: changed endpoints from one source; evacuation status asks all control hosts; metrics and log of contacts

Now the first source is asked each second, the other each 4 s, or at once when nothing has come for 1.5 s. Test: 7 to 12 answers in 8 s, no gap above 3.5 s with none to two control hosts frozen. The status of evacuations listed hosts of other contacts as behind, as a control host no longer hears from all: it asks the other control hosts for what theirs have reported. New: contacts_changed in the log, kumquatdrum_gateway_contacts, kumquatdrum_gateway_listing_age_ms.

--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -104,6 +104,10 @@
     received: usize,
     /// The control hosts that have sent endpoints.
     sources: Vec<HostId>,
+    /// When changes were last requested of each.
+    changes_requested: IndexMap<HostId, Moment>,
+    /// When changes were last received.
+    changes_received: Moment,
     /// The control hosts that knew none.
     empty: Vec<HostId>,
     /// When the first of these answered.
@@ -224,6 +228,10 @@
                 self.listing.asked = Some((to.clone(), now));
                 self.listing.is_in_flight = true;
             }
+            let requests_changes = requests_listing && self.is_change_due(now, &to);
+            if requests_changes {
+                self.endpoints.changes_requested.insert(to.clone(), now);
+            }
             let Some(contact) = self.contacts.get_mut(&to) else {
                 continue;
             };
@@ -252,6 +260,7 @@
                 sent: now,
                 to,
                 lists,
+                requests_changes,
                 requests_departures: !self.is_control && !contact.has_departures,
                 timeout,
             }));
@@ -317,6 +326,9 @@
         } else if contact.answered.is_none_or(|at| at <= hello.sent) {
             contact.is_answering = false;
         }
+        if hello.requests_changes && reply != Reply::Missing {
+            self.endpoints.changes_received = now;
+        }
         if matches!(
             reply,
             Reply::Welcome {
--- a/crates/kumquatdrum_gateway/src/contact/choice.rs
+++ b/crates/kumquatdrum_gateway/src/contact/choice.rs
@@ -32,6 +32,13 @@
 }
 
 impl Schedule {
+    /// Returns the control hosts that hellos are sent to.
+    pub fn active_contacts(&self) -> impl Iterator<Item = &HostId> + Clone {
+        let active = self.contacts.iter();
+        let active = active.filter(|(_, contact)| contact.is_active);
+        active.map(|(host, _)| host)
+    }
+
     /// Chooses the contacts: the preferred control hosts of those that didn't fail to answer, and for each
     /// that is slow, has not answered yet or knows no endpoints another one, those that answer first.
     /// Preferred ones that failed are tried again. A control host contacts all, and so does a host that
--- a/crates/kumquatdrum_gateway/src/contact/listing.rs
+++ b/crates/kumquatdrum_gateway/src/contact/listing.rs
@@ -13,7 +13,28 @@
 /// listings, hosts count as lost after 2 s.
 const LISTING_PATIENCE: Duration = Duration::from_millis(600);
 
+/// The interval at which changed endpoints are requested of another source than the first, so that it
+/// can replace that one at any time.
+const STANDBY_INTERVAL: Duration = Duration::from_secs(4);
+/// The time without changes from the first source after which any one is asked. Endpoints count as silent
+/// later than that.
+const CHANGES_PATIENCE: Duration = Duration::from_millis(1_500);
+
 impl Schedule {
+    /// Returns whether a listing that is requested now of a contact comes with the changed endpoints.
+    /// Control hosts publish these to each other.
+    pub(super) fn is_change_due(&self, now: Moment, from: &HostId) -> bool {
+        let endpoints = &self.endpoints;
+        let Some(place) = endpoints.sources.iter().position(|source| source == from) else {
+            return false;
+        };
+        let requested = endpoints.changes_requested.get(from);
+        !self.is_control
+            && (place == 0
+                || now - endpoints.changes_received >= CHANGES_PATIENCE
+                || requested.is_none_or(|at| now - *at >= STANDBY_INTERVAL))
+    }
+
     /// Makes the hello due that requests the first listing or an overdue one. Control hosts request
     /// their first ones of each other.
     pub(super) fn expedite_listing(&mut self, now: Moment) {
--- a/crates/kumquatdrum_gateway/src/contact/request.rs
+++ b/crates/kumquatdrum_gateway/src/contact/request.rs
@@ -32,7 +32,7 @@
     None,
     /// The control hosts, as this host may know few of them.
     ControlHosts,
-    /// A listing of all hosts or of the changes since the last one, with the changed endpoints.
+    /// A listing of all hosts or of the changes since the last one.
     Hosts,
 }
 
@@ -46,6 +46,8 @@
     pub to: HostId,
     /// The hosts that it requests.
     pub lists: Lists,
+    /// Whether it requests the changed endpoints.
+    pub requests_changes: bool,
     /// Whether it requests the endpoints that have left.
     pub requests_departures: bool,
     /// How long the answer is awaited.
--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -259,6 +259,7 @@
         _ => ((*gateway.evacuations.current()).clone(), false),
     };
     gateway.adopt_evacuations(&evacuations, "leader", false);
+    gateway.collect_progress().await;
     let version = evacuations.version();
     let data_centres = evacuations.data_centres();
     let live = gateway.hosts.live_hosts();
--- a/crates/kumquatdrum_gateway/src/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/evacuations.rs
@@ -24,6 +24,17 @@
     pub running: Vec<(DataCentre, u32)>,
 }
 
+/// What a host has reported to a control host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The host.
+    pub host: HostId,
+    /// The newest version that it knows.
+    pub version: u64,
+    /// The number of its requests that run in each evacuated data centre.
+    pub running: Vec<(DataCentre, u32)>,
+}
+
 /// What is known of another host.
 #[derive(Debug, Clone, Default)]
 struct Known {
@@ -115,6 +126,33 @@
         self.hosts.lock().insert(host.clone(), known);
     }
 
+    /// Returns what hosts have reported to this one.
+    pub fn progress(&self) -> Vec<Progress> {
+        let hosts = self.hosts.lock();
+        let progress = hosts.iter().map(|(host, known)| Progress {
+            host: host.clone(),
+            version: known.version,
+            running: known.running.clone(),
+        });
+        progress.collect()
+    }
+
+    /// Merges what hosts have reported to another control host. Each reports to a few.
+    pub fn merge_progress(&self, progress: Vec<Progress>) {
+        let mut hosts = self.hosts.lock();
+        for Progress {
+            host,
+            version,
+            running,
+        } in progress
+        {
+            let known = hosts.entry(host).or_default();
+            if version >= known.version {
+                *known = Known { version, running };
+            }
+        }
+    }
+
     /// Records that another host has a version.
     pub fn record_version(&self, host: &HostId, version: u64) {
         let mut hosts = self.hosts.lock();
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -204,6 +204,10 @@
         let revision = i64::try_from(self.active_setup.revision()).unwrap_or(i64::MAX);
         self.metrics.revision.set(revision);
         self.metrics.hosts.set(self.hosts.live_hosts().len() as i64);
+        let listing_age = self.hosts.listing_age().unwrap_or_default();
+        self.metrics
+            .listing_age_ms
+            .set(listing_age.as_millis() as i64);
         self.metrics.in_flight.set(self.drain.in_flight());
         let (suspects, blocked) = self.quarantine.counts();
         self.metrics.suspects.set(suspects as i64);
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -88,6 +88,7 @@
         let mut schedule = Schedule::new(self.clock.now(), local.id, local.is_control);
         let mut requests = JoinSet::new();
         let mut in_flight = HashMap::new();
+        let mut contacts = Vec::new();
         let mut expiry = interval(EXPIRY_INTERVAL);
         let mut control_expiry = interval(CONTROL_EXPIRY_INTERVAL);
         loop {
@@ -106,6 +107,7 @@
                 let task = requests.spawn(self.clone().execute(order.clone()));
                 in_flight.insert(task.id(), order);
             }
+            self.record_contacts(&mut contacts, schedule.active_contacts());
             let next = schedule.next_due(now).unwrap_or(now + EXPIRY_INTERVAL);
             tokio::select! {
                 Some(outcome) = requests.join_next_with_id(), if !requests.is_empty() => {
@@ -138,6 +140,22 @@
         }
     }
 
+    /// Logs and counts the control hosts that this host sends hellos to, if they have changed.
+    fn record_contacts<'a>(
+        &self,
+        known: &mut Vec<HostId>,
+        contacts: impl Iterator<Item = &'a HostId> + Clone,
+    ) {
+        if contacts.clone().eq(known.iter()) {
+            return;
+        }
+        *known = contacts.cloned().collect();
+        let names: Vec<&str> = known.iter().map(HostId::as_str).collect();
+        info!(self.logger, "contacts_changed"; "event" => "contacts_changed",
+            "contacts" => names.join(","));
+        self.metrics.contacts.set(known.len() as i64);
+    }
+
     /// Returns all endpoints for a host that starts, unless too many have been sent lately. Control
     /// hosts are few and inform all others, so they are never refused.
     pub(super) fn all_endpoints(&self, is_control: bool) -> Option<Vec<Update>> {
@@ -172,13 +190,12 @@
                     Lists::ControlHosts => Selection::ControlHosts,
                     Lists::Hosts => self.hosts.listing_selection(&hello.to),
                 };
-                let endpoints = match hello.lists {
-                    _ if hello.requests_departures => EndpointSelection::Departures,
-                    // Control hosts publish to each other what they receive.
-                    Lists::Hosts if !self.hosts.local().is_control => {
-                        self.endpoints.selection(&hello.to)
-                    }
-                    _ => EndpointSelection::Nothing,
+                let endpoints = if hello.requests_departures {
+                    EndpointSelection::Departures
+                } else if hello.requests_changes {
+                    self.endpoints.selection(&hello.to)
+                } else {
+                    EndpointSelection::Nothing
                 };
                 let answer = self
                     .exchange(&hello.to, hosts, endpoints, hello.timeout)
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -30,6 +30,8 @@
 /// The time for which an order waits for a majority of the control hosts to have stored the new
 /// state.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The timeout for what hosts have reported to another control host.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(200);
 /// The timeout for hellos of a resumed host, which delays requests for as long.
 const RESUMED_HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -149,6 +151,22 @@
         pushes.collect::<FuturesUnordered<_>>()
     }
 
+    /// Collects what hosts that report to other control hosts, and not to this one, have reported.
+    pub(crate) async fn collect_progress(self: &Arc<Self>) {
+        let requests = self.hosts.control_hosts().into_iter().map(|host| {
+            let gateway = self.clone();
+            async move {
+                let (channel, request) = (Channel::Membership, Request::ReadProgress);
+                let response = gateway.send_request(&host, channel, &request, PROGRESS_TIMEOUT);
+                if let Some(Response::Progress(mut progress)) = response.await {
+                    progress.retain(|it| !gateway.hosts.hears(&it.host));
+                    gateway.evacuations.merge_progress(progress);
+                }
+            }
+        });
+        requests.collect::<FuturesUnordered<_>>().count().await;
+    }
+
     /// Records another host's report, and adopts the state in it if it is newer.
     pub(super) fn observe_evacuations(self: &Arc<Self>, host: &HostId, report: &Report) {
         self.evacuations.record_report(host, report);
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquatdrum_consensus::Member as ReplicaMember;
 use kumquatdrum_fanout::{Peer, Recipients};
@@ -108,6 +109,12 @@
         self.state.lock().listing_selection(from)
     }
 
+    /// Returns the time since the last listing of a control host, if there was any.
+    pub fn listing_age(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.state.lock().reports.newest_age(now)
+    }
+
     /// Returns a listing of the selected hosts for another host, which may be a control host.
     pub fn listing(&self, selection: Selection, for_control: bool) -> Option<Listing> {
         let now = self.clock.now();
@@ -180,6 +187,12 @@
         self.state.lock().others.contains_key(host)
     }
 
+    /// Returns whether this host itself has lately heard from another one.
+    pub fn hears(&self, host: &HostId) -> bool {
+        let now = self.clock.now();
+        self.state.lock().hears(now, host)
+    }
+
     /// Returns the other live hosts.
     pub fn live_hosts(&self) -> Vec<Host> {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/src/hosts/reports.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/reports.rs
@@ -63,6 +63,12 @@
         self.reports.get(from).map(|report| report.version)
     }
 
+    /// Returns the time since the most recent report.
+    pub fn newest_age(&self, now: Moment) -> Option<Duration> {
+        let reports = self.reports.values();
+        reports.map(|report| now - report.received).min()
+    }
+
     /// Returns the time since the most recent report in which a host is live.
     pub fn age(&self, now: Moment, host: &HostId) -> Option<Duration> {
         let reporters = self.reporters.get(host)?.iter();
--- a/crates/kumquatdrum_gateway/src/hosts/table.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/table.rs
@@ -266,6 +266,12 @@
         others.map(move |entry| (entry, self.age(now, entry)))
     }
 
+    /// Returns whether this host itself has lately heard from another one.
+    pub fn hears(&self, now: Moment, host: &HostId) -> bool {
+        let entry = self.others.get(host);
+        entry.is_some_and(|entry| entry.is_heard(now))
+    }
+
     /// Returns the other live hosts.
     pub fn live(&self, now: Moment) -> impl Iterator<Item = &Host> {
         let live = self.aged(now).filter(|(_, age)| *age <= LOST_AFTER);
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -111,6 +111,11 @@
             let command = Command::Evacuations { includes_audit };
             gateway.send_command(command).await
         }
+        Request::ReadProgress => {
+            let mut progress = gateway.evacuations.progress();
+            progress.retain(|it| gateway.hosts.hears(&it.host));
+            Response::Progress(progress)
+        }
         Request::Evacuate(change) => gateway.send_command(Command::Evacuate(change)).await,
     }
 }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use slog::error;
 
-use crate::evacuations::Report;
+use crate::evacuations::{Progress, Report};
 use crate::relay::Incarnation;
 
 /// A host's description of itself.
@@ -136,6 +136,8 @@
     },
     /// Commits an order to evacuate a data centre, or to end that. Only the leader accepts this.
     Evacuate(Change),
+    /// Asks a control host what the hosts that it hears from report of evacuations.
+    ReadProgress,
 }
 
 /// The response to a request.
@@ -175,6 +177,8 @@
     Current(Option<Record>),
     /// The evacuations, confirmed by a majority.
     Evacuations(Evacuations),
+    /// What hosts report of evacuations.
+    Progress(Vec<Progress>),
     /// The order was committed but not applied, as its base was stale.
     Stale,
     /// The replica is not the leader. Holds the presumed leader, if known.
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -27,6 +27,10 @@
     pub leader: IntGauge,
     /// The number of live hosts.
     pub hosts: IntGauge,
+    /// The control hosts that this host sends hellos to.
+    pub contacts: IntGauge,
+    /// Milliseconds since the last listing of hosts.
+    pub listing_age_ms: IntGauge,
     /// Requests that were in flight at an endpoint that crashed.
     pub suspects: IntGauge,
     /// Requests that are blocked because they crash endpoints.
@@ -78,6 +82,14 @@
             revision: r.gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: r.gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
             hosts: r.gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
+            contacts: r.gauge(
+                "kumquatdrum_gateway_contacts",
+                "Control hosts that this host sends hellos to.",
+            )?,
+            listing_age_ms: r.gauge(
+                "kumquatdrum_gateway_listing_age_ms",
+                "Milliseconds since the last listing of hosts.",
+            )?,
             suspects: r.gauge(
                 "kumquatdrum_gateway_suspects",
                 "Requests that were in flight at an endpoint that crashed.",
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -455,3 +455,33 @@
         }
     }
 }
+
+/// Guards against changed endpoints from each source all the time, and against none while a source is
+/// frozen: endpoints count as silent after 4.8 s.
+#[test]
+fn changed_endpoints_come_from_one_source_and_go_on_if_it_freezes() {
+    for (seed, frozen) in (0..10).flat_map(|seed| (0..3).map(move |frozen| (seed, frozen))) {
+        let play = Play {
+            seed,
+            endpoints_ms: 5,
+            max_queue_ms: 1_000,
+            frozen: (frozen, 10_000),
+            hosts: 4,
+            length_ms: 30_000,
+            ..Play::default()
+        };
+        for record in play.run() {
+            let times = &record.changes_received;
+            let steady = times
+                .iter()
+                .filter(|at| (2_000..10_000).contains(*at))
+                .count();
+            assert!((7..=12).contains(&steady), "seed {seed}: {times:?}");
+            let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+            assert!(
+                gaps.max() <= Some(3_500),
+                "seed {seed}, {frozen} frozen: {times:?}"
+            );
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/tests/support/play.rs
+++ b/crates/kumquatdrum_gateway/tests/support/play.rs
@@ -89,6 +89,8 @@
     pub informed: Option<u64>,
     pub hello_times: Vec<(u64, HostId)>,
     pub listings_received: Vec<u64>,
+    /// When changed endpoints arrived.
+    pub changes_received: Vec<u64>,
     /// When each control host first answered a hello.
     pub answered_by: IndexMap<HostId, u64>,
 }
@@ -122,6 +124,9 @@
             if is_answered {
                 record.answered_by.entry(control(from)).or_insert(at);
             }
+            if hello.requests_changes && is_answered {
+                record.changes_received.push(at);
+            }
             if hello.lists == Lists::Hosts && is_answered {
                 record.listings_received.push(at);
             }
