--- a/crates/kumquatdrum_gateway/src/contact/listing.rs
+++ b/crates/kumquatdrum_gateway/src/contact/listing.rs
@@ -1,4 +1,4 @@
-//! When a hello requests a listing of hosts, and of which contact.
+//! When a hello requests a listing of hosts and the changed endpoints, and of which contact.
 
 use std::time::Duration;
 
--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -1,5 +1,5 @@
-//! Propagation of endpoint updates: directly within the local data centre, through relays to
-//! others.
+//! Propagation of endpoint updates: what hosts have to know at once directly to few hosts and through
+//! relays to others, other announcements to control hosts alone.
 
 use std::sync::Arc;
 use std::time::Duration;
