--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -8,9 +8,7 @@
 use indexmap::IndexMap;
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::cold::{Activity, Tracker};
-use kumquatdrum_placement::{
-    Balancer, Budget, DataCentreKey, EndpointKey, Job, JobId, Planner, Waiter,
-};
+use kumquatdrum_placement::{Budget, DataCentreKey, EndpointKey, Job, JobId, Planner, Waiter};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_registry::Announcement;
 use kumquatdrum_routes::{Engine, Setup};
@@ -193,7 +191,7 @@
                 let planner = Planner::new(engine.clone()).with_data_centre(local_key);
                 Policy::Engines(Box::new(planner))
             }
-            None => Policy::Plain(Box::new(Balancer::of_host(self.dependencies.number))),
+            None => Policy::Plain(Box::default()),
         };
         let state = State {
             engine: engine.cloned(),
--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_types::{Moment, hash};
+use kumquatdrum_types::Moment;
 
 use crate::reachability::{DataCentreKey, Reachability};
 use crate::{EndpointKey, Failure, Health, Limits};
@@ -32,24 +32,6 @@
 }
 
 impl Balancer {
-    /// Creates a balancer without endpoints. Hosts begin with different endpoints, given by the host's
-    /// number, as hundreds of hosts with few requests each would otherwise all send them to the first.
-    ///
-    /// ```
-    /// use kumquatdrum_placement::{Balancer, DataCentreKey, EndpointKey};
-    /// # use kumquatdrum_types::Moment;
-    ///
-    /// let mut balancer = Balancer::of_host(7);
-    /// balancer.set_endpoints([(EndpointKey(1), DataCentreKey(1), 4)]);
-    /// assert_eq!(balancer.choose(Moment::ZERO, &[]), Some(EndpointKey(1)));
-    /// ```
-    pub fn of_host(number: u32) -> Self {
-        Self {
-            rotation: (hash::mix(u64::from(number)) >> 32) as usize,
-            ..Self::default()
-        }
-    }
-
     /// Replaces the set of usable endpoints, each with its number of slots.
     pub fn set_endpoints(
         &mut self,
