--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -60,7 +60,8 @@
         }
     }
 
-    /// Broadcasts endpoints that are new or have ended a silence, with those that follow closely.
+    /// Broadcasts an endpoint that is new, has ended a silence or was found to be leaving, with others that
+    /// follow closely.
     pub(crate) fn broadcast_addition(&self, update: Update) {
         self.added.unsent.lock().push(update);
         self.added.has_unsent.notify_one();
@@ -125,15 +126,28 @@
     }
 
     /// Tells a control host of endpoints whose leaving this host has learned from a response. The
-    /// control host publishes them to all hosts in its next round.
+    /// control host broadcasts them.
     pub(super) async fn announce_departures(
         self: Arc<Self>,
         mut departures: mpsc::UnboundedReceiver<Update>,
     ) {
         while let Some(update) = departures.recv().await {
             self.refresh_pool();
+            let notice = Notice::Departures(vec![update]);
             let control_host = self.hosts.control_hosts().into_iter().next();
-            self.send_endpoints(&[update], control_host.as_slice());
+            if let (Some(host), Some(bytes)) = (control_host, notice.encode(&self.logger)) {
+                self.client.send(&host, Channel::Membership, bytes);
+            }
+        }
+    }
+
+    /// Broadcasts endpoints that another host has found to be leaving, unless this host knew.
+    pub(crate) fn broadcast_departures(&self, updates: Vec<Update>, from: &str) {
+        for update in updates {
+            if self.endpoints.merge(vec![update.clone()], from) == Effect::Changed {
+                self.refresh_pool();
+                self.broadcast_addition(update);
+            }
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -46,6 +46,9 @@
                 gateway.send_endpoints(&updates, &hosts);
                 gateway.merge_endpoints(updates, from.host.as_str());
             }
+            Ok(Notice::Departures(updates)) => {
+                gateway.broadcast_departures(updates, from.host.as_str());
+            }
             Err(error) => log_unreadable(&gateway, from, &error),
         }
     }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -199,6 +199,9 @@
         /// The hosts to relay to.
         hosts: Vec<HostId>,
     },
+    /// Endpoints whose leaving the sender has learned from their responses, to be broadcast by the
+    /// receiver, a control host, if it did not know.
+    Departures(Vec<Update>),
 }
 
 impl Notice {
