--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -82,8 +82,8 @@
     last_hello: u64,
     /// The places of the contacts in the order of preference.
     order: Vec<usize>,
-    /// When the contacts are to be chosen again if nothing is recorded before; `None`: at once.
-    reconsider_at: Option<Moment>,
+    /// When the contacts are to be chosen again if nothing is recorded before.
+    reconsider_at: Moment,
 }
 
 /// The listings of this host. Control hosts request one with each hello instead.
@@ -166,7 +166,7 @@
             endpoints: Endpoints::default(),
             last_hello: 0,
             order: Vec::new(),
-            reconsider_at: None,
+            reconsider_at: Moment::ZERO,
         }
     }
 
@@ -205,7 +205,7 @@
             }
         }
         self.order = self.sorted_places();
-        self.reconsider_at = None;
+        self.reconsider_at = Moment::ZERO;
     }
 
     /// Returns the requests to send now.
@@ -242,8 +242,8 @@
                 contact.due = now + contact.interval(self.is_control);
             } else {
                 contact.hello = Some((self.last_hello, now));
-                let slow_at = contact.slow_at();
-                self.reconsider_at = self.reconsider_at.into_iter().chain(slow_at).min();
+                let slow_at = contact.slow_at().unwrap_or(Moment::NEVER);
+                self.reconsider_at = self.reconsider_at.min(slow_at);
             }
             let timeout = if contact.answered.is_some() && !requests_listing {
                 LIGHT_TIMEOUT
@@ -298,7 +298,7 @@
         if !is_awaited {
             return;
         }
-        self.reconsider_at = None;
+        self.reconsider_at = Moment::ZERO;
         let interval = contact.interval(self.is_control);
         let is_quick = match reply {
             Reply::Missing => {
@@ -372,7 +372,7 @@
                 endpoints.passed.push(from.clone());
             }
         }
-        self.reconsider_at = None;
+        self.reconsider_at = Moment::ZERO;
         self.choose_contacts(now);
     }
 
--- a/crates/kumquatdrum_gateway/src/contact/choice.rs
+++ b/crates/kumquatdrum_gateway/src/contact/choice.rs
@@ -44,7 +44,7 @@
     /// Preferred ones that failed are tried again. A control host contacts all, and so does a host that
     /// knows only seeds yet.
     pub(super) fn choose_contacts(&mut self, now: Moment) {
-        if self.reconsider_at.is_some_and(|at| now < at) {
+        if now < self.reconsider_at {
             return;
         }
         let mut active = self.preferred();
@@ -62,12 +62,8 @@
         self.endpoints.sources.retain(is_active);
         self.endpoints.empty.retain(is_active);
         let slow_at = contacts.values().filter_map(Contact::slow_at);
-        self.reconsider_at = Some(
-            slow_at
-                .filter(|at| *at > now)
-                .min()
-                .unwrap_or(Moment::NEVER),
-        );
+        let slow_at = slow_at.filter(|at| *at > now).min();
+        self.reconsider_at = slow_at.unwrap_or(Moment::NEVER);
     }
 
     /// Returns the places of the preferred contacts, and of those before them that failed, which are tried
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -18,7 +18,6 @@
 
 use crate::Gateway;
 use crate::body::{Body, json};
-use crate::broadcast::RelayPath;
 use crate::listener::Peer;
 use crate::message;
 use crate::protocol::{Operation, Protocol};
@@ -275,7 +274,7 @@
             gateway.broadcast_addition(update);
         }
         (Change::Cooled, Some(update)) if !is_leaving => {
-            gateway.broadcast_endpoints(vec![update], RelayPath::Primary);
+            gateway.broadcast_endpoints(vec![update]);
             gateway.refresh_pool();
         }
         (Change::New | Change::Changed, Some(update)) => {
--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -14,7 +14,6 @@
 use tokio::time::sleep;
 
 use super::Gateway;
-use crate::broadcast::RelayPath;
 use crate::endpoints::Effect;
 use crate::message::{Notice, Request, Response};
 
@@ -73,7 +72,7 @@
         loop {
             self.added.has_unsent.notified().await;
             let updates = std::mem::take(&mut *self.added.unsent.lock());
-            self.broadcast_endpoints(updates, RelayPath::Primary);
+            self.broadcast_endpoints(updates);
             let control_hosts = self.hosts.control_hosts().len() + 1;
             sleep(BROADCAST_INTERVAL * control_hosts as u32).await;
         }
@@ -101,19 +100,15 @@
         self.pool.refresh();
     }
 
-    /// Sends endpoint updates to all hosts, best effort; lost updates are repeated in a later
-    /// round.
-    pub(crate) fn broadcast_endpoints(&self, updates: Vec<Update>, path: RelayPath) {
+    /// Sends endpoint updates to all hosts, best effort; hosts that miss them receive them with listings.
+    pub(crate) fn broadcast_endpoints(&self, updates: Vec<Update>) {
         if updates.is_empty() {
             return;
         }
         let recipients = self.hosts.live_recipients();
         self.send_endpoints(&updates, &recipients.direct);
         for relay in recipients.relays {
-            let to = match path {
-                RelayPath::Primary => &relay.primary,
-                RelayPath::Secondary => &relay.secondary,
-            };
+            let to = &relay.primary;
             let hosts = relay.hosts.iter().filter(|host| *host != to);
             let notice = Notice::RelayEndpoints {
                 updates: updates.clone(),
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -197,16 +197,14 @@
     pub fn live_hosts(&self) -> Vec<Host> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let live = state.aged(now).filter(|(_, age)| *age <= LOST_AFTER);
-        live.map(|(entry, _)| entry.host.clone()).collect()
+        state.live(now).cloned().collect()
     }
 
     /// Returns the other live hosts that can send requests to endpoints for this host.
     pub fn relay_candidates(&self) -> Vec<RelayCandidate> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let live = state.aged(now).filter(|(_, age)| *age <= LOST_AFTER);
-        let hosts = live.map(|(entry, _)| &entry.host);
+        let hosts = state.live(now);
         let hosts = hosts.filter(|host| host.accepts_callers && !host.is_stopping);
         let candidates = hosts.map(|host| RelayCandidate {
             id: host.id.clone(),
@@ -252,10 +250,7 @@
     pub fn caller_numbers(&self) -> Vec<u32> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let others = state.aged(now);
-        let others = others.filter(|(_, age)| *age <= LOST_AFTER);
-        let all = others.map(|(entry, _)| &entry.host);
-        let all = all.chain(std::iter::once(&state.local));
+        let all = state.live(now).chain(std::iter::once(&state.local));
         let callers = all.filter(|host| host.accepts_callers && !host.is_stopping);
         let addresses = callers.filter_map(|host| address(&host.id));
         addresses.map(number).collect()
--- a/crates/kumquatdrum_gateway/src/hosts/table.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/table.rs
@@ -72,6 +72,19 @@
 }
 
 impl Entry {
+    /// Returns the time since the host was last heard from, directly or through a control host's report.
+    fn age(&self, now: Moment, reports: &Reports) -> Duration {
+        let direct = now - self.last_contact;
+        let reported = reports.age(now, &self.host.id);
+        reported.map_or(direct, |reported| reported.min(direct))
+    }
+
+    /// Counts a change of the host.
+    fn record_change(&mut self, changes: &mut u64) {
+        *changes += 1;
+        self.changed = *changes;
+    }
+
     /// Returns the time since this host itself heard from the host.
     fn direct_age(&self, now: Moment) -> Option<Duration> {
         self.direct_contact.map(|at| now - at)
@@ -168,7 +181,7 @@
             let age = if for_control {
                 entry.direct_age(now)?
             } else {
-                self.age(now, entry)
+                entry.age(now, &self.reports)
             };
             Some(Member {
                 host: entry.host.clone(),
@@ -193,19 +206,15 @@
         } = self;
         let mut events = Vec::new();
         others.retain(|id, entry| {
-            let direct = now - entry.last_contact;
-            let reported = reports.age(now, id);
-            let age = reported.map_or(direct, |reported| reported.min(direct));
+            let age = entry.age(now, reports);
             if entry.is_direct && !entry.is_heard(now) {
                 entry.is_direct = false;
-                *changes += 1;
-                entry.changed = *changes;
+                entry.record_change(changes);
             }
             // A host is back without a message if a control host is heard again that lists it as live.
             if entry.is_lost != (age > LOST_AFTER) {
                 entry.is_lost = !entry.is_lost;
-                *changes += 1;
-                entry.changed = *changes;
+                entry.record_change(changes);
                 let expiry = if entry.is_lost {
                     Expiry::Lost(age)
                 } else {
@@ -259,11 +268,10 @@
         known.max(self.seeds.len())
     }
 
-    /// Returns the other hosts, each with the time since it was last heard from, directly or through a
-    /// control host's report.
+    /// Returns the other hosts, each with the time since it was last heard from.
     pub(super) fn aged(&self, now: Moment) -> impl Iterator<Item = (&Entry, Duration)> {
         let others = self.others.values();
-        others.map(move |entry| (entry, self.age(now, entry)))
+        others.map(move |entry| (entry, entry.age(now, &self.reports)))
     }
 
     /// Returns whether this host itself has lately heard from another one.
@@ -281,17 +289,11 @@
     /// Returns the other live control hosts, each with whether its data centre is a remote one.
     pub(super) fn live_control_hosts(&self, now: Moment) -> impl Iterator<Item = (bool, &Host)> {
         let control = self.others.values().filter(|entry| entry.host.is_control);
-        let live = control.filter(move |entry| self.age(now, entry) <= LOST_AFTER);
+        let live = control.filter(move |entry| entry.age(now, &self.reports) <= LOST_AFTER);
         let is_remote = |host: &Host| host.data_centre != self.local.data_centre;
         live.map(move |entry| (is_remote(&entry.host), &entry.host))
     }
 
-    fn age(&self, now: Moment, entry: &Entry) -> Duration {
-        let direct = now - entry.last_contact;
-        let reported = self.reports.age(now, &entry.host.id);
-        reported.map_or(direct, |reported| reported.min(direct))
-    }
-
     fn observe(&mut self, now: Moment, mut host: Host, source: Source) -> Option<Event> {
         let age = match source {
             Source::Direct => Duration::ZERO,
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn three_hundred_hosts_request_all_endpoints_once_from_each_of_two_control_hosts() {
+fn three_hundred_hosts_request_all_endpoints_once_from_each_source() {
     for seed in 0..3 {
         let play = Play {
             seed,
@@ -209,7 +209,7 @@
 }
 
 #[test]
-fn hellos_and_listings_are_not_more_than_before_in_the_steady_state() {
+fn hellos_and_listings_go_to_three_contacts_in_the_steady_state() {
     let play = Play {
         seed: 1,
         up: [0; CONTROL_HOSTS],
--- a/crates/kumquatdrum_placement/src/long_prompt.rs
+++ b/crates/kumquatdrum_placement/src/long_prompt.rs
@@ -60,8 +60,7 @@
     local_data_centre: Option<DataCentreKey>,
 ) -> Placement {
     let prefill_ms = cost.prefill_ms(job.prompt_tokens);
-    let spreads = is_spread(candidates);
-    let sorted_candidates = sort_by_load(job, candidates.iter().collect(), spreads);
+    let sorted_candidates = sort_by_load(job, candidates);
     let engine_cost_ms = cost.pass_ms(1, 0) * PASSES_LOST_PER_ENGINE;
     let wanted = best_engine_count(
         &sorted_candidates,
@@ -70,8 +69,8 @@
         f64::INFINITY,
     )
     .unwrap_or(1);
-    let ready = candidates.iter().filter(|candidate| candidate.is_ready());
-    let mut ready = sort_by_load(job, ready.collect(), spreads);
+    let ready = sorted_candidates.into_iter();
+    let mut ready: Vec<_> = ready.filter(|candidate| candidate.is_ready()).collect();
     let min_ready = (wanted as f64 * READY_SHARE).ceil() as usize;
     if ready.len() < min_ready {
         return Placement::Wait;
@@ -98,19 +97,16 @@
 
 /// Sorts engines by load, lowest first. If prompts are spread, engines with the same load are in an
 /// order that differs by job.
-fn sort_by_load<'a>(
-    job: &Job,
-    mut candidates: Vec<&'a Candidate<'a>>,
-    spreads: bool,
-) -> Vec<&'a Candidate<'a>> {
+fn sort_by_load<'a>(job: &Job, candidates: &'a [Candidate<'a>]) -> Vec<&'a Candidate<'a>> {
     let load = |candidate: &Candidate<'_>| {
         candidate.backlog_ms + DECODE_PENALTY_MS * candidate.decodes() as f64
     };
-    if spreads {
-        candidates.sort_by_cached_key(|candidate| spread_order(job, candidate));
+    let mut sorted: Vec<&Candidate<'_>> = candidates.iter().collect();
+    if is_spread(candidates) {
+        sorted.sort_by_cached_key(|candidate| spread_order(job, candidate));
     }
-    candidates.sort_by(|one, other| load(one).total_cmp(&load(other)));
-    candidates
+    sorted.sort_by(|one, other| load(one).total_cmp(&load(other)));
+    sorted
 }
 
 /// Returns the number of engines with the lowest [`finish_ms`] plus overhead, among those whose
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -153,7 +153,13 @@
             let candidate =
                 short_prompt::place(&self.cost, now, job, &candidates, &conditions, turn);
             candidate.map(|candidate| {
-                let helpers = short_prompt::choose_helpers(job, &candidates, candidate, prefill_ms);
+                let helpers = short_prompt::choose_helpers(
+                    job,
+                    &candidates,
+                    candidate,
+                    prefill_ms,
+                    conditions.is_spread,
+                );
                 short_prompt::plan(job, candidate.key, helpers, prefill_ms)
             })
         } else {
--- a/crates/kumquatdrum_placement/src/short_prompt.rs
+++ b/crates/kumquatdrum_placement/src/short_prompt.rs
@@ -216,6 +216,7 @@
     candidates: &[Candidate<'_>],
     first: &Candidate<'_>,
     prefill_ms: f64,
+    is_spread: bool,
 ) -> Vec<Helper> {
     if first.is_cold {
         return Vec::new();
@@ -227,7 +228,7 @@
     let mut available: Vec<&Candidate<'_>> = available
         .filter(|candidate| candidate.is_ready() && !candidate.is_limited)
         .collect();
-    if is_spread(candidates) {
+    if is_spread {
         available.sort_by_cached_key(|it| (it.decodes(), spread_order(job, it)));
     } else {
         available.sort_by_key(|candidate| candidate.decodes());
--- a/crates/kumquatdrum_placement/tests/cold.rs
+++ b/crates/kumquatdrum_placement/tests/cold.rs
@@ -1,11 +1,12 @@
 //! How many requests hosts send together to a cold endpoint, and who serves the others.
 
+mod support;
+
 use std::time::Duration;
 
 use kumquatdrum_placement::{
     Allowance, Balancer, DataCentreKey, Decision, EndpointKey, Job, JobId, Limits, Planner, Rate,
 };
-use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -347,21 +348,7 @@
 
 /// Returns a planner of the only host, with engines of which the given ones are cold.
 fn planner(engines: u64, cold: impl IntoIterator<Item = u64>) -> Planner {
-    let engine = Engine {
-        slots: 16,
-        memory_tokens: 300_000,
-        pass_steps: 50,
-        step_ms: 1.0,
-        decode_request_ms: 0.01,
-        context_ms_per_k_tokens: 0.01,
-        prefill_tokens_per_ms: 200.0,
-        attention_ms_per_m_pairs: 0.1,
-        chunk_tokens: 2_048,
-        remote_memory_step_ms: 0.05,
-        typical_prompt_tokens: 10_000.0,
-        typical_answer_tokens: 1_000.0,
-    };
-    let mut planner = Planner::new(engine);
+    let mut planner = Planner::new(support::engine());
     planner.set_endpoints((1..=engines).map(|number| (EndpointKey(number), DataCentreKey(0))));
     let rate = Rate::new(RATE).expect("a rate");
     let warmups = planner.limits_mut().warmups_mut();
--- a/crates/kumquatdrum_placement/tests/spread.rs
+++ b/crates/kumquatdrum_placement/tests/spread.rs
@@ -3,6 +3,8 @@
 //! Guards against hosts with the same view that choose the same engines: the busiest engine got 34 times
 //! the mean, and prompts waited on it for seconds while most engines had nothing to do.
 
+mod model;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -11,6 +13,8 @@
 use kumquatdrum_routes::Engine;
 use kumquatdrum_types::{Moment, hash};
 
+use model::simulation::engine_settings;
+
 const ENGINES: u64 = 975;
 const DATA_CENTRES: u64 = 5;
 const PROMPTS: u64 = 2_500;
@@ -21,17 +25,8 @@
 fn engine() -> Engine {
     Engine {
         slots: SLOTS,
-        memory_tokens: 315_000,
         pass_steps: 80,
-        step_ms: 0.85,
-        decode_request_ms: 0.004_25,
-        context_ms_per_k_tokens: 0.002_85,
-        prefill_tokens_per_ms: 177.0,
-        attention_ms_per_m_pairs: 0.184,
-        chunk_tokens: 2_048,
-        remote_memory_step_ms: 0.05,
-        typical_prompt_tokens: 11_108.0,
-        typical_answer_tokens: 1_622.0,
+        ..engine_settings()
     }
 }
 
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -156,8 +156,7 @@
         }
         entry.is_gone = true;
         entry.heard_at = now;
-        self.changes += 1;
-        entry.changed = self.changes;
+        entry.record_change(&mut self.changes);
         Some(to_update(entry, now))
     }
 
@@ -180,8 +179,7 @@
         }
         entry.is_gone = true;
         entry.heard_at = now;
-        self.changes += 1;
-        entry.changed = self.changes;
+        entry.record_change(&mut self.changes);
         Some(to_update(entry, now))
     }
 
@@ -208,8 +206,7 @@
         }
         known.leaving = true;
         entry.leaving_since = Some(now);
-        self.changes += 1;
-        entry.changed = self.changes;
+        entry.record_change(&mut self.changes);
         Some(to_update(entry, now))
     }
 
@@ -392,14 +389,19 @@
                 other.address == announcement.address && other.id != announcement.id;
             if has_same_address && other.started < announcement.started {
                 entry.is_gone = true;
-                self.changes += 1;
-                entry.changed = self.changes;
+                entry.record_change(&mut self.changes);
             }
         }
     }
 }
 
 impl Entry {
+    /// Counts a change of more than age and sequence number.
+    fn record_change(&mut self, changes: &mut u64) {
+        *changes += 1;
+        self.changed = *changes;
+    }
+
     /// Returns the time since the last announcement, in milliseconds.
     fn age_ms(&self, now: Moment) -> u64 {
         (now - self.heard_at).as_millis() as u64
