--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# The stand-ins of the scripts are Python programs of the standard library: nothing is compiled.
-# This checks that they can be loaded.
+# The stand-ins of the scripts are Python programs that use the standard library only, so there is
+# nothing to compile. This checks that they can be loaded.
 cd "$(dirname "$0")" || exit 2
-exec python3 -m py_compile stand_ins.py ./*/case.py
+for file in stand_ins.py ./*/case.py; do
+    python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file" || exit 1
+done
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -22,6 +22,8 @@
 ZONES = ["hall-raatuse", "hall-ulikooli", "hall-ringtee"]
 KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "ficu95.example"
+# Requests to these paths are answered by a stream of events.
+STREAMS = "/history/"
 
 
 class CannotRun(Exception):
@@ -238,6 +240,12 @@
         self.state = "ready"
         # Decides, for a request that ran, whether its answer is lost.
         self.loses_answer = lambda attempt: False
+        # The number of events of a stream, the time between them, and for an attempt the event before
+        # which it is preempted, with the time until it goes on.
+        self.events, self.gap_s = 20, 0.05
+        # The version of the weights.
+        self.version = 1
+        self.preempts = lambda attempt: None
         self.tasks = []
         self.server = None
 
@@ -264,6 +272,8 @@
                 "coldLeftMs": 0,
                 "seq": self.sequence,
                 "born": self.born,
+                "stage": "both",
+                "models": [{"name": "m", "version": self.version, "adapters": []}],
             }
         ).encode()
 
@@ -291,6 +301,9 @@
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                if first.split(" ")[1].startswith(STREAMS):
+                    await self.stream(writer, headers)
+                    continue
                 answer = await self.answer(first, headers, body)
                 if answer is None:
                     sock = writer.get_extra_info("socket")
@@ -299,7 +312,7 @@
                     return
                 writer.write(answer)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -310,8 +323,46 @@
         if attempt:
             headers["Kumquatdrum-Attempt-Id"] = attempt
             headers["Kumquatdrum-Response-Stamp"] = f"{self.id}.{attempt}"
+            headers["Kumquatdrum-Weight-Versions"] = str(self.version)
         return headers
 
+    async def stream(self, writer, headers):
+        """Answers with a stream of events, from the one after `Last-Event-Id` on."""
+        attempt = headers.get("kumquatdrum-attempt-id", "")
+        is_expected = headers.get("kumquatdrum-expect-instance", self.id) == self.id
+        expected_version = headers.get("kumquatdrum-expect-version", str(self.version))
+        if not is_expected or expected_version != str(self.version):
+            self.record.add(f"worker {self.id} (weights {self.version}) rejects {attempt}: 421, not run")
+            rejected = {**self.head(attempt), "Kumquatdrum-Not-Run": "1", "At-Server": self.id}
+            writer.write(message("HTTP/1.1 421 Misdirected Request", rejected))
+            return
+        self.ran[attempt] = self.ran.get(attempt, 0) + 1
+        self.record.add(f"worker {self.id} runs {attempt}")
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}" for name, value in self.head(attempt).items()]
+        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        self.running += 1
+        try:
+            preempted = self.preempts(attempt)
+            for number in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
+                if preempted and preempted[0] == number:
+                    self.record.add(f"worker {self.id} preempts {attempt} for {preempted[1]} s")
+                    await asyncio.sleep(preempted[1])
+                    self.record.add(f"worker {self.id} goes on with {attempt}")
+                event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(self.gap_s)
+                if writer.transport.is_closing():
+                    self.record.add(f"worker {self.id}: the channel of {attempt} is closed")
+                    return
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.record.add(f"worker {self.id} has made all events of {attempt}")
+        finally:
+            self.running -= 1
+
     async def answer(self, first, headers, body):
         """Runs a request. Returns the answer, or None if it is lost and the channel is reset."""
         _, path, _ = first.split(" ")
@@ -341,6 +392,38 @@
         return message("HTTP/1.1 200 OK", self.head(attempt), b"done " + attempt.encode())
 
 
+async def stream(address, path, headers, patience_s, limit):
+    """Sends a request for a stream. Returns the status, the events and whether the stream is whole.
+
+    The client leaves after a gap of `patience_s` or after `limit`; the status is then `left`.
+    """
+    reader, writer = await asyncio.open_connection(*address)
+    started = time.monotonic()
+    events = b""
+    try:
+        writer.write(message(f"POST {path} HTTP/1.1", headers, b"{}"))
+        await writer.drain()
+        first, got = await asyncio.wait_for(read_head(reader), limit)
+        status = int(first.split(" ")[1])
+        if status != 200:
+            await read_body(reader, got)
+            return status, events, True
+        while True:
+            left = started + limit - time.monotonic()
+            line = await asyncio.wait_for(reader.readline(), min(patience_s, left))
+            size = int(line.split(b";")[0], 16)
+            chunk = await asyncio.wait_for(reader.readexactly(size + 2), patience_s)
+            if size == 0:
+                return status, events, True
+            events += chunk[:-2]
+    except asyncio.TimeoutError:
+        return "left", events, False
+    except (OSError, ValueError, asyncio.IncompleteReadError):
+        return "cut", events, False
+    finally:
+        writer.close()
+
+
 def config(version, routes, services):
     return {
         "version": version,
@@ -374,6 +457,42 @@
     }
 
 
+def engine_service(name):
+    """Returns the declaration of a service of model workers, with the figures of the site."""
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConns": 274,
+        "protocol": "h1",
+        "tls": False,
+        "engine": {
+            "slots": 16,
+            "kvCapacityTokens": 315000,
+            "stride": 51,
+            "models": [{"name": "m"}],
+            "step_ms": 0.85,
+            "per_seq_ms": 0.00425,
+            "context_per_k": 0.00285,
+            "read_per_s": 177000.0,
+            "pairs_per_m": 0.184,
+            "chunk": 2048,
+            "report_lag_ms": 200.0,
+            "usual": {"prompt": 11108, "answer": 1622},
+            "hopMs": 0.05,
+        },
+    }
+
+
+def prompt_headers(attempt, deadline_ms):
+    """Returns the headers of a request with a prompt of the size of a shade-match."""
+    return {
+        **client_headers(attempt, deadline_ms),
+        "Kumquatdrum-Model": "m",
+        "Kumquatdrum-Token-Count": "4960,1000",
+        "Kumquatdrum-Prompt-Prefix": f"{random.getrandbits(32):x}:4960",
+    }
+
+
 def client_headers(attempt, deadline_ms):
     return {
         "Host": HOST,
@@ -402,6 +521,24 @@
             await asyncio.sleep(0.2)
 
 
+async def wait_until_streamed(cluster, path, deadline=40.0):
+    """Waits until each entry host serves a stream."""
+    until = time.monotonic() + deadline
+    for number in range(cluster.fronts):
+        while True:
+            attempt = f"{random.getrandbits(64):016x}"
+            headers = prompt_headers(attempt, 5000)
+            try:
+                got = await stream(cluster.front(number), path, headers, 2.0, 5.0)
+                if got[0] == 200 and got[2]:
+                    break
+            except OSError:
+                pass
+            if time.monotonic() > until:
+                raise CannotRun(f"entry host {number} does not serve")
+            await asyncio.sleep(0.2)
+
+
 def main(folder, play):
     """Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record()
