--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -344,7 +344,7 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         self.running += 1
         try:
-            preempted = self.preempts(attempt)
+            preempted, gap_s = self.preempts(attempt), self.gap_s
             for number in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
                 if preempted and preempted[0] == number:
                     self.record.add(f"worker {self.id} preempts {attempt} for {preempted[1]} s")
@@ -353,7 +353,7 @@
                 event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
                 writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
-                await asyncio.sleep(self.gap_s)
+                await asyncio.sleep(gap_s)
                 if writer.transport.is_closing():
                     self.record.add(f"worker {self.id}: the channel of {attempt} is closed")
                     return
@@ -369,6 +369,8 @@
         attempt = headers.get("kumquatdrum-attempt-id", "")
         if path == "/health":
             return message("HTTP/1.1 200 OK", self.head(""), b"ok")
+        if path in ("/-/order", "/-/report"):
+            return message("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, b'{"free":0}')
         if headers.get("kumquatdrum-expect-instance", self.id) != self.id:
             rejected = {**self.head(attempt), "Kumquatdrum-Not-Run": "1"}
             return message("HTTP/1.1 421 Misdirected Request", rejected)
@@ -483,13 +485,13 @@
     }
 
 
-def prompt_headers(attempt, deadline_ms):
-    """Returns the headers of a request with a prompt of the size of a shade-match."""
+def prompt_headers(attempt, deadline_ms, prompt_tokens=4960, answer_tokens=1000):
+    """Returns the headers of a request with a prompt, by default of the size of a shade-match."""
     return {
         **client_headers(attempt, deadline_ms),
         "Kumquatdrum-Model": "m",
-        "Kumquatdrum-Token-Count": "4960,1000",
-        "Kumquatdrum-Prompt-Prefix": f"{random.getrandbits(32):x}:4960",
+        "Kumquatdrum-Token-Count": f"{prompt_tokens},{answer_tokens}",
+        "Kumquatdrum-Prompt-Prefix": f"{random.getrandbits(32):x}:{prompt_tokens}",
     }
 
 
