Gateway: a connection that ends with a request in it leaves a line and is counted

A host that closed a caller's connection logged nothing, so that a request without an end in the log may have been half read, waiting, answered with its body unread, or never sent. `connection_ended` tells the request's id, phase, bytes read and written, and the cause; a counter has them by phase and cause, and `explain` tells what became of the request.

--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -8,6 +8,8 @@
 
 /// Period before a request's end in which the state changes of its hosts are shown.
 const LOOKBACK_SECONDS: f64 = 10.0;
+/// The event that a connection has ended with a request in it.
+const CONNECTION_ENDED: &str = "connection_ended";
 /// Keys that are not printed as pairs, as every line has them or they are printed elsewhere.
 const OMITTED_KEYS: [&str; 5] = ["time", "level", "host", "event", "request"];
 
@@ -47,10 +49,14 @@
 
     /// Describes why the request ended as it did.
     pub fn cause(&self) -> String {
-        let Some(end) = self.lines.iter().rev().find(|line| is_end(line.event())) else {
-            return "no log contains the end of the request; its host may have failed, or its \
-                    caller may have disconnected"
-                .to_owned();
+        let mut from_last = self.lines.iter().rev();
+        let Some(end) = from_last.clone().find(|line| is_end(line.event())) else {
+            return match from_last.find(|line| line.event() == CONNECTION_ENDED) {
+                Some(line) => describe_connection(line),
+                None => {
+                    "no log contains the end of the request; its host may have failed".to_owned()
+                }
+            };
         };
         let reason = end.get("reason");
         match (end.event(), end.get("end")) {
@@ -58,7 +64,10 @@
                 let revision = end.get("revision");
                 format!("not sent: {reason} (the host was at revision {revision})")
             }
-            (_, "streamed" | "answered") => format!("answered: {reason}"),
+            (_, "streamed" | "answered") => match self.lost_answer() {
+                Some(line) => format!("answered: {reason}; {}", describe_connection(line)),
+                None => format!("answered: {reason}"),
+            },
             _ => match self.last_failure() {
                 Some(attempt) => format!(
                     "{reason}; last failed attempt: endpoint {} at {}, {}: {}",
@@ -72,6 +81,13 @@
         }
     }
 
+    /// Returns the end of the connection if the caller may lack a part of the answer.
+    fn lost_answer(&self) -> Option<&Line> {
+        let is_lost =
+            |line: &&Line| line.event() == CONNECTION_ENDED && line.get("phase") == "response";
+        self.lines.iter().rev().find(is_lost)
+    }
+
     fn last_failure(&self) -> Option<&Line> {
         let is_failed_attempt = |line: &&Line| {
             line.event() == "attempt" && !matches!(line.get("outcome"), "began" | "answered")
@@ -90,6 +106,28 @@
     }
 }
 
+/// Describes how far a request had come when its connection ended, and why it ended.
+fn describe_connection(line: &Line) -> String {
+    let phase = match line.get("phase") {
+        "head" => "while its head arrived",
+        "body" => "while its body arrived",
+        "waiting" => "before there was a response",
+        "response" => "before all of the response was sent",
+        _ => "after the response",
+    };
+    let cause = match line.get("cause") {
+        "caller" => "its caller closed it",
+        "timeout" => "its caller was silent for too long",
+        "unacknowledged" => "its caller did not take the response",
+        "response" => "the response broke off",
+        "invalid" => "its caller sent no valid HTTP",
+        "stopped" => "the host stopped",
+        "panic" => "the host failed internally",
+        _ => "the host closed it",
+    };
+    format!("the connection ended {phase}: {cause}")
+}
+
 fn is_end(event: &str) -> bool {
     matches!(event, "request_ended" | "request_refused")
 }
--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -19,6 +19,12 @@
 const TIMEOUT: Duration = Duration::from_secs(40);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Returns the second octet of all addresses. `TEST_NETWORK` sets another one for runs at the same time.
+fn network() -> u8 {
+    let network = std::env::var("TEST_NETWORK").ok();
+    network.map_or(77, |network| network.parse().expect("an octet"))
+}
+
 /// A running cluster: hosts 0 to 2 are control hosts, the others take callers.
 pub struct Cluster {
     pub client: Client,
@@ -102,7 +108,7 @@
     }
 
     fn address(&self, host: usize, port: u16) -> SocketAddr {
-        SocketAddr::from(([127, 77, self.subnet, host as u8 + 1], port))
+        SocketAddr::from(([127, network(), self.subnet, host as u8 + 1], port))
     }
 
     /// Returns the address at which other hosts connect to a host.
--- a/crates/kumquatdrum/tests/gateway/explain.rs
+++ b/crates/kumquatdrum/tests/gateway/explain.rs
@@ -9,7 +9,7 @@
 use crate::endpoint::{Behaviour, CRASHING_BODY, Endpoint};
 
 /// Runs `explain` on the logs of both hosts that take callers, and returns its JSON.
-fn explain(cluster: &Cluster, id: &str) -> Value {
+pub fn explain(cluster: &Cluster, id: &str) -> Value {
     let output = Command::new(env!("CARGO_BIN_EXE_kumquatdrum"))
         .args(["explain", "--json", id])
         .args([cluster.log_path(3), cluster.log_path(4)])
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -1,8 +1,10 @@
 //! Gateway hosts as real processes on loopback, in front of stand-in endpoints.
 
 mod backoff;
+mod caller;
 mod cluster;
 mod cold;
+mod connection;
 mod control;
 mod crash;
 mod crash_part;
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -18,6 +18,7 @@
 use crate::Gateway;
 use crate::backlog;
 use crate::body::Body;
+use crate::listener::Progress;
 use crate::problem::Problem;
 use crate::protocol::{Metadata, PartId, Prompt};
 
@@ -60,6 +61,9 @@
     let (head, body) = request.into_parts();
     let metadata = gateway.protocol.parse_request(&head.headers);
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
+    if let Some(progress) = head.extensions.get::<Progress>() {
+        progress.record_id(&attempt_id);
+    }
     let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
     gateway.wait_until_informed(arrived, metadata.timeout).await;
     let left = arrived + timeout - gateway.clock.now();
@@ -169,7 +173,12 @@
     let body = match timeout_at(deadline_instant, limited).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Problem::TooLarge),
-        Ok(Err(error)) => return Err(Problem::Unreadable(error.to_string())),
+        Ok(Err(error)) => {
+            if let Some(progress) = head.extensions.get::<Progress>() {
+                progress.record_abandoned();
+            }
+            return Err(Problem::Unreadable(error.to_string()));
+        }
         Err(_) => {
             return Err(Problem::Refused {
                 reason: "the body did not arrive in time",
@@ -177,6 +186,9 @@
             });
         }
     };
+    if let Some(progress) = head.extensions.get::<Progress>() {
+        progress.record_body();
+    }
     gateway.pool.record_request(&admission.service);
     Ok(Call {
         gateway: gateway.clone(),
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -18,7 +18,7 @@
 
 use crate::Gateway;
 use crate::body::{Body, json};
-use crate::listener::Peer;
+use crate::listener::{Peer, Progress};
 use crate::message;
 use crate::protocol::{Operation, Protocol};
 use crate::replica::Command;
@@ -45,7 +45,12 @@
         protocol.parse_operation(&head.method, head.uri.path())
     });
     let body = match Limited::new(body, Record::MAX_TEXT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+        Ok(body) => {
+            if let Some(progress) = head.extensions.get::<Progress>() {
+                progress.record_body();
+            }
+            body.to_bytes()
+        }
         Err(error) => {
             let finding = Finding::new("", format!("the body could not be read: {error}"));
             return Ok(invalid(&[finding]));
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response, Version};
+use http::{Method, Request, Response, StatusCode, Version};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -22,6 +22,13 @@
 use crate::body::Body;
 use crate::sockets::{self, Connection};
 
+mod ending;
+mod progress;
+
+pub use ending::Cause;
+use ending::Guard;
+pub use progress::{Phase as RequestPhase, Progress, Snapshot};
+
 /// The delay after a failed accept, in which file descriptors may become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The minimum limit on the size of a request head in bytes.
@@ -94,21 +101,30 @@
     let peer = stream.peer_addr().ok().map(Peer);
     let limits = gateway.limits();
     let ends_response = Arc::new(AtomicBool::new(false));
-    let stream = Connection::new(stream, ends_response.clone());
+    let progress = Progress::default();
+    let mut guard = Guard::new(gateway.clone(), progress.clone());
+    let stream = Connection::new(stream, ends_response.clone(), progress.clone());
     let service = service_fn({
         let gateway = gateway.clone();
         move |mut request: Request<Incoming>| {
             if let Some(peer) = peer {
                 request.extensions_mut().insert(peer);
             }
-            let ends_response = ends_response.clone();
+            progress.record_head(request.body().is_end_stream());
+            request.extensions_mut().insert(progress.clone());
+            let (progress, ends_response) = (progress.clone(), ends_response.clone());
             let is_old = request.version() == Version::HTTP_10;
+            let is_head = request.method() == Method::HEAD;
             let answer = handler(gateway.clone(), request);
             async move {
                 let response = answer.await?;
                 let is_streamed = response.body().size_hint().exact().is_none();
                 let has_no_chunks = is_old || response.version() == Version::HTTP_10;
                 ends_response.store(is_streamed && has_no_chunks, Ordering::Relaxed);
+                let status = response.status();
+                let has_body =
+                    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
+                let response = response.map(|body| progress.track(body, has_body && !is_head));
                 Ok::<_, Infallible>(response)
             }
         }
@@ -121,12 +137,11 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
-        // Connection errors are not logged, since the caller detects them too.
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return guard.record_end(ended),
         () = wait_for_closing(&mut phase) => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    guard.record_end(connection.await);
 }
 
 /// Waits until the phase is closing or its sender is dropped.
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/listener/progress.rs
@@ -0,0 +1,196 @@
+//! How far a request on a connection has come, to report requests that end with their connection.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use parking_lot::Mutex;
+
+use crate::body::{Body, Error};
+
+/// How far the request has come that a connection carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// There is no request.
+    Idle,
+    /// A part of the head has arrived.
+    Head,
+    /// The head has arrived, and the body not entirely.
+    Body,
+    /// The request has arrived, and there is no response yet.
+    Waiting,
+    /// A part of the response has been passed to the connection.
+    Response,
+    /// The response is complete, but the request has not been read entirely.
+    Unread,
+}
+
+impl Phase {
+    /// Returns the name in logs and metrics.
+    ///
+    /// ```
+    /// use kumquatdrum_gateway::listener::Phase;
+    ///
+    /// assert_eq!(Phase::Waiting.name(), "waiting");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Head => "head",
+            Self::Body => "body",
+            Self::Waiting => "waiting",
+            Self::Response => "response",
+            Self::Unread => "unread",
+        }
+    }
+}
+
+/// A connection's state when it ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// How far the request has come.
+    pub phase: Phase,
+    /// The caller's attempt id; empty if the head has not arrived.
+    pub request: String,
+    /// Whether the caller's connection broke before the request's body had arrived entirely.
+    pub is_abandoned: bool,
+    /// The bytes received since the end of the previous response.
+    pub bytes_read: u64,
+    /// The bytes sent since then.
+    pub bytes_written: u64,
+}
+
+/// The progress of the requests on a connection, shared by all who see a part of it.
+#[derive(Debug, Clone, Default)]
+pub struct Progress(Arc<Mutex<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    request: Option<String>,
+    has_body: bool,
+    is_abandoned: bool,
+    has_response: bool,
+    is_response_complete: bool,
+    bytes_read: u64,
+    bytes_written: u64,
+}
+
+impl Progress {
+    /// Records the head of a request. `has_body` states whether its body has arrived, too.
+    pub(super) fn record_head(&self, has_body: bool) {
+        let mut state = self.0.lock();
+        *state = State {
+            request: Some(String::new()),
+            has_body,
+            bytes_read: state.bytes_read,
+            ..State::default()
+        };
+    }
+
+    /// Records the caller's id of the request.
+    pub(crate) fn record_id(&self, id: &str) {
+        self.0.lock().request = Some(id.to_owned());
+    }
+
+    /// Records that the request's body has arrived entirely.
+    pub(crate) fn record_body(&self) {
+        self.0.lock().has_body = true;
+    }
+
+    /// Records that the caller's connection broke before the request's body had arrived entirely.
+    pub(crate) fn record_abandoned(&self) {
+        self.0.lock().is_abandoned = true;
+    }
+
+    /// Records received bytes.
+    pub(crate) fn record_read(&self, bytes: usize) {
+        self.0.lock().bytes_read += bytes as u64;
+    }
+
+    /// Records sent bytes.
+    pub(crate) fn record_written(&self, bytes: usize) {
+        self.0.lock().bytes_written += bytes as u64;
+    }
+
+    /// Records that all bytes passed to the connection have been sent.
+    pub(crate) fn record_flush(&self) {
+        let mut state = self.0.lock();
+        if state.is_response_complete && state.has_body {
+            *state = State::default();
+        }
+    }
+
+    /// Returns a body of a response that records its end. `is_sent` states whether the connection
+    /// sends the body, and not the head alone.
+    pub(super) fn track(&self, body: Body, is_sent: bool) -> Tracked {
+        self.0.lock().has_response = true;
+        Tracked {
+            body,
+            progress: self.clone(),
+            has_ended: !is_sent,
+        }
+    }
+
+    /// Returns the current state.
+    pub(super) fn snapshot(&self) -> Snapshot {
+        let state = self.0.lock();
+        let phase = match (&state.request, state.has_body) {
+            (None, _) if state.bytes_read == 0 => Phase::Idle,
+            (None, _) => Phase::Head,
+            (Some(_), false) if state.is_response_complete => Phase::Unread,
+            (Some(_), _) if state.has_response => Phase::Response,
+            (Some(_), false) => Phase::Body,
+            (Some(_), true) => Phase::Waiting,
+        };
+        Snapshot {
+            phase,
+            request: state.request.clone().unwrap_or_default(),
+            is_abandoned: state.is_abandoned,
+            bytes_read: state.bytes_read,
+            bytes_written: state.bytes_written,
+        }
+    }
+}
+
+/// The body of a response, whose end is recorded.
+#[derive(Debug)]
+pub(super) struct Tracked {
+    body: Body,
+    progress: Progress,
+    has_ended: bool,
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, Poll::Ready(None)) {
+            self.has_ended = true;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        // A body of known length is not polled to its end.
+        if self.has_ended || self.body.is_end_stream() {
+            self.progress.0.lock().is_response_complete = true;
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     registry: Registry,
     /// Requests by the way they ended.
     pub ended: IntCounterVec,
+    /// Connections of callers that ended with a request in them, by its phase and the cause.
+    pub connections_ended: IntCounterVec,
     /// Requests sent to endpoints, by outcome.
     pub attempts: IntCounterVec,
     /// Seconds to the first event or the complete response, by prompt length.
@@ -67,6 +69,11 @@
                 "Requests by their end.",
                 &["end"],
             )?,
+            connections_ended: r.counter_vec(
+                "kumquatdrum_gateway_connections_ended_total",
+                "Connections of callers that ended with a request in them, by its phase and the cause.",
+                &["phase", "cause"],
+            )?,
             attempts: r.counter_vec(
                 "kumquatdrum_gateway_attempts_total",
                 "Requests sent to endpoints, by outcome.",
--- a/crates/kumquatdrum_gateway/src/sockets.rs
+++ b/crates/kumquatdrum_gateway/src/sockets.rs
@@ -12,6 +12,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use crate::listener::Progress;
+
 /// The maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// The maximum time that sent data may stay unacknowledged. It allows for several retransmissions.
@@ -40,16 +42,22 @@
     stream: TcpStream,
     ends_response: Arc<AtomicBool>,
     is_reset_on_close: bool,
+    progress: Progress,
 }
 
 impl Connection {
     /// Wraps a connection. `ends_response` is set before a response whose end only the end of the
     /// connection marks.
-    pub const fn new(stream: TcpStream, ends_response: Arc<AtomicBool>) -> Self {
+    pub const fn new(
+        stream: TcpStream,
+        ends_response: Arc<AtomicBool>,
+        progress: Progress,
+    ) -> Self {
         Self {
             stream,
             ends_response,
             is_reset_on_close: false,
+            progress,
         }
     }
 
@@ -64,6 +72,12 @@
         Ok(())
     }
 
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.progress.record_written(*bytes);
+        }
+    }
+
     fn prepare_write(&mut self) -> io::Result<()> {
         if self.ends_response.load(Ordering::Relaxed) {
             self.reset_on_close(true)?;
@@ -78,7 +92,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.progress.record_read(buffer.filled().len() - before);
+        polled
     }
 }
 
@@ -89,7 +106,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -98,7 +117,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -106,6 +127,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once its own buffer is empty.
+        self.progress.record_flush();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
