Test: answers that a host gives before it has read the request

Each refusal on the head alone (404, 401, 413, 431, 503 without a setup), with the body in one go, in pieces, slow, in chunks, with Expect: 100-continue, without end, and with the next request behind it.

--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod ending_cases;
 mod ending_soak;
 mod endings;
+mod early_answer;
 mod endpoint;
 mod endpoint_soak;
 mod evacuation;
