Gateway: callers get answers that are given before the request is read

Cause: the body was dropped with the answer, hyper then closes the connection, and bytes that arrive at a closed socket reset it; the reset discards what the caller has not read yet. Evidence: `connection_ended phase=unread cause=closed` for each of the lost answers, and none is lost if the body comes with the head.

Each connection that the host closes is closed in stages (RFC 9112, 9.6), with bounds in bytes and time. A body that is too long by its length is refused at once.

--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, request};
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatdrum_process::random;
@@ -26,6 +27,7 @@
 mod crash;
 mod run;
 mod stream;
+mod unread;
 
 /// The timeout of requests without a deadline header.
 pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -58,7 +60,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let arrived = gateway.clock.now();
     let work = gateway.drain.begin_work();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let metadata = gateway.protocol.parse_request(&head.headers);
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
     if let Some(progress) = head.extensions.get::<Progress>() {
@@ -68,18 +70,21 @@
     gateway.wait_until_informed(arrived, metadata.timeout).await;
     let left = arrived + timeout - gateway.clock.now();
     let admission = admit(&gateway, &head, &metadata, left);
-    let mut response = match admission {
-        Ok(admission) => {
-            let call = receive(&gateway, head, body, metadata, admission, arrived).await;
-            match call {
-                Ok(mut call) => {
-                    call.is_probe = call.try_probe();
-                    run::run(Arc::new(call), work).await
-                }
-                Err(problem) => refuse(&gateway, &attempt_id, &problem, arrived),
-            }
+    let received = match admission {
+        Ok(admission) => receive(&gateway, &head, &mut body, &metadata, admission, arrived).await,
+        Err(problem) => Err(problem),
+    };
+    let mut response = match received {
+        Ok(received) => {
+            let mut call = received.into_call(&gateway, head, metadata, arrived);
+            call.is_probe = call.try_probe();
+            run::run(Arc::new(call), work).await
+        }
+        Err(problem) => {
+            let mut response = refuse(&gateway, &attempt_id, &problem, arrived);
+            unread::discard(&gateway, &head, body, &mut response);
+            response
         }
-        Err(problem) => refuse(&gateway, &attempt_id, &problem, arrived),
     };
     if gateway.drain.is_draining() {
         let close = HeaderValue::from_static("close");
@@ -158,23 +163,35 @@
     last.map_or_else(|| ServiceName::new(""), |share| share.service.clone())
 }
 
+/// The body of an admitted request.
+struct Received {
+    admission: Admission,
+    body: Bytes,
+    deadline: Moment,
+}
+
 async fn receive(
-    gateway: &Arc<Gateway>,
-    head: request::Parts,
-    body: Incoming,
-    metadata: Metadata,
+    gateway: &Gateway,
+    head: &request::Parts,
+    body: &mut Incoming,
+    metadata: &Metadata,
     admission: Admission,
     arrived: Moment,
-) -> Result<Call, Problem> {
+) -> Result<Received, Problem> {
     let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = arrived + timeout.min(admission.route.timeout);
-    let limited = Limited::new(body, admission.max_body_bytes).collect();
+    let max_bytes = admission.max_body_bytes;
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Problem::TooLarge);
+    }
+    let progress = head.extensions.get::<Progress>();
+    let limited = Limited::new(body, max_bytes).collect();
     let deadline_instant = gateway.clock.instant(deadline);
     let body = match timeout_at(deadline_instant, limited).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Problem::TooLarge),
         Ok(Err(error)) => {
-            if let Some(progress) = head.extensions.get::<Progress>() {
+            if let Some(progress) = progress {
                 progress.record_abandoned();
             }
             return Err(Problem::Unreadable(error.to_string()));
@@ -186,26 +203,42 @@
             });
         }
     };
-    if let Some(progress) = head.extensions.get::<Progress>() {
+    if let Some(progress) = progress {
         progress.record_body();
     }
     gateway.pool.record_request(&admission.service);
-    Ok(Call {
-        gateway: gateway.clone(),
-        attempt_id: metadata.attempt_id.clone().unwrap_or_default(),
-        head,
+    Ok(Received {
+        admission,
         body,
-        metadata,
-        route: admission.route,
-        service: admission.service,
-        workspace: admission.workspace,
-        arrived,
         deadline,
-        identity: OnceLock::new(),
-        is_probe: false,
     })
 }
 
+impl Received {
+    fn into_call(
+        self,
+        gateway: &Arc<Gateway>,
+        head: request::Parts,
+        metadata: Metadata,
+        arrived: Moment,
+    ) -> Call {
+        Call {
+            gateway: gateway.clone(),
+            attempt_id: metadata.attempt_id.clone().unwrap_or_default(),
+            head,
+            body: self.body,
+            metadata,
+            route: self.admission.route,
+            service: self.admission.service,
+            workspace: self.admission.workspace,
+            arrived,
+            deadline: self.deadline,
+            identity: OnceLock::new(),
+            is_probe: false,
+        }
+    }
+}
+
 fn refuse(
     gateway: &Gateway,
     attempt_id: &str,
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -129,19 +129,26 @@
             }
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper includes the idle time before a request in this timeout.
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES) * 4)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        ended = connection.as_mut() => return guard.record_end(ended),
-        () = wait_for_closing(&mut phase) => {}
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        () = wait_for_closing(&mut phase) => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let is_lost = guard.record_end(ended) == Cause::Caller;
+    drop(guard);
+    if !is_lost {
+        let stream = connection.into_parts().io.into_inner();
+        // The caller has closed the connection, if this fails.
+        let _ = stream.close().await;
     }
-    connection.as_mut().graceful_shutdown();
-    guard.record_end(connection.await);
 }
 
 /// Waits until the phase is closing or its sender is dropped.
--- a/crates/kumquatdrum_gateway/src/listener/ending.rs
+++ b/crates/kumquatdrum_gateway/src/listener/ending.rs
@@ -81,18 +81,18 @@
         }
     }
 
-    /// Records how the connection ended.
-    pub(super) fn record_end(&mut self, ended: hyper::Result<()>) {
-        self.end = Some(match ended {
+    /// Records how the connection ended, and returns why.
+    pub(super) fn record_end(&mut self, ended: hyper::Result<()>) -> Cause {
+        let (cause, reason) = match ended {
             Ok(()) => (Cause::Closed, String::new()),
             Err(error) => {
-                let reason = error.source().map(|source| format!(": {source}"));
-                (
-                    Cause::of(&error),
-                    format!("{error}{}", reason.unwrap_or_default()),
-                )
+                let source = error.source().map(|source| format!(": {source}"));
+                let reason = format!("{error}{}", source.unwrap_or_default());
+                (Cause::of(&error), reason)
             }
-        });
+        };
+        self.end = Some((cause, reason));
+        cause
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/listener/progress.rs
+++ b/crates/kumquatdrum_gateway/src/listener/progress.rs
@@ -73,6 +73,7 @@
     is_abandoned: bool,
     has_response: bool,
     is_response_complete: bool,
+    is_response_sent: bool,
     bytes_read: u64,
     bytes_written: u64,
 }
@@ -96,7 +97,9 @@
 
     /// Records that the request's body has arrived entirely.
     pub(crate) fn record_body(&self) {
-        self.0.lock().has_body = true;
+        let mut state = self.0.lock();
+        state.has_body = true;
+        state.end_request();
     }
 
     /// Records that the caller's connection broke before the request's body had arrived entirely.
@@ -117,9 +120,8 @@
     /// Records that all bytes passed to the connection have been sent.
     pub(crate) fn record_flush(&self) {
         let mut state = self.0.lock();
-        if state.is_response_complete && state.has_body {
-            *state = State::default();
-        }
+        state.is_response_sent = state.is_response_complete;
+        state.end_request();
     }
 
     /// Returns a body of a response that records its end. `is_sent` states whether the connection
@@ -154,6 +156,15 @@
     }
 }
 
+impl State {
+    /// Forgets the request once it has been read and its response sent.
+    fn end_request(&mut self) {
+        if self.is_response_sent && self.has_body {
+            *self = Self::default();
+        }
+    }
+}
+
 /// The body of a response, whose end is recorded.
 #[derive(Debug)]
 pub(super) struct Tracked {
--- a/crates/kumquatdrum_gateway/src/sockets.rs
+++ b/crates/kumquatdrum_gateway/src/sockets.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 use crate::listener::Progress;
 
@@ -22,6 +23,12 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection is closed.
 const MAX_PROBES: u32 = 3;
+/// The maximum number of bytes that are read from a connection after it has been shut down.
+const MAX_LINGER_BYTES: usize = 4 << 20;
+/// The maximum time for which they are read.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
+/// The maximum time without any of them.
+const MAX_LINGER_SILENCE: Duration = Duration::from_secs(1);
 
 /// Sets the timeouts that close a connection to an unresponsive peer.
 pub fn set_liveness_timeouts(stream: &TcpStream) -> io::Result<()> {
@@ -72,6 +79,29 @@
         Ok(())
     }
 
+    /// Closes the connection in stages (RFC 9112, 9.6): bytes that arrive at a closed connection reset it
+    /// before the caller has read the response. A connection that is set to be reset is reset.
+    pub async fn close(mut self) -> io::Result<()> {
+        if self.is_reset_on_close {
+            return Ok(());
+        }
+        self.stream.shutdown().await?;
+        let _ = timeout(MAX_LINGER_TIME, self.read_to_end()).await;
+        Ok(())
+    }
+
+    /// Drops received bytes until the caller closes, but not more than [`MAX_LINGER_BYTES`].
+    async fn read_to_end(&mut self) {
+        let mut buffer = [0; 8 << 10];
+        let mut bytes = 0;
+        while bytes < MAX_LINGER_BYTES {
+            match timeout(MAX_LINGER_SILENCE, self.stream.read(&mut buffer)).await {
+                Ok(Ok(count)) if count > 0 => bytes += count,
+                _ => return,
+            }
+        }
+    }
+
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = written {
             self.progress.record_written(*bytes);
