Gateway: the idle limit in force closes connections, and never one with a head on its way

What callers saw: a request whose head began late in the idle time was cut off without an answer, as was one whose head was half read when its host stopped; a connection was closed by the idle limit from when it was opened, also after a change had raised it, while callers that go by the new one sent on it.

Cause: hyper's timer for a head starts with the idle time, and is fixed when the connection is opened; a graceful shutdown closes a connection that is idle but for a part of a head; connections that waited to be accepted were reset when the listener was closed.

Change: `kumquatdrum_routes::connection` decides, without a clock, whether a connection stays: for as long as the idle limit in force or the one when it became idle allows, and for a head's own time from its first byte, also at a stop. A head that takes too long is answered 408, as nothing ran. The listener accepts what waits before it is closed.

--- a/crates/kumquatdrum/tests/gateway/connection.rs
+++ b/crates/kumquatdrum/tests/gateway/connection.rs
@@ -39,7 +39,7 @@
 
 #[tokio::test]
 async fn a_request_whose_caller_leaves_is_logged_with_how_far_it_had_come() {
-    let cluster = Cluster::start(201);
+    let cluster = Cluster::start(1);
     cluster.apply(&config(1)).await;
     let pause = Duration::from_millis(200);
     let endpoint = Endpoint::start("i-1", Behaviour::CompleteStream { events: 30, pause }).await;
@@ -75,7 +75,7 @@
 
 #[tokio::test]
 async fn a_request_that_a_stopping_host_cuts_is_logged() {
-    let mut cluster = Cluster::start(202);
+    let mut cluster = Cluster::start(2);
     cluster.apply(&config(1)).await;
     let pause = Duration::from_secs(7);
     let endpoint = Endpoint::start("i-1", Behaviour::CompleteStream { events: 3, pause }).await;
--- a/crates/kumquatdrum/tests/gateway/early_answer.rs
+++ b/crates/kumquatdrum/tests/gateway/early_answer.rs
@@ -88,7 +88,7 @@
 
 #[tokio::test]
 async fn a_404_is_not_lost_when_the_body_arrives_after_it() {
-    let (cluster, _endpoint) = start(203).await;
+    let (cluster, _endpoint) = start(3).await;
     for body_bytes in [100, 60_000, 2_000_000] {
         check(&cluster, 404, "/none/x", "key-1", body_bytes).await;
     }
@@ -96,7 +96,7 @@
 
 #[tokio::test]
 async fn a_401_is_not_lost_when_the_body_arrives_after_it() {
-    let (cluster, _endpoint) = start(204).await;
+    let (cluster, _endpoint) = start(4).await;
     for body_bytes in [100, 60_000, 2_000_000] {
         check(&cluster, 401, "/safe/x", "key-2", body_bytes).await;
     }
@@ -104,13 +104,13 @@
 
 #[tokio::test]
 async fn a_413_is_not_lost_when_the_body_arrives_after_it() {
-    let (cluster, _endpoint) = start(205).await;
+    let (cluster, _endpoint) = start(5).await;
     check(&cluster, 413, "/safe/x", "key-1", 400_000).await;
 }
 
 #[tokio::test]
 async fn a_503_of_a_host_without_a_setup_is_not_lost_when_the_body_arrives_after_it() {
-    let mut cluster = Cluster::start(206);
+    let mut cluster = Cluster::start(6);
     for host in 0..CONTROL_HOSTS {
         cluster.kill(host);
     }
@@ -122,7 +122,7 @@
 
 #[tokio::test]
 async fn a_431_is_not_lost_when_the_head_goes_on_after_it() {
-    let (cluster, _endpoint) = start(207).await;
+    let (cluster, _endpoint) = start(7).await;
     let line = format!("X-Long: {}\r\n", "x".repeat(1_000));
     let lines = line.repeat(200);
     for _ in 0..REPETITIONS {
@@ -141,7 +141,7 @@
 
 #[tokio::test]
 async fn a_caller_that_waits_for_the_word_to_continue_gets_the_refusal_instead() {
-    let (cluster, _endpoint) = start(208).await;
+    let (cluster, _endpoint) = start(8).await;
     let request = Request {
         headers: "Expect: 100-continue\r\n",
         body_bytes: 60_000,
@@ -164,7 +164,7 @@
 
 #[tokio::test]
 async fn a_request_behind_a_refused_one_on_the_same_connection_is_served() {
-    let (cluster, endpoint) = start(209).await;
+    let (cluster, endpoint) = start(9).await;
     for framing in [Framing::Length, Framing::Chunked] {
         let before = endpoint.runs();
         let refused = Request {
@@ -186,7 +186,7 @@
 
 #[tokio::test]
 async fn a_host_does_not_read_a_refused_request_without_end() {
-    let (cluster, _endpoint) = start(210).await;
+    let (cluster, _endpoint) = start(10).await;
     let request = Request {
         framing: Framing::Chunked,
         body_bytes: 64 << 10,
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod explain;
 mod fanout;
 mod helpers;
+mod idle;
 mod leaving;
 mod limit;
 mod outage;
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -7,16 +7,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::{Method, Request, Response, StatusCode, Version};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use kumquatdrum_routes::connection::{Action, Standing, decide};
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep_until;
 
 use crate::Gateway;
 use crate::body::Body;
@@ -26,11 +29,16 @@
 mod progress;
 
 pub use ending::Cause;
-use ending::Guard;
+use ending::{End, Guard};
 pub use progress::{Phase as RequestPhase, Progress, Snapshot};
 
 /// The delay after a failed accept, in which file descriptors may become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// The interval at which a stopping host checks whether a connection is idle.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The response to a request whose head takes too long.
+const REQUEST_TIMEOUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// The minimum limit on the size of a request head in bytes.
 const MIN_HEADER_BYTES: usize = 16 * 1024;
 
@@ -63,13 +71,12 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let connection = serve_connection(
+                    connections.spawn(serve_connection(
                         gateway.clone(),
                         stream,
                         phase.clone(),
                         handler.clone(),
-                    );
-                    connections.spawn(connection);
+                    ));
                 }
                 Err(error) => {
                     warn!(gateway.logger, "accept_failed"; "event" => "accept_failed",
@@ -81,6 +88,11 @@
             () = wait_for_closing(&mut closing) => break,
         }
     }
+    // A connection that waits to be accepted when the listener is closed is reset.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        let connection = serve_connection(gateway.clone(), stream, phase.clone(), handler.clone());
+        connections.spawn(connection);
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
@@ -101,18 +113,19 @@
     let peer = stream.peer_addr().ok().map(Peer);
     let limits = gateway.limits();
     let ends_response = Arc::new(AtomicBool::new(false));
-    let progress = Progress::default();
+    let progress = Progress::new(gateway.clock, limits.idle_timeout);
     let mut guard = Guard::new(gateway.clone(), progress.clone());
     let stream = Connection::new(stream, ends_response.clone(), progress.clone());
     let service = service_fn({
-        let gateway = gateway.clone();
+        let (gateway, progress) = (gateway.clone(), progress.clone());
         move |mut request: Request<Incoming>| {
             if let Some(peer) = peer {
                 request.extensions_mut().insert(peer);
             }
             progress.record_head(request.body().is_end_stream());
             request.extensions_mut().insert(progress.clone());
-            let (progress, ends_response) = (progress.clone(), ends_response.clone());
+            let (gateway, progress) = (gateway.clone(), progress.clone());
+            let ends_response = ends_response.clone();
             let is_old = request.version() == Version::HTTP_10;
             let is_head = request.method() == Method::HEAD;
             let answer = handler(gateway.clone(), request);
@@ -124,30 +137,50 @@
                 let status = response.status();
                 let has_body =
                     status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
-                let response = response.map(|body| progress.track(body, has_body && !is_head));
+                let idle_limit = gateway.limits().idle_timeout;
+                let response =
+                    response.map(|body| progress.track(body, has_body && !is_head, idle_limit));
                 Ok::<_, Infallible>(response)
             }
         }
     });
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper includes the idle time before a request in this timeout.
-        .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES) * 4)
         .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        ended = &mut connection => ended,
-        () = wait_for_closing(&mut phase) => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    let mut is_stopping = false;
+    let ended = loop {
+        let (now, standing) = (gateway.clock.now(), progress.standing());
+        let is_head = matches!(standing, Standing::Head { .. });
+        let until = match decide(now, standing, &gateway.limits(), is_stopping) {
+            Action::WaitUntil(until) if is_stopping => until.min(now + STOP_CHECK_INTERVAL),
+            Action::WaitUntil(until) => until,
+            Action::Close => break End::Idle,
+            Action::Refuse => break End::SlowHead,
+        };
+        tokio::select! {
+            // What has arrived is read before the time is looked at.
+            biased;
+            ended = &mut connection => break End::Connection(ended),
+            () = wait_for_closing(&mut phase), if !is_stopping => {
+                is_stopping = true;
+                if progress.standing() == Standing::Busy {
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+            () = progress.wait_for_head(), if !is_head => {}
+            () = sleep_until(gateway.clock.instant(until)) => {}
         }
     };
-    let is_lost = guard.record_end(ended) == Cause::Caller;
+    let last_bytes = match ended {
+        End::SlowHead => REQUEST_TIMEOUT,
+        End::Idle | End::Connection(_) => b"",
+    };
+    let cause = guard.record_end(ended);
     drop(guard);
-    if !is_lost {
+    if cause != Cause::Caller {
         let stream = connection.into_parts().io.into_inner();
         // The caller has closed the connection, if this fails.
-        let _ = stream.close().await;
+        let _ = stream.close(last_bytes).await;
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/listener/ending.rs
+++ b/crates/kumquatdrum_gateway/src/listener/ending.rs
@@ -16,7 +16,7 @@
     Closed,
     /// The caller closed or reset it.
     Caller,
-    /// The caller was idle, or slow to send a head, for too long.
+    /// The caller was too slow to send a head.
     Timeout,
     /// The caller did not take what was sent for too long.
     Unacknowledged,
@@ -56,7 +56,6 @@
         match source.map(io::Error::kind) {
             Some(io::ErrorKind::TimedOut) => Self::Unacknowledged,
             Some(_) => Self::Caller,
-            None if error.is_timeout() => Self::Timeout,
             None if error.is_user() => Self::Response,
             None if error.is_incomplete_message() => Self::Caller,
             None if error.is_parse() => Self::Invalid,
@@ -65,6 +64,17 @@
     }
 }
 
+/// How a connection ended.
+#[derive(Debug)]
+pub(super) enum End {
+    /// The host closes it, as there is no request.
+    Idle,
+    /// The host closes it, as a head takes too long.
+    SlowHead,
+    /// The connection itself ended.
+    Connection(hyper::Result<()>),
+}
+
 /// Reports a request that ends with its connection, when it is dropped.
 pub(super) struct Guard {
     gateway: Arc<Gateway>,
@@ -82,10 +92,11 @@
     }
 
     /// Records how the connection ended, and returns why.
-    pub(super) fn record_end(&mut self, ended: hyper::Result<()>) -> Cause {
+    pub(super) fn record_end(&mut self, ended: End) -> Cause {
         let (cause, reason) = match ended {
-            Ok(()) => (Cause::Closed, String::new()),
-            Err(error) => {
+            End::Idle | End::Connection(Ok(())) => (Cause::Closed, String::new()),
+            End::SlowHead => (Cause::Timeout, String::new()),
+            End::Connection(Err(error)) => {
                 let source = error.source().map(|source| format!(": {source}"));
                 let reason = format!("{error}{}", source.unwrap_or_default());
                 (Cause::of(&error), reason)
--- a/crates/kumquatdrum_gateway/src/listener/progress.rs
+++ b/crates/kumquatdrum_gateway/src/listener/progress.rs
@@ -1,11 +1,16 @@
 //! How far a request on a connection has come, to report requests that end with their connection.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
+use kumquatdrum_process::clock::Clock;
+use kumquatdrum_routes::connection::Standing;
+use kumquatdrum_types::Moment;
 use parking_lot::Mutex;
 
 use crate::body::{Body, Error};
@@ -63,11 +68,20 @@
 }
 
 /// The progress of the requests on a connection, shared by all who see a part of it.
-#[derive(Debug, Clone, Default)]
-pub struct Progress(Arc<Mutex<State>>);
+#[derive(Debug, Clone)]
+pub struct Progress {
+    clock: Clock,
+    state: Arc<Mutex<State>>,
+}
 
 #[derive(Debug, Default)]
 struct State {
+    /// When the connection became idle, and the idle limit in force then.
+    idle_since: Moment,
+    idle_limit: Duration,
+    has_served: bool,
+    /// When the first byte of a head arrived.
+    head_since: Option<Moment>,
     request: Option<String>,
     has_body: bool,
     is_abandoned: bool,
@@ -76,13 +90,29 @@
     is_response_sent: bool,
     bytes_read: u64,
     bytes_written: u64,
+    /// The bytes received after the end of the request, which may belong to the next one.
+    next_bytes: u64,
 }
 
 impl Progress {
+    /// Creates the progress of a new connection with the idle limit in force.
+    pub fn new(clock: Clock, idle_limit: Duration) -> Self {
+        let state = State {
+            idle_since: clock.now(),
+            idle_limit,
+            ..State::default()
+        };
+        Self {
+            clock,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
     /// Records the head of a request. `has_body` states whether its body has arrived, too.
     pub(super) fn record_head(&self, has_body: bool) {
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         *state = State {
+            idle_limit: state.idle_limit,
             request: Some(String::new()),
             has_body,
             bytes_read: state.bytes_read,
@@ -92,42 +122,53 @@
 
     /// Records the caller's id of the request.
     pub(crate) fn record_id(&self, id: &str) {
-        self.0.lock().request = Some(id.to_owned());
+        self.state.lock().request = Some(id.to_owned());
     }
 
     /// Records that the request's body has arrived entirely.
     pub(crate) fn record_body(&self) {
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.has_body = true;
-        state.end_request();
+        state.end_request(self.clock.now());
     }
 
     /// Records that the caller's connection broke before the request's body had arrived entirely.
     pub(crate) fn record_abandoned(&self) {
-        self.0.lock().is_abandoned = true;
+        self.state.lock().is_abandoned = true;
     }
 
     /// Records received bytes.
     pub(crate) fn record_read(&self, bytes: usize) {
-        self.0.lock().bytes_read += bytes as u64;
+        let mut state = self.state.lock();
+        match state.request {
+            None if bytes > 0 && state.head_since.is_none() => {
+                state.head_since = Some(self.clock.now());
+            }
+            Some(_) if state.has_body => state.next_bytes += bytes as u64,
+            _ => {}
+        }
+        state.bytes_read += bytes as u64;
     }
 
     /// Records sent bytes.
     pub(crate) fn record_written(&self, bytes: usize) {
-        self.0.lock().bytes_written += bytes as u64;
+        self.state.lock().bytes_written += bytes as u64;
     }
 
     /// Records that all bytes passed to the connection have been sent.
     pub(crate) fn record_flush(&self) {
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.is_response_sent = state.is_response_complete;
-        state.end_request();
+        state.end_request(self.clock.now());
     }
 
     /// Returns a body of a response that records its end. `is_sent` states whether the connection
-    /// sends the body, and not the head alone.
-    pub(super) fn track(&self, body: Body, is_sent: bool) -> Tracked {
-        self.0.lock().has_response = true;
+    /// sends the body, and not the head alone. `idle_limit` is the one in force.
+    pub(super) fn track(&self, body: Body, is_sent: bool, idle_limit: Duration) -> Tracked {
+        let mut state = self.state.lock();
+        state.has_response = true;
+        state.idle_limit = idle_limit;
+        drop(state);
         Tracked {
             body,
             progress: self.clone(),
@@ -135,9 +176,32 @@
         }
     }
 
+    /// Returns what the connection waits for.
+    pub(super) fn standing(&self) -> Standing {
+        let state = self.state.lock();
+        match (&state.request, state.head_since) {
+            (Some(_), _) => Standing::Busy,
+            (None, Some(since)) => Standing::Head { since },
+            (None, None) => Standing::Idle {
+                since: state.idle_since,
+                limit: state.idle_limit,
+                is_new: !state.has_served,
+            },
+        }
+    }
+
+    /// Returns once a part of a head has arrived. Only looks when it is polled, after the connection.
+    pub(super) async fn wait_for_head(&self) {
+        poll_fn(|_| match self.standing() {
+            Standing::Head { .. } => Poll::Ready(()),
+            Standing::Idle { .. } | Standing::Busy => Poll::Pending,
+        })
+        .await;
+    }
+
     /// Returns the current state.
     pub(super) fn snapshot(&self) -> Snapshot {
-        let state = self.0.lock();
+        let state = self.state.lock();
         let phase = match (&state.request, state.has_body) {
             (None, _) if state.bytes_read == 0 => Phase::Idle,
             (None, _) => Phase::Head,
@@ -158,9 +222,16 @@
 
 impl State {
     /// Forgets the request once it has been read and its response sent.
-    fn end_request(&mut self) {
+    fn end_request(&mut self, now: Moment) {
         if self.is_response_sent && self.has_body {
-            *self = Self::default();
+            *self = Self {
+                idle_since: now,
+                idle_limit: self.idle_limit,
+                has_served: true,
+                head_since: (self.next_bytes > 0).then_some(now),
+                bytes_read: self.next_bytes,
+                ..Self::default()
+            };
         }
     }
 }
@@ -201,7 +272,7 @@
     fn drop(&mut self) {
         // A body of known length is not polled to its end.
         if self.has_ended || self.body.is_end_stream() {
-            self.progress.0.lock().is_response_complete = true;
+            self.progress.state.lock().is_response_complete = true;
         }
     }
 }
--- a/crates/kumquatdrum_gateway/src/sockets.rs
+++ b/crates/kumquatdrum_gateway/src/sockets.rs
@@ -81,13 +81,18 @@
 
     /// Closes the connection in stages (RFC 9112, 9.6): bytes that arrive at a closed connection reset it
     /// before the caller has read the response. A connection that is set to be reset is reset.
-    pub async fn close(mut self) -> io::Result<()> {
+    /// `last_bytes` are sent before.
+    pub async fn close(mut self, last_bytes: &[u8]) -> io::Result<()> {
         if self.is_reset_on_close {
             return Ok(());
         }
-        self.stream.shutdown().await?;
-        let _ = timeout(MAX_LINGER_TIME, self.read_to_end()).await;
-        Ok(())
+        let closed = timeout(MAX_LINGER_TIME, async {
+            self.stream.write_all(last_bytes).await?;
+            self.stream.shutdown().await?;
+            self.read_to_end().await;
+            Ok(())
+        });
+        closed.await.unwrap_or(Ok(()))
     }
 
     /// Drops received bytes until the caller closes, but not more than [`MAX_LINGER_BYTES`].
--- a/crates/kumquatdrum_routes/src/lib.rs
+++ b/crates/kumquatdrum_routes/src/lib.rs
@@ -4,8 +4,9 @@
 //! indexes it. [`Register`] is the replicated state: the [`Record`] with the highest revision,
 //! whose text is stored as the operator sent it, and the [`evacuation`]s of data centres.
 //! [`distribution`] assigns the control host that
-//! sends a new record to each host.
+//! sends a new record to each host; [`connection`] tells when an idle connection is closed.
 
+pub mod connection;
 pub mod distribution;
 mod entry;
 pub mod evacuation;
