Gateway: a caller that reads late does not lose its answer

What callers saw: a caller that did not read for 2.5 s while its answer was larger than the sockets' buffers got a reset in the middle of it.

Cause: TCP_USER_TIMEOUT also counts the time in which the peer's receive buffer is full, though it acknowledges each probe. Evidence: the test, which reads 12 MB after 4.5 s, fails with `connection_ended phase=response cause=unacknowledged bytes_written=3284992`.

Change: 30 s for callers; 2.5 s stay for endpoints. A caller that is gone without a word then holds its connection for longer, so a lease of engine memory is renewed until its prompt's deadline at the latest.

--- a/crates/kumquatdrum/tests/gateway/caller.rs
+++ b/crates/kumquatdrum/tests/gateway/caller.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
 /// The time that a caller waits for the next bytes of an answer.
@@ -136,6 +136,17 @@
         })
     }
 
+    /// Connects with a receive buffer of a size, so that little is received before it is read.
+    pub async fn connect_with_buffer(address: SocketAddr, bytes: u32) -> std::io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(bytes)?;
+        let stream = socket.connect(address).await?;
+        Ok(Self {
+            stream,
+            received: Vec::new(),
+        })
+    }
+
     /// Sends a request and then waits for its answer.
     pub async fn call(&mut self, request: &Request<'_>) -> End {
         match self.send(request).await {
--- a/crates/kumquatdrum/tests/gateway/idle.rs
+++ b/crates/kumquatdrum/tests/gateway/idle.rs
@@ -7,7 +7,7 @@
 
 use crate::caller::{Caller, Request};
 use crate::cluster::{Cluster, config};
-use crate::endpoint::{Behaviour, Endpoint};
+use crate::endpoint::{Behaviour, End, Endpoint};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -89,6 +89,31 @@
     assert!(caller.is_closed().await, "the new limit holds from now on");
 }
 
+#[tokio::test]
+async fn a_caller_that_reads_late_does_not_lose_its_answer() {
+    const BODY_BYTES: usize = 12 << 20;
+    let cluster = Cluster::start(29);
+    cluster.apply(&config(1)).await;
+    let body = "x".repeat(BODY_BYTES);
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: {BODY_BYTES}\r\n\r\n{body}");
+    let behaviour = Behaviour::Verbatim {
+        answer: answer.leak(),
+        end: End::Close,
+    };
+    let endpoint = Endpoint::start("i-1", behaviour).await;
+    cluster.announce(&endpoint, "plain", "ready", 1).await;
+    cluster.wait_until_ready(3, &endpoint).await;
+    let address = cluster.callers(3);
+    let caller = Caller::connect_with_buffer(address, 8 << 10).await;
+    let mut caller = caller.expect("a host");
+    let request = Request::new("/safe/x", "at-late");
+    caller.send(&request).await.expect("the host reads");
+    sleep(ms(4_500)).await;
+    let end = caller.receive().await;
+    assert_eq!(end.status(), 200, "{}", cluster.read_log(3));
+}
+
 #[tokio::test]
 async fn a_head_that_is_on_its_way_when_a_host_stops_is_not_cut_off() {
     let (mut cluster, _endpoint) = start(28, 8_000, 15_000).await;
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -216,8 +216,9 @@
         let reserved = helpers.map(|(prefiller, name)| async move {
             let tokens = prefiller.reserved_tokens;
             let endpoint = &prefiller.endpoint;
+            let until = self.deadline_instant();
             let reserved =
-                reservation::reserve(&self.gateway, endpoint, name, tokens, pick.purpose);
+                reservation::reserve(&self.gateway, endpoint, name, tokens, pick.purpose, until);
             reserved.await.map_err(|_| prefiller.key)
         });
         let mut reservations = Vec::new();
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -106,7 +106,7 @@
     H: Fn(Arc<Gateway>, Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
 {
-    if let Err(error) = sockets::set_liveness_timeouts(&stream) {
+    if let Err(error) = sockets::set_liveness_timeouts(&stream, sockets::UNREAD_TIMEOUT) {
         warn!(gateway.logger, "socket_refused"; "event" => "socket_refused", "reason" => %error);
         return;
     }
--- a/crates/kumquatdrum_gateway/src/reservation.rs
+++ b/crates/kumquatdrum_gateway/src/reservation.rs
@@ -36,6 +36,8 @@
     endpoint: Announcement,
     name: String,
     tokens: u64,
+    /// The deadline of the prompt, after which the lease is not renewed.
+    until: Instant,
 }
 
 impl std::fmt::Debug for Lease {
@@ -55,19 +57,21 @@
     Unanswered,
 }
 
-/// Reserves memory at an engine under a name, for new work of this purpose.
+/// Reserves memory at an engine under a name, for new work of this purpose, until a moment at the latest.
 pub async fn reserve(
     gateway: &Arc<Gateway>,
     endpoint: &Announcement,
     name: String,
     tokens: u64,
     purpose: Purpose,
+    until: Instant,
 ) -> Result<Reservation, Error> {
     let lease = Arc::new(Lease {
         gateway: gateway.clone(),
         endpoint: endpoint.clone(),
         name,
         tokens,
+        until,
     });
     let acknowledgement = lease.order(purpose).await;
     info!(gateway.logger, "reserved"; "event" => "reserved", "endpoint" => endpoint.id.as_str(),
@@ -105,7 +109,7 @@
 async fn renew(lease: Arc<Lease>) {
     let interval = lease.gateway.lease_duration() / RENEWALS_PER_LEASE;
     let mut pause = interval;
-    loop {
+    while Instant::now() + pause < lease.until {
         sleep(pause).await;
         let renewed = lease.order(Purpose::Upkeep).await;
         pause = match renewed {
--- a/crates/kumquatdrum_gateway/src/sockets.rs
+++ b/crates/kumquatdrum_gateway/src/sockets.rs
@@ -18,7 +18,10 @@
 /// The maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// The maximum time that sent data may stay unacknowledged. It allows for several retransmissions.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// As [`UNACKNOWLEDGED_TIMEOUT`], for a peer that may read late: the operating system does not tell a
+/// peer whose receive buffer is full from one that does not respond.
+pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// The idle time before the first keepalive probe, and the interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection is closed.
@@ -30,8 +33,9 @@
 /// The maximum time without any of them.
 const MAX_LINGER_SILENCE: Duration = Duration::from_secs(1);
 
-/// Sets the timeouts that close a connection to an unresponsive peer.
-pub fn set_liveness_timeouts(stream: &TcpStream) -> io::Result<()> {
+/// Sets the timeouts that close a connection to an unresponsive peer. `unacknowledged` is the maximum
+/// time that sent data may stay unacknowledged or unread.
+pub fn set_liveness_timeouts(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -39,7 +43,7 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged))
 }
 
 /// A caller's connection. It is reset unless it is shut down in order, if only its end marks the end
