Gateway: a request whose task panics is answered

What callers would see: a task that panics ended its connection without an answer and without a line in the log, as the listener dropped the result of the task.

Change: the panic is caught, logged (`request_panicked`), counted, and answered 500, which promises nothing.

--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -64,6 +64,7 @@
                 let revision = end.get("revision");
                 format!("not sent: {reason} (the host was at revision {revision})")
             }
+            ("request_panicked", _) => "answered 500: the host failed internally".to_owned(),
             (_, "streamed" | "answered") => match self.lost_answer() {
                 Some(line) => format!("answered: {reason}; {}", describe_connection(line)),
                 None => format!("answered: {reason}"),
@@ -129,7 +130,10 @@
 }
 
 fn is_end(event: &str) -> bool {
-    matches!(event, "request_ended" | "request_refused")
+    matches!(
+        event,
+        "request_ended" | "request_refused" | "request_panicked"
+    )
 }
 
 fn is_state_change(event: &str) -> bool {
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use kumquatdrum_routes::connection::{Action, Standing, decide};
-use slog::warn;
+use slog::{error, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -23,6 +24,7 @@
 
 use crate::Gateway;
 use crate::body::Body;
+use crate::problem::Problem;
 use crate::sockets::{self, Connection};
 
 mod ending;
@@ -130,7 +132,13 @@
             let is_head = request.method() == Method::HEAD;
             let answer = handler(gateway.clone(), request);
             async move {
-                let response = answer.await?;
+                let logger = &gateway.logger;
+                let response = catch_panic(answer, || {
+                    error!(logger, "request_panicked"; "event" => "request_panicked",
+                        "request" => progress.snapshot().request);
+                    gateway.metrics.ended.with_label_values(&["panicked"]).inc();
+                });
+                let response = response.await?;
                 let is_streamed = response.body().size_hint().exact().is_none();
                 let has_no_chunks = is_old || response.version() == Version::HTTP_10;
                 ends_response.store(is_streamed && has_no_chunks, Ordering::Relaxed);
@@ -184,6 +192,18 @@
     }
 }
 
+/// Awaits the response of a handler. If it panics, calls `on_panic` and responds that the host failed.
+pub async fn catch_panic<E>(
+    answer: impl Future<Output = Result<Response<Body>, E>>,
+    on_panic: impl FnOnce(),
+) -> Result<Response<Body>, E> {
+    let caught = AssertUnwindSafe(answer).catch_unwind().await;
+    caught.unwrap_or_else(|_| {
+        on_panic();
+        Ok(Problem::Internal.response())
+    })
+}
+
 /// Waits until the phase is closing or its sender is dropped.
 async fn wait_for_closing(phase: &mut watch::Receiver<Phase>) {
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
--- a/crates/kumquatdrum_gateway/src/problem.rs
+++ b/crates/kumquatdrum_gateway/src/problem.rs
@@ -66,6 +66,9 @@
         /// The time until the request may be sent again.
         retry_after: Duration,
     },
+    /// A task of this host panicked; the request may have run.
+    #[error("the host failed internally")]
+    Internal,
     /// The request was sent and may have run.
     #[error("the endpoint failed: {0}")]
     Failed(String),
@@ -85,6 +88,7 @@
             Self::NotReady { .. } | Self::Refused { .. } | Self::Blocked { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
