--- a/crates/kumquatdrum_gateway/src/listener/progress.rs
+++ b/crates/kumquatdrum_gateway/src/listener/progress.rs
@@ -36,7 +36,7 @@
     /// Returns the name in logs and metrics.
     ///
     /// ```
-    /// use kumquatdrum_gateway::listener::Phase;
+    /// use kumquatdrum_gateway::listener::progress::Phase;
     ///
     /// assert_eq!(Phase::Waiting.name(), "waiting");
     /// ```
