Response: what all attempts tell about a request, in one type

An answer of one attempt speaks for that attempt alone. `execution::Record` keeps what all attempts together tell (not run, may have run, ran and failed, ran) and only the answer that goes with it, so that a promise that a request has not run exists only while no attempt may have run it.

--- a/crates/kumquatdrum_response/src/lib.rs
+++ b/crates/kumquatdrum_response/src/lib.rs
@@ -1,7 +1,9 @@
-//! Framing and completeness of HTTP responses and event streams, without clock or network.
+//! Framing and completeness of HTTP responses and event streams, and what they tell about a request,
+//! without clock or network.
 
 mod completeness;
 pub mod event;
+pub mod execution;
 mod framing;
 
 pub use completeness::Completeness;
