Gateway: a rejection by one endpoint isn't answered once another may have run the request

Callers saw a 503 "not run" (with Kumquatdrum-Not-Run, stamp and Retry-After) for an unsafe request that had run, so that whoever believed it sent the request again.

Cause: `resolve` kept the answer of an earlier attempt, and `give_up` preferred it to any problem but the deadline, without looking at what later attempts may have done. Two fields (`answer`, `may_have_run`) had to be read together at each end of a request.

The mend: `Attempts` holds an `execution::Record` in place of both. It drops a rejection with the first attempt that may have run the request, gives the answer that goes with what is known, and decides whether the request may be sent once more. `Problem::Refused` and `Problem::Blocked` reach a caller only as `Reply::Refusal`, which is given only while no attempt may have run the request. Streams use the same record before their first event and when they are resumed; relayed requests come through the same outcomes. A stream without an event at the deadline is answered 504, no longer 502. An answer of an endpoint whose status promises "not run" while it says that it ran is no longer passed on.

--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Gateway hosts as real processes on loopback, in front of stand-in endpoints.
 
+mod attempts;
 mod backoff;
 mod caller;
 mod cluster;
@@ -9,10 +10,10 @@
 mod crash;
 mod crash_part;
 mod diagnosis;
+mod early_answer;
 mod ending_cases;
 mod ending_soak;
 mod endings;
-mod early_answer;
 mod endpoint;
 mod endpoint_soak;
 mod evacuation;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use kumquatdrum_placement::{EndpointKey, Failure};
+use kumquatdrum_response::execution::Execution;
 use kumquatdrum_response::{Completeness, Framing};
 use slog::info;
 use tokio::time::timeout_at;
@@ -39,9 +40,9 @@
     /// A stream of events has started.
     Stream(Box<Exchange>),
     /// No part of the request was sent.
-    Unsent(String),
+    Unsent,
     /// No part of the request was sent, as an endpoint must not get it now.
-    Held(String),
+    Held,
     /// No part of the request was sent, as no host reaches the service.
     CutOff,
     /// The request was sent, but the endpoint's response to it was lost.
@@ -57,17 +58,6 @@
     pub(super) framing: Framing,
 }
 
-/// Whether a request has run, according to a complete response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Execution {
-    /// The request has run.
-    Ran,
-    /// The request has run and failed.
-    Failed,
-    /// The request has not run.
-    NotRun,
-}
-
 impl Call {
     /// Sends the request to the picked endpoint, after it was sent to `sent` others.
     pub(super) async fn attempt(
@@ -92,16 +82,16 @@
             Err(upstream::Error::Unsent(reason)) => {
                 pick.record_failure(Failure::Unreachable);
                 self.log_attempt(pick, "unsent", &reason);
-                return Outcome::Unsent(reason);
+                return Outcome::Unsent;
             }
             Err(upstream::Error::Refused(reason)) => {
                 pick.record_failure(Failure::Down);
                 self.log_attempt(pick, "unsent", &reason);
-                return Outcome::Unsent(reason);
+                return Outcome::Unsent;
             }
-            Err(error @ upstream::Error::Held { .. }) => {
+            Err(upstream::Error::Held { .. }) => {
                 pick.refresh_endpoints();
-                return Outcome::Held(error.to_string());
+                return Outcome::Held;
             }
             Err(upstream::Error::CutOff) => {
                 self.log_attempt(pick, "cut_off", "no host reaches the endpoint");
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use http::Response;
+use http::{Response, StatusCode, header};
 use kumquatdrum_placement::{EndpointKey, Job};
 use kumquatdrum_process::drain::Work;
+use kumquatdrum_response::execution::{Execution, Record, Reply};
 use kumquatdrum_types::Moment;
 use slog::info;
 
 use super::Call;
-use super::attempt::{Answer, Execution, Outcome};
+use super::attempt::{Answer, Outcome};
 use super::stream::{self, Timing};
 use crate::body::{self, Body};
 use crate::pool::{Pick, Rejection};
@@ -27,10 +28,16 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(3);
 /// The retry delay if all endpoints are in evacuated data centres. An operator ends that.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The reason for a rejection if neither this host nor others reach the endpoints.
-const CUT_OFF: &str = "no host reaches its endpoints";
-/// The retry delay if no host reaches the endpoints.
-const CUT_OFF_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The problem if neither this host nor others reach the endpoints.
+const CUT_OFF: Problem = Problem::Refused {
+    reason: "no host reaches its endpoints",
+    retry_after: Duration::from_secs(1),
+};
+/// The problem if the request could be sent to none of several endpoints.
+const UNSENT: Problem = Problem::Refused {
+    reason: "no endpoint could be reached",
+    retry_after: NO_CAPACITY_RETRY_AFTER,
+};
 /// The maximum number of attempts that are repeated elsewhere because no part of the request was
 /// sent.
 const MAX_UNSENT_ATTEMPTS: usize = 8;
@@ -53,9 +60,8 @@
     pub(super) only_endpoint: Option<EndpointKey>,
     /// Whether the caller has received a part of the answer.
     pub(super) is_resumed: bool,
-    /// The last complete answer of an endpoint.
-    answer: Option<Answer>,
-    may_have_run: bool,
+    /// What they tell about the request.
+    pub(super) record: Record<Answer>,
 }
 
 impl Attempts {
@@ -99,10 +105,7 @@
         }
         let outcome = call.attempt(&pick, attempts.sent, None).await;
         let is_new = attempts.only_endpoint != Some(pick.key);
-        let is_sent = !matches!(
-            outcome,
-            Outcome::Unsent(_) | Outcome::Held(_) | Outcome::CutOff
-        );
+        let is_sent = !matches!(outcome, Outcome::Unsent | Outcome::Held | Outcome::CutOff);
         attempts.sent += u32::from(is_new && is_sent);
         let outcome = match outcome {
             Outcome::Stream(exchange) => {
@@ -112,7 +115,11 @@
                         call.log_attempt(&pick, "broken", &reason);
                         call.inspect(&pick, None).await;
                         attempts.exclude(pick.key);
-                        Outcome::Lost(reason)
+                        if call.time_left().is_zero() {
+                            Outcome::TimedOut
+                        } else {
+                            Outcome::Lost(reason)
+                        }
                     }
                 }
             }
@@ -120,7 +127,7 @@
                 attempts.record_helper_failure(helper, pick.key, call.route.max_attempts);
                 Outcome::HelperFailed(answer, helper)
             }
-            Outcome::Held(reason) => Outcome::Held(reason),
+            Outcome::Held => Outcome::Held,
             outcome => {
                 attempts.exclude(pick.key);
                 drop(pick);
@@ -236,115 +243,87 @@
 
     /// Returns the response for an outcome, or `None` if another endpoint may be tried.
     fn resolve(&self, attempts: &mut Attempts, outcome: Outcome) -> Option<Response<Body>> {
-        let is_idempotent = self.route.delivery.is_idempotent();
         let is_helper_failed = matches!(outcome, Outcome::HelperFailed(..));
         let (can_retry, problem) = match outcome {
             Outcome::Complete(answer, execution) => {
-                let can_retry = match execution {
-                    Execution::Ran => false,
-                    Execution::NotRun => true,
-                    Execution::Failed => is_idempotent,
-                };
-                attempts.may_have_run |= execution != Execution::NotRun;
-                attempts.answer = Some(answer);
-                (can_retry, None)
+                let status = answer.response.status();
+                attempts.record.record_answer(execution, status, answer);
+                (true, Problem::Failed(format!("its answer was {status}")))
             }
             Outcome::HelperFailed(answer, _) => {
-                attempts.answer = Some(answer);
-                (attempts.can_replan(), None)
+                let status = answer.response.status();
+                let record = &mut attempts.record;
+                record.record_answer(Execution::NotRun, status, answer);
+                (
+                    attempts.can_replan(),
+                    Problem::Failed("a helper failed".to_owned()),
+                )
             }
-            Outcome::Held(reason) => {
+            Outcome::Held => {
                 attempts.held += 1;
                 if attempts.held <= MAX_HELD_ATTEMPTS {
                     return None;
                 }
-                (false, Some(Self::unsent_problem(attempts, reason)))
+                (false, UNSENT)
             }
-            Outcome::Unsent(reason) => {
+            Outcome::Unsent => {
                 attempts.unsent += 1;
                 if attempts.unsent <= MAX_UNSENT_ATTEMPTS
                     && self.gateway.clock.now() < self.deadline
                 {
                     return None;
                 }
-                (false, Some(Self::unsent_problem(attempts, reason)))
+                (false, UNSENT)
             }
-            Outcome::CutOff => (false, Some(Self::cut_off_problem(attempts))),
+            Outcome::CutOff => (false, CUT_OFF),
             Outcome::Lost(reason) => {
-                attempts.may_have_run = true;
-                (is_idempotent, Some(Problem::Failed(reason)))
+                attempts.record.record_loss();
+                (true, Problem::Failed(reason))
             }
             Outcome::TimedOut => {
-                attempts.may_have_run = true;
-                (false, Some(Problem::TimedOut))
+                attempts.record.record_loss();
+                (false, Problem::TimedOut)
+            }
+            Outcome::Stream(_) => {
+                attempts.record.record_loss();
+                (false, Problem::Failed("the stream was not read".to_owned()))
             }
-            Outcome::Stream(_) => (false, None),
         };
         let is_allowed = can_retry
+            && attempts
+                .record
+                .can_repeat(self.route.delivery.is_idempotent())
             && (attempts.sent < self.route.max_attempts || is_helper_failed)
             && self.check_block().is_ok()
             && self.gateway.pool.take_retry(&self.service);
         if is_allowed {
             return None;
         }
-        Some(match problem {
-            Some(problem) => self.give_up(attempts, problem),
-            None => self.respond(attempts),
-        })
-    }
-
-    fn unsent_problem(attempts: &Attempts, reason: String) -> Problem {
-        if attempts.may_have_run {
-            return Problem::Failed(reason);
-        }
-        Problem::Refused {
-            reason: "no endpoint could be reached",
-            retry_after: NO_CAPACITY_RETRY_AFTER,
-        }
-    }
-
-    fn cut_off_problem(attempts: &Attempts) -> Problem {
-        if attempts.may_have_run {
-            return Problem::Failed(CUT_OFF.to_owned());
-        }
-        Problem::Refused {
-            reason: CUT_OFF,
-            retry_after: CUT_OFF_RETRY_AFTER,
-        }
-    }
-
-    fn respond(&self, attempts: &mut Attempts) -> Response<Body> {
-        let Some(answer) = attempts.answer.take() else {
-            return Problem::TimedOut.response();
-        };
-        let Answer {
-            mut response,
-            framing,
-        } = answer;
-        if response.status().as_u16() == 503 && !attempts.may_have_run {
-            let headers = response.headers_mut();
-            let wait = seconds(NO_CAPACITY_RETRY_AFTER);
-            headers.entry(http::header::RETRY_AFTER).or_insert(wait);
-        }
-        self.log_end("answered", response.status().as_str(), attempts);
-        body::framed(response, framing)
+        Some(self.give_up(attempts, problem))
     }
 
-    /// Returns the response if no further attempt is made.
+    /// Returns the response if no further attempt is made because of a problem.
     fn give_up(&self, attempts: &mut Attempts, problem: Problem) -> Response<Body> {
-        let problem = match problem {
-            Problem::Refused { reason, .. } if attempts.may_have_run => {
-                Problem::Failed(reason.to_owned())
-            }
-            Problem::Blocked { .. } if attempts.may_have_run => {
-                Problem::Failed(problem.to_string())
+        let is_time_up = matches!(problem, Problem::TimedOut);
+        let problem = match attempts.record.take_reply(is_time_up) {
+            // An endpoint's response is more specific than the lack of another endpoint.
+            Reply::Answer(answer) => return self.respond(answer, attempts),
+            Reply::Rejection(mut answer) => {
+                if answer.response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                    let headers = answer.response.headers_mut();
+                    let wait = seconds(NO_CAPACITY_RETRY_AFTER);
+                    headers.entry(header::RETRY_AFTER).or_insert(wait);
+                }
+                return self.respond(answer, attempts);
             }
-            problem => problem,
+            Reply::Refusal => problem,
+            Reply::Timeout => Problem::TimedOut,
+            Reply::Failure => match problem {
+                Problem::Failed(reason) => Problem::Failed(reason),
+                Problem::Refused { reason, .. } => Problem::Failed(reason.to_owned()),
+                problem => Problem::Failed(problem.to_string()),
+            },
         };
-        // An endpoint's response is more specific than the lack of another endpoint.
-        if attempts.answer.is_some() && !matches!(problem, Problem::TimedOut) {
-            return self.respond(attempts);
-        }
         let end = match problem {
             Problem::Blocked { .. } => "blocked",
             _ => "given_up",
@@ -353,6 +332,12 @@
         problem.response()
     }
 
+    fn respond(&self, answer: Answer, attempts: &Attempts) -> Response<Body> {
+        let Answer { response, framing } = answer;
+        self.log_end("answered", response.status().as_str(), attempts);
+        body::framed(response, framing)
+    }
+
     pub(super) fn log_end(&self, end: &str, reason: &str, attempts: &Attempts) {
         self.log_ended(end, reason, attempts, None);
     }
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -376,7 +376,9 @@
         self.reservations.clear();
         self.splitter = Splitter::new(self.last_event_id.is_some());
         self.attempts.only_endpoint = None;
-        let is_allowed = call.route.delivery.is_idempotent()
+        self.attempts.record.record_loss();
+        let is_idempotent = call.route.delivery.is_idempotent();
+        let is_allowed = self.attempts.record.can_repeat(is_idempotent)
             && self.attempts.sent < call.route.max_attempts
             && call.check_block().is_ok()
             && call.gateway.pool.take_retry(&call.service);
@@ -407,8 +409,8 @@
                     self.reservations = reservations;
                     return Ok(());
                 }
-                Outcome::Unsent(_) => self.attempts.exclude(pick.key),
-                Outcome::Held(_) => {}
+                Outcome::Unsent => self.attempts.exclude(pick.key),
+                Outcome::Held => {}
                 Outcome::HelperFailed(_, helper) => {
                     // The attempt is counted for this endpoint, so no other one may get it.
                     let sent = self.attempts.sent;
