--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Gateway hosts as real processes on loopback, in front of stand-in endpoints.
 
+mod attempts;
 mod backoff;
 mod caller;
 mod cluster;
