Test: each request that a host has read gets an answer or a refusal

answer_soak: callers that count what becomes of each request, beside changes of the setup, reloads, stops, leaving endpoints, silences and evacuations. Its module says what counts as crossing a host's close. answer_phases: eight phases of a request against nine disruptions, and four times two at once. endless: endpoints that send bytes without end, in four parts of an answer.

The stand-in endpoint answers as a path says, or without end; its record and the reading of requests have files of their own, unchanged but for their visibility.

--- a/crates/kumquatdrum/tests/gateway/caller.rs
+++ b/crates/kumquatdrum/tests/gateway/caller.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The time that a caller waits for the next bytes of an answer.
 const TIMEOUT: Duration = Duration::from_secs(12);
@@ -182,6 +182,28 @@
         }
     }
 
+    /// Returns whether the connection ends within a span, with no bytes before.
+    pub async fn ends_within(&self, span: Duration) -> bool {
+        let peeked = timeout(span, self.stream.peek(&mut [0])).await;
+        self.received.is_empty() && matches!(peeked, Ok(Ok(0) | Err(_)))
+    }
+
+    /// Reads and discards until the connection ends. Returns the number of bytes, or `None` if it
+    /// has not ended after a span.
+    pub async fn discard(&mut self, span: Duration) -> Option<usize> {
+        let until = Instant::now() + span;
+        let mut bytes = self.received.len();
+        loop {
+            self.received.clear();
+            let read = self.stream.read_buf(&mut self.received);
+            match timeout_at(until, read).await {
+                Ok(Ok(0) | Err(_)) => return Some(bytes),
+                Ok(Ok(read)) => bytes += read,
+                Err(_) => return None,
+            }
+        }
+    }
+
     /// Returns whether the host closes the connection in order within the timeout.
     pub async fn is_closed(&mut self) -> bool {
         while let Ok(bytes) = self.read_more().await {
--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
+use std::process::{Child, Command, ExitStatus};
 use std::time::Duration;
 
 use reqwest::{Client, Response, StatusCode};
@@ -162,6 +162,14 @@
         self.hosts[host].is_some()
     }
 
+    /// Returns the exit status of a host's process if it has exited, and forgets the process.
+    pub fn take_exit(&mut self, host: usize) -> Option<ExitStatus> {
+        let child = self.hosts[host].as_mut().expect("the host runs");
+        let status = child.try_wait().expect("the process state")?;
+        self.hosts[host] = None;
+        Some(status)
+    }
+
     /// Waits until a host's process exits and returns its exit code.
     pub async fn wait_for_exit(&mut self, host: usize) -> Option<i32> {
         let mut child = self.hosts[host].take().expect("the host runs");
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -1,17 +1,23 @@
 //! A stand-in endpoint that answers correctly or with a given fault.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use parking_lot::Mutex;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 
+mod endless;
+mod record;
+mod request;
+
+pub use endless::Part;
+pub use record::Record;
+
 /// The body of a request that crashes the endpoint: it closes its listener and all connections.
 pub const CRASHING_BODY: &str = "crash";
 /// The body of a request that crashes the endpoint, whose listener is closed last.
@@ -42,6 +48,12 @@
     AnswerTwice,
     /// With a complete stream of events, resumed after the last event id of the request.
     CompleteStream { events: u64, pause: Duration },
+    /// As [`Self::CompleteStream`], with a longer pause before the last event.
+    SilentStream {
+        events: u64,
+        pause: Duration,
+        silence: Duration,
+    },
     /// With events up to `after`, and half of the next one.
     TruncatedStream { after: u64 },
     /// With six events without framing, cut within the event after `cut_after`.
@@ -56,6 +68,12 @@
     Verbatim { answer: &'static str, end: End },
     /// As [`Self::Verbatim`], but with as many bytes of `answer` only as the path ends with.
     Cut { answer: &'static str },
+    /// As the path's last part says, `FIRST-EVENTS-PAUSE-SILENCE`: the head after FIRST ms, then that
+    /// many events, PAUSE ms before each and SILENCE ms more before the last; [`Self::CompleteBody`] if
+    /// there are none.
+    ByPath,
+    /// With bytes without end.
+    Endless(Part),
 }
 
 /// How the endpoint ends a connection.
@@ -71,64 +89,6 @@
     pause: Duration::from_millis(40),
 };
 
-/// The requests that an endpoint has received.
-#[derive(Debug, Default)]
-pub struct Record {
-    pub runs: AtomicUsize,
-    /// Requests without an attempt id, which are not run.
-    pub probes: AtomicUsize,
-    /// Connections that were closed before the answer was complete.
-    pub disconnects: AtomicUsize,
-    pub requests: Mutex<Vec<String>>,
-    /// Number of runs by attempt id.
-    pub attempts: Mutex<HashMap<String, usize>>,
-    /// When each attempt arrived.
-    pub arrivals: Mutex<Vec<(Instant, String)>>,
-    /// The requests per second that the endpoint names in its answers.
-    pub limit: Mutex<Option<f64>>,
-    /// Engines that the endpoint cannot reach as helpers.
-    pub unreachable: Mutex<Vec<SocketAddr>>,
-    /// When the endpoint fell silent.
-    pub darkened: Mutex<Option<Instant>>,
-    /// When each order arrived, and its body.
-    pub orders: Mutex<Vec<(Instant, String)>>,
-    /// Requests that were not run because a helper could not be reached.
-    pub refusals: AtomicUsize,
-    /// The `Retry-After` with which the endpoint rejects all requests, in seconds.
-    pub backoff: Mutex<Option<f64>>,
-    /// When the endpoint rejected an attempt with a back-off, which attempt, and for how long.
-    pub backoffs: Mutex<Vec<(Instant, String, Duration)>>,
-    /// Whether [`CRASHING_PART`] does not crash the endpoint.
-    pub is_immune: AtomicBool,
-    /// Whether the endpoint says in all its answers that it is leaving.
-    pub is_leaving: AtomicBool,
-    /// When the endpoint sent an answer that says so, and to which attempt.
-    pub leaving_answers: Mutex<Vec<(Instant, String)>>,
-}
-
-impl Record {
-    /// Returns the header line that says whether the endpoint is leaving.
-    fn leaving_header(&self, attempt: &str) -> &'static str {
-        if !self.is_leaving.load(Ordering::Relaxed) {
-            return "";
-        }
-        let answer = (Instant::now(), attempt.to_owned());
-        self.leaving_answers.lock().push(answer);
-        "Server-Leaving: 1\r\n"
-    }
-
-    /// Records a rejection with a back-off, if the endpoint requests one, and returns its headers.
-    fn reject(&self, attempt: &str) -> Option<String> {
-        let seconds = (*self.backoff.lock())?;
-        let delay = Duration::from_secs_f64(seconds);
-        let rejection = (Instant::now(), attempt.to_owned(), delay);
-        self.backoffs.lock().push(rejection);
-        Some(format!(
-            "Kumquatdrum-Not-Run: 1\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n"
-        ))
-    }
-}
-
 pub struct Endpoint {
     pub id: String,
     pub address: SocketAddr,
@@ -219,7 +179,7 @@
 }
 
 async fn serve(mut stream: TcpStream, name: &str, behaviour: Behaviour, record: &Record) -> Served {
-    let Some(request) = read_request(&mut stream).await else {
+    let Some(request) = request::read(&mut stream).await else {
         return Served::Answered;
     };
     let header = |name: &str| {
@@ -289,16 +249,7 @@
         Some(SLOWLY_CRASHING_BODY) => return Served::CrashedSlowly,
         _ => {}
     }
-    let behaviour = match behaviour {
-        Behaviour::StreamOrCompleteBody if request.contains(" /stream/") => SIX_EVENTS,
-        Behaviour::StreamOrCompleteBody => Behaviour::CompleteBody,
-        behaviour => behaviour,
-    };
-    let behaviour = match behaviour {
-        Behaviour::Cut { answer } => cut(answer, &request),
-        Behaviour::AnyEnding => ending(record.runs.load(Ordering::Relaxed)),
-        behaviour => behaviour,
-    };
+    let behaviour = resolve(behaviour, &request, record).await;
     record.requests.lock().push(request.clone());
     let extra = match *record.limit.lock() {
         Some(limit) => format!("Server-Limit: {limit}\r\n{leaving}"),
@@ -316,6 +267,34 @@
     }
 }
 
+/// Returns the behaviour for a request, where that depends on it.
+async fn resolve(behaviour: Behaviour, request: &str, record: &Record) -> Behaviour {
+    let behaviour = match behaviour {
+        Behaviour::StreamOrCompleteBody if request.contains(" /stream/") => SIX_EVENTS,
+        Behaviour::StreamOrCompleteBody => Behaviour::CompleteBody,
+        behaviour => behaviour,
+    };
+    match behaviour {
+        Behaviour::Cut { answer } => cut(answer, request),
+        Behaviour::ByPath => match request::numbers(request) {
+            [first, 0, ..] => {
+                sleep(Duration::from_millis(first)).await;
+                Behaviour::CompleteBody
+            }
+            [first, events, pause, silence] => {
+                sleep(Duration::from_millis(first)).await;
+                Behaviour::SilentStream {
+                    events,
+                    pause: Duration::from_millis(pause),
+                    silence: Duration::from_millis(silence),
+                }
+            }
+        },
+        Behaviour::AnyEnding => ending(record.runs.load(Ordering::Relaxed)),
+        behaviour => behaviour,
+    }
+}
+
 /// Returns the behaviour of an endpoint with any ending for its n-th run.
 fn ending(run: usize) -> Behaviour {
     match run % 5 {
@@ -358,7 +337,10 @@
             let twice = complete(attempt) + &complete("another");
             stream.write_all(twice.as_bytes()).await
         }
-        Behaviour::CloseWithoutAnswer | Behaviour::Cut { .. } | Behaviour::AnyEnding => Ok(()),
+        Behaviour::CloseWithoutAnswer
+        | Behaviour::Cut { .. }
+        | Behaviour::AnyEnding
+        | Behaviour::ByPath => Ok(()),
         Behaviour::UnframedStream { cut_after } => {
             let start = head("200 OK", attempt, extra);
             stream.write_all(start.as_bytes()).await?;
@@ -409,22 +391,48 @@
             text += &chunk(&format!("id: {}\nda", last + 1));
             stream.write_all(text.as_bytes()).await
         }
+        Behaviour::Endless(part) => endless::send(stream, attempt, part).await,
         Behaviour::CompleteStream {
             events: last,
             pause,
         } => {
             let start = head("200 OK", attempt, events);
             stream.write_all(start.as_bytes()).await?;
-            for event in after + 1..=last {
-                let text = chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
-                tokio::select! {
-                    () = sleep(pause) => stream.write_all(text.as_bytes()).await?,
-                    closed = wait_for_close(stream) => return closed,
-                }
-            }
-            stream.write_all(b"0\r\n\r\n").await
+            send_events(stream, after + 1..=last, pause, Duration::ZERO).await
+        }
+        Behaviour::SilentStream {
+            events: last,
+            pause,
+            silence,
+        } => {
+            let start = head("200 OK", attempt, events);
+            stream.write_all(start.as_bytes()).await?;
+            send_events(stream, after + 1..=last, pause, silence).await
+        }
+    }
+}
+
+/// Sends events after a pause before each, and a silence before the last, and the end of the stream.
+async fn send_events(
+    stream: &mut TcpStream,
+    events: RangeInclusive<u64>,
+    pause: Duration,
+    silence: Duration,
+) -> std::io::Result<()> {
+    let last = *events.end();
+    for event in events {
+        let text = chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
+        let pause = if event == last {
+            pause + silence
+        } else {
+            pause
+        };
+        tokio::select! {
+            () = sleep(pause) => stream.write_all(text.as_bytes()).await?,
+            closed = wait_for_close(stream) => return closed,
         }
     }
+    stream.write_all(b"0\r\n\r\n").await
 }
 
 async fn wait_for_close(stream: &TcpStream) -> std::io::Result<()> {
@@ -456,25 +464,3 @@
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
-
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    let mut buffer = [0; 4096];
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|line| {
-                let (key, value) = line.split_once(": ")?;
-                let is_length = key.eq_ignore_ascii_case("content-length");
-                is_length.then(|| value.trim().parse::<usize>().ok())?
-            });
-            if body.len() >= length.unwrap_or(0) {
-                return Some(text);
-            }
-        }
-        match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => return None,
-            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
-        }
-    }
-}
--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/endpoint/request.rs
@@ -0,0 +1,36 @@
+//! Requests as an endpoint reads them.
+
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+/// Returns the four numbers with which a request's path ends.
+pub fn numbers(request: &str) -> [u64; 4] {
+    let path = request.split(' ').nth(1).unwrap_or_default();
+    let last = path.rsplit('/').next().unwrap_or_default();
+    let numbers = last.split('-').filter_map(|number| number.parse().ok());
+    let numbers: Vec<u64> = numbers.collect();
+    numbers.try_into().unwrap_or_default()
+}
+
+/// Reads a request with its body.
+pub async fn read(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| {
+                let (key, value) = line.split_once(": ")?;
+                let is_length = key.eq_ignore_ascii_case("content-length");
+                is_length.then(|| value.trim().parse::<usize>().ok())?
+            });
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
+        }
+    }
+}
--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -56,7 +56,7 @@
 }
 
 /// Repeats an order at the given control hosts until it is acknowledged.
-async fn order(cluster: &Cluster, hosts: &[usize], order: &str) {
+pub async fn order(cluster: &Cluster, hosts: &[usize], order: &str) {
     let until = Instant::now() + TIMEOUT;
     for host in hosts.iter().cycle() {
         if try_order(cluster, *host, order).await == Some(StatusCode::OK) {
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -1,5 +1,7 @@
 //! Gateway hosts as real processes on loopback, in front of stand-in endpoints.
 
+mod answer_phases;
+mod answer_soak;
 mod backoff;
 mod caller;
 mod cluster;
@@ -9,10 +11,11 @@
 mod crash;
 mod crash_part;
 mod diagnosis;
+mod early_answer;
 mod ending_cases;
 mod ending_soak;
 mod endings;
-mod early_answer;
+mod endless;
 mod endpoint;
 mod endpoint_soak;
 mod evacuation;
