--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -1,5 +1,7 @@
 //! Gateway hosts as real processes on loopback, in front of stand-in endpoints.
 
+mod answer_phases;
+mod answer_soak;
 mod attempts;
 mod backoff;
 mod caller;
@@ -14,6 +16,7 @@
 mod ending_cases;
 mod ending_soak;
 mod endings;
+mod endless;
 mod endpoint;
 mod endpoint_soak;
 mod evacuation;
