Gateway: a plain answer without end is not held whole

What callers would see: an endpoint that sends a body without a length and without end took 529 to 930 MB of its host within the 3 s of a request's deadline, at loopback speed, so that the host of all other callers could be ended for want of memory.

Cause: a plain answer is collected whole, so that a broken one can be tried elsewhere, without a bound.

Change: 256 KiB are held; the rest of a longer answer is passed on as it arrives, until the deadline, and the answer can't be tried elsewhere any more.

--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -25,6 +25,7 @@
 
 mod attempt;
 mod crash;
+mod held;
 mod run;
 mod stream;
 mod unread;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Request, Response, StatusCode, Version};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use kumquatdrum_placement::{EndpointKey, Failure};
 use kumquatdrum_response::execution::Execution;
 use kumquatdrum_response::{Completeness, Framing};
@@ -13,6 +13,7 @@
 use tokio::time::timeout_at;
 
 use super::Call;
+use super::held::{Content, Rest, hold};
 use crate::pool::Pick;
 use crate::protocol::{Annotation, Helper};
 use crate::upstream::{self, Exchange, Target};
@@ -51,10 +52,10 @@
     TimedOut,
 }
 
-/// An endpoint's response with its complete body.
+/// An endpoint's response, complete or too large to be held.
 #[derive(Debug)]
 pub(super) struct Answer {
-    pub(super) response: Response<Bytes>,
+    pub(super) response: Response<Content>,
     pub(super) framing: Framing,
 }
 
@@ -137,13 +138,9 @@
             _ => Execution::Ran,
         };
         let mut exchange = exchange;
-        let collected = timeout_at(
-            self.deadline_instant(),
-            exchange.response.body_mut().collect(),
-        )
-        .await;
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
+        let held = hold(exchange.response.body_mut());
+        let held = match timeout_at(self.deadline_instant(), held).await {
+            Ok(Ok(held)) => held,
             Ok(Err(error)) => {
                 self.gateway
                     .upstream
@@ -162,7 +159,7 @@
                 return Outcome::TimedOut;
             }
         };
-        if exchange.framing == Framing::Close {
+        if held.is_complete && exchange.framing == Framing::Close {
             self.log_body_end(pick, exchange.framing, 0, None);
         }
         let load = reply.load.as_ref().map(|load| load.running + load.waiting);
@@ -175,6 +172,7 @@
             (Execution::Ran, _) => {
                 pick.record_success(load);
                 match exchange.framing.completeness() {
+                    _ if !held.is_complete => {}
                     Completeness::Unknown => self.record_unknown_end(pick, None).await,
                     Completeness::Complete | Completeness::Broken => self.record_completion(),
                 }
@@ -186,13 +184,23 @@
         }
         let status = exchange.response.status();
         self.log_attempt(pick, "answered", status.as_str());
-        let mut response = Response::new(body);
-        *response.status_mut() = status;
-        *response.headers_mut() = end_to_end_headers(exchange.response.headers());
-        let answer = Answer {
-            response,
-            framing: exchange.framing,
+        let framing = exchange.framing;
+        let headers = end_to_end_headers(exchange.response.headers());
+        let content = if held.is_complete {
+            Content::Whole(held.bytes)
+        } else {
+            let rest = Rest {
+                exchange,
+                upstream: self.gateway.upstream.clone(),
+                endpoint: pick.endpoint.clone(),
+                deadline: self.deadline_instant(),
+            };
+            rest.into_content(held.bytes)
         };
+        let mut response = Response::new(content);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        let answer = Answer { response, framing };
         match failed_helper {
             Some(helper) if execution == Execution::NotRun => Outcome::HelperFailed(answer, helper),
             _ => Outcome::Complete(answer, execution),
--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -13,6 +13,7 @@
 
 use super::Call;
 use super::attempt::{Answer, Outcome};
+use super::held::Content;
 use super::stream::{self, Timing};
 use crate::body::{self, Body};
 use crate::pool::{Pick, Rejection};
@@ -336,7 +337,15 @@
     fn respond(&self, answer: Answer, attempts: &Attempts) -> Response<Body> {
         let Answer { response, framing } = answer;
         self.log_end("answered", response.status().as_str(), attempts);
-        body::framed(response, framing)
+        let (head, content) = response.into_parts();
+        match content {
+            Content::Whole(bytes) => body::framed(Response::from_parts(head, bytes), framing),
+            Content::Begun(body) => {
+                let mut response = Response::from_parts(head, body.into_inner());
+                body::frame(&mut response, framing);
+                response
+            }
+        }
     }
 
     pub(super) fn log_end(&self, end: &str, reason: &str, attempts: &Attempts) {
