--- a/crates/kumquatdrum/tests/gateway/attempts.rs
+++ b/crates/kumquatdrum/tests/gateway/attempts.rs
@@ -1,5 +1,7 @@
 //! Requests with several attempts, some of which did not run the request.
 
+use std::time::Duration;
+
 use reqwest::StatusCode;
 use serde_json::{Value, json};
 
@@ -93,3 +95,20 @@
     assert_eq!(sum(Endpoint::runs), 1, "{log}");
     assert!(!PROMISES.contains(&status.as_u16()), "{status}: {log}");
 }
+
+#[tokio::test]
+async fn a_stream_without_an_event_at_the_deadline_is_not_answered_as_a_failure_of_its_endpoint() {
+    let late = Behaviour::CompleteStream {
+        events: 1,
+        pause: Duration::from_secs(5),
+    };
+    let endpoint = Endpoint::start("i-late", late).await;
+    let mut config = config(3);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = json!(600);
+    }
+    let cluster = start(249, config, &[&endpoint]).await;
+    let call = cluster.request(CONTROL_HOSTS, "/stream/x", "at-late");
+    let status = call.send().await.expect("an answer").status();
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+}
