--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -42,6 +42,13 @@
     AnswerTwice,
     /// With a complete stream of events, resumed after the last event id of the request.
     CompleteStream { events: u64, pause: Duration },
+    /// With six events, and silence for `silence` after the one with the number `after`. To resume such a
+    /// stream takes `resumption` before the head.
+    PausedStream {
+        after: u64,
+        silence: Duration,
+        resumption: Duration,
+    },
     /// With events up to `after`, and half of the next one.
     TruncatedStream { after: u64 },
     /// With six events without framing, cut within the event after `cut_after`.
@@ -401,6 +408,25 @@
             }
             stream.write_all(text.as_bytes()).await
         }
+        Behaviour::PausedStream {
+            after: last,
+            silence,
+            resumption,
+        } => {
+            if after > 0 {
+                pause(stream, resumption).await?;
+            }
+            let start = head("200 OK", attempt, events);
+            stream.write_all(start.as_bytes()).await?;
+            for event in after + 1..=6 {
+                let text = chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
+                stream.write_all(text.as_bytes()).await?;
+                if event == last {
+                    pause(stream, silence).await?;
+                }
+            }
+            stream.write_all(b"0\r\n\r\n").await
+        }
         Behaviour::TruncatedStream { after: last } => {
             let mut text = head("200 OK", attempt, events);
             for event in after + 1..=last {
@@ -427,6 +453,14 @@
     }
 }
 
+/// Waits, unless the connection is closed meanwhile.
+async fn pause(stream: &TcpStream, duration: Duration) -> std::io::Result<()> {
+    tokio::select! {
+        () = sleep(duration) => Ok(()),
+        closed = wait_for_close(stream) => closed,
+    }
+}
+
 async fn wait_for_close(stream: &TcpStream) -> std::io::Result<()> {
     loop {
         stream.readable().await?;
