Paths: a silence of all endpoints for a second refuses no request

Callers saw: 503 "no host reaches its endpoints" at once while all endpoints, which accept connections, are silent for little more than a second.

Cause: two late answers raise a doubt, and three probes without an answer within 0.15 s each, 0.25 s apart, isolate the host, although a sound endpoint may be silent that long and go on.

Now probes whose connection is accepted isolate a host only 1.2 s after the doubt. Refused and broken ones do so as before, and a relay's answer still tells of a cut at once. Streams under way are not affected: a doubt ends none.

A silence beyond about 1.3 s is still refused.

--- a/crates/kumquatdrum/tests/gateway/outage.rs
+++ b/crates/kumquatdrum/tests/gateway/outage.rs
@@ -314,6 +314,28 @@
     check_runs(&site, 1);
 }
 
+/// Load: short requests and streams by all hosts while all endpoints are silent for a second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silence_of_all_endpoints_refuses_no_request_and_cuts_no_stream() {
+    let behaviour = Behaviour::StreamOrCompleteBody;
+    let site = Arc::new(Site::start(221, &config(3), behaviour).await);
+    for path in ["/safe/x", "/stream/x"] {
+        let until = Instant::now() + LEAD * 4;
+        let set_modes = |mode| site.proxies.iter().for_each(|proxy| proxy.set_mode(mode));
+        let silence = async {
+            sleep(LEAD).await;
+            set_modes(Mode::Silent);
+            sleep(Duration::from_millis(1_200)).await;
+            set_modes(Mode::Pass);
+        };
+        let load = load(site.clone(), path, until);
+        let (outcomes, (), ()) = tokio::join!(load, silence, site.announce_until(until));
+        print_unserved(&site, &outcomes);
+        let (share, _) = served(&outcomes, |_| true);
+        assert!(share > 0.99, "served {share:.2} of {path}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_are_served_while_relays_are_killed_and_frozen() {
     let mut site = Site::start(18, &config(3), Behaviour::CompleteBody).await;
--- a/crates/kumquatdrum_gateway/src/paths.rs
+++ b/crates/kumquatdrum_gateway/src/paths.rs
@@ -162,8 +162,8 @@
     }
 
     /// Records that an endpoint did not answer a direct probe.
-    pub fn record_failed_probe(&self, endpoint: &Announcement) {
-        self.update(endpoint, |now, path| path.record_failed_probe(now));
+    pub fn record_failed_probe(&self, endpoint: &Announcement, trouble: Trouble) {
+        self.update(endpoint, |now, path| path.record_failed_probe(now, trouble));
     }
 
     fn update(
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -255,7 +255,7 @@
             // The answer is recorded when it arrives. A hold says nothing about the path.
             Ok(exchange) => return Some(exchange.reply),
             Err(Error::Held { .. }) => return None,
-            Err(_) => paths.record_failed_probe(target.endpoint),
+            Err(error) => paths.record_failed_probe(target.endpoint, trouble(&error)),
         }
         let is_known = paths.is_cut(&target.endpoint.service);
         let deadline = Instant::now() + timeout;
@@ -450,6 +450,17 @@
     }
 }
 
+/// Returns the trouble that a failed probe shows.
+const fn trouble(error: &Error) -> Trouble {
+    match error {
+        Error::TimedOut => Trouble::Late,
+        Error::Lost(_) | Error::PathLost(_) => Trouble::Broken,
+        Error::Unsent(_) | Error::Refused(_) | Error::Held { .. } | Error::CutOff => {
+            Trouble::Unconnected
+        }
+    }
+}
+
 fn add_host(request: &mut Request<Full<Bytes>>, endpoint: &Announcement) {
     if let Ok(host) = HeaderValue::from_str(&endpoint.address.to_string()) {
         request.headers_mut().entry(header::HOST).or_insert(host);
--- a/crates/kumquatdrum_placement/src/path.rs
+++ b/crates/kumquatdrum_placement/src/path.rs
@@ -14,6 +14,9 @@
 const MIN_TROUBLED: usize = 2;
 /// The number of probes in a row that must fail for a host to count as isolated.
 const ISOLATED_PROBES: u32 = 3;
+/// How long endpoints that accept connections may be silent before a host counts as isolated. Sound ones
+/// may be silent for a second or so and go on.
+const ISOLATED_SILENCE: Duration = Duration::from_millis(1_200);
 /// The time after which trouble with an endpoint is forgotten.
 const TROUBLE_MEMORY: Duration = Duration::from_secs(2);
 /// How long an endpoint that only a relay reached gets its requests by relays before the direct path
@@ -345,15 +348,40 @@
         }
     }
 
-    /// Records that an endpoint did not answer a direct probe.
-    pub fn record_failed_probe(&mut self, now: Moment) -> Option<Change> {
+    /// Records that an endpoint did not answer a direct probe, and in which way. Late answers alone
+    /// isolate a host only after a longer silence.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::{EndpointKey, Path, Trouble};
+    /// # use kumquatdrum_types::Moment;
+    ///
+    /// let mut path = Path::default();
+    /// let at = Moment::from_millis;
+    /// for number in 0..2 {
+    ///     path.record_trouble(at(5_000), EndpointKey(number), Trouble::Late, at(4_900), 3);
+    /// }
+    /// for millis in [5_200, 5_450, 5_700, 5_950] {
+    ///     path.record_failed_probe(at(millis), Trouble::Late);
+    /// }
+    /// assert!(!path.is_isolated());
+    /// path.record_failed_probe(at(6_500), Trouble::Late);
+    /// assert!(path.is_isolated());
+    /// ```
+    pub fn record_failed_probe(&mut self, now: Moment, trouble: Trouble) -> Option<Change> {
         match &mut self.state {
             State::Doubted {
                 has_relay_answered: true,
                 ..
             } => Some(self.cut(now)),
-            State::Doubted { failed_probes, .. } => {
-                *failed_probes += 1;
+            State::Doubted {
+                since,
+                failed_probes,
+                ..
+            } => {
+                let may_be_silence = trouble == Trouble::Late && now - *since < ISOLATED_SILENCE;
+                if !may_be_silence || *failed_probes + 1 < ISOLATED_PROBES {
+                    *failed_probes += 1;
+                }
                 None
             }
             _ => None,
