--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -54,6 +54,13 @@
         pause: Duration,
         silence: Duration,
     },
+    /// With six events, and silence for `silence` after the one with the number `after`. To resume such a
+    /// stream takes `resumption` before the head.
+    PausedStream {
+        after: u64,
+        silence: Duration,
+        resumption: Duration,
+    },
     /// With events up to `after`, and half of the next one.
     TruncatedStream { after: u64 },
     /// With six events without framing, cut within the event after `cut_after`.
@@ -383,6 +390,18 @@
             }
             stream.write_all(text.as_bytes()).await
         }
+        Behaviour::PausedStream {
+            after: last,
+            silence,
+            resumption,
+        } => {
+            if after > 0 {
+                pause(stream, resumption).await?;
+            }
+            let start = head("200 OK", attempt, events);
+            stream.write_all(start.as_bytes()).await?;
+            send_paused_events(stream, after + 1..=6, last, silence).await
+        }
         Behaviour::TruncatedStream { after: last } => {
             let mut text = head("200 OK", attempt, events);
             for event in after + 1..=last {
@@ -435,6 +454,31 @@
     stream.write_all(b"0\r\n\r\n").await
 }
 
+/// Sends events with a silence after one of them, and the end of the stream.
+async fn send_paused_events(
+    stream: &mut TcpStream,
+    events: RangeInclusive<u64>,
+    last: u64,
+    silence: Duration,
+) -> std::io::Result<()> {
+    for event in events {
+        let text = chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
+        stream.write_all(text.as_bytes()).await?;
+        if event == last {
+            pause(stream, silence).await?;
+        }
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
+/// Waits, unless the connection is closed meanwhile.
+async fn pause(stream: &TcpStream, duration: Duration) -> std::io::Result<()> {
+    tokio::select! {
+        () = sleep(duration) => Ok(()),
+        closed = wait_for_close(stream) => closed,
+    }
+}
+
 async fn wait_for_close(stream: &TcpStream) -> std::io::Result<()> {
     loop {
         stream.readable().await?;
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod raw;
 mod recovery;
 mod reservation;
+mod silence;
 mod soak;
 mod start;
 mod stop;
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -26,7 +26,9 @@
 mod attempt;
 mod crash;
 mod held;
+mod resume;
 mod run;
+mod source;
 mod stream;
 mod unread;
 
--- a/crates/kumquatdrum_response/src/lib.rs
+++ b/crates/kumquatdrum_response/src/lib.rs
@@ -1,10 +1,11 @@
-//! Framing and completeness of HTTP responses and event streams, and what they tell about a request,
-//! without clock or network.
+//! Framing, completeness and silences of HTTP responses and event streams, and what they tell about a
+//! request, without clock or network.
 
 mod completeness;
 pub mod event;
 pub mod execution;
 mod framing;
+pub mod silence;
 
 pub use completeness::Completeness;
 pub use framing::Framing;
