Relay: a request that may not be repeated is not given up for a silent relay

Callers saw: 502 "relay ...: it does not respond" after 0.5 s, while the relay went on shortly after and ran the request.

Cause: a relay that has not said within 0.5 s that it is connected counts as lost, also for requests that nobody else may get, so that giving up helps no one.

Now such requests wait until the relay's connection breaks, which its pings find out, or until the deadline. Requests that may be repeated are, as before.

silence:: plays two tests of endpoints that never go on one after the other, as one test, to free a subnet. Nothing that they ask for has changed.

--- a/crates/kumquatdrum/tests/gateway/outage.rs
+++ b/crates/kumquatdrum/tests/gateway/outage.rs
@@ -359,6 +359,34 @@
     check_runs(&site, 2);
 }
 
+/// Load: requests that may not be repeated, by hosts whose relays are all silent for a moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_may_not_be_repeated_is_not_given_up_because_its_relay_is_silent() {
+    let site = Arc::new(Site::start(223, &config(3), Behaviour::CompleteBody).await);
+    let (cut, relays) = ([3, 5, 7], [4, 6, 8]);
+    for host in cut {
+        site.set_mode(host, Mode::Reset);
+    }
+    let until = Instant::now() + LEAD * 4;
+    let silence = async {
+        sleep(LEAD * 2).await;
+        for host in relays {
+            site.cluster.signal(host, "-STOP");
+        }
+        sleep(Duration::from_millis(700)).await;
+        for host in relays {
+            site.cluster.signal(host, "-CONT");
+        }
+    };
+    let load = load(site.clone(), "/unsafe/x", until);
+    let (outcomes, (), ()) = tokio::join!(load, silence, site.announce_until(until));
+    print_unserved(&site, &outcomes);
+    let is_after = |one: &Outcome| cut.contains(&one.host) && one.sent >= LEAD;
+    let (share, _) = served(&outcomes, is_after);
+    check_runs(&site, 1);
+    assert!(share > 0.99, "served {share:.2}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reserved_memory_is_renewed_and_released_by_a_host_whose_connections_hang() {
     let behaviour = Behaviour::CompleteStream {
--- a/crates/kumquatdrum/tests/gateway/silence.rs
+++ b/crates/kumquatdrum/tests/gateway/silence.rs
@@ -131,14 +131,14 @@
     assert_eq!(disconnects.sum::<usize>(), tried, "attempts that go on");
 }
 
-#[tokio::test]
-async fn a_stream_whose_endpoint_stays_silent_is_resumed_elsewhere_without_a_gap() {
+/// Checks that a stream whose endpoint stays silent is resumed elsewhere without a gap.
+async fn check_resumption() {
     let paused = Behaviour::PausedStream {
         after: 3,
         silence: Duration::from_secs(20),
         resumption: Duration::from_millis(300),
     };
-    let (cluster, endpoints) = start(223, &silence_config(3), &[paused, paused]).await;
+    let (cluster, endpoints) = start(224, &silence_config(3), &[paused, paused]).await;
     let request = Request {
         deadline_ms: PATIENCE.as_millis() as u64,
         ..Request::new("/stream/x", "at-1")
@@ -150,7 +150,8 @@
 }
 
 #[tokio::test]
-async fn streams_of_an_endpoint_that_went_dark_are_resumed_or_ended_before_the_deadline() {
+async fn streams_of_an_endpoint_that_never_goes_on_are_resumed_or_ended_before_the_deadline() {
+    check_resumption().await;
     let dark = Behaviour::GoDark { after: 3 };
     let (cluster, _endpoints) = start(224, &silence_config(3), &[dark]).await;
     let started = Instant::now();
--- a/crates/kumquatdrum_gateway/src/relay.rs
+++ b/crates/kumquatdrum_gateway/src/relay.rs
@@ -42,7 +42,7 @@
 /// The timeout for a connection to a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The timeout for a relay's word that it is connected to the endpoint; longer than the relay's own
-/// timeout for that.
+/// timeout for that. It ends requests that may be repeated.
 const CONNECTED_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time in which relays usually respond. One that has taken longer is asked after the others.
 const USUAL_RESPONSE_TIME: Duration = Duration::from_millis(100);
@@ -239,7 +239,12 @@
             bytes.into(),
             CONNECT_TIMEOUT,
         );
-        let limit = deadline.min(Instant::now() + CONNECTED_TIMEOUT);
+        // A request that may not be repeated gains nothing if a silent relay is given up.
+        let limit = if target.is_repeatable {
+            deadline.min(Instant::now() + CONNECTED_TIMEOUT)
+        } else {
+            deadline
+        };
         self.record_asked(candidate);
         let mut parts = match timeout_at(limit, opened).await {
             Ok(Ok(parts)) => parts,
