Gateway: a stopping host refuses what waits for an endpoint in time

Callers whose prompts waited for an engine when their host got SIGTERM lost them: the host cut the connections 7.7 s later, without a word. Nothing told the requests that wait in `Pool::pick` that the host stops; they waited for capacity until their own deadline.

`placement::Shutdown` knows when the host cuts connections, and whether a request of an expected duration may still wait or start. One that isn't expected to end in time (twice the planner's estimate; a plain service's target latency) is refused when the stop begins or when it comes; the others wait on, until 1 s before the cut. The refusal is a 503 with `Retry-After: 0`, as any other host can serve it now. The cut is reckoned from the signal, also on hosts that hand over their leadership first, which cut 0.3 s later before.

--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -167,6 +167,10 @@
                 reason: "no endpoint is known",
                 retry_after: NO_ENDPOINT_RETRY_AFTER,
             },
+            Rejection::Stopping => Problem::Refused {
+                reason: "this host stops",
+                retry_after: Duration::ZERO,
+            },
             Rejection::TooCostly => Problem::Refused {
                 reason: "too long a prompt for what else is asked for",
                 retry_after: OVERLOAD_RETRY_AFTER,
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -31,7 +31,9 @@
 use crate::quarantine_cache;
 use crate::replica::{Command, Handle};
 use crate::upstream::Upstream;
-use crate::{Protocol, Settings, active_setup, cache, endpoint_cache, evacuation_cache, relay};
+use crate::{
+    Protocol, Settings, active_setup, cache, endpoint_cache, evacuation_cache, relay, shutdown,
+};
 
 mod contacts;
 mod endpoint_updates;
@@ -104,6 +106,7 @@
     pub(crate) quarantine: Arc<quarantine::Store>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
+    pub(crate) shutdown: Arc<shutdown::Store>,
     pub(crate) logger: slog::Logger,
     client: Arc<Client>,
     traffic: Arc<Counters>,
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use kumquatdrum_peer::{Client, Counters, Identity, LocalDaemon, Secret};
+use kumquatdrum_placement::Shutdown;
 use kumquatdrum_process::Drain;
 use kumquatdrum_process::clock::{Clock, unix_ms};
 use kumquatdrum_registry::Update;
@@ -38,7 +39,9 @@
 use crate::relay;
 use crate::replica::{self, Event, Handle};
 use crate::upstream::{self, Upstream};
-use crate::{Protocol, Settings, active_setup, call, control, evacuation_cache, health, sockets};
+use crate::{
+    Protocol, Settings, active_setup, call, control, evacuation_cache, health, shutdown, sockets,
+};
 
 /// How long a stopping host still accepts connections, so that two health checks a second apart
 /// fail before the listener closes.
@@ -77,7 +80,10 @@
     pub(super) async fn stop(mut self, gateway: &Arc<Gateway>, limit: Duration) {
         info!(gateway.logger, "stopping"; "event" => "stopping",
             "under_way" => gateway.drain.in_flight());
+        let ends_at = gateway.clock.now() + limit.saturating_sub(CLEANUP_TIME);
+        gateway.shutdown.begin(Shutdown::new(ends_at));
         gateway.drain.begin();
+        gateway.pool.recheck_waits();
         gateway.hosts.set_stopping();
         if let Some(replica) = &gateway.replica {
             replica.resign();
@@ -86,7 +92,7 @@
         if !self.callers.is_empty() {
             sleep(DRAIN_DELAY).await;
             self.callers_phase.send_replace(Phase::Closing);
-            let remaining = limit.saturating_sub(DRAIN_DELAY + CLEANUP_TIME);
+            let remaining = ends_at - gateway.clock.now();
             let joined = async {
                 while self.callers.join_next().await.is_some() {}
                 // Requests that this host relays for others.
@@ -228,6 +234,7 @@
         relays,
     });
     let drain = Arc::<Drain>::default();
+    let shutdown = Arc::new(shutdown::Store::new(clock));
     let relay_server = relay::Server::new(relay::ServerDependencies {
         boot,
         upstream: upstream.clone(),
@@ -245,6 +252,7 @@
         broadcaster: broadcaster.clone(),
         retries: settings.retries,
         cold: settings.cold,
+        shutdown: shutdown.clone(),
         metrics: metrics.clone(),
         announcement_interval: Duration::from_millis(settings.announcement_ms),
         number,
@@ -273,6 +281,7 @@
         quarantine: Arc::new(quarantine),
         metrics,
         drain,
+        shutdown,
         logger,
         client,
         traffic: local.counters.clone(),
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod replica;
 pub mod reservation;
 pub mod settings;
+pub mod shutdown;
 pub mod sockets;
 pub mod suspension;
 pub mod upstream;
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::paths::Paths;
 use crate::settings::{Cold, Retries};
+use crate::shutdown;
 
 mod cold;
 mod evacuated;
@@ -37,6 +38,7 @@
 mod queue;
 mod rebroadcast;
 mod unreachable;
+mod wait;
 
 use limit::Turn;
 pub use pick::{Pick, Prefiller};
@@ -70,6 +72,8 @@
     pub retries: Retries,
     /// The requests that cold endpoints may get; if `None`, they are not limited.
     pub cold: Option<Cold>,
+    /// The planned end of this host.
+    pub shutdown: Arc<shutdown::Store>,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
     /// The interval between an endpoint's announcements.
@@ -122,6 +126,8 @@
 pub enum Rejection {
     /// No endpoint of the service is known.
     NoEndpoint,
+    /// This host ends before it could serve the request.
+    Stopping,
     /// The prompt exceeds the combined memory of the candidate engines.
     TooLarge,
     /// The cost of the request to other callers exceeds its value.
@@ -338,9 +344,7 @@
         let mut turn = Turn::new(&service, job.id);
         loop {
             let changed = service.changed.notified();
-            if service.is_evacuated() {
-                return Err(Rejection::Evacuated);
-            }
+            self.check_wait(&service, job)?;
             let is_next = turn.is_next();
             let picked = if is_next {
                 self.try_pick(&service, request, job)
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`Backoffs`] keeps requests away from endpoints that ask this host for a pause.
 //! - [`Path`] tells whether this host reaches the endpoints of a service.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
+//! - [`Shutdown`] tells which requests a host that ends soon can still serve.
 
 mod backoff;
 mod balancer;
@@ -29,6 +30,7 @@
 mod reachability;
 mod retry;
 mod short_prompt;
+mod shutdown;
 mod slot_queue;
 mod suspicion;
 mod tombstones;
@@ -45,3 +47,4 @@
 pub use rate::Rate;
 pub use reachability::DataCentreKey;
 pub use retry::Budget;
+pub use shutdown::Shutdown;
