Gateway: a body that still arrives when its host ends is refused

A caller whose body arrived slowly at a stopping host lost its connection without an answer: `receive` waited for the body until the request's deadline, whatever the host did.

stop_waits::a_body_that_still_arrives_when_its_host_ends_is_refused failed before with Lost("closed").

--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -170,7 +170,14 @@
     let deadline = arrived + timeout.min(admission.route.timeout);
     let limited = Limited::new(body, admission.max_body_bytes).collect();
     let deadline_instant = gateway.clock.instant(deadline);
-    let body = match timeout_at(deadline_instant, limited).await {
+    let received = tokio::select! {
+        biased;
+        received = timeout_at(deadline_instant, limited) => {
+            received.map_err(|_| "the body did not arrive in time")
+        }
+        () = gateway.shutdown.wait_for_end_of_waits() => Err("this host stops"),
+    };
+    let body = match received {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Problem::TooLarge),
         Ok(Err(error)) => {
@@ -179,9 +186,9 @@
             }
             return Err(Problem::Unreadable(error.to_string()));
         }
-        Err(_) => {
+        Err(reason) => {
             return Err(Problem::Refused {
-                reason: "the body did not arrive in time",
+                reason,
                 retry_after: Duration::ZERO,
             });
         }
