Pool: a changed engine declaration alters its service in place

A change of the setup that altered an engine's declaration replaced the service's state. Requests that waited stayed on the old one, which was not refreshed any more: four prompts that waited for a slot were not placed when the declaration gave the engine sixteen. The new planner knew no running job, and as hosts announce what their planner knows, others forgot them as well after 2.2 s: two prompts were sent at once to an engine whose only slot was taken. Limits, cold endpoints, failures and the retry budget were forgotten too.

The planner now takes the new declaration and keeps everything else: a job holds its slot and its memory under any declaration. A service that turns from engines to a plain one, or back, gets a new policy in the same service; what it runs is not carried over.

--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -165,15 +165,15 @@
         }
     }
 
-    /// Adds and replaces services to match a setup.
+    /// Adds and alters services to match a setup. What runs and waits at a service stays with it.
     pub fn configure(&self, setup: &Setup) {
         let mut services = self.services.write();
         for (name, declared) in &setup.services {
-            let is_same = services
-                .get(name)
-                .is_some_and(|known| known.state.lock().engine == declared.engine);
-            if !is_same {
-                let service = Arc::new(self.build_service(name, declared.engine.as_ref()));
+            let engine = declared.engine.as_ref();
+            if let Some(known) = services.get(name) {
+                self.alter(&mut known.state.lock(), engine);
+            } else {
+                let service = Arc::new(self.build_service(name, engine));
                 services.insert(name.clone(), service);
             }
         }
@@ -188,20 +188,34 @@
         services.retain(|name, _| setup.services.contains_key(name));
     }
 
-    fn build_service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
-        let retries = &self.dependencies.retries;
-        let window = Duration::from_secs_f64(retries.window_s);
-        let policy = match engine {
+    fn alter(&self, state: &mut State, engine: Option<&Engine>) {
+        if state.engine.as_ref() == engine {
+            return;
+        }
+        match (&mut state.policy, engine) {
+            (Policy::Engines(planner), Some(engine)) => planner.set_engine(engine.clone()),
+            (policy, _) => *policy = self.build_policy(engine),
+        }
+        state.engine = engine.cloned();
+    }
+
+    fn build_policy(&self, engine: Option<&Engine>) -> Policy {
+        match engine {
             Some(engine) => {
                 let local_key = data_centre_key(&self.dependencies.data_centre);
                 let planner = Planner::new(engine.clone()).with_data_centre(local_key);
                 Policy::Engines(Box::new(planner))
             }
             None => Policy::Plain(Box::default()),
-        };
+        }
+    }
+
+    fn build_service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
+        let retries = &self.dependencies.retries;
+        let window = Duration::from_secs_f64(retries.window_s);
         let state = State {
             engine: engine.cloned(),
-            policy,
+            policy: self.build_policy(engine),
             budget: Budget::new(retries.ratio, retries.slack, window),
             cold_start: Duration::ZERO,
             directory: IndexMap::new(),
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -153,8 +153,9 @@
         let now = self.pool.dependencies.clock.now();
         match (&mut self.service.state.lock().policy, self.job) {
             (Policy::Engines(planner), Some(job)) => planner.record_end(now, job),
-            (Policy::Plain(balancer), _) => balancer.record_end(self.key),
-            (Policy::Engines(_), None) => {}
+            (Policy::Plain(balancer), None) => balancer.record_end(self.key),
+            // The service was of the other kind when the endpoint was picked.
+            (Policy::Plain(_), Some(_)) | (Policy::Engines(_), None) => {}
         }
         self.service.changed.notify_waiters();
         if let Some(job) = self.job {
--- a/crates/kumquatdrum_placement/src/planner.rs
+++ b/crates/kumquatdrum_placement/src/planner.rs
@@ -21,6 +21,8 @@
     Waiter, long_prompt, short_prompt, suspicion,
 };
 
+mod performance;
+
 /// The time after which a job is dropped unless its host announces it: four missed announcements
 /// mean that the host is paused, unreachable or gone.
 const JOB_EXPIRY: Duration = Duration::from_millis(2_200);
@@ -406,14 +408,6 @@
         counts && endpoint.suspicion.record_failure(now)
     }
 
-    /// Returns the time that an engine without other work needs for a job.
-    pub fn expected_duration(&self, job: &Job) -> Duration {
-        let passes = job.answer_tokens as f64 / f64::from(self.cost.engine().pass_steps.max(1));
-        let decode_ms = passes * self.cost.pass_ms(1, job.memory_tokens());
-        let total_ms = self.cost.prefill_ms(job.prompt_tokens) + decode_ms;
-        Duration::try_from_secs_f64(total_ms / 1e3).unwrap_or(Duration::MAX)
-    }
-
     /// Returns an engine's data centre.
     pub fn data_centre(&self, key: EndpointKey) -> Option<DataCentreKey> {
         self.endpoints
--- a/crates/kumquatdrum_placement/tests/planner.rs
+++ b/crates/kumquatdrum_placement/tests/planner.rs
@@ -7,6 +7,7 @@
 use kumquatdrum_placement::{
     DataCentreKey, Decision, EndpointKey, Harm, Job, JobId, Plan, Planner,
 };
+use kumquatdrum_routes::Engine;
 use kumquatdrum_types::Moment;
 use model::simulation::engine_settings;
 use rand_core::{Rng, SeedableRng};
@@ -57,6 +58,26 @@
     assert!(duration(150_000) > 2 * drain, "{:?}", duration(150_000));
 }
 
+#[test]
+fn a_changed_declaration_does_not_free_what_runs() {
+    let engine = |slots| Engine {
+        slots,
+        ..engine_settings()
+    };
+    let mut planner = Planner::new(engine(1));
+    planner.set_endpoints([(EndpointKey(1), DataCentreKey(0))]);
+    let running = expect_sent(planner.place(START, &job(1, 2_000, START)));
+    planner.set_engine(Engine {
+        step_ms: 2.0,
+        ..engine(1)
+    });
+    let waiting = planner.place(START, &job(2, 2_000, START));
+    assert!(matches!(waiting, Decision::Wait(_)), "{waiting:?}");
+    assert_eq!(planner.renew_jobs(START, 1), [(running, true)]);
+    planner.set_engine(engine(2));
+    expect_sent(planner.place(START, &job(2, 2_000, START)));
+}
+
 #[test]
 fn long_prefills_never_overlap_on_an_engine() {
     let mut planner = planner(20);
