Pool: requests that wait for a dropped service are refused at once

A change that dropped a service left its waiting requests on it. They were served by endpoints that no setup in force allowed any more, or waited until their deadline. A service that the setup no longer declares now ends its waits with a 503 and `Retry-After: 0`: the caller's next attempt finds the routes in force. A request that was admitted right before the change is refused in the same way.

--- a/crates/kumquatdrum_gateway/src/call/run.rs
+++ b/crates/kumquatdrum_gateway/src/call/run.rs
@@ -167,6 +167,10 @@
                 reason: "no endpoint is known",
                 retry_after: NO_ENDPOINT_RETRY_AFTER,
             },
+            Rejection::Dropped => Problem::Refused {
+                reason: "its service is no longer declared",
+                retry_after: Duration::ZERO,
+            },
             Rejection::Stopping => Problem::Refused {
                 reason: "this host stops",
                 retry_after: Duration::ZERO,
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -104,6 +104,8 @@
     name: ServiceName,
     state: Mutex<State>,
     changed: Notify,
+    /// Whether the setup no longer declares the service.
+    is_dropped: AtomicBool,
     /// The jobs that wait for a limited endpoint, in order.
     limited: Mutex<VecDeque<JobId>>,
 }
@@ -126,6 +128,8 @@
 pub enum Rejection {
     /// No endpoint of the service is known.
     NoEndpoint,
+    /// The setup no longer declares the service.
+    Dropped,
     /// This host ends before it could serve the request.
     Stopping,
     /// The prompt exceeds the combined memory of the candidate engines.
@@ -182,10 +186,16 @@
         self.refresh();
     }
 
-    /// Removes services that a setup doesn't declare.
+    /// Removes services that a setup doesn't declare, and ends the waits at them.
     pub fn remove_undeclared(&self, setup: &Setup) {
         let mut services = self.services.write();
-        services.retain(|name, _| setup.services.contains_key(name));
+        services.retain(|name, service| {
+            let is_declared = setup.services.contains_key(name);
+            if !is_declared {
+                service.drop_waits();
+            }
+            is_declared
+        });
     }
 
     fn alter(&self, state: &mut State, engine: Option<&Engine>) {
@@ -226,6 +236,7 @@
             name: name.clone(),
             state: Mutex::new(state),
             changed: Notify::new(),
+            is_dropped: AtomicBool::new(false),
             limited: Mutex::default(),
         }
     }
@@ -347,7 +358,7 @@
         request: &str,
         job: &Job,
     ) -> Result<Pick, Rejection> {
-        let service = self.find_service(name).ok_or(Rejection::NoEndpoint)?;
+        let service = self.find_service(name).ok_or(Rejection::Dropped)?;
         let mut entry = QueueEntry {
             pool: self,
             service: &service,
--- a/crates/kumquatdrum_gateway/src/pool/wait.rs
+++ b/crates/kumquatdrum_gateway/src/pool/wait.rs
@@ -1,5 +1,6 @@
 //! What ends the wait of a job before its deadline.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kumquatdrum_placement::Job;
@@ -16,6 +17,9 @@
 
     /// Returns an error if a job must not wait or be placed.
     pub(super) fn check_wait(&self, service: &Service, job: &Job) -> Result<(), Rejection> {
+        if service.is_dropped.load(Ordering::Acquire) {
+            return Err(Rejection::Dropped);
+        }
         if service.is_evacuated() {
             return Err(Rejection::Evacuated);
         }
@@ -32,6 +36,14 @@
     }
 }
 
+impl Service {
+    /// Ends all waits, as the setup no longer declares the service.
+    pub(super) fn drop_waits(&self) {
+        self.is_dropped.store(true, Ordering::Release);
+        self.changed.notify_waiters();
+    }
+}
+
 impl State {
     /// Returns the time that an endpoint without other work needs for a job. How much is left of a
     /// resumed job is unknown, so it counts as nothing: a refusal would cut its stream.
