--- a/crates/kumquatdrum/tests/gateway/stop_waits.rs
+++ b/crates/kumquatdrum/tests/gateway/stop_waits.rs
@@ -4,11 +4,12 @@
 
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::caller::{self, Caller, End, Request};
-use crate::cluster::{CONTROL_HOSTS, Cluster, engine_config};
+use crate::cluster::{CONTROL_HOSTS, Cluster, config, engine_config};
 use crate::endpoint::{Behaviour, Endpoint};
+use crate::proxy::{Mode, Proxy};
 
 /// The host that stops, or whose setup changes while requests wait.
 const HOST: usize = CONTROL_HOSTS;
@@ -224,3 +225,77 @@
     sleep(Duration::from_millis(2_500)).await;
     assert_eq!(site.engine.runs(), 1, "the engine's only slot is taken");
 }
+
+#[tokio::test]
+async fn a_stream_goes_on_when_the_host_that_relays_it_ends() {
+    let mut cluster = Cluster::with_hosts(218, CONTROL_HOSTS + 3);
+    let mut setup = config(1);
+    setup["routes"][2]["timeoutMs"] = json!(30_000);
+    cluster.apply(&setup).await;
+    let pause = Duration::from_millis(250);
+    let behaviour = Behaviour::CompleteStream { events: 44, pause };
+    let (mut proxies, mut endpoints) = (Vec::new(), Vec::new());
+    for number in 1..=3 {
+        let mut endpoint = Endpoint::start(&format!("i-{number}"), behaviour).await;
+        let proxy = Proxy::for_processes(endpoint.address, vec![cluster.process(HOST)]).await;
+        endpoint.address = proxy.address;
+        cluster.announce(&endpoint, "plain", "ready", 1).await;
+        for host in CONTROL_HOSTS..cluster.hosts() {
+            cluster.wait_until_ready(host, &endpoint).await;
+        }
+        proxy.set_process_mode(cluster.process(HOST), Mode::Reset);
+        endpoints.push(endpoint);
+        proxies.push(proxy);
+    }
+    let address = cluster.callers(HOST);
+    // Requests break until the host knows that it does not reach the endpoints.
+    while !cluster.read_log(HOST).contains("event=path_cut") {
+        let request = Request::new("/unsafe/x", "at-first");
+        let _ = timeout(AT_ONCE, caller::call(address, &request)).await;
+    }
+    let stream = tokio::spawn(async move {
+        let mut request = Request::new("/stream/x", "at-relayed");
+        request.deadline_ms = 20_000;
+        caller::call(address, &request).await
+    });
+    let until = Instant::now() + Duration::from_secs(5);
+    let is_relaying = |cluster: &Cluster, host: usize| {
+        let log = cluster.read_log(host);
+        let mut lines = log.lines();
+        lines.any(|line| line.contains("event=relaying") && line.contains("request=at-relayed"))
+    };
+    let relay = loop {
+        let mut hosts = HOST + 1..cluster.hosts();
+        if let Some(host) = hosts.find(|host| is_relaying(&cluster, *host)) {
+            break host;
+        }
+        assert!(Instant::now() < until, "{}", cluster.read_log(HOST));
+        sleep(Duration::from_millis(20)).await;
+    };
+    sleep(Duration::from_millis(500)).await;
+    cluster.signal(relay, "-TERM");
+    let End::Answered(answer) = stream.await.expect("a caller") else {
+        panic!("not a whole stream: {}", cluster.read_log(HOST));
+    };
+    let text = String::from_utf8_lossy(&answer.body);
+    assert!(text.ends_with("data: piece 44\n\n"), "{text}");
+    assert_eq!(text.matches("data: ").count(), 44, "{text}");
+    assert_eq!(cluster.wait_for_exit(relay).await, Some(0));
+}
+
+#[tokio::test]
+async fn a_request_that_is_held_on_a_new_host_is_refused_when_that_host_stops() {
+    let cluster = Cluster::start(219);
+    cluster.wait_until_started(HOST).await;
+    let address = cluster.callers(HOST);
+    let call = tokio::spawn(async move {
+        let mut request = Request::new("/stream/x", "at-held");
+        request.deadline_ms = 20_000;
+        caller::call(address, &request).await
+    });
+    sleep(Duration::from_millis(500)).await;
+    assert!(!call.is_finished(), "no setup is known yet");
+    cluster.signal(HOST, "-TERM");
+    let end = timeout(AT_ONCE, call).await.expect("an answer at once");
+    assert_eq!(end.expect("a caller").status(), 503);
+}
