--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -36,4 +36,5 @@
 mod soak;
 mod start;
 mod stop;
+mod stop_waits;
 mod streams;
--- a/crates/kumquatdrum_gateway/src/pool.rs
+++ b/crates/kumquatdrum_gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::paths::Paths;
 use crate::settings::{Cold, Retries};
+use crate::shutdown;
 
 mod cold;
 mod evacuated;
@@ -37,6 +38,7 @@
 mod queue;
 mod rebroadcast;
 mod unreachable;
+mod wait;
 
 use limit::Turn;
 pub use pick::{Pick, Prefiller};
@@ -70,6 +72,8 @@
     pub retries: Retries,
     /// The requests that cold endpoints may get; if `None`, they are not limited.
     pub cold: Option<Cold>,
+    /// The planned end of this host.
+    pub shutdown: Arc<shutdown::Store>,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
     /// The interval between an endpoint's announcements.
@@ -100,6 +104,8 @@
     name: ServiceName,
     state: Mutex<State>,
     changed: Notify,
+    /// Whether the setup no longer declares the service.
+    is_dropped: AtomicBool,
     /// The jobs that wait for a limited endpoint, in order.
     limited: Mutex<VecDeque<JobId>>,
 }
@@ -122,6 +128,10 @@
 pub enum Rejection {
     /// No endpoint of the service is known.
     NoEndpoint,
+    /// The setup no longer declares the service.
+    Dropped,
+    /// This host ends before it could serve the request.
+    Stopping,
     /// The prompt exceeds the combined memory of the candidate engines.
     TooLarge,
     /// The cost of the request to other callers exceeds its value.
@@ -159,15 +169,15 @@
         }
     }
 
-    /// Adds and replaces services to match a setup.
+    /// Adds and alters services to match a setup. What runs and waits at a service stays with it.
     pub fn configure(&self, setup: &Setup) {
         let mut services = self.services.write();
         for (name, declared) in &setup.services {
-            let is_same = services
-                .get(name)
-                .is_some_and(|known| known.state.lock().engine == declared.engine);
-            if !is_same {
-                let service = Arc::new(self.build_service(name, declared.engine.as_ref()));
+            let engine = declared.engine.as_ref();
+            if let Some(known) = services.get(name) {
+                self.alter(&mut known.state.lock(), engine);
+            } else {
+                let service = Arc::new(self.build_service(name, engine));
                 services.insert(name.clone(), service);
             }
         }
@@ -176,26 +186,46 @@
         self.refresh();
     }
 
-    /// Removes services that a setup doesn't declare.
+    /// Removes services that a setup doesn't declare, and ends the waits at them.
     pub fn remove_undeclared(&self, setup: &Setup) {
         let mut services = self.services.write();
-        services.retain(|name, _| setup.services.contains_key(name));
+        services.retain(|name, service| {
+            let is_declared = setup.services.contains_key(name);
+            if !is_declared {
+                service.drop_waits();
+            }
+            is_declared
+        });
     }
 
-    fn build_service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
-        let retries = &self.dependencies.retries;
-        let window = Duration::from_secs_f64(retries.window_s);
-        let policy = match engine {
+    fn alter(&self, state: &mut State, engine: Option<&Engine>) {
+        if state.engine.as_ref() == engine {
+            return;
+        }
+        match (&mut state.policy, engine) {
+            (Policy::Engines(planner), Some(engine)) => planner.set_engine(engine.clone()),
+            (policy, _) => *policy = self.build_policy(engine),
+        }
+        state.engine = engine.cloned();
+    }
+
+    fn build_policy(&self, engine: Option<&Engine>) -> Policy {
+        match engine {
             Some(engine) => {
                 let local_key = data_centre_key(&self.dependencies.data_centre);
                 let planner = Planner::new(engine.clone()).with_data_centre(local_key);
                 Policy::Engines(Box::new(planner))
             }
             None => Policy::Plain(Box::default()),
-        };
+        }
+    }
+
+    fn build_service(&self, name: &ServiceName, engine: Option<&Engine>) -> Service {
+        let retries = &self.dependencies.retries;
+        let window = Duration::from_secs_f64(retries.window_s);
         let state = State {
             engine: engine.cloned(),
-            policy,
+            policy: self.build_policy(engine),
             budget: Budget::new(retries.ratio, retries.slack, window),
             cold_start: Duration::ZERO,
             directory: IndexMap::new(),
@@ -206,6 +236,7 @@
             name: name.clone(),
             state: Mutex::new(state),
             changed: Notify::new(),
+            is_dropped: AtomicBool::new(false),
             limited: Mutex::default(),
         }
     }
@@ -327,7 +358,7 @@
         request: &str,
         job: &Job,
     ) -> Result<Pick, Rejection> {
-        let service = self.find_service(name).ok_or(Rejection::NoEndpoint)?;
+        let service = self.find_service(name).ok_or(Rejection::Dropped)?;
         let mut entry = QueueEntry {
             pool: self,
             service: &service,
@@ -338,9 +369,7 @@
         let mut turn = Turn::new(&service, job.id);
         loop {
             let changed = service.changed.notified();
-            if service.is_evacuated() {
-                return Err(Rejection::Evacuated);
-            }
+            self.check_wait(&service, job)?;
             let is_next = turn.is_next();
             let picked = if is_next {
                 self.try_pick(&service, request, job)
