Setup: a host gets a newer record in the answer, or asks another host

Callers saw keys and routes that had been added refused with 401 and 404, and dropped routes served, for as long as a cut refused new connections (6.4 s), at hosts outside it.

Cause: a host that heard of a higher revision took the answer "queued for you" of its assigned control host for delivery, and asked the same one again after 0.8 s. The record followed over the control host's own connection, which the cut refused.

Now the record is in the answer. The clockless `fetch::Schedule` decides whom to ask and when: the assigned control host, who reported the revision, the other control hosts; another one after 0.2 s without an answer. Only a received record counts as delivered. A second control host, of another data centre, announces the revision, since hosts whose contacts are all elsewhere would hear of it up to 1 s late. Answers count towards the 2 MiB in flight, and beyond it the answer is "busy".

--- a/crates/kumquatdrum_gateway/src/distribution.rs
+++ b/crates/kumquatdrum_gateway/src/distribution.rs
@@ -1,5 +1,5 @@
-//! Distribution of records: control hosts send them to their share of the hosts, and a host that
-//! was missed fetches the record when it learns of a higher revision.
+//! Distribution of records: control hosts send them to their share of the hosts and announce the
+//! revision to another share, and a host that was missed fetches the record.
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -9,34 +9,36 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use kumquatdrum_peer::{Channel, Client};
-use kumquatdrum_routes::{Record, distribution};
-use kumquatdrum_types::HostId;
+use kumquatdrum_process::clock::Clock;
+use kumquatdrum_routes::fetch::Answer;
+use kumquatdrum_routes::{Record, distribution, fetch};
+use kumquatdrum_types::{DataCentre, HostId, Moment};
 use parking_lot::Mutex;
 use slog::{error, info, warn};
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::active_setup;
 use crate::hosts::Hosts;
-use crate::message::{Host, Request};
+use crate::message::{Host, Notice, Request, Response};
 
 /// The timeout for sending a record. It allows the largest record to be sent over a slow, busy
 /// link.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time after which an unacknowledged transfer stops blocking those to other hosts. The largest
 /// record takes less over the slowest link.
-const BLOCKING_TIMEOUT: Duration = Duration::from_millis(400);
-/// The time after which a record that was requested but not received is requested again.
-const FETCH_RETRY_AFTER: Duration = Duration::from_millis(800);
-
+pub(crate) const BLOCKING_TIMEOUT: Duration = Duration::from_millis(400);
 /// Sends records to other hosts, and tracks the revisions that they report.
 pub struct Distributor {
+    clock: Clock,
     hosts: Arc<Hosts>,
     client: Arc<Client>,
     active_setup: Arc<active_setup::Store>,
     state: Mutex<State>,
     /// Notified when a transfer may be started.
     wake: Notify,
+    /// Notified when a host reports a higher revision, or a wanted record is received.
+    fetch_changed: Notify,
     logger: slog::Logger,
 }
 
@@ -44,9 +46,7 @@
 struct State {
     /// The highest revision reported by any host.
     highest_reported: u64,
-    /// The start of the current fetch. There is at most one, since all would return the same
-    /// record.
-    fetch_started: Option<Instant>,
+    fetch: fetch::Schedule,
     queue: distribution::Queue,
     /// The revision and the encoded request of the newest record.
     body: Option<(u64, Bytes)>,
@@ -55,17 +55,20 @@
 impl Distributor {
     /// Creates a distributor.
     pub fn new(
+        clock: Clock,
         hosts: Arc<Hosts>,
         client: Arc<Client>,
         active_setup: Arc<active_setup::Store>,
         logger: slog::Logger,
     ) -> Self {
         Self {
+            clock,
             hosts,
             client,
             active_setup,
             state: Mutex::default(),
             wake: Notify::new(),
+            fetch_changed: Notify::new(),
             logger,
         }
     }
@@ -73,7 +76,6 @@
     /// Sends a newly activated record to this host's share of the hosts. The leader first sends it
     /// to all control hosts, since not all of them have a voting replica.
     pub fn distribute(&self, record: &Record, is_leader: bool) {
-        self.state.lock().fetch_started = None;
         if !self.hosts.local().is_control {
             return;
         }
@@ -83,20 +85,41 @@
             "hosts" => assigned.len(), "of" => live.len(), "bytes" => record.packed_len());
         self.state.lock().queue.add(assigned);
         self.wake.notify_one();
+        let Some(notice) = Notice::Revision(record.revision).encode(&self.logger) else {
+            return;
+        };
+        for host in announced_hosts(&self.hosts.local(), &live) {
+            self.client.send(&host, Channel::Setup, notice.clone());
+        }
     }
 
-    /// Queues the active record for a host that requests one newer than `above`. Returns whether
-    /// there is one.
-    pub fn enqueue(&self, host: &HostId, above: u64) -> bool {
-        if self.active_setup.revision() <= above {
-            return false;
+    /// Answers a host that requests a record newer than `above`. A record counts as in flight until
+    /// [`Self::finish_answer`].
+    pub fn answer_fetch(&self, host: &HostId, above: u64) -> Response {
+        let current = self.active_setup.current();
+        let Some(current) = current.filter(|current| current.record.revision > above) else {
+            return Response::Unavailable;
+        };
+        let (record, mut state) = (&current.record, self.state.lock());
+        let (revision, bytes) = (record.revision, record.packed_len());
+        if state.queue.start_answer(host, revision, bytes) {
+            Response::Record(record.clone())
+        } else {
+            Response::Busy
         }
-        let mut state = self.state.lock();
-        if !state.queue.is_in_flight(host) {
-            state.queue.add([host.clone()]);
-            self.wake.notify_one();
+    }
+
+    /// Ends the transfer of an answer.
+    pub fn finish_answer(&self, host: &HostId, revision: u64) {
+        self.state.lock().queue.finish_answer(host, revision);
+        self.wake.notify_one();
+    }
+
+    /// Confirms the receipt of an answer.
+    pub fn confirm(&self, host: &HostId, revision: u64) {
+        if let Some(notice) = Notice::Received(revision).encode(&self.logger) {
+            self.client.send(host, Channel::Setup, notice);
         }
-        true
     }
 
     /// Sends records to the queued hosts, until dropped.
@@ -151,30 +174,61 @@
         }
     }
 
-    /// Returns the control host that sends records to this host.
-    pub fn sender(&self) -> Option<HostId> {
-        let control = self.hosts.control_hosts();
-        distribution::sender(&self.hosts.local().id, &control).cloned()
+    /// Records another host's active revision.
+    pub fn observe_revision(&self, host: &HostId, revision: u64) {
+        let mut state = self.state.lock();
+        state.highest_reported = state.highest_reported.max(revision);
+        state.fetch.observe(self.clock.now(), host, revision);
+        if state.fetch.is_behind() {
+            self.fetch_changed.notify_one();
+        }
     }
 
-    /// Records another host's active revision. Returns whether the caller should fetch a record
-    /// now; if that fails, it must call [`Self::fetch_failed`].
-    pub fn observe_revision(&self, revision: u64) -> bool {
+    /// Records that a record was received, from a host or the local log.
+    pub fn receive(&self, revision: u64) {
         let mut state = self.state.lock();
-        state.highest_reported = state.highest_reported.max(revision);
-        let is_due = state
-            .fetch_started
-            .is_none_or(|at| at.elapsed() >= FETCH_RETRY_AFTER);
-        let should_fetch = revision > self.active_setup.revision() && is_due;
-        if should_fetch {
-            state.fetch_started = Some(Instant::now());
+        let was_fetching = state.fetch.is_behind();
+        state.fetch.receive(revision);
+        if was_fetching {
+            self.fetch_changed.notify_one();
         }
-        should_fetch
     }
 
-    /// Records that no host could send the requested record.
-    pub fn fetch_failed(&self) {
-        self.state.lock().fetch_started = None;
+    /// Returns whether a record is wanted that has not been received.
+    pub fn is_fetching(&self) -> bool {
+        self.state.lock().fetch.is_behind()
+    }
+
+    /// Returns the highest revision received, which may not be active yet.
+    pub fn received_revision(&self) -> u64 {
+        self.state.lock().fetch.held()
+    }
+
+    /// Returns the next host to request a record from, if one is due. The caller must report the
+    /// outcome to [`Self::finish_fetch`].
+    pub fn next_fetch(&self, now: Moment) -> Option<HostId> {
+        let due = self.next_fetch_due()?;
+        if now < due {
+            return None;
+        }
+        let control = self.hosts.control_hosts_by_hash();
+        let sender = distribution::sender(&self.hosts.local().id, &control);
+        self.state.lock().fetch.next(now, sender, &control)
+    }
+
+    /// Returns when the next request may be sent, if one is needed.
+    pub fn next_fetch_due(&self) -> Option<Moment> {
+        self.state.lock().fetch.next_due()
+    }
+
+    /// Records the outcome of a request.
+    pub fn finish_fetch(&self, now: Moment, host: &HostId, answer: Answer) {
+        self.state.lock().fetch.finish(now, host, answer);
+    }
+
+    /// Waits until a host reports a higher revision, or a wanted record is received.
+    pub async fn wait_for_change(&self) {
+        self.fetch_changed.notified().await;
     }
 
     /// Returns whether this host has no active setup or another host reports a higher revision.
@@ -200,3 +254,15 @@
     assigned.sort_by_key(|host| !host.is_control);
     assigned.into_iter().map(|host| host.id.clone()).collect()
 }
+
+/// Returns the live hosts that a control host announces revisions to.
+fn announced_hosts(local: &Host, live: &[Host]) -> Vec<HostId> {
+    let control = live.iter().filter(|host| host.is_control).chain([local]);
+    let control: Vec<(&HostId, &DataCentre)> =
+        control.map(|host| (&host.id, &host.data_centre)).collect();
+    let is_announced = |host: &&Host| {
+        distribution::announcer(&host.id, control.iter().copied()) == Some(&local.id)
+    };
+    let announced = live.iter().filter(is_announced);
+    announced.map(|host| host.id.clone()).collect()
+}
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -7,21 +7,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use kumquatdrum_consensus::Message;
 use kumquatdrum_peer::{Channel, Client, Counters};
 use kumquatdrum_process::clock::Clock;
 use kumquatdrum_process::{Drain, quarantine};
 use kumquatdrum_registry::News;
+use kumquatdrum_routes::fetch::{ASK_TIMEOUT, Answer};
 use kumquatdrum_routes::{Limits, Record, Setup};
 use kumquatdrum_types::{HostId, Moment};
 use parking_lot::Mutex;
 use slog::{error, info, o};
 use tokio::signal::unix::Signal;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use crate::broadcast::Broadcaster;
-use crate::distribution::Distributor;
+use crate::distribution::{BLOCKING_TIMEOUT, Distributor};
 use crate::endpoints::Endpoints;
 use crate::evacuations as evacuation_store;
 use crate::hosts::Hosts;
@@ -50,12 +53,8 @@
 /// without one.
 const MAJORITY_WAIT: Duration = Duration::from_secs(3);
 
-/// The timeout for the response to a fetch request.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-/// The pause before a further request for the active record after those to the preferred hosts.
-const FETCH_PAUSE: Duration = Duration::from_millis(100);
-/// How long further requests are made. The next hello with a higher revision starts new ones.
-const FETCH_DURATION: Duration = Duration::from_millis(700);
+/// The interval at which the fetch loop wakes while no record is wanted.
+const IDLE_FETCH_INTERVAL: Duration = Duration::from_secs(60);
 
 /// The duration of a reservation's lease, as a fraction of the maximum time that memory may stay
 /// unused. The rest allows for orders in flight when the lease ends.
@@ -259,6 +258,7 @@
     /// Offers a committed record from another host or the local log. `is_leader` states whether
     /// this host's replica applied it as the leader.
     pub(crate) fn offer_record(&self, record: &Record, from: &str, is_leader: bool) {
+        self.distributor.receive(record.revision);
         self.active_setup.offer(record, from, is_leader);
     }
 
@@ -282,7 +282,7 @@
         let evidence = hello.evidence.suspects;
         self.quarantine.merge(evidence, id.as_str());
         self.observe_evacuations(&id, &hello.evacuations);
-        self.observe_revision(id, hello.revision);
+        self.distributor.observe_revision(&id, hello.revision);
         // Changes that are made meanwhile are sent again with the next answer.
         let version = self.endpoints.version();
         let (news, endpoints_version) = match hello.endpoints {
@@ -322,55 +322,66 @@
         self.pool.apply_events(job_events);
     }
 
-    /// Records another host's active revision, and fetches it if it is higher.
-    fn observe_revision(self: &Arc<Self>, host: HostId, revision: u64) {
-        if self.distributor.observe_revision(revision) {
-            self.spawn(self.clone().fetch_record(host, revision));
+    /// Answers a request for a record newer than `above`.
+    pub(crate) fn answer_fetch(self: &Arc<Self>, host: &HostId, above: u64) -> Response {
+        let response = self.distributor.answer_fetch(host, above);
+        if let Response::Record(record) = &response {
+            let (distributor, host) = (self.distributor.clone(), host.clone());
+            let revision = record.revision;
+            self.spawn(async move {
+                sleep(BLOCKING_TIMEOUT).await;
+                distributor.finish_answer(&host, revision);
+            });
         }
+        response
     }
 
-    /// Fetches a record from the control host assigned to this one, which then does not send it
-    /// twice, or else from the host that reported the revision. The latter has just answered, so a
-    /// host without a setup asks it first. If both fail, other control hosts are asked while this host
-    /// is behind.
-    async fn fetch_record(self: Arc<Self>, host: HostId, revision: u64) {
-        let sender = self.distributor.sender().filter(|sender| *sender != host);
-        let targets = match sender {
-            Some(sender) if self.active_setup.revision() == 0 => vec![host.clone(), sender],
-            Some(sender) => vec![sender, host.clone()],
-            None => vec![host.clone()],
-        };
-        let started = self.clock.now();
-        let mut asked = 0;
-        while self.active_setup.revision() < revision && !self.drain.is_draining() {
-            // After the preferred ones, all live control hosts, in an order that differs by host.
-            let target = if let Some(target) = targets.get(asked) {
-                target.clone()
-            } else {
-                sleep(FETCH_PAUSE).await;
-                let control = self.hosts.control_hosts_by_hash();
-                match control.len() {
-                    0 => host.clone(),
-                    count => control[(asked - targets.len()) % count].clone(),
-                }
-            };
-            asked += 1;
-            if asked > targets.len() && self.clock.now() - started >= FETCH_DURATION {
-                break;
+    /// Fetches newer records from the hosts that the schedule names, until dropped.
+    async fn fetch_records(self: Arc<Self>) {
+        let mut requests = FuturesUnordered::new();
+        loop {
+            let now = self.clock.now();
+            if let Some(host) = self.distributor.next_fetch(now) {
+                requests.push(self.fetch_record(host));
+                continue;
             }
-            let channel = Channel::Setup;
-            let request = Request::Fetch {
-                above: self.active_setup.revision(),
-            };
-            let response = self
-                .send_request(&target, channel, &request, FETCH_TIMEOUT)
-                .await;
-            if matches!(response, Some(Response::Taken)) {
-                return;
+            if !self.distributor.is_fetching() {
+                requests.clear();
+            }
+            let due = self
+                .distributor
+                .next_fetch_due()
+                .unwrap_or(now + IDLE_FETCH_INTERVAL);
+            tokio::select! {
+                Some((host, answer)) = requests.next(), if !requests.is_empty() => {
+                    self.distributor.finish_fetch(self.clock.now(), &host, answer);
+                }
+                () = self.distributor.wait_for_change() => {}
+                () = sleep_until(self.clock.instant(due)) => {}
             }
-            info!(self.logger, "setup_not_fetched"; "event" => "setup_not_fetched",
-                "peer" => target.as_str(), "revision" => revision, "answered" => response.is_some());
         }
-        self.distributor.fetch_failed();
+    }
+
+    /// Requests the active record from a host and offers it.
+    async fn fetch_record(&self, host: HostId) -> (HostId, Answer) {
+        let above = self.distributor.received_revision();
+        let request = Request::Fetch { above };
+        let response = self
+            .send_request(&host, Channel::Setup, &request, ASK_TIMEOUT)
+            .await;
+        let is_answered = response.is_some();
+        let answer = match response {
+            Some(Response::Record(record)) => {
+                self.offer_record(&record, host.as_str(), false);
+                self.distributor.confirm(&host, record.revision);
+                Answer::Record(record.revision)
+            }
+            Some(Response::Busy) => Answer::Busy,
+            _ => Answer::Missing,
+        };
+        info!(self.logger, "setup_requested"; "event" => "setup_requested",
+            "peer" => host.as_str(), "above" => above, "answer" => ?answer,
+            "answered" => is_answered);
+        (host, answer)
     }
 }
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -287,7 +287,7 @@
         if evacuations.is_current {
             self.evacuations.suspension().record_news(sent.at_ms);
         }
-        self.observe_revision(id.clone(), revision);
+        self.distributor.observe_revision(&id, revision);
         if let Some(listing) = hosts {
             self.hosts.merge_listing(&id, listing);
         }
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -155,6 +155,7 @@
     running.tasks.spawn(gateway.clone().contact_control_hosts());
     running.tasks.spawn(gateway.clone().release_held_requests());
     running.tasks.spawn(gateway.clone().activate_records());
+    running.tasks.spawn(gateway.clone().fetch_records());
     running.tasks.spawn(gateway.clone().probe_paths());
     running.tasks.spawn(gateway.clone().apply_added_endpoints());
     running.tasks.spawn(gateway.clone().watch_suspension());
@@ -253,6 +254,7 @@
     });
     let active_setup = Arc::new(active_setup::Store::new(protocol.clone(), logger.clone()));
     let distributor = Distributor::new(
+        clock,
         hosts.clone(),
         client.clone(),
         active_setup.clone(),
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -49,6 +49,12 @@
             Ok(Notice::Departures(updates)) => {
                 gateway.broadcast_departures(updates, from.host.as_str());
             }
+            Ok(Notice::Revision(revision)) => {
+                gateway.distributor.observe_revision(&from.host, revision);
+            }
+            Ok(Notice::Received(revision)) => {
+                gateway.distributor.finish_answer(&from.host, revision);
+            }
             Err(error) => log_unreadable(&gateway, from, &error),
         }
     }
@@ -83,10 +89,7 @@
 async fn handle_request(gateway: &Arc<Gateway>, from: &Identity, request: Request) -> Response {
     match request {
         Request::Hello(hello) => gateway.answer_hello(hello),
-        Request::Fetch { above } if gateway.distributor.enqueue(&from.host, above) => {
-            Response::Taken
-        }
-        Request::Fetch { .. } => Response::Unavailable,
+        Request::Fetch { above } => gateway.answer_fetch(&from.host, above),
         Request::Record(record) => {
             gateway.offer_record(&record, from.host.as_str(), false);
             Response::Taken
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -165,7 +165,7 @@
         /// What the responder knows of evacuations.
         evacuations: Report,
     },
-    /// The message was accepted. In response to `Fetch`, the record follows as a separate request.
+    /// The message was accepted.
     Taken,
     /// The message was accepted, but these hosts did not acknowledge it.
     Unconfirmed(Vec<HostId>),
@@ -185,6 +185,11 @@
     NotLeader(Option<HostId>),
     /// The request cannot be answered now.
     Unavailable,
+    /// In response to `Fetch`: the active record.
+    Record(Record),
+    /// In response to `Fetch`: there is a newer record, but too many bytes are in flight, or a copy to
+    /// the requester.
+    Busy,
 }
 
 /// A one-way message to another host.
@@ -202,6 +207,10 @@
     /// Endpoints whose leaving the sender has learned from their responses, to be broadcast by the
     /// receiver, a control host, if it did not know.
     Departures(Vec<Update>),
+    /// The sender's active revision.
+    Revision(u64),
+    /// The sender has received the record of this revision in the receiver's answer.
+    Received(u64),
 }
 
 impl Notice {
--- a/crates/kumquatdrum_routes/src/lib.rs
+++ b/crates/kumquatdrum_routes/src/lib.rs
@@ -3,12 +3,13 @@
 //! A [`Setup`] holds routes, services and workspaces. [`validate`] reports its errors and [`Table`]
 //! indexes it. [`Register`] is the replicated state: the [`Record`] with the highest revision,
 //! whose text is stored as the operator sent it, and the [`evacuation`]s of data centres.
-//! [`distribution`] assigns the control host that
-//! sends a new record to each host.
+//! [`distribution`] assigns the control host that sends a new record to each host, and [`fetch`]
+//! decides whom a host asks that didn't get one.
 
 pub mod distribution;
 mod entry;
 pub mod evacuation;
+pub mod fetch;
 pub mod record;
 mod register;
 mod setup;
--- a/crates/kumquatdrum_routes/tests/distribution.rs
+++ b/crates/kumquatdrum_routes/tests/distribution.rs
@@ -134,3 +134,35 @@
         );
     }
 }
+
+/// Guards against a leader whose link is flooded by many hosts that request a large record at once.
+#[test]
+fn requested_records_are_bounded_together_with_sent_ones() {
+    const RECORD_BYTES: usize = 250_000;
+    const MAX_COPIES: usize = 8;
+    let hosts = hosts("entry", 1_009);
+    let mut queue = Queue::default();
+    queue.add(hosts.iter().take(100).cloned());
+    let sent = (0..3).filter_map(|_| queue.start_next(RECORD_BYTES));
+    assert_eq!(sent.count(), 3);
+    let mut answered = Vec::new();
+    answered.extend(
+        hosts
+            .iter()
+            .filter(|host| queue.start_answer(host, 7, RECORD_BYTES)),
+    );
+    assert_eq!(answered.len(), MAX_COPIES - 3);
+    assert_eq!(queue.start_next(RECORD_BYTES), None);
+    // The confirmation of an earlier revision frees nothing.
+    queue.finish_answer(answered[0], 6);
+    assert!(!queue.start_answer(&hosts[500], 7, RECORD_BYTES));
+    queue.finish_answer(answered[0], 7);
+    assert!(queue.start_answer(&hosts[500], 7, RECORD_BYTES));
+    // A host that was answered is no longer queued.
+    let mut rest = Vec::new();
+    queue.finish_answer(&hosts[500], 7);
+    while let Some(host) = queue.start_next(1) {
+        rest.push(host);
+    }
+    assert!(!rest.contains(answered[0]));
+}
