--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod evacuation;
 mod explain;
 mod fanout;
+mod fetch;
 mod helpers;
 mod idle;
 mod leaving;
--- a/crates/kumquatdrum_routes/src/lib.rs
+++ b/crates/kumquatdrum_routes/src/lib.rs
@@ -3,13 +3,15 @@
 //! A [`Setup`] holds routes, services and workspaces. [`validate`] reports its errors and [`Table`]
 //! indexes it. [`Register`] is the replicated state: the [`Record`] with the highest revision,
 //! whose text is stored as the operator sent it, and the [`evacuation`]s of data centres.
-//! [`distribution`] assigns the control host that
-//! sends a new record to each host; [`connection`] tells when an idle connection is closed.
+//! [`distribution`] assigns the control host that sends a new record to each host, and [`fetch`]
+//! decides whom a host asks that didn't get one. [`connection`] tells when an idle connection is
+//! closed.
 
 pub mod connection;
 pub mod distribution;
 mod entry;
 pub mod evacuation;
+pub mod fetch;
 pub mod record;
 mod register;
 mod setup;
