Gateway: a request without an answer when its host ends is answered 502

Callers whose request was still at an endpoint when their host ended saw the connection close without a word, 0.3 s before the end of the grace period.

Cause: what had been sent ran until the connections were aborted, and nothing gave it up before. Found by reading, in the table of waits.

Change: 0.2 s before the cut, a request without a response is answered 502, which promises nothing. A stream that has begun is cut as before.

stop::a_request_without_an_answer_when_its_host_ends_is_not_cut_without_a_word fails without the change.

--- a/crates/kumquatdrum/tests/gateway/stop.rs
+++ b/crates/kumquatdrum/tests/gateway/stop.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::sleep;
 
+use crate::caller::{Caller, Request};
 use crate::cluster::{Cluster, config};
 use crate::endpoint::{Behaviour, Endpoint};
 
@@ -40,3 +41,21 @@
         assert!(log.contains(event), "{event}: {log}");
     }
 }
+
+#[tokio::test]
+async fn a_request_without_an_answer_when_its_host_ends_is_not_cut_without_a_word() {
+    let mut cluster = Cluster::start(33);
+    cluster.apply(&config(1)).await;
+    let pause = Duration::from_secs(20);
+    let endpoint = Endpoint::start("i-1", Behaviour::CompleteStream { events: 1, pause }).await;
+    cluster.announce(&endpoint, "plain", "ready", 1).await;
+    cluster.wait_until_ready(3, &endpoint).await;
+    let mut caller = Caller::connect(cluster.callers(3)).await.expect("a host");
+    // The request's deadline passes after the host's end.
+    let request = Request::new("/unsafe/x", "at-1");
+    caller.send(&request).await.expect("the host reads");
+    cluster.signal(3, "-TERM");
+    assert_eq!(caller.receive().await.status(), 502);
+    assert_eq!(endpoint.runs(), 1);
+    assert_eq!(cluster.wait_for_exit(3).await, Some(0));
+}
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -81,7 +81,12 @@
         Ok(received) => {
             let mut call = received.into_call(&gateway, head, metadata, arrived);
             call.is_probe = call.try_probe();
-            run::run(Arc::new(call), work).await
+            let stopped = gateway.shutdown.wait_for_giving_up();
+            tokio::select! {
+                biased;
+                response = run::run(Arc::new(call), work) => response,
+                () = stopped => end_with_host(&gateway, &attempt_id, arrived),
+            }
         }
         Err(problem) => {
             let mut response = refuse(&gateway, &attempt_id, &problem, arrived);
@@ -263,6 +268,17 @@
     problem.response()
 }
 
+/// Returns the response to a request that an endpoint has not answered when this host ends.
+fn end_with_host(gateway: &Gateway, attempt_id: &str, arrived: Moment) -> Response<Body> {
+    let problem = Problem::Failed("this host stops".to_owned());
+    let end = "stopped";
+    gateway.metrics.ended.with_label_values(&[end]).inc();
+    info!(gateway.logger, "request_ended"; "event" => "request_ended", "request" => attempt_id,
+        "end" => end, "reason" => %problem,
+        "ms" => (gateway.clock.now() - arrived).as_millis() as u64);
+    problem.response()
+}
+
 impl Call {
     /// Returns whether the response is a stream of events.
     pub(crate) const fn is_stream(&self) -> bool {
--- a/crates/kumquatdrum_gateway/src/shutdown.rs
+++ b/crates/kumquatdrum_gateway/src/shutdown.rs
@@ -2,6 +2,7 @@
 
 use kumquatdrum_placement::Shutdown;
 use kumquatdrum_process::clock::Clock;
+use kumquatdrum_types::Moment;
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
@@ -33,12 +34,21 @@
 
     /// Waits until no request may wait any longer.
     pub async fn wait_for_end_of_waits(&self) {
+        self.wait_until(Shutdown::waits_end_at).await;
+    }
+
+    /// Waits until requests that were sent and have no response yet are given up.
+    pub async fn wait_for_giving_up(&self) {
+        self.wait_until(Shutdown::gives_up_at).await;
+    }
+
+    async fn wait_until(&self, moment: impl Fn(&Shutdown) -> Moment) {
         let mut planned = self.planned.subscribe();
         let planned = planned.wait_for(Option::is_some).await;
         // The sender is as old as the store, so the channel is open.
         let shutdown = planned.ok().and_then(|planned| *planned);
         if let Some(shutdown) = shutdown {
-            sleep_until(self.clock.instant(shutdown.waits_end_at())).await;
+            sleep_until(self.clock.instant(moment(&shutdown))).await;
         }
     }
 }
--- a/crates/kumquatdrum_placement/src/shutdown.rs
+++ b/crates/kumquatdrum_placement/src/shutdown.rs
@@ -10,6 +10,9 @@
 /// The time before the end at which the last waiting requests are refused, so that their callers get
 /// the refusal although the host and the network are busy.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// The time before the end at which requests that endpoints have not answered are given up, so that
+/// their callers get a response.
+const GIVE_UP_TIME: Duration = Duration::from_millis(200);
 /// The time that a request may take, in multiples of what is expected of an endpoint without other
 /// work.
 const LOAD_FACTOR: u32 = 2;
@@ -39,6 +42,19 @@
         self.ends_at.saturating_sub(REFUSAL_TIME)
     }
 
+    /// Returns when requests are given up that were sent and have no response yet.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::Shutdown;
+    /// use kumquatdrum_types::Moment;
+    ///
+    /// let shutdown = Shutdown::new(Moment::from_millis(8_000));
+    /// assert_eq!(shutdown.gives_up_at(), Moment::from_millis(7_800));
+    /// ```
+    pub fn gives_up_at(&self) -> Moment {
+        self.ends_at.saturating_sub(GIVE_UP_TIME)
+    }
+
     /// Returns whether a request that is expected to take this long, and ends at its deadline at the
     /// latest, may still wait or start.
     ///
