Listener: a request behind another one is served when its host stops

Cause: hyper closes a connection after the current response once it is told to shut down, whatever has arrived behind it, and the head of that response has gone out without `Connection: close`.

Change: hyper isn't told any more. The host closes a connection when it is idle, which one with a part of a request behind the current one is not; each response from then on says that the connection closes.

--- a/crates/kumquatdrum_gateway/src/listener/connection.rs
+++ b/crates/kumquatdrum_gateway/src/listener/connection.rs
@@ -2,12 +2,11 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{Method, Request, Response, StatusCode, Version};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -55,6 +54,7 @@
         gateway: gateway.clone(),
         handler,
         peer: stream.peer_addr().ok(),
+        phase: phase.clone(),
         progress: progress.clone(),
         ends_response: Arc::default(),
     };
@@ -73,10 +73,6 @@
             Action::Close => break End::Idle,
             Action::Refuse => break End::SlowHead,
         };
-        // hyper closes a connection at once that is idle but for a part of a head.
-        if is_stopping && standing == Standing::Busy {
-            Pin::new(&mut connection).graceful_shutdown();
-        }
         tokio::select! {
             // What has arrived is read before the time is looked at.
             biased;
@@ -104,6 +100,7 @@
     gateway: Arc<Gateway>,
     handler: H,
     peer: Option<SocketAddr>,
+    phase: watch::Receiver<Phase>,
     progress: Progress,
     /// Whether only the end of the connection marks the end of the response.
     ends_response: Arc<AtomicBool>,
@@ -125,6 +122,7 @@
         request.extensions_mut().insert(self.progress.clone());
         let (gateway, progress) = (self.gateway.clone(), self.progress.clone());
         let ends_response = self.ends_response.clone();
+        let phase = self.phase.clone();
         let (version, method) = (request.version(), request.method().clone());
         let answer = (self.handler)(gateway.clone(), request);
         async move {
@@ -133,7 +131,11 @@
                     "request" => progress.snapshot().request);
                 gateway.metrics.ended.with_label_values(&["panicked"]).inc();
             });
-            let response = response.await?;
+            let mut response = response.await?;
+            if *phase.borrow() == Phase::Closing {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             let is_streamed = response.body().size_hint().exact().is_none();
             let has_no_chunks =
                 version == Version::HTTP_10 || response.version() == Version::HTTP_10;
