--- a/crates/kumquatdrum/tests/gateway/answer_soak/call.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak/call.rs
@@ -21,8 +21,8 @@
 const MAX_STOP: Duration = Duration::from_millis(8_500);
 /// The longest a caller may be idle, four fifths of the lowered idle timeout.
 const MAX_IDLE: Duration = Duration::from_millis(LOWERED_IDLE_MS / 5 * 4);
-/// The failures that are printed in full.
-const MAX_HISTORIES: usize = 12;
+/// The failures of a kind that are printed in full.
+const MAX_HISTORIES: usize = 2;
 
 /// A request that a caller has sent, and what became of it.
 #[derive(Debug)]
@@ -174,19 +174,18 @@
     events.collect::<String>().into_bytes()
 }
 
-/// Returns how often each kind of failure was seen, and the first failures in full.
+/// Returns how often each kind of failure was seen, and the first of each kind in full.
 pub fn summarize(failures: &[String]) -> String {
-    let mut kinds = BTreeMap::<&str, usize>::new();
+    let mut kinds = BTreeMap::<&str, Vec<&str>>::new();
     for failure in failures {
-        *kinds
-            .entry(failure.lines().next().unwrap_or_default())
-            .or_default() += 1;
+        let (kind, _) = failure.split_once('\n').unwrap_or((failure, ""));
+        kinds.entry(kind).or_default().push(failure);
     }
-    let histories = failures.iter().take(MAX_HISTORIES);
-    let histories: Vec<_> = histories.map(String::as_str).collect();
-    format!(
-        "{} failures: {kinds:#?}\n{}",
-        failures.len(),
-        histories.join("\n")
-    )
+    let mut text = format!("{} failures", failures.len());
+    for (kind, histories) in kinds {
+        let first = histories.iter().take(MAX_HISTORIES).copied();
+        let first: Vec<_> = first.collect();
+        text += &format!("\n\n{kind}: {}\n{}", histories.len(), first.join("\n"));
+    }
+    text
 }
