--- a/crates/kumquatdrum/tests/gateway/answer_phases.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_phases.rs
@@ -380,6 +380,7 @@
     Call {
         is_whole: sent.is_ok(),
         limit: Duration::from_millis(request.deadline_ms),
+        before: String::new(),
         idle: Duration::ZERO,
         host: HOST,
         path: path.to_owned(),
--- a/crates/kumquatdrum/tests/gateway/answer_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak.rs
@@ -333,6 +333,7 @@
             continue;
         };
         let (mut is_open, mut idle_since) = (true, Instant::now());
+        let mut before = String::new();
         while is_open && !soak.is_over() {
             count += 1;
             let name = format!("at-{seed}-{number}-{count}");
@@ -340,11 +341,15 @@
             let idle = idle_since.elapsed();
             let mut calls = run_exchange(&mut caller, &mut random, host, &name).await;
             calls[0].idle = idle;
+            calls[0].before = std::mem::take(&mut before);
             idle_since = Instant::now();
             is_open = calls.iter().all(|call| match &call.end {
                 Some(End::Answered(answer)) => !answer.head.contains("connection: close"),
                 _ => false,
             });
+            if let Some(last) = calls.last() {
+                before = format!("{} {} {}", last.path, last.way, last.describe_end());
+            }
             soak.calls.lock().extend(calls);
             if is_open {
                 let idle_ms = if one_in(&mut random, 12) { 1_500 } else { 60 };
@@ -466,6 +471,7 @@
     Call {
         is_whole: sent.is_ok(),
         limit: Duration::from_millis(request.deadline_ms),
+        before: String::new(),
         idle: Duration::ZERO,
         attempt,
         host,
--- a/crates/kumquatdrum/tests/gateway/answer_soak/call.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak/call.rs
@@ -36,6 +36,8 @@
     pub is_whole: bool,
     /// The time that the caller gives it.
     pub limit: Duration,
+    /// The previous request on the connection.
+    pub before: String,
     /// How long the caller had been idle before.
     pub idle: Duration,
     pub ended_at: Instant,
@@ -96,6 +98,14 @@
         }
     }
 
+    /// Returns the end with the head of an answer.
+    pub fn describe_end(&self) -> String {
+        match &self.end {
+            Some(End::Answered(answer)) => format!("{} {:?}", answer.status, answer.head),
+            end => format!("{end:?}"),
+        }
+    }
+
     fn may_be_cut(&self, stops: &[(usize, Instant)]) -> bool {
         let is_overdue = self.ended_at + ANSWER_RESERVE >= self.sent_at + self.limit;
         let is_cut_by_stop = stops.iter().any(|(host, at)| {
@@ -121,19 +131,18 @@
             let stops: Vec<_> = stops
                 .map(|(_, at)| self.sent_at.saturating_duration_since(*at))
                 .collect();
-            let end = match &self.end {
-                Some(End::Answered(answer)) => format!("{} {:?}", answer.status, answer.head),
-                end => format!("{end:?}"),
-            };
             format!(
-                "{reason}\n  {} to host {}, {}, {}\n  whole: {}, ended {:?} after it was sent, \
-                 {runs} runs, sent {stops:?} after a stop\n  {end}\n  {}",
+                "{reason}\n  idle {:?}, before: {}\n  {} to host {}, {}, {}\n  whole: {}, ended {:?} after it was sent, \
+                 {runs} runs, sent {stops:?} after a stop\n  {}\n  {}",
+                self.idle,
+                self.before,
                 self.attempt,
                 self.host,
                 self.path,
                 self.way,
                 self.is_whole,
                 self.ended_at - self.sent_at,
+                self.describe_end(),
                 lines.join("\n  ")
             )
         })
