--- a/crates/kumquatdrum/tests/gateway/answer_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak.rs
@@ -339,10 +339,11 @@
             let name = format!("at-{seed}-{number}-{count}");
             let host = CONTROL_HOSTS + host;
             let idle = idle_since.elapsed();
-            let mut calls = run_exchange(&mut caller, &mut random, host, &name).await;
+            let (mut calls, read_late) = run_exchange(&mut caller, &mut random, host, &name).await;
             calls[0].idle = idle;
             calls[0].before = std::mem::take(&mut before);
-            idle_since = Instant::now();
+            // For the host, a caller that reads late has been idle meanwhile.
+            idle_since = Instant::now() - read_late;
             is_open = calls.iter().all(|call| match &call.end {
                 Some(End::Answered(answer)) => !answer.head.contains("connection: close"),
                 _ => false,
@@ -361,13 +362,14 @@
     }
 }
 
-/// Sends one request, or two one behind the other, and waits for their ends or leaves.
+/// Sends one request, or two one behind the other, and waits for their ends or leaves. Returns them,
+/// and how late they were read.
 async fn run_exchange(
     caller: &mut Caller,
     random: &mut Pcg32,
     host: usize,
     name: &str,
-) -> Vec<Call> {
+) -> (Vec<Call>, Duration) {
     let leaves_after_ms = one_in(random, 25).then(|| u64::from(random.next_u32() % 1_000));
     let reads_after_ms = one_in(random, 10).then(|| u64::from(random.next_u32() % 1_500));
     let count = 1 + usize::from(one_in(random, 8));
@@ -381,12 +383,14 @@
         for call in &mut calls {
             call.ended_at = Instant::now();
         }
-        return calls;
+        return (calls, Duration::ZERO);
     }
+    let mut read_late = Duration::ZERO;
     if let Some(delay) = reads_after_ms
         && !caller.ends_within(LOSS_SLACK).await
     {
-        sleep(Duration::from_millis(delay)).await;
+        read_late = Duration::from_millis(delay);
+        sleep(read_late).await;
     }
     let mut is_behind_close = false;
     for call in &mut calls {
@@ -399,7 +403,7 @@
         };
         call.end = Some(end);
     }
-    calls
+    (calls, read_late)
 }
 
 /// Sends a random request in a random way.
