--- a/crates/kumquatdrum/tests/gateway/answer_soak/call.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak/call.rs
@@ -194,7 +194,8 @@
     for (kind, histories) in kinds {
         let first = histories.iter().take(MAX_HISTORIES).copied();
         let first: Vec<_> = first.collect();
-        text += &format!("\n\n{kind}: {}\n{}", histories.len(), first.join("\n"));
+        let count = histories.len();
+        text = format!("{text}\n\n{kind}: {count}\n{}", first.join("\n"));
     }
     text
 }
