Listener: the end of a refused request's body is not taken for that of the next one

What callers saw: a caller that sent the last part of a refused request's body together with the head of the next request, whose body came later, got an unasked 408 on its idle connection after the limit of a head.

Cause: hyper hands over the end of a body and the next head in one go, so that the task that drops the rest of the refused body recorded its end for the next request. Found by a review of the mends.

Change: each request has a number, and who records something for one that is over is not heard. A refusal that was not sent is no longer logged as `unread`; an answer without a body no longer makes a connection one that is reset.

the_end_of_a_refused_request_is_not_taken_for_that_of_the_next failed before: 408 in place of 200.

--- a/crates/kumquatdrum/tests/gateway/early_answer.rs
+++ b/crates/kumquatdrum/tests/gateway/early_answer.rs
@@ -184,6 +184,33 @@
     }
 }
 
+#[tokio::test]
+async fn the_end_of_a_refused_request_is_not_taken_for_that_of_the_next() {
+    let (cluster, endpoint) = start(34).await;
+    let refused = Request {
+        body_bytes: 2_000,
+        ..Request::new("/none/x", "at-refused")
+    };
+    let next = Request {
+        body_bytes: 2_000,
+        ..Request::new("/safe/x", "at-next")
+    };
+    let mut caller = Caller::connect(cluster.callers(3)).await.expect("a host");
+    let begun = [refused.head().as_bytes(), &[b'x'; 1_000]].concat();
+    caller.write(&begun).await.expect("the host reads");
+    assert_eq!(caller.receive().await.status(), 404);
+    let rest = [&[b'x'; 1_000], next.head().as_bytes()].concat();
+    caller.write(&rest).await.expect("the host reads on");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    caller.write(&[b'x'; 2_000]).await.expect("the host reads");
+    assert_eq!(caller.receive().await.status(), 200);
+    // Longer than the limit of a head.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let third = caller.call(&Request::new("/safe/x", "at-third")).await;
+    assert_eq!(third.status(), 200, "{third:?}");
+    assert_eq!(endpoint.runs(), 2);
+}
+
 #[tokio::test]
 async fn a_host_does_not_read_a_refused_request_without_end() {
     let (cluster, _endpoint) = start(10).await;
--- a/crates/kumquatdrum_gateway/src/listener/connection.rs
+++ b/crates/kumquatdrum_gateway/src/listener/connection.rs
@@ -26,7 +26,7 @@
 use crate::sockets::{self, Connection};
 
 /// The interval at which a stopping host checks whether a connection is idle.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The response to a request whose head takes too long.
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -43,7 +43,7 @@
     H: Fn(Arc<Gateway>, Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
 {
-    if let Err(error) = sockets::set_liveness_timeouts(&stream, sockets::UNREAD_TIMEOUT) {
+    if let Err(error) = sockets::set_liveness_timeouts(&stream) {
         warn!(gateway.logger, "socket_refused"; "event" => "socket_refused", "reason" => %error);
         return;
     }
@@ -118,9 +118,9 @@
         if let Some(peer) = self.peer {
             request.extensions_mut().insert(Peer(peer));
         }
-        self.progress.record_head(request.body().is_end_stream());
-        request.extensions_mut().insert(self.progress.clone());
-        let (gateway, progress) = (self.gateway.clone(), self.progress.clone());
+        let progress = self.progress.record_head(request.body().is_end_stream());
+        request.extensions_mut().insert(progress.clone());
+        let gateway = self.gateway.clone();
         let ends_response = self.ends_response.clone();
         let phase = self.phase.clone();
         let (version, method) = (request.version(), request.method().clone());
@@ -139,12 +139,13 @@
             let is_streamed = response.body().size_hint().exact().is_none();
             let has_no_chunks =
                 version == Version::HTTP_10 || response.version() == Version::HTTP_10;
-            ends_response.store(is_streamed && has_no_chunks, Ordering::Relaxed);
             let is_bodiless = method == Method::HEAD
                 || matches!(
                     response.status(),
                     StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
                 );
+            let ends_with_connection = is_streamed && has_no_chunks && !is_bodiless;
+            ends_response.store(ends_with_connection, Ordering::Relaxed);
             let idle_limit = gateway.limits().idle_timeout;
             Ok(response.map(|body| progress.track(body, !is_bodiless, idle_limit)))
         }
--- a/crates/kumquatdrum_gateway/src/listener/progress.rs
+++ b/crates/kumquatdrum_gateway/src/listener/progress.rs
@@ -71,11 +71,15 @@
 #[derive(Debug, Clone)]
 pub struct Progress {
     clock: Clock,
+    /// The number of the request that this handle stands for.
+    number: u64,
     state: Arc<Mutex<State>>,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    /// The number of the current request.
+    number: u64,
     /// When the connection became idle, and the idle limit in force then.
     idle_since: Moment,
     idle_limit: Duration,
@@ -104,37 +108,53 @@
         };
         Self {
             clock,
+            number: 0,
             state: Arc::new(Mutex::new(state)),
         }
     }
 
-    /// Records the head of a request. `has_body` states whether its body has arrived, too.
-    pub(super) fn record_head(&self, has_body: bool) {
+    /// Records the head of a request and returns the handle for it. `has_body` states whether its body
+    /// has arrived, too.
+    pub(super) fn record_head(&self, has_body: bool) -> Self {
         let mut state = self.state.lock();
         *state = State {
+            number: state.number + 1,
             idle_limit: state.idle_limit,
             request: Some(String::new()),
             has_body,
             bytes_read: state.bytes_read,
             ..State::default()
         };
+        Self {
+            number: state.number,
+            ..self.clone()
+        }
     }
 
     /// Records the caller's id of the request.
     pub(crate) fn record_id(&self, id: &str) {
-        self.state.lock().request = Some(id.to_owned());
+        self.update(|state| state.request = Some(id.to_owned()));
     }
 
     /// Records that the request's body has arrived entirely.
     pub(crate) fn record_body(&self) {
-        let mut state = self.state.lock();
-        state.has_body = true;
-        state.end_request(self.clock.now());
+        self.update(|state| {
+            state.has_body = true;
+            state.end_request(self.clock.now());
+        });
     }
 
     /// Records that the caller's connection broke before the request's body had arrived entirely.
     pub(crate) fn record_abandoned(&self) {
-        self.state.lock().is_abandoned = true;
+        self.update(|state| state.is_abandoned = true);
+    }
+
+    /// Changes the state unless another request has begun.
+    fn update(&self, change: impl FnOnce(&mut State)) {
+        let mut state = self.state.lock();
+        if state.number == self.number {
+            change(&mut state);
+        }
     }
 
     /// Records received bytes.
@@ -165,10 +185,10 @@
     /// Returns a body of a response that records its end. `is_sent` states whether the connection
     /// sends the body, and not the head alone. `idle_limit` is the one in force.
     pub(super) fn track(&self, body: Body, is_sent: bool, idle_limit: Duration) -> Tracked {
-        let mut state = self.state.lock();
-        state.has_response = true;
-        state.idle_limit = idle_limit;
-        drop(state);
+        self.update(|state| {
+            state.has_response = true;
+            state.idle_limit = idle_limit;
+        });
         Tracked {
             body,
             progress: self.clone(),
@@ -205,7 +225,7 @@
         let phase = match (&state.request, state.has_body) {
             (None, _) if state.bytes_read == 0 => Phase::Idle,
             (None, _) => Phase::Head,
-            (Some(_), false) if state.is_response_complete => Phase::Unread,
+            (Some(_), false) if state.is_response_sent => Phase::Unread,
             (Some(_), _) if state.has_response => Phase::Response,
             (Some(_), false) => Phase::Body,
             (Some(_), true) => Phase::Waiting,
@@ -225,6 +245,7 @@
     fn end_request(&mut self, now: Moment) {
         if self.is_response_sent && self.has_body {
             *self = Self {
+                number: self.number,
                 idle_since: now,
                 idle_limit: self.idle_limit,
                 has_served: true,
@@ -272,7 +293,8 @@
     fn drop(&mut self) {
         // A body of known length is not polled to its end.
         if self.has_ended || self.body.is_end_stream() {
-            self.progress.state.lock().is_response_complete = true;
+            let progress = &self.progress;
+            progress.update(|state| state.is_response_complete = true);
         }
     }
 }
