Gateway: the bound on reading a refused body follows the limit on bodies

A 413 by its length was lost if the limit on bodies was 4 MiB or more, as no more than that was read on. The bound is now twice the limit, 4 MiB at least.

--- a/crates/kumquatdrum_gateway/src/call/unread.rs
+++ b/crates/kumquatdrum_gateway/src/call/unread.rs
@@ -12,8 +12,8 @@
 use crate::body::Body;
 use crate::listener::Progress;
 
-/// The maximum number of bytes that are read on.
-const MAX_BYTES: u64 = 4 << 20;
+/// The maximum number of bytes that are read on, if twice the limit on a body isn't more.
+const MIN_MAX_BYTES: u64 = 4 << 20;
 /// The maximum time for which they are read.
 const MAX_TIME: Duration = Duration::from_secs(10);
 
@@ -29,29 +29,30 @@
     if body.is_end_stream() {
         return;
     }
+    let max_bytes = MIN_MAX_BYTES.max(gateway.limits().body_bytes as u64 * 2);
     // Reading would tell the caller to send the body.
     let is_sent = !head.headers.contains_key(header::EXPECT);
-    if !is_sent || body.size_hint().lower() > MAX_BYTES {
+    if !is_sent || body.size_hint().lower() > max_bytes {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
         return;
     }
     let progress = head.extensions.get::<Progress>().cloned();
     gateway.spawn(async move {
-        let has_ended = timeout(MAX_TIME, read_to_end(body)).await;
+        let has_ended = timeout(MAX_TIME, read_to_end(body, max_bytes)).await;
         if let (Ok(true), Some(progress)) = (has_ended, progress) {
             progress.record_body();
         }
     });
 }
 
-/// Drops the bytes of a body, and returns whether it has ended within [`MAX_BYTES`].
-async fn read_to_end(mut body: Incoming) -> bool {
+/// Drops the bytes of a body, and returns whether it has ended within a number of them.
+async fn read_to_end(mut body: Incoming, max_bytes: u64) -> bool {
     let mut bytes = 0;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return false };
         bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
-        if bytes > MAX_BYTES {
+        if bytes > max_bytes {
             return false;
         }
     }
