Gateway: calls to a control host that stops are answered

What operators and endpoints saw: a call under way when its control host got SIGTERM ended without a word 0.3 to 0.6 s later, while it waited for the leader.

Cause: the listeners for operators, endpoints and health checks were told to close and aborted in the same moment.

Change: they are closed as callers' listeners are, and joined for as long as a leader is waited for, before the replica and the connections to other hosts end.

stop::an_operators_call_under_way_when_a_control_host_stops_... passes.

--- a/crates/kumquatdrum/tests/gateway/stop.rs
+++ b/crates/kumquatdrum/tests/gateway/stop.rs
@@ -59,3 +59,22 @@
     assert_eq!(endpoint.runs(), 1);
     assert_eq!(cluster.wait_for_exit(3).await, Some(0));
 }
+
+#[tokio::test]
+async fn an_operators_call_under_way_when_a_control_host_stops_is_not_cut_without_a_word() {
+    let mut cluster = Cluster::start(35);
+    cluster.apply(&config(1)).await;
+    for host in [1, 2] {
+        cluster.signal(host, "-STOP");
+    }
+    let next = config(2);
+    let (answer, ()) = tokio::join!(
+        cluster.call_control(0, "/-/Config.Replace", Some(&next)),
+        async {
+            sleep(Duration::from_millis(300)).await;
+            cluster.signal(0, "-TERM");
+        }
+    );
+    assert!(answer.is_some(), "{}", cluster.read_log(0));
+    assert_eq!(cluster.wait_for_exit(0).await, Some(0));
+}
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -28,7 +28,7 @@
 /// The timeout for a response from one replica.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(900);
 /// The timeout for a response from the leader; covers an election.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(2_800);
+pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// The delay before the replicas are tried again after none answered as the leader.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -104,11 +104,15 @@
                     "under_way" => gateway.drain.in_flight());
             }
         }
+        // Operators' and endpoints' calls need the replica and the other hosts until they are answered.
+        self.auxiliary_phase.send_replace(Phase::Closing);
+        let remaining = (ends_at - gateway.clock.now()).min(control::LEADER_TIMEOUT);
+        let joined = async { while self.auxiliary.join_next().await.is_some() {} };
+        let _ = timeout(remaining, joined).await;
         let mut background = std::mem::take(&mut *gateway.background.lock());
         let joined = async { while background.join_next().await.is_some() {} };
         let _ = timeout(CLEANUP_TIME, joined).await;
         self.stopped.send_replace(true);
-        self.auxiliary_phase.send_replace(Phase::Closing);
         self.callers.shutdown().await;
         self.auxiliary.shutdown().await;
         self.tasks.shutdown().await;
