Gateway: a large answer clears its request of a crash

An answer of more than 256 KiB is passed on as it arrives since it is no longer held whole, and its end was not recorded: a sound request that had been in flight at a crash stayed a suspect.

--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -189,11 +189,13 @@
         let content = if held.is_complete {
             Content::Whole(held.bytes)
         } else {
+            let (quarantine, identity) = (self.gateway.quarantine.clone(), self.identity().clone());
             let rest = Rest {
                 exchange,
                 upstream: self.gateway.upstream.clone(),
                 endpoint: pick.endpoint.clone(),
                 deadline: self.deadline_instant(),
+                on_completion: Box::new(move || quarantine.record_completion(|| identity)),
             };
             rest.into_content(held.bytes)
         };
--- a/crates/kumquatdrum_gateway/src/call/held.rs
+++ b/crates/kumquatdrum_gateway/src/call/held.rs
@@ -2,10 +2,11 @@
 //! A large one is passed on as it arrives.
 
 use bytes::{Bytes, BytesMut};
-use futures::stream;
+use futures::{TryStreamExt, stream};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use kumquatdrum_registry::Announcement;
+use kumquatdrum_response::Completeness;
 use parking_lot::Mutex;
 use tokio::time::{Instant, timeout_at};
 
@@ -56,6 +57,8 @@
     pub(super) upstream: Upstream,
     pub(super) endpoint: Announcement,
     pub(super) deadline: Instant,
+    /// Called if the answer turns out to be complete.
+    pub(super) on_completion: Box<dyn FnOnce() + Send>,
 }
 
 impl Rest {
@@ -64,26 +67,41 @@
         let state = Some((Some(held), self));
         let frames = stream::unfold(state, |state| async move {
             let (held, mut rest) = state?;
-            match held {
-                Some(held) => Some((Ok(Frame::data(held)), Some((None, rest)))),
-                None => match rest.next().await? {
-                    Ok(frame) => Some((Ok(frame), Some((None, rest)))),
-                    Err(error) => Some((Err(error), None)),
-                },
+            if let Some(held) = held {
+                return Some((Ok(held), Some((None, rest))));
+            }
+            match rest.next().await {
+                Some(Ok(data)) => Some((Ok(data), Some((None, rest)))),
+                Some(Err(error)) => Some((Err(error), None)),
+                None => {
+                    if rest.exchange.framing.completeness() == Completeness::Complete {
+                        (rest.on_completion)();
+                    }
+                    None
+                }
             }
         });
+        let frames = frames.map_ok(Frame::data);
         Content::Begun(Mutex::new(StreamBody::new(frames).boxed_unsync()))
     }
 
-    async fn next(&mut self) -> Option<Result<Frame<Bytes>, body::Error>> {
-        let frame = self.exchange.response.body_mut().frame();
-        match timeout_at(self.deadline, frame).await {
-            Ok(Some(Err(error))) => {
-                self.upstream.record_broken(&self.exchange, &self.endpoint);
-                Some(Err(error))
+    /// Returns the next bytes, and none of the trailers.
+    async fn next(&mut self) -> Option<Result<Bytes, body::Error>> {
+        loop {
+            let frame = self.exchange.response.body_mut().frame();
+            match timeout_at(self.deadline, frame).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Ok(Some(Err(error))) => {
+                    self.upstream.record_broken(&self.exchange, &self.endpoint);
+                    return Some(Err(error));
+                }
+                Ok(None) => return None,
+                Err(_) => return Some(Err("the time is up".into())),
             }
-            Ok(frame) => frame,
-            Err(_) => Some(Err("the time is up".into())),
         }
     }
 }
