--- a/crates/kumquatdrum/src/explain/timeline.rs
+++ b/crates/kumquatdrum/src/explain/timeline.rs
@@ -58,6 +58,15 @@
                 }
             };
         };
+        let outcome = self.outcome(end);
+        match self.lost_answer() {
+            Some(line) => format!("{outcome}; {}", describe_connection(line)),
+            None => outcome,
+        }
+    }
+
+    /// Describes how the host ended the request.
+    fn outcome(&self, end: &Line) -> String {
         let reason = end.get("reason");
         match (end.event(), end.get("end")) {
             ("request_refused", _) => {
@@ -65,10 +74,7 @@
                 format!("not sent: {reason} (the host was at revision {revision})")
             }
             ("request_panicked", _) => "answered 500: the host failed internally".to_owned(),
-            (_, "streamed" | "answered") => match self.lost_answer() {
-                Some(line) => format!("answered: {reason}; {}", describe_connection(line)),
-                None => format!("answered: {reason}"),
-            },
+            (_, "streamed" | "answered") => format!("answered: {reason}"),
             _ => match self.last_failure() {
                 Some(attempt) => format!(
                     "{reason}; last failed attempt: endpoint {} at {}, {}: {}",
@@ -119,7 +125,7 @@
     let cause = match line.get("cause") {
         "caller" => "its caller closed it",
         "timeout" => "its caller was silent for too long",
-        "unacknowledged" => "its caller did not take the response",
+        "unacknowledged" => "its caller no longer acknowledged, or did not read",
         "response" => "the response broke off",
         "invalid" => "its caller sent no valid HTTP",
         "stopped" => "the host stopped",
--- a/crates/kumquatdrum_gateway/src/listener.rs
+++ b/crates/kumquatdrum_gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use slog::warn;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -75,15 +76,33 @@
             () = wait_for_closing(&mut closing) => break,
         }
     }
-    // A connection that waits to be accepted when the listener is closed is reset.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    // Connections that wait to be accepted when the listener is closed are reset.
+    for stream in accept_waiting(listener) {
         let connection = serve_connection(gateway.clone(), stream, phase.clone(), handler.clone());
         connections.spawn(connection);
     }
-    drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+/// Closes a listener, and returns the connections that had been established.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut streams = Vec::new();
+    loop {
+        let accepted = listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => streams.push(stream),
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            Err(_) => return streams,
+        }
+    }
+}
+
 /// Awaits the response of a handler. If it panics, calls `on_panic` and responds that the host failed.
 pub async fn catch_panic<E>(
     answer: impl Future<Output = Result<Response<Body>, E>>,
--- a/crates/kumquatdrum_gateway/src/sockets.rs
+++ b/crates/kumquatdrum_gateway/src/sockets.rs
@@ -18,10 +18,10 @@
 /// The maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// The maximum time that sent data may stay unacknowledged. It allows for several retransmissions.
-pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// As [`UNACKNOWLEDGED_TIMEOUT`], for a peer that may read late: the operating system does not tell a
-/// peer whose receive buffer is full from one that does not respond.
-pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// As [`UNACKNOWLEDGED_TIMEOUT`], once a caller has been sent a response, which it may read late: the
+/// operating system does not tell a peer whose receive buffer is full from one that does not respond.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// The idle time before the first keepalive probe, and the interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection is closed.
@@ -33,9 +33,8 @@
 /// The maximum time without any of them.
 const MAX_LINGER_SILENCE: Duration = Duration::from_secs(1);
 
-/// Sets the timeouts that close a connection to an unresponsive peer. `unacknowledged` is the maximum
-/// time that sent data may stay unacknowledged or unread.
-pub fn set_liveness_timeouts(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
+/// Sets the timeouts that close a connection to an unresponsive peer.
+pub fn set_liveness_timeouts(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -43,7 +42,11 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(unacknowledged))
+    set_unacknowledged_timeout(stream, UNACKNOWLEDGED_TIMEOUT)
+}
+
+fn set_unacknowledged_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(limit))
 }
 
 /// A caller's connection. It is reset unless it is shut down in order, if only its end marks the end
@@ -53,6 +56,7 @@
     stream: TcpStream,
     ends_response: Arc<AtomicBool>,
     is_reset_on_close: bool,
+    has_written: bool,
     progress: Progress,
 }
 
@@ -68,6 +72,7 @@
             stream,
             ends_response,
             is_reset_on_close: false,
+            has_written: false,
             progress,
         }
     }
@@ -101,7 +106,7 @@
 
     /// Drops received bytes until the caller closes, but not more than [`MAX_LINGER_BYTES`].
     async fn read_to_end(&mut self) {
-        let mut buffer = [0; 8 << 10];
+        let mut buffer = vec![0; 8 << 10];
         let mut bytes = 0;
         while bytes < MAX_LINGER_BYTES {
             match timeout(MAX_LINGER_SILENCE, self.stream.read(&mut buffer)).await {
@@ -118,10 +123,11 @@
     }
 
     fn prepare_write(&mut self) -> io::Result<()> {
-        if self.ends_response.load(Ordering::Relaxed) {
-            self.reset_on_close(true)?;
+        if !self.has_written {
+            self.has_written = true;
+            set_unacknowledged_timeout(&self.stream, UNREAD_TIMEOUT)?;
         }
-        Ok(())
+        self.reset_on_close(self.ends_response.load(Ordering::Relaxed))
     }
 }
 
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -476,7 +476,6 @@
             ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
             _ => Error::Unsent(error.to_string()),
         })?;
-    sockets::set_liveness_timeouts(&stream, sockets::UNACKNOWLEDGED_TIMEOUT)
-        .map_err(|error| Error::Unsent(error.to_string()))?;
+    sockets::set_liveness_timeouts(&stream).map_err(|error| Error::Unsent(error.to_string()))?;
     Ok(stream)
 }
--- a/crates/kumquatdrum_routes/src/connection.rs
+++ b/crates/kumquatdrum_routes/src/connection.rs
@@ -9,6 +9,11 @@
 /// How long a new connection of a stopping host may stay without a request.
 const MAX_FIRST_IDLE_TIME: Duration = Duration::from_millis(500);
 
+/// The minimum idle time of a connection, whatever the limits say.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(500);
+/// How long a busy connection is left alone.
+const BUSY_TIME: Duration = Duration::from_secs(5);
+
 /// What a connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -67,10 +72,11 @@
         } if is_stopping => (since + MAX_FIRST_IDLE_TIME, Action::Close),
         Standing::Idle { .. } if is_stopping => (now, Action::Close),
         Standing::Idle { since, limit, .. } => {
-            (since + limit.max(limits.idle_timeout), Action::Close)
+            let limit = limit.max(limits.idle_timeout).max(MIN_IDLE_TIME);
+            (since + limit, Action::Close)
         }
         Standing::Head { since } => (since + limits.header_timeout, Action::Refuse),
-        Standing::Busy => return Action::WaitUntil(now + limits.idle_timeout),
+        Standing::Busy => return Action::WaitUntil(now + BUSY_TIME),
     };
     if now >= until {
         ended
