--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -1,7 +1,6 @@
 //! A stand-in endpoint that answers correctly or with a given fault.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,6 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 mod endless;
+mod events;
 mod record;
 mod request;
 
@@ -396,11 +396,11 @@
             resumption,
         } => {
             if after > 0 {
-                pause(stream, resumption).await?;
+                events::pause(stream, resumption).await?;
             }
             let start = head("200 OK", attempt, events);
             stream.write_all(start.as_bytes()).await?;
-            send_paused_events(stream, after + 1..=6, last, silence).await
+            events::send_paused(stream, after + 1..=6, last, silence).await
         }
         Behaviour::TruncatedStream { after: last } => {
             let mut text = head("200 OK", attempt, events);
@@ -417,7 +417,7 @@
         } => {
             let start = head("200 OK", attempt, events);
             stream.write_all(start.as_bytes()).await?;
-            send_events(stream, after + 1..=last, pause, Duration::ZERO).await
+            events::send(stream, after + 1..=last, pause, Duration::ZERO).await
         }
         Behaviour::SilentStream {
             events: last,
@@ -426,59 +426,11 @@
         } => {
             let start = head("200 OK", attempt, events);
             stream.write_all(start.as_bytes()).await?;
-            send_events(stream, after + 1..=last, pause, silence).await
+            events::send(stream, after + 1..=last, pause, silence).await
         }
     }
 }
 
-/// Sends events after a pause before each, and a silence before the last, and the end of the stream.
-async fn send_events(
-    stream: &mut TcpStream,
-    events: RangeInclusive<u64>,
-    pause: Duration,
-    silence: Duration,
-) -> std::io::Result<()> {
-    let last = *events.end();
-    for event in events {
-        let text = chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
-        let pause = if event == last {
-            pause + silence
-        } else {
-            pause
-        };
-        tokio::select! {
-            () = sleep(pause) => stream.write_all(text.as_bytes()).await?,
-            closed = wait_for_close(stream) => return closed,
-        }
-    }
-    stream.write_all(b"0\r\n\r\n").await
-}
-
-/// Sends events with a silence after one of them, and the end of the stream.
-async fn send_paused_events(
-    stream: &mut TcpStream,
-    events: RangeInclusive<u64>,
-    last: u64,
-    silence: Duration,
-) -> std::io::Result<()> {
-    for event in events {
-        let text = chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
-        stream.write_all(text.as_bytes()).await?;
-        if event == last {
-            pause(stream, silence).await?;
-        }
-    }
-    stream.write_all(b"0\r\n\r\n").await
-}
-
-/// Waits, unless the connection is closed meanwhile.
-async fn pause(stream: &TcpStream, duration: Duration) -> std::io::Result<()> {
-    tokio::select! {
-        () = sleep(duration) => Ok(()),
-        closed = wait_for_close(stream) => closed,
-    }
-}
-
 async fn wait_for_close(stream: &TcpStream) -> std::io::Result<()> {
     loop {
         stream.readable().await?;
