--- a/crates/kumquatdrum/tests/gateway/answer_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak.rs
@@ -469,7 +469,7 @@
     let split = if one_in(random, 4) { head.len() / 2 } else { 0 };
     let sent = match split {
         0 => caller.send(&request).await,
-        _ => send_split(caller, &request, &head, split).await,
+        _ => caller.send_split(&request, split).await,
     };
     let now = Instant::now();
     Call {
@@ -487,19 +487,3 @@
         path,
     }
 }
-
-async fn send_split(
-    caller: &mut Caller,
-    request: &Request<'_>,
-    head: &str,
-    at: usize,
-) -> std::io::Result<()> {
-    caller.write(&head.as_bytes()[..at]).await?;
-    sleep(request.pause).await;
-    caller.write(&head.as_bytes()[at..]).await?;
-    for part in request.parts() {
-        sleep(request.pause).await;
-        caller.write(&part).await?;
-    }
-    Ok(())
-}
--- a/crates/kumquatdrum/tests/gateway/caller.rs
+++ b/crates/kumquatdrum/tests/gateway/caller.rs
@@ -170,6 +170,19 @@
         Ok(())
     }
 
+    /// Sends a request whose head comes in two parts.
+    pub async fn send_split(&mut self, request: &Request<'_>, at: usize) -> std::io::Result<()> {
+        let head = request.head();
+        self.write(&head.as_bytes()[..at]).await?;
+        sleep(request.pause).await;
+        self.write(&head.as_bytes()[at..]).await?;
+        for part in request.parts() {
+            sleep(request.pause).await;
+            self.write(&part).await?;
+        }
+        Ok(())
+    }
+
     pub async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.stream.write_all(bytes).await
     }
