--- a/crates/kumquatdrum/tests/gateway/endless.rs
+++ b/crates/kumquatdrum/tests/gateway/endless.rs
@@ -14,9 +14,8 @@
 /// The other requests beside those to endpoints without end.
 const OTHERS: usize = 50;
 const DEADLINE_MS: u64 = 3_000;
-/// The time after the deadline in which a request has to end: half a second, and more as the machine
-/// may be busy.
-const MAX_LATE: Duration = Duration::from_secs(2);
+/// The time after the deadline in which a request has to end.
+const MAX_LATE: Duration = Duration::from_millis(500);
 /// The resident memory that a host may have: the 64 MB that all of a host's work may take, and what
 /// one request may hold, by the config's `maxBodyBytes` and `maxHeaderBytes`. No page allows more for
 /// what an endpoint sends, so that it has to fit in, too.
