Test: hosts get a setup that its sender can't connect to, with real processes

A cluster of the real programs now connects through proxies, one for each direction of each pair, that refuse new connections and let the other direction live.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -12,9 +12,12 @@
 use tokio::time::{Instant, sleep};
 
 use crate::endpoint::Endpoint;
+use crate::links::Links;
 
 pub const CONTROL_HOSTS: usize = 3;
 pub const HOSTS: usize = 5;
+/// The port at which hosts connect to each other.
+const PEER_PORT: u16 = 7340;
 /// Timeout of every wait.
 const TIMEOUT: Duration = Duration::from_secs(40);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -30,6 +33,8 @@
     pub client: Client,
     folder: TempDir,
     subnet: u8,
+    /// Whether the hosts connect to each other through proxies.
+    has_links: bool,
     hosts: Vec<Option<Child>>,
 }
 
@@ -41,21 +46,39 @@
 
     /// Starts a cluster of the given size, spread evenly over three data centres.
     pub fn with_hosts(subnet: u8, hosts: usize) -> Self {
+        let mut cluster = Self::new(subnet, hosts, false);
+        cluster.start_all();
+        cluster
+    }
+
+    /// Starts a cluster like [`Self::start`], whose hosts connect to each other through proxies.
+    pub async fn with_links(subnet: u8) -> (Self, Links) {
+        let mut cluster = Self::new(subnet, HOSTS, true);
+        let address = |from: usize, to: usize| cluster.address(to, cluster.peer_port(from));
+        let links = Links::start(HOSTS, address).await;
+        cluster.start_all();
+        (cluster, links)
+    }
+
+    fn new(subnet: u8, hosts: usize, has_links: bool) -> Self {
         let client = Client::builder()
             .pool_max_idle_per_host(0)
             .build()
             .expect("a client");
         let folder = TempDir::new().expect("a folder");
-        let mut cluster = Self {
+        Self {
             client,
             folder,
             subnet,
+            has_links,
             hosts: (0..hosts).map(|_| None).collect(),
-        };
-        for host in 0..hosts {
-            cluster.start_host(host, true);
         }
-        cluster
+    }
+
+    fn start_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.start_host(host, true);
+        }
     }
 
     /// Starts a host. `can_form_cluster` allows a control host to form a new cluster.
@@ -87,7 +110,7 @@
             "name": format!("host-{host}"),
             "address": self.address(host, 0).ip().to_string(),
             "data_centre": format!("zone-{}", host % 3),
-            "peer_port": 7340,
+            "peer_port": self.peer_port(host),
             "seeds": seeds,
             "cluster": {"name": "test", "secret": "test"},
             "announcement_ms": 300,
@@ -113,7 +136,13 @@
 
     /// Returns the address at which other hosts connect to a host.
     pub fn peer_address(&self, host: usize) -> SocketAddr {
-        self.address(host, 7340)
+        self.address(host, self.peer_port(host))
+    }
+
+    /// Returns the port at which a host listens for others, and at which it connects to them: one of its
+    /// own with proxies.
+    fn peer_port(&self, host: usize) -> u16 {
+        PEER_PORT + if self.has_links { host as u16 } else { 0 }
     }
 
     pub fn data_path(&self, host: usize) -> PathBuf {
--- a/crates/kumquatdrum/tests/gateway/proxy.rs
+++ b/crates/kumquatdrum/tests/gateway/proxy.rs
@@ -32,6 +32,8 @@
 
 pub struct Proxy {
     pub address: SocketAddr,
+    target: SocketAddr,
+    processes: Vec<u32>,
     modes: Arc<Mutex<Modes>>,
     task: JoinHandle<()>,
 }
@@ -68,28 +70,51 @@
     /// Starts a proxy that can treat the connections of these processes differently.
     pub async fn for_processes(target: SocketAddr, processes: Vec<u32>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::with_listener(listener, target, processes)
+    }
+
+    /// Starts a proxy at an address.
+    pub async fn listen(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.expect("a free address");
+        Self::with_listener(listener, target, Vec::new())
+    }
+
+    fn with_listener(listener: TcpListener, target: SocketAddr, processes: Vec<u32>) -> Self {
         let address = listener.local_addr().expect("the listener's address");
         let modes = Arc::new(Mutex::new(Modes {
             usual: Mode::Pass,
             by_process: HashMap::new(),
         }));
-        let shared = modes.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((stream, peer)) = listener.accept().await {
-                let treatment = Treatment {
-                    modes: shared.clone(),
-                    process: owner(peer, address, &processes),
-                };
-                tokio::spawn(forward(stream, target, treatment));
-            }
-        });
+        let accepting = accept(listener, target, modes.clone(), processes.clone());
         Self {
             address,
+            target,
+            processes,
             modes,
-            task,
+            task: tokio::spawn(accepting),
         }
     }
 
+    /// Refuses new connections. Open ones live on.
+    pub fn refuse(&self) {
+        self.task.abort();
+    }
+
+    /// Accepts connections again after [`Self::refuse`].
+    pub async fn accept(&mut self) {
+        self.task.abort();
+        // The task holds the listener.
+        let _ = (&mut self.task).await;
+        let listener = TcpListener::bind(self.address).await.expect("the address");
+        let accepting = accept(
+            listener,
+            self.target,
+            self.modes.clone(),
+            self.processes.clone(),
+        );
+        self.task = tokio::spawn(accepting);
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         self.modes.lock().usual = mode;
     }
@@ -106,6 +131,22 @@
     }
 }
 
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    modes: Arc<Mutex<Modes>>,
+    processes: Vec<u32>,
+) {
+    let address = listener.local_addr().expect("the listener's address");
+    while let Ok((stream, peer)) = listener.accept().await {
+        let treatment = Treatment {
+            modes: modes.clone(),
+            process: owner(peer, address, &processes),
+        };
+        tokio::spawn(forward(stream, target, treatment));
+    }
+}
+
 /// Returns which of the processes owns the socket that connects `local` to `remote`.
 fn owner(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
     let inode = diagnosis::socket_inode(local, remote).ok()?;
