Endpoints: hosts learn of departures with each hello, also control hosts

What callers saw: none reported it. A control host that hears the others and can't connect to them acknowledged a leave request, and other hosts went on to send requests to the endpoint for more than the drain time.

Cause: the acknowledgement comes after 0.6 s without the hosts' confirmation, as hosts were to learn of the departure with their next hello. But a hello requests changed endpoints only of the first of two sources, of the second each 4 s, and control hosts request none of each other: all relied on the connections of the one that had accepted the request.

Change: each hello requests the departures since the last answer of the same control host, by its checkpoint. Rounds repeat departures no more.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -323,13 +323,26 @@
     /// Waits until a host takes callers and knows an endpoint.
     pub async fn wait_until_ready(&self, host: usize, endpoint: &Endpoint) {
         let until = Instant::now() + TIMEOUT;
-        let known = format!("endpoint={} event=endpoint_known", endpoint.id);
-        while !(self.is_ready(host).await && self.read_log(host).contains(&known)) {
+        while !(self.is_ready(host).await && self.knows(host, endpoint)) {
             assert!(Instant::now() < until, "not ready: {}", self.read_log(host));
             sleep(POLL_INTERVAL).await;
         }
     }
 
+    /// Waits until a host knows an endpoint.
+    pub async fn wait_until_known(&self, host: usize, endpoint: &Endpoint) {
+        let until = Instant::now() + TIMEOUT;
+        while !self.knows(host, endpoint) {
+            assert!(Instant::now() < until, "unknown: {}", self.read_log(host));
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn knows(&self, host: usize, endpoint: &Endpoint) -> bool {
+        let known = format!("endpoint={} event=endpoint_known", endpoint.id);
+        self.read_log(host).contains(&known)
+    }
+
     /// Waits until a control host has stored all that it has logged about an endpoint.
     pub async fn wait_until_stored(&self, host: usize, endpoint: &Endpoint) {
         let until = Instant::now() + TIMEOUT;
--- a/crates/kumquatdrum/tests/gateway/connect_back.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back.rs
@@ -2,15 +2,22 @@
 
 use std::time::Duration;
 
+use reqwest::StatusCode;
+use serde_json::json;
 use tokio::time::{Instant, sleep};
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
+use crate::endpoint::{Behaviour, Endpoint};
 
 /// The time in which an accepted setup is in force on hosts in touch.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
+/// The time after an acknowledged leave request from which the endpoint gets no requests.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// The time in which a host that was restarted is ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which a caller sends requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Guards against a record that counts as delivered although its sender can't connect to the host.
 #[tokio::test]
@@ -41,3 +48,50 @@
         links.join(sender).await;
     }
 }
+
+/// Guards against a leave request that is acknowledged by a control host which can't connect to any host, and
+/// that others learn of too late.
+#[tokio::test]
+async fn an_endpoint_gets_no_requests_after_it_left_at_a_host_that_connects_to_none() {
+    let (cluster, mut links) = Cluster::with_links(141).await;
+    cluster.apply(&config(1)).await;
+    let other = Endpoint::start("i-other", Behaviour::CompleteBody).await;
+    cluster.announce(&other, "plain", "ready", 1).await;
+    for control in 0..CONTROL_HOSTS {
+        let leaving = Endpoint::start(&format!("i-{control}"), Behaviour::CompleteBody).await;
+        cluster.announce(&leaving, "plain", "ready", 1).await;
+        for host in CONTROL_HOSTS..HOSTS {
+            cluster.wait_until_ready(host, &leaving).await;
+        }
+        cluster.wait_until_known(control, &leaving).await;
+        links.cut(control, 0..HOSTS);
+        check_leave(&cluster, &leaving, control).await;
+        links.join(control).await;
+    }
+}
+
+/// Checks that an endpoint gets no requests once it has left at a control host and was drained.
+async fn check_leave(cluster: &Cluster, endpoint: &Endpoint, control: usize) {
+    let path = format!("/-/Instances.Leave/{}", endpoint.id);
+    let leave = json!({"born": 1});
+    let left = cluster.call_control(control, &path, Some(&leave)).await;
+    assert_eq!(left.expect("an answer").status(), StatusCode::OK);
+    let acknowledged = Instant::now();
+    while acknowledged.elapsed() < DRAIN_LIMIT * 2 {
+        for host in CONTROL_HOSTS..HOSTS {
+            let answer = cluster.request(host, "/safe/x", "at-1").send().await;
+            assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+        }
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let arrivals = endpoint.record.arrivals.lock();
+    let late = arrivals.iter().map(|(at, _)| *at - acknowledged);
+    let late = late.filter(|late| *late > DRAIN_LIMIT).count();
+    let logs = || (0..HOSTS).map(|host| cluster.read_log(host));
+    assert_eq!(
+        late,
+        0,
+        "requests after a leave at control host {control}:\n{}",
+        logs().collect::<String>()
+    );
+}
--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -138,7 +138,6 @@
     /// The number of hellos without an answer since the last answer.
     missing: u32,
     setup_retries: u32,
-    has_departures: bool,
     /// When a listing was last requested.
     listed: Moment,
 }
@@ -193,7 +192,6 @@
                 answered: None,
                 missing: 0,
                 setup_retries: 0,
-                has_departures: false,
                 listed: Moment::ZERO,
             });
             contact.is_remote = is_remote;
@@ -261,7 +259,6 @@
                 to,
                 lists,
                 requests_changes,
-                requests_departures: !self.is_control && !contact.has_departures,
                 timeout,
             }));
         }
@@ -307,7 +304,6 @@
             }
             Reply::Welcome { has_setup, .. } => {
                 contact.missing = 0;
-                contact.has_departures |= hello.requests_departures;
                 contact.setup_retries += u32::from(!has_setup);
                 !has_setup && contact.setup_retries <= MAX_SETUP_RETRIES
             }
--- a/crates/kumquatdrum_gateway/src/contact/request.rs
+++ b/crates/kumquatdrum_gateway/src/contact/request.rs
@@ -46,10 +46,8 @@
     pub to: HostId,
     /// The hosts that it requests.
     pub lists: Lists,
-    /// Whether it requests the changed endpoints.
+    /// Whether it requests all changed endpoints. Others request those that have left.
     pub requests_changes: bool,
-    /// Whether it requests the endpoints that have left.
-    pub requests_departures: bool,
     /// How long the answer is awaited.
     pub timeout: Duration,
 }
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -12,9 +12,6 @@
 
 use crate::message::EndpointSelection;
 
-/// How long an endpoint's departure is published again in each round, for hosts that missed it.
-const LEAVE_REPEAT_DURATION: Duration = Duration::from_secs(10);
-
 /// The longest time from the last check of a request to its arrival at a leaving endpoint.
 const MAX_TRANSIT: Duration = Duration::from_millis(500);
 
@@ -48,6 +45,8 @@
     unpublished: IndexSet<EndpointId>,
     /// The version of the last news from each control host that has sent all endpoints.
     received: IndexMap<HostId, Checkpoint>,
+    /// The version up to which each control host has sent the endpoints that have left.
+    departures: IndexMap<HostId, Checkpoint>,
 }
 
 impl Endpoints {
@@ -64,6 +63,7 @@
             registry: Registry::with_max_gap(announcement_interval * 3 / 2),
             unpublished: IndexSet::new(),
             received: IndexMap::new(),
+            departures: IndexMap::new(),
         };
         Self {
             clock,
@@ -135,14 +135,14 @@
         }
     }
 
-    /// Returns what to request of a control host with a listing: its news since those received last, if
-    /// it has sent all endpoints before.
-    pub fn selection(&self, from: &HostId) -> EndpointSelection {
+    /// Returns what to request of a control host: the endpoints that have left since its last answer, or
+    /// all its news if these are requested and it has sent all endpoints before.
+    pub fn selection(&self, from: &HostId, requests_changes: bool) -> EndpointSelection {
         let state = self.state.lock();
-        let received = state.received.get(from);
-        received.map_or(EndpointSelection::Nothing, |version| {
-            EndpointSelection::Since(*version)
-        })
+        match state.received.get(from) {
+            Some(version) if requests_changes => EndpointSelection::Since(*version),
+            _ => EndpointSelection::Departures(state.departures.get(from).copied()),
+        }
     }
 
     /// Records the version up to which a control host's endpoints were received. `None` if they are to
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Records the version up to which a control host's departures were received.
+    pub fn record_departures(&self, from: &HostId, version: Option<Checkpoint>) {
+        if let Some(version) = version {
+            let mut state = self.state.lock();
+            state.departures.insert(from.clone(), version);
+        }
+    }
+
     /// Applies announcements that change nothing else. Returns whether anything but ages has changed, or
     /// `None` if an endpoint is not known.
     pub fn refresh(&self, refreshes: &[Refresh], from: &str) -> Option<bool> {
@@ -276,24 +284,23 @@
         state.registry.has_data_centre(data_centre)
     }
 
-    /// Returns updates for the endpoints that are leaving or gone.
-    pub fn departures(&self) -> Vec<Update> {
+    /// Returns updates for the endpoints that are leaving or gone, for a host that has them up to a
+    /// version. All of them if that is not a version of this incarnation.
+    pub fn departures_since(&self, known: Option<Checkpoint>) -> Vec<Update> {
+        let known = known.filter(|known| known.boot == self.boot);
+        let changes = known.map_or(0, |known| known.changes);
         let state = self.state.lock();
-        state.registry.departures(self.clock.now())
+        state.registry.departures_since(self.clock.now(), changes)
     }
 
     /// Returns the updates to publish in this round: endpoints that announced themselves to this
-    /// host, and recent departures. Also evicts expired endpoints.
+    /// host. Also evicts expired endpoints.
     pub fn take_round(&self) -> Vec<Update> {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let unpublished = std::mem::take(&mut state.unpublished);
         let updates = state.registry.updates(now);
-        let is_published = |update: &Update| {
-            let is_leaving = update.gone || update.announcement.leaving;
-            let is_recent = Duration::from_millis(update.age_ms) < LEAVE_REPEAT_DURATION;
-            unpublished.contains(&update.announcement.id) || (is_leaving && is_recent)
-        };
+        let is_published = |update: &Update| unpublished.contains(&update.announcement.id);
         let published = updates.into_iter().filter(is_published).collect();
         for id in state.registry.evict_expired(now) {
             info!(self.logger, "endpoint_forgotten"; "event" => "endpoint_forgotten",
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -289,8 +289,10 @@
         // Changes that are made meanwhile are sent again with the next answer.
         let version = self.endpoints.version();
         let (news, endpoints_version) = match hello.endpoints {
-            EndpointSelection::Nothing => (News::default(), None),
-            EndpointSelection::Departures => (self.endpoints.departures().into(), None),
+            EndpointSelection::Departures(known) => {
+                let departures = self.endpoints.departures_since(known);
+                (departures.into(), Some(version))
+            }
             EndpointSelection::All => match self.all_endpoints(is_control) {
                 Some(endpoints) => (endpoints.into(), Some(version)),
                 None => return Response::Unavailable,
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -190,13 +190,7 @@
                     Lists::ControlHosts => Selection::ControlHosts,
                     Lists::Hosts => self.hosts.listing_selection(&hello.to),
                 };
-                let endpoints = if hello.requests_departures {
-                    EndpointSelection::Departures
-                } else if hello.requests_changes {
-                    self.endpoints.selection(&hello.to)
-                } else {
-                    EndpointSelection::Nothing
-                };
+                let endpoints = self.endpoints.selection(&hello.to, hello.requests_changes);
                 let answer = self
                     .exchange(&hello.to, hosts, endpoints, hello.timeout)
                     .await;
@@ -292,6 +286,7 @@
             self.hosts.merge_listing(&id, listing);
         }
         self.merge_endpoints(endpoints, id.as_str());
+        self.endpoints.record_departures(&id, endpoints_version);
         let lacks_endpoints = match sent.endpoints {
             EndpointSelection::All | EndpointSelection::Since(_) => {
                 let is_complete = self.refresh_endpoints(&refreshes, id.as_str());
@@ -299,7 +294,7 @@
                 self.endpoints.record_version(&id, version);
                 version.is_none()
             }
-            EndpointSelection::Nothing | EndpointSelection::Departures => false,
+            EndpointSelection::Departures(_) => false,
         };
         self.quarantine
             .record_exchange(&id, boot, sent.evidence, evidence);
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -195,7 +195,7 @@
                 let gateway = self.clone();
                 hellos.spawn(async move {
                     let hosts = Selection::Nothing;
-                    let endpoints = gateway.endpoints.selection(&target.host);
+                    let endpoints = gateway.endpoints.selection(&target.host, true);
                     let hello = gateway.exchange_hello(&target.host, hosts, endpoints);
                     timeout(RESUMED_HELLO_TIMEOUT, hello).await
                 });
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -59,10 +59,8 @@
 /// The endpoints that a host requests in a hello.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointSelection {
-    /// No endpoints.
-    Nothing,
-    /// Those that have left. A host requests them of each control host once.
-    Departures,
+    /// Those that have left since an earlier answer. `None` requests all that have left.
+    Departures(Option<Checkpoint>),
     /// All endpoints, for a host that has just started.
     All,
     /// What has changed since an earlier answer.
@@ -157,8 +155,8 @@
         endpoints: Vec<Update>,
         /// Announcements of known endpoints that change nothing else, with [`EndpointSelection::Since`].
         refreshes: Vec<Refresh>,
-        /// The version of the responder's endpoints. `None` if the answer does not complete those that
-        /// the requester has.
+        /// The version of the responder's endpoints. `None` if the answer does not complete what the
+        /// requester has.
         endpoints_version: Option<Checkpoint>,
         /// The responder's evidence that the requester lacks.
         evidence: Evidence,
--- a/crates/kumquatdrum_gateway/tests/membership/fleet.rs
+++ b/crates/kumquatdrum_gateway/tests/membership/fleet.rs
@@ -1,15 +1,22 @@
 //! A fleet of hosts in virtual time: their tables and schedules, and messages that take milliseconds.
 
+#[path = "../../../kumquatdrum_routes/tests/support/cut.rs"]
+pub mod cut;
+mod departure;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use kumquatdrum_gateway::contact::{ContactRequest, EndpointsReply, Hello, Lists, Reply, Schedule};
 use kumquatdrum_gateway::hosts::table::Table;
 use kumquatdrum_gateway::message::{Host, Listing, Selection};
+use kumquatdrum_registry::{Registry, Update};
 use kumquatdrum_types::{HostId, Moment, hash};
 
+use self::cut::{Cut, Delivery, Kind, Open, Place, Way};
+
 const START_MS: u64 = 100_000;
 const DATA_CENTRES: u64 = 5;
 const SEEDS: usize = 3;
@@ -44,14 +51,32 @@
     schedule: Schedule,
     is_up: bool,
     next_poll_ms: u64,
+    registry: Registry,
+    /// The changes of each control host's registry up to which its departures were received.
+    known_departures: IndexMap<usize, u64>,
+    /// The version of the known evacuations.
+    evacuations: u64,
+}
+
+/// The answer of a control host.
+struct Answer {
+    host: Host,
+    has_majority: bool,
+    listing: Option<Listing>,
+    departures: Vec<Update>,
+    /// The changes of the control host's registry.
+    changes: u64,
+    evacuations: u64,
 }
 
 enum Event {
     Poll(usize),
     Expire(usize),
-    Receive(usize, usize, u64, Hello),
+    Receive(usize, usize, u64, Hello, Delivery),
     /// The answer of a control host, or none in time.
-    Answer(usize, u64, Hello, Option<(Host, bool, Option<Listing>)>),
+    Answer(usize, u64, Hello, Option<Answer>),
+    /// What a control host sends to each host at once.
+    Notice(usize, Option<Update>, u64),
     Endpoints(usize, u64, HostId),
 }
 
@@ -64,8 +89,8 @@
     at_ms: u64,
     events: BinaryHeap<Reverse<(u64, usize)>>,
     bodies: Vec<Option<Event>>,
-    /// The data centre that is cut off.
-    cut: Option<u64>,
+    /// The data centre that is cut off, and how.
+    cut: Option<(u64, Cut)>,
     counted_from_ms: u64,
     hellos: Vec<(usize, usize)>,
     listings: Vec<usize>,
@@ -109,6 +134,9 @@
             table,
             is_up: false,
             next_poll_ms: u64::MAX,
+            registry: Registry::default(),
+            known_departures: IndexMap::new(),
+            evacuations: 0,
         }
     }
 
@@ -120,6 +148,8 @@
             is_up: true,
             ..self.node(host)
         };
+        let endpoint = departure::endpoint();
+        self.nodes[number].registry.announce(moment(at), endpoint);
         self.nodes[number].next_poll_ms = at;
         self.push(at, Event::Poll(number));
         self.push(at, Event::Expire(number));
@@ -143,7 +173,16 @@
     }
 
     pub fn cut(&mut self, data_centre: u64) {
-        self.cut = Some(data_centre);
+        let cut = Cut {
+            kind: Kind::Silent,
+            way: Way::Both,
+            open: Open::None,
+        };
+        self.cut_by(data_centre, cut);
+    }
+
+    pub fn cut_by(&mut self, data_centre: u64, cut: Cut) {
+        self.cut = Some((data_centre, cut));
     }
 
     pub fn join(&mut self) {
@@ -263,15 +302,30 @@
                 };
                 self.push(self.at_ms + interval, Event::Expire(number));
             }
-            Event::Receive(from, to, boot, hello) => self.receive(from, to, boot, hello),
+            Event::Receive(from, to, boot, hello, delivery) => {
+                self.receive(from, to, boot, hello, delivery);
+            }
+            Event::Notice(to, update, evacuations) if self.nodes[to].is_up => {
+                let node = &mut self.nodes[to];
+                if let Some(update) = update {
+                    node.registry.merge(now, update);
+                }
+                node.evacuations = node.evacuations.max(evacuations);
+            }
             Event::Answer(number, boot, hello, answer) if self.is_same(number, boot) => {
+                let from_number = self.find(&hello.to);
                 let node = &mut self.nodes[number];
                 let mut reply = Reply::Missing;
-                if let Some((host, has_majority, listing)) = answer {
-                    let from = host.id.clone();
-                    node.table.record_contact(now, host);
-                    node.table.record_majority(&from, has_majority);
-                    if let Some(listing) = listing {
+                if let Some(answer) = answer {
+                    let from = answer.host.id.clone();
+                    node.table.record_contact(now, answer.host);
+                    node.table.record_majority(&from, answer.has_majority);
+                    for update in answer.departures {
+                        node.registry.merge(now, update);
+                    }
+                    node.known_departures.insert(from_number, answer.changes);
+                    node.evacuations = node.evacuations.max(answer.evacuations);
+                    if let Some(listing) = answer.listing {
                         node.table.merge_listing(now, &from, listing);
                     }
                     reply = Reply::Welcome {
@@ -304,12 +358,16 @@
                 ContactRequest::Hello(hello) => {
                     let to = self.find(&hello.to);
                     self.hellos.push((number, to));
-                    let delay = self.delay(number, to, hello.timeout);
-                    match delay {
-                        Some(delay) => {
-                            self.push(self.at_ms + delay, Event::Receive(number, to, boot, hello));
+                    let delivery = self.call(number, to);
+                    let at = self.at_ms + self.latency();
+                    match delivery {
+                        Delivery::Refused => {
+                            self.push(at, Event::Answer(number, boot, hello, None))
+                        }
+                        Delivery::Lost => self.time_out(number, boot, hello),
+                        delivery => {
+                            self.push(at, Event::Receive(number, to, boot, hello, delivery))
                         }
-                        None => self.time_out(number, boot, hello),
                     }
                 }
                 ContactRequest::Endpoints { from } => {
@@ -325,13 +383,15 @@
         self.push(self.at_ms + next, Event::Poll(number));
     }
 
-    fn receive(&mut self, from: usize, to: usize, boot: u64, hello: Hello) {
+    fn receive(&mut self, from: usize, to: usize, boot: u64, hello: Hello, delivery: Delivery) {
         let now = moment(self.at_ms);
         if !self.nodes[to].is_up || !self.is_same(from, boot) {
             return self.time_out(from, boot, hello);
         }
         let host = self.nodes[from].host.clone();
         let is_control = host.is_control;
+        let evacuations = self.nodes[from].evacuations;
+        let known = self.nodes[from].known_departures.get(&to).copied();
         let selection = match hello.lists {
             Lists::None => Selection::Nothing,
             Lists::ControlHosts => Selection::ControlHosts,
@@ -339,20 +399,28 @@
         };
         let node = &mut self.nodes[to];
         node.table.record_contact(now, host);
-        let listing = node.table.listing(now, selection, is_control);
-        let has_majority = node.table.has_control_majority(now);
-        let answer = (node.host.clone(), has_majority, listing);
+        node.evacuations = node.evacuations.max(evacuations);
+        let answer = Answer {
+            host: node.host.clone(),
+            has_majority: node.table.has_control_majority(now),
+            listing: node.table.listing(now, selection, is_control),
+            departures: node.registry.departures_since(now, known.unwrap_or(0)),
+            changes: node.registry.changes(),
+            evacuations: node.evacuations,
+        };
         if hello.lists == Lists::Hosts {
-            let listed = answer.2.as_ref().map_or(0, |listing| listing.hosts.len());
-            self.listings.push(listed);
-        }
-        match self.delay(to, from, hello.timeout) {
-            Some(delay) => {
-                let answer = Event::Answer(from, boot, hello, Some(answer));
-                self.push(self.at_ms + delay, answer);
-            }
-            None => self.time_out(from, boot, hello),
+            let listing = answer.listing.as_ref();
+            self.listings
+                .push(listing.map_or(0, |listing| listing.hosts.len()));
         }
+        let latency = self.latency();
+        let answer = match delivery {
+            Delivery::Answered if Duration::from_millis(latency) < hello.timeout => Some(answer),
+            Delivery::Reset => None,
+            _ => return self.time_out(from, boot, hello),
+        };
+        let at = self.at_ms + latency;
+        self.push(at, Event::Answer(from, boot, hello, answer));
     }
 
     fn time_out(&mut self, number: usize, boot: u64, hello: Hello) {
@@ -360,18 +428,26 @@
         self.push(at, Event::Answer(number, boot, hello, None));
     }
 
-    /// Returns how long a message takes, or `None` if it is lost.
-    fn delay(&mut self, from: usize, to: usize, timeout: Duration) -> Option<u64> {
-        let side = |number: usize| Some(number as u64 % DATA_CENTRES) == self.cut;
+    /// Returns how long a message takes.
+    fn latency(&self) -> u64 {
         let drawn = self.draw(self.bodies.len() as u64 ^ 0xde1a);
         let is_slow = self.slow_one_in > 0 && drawn.is_multiple_of(self.slow_one_in);
-        let delay = if is_slow {
+        if is_slow {
             SLOW_MS
         } else {
             1 + drawn / 500 % 4
+        }
+    }
+
+    fn call(&self, from: usize, to: usize) -> Delivery {
+        let Some((data_centre, cut)) = self.cut else {
+            return Delivery::Answered;
+        };
+        let place = |number: usize| Place {
+            is_cut_off: number as u64 % DATA_CENTRES == data_centre,
+            is_control: number < self.size.control,
         };
-        let arrives = side(from) == side(to) && Duration::from_millis(delay) < timeout;
-        arrives.then_some(delay)
+        cut.call(place(from), place(to))
     }
 
     fn is_same(&self, number: usize, boot: u64) -> bool {
--- a/crates/kumquatdrum_gateway/tests/membership/main.rs
+++ b/crates/kumquatdrum_gateway/tests/membership/main.rs
@@ -3,8 +3,8 @@
 //! Guards against messages that grow with hosts times control hosts, against live hosts that count as lost
 //! because their contacts fail, and against lost ones that are noticed late.
 
-#[path = "support/fleet.rs"]
 mod fleet;
+mod news;
 
 use self::fleet::{Fleet, SLOW_MS, Size};
 
--- a/crates/kumquatdrum_gateway/tests/sizes.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -104,10 +104,14 @@
         checkpoint: Checkpoint::default(),
         suspects: Vec::new(),
     };
+    let checkpoint = Checkpoint {
+        boot: host.boot,
+        changes: 40_000,
+    };
     let hello = Request::Hello(Hello {
         host: host.clone(),
         revision: 40_000,
-        endpoints: EndpointSelection::Departures,
+        endpoints: EndpointSelection::Departures(Some(checkpoint)),
         hosts: Selection::Nothing,
         evidence: evidence(),
         known_evidence: Checkpoint::default(),
@@ -120,7 +124,7 @@
         revision: 40_000,
         endpoints: Vec::new(),
         refreshes: Vec::new(),
-        endpoints_version: None,
+        endpoints_version: Some(checkpoint),
         evidence: evidence(),
         evacuations: Report::default(),
     };
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -266,9 +266,20 @@
         entries.any(|entry| entry.announcement.data_centre == *data_centre)
     }
 
-    /// Returns updates for the endpoints that are leaving or gone.
-    pub fn departures(&self, now: Moment) -> Vec<Update> {
-        let has_departed = |entry: &&Entry| entry.is_gone || entry.announcement.leaving;
+    /// Returns updates for the endpoints that are leaving or gone and have changed since the registry
+    /// had a number of changes.
+    ///
+    /// ```
+    /// use kumquatdrum_registry::Registry;
+    /// # use kumquatdrum_types::Moment;
+    ///
+    /// let registry = Registry::default();
+    /// assert!(registry.departures_since(Moment::ZERO, 0).is_empty());
+    /// ```
+    pub fn departures_since(&self, now: Moment, changes: u64) -> Vec<Update> {
+        let has_departed = |entry: &&Entry| {
+            entry.changed > changes && (entry.is_gone || entry.announcement.leaving)
+        };
         let entries = self.entries.values().filter(has_departed);
         entries.map(|entry| to_update(entry, now)).collect()
     }
--- a/crates/kumquatdrum_registry/tests/registry.rs
+++ b/crates/kumquatdrum_registry/tests/registry.rs
@@ -107,7 +107,7 @@
     full.announce(NOW, announcement("a", 1, 1));
     full.leave(NOW, &EndpointId::new("a"), None);
     let mut empty = Registry::default();
-    for update in full.departures(NOW) {
+    for update in full.departures_since(NOW, 0) {
         empty.merge(NOW, update);
     }
     empty.announce(NOW, announcement("a", 1, 2));
--- a/crates/kumquatdrum_routes/tests/fetch.rs
+++ b/crates/kumquatdrum_routes/tests/fetch.rs
@@ -1,5 +1,8 @@
 //! Distribution of a record while a data centre is cut off, in virtual time.
 
+#[path = "support/cut.rs"]
+mod cut;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -8,6 +11,8 @@
 use kumquatdrum_routes::fetch::{ASK_TIMEOUT, Answer, Schedule};
 use kumquatdrum_types::{DataCentre, HostId, Moment, hash};
 
+use self::cut::{Cut, Delivery, Open, Place};
+
 const RECORD_BYTES: usize = 20_000;
 const OLD: u64 = 1;
 const NEW: u64 = 2;
@@ -18,51 +23,6 @@
 const END: Moment = Moment::from_millis(4_000);
 const LONGEST_ALLOWED: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Kind {
-    Silent,
-    Refused,
-    Reset,
-}
-
-/// The calls that a cut concerns, by where they come from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Way {
-    Into,
-    OutOf,
-    Both,
-}
-
-/// The connections that are open when the cut begins, and outlive it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Open {
-    All,
-    /// Those to control hosts, as after a restart of all other hosts.
-    ToControl,
-    None,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Cut {
-    kind: Kind,
-    way: Way,
-    open: Open,
-    /// Whether the control hosts that are cut off have the new record.
-    reaches_control: bool,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Delivery {
-    Answered,
-    /// The request arrives and its answer is lost.
-    Unanswered,
-    Lost,
-    /// The request doesn't arrive, and the caller learns it at once.
-    Refused,
-    /// The request arrives, and the caller learns at once that its answer is lost.
-    Reset,
-}
-
 #[derive(Debug, Clone, Copy)]
 enum Event {
     Push(usize, usize),
@@ -91,6 +51,8 @@
 struct Site<'a> {
     plan: &'a Plan,
     cut: Cut,
+    /// Whether the control hosts that are cut off have the new record.
+    reaches_control: bool,
     events: BTreeMap<(Moment, usize), Event>,
     count: usize,
     queues: Vec<Queue>,
@@ -137,7 +99,7 @@
 
 impl<'a> Site<'a> {
     /// Creates a site of hosts that have the old record. The first data centre is cut off.
-    fn new(plan: &'a Plan, cut: Cut) -> Self {
+    fn new(plan: &'a Plan, cut: Cut, reaches_control: bool) -> Self {
         let schedule = |_| {
             let mut schedule = Schedule::default();
             schedule.receive(OLD);
@@ -147,6 +109,7 @@
         Self {
             plan,
             cut,
+            reaches_control,
             events: BTreeMap::new(),
             count: 0,
             queues: (0..plan.control).map(|_| Queue::default()).collect(),
@@ -162,30 +125,17 @@
         self.plan.data_centres[host] == self.plan.data_centres[0]
     }
 
-    fn call(&self, from: usize, to: usize) -> Delivery {
-        let lives_on = match self.cut.open {
-            Open::All => true,
-            Open::ToControl => to < self.plan.control,
-            Open::None => false,
-        };
-        if self.is_cut_off(from) == self.is_cut_off(to) || lives_on {
-            return Delivery::Answered;
-        }
-        let goes_out = self.is_cut_off(from);
-        let is_concerned = match self.cut.way {
-            Way::Into => !goes_out,
-            Way::OutOf => goes_out,
-            Way::Both => true,
-        };
-        match (self.cut.kind, is_concerned) {
-            (Kind::Silent, true) => Delivery::Lost,
-            (Kind::Silent, false) => Delivery::Unanswered,
-            (Kind::Refused | Kind::Reset, false) => Delivery::Answered,
-            (Kind::Refused, true) => Delivery::Refused,
-            (Kind::Reset, true) => Delivery::Reset,
+    fn place(&self, host: usize) -> Place {
+        Place {
+            is_cut_off: self.is_cut_off(host),
+            is_control: host < self.plan.control,
         }
     }
 
+    fn call(&self, from: usize, to: usize) -> Delivery {
+        self.cut.call(self.place(from), self.place(to))
+    }
+
     fn at(&mut self, moment: Moment, event: Event) {
         self.count += 1;
         self.events.insert((moment, self.count), event);
@@ -200,7 +150,7 @@
             self.start_hellos(host);
         }
         for control in 0..self.plan.control {
-            if !self.is_cut_off(control) || self.cut.reaches_control {
+            if !self.is_cut_off(control) || self.reaches_control {
                 self.receive(Moment::ZERO, control);
             }
         }
@@ -346,8 +296,7 @@
         let delivery = self.call(from, to);
         let asker = self.plan.ids[from].clone();
         let mut answer = Answer::Missing;
-        let arrives = !matches!(delivery, Delivery::Lost | Delivery::Refused);
-        if arrives && self.has_new(to) {
+        if delivery.arrives() && self.has_new(to) {
             let is_started = self.queues[to].start_answer(&asker, NEW, RECORD_BYTES);
             answer = if is_started {
                 Answer::Record(NEW)
@@ -375,37 +324,19 @@
     }
 }
 
-fn cuts() -> Vec<Cut> {
-    let mut cuts = Vec::new();
-    for kind in [Kind::Silent, Kind::Refused, Kind::Reset] {
-        for way in [Way::Into, Way::OutOf, Way::Both] {
-            for open in [Open::All, Open::ToControl, Open::None] {
-                for reaches_control in [true, false] {
-                    cuts.push(Cut {
-                        kind,
-                        way,
-                        open,
-                        reaches_control,
-                    });
-                }
-            }
-        }
-    }
-    cuts
-}
-
 /// Guards against hosts that count a queued record as delivered, or ask one host again and again.
 #[test]
 fn hosts_in_touch_get_a_record_within_a_second_of_any_cut() {
     for (control, hosts, data_centres) in [(3, 6, 3), (6, 60, 4), (25, 1_009, 6)] {
         let (mut longest, mut copies, mut requests) = (Duration::ZERO, 0, 0);
         let plan = Plan::new(control, hosts, data_centres);
-        for cut in cuts() {
-            let mut site = Site::new(&plan, cut);
+        let cuts = Cut::all().into_iter();
+        for (cut, reaches_control) in cuts.flat_map(|cut| [(cut, true), (cut, false)]) {
+            let mut site = Site::new(&plan, cut, reaches_control);
             site.start();
             assert!(
                 site.longest() <= LONGEST_ALLOWED,
-                "{hosts} hosts, {cut:?}: {:?}",
+                "{hosts} hosts, {cut:?}, {reaches_control}: {:?}",
                 site.longest()
             );
             assert!(
@@ -414,7 +345,7 @@
                 site.notices
             );
             // Where all connections live on, the cut changes nothing.
-            if cut.open == Open::All && cut.reaches_control {
+            if cut.open == Open::All && reaches_control {
                 let sent = (site.copies, site.requests);
                 assert_eq!(sent, (hosts, 0), "{hosts} hosts without a cut");
             }
