Endpoints: a departure learned from a response is confirmed by a control host

What others saw: a host whose first control host is out of reach told nobody that an endpoint is leaving, for as long as that control host counted as live.

Cause: one message to one control host, whose queueing counted as delivery.

Change: a request that the control host confirms; the next one is asked after 0.3 s, at once after an error, up to five times all of them.

connect_back::a_departure_is_known_although_the_first_control_host_cannot_be_connected_to failed before (1 request of the other host, 0 asked for) and passes.

--- a/crates/kumquatdrum/tests/gateway/connect_back.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back.rs
@@ -8,6 +8,7 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, Endpoint};
+use crate::leaving::check_others_learn;
 
 /// The time in which an accepted setup is in force on hosts in touch.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -95,3 +96,10 @@
         logs().collect::<String>()
     );
 }
+
+/// Guards against a departure that one message to one control host tells.
+#[tokio::test]
+async fn a_departure_is_known_although_the_first_control_host_cannot_be_connected_to() {
+    let (cluster, mut links) = Cluster::with_links(143).await;
+    check_others_learn(&cluster, || links.cut(3, [0])).await;
+}
--- a/crates/kumquatdrum/tests/gateway/leaving.rs
+++ b/crates/kumquatdrum/tests/gateway/leaving.rs
@@ -104,7 +104,12 @@
 
 #[tokio::test]
 async fn other_hosts_learn_that_an_endpoint_leaves() {
-    let cluster = Arc::new(Cluster::start(88));
+    check_others_learn(&Cluster::start(88), || {}).await;
+}
+
+/// Checks that host 4 sends no requests to an endpoint which has told host 3 that it leaves, after
+/// `disrupt`.
+pub async fn check_others_learn(cluster: &Cluster, disrupt: impl FnOnce()) {
     cluster.apply(&config(3)).await;
     let leaving = Endpoint::start("i-leaving", Behaviour::CompleteBody).await;
     let other = Endpoint::start("i-other", Behaviour::CompleteBody).await;
@@ -114,6 +119,7 @@
         cluster.wait_until_ready(4, endpoint).await;
     }
     leaving.record.is_leaving.store(true, Ordering::Relaxed);
+    disrupt();
     let mut number = 0;
     while leaving.record.leaving_answers.lock().is_empty() {
         number += 1;
--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -26,6 +26,12 @@
 const ADDITION_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval at which any control host broadcasts added endpoints.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(50);
+/// The timeout for a control host to confirm a departure.
+const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(300);
+/// The delay before control hosts are asked again after none has confirmed a departure.
+const DEPARTURE_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// The number of times that all control hosts are asked to broadcast a departure.
+const MAX_DEPARTURE_ROUNDS: u32 = 5;
 /// The timeout for a relay.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -120,29 +126,40 @@
         }
     }
 
-    /// Tells a control host of endpoints whose leaving this host has learned from a response. The
-    /// control host broadcasts them.
+    /// Tells control hosts of endpoints whose leaving this host has learned from a response.
     pub(super) async fn announce_departures(
         self: Arc<Self>,
         mut departures: mpsc::UnboundedReceiver<Update>,
     ) {
         while let Some(update) = departures.recv().await {
             self.refresh_pool();
-            let notice = Notice::Departures(vec![update]);
-            let control_host = self.hosts.control_hosts().into_iter().next();
-            if let (Some(host), Some(bytes)) = (control_host, notice.encode(&self.logger)) {
-                self.client.send(&host, Channel::Membership, bytes);
-            }
+            self.spawn(self.clone().announce_departure(update));
         }
     }
 
-    /// Broadcasts endpoints that another host has found to be leaving, unless this host knew.
-    pub(crate) fn broadcast_departures(&self, updates: Vec<Update>, from: &str) {
-        for update in updates {
-            if self.endpoints.merge(vec![update.clone()], from) == Effect::Changed {
-                self.refresh_pool();
-                self.broadcast_addition(update);
+    /// Asks a control host to broadcast a departure, and the next one if it does not confirm this.
+    async fn announce_departure(self: Arc<Self>, update: Update) {
+        let endpoint = update.announcement.id.clone();
+        let request = Request::Departure(update);
+        for _ in 0..MAX_DEPARTURE_ROUNDS {
+            for host in self.hosts.control_hosts() {
+                let channel = Channel::Membership;
+                let response = self.send_request(&host, channel, &request, DEPARTURE_TIMEOUT);
+                if matches!(response.await, Some(Response::Taken)) {
+                    return;
+                }
             }
+            sleep(DEPARTURE_RETRY_DELAY).await;
+        }
+        warn!(self.logger, "departure_unconfirmed"; "event" => "departure_unconfirmed",
+            "endpoint" => endpoint.as_str());
+    }
+
+    /// Broadcasts an endpoint that another host has found to be leaving, unless this host knew.
+    pub(crate) fn broadcast_departure(&self, update: Update, from: &str) {
+        if self.endpoints.merge(vec![update.clone()], from) == Effect::Changed {
+            self.refresh_pool();
+            self.broadcast_addition(update);
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -46,9 +46,6 @@
                 gateway.send_endpoints(&updates, &hosts);
                 gateway.merge_endpoints(updates, from.host.as_str());
             }
-            Ok(Notice::Departures(updates)) => {
-                gateway.broadcast_departures(updates, from.host.as_str());
-            }
             Ok(Notice::Revision(revision)) => {
                 gateway.distributor.observe_revision(&from.host, revision);
             }
@@ -105,6 +102,10 @@
                 unconfirmed => Response::Unconfirmed(unconfirmed),
             }
         }
+        Request::Departure(update) => {
+            gateway.broadcast_departure(update, from.host.as_str());
+            Response::Taken
+        }
         Request::Check(endpoint) => gateway.answer_check(&endpoint).await,
         Request::Apply(record) => gateway.send_command(Command::Apply(record)).await,
         Request::Read => gateway.send_command(Command::Read).await,
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -119,6 +119,9 @@
         /// The hosts to relay to, in the receiver's data centre.
         hosts: Vec<HostId>,
     },
+    /// An endpoint whose leaving the sender has learned from its response, to be broadcast by the
+    /// receiver, a control host, if it did not know.
+    Departure(Update),
     /// Asks whether an endpoint's incarnation accepts connections of the receiver.
     Check(Incarnation),
     /// Commits a record. Only the leader accepts this.
@@ -202,9 +205,6 @@
         /// The hosts to relay to.
         hosts: Vec<HostId>,
     },
-    /// Endpoints whose leaving the sender has learned from their responses, to be broadcast by the
-    /// receiver, a control host, if it did not know.
-    Departures(Vec<Update>),
     /// The sender's active revision.
     Revision(u64),
     /// The sender has received the record of this revision in the receiver's answer.
