Control: a leave request for an unknown endpoint is forwarded, not just acknowledged

What callers saw: requests reached an endpoint longer than the drain time after its leave request was acknowledged.

Cause: a control host that doesn't know an endpoint, as it was announced to another one a moment ago or that one can't connect here, recorded nothing and acknowledged the request ("endpoint_left known=false").

Change: it asks the other control hosts. One that knows the endpoint confirms the leave with all hosts. If none knows it and one doesn't answer, the request is refused with 503, and the endpoint asks another control host.

--- a/crates/kumquatdrum/tests/gateway/connect_back.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back.rs
@@ -97,6 +97,23 @@
     );
 }
 
+/// Guards against a leave request that is acknowledged by a control host which doesn't know the endpoint.
+#[tokio::test]
+async fn an_endpoint_gets_no_requests_after_it_left_at_a_host_that_did_not_know_it() {
+    let (cluster, mut links) = Cluster::with_links(144).await;
+    cluster.apply(&config(1)).await;
+    let other = Endpoint::start("i-other", Behaviour::CompleteBody).await;
+    let leaving = Endpoint::start("i-leaving", Behaviour::CompleteBody).await;
+    cluster.announce(&other, "plain", "ready", 1).await;
+    links.cut(0, [1]);
+    cluster.announce(&leaving, "plain", "ready", 1).await;
+    for host in CONTROL_HOSTS..HOSTS {
+        cluster.wait_until_ready(host, &other).await;
+        cluster.wait_until_ready(host, &leaving).await;
+    }
+    check_leave(&cluster, &leaving, 1).await;
+}
+
 /// Guards against a departure that one message to one control host tells.
 #[tokio::test]
 async fn a_departure_is_known_although_the_first_control_host_cannot_be_connected_to() {
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -292,11 +292,13 @@
 
 async fn leave(gateway: &Arc<Gateway>, id: &EndpointId, body: &[u8]) -> Response<Body> {
     let incarnation = gateway.protocol.decode_leave(body);
-    let update = gateway.endpoints.leave(id, incarnation);
-    if let Some(update) = update {
-        gateway.confirm_endpoints(vec![update]).await;
+    let is_accepted = gateway.leave_endpoint(id, incarnation).await
+        || gateway.forward_leave(id, incarnation).await;
+    if is_accepted {
+        json(StatusCode::OK, "{}")
+    } else {
+        status(StatusCode::SERVICE_UNAVAILABLE)
     }
-    json(StatusCode::OK, "{}")
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -101,6 +101,12 @@
         update
     }
 
+    /// Returns whether an incarnation of an endpoint is known.
+    pub fn knows(&self, id: &EndpointId) -> bool {
+        let state = self.state.lock();
+        state.registry.update_for(self.clock.now(), id).is_some()
+    }
+
     /// Merges updates from another host.
     pub fn merge(&self, updates: Vec<Update>, from: &str) -> Effect {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/endpoint_updates.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use kumquatdrum_peer::Channel;
 use kumquatdrum_registry::{Refresh, Update};
-use kumquatdrum_types::HostId;
+use kumquatdrum_types::{EndpointId, HostId};
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::sync::{Notify, mpsc};
@@ -26,6 +27,9 @@
 const ADDITION_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval at which any control host broadcasts added endpoints.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(50);
+/// The timeout for a control host to confirm a forwarded leave request, which waits for
+/// [`CONFIRM_TIMEOUT`] there.
+const FORWARDED_LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 /// The timeout for a control host to confirm a departure.
 const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The delay before control hosts are asked again after none has confirmed a departure.
@@ -174,6 +178,47 @@
         }
     }
 
+    /// Deregisters an endpoint at its own request, and waits until other hosts confirm this or time out.
+    /// Returns whether this host knows the endpoint.
+    pub(crate) async fn leave_endpoint(
+        self: &Arc<Self>,
+        id: &EndpointId,
+        incarnation: Option<u64>,
+    ) -> bool {
+        match self.endpoints.leave(id, incarnation) {
+            Some(update) => {
+                self.confirm_endpoints(vec![update]).await;
+                true
+            }
+            None => self.endpoints.knows(id),
+        }
+    }
+
+    /// Forwards a leave request for an endpoint that this host does not know. Returns whether a control
+    /// host that knows it has accepted the request, or none knows it.
+    pub(crate) async fn forward_leave(
+        self: &Arc<Self>,
+        id: &EndpointId,
+        incarnation: Option<u64>,
+    ) -> bool {
+        let request = Request::Leave {
+            endpoint: id.clone(),
+            incarnation,
+        };
+        let hosts = self.hosts.control_hosts();
+        let requests = hosts.iter().map(|host| {
+            self.send_request(host, Channel::Membership, &request, FORWARDED_LEAVE_TIMEOUT)
+        });
+        let responses = join_all(requests).await;
+        let is_taken = |response: &Option<Response>| matches!(response, Some(Response::Taken));
+        let is_unknown = |response: &Option<Response>| matches!(response, Some(Response::Unknown));
+        let is_accepted = responses.iter().any(is_taken) || responses.iter().all(is_unknown);
+        info!(self.logger, "leave_forwarded"; "event" => "leave_forwarded",
+            "endpoint" => id.as_str(), "accepted" => is_accepted,
+            "knew" => responses.iter().filter(|it| is_taken(it)).count(), "of" => hosts.len());
+        is_accepted
+    }
+
     /// Sends endpoint updates to all hosts and waits until they confirm them or time out. A leave
     /// request is acknowledged only afterwards: hosts that confirmed it no longer use the endpoint.
     pub(crate) async fn confirm_endpoints(self: &Arc<Self>, updates: Vec<Update>) {
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -106,6 +106,16 @@
             gateway.broadcast_departure(update, from.host.as_str());
             Response::Taken
         }
+        Request::Leave {
+            endpoint,
+            incarnation,
+        } => {
+            if gateway.leave_endpoint(&endpoint, incarnation).await {
+                Response::Taken
+            } else {
+                Response::Unknown
+            }
+        }
         Request::Check(endpoint) => gateway.answer_check(&endpoint).await,
         Request::Apply(record) => gateway.send_command(Command::Apply(record)).await,
         Request::Read => gateway.send_command(Command::Read).await,
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -8,7 +8,7 @@
 use kumquatdrum_registry::{Refresh, Update};
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_routes::{Evacuations, Record};
-use kumquatdrum_types::{Checkpoint, DataCentre, HostId, ServiceName};
+use kumquatdrum_types::{Checkpoint, DataCentre, EndpointId, HostId, ServiceName};
 use serde::{Deserialize, Serialize};
 use slog::error;
 
@@ -122,6 +122,13 @@
     /// An endpoint whose leaving the sender has learned from its response, to be broadcast by the
     /// receiver, a control host, if it did not know.
     Departure(Update),
+    /// A leave request of an endpoint that the sender, a control host, does not know.
+    Leave {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The incarnation that leaves, if it is named.
+        incarnation: Option<u64>,
+    },
     /// Asks whether an endpoint's incarnation accepts connections of the receiver.
     Check(Incarnation),
     /// Commits a record. Only the leader accepts this.
@@ -168,6 +175,8 @@
     },
     /// The message was accepted.
     Taken,
+    /// In response to `Leave`: the endpoint is not known.
+    Unknown,
     /// The message was accepted, but these hosts did not acknowledge it.
     Unconfirmed(Vec<HostId>),
     /// In response to `Check`: whether the endpoint accepts connections.
