Control hosts subscribe to messages of others that can't connect to them

In a cut that refuses new connections in one direction between all replicas, no setup, order or key is accepted.

Cause: votes and acknowledgements are messages over the connection of the replica that sends them. A candidate that reaches all others hears from none of them.

Change: the answer to a hello tells a control host whether it can be connected to. If not, it asks for the messages on its own connection and receives them in the parts of the response. They take the subscription while no connection is open. While control hosts can connect to each other, an answer has one byte more. New endpoints and rounds between control hosts take the same way.

--- a/crates/kumquatdrum/tests/gateway/connect_back.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back.rs
@@ -16,6 +16,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// The time in which a host that was restarted is ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
+/// The time in which operators' calls are served, also right after a cut: they wait for a leader.
+const LEADER_LIMIT: Duration = Duration::from_secs(4);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which a caller sends requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
@@ -120,3 +122,24 @@
     let (cluster, mut links) = Cluster::with_links(143).await;
     check_others_learn(&cluster, || links.cut(3, [0])).await;
 }
+
+/// Guards against replicas that lead nobody, as their votes and acknowledgements need a connection back.
+#[tokio::test]
+async fn control_hosts_that_connect_in_one_direction_have_a_leader() {
+    let (cluster, mut links) = Cluster::with_links(142).await;
+    cluster.apply(&config(1)).await;
+    for host in 0..HOSTS {
+        cluster.wait_for_revision(host, 1).await;
+    }
+    for control in 1..CONTROL_HOSTS {
+        links.cut(control, 0..control);
+    }
+    for revision in 2..6 {
+        let asked = Instant::now();
+        cluster.apply(&config(revision)).await;
+        let passed = asked.elapsed();
+        println!("revision {revision} applied in {passed:?}");
+        assert!(passed < LEADER_LIMIT, "revision {revision}: {passed:?}");
+        sleep(Duration::from_secs(1)).await;
+    }
+}
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -47,9 +47,11 @@
 mod probe;
 mod start;
 mod startup;
+mod subscriptions;
 
 use endpoint_updates::Additions;
 use startup::Startup;
+use subscriptions::Subscriptions;
 
 /// How long a starting host waits for a majority of the control hosts before it becomes ready
 /// without one.
@@ -115,6 +117,7 @@
     started: Moment,
     startup: Startup,
     added: Additions,
+    subscriptions: Subscriptions,
     background: Mutex<JoinSet<()>>,
 }
 
@@ -304,6 +307,7 @@
         };
         Response::Welcome {
             host: self.hosts.local(),
+            is_reachable: !is_control || self.client.check_reachable(&id),
             hosts: self.hosts.listing(hello.hosts, is_control),
             has_majority: self.hosts.has_control_majority(),
             revision: self.active_setup.revision(),
--- a/crates/kumquatdrum_gateway/src/gateway/contacts.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/contacts.rs
@@ -258,6 +258,7 @@
     fn apply_welcome(self: &Arc<Self>, response: Response, sent: &Sent) -> Answer {
         let Response::Welcome {
             host,
+            is_reachable,
             hosts,
             has_majority,
             revision,
@@ -276,6 +277,7 @@
         let is_empty = endpoints.is_empty();
         let (id, boot) = (host.id.clone(), host.boot);
         self.hosts.record_contact(host);
+        self.update_subscription(&id, is_reachable);
         self.hosts.record_majority(&id, has_majority);
         self.observe_evacuations(&id, &evacuations);
         if evacuations.is_current {
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -23,12 +23,12 @@
 
 use super::endpoint_updates::Additions;
 use super::startup::Startup;
+use super::subscriptions::Subscriptions;
 mod components;
 
 use super::{Gateway, StartError};
 use crate::body::Body;
 use crate::broadcast::Broadcaster;
-use crate::distribution::Distributor;
 use crate::evacuations;
 use crate::holds::{self, Holds};
 use crate::hosts::{self, Hosts};
@@ -109,6 +109,7 @@
         let remaining = (ends_at - gateway.clock.now()).min(control::LEADER_TIMEOUT);
         let joined = async { while self.auxiliary.join_next().await.is_some() {} };
         let _ = timeout(remaining, joined).await;
+        gateway.end_subscriptions();
         let mut background = std::mem::take(&mut *gateway.background.lock());
         let joined = async { while background.join_next().await.is_some() {} };
         let _ = timeout(CLEANUP_TIME, joined).await;
@@ -265,20 +266,14 @@
         logger: logger.clone(),
     });
     let active_setup = Arc::new(active_setup::Store::new(protocol.clone(), logger.clone()));
-    let distributor = Distributor::new(
-        clock,
-        hosts.clone(),
-        client.clone(),
-        active_setup.clone(),
-        logger.clone(),
-    );
+    let distributor = components::build_distributor(clock, &hosts, &client, &active_setup, &logger);
     let gateway = Arc::new(Gateway {
         upstream,
         relay_server: Arc::new(relay_server),
         evacuations,
         evacuation_cache,
         active_setup,
-        distributor: Arc::new(distributor),
+        distributor,
         protocol,
         clock,
         hosts,
@@ -297,6 +292,7 @@
         settings,
         startup: Startup::default(),
         added: Additions::default(),
+        subscriptions: Subscriptions::default(),
         background: Mutex::default(),
     });
     Ok((gateway, departures))
--- a/crates/kumquatdrum_gateway/src/gateway/start/components.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start/components.rs
@@ -9,14 +9,15 @@
 use kumquatdrum_process::quarantine;
 use kumquatdrum_quarantine::Fingerprint;
 
-use crate::Settings;
 use crate::broadcast::{Broadcaster, RelayPath};
+use crate::distribution::Distributor;
 use crate::endpoints::Endpoints;
 use crate::hosts::Hosts;
 use crate::message::{self, Host};
 use crate::metrics::Metrics;
 use crate::paths::{self, Paths};
 use crate::relay::{self, Relays};
+use crate::{Settings, active_setup};
 
 pub(super) fn build_endpoints(
     settings: &Settings,
@@ -96,3 +97,15 @@
     let is_prober = move |request: Fingerprint| hosts.is_first_by_hash(request.hash());
     quarantine::Store::new(clock, boot, publish, is_prober, logger.clone())
 }
+
+pub(super) fn build_distributor(
+    clock: Clock,
+    hosts: &Arc<Hosts>,
+    client: &Arc<Client>,
+    active_setup: &Arc<active_setup::Store>,
+    logger: &slog::Logger,
+) -> Arc<Distributor> {
+    let (hosts, client) = (hosts.clone(), client.clone());
+    let (active_setup, logger) = (active_setup.clone(), logger.clone());
+    Arc::new(Distributor::new(clock, hosts, client, active_setup, logger))
+}
--- a/crates/kumquatdrum_gateway/src/inbox.rs
+++ b/crates/kumquatdrum_gateway/src/inbox.rs
@@ -6,6 +6,7 @@
 use futures::stream::{self, StreamExt};
 use kumquatdrum_consensus::Message;
 use kumquatdrum_peer::{Channel, Error, Handler, Identity, Parts, ResponseFuture};
+use kumquatdrum_types::HostId;
 use slog::warn;
 
 use crate::Gateway;
@@ -28,31 +29,8 @@
 
 impl Handler for Inbox {
     fn deliver(&self, from: &Identity, channel: Channel, body: Bytes) {
-        let Some(gateway) = self.gateway.upgrade() else {
-            return;
-        };
-        if channel == Channel::Consensus {
-            match postcard::from_bytes::<Message>(&body) {
-                Ok(message) => gateway.deliver_to_replica(message),
-                Err(error) => log_unreadable(&gateway, from, &error),
-            }
-            return;
-        }
-        match postcard::from_bytes::<Notice>(&body) {
-            Ok(Notice::Endpoints(updates)) => {
-                gateway.merge_endpoints(updates, from.host.as_str());
-            }
-            Ok(Notice::RelayEndpoints { updates, hosts }) => {
-                gateway.send_endpoints(&updates, &hosts);
-                gateway.merge_endpoints(updates, from.host.as_str());
-            }
-            Ok(Notice::Revision(revision)) => {
-                gateway.distributor.observe_revision(&from.host, revision);
-            }
-            Ok(Notice::Received(revision)) => {
-                gateway.distributor.finish_answer(&from.host, revision);
-            }
-            Err(error) => log_unreadable(&gateway, from, &error),
+        if let Some(gateway) = self.gateway.upgrade() {
+            deliver(&gateway, &from.host, channel, &body);
         }
     }
 
@@ -64,7 +42,7 @@
                 .upgrade()
                 .ok_or_else(|| Error::Handler("this host is stopping".to_owned()))?;
             let request = postcard::from_bytes::<Request>(&body).map_err(|error| {
-                log_unreadable(&gateway, &from, &error);
+                log_unreadable(&gateway, &from.host, &error);
                 Error::Handler(error.to_string())
             })?;
             let response = handle_request(&gateway, &from, request).await;
@@ -75,14 +53,44 @@
         })
     }
 
-    fn exchange(&self, from: &Identity, _channel: Channel, body: Bytes) -> Parts {
+    fn exchange(&self, from: &Identity, channel: Channel, body: Bytes) -> Parts {
         match self.gateway.upgrade() {
-            Some(gateway) => gateway.relay_server.clone().serve(from, &body),
+            Some(gateway) if channel == Channel::Requests => {
+                gateway.relay_server.clone().serve(from, &body)
+            }
+            Some(gateway) => gateway.subscribe(&from.host, channel),
             None => stream::empty().boxed(),
         }
     }
 }
 
+/// Handles a one-way message from another host.
+pub(crate) fn deliver(gateway: &Gateway, from: &HostId, channel: Channel, body: &[u8]) {
+    if channel == Channel::Consensus {
+        match postcard::from_bytes::<Message>(body) {
+            Ok(message) => gateway.deliver_to_replica(message),
+            Err(error) => log_unreadable(gateway, from, &error),
+        }
+        return;
+    }
+    match postcard::from_bytes::<Notice>(body) {
+        Ok(Notice::Endpoints(updates)) => {
+            gateway.merge_endpoints(updates, from.as_str());
+        }
+        Ok(Notice::RelayEndpoints { updates, hosts }) => {
+            gateway.send_endpoints(&updates, &hosts);
+            gateway.merge_endpoints(updates, from.as_str());
+        }
+        Ok(Notice::Revision(revision)) => {
+            gateway.distributor.observe_revision(from, revision);
+        }
+        Ok(Notice::Received(revision)) => {
+            gateway.distributor.finish_answer(from, revision);
+        }
+        Err(error) => log_unreadable(gateway, from, &error),
+    }
+}
+
 async fn handle_request(gateway: &Arc<Gateway>, from: &Identity, request: Request) -> Response {
     match request {
         Request::Hello(hello) => gateway.answer_hello(hello),
@@ -137,7 +145,7 @@
     }
 }
 
-fn log_unreadable(gateway: &Gateway, from: &Identity, error: &postcard::Error) {
+fn log_unreadable(gateway: &Gateway, from: &HostId, error: &postcard::Error) {
     warn!(gateway.logger, "message_unreadable"; "event" => "message_unreadable",
-        "from" => from.host.as_str(), "reason" => %error);
+        "from" => from.as_str(), "reason" => %error);
 }
--- a/crates/kumquatdrum_gateway/src/message.rs
+++ b/crates/kumquatdrum_gateway/src/message.rs
@@ -155,6 +155,8 @@
     Welcome {
         /// The responder.
         host: Host,
+        /// Whether the responder can connect to the requester, if that is a control host.
+        is_reachable: bool,
         /// The requested hosts.
         hosts: Option<Listing>,
         /// Whether the responder is in contact with a majority of the control hosts.
--- a/crates/kumquatdrum_gateway/tests/membership/fleet.rs
+++ b/crates/kumquatdrum_gateway/tests/membership/fleet.rs
@@ -362,11 +362,11 @@
                     let at = self.at_ms + self.latency();
                     match delivery {
                         Delivery::Refused => {
-                            self.push(at, Event::Answer(number, boot, hello, None))
+                            self.push(at, Event::Answer(number, boot, hello, None));
                         }
                         Delivery::Lost => self.time_out(number, boot, hello),
                         delivery => {
-                            self.push(at, Event::Receive(number, to, boot, hello, delivery))
+                            self.push(at, Event::Receive(number, to, boot, hello, delivery));
                         }
                     }
                 }
--- a/crates/kumquatdrum_gateway/tests/sizes.rs
+++ b/crates/kumquatdrum_gateway/tests/sizes.rs
@@ -119,6 +119,7 @@
     });
     let welcome = |hosts| Response::Welcome {
         host: host.clone(),
+        is_reachable: true,
         hosts,
         has_majority: true,
         revision: 40_000,
--- a/crates/kumquatdrum_peer/src/client.rs
+++ b/crates/kumquatdrum_peer/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
 use kumquatdrum_types::HostId;
 use parking_lot::{Mutex, RwLock};
@@ -15,7 +16,7 @@
 use crate::frame::BODY_LIMIT_BYTES;
 use crate::outbox::Outbox;
 use crate::peer::Peer;
-use crate::{Channel, Error, Exchange, LocalDaemon, Pace};
+use crate::{Channel, Error, Exchange, LocalDaemon, Pace, Parts};
 
 /// Time for sending queued messages during shutdown.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -104,6 +105,32 @@
         self.local.counters.record_dropped(channel, dropped);
     }
 
+    /// Returns whether a host can be connected to: whether the last attempt has not failed. After a
+    /// failure, another attempt starts in the background.
+    pub fn check_reachable(&self, host: &HostId) -> bool {
+        let Some(peer) = self.peer(host).filter(|peer| peer.link().has_failed()) else {
+            return true;
+        };
+        if !*self.closed.borrow() {
+            let mut tasks = self.tasks.lock();
+            while tasks.try_join_next().is_some() {}
+            tasks.spawn(async move {
+                // The next check reads the result.
+                let _ = peer.link().connection().await;
+            });
+        }
+        false
+    }
+
+    /// Returns the messages to a host on a channel that are sent while no connection to it is open, for
+    /// the response to an exchange that the host has asked for.
+    pub fn subscribe(&self, host: &HostId, channel: Channel) -> Parts {
+        match self.peer(host) {
+            Some(peer) => peer.subscribe(channel),
+            None => stream::empty().boxed(),
+        }
+    }
+
     /// Sends a request and waits for its response for at most `limit`.
     pub async fn ask(
         &self,
--- a/crates/kumquatdrum_peer/src/lib.rs
+++ b/crates/kumquatdrum_peer/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod queue;
 mod server;
+mod subscription;
 
 // Generated from proto/peer.proto; docs/design/membership.md describes how to regenerate it.
 #[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub)]
--- a/crates/kumquatdrum_peer/src/link.rs
+++ b/crates/kumquatdrum_peer/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -53,6 +54,9 @@
     host: HostId,
     address: Mutex<SocketAddr>,
     pace: Mutex<Pace>,
+    is_open: AtomicBool,
+    /// Whether the last opening has failed.
+    has_failed: AtomicBool,
     // Locked while a connection is being opened, so that calls share one attempt.
     state: tokio::sync::Mutex<State>,
 }
@@ -80,6 +84,8 @@
             host,
             address: Mutex::new(address),
             pace: Mutex::default(),
+            is_open: AtomicBool::new(false),
+            has_failed: AtomicBool::new(false),
             state: tokio::sync::Mutex::default(),
         }
     }
@@ -94,6 +100,16 @@
         *self.pace.lock() = pace;
     }
 
+    /// Returns whether a connection is open, as far as is known.
+    pub(crate) fn is_open(&self) -> bool {
+        self.is_open.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the last opening has failed.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.has_failed.load(Ordering::Relaxed)
+    }
+
     /// Returns the open connection, or opens a new one.
     pub(crate) async fn connection(&self) -> Result<Connection, Error> {
         let mut state = self.state.lock().await;
@@ -106,13 +122,17 @@
             _ => {}
         }
         state.open = None;
+        self.is_open.store(false, Ordering::Relaxed);
         let pace = *self.pace.lock();
         let interval = match pace {
             Pace::Single => None,
             Pace::Slowing if state.timed_out >= MAX_QUICK_OPENS => Some(SLOW_ATTEMPT_INTERVAL),
             Pace::Slowing | Pace::Quick => Some(ATTEMPT_INTERVAL),
         };
-        match self.open(address, interval).await {
+        let opened = self.open(address, interval).await;
+        self.is_open.store(opened.is_ok(), Ordering::Relaxed);
+        self.has_failed.store(opened.is_err(), Ordering::Relaxed);
+        match opened {
             Ok(channel) => {
                 state.opened += 1;
                 state.timed_out = 0;
@@ -144,6 +164,7 @@
             .is_some_and(|open| open.number == failed.number)
         {
             state.open = None;
+            self.is_open.store(false, Ordering::Relaxed);
         }
     }
 
--- a/crates/kumquatdrum_peer/src/peer.rs
+++ b/crates/kumquatdrum_peer/src/peer.rs
@@ -18,7 +18,8 @@
 use crate::generated::{Ack, Frame};
 use crate::link::{Connection, Link};
 use crate::queue::Queues;
-use crate::{Channel, Error, Exchange, LocalDaemon};
+use crate::subscription::Subscriptions;
+use crate::{Channel, Error, Exchange, LocalDaemon, Parts};
 
 /// Timeout for the acknowledgement of a frame; the transfer time of its bodies is added.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
@@ -32,6 +33,7 @@
     host: HostId,
     link: Link,
     queues: Mutex<Queues>,
+    subscriptions: Subscriptions,
     wake: Notify,
     is_failing: AtomicBool,
 }
@@ -43,6 +45,7 @@
             local,
             host,
             queues: Mutex::default(),
+            subscriptions: Subscriptions::default(),
             wake: Notify::new(),
             is_failing: AtomicBool::new(false),
         }
@@ -68,8 +71,20 @@
         self.wake.notified().await;
     }
 
-    /// Sends one frame and waits for its acknowledgement. Failures are counted and logged.
-    pub(crate) async fn send(&self, channel: Channel, bodies: Vec<Bytes>) {
+    /// Opens the peer's subscription to a channel and returns its messages.
+    pub(crate) fn subscribe(&self, channel: Channel) -> Parts {
+        self.subscriptions.open(channel)
+    }
+
+    /// Sends one frame and waits for its acknowledgement. Failures are counted and logged. Without a
+    /// connection, the messages go to the peer's subscription if there is one.
+    pub(crate) async fn send(&self, channel: Channel, mut bodies: Vec<Bytes>) {
+        if !self.link.is_open() {
+            bodies = self.subscriptions.send(channel, bodies);
+        }
+        if bodies.is_empty() {
+            return;
+        }
         let count = bodies.len();
         let limit = send_timeout(&bodies);
         let frame = frame::build(&self.local, &self.host, channel, bodies, Purpose::Send);
--- a/crates/kumquatdrum_routes/tests/support/cut.rs
+++ b/crates/kumquatdrum_routes/tests/support/cut.rs
@@ -70,7 +70,7 @@
     }
 
     /// Returns what becomes of a call.
-    pub fn call(&self, from: Place, to: Place) -> Delivery {
+    pub fn call(self, from: Place, to: Place) -> Delivery {
         let lives_on = match self.open {
             Open::All => true,
             Open::ToControl => to.is_control,
