Test: a soak of cuts in one direction

Random pairs of hosts, real processes through proxies, can connect in one direction only, beside restarts, changes and leaving endpoints. Checked: operators' and endpoints' calls are acknowledged by one of the control hosts, an accepted setup is in force within 2 s, a new endpoint is known, and one that left gets no requests after the drain time.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -338,7 +338,8 @@
         }
     }
 
-    fn knows(&self, host: usize, endpoint: &Endpoint) -> bool {
+    /// Returns whether a host knows an endpoint.
+    pub fn knows(&self, host: usize, endpoint: &Endpoint) -> bool {
         let known = format!("endpoint={} event=endpoint_known", endpoint.id);
         self.read_log(host).contains(&known)
     }
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod cluster;
 mod cold;
 mod connect_back;
+mod connect_back_soak;
 mod connection;
 mod control;
 mod crash;
