Gateway: a 421 to a request with a precondition takes out no endpoint

What callers saw: once a caller had sent some requests that expect another version of the weights, every request to the service was refused with 503.

Cause: each 421 was taken to mean that another endpoint answers at the address, also to a request with a precondition of its own; and no later announcement took that mark back.

Change: a 421 to a request with a precondition says nothing of the endpoint. Any other one makes the endpoint absent for this host until its next announcement.

--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod links;
 mod outage;
 mod path;
+mod precondition;
 mod proxy;
 mod raw;
 mod recovery;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -168,6 +168,8 @@
             (_, Some(id)) if *id != pick.endpoint.id.as_str() => {
                 failed_helper = pick.record_helper_failure(id, &self.attempt_id);
             }
+            // The endpoint may be the right one and not meet the precondition.
+            _ if reply.is_misdirected && self.metadata.has_precondition => {}
             _ if reply.is_misdirected => pick.mark_displaced(),
             (Execution::Ran, _) => {
                 pick.record_success(load);
--- a/crates/kumquatdrum_gateway/src/endpoints.rs
+++ b/crates/kumquatdrum_gateway/src/endpoints.rs
@@ -193,14 +193,15 @@
         is_complete.then_some(has_changed)
     }
 
-    /// Marks an endpoint as gone because another endpoint answers at its address.
+    /// Marks an endpoint as absent until its next announcement because another endpoint answers at its
+    /// address.
     pub fn mark_displaced(&self, endpoint: &Announcement) {
-        let now = self.clock.now();
         let mut state = self.state.lock();
-        let update = state
+        let is_news = state
             .registry
-            .mark_displaced(now, &endpoint.id, endpoint.started);
-        if update.is_some() {
+            .mark_displaced(&endpoint.id, endpoint.started);
+        drop(state);
+        if is_news {
             self.changed.notify_one();
             info!(self.logger, "endpoint_displaced"; "event" => "endpoint_displaced",
                 "endpoint" => endpoint.id.as_str(), "address" => %endpoint.address);
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -138,7 +138,7 @@
         self.pool.refresh_service(&self.service, senders.as_deref());
     }
 
-    /// Marks the endpoint as gone because another endpoint answers at its address.
+    /// Marks the endpoint as absent because another endpoint answers at its address.
     pub fn mark_displaced(&self) {
         self.pool
             .dependencies
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -48,6 +48,9 @@
     pub max_answer_tokens: Option<u64>,
     /// The id of the last event that the caller received of an earlier response.
     pub last_event_id: Option<u64>,
+    /// Whether the caller states what an endpoint must have to run the request, such as a version of the
+    /// model's weights.
+    pub has_precondition: bool,
 }
 
 /// The identity of a part of a prompt, which several prompts may share.
@@ -107,7 +110,7 @@
     pub attempt_id: Option<String>,
     /// Whether the endpoint rejected the request without running it.
     pub has_not_run: bool,
-    /// Whether the request was meant for another endpoint.
+    /// Whether the request was meant for another endpoint, or the endpoint doesn't meet its precondition.
     pub is_misdirected: bool,
     /// The id or address of a helper whose failure made the request fail.
     pub failed_endpoint: Option<String>,
--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -61,6 +61,9 @@
 struct Entry {
     announcement: Announcement,
     is_gone: bool,
+    /// Whether another endpoint has answered at the address since the last announcement. Unlike
+    /// `is_gone`, this is what this host has found, and other hosts don't learn of it.
+    is_displaced: bool,
     heard_at: Moment,
     /// The value of [`Registry::changes`] at the last change of anything but age and sequence number.
     changed: u64,
@@ -166,21 +169,23 @@
         self.apply(heard_at, update.announcement, update.gone)
     }
 
-    /// Marks an incarnation as gone because another endpoint answers at its address.
-    pub fn mark_displaced(
-        &mut self,
-        now: Moment,
-        id: &EndpointId,
-        incarnation: u64,
-    ) -> Option<Update> {
-        let entry = self.entries.get_mut(id)?;
-        if entry.is_gone || entry.announcement.started != incarnation {
-            return None;
-        }
-        entry.is_gone = true;
-        entry.heard_at = now;
-        entry.record_change(&mut self.changes);
-        Some(to_update(entry, now))
+    /// Marks an incarnation as absent until its next announcement because another endpoint answers at
+    /// its address. Returns whether this is news.
+    ///
+    /// ```
+    /// use kumquatdrum_registry::Registry;
+    ///
+    /// let mut registry = Registry::default();
+    /// assert!(!registry.mark_displaced(&"e".into(), 1));
+    /// ```
+    pub fn mark_displaced(&mut self, id: &EndpointId, incarnation: u64) -> bool {
+        let entry = self.entries.get_mut(id);
+        let entry =
+            entry.filter(|entry| !entry.is_absent() && entry.announcement.started == incarnation);
+        entry.is_some_and(|entry| {
+            entry.is_displaced = true;
+            true
+        })
     }
 
     /// Marks an incarnation as leaving because one of its responses says so. Returns `None` if this is
@@ -217,7 +222,7 @@
         };
         let is_superseded = entry.announcement.started > endpoint.started;
         match entry.serves_until(grace) {
-            _ if entry.is_gone || is_superseded => Presence::Gone,
+            _ if entry.is_absent() || is_superseded => Presence::Gone,
             Some(until) => Presence::LeavingAt(until),
             None => Presence::Staying,
         }
@@ -232,8 +237,8 @@
         grace: Duration,
     ) -> impl Iterator<Item = (&'a Announcement, Duration, Moment)> + 'a {
         let entries = self.entries.values();
-        let of_service =
-            entries.filter(move |entry| !entry.is_gone && entry.announcement.service == *service);
+        let of_service = entries
+            .filter(move |entry| !entry.is_absent() && entry.announcement.service == *service);
         of_service.filter_map(move |entry| {
             let until = entry.serves_until(grace).filter(|until| now < *until)?;
             Some((&entry.announcement, now - entry.heard_at, until))
@@ -249,7 +254,9 @@
     ) -> impl Iterator<Item = (&'a Announcement, Duration)> + 'a {
         let entries = self.entries.values();
         let usable = entries.filter(move |entry| {
-            !entry.is_gone && !entry.announcement.leaving && entry.announcement.service == *service
+            !entry.is_absent()
+                && !entry.announcement.leaving
+                && entry.announcement.service == *service
         });
         usable.map(move |entry| (&entry.announcement, now - entry.heard_at))
     }
@@ -315,6 +322,7 @@
             let entry = Entry {
                 announcement: announcement.clone(),
                 is_gone,
+                is_displaced: false,
                 heard_at,
                 changed: change,
                 refreshed: change,
@@ -331,6 +339,7 @@
             std::cmp::Ordering::Greater if announcement.started > known.started => {
                 entry.announcement = announcement.clone();
                 entry.is_gone = is_gone;
+                entry.is_displaced = false;
                 entry.heard_at = heard_at;
                 entry.leaving_since = announcement.leaving.then_some(heard_at);
                 entry.changed = change;
@@ -345,6 +354,7 @@
                 let ends_silence = self.max_gap.is_some_and(|max_gap| gap > max_gap);
                 let has_cooled = known.warming_ms == 0 && announcement.warming_ms > 0;
                 let is_newer = order == std::cmp::Ordering::Greater;
+                let returns = is_newer && std::mem::take(&mut entry.is_displaced);
                 let has_new_terms = is_newer && !known.has_same_terms(announcement);
                 if is_newer {
                     entry.announcement = announcement.clone();
@@ -364,6 +374,7 @@
                 }
                 match order {
                     _ if before != after => Change::Changed,
+                    _ if returns => Change::Heard,
                     std::cmp::Ordering::Greater if has_cooled => Change::Cooled,
                     std::cmp::Ordering::Greater if ends_silence => Change::Heard,
                     std::cmp::Ordering::Greater => Change::Refreshed,
@@ -407,6 +418,11 @@
 }
 
 impl Entry {
+    /// Returns whether the endpoint has left or another one answers at its address.
+    const fn is_absent(&self) -> bool {
+        self.is_gone || self.is_displaced
+    }
+
     /// Counts a change of more than age and sequence number.
     fn record_change(&mut self, changes: &mut u64) {
         *changes += 1;
