Streams: events without end, and an event without end, stop at the deadline

What callers saw: a stream whose endpoint sends without pause had not ended half a second after its deadline.

Cause: bytes that are always ready exhaust the budget that the runtime gives a task, and a timer that is polled afterwards doesn't fire, however late it is. Each part of a long event was also searched together with all parts before it.

Change: the time is compared before each part of the body; what has arrived is forwarded for 0.25 s after the deadline. Only new bytes are searched, and an event of more than 1 MiB breaks the response off.

--- a/crates/kumquatdrum/tests/gateway/endless.rs
+++ b/crates/kumquatdrum/tests/gateway/endless.rs
@@ -119,3 +119,8 @@
 async fn an_event_without_end_harms_no_other_request() {
     check(243, Part::Event, "/endless/stream/x").await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn events_without_end_harm_no_other_request() {
+    check(208, Part::Events, "/endless/stream/x").await;
+}
--- a/crates/kumquatdrum/tests/gateway/endpoint/endless.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint/endless.rs
@@ -14,6 +14,8 @@
     Body,
     /// One event of a stream.
     Event,
+    /// The events of a stream.
+    Events,
 }
 
 /// Sends an answer with a part that does not end.
@@ -33,6 +35,13 @@
             let start = head("200 OK", attempt, event) + &chunk("id: 1\ndata: ");
             (start, chunk(&"x".repeat(4_000)))
         }
+        Part::Events => {
+            let start = head("200 OK", attempt, event);
+            (
+                start,
+                chunk(&format!("id: 1\ndata: {}\n\n", "x".repeat(4_000))),
+            )
+        }
     };
     stream.write_all(start.as_bytes()).await?;
     let more = more.repeat((64 << 10) / more.len());
--- a/crates/kumquatdrum_gateway/src/call/source.rs
+++ b/crates/kumquatdrum_gateway/src/call/source.rs
@@ -17,6 +17,9 @@
 use crate::reservation::Reservation;
 use crate::upstream::Exchange;
 
+/// The time after the deadline for which events that have arrived are still forwarded.
+const MAX_LATENESS: Duration = Duration::from_millis(250);
+
 /// The silence after which a stream is tried elsewhere, in multiples of the caller's maximum
 /// pause. Shorter silences are more likely caused by an engine that is busy with prefill than by a
 /// failure, and resuming would only add to the prefill.
@@ -120,6 +123,10 @@
         let deadline = call.deadline_instant();
         let mut cut = std::pin::pin!(self.wait_for_cut(call, can_resume));
         loop {
+            // While bytes arrive without pause, they exhaust the task's budget, and timers don't fire.
+            if clock.now() >= call.deadline + MAX_LATENESS {
+                return Some(Received::TimedOut);
+            }
             let step = silence.step(clock.now(), can_resume);
             let until = match step {
                 Step::Try => return None,
@@ -129,7 +136,11 @@
             let check = self.is_gone(call);
             tokio::select! {
                 biased;
-                received = self.receive(call) => return Some(received),
+                received = self.receive(call) => {
+                    if received.is_some() {
+                        return received;
+                    }
+                }
                 () = &mut cut, if !silence.is_cut() => silence.record_cut(clock.now()),
                 is_gone = check, if step == Step::Check => {
                     if is_gone {
@@ -188,40 +199,39 @@
         }
     }
 
-    async fn receive(&mut self, call: &Call) -> Received {
-        loop {
-            let Some(exchange) = &mut self.exchange else {
-                return Received::Broken("there is no response".to_owned());
-            };
-            match exchange.response.body_mut().frame().await {
-                Some(Err(error)) => return Received::Broken(error.to_string()),
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let Events {
+    /// Receives the next part of the body. Returns `None` if it completes no event.
+    async fn receive(&mut self, call: &Call) -> Option<Received> {
+        let Some(exchange) = &mut self.exchange else {
+            return Some(Received::Broken("there is no response".to_owned()));
+        };
+        match exchange.response.body_mut().frame().await {
+            Some(Err(error)) => Some(Received::Broken(error.to_string())),
+            Some(Ok(frame)) => {
+                let data = frame.into_data().ok()?;
+                match self.splitter.push(&data) {
+                    Ok(Events {
                         bytes,
                         last_event_id,
-                    } = self.splitter.push(&data);
-                    self.last_event_id = last_event_id.or(self.last_event_id);
-                    if !bytes.is_empty() {
-                        return Received::Events(bytes);
+                    }) => {
+                        self.last_event_id = last_event_id.or(self.last_event_id);
+                        (!bytes.is_empty()).then_some(Received::Events(bytes))
                     }
+                    Err(error) => Some(Received::Broken(error.to_string())),
                 }
-                None => {
-                    let framing = exchange.framing;
-                    let rest_bytes = self.splitter.rest_bytes();
-                    call.log_body_end(&self.pick, framing, rest_bytes, self.last_event_id);
-                    // The path is fine, as the end of the connection has arrived.
-                    self.exchange = None;
-                    return match self.splitter.completeness(framing) {
-                        Completeness::Complete => Received::Complete,
-                        Completeness::Unknown => Received::UnknownEnd,
-                        Completeness::Broken => {
-                            Received::Broken("the stream ended inside an event".to_owned())
-                        }
-                    };
-                }
+            }
+            None => {
+                let framing = exchange.framing;
+                let rest_bytes = self.splitter.rest_bytes();
+                call.log_body_end(&self.pick, framing, rest_bytes, self.last_event_id);
+                // The path is fine, as the end of the connection has arrived.
+                self.exchange = None;
+                Some(match self.splitter.completeness(framing) {
+                    Completeness::Complete => Received::Complete,
+                    Completeness::Unknown => Received::UnknownEnd,
+                    Completeness::Broken => {
+                        Received::Broken("the stream ended inside an event".to_owned())
+                    }
+                })
             }
         }
     }
--- a/crates/kumquatdrum_response/src/event.rs
+++ b/crates/kumquatdrum_response/src/event.rs
@@ -6,8 +6,18 @@
 
 /// The ends of an event: its last line and an empty line, for each kind of line end.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+/// The length of the longest of [`EVENT_ENDS`].
+const MAX_END_BYTES: usize = 3;
 const ID_FIELD: &[u8] = b"id:";
 
+/// The maximum number of bytes of an incomplete event, which is held in memory.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event is longer than [`MAX_EVENT_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct OversizedEvent;
+
 /// The complete events in a part of a stream, possibly none.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Events {
@@ -36,24 +46,31 @@
     /// Appends bytes and returns all events that are complete.
     ///
     /// ```
-    /// use kumquatdrum_response::event::Splitter;
+    /// use kumquatdrum_response::event::{OversizedEvent, Splitter};
     ///
+    /// # fn main() -> Result<(), OversizedEvent> {
     /// let mut splitter = Splitter::new(false);
-    /// assert!(splitter.push(b"id: 3\ndata: a").bytes.is_empty());
-    /// assert_eq!(splitter.push(b"\n\nid: 4").last_event_id, Some(3));
+    /// assert!(splitter.push(b"id: 3\ndata: a")?.bytes.is_empty());
+    /// assert_eq!(splitter.push(b"\n\nid: 4")?.last_event_id, Some(3));
+    /// # Ok(())
+    /// # }
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Events {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Events, OversizedEvent> {
+        // The bytes before hold no end but one that these bytes complete.
+        let searched = self.rest.len().saturating_sub(MAX_END_BYTES - 1);
         self.rest.extend_from_slice(bytes);
-        let Some(end) = last_end(&self.rest) else {
-            return Events::default();
+        let end = match last_end(&self.rest[searched..]) {
+            Some(end) => searched + end,
+            None if self.rest.len() > MAX_EVENT_BYTES => return Err(OversizedEvent),
+            None => return Ok(Events::default()),
         };
         self.has_begun = true;
         let bytes = self.rest.split_to(end).freeze();
         let last_event_id = last_id(&bytes);
-        Events {
+        Ok(Events {
             bytes,
             last_event_id,
-        }
+        })
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -68,10 +85,10 @@
     /// use kumquatdrum_response::{Completeness, Framing, event::Splitter};
     ///
     /// let mut splitter = Splitter::new(false);
-    /// splitter.push(b"data: a\n\n");
+    /// splitter.push(b"data: a\n\n").expect("a short event");
     /// assert_eq!(splitter.completeness(Framing::Chunked), Completeness::Complete);
     /// assert_eq!(splitter.completeness(Framing::Close), Completeness::Unknown);
-    /// splitter.push(b"da");
+    /// splitter.push(b"da").expect("a short event");
     /// assert_eq!(splitter.completeness(Framing::Chunked), Completeness::Broken);
     /// ```
     pub fn completeness(&self, framing: Framing) -> Completeness {
--- a/crates/kumquatdrum_response/tests/event.rs
+++ b/crates/kumquatdrum_response/tests/event.rs
@@ -1,6 +1,6 @@
 //! Event streams that are split and cut at every byte.
 
-use kumquatdrum_response::event::Splitter;
+use kumquatdrum_response::event::{MAX_EVENT_BYTES, OversizedEvent, Splitter};
 use kumquatdrum_response::{Completeness, Framing};
 
 /// Streams of two events, with the number of bytes of the first one.
@@ -16,7 +16,8 @@
     let mut splitter = Splitter::new(false);
     let mut events = Vec::new();
     for part in text.as_bytes().chunks(part_bytes) {
-        events.extend_from_slice(&splitter.push(part).bytes);
+        let complete = splitter.push(part).expect("short events");
+        events.extend_from_slice(&complete.bytes);
     }
     (String::from_utf8(events).expect("text"), splitter)
 }
@@ -57,6 +58,23 @@
 fn the_id_of_the_last_complete_event_is_found_with_any_line_end() {
     for (text, _) in &STREAMS[..3] {
         let mut splitter = Splitter::new(false);
-        assert_eq!(splitter.push(text.as_bytes()).last_event_id, Some(2));
+        let events = splitter.push(text.as_bytes()).expect("short events");
+        assert_eq!(events.last_event_id, Some(2));
     }
 }
+
+/// Guards against an event without end that is held and searched as a whole again and again.
+#[test]
+fn an_event_may_be_long_but_not_without_end() {
+    let mut splitter = Splitter::new(false);
+    let part = [b'x'; 4_096];
+    for _ in 0..MAX_EVENT_BYTES / part.len() {
+        let events = splitter.push(&part).expect("not too long yet");
+        assert!(events.bytes.is_empty());
+    }
+    let events = splitter.push(b"\n\n").expect("a complete event");
+    assert_eq!(events.bytes.len(), MAX_EVENT_BYTES + 2);
+    let mut pushes = std::iter::repeat_with(|| splitter.push(&part));
+    let mut pushes = pushes.by_ref().take(MAX_EVENT_BYTES / part.len() + 1);
+    assert!(pushes.any(|result| result == Err(OversizedEvent)));
+}
