Reservations: an engine that is gone before the head of its answer ends its wait

What callers saw: nothing; memory at other engines stayed reserved for 4.1 s after the engine that had got the prompt went dark (4 s allowed).

Cause: a silent engine was checked from the head of its response on. Before it, only the keep-alive probes of the connection ended the wait, and the lease was renewed meanwhile.

Change: the wait for the head is checked at the same interval, half of a lease. An engine that accepts no connections of this host nor of others is lost.

--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -65,8 +65,9 @@
     TruncatedStream { after: u64 },
     /// With six events without framing, cut within the event after `cut_after`.
     UnframedStream { cut_after: Option<u64> },
-    /// With some events of a stream, then with silence: the listener is closed, the connection not.
-    GoDark { after: u64 },
+    /// With some events of a stream, or not even the head, then with silence: the listener is closed, the
+    /// connection not.
+    GoDark { after: Option<u64> },
     /// With [`SIX_EVENTS`], in turn with chunks or without framing, complete or broken off.
     AnyEnding,
     /// With half a body of unknown length, and then a reset of the connection.
@@ -384,7 +385,8 @@
             }
             Ok(())
         }
-        Behaviour::GoDark { after: last } => {
+        Behaviour::GoDark { after: None } => Ok(()),
+        Behaviour::GoDark { after: Some(last) } => {
             let mut text = head("200 OK", attempt, events);
             for event in after + 1..=last {
                 text += &chunk(&format!("id: {event}\ndata: piece {event}\n\n"));
--- a/crates/kumquatdrum/tests/gateway/reservation.rs
+++ b/crates/kumquatdrum/tests/gateway/reservation.rs
@@ -12,11 +12,11 @@
 /// The time for which memory may stay reserved after the request that used it has ended.
 const FREE_LIMIT: Duration = Duration::from_secs(4);
 
-/// Load: a prompt that exceeds one engine, whose first engine falls silent before its first event or
-/// during the answer.
+/// Load: a prompt that exceeds one engine, whose first engine falls silent before the head of its answer,
+/// before its first event or during the answer.
 #[tokio::test]
 async fn memory_is_released_soon_after_the_first_engine_falls_silent() {
-    for (subnet, after) in [(79, 0), (80, 2)] {
+    for (subnet, after) in [(209, None), (79, Some(0)), (80, Some(2))] {
         let cluster = Cluster::with_hosts(subnet, CONTROL_HOSTS + 1);
         cluster.apply(&engine_config(3)).await;
         let mut engines = Vec::new();
--- a/crates/kumquatdrum/tests/gateway/silence.rs
+++ b/crates/kumquatdrum/tests/gateway/silence.rs
@@ -152,7 +152,7 @@
 #[tokio::test]
 async fn streams_of_an_endpoint_that_never_goes_on_are_resumed_or_ended_before_the_deadline() {
     check_resumption().await;
-    let dark = Behaviour::GoDark { after: 3 };
+    let dark = Behaviour::GoDark { after: Some(3) };
     let (cluster, _endpoints) = start(224, &silence_config(3), &[dark]).await;
     let started = Instant::now();
     let [mut ends] = call(&cluster, ["/fixed/x"]).await;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -10,7 +10,7 @@
 use kumquatdrum_response::execution::Execution;
 use kumquatdrum_response::{Completeness, Framing};
 use slog::info;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use super::Call;
 use super::held::{Content, Rest, hold};
@@ -78,7 +78,12 @@
         };
         let upstream = &self.gateway.upstream;
         let deadline = self.deadline_instant();
-        let exchange = match upstream.send(target, request, deadline).await {
+        let sent = tokio::select! {
+            biased;
+            sent = upstream.send(target, request, deadline) => sent,
+            () = self.wait_until_gone(pick) => Err(upstream::Error::Lost("silent".to_owned())),
+        };
+        let exchange = match sent {
             Ok(exchange) => exchange,
             Err(upstream::Error::Unsent(reason)) => {
                 pick.record_failure(Failure::Unreachable);
@@ -130,6 +135,19 @@
         self.collect(pick, exchange).await
     }
 
+    /// Waits until the endpoint accepts no connections, if memory of others is reserved for the request.
+    async fn wait_until_gone(&self, pick: &Pick) {
+        if pick.prefillers.is_empty() {
+            return std::future::pending().await;
+        }
+        loop {
+            sleep(self.gateway.reserved_silence()).await;
+            if !self.gateway.is_listening(&pick.endpoint).await {
+                return;
+            }
+        }
+    }
+
     async fn collect(&self, pick: &Pick, exchange: Exchange) -> Outcome {
         let reply = exchange.reply.clone();
         let execution = match exchange.response.status() {
--- a/crates/kumquatdrum_gateway/src/call/source.rs
+++ b/crates/kumquatdrum_gateway/src/call/source.rs
@@ -33,10 +33,6 @@
 /// The minimum of that silence.
 const MIN_CUT_SILENCE: Duration = Duration::from_millis(250);
 
-/// The share of a lease after which a silent endpoint is checked if memory of other endpoints is
-/// reserved for the stream. The rest of the lease is for the check and the release.
-const RESERVED_SILENCE_SHARE: f64 = 0.5;
-
 /// The response of one endpoint. Dropping it closes the connection and releases reserved memory.
 pub(super) struct Source {
     pub(super) pick: Pick,
@@ -89,12 +85,10 @@
         Silence::new(call.gateway.clock.now(), Limits { resume, check })
     }
 
-    /// Returns the silence after which the endpoint is checked if memory is reserved. An endpoint that
-    /// has crashed without a word must not keep the memory of others reserved.
+    /// Returns the silence after which the endpoint is checked if memory is reserved.
     fn check_limit(&self, call: &Call) -> Option<Duration> {
-        let lease = call.gateway.lease_duration();
         let is_reserved = !self.reservations.is_empty();
-        is_reserved.then(|| lease.mul_f64(RESERVED_SILENCE_SHARE))
+        is_reserved.then(|| call.gateway.reserved_silence())
     }
 
     /// Waits for the first events. Until then another endpoint is tried only in place of this one.
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -64,6 +64,10 @@
 /// unused. The rest allows for orders in flight when the lease ends.
 const LEASE_FRACTION: f64 = 0.8;
 
+/// The fraction of a lease after which a silent endpoint is checked if memory of other endpoints is
+/// reserved for its request. The rest of the lease is for the check and the release.
+const RESERVED_SILENCE_FRACTION: f64 = 0.5;
+
 /// An error that prevents a host from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -192,6 +196,12 @@
         Duration::from_millis(self.settings.unused_memory_ms).mul_f64(LEASE_FRACTION)
     }
 
+    /// Returns the silence after which an endpoint is checked if memory of others is reserved for its
+    /// request. An endpoint that has crashed without a word must not keep that memory reserved.
+    pub(crate) fn reserved_silence(&self) -> Duration {
+        self.lease_duration().mul_f64(RESERVED_SILENCE_FRACTION)
+    }
+
     /// Returns the time since the start of this host.
     fn uptime(&self) -> Duration {
         self.clock.now() - self.started
