Contacts: a host whose sources of endpoints don't answer asks another one

What callers saw: none reported it. A host that reaches one of three control hosts learned of no new endpoint while that lasted.

Cause: sources that don't answer stay sources, and no further one was asked as long as one was counted.

The test of frozen sources passed, as it compared changes with the next ones alone: with both frozen there is no next one.

--- a/crates/kumquatdrum_gateway/src/contact.rs
+++ b/crates/kumquatdrum_gateway/src/contact.rs
@@ -410,7 +410,8 @@
         let sources = endpoints.sources.len();
         let is_old = now - self.started >= MAX_ENDPOINT_DURATION;
         let is_over = self.is_control && sources > 0 && is_old;
-        if endpoints.is_in_flight || sources >= most || is_over || now < endpoints.resume_at {
+        let is_enough = sources >= most && !self.lacks_source(now);
+        if endpoints.is_in_flight || is_enough || is_over || now < endpoints.resume_at {
             return None;
         }
         if now - self.endpoints.empty_since >= EMPTY_RETRY_DELAY {
--- a/crates/kumquatdrum_gateway/src/contact/listing.rs
+++ b/crates/kumquatdrum_gateway/src/contact/listing.rs
@@ -35,6 +35,19 @@
                 || requested.is_none_or(|at| now - *at >= STANDBY_INTERVAL))
     }
 
+    /// Returns whether a host that has had endpoints gets no changes, as none of its sources answers.
+    pub(super) fn lacks_source(&self, now: Moment) -> bool {
+        let endpoints = &self.endpoints;
+        let answers = |source: &HostId| {
+            let contact = self.contacts.get(source);
+            contact.is_some_and(|contact| contact.is_answering)
+        };
+        !self.is_control
+            && endpoints.received > 0
+            && now - endpoints.changes_received >= CHANGES_PATIENCE
+            && !endpoints.sources.iter().any(answers)
+    }
+
     /// Makes the hello due that requests the first listing or an overdue one. Control hosts request
     /// their first ones of each other.
     pub(super) fn expedite_listing(&mut self, now: Moment) {
--- a/crates/kumquatdrum_gateway/tests/contact.rs
+++ b/crates/kumquatdrum_gateway/tests/contact.rs
@@ -477,7 +477,9 @@
                 .filter(|at| (2_000..10_000).contains(*at))
                 .count();
             assert!((7..=12).contains(&steady), "seed {seed}: {times:?}");
-            let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+            // Until the end, as none may come after both sources have frozen.
+            let ends = [&times[..], &[play.length_ms]].concat();
+            let gaps = ends.windows(2).map(|pair| pair[1] - pair[0]);
             assert!(
                 gaps.max() <= Some(3_500),
                 "seed {seed}, {frozen} frozen: {times:?}"
