--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -349,7 +349,8 @@
         Behaviour::CloseWithoutAnswer
         | Behaviour::Cut { .. }
         | Behaviour::AnyEnding
-        | Behaviour::ByPath => Ok(()),
+        | Behaviour::ByPath
+        | Behaviour::GoDark { after: None } => Ok(()),
         Behaviour::UnframedStream { cut_after } => {
             let start = head("200 OK", attempt, extra);
             stream.write_all(start.as_bytes()).await?;
@@ -385,7 +386,6 @@
             }
             Ok(())
         }
-        Behaviour::GoDark { after: None } => Ok(()),
         Behaviour::GoDark { after: Some(last) } => {
             let mut text = head("200 OK", attempt, events);
             for event in after + 1..=last {
