Tests: one check of requests after a leave, one stand-in of a daemon

The check that an endpoint gets no requests after its leave stood in connect_back and in its soak; both now use leaving::check_drained, with the longer of the two times (4 s of requests). The recording daemon of the peer tests is in their support module.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -159,6 +159,11 @@
         std::fs::read_to_string(self.log_path(host)).unwrap_or_default()
     }
 
+    /// Returns the logs of all hosts, one after the other.
+    pub fn read_logs(&self) -> String {
+        (0..HOSTS).map(|host| self.read_log(host)).collect()
+    }
+
     /// Returns the id of a host's process.
     pub fn process(&self, host: usize) -> u32 {
         self.hosts[host].as_ref().expect("the host runs").id()
--- a/crates/kumquatdrum/tests/gateway/connect_back.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back.rs
@@ -8,19 +8,15 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, Endpoint};
-use crate::leaving::check_others_learn;
+use crate::leaving::{check_drained, check_others_learn};
 
 /// The time in which an accepted setup is in force on hosts in touch.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
-/// The time after an acknowledged leave request from which the endpoint gets no requests.
-const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// The time in which a host that was restarted is ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// The time in which operators' calls are served, also right after a cut: they wait for a leader.
 const LEADER_LIMIT: Duration = Duration::from_secs(4);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// The interval at which a caller sends requests.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Guards against a record that counts as delivered although its sender can't connect to the host.
 #[tokio::test]
@@ -80,23 +76,13 @@
     let left = cluster.call_control(control, &path, Some(&leave)).await;
     assert_eq!(left.expect("an answer").status(), StatusCode::OK);
     let acknowledged = Instant::now();
-    while acknowledged.elapsed() < DRAIN_LIMIT * 2 {
-        for host in CONTROL_HOSTS..HOSTS {
-            let answer = cluster.request(host, "/safe/x", "at-1").send().await;
-            assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
-        }
-        sleep(REQUEST_INTERVAL).await;
-    }
-    let arrivals = endpoint.record.arrivals.lock();
-    let late = arrivals.iter().map(|(at, _)| *at - acknowledged);
-    let late = late.filter(|late| *late > DRAIN_LIMIT).count();
-    let logs = || (0..HOSTS).map(|host| cluster.read_log(host));
-    assert_eq!(
-        late,
-        0,
-        "requests after a leave at control host {control}:\n{}",
-        logs().collect::<String>()
-    );
+    check_drained(
+        cluster,
+        endpoint,
+        acknowledged,
+        &format!("control host {control}"),
+    )
+    .await;
 }
 
 /// Guards against a leave request that is acknowledged by a control host which doesn't know the endpoint.
--- a/crates/kumquatdrum/tests/gateway/connect_back_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back_soak.rs
@@ -12,6 +12,7 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, Endpoint};
+use crate::leaving::check_drained;
 use crate::links::Links;
 
 /// Rounds of a seed, each with its own cuts.
@@ -22,10 +23,6 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
 /// The time in which a host that was restarted is ready, or knows a new endpoint.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(4);
-/// The time after an acknowledged leave request from which the endpoint gets no requests.
-const DRAIN_LIMIT: Duration = Duration::from_secs(2);
-/// How long requests are sent after an acknowledged leave request.
-const REQUEST_DURATION: Duration = Duration::from_secs(3);
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 struct Soak {
@@ -92,7 +89,8 @@
         .await;
         let path = format!("/-/Instances.Leave/{}", leaving.id);
         self.call(&path, &json!({"born": 1})).await;
-        self.check_drained(&leaving).await;
+        let context = format!("seed {}", self.seed);
+        check_drained(&self.cluster, &leaving, Instant::now(), &context).await;
         for host in 0..HOSTS {
             self.links.join(host).await;
         }
@@ -160,22 +158,6 @@
         }
     }
 
-    async fn check_drained(&self, endpoint: &Endpoint) {
-        let left = Instant::now();
-        while left.elapsed() < REQUEST_DURATION {
-            for host in CONTROL_HOSTS..HOSTS {
-                let answer = self.cluster.request(host, "/safe/x", "at-1").send().await;
-                let is_served = answer.is_ok_and(|answer| answer.status() == StatusCode::OK);
-                self.check(is_served, "a request is served");
-            }
-            sleep(POLL_INTERVAL).await;
-        }
-        let arrivals = endpoint.record.arrivals.lock();
-        let mut late = arrivals.iter().map(|(at, _)| *at - left);
-        let is_drained = !late.any(|late| late > DRAIN_LIMIT);
-        self.check(is_drained, "an endpoint that left gets no requests");
-    }
-
     async fn wait(&self, what: &str, limit: Duration, is_done: impl AsyncFn(&Self) -> bool) {
         let started = Instant::now();
         while !is_done(self).await {
@@ -185,8 +167,7 @@
     }
 
     fn check(&self, holds: bool, what: &str) {
-        let log = |host| self.cluster.read_log(host);
-        let logs = || (0..HOSTS).map(log).collect::<String>();
+        let logs = || self.cluster.read_logs();
         assert!(holds, "seed {}: {what}\n{}", self.seed, logs());
     }
 }
--- a/crates/kumquatdrum/tests/gateway/crash_part.rs
+++ b/crates/kumquatdrum/tests/gateway/crash_part.rs
@@ -91,7 +91,11 @@
         .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
     let crashed = count_crashed(&endpoints);
     println!("{crashed} endpoints crashed, {served} of {all} others served");
-    assert!(crashed <= MAX_CRASHES, "{crashed} endpoints crashed");
+    assert!(
+        crashed <= MAX_CRASHES,
+        "{crashed} endpoints crashed:\n{}",
+        cluster.read_logs()
+    );
     assert!(served * 20 >= all * 19, "{served} of {all} others served");
     let refused = Some(StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(*statuses.last().expect("a request"), refused);
--- a/crates/kumquatdrum/tests/gateway/leaving.rs
+++ b/crates/kumquatdrum/tests/gateway/leaving.rs
@@ -16,6 +16,8 @@
 pub const DRAIN: Duration = Duration::from_secs(2);
 /// The time in which requests that were already sent arrive.
 const IN_TRANSIT: Duration = Duration::from_millis(200);
+/// The interval at which a caller sends requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Returns the number of requests that a host sent to an endpoint after it had passed on an answer
 /// that says that the endpoint is leaving.
@@ -141,6 +143,37 @@
     assert_eq!(from_other_host.count(), 0);
 }
 
+/// Sends requests by each host that takes callers for twice the drain time after a leave request was
+/// acknowledged, and checks that all are served, after the drain time by other endpoints.
+pub async fn check_drained(
+    cluster: &Cluster,
+    endpoint: &Endpoint,
+    acknowledged: Instant,
+    context: &str,
+) {
+    while acknowledged.elapsed() < DRAIN * 2 {
+        for host in CONTROL_HOSTS..HOSTS {
+            let answer = cluster.request(host, "/safe/x", "at-1").send().await;
+            let is_served = answer.is_ok_and(|answer| answer.status() == StatusCode::OK);
+            assert!(
+                is_served,
+                "{context}, host {host}:\n{}",
+                cluster.read_logs()
+            );
+        }
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let arrivals = endpoint.record.arrivals.lock();
+    let late = arrivals.iter().map(|(at, _)| *at - acknowledged);
+    let late = late.filter(|late| *late > DRAIN).count();
+    assert_eq!(
+        late,
+        0,
+        "{context}, requests after the drain time:\n{}",
+        cluster.read_logs()
+    );
+}
+
 #[tokio::test]
 async fn a_leaving_endpoint_serves_while_the_others_have_crashed() {
     let cluster = Arc::new(Cluster::start(94));
--- a/crates/kumquatdrum_peer/tests/exchange.rs
+++ b/crates/kumquatdrum_peer/tests/exchange.rs
@@ -1,137 +1,21 @@
 //! Delivery, authentication, reconnection, queue limits and shutdown of daemons over loopback.
 
+mod support;
+
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::{FutureExt, StreamExt, stream};
-use kumquatdrum_peer::{
-    Channel, Client, Error, Handler, Identity, LocalDaemon, Pace, Parts, ResponseFuture, Secret,
-    serve,
-};
-use kumquatdrum_types::{BootId, HostId};
-
+use kumquatdrum_peer::{Channel, Client, Error, LocalDaemon, Pace};
+use kumquatdrum_types::HostId;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
-
-type Delivery = (Identity, Channel, Bytes);
-
-struct Recorder {
-    deliveries: mpsc::UnboundedSender<Delivery>,
-}
-
-impl Handler for Recorder {
-    fn deliver(&self, from: &Identity, channel: Channel, body: Bytes) {
-        let _ = self.deliveries.send((from.clone(), channel, body));
-    }
-
-    fn answer(&self, _: &Identity, channel: Channel, body: Bytes) -> ResponseFuture<'_> {
-        async move {
-            match &body[..] {
-                b"fail" => Err(Error::Handler("no majority".to_owned())),
-                b"hang" => std::future::pending().await,
-                _ => Ok(Bytes::from(
-                    [channel.name().as_bytes(), b":", &body].concat(),
-                )),
-            }
-        }
-        .boxed()
-    }
-
-    fn exchange(&self, from: &Identity, channel: Channel, body: Bytes) -> Parts {
-        let first = stream::iter([Bytes::from("first"), body.clone()]);
-        match &body[..] {
-            b"hang" => {
-                // Tells when the response is dropped.
-                let dropped = Dropped {
-                    deliveries: self.deliveries.clone(),
-                    from: from.clone(),
-                    channel,
-                };
-                let pending = stream::unfold(dropped, |dropped| async move {
-                    std::future::pending::<()>().await;
-                    Some((Bytes::new(), dropped))
-                });
-                first.chain(pending).boxed()
-            }
-            _ => first.boxed(),
-        }
-    }
-}
-
-struct Dropped {
-    deliveries: mpsc::UnboundedSender<Delivery>,
-    from: Identity,
-    channel: Channel,
-}
-
-impl Drop for Dropped {
-    fn drop(&mut self) {
-        let delivery = (self.from.clone(), self.channel, Bytes::from("cancelled"));
-        let _ = self.deliveries.send(delivery);
-    }
-}
-
-struct Daemon {
-    address: SocketAddr,
-    deliveries: mpsc::UnboundedReceiver<Delivery>,
-    local: LocalDaemon,
-    stop: oneshot::Sender<()>,
-    task: JoinHandle<Result<(), Error>>,
-}
-
-fn local(host: &str, cluster: &str, secret: &str) -> LocalDaemon {
-    LocalDaemon {
-        cluster: cluster.to_owned(),
-        secret: Secret::new(secret),
-        identity: Identity {
-            host: HostId::new(host),
-            boot: BootId(7),
-        },
-        counters: Arc::default(),
-        logger: slog::Logger::root(slog::Discard, slog::o!()),
-    }
-}
-
-async fn daemon(host: &str) -> Daemon {
-    daemon_with(local(host, "salons", "secret")).await
-}
-
-async fn daemon_with(local: LocalDaemon) -> Daemon {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    serve_on(listener, local)
-}
-
-fn serve_on(listener: TcpListener, local: LocalDaemon) -> Daemon {
-    let address = listener.local_addr().unwrap();
-    let (sender, deliveries) = mpsc::unbounded_channel();
-    let (stop, stopped) = oneshot::channel();
-    let handler = Arc::new(Recorder { deliveries: sender });
-    let shutdown = stopped.map(|_| ());
-    let task = tokio::spawn(serve(listener, handler, local.clone(), shutdown));
-    Daemon {
-        address,
-        deliveries,
-        local,
-        stop,
-        task,
-    }
-}
-
-/// Returns the next message, and fails if none arrives in time.
-async fn next(daemon: &mut Daemon) -> Delivery {
-    let delivery = timeout(TEST_TIMEOUT, daemon.deliveries.recv()).await;
-    delivery
-        .expect("a message arrives in time")
-        .expect("the daemon is running")
-}
+use support::{TEST_TIMEOUT, daemon, daemon_with, local, next, serve_on};
 
 fn client(
     cluster: &str,
