--- a/crates/kumquatdrum_registry/src/registry.rs
+++ b/crates/kumquatdrum_registry/src/registry.rs
@@ -139,9 +139,7 @@
             std::cmp::Ordering::Greater => return Some(Change::Stale),
         };
         let heard_at = now.saturating_sub(Duration::from_millis(refresh.age_ms));
-        let change = self.upsert(heard_at, &announcement, false);
-        self.record_departure(&refresh.id);
-        Some(change)
+        Some(self.upsert(heard_at, &announcement, false))
     }
 
     /// Applies an announcement received from the endpoint itself.
@@ -319,7 +317,6 @@
         let is_known = self.is_known_at(&announcement);
         let is_gone = is_gone || (!is_known && self.is_displaced(&announcement));
         let change = self.upsert(heard_at, &announcement, is_gone);
-        self.record_departure(&announcement.id);
         if matches!(change, Change::New) && !is_gone {
             self.displace_earlier(&announcement);
         }
@@ -327,6 +324,17 @@
     }
 
     fn upsert(&mut self, heard_at: Moment, announcement: &Announcement, is_gone: bool) -> Change {
+        let change = self.update_entry(heard_at, announcement, is_gone);
+        self.record_departure(&announcement.id);
+        change
+    }
+
+    fn update_entry(
+        &mut self,
+        heard_at: Moment,
+        announcement: &Announcement,
+        is_gone: bool,
+    ) -> Change {
         let change = self.changes + 1;
         let Some(entry) = self.entries.get_mut(&announcement.id) else {
             let entry = Entry {
