Tests: one reader of SOAK_SEEDS, and proxies that wait for their address

A process that another test starts holds copies of this process's sockets until it runs its program, so that an address that was just given up may be in use for a moment.

--- a/crates/kumquatdrum/tests/gateway/answer_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak.rs
@@ -88,10 +88,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answer_soak() {
-    let mut seeds = match std::env::var("SOAK_SEEDS") {
-        Ok(_) => crate::endpoint_soak::seeds(),
-        Err(_) => DEFAULT_SEEDS,
-    };
+    let mut seeds = crate::endpoint_soak::seeds(DEFAULT_SEEDS);
     let (mut running, mut failures) = (JoinSet::new(), Vec::new());
     loop {
         while running.len() < CONCURRENT_SEEDS
--- a/crates/kumquatdrum/tests/gateway/connect_back_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back_soak.rs
@@ -1,6 +1,6 @@
 //! Randomised cuts in one direction of pairs of hosts, with restarts, changes and leaving endpoints.
 //!
-//! `CUT_SEEDS=0..50 cargo test --package kumquatdrum --test gateway cut_soak` runs more seeds.
+//! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway cut_soak` runs more seeds.
 
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, Endpoint};
+use crate::endpoint_soak::{DEFAULT_SEEDS, seeds};
 use crate::leaving::check_drained;
 use crate::links::Links;
 
@@ -35,10 +36,7 @@
 /// Guards against news that a host can only send to those that it can connect to.
 #[tokio::test]
 async fn cut_soak() {
-    let seeds = std::env::var("CUT_SEEDS").unwrap_or_else(|_| "0..2".to_owned());
-    let (first, end) = seeds.split_once("..").expect("FIRST..END");
-    let seeds = first.parse::<u64>().expect("a seed")..end.parse().expect("a seed");
-    for seed in seeds {
+    for seed in seeds(DEFAULT_SEEDS) {
         let (cluster, links) = Cluster::with_links(145 + (seed % 5) as u8).await;
         let random = Pcg32::seed_from_u64(seed);
         let mut soak = Soak {
--- a/crates/kumquatdrum/tests/gateway/ending_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/ending_soak.rs
@@ -15,7 +15,7 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, HOSTS, config};
 use crate::endpoint::{Behaviour, Endpoint};
-use crate::endpoint_soak::seeds;
+use crate::endpoint_soak::{DEFAULT_SEEDS, seeds};
 use crate::raw::{self, Ending, Version};
 
 /// Duration of the load per seed.
@@ -26,7 +26,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn ending_soak() {
-    for seed in seeds() {
+    for seed in seeds(DEFAULT_SEEDS) {
         run_seed(seed).await;
     }
 }
--- a/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
@@ -22,7 +22,7 @@
 use crate::limit::{PROPAGATION_LIMIT, allowed, count_busiest};
 
 /// Seeds that run by default.
-const DEFAULT_SEEDS: Range<u64> = 0..2;
+pub const DEFAULT_SEEDS: Range<u64> = 0..2;
 /// Duration of the load per seed.
 const DURATION: Duration = Duration::from_secs(10);
 const ENDPOINTS: u64 = 6;
@@ -101,32 +101,33 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endpoint_soak() {
-    for seed in seeds() {
+    for seed in seeds(DEFAULT_SEEDS) {
         run_seed(seed, 200, Holds::None, Culprit::Request).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endpoint_soak_with_a_part_that_crashes_endpoints() {
-    for seed in seeds() {
+    for seed in seeds(DEFAULT_SEEDS) {
         run_seed(seed, 168, Holds::None, Culprit::Part).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endpoint_soak_with_back_offs_and_departures() {
-    for seed in seeds() {
+    for seed in seeds(DEFAULT_SEEDS) {
         run_seed(seed, 150, Holds::Random, Culprit::Request).await;
     }
 }
 
-pub fn seeds() -> Range<u64> {
+/// Returns the seeds that `SOAK_SEEDS` names, or else the given ones.
+pub fn seeds(default: Range<u64>) -> Range<u64> {
     match std::env::var("SOAK_SEEDS") {
         Ok(text) => {
             let (first, last) = text.split_once("..").expect("FIRST..LAST");
             first.parse().expect("a seed")..last.parse().expect("a seed")
         }
-        Err(_) => DEFAULT_SEEDS,
+        Err(_) => default,
     }
 }
 
--- a/crates/kumquatdrum/tests/gateway/proxy.rs
+++ b/crates/kumquatdrum/tests/gateway/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy that delays, resets or blocks connections, of all processes or of some.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::diagnosis;
 
@@ -29,6 +30,9 @@
 /// All modes except [`Mode::Pass`].
 pub const FAULTS: [Mode; 4] = [Mode::Delay, Mode::Reset, Mode::Silent, Mode::OneWay];
 const DELAY: Duration = Duration::from_millis(120);
+/// The time in which an address that was just given up is free.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+const BIND_INTERVAL: Duration = Duration::from_millis(5);
 
 pub struct Proxy {
     pub address: SocketAddr,
@@ -75,7 +79,7 @@
 
     /// Starts a proxy at an address.
     pub async fn listen(address: SocketAddr, target: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).await.expect("a free address");
+        let listener = bind(address).await;
         Self::with_listener(listener, target, Vec::new())
     }
 
@@ -105,7 +109,7 @@
         self.task.abort();
         // The task holds the listener.
         let _ = (&mut self.task).await;
-        let listener = TcpListener::bind(self.address).await.expect("the address");
+        let listener = bind(self.address).await;
         let accepting = accept(
             listener,
             self.target,
@@ -131,6 +135,20 @@
     }
 }
 
+/// Binds an address. A process that another test is starting holds copies of this process's sockets until
+/// it runs its program, so that an address may stay in use after its listener was dropped.
+async fn bind(address: SocketAddr) -> TcpListener {
+    let until = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                sleep(BIND_INTERVAL).await;
+            }
+            bound => return bound.expect("a free address"),
+        }
+    }
+}
+
 async fn accept(
     listener: TcpListener,
     target: SocketAddr,
--- a/crates/kumquatdrum/tests/gateway/soak.rs
+++ b/crates/kumquatdrum/tests/gateway/soak.rs
@@ -5,7 +5,6 @@
 //! more seeds.
 
 use std::collections::HashMap;
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -20,10 +19,9 @@
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, config};
 use crate::endpoint::{Behaviour, Endpoint};
+use crate::endpoint_soak::{DEFAULT_SEEDS, seeds};
 use crate::proxy::{FAULTS, Mode, Proxy};
 
-/// Seeds that run by default.
-const DEFAULT_SEEDS: Range<u64> = 0..2;
 /// Duration of fault injection per seed by default.
 const DEFAULT_SECONDS: u64 = 8;
 const CALLERS: u64 = 6;
@@ -56,18 +54,11 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn soak() {
-    let seeds = match std::env::var("SOAK_SEEDS") {
-        Ok(text) => {
-            let (first, last) = text.split_once("..").expect("FIRST..LAST");
-            first.parse().expect("a seed")..last.parse().expect("a seed")
-        }
-        Err(_) => DEFAULT_SEEDS,
-    };
     let seconds = std::env::var("SOAK_SECONDS").ok();
     let seconds = seconds
         .and_then(|text| text.parse().ok())
         .unwrap_or(DEFAULT_SECONDS);
-    for seed in seeds {
+    for seed in seeds(DEFAULT_SEEDS) {
         let violations = run_seed(seed, Duration::from_secs(seconds)).await;
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     }
