Logs: elections, votes, changes of the voters and calls whose caller has left

The record of a setup that was not read back could not tell apart a lost majority of disks, candidates that don't win, a change of the voters that hangs, and answers that came too late: none of these left a line.

- campaign, vote: who asks for votes, and each replica's verdict.
- replicas_appended, voters_change_ended: each step of a change of the voters, its outcome, and how far each replica is.
- call_abandoned: an operator's or endpoint's call whose caller left before the answer.

No logic changes.

--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -6,7 +6,9 @@
 use kumquatdrum_types::Moment;
 
 use crate::node::{Node, Role};
-use crate::{Content, Member, ProposalOutcome, ReplicaId, Replicas, StepDownReason, Token};
+use crate::{
+    Content, Member, Notice, Output, ProposalOutcome, ReplicaId, Replicas, StepDownReason, Token,
+};
 
 /// A requested change of the voters.
 #[derive(Debug)]
@@ -163,7 +165,8 @@
     }
 
     fn append_replicas(&mut self, replicas: Replicas) {
-        self.append(Content::Replicas(replicas));
+        let index = self.append(Content::Replicas(replicas.clone()));
+        self.output(Output::Notice(Notice::ReplicasAppended { index, replicas }));
         self.update_peers();
         self.replicate_all();
     }
--- a/crates/kumquatdrum_consensus/src/election.rs
+++ b/crates/kumquatdrum_consensus/src/election.rs
@@ -5,7 +5,7 @@
 
 use crate::durability;
 use crate::node::{Node, Role};
-use crate::{Body, ReplicaId, StepDownReason, Term, VoteRequest};
+use crate::{Body, Notice, Output, ReplicaId, StepDownReason, Term, Verdict, VoteRequest};
 
 /// The replicas that have granted their vote or pre-vote to this candidate.
 #[derive(Debug, Default)]
@@ -29,6 +29,7 @@
             return;
         }
         let request = self.vote_request(self.hard_state.term.next());
+        self.report_campaign(&request, true);
         for voter in self.other_voters() {
             self.send(&voter, Body::PreVote(request.clone()));
         }
@@ -84,11 +85,36 @@
             is_leadership_transfer,
             ..self.vote_request(self.hard_state.term)
         };
+        self.report_campaign(&request, false);
         for voter in self.other_voters() {
             self.send_after_sync(&voter, Body::RequestVote(request.clone()));
         }
     }
 
+    fn report_campaign(&mut self, request: &VoteRequest, is_pre_vote: bool) {
+        self.output(Output::Notice(Notice::Campaign {
+            term: request.term,
+            is_pre_vote,
+            last_index: request.last_index,
+            last_term: request.last_term,
+        }));
+    }
+
+    fn report_vote(
+        &mut self,
+        from: &ReplicaId,
+        request: &VoteRequest,
+        is_pre_vote: bool,
+        verdict: Verdict,
+    ) {
+        self.output(Output::Notice(Notice::Vote {
+            candidate: from.clone(),
+            term: request.term,
+            is_pre_vote,
+            verdict,
+        }));
+    }
+
     pub(crate) fn on_own_vote(&mut self, term: Term) {
         if term == self.hard_state.term {
             self.count_vote(self.id.clone());
@@ -119,10 +145,14 @@
     }
 
     pub(crate) fn on_pre_vote(&mut self, from: &ReplicaId, request: &VoteRequest) {
-        let granted = !self.is_leader()
-            && self.now >= self.promised_until()
-            && request.term > self.hard_state.term
-            && self.is_up_to_date(request);
+        let verdict = match request {
+            _ if self.is_leader() || self.now < self.promised_until() => Verdict::Promised,
+            request if request.term <= self.hard_state.term => Verdict::TermPassed,
+            request if !self.is_up_to_date(request) => Verdict::LogBehind,
+            _ => Verdict::Granted,
+        };
+        self.report_vote(from, request, true, verdict);
+        let granted = verdict == Verdict::Granted;
         let answer = Body::PreVoteAnswer {
             term: self.hard_state.term,
             asked: request.term,
@@ -160,6 +190,7 @@
         let is_released =
             request.is_leadership_transfer && request.term == self.hard_state.term.next();
         if self.now < self.promised_until() && !is_released {
+            self.report_vote(from, request, false, Verdict::Promised);
             return;
         }
         if request.term > self.hard_state.term {
@@ -170,8 +201,14 @@
             .vote
             .as_ref()
             .is_none_or(|choice| choice == from);
-        let granted =
-            request.term == self.hard_state.term && can_vote && self.is_up_to_date(request);
+        let verdict = match request {
+            request if request.term < self.hard_state.term => Verdict::TermPassed,
+            request if !self.is_up_to_date(request) => Verdict::LogBehind,
+            _ if !can_vote => Verdict::VotedForOther,
+            _ => Verdict::Granted,
+        };
+        self.report_vote(from, request, false, verdict);
+        let granted = verdict == Verdict::Granted;
         if granted && self.hard_state.vote.is_none() {
             self.hard_state.vote = Some(from.clone());
             self.durability.mark_hard_state_dirty();
--- a/crates/kumquatdrum_consensus/src/event.rs
+++ b/crates/kumquatdrum_consensus/src/event.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use kumquatdrum_types::{HostId, Moment};
 
-use crate::{Batch, LogIndex, Member, Message, ReplicaId, Snapshot, Term, Token};
+use crate::{Batch, LogIndex, Member, Message, Notice, ReplicaId, Snapshot, Term, Token};
 
 /// A payload to be committed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -124,6 +124,8 @@
         /// The error of the disk.
         reason: String,
     },
+    /// A step of an election or a replica change, for logs.
+    Notice(Notice),
     /// Schedule the next `Tick`; replaces the previous `Wake`.
     Wake {
         /// The moment at which the `Tick` is due.
--- a/crates/kumquatdrum_consensus/tests/common/mod.rs
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -435,7 +435,7 @@
                 let status = self.status(number).expect("node is running");
                 self.checker.check_leader(term, &status);
             }
-            Output::SteppedDown { .. } | Output::Halted { .. } => {}
+            Output::Notice(_) | Output::SteppedDown { .. } | Output::Halted { .. } => {}
         }
     }
 
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -56,7 +56,8 @@
             return Ok(invalid(&[finding]));
         }
     };
-    Ok(match operation {
+    let call = Call::start(&gateway.logger, operation.name());
+    let response = match operation {
         Operation::Apply => apply(&gateway, body).await,
         Operation::Read => read(&gateway).await,
         Operation::Announce(id) => announce(&gateway, id, &body).await,
@@ -69,7 +70,41 @@
         }
         Operation::ReadEvacuations => evacuations::read(&gateway).await,
         Operation::Unknown => status(StatusCode::NOT_FOUND),
-    })
+    };
+    call.finish();
+    Ok(response)
+}
+
+/// A call that is being handled. One whose caller disconnects is dropped before its end, and logged.
+struct Call<'a> {
+    logger: &'a slog::Logger,
+    operation: &'static str,
+    started: Instant,
+    is_finished: bool,
+}
+
+impl<'a> Call<'a> {
+    fn start(logger: &'a slog::Logger, operation: &'static str) -> Self {
+        Self {
+            logger,
+            operation,
+            started: Instant::now(),
+            is_finished: false,
+        }
+    }
+
+    fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for Call<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            info!(self.logger, "call_abandoned"; "event" => "call_abandoned",
+                "operation" => self.operation, "ms" => self.started.elapsed().as_millis() as u64);
+        }
+    }
 }
 
 /// Runs work on a large setup on another thread, so that the replica's heartbeats are not delayed.
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -33,6 +33,25 @@
     Unknown,
 }
 
+impl Operation {
+    /// Returns the operation's name in logs.
+    ///
+    /// ```
+    /// assert_eq!(kumquatdrum_gateway::protocol::Operation::Read.name(), "read");
+    /// ```
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Apply => "apply",
+            Self::Read => "read",
+            Self::Announce(_) => "announce",
+            Self::Leave(_) => "leave",
+            Self::StartEvacuation(_) | Self::EndEvacuation(_) => "evacuate",
+            Self::ReadEvacuations => "evacuations",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Metadata from the head of a caller's request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Metadata {
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_disk::{Folder, Store as _, WriteCallback, Writer};
 use kumquatdrum_peer::{Channel, Client};
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_process::random;
+use kumquatdrum_process::{notice, random};
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_routes::{Entry, Evacuations, Record, Register};
 use kumquatdrum_types::{HostId, Moment};
@@ -28,6 +28,7 @@
 mod voters;
 
 use commands::{PendingCommand, PendingProposal};
+use voters::PendingChange;
 
 /// The interval between checks for new revisions to snapshot and for silent voters to replace.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -239,6 +240,7 @@
         stale_changes: IndexSet::new(),
         pending_proposals: IndexMap::new(),
         pending_commands: IndexMap::new(),
+        pending_change: None,
         silent: IndexMap::new(),
     })
 }
@@ -280,6 +282,7 @@
     stale_changes: IndexSet<LogIndex>,
     pending_proposals: IndexMap<Token, PendingProposal>,
     pending_commands: IndexMap<Token, PendingCommand>,
+    pending_change: Option<PendingChange>,
     /// Voters that do not respond to this leader, with the start of their silence.
     silent: IndexMap<ReplicaId, Moment>,
 }
@@ -387,6 +390,7 @@
                 error!(self.dependencies.logger, "disk_lost"; "event" => "disk_lost",
                     "reason" => reason);
             }
+            Output::Notice(notice) => notice::log(&self.dependencies.logger, &notice),
             Output::Wake { at } => self.wake_at = at,
         }
     }
--- a/crates/kumquatdrum_gateway/src/replica/commands.rs
+++ b/crates/kumquatdrum_gateway/src/replica/commands.rs
@@ -117,6 +117,7 @@
 
     pub(super) fn handle_proposed(&mut self, token: Token, outcome: &ProposalOutcome) {
         let Some(proposal) = self.pending_proposals.swap_remove(&token) else {
+            self.finish_change(token, outcome);
             return;
         };
         self.log_outcome(&proposal, outcome);
--- a/crates/kumquatdrum_gateway/src/replica/voters.rs
+++ b/crates/kumquatdrum_gateway/src/replica/voters.rs
@@ -2,14 +2,22 @@
 
 use std::time::Duration;
 
-use kumquatdrum_consensus::{Input, Member, placement};
-use slog::warn;
+use kumquatdrum_consensus::{Input, Member, ProposalOutcome, Token, placement};
+use kumquatdrum_types::Moment;
+use slog::{info, warn};
 
 use super::Replica;
 
 /// The silence after which a voter is replaced; longer than a restart.
 const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
 
+/// A requested change of the voters.
+#[derive(Debug)]
+pub(super) struct PendingChange {
+    token: Token,
+    requested: Moment,
+}
+
 impl Replica {
     /// Replaces a silent voter by a live spare replica, if this replica is the leader.
     pub(super) fn replace_silent_voters(&mut self) {
@@ -41,12 +49,38 @@
             "lost" => lost.map(|lost| lost.id.to_string()),
             "voters" => next.iter().map(|voter| voter.id.to_string()).collect::<Vec<_>>().join(","));
         let token = self.next_token();
+        if self.pending_change.is_none() {
+            self.pending_change = Some(PendingChange {
+                token,
+                requested: now,
+            });
+        }
         self.step(Input::ChangeReplicas {
             token,
             voters: next,
         });
     }
 
+    /// Logs the outcome of a change of the voters, with how far each replica is.
+    pub(super) fn finish_change(&mut self, token: Token, outcome: &ProposalOutcome) {
+        let finished = self.pending_change.take_if(|change| change.token == token);
+        let now = self.dependencies.clock.now();
+        let ms = finished.map(|change| (now - change.requested).as_millis() as u64);
+        let status = self.node.status();
+        let progress = status.peers.iter().map(|peer| {
+            let id = &peer.id;
+            let (matched, is_alive) = (peer.matched, peer.is_alive);
+            format!(
+                "{id}:{matched}:{}",
+                if is_alive { "alive" } else { "silent" }
+            )
+        });
+        info!(self.dependencies.logger, "voters_change_ended"; "event" => "voters_change_ended",
+            "outcome" => outcome.as_str(), "ms" => ms, "commit" => %status.commit,
+            "last_index" => %status.last_index,
+            "progress" => progress.collect::<Vec<_>>().join(","));
+    }
+
     fn next_voters(&self, voters: &[Member], lost: Option<&Member>) -> Option<Vec<Member>> {
         let spares = self.spares(voters);
         let target = 2 * self.dependencies.settings.lost_replicas + 1;
--- a/crates/kumquatdrum_host/src/control/replica.rs
+++ b/crates/kumquatdrum_host/src/control/replica.rs
@@ -12,7 +12,7 @@
 use kumquatdrum_disk::{Error as DiskError, Writer};
 use kumquatdrum_orders::Leadership;
 use kumquatdrum_peer::{Channel, Client};
-use kumquatdrum_process::Metrics;
+use kumquatdrum_process::{Metrics, notice};
 use kumquatdrum_setup::state::Preparation;
 use kumquatdrum_setup::{
     Action, Answer as Applied, ApplyRequest, Claim, Command, Failure, Settlement, Stamper,
@@ -314,6 +314,7 @@
             Output::Halted { reason } => {
                 error!(self.dependencies.logger, ""; "event" => "replica_halted", "reason" => reason);
             }
+            Output::Notice(notice) => notice::log(&self.dependencies.logger, &notice),
             Output::Wake { at } => self.next_tick = at,
         }
     }
--- a/crates/kumquatdrum_process/src/lib.rs
+++ b/crates/kumquatdrum_process/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod liveness;
 pub mod metrics;
 pub mod monitoring;
+pub mod notice;
 pub mod quarantine;
 pub mod random;
 pub mod registry;
