Consensus: a change of the voters waits for no lost voter that it keeps

Cause: a requested change entered its joint phase only once every replica of the target had caught up, those that vote already and stay included. With two voters lost, the change that replaces the first one names the second, which never answers: it was given up at its deadline, and requested again. Neither was replaced, so that the next loss left no majority of disks.

Change: those that join must have caught up, and a majority of the target. The joint phase itself needs majorities of the old and the new voters, as before, so that nothing that was committed depends on a lost voter.

Evidence: one_of_two_lost_voters_can_be_replaced failed before (outcome Unknown at the deadline of 60 s) and passes now, with all tests of the package.

--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -130,14 +130,24 @@
         if leader.pending_change.is_none() {
             return;
         }
-        let missing = target.iter().find(|member| !replicas.contains(&member.id));
-        if let Some(member) = missing {
+        let mut missing = target.iter().filter(|m| !replicas.contains(&m.id));
+        if let Some(member) = missing.next() {
             self.append_replicas(replicas.with_learner(member.clone()));
-        } else if target.iter().all(|member| self.has_caught_up(&member.id)) {
+        } else if self.is_ready(&target) {
             self.append_replicas(replicas.enter_joint(target));
         }
     }
 
+    /// Returns whether the voters of a requested change can take over: a majority of them, and all that
+    /// don't vote yet, have caught up. A voter that stays may be lost.
+    fn is_ready(&self, target: &[Member]) -> bool {
+        let replicas = self.log.replicas();
+        let has_caught_up = |member: &&Member| self.has_caught_up(&member.id);
+        let mut joining = target.iter().filter(|m| !replicas.is_voter(&m.id));
+        joining.all(|member| has_caught_up(&member))
+            && target.iter().filter(has_caught_up).count() * 2 > target.len()
+    }
+
     /// Replaces a voter by the learner on its host that has caught up; otherwise adds a joining
     /// replica as a learner, so that one that never catches up does not block the others.
     fn advance_repair(&mut self) {
--- a/crates/kumquatdrum_consensus/tests/replicas.rs
+++ b/crates/kumquatdrum_consensus/tests/replicas.rs
@@ -104,3 +104,21 @@
         assert!(!cluster.status(leader).unwrap().replicas.is_voter(id));
     }
 }
+
+/// Guards against a change of the voters that waits for a lost voter which it keeps.
+#[test]
+fn one_of_two_lost_voters_can_be_replaced() {
+    let mut cluster = Cluster::formed(4, 6, 5);
+    assert!(cluster.commit());
+    let leader = cluster.leader().unwrap();
+    let (first, second) = ((leader + 1) % 5, (leader + 2) % 5);
+    cluster.crash(first);
+    cluster.crash(second);
+    let target: Vec<usize> = (0..6).filter(|number| *number != first).collect();
+    let outcome = change(&mut cluster, &target);
+    assert!(
+        matches!(outcome, ProposalOutcome::Committed { .. }),
+        "{outcome:?}"
+    );
+    assert!(cluster.commit());
+}
