Voters: lost ones are replaced within the time to catch up, also by a new leader

Callers saw: an acknowledged setup that no control host reads back, after control hosts were lost two at a time (docs/incidents/lost-voters.md).

Cause: replacing a voter took about as long as a lost control host has to catch up. The silence was 2.5 s, began when this leader noticed it, was checked each 0.5 s, and each new leader counted anew; lost voters were replaced one after another; a voter's new replica on its own host was no spare, and joined only if it happened to know the leader's address; a change that waited for a joining replica which was lost itself blocked others, and repairs, for 6 s. Losses that were tolerated one by one so added up to a majority of disks. Class: a state that has a deadline is kept by who leads, and is lost with the leader.

Change: kumquatdrum_consensus::replacement decides, without clock and network (docs/design/replacement.md): 1 s of silence, counted before a new leader's first answer from the last hello; a voter whose host announces another replica is lost at once; all lost voters in one change; a change is requested anew without joining replicas that are lost, and given up after 2 s. A later request takes the place of one that has not begun its joint change, and repairs go on while one waits.

--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -1,7 +1,7 @@
 //! Replica changes: new voters join as learners, then a joint change replaces the voters.
 //!
-//! One change runs at a time. Without a request, the leader replaces a voter whose host announces a
-//! new incarnation.
+//! One joint change runs at a time; until it begins, a later request takes the place of an earlier one.
+//! The leader also replaces a voter whose host announces a new incarnation, without a request.
 
 use kumquatdrum_types::Moment;
 
@@ -24,13 +24,17 @@
         voters.dedup();
         let leader = self.leader.clone();
         let deadline = self.now + self.settings.change_timeout;
+        let is_joint = self.log.replicas().is_joint();
         let outcome = match &mut self.role {
-            Role::Leader(leading) if leading.pending_change.is_none() && !voters.is_empty() => {
-                leading.pending_change = Some(Change {
+            Role::Leader(leading) if !is_joint && !voters.is_empty() => {
+                let replaced = leading.pending_change.replace(Change {
                     token,
                     voters,
                     deadline,
                 });
+                if let Some(replaced) = replaced {
+                    self.report_outcome(replaced.token, ProposalOutcome::Unknown);
+                }
                 self.advance_change();
                 return;
             }
@@ -92,9 +96,7 @@
             self.append_replicas(replicas.leave_joint());
         } else if !replicas.is_voter(&self.id) {
             self.finish_removal();
-        } else if let Some(change) = &leader.pending_change {
-            self.advance_requested_change(change.voters.clone());
-        } else {
+        } else if !self.advance_requested_change() {
             self.advance_repair();
         }
     }
@@ -121,21 +123,26 @@
         }
     }
 
-    fn advance_requested_change(&mut self, target: Vec<Member>) {
+    /// Takes the next step of a requested change; returns false if there is none to take yet.
+    fn advance_requested_change(&mut self) -> bool {
         self.finish_change();
         let replicas = self.log.replicas();
-        let Role::Leader(leader) = &self.role else {
-            return;
+        let target = match &self.role {
+            Role::Leader(leader) => leader.pending_change.as_ref(),
+            _ => None,
+        };
+        let Some(target) = target.map(|change| change.voters.clone()) else {
+            return false;
         };
-        if leader.pending_change.is_none() {
-            return;
-        }
         let mut missing = target.iter().filter(|m| !replicas.contains(&m.id));
         if let Some(member) = missing.next() {
             self.append_replicas(replicas.with_learner(member.clone()));
         } else if self.is_ready(&target) {
             self.append_replicas(replicas.enter_joint(target));
+        } else {
+            return false;
         }
+        true
     }
 
     /// Returns whether the voters of a requested change can take over: a majority of them, and all that
--- a/crates/kumquatdrum_consensus/src/event.rs
+++ b/crates/kumquatdrum_consensus/src/event.rs
@@ -50,7 +50,8 @@
     /// Transfers leadership to the most up-to-date voter, before a planned stop. Has no effect if
     /// this replica does not lead or no other voter has all committed entries.
     TransferLeadership,
-    /// Replaces the voters. New ones catch up as learners before the joint change begins.
+    /// Replaces the voters. New ones catch up as learners before the joint change begins; until then a
+    /// later request takes the place of an earlier one, whose outcome is `Unknown`.
     ChangeReplicas {
         /// Returned in `Proposed`.
         token: Token,
@@ -181,7 +182,7 @@
         /// The current leader, if known.
         leader: Option<ReplicaId>,
     },
-    /// Rejected, as too much is uncommitted or another replica change is in progress.
+    /// Rejected, as too much is uncommitted or a joint change is in progress.
     Busy,
     /// Accepted, but not known to be committed; it may be committed later.
     Unknown,
--- a/crates/kumquatdrum_consensus/src/leader.rs
+++ b/crates/kumquatdrum_consensus/src/leader.rs
@@ -92,7 +92,9 @@
         leader.peers.retain(|id, _| replicas.contains(id));
         for member in replicas.members() {
             if member.id != self.id && !leader.peers.contains_key(&member.id) {
-                leader.peers.insert(member.id.clone(), Progress::new(last));
+                leader
+                    .peers
+                    .insert(member.id.clone(), Progress::new(self.now, last));
             }
         }
     }
--- a/crates/kumquatdrum_consensus/src/lib.rs
+++ b/crates/kumquatdrum_consensus/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 mod progress;
 mod read;
+pub mod replacement;
 mod replicas;
 mod replication;
 mod settings;
--- a/crates/kumquatdrum_consensus/src/placement.rs
+++ b/crates/kumquatdrum_consensus/src/placement.rs
@@ -32,7 +32,7 @@
 /// Returns the spare that should replace a lost replica.
 ///
 /// Prefers the data centre with the fewest remaining voters, then the data centre of the lost
-/// replica, then the first spare by name. Spares on the host of a remaining voter are skipped.
+/// replica, then the first of `spares`. Spares on the host of a remaining voter are skipped.
 ///
 /// ```
 /// use kumquatdrum_consensus::{Member, placement};
@@ -56,10 +56,26 @@
     spares.iter().filter(is_free).min_by_key(|spare| {
         let count = counts.get(&spare.data_centre).copied().unwrap_or(0);
         let is_elsewhere = lost_centre != Some(&spare.data_centre);
-        (count, is_elsewhere, spare.id.clone())
+        (count, is_elsewhere)
     })
 }
 
+/// Returns the spare that should become a further voter: the first one of the data centre with the
+/// fewest voters.
+///
+/// ```
+/// use kumquatdrum_consensus::{Member, placement};
+/// let voters = ["ikeja", "marina"].map(|centre| Member::new(centre, 1, centre));
+/// let spares = ["ikeja", "lekki"].map(|centre| Member::new(format!("{centre}-2"), 1, centre));
+/// let chosen = placement::choose_addition(&voters, &spares).unwrap();
+/// assert_eq!(chosen.id.host.as_str(), "lekki-2");
+/// ```
+pub fn choose_addition<'a>(voters: &[Member], spares: &'a [Member]) -> Option<&'a Member> {
+    let counts = count_by_data_centre(voters);
+    let count = |spare: &&Member| counts.get(&spare.data_centre).copied().unwrap_or(0);
+    spares.iter().min_by_key(count)
+}
+
 fn count_by_data_centre(replicas: &[Member]) -> IndexMap<DataCentre, usize> {
     let mut counts = IndexMap::new();
     for member in replicas {
--- a/crates/kumquatdrum_consensus/src/progress.rs
+++ b/crates/kumquatdrum_consensus/src/progress.rs
@@ -17,6 +17,8 @@
 /// The replication progress of a follower.
 #[derive(Debug)]
 pub(crate) struct Progress {
+    /// When the leader began to send to the follower.
+    pub(crate) added_at: Moment,
     /// The last synced entry up to which the follower's log matches.
     pub(crate) matched: LogIndex,
     /// The next entry to send.
@@ -35,8 +37,9 @@
 }
 
 impl Progress {
-    pub(crate) fn new(last: LogIndex) -> Self {
+    pub(crate) fn new(now: Moment, last: LogIndex) -> Self {
         Self {
+            added_at: now,
             matched: LogIndex(0),
             next: last.next(),
             is_probing: true,
--- a/crates/kumquatdrum_consensus/src/status.rs
+++ b/crates/kumquatdrum_consensus/src/status.rs
@@ -48,6 +48,8 @@
     pub replicas_index: LogIndex,
     /// Whether the latest replicas are known to be committed.
     pub replicas_committed: bool,
+    /// When this replica became the leader; `None` except on a leader.
+    pub elected_at: Option<Moment>,
     /// The progress of the other replicas; empty except on a leader.
     pub peers: Vec<PeerStatus>,
 }
@@ -59,6 +61,10 @@
     pub id: ReplicaId,
     /// The last synced entry up to which the replica's log matches the leader's.
     pub matched: LogIndex,
+    /// When this leader began to send to the replica.
+    pub added_at: Moment,
+    /// When the latest message that the replica has answered was sent, if it has answered this leader.
+    pub acked_at: Option<Moment>,
     /// Whether the replica has answered a message sent within the last election timeout.
     pub is_alive: bool,
     /// Whether a snapshot is being transferred to the replica.
@@ -80,6 +86,7 @@
             replicas: self.log.replicas().clone(),
             replicas_index: self.log.replicas_index(),
             replicas_committed: self.log.replicas_index() <= self.commit,
+            elected_at: self.elected_at(),
             peers: self.peer_statuses(),
         }
     }
@@ -95,6 +102,13 @@
         }
     }
 
+    fn elected_at(&self) -> Option<Moment> {
+        match &self.role {
+            Role::Leader(leader) => Some(leader.elected_at),
+            _ => None,
+        }
+    }
+
     fn peer_statuses(&self) -> Vec<PeerStatus> {
         let Role::Leader(leader) = &self.role else {
             return Vec::new();
@@ -103,6 +117,8 @@
         let status = |(id, progress): (&ReplicaId, &Progress)| PeerStatus {
             id: id.clone(),
             matched: progress.matched,
+            added_at: progress.added_at,
+            acked_at: progress.acked_at,
             is_alive: progress.acked_at.is_some_and(is_alive),
             is_receiving_snapshot: progress.snapshot_transfer.is_some(),
         };
--- a/crates/kumquatdrum_consensus/tests/common/mod.rs
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod checker;
+pub mod fleet;
 pub mod schedule;
 mod view;
 
@@ -82,6 +83,8 @@
     pub initial_count: usize,
     pub safeguards: Safeguards,
     pub snapshot_entries: u64,
+    /// Sets what a test needs to be different.
+    pub adjust_settings: fn(&mut Settings),
     pub steps: u64,
     pub messages_sent: u64,
     pub bytes_sent: u64,
@@ -108,6 +111,7 @@
             initial_count,
             safeguards,
             snapshot_entries: 40,
+            adjust_settings: |_| {},
             steps: 0,
             messages_sent: 0,
             bytes_sent: 0,
@@ -117,23 +121,7 @@
             next_token: 0,
         };
         for number in 0..hosts {
-            let clock_offset = cluster.random.next_u64() % 1_000_000;
-            let clock_percent = 97 + cluster.random.next_u64() % 7;
-            let incarnation = cluster.random.next_u64();
-            cluster.hosts.push(Host {
-                member: Member::new(format!("host-{number}"), incarnation, "ikeja"),
-                disk: StoredState::default(),
-                node: None,
-                pending: None,
-                generation: 0,
-                clock_offset,
-                clock_percent,
-                has_failing_disk: false,
-                hash: 0,
-                applied: LogIndex(0),
-                restores: 0,
-                applies: 0,
-            });
+            cluster.add_host(format!("host-{number}"));
         }
         for number in 0..hosts {
             cluster.start(number);
@@ -141,6 +129,28 @@
         cluster
     }
 
+    /// Adds a host with an empty disk, which is not started yet.
+    pub fn add_host(&mut self, name: impl AsRef<str>) -> usize {
+        let clock_offset = self.random.next_u64() % 1_000_000;
+        let clock_percent = 97 + self.random.next_u64() % 7;
+        let incarnation = self.random.next_u64();
+        self.hosts.push(Host {
+            member: Member::new(name, incarnation, "ikeja"),
+            disk: StoredState::default(),
+            node: None,
+            pending: None,
+            generation: 0,
+            clock_offset,
+            clock_percent,
+            has_failing_disk: false,
+            hash: 0,
+            applied: LogIndex(0),
+            restores: 0,
+            applies: 0,
+        });
+        self.hosts.len() - 1
+    }
+
     /// Creates a cluster that has formed and elected a leader.
     pub fn formed(seed: u64, hosts: usize, initial_count: usize) -> Self {
         let mut cluster = Self::new(seed, hosts, initial_count, Safeguards::default());
@@ -168,6 +178,7 @@
         settings.max_in_flight_appends = 4;
         settings.snapshot_chunk_bytes = 16;
         settings.safeguards = self.safeguards;
+        (self.adjust_settings)(&mut settings);
         settings
     }
 
@@ -270,12 +281,14 @@
     }
 
     pub fn change(&mut self, number: usize, voters: &[usize]) -> Token {
+        let voters = voters.iter().map(|n| self.hosts[*n].member.clone());
+        let voters = voters.collect();
+        self.change_to(number, voters)
+    }
+
+    pub fn change_to(&mut self, number: usize, voters: Vec<Member>) -> Token {
         let token = self.token();
         self.changes.insert(token);
-        let voters = voters
-            .iter()
-            .map(|n| self.hosts[*n].member.clone())
-            .collect();
         self.step(number, Input::ChangeReplicas { token, voters });
         token
     }
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatdrum_consensus::Member as ReplicaMember;
+use kumquatdrum_consensus::{Member as ReplicaMember, replacement};
 use kumquatdrum_fanout::{Peer, Recipients};
 use kumquatdrum_peer::Client;
 use kumquatdrum_process::clock::Clock;
@@ -200,6 +200,12 @@
         state.live(now).cloned().collect()
     }
 
+    /// Returns the other control hosts from which this host has heard itself, with their replicas.
+    pub fn replica_hosts(&self) -> Vec<replacement::Host> {
+        let now = self.clock.now();
+        self.state.lock().replica_hosts(now)
+    }
+
     /// Returns the other live hosts that can send requests to endpoints for this host.
     pub fn relay_candidates(&self) -> Vec<RelayCandidate> {
         let now = self.clock.now();
--- a/crates/kumquatdrum_gateway/src/hosts/table.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/table.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use kumquatdrum_consensus::replacement;
 use kumquatdrum_types::{Checkpoint, HostId, Moment};
 
 use super::reports::Reports;
@@ -286,6 +287,20 @@
         live.map(|(entry, _)| &entry.host)
     }
 
+    /// Returns the other control hosts from which this host has heard itself, with their replicas.
+    pub fn replica_hosts(&self, now: Moment) -> Vec<replacement::Host> {
+        let control = self.others.values().filter(|entry| entry.host.is_control);
+        let heard = control.filter_map(|entry| {
+            Some(replacement::Host {
+                id: entry.host.id.clone(),
+                heard_at: entry.direct_contact?,
+                replica: entry.host.replica.clone(),
+                is_available: entry.is_heard(now) && !entry.host.is_stopping,
+            })
+        });
+        heard.collect()
+    }
+
     /// Returns the other live control hosts, each with whether its data centre is a remote one.
     pub(super) fn live_control_hosts(&self, now: Moment) -> impl Iterator<Item = (bool, &Host)> {
         let control = self.others.values().filter(|entry| entry.host.is_control);
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
+use kumquatdrum_consensus::replacement::{self, Planner};
 use kumquatdrum_consensus::{
-    Incarnation, Input, LogIndex, Member, Message, Node, Output, ReplicaId, StoredState, Token,
+    Incarnation, Input, LogIndex, Member, Message, Node, Output, StoredState, Token,
 };
 use kumquatdrum_disk::{Folder, Store as _, WriteCallback, Writer};
 use kumquatdrum_peer::{Channel, Client};
@@ -17,6 +18,7 @@
 use kumquatdrum_types::{HostId, Moment};
 use slog::{error, info};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::MissedTickBehavior;
 
 use crate::hosts::Hosts;
 use crate::message::Response;
@@ -30,15 +32,20 @@
 use commands::{PendingCommand, PendingProposal};
 use voters::PendingChange;
 
-/// The interval between checks for new revisions to snapshot and for silent voters to replace.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval between checks for new revisions to snapshot.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// The delay before a failed data folder is reopened.
 const REOPEN_DELAY: Duration = Duration::from_millis(400);
 /// The duration of a disk write after which a leader steps down. It leaves time for an election and
 /// an acknowledgement by the new leader before the operator's request times out.
 const PERSIST_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The maximum time for a new voter to catch up.
-const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
+/// The interval between checks for lost voters.
+const VOTERS_INTERVAL: Duration = Duration::from_millis(100);
+/// The silence after which a voter is replaced. It leaves time, within the four seconds in which a lost
+/// voter has to be replaced, for an election and a second change.
+const VOTER_LOST_AFTER: Duration = Duration::from_secs(1);
+/// The maximum time for new voters to catch up. Those that take longer go on while others are tried.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The number of log entries after which a snapshot is taken. It is low because entries may be
 /// large and only the last one matters.
 const SNAPSHOT_ENTRIES: u64 = 64;
@@ -226,7 +233,12 @@
     let writer = Writer::start(Box::new(folder), report).map_err(|error| error.to_string())?;
     dependencies.hosts.set_replica(Some(member.clone()));
     let settings = node_settings(&dependencies.settings, member);
-    let node = Node::new(settings, stored, dependencies.clock.now(), random::number());
+    let now = dependencies.clock.now();
+    let node = Node::new(settings, stored, now, random::number());
+    let planner_settings = replacement::Settings {
+        voters: 2 * dependencies.settings.lost_replicas + 1,
+        lost_after: VOTER_LOST_AFTER,
+    };
     Ok(Replica {
         dependencies: dependencies.clone(),
         generation,
@@ -241,7 +253,7 @@
         pending_proposals: IndexMap::new(),
         pending_commands: IndexMap::new(),
         pending_change: None,
-        silent: IndexMap::new(),
+        planner: Planner::new(planner_settings, now),
     })
 }
 
@@ -283,8 +295,7 @@
     pending_proposals: IndexMap<Token, PendingProposal>,
     pending_commands: IndexMap<Token, PendingCommand>,
     pending_change: Option<PendingChange>,
-    /// Voters that do not respond to this leader, with the start of their silence.
-    silent: IndexMap<ReplicaId, Moment>,
+    planner: Planner,
 }
 
 impl Replica {
@@ -295,7 +306,9 @@
         stop: &mut watch::Receiver<bool>,
     ) {
         self.step(Input::Tick);
-        let mut maintenance = tokio::time::interval(MAINTENANCE_INTERVAL);
+        let mut snapshots = tokio::time::interval(SNAPSHOT_INTERVAL);
+        let mut voters = tokio::time::interval(VOTERS_INTERVAL);
+        voters.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.is_halted {
             let due = self.dependencies.clock.instant(self.wake_at);
             tokio::select! {
@@ -304,10 +317,8 @@
                     None => break,
                 },
                 () = tokio::time::sleep_until(due) => self.step(Input::Tick),
-                _ = maintenance.tick() => {
-                    self.snapshot_if_newer();
-                    self.replace_silent_voters();
-                }
+                _ = snapshots.tick() => self.snapshot_if_newer(),
+                _ = voters.tick() => self.replace_lost_voters(),
                 _ = stop.wait_for(|stopped| *stopped) => break,
             }
         }
@@ -375,7 +386,7 @@
             }
             Output::SnapshotRequested => self.snapshot(),
             Output::BecameLeader { term } => {
-                self.silent.clear();
+                self.planner.reset();
                 self.dependencies.metrics.leader.set(1);
                 info!(self.dependencies.logger, "became_leader"; "event" => "became_leader",
                     "term" => %term, "revision" => self.register.revision());
@@ -469,9 +480,4 @@
             (self.dependencies.on_commit)(record, self.node.is_leader());
         }
     }
-
-    fn silent_voters(&self) -> String {
-        let silent = self.silent.keys().map(ToString::to_string);
-        silent.collect::<Vec<_>>().join(",")
-    }
 }
