--- a/crates/kumquatdrum_consensus/src/change.rs
+++ b/crates/kumquatdrum_consensus/src/change.rs
@@ -1,12 +1,14 @@
 //! Replica changes: new voters join as learners, then a joint change replaces the voters.
 //!
-//! One change runs at a time. Without a request, the leader replaces a voter whose host announces a
-//! new incarnation.
+//! One joint change runs at a time; until it begins, a later request takes the place of an earlier one.
+//! The leader also replaces a voter whose host announces a new incarnation, without a request.
 
 use kumquatdrum_types::Moment;
 
 use crate::node::{Node, Role};
-use crate::{Content, Member, ProposalOutcome, ReplicaId, Replicas, StepDownReason, Token};
+use crate::{
+    Content, Member, Notice, Output, ProposalOutcome, ReplicaId, Replicas, StepDownReason, Token,
+};
 
 /// A requested change of the voters.
 #[derive(Debug)]
@@ -22,13 +24,17 @@
         voters.dedup();
         let leader = self.leader.clone();
         let deadline = self.now + self.settings.change_timeout;
+        let is_joint = self.log.replicas().is_joint();
         let outcome = match &mut self.role {
-            Role::Leader(leading) if leading.pending_change.is_none() && !voters.is_empty() => {
-                leading.pending_change = Some(Change {
+            Role::Leader(leading) if !is_joint && !voters.is_empty() => {
+                let replaced = leading.pending_change.replace(Change {
                     token,
                     voters,
                     deadline,
                 });
+                if let Some(replaced) = replaced {
+                    self.report_outcome(replaced.token, ProposalOutcome::Unknown);
+                }
                 self.advance_change();
                 return;
             }
@@ -90,9 +96,7 @@
             self.append_replicas(replicas.leave_joint());
         } else if !replicas.is_voter(&self.id) {
             self.finish_removal();
-        } else if let Some(change) = &leader.pending_change {
-            self.advance_requested_change(change.voters.clone());
-        } else {
+        } else if !self.advance_requested_change() {
             self.advance_repair();
         }
     }
@@ -119,21 +123,36 @@
         }
     }
 
-    fn advance_requested_change(&mut self, target: Vec<Member>) {
+    /// Takes the next step of a requested change; returns false if there is none to take yet.
+    fn advance_requested_change(&mut self) -> bool {
         self.finish_change();
         let replicas = self.log.replicas();
-        let Role::Leader(leader) = &self.role else {
-            return;
+        let target = match &self.role {
+            Role::Leader(leader) => leader.pending_change.as_ref(),
+            _ => None,
         };
-        if leader.pending_change.is_none() {
-            return;
-        }
-        let missing = target.iter().find(|member| !replicas.contains(&member.id));
-        if let Some(member) = missing {
+        let Some(target) = target.map(|change| change.voters.clone()) else {
+            return false;
+        };
+        let mut missing = target.iter().filter(|m| !replicas.contains(&m.id));
+        if let Some(member) = missing.next() {
             self.append_replicas(replicas.with_learner(member.clone()));
-        } else if target.iter().all(|member| self.has_caught_up(&member.id)) {
+        } else if self.is_ready(&target) {
             self.append_replicas(replicas.enter_joint(target));
+        } else {
+            return false;
         }
+        true
+    }
+
+    /// Returns whether the voters of a requested change can take over: a majority of them, and all that
+    /// don't vote yet, have caught up. A voter that stays may be lost.
+    fn is_ready(&self, target: &[Member]) -> bool {
+        let replicas = self.log.replicas();
+        let has_caught_up = |member: &&Member| self.has_caught_up(&member.id);
+        let mut joining = target.iter().filter(|m| !replicas.is_voter(&m.id));
+        joining.all(|member| has_caught_up(&member))
+            && target.iter().filter(has_caught_up).count() * 2 > target.len()
     }
 
     /// Replaces a voter by the learner on its host that has caught up; otherwise adds a joining
@@ -163,7 +182,8 @@
     }
 
     fn append_replicas(&mut self, replicas: Replicas) {
-        self.append(Content::Replicas(replicas));
+        let index = self.append(Content::Replicas(replicas.clone()));
+        self.output(Output::Notice(Notice::ReplicasAppended { index, replicas }));
         self.update_peers();
         self.replicate_all();
     }
--- a/crates/kumquatdrum_consensus/src/event.rs
+++ b/crates/kumquatdrum_consensus/src/event.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use kumquatdrum_types::{HostId, Moment};
 
-use crate::{Batch, LogIndex, Member, Message, ReplicaId, Snapshot, Term, Token};
+use crate::{Batch, LogIndex, Member, Message, Notice, ReplicaId, Snapshot, Term, Token};
 
 /// A payload to be committed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,7 +50,8 @@
     /// Transfers leadership to the most up-to-date voter, before a planned stop. Has no effect if
     /// this replica does not lead or no other voter has all committed entries.
     TransferLeadership,
-    /// Replaces the voters. New ones catch up as learners before the joint change begins.
+    /// Replaces the voters. New ones catch up as learners before the joint change begins; until then a
+    /// later request takes the place of an earlier one, whose outcome is `Unknown`.
     ChangeReplicas {
         /// Returned in `Proposed`.
         token: Token,
@@ -124,6 +125,8 @@
         /// The error of the disk.
         reason: String,
     },
+    /// A step of an election or a replica change, for logs.
+    Notice(Notice),
     /// Schedule the next `Tick`; replaces the previous `Wake`.
     Wake {
         /// The moment at which the `Tick` is due.
@@ -179,7 +182,7 @@
         /// The current leader, if known.
         leader: Option<ReplicaId>,
     },
-    /// Rejected, as too much is uncommitted or another replica change is in progress.
+    /// Rejected, as too much is uncommitted or a joint change is in progress.
     Busy,
     /// Accepted, but not known to be committed; it may be committed later.
     Unknown,
