Upstream: an answer that ends before the request is read does not look complete

Callers got a 200 with a part of the body, closed as if it were whole, if an endpoint answered a long request early without a length and its connection ended while the request was still being sent.

Cause: the end of the received bytes was reported at once. An endpoint that closes its sending side and then reads no more resets the connection only when more of the request arrives, so that the reset came after the end had been taken for that of the body. A middlebox that closes does the same, as does a process that ends with an empty receive buffer. A reset without a close before was noticed already.

Change: the end of the received bytes is held back while a part of the request waits to be written (`upstream::socket`). A write that fails breaks the answer off. The operating system holds 64 KiB of unsent bytes at most, since what it holds counts as written. An endpoint that closes its sending side and reads on still ends its answer in order.

The stand-ins' proxies pass resets on as resets.

--- a/crates/kumquatdrum/tests/gateway/endings.rs
+++ b/crates/kumquatdrum/tests/gateway/endings.rs
@@ -16,7 +16,7 @@
 use crate::raw::{self, Answer, Ending, Version};
 
 /// Returns a config with a route to streams that may not be resumed.
-fn config_with_single_runs() -> Value {
+pub fn config_with_single_runs() -> Value {
     let mut config = config(3);
     let routes = config["routes"].as_array_mut().expect("routes");
     let mut route = routes[2].clone();
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -10,11 +10,14 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 
+mod early;
 mod endless;
 mod events;
 mod record;
 mod request;
+mod verbatim;
 
+pub use early::{Early, Stop};
 pub use endless::Part;
 pub use record::Record;
 
@@ -76,6 +79,8 @@
     Verbatim { answer: &'static str, end: End },
     /// As [`Self::Verbatim`], but with as many bytes of `answer` only as the path ends with.
     Cut { answer: &'static str },
+    /// With the answer whose number the path ends with, while the request still arrives.
+    Early(&'static [Early]),
     /// As the path's last part says, `FIRST-EVENTS-PAUSE-SILENCE`: the head after FIRST ms, then that
     /// many events, PAUSE ms before each and SILENCE ms more before the last; [`Self::CompleteBody`] if
     /// there are none.
@@ -107,6 +112,11 @@
 impl Endpoint {
     pub async fn start(id: &str, behaviour: Behaviour) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        if let Behaviour::Early(_) = behaviour {
+            // A long body does not fit into the buffers of the connection.
+            let socket = socket2::SockRef::from(&listener);
+            socket.set_recv_buffer_size(16 << 10).expect("a size");
+        }
         let address = listener.local_addr().expect("the listener's address");
         let record = Arc::new(Record::default());
         let (name, shared) = (id.to_owned(), record.clone());
@@ -164,6 +174,11 @@
         self.record.runs.load(Ordering::Relaxed)
     }
 
+    /// Returns whether an attempt has run.
+    pub fn has_run(&self, attempt: &str) -> bool {
+        self.record.attempts.lock().contains_key(attempt)
+    }
+
     pub fn refusals(&self) -> usize {
         self.record.refusals.load(Ordering::Relaxed)
     }
@@ -187,6 +202,11 @@
 }
 
 async fn serve(mut stream: TcpStream, name: &str, behaviour: Behaviour, record: &Record) -> Served {
+    if let Behaviour::Early(answers) = behaviour {
+        // An answer that the host no longer reads is seen by the host's caller.
+        let _ = early::serve(stream, answers, record).await;
+        return Served::Answered;
+    }
     let Some(request) = request::read(&mut stream).await else {
         return Served::Answered;
     };
@@ -284,7 +304,10 @@
         behaviour => behaviour,
     };
     match behaviour {
-        Behaviour::Cut { answer } => cut(answer, request),
+        Behaviour::Cut { answer } => Behaviour::Verbatim {
+            answer: &answer[..last_number(request)],
+            end: End::Close,
+        },
         Behaviour::ByPath => match request::numbers(request) {
             [first, 0, ..] => {
                 sleep(Duration::from_millis(first)).await;
@@ -315,15 +338,11 @@
     }
 }
 
-/// Returns the behaviour for a request whose path ends with the number of bytes to send.
-fn cut(answer: &'static str, request: &str) -> Behaviour {
+/// Returns the number with which a request's path ends.
+fn last_number(request: &str) -> usize {
     let path = request.split(' ').nth(1).unwrap_or_default();
-    let length = path.rsplit('/').next().and_then(|text| text.parse().ok());
-    let length: usize = length.expect("a number of bytes");
-    Behaviour::Verbatim {
-        answer: &answer[..length],
-        end: End::Close,
-    }
+    let number = path.rsplit('/').next().and_then(|text| text.parse().ok());
+    number.expect("a number")
 }
 
 /// Sends the answer to an attempt, with extra header lines.
@@ -348,6 +367,7 @@
         }
         Behaviour::CloseWithoutAnswer
         | Behaviour::Cut { .. }
+        | Behaviour::Early(_)
         | Behaviour::AnyEnding
         | Behaviour::ByPath
         | Behaviour::GoDark { after: None } => Ok(()),
@@ -373,19 +393,7 @@
             reset_on_close(stream);
             Ok(())
         }
-        Behaviour::Verbatim { answer, end } => {
-            let headers = format!(
-                "Kumquatdrum-Attempt-Id: {attempt}\r\nKumquatdrum-Response-Stamp: stamp-{attempt}"
-            );
-            let answer = answer.replace("ATTEMPT", &headers);
-            stream.write_all(answer.as_bytes()).await?;
-            if end == End::Reset {
-                // What was sent before a reset would be lost with it.
-                sleep(RESET_DELAY).await;
-                reset_on_close(stream);
-            }
-            Ok(())
-        }
+        Behaviour::Verbatim { answer, end } => verbatim::send(stream, attempt, answer, end).await,
         Behaviour::GoDark { after: Some(last) } => {
             let mut text = head("200 OK", attempt, events);
             for event in after + 1..=last {
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod crash_part;
 mod diagnosis;
 mod early_answer;
+mod early_end;
 mod ending_cases;
 mod ending_soak;
 mod endings;
--- a/crates/kumquatdrum/tests/gateway/proxy.rs
+++ b/crates/kumquatdrum/tests/gateway/proxy.rs
@@ -172,13 +172,22 @@
     };
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    // When one side closes, both connections close.
+    // When one side closes, both connections close; when one is reset, so is the other.
     tokio::select! {
         () = copy(client_read, server_write, treatment.clone(), false) => {}
         () = copy(server_read, client_write, treatment, true) => {}
     }
 }
 
+/// Resets a connection once its other half is dropped.
+fn reset(half: OwnedWriteHalf) {
+    socket2::SockRef::from(half.as_ref())
+        .set_linger(Some(Duration::ZERO))
+        .expect("linger");
+    // Dropping this half would close it in order.
+    half.forget();
+}
+
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
@@ -186,10 +195,12 @@
     is_answer: bool,
 ) {
     let mut buffer = [0; 4096];
-    while let Ok(read) = from.read(&mut buffer).await {
-        if read == 0 {
-            return;
-        }
+    loop {
+        let read = match from.read(&mut buffer).await {
+            Ok(0) => return,
+            Ok(read) => read,
+            Err(_) => return reset(to),
+        };
         loop {
             match treatment.mode() {
                 Mode::Reset => return,
--- a/crates/kumquatdrum/tests/gateway/raw.rs
+++ b/crates/kumquatdrum/tests/gateway/raw.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::caller::Request;
 use crate::cluster::Cluster;
 
 /// The timeout for a complete answer.
@@ -59,10 +60,18 @@
     attempt: &str,
 ) -> Option<Answer> {
     let text = encode(version, request, attempt, "close");
-    let (bytes, is_reset) = exchange(address, &text).await?;
+    let (bytes, is_reset) = exchange(address, text.as_bytes()).await?;
     parse(&bytes, is_reset, request.starts_with("HEAD"))
 }
 
+/// Sends a request, which asks for its connection to be closed, with all of its body.
+pub async fn send(address: SocketAddr, request: &Request<'_>) -> Option<Answer> {
+    let mut bytes = request.head().into_bytes();
+    bytes.extend(request.parts().concat());
+    let (bytes, is_reset) = exchange(address, &bytes).await?;
+    parse(&bytes, is_reset, false)
+}
+
 /// Sends several requests on one connection, which the caller keeps open, and returns the number of
 /// answers that arrive until the host closes it.
 pub async fn count_answers(cluster: &Cluster, host: usize, requests: &[&str]) -> usize {
@@ -71,7 +80,7 @@
         encode(Version::Http11, request, &attempt, "keep-alive")
     });
     let text = texts.collect::<Vec<_>>().concat();
-    let exchange = exchange(cluster.callers(host), &text).await;
+    let exchange = exchange(cluster.callers(host), text.as_bytes()).await;
     let (bytes, _) = exchange.expect("an answer");
     String::from_utf8_lossy(&bytes).matches("HTTP/1.").count()
 }
@@ -90,9 +99,9 @@
 
 /// Sends bytes on a new connection and returns what arrives, and whether the connection ended other
 /// than by a close. Returns `None` if the host cannot be reached.
-async fn exchange(address: SocketAddr, text: &str) -> Option<(Vec<u8>, bool)> {
+async fn exchange(address: SocketAddr, request: &[u8]) -> Option<(Vec<u8>, bool)> {
     let mut stream = TcpStream::connect(address).await.ok()?;
-    stream.write_all(text.as_bytes()).await.ok()?;
+    stream.write_all(request).await.ok()?;
     let mut bytes = Vec::new();
     let read = timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await;
     Some((bytes, !matches!(read, Ok(Ok(_)))))
--- a/crates/kumquatdrum_gateway/src/sockets.rs
+++ b/crates/kumquatdrum_gateway/src/sockets.rs
@@ -26,6 +26,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection is closed.
 const MAX_PROBES: u32 = 3;
+/// The number of unsent bytes above which a connection to an endpoint takes no more: bytes that the
+/// operating system holds count as written.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// The maximum number of bytes that are read from a connection after it has been shut down.
 const MAX_LINGER_BYTES: usize = 4 << 20;
 /// The maximum time for which they are read.
@@ -45,6 +48,12 @@
     set_unacknowledged_timeout(stream, UNACKNOWLEDGED_TIMEOUT)
 }
 
+/// Limits what the operating system holds of a request, so that the progress of writing shows how far
+/// the endpoint reads.
+pub fn limit_unsent_bytes(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
 fn set_unacknowledged_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
     SockRef::from(stream).set_tcp_user_timeout(Some(limit))
 }
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -38,6 +38,10 @@
 use crate::relay::{self, Relays};
 use crate::sockets;
 
+mod socket;
+
+use socket::Socket;
+
 /// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
 /// SYN packet, so that a relay or another endpoint is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -335,7 +339,7 @@
         // For another host, this one may have waited since it was connected.
         self.check_informed(target).await?;
         add_host(&mut request, target.endpoint);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let handshake = http1::Builder::new().handshake(TokioIo::new(Socket::new(stream)));
         let (mut sender, connection) = handshake
             .await
             .map_err(|error| Error::Unsent(error.to_string()))?;
@@ -476,6 +480,8 @@
             ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
             _ => Error::Unsent(error.to_string()),
         })?;
-    sockets::set_liveness_timeouts(&stream).map_err(|error| Error::Unsent(error.to_string()))?;
+    sockets::set_liveness_timeouts(&stream)
+        .and_then(|()| sockets::limit_unsent_bytes(&stream))
+        .map_err(|error| Error::Unsent(error.to_string()))?;
     Ok(stream)
 }
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/upstream/socket.rs
@@ -0,0 +1,94 @@
+//! A connection whose end is read after the request has been written.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A connection to an endpoint. While a part of the request waits to be written, the end of the
+/// connection is not reported: it is an orderly end only if the endpoint reads on. Otherwise the
+/// rest of the request resets the connection, and writing fails.
+#[derive(Debug)]
+pub(super) struct Socket {
+    stream: TcpStream,
+    /// Whether the last write has left bytes.
+    is_writing: bool,
+    /// Woken once the request has been written, if the connection has ended before.
+    reader: Option<Waker>,
+}
+
+impl Socket {
+    pub(super) const fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            is_writing: false,
+            reader: None,
+        }
+    }
+
+    /// Records the result of writing `offered` bytes.
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>, offered: usize) {
+        self.is_writing = match written {
+            Poll::Ready(Ok(count)) => *count < offered,
+            Poll::Ready(Err(_)) => false,
+            Poll::Pending => true,
+        };
+        match self.reader.take() {
+            Some(reader) if !self.is_writing => reader.wake(),
+            reader => self.reader = reader,
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.remaining();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.remaining() == before && self.is_writing {
+            self.reader = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&written, bytes.len());
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let offered = slices.iter().map(|slice| slice.len()).sum();
+        self.record_write(&written, offered);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
