Responses: a status that is none of the protocol is no answer

Callers got 600, 999 and an unasked 101 of an endpoint as their answer, the 101 without the rest of the endpoint's bytes, directly and by a relay, also after a 100 or 103. 000, 099, 1000, 2, 20x and an empty status were refused by the parser already. `serve` passed 600 and above on as an endpoint's failure.

Cause: the type of a status allows 100 to 999, and no check followed.

Change: `Framing::of`, which each answer passes, fails for a status other than 200 to 599. Such an answer counts as lost: a 502, or the answer of another attempt. The same for relayed heads, whichever version the relay has, for orders and probes, and for plain services and engines of `serve`.

--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -75,10 +75,16 @@
     AnyEnding,
     /// With half a body of unknown length, and then a reset of the connection.
     ResetInBody,
-    /// With these bytes, in which `ATTEMPT` stands for the headers that every answer has.
+    /// With these bytes, in which `ATTEMPT` stands for the headers that every answer has, and `UNSTAMPED`
+    /// for all of them but the stamp.
     Verbatim { answer: &'static str, end: End },
     /// As [`Self::Verbatim`], but with as many bytes of `answer` only as the path ends with.
     Cut { answer: &'static str },
+    /// As [`Self::Verbatim`], with the answer whose number the path ends with.
+    Numbered {
+        answers: &'static [String],
+        end: End,
+    },
     /// With the answer whose number the path ends with, while the request still arrives.
     Early(&'static [Early]),
     /// As the path's last part says, `FIRST-EVENTS-PAUSE-SILENCE`: the head after FIRST ms, then that
@@ -308,6 +314,10 @@
             answer: &answer[..last_number(request)],
             end: End::Close,
         },
+        Behaviour::Numbered { answers, end } => Behaviour::Verbatim {
+            answer: &answers[last_number(request)],
+            end,
+        },
         Behaviour::ByPath => match request::numbers(request) {
             [first, 0, ..] => {
                 sleep(Duration::from_millis(first)).await;
@@ -367,6 +377,7 @@
         }
         Behaviour::CloseWithoutAnswer
         | Behaviour::Cut { .. }
+        | Behaviour::Numbered { .. }
         | Behaviour::Early(_)
         | Behaviour::AnyEnding
         | Behaviour::ByPath
--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/heads.rs
@@ -0,0 +1,159 @@
+//! Heads of answers that are none, as callers see them.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::endings::config_with_single_runs;
+use crate::endpoint::{Behaviour, End};
+use crate::outage::Site;
+use crate::raw::{self, Answer, Ending, Version};
+
+/// The number of times that a request is sent until it reaches an endpoint.
+const MAX_TRIES: usize = 20;
+const PAUSE: Duration = Duration::from_millis(200);
+const EVENT: &str = "id: 1\ndata: a\n\n";
+/// What may come before an answer.
+const INTERIM: [&str; 3] = [
+    "",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+];
+const HEADERS: [&str; 2] = ["ATTEMPT", "UNSTAMPED"];
+const BODIES: [&str; 3] = [
+    "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "\r\nid: 1\ndata: a\n\n",
+];
+
+/// Returns an answer with each status line, in all of these ways.
+fn with_status_lines(lines: &[&str]) -> &'static [String] {
+    let mut answers = Vec::new();
+    for line in lines {
+        for interim in INTERIM {
+            for headers in HEADERS {
+                for body in BODIES {
+                    answers.push(format!("{interim}{line}\r\n{headers}\r\n{body}"));
+                }
+            }
+        }
+    }
+    answers.leak()
+}
+
+/// The way in which requests are sent, and which of the answers are played.
+#[derive(Debug, Clone, Copy)]
+struct Way {
+    name: &'static str,
+    step: usize,
+}
+
+const DIRECT: Way = Way {
+    name: "direct",
+    step: 1,
+};
+/// After broken answers, relays refuse requests for a while.
+const RELAYED: Way = Way {
+    name: "relayed",
+    step: 5,
+};
+
+/// Sends a request for each answer, and checks that it looks as it may.
+async fn play(
+    site: &Site,
+    way: Way,
+    prefix: &str,
+    answers: &[String],
+    is_allowed: impl Fn(&str, &Answer) -> bool,
+) {
+    let mut wrong = Vec::new();
+    let numbers = (0..answers.len()).step_by(way.step);
+    let count = numbers.len();
+    for number in numbers {
+        let request = format!("POST {prefix}{number}");
+        let mut seen = None;
+        for repetition in 0..MAX_TRIES {
+            let attempt = format!("at-{}-{number}-{repetition}", way.name);
+            let answer = raw::call(&site.cluster, 3, Version::Http11, &request, &attempt).await;
+            if site
+                .endpoints
+                .iter()
+                .any(|endpoint| endpoint.has_run(&attempt))
+            {
+                seen = Some(answer);
+                break;
+            }
+            sleep(PAUSE).await;
+        }
+        let text = &answers[number];
+        match seen {
+            Some(answer) if is_allowed(text, &answer) => {}
+            seen => wrong.push(format!("{text:?}: {seen:?}")),
+        }
+    }
+    let wrong_count = wrong.len();
+    assert!(
+        wrong.is_empty(),
+        "{way:?}, {wrong_count} of {count}: {wrong:#?}"
+    );
+}
+
+/// Plays answers directly and by relays.
+async fn check(
+    subnet: u8,
+    prefix: &str,
+    (answers, end): (&'static [String], End),
+    is_allowed: impl Fn(&str, &Answer) -> bool,
+) {
+    let behaviour = Behaviour::Numbered { answers, end };
+    let site = Site::start(subnet, &config_with_single_runs(), behaviour).await;
+    play(&site, DIRECT, prefix, answers, &is_allowed).await;
+    site.cut(3).await;
+    play(&site, RELAYED, prefix, answers, &is_allowed).await;
+}
+
+/// Returns whether a caller got an answer of the host's own.
+fn is_refused(_: &str, answer: &Answer) -> bool {
+    answer.status == 502 && answer.ending == Ending::Complete
+}
+
+const INVALID_STATUSES: [&str; 10] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 1000 OK",
+    "HTTP/1.1 2 OK",
+    "HTTP/1.1 20x OK",
+    "HTTP/1.1 ",
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade",
+    "HTTP/1.0 600 OK",
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_that_is_none_reaches_no_caller() {
+    let answers = with_status_lines(&INVALID_STATUSES);
+    check(206, "/unsafe/", (answers, End::Close), is_refused).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_of_a_stream_that_is_none_reaches_no_caller() {
+    let answers = with_status_lines(&INVALID_STATUSES);
+    check(207, "/once/", (answers, End::Close), is_refused).await;
+}
+
+const VALID_STATUSES: [&str; 4] = [
+    "HTTP/1.1 200 OK",
+    "HTTP/1.1 299 OK",
+    "HTTP/1.1 404 Not Found",
+    "HTTP/1.1 599 Failed",
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_of_a_response_reaches_its_caller_after_interim_ones() {
+    let answers = with_status_lines(&VALID_STATUSES);
+    let is_passed_on = |text: &str, answer: &Answer| {
+        text.contains(&format!("HTTP/1.1 {} ", answer.status)) && answer.body == EVENT
+    };
+    check(209, "/once/", (answers, End::Close), is_passed_on).await;
+}
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod explain;
 mod fanout;
 mod fetch;
+mod heads;
 mod helpers;
 mod idle;
 mod leaving;
--- a/crates/kumquatdrum_engine/src/http.rs
+++ b/crates/kumquatdrum_engine/src/http.rs
@@ -7,6 +7,7 @@
 use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
 use kumquatdrum_orders::{Order, Report};
+use kumquatdrum_response::Framing;
 use kumquatdrum_types::exchange::{Call, Event, Fault, Head, Status, Target, Usage};
 use kumquatdrum_types::{AttemptId, HostId};
 use serde::{Deserialize, Serialize};
@@ -280,6 +281,9 @@
 }
 
 async fn read_response(response: reqwest::Response, attempt: &AttemptId) -> Events {
+    if Framing::of(&reqwest::Method::GET, response.status(), response.headers()).is_err() {
+        return fault(Fault::Broken);
+    }
     let status = response.status().as_u16();
     if status >= 300 {
         return fault(read_error(status, response).await);
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -290,7 +290,7 @@
         add_host(&mut request, target.endpoint);
         let sent = self.0.relays.send(target, &request, deadline);
         let (relay, response) = sent.await?;
-        let framing = Framing::of(request.method(), response.status(), response.headers());
+        let framing = framing(request.method(), &response).map_err(relay::Error::Failed)?;
         let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
             response,
@@ -350,8 +350,10 @@
         let paths = &self.0.paths;
         let method = request.method().clone();
         let answer = sender.send_request(request);
-        let response = match self.await_answer(answer, target, opened_at, deadline).await {
-            Ok(response) => response,
+        let answer = self.await_answer(answer, target, opened_at, deadline).await;
+        let framed = answer.and_then(|response| Ok((framing(&method, &response)?, response)));
+        let (framing, response) = match framed {
+            Ok(framed) => framed,
             Err(error) => {
                 if matches!(error, Error::Lost(_)) {
                     let now = self.0.clock.now();
@@ -361,7 +363,6 @@
             }
         };
         paths.record_answer(target.endpoint, opened_at);
-        let framing = Framing::of(&method, response.status(), response.headers());
         let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
             response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
@@ -454,6 +455,12 @@
     }
 }
 
+/// Returns the framing of a response, unless its head is none.
+fn framing<B>(method: &Method, response: &Response<B>) -> Result<Framing, Error> {
+    let framing = Framing::of(method, response.status(), response.headers());
+    framing.map_err(|error| Error::Lost(error.to_string()))
+}
+
 /// Returns the trouble that a failed probe shows.
 const fn trouble(error: &Error) -> Trouble {
     match error {
--- a/crates/kumquatdrum_response/src/framing.rs
+++ b/crates/kumquatdrum_response/src/framing.rs
@@ -19,6 +19,14 @@
     Close,
 }
 
+/// The reason why a head does not begin the response to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The status is interim or none of the protocol (RFC 9110, 15).
+    #[error("{0} is no status of a response")]
+    Status(u16),
+}
+
 impl Framing {
     /// Returns the framing of the response to a request.
     ///
@@ -27,17 +35,20 @@
     /// use kumquatdrum_response::Framing;
     ///
     /// let mut headers = HeaderMap::new();
-    /// assert_eq!(Framing::of(&Method::GET, StatusCode::OK, &headers), Framing::Close);
-    /// assert_eq!(Framing::of(&Method::HEAD, StatusCode::OK, &headers), Framing::Empty);
+    /// assert_eq!(Framing::of(&Method::GET, StatusCode::OK, &headers), Ok(Framing::Close));
+    /// assert_eq!(Framing::of(&Method::HEAD, StatusCode::OK, &headers), Ok(Framing::Empty));
     /// headers.insert("content-length", 5.into());
-    /// assert_eq!(Framing::of(&Method::GET, StatusCode::OK, &headers), Framing::Length);
+    /// assert_eq!(Framing::of(&Method::GET, StatusCode::OK, &headers), Ok(Framing::Length));
+    /// assert!(Framing::of(&Method::GET, StatusCode::CONTINUE, &headers).is_err());
     /// ```
-    pub fn of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+    pub fn of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Result<Self, Error> {
+        if !(200..600).contains(&status.as_u16()) {
+            return Err(Error::Status(status.as_u16()));
+        }
         let has_no_body = *method == Method::HEAD
-            || status.is_informational()
             || status == StatusCode::NO_CONTENT
             || status == StatusCode::NOT_MODIFIED;
-        match headers
+        let framing = match headers
             .get_all(header::TRANSFER_ENCODING)
             .iter()
             .next_back()
@@ -46,7 +57,8 @@
             Some(coding) if is_chunked(coding.as_bytes()) => Self::Chunked,
             None if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
             _ => Self::Close,
-        }
+        };
+        Ok(framing)
     }
 
     /// Returns what is known about a body that ended without an error of its connection.
--- a/crates/kumquatdrum_response/src/lib.rs
+++ b/crates/kumquatdrum_response/src/lib.rs
@@ -4,7 +4,7 @@
 mod completeness;
 pub mod event;
 pub mod execution;
-mod framing;
+pub mod framing;
 pub mod silence;
 
 pub use completeness::Completeness;
--- a/crates/kumquatdrum_service/src/http.rs
+++ b/crates/kumquatdrum_service/src/http.rs
@@ -71,11 +71,13 @@
         Err(error) if error.is_connect() => return fault(Fault::NotSent),
         Err(_) => return fault(Fault::Broken),
     };
+    let Ok(framing) = Framing::of(&method, response.status(), response.headers()) else {
+        return fault(Fault::Broken);
+    };
     let status = response.status().as_u16();
     if status >= MIN_SERVER_ERROR_STATUS {
         return fault(read_error(status, response).await);
     }
-    let framing = Framing::of(&method, response.status(), response.headers());
     let end = match framing.completeness() {
         Completeness::Complete => Event::Finished,
         Completeness::Unknown | Completeness::Broken => Event::Fault(Fault::Broken),
--- a/crates/kumquatdrum_service/tests/http.rs
+++ b/crates/kumquatdrum_service/tests/http.rs
@@ -65,6 +65,11 @@
             broken.clone(),
         ),
         ("HTTP/1.1 200 OK\r\n\r\nok", broken.clone()),
+        (
+            "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+            broken.clone(),
+        ),
+        ("HTTP/1.1 101 Switching Protocols\r\n\r\n", broken.clone()),
         ("HTTP/1.0 200 OK\r\n\r\nok", broken.clone()),
     ];
     for (answer, expected) in cases {
