Stops: a request is sent only if its answer is expected before the host ends

What callers saw: after SIGTERM of a host, in calm, requests that became complete 4 and 6 s later (behind another answer on their connection, or as the last part of their head or body came late) were sent to plain services whose answers take 3 and 6 s. Streams were cut at the end of the grace, whole answers given up with 502, also those of requests that may not be repeated.

The refusal is a 503 with Retry-After and Connection: close, and the request has not run. Relayed requests are picked in the same way.

Evidence: stop_late, 60 requests in each of five ways, to services that answer in 0.2, 1, 3 and 6 s, sent 0.5 to 7.5 s after the signal.

--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -41,5 +41,6 @@
 mod soak;
 mod start;
 mod stop;
+mod stop_late;
 mod stop_waits;
 mod streams;
--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -181,6 +181,7 @@
             self.log_body_end(pick, exchange.framing, 0, None);
         }
         let load = reply.load.as_ref().map(|load| load.running + load.waiting);
+        let pending = pick.pending(false);
         let mut failed_helper = None;
         match (execution, &reply.failed_endpoint) {
             (_, Some(id)) if *id != pick.endpoint.id.as_str() => {
@@ -191,6 +192,9 @@
             _ if reply.is_misdirected => pick.mark_displaced(),
             (Execution::Ran, _) => {
                 pick.record_success(load);
+                if held.is_complete && exchange.response.status().is_success() {
+                    pending.record_completion();
+                }
                 match exchange.framing.completeness() {
                     _ if !held.is_complete => {}
                     Completeness::Unknown => self.record_unknown_end(pick, None).await,
@@ -215,7 +219,10 @@
                 upstream: self.gateway.upstream.clone(),
                 endpoint: pick.endpoint.clone(),
                 deadline: self.deadline_instant(),
-                on_completion: Box::new(move || quarantine.record_completion(|| identity)),
+                on_completion: Box::new(move || {
+                    pending.record_completion();
+                    quarantine.record_completion(|| identity);
+                }),
             };
             rest.into_content(held.bytes)
         };
--- a/crates/kumquatdrum_gateway/src/call/stream.rs
+++ b/crates/kumquatdrum_gateway/src/call/stream.rs
@@ -187,7 +187,12 @@
 
     /// Records that the caller has got all events.
     async fn finish(&mut self, call: &Call, end: &Received) {
-        match (end, self.source.take()) {
+        let is_from_start = !self.attempts.is_resumed && call.metadata.last_event_id.is_none();
+        let source = self.source.take();
+        if let Some(source) = source.as_ref().filter(|_| is_from_start) {
+            source.pick.pending(true).record_completion();
+        }
+        match (end, source) {
             (Received::UnknownEnd, Some(source)) => {
                 let begun_at = source.begun_at;
                 call.record_unknown_end(&source.pick, begun_at).await;
--- a/crates/kumquatdrum_gateway/src/pool/pick.rs
+++ b/crates/kumquatdrum_gateway/src/pool/pick.rs
@@ -5,6 +5,7 @@
 use kumquatdrum_fanout::Urgency;
 use kumquatdrum_placement::{DataCentreKey, EndpointKey, Failure, JobId};
 use kumquatdrum_registry::Announcement;
+use kumquatdrum_types::Moment;
 use slog::warn;
 
 use super::{Policy, Pool, Service, State, Witness, data_centre_key};
@@ -56,6 +57,27 @@
     pub purpose: Purpose,
     pub(super) job: Option<JobId>,
     pub(super) urgency: Urgency,
+    pub(super) picked_at: Moment,
+}
+
+/// An answer that is not complete yet.
+pub struct Pending {
+    pool: Arc<Pool>,
+    service: Arc<Service>,
+    picked_at: Moment,
+    is_streamed: bool,
+}
+
+impl Pending {
+    /// Records that the answer is complete.
+    pub fn record_completion(&self) {
+        let duration = self.pool.dependencies.clock.now() - self.picked_at;
+        match &mut self.service.state.lock().policy {
+            Policy::Plain(balancer) => balancer.record_duration(self.is_streamed, duration),
+            // The planner calculates how long a prompt takes.
+            Policy::Engines(_) => {}
+        }
+    }
 }
 
 impl Pick {
@@ -73,6 +95,16 @@
         self.pool.broadcast(event, self.urgency);
     }
 
+    /// Returns the answer of the endpoint. `is_streamed` states whether it is a stream of events.
+    pub fn pending(&self, is_streamed: bool) -> Pending {
+        Pending {
+            pool: self.pool.clone(),
+            service: self.service.clone(),
+            picked_at: self.picked_at,
+            is_streamed,
+        }
+    }
+
     /// Records a successful response and the load that it reported.
     pub fn record_success(&self, load: Option<u32>) {
         let now = self.pool.dependencies.clock.now();
--- a/crates/kumquatdrum_gateway/src/pool/place.rs
+++ b/crates/kumquatdrum_gateway/src/pool/place.rs
@@ -135,6 +135,7 @@
             purpose: Purpose::Work,
             job: None,
             urgency: Urgency::Usual,
+            picked_at: now,
         }))
     }
 
@@ -179,6 +180,7 @@
             purpose: Purpose::Work,
             job: Some(plan.job),
             urgency,
+            picked_at: self.dependencies.clock.now(),
         };
         self.broadcast(Event::Sent(service.name.clone(), plan), urgency);
         Ok(pick)
--- a/crates/kumquatdrum_gateway/src/pool/wait.rs
+++ b/crates/kumquatdrum_gateway/src/pool/wait.rs
@@ -3,7 +3,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kumquatdrum_placement::Job;
+use kumquatdrum_placement::{Job, Shutdown};
+use kumquatdrum_types::Moment;
 
 use super::{Policy, Pool, Rejection, Service, State};
 
@@ -26,9 +27,8 @@
         let Some(shutdown) = self.dependencies.shutdown.planned() else {
             return Ok(());
         };
-        let expected = service.state.lock().expected_duration(job);
         let now = self.dependencies.clock.now();
-        if shutdown.allows(now, expected, job.deadline) {
+        if service.state.lock().allows(shutdown, now, job) {
             Ok(())
         } else {
             Err(Rejection::Stopping)
@@ -45,13 +45,17 @@
 }
 
 impl State {
-    /// Returns the time that an endpoint without other work needs for a job. How much is left of a
-    /// resumed job is unknown, so it counts as nothing: a refusal would cut its stream.
-    fn expected_duration(&self, job: &Job) -> Duration {
+    /// Returns whether a job may wait or start although the host stops. How much is left of a resumed job
+    /// is unknown, so it counts as nothing: a refusal would cut its stream.
+    fn allows(&self, shutdown: Shutdown, now: Moment, job: &Job) -> bool {
         match &self.policy {
-            _ if job.is_resumed => Duration::ZERO,
-            Policy::Engines(planner) => planner.expected_duration(job),
-            Policy::Plain(_) => (job.due - job.arrived) / 2,
+            _ if job.is_resumed => shutdown.allows(now, Duration::ZERO, job.deadline),
+            Policy::Engines(planner) => {
+                shutdown.allows(now, planner.expected_duration(job), job.deadline)
+            }
+            Policy::Plain(balancer) => {
+                shutdown.allows_answer(now, balancer.longest_duration(job), job.deadline)
+            }
         }
     }
 }
--- a/crates/kumquatdrum_placement/src/balancer.rs
+++ b/crates/kumquatdrum_placement/src/balancer.rs
@@ -6,7 +6,7 @@
 use kumquatdrum_types::Moment;
 
 use crate::reachability::{DataCentreKey, Reachability};
-use crate::{EndpointKey, Failure, Health, Limits};
+use crate::{Durations, EndpointKey, Failure, Health, Job, Limits};
 
 /// How long a reported load is used: roughly the run time of a plain request.
 const REPORT_EXPIRY: Duration = Duration::from_millis(250);
@@ -18,6 +18,8 @@
     reachability: Reachability,
     limits: Limits,
     rotation: usize,
+    whole_answers: Durations,
+    streams: Durations,
 }
 
 #[derive(Debug)]
@@ -99,6 +101,57 @@
         }
     }
 
+    /// Records how long a complete answer of any endpoint took. `is_streamed` states whether it was a
+    /// stream of events.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let mut balancer = kumquatdrum_placement::Balancer::default();
+    /// balancer.record_duration(false, Duration::from_secs(3));
+    /// ```
+    pub fn record_duration(&mut self, is_streamed: bool, duration: Duration) {
+        if is_streamed {
+            self.streams.record(duration);
+        } else {
+            self.whole_answers.record(duration);
+        }
+    }
+
+    /// Returns how long the answer to a job takes at most, by the last answers of its kind. Without any,
+    /// a whole answer is expected by the time when it is due, and the duration of a stream is unknown.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use kumquatdrum_placement::{Balancer, Job, JobId};
+    /// use kumquatdrum_types::Moment;
+    ///
+    /// let job = Job {
+    ///     id: JobId { host: 1, number: 1 },
+    ///     prompt_tokens: 0,
+    ///     answer_tokens: 0,
+    ///     max_pause: Duration::MAX,
+    ///     arrived: Moment::from_millis(1_000),
+    ///     due: Moment::from_millis(1_300),
+    ///     deadline: Moment::from_millis(9_000),
+    ///     excluded: Vec::new(),
+    ///     first: None,
+    ///     is_resumed: false,
+    /// };
+    /// let mut balancer = Balancer::default();
+    /// assert_eq!(balancer.longest_duration(&job), Some(Duration::from_millis(300)));
+    /// balancer.record_duration(false, Duration::from_secs(3));
+    /// assert_eq!(balancer.longest_duration(&job), Some(Duration::from_secs(3)));
+    /// ```
+    pub fn longest_duration(&self, job: &Job) -> Option<Duration> {
+        if job.is_streamed() {
+            self.streams.longest()
+        } else {
+            let longest = self.whole_answers.longest();
+            longest.or(Some(job.due - job.arrived))
+        }
+    }
+
     /// Records a success of the endpoint and the load it reported, if any.
     pub fn record_success(&mut self, now: Moment, key: EndpointKey, load: Option<u32>) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
--- a/crates/kumquatdrum_placement/src/job.rs
+++ b/crates/kumquatdrum_placement/src/job.rs
@@ -50,7 +50,8 @@
     pub prompt_tokens: u64,
     /// Expected tokens of the answer.
     pub answer_tokens: u64,
-    /// The longest pause between two events of the answer that the caller accepts.
+    /// The longest pause between two events of the answer that the caller accepts; [`Duration::MAX`] if
+    /// the answer has no events.
     pub max_pause: Duration,
     /// When the request arrived.
     pub arrived: Moment,
@@ -67,6 +68,11 @@
 }
 
 impl Job {
+    /// Returns whether the answer is a stream of events.
+    pub(crate) fn is_streamed(&self) -> bool {
+        self.max_pause < Duration::MAX
+    }
+
     /// Returns whether the job may be sent to an engine.
     pub(crate) fn may_be_sent_to(&self, key: EndpointKey) -> bool {
         self.first.is_none_or(|first| first == key)
--- a/crates/kumquatdrum_placement/src/lib.rs
+++ b/crates/kumquatdrum_placement/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`Backoffs`] keeps requests away from endpoints that ask this host for a pause.
 //! - [`Path`] tells whether this host reaches the endpoints of a service.
 //! - [`Budget`] limits a host to its share of the retries of all hosts.
+//! - [`Durations`] tells how long the answers of a plain service take.
 //! - [`Shutdown`] tells which requests a host that ends soon can still serve.
 
 mod backoff;
@@ -19,6 +20,7 @@
 mod cost;
 mod decision;
 mod demand;
+mod durations;
 mod health;
 mod job;
 mod limits;
@@ -39,6 +41,7 @@
 pub use balancer::Balancer;
 pub use cost::Cost;
 pub use decision::{Decision, Diagnostics, Harm, Refusal};
+pub use durations::Durations;
 pub use health::{Failure, Health};
 pub use job::{EndpointKey, Helper, Job, JobId, Plan, SlotOrder, Waiter};
 pub use limits::{Allowance, Limits, Place, Summary, Warmups};
--- a/crates/kumquatdrum_placement/src/shutdown.rs
+++ b/crates/kumquatdrum_placement/src/shutdown.rs
@@ -55,6 +55,27 @@
         self.ends_at.saturating_sub(GIVE_UP_TIME)
     }
 
+    /// Returns whether a request whose answer takes this long at most, if that is known, and that ends at
+    /// its deadline at the latest, may still wait or start. An answer that is due by the end of the waits
+    /// may be late by what is left.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use kumquatdrum_placement::Shutdown;
+    /// use kumquatdrum_types::Moment;
+    ///
+    /// let shutdown = Shutdown::new(Moment::from_millis(8_000));
+    /// let (now, second) = (Moment::from_millis(2_000), Duration::from_secs(1));
+    /// assert!(shutdown.allows_answer(now, Some(5 * second), Moment::NEVER));
+    /// assert!(!shutdown.allows_answer(now, Some(6 * second), Moment::NEVER));
+    /// assert!(!shutdown.allows_answer(now, None, Moment::NEVER));
+    /// ```
+    pub fn allows_answer(&self, now: Moment, longest: Option<Duration>, deadline: Moment) -> bool {
+        let waits_end_at = self.waits_end_at();
+        let is_in_time = longest.is_some_and(|longest| now + longest <= waits_end_at);
+        now < waits_end_at && (is_in_time || deadline <= self.ends_at)
+    }
+
     /// Returns whether a request that is expected to take this long, and ends at its deadline at the
     /// latest, may still wait or start.
     ///
