Stops: a prompt of unknown size is not taken for an empty one

What callers saw: a prompt without token counts that came late in the grace of a stopping host was sent to an engine, and its stream cut when the host ended.

Cause: without counts, the planner expected it to take no time, so that it was sent until a second before the end.

Change: a job of unknown size is expected to take as long as one of the usual size that the engine's declaration names.

--- a/crates/kumquatdrum/tests/gateway/stop_late.rs
+++ b/crates/kumquatdrum/tests/gateway/stop_late.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::caller::{Caller, End, Request, call};
-use crate::cluster::{CONTROL_HOSTS, Cluster, config};
+use crate::cluster::{CONTROL_HOSTS, Cluster, config, engine_config};
 use crate::endpoint::{Behaviour, Endpoint};
 
 /// The host that stops.
@@ -272,3 +272,31 @@
 async fn requests_whose_bodies_end_during_a_stop_are_not_cut() {
     check(104, Way::LateBody).await;
 }
+
+#[tokio::test]
+async fn a_prompt_of_unknown_size_is_not_cut_when_its_host_ends() {
+    let cluster = Cluster::start(105);
+    let mut setup = engine_config(1);
+    setup["services"][0]["engine"]["usual"] = json!({"prompt": 5_000, "answer": 3_000});
+    for route in setup["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = json!(30_000);
+    }
+    cluster.apply(&setup).await;
+    let engine = Endpoint::start("i-1", Behaviour::ByPath).await;
+    cluster.announce(&engine, "plain", "ready", 1).await;
+    cluster.wait_until_ready(HOST, &engine).await;
+    let signal_at = Instant::now() + LEAD;
+    let early = request("/stream/0-10-300-0", "at-early");
+    let late = request("/stream/0-10-300-0", "at-late");
+    let (early, late, ()) = tokio::join!(
+        send(&cluster, Way::LateBody, &early, 500, signal_at),
+        send(&cluster, Way::LateBody, &late, 5_500, signal_at),
+        async {
+            sleep_until(signal_at).await;
+            cluster.signal(HOST, "-TERM");
+        }
+    );
+    assert_eq!(early.status(), 200, "{early:?}");
+    assert_eq!(late.status(), 503, "{late:?}");
+    assert_eq!(engine.runs(), 1);
+}
--- a/crates/kumquatdrum_placement/tests/shutdown.rs
+++ b/crates/kumquatdrum_placement/tests/shutdown.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use kumquatdrum_placement::{Balancer, Job, JobId, Shutdown};
+use kumquatdrum_placement::{Balancer, Job, JobId, Planner, Shutdown};
 use kumquatdrum_types::Moment;
+use support::engine;
+
+mod support;
 
 const END_MS: u64 = 8_000;
 
@@ -116,3 +119,17 @@
     let longest = Duration::from_millis(10);
     assert_eq!(balancer.longest_duration(&whole), Some(longest));
 }
+
+#[test]
+fn a_prompt_of_unknown_size_is_not_taken_for_an_empty_one() {
+    let planner = Planner::new(engine());
+    let unknown = job(Duration::from_millis(250));
+    let typical = Job {
+        prompt_tokens: 10_000,
+        answer_tokens: 1_000,
+        ..unknown.clone()
+    };
+    let expected = planner.expected_duration(&unknown);
+    assert_eq!(expected, planner.expected_duration(&typical));
+    assert!(expected > Duration::from_secs(1), "{expected:?}");
+}
