Tests: relayed requests while either host stops

A relay that ends under a request that may not be repeated leaves its caller a 502, before and after.

--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -42,5 +42,6 @@
 mod start;
 mod stop;
 mod stop_late;
+mod stop_relayed;
 mod stop_waits;
 mod streams;
