--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -43,5 +43,7 @@
 mod soak;
 mod start;
 mod stop;
+mod stop_late;
+mod stop_relayed;
 mod stop_waits;
 mod streams;
