--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
 use std::time::Duration;
@@ -14,6 +15,8 @@
 use crate::endpoint::Endpoint;
 use crate::links::Links;
 
+mod growth;
+
 pub const CONTROL_HOSTS: usize = 3;
 pub const HOSTS: usize = 5;
 /// The port at which hosts connect to each other.
@@ -28,11 +31,17 @@
     network.map_or(77, |network| network.parse().expect("an octet"))
 }
 
-/// A running cluster: hosts 0 to 2 are control hosts, the others take callers.
+/// A running cluster: the first hosts are control hosts, the next ones take callers, and those that are added
+/// later are control hosts.
 pub struct Cluster {
     pub client: Client,
+    /// The control hosts that hosts know when they start.
+    seeds: [usize; CONTROL_HOSTS],
     folder: TempDir,
     subnet: u8,
+    /// The hosts that take callers.
+    entries: Range<usize>,
+    lost_replicas: usize,
     /// Whether the hosts connect to each other through proxies.
     has_links: bool,
     hosts: Vec<Option<Child>>,
@@ -68,8 +77,11 @@
         let folder = TempDir::new().expect("a folder");
         Self {
             client,
+            seeds: std::array::from_fn(|seed| seed),
             folder,
             subnet,
+            entries: CONTROL_HOSTS..hosts,
+            lost_replicas: 1,
             has_links,
             hosts: (0..hosts).map(|_| None).collect(),
         }
@@ -102,9 +114,7 @@
     }
 
     fn settings(&self, host: usize, can_form_cluster: bool) -> Value {
-        let seeds: Vec<String> = (0..CONTROL_HOSTS)
-            .map(|seed| self.address(seed, 8229).to_string())
-            .collect();
+        let seeds = self.seeds.map(|seed| self.address(seed, 8229).to_string());
         let mut listen = json!({"metrics": self.address(host, 8219).to_string()});
         let mut settings = json!({
             "name": format!("host-{host}"),
@@ -114,17 +124,18 @@
             "seeds": seeds,
             "cluster": {"name": "test", "secret": "test"},
             "announcement_ms": 300,
+            "lost_replicas": self.lost_replicas,
             "drain_ms": 2000,
             "stop_ms": 8000,
             "cold": {"overage": 1.5, "slack": 5.0},
         });
-        if host < CONTROL_HOSTS {
+        if self.entries.contains(&host) {
+            listen["callers"] = json!(self.address(host, 8227).to_string());
+            listen["health"] = json!(self.address(host, 8220).to_string());
+        } else {
             listen["control"] = json!(self.address(host, 8229).to_string());
             let data = self.data_path(host);
             settings["replica"] = json!({"data": data, "found": can_form_cluster});
-        } else {
-            listen["callers"] = json!(self.address(host, 8227).to_string());
-            listen["health"] = json!(self.address(host, 8220).to_string());
         }
         settings["listen"] = listen;
         settings
--- /dev/null
+++ b/crates/kumquatdrum/tests/gateway/lost_voters.rs
@@ -0,0 +1,106 @@
+//! Setups are read back after losses of voters, two at a time at most, and a final fault.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::cluster::{Cluster, config};
+use crate::voters::{
+    CATCH_UP, kill_all, leader, read_back, replica_lines, voters, wait_for_voters,
+};
+
+/// The number of voters that outlast the loss of two.
+const VOTERS: usize = 5;
+/// The number of control hosts with spares.
+const WITH_SPARES: usize = 8;
+/// The time between a loss and the start of the successor.
+const SUCCESSION: Duration = Duration::from_millis(400);
+/// The time between the start of the first successor and the loss of the leader.
+const BETWEEN: Duration = Duration::from_millis(1_350);
+
+/// The two voters that are lost for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Losses {
+    /// Two voters that don't lead, at the same moment.
+    Together,
+    /// A voter that doesn't lead, then the leader.
+    LeaderLast,
+}
+
+/// Guards against a change of the voters that waits for another lost voter.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_setup_is_read_back_after_two_control_hosts_at_a_time_were_lost() {
+    check_setup(220, WITH_SPARES, Losses::Together).await;
+}
+
+/// Guards against a new leader that replaces a voter too late, which the previous leader missed already.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_setup_is_read_back_after_a_voter_and_then_the_leader_were_lost() {
+    check_setup(221, WITH_SPARES, Losses::LeaderLast).await;
+}
+
+/// Guards against two successors that don't both replace the voters before them in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_setup_is_read_back_after_two_successors_without_a_spare() {
+    check_setup(222, VOTERS, Losses::Together).await;
+}
+
+/// Guards against successors that a new leader doesn't learn of in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_setup_is_read_back_after_the_successor_of_a_leader_without_a_spare() {
+    check_setup(223, VOTERS, Losses::LeaderLast).await;
+}
+
+async fn check_setup(subnet: u8, control_hosts: usize, losses: Losses) {
+    let mut cluster = Cluster::with_control_hosts(subnet, control_hosts);
+    cluster.apply(&config(1)).await;
+    wait_for_voters(&cluster, VOTERS).await;
+    cluster.apply(&config(2)).await;
+    let mut followers = voters(&cluster);
+    let first_leader = leader(&cluster);
+    followers.retain(|voter| *voter != first_leader);
+    let started = Instant::now();
+    let lost = match losses {
+        Losses::Together => {
+            let lost = [followers[0], followers[1]];
+            for host in lost {
+                cluster.signal(host, "-KILL");
+            }
+            for host in lost {
+                cluster.kill(host);
+            }
+            sleep(SUCCESSION).await;
+            for _ in lost {
+                cluster.add_control_host();
+            }
+            lost
+        }
+        Losses::LeaderLast => {
+            let lost = [followers[0], first_leader];
+            cluster.kill(lost[0]);
+            sleep(SUCCESSION).await;
+            cluster.add_control_host();
+            sleep(BETWEEN).await;
+            cluster.kill(lost[1]);
+            sleep(SUCCESSION).await;
+            cluster.add_control_host();
+            lost
+        }
+    };
+    followers.retain(|host| !lost.contains(host));
+    sleep(CATCH_UP).await;
+    cluster.renew_seeds();
+    cluster.apply(&config(3)).await;
+    let acknowledged = started.elapsed();
+    let now_leading = leader(&cluster);
+    let other = followers.iter().find(|host| **host != now_leading);
+    let emptied = [now_leading, *other.expect("another old voter")];
+    kill_all(&mut cluster, &emptied).await;
+    match read_back(&cluster, &cluster.control_hosts(), 3..=3).await {
+        Ok(passed) => println!("read after {passed:?}"),
+        Err(failure) => panic!(
+            "{failure}\nlost {lost:?}, acknowledged after {acknowledged:?}, then emptied {emptied:?}\n{}",
+            replica_lines(&cluster)
+        ),
+    }
+}
