Test: a seeded soak of losses of control hosts and a final fault

15 s of losses, two control hosts at a time at most: killed, frozen, stopped, with an emptied disk, or replaced for good at a new address. Then all hosts are killed right after an acknowledgement, the leader and another voter lose their disks, and the setup is read back within 6 s, and no older one after that.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -36,7 +36,7 @@
 pub struct Cluster {
     pub client: Client,
     /// The control hosts that hosts know when they start.
-    seeds: [usize; CONTROL_HOSTS],
+    pub seeds: [usize; CONTROL_HOSTS],
     folder: TempDir,
     subnet: u8,
     /// The hosts that take callers.
--- a/crates/kumquatdrum/tests/gateway/cluster/growth.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster/growth.rs
@@ -26,10 +26,4 @@
         let hosts = (0..self.hosts()).filter(|host| !self.entries.contains(host));
         hosts.filter(|host| self.is_running(*host)).collect()
     }
-
-    /// Makes hosts that are started from now on know control hosts that run now.
-    pub fn renew_seeds(&mut self) {
-        let hosts = self.control_hosts();
-        self.seeds = std::array::from_fn(|seed| hosts[seed]);
-    }
 }
--- a/crates/kumquatdrum/tests/gateway/lost_voters.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters.rs
@@ -89,14 +89,15 @@
     };
     followers.retain(|host| !lost.contains(host));
     sleep(CATCH_UP).await;
-    cluster.renew_seeds();
+    let hosts = cluster.control_hosts();
+    cluster.seeds = std::array::from_fn(|seed| hosts[seed]);
     cluster.apply(&config(3)).await;
     let acknowledged = started.elapsed();
     let now_leading = leader(&cluster);
     let other = followers.iter().find(|host| **host != now_leading);
     let emptied = [now_leading, *other.expect("another old voter")];
     kill_all(&mut cluster, &emptied).await;
-    match read_back(&cluster, &cluster.control_hosts(), 3..=3).await {
+    match read_back(&cluster, &hosts, 3..=3).await {
         Ok(passed) => println!("read after {passed:?}"),
         Err(failure) => panic!(
             "{failure}\nlost {lost:?}, acknowledged after {acknowledged:?}, then emptied {emptied:?}\n{}",
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -31,6 +31,7 @@
 mod limit;
 mod links;
 mod lost_voters;
+mod lost_voters_soak;
 mod outage;
 mod path;
 mod precondition;
