Test: the disks of two voters are lost, and their hosts' seeds don't lead

A voter's new disk on its own host is announced to the host's seeds only, and each but the leader ignores the announcement; without a spare, the voter isn't replaced.

--- a/crates/kumquatdrum/tests/gateway/lost_voters.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters.rs
@@ -6,7 +6,7 @@
 
 use crate::cluster::{Cluster, config};
 use crate::voters::{
-    CATCH_UP, kill_all, leader, read_back, replica_lines, voters, wait_for_voters,
+    CATCH_UP, RESTART_PAUSE, kill_all, leader, read_back, replica_lines, voters, wait_for_voters,
 };
 
 /// The number of voters that outlast the loss of two.
@@ -22,7 +22,7 @@
 /// and still counts the spare as live when it does.
 const BEFORE_CHANGE: Duration = Duration::from_millis(2_600);
 
-/// The two control hosts that are lost for good.
+/// The two losses before the final fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Losses {
     /// Two voters that don't lead, at the same moment.
@@ -31,6 +31,9 @@
     LeaderLast,
     /// A voter that doesn't lead, then the spare that is to replace it.
     SpareLast,
+    /// The disks of two voters that don't lead, at the same moment. The leader is none of the hosts'
+    /// seeds when they are back.
+    Disks,
 }
 
 /// Guards against a change of the voters that waits for another lost voter.
@@ -63,6 +66,12 @@
     check_setup(224, VOTERS + 1, Losses::SpareLast).await;
 }
 
+/// Guards against a leader that doesn't learn of the new disks of voters in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_setup_is_read_back_after_the_disks_of_two_voters_were_lost() {
+    check_setup(225, VOTERS, Losses::Disks).await;
+}
+
 async fn check_setup(subnet: u8, control_hosts: usize, losses: Losses) {
     let mut cluster = Cluster::with_control_hosts(subnet, control_hosts);
     cluster.apply(&config(1)).await;
@@ -111,6 +120,20 @@
             }
             lost
         }
+        Losses::Disks => {
+            let lost = [followers[0], followers[1]];
+            cluster.seeds = [followers[1], followers[2], followers[3]];
+            for host in lost {
+                cluster.kill(host);
+                std::fs::remove_dir_all(cluster.data_path(host))
+                    .expect("the data folder is removed");
+            }
+            sleep(RESTART_PAUSE).await;
+            for host in lost {
+                cluster.start_host(host, false);
+            }
+            lost
+        }
     };
     followers.retain(|host| !lost.contains(host));
     sleep(CATCH_UP).await;
