--- a/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::cluster::{Cluster, config};
-use crate::endpoint_soak::seeds;
+use crate::endpoint_soak::{DEFAULT_SEEDS, seeds};
 use crate::voters::{
     ANSWER_TIMEOUT, CATCH_UP, RESTART_PAUSE, kill_all, leader, read_back, replica_lines, voters,
     wait_for_voters,
@@ -72,7 +72,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_voters_soak() {
     let mut failed = Vec::new();
-    for seed in seeds() {
+    for seed in seeds(DEFAULT_SEEDS) {
         match run_seed(seed).await {
             Ok(passed) => println!("seed {seed}: read after {passed:?}"),
             Err(failure) => {
