--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -38,6 +38,10 @@
 use crate::relay::{self, Relays};
 use crate::sockets;
 
+mod socket;
+
+use socket::Socket;
+
 /// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
 /// SYN packet, so that a relay or another endpoint is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -286,7 +290,7 @@
         add_host(&mut request, target.endpoint);
         let sent = self.0.relays.send(target, &request, deadline);
         let (relay, response) = sent.await?;
-        let framing = Framing::of(request.method(), response.status(), response.headers());
+        let framing = framing(request.method(), &response).map_err(relay::Error::Failed)?;
         let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
             response,
@@ -335,7 +339,7 @@
         // For another host, this one may have waited since it was connected.
         self.check_informed(target).await?;
         add_host(&mut request, target.endpoint);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let handshake = http1::Builder::new().handshake(TokioIo::new(Socket::new(stream)));
         let (mut sender, connection) = handshake
             .await
             .map_err(|error| Error::Unsent(error.to_string()))?;
@@ -346,8 +350,10 @@
         let paths = &self.0.paths;
         let method = request.method().clone();
         let answer = sender.send_request(request);
-        let response = match self.await_answer(answer, target, opened_at, deadline).await {
-            Ok(response) => response,
+        let answer = self.await_answer(answer, target, opened_at, deadline).await;
+        let framed = answer.and_then(|response| Ok((framing(&method, &response)?, response)));
+        let (framing, response) = match framed {
+            Ok(framed) => framed,
             Err(error) => {
                 if matches!(error, Error::Lost(_)) {
                     let now = self.0.clock.now();
@@ -357,7 +363,6 @@
             }
         };
         paths.record_answer(target.endpoint, opened_at);
-        let framing = Framing::of(&method, response.status(), response.headers());
         let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
             response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
@@ -450,6 +455,12 @@
     }
 }
 
+/// Returns the framing of a response, unless its head is none.
+fn framing<B>(method: &Method, response: &Response<B>) -> Result<Framing, Error> {
+    let framing = Framing::of(method, response.status(), response.headers());
+    framing.map_err(|error| Error::Lost(error.to_string()))
+}
+
 /// Returns the trouble that a failed probe shows.
 const fn trouble(error: &Error) -> Trouble {
     match error {
@@ -476,6 +487,8 @@
             ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
             _ => Error::Unsent(error.to_string()),
         })?;
-    sockets::set_liveness_timeouts(&stream).map_err(|error| Error::Unsent(error.to_string()))?;
+    sockets::set_liveness_timeouts(&stream)
+        .and_then(|()| sockets::limit_unsent_bytes(&stream))
+        .map_err(|error| Error::Unsent(error.to_string()))?;
     Ok(stream)
 }
