Paths: the endpoint that announced itself last is probed first

Cause: while a path is in doubt, one endpoint is probed each 250 ms, and those without trouble of their own took turns. Endpoints that have ended and had no request since count among these, so that a new one waited for a probe of each of them.

Change: of the endpoints without trouble, the one that announced itself last is probed. The choice is the core's (Path::choose_probe).

The cuts of the path's tests in virtual time pass with announcements of random ages.

--- a/crates/kumquatdrum_gateway/src/gateway/probe.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/probe.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatdrum_registry::Announcement;
 use kumquatdrum_types::ServiceName;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
@@ -61,11 +60,7 @@
         let mut endpoints = self.endpoints.usable(&service);
         let evacuations = self.evacuations.current();
         endpoints.retain(|(endpoint, _)| !evacuations.is_active(&endpoint.data_centre));
-        let is_suspect = |(endpoint, _): &(Announcement, Duration)| paths.is_suspect(endpoint);
-        if !endpoints.iter().all(is_suspect) {
-            endpoints.retain(|endpoint| !is_suspect(endpoint));
-        }
-        let Some((endpoint, _)) = endpoints.get(turn % endpoints.len().max(1)) else {
+        let Some(endpoint) = paths.choose_probe(&service, &endpoints, turn) else {
             return;
         };
         let Some(declared) = self.active_setup.current() else {
--- a/crates/kumquatdrum_gateway/src/paths.rs
+++ b/crates/kumquatdrum_gateway/src/paths.rs
@@ -76,12 +76,20 @@
         path.map_or(limit, |path| path.patience(limit))
     }
 
-    /// Returns whether an endpoint may itself be at fault, so that a probe of it tells less.
-    pub fn is_suspect(&self, endpoint: &Announcement) -> bool {
+    /// Returns the endpoint of a service to probe, of those that are known, each with the time since its last
+    /// announcement. `turn` numbers the probes.
+    pub fn choose_probe<'a>(
+        &self,
+        service: &ServiceName,
+        known: &'a [(Announcement, Duration)],
+        turn: usize,
+    ) -> Option<&'a Announcement> {
         let now = self.dependencies.clock.now();
+        let keys = known.iter().map(|(endpoint, age)| (key(endpoint), *age));
+        let keys: Vec<(EndpointKey, Duration)> = keys.collect();
         let services = self.services.lock();
-        let path = services.get(&endpoint.service);
-        path.is_some_and(|path| path.is_suspect(now, key(endpoint)))
+        let place = services.get(service)?.choose_probe(now, &keys, turn)?;
+        known.get(place).map(|(endpoint, _)| endpoint)
     }
 
     /// Takes the services whose path has failed, which explains failures of their endpoints.
--- a/crates/kumquatdrum_placement/src/path.rs
+++ b/crates/kumquatdrum_placement/src/path.rs
@@ -153,12 +153,38 @@
         }
     }
 
-    /// Returns whether an endpoint may itself be at fault, so that a probe of it tells less. Once the
-    /// path is known to be cut, none is.
-    pub fn is_suspect(&self, now: Moment, key: EndpointKey) -> bool {
-        let seen_at = self.troubled.get(&key);
-        let is_troubled = seen_at.is_some_and(|seen_at| now - *seen_at < TROUBLE_MEMORY);
-        matches!(self.state, State::Doubted { .. }) && is_troubled
+    /// Returns the place of the endpoint to probe, of those that are known, each with the time since its last
+    /// announcement. `turn` numbers the probes.
+    ///
+    /// While the path is in doubt, that is the one that announced itself last of those without trouble: the
+    /// others may have ended. Without such an endpoint, or once the path is known to be cut, they take turns.
+    ///
+    /// ```
+    /// use kumquatdrum_placement::{EndpointKey, Path};
+    /// # use kumquatdrum_types::Moment;
+    /// # use std::time::Duration;
+    ///
+    /// let known = [(EndpointKey(1), Duration::ZERO), (EndpointKey(2), Duration::ZERO)];
+    /// assert_eq!(Path::default().choose_probe(Moment::ZERO, &known, 1), Some(1));
+    /// ```
+    pub fn choose_probe(
+        &self,
+        now: Moment,
+        known: &[(EndpointKey, Duration)],
+        turn: usize,
+    ) -> Option<usize> {
+        let is_troubled = |key: EndpointKey| {
+            let seen_at = self.troubled.get(&key);
+            seen_at.is_some_and(|seen_at| now - *seen_at < TROUBLE_MEMORY)
+        };
+        let known = known.iter().enumerate();
+        let count = known.len();
+        let sound = known.filter(|(_, (key, _))| !is_troubled(*key));
+        let latest = sound.min_by_key(|(_, (_, age))| *age);
+        match (&self.state, latest) {
+            (State::Doubted { .. }, Some((place, _))) => Some(place),
+            _ => turn.checked_rem(count),
+        }
     }
 
     /// Returns the time after which an answer is late, at most `limit`: twice the longest time that one
--- a/crates/kumquatdrum_placement/tests/paths.rs
+++ b/crates/kumquatdrum_placement/tests/paths.rs
@@ -353,18 +353,51 @@
             }
             if self.path.is_in_doubt() && millis >= next_probe {
                 next_probe = millis + PROBE_INTERVAL;
-                let untroubled = (0..ENDPOINTS as u64).map(key);
-                let untroubled = untroubled.filter(|key| !self.path.is_suspect(now, *key));
-                let choices: Vec<EndpointKey> = untroubled.collect();
+                let ages = (0..ENDPOINTS as u64).map(|number| {
+                    let age = Duration::from_millis(u64::from(self.random.next_u32() % 1_200));
+                    (key(number), age)
+                });
+                let known: Vec<(EndpointKey, Duration)> = ages.collect();
                 let turn = self.random.next_u32() as usize;
-                let choice = choices.get(turn % choices.len().max(1)).copied();
-                self.push(millis, Event::Probe(choice.unwrap_or(key(1))));
+                let place = self.path.choose_probe(now, &known, turn);
+                self.push(
+                    millis,
+                    Event::Probe(key(place.expect("an endpoint") as u64)),
+                );
             }
         }
         routes
     }
 }
 
+/// Guards against probes of endpoints that have ended while one that has just started is known.
+#[test]
+fn the_endpoint_that_announced_itself_last_is_probed_first() {
+    let mut path = answered();
+    for number in 1..3 {
+        path.record_trouble(at(2_000), key(number), Trouble::Unconnected, at(2_000), 6);
+    }
+    let age = Duration::from_millis;
+    let mut known: Vec<(EndpointKey, Duration)> = (0..6).map(|n| (key(n), age(900))).collect();
+    known.push((key(6), age(50)));
+    for turn in 0..7 {
+        assert_eq!(path.choose_probe(at(2_100), &known, turn), Some(6));
+    }
+    path.record_trouble(at(2_100), key(6), Trouble::Unconnected, at(2_100), 7);
+    let next = path
+        .choose_probe(at(2_350), &known, 6)
+        .expect("an endpoint");
+    assert!(![1, 2, 6].contains(&next), "{next} is in trouble");
+}
+
+#[test]
+fn endpoints_take_turns_once_the_path_is_cut() {
+    let path = cut();
+    let known: Vec<(EndpointKey, Duration)> = (0..6).map(|n| (key(n), Duration::ZERO)).collect();
+    let chosen = (0..6).map(|turn| path.choose_probe(at(2_100), &known, turn));
+    assert!(chosen.eq((0..6).map(Some)));
+}
+
 #[test]
 fn a_silence_of_all_endpoints_for_a_second_does_not_isolate_a_host() {
     let mut path = answered();
