Control: calls for the leader are answered within the time of their callers

Callers saw: no answer within the second that they wait, from live control hosts, while the leader or a majority of the control hosts is frozen.

Cause: a reading, an apply and the status of evacuations were tried for 2.8 s, and replicas were asked one after another, each for up to 0.9 s. Followers name a frozen leader until an election, and each naming began the list anew with that leader, so that the others were not reached.

Change: one rule. A call has 0.9 s from its arrival for the leader's answer, by a clock that counts suspensions, and then gets 503. The status leaves 0.2 s of that for the progress. A reading of the state for an order was bounded by 0.2 s for each replica, and follows the same rule now.

Whom to ask is decided by control::search, without a clock: rounds over the replicas, a named leader first; after 0.15 s of silence the next one is asked while the earlier requests stay open; the first answer of a leader counts. A replica that owes an answer is not asked again, and one that names the leader that is being asked counts as its silence, so that a slow leader doesn't get the text sent to all others. An order's proposal goes to another replica only after an answer, since the second copy would make it stale.

--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -28,11 +28,13 @@
     network.map_or(77, |network| network.parse().expect("an octet"))
 }
 
-/// A running cluster: hosts 0 to 2 are control hosts, the others take callers.
+/// A running cluster: the first hosts are control hosts, hosts 0 to 2 unless another number is given. The
+/// others take callers.
 pub struct Cluster {
     pub client: Client,
     folder: TempDir,
     subnet: u8,
+    control_hosts: usize,
     /// Whether the hosts connect to each other through proxies.
     has_links: bool,
     hosts: Vec<Option<Child>>,
@@ -51,6 +53,14 @@
         cluster
     }
 
+    /// Starts a cluster of the given numbers of control hosts and of hosts in all.
+    pub fn with_control_hosts(subnet: u8, control_hosts: usize, hosts: usize) -> Self {
+        let mut cluster = Self::new(subnet, hosts, false);
+        cluster.control_hosts = control_hosts;
+        cluster.start_all();
+        cluster
+    }
+
     /// Starts a cluster like [`Self::start`], whose hosts connect to each other through proxies.
     pub async fn with_links(subnet: u8) -> (Self, Links) {
         let mut cluster = Self::new(subnet, HOSTS, true);
@@ -70,6 +80,7 @@
             client,
             folder,
             subnet,
+            control_hosts: CONTROL_HOSTS,
             has_links,
             hosts: (0..hosts).map(|_| None).collect(),
         }
@@ -102,7 +113,7 @@
     }
 
     fn settings(&self, host: usize, can_form_cluster: bool) -> Value {
-        let seeds: Vec<String> = (0..CONTROL_HOSTS)
+        let seeds: Vec<String> = (0..self.control_hosts)
             .map(|seed| self.address(seed, 8229).to_string())
             .collect();
         let mut listen = json!({"metrics": self.address(host, 8219).to_string()});
@@ -118,7 +129,7 @@
             "stop_ms": 8000,
             "cold": {"overage": 1.5, "slack": 5.0},
         });
-        if host < CONTROL_HOSTS {
+        if host < self.control_hosts {
             listen["control"] = json!(self.address(host, 8229).to_string());
             let data = self.data_path(host);
             settings["replica"] = json!({"data": data, "found": can_form_cluster});
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod fetch;
 mod helpers;
 mod idle;
+mod late_answers;
 mod leaving;
 mod limit;
 mod links;
--- a/crates/kumquatdrum_gateway/src/control.rs
+++ b/crates/kumquatdrum_gateway/src/control.rs
@@ -8,13 +8,12 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use kumquatdrum_peer::Channel;
 use kumquatdrum_registry::Change;
 use kumquatdrum_routes::{Record, validate};
-use kumquatdrum_types::{EndpointId, Finding, HostId};
+use kumquatdrum_types::{EndpointId, Finding};
 use slog::{error, info, warn};
 use tokio::task::{JoinError, spawn_blocking};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::Instant;
 
 use crate::Gateway;
 use crate::body::{Body, json};
@@ -23,14 +22,17 @@
 use crate::protocol::{Operation, Protocol};
 use crate::replica::Command;
 
+mod arrival;
 mod evacuations;
+mod leader;
+pub mod search;
 
-/// The timeout for a response from one replica.
-const REPLICA_TIMEOUT: Duration = Duration::from_millis(900);
-/// The timeout for a response from the leader; covers an election.
-pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(2_800);
-/// The delay before the replicas are tried again after none answered as the leader.
-const RETRY_DELAY: Duration = Duration::from_millis(60);
+use arrival::Arrival;
+use leader::Limits;
+
+/// The least time for the leader's answer to an apply whose text took long to decode. Callers wait longer
+/// for large texts.
+const MIN_APPLY_TIME: Duration = Duration::from_millis(500);
 
 /// Handles one request from an operator or endpoint.
 pub async fn handle(
@@ -38,7 +40,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let (head, body) = request.into_parts();
-    let order = evacuations::Order::received_now(head.extensions.get::<Peer>().copied());
+    let arrival = Arrival::now();
+    let peer = head.extensions.get::<Peer>().copied();
     let operation = evacuations::parse_operation(&head.method, head.uri.path());
     let operation = operation.unwrap_or_else(|| {
         let protocol = &gateway.protocol;
@@ -58,17 +61,19 @@
     };
     let call = Call::start(&gateway.logger, operation.name());
     let response = match operation {
-        Operation::Apply => apply(&gateway, body).await,
-        Operation::Read => read(&gateway).await,
+        Operation::Apply => apply(&gateway, body, Arrival::now()).await,
+        Operation::Read => read(&gateway, arrival).await,
         Operation::Announce(id) => announce(&gateway, id, &body).await,
         Operation::Leave(id) => leave(&gateway, &id, &body).await,
         Operation::StartEvacuation(data_centre) => {
+            let order = evacuations::Order { peer, arrival };
             evacuations::order(&gateway, &data_centre, true, order).await
         }
         Operation::EndEvacuation(data_centre) => {
+            let order = evacuations::Order { peer, arrival };
             evacuations::order(&gateway, &data_centre, false, order).await
         }
-        Operation::ReadEvacuations => evacuations::read(&gateway).await,
+        Operation::ReadEvacuations => evacuations::read(&gateway, arrival).await,
         Operation::Unknown => status(StatusCode::NOT_FOUND),
     };
     call.finish();
@@ -120,7 +125,9 @@
     joined.inspect_err(log_error).ok()
 }
 
-async fn apply(gateway: &Arc<Gateway>, text: Bytes) -> Response<Body> {
+/// Applies a setup. Its time counts from when its text has been read, as callers wait longer for large
+/// texts.
+async fn apply(gateway: &Arc<Gateway>, text: Bytes, received: Arrival) -> Response<Body> {
     let protocol = gateway.protocol.clone();
     let decode = move || decode_record(protocol.as_ref(), &text);
     let Some(decoded) = run_blocking(gateway, decode).await else {
@@ -136,7 +143,8 @@
         }
     };
     let revision = record.revision;
-    let reply = send_to_leader(gateway, Command::Apply(record), Limits::default()).await;
+    let limits = Limits::within(received.time_for_leader().max(MIN_APPLY_TIME));
+    let reply = leader::send(gateway, &Command::Apply(record), limits).await;
     let is_applied = matches!(reply.response, message::Response::Applied);
     info!(gateway.logger, "setup_asked"; "event" => "setup_asked", "revision" => revision,
         "committed" => is_applied, "known" => gateway.active_setup.revision(),
@@ -158,8 +166,9 @@
     }
 }
 
-async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
-    let reply = send_to_leader(gateway, Command::Read, Limits::default()).await;
+async fn read(gateway: &Arc<Gateway>, arrival: Arrival) -> Response<Body> {
+    let limits = Limits::within(arrival.time_for_leader());
+    let reply = leader::send(gateway, &Command::Read, limits).await;
     let record = match &reply.response {
         message::Response::Current(Some(record)) => record.clone(),
         response => {
@@ -186,118 +195,6 @@
     }
 }
 
-/// The result of a command sent to the leader.
-struct Reply {
-    response: message::Response,
-    /// The host that answered as the leader, if any.
-    leader: Option<HostId>,
-    /// The number of requests sent to replicas.
-    requests: u32,
-    started: Instant,
-}
-
-impl Reply {
-    fn leader(&self) -> Option<&str> {
-        self.leader.as_ref().map(HostId::as_str)
-    }
-
-    fn ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
-    }
-}
-
-/// The limits on a command sent to the leader.
-#[derive(Debug, Clone)]
-struct Limits {
-    /// The timeout for a response from one replica.
-    replica: Duration,
-    /// The timeout for a response from the leader.
-    leader: Duration,
-    /// The replica that is asked first, if it is known which one leads.
-    first: Option<HostId>,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            replica: REPLICA_TIMEOUT,
-            leader: LEADER_TIMEOUT,
-            first: None,
-        }
-    }
-}
-
-/// Sends an idempotent command to replicas until one answers as the leader.
-async fn send_to_leader(gateway: &Arc<Gateway>, command: Command, limits: Limits) -> Reply {
-    let started = Instant::now();
-    let deadline = started + limits.leader;
-    let mut requests = 0;
-    let mut hint = limits.first;
-    loop {
-        let local = gateway.hosts.local().id;
-        let mut candidates = vec![local.clone()];
-        candidates.extend(gateway.hosts.control_hosts());
-        if let Some(hint) = hint.take() {
-            candidates.retain(|host| *host != hint);
-            candidates.insert(0, hint);
-        }
-        for host in candidates {
-            let left = deadline.saturating_duration_since(Instant::now());
-            let limit = limits.replica.min(left);
-            requests += 1;
-            let response = if host == local {
-                timeout(limit, gateway.send_command(command.clone())).await
-            } else {
-                Ok(send_to_peer(gateway, &host, &command, limit).await)
-            };
-            match response {
-                Ok(message::Response::NotLeader(Some(leader))) if leader != host => {
-                    hint = Some(leader);
-                    break;
-                }
-                Ok(message::Response::NotLeader(_) | message::Response::Unavailable) | Err(_) => {}
-                Ok(response) => {
-                    return Reply {
-                        response,
-                        leader: Some(host),
-                        requests,
-                        started,
-                    };
-                }
-            }
-        }
-        if Instant::now() + RETRY_DELAY >= deadline {
-            return Reply {
-                response: message::Response::Unavailable,
-                leader: None,
-                requests,
-                started,
-            };
-        }
-        sleep(RETRY_DELAY).await;
-    }
-}
-
-async fn send_to_peer(
-    gateway: &Gateway,
-    host: &HostId,
-    command: &Command,
-    limit: Duration,
-) -> message::Response {
-    let request = match command {
-        Command::Apply(record) => message::Request::Apply(record.clone()),
-        Command::Read => message::Request::Read,
-        Command::Evacuations { includes_audit } => message::Request::ReadEvacuations {
-            includes_audit: *includes_audit,
-        },
-        Command::Evacuate(change) => message::Request::Evacuate(change.clone()),
-    };
-    gateway
-        .send_request(host, Channel::Control, &request, limit)
-        .await
-        .unwrap_or(message::Response::Unavailable)
-}
-
 async fn announce(gateway: &Arc<Gateway>, id: EndpointId, body: &[u8]) -> Response<Body> {
     let announcement = match gateway.protocol.decode_announcement(&id, body) {
         Ok(announcement) => announcement,
--- a/crates/kumquatdrum_gateway/src/control/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/control/evacuations.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{Method, Response, StatusCode};
-use kumquatdrum_process::clock::{boot_ms, unix_ms};
+use kumquatdrum_process::clock::unix_ms;
 use kumquatdrum_routes::Evacuations;
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_types::{DataCentre, Finding, HostId};
@@ -12,9 +12,12 @@
 use slog::{error, info};
 use tokio::time::timeout;
 
-use super::{LEADER_TIMEOUT, Limits, Reply, findings, send_to_leader, status};
+use super::arrival::Arrival;
+use super::leader::{self, Limits, Reply};
+use super::{findings, status};
 use crate::Gateway;
 use crate::body::{Body, json};
+use crate::gateway::evacuations::PROGRESS_TIMEOUT;
 use crate::listener::Peer;
 use crate::message;
 use crate::protocol::Operation;
@@ -22,50 +25,22 @@
 
 /// The path of the native API.
 const PATH: &str = "/evacuations";
-/// The time from the arrival of an order to its last read of the state. Operators repeat an order
-/// after 1 s, so an order that was read later could be an abandoned one.
-const READ_LIMIT_MS: u64 = 900;
-/// The time from the arrival of an order to its acknowledgement. After 1 s operators repeat an order;
-/// the rest is for the way of the response.
-const ANSWER_LIMIT_MS: u64 = 980;
-/// The timeout for a read by one replica. A frozen replica that is asked must leave time for the
-/// others.
-const READ_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// The reason why an order to an unknown data centre is refused.
 const UNKNOWN_DATA_CENTRE: &str = "unknown data centre";
 
 /// When an order arrived, and from where.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Order {
-    peer: Option<Peer>,
-    /// In milliseconds of a clock that counts suspensions.
-    arrived_ms: u64,
+    pub(super) peer: Option<Peer>,
+    pub(super) arrival: Arrival,
 }
 
 impl Order {
-    pub(super) fn received_now(peer: Option<Peer>) -> Self {
-        Self {
-            peer,
-            arrived_ms: boot_ms(),
-        }
-    }
-
     /// Returns the time that is left for reading the state, or `None` if it is over.
     fn time_to_read(&self) -> Option<Duration> {
-        let left = self.time_left(READ_LIMIT_MS);
+        let left = self.arrival.time_for_leader();
         (!left.is_zero()).then_some(left)
     }
-
-    /// Returns the time that is left for the acknowledgement.
-    fn time_to_answer(&self) -> Duration {
-        self.time_left(ANSWER_LIMIT_MS)
-    }
-
-    fn time_left(&self, limit_ms: u64) -> Duration {
-        let elapsed = boot_ms().saturating_sub(self.arrived_ms);
-        Duration::from_millis(limit_ms.saturating_sub(elapsed))
-    }
 }
 
 /// Parses a request to the native API.
@@ -101,7 +76,7 @@
     info!(gateway.logger, "evacuation_answered"; "event" => "evacuation_answered",
         "data_centre" => data_centre.as_str(), "active" => is_active, "by" => &by,
         "outcome" => committed.as_ref().map_or_else(|reason| reason, |_| &"committed"),
-        "ms" => boot_ms().saturating_sub(order.arrived_ms));
+        "ms" => order.arrival.elapsed_ms());
     let evacuations = match committed {
         Ok(evacuations) => evacuations,
         Err(UNKNOWN_DATA_CENTRE) => {
@@ -111,7 +86,11 @@
         Err(_) => return status(StatusCode::SERVICE_UNAVAILABLE),
     };
     let is_in_effect = adopt_committed(gateway, &evacuations, &order).await;
-    if is_in_effect && gateway.confirm_evacuations(order.time_to_answer()).await {
+    if is_in_effect
+        && gateway
+            .confirm_evacuations(order.arrival.time_to_answer())
+            .await
+    {
         json(StatusCode::OK, "{}")
     } else {
         status(StatusCode::SERVICE_UNAVAILABLE)
@@ -128,7 +107,7 @@
         return true;
     }
     // Another order may have been committed since.
-    let read = read_from_leader(gateway, false, order.time_to_answer()).await;
+    let read = read_from_leader(gateway, false, order.arrival.time_to_answer()).await;
     let message::Response::Evacuations(newest) = read.response else {
         return false;
     };
@@ -172,14 +151,11 @@
             by: by.to_owned(),
             at_ms: unix_ms(),
         };
-        // The replica that has just answered as the leader has all the time that is left: a proposal
-        // that is sent again while the first one is being committed finds its base stale.
         let limits = Limits {
-            replica: order.time_to_answer(),
-            leader: order.time_to_answer(),
+            time: order.arrival.time_to_answer(),
             first: read.leader,
         };
-        let proposed = send_to_leader(gateway, Command::Evacuate(change), limits).await;
+        let proposed = leader::send(gateway, &Command::Evacuate(change), limits).await;
         match proposed.response {
             message::Response::Evacuations(evacuations) => return Ok(evacuations),
             message::Response::Stale => {}
@@ -190,12 +166,8 @@
 
 /// Reads the state from the leader.
 async fn read_from_leader(gateway: &Arc<Gateway>, includes_audit: bool, limit: Duration) -> Reply {
-    let limits = Limits {
-        replica: READ_TIMEOUT,
-        leader: limit,
-        first: None,
-    };
-    send_to_leader(gateway, Command::Evacuations { includes_audit }, limits).await
+    let command = Command::Evacuations { includes_audit };
+    leader::send(gateway, &command, Limits::within(limit)).await
 }
 
 /// Returns whether a data centre exists, by the settings or by a host, endpoint or order that this host
@@ -252,8 +224,9 @@
 }
 
 /// Reads the status. Without a confirmed state, it is that of this host.
-pub(super) async fn read(gateway: &Arc<Gateway>) -> Response<Body> {
-    let reply = read_from_leader(gateway, true, LEADER_TIMEOUT).await;
+pub(super) async fn read(gateway: &Arc<Gateway>, arrival: Arrival) -> Response<Body> {
+    let limit = arrival.time_for_leader().saturating_sub(PROGRESS_TIMEOUT);
+    let reply = read_from_leader(gateway, true, limit).await;
     let (evacuations, is_confirmed) = match reply.response {
         message::Response::Evacuations(evacuations) => (evacuations, true),
         _ => ((*gateway.evacuations.current()).clone(), false),
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -40,7 +40,7 @@
 
 mod contacts;
 mod endpoint_updates;
-mod evacuations;
+pub(crate) mod evacuations;
 mod held_requests;
 mod liveness;
 mod periodic;
--- a/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/evacuations.rs
@@ -31,7 +31,7 @@
 /// state.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The timeout for what hosts have reported to another control host.
-const PROGRESS_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const PROGRESS_TIMEOUT: Duration = Duration::from_millis(200);
 /// The timeout for hellos of a resumed host, which delays requests for as long.
 const RESUMED_HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -48,6 +48,8 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
 /// The part of the shutdown time that remains after the last requests are cancelled.
 const CLEANUP_TIME: Duration = Duration::from_millis(300);
+/// How long a stopping host waits for operators' and endpoints' calls.
+const CALLS_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// How long a resigning leader waits for its successor.
 const HANDOVER_DELAY: Duration = Duration::from_millis(300);
 
@@ -106,7 +108,7 @@
         }
         // Operators' and endpoints' calls need the replica and the other hosts until they are answered.
         self.auxiliary_phase.send_replace(Phase::Closing);
-        let remaining = (ends_at - gateway.clock.now()).min(control::LEADER_TIMEOUT);
+        let remaining = (ends_at - gateway.clock.now()).min(CALLS_TIMEOUT);
         let joined = async { while self.auxiliary.join_next().await.is_some() {} };
         let _ = timeout(remaining, joined).await;
         gateway.end_subscriptions();
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -34,8 +34,8 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// The delay before a failed data folder is reopened.
 const REOPEN_DELAY: Duration = Duration::from_millis(400);
-/// The duration of a disk write after which a leader steps down. It leaves time for an election and
-/// an acknowledgement by the new leader before the operator's request times out.
+/// The duration of a disk write after which a leader steps down, so that a replica with a working disk can
+/// acknowledge what operators repeat.
 const PERSIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The maximum time for a new voter to catch up.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -46,8 +46,7 @@
 const SNAPSHOT_BYTES: usize = 2 * 1024 * 1024;
 /// The number of entries kept for lagging replicas after a snapshot.
 const RETAINED_ENTRIES: u64 = 8;
-/// The election timeout. It tolerates slow hosts, and allows two elections before an operator's
-/// request times out.
+/// The election timeout, which tolerates slow hosts.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// An input to a running replica.
@@ -80,6 +79,12 @@
 }
 
 impl Command {
+    /// Returns whether a replica may be asked while another has the command. Two copies of a change have the
+    /// same base, so that the one that is committed first makes the other stale.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        !matches!(self, Self::Evacuate(_))
+    }
+
     fn name(&self) -> &'static str {
         match self {
             Self::Apply(_) => "apply",
