Consensus: a replica that owes a write does not begin a new term

Callers saw: live control hosts that answer each call in time, and always with 503, as no leader is elected for 5 s and more after the leader was frozen, on a machine whose disks are slow at that moment.

Cause: a candidate asks for votes once its own vote is on disk. While the write lasted longer than the election timeout, the timeout began a new term (campaign lines of term 3, 4, 5 and so on at one replica, each 0.6 to 0.9 s after the one before, without one line of a vote for them at the other). The votes of the last term were void before they were asked for. A voter whose vote was still being written did the same to its candidate.

Change: an election timeout passes while the replica's own disk owes a write, and it runs anew once the own vote is on disk and the requests leave.

--- a/crates/kumquatdrum_consensus/src/election.rs
+++ b/crates/kumquatdrum_consensus/src/election.rs
@@ -19,6 +19,11 @@
         if self.hard_state.cluster.is_none() || !self.can_campaign() {
             return;
         }
+        // A vote that is being written, its own or another's, has not been counted. A new term would
+        // make it void, and no candidate would win while writes outlast election timeouts.
+        if !self.durability.is_synced(&self.log) {
+            return;
+        }
         self.leader = None;
         let mut votes = Votes::default();
         votes.granted.insert(self.id.clone());
@@ -117,6 +122,8 @@
 
     pub(crate) fn on_own_vote(&mut self, term: Term) {
         if term == self.hard_state.term {
+            // The requests for votes leave only now.
+            self.reset_election_timer();
             self.count_vote(self.id.clone());
         }
     }
