--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -36,7 +36,7 @@
 pub struct Cluster {
     pub client: Client,
     /// The control hosts that hosts know when they start.
-    pub seeds: [usize; CONTROL_HOSTS],
+    pub seeds: Vec<usize>,
     folder: TempDir,
     subnet: u8,
     /// The hosts that take callers.
@@ -77,7 +77,7 @@
         let folder = TempDir::new().expect("a folder");
         Self {
             client,
-            seeds: std::array::from_fn(|seed| seed),
+            seeds: (0..CONTROL_HOSTS).collect(),
             folder,
             subnet,
             entries: CONTROL_HOSTS..hosts,
@@ -114,7 +114,9 @@
     }
 
     fn settings(&self, host: usize, can_form_cluster: bool) -> Value {
-        let seeds = self.seeds.map(|seed| self.address(seed, 8229).to_string());
+        let seeds = self.seeds.iter();
+        let seeds = seeds.map(|seed| self.address(*seed, 8229).to_string());
+        let seeds: Vec<String> = seeds.collect();
         let mut listen = json!({"metrics": self.address(host, 8219).to_string()});
         let mut settings = json!({
             "name": format!("host-{host}"),
--- a/crates/kumquatdrum/tests/gateway/cluster/growth.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster/growth.rs
@@ -13,6 +13,16 @@
         cluster
     }
 
+    /// Starts a cluster of control hosts alone, all of which know each other.
+    pub fn of_control_hosts(subnet: u8, control_hosts: usize) -> Self {
+        let mut cluster = Self::new(subnet, control_hosts, false);
+        cluster.entries = control_hosts..control_hosts;
+        cluster.lost_replicas = (control_hosts - 1) / 2;
+        cluster.seeds = (0..control_hosts).collect();
+        cluster.start_all();
+        cluster
+    }
+
     /// Starts another control host, at a new address and with an empty disk.
     pub fn add_control_host(&mut self) -> usize {
         self.hosts.push(None);
--- a/crates/kumquatdrum/tests/gateway/lost_voters.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters.rs
@@ -122,7 +122,7 @@
         }
         Losses::Disks => {
             let lost = [followers[0], followers[1]];
-            cluster.seeds = [followers[1], followers[2], followers[3]];
+            cluster.seeds = followers[1..4].to_vec();
             for host in lost {
                 cluster.kill(host);
                 std::fs::remove_dir_all(cluster.data_path(host))
@@ -138,7 +138,7 @@
     followers.retain(|host| !lost.contains(host));
     sleep(CATCH_UP).await;
     let hosts = cluster.control_hosts();
-    cluster.seeds = std::array::from_fn(|seed| hosts[seed]);
+    cluster.seeds = hosts[..3].to_vec();
     cluster.apply(&config(3)).await;
     let acknowledged = started.elapsed();
     let now_leading = leader(&cluster);
--- a/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
@@ -151,7 +151,7 @@
         series.lose(place, loss, down).await;
         sleep(CATCH_UP).await;
         let seeds = series.hosts();
-        series.cluster.write().await.seeds = std::array::from_fn(|seed: usize| seeds[seed]);
+        series.cluster.write().await.seeds = seeds[..3].to_vec();
         series.places.lock()[place].is_lost = false;
     }
 }
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod heads;
 mod helpers;
 mod idle;
+mod late_answers;
 mod leaving;
 mod limit;
 mod links;
