Tests: heads of answers that are cut anywhere

Another operator's endpoint stopped in the head of its answer, and callers got a 200 with a short body. That can't happen here: the parser gives no head before its empty line, so that the answer counts as lost.

`heads` cuts six (a length, HTTP/1.0, chunks, no framing, another order of the headers, after a 100) after each byte, for plain requests and streams, directly and by relays, closed and reset. Each caller gets a 502.

The tests of early answers share their clusters, which frees subnets.

--- a/crates/kumquatdrum/tests/gateway/early_end.rs
+++ b/crates/kumquatdrum/tests/gateway/early_end.rs
@@ -64,7 +64,7 @@
 /// Sends a long request for each answer.
 async fn check(
     subnet: u8,
-    prefix: &str,
+    prefixes: &[&str],
     answers: &'static [Early],
     is_allowed: impl Fn(Option<&Answer>) -> bool,
 ) {
@@ -74,30 +74,13 @@
     cluster.announce(&endpoint, "plain", "ready", 1).await;
     cluster.wait_until_ready(3, &endpoint).await;
     let endpoints = &[endpoint];
-    for round in 0..REPETITIONS {
-        play(&cluster, endpoints, (round, prefix), answers, &is_allowed).await;
+    for prefix in prefixes {
+        for round in 0..REPETITIONS {
+            play(&cluster, endpoints, (round, prefix), answers, &is_allowed).await;
+        }
     }
 }
 
-/// As [`check`], by a relay.
-async fn check_relayed(subnet: u8, prefix: &str) {
-    let site = Site::start(
-        subnet,
-        &config_with_long_bodies(),
-        Behaviour::Early(&BROKEN),
-    )
-    .await;
-    site.cut(3).await;
-    play(
-        &site.cluster,
-        &site.endpoints,
-        (0, prefix),
-        &BROKEN,
-        is_broken,
-    )
-    .await;
-}
-
 async fn play(
     cluster: &Cluster,
     endpoints: &[Endpoint],
@@ -112,8 +95,8 @@
             let mut answer = None;
             // A request may be refused without being sent after others were broken off.
             for repetition in 0..MAX_TRIES {
-                let attempt =
-                    format!("at-{round}-{number}-{repetition}-{framing:?}").to_lowercase();
+                let attempt = format!("at{prefix}{round}-{number}-{repetition}-{framing:?}");
+                let attempt = attempt.replace('/', "-").to_lowercase();
                 let request = Request {
                     framing,
                     body_bytes: BODY_BYTES,
@@ -148,30 +131,25 @@
 
 #[tokio::test]
 async fn a_plain_answer_that_ends_before_the_request_is_read_does_not_look_complete() {
-    check(200, "/unsafe/", &BROKEN, is_broken).await;
+    check(200, &["/unsafe/"], &BROKEN, is_broken).await;
 }
 
 #[tokio::test]
 async fn a_stream_that_ends_before_the_request_is_read_does_not_look_complete() {
-    check(201, "/once/", &BROKEN, is_broken).await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_relayed_plain_answer_that_ends_before_the_request_is_read_does_not_look_complete() {
-    check_relayed(204, "/unsafe/").await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_relayed_stream_that_ends_before_the_request_is_read_does_not_look_complete() {
-    check_relayed(205, "/once/").await;
+    check(201, &["/once/"], &BROKEN, is_broken).await;
 }
 
 #[tokio::test]
-async fn a_plain_answer_is_not_lost_if_its_endpoint_reads_the_request_later() {
-    check(202, "/unsafe/", &ORDERLY, has_unknown_end).await;
+async fn an_early_answer_is_not_lost_if_its_endpoint_reads_the_request_later() {
+    check(202, &["/unsafe/", "/once/"], &ORDERLY, has_unknown_end).await;
 }
 
-#[tokio::test]
-async fn a_stream_is_not_lost_if_its_endpoint_reads_the_request_later() {
-    check(203, "/once/", &ORDERLY, has_unknown_end).await;
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_answer_that_ends_before_the_request_is_read_does_not_look_complete() {
+    let behaviour = Behaviour::Early(&BROKEN);
+    let site = Site::start(204, &config_with_long_bodies(), behaviour).await;
+    site.cut(3).await;
+    let (cluster, endpoints) = (&site.cluster, &site.endpoints);
+    play(cluster, endpoints, (0, "/unsafe/"), &BROKEN, is_broken).await;
+    play(cluster, endpoints, (0, "/once/"), &BROKEN, is_broken).await;
 }
--- a/crates/kumquatdrum/tests/gateway/heads.rs
+++ b/crates/kumquatdrum/tests/gateway/heads.rs
@@ -73,7 +73,8 @@
         let request = format!("POST {prefix}{number}");
         let mut seen = None;
         for repetition in 0..MAX_TRIES {
-            let attempt = format!("at-{}-{number}-{repetition}", way.name);
+            let attempt = format!("at{prefix}{}-{number}-{repetition}", way.name);
+            let attempt = attempt.replace('/', "-");
             let answer = raw::call(&site.cluster, 3, Version::Http11, &request, &attempt).await;
             if site
                 .endpoints
@@ -98,18 +99,21 @@
     );
 }
 
-/// Plays answers directly and by relays.
+/// Plays answers to plain requests and streams, directly and by relays.
 async fn check(
     subnet: u8,
-    prefix: &str,
     (answers, end): (&'static [String], End),
     is_allowed: impl Fn(&str, &Answer) -> bool,
 ) {
     let behaviour = Behaviour::Numbered { answers, end };
     let site = Site::start(subnet, &config_with_single_runs(), behaviour).await;
-    play(&site, DIRECT, prefix, answers, &is_allowed).await;
+    for prefix in ["/unsafe/", "/once/"] {
+        play(&site, DIRECT, prefix, answers, &is_allowed).await;
+    }
     site.cut(3).await;
-    play(&site, RELAYED, prefix, answers, &is_allowed).await;
+    for prefix in ["/unsafe/", "/once/"] {
+        play(&site, RELAYED, prefix, answers, &is_allowed).await;
+    }
 }
 
 /// Returns whether a caller got an answer of the host's own.
@@ -133,13 +137,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_status_that_is_none_reaches_no_caller() {
     let answers = with_status_lines(&INVALID_STATUSES);
-    check(206, "/unsafe/", (answers, End::Close), is_refused).await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_status_of_a_stream_that_is_none_reaches_no_caller() {
-    let answers = with_status_lines(&INVALID_STATUSES);
-    check(207, "/once/", (answers, End::Close), is_refused).await;
+    check(206, (answers, End::Close), is_refused).await;
 }
 
 const VALID_STATUSES: [&str; 4] = [
@@ -155,5 +153,32 @@
     let is_passed_on = |text: &str, answer: &Answer| {
         text.contains(&format!("HTTP/1.1 {} ", answer.status)) && answer.body == EVENT
     };
-    check(209, "/once/", (answers, End::Close), is_passed_on).await;
+    check(207, (answers, End::Close), is_passed_on).await;
+}
+
+/// Heads whose bodies are missing.
+const HEADS: [&str; 6] = [
+    "HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 12\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nATTEMPT\r\nContent-Length: 12\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nUNSTAMPED\r\nX-Last: a\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Type: text/event-stream\r\n\r",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 12\r\n\r\n",
+];
+
+/// Returns each head, cut after each of its bytes.
+fn cuts() -> &'static [String] {
+    let cut = |head: &'static str| (0..=head.len()).map(|length| head[..length].to_owned());
+    let cuts: Vec<String> = HEADS.into_iter().flat_map(cut).collect();
+    cuts.leak()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_is_cut_anywhere_and_closed_is_no_answer() {
+    check(209, (cuts(), End::Close), is_refused).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_is_cut_anywhere_and_reset_is_no_answer() {
+    check(203, (cuts(), End::Reset), is_refused).await;
 }
