Responses: headers that leave open where the body ends are no answer's

Callers got answers as complete whose headers said otherwise: chunks beside a Content-Length that was not met, and bodies in a transfer coding (gzip, or chunks under another one) whose header was removed on the way, so that the coded bytes passed for the body. A Content-Length beside `identity` was ignored, and a short body passed on without framing. Lengths that differ or are no number, and folded headers, were refused by the parser already.

Cause: the framing was read from the last transfer coding alone, as hyper reads it.

Change: `Framing::of` fails unless the end is clear: one length, a single `chunked` without a length, or neither header. Such an answer counts as lost, directly, by a relay and in `serve`.

--- a/crates/kumquatdrum/tests/gateway/heads.rs
+++ b/crates/kumquatdrum/tests/gateway/heads.rs
@@ -182,3 +182,83 @@
 async fn a_head_that_is_cut_anywhere_and_reset_is_no_answer() {
     check(203, (cuts(), End::Reset), is_refused).await;
 }
+
+/// What follows the status line and the headers of every answer: further headers and [`EVENT`], whose
+/// end they do not mark without doubt.
+const UNCLEAR_ENDS: [&str; 31] = [
+    "Content-Length: 15\r\nContent-Length: 30\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 30\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 15, 30\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 30, 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: -15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: +15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 0x0f\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 1 5\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 15;\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: \r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 18446744073709551631\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 18446744073709551615\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length : 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length\r\n: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 1\r\n 5\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length:\r\n 15\r\n\r\nid: 1\ndata: a\n\n",
+    "X-Folded: a\r\n Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "X-Folded: a\r\n\tb\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "X-Bare: a\rContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Transfer-Encoding:\r\n chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Content-Length: 30\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Content-Length: 30\r\nTransfer-Encoding: identity\r\n\r\nid: 1\ndata: a\n\n",
+    "Transfer-Encoding: identity\r\n\r\nid: 1\ndata: a\n\n",
+    "Transfer-Encoding: \r\n\r\nid: 1\ndata: a\n\n",
+    "Transfer-Encoding: gzip\r\n\r\nid: 1\ndata: a\n\n",
+    "Transfer-Encoding: gzip, chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked, chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+    "Transfer-Encoding: x-chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+];
+
+const CLEAR_ENDS: [&str; 5] = [
+    "Content-Length: 15\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 15, 15\r\n\r\nid: 1\ndata: a\n\n",
+    "content-length:15\r\n\r\nid: 1\ndata: a\n\n",
+    "Content-Length: 015 \r\n\r\nid: 1\ndata: a\n\n",
+    "transfer-encoding:CHUNKED \r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+];
+
+fn with_ends(ends: &[&str]) -> &'static [String] {
+    let mut answers = Vec::new();
+    for line in [
+        "HTTP/1.1 200 OK",
+        "HTTP/1.0 200 OK",
+        "HTTP/1.1 404 Not Found",
+    ] {
+        for headers in HEADERS {
+            for end in ends {
+                answers.push(format!("{line}\r\n{headers}\r\n{end}"));
+            }
+        }
+    }
+    answers.leak()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_whose_headers_contradict_each_other_about_its_end_is_none() {
+    let answers = with_ends(&UNCLEAR_ENDS);
+    check(205, (answers, End::Close), is_refused).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_names_its_end_in_another_way_is_not_lost() {
+    let answers = with_ends(&CLEAR_ENDS);
+    let is_complete = |text: &str, answer: &Answer| match answer.status {
+        // HTTP/1.0 has no chunks.
+        502 => text.starts_with("HTTP/1.0") && text.contains("CHUNKED"),
+        status => {
+            let line = format!(" {status} ");
+            text.contains(&line) && answer.body == EVENT && answer.ending == Ending::Complete
+        }
+    };
+    check(201, (answers, End::Close), is_complete).await;
+}
--- a/crates/kumquatdrum_response/src/framing.rs
+++ b/crates/kumquatdrum_response/src/framing.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use http::{HeaderMap, Method, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
 use crate::Completeness;
 
@@ -25,6 +25,10 @@
     /// The status is interim or none of the protocol (RFC 9110, 15).
     #[error("{0} is no status of a response")]
     Status(u16),
+    /// The headers leave open where the body ends (RFC 9112, 6.3), or name a transfer coding that
+    /// requests do not ask for (RFC 9112, 7.4).
+    #[error("the end of its body is not clear")]
+    UnclearEnd,
 }
 
 impl Framing {
@@ -48,17 +52,17 @@
         let has_no_body = *method == Method::HEAD
             || status == StatusCode::NO_CONTENT
             || status == StatusCode::NOT_MODIFIED;
-        let framing = match headers
-            .get_all(header::TRANSFER_ENCODING)
-            .iter()
-            .next_back()
-        {
-            _ if has_no_body => Self::Empty,
-            Some(coding) if is_chunked(coding.as_bytes()) => Self::Chunked,
-            None if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
-            _ => Self::Close,
-        };
-        Ok(framing)
+        if has_no_body {
+            return Ok(Self::Empty);
+        }
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let length = length(headers)?;
+        match (codings.next(), codings.next(), length) {
+            (None, _, Some(_)) => Ok(Self::Length),
+            (None, _, None) => Ok(Self::Close),
+            (Some(coding), None, None) if is_chunked(coding) => Ok(Self::Chunked),
+            _ => Err(Error::UnclearEnd),
+        }
     }
 
     /// Returns what is known about a body that ended without an error of its connection.
@@ -88,8 +92,23 @@
     }
 }
 
-/// Returns whether `chunked` is the last of some transfer codings.
-fn is_chunked(codings: &[u8]) -> bool {
-    let last = codings.rsplit(|byte| *byte == b',').next();
-    last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+/// Returns the length that the headers state, which may be repeated.
+fn length(headers: &HeaderMap) -> Result<Option<&[u8]>, Error> {
+    let values = headers.get_all(header::CONTENT_LENGTH).iter();
+    let mut values = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let Some(first) = values.next().map(<[u8]>::trim_ascii) else {
+        return Ok(None);
+    };
+    let is_number = !first.is_empty() && first.iter().all(u8::is_ascii_digit);
+    if is_number && values.all(|value| value.trim_ascii() == first) {
+        Ok(Some(first))
+    } else {
+        Err(Error::UnclearEnd)
+    }
+}
+
+/// Returns whether `chunked` is the only coding of a header.
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let codings = codings.as_bytes().trim_ascii();
+    codings.eq_ignore_ascii_case(b"chunked")
 }
--- a/crates/kumquatdrum_service/tests/http.rs
+++ b/crates/kumquatdrum_service/tests/http.rs
@@ -65,6 +65,10 @@
             broken.clone(),
         ),
         ("HTTP/1.1 200 OK\r\n\r\nok", broken.clone()),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            broken.clone(),
+        ),
         (
             "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
             broken.clone(),
