Call: a success without an endpoint's stamp is not passed on

Callers got a 2xx that named their attempt but bore no stamp of an endpoint, which they take for no success.

Cause: only the attempt's id of an answer was compared. The stamp was passed on unread.

Change: such an answer counts as lost (`attempt` with outcome `unstamped`): a 502, or the answer of another attempt; `Reply::is_stamped` is read by the platform. Failures are passed on without a stamp as before.

--- a/crates/kumquatdrum_gateway/src/call/attempt.rs
+++ b/crates/kumquatdrum_gateway/src/call/attempt.rs
@@ -120,10 +120,19 @@
         };
         let status = exchange.response.status();
         let reply = &exchange.reply;
-        if reply.attempt_id != self.metadata.attempt_id {
+        let refusal = match &reply.attempt_id {
+            id if *id != self.metadata.attempt_id => {
+                Some(("crossed", "a response to another request"))
+            }
+            _ if status.is_success() && !reply.is_stamped => {
+                Some(("unstamped", "a success without a stamp"))
+            }
+            _ => None,
+        };
+        if let Some((outcome, reason)) = refusal {
             pick.record_failure(Failure::Broken);
-            self.log_attempt(pick, "crossed", "a response to another request");
-            return Outcome::Lost("a response to another request".to_owned());
+            self.log_attempt(pick, outcome, reason);
+            return Outcome::Lost(reason.to_owned());
         }
         if !reply.is_misdirected {
             pick.record_limit(&reply.limit);
--- a/crates/kumquatdrum_gateway/src/protocol.rs
+++ b/crates/kumquatdrum_gateway/src/protocol.rs
@@ -127,6 +127,8 @@
 pub struct Reply {
     /// The id of the attempt that the response belongs to.
     pub attempt_id: Option<String>,
+    /// Whether the response bears an endpoint's stamp, without which callers take no success.
+    pub is_stamped: bool,
     /// Whether the endpoint rejected the request without running it.
     pub has_not_run: bool,
     /// Whether the request was meant for another endpoint, or the endpoint doesn't meet its precondition.
