Responses: bytes that are no part of an answer end its connection

What callers saw: while an endpoint sent 1xx responses, the size of a chunk, or the space behind it without end, other requests at the host that had called it took 3.7 to 8.0 s in place of 0.25 s, and the request itself did not end within 0.5 s of its deadline. At a relay, the connection stayed open past it.

Cause: such bytes are dropped as they are read, without a bound, in a task that never waits. It reads up to 128 times 400 kB in one go, and timers and other tasks of the thread hardly run. Memory is not at stake: the largest of any part, direct or relayed, was 49 MB with 30 callers that don't read.

Change: a connection to an endpoint counts the bytes since the last head or part of a body, and ends with an error at 1 MiB. What is buffered, and so a head, is at most 256 KiB (hyper's usual 408 KiB before). The log names the cause of an error on a connection. This covers all requests to endpoints: callers', relayed ones, probes and orders.

--- a/crates/kumquatdrum/tests/gateway/endless.rs
+++ b/crates/kumquatdrum/tests/gateway/endless.rs
@@ -15,14 +15,14 @@
 const OTHERS: usize = 50;
 const DEADLINE_MS: u64 = 3_000;
 /// The time after the deadline in which a request has to end.
-const MAX_LATE: Duration = Duration::from_millis(500);
+pub const MAX_LATE: Duration = Duration::from_millis(500);
 /// The resident memory that a host may have: the 64 MB that all of a host's work may take, and what
 /// one request may hold, by the config's `maxBodyBytes` and `maxHeaderBytes`. No page allows more for
 /// what an endpoint sends, so that it has to fit in, too.
-const MAX_RESIDENT_BYTES: u64 = (64 << 20) + 100_000 + 16_384;
+pub const MAX_RESIDENT_BYTES: u64 = (64 << 20) + 100_000 + 16_384;
 
 /// Returns the resident memory of a process.
-fn resident_bytes(process: u32) -> u64 {
+pub fn resident_bytes(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("a status");
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
--- a/crates/kumquatdrum/tests/gateway/endpoint.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint.rs
@@ -82,6 +82,9 @@
     ByPath,
     /// With bytes without end.
     Endless(Part),
+    /// As [`Self::Endless`] with the part that the path's last part names; [`Self::CompleteBody`] if it
+    /// names none.
+    EndlessByPath,
 }
 
 /// How the endpoint ends a connection.
@@ -209,6 +212,11 @@
     if request.contains(" /-/order ") {
         let body = request.rsplit("\r\n").next().unwrap_or_default().to_owned();
         record.orders.lock().push((Instant::now(), body));
+        let upkeep_part = *record.upkeep_part.lock();
+        if let Some(part) = upkeep_part {
+            let _ = endless::send(&mut stream, &attempt, part).await;
+            return Served::Answered;
+        }
         let headers = record.leaving_header(&attempt).to_owned() + "Content-Length: 2\r\n";
         let answer = head("200 OK", &attempt, &headers) + "{}";
         let _ = stream.write_all(answer.as_bytes()).await;
@@ -216,6 +224,11 @@
     }
     if attempt.is_empty() {
         record.probes.fetch_add(1, Ordering::Relaxed);
+        let upkeep_part = *record.upkeep_part.lock();
+        if let Some(part) = upkeep_part {
+            let _ = endless::send(&mut stream, &attempt, part).await;
+            return Served::Answered;
+        }
         let answer = head("200 OK", &attempt, "Content-Length: 0\r\n");
         let _ = stream.write_all(answer.as_bytes()).await;
         return Served::Answered;
@@ -285,6 +298,10 @@
     };
     match behaviour {
         Behaviour::Cut { answer } => cut(answer, request),
+        Behaviour::EndlessByPath => match Part::of(request) {
+            Some(part) => Behaviour::Endless(part),
+            None => Behaviour::CompleteBody,
+        },
         Behaviour::ByPath => match request::numbers(request) {
             [first, 0, ..] => {
                 sleep(Duration::from_millis(first)).await;
@@ -350,6 +367,7 @@
         | Behaviour::Cut { .. }
         | Behaviour::AnyEnding
         | Behaviour::ByPath
+        | Behaviour::EndlessByPath
         | Behaviour::GoDark { after: None } => Ok(()),
         Behaviour::UnframedStream { cut_after } => {
             let start = head("200 OK", attempt, extra);
@@ -369,9 +387,8 @@
         }
         Behaviour::ResetInBody => {
             let half = head("200 OK", attempt, "Connection: close\r\n") + "ha";
-            stream.write_all(half.as_bytes()).await?;
-            reset_on_close(stream);
-            Ok(())
+            let sent = stream.write_all(half.as_bytes()).await;
+            sent.map(|()| reset_on_close(stream))
         }
         Behaviour::Verbatim { answer, end } => {
             let headers = format!(
--- a/crates/kumquatdrum/tests/gateway/endpoint/record.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint/record.rs
@@ -8,6 +8,8 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use super::Part;
+
 /// The requests that an endpoint has received.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -39,6 +41,8 @@
     pub is_immune: AtomicBool,
     /// Whether the endpoint says in all its answers that it is leaving.
     pub is_leaving: AtomicBool,
+    /// The part without end with which the endpoint answers probes and orders.
+    pub upkeep_part: Mutex<Option<Part>>,
     /// When the endpoint sent an answer that says so, and to which attempt.
     pub leaving_answers: Mutex<Vec<(Instant, String)>>,
 }
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -38,6 +38,10 @@
 use crate::relay::{self, Relays};
 use crate::sockets;
 
+mod guarded;
+
+use guarded::{Guarded, MAX_BUFFERED_BYTES, Unparsed, describe};
+
 /// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
 /// SYN packet, so that a relay or another endpoint is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -335,7 +339,10 @@
         // For another host, this one may have waited since it was connected.
         self.check_informed(target).await?;
         add_host(&mut request, target.endpoint);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let unparsed = Unparsed::default();
+        let stream = TokioIo::new(Guarded::new(stream, unparsed.clone()));
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MAX_BUFFERED_BYTES).handshake(stream);
         let (mut sender, connection) = handshake
             .await
             .map_err(|error| Error::Unsent(error.to_string()))?;
@@ -356,11 +363,18 @@
                 return Err(error);
             }
         };
+        unparsed.reset();
         paths.record_answer(target.endpoint, opened_at);
         let framing = Framing::of(&method, response.status(), response.headers());
         let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
-            response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
+            response: response.map(|body| {
+                let body = body.map_frame(move |frame| {
+                    unparsed.reset();
+                    frame
+                });
+                body.map_err(|error| describe(&error).into()).boxed_unsync()
+            }),
             reply,
             framing,
             relay: None,
@@ -388,14 +402,14 @@
         let late_at = late_at.filter(|late_at| *late_at < deadline);
         let first_limit = late_at.unwrap_or(deadline);
         match timeout_at(first_limit, &mut answer).await {
-            Ok(answer) => return answer.map_err(|error| Error::Lost(error.to_string())),
+            Ok(answer) => return answer.map_err(|error| Error::Lost(describe(&error))),
             Err(_) if late_at.is_none() => return Err(Error::TimedOut),
             Err(_) => {}
         }
         paths.record_trouble(target.endpoint, Trouble::Late, opened_at);
         tokio::select! {
             biased;
-            answer = answer => answer.map_err(|error| Error::Lost(error.to_string())),
+            answer = answer => answer.map_err(|error| Error::Lost(describe(&error))),
             () = paths.wait_for_cut(service), if target.is_repeatable => {
                 Err(Error::PathLost("endpoints answer other hosts only".to_owned()))
             }
