Serve: answers of engines and services are read up to a bound

What callers saw: nothing yet; by test, a host of `serve` kept all that a faulty engine or service sent as the body of an error, a report or the answer to an order, or as one event of many lines: 2.0 GB in 4 s (error of an engine), 1.95 GB in 2 s (error of a service).

Cause: bodies were read whole and then cut to 64 KiB, or parsed. The bound on an event's line did not cover an event of many lines.

Change: errors and answers to orders are read up to 64 KiB, reports, listings and cache events up to 8 MiB, above which the answer is an error, events up to 1 MiB.

What is left is what the sockets hold and the bound.

--- a/crates/kumquatdrum_engine/src/http.rs
+++ b/crates/kumquatdrum_engine/src/http.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
 use kumquatdrum_orders::{Order, Report};
@@ -27,7 +27,9 @@
 /// Maximum time for which sent data may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Error bodies are truncated to this size.
-const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
+/// Maximum size of a body that is read as a whole.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// HTTP client of model engines, with a connection pool for each engine.
 #[derive(Debug)]
@@ -137,7 +139,15 @@
                 reason: error.to_string(),
             };
             let response = request.send().await.map_err(unreachable)?;
-            response.bytes().await.map_err(unreachable)
+            let body = read_start(response, MAX_BODY_BYTES + 1).await;
+            let body = body.map_err(unreachable)?;
+            if body.len() <= MAX_BODY_BYTES {
+                return Ok(body);
+            }
+            Err(Unreachable {
+                endpoint,
+                reason: format!("the body is longer than {MAX_BODY_BYTES} bytes"),
+            })
         })
     }
 
@@ -305,9 +315,25 @@
     stream::iter([Event::Accepted(head)]).chain(tokens).boxed()
 }
 
+/// Reads a body to its end, or up to a number of bytes.
+pub(crate) async fn read_start(
+    mut response: reqwest::Response,
+    max_bytes: usize,
+) -> reqwest::Result<Bytes> {
+    let mut body = BytesMut::new();
+    while body.len() < max_bytes {
+        let Some(chunk) = response.chunk().await? else {
+            break;
+        };
+        body.extend_from_slice(&chunk);
+    }
+    body.truncate(max_bytes);
+    Ok(body.freeze())
+}
+
 /// Returns the fault described by an error response.
 async fn read_error(status: u16, response: reqwest::Response) -> Fault {
-    let Ok(mut body) = response.bytes().await else {
+    let Ok(body) = read_start(response, MAX_ERROR_BODY_BYTES).await else {
         return Fault::Broken;
     };
     let started =
@@ -315,7 +341,6 @@
     if !started {
         return Fault::NotStarted;
     }
-    body.truncate(MAX_ERROR_BODY_BYTES);
     Fault::Rejected { status, body }
 }
 
--- a/crates/kumquatdrum_engine/src/order.rs
+++ b/crates/kumquatdrum_engine/src/order.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{OrderFuture, Precondition};
+use crate::http::{MAX_ERROR_BODY_BYTES, read_start};
 
 #[derive(Debug, Serialize)]
 struct Body<'a> {
@@ -103,7 +104,7 @@
 
 async fn read_answer(response: reqwest::Response) -> Answer {
     let status = response.status();
-    let body = match response.bytes().await {
+    let body = match read_start(response, MAX_ERROR_BODY_BYTES).await {
         Ok(_) if status.is_success() => return Answer::Accepted,
         Ok(body) => body,
         Err(error) => return lost(&error),
--- a/crates/kumquatdrum_engine/src/sse.rs
+++ b/crates/kumquatdrum_engine/src/sse.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum length of a line.
-const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// Maximum length of an incomplete event before more bytes are appended.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// A server-sent event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,10 +14,10 @@
     pub data: Bytes,
 }
 
-/// Error for a line that exceeds the maximum length.
+/// Error for an event that exceeds the maximum length.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("a line of the event stream is longer than {MAX_LINE_BYTES} bytes")]
-pub struct LineTooLong;
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct TooLong;
 
 /// Incremental parser that collects bytes and yields complete events.
 ///
@@ -36,10 +36,17 @@
 }
 
 impl Reader {
-    /// Appends received bytes.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<(), LineTooLong> {
-        if self.buffer.len() + bytes.len() > MAX_LINE_BYTES && !bytes.contains(&b'\n') {
-            return Err(LineTooLong);
+    /// Appends received bytes, once all complete events have been taken.
+    ///
+    /// ```
+    /// let mut reader = kumquatdrum_engine::sse::Reader::default();
+    /// assert!(reader.push(&[b'x'; 2 << 20]).is_ok());
+    /// assert!(reader.push(b"x").is_err());
+    /// ```
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
+        let data_bytes = self.data.as_ref().map_or(0, BytesMut::len);
+        if self.buffer.len() + data_bytes > MAX_EVENT_BYTES {
+            return Err(TooLong);
         }
         self.buffer.extend_from_slice(bytes);
         Ok(())
--- a/crates/kumquatdrum_service/src/http.rs
+++ b/crates/kumquatdrum_service/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use futures::stream::{self, StreamExt};
 use kumquatdrum_response::{Completeness, Framing};
 use kumquatdrum_types::exchange::{Call, Event, Fault, Head};
@@ -100,11 +101,21 @@
 }
 
 async fn read_error(status: u16, response: reqwest::Response) -> Fault {
-    match response.bytes().await {
-        Ok(mut body) => {
-            body.truncate(MAX_ERROR_BODY_BYTES);
-            Fault::Rejected { status, body }
-        }
+    match read_start(response, MAX_ERROR_BODY_BYTES).await {
+        Ok(body) => Fault::Rejected { status, body },
         Err(_) => Fault::Broken,
     }
 }
+
+/// Reads a body to its end, or up to a number of bytes.
+async fn read_start(mut response: reqwest::Response, max_bytes: usize) -> reqwest::Result<Bytes> {
+    let mut body = BytesMut::new();
+    while body.len() < max_bytes {
+        let Some(chunk) = response.chunk().await? else {
+            break;
+        };
+        body.extend_from_slice(&chunk);
+    }
+    body.truncate(max_bytes);
+    Ok(body.freeze())
+}
