--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod endings;
 mod endless;
 mod endless_parts;
+mod endless_upkeep;
 mod endpoint;
 mod endpoint_soak;
 mod evacuation;
