--- a/crates/kumquatdrum/tests/gateway/endpoint/request.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint/request.rs
@@ -12,6 +12,17 @@
     numbers.try_into().unwrap_or_default()
 }
 
+/// Returns the value of a request's header, or an empty text.
+pub fn header(request: &str, name: &str) -> String {
+    let mut lines = request.lines().map(|line| line.split_once(": "));
+    let found = lines.find_map(|line| {
+        let (key, value) = line?;
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    });
+    found.unwrap_or_default()
+}
+
 /// Reads a request with its body.
 pub async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -7,8 +7,6 @@
 //! Connections are not reused, so that no request is sent on a dead connection or receives the
 //! response to an earlier request. This costs one round trip per request.
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,15 +34,12 @@
 use crate::pool::Prefiller;
 use crate::protocol::Reply;
 use crate::relay::{self, Relays};
-use crate::sockets;
 
+mod guarded;
 mod socket;
 
-use socket::Socket;
-
-/// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
-/// SYN packet, so that a relay or another endpoint is tried instead.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use guarded::{Guarded, MAX_BUFFERED_BYTES, Unparsed, describe};
+use socket::{Socket, connect};
 
 /// The reason why there is no response.
 #[derive(Debug, thiserror::Error)]
@@ -339,7 +334,11 @@
         // For another host, this one may have waited since it was connected.
         self.check_informed(target).await?;
         add_host(&mut request, target.endpoint);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(Socket::new(stream)));
+        let unparsed = Unparsed::default();
+        let stream = Guarded::new(Socket::new(stream), unparsed.clone());
+        let stream = TokioIo::new(stream);
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MAX_BUFFERED_BYTES).handshake(stream);
         let (mut sender, connection) = handshake
             .await
             .map_err(|error| Error::Unsent(error.to_string()))?;
@@ -362,10 +361,17 @@
                 return Err(error);
             }
         };
+        unparsed.reset();
         paths.record_answer(target.endpoint, opened_at);
         let reply = self.record(target, response.status(), response.headers());
         Ok(Exchange {
-            response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
+            response: response.map(|body| {
+                let body = body.map_frame(move |frame| {
+                    unparsed.reset();
+                    frame
+                });
+                body.map_err(|error| describe(&error).into()).boxed_unsync()
+            }),
             reply,
             framing,
             relay: None,
@@ -393,14 +399,14 @@
         let late_at = late_at.filter(|late_at| *late_at < deadline);
         let first_limit = late_at.unwrap_or(deadline);
         match timeout_at(first_limit, &mut answer).await {
-            Ok(answer) => return answer.map_err(|error| Error::Lost(error.to_string())),
+            Ok(answer) => return answer.map_err(|error| Error::Lost(describe(&error))),
             Err(_) if late_at.is_none() => return Err(Error::TimedOut),
             Err(_) => {}
         }
         paths.record_trouble(target.endpoint, Trouble::Late, opened_at);
         tokio::select! {
             biased;
-            answer = answer => answer.map_err(|error| Error::Lost(error.to_string())),
+            answer = answer => answer.map_err(|error| Error::Lost(describe(&error))),
             () = paths.wait_for_cut(service), if target.is_repeatable => {
                 Err(Error::PathLost("endpoints answer other hosts only".to_owned()))
             }
@@ -477,18 +483,3 @@
         request.headers_mut().entry(header::HOST).or_insert(host);
     }
 }
-
-async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Error> {
-    let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let connected = timeout_at(limit, TcpStream::connect(address)).await;
-    let stream = connected
-        .map_err(|_| Error::Unsent("connecting took too long".to_owned()))?
-        .map_err(|error| match error.kind() {
-            ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
-            _ => Error::Unsent(error.to_string()),
-        })?;
-    sockets::set_liveness_timeouts(&stream)
-        .and_then(|()| sockets::limit_unsent_bytes(&stream))
-        .map_err(|error| Error::Unsent(error.to_string()))?;
-    Ok(stream)
-}
--- a/crates/kumquatdrum_gateway/src/upstream/socket.rs
+++ b/crates/kumquatdrum_gateway/src/upstream/socket.rs
@@ -1,11 +1,21 @@
 //! A connection whose end is read after the request has been written.
 
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+use super::Error;
+use crate::sockets;
+
+/// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
+/// SYN packet, so that a relay or another endpoint is tried instead.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A connection to an endpoint. While a part of the request waits to be written, the end of the
 /// connection is not reported: it is an orderly end only if the endpoint reads on. Otherwise the
@@ -92,3 +102,19 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+/// Opens a connection to an endpoint.
+pub(super) async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Error> {
+    let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let connected = timeout_at(limit, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_| Error::Unsent("connecting took too long".to_owned()))?
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
+            _ => Error::Unsent(error.to_string()),
+        })?;
+    sockets::set_liveness_timeouts(&stream)
+        .and_then(|()| sockets::limit_unsent_bytes(&stream))
+        .map_err(|error| Error::Unsent(error.to_string()))?;
+    Ok(stream)
+}
