--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -83,9 +83,15 @@
 
     /// Starts a host. `can_form_cluster` allows a control host to form a new cluster.
     pub fn start_host(&mut self, host: usize, can_form_cluster: bool) {
+        let seeds: Vec<usize> = (0..CONTROL_HOSTS).collect();
+        self.start_host_with_seeds(host, can_form_cluster, &seeds);
+    }
+
+    /// Starts a host that is told the addresses of the given control hosts, which need not exist.
+    pub fn start_host_with_seeds(&mut self, host: usize, can_form_cluster: bool, seeds: &[usize]) {
         let settings = self.folder.path().join(format!("host-{host}.json"));
-        std::fs::write(&settings, self.settings(host, can_form_cluster).to_string())
-            .expect("settings");
+        let text = self.settings(host, can_form_cluster, seeds).to_string();
+        std::fs::write(&settings, text).expect("settings");
         let log = File::options()
             .create(true)
             .append(true)
@@ -101,10 +107,9 @@
         self.hosts[host] = Some(child);
     }
 
-    fn settings(&self, host: usize, can_form_cluster: bool) -> Value {
-        let seeds: Vec<String> = (0..CONTROL_HOSTS)
-            .map(|seed| self.address(seed, 8229).to_string())
-            .collect();
+    fn settings(&self, host: usize, can_form_cluster: bool, seeds: &[usize]) -> Value {
+        let seeds = seeds.iter().map(|seed| self.address(*seed, 8229));
+        let seeds: Vec<String> = seeds.map(|seed| seed.to_string()).collect();
         let mut listen = json!({"metrics": self.address(host, 8219).to_string()});
         let mut settings = json!({
             "name": format!("host-{host}"),
--- a/crates/kumquatdrum/tests/gateway/control.rs
+++ b/crates/kumquatdrum/tests/gateway/control.rs
@@ -76,6 +76,28 @@
     assert_eq!(cluster.read_config(host).await, config(3).to_string());
 }
 
+/// Guards against control hosts that all restart and don't find each other, as none of the addresses that one
+/// is told is another's that runs, although the log on each disk names the others.
+#[tokio::test]
+async fn control_hosts_that_restart_find_the_voters_that_their_logs_name() {
+    let mut cluster = Cluster::start(28);
+    cluster.apply(&config(1)).await;
+    cluster.apply(&config(2)).await;
+    for host in 0..CONTROL_HOSTS {
+        assert_eq!(cluster.read_config(host).await, config(2).to_string());
+    }
+    for host in 0..HOSTS {
+        cluster.kill(host);
+    }
+    for host in 0..CONTROL_HOSTS {
+        cluster.start_host_with_seeds(host, false, &[host, 200, 201]);
+    }
+    for host in CONTROL_HOSTS..HOSTS {
+        cluster.start_host(host, false);
+    }
+    assert_eq!(cluster.read_config(0).await, config(2).to_string());
+}
+
 /// Guards against a large config that is sent uncompressed or more than once to each host.
 #[tokio::test]
 async fn a_large_change_sends_fewer_bytes_to_all_hosts_than_its_text() {
--- a/crates/kumquatdrum_consensus/tests/common/fleet.rs
+++ b/crates/kumquatdrum_consensus/tests/common/fleet.rs
@@ -1,11 +1,12 @@
 //! Simulated hosts that also hear of each other and replace lost voters.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use kumquatdrum_consensus::replacement::{self, Planner};
-use kumquatdrum_consensus::{Member, Node, ProposalOutcome, ReplicaId, Term, Token};
+use kumquatdrum_consensus::{Member, Node, ProposalOutcome, ReplicaId, RoleName, Term, Token};
 use kumquatdrum_types::{HostId, Moment};
+use rand_core::Rng;
 
 use super::Cluster;
 
@@ -15,18 +16,38 @@
 const HELLO_MILLIS: u64 = 500;
 /// The time since a hello for which a host counts as live.
 const LIVE_FOR: Duration = Duration::from_secs(2);
+/// The pause before a failed disk is opened again.
+const REOPEN_MILLIS: u64 = 400;
+/// The number of addresses that a host is told at its start, and the age of the list they are from.
+const SEEDS: usize = 3;
+const SEED_LAG_MILLIS: u64 = 3_000;
+/// The boot number of a host whose time of day has never gone back.
+pub const FIRST_BOOT: u64 = 1_000;
+/// The silence after which a host is forgotten.
+const EXPIRE_AFTER: Duration = Duration::from_secs(20);
 /// The interval between proposals.
 const PROPOSAL_MILLIS: u64 = 300;
 
 /// What one host hears of others, and its planner.
 struct Observer {
     planner: Planner,
-    heard: BTreeMap<usize, (Moment, Member)>,
+    heard: BTreeMap<usize, Hello>,
+    /// The hosts whose addresses it knows.
+    known: BTreeSet<usize>,
     /// The term in which the host's replica led at the latest check.
     led: Option<Term>,
     change: Option<Token>,
 }
 
+/// The latest hello of a host.
+struct Hello {
+    heard_at: Moment,
+    /// The replica that it announces, if its disk works.
+    replica: Option<Member>,
+    is_stopping: bool,
+    boot: u64,
+}
+
 /// A step of a change of the voters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -47,6 +68,20 @@
     observers: Vec<Option<Observer>>,
     /// Milliseconds so far.
     elapsed: u64,
+    /// Whether links, addresses and disks that fail are modelled for hellos, as in the gateway.
+    pub is_strict: bool,
+    /// Whether hosts know the addresses of the replicas in their logs. In the gateway they don't.
+    pub knows_replicas: bool,
+    /// Hosts that announce that they stop.
+    pub stopping: BTreeSet<usize>,
+    /// The boot numbers of the hosts: the times of day at which they started.
+    pub boots: BTreeMap<usize, u64>,
+    /// Hosts that are gone for good.
+    pub gone: BTreeSet<usize>,
+    /// The hosts that were there at each of the latest checks, of which one that starts is told three.
+    listed: VecDeque<Vec<usize>>,
+    /// When a host with a failed disk opens it again.
+    reopened_at: BTreeMap<usize, u64>,
 }
 
 impl Fleet {
@@ -85,6 +120,13 @@
             settings,
             observers: Vec::new(),
             elapsed: 0,
+            is_strict: false,
+            knows_replicas: false,
+            stopping: BTreeSet::new(),
+            boots: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            listed: VecDeque::new(),
+            reopened_at: BTreeMap::new(),
         };
         fleet.run_for(3_000);
         fleet
@@ -100,6 +142,7 @@
     }
 
     fn observe_all(&mut self) {
+        self.reopen_disks();
         self.update_observers();
         self.exchange_hellos();
         for number in 0..self.cluster.hosts.len() {
@@ -140,29 +183,71 @@
         self.cluster.hosts[number].node.is_some() && !self.cluster.paused.contains(&number)
     }
 
+    /// Starts the replicas again whose disks have failed, after a pause.
+    fn reopen_disks(&mut self) {
+        let count = self.cluster.hosts.len();
+        let running = (0..count).filter(|number| self.runs(*number));
+        let running: Vec<usize> = running.collect();
+        for number in &running {
+            let status = self.cluster.status(*number);
+            if !self.is_strict || status.is_none_or(|status| status.role != RoleName::Halted) {
+                self.reopened_at.remove(number);
+                continue;
+            }
+            let due = self.elapsed + REOPEN_MILLIS;
+            if self.elapsed >= *self.reopened_at.entry(*number).or_insert(due) {
+                self.reopened_at.remove(number);
+                let is_failing = self.cluster.hosts[*number].has_failing_disk;
+                self.cluster.crash(*number);
+                self.cluster.start(*number);
+                self.cluster.hosts[*number].has_failing_disk = is_failing;
+            }
+        }
+        let has_started = |number: &usize| self.cluster.hosts[*number].has_started();
+        let there = (0..count).filter(|number| !self.gone.contains(number));
+        self.listed.push_back(there.filter(has_started).collect());
+        if self.listed.len() > SEED_LAG_MILLIS as usize / CHECK_MILLIS as usize {
+            self.listed.pop_front();
+        }
+    }
+
     /// Creates the observers of processes that have started, and drops those of processes that have ended.
     fn update_observers(&mut self) {
-        self.observers
-            .resize_with(self.cluster.hosts.len(), || None);
-        for number in 0..self.cluster.hosts.len() {
+        let count = self.cluster.hosts.len();
+        self.observers.resize_with(count, || None);
+        for number in 0..count {
             let is_up = self.cluster.hosts[number].node.is_some();
             let now = self.cluster.clock(number);
-            let observer = &mut self.observers[number];
-            match observer {
+            match &mut self.observers[number] {
                 None if is_up => {
-                    *observer = Some(Observer {
+                    let listed = self.listed.front().cloned().unwrap_or_default();
+                    self.observers[number] = Some(Observer {
                         planner: Planner::new(self.settings, now),
                         heard: BTreeMap::new(),
+                        known: self.choose_seeds(&listed),
                         led: None,
                         change: None,
                     });
                 }
-                Some(_) if !is_up => *observer = None,
+                Some(_) if !is_up => self.observers[number] = None,
                 _ => {}
             }
         }
     }
 
+    /// Chooses three of the hosts that were there, of which one still is.
+    fn choose_seeds(&mut self, listed: &[usize]) -> BTreeSet<usize> {
+        let first = self.cluster.random.next_u64() as usize % listed.len().max(1);
+        let seeds = (first..first + listed.len()).map(|first| {
+            let places = (first..first + SEEDS).map(|place| place % listed.len());
+            let seeds: BTreeSet<usize> = places.map(|place| listed[place]).collect();
+            seeds
+        });
+        let is_there = |number: &usize| !self.gone.contains(number);
+        let mut usable = seeds.filter(|seeds| seeds.iter().any(is_there));
+        usable.next().unwrap_or_default()
+    }
+
     fn exchange_hellos(&mut self) {
         let count = self.cluster.hosts.len();
         let running: Vec<usize> = (0..count).filter(|number| self.runs(*number)).collect();
@@ -171,13 +256,70 @@
             if self.elapsed % HELLO_MILLIS != phase {
                 continue;
             }
-            let member = &self.cluster.hosts[*from].member;
             for to in running.iter().filter(|to| *to != from) {
-                let now = self.cluster.clock(*to);
-                if let Some(observer) = &mut self.observers[*to] {
-                    observer.heard.insert(*from, (now, member.clone()));
-                }
+                self.send_hello(*from, *to);
+            }
+        }
+        if self.is_strict {
+            let links = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
+            let links = links.filter(|(from, to)| {
+                let observer = self.observers[*from].as_ref();
+                observer.is_some_and(|observer| !observer.known.contains(to))
+                    && !(self.knows_replicas && self.has_in_log(*from, *to))
+            });
+            self.cluster.unknown_links = links.collect();
+        }
+    }
+
+    /// Returns whether a host's log names a replica on another host.
+    fn has_in_log(&self, number: usize, other: usize) -> bool {
+        let other = &self.cluster.hosts[other].member.id.host;
+        let status = self.cluster.status(number);
+        status.is_some_and(|status| {
+            let members = status.replicas.members();
+            members.iter().any(|member| member.id.host == *other)
+        })
+    }
+
+    fn send_hello(&mut self, from: usize, to: usize) {
+        let is_known = self.observers[from]
+            .as_ref()
+            .is_some_and(|observer| observer.known.contains(&to));
+        let is_cut = |link: (usize, usize)| self.cluster.cut_links.contains(&link);
+        if self.is_strict && (!is_known || is_cut((from, to))) {
+            return;
+        }
+        let is_answered = self.is_strict && !is_cut((to, from));
+        self.record_hello(from, to);
+        if is_answered {
+            self.record_hello(to, from);
+            let listed = self.observers[to].as_ref().map(|o| o.known.clone());
+            if let (Some(observer), Some(listed)) = (&mut self.observers[from], listed) {
+                observer.known.extend(listed);
+            }
+        }
+    }
+
+    fn record_hello(&mut self, from: usize, to: usize) {
+        let status = self.cluster.status(from);
+        let has_disk =
+            !self.is_strict || status.is_some_and(|status| status.role != RoleName::Halted);
+        let hello = Hello {
+            heard_at: self.cluster.clock(to),
+            replica: has_disk.then(|| self.cluster.hosts[from].member.clone()),
+            is_stopping: self.stopping.contains(&from),
+            boot: self.boots.get(&from).copied().unwrap_or(FIRST_BOOT),
+        };
+        if let Some(observer) = &mut self.observers[to] {
+            // As in the gateway: what an earlier start says is ignored until the host has expired.
+            let is_ignored = observer.heard.get(&from).is_some_and(|known| {
+                hello.boot < known.boot && hello.heard_at - known.heard_at <= EXPIRE_AFTER
+            });
+            if is_ignored {
+                return;
             }
+            observer.heard.insert(from, hello);
+            observer.known.insert(from);
         }
     }
 
@@ -207,13 +349,13 @@
                 .record_end(&status.replicas.voters, is_committed);
             observer.change = None;
         }
-        let hosts = observer.heard.values().map(|(heard_at, member)| {
-            let is_available = now - *heard_at <= LIVE_FOR;
+        let hosts = observer.heard.iter().map(|(number, hello)| {
+            let is_live = now - hello.heard_at <= LIVE_FOR;
             replacement::Host {
-                id: member.id.host.clone(),
-                heard_at: *heard_at,
-                replica: Some(member.clone()),
-                is_available,
+                id: self.cluster.hosts[*number].member.id.host.clone(),
+                heard_at: hello.heard_at,
+                replica: hello.replica.clone(),
+                is_available: is_live && !hello.is_stopping,
             }
         });
         let hosts: Vec<replacement::Host> = hosts.collect();
--- a/crates/kumquatdrum_consensus/tests/common/mod.rs
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -65,6 +65,12 @@
     pub applies: u64,
 }
 
+impl Host {
+    pub fn has_started(&self) -> bool {
+        self.generation > 0
+    }
+}
+
 /// A simulated cluster.
 pub struct Cluster {
     pub now: Moment,
@@ -72,6 +78,10 @@
     pub hosts: Vec<Host>,
     pub faults: Faults,
     pub cut_links: BTreeSet<(usize, usize)>,
+    /// Links whose sender doesn't know the receiver's address.
+    pub unknown_links: BTreeSet<(usize, usize)>,
+    /// Hosts whose disk takes this long in microseconds for each write.
+    pub slow_disks: BTreeMap<usize, u64>,
     /// Hosts whose process is paused while their clock runs on.
     pub paused: BTreeSet<usize>,
     pub checker: Checker,
@@ -103,6 +113,8 @@
             hosts: Vec::new(),
             faults: NO_FAULTS,
             cut_links: BTreeSet::new(),
+            unknown_links: BTreeSet::new(),
+            slow_disks: BTreeMap::new(),
             paused: BTreeSet::new(),
             checker: Checker::default(),
             outcomes: BTreeMap::new(),
@@ -390,6 +402,7 @@
             Output::Persist(batch) => {
                 self.hosts[number].pending = Some(batch.clone());
                 let delay = self.random_below(self.faults.sync_micros);
+                let delay = delay + self.slow_disks.get(&number).copied().unwrap_or(0);
                 self.schedule(delay, Event::Synced(number, generation, batch));
             }
             Output::Wake { at } => {
@@ -461,7 +474,8 @@
             return;
         };
         let is_lost = self.random_below(100) < self.faults.loss_percent;
-        if is_lost || self.cut_links.contains(&(from, to)) {
+        let link = (from, to);
+        if is_lost || self.cut_links.contains(&link) || self.unknown_links.contains(&link) {
             return;
         }
         let bytes = postcard::to_stdvec(message).expect("message can be encoded");
--- a/crates/kumquatdrum_consensus/tests/common/schedule.rs
+++ b/crates/kumquatdrum_consensus/tests/common/schedule.rs
@@ -1,5 +1,7 @@
 //! Randomised schedules: a phase of faults, after which the cluster must recover.
 
+use std::collections::BTreeSet;
+
 use kumquatdrum_consensus::{Member, Safeguards};
 use rand_core::Rng;
 
@@ -34,12 +36,23 @@
 
 /// Runs the schedule of a seed; panics on a violation of safety or progress.
 pub fn run(seed: u64) -> Report {
+    run_with_changes(seed, 0)
+}
+
+/// Runs a schedule in which a share of the actions is followed by further requests for other voters, which
+/// take each other's places. Some name replicas whose disks are gone.
+pub fn run_with_changes(seed: u64, change_percent: u64) -> Report {
     let (hosts, initial_count) = [(3, 3), (5, 3), (5, 5), (4, 3)][(seed % 4) as usize];
     let mut cluster = Cluster::new(seed, hosts, initial_count, Safeguards::default());
     let mut report = Report::default();
+    let mut former = BTreeSet::new();
     cluster.run_until(20_000, |c| c.leader().is_some());
     for _ in 0..ACTION_COUNT {
         run_random_action(&mut cluster, &mut report);
+        former.extend(cluster.hosts.iter().map(|host| host.member.clone()));
+        if change_percent > 0 && cluster.random.next_u64() % 100 < change_percent {
+            request_changes(&mut cluster, &former, &mut report);
+        }
         let pause = cluster.random.next_u64() % MAX_PAUSE_MILLIS;
         cluster.run_for(pause);
     }
@@ -155,6 +168,30 @@
     }
 }
 
+/// Requests up to three changes in a row, each of random voters, with short pauses.
+fn request_changes(cluster: &mut Cluster, former: &BTreeSet<Member>, report: &mut Report) {
+    for _ in 0..=cluster.random.next_u64() % 3 {
+        let Some(leader) = cluster.leader() else {
+            return;
+        };
+        let hosts = choose_voters(cluster);
+        let hosts = hosts.iter().map(|number| &cluster.hosts[*number].member);
+        let mut voters: Vec<Member> = hosts.cloned().collect();
+        if cluster.random.next_u64().is_multiple_of(8) {
+            let place = cluster.random.next_u64() as usize % former.len();
+            let former = former.iter().nth(place).cloned();
+            let former = former.filter(|former| voters.iter().all(|v| v.id.host != former.id.host));
+            voters.extend(former);
+        }
+        let kept = 1 + cluster.random.next_u64() as usize % voters.len();
+        voters.truncate(kept.max(2));
+        cluster.change_to(leader, voters);
+        report.changes += 1;
+        let pause = cluster.random.next_u64() % 20;
+        cluster.run_for(pause);
+    }
+}
+
 /// Chooses three hosts at random.
 fn choose_voters(cluster: &mut Cluster) -> Vec<usize> {
     let count = cluster.hosts.len();
--- a/crates/kumquatdrum_consensus/tests/planner.rs
+++ b/crates/kumquatdrum_consensus/tests/planner.rs
@@ -216,3 +216,53 @@
         .collect();
     assert_eq!(planner().plan(NOW, &status(&[3]), &voters), None);
 }
+
+/// Guards against a change that waits for a voter which was replaced a moment ago: its host was heard from within
+/// the time for which a host counts as live, and nothing tells that its replica has just been lost.
+#[test]
+fn a_voter_that_was_just_replaced_is_no_spare_for_the_next_one() {
+    let lost = [host(member(3), 9_000), host(member(4), 9_300)];
+    let only_voters = |hosts: Vec<Host>| -> Vec<Host> {
+        let spares = [6, 7].map(|number| member(number).id.host);
+        let hosts = hosts.into_iter();
+        hosts.filter(|host| !spares.contains(&host.id)).collect()
+    };
+    let hosts = only_voters(hosts(&lost));
+    let mut status = status(&[3, 4]);
+    let mut planner = planner();
+    let plan = planner.plan(NOW, &status, &hosts).expect("a plan");
+    assert!(plan.voters.contains(&member(5)), "{plan:?}");
+    planner.record_end(&plan.voters, true);
+    let mut voters = status.replicas.voters.iter();
+    let replaced = voters.find(|voter| !plan.voters.contains(voter));
+    let replaced = replaced.expect("a replaced voter").clone();
+    status.replicas.voters = plan.voters;
+    status.replicas.retired = vec![replaced.id.clone()];
+    status.peers.retain(|peer| peer.id != replaced.id);
+    status.peers.push(peer(&member(5), Some(NOW), true));
+    let next = planner.plan(NOW, &status, &hosts);
+    assert_eq!(next, None, "a replica that is known to be lost is to join");
+}
+
+/// Guards against losses of data centres, one after another, that add up: a centre that is back has no voter, and
+/// another one has two.
+#[test]
+fn a_data_centre_that_is_back_gets_a_voter_again() {
+    let settings = Settings {
+        voters: 3,
+        lost_after: LOST_AFTER,
+    };
+    let mut planner = Planner::new(settings, Moment::ZERO);
+    let mut status = status(&[]);
+    // Host 2 of the third centre was lost, and host 3 of the first took its place.
+    let voters = [0, 1, 3].map(member);
+    status
+        .peers
+        .retain(|peer| [1, 3].contains(&peer.id.host.as_str()[5..].parse().unwrap()));
+    status.replicas = Replicas::from_voters(voters.to_vec());
+    status.replicas.retired = vec![member(2).id];
+    let plan = planner.plan(NOW, &status, &hosts(&[]));
+    let centres = CENTRES.map(kumquatdrum_types::DataCentre::from);
+    let voters = plan.map_or(voters.to_vec(), |plan| plan.voters);
+    assert!(placement::is_balanced(&voters, &centres), "{voters:?}");
+}
--- a/crates/kumquatdrum_consensus/tests/schedules.rs
+++ b/crates/kumquatdrum_consensus/tests/schedules.rs
@@ -40,3 +40,23 @@
     assert!(total.wipes > SEED_COUNT);
     assert!(total.changes > SEED_COUNT);
 }
+
+/// Guards against requests for other voters that take each other's places and lose an entry, or make two
+/// leaders.
+#[test]
+fn safety_holds_while_requested_changes_replace_each_other() {
+    let count = match std::env::var("CHANGE_SEEDS") {
+        Ok(text) => text.parse().expect("a number of seeds"),
+        Err(_) => SEED_COUNT,
+    };
+    std::thread::scope(|scope| {
+        for thread in 0..THREAD_COUNT {
+            scope.spawn(move || {
+                for seed in (thread..count).step_by(THREAD_COUNT as usize) {
+                    println!("seed {seed}");
+                    schedule::run_with_changes(seed, 20);
+                }
+            });
+        }
+    });
+}
--- a/crates/kumquatdrum_gateway/tests/hosts.rs
+++ b/crates/kumquatdrum_gateway/tests/hosts.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquatdrum_consensus::Member as Replica;
 use kumquatdrum_gateway::hosts::reports::Reports;
 use kumquatdrum_gateway::hosts::table::Table;
 use kumquatdrum_gateway::hosts::{Hosts, LOST_AFTER};
@@ -324,3 +325,49 @@
     receiver.merge_listing(START, &from, build_listing(7, false, &[(3, 0)]));
     assert_eq!(receiver.listing_selection(&from), Selection::All);
 }
+
+/// Guards against a control host whose time of day went back before it started again with an empty disk: what
+/// it says must count, or its lost replica stays a voter, and its new one is no spare.
+#[test]
+fn a_control_host_is_heard_after_its_time_of_day_went_back() {
+    let replica = |incarnation| Some(Replica::new("10.0.0.3", incarnation, "tartu"));
+    let announcing = |boot, incarnation| Host {
+        replica: replica(incarnation),
+        ..host(3, boot, true)
+    };
+    let mut table = Table::new(host(1, 5, true));
+    table.record_contact(START, announcing(9_000, 1));
+    for seconds in 1..=10 {
+        let now = START + Duration::from_secs(seconds);
+        table.record_contact(now, announcing(4_000, 2));
+        table.expire_silent(now);
+    }
+    let now = START + Duration::from_secs(10);
+    let known = table.replica_hosts(now);
+    assert_eq!(known.len(), 1, "{known:?}");
+    assert!(known[0].is_available, "{known:?}");
+    assert_eq!(known[0].replica, replica(2));
+}
+
+/// Guards against control hosts that were lost and replaced, one at a time, and together outnumber the live ones:
+/// they are remembered for 20 s.
+#[test]
+fn live_control_hosts_are_a_majority_after_others_were_replaced() {
+    let mut table = Table::new(host(1, 5, true));
+    // One of three is replaced each 6 s, at once.
+    let mut now = START;
+    for lost in 3..=5 {
+        for _ in 0..60 {
+            now = now + Duration::from_millis(100);
+            table.record_contact(now, host(2, 5, true));
+            let lost_at = START + Duration::from_secs(6 * (lost - 3));
+            if now < lost_at + Duration::from_secs(4) {
+                table.record_contact(now, host(lost as u8, 5, true));
+            } else {
+                table.record_contact(now, host(lost as u8 + 1, 5, true));
+            }
+            table.expire_silent(now);
+        }
+    }
+    assert!(table.has_control_majority(now), "of three hosts, all live");
+}
