Control hosts find the voters that their logs name, and hear hosts whose clocks went back

What operators saw (made to come by a review of the voters' replacement): no setup is read back after all control hosts were killed, with their disks kept, if none of the addresses that one is told is another's that runs.

Cause: a replica's messages went only to hosts known by seeds, hellos and listings; the addresses of the voters that its own log names were not used. And a control host whose time of day went back between two starts was not heard until the others had forgotten it, 20 s later, as its boot number was lower; its lost replica stayed a voter, its new one no spare.

Change: the replicas that the log names are registered as addresses and as targets of hellos, from the start on. Of two boots of a host the one that was heard later counts.

Further, by the same review: a voter that was just given up is no spare until its host is heard again; lost voters whose disks are gone get spares first; a voter whose host announces that it stops is replaced, and the host waits for that, 2 s at most; a vote moves to a data centre that has two voters fewer than another one.

--- a/crates/kumquatdrum_consensus/src/placement.rs
+++ b/crates/kumquatdrum_consensus/src/placement.rs
@@ -76,6 +76,29 @@
     spares.iter().min_by_key(count)
 }
 
+/// Returns a voter and a spare in another data centre that should vote in its place, if that evens out the
+/// data centres: one has two voters more than the other. The given leader stays.
+///
+/// ```
+/// use kumquatdrum_consensus::{Member, placement};
+/// let voters = ["ikeja-1", "ikeja-2", "marina-1"].map(|host| Member::new(host, 1, &host[..5]));
+/// let spares = [Member::new("lekki-1", 1, "lekki")];
+/// let (from, to) = placement::choose_move(&voters, &voters[0].id, &spares).unwrap();
+/// assert_eq!((from.id.host.as_str(), to.id.host.as_str()), ("ikeja-2", "lekki-1"));
+/// ```
+pub fn choose_move<'a>(
+    voters: &'a [Member],
+    leader: &ReplicaId,
+    spares: &'a [Member],
+) -> Option<(&'a Member, &'a Member)> {
+    let to = choose_addition(voters, spares)?;
+    let counts = count_by_data_centre(voters);
+    let count = |member: &Member| counts.get(&member.data_centre).copied().unwrap_or(0);
+    let movable = voters.iter().filter(|voter| voter.id != *leader);
+    let from = movable.max_by_key(|voter| count(voter))?;
+    (count(from) >= count(to) + 2).then_some((from, to))
+}
+
 fn count_by_data_centre(replicas: &[Member]) -> IndexMap<DataCentre, usize> {
     let mut counts = IndexMap::new();
     for member in replicas {
--- a/crates/kumquatdrum_consensus/src/replacement.rs
+++ b/crates/kumquatdrum_consensus/src/replacement.rs
@@ -1,5 +1,6 @@
 //! Replacement of lost voters by spare replicas.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -28,17 +29,40 @@
     pub heard_at: Moment,
     /// The replica that it announces, if its data folder is open.
     pub replica: Option<Member>,
-    /// Whether its replica may become a voter: it is live and not stopping.
-    pub is_available: bool,
+    /// Whether it is live.
+    pub is_live: bool,
+    /// Whether it stops for good or to start again.
+    pub is_stopping: bool,
 }
 
-/// The evidence that a voter is lost.
+impl Host {
+    /// Returns whether the host's replica may become a voter.
+    fn is_available(&self) -> bool {
+        self.is_live && !self.is_stopping
+    }
+}
+
+/// The evidence that a voter is lost, or will be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
     /// Its host announces another replica, so its disk is gone.
     Superseded,
     /// It has not answered for this time.
     Silent(Duration),
+    /// Its host stops.
+    Stopping,
+}
+
+impl Evidence {
+    /// Returns the order in which lost voters get spares: those whose disks are gone, those that have been
+    /// silent the longest, and those that still answer.
+    fn rank(self) -> (u8, Reverse<Duration>) {
+        match self {
+            Self::Superseded => (0, Reverse(Duration::ZERO)),
+            Self::Silent(silence) => (1, Reverse(silence)),
+            Self::Stopping => (2, Reverse(Duration::ZERO)),
+        }
+    }
 }
 
 /// A voter that is lost.
@@ -78,6 +102,8 @@
     requested: Option<Vec<Member>>,
     /// How often a change failed that the replica was to join.
     failures: IndexMap<ReplicaId, u32>,
+    /// The voters that were given up, and when. They are no spares until their hosts are heard again.
+    given_up: IndexMap<ReplicaId, Moment>,
     silent: Vec<ReplicaId>,
 }
 
@@ -89,6 +115,7 @@
             started: now,
             requested: None,
             failures: IndexMap::new(),
+            given_up: IndexMap::new(),
             silent: Vec::new(),
         }
     }
@@ -122,6 +149,10 @@
         if voters == status.replicas.voters {
             return None;
         }
+        let is_kept = |loss: &Loss| voters.iter().any(|voter| voter.id == loss.voter);
+        for loss in lost.iter().filter(|loss| !is_kept(loss)) {
+            self.given_up.insert(loss.voter.clone(), now);
+        }
         self.requested = Some(voters.clone());
         Some(Plan { lost, voters })
     }
@@ -164,12 +195,28 @@
                 None => {}
             }
         }
-        if lost.is_empty() {
+        if lost.is_empty() && self.silent.is_empty() {
             self.add_voters(view, &mut next);
+            self.balance(view, &mut next);
         }
         next
     }
 
+    /// Moves a vote to a data centre that has two voters fewer than another one, so that the loss of a data
+    /// centre takes as few voters as possible.
+    fn balance(&self, view: &View<'_>, next: &mut Vec<Member>) {
+        if next.len() != view.status.replicas.voters.len() {
+            return;
+        }
+        let spares = self.spares(view, next, |_| false);
+        let leader = &view.status.id;
+        if let Some((from, to)) = placement::choose_move(next, leader, &spares) {
+            let (from, to) = (from.id.clone(), to.clone());
+            next.retain(|member| member.id != from);
+            next.push(to);
+        }
+    }
+
     /// Adds spares up to the number of voters to have, but keeps it odd, since an even number tolerates no
     /// more losses than one voter fewer.
     fn add_voters(&self, view: &View<'_>, next: &mut Vec<Member>) {
@@ -193,8 +240,15 @@
         voters: &[Member],
         is_lost: impl Fn(&Member) -> bool,
     ) -> Vec<Member> {
-        let hosts = view.hosts.iter().filter(|host| host.is_available);
-        let replicas = hosts.filter_map(|host| host.replica.as_ref());
+        let is_given_up = |host: &Host, replica: &Member| {
+            let given_up_at = self.given_up.get(&replica.id);
+            given_up_at.is_some_and(|at| host.heard_at <= *at)
+        };
+        let hosts = view.hosts.iter().filter(|host| host.is_available());
+        let replicas = hosts.filter_map(|host| {
+            let replica = host.replica.as_ref()?;
+            (!is_given_up(host, replica)).then_some(replica)
+        });
         let has_voter = |replica: &Member| {
             let mut remaining = voters.iter().filter(|voter| !is_lost(voter));
             remaining.any(|voter| voter.id.host == replica.id.host)
@@ -253,12 +307,16 @@
             let voter = voter.clone();
             Some(Loss { voter, evidence })
         });
-        losses.collect()
+        let mut losses: Vec<Loss> = losses.collect();
+        losses.sort_by_key(|loss| loss.evidence.rank());
+        losses
     }
 
     fn evidence(&self, voter: &ReplicaId) -> Option<Evidence> {
         let silence = self.now - self.silent_since(voter);
         match silence {
+            _ if *voter == self.status.id => None,
+            _ if self.is_stopping(voter) => Some(Evidence::Stopping),
             _ if self.answers(voter) || self.may_answer(voter) => None,
             _ if self.is_superseded(voter) => Some(Evidence::Superseded),
             silence if silence >= self.lost_after => Some(Evidence::Silent(silence)),
@@ -272,6 +330,14 @@
         peer.is_some_and(|peer| self.now - peer.added_at < self.lost_after / FIRST_ANSWER_SHARE)
     }
 
+    fn is_stopping(&self, voter: &ReplicaId) -> bool {
+        let host = self.host(&voter.host);
+        host.is_some_and(|host| {
+            let announced = host.replica.as_ref().map(|replica| &replica.id);
+            host.is_stopping && announced == Some(voter)
+        })
+    }
+
     /// Returns whether a voter's host announces a replica that is newer than the voter.
     fn is_superseded(&self, voter: &ReplicaId) -> bool {
         let announced = self
@@ -307,8 +373,8 @@
         let mut joining = requested.iter().filter(|m| !voters.contains(m));
         let is_available = |member: &Member| {
             let host = self.host(&member.id.host);
-            let is_announced =
-                host.is_some_and(|host| host.is_available && host.replica.as_ref() == Some(member));
+            let is_announced = host
+                .is_some_and(|host| host.is_available() && host.replica.as_ref() == Some(member));
             is_announced && !self.is_failing(&member.id)
         };
         let count_lost = |members: &[Member]| {
--- a/crates/kumquatdrum_consensus/src/status.rs
+++ b/crates/kumquatdrum_consensus/src/status.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns the latest replicas in the log, and the entry that contains them.
+    pub fn replicas(&self) -> (LogIndex, &Replicas) {
+        (self.log.replicas_index(), self.log.replicas())
+    }
+
     fn role_name(&self) -> RoleName {
         match &self.role {
             _ if self.is_halted => RoleName::Halted,
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -53,6 +53,10 @@
 /// How long a resigning leader waits for its successor.
 const HANDOVER_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a stopping host waits for a spare to take its vote.
+const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+const REPLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The tasks of a running host.
 pub(super) struct Running {
     pub(super) tasks: JoinSet<()>,
@@ -90,6 +94,7 @@
         if let Some(replica) = &gateway.replica {
             replica.resign();
             sleep(HANDOVER_DELAY).await;
+            wait_for_replacement(gateway).await;
         }
         if !self.callers.is_empty() {
             sleep(DRAIN_DELAY).await;
@@ -123,6 +128,18 @@
     }
 }
 
+/// Waits for a spare to take this host's vote, as the host may not come back.
+async fn wait_for_replacement(gateway: &Gateway) {
+    let replaced = async {
+        while gateway.hosts.can_give_up_vote() {
+            sleep(REPLACEMENT_POLL_INTERVAL).await;
+        }
+    };
+    if timeout(REPLACEMENT_TIMEOUT, replaced).await.is_err() {
+        info!(gateway.logger, "vote_kept"; "event" => "vote_kept");
+    }
+}
+
 /// What a control host has read from its disk.
 pub(super) struct Cached {
     pub(super) endpoints: Vec<Update>,
--- a/crates/kumquatdrum_gateway/src/hosts.rs
+++ b/crates/kumquatdrum_gateway/src/hosts.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatdrum_consensus::{Member as ReplicaMember, replacement};
+use kumquatdrum_consensus::{Member as ReplicaMember, Replicas, replacement};
 use kumquatdrum_fanout::{Peer, Recipients};
 use kumquatdrum_peer::Client;
 use kumquatdrum_process::clock::Clock;
@@ -67,6 +67,21 @@
         self.state.lock().set_seeds(seeds);
     }
 
+    /// Replaces the replicas that the log names. Their hosts stay known, since after a restart no other host
+    /// may tell their addresses.
+    pub fn set_replicas(&self, replicas: Replicas) {
+        for member in replicas.members() {
+            self.register_address(&member.id.host);
+        }
+        self.state.lock().set_replicas(replicas);
+    }
+
+    /// Returns whether this host's replica votes although a spare could take its place.
+    pub fn can_give_up_vote(&self) -> bool {
+        let now = self.clock.now();
+        self.state.lock().can_give_up_vote(now)
+    }
+
     /// Returns the description of this host.
     pub fn local(&self) -> Host {
         self.state.lock().local.clone()
@@ -135,7 +150,7 @@
                 Expiry::Back => {
                     info!(self.logger, "host_back"; "event" => "host_back", "peer" => id.as_str());
                 }
-                Expiry::Removed if !state.is_seed(&id) => self.client.remove(&id),
+                Expiry::Removed if !state.is_pinned(&id) => self.client.remove(&id),
                 Expiry::Removed => {}
             }
         }
@@ -157,7 +172,8 @@
         }
     }
 
-    /// Returns the hosts that hellos may be sent to: unknown seeds and the other control hosts.
+    /// Returns the hosts that hellos may be sent to: the other control hosts, and unknown ones that are seeds
+    /// or that the log names.
     pub fn contact_targets(&self) -> Vec<Target> {
         self.state.lock().contact_targets()
     }
--- a/crates/kumquatdrum_gateway/src/hosts/table.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/table.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-use kumquatdrum_consensus::replacement;
+use indexmap::{IndexMap, IndexSet};
+use kumquatdrum_consensus::{Replicas, replacement};
 use kumquatdrum_types::{Checkpoint, HostId, Moment};
 
 use super::reports::Reports;
@@ -20,6 +20,8 @@
 pub struct Table {
     pub(super) local: Host,
     seeds: Vec<HostId>,
+    /// The replicas that the log of this host's replica names.
+    replicas: Replicas,
     pub(super) others: IndexMap<HostId, Entry>,
     pub(super) reports: Reports,
     /// The number of changes so far, used as the version of the listings.
@@ -103,6 +105,7 @@
         Self {
             local,
             seeds: Vec::new(),
+            replicas: Replicas::default(),
             others: IndexMap::new(),
             reports: Reports::default(),
             changes: 0,
@@ -114,9 +117,31 @@
         self.seeds = seeds;
     }
 
-    /// Returns whether a host is a seed.
-    pub fn is_seed(&self, host: &HostId) -> bool {
-        self.seeds.contains(host)
+    /// Replaces the replicas that the log names.
+    pub fn set_replicas(&mut self, replicas: Replicas) {
+        self.replicas = replicas;
+    }
+
+    /// Returns whether a host's address stays known although the host is silent: it is a seed, or the log
+    /// names its replica.
+    pub fn is_pinned(&self, host: &HostId) -> bool {
+        self.seeds.contains(host) || self.hosts_in_log().any(|named| named == host)
+    }
+
+    fn hosts_in_log(&self) -> impl Iterator<Item = &HostId> {
+        let members = self.replicas.members().into_iter();
+        members.map(|member| &member.id.host)
+    }
+
+    /// Returns whether this host's replica votes although a spare could take its place.
+    pub fn can_give_up_vote(&self, now: Moment) -> bool {
+        let voters = &self.replicas.voters;
+        let is_voting = |host: &HostId| voters.iter().any(|voter| voter.id.host == *host);
+        let mut others = self.replica_hosts(now).into_iter();
+        let is_spare = |host: replacement::Host| {
+            host.is_live && !host.is_stopping && host.replica.is_some() && !is_voting(&host.id)
+        };
+        is_voting(&self.local.id) && others.any(is_spare)
     }
 
     /// Records a message from a host.
@@ -245,7 +270,8 @@
         }
     }
 
-    /// Returns the hosts that hellos may be sent to: unknown seeds and the other control hosts.
+    /// Returns the hosts that hellos may be sent to: the other control hosts, and unknown ones that are seeds
+    /// or that the log names.
     pub fn contact_targets(&self) -> Vec<Target> {
         let known = self.others.values().map(|entry| &entry.host);
         let known = known.filter(|host| host.is_control);
@@ -255,8 +281,9 @@
         });
         let is_unknown =
             |seed: &&HostId| !self.others.contains_key(*seed) && **seed != self.local.id;
-        let unknown = self.seeds.iter().filter(is_unknown).map(|seed| Target {
-            host: seed.clone(),
+        let named: IndexSet<&HostId> = self.seeds.iter().chain(self.hosts_in_log()).collect();
+        let unknown = named.into_iter().filter(is_unknown).map(|host| Target {
+            host: host.clone(),
             is_remote: false,
         });
         known.chain(unknown).collect()
@@ -295,7 +322,8 @@
                 id: entry.host.id.clone(),
                 heard_at: entry.direct_contact?,
                 replica: entry.host.replica.clone(),
-                is_available: entry.is_heard(now) && !entry.host.is_stopping,
+                is_live: entry.is_heard(now),
+                is_stopping: entry.host.is_stopping,
             })
         });
         heard.collect()
@@ -334,7 +362,8 @@
             self.changes = change;
             return Some(Event::Known(host));
         };
-        if host.boot < entry.host.boot {
+        // A boot number is a time of day, which may go back between two starts.
+        if host.boot != entry.host.boot && last_contact <= entry.last_contact {
             return None;
         }
         // A host that stops never runs on, so listings of different ages agree on that.
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -259,6 +259,7 @@
         pending_commands: IndexMap::new(),
         pending_change: None,
         planner: Planner::new(planner_settings, now),
+        published_replicas: None,
     })
 }
 
@@ -301,6 +302,8 @@
     pending_commands: IndexMap<Token, PendingCommand>,
     pending_change: Option<PendingChange>,
     planner: Planner,
+    /// The entry with the replicas that this host's table has.
+    published_replicas: Option<LogIndex>,
 }
 
 impl Replica {
@@ -310,6 +313,7 @@
         received: &mut mpsc::UnboundedReceiver<Event>,
         stop: &mut watch::Receiver<bool>,
     ) {
+        self.publish_replicas();
         self.step(Input::Tick);
         let mut snapshots = tokio::time::interval(SNAPSHOT_INTERVAL);
         let mut voters = tokio::time::interval(VOTERS_INTERVAL);
@@ -323,7 +327,10 @@
                 },
                 () = tokio::time::sleep_until(due) => self.step(Input::Tick),
                 _ = snapshots.tick() => self.snapshot_if_newer(),
-                _ = voters.tick() => self.replace_lost_voters(),
+                _ = voters.tick() => {
+                    self.publish_replicas();
+                    self.replace_lost_voters();
+                }
                 _ = stop.wait_for(|stopped| *stopped) => break,
             }
         }
--- a/crates/kumquatdrum_gateway/src/replica/voters.rs
+++ b/crates/kumquatdrum_gateway/src/replica/voters.rs
@@ -15,6 +15,15 @@
 }
 
 impl Replica {
+    /// Tells this host's table which replicas the log names.
+    pub(super) fn publish_replicas(&mut self) {
+        let (index, replicas) = self.node.replicas();
+        if self.published_replicas != Some(index) {
+            self.published_replicas = Some(index);
+            self.dependencies.hosts.set_replicas(replicas.clone());
+        }
+    }
+
     /// Replaces lost voters by live spare replicas, if this replica is the leader.
     pub(super) fn replace_lost_voters(&mut self) {
         if !self.node.is_caught_up_leader() {
@@ -69,6 +78,7 @@
     match loss.evidence {
         Evidence::Superseded => format!("{}:superseded", loss.voter),
         Evidence::Silent(silence) => format!("{}:{}ms", loss.voter, silence.as_millis()),
+        Evidence::Stopping => format!("{}:stopping", loss.voter),
     }
 }
 
