Tests: subnets of their own for the tests added last

Several tests had the same subnets, so that hosts of one could not open their addresses, or found those of another. Subnets from 256 on have the next second octet.

--- a/crates/kumquatdrum/tests/gateway/answer_phases.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_phases.rs
@@ -144,7 +144,7 @@
 }
 
 /// Plays disruptions one after the other on a cluster, each against all phases at once.
-async fn check_plays(subnet: u8, plays: Range<usize>) {
+async fn check_plays(subnet: u16, plays: Range<usize>) {
     let mut bench = Bench {
         cluster: Cluster::start(subnet),
         endpoints: Vec::new(),
--- a/crates/kumquatdrum/tests/gateway/answer_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/answer_soak.rs
@@ -106,7 +106,7 @@
 
 /// Runs a seed and returns the failures.
 async fn run_seed(seed: u64) -> Vec<String> {
-    let cluster = Cluster::start(225 + (seed % 10) as u8);
+    let cluster = Cluster::start(225 + (seed % 10) as u16);
     cluster.apply(&Setup::new(1).encode()).await;
     let soak = Arc::new(Soak {
         callers: (CONTROL_HOSTS..HOSTS)
--- a/crates/kumquatdrum/tests/gateway/attempts.rs
+++ b/crates/kumquatdrum/tests/gateway/attempts.rs
@@ -26,7 +26,7 @@
 }
 
 /// Starts a cluster with one host for callers, which knows the endpoints.
-async fn start(subnet: u8, config: Value, endpoints: &[&Endpoint]) -> Cluster {
+async fn start(subnet: u16, config: Value, endpoints: &[&Endpoint]) -> Cluster {
     let cluster = Cluster::with_hosts(subnet, CONTROL_HOSTS + 1);
     cluster.apply(&with_two_attempts(config)).await;
     for endpoint in endpoints {
@@ -39,7 +39,7 @@
 }
 
 /// Sends requests until one was rejected and then ran without an answer. Returns its status.
-async fn run_after_rejection(subnet: u8, path: &str) -> StatusCode {
+async fn run_after_rejection(subnet: u16, path: &str) -> StatusCode {
     let rejecting = Endpoint::start("i-rejecting", Behaviour::CompleteBody).await;
     let running = Endpoint::start("i-running", Behaviour::CloseWithoutAnswer).await;
     *rejecting.record.backoff.lock() = Some(0.0);
--- a/crates/kumquatdrum/tests/gateway/backoff.rs
+++ b/crates/kumquatdrum/tests/gateway/backoff.rs
@@ -18,7 +18,7 @@
 const CALLERS: usize = 12;
 
 /// Starts endpoints that all hosts know.
-async fn start(subnet: u8, config: &Value, count: usize) -> (Arc<Cluster>, Vec<Endpoint>) {
+async fn start(subnet: u16, config: &Value, count: usize) -> (Arc<Cluster>, Vec<Endpoint>) {
     let cluster = Cluster::start(subnet);
     cluster.apply(config).await;
     let mut endpoints = Vec::new();
@@ -98,7 +98,7 @@
     panic!("an endpoint has rejected nothing of host {host}");
 }
 
-async fn check_backoff(subnet: u8, config: Value, path: &'static str) {
+async fn check_backoff(subnet: u16, config: Value, path: &'static str) {
     let (cluster, endpoints) = start(subnet, &config, 3).await;
     let shedding = &endpoints[..2];
     for endpoint in shedding {
--- a/crates/kumquatdrum/tests/gateway/cluster.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster.rs
@@ -25,7 +25,8 @@
 const TIMEOUT: Duration = Duration::from_secs(40);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Returns the second octet of all addresses. `TEST_NETWORK` sets another one for runs at the same time.
+/// Returns the second octet of the addresses of subnets below 256; the others have the next one.
+/// `TEST_NETWORK` sets another one for runs at the same time.
 fn network() -> u8 {
     let network = std::env::var("TEST_NETWORK").ok();
     network.map_or(77, |network| network.parse().expect("an octet"))
@@ -38,7 +39,7 @@
     /// The control hosts that hosts know when they start.
     pub seeds: Vec<usize>,
     folder: TempDir,
-    subnet: u8,
+    subnet: u16,
     /// The hosts that take callers.
     entries: Range<usize>,
     lost_replicas: usize,
@@ -49,19 +50,19 @@
 
 impl Cluster {
     /// Starts a cluster of [`HOSTS`] hosts in a subnet that no other test uses.
-    pub fn start(subnet: u8) -> Self {
+    pub fn start(subnet: u16) -> Self {
         Self::with_hosts(subnet, HOSTS)
     }
 
     /// Starts a cluster of the given size, spread evenly over three data centres.
-    pub fn with_hosts(subnet: u8, hosts: usize) -> Self {
+    pub fn with_hosts(subnet: u16, hosts: usize) -> Self {
         let mut cluster = Self::new(subnet, hosts, false);
         cluster.start_all();
         cluster
     }
 
     /// Starts a cluster like [`Self::start`], whose hosts connect to each other through proxies.
-    pub async fn with_links(subnet: u8) -> (Self, Links) {
+    pub async fn with_links(subnet: u16) -> (Self, Links) {
         let mut cluster = Self::new(subnet, HOSTS, true);
         let address = |from: usize, to: usize| cluster.address(to, cluster.peer_port(from));
         let links = Links::start(HOSTS, address).await;
@@ -69,7 +70,7 @@
         (cluster, links)
     }
 
-    fn new(subnet: u8, hosts: usize, has_links: bool) -> Self {
+    fn new(subnet: u16, hosts: usize, has_links: bool) -> Self {
         let client = Client::builder()
             .pool_max_idle_per_host(0)
             .build()
@@ -144,7 +145,9 @@
     }
 
     fn address(&self, host: usize, port: u16) -> SocketAddr {
-        SocketAddr::from(([127, network(), self.subnet, host as u8 + 1], port))
+        let [network_offset, subnet] = self.subnet.to_be_bytes();
+        let octets = [127, network() + network_offset, subnet, host as u8 + 1];
+        SocketAddr::from((octets, port))
     }
 
     /// Returns the address at which other hosts connect to a host.
--- a/crates/kumquatdrum/tests/gateway/cluster/growth.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster/growth.rs
@@ -5,7 +5,7 @@
 impl Cluster {
     /// Starts a cluster of the given number of control hosts, two of which may be lost at a time, and
     /// two hosts that take callers.
-    pub fn with_control_hosts(subnet: u8, control_hosts: usize) -> Self {
+    pub fn with_control_hosts(subnet: u16, control_hosts: usize) -> Self {
         let mut cluster = Self::new(subnet, control_hosts + 2, false);
         cluster.entries.start = control_hosts;
         cluster.lost_replicas = 2;
@@ -14,7 +14,7 @@
     }
 
     /// Starts a cluster of control hosts alone, all of which know each other.
-    pub fn of_control_hosts(subnet: u8, control_hosts: usize) -> Self {
+    pub fn of_control_hosts(subnet: u16, control_hosts: usize) -> Self {
         let mut cluster = Self::new(subnet, control_hosts, false);
         cluster.entries = control_hosts..control_hosts;
         cluster.lost_replicas = (control_hosts - 1) / 2;
--- a/crates/kumquatdrum/tests/gateway/cold.rs
+++ b/crates/kumquatdrum/tests/gateway/cold.rs
@@ -71,7 +71,7 @@
     }
 }
 
-async fn check_cold(subnet: u8, mut config: Value, path: &'static str) {
+async fn check_cold(subnet: u16, mut config: Value, path: &'static str) {
     config["services"][0]["coldStartS"] = json!(COLD_START.as_secs_f64());
     config["services"][0]["coldPerS"] = json!(14);
     let cluster = Arc::new(Cluster::with_hosts(subnet, HOSTS));
--- a/crates/kumquatdrum/tests/gateway/connect_back_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/connect_back_soak.rs
@@ -37,7 +37,7 @@
 #[tokio::test]
 async fn cut_soak() {
     for seed in seeds(DEFAULT_SEEDS) {
-        let (cluster, links) = Cluster::with_links(145 + (seed % 5) as u8).await;
+        let (cluster, links) = Cluster::with_links(145 + (seed % 5) as u16).await;
         let random = Pcg32::seed_from_u64(seed);
         let mut soak = Soak {
             seed,
--- a/crates/kumquatdrum/tests/gateway/control.rs
+++ b/crates/kumquatdrum/tests/gateway/control.rs
@@ -80,7 +80,7 @@
 /// is told is another's that runs, although the log on each disk names the others.
 #[tokio::test]
 async fn control_hosts_that_restart_find_the_voters_that_their_logs_name() {
-    let mut cluster = Cluster::start(41);
+    let mut cluster = Cluster::start(297);
     cluster.apply(&config(1)).await;
     cluster.apply(&config(2)).await;
     for host in 0..CONTROL_HOSTS {
--- a/crates/kumquatdrum/tests/gateway/crash.rs
+++ b/crates/kumquatdrum/tests/gateway/crash.rs
@@ -16,7 +16,7 @@
 /// The pause between a caller's repetitions, in which a crash becomes known on all hosts.
 const PAUSE: Duration = Duration::from_millis(150);
 
-async fn start_with_endpoints(subnet: u8, count: usize) -> (Cluster, Vec<Endpoint>) {
+async fn start_with_endpoints(subnet: u16, count: usize) -> (Cluster, Vec<Endpoint>) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&config(3)).await;
     let mut endpoints = Vec::new();
--- a/crates/kumquatdrum/tests/gateway/crash_part.rs
+++ b/crates/kumquatdrum/tests/gateway/crash_part.rs
@@ -17,7 +17,7 @@
 const PAUSE: Duration = Duration::from_millis(220);
 const ENDPOINTS: usize = 12;
 
-async fn start(subnet: u8) -> (Cluster, Vec<Endpoint>) {
+async fn start(subnet: u16) -> (Cluster, Vec<Endpoint>) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&config(3)).await;
     let mut endpoints = Vec::new();
--- a/crates/kumquatdrum/tests/gateway/early_answer.rs
+++ b/crates/kumquatdrum/tests/gateway/early_answer.rs
@@ -75,7 +75,7 @@
     );
 }
 
-async fn start(subnet: u8) -> (Cluster, Endpoint) {
+async fn start(subnet: u16) -> (Cluster, Endpoint) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&config(1)).await;
     let endpoint = Endpoint::start("i-1", Behaviour::CompleteBody).await;
--- a/crates/kumquatdrum/tests/gateway/early_end.rs
+++ b/crates/kumquatdrum/tests/gateway/early_end.rs
@@ -63,7 +63,7 @@
 
 /// Sends a long request for each answer.
 async fn check(
-    subnet: u8,
+    subnet: u16,
     prefixes: &[&str],
     answers: &'static [Early],
     is_allowed: impl Fn(Option<&Answer>) -> bool,
@@ -131,18 +131,18 @@
 
 #[tokio::test]
 async fn an_answer_that_ends_before_the_request_is_read_does_not_look_complete() {
-    check(200, &["/unsafe/", "/once/"], &BROKEN, is_broken).await;
+    check(456, &["/unsafe/", "/once/"], &BROKEN, is_broken).await;
 }
 
 #[tokio::test]
 async fn an_early_answer_is_not_lost_if_its_endpoint_reads_the_request_later() {
-    check(202, &["/unsafe/", "/once/"], &ORDERLY, has_unknown_end).await;
+    check(458, &["/unsafe/", "/once/"], &ORDERLY, has_unknown_end).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_relayed_answer_that_ends_before_the_request_is_read_does_not_look_complete() {
     let behaviour = Behaviour::Early(&BROKEN);
-    let site = Site::start(204, &config_with_long_bodies(), behaviour).await;
+    let site = Site::start(460, &config_with_long_bodies(), behaviour).await;
     site.cut(3).await;
     let (cluster, endpoints) = (&site.cluster, &site.endpoints);
     play(cluster, endpoints, (0, "/unsafe/"), &BROKEN, is_broken).await;
--- a/crates/kumquatdrum/tests/gateway/ending_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/ending_soak.rs
@@ -32,7 +32,7 @@
 }
 
 async fn run_seed(seed: u64) {
-    let mut cluster = Cluster::start(136 + (seed % 14) as u8);
+    let mut cluster = Cluster::start(136 + (seed % 14) as u16);
     cluster.apply(&config(1)).await;
     let mut endpoints = Vec::new();
     for number in 0..ENDPOINTS {
--- a/crates/kumquatdrum/tests/gateway/endings.rs
+++ b/crates/kumquatdrum/tests/gateway/endings.rs
@@ -29,7 +29,7 @@
 }
 
 /// Plays each case with an endpoint of its own, and returns what the caller got.
-async fn play(subnet: u8, version: Version, request: &str, cases: &[Case]) -> Vec<Answer> {
+async fn play(subnet: u16, version: Version, request: &str, cases: &[Case]) -> Vec<Answer> {
     let cluster = Cluster::start(subnet);
     cluster.apply(&config_with_single_runs()).await;
     let mut answers = Vec::new();
@@ -48,7 +48,7 @@
     answers
 }
 
-async fn check(subnet: u8, version: Version, request: &str, cases: &[Case]) {
+async fn check(subnet: u16, version: Version, request: &str, cases: &[Case]) {
     let answers = play(subnet, version, request, cases).await;
     let mut wrong = Vec::new();
     for (case, answer) in cases.iter().zip(answers) {
@@ -134,7 +134,7 @@
 
 /// Cuts an answer at each of its bytes. Only the complete one may be framed as complete, and callers get
 /// complete events only.
-async fn check_cuts(subnet: u8, answer: &'static str, complete: Ending) {
+async fn check_cuts(subnet: u16, answer: &'static str, complete: Ending) {
     const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     let cluster = Cluster::start(subnet);
     cluster.apply(&config_with_single_runs()).await;
--- a/crates/kumquatdrum/tests/gateway/endless.rs
+++ b/crates/kumquatdrum/tests/gateway/endless.rs
@@ -38,7 +38,7 @@
     kilobytes.expect("a size") << 10
 }
 
-async fn check(subnet: u8, part: Part, path: &'static str) {
+async fn check(subnet: u16, part: Part, path: &'static str) {
     let cluster = Cluster::start(subnet);
     let mut setup = config(1);
     let mut service = setup["services"][0].clone();
--- a/crates/kumquatdrum/tests/gateway/endless_callers.rs
+++ b/crates/kumquatdrum/tests/gateway/endless_callers.rs
@@ -96,7 +96,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_that_send_without_end_harm_no_other_request() {
-    let cluster = Cluster::start(72);
+    let cluster = Cluster::start(328);
     cluster.apply(&config(1)).await;
     let endpoint = Endpoint::start("i-1", Behaviour::CompleteBody).await;
     cluster.announce(&endpoint, "plain", "ready", 1).await;
--- a/crates/kumquatdrum/tests/gateway/endless_parts.rs
+++ b/crates/kumquatdrum/tests/gateway/endless_parts.rs
@@ -34,7 +34,7 @@
 }
 
 impl Site {
-    async fn start(subnet: u8, is_relayed: bool) -> Self {
+    async fn start(subnet: u16, is_relayed: bool) -> Self {
         let cluster = Cluster::start(subnet);
         let mut setup = config(1);
         let mut service = setup["services"][0].clone();
@@ -238,20 +238,20 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_part_of_an_answer_without_end_harms_other_requests() {
-    Site::start(49, false).await.check().await;
+    Site::start(305, false).await.check().await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_part_of_a_relayed_answer_without_end_harms_other_requests() {
-    Site::start(86, true).await.check().await;
+    Site::start(342, true).await.check().await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_without_end_to_callers_that_do_not_read_are_not_kept() {
-    Site::start(89, false).await.check_stalled().await;
+    Site::start(345, false).await.check_stalled().await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn relayed_answers_without_end_to_callers_that_do_not_read_are_not_kept() {
-    Site::start(68, true).await.check_stalled().await;
+    Site::start(324, true).await.check_stalled().await;
 }
--- a/crates/kumquatdrum/tests/gateway/endless_upkeep.rs
+++ b/crates/kumquatdrum/tests/gateway/endless_upkeep.rs
@@ -29,7 +29,7 @@
 
 /// Starts a cluster whose service `plain` has three endpoints; another one, `sound`, has one.
 async fn start(
-    subnet: u8,
+    subnet: u16,
     engine: bool,
     behaviour: Behaviour,
 ) -> (Cluster, Vec<Endpoint>, Endpoint) {
@@ -110,7 +110,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_to_probes_without_end_harm_no_other_request() {
-    let (cluster, endpoints, _sound) = start(69, false, Behaviour::EndlessByPath).await;
+    let (cluster, endpoints, _sound) = start(325, false, Behaviour::EndlessByPath).await;
     let mut faults = Vec::new();
     for part in PARTS {
         let probes = || -> usize {
@@ -135,7 +135,7 @@
 async fn answers_to_reservations_without_end_harm_no_other_request() {
     let pause = Duration::from_millis(40);
     let behaviour = Behaviour::CompleteStream { events: 2, pause };
-    let (cluster, endpoints, _sound) = start(71, true, behaviour).await;
+    let (cluster, endpoints, _sound) = start(327, true, behaviour).await;
     let mut faults = Vec::new();
     // The prompt exceeds the memory of one engine.
     let request = Request {
--- a/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint_soak.rs
@@ -132,8 +132,8 @@
 }
 
 /// Runs a seed on a cluster in one of 50 subnets.
-async fn run_seed(seed: u64, first_subnet: u8, holds: Holds, culprit: Culprit) {
-    let cluster = Cluster::start(first_subnet + (seed % 50) as u8);
+async fn run_seed(seed: u64, first_subnet: u16, holds: Holds, culprit: Culprit) {
+    let cluster = Cluster::start(first_subnet + (seed % 50) as u16);
     cluster.apply(&config(1)).await;
     let soak = Arc::new(Soak {
         cluster: RwLock::new(cluster),
--- a/crates/kumquatdrum/tests/gateway/evacuation.rs
+++ b/crates/kumquatdrum/tests/gateway/evacuation.rs
@@ -21,7 +21,7 @@
 
 /// Starts a cluster with one endpoint in each of the given data centres.
 async fn start(
-    subnet: u8,
+    subnet: u16,
     data_centres: &[&str],
     behaviour: Behaviour,
 ) -> (Cluster, Vec<Endpoint>) {
--- a/crates/kumquatdrum/tests/gateway/heads.rs
+++ b/crates/kumquatdrum/tests/gateway/heads.rs
@@ -101,7 +101,7 @@
 
 /// Plays answers to plain requests and streams, directly and by relays.
 async fn check(
-    subnet: u8,
+    subnet: u16,
     (answers, end): (&'static [String], End),
     is_allowed: impl Fn(&str, &Answer) -> bool,
 ) {
@@ -142,7 +142,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_status_that_is_none_reaches_no_caller() {
     let answers = with_status_lines(&INVALID_STATUSES);
-    check(206, (answers, End::Close), is_refused).await;
+    check(462, (answers, End::Close), is_refused).await;
 }
 
 const VALID_STATUSES: [&str; 4] = [
@@ -161,7 +161,7 @@
                 && text.contains(&format!("HTTP/1.1 {} ", answer.status))
                 && answer.body == EVENT
     };
-    check(207, (answers, End::Close), is_passed_on).await;
+    check(463, (answers, End::Close), is_passed_on).await;
 }
 
 /// Heads whose bodies are missing.
@@ -183,12 +183,12 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_head_that_is_cut_anywhere_and_closed_is_no_answer() {
-    check(209, (cuts(), End::Close), is_refused).await;
+    check(465, (cuts(), End::Close), is_refused).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_head_that_is_cut_anywhere_and_reset_is_no_answer() {
-    check(203, (cuts(), End::Reset), is_refused).await;
+    check(459, (cuts(), End::Reset), is_refused).await;
 }
 
 /// What follows the status line and the headers of every answer: further headers and [`EVENT`], whose
@@ -254,7 +254,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_whose_headers_contradict_each_other_about_its_end_is_none() {
     let answers = with_ends(&UNCLEAR_ENDS);
-    check(205, (answers, End::Close), is_refused).await;
+    check(461, (answers, End::Close), is_refused).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -269,5 +269,5 @@
             text.contains(&line) && answer.body == EVENT && answer.ending == Ending::Complete
         }
     };
-    check(201, (answers, End::Close), is_complete).await;
+    check(457, (answers, End::Close), is_complete).await;
 }
--- a/crates/kumquatdrum/tests/gateway/helpers.rs
+++ b/crates/kumquatdrum/tests/gateway/helpers.rs
@@ -12,7 +12,7 @@
 const MAX_ATTEMPTS: usize = 2;
 
 /// Starts engines, of which the first have crashed without a word.
-async fn start(subnet: u8, hosts: usize, dead: usize) -> (Cluster, Vec<Endpoint>) {
+async fn start(subnet: u16, hosts: usize, dead: usize) -> (Cluster, Vec<Endpoint>) {
     let cluster = Cluster::with_hosts(subnet, hosts);
     cluster.apply(&engine_config(3)).await;
     let mut engines = Vec::new();
--- a/crates/kumquatdrum/tests/gateway/idle.rs
+++ b/crates/kumquatdrum/tests/gateway/idle.rs
@@ -20,7 +20,7 @@
     config
 }
 
-async fn start(subnet: u8, header_ms: u64, idle_ms: u64) -> (Cluster, Endpoint) {
+async fn start(subnet: u16, header_ms: u64, idle_ms: u64) -> (Cluster, Endpoint) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&limits(1, header_ms, idle_ms)).await;
     let endpoint = Endpoint::start("i-1", Behaviour::CompleteBody).await;
--- a/crates/kumquatdrum/tests/gateway/late_answers.rs
+++ b/crates/kumquatdrum/tests/gateway/late_answers.rs
@@ -75,7 +75,7 @@
 /// Freezes the leader and further control hosts. Meanwhile an operator at each other control host makes
 /// calls to these in turn: each must be answered within an operator's patience, and one must succeed soon,
 /// once a majority runs.
-async fn check_answers(subnet: u8, control_hosts: usize, frozen: usize, call: Call) {
+async fn check_answers(subnet: u16, control_hosts: usize, frozen: usize, call: Call) {
     let cluster = Cluster::of_control_hosts(subnet, control_hosts);
     let cluster = Arc::new(cluster);
     cluster.apply(&config(1)).await;
@@ -155,51 +155,51 @@
 /// Guards against a replica that is asked until the reader has left, as it doesn't respond.
 #[tokio::test]
 async fn reads_are_answered_in_time_while_the_leader_is_frozen() {
-    check_answers(190, 3, 1, Call::Read).await;
+    check_answers(446, 3, 1, Call::Read).await;
 }
 
 #[tokio::test]
 async fn reads_are_answered_in_time_while_the_leader_and_another_are_frozen() {
-    check_answers(191, 5, 2, Call::Read).await;
+    check_answers(447, 5, 2, Call::Read).await;
 }
 
 /// Guards against a control host that looks for a leader for longer than the reader waits.
 #[tokio::test]
 async fn reads_are_answered_in_time_while_a_majority_is_frozen() {
-    check_answers(192, 3, 2, Call::Read).await;
+    check_answers(448, 3, 2, Call::Read).await;
 }
 
 #[tokio::test]
 async fn applies_are_answered_in_time_while_the_leader_is_frozen() {
-    check_answers(193, 3, 1, Call::Apply).await;
+    check_answers(449, 3, 1, Call::Apply).await;
 }
 
 #[tokio::test]
 async fn applies_are_answered_in_time_while_the_leader_and_another_are_frozen() {
-    check_answers(194, 5, 2, Call::Apply).await;
+    check_answers(450, 5, 2, Call::Apply).await;
 }
 
 #[tokio::test]
 async fn applies_are_answered_in_time_while_a_majority_is_frozen() {
-    check_answers(195, 3, 2, Call::Apply).await;
+    check_answers(451, 3, 2, Call::Apply).await;
 }
 
 #[tokio::test]
 async fn the_status_is_answered_in_time_while_the_leader_and_another_are_frozen() {
-    check_answers(196, 5, 2, Call::Status).await;
+    check_answers(452, 5, 2, Call::Status).await;
 }
 
 #[tokio::test]
 async fn the_status_is_answered_in_time_while_a_majority_is_frozen() {
-    check_answers(197, 3, 2, Call::Status).await;
+    check_answers(453, 3, 2, Call::Status).await;
 }
 
 #[tokio::test]
 async fn orders_are_answered_in_time_while_the_leader_and_another_are_frozen() {
-    check_answers(198, 5, 2, Call::Order).await;
+    check_answers(454, 5, 2, Call::Order).await;
 }
 
 #[tokio::test]
 async fn orders_are_answered_in_time_while_a_majority_is_frozen() {
-    check_answers(199, 3, 2, Call::Order).await;
+    check_answers(455, 3, 2, Call::Order).await;
 }
--- a/crates/kumquatdrum/tests/gateway/leaving.rs
+++ b/crates/kumquatdrum/tests/gateway/leaving.rs
@@ -32,7 +32,7 @@
     late.count()
 }
 
-async fn check_leaving(subnet: u8, config: Value, path: &'static str) {
+async fn check_leaving(subnet: u16, config: Value, path: &'static str) {
     let cluster = Arc::new(Cluster::start(subnet));
     cluster.apply(&config).await;
     let leaving = Endpoint::start("i-leaving", Behaviour::StreamOrCompleteBody).await;
--- a/crates/kumquatdrum/tests/gateway/limit.rs
+++ b/crates/kumquatdrum/tests/gateway/limit.rs
@@ -41,7 +41,7 @@
 }
 
 /// Starts two endpoints, the first of which names a limit.
-async fn start(subnet: u8, hosts: usize, config: &Value) -> (Cluster, Endpoint, Endpoint) {
+async fn start(subnet: u16, hosts: usize, config: &Value) -> (Cluster, Endpoint, Endpoint) {
     let cluster = Cluster::with_hosts(subnet, hosts);
     cluster.apply(config).await;
     let limited = Endpoint::start("i-limited", Behaviour::StreamOrCompleteBody).await;
@@ -87,7 +87,7 @@
     counts.into_iter().fold((0, 0), sum)
 }
 
-async fn check_limit(subnet: u8, hosts: usize, config: Value, path: &'static str) {
+async fn check_limit(subnet: u16, hosts: usize, config: Value, path: &'static str) {
     let (cluster, limited, _other) = start(subnet, hosts, &config).await;
     let cluster = Arc::new(cluster);
     *limited.record.limit.lock() = Some(LIMIT);
--- a/crates/kumquatdrum/tests/gateway/lost_voters.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters.rs
@@ -39,40 +39,40 @@
 /// Guards against a change of the voters that waits for another lost voter.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_setup_is_read_back_after_two_control_hosts_at_a_time_were_lost() {
-    check_setup(220, WITH_SPARES, Losses::Together).await;
+    check_setup(476, WITH_SPARES, Losses::Together).await;
 }
 
 /// Guards against a new leader that replaces a voter too late, which the previous leader missed already.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_setup_is_read_back_after_a_voter_and_then_the_leader_were_lost() {
-    check_setup(221, WITH_SPARES, Losses::LeaderLast).await;
+    check_setup(477, WITH_SPARES, Losses::LeaderLast).await;
 }
 
 /// Guards against two successors that don't both replace the voters before them in time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_setup_is_read_back_after_two_successors_without_a_spare() {
-    check_setup(222, VOTERS, Losses::Together).await;
+    check_setup(478, VOTERS, Losses::Together).await;
 }
 
 /// Guards against successors that a new leader doesn't learn of in time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_setup_is_read_back_after_the_successor_of_a_leader_without_a_spare() {
-    check_setup(223, VOTERS, Losses::LeaderLast).await;
+    check_setup(479, VOTERS, Losses::LeaderLast).await;
 }
 
 /// Guards against a change of the voters that waits for a spare which was lost after it was chosen.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_setup_is_read_back_after_a_voter_and_then_its_replacement_were_lost() {
-    check_setup(224, VOTERS + 1, Losses::SpareLast).await;
+    check_setup(480, VOTERS + 1, Losses::SpareLast).await;
 }
 
 /// Guards against a leader that doesn't learn of the new disks of voters in time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_setup_is_read_back_after_the_disks_of_two_voters_were_lost() {
-    check_setup(225, VOTERS, Losses::Disks).await;
+    check_setup(481, VOTERS, Losses::Disks).await;
 }
 
-async fn check_setup(subnet: u8, control_hosts: usize, losses: Losses) {
+async fn check_setup(subnet: u16, control_hosts: usize, losses: Losses) {
     let mut cluster = Cluster::with_control_hosts(subnet, control_hosts);
     cluster.apply(&config(1)).await;
     wait_for_voters(&cluster, VOTERS).await;
--- a/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
@@ -87,7 +87,7 @@
 /// Runs a seed on a cluster in one of 4 subnets, with spares if the seed is even.
 async fn run_seed(seed: u64) -> Result<Duration, String> {
     let control_hosts = if seed.is_multiple_of(2) { 8 } else { VOTERS };
-    let cluster = Cluster::with_control_hosts(226 + (seed % 4) as u8, control_hosts);
+    let cluster = Cluster::with_control_hosts(482 + (seed % 4) as u16, control_hosts);
     cluster.apply(&config(1)).await;
     wait_for_voters(&cluster, VOTERS).await;
     let places = cluster.control_hosts().into_iter().map(|host| Place {
--- a/crates/kumquatdrum/tests/gateway/outage.rs
+++ b/crates/kumquatdrum/tests/gateway/outage.rs
@@ -40,7 +40,7 @@
 }
 
 impl Site {
-    pub async fn start(subnet: u8, config: &Value, behaviour: Behaviour) -> Self {
+    pub async fn start(subnet: u16, config: &Value, behaviour: Behaviour) -> Self {
         let turn = TURN.lock().await;
         let cluster = Cluster::with_hosts(subnet, HOSTS);
         cluster.apply(config).await;
@@ -219,7 +219,7 @@
     }
 }
 
-async fn check_outage(subnet: u8, config: Value, path: &'static str, mode: Mode) {
+async fn check_outage(subnet: u16, config: Value, path: &'static str, mode: Mode) {
     let site = Arc::new(Site::start(subnet, &config, Behaviour::StreamOrCompleteBody).await);
     let cut: Vec<usize> = (CONTROL_HOSTS..HOSTS).step_by(2).collect();
     let outcomes = play(&site, path, &cut, mode).await;
--- a/crates/kumquatdrum/tests/gateway/path.rs
+++ b/crates/kumquatdrum/tests/gateway/path.rs
@@ -5,7 +5,7 @@
 use crate::cluster::{Cluster, config};
 use crate::endpoint::{Behaviour, Endpoint};
 
-async fn start_with_endpoint(subnet: u8, behaviour: Behaviour) -> (Cluster, Endpoint) {
+async fn start_with_endpoint(subnet: u16, behaviour: Behaviour) -> (Cluster, Endpoint) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&config(3)).await;
     let endpoint = Endpoint::start("i-1", behaviour).await;
--- a/crates/kumquatdrum/tests/gateway/recovery.rs
+++ b/crates/kumquatdrum/tests/gateway/recovery.rs
@@ -78,7 +78,7 @@
     (Arc::new(cluster), statuses)
 }
 
-async fn start_cluster(subnet: u8) -> (Cluster, Endpoint) {
+async fn start_cluster(subnet: u16) -> (Cluster, Endpoint) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&config(3)).await;
     let endpoint = Endpoint::start("i-1", Behaviour::CompleteBody).await;
--- a/crates/kumquatdrum/tests/gateway/silence.rs
+++ b/crates/kumquatdrum/tests/gateway/silence.rs
@@ -43,7 +43,7 @@
     config
 }
 
-async fn start(subnet: u8, config: &Value, behaviours: &[Behaviour]) -> (Cluster, Vec<Endpoint>) {
+async fn start(subnet: u16, config: &Value, behaviours: &[Behaviour]) -> (Cluster, Vec<Endpoint>) {
     let cluster = Cluster::start(subnet);
     cluster.apply(config).await;
     let mut endpoints = Vec::new();
--- a/crates/kumquatdrum/tests/gateway/soak.rs
+++ b/crates/kumquatdrum/tests/gateway/soak.rs
@@ -65,7 +65,7 @@
 }
 
 async fn run_seed(seed: u64, duration: Duration) -> Vec<String> {
-    let cluster = Cluster::start(100 + (seed % 100) as u8);
+    let cluster = Cluster::start(100 + (seed % 100) as u16);
     cluster.apply(&config(1)).await;
     let mut endpoints = Vec::new();
     let mut proxies = Vec::new();
--- a/crates/kumquatdrum/tests/gateway/stop_late.rs
+++ b/crates/kumquatdrum/tests/gateway/stop_late.rs
@@ -172,7 +172,7 @@
     }
 }
 
-async fn check(subnet: u8, way: Way) {
+async fn check(subnet: u16, way: Way) {
     let cluster = Cluster::start(subnet);
     cluster.apply(&setup()).await;
     let mut endpoints = Vec::new();
@@ -250,32 +250,32 @@
 
 #[tokio::test]
 async fn requests_on_idle_connections_of_a_stopping_host_are_not_cut() {
-    check(75, Way::Idle).await;
+    check(331, Way::Idle).await;
 }
 
 #[tokio::test]
 async fn requests_on_new_connections_to_a_stopping_host_are_not_cut() {
-    check(36, Way::New).await;
+    check(292, Way::New).await;
 }
 
 #[tokio::test]
 async fn requests_behind_an_answer_of_a_stopping_host_are_not_cut() {
-    check(37, Way::Busy).await;
+    check(293, Way::Busy).await;
 }
 
 #[tokio::test]
 async fn requests_whose_heads_end_during_a_stop_are_not_cut() {
-    check(38, Way::LateHead).await;
+    check(294, Way::LateHead).await;
 }
 
 #[tokio::test]
 async fn requests_whose_bodies_end_during_a_stop_are_not_cut() {
-    check(39, Way::LateBody).await;
+    check(295, Way::LateBody).await;
 }
 
 #[tokio::test]
 async fn a_prompt_of_unknown_size_is_not_cut_when_its_host_ends() {
-    let cluster = Cluster::start(40);
+    let cluster = Cluster::start(296);
     let mut setup = engine_config(1);
     setup["services"][0]["engine"]["usual"] = json!({"prompt": 5_000, "answer": 3_000});
     for route in setup["routes"].as_array_mut().expect("routes") {
--- a/crates/kumquatdrum/tests/gateway/stop_relayed.rs
+++ b/crates/kumquatdrum/tests/gateway/stop_relayed.rs
@@ -25,7 +25,7 @@
 }
 
 impl Site {
-    async fn start(subnet: u8) -> Self {
+    async fn start(subnet: u16) -> Self {
         let cluster = Cluster::with_hosts(subnet, CONTROL_HOSTS + 3);
         let mut setup = config(1);
         for route in setup["routes"].as_array_mut().expect("routes") {
@@ -105,7 +105,7 @@
 
 #[tokio::test]
 async fn a_request_that_may_not_be_repeated_has_a_final_answer_when_its_relay_ends() {
-    let mut site = Site::start(83).await;
+    let mut site = Site::start(339).await;
     let call = site.send("/unsafe/15000-0-0-0", "at-1", Duration::ZERO);
     let relay = site.wait_for_relay("at-1").await;
     sleep(Duration::from_millis(500)).await;
@@ -118,7 +118,7 @@
 
 #[tokio::test]
 async fn relayed_requests_of_a_stopping_host_are_not_cut() {
-    let mut site = Site::start(84).await;
+    let mut site = Site::start(340).await;
     let cases = [
         // The usual durations, which are known before the stop.
         ("/unsafe/3000-0-0-0", "at-whole-usual", None, 200),
--- a/crates/kumquatdrum/tests/gateway/stop_waits.rs
+++ b/crates/kumquatdrum/tests/gateway/stop_waits.rs
@@ -32,7 +32,7 @@
 }
 
 impl Site {
-    async fn start(subnet: u8, answer: Duration) -> Self {
+    async fn start(subnet: u16, answer: Duration) -> Self {
         let cluster = Cluster::start(subnet);
         cluster.apply(&setup(1)).await;
         let pause = Duration::from_millis(250);
--- a/crates/kumquatdrum/tests/gateway/streams.rs
+++ b/crates/kumquatdrum/tests/gateway/streams.rs
@@ -17,7 +17,7 @@
 /// Starts a cluster with an endpoint that fails within the event after `after`, and a healthy
 /// one that sends `events`.
 async fn start_with_endpoints(
-    subnet: u8,
+    subnet: u16,
     after: u64,
     events: u64,
 ) -> (Cluster, Endpoint, Endpoint) {
