--- a/crates/kumquatdrum_consensus/src/replacement.rs
+++ b/crates/kumquatdrum_consensus/src/replacement.rs
@@ -149,6 +149,11 @@
         if voters == status.replicas.voters {
             return None;
         }
+        let is_unheard = |id: &ReplicaId, at: Moment| {
+            let host = view.host(&id.host);
+            host.is_some_and(|host| host.heard_at <= at)
+        };
+        self.given_up.retain(|id, at| is_unheard(id, *at));
         let is_kept = |loss: &Loss| voters.iter().any(|voter| voter.id == loss.voter);
         for loss in lost.iter().filter(|loss| !is_kept(loss)) {
             self.given_up.insert(loss.voter.clone(), now);
