--- a/crates/kumquatdrum/tests/gateway/connection.rs
+++ b/crates/kumquatdrum/tests/gateway/connection.rs
@@ -11,6 +11,7 @@
 
 /// The time within which the end of a connection is logged.
 const LOG_DELAY: Duration = Duration::from_secs(5);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until a host has logged the end of a request's connection, and returns the line.
 async fn wait_for_end(cluster: &Cluster, attempt: &str) -> String {
@@ -24,7 +25,7 @@
             return line.to_owned();
         }
         assert!(Instant::now() < until, "no end of {attempt}: {log}");
-        sleep(Duration::from_millis(20)).await;
+        sleep(POLL_INTERVAL).await;
     }
 }
 
@@ -84,6 +85,10 @@
     let request = Request::new("/stream/x", "at-cut");
     let mut caller = Caller::connect(cluster.callers(3)).await.expect("a host");
     caller.send(&request).await.expect("the request is sent");
+    // A host that stops refuses a stream that it has not sent yet.
+    while !endpoint.has_run("at-cut") {
+        sleep(POLL_INTERVAL).await;
+    }
     cluster.signal(3, "-TERM");
     assert_eq!(cluster.wait_for_exit(3).await, Some(0));
     let line = wait_for_end(&cluster, "at-cut").await;
