Replacement: one definition of a host whose replica may become a voter

The table of hosts wrote Host::is_available again. No change of behaviour; doc tests, clippy and lost_voters and stop of the gateway's tests pass.

--- a/crates/kumquatdrum_consensus/src/replacement.rs
+++ b/crates/kumquatdrum_consensus/src/replacement.rs
@@ -37,7 +37,21 @@
 
 impl Host {
     /// Returns whether the host's replica may become a voter.
-    fn is_available(&self) -> bool {
+    ///
+    /// ```
+    /// use kumquatdrum_consensus::replacement::Host;
+    /// use kumquatdrum_types::{HostId, Moment};
+    ///
+    /// let host = Host {
+    ///     id: HostId::new("10.0.0.1"),
+    ///     heard_at: Moment::ZERO,
+    ///     replica: None,
+    ///     is_live: true,
+    ///     is_stopping: true,
+    /// };
+    /// assert!(!host.is_available());
+    /// ```
+    pub fn is_available(&self) -> bool {
         self.is_live && !self.is_stopping
     }
 }
--- a/crates/kumquatdrum_gateway/src/hosts/table.rs
+++ b/crates/kumquatdrum_gateway/src/hosts/table.rs
@@ -139,7 +139,7 @@
         let is_voting = |host: &HostId| voters.iter().any(|voter| voter.id.host == *host);
         let mut others = self.replica_hosts(now).into_iter();
         let is_spare = |host: replacement::Host| {
-            host.is_live && !host.is_stopping && host.replica.is_some() && !is_voting(&host.id)
+            host.is_available() && host.replica.is_some() && !is_voting(&host.id)
         };
         is_voting(&self.local.id) && others.any(is_spare)
     }
