Upstream: one wrapper for a connection to an endpoint

Two wrappers forwarded the same calls, one to count bytes that are no part of an answer, one to hold the end of the connection back. Socket does both; the count is in upstream::unparsed.

--- a/crates/kumquatdrum_gateway/src/upstream.rs
+++ b/crates/kumquatdrum_gateway/src/upstream.rs
@@ -35,11 +35,11 @@
 use crate::protocol::Reply;
 use crate::relay::{self, Relays};
 
-mod guarded;
 mod socket;
+mod unparsed;
 
-use guarded::{Guarded, MAX_BUFFERED_BYTES, Unparsed, describe};
 use socket::{Socket, connect};
+use unparsed::{MAX_BUFFERED_BYTES, Unparsed, describe};
 
 /// The reason why there is no response.
 #[derive(Debug, thiserror::Error)]
@@ -335,8 +335,7 @@
         self.check_informed(target).await?;
         add_host(&mut request, target.endpoint);
         let unparsed = Unparsed::default();
-        let stream = Guarded::new(Socket::new(stream), unparsed.clone());
-        let stream = TokioIo::new(stream);
+        let stream = TokioIo::new(Socket::new(stream, unparsed.clone()));
         let mut builder = http1::Builder::new();
         let handshake = builder.max_buf_size(MAX_BUFFERED_BYTES).handshake(stream);
         let (mut sender, connection) = handshake
--- a/crates/kumquatdrum_gateway/src/upstream/socket.rs
+++ b/crates/kumquatdrum_gateway/src/upstream/socket.rs
@@ -1,4 +1,4 @@
-//! A connection whose end is read after the request has been written.
+//! Connections to endpoints.
 
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::Error;
+use super::unparsed::Unparsed;
 use crate::sockets;
 
 /// The timeout for opening a connection. It is shorter than the retransmission timeout of a lost
@@ -19,10 +20,12 @@
 
 /// A connection to an endpoint. While a part of the request waits to be written, the end of the
 /// connection is not reported: it is an orderly end only if the endpoint reads on. Otherwise the
-/// rest of the request resets the connection, and writing fails.
+/// rest of the request resets the connection, and writing fails. Too many bytes that are no part of an
+/// answer end it with an error.
 #[derive(Debug)]
 pub(super) struct Socket {
     stream: TcpStream,
+    unparsed: Unparsed,
     /// Whether the last write has left bytes.
     is_writing: bool,
     /// Woken once the request has been written, if the connection has ended before.
@@ -30,9 +33,10 @@
 }
 
 impl Socket {
-    pub(super) const fn new(stream: TcpStream) -> Self {
+    pub(super) const fn new(stream: TcpStream, unparsed: Unparsed) -> Self {
         Self {
             stream,
+            unparsed,
             is_writing: false,
             reader: None,
         }
@@ -58,9 +62,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.remaining();
+        let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.remaining() == before && self.is_writing {
+        let received = buffer.filled().len() - before;
+        self.unparsed.add(received)?;
+        if received == 0 && self.is_writing {
             self.reader = Some(context.waker().clone());
             return Poll::Pending;
         }
