--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -83,7 +83,7 @@
             "seeds": self.deployment.seeds(),
             "cluster": {"name": "platform", "secret": "one platform, one cluster"},
             "announcement_ms": int(HEARTBEAT_S * 1000),
-            "lost_replicas": 1,
+            "lost_replicas": self.deployment.lost_replicas,
             "unused_memory_ms": 4000,
             "data_centres": ZONES,
             "drain_ms": 2000,
@@ -133,10 +133,11 @@
 class Deployment:
     """Control hosts, then entry hosts, each on a loopback address of its own."""
 
-    def __init__(self, record, controls=3, entries=2):
+    def __init__(self, record, controls=3, entries=2, lost_replicas=1):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun(f"{PROGRAM} is not built")
         self.record = record
+        self.lost_replicas = lost_replicas
         self.folder = tempfile.mkdtemp(prefix="kumquatdrum-review-")
         self.subnet = self.free_subnet()
         self.ports = {"front": 8227, "ready": 8220, "control": 8229, "metrics": 9464, "peer": 7340}
@@ -390,15 +391,15 @@
     return status
 
 
-def main(case):
-    """Runs a case in its folder, the first argument, and exits with its outcome."""
+def main(case, **size):
+    """Runs a case with a deployment of a size in the folder of the program, and exits with its outcome."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("with the disruption" if has_trouble else "without the disruption")
     deployment = None
     try:
-        deployment = Deployment(record)
+        deployment = Deployment(record, **size)
         is_broken = case(deployment, has_trouble)
     except CannotRun as reason:
         record.write(f"the case could not run: {reason}")
