--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -392,10 +392,11 @@
 
 
 def main(case, **size):
-    """Runs a case with a deployment of a size in the folder of the program, and exits with its outcome."""
+    """Runs a case with a deployment of a size, and exits with its outcome. The argument `calm` leaves out the
+    disruption. The record is written to the folder of the program."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = sys.argv[1:] != ["calm"]
     record.write("with the disruption" if has_trouble else "without the disruption")
     deployment = None
     try:
