Disk: a new data folder survives a loss of power once it is open

What callers saw: nothing yet; found while the creation of the data folder was played change by change. A control host that creates its data folder with missing directories syncs the name of its file, and never those of the directories. After a loss of power the folder is gone, with a replica that has voted and acknowledged: one more lost disk than the site is to bear.

Cause: `create_dir_all` without a sync of the parents, in `Folder::open` and in `Blob::replace`.

Change: each directory is created only in one whose name is synced, and the folder's own name is synced at each start, as an earlier process may have ended between the two. The calls to the file system stand behind a trait; a file system in memory loses names one by one.

--- a/crates/kumquatdrum_disk/src/blob.rs
+++ b/crates/kumquatdrum_disk/src/blob.rs
@@ -6,6 +6,8 @@
 
 use kumquatdrum_types::hash;
 
+use crate::file_system::{self, System};
+
 /// The size of the hash at the end of the file.
 const HASH_BYTES: usize = 8;
 
@@ -70,7 +72,9 @@
     ///
     /// Fails if the file can't be written; its previous contents stay.
     pub fn replace(&self, bytes: &[u8]) -> io::Result<()> {
-        fs::create_dir_all(&self.folder)?;
+        if !self.folder.is_dir() {
+            file_system::create_directories(&System, &self.folder)?;
+        }
         let mut file = File::create(&self.next)?;
         file.write_all(bytes)?;
         file.write_all(&hash_of(bytes))?;
--- a/crates/kumquatdrum_disk/src/fake/disk.rs
+++ b/crates/kumquatdrum_disk/src/fake/disk.rs
@@ -1,4 +1,4 @@
-//! An in-memory disk for tests that can lose unsynced data, tear writes, fill up and fail.
+//! A disk in memory.
 
 use std::io;
 use std::sync::Arc;
@@ -6,6 +6,8 @@
 use parking_lot::Mutex;
 use redb::StorageBackend;
 
+use super::budget::Budget;
+
 /// The size of the unit in which a crash keeps or loses unsynced writes.
 const SECTOR_BYTES: usize = 512;
 
@@ -13,6 +15,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Disk {
     state: Arc<Mutex<State>>,
+    budget: Budget,
 }
 
 #[derive(Debug, Default)]
@@ -44,25 +47,64 @@
         Self::default()
     }
 
+    /// Creates an empty disk with a budget that it shares.
+    pub(super) fn with_budget(budget: Budget) -> Self {
+        Self {
+            budget,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a disk with the given contents, all synced.
+    pub fn from_bytes(bytes: &[u8]) -> Self {
+        let disk = Self::default();
+        disk.state.lock().synced = bytes.to_vec();
+        disk.state.lock().current = bytes.to_vec();
+        disk
+    }
+
+    /// Returns the contents.
+    pub fn bytes(&self) -> Vec<u8> {
+        self.state.lock().current.clone()
+    }
+
     /// Discards unsynced writes, except in sectors for which `keep` returns true. Later syncs no
     /// longer fail.
-    pub fn crash(&self, mut keep: impl FnMut(usize) -> bool) {
+    pub fn crash(&self, keep: impl FnMut(usize) -> bool) {
+        self.lose_power(SECTOR_BYTES, true, keep);
+    }
+
+    /// Discards unsynced writes, except in units of `unit_bytes` for which `keep` returns true, and an
+    /// unsynced length unless `keeps_length` is set. Later changes no longer fail.
+    pub fn lose_power(
+        &self,
+        unit_bytes: usize,
+        keeps_length: bool,
+        mut keep: impl FnMut(usize) -> bool,
+    ) {
         let mut state = self.state.lock();
         let state = &mut *state;
-        let length = state.synced.len().max(state.current.len());
+        let synced_length = state.synced.len();
+        let length = synced_length.max(state.current.len());
         state.synced.resize(length, 0);
         state.current.resize(length, 0);
-        let sectors = state
+        let mut kept_length = synced_length;
+        let units = state
             .synced
-            .chunks_mut(SECTOR_BYTES)
-            .zip(state.current.chunks(SECTOR_BYTES));
-        for (number, (synced, current)) in sectors.enumerate() {
+            .chunks_mut(unit_bytes)
+            .zip(state.current.chunks(unit_bytes));
+        for (number, (synced, current)) in units.enumerate() {
             if synced != current && keep(number) {
                 synced.copy_from_slice(current);
+                kept_length = kept_length.max(number * unit_bytes + current.len());
             }
         }
+        if !keeps_length {
+            state.synced.truncate(kept_length);
+        }
         state.current.clone_from(&state.synced);
         state.working_syncs = None;
+        self.budget.lift();
     }
 
     /// Returns an independent disk with the same contents.
@@ -76,9 +118,25 @@
         };
         Self {
             state: Arc::new(Mutex::new(copy)),
+            budget: Budget::default(),
         }
     }
 
+    /// Makes all changes after the next `count` fail: writes, changes of the length, syncs.
+    pub fn fail_after_changes(&self, count: u64) {
+        self.budget.limit(count);
+    }
+
+    /// Lets changes succeed again.
+    pub fn repair(&self) {
+        self.budget.lift();
+    }
+
+    /// Returns whether a change has failed, or the next one will.
+    pub fn is_failing(&self) -> bool {
+        self.budget.is_spent()
+    }
+
     /// Makes all syncs after the next `count` fail.
     pub fn fail_after_syncs(&self, count: u64) {
         self.state.lock().working_syncs = Some(count);
@@ -137,6 +195,7 @@
     }
 
     fn set_len(&self, len: u64) -> io::Result<()> {
+        self.budget.spend()?;
         let mut state = self.state.lock();
         state.check_capacity(len)?;
         let length = usize::try_from(len).map_err(io::Error::other)?;
@@ -145,6 +204,7 @@
     }
 
     fn sync_data(&self) -> io::Result<()> {
+        self.budget.spend()?;
         let state = &mut *self.state.lock();
         match &mut state.working_syncs {
             Some(0) => return Err(io::Error::other("the disk failed")),
@@ -157,6 +217,7 @@
     }
 
     fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.budget.spend()?;
         let mut state = self.state.lock();
         let range = byte_range(offset, data.len())?;
         state.check_capacity(range.end as u64)?;
--- a/crates/kumquatdrum_disk/src/folder.rs
+++ b/crates/kumquatdrum_disk/src/folder.rs
@@ -1,6 +1,5 @@
 //! The data folder, stored in a redb database.
 
-use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::file_system::{self, FileSystem, System};
 use crate::{Error, Identity, Store};
 
 /// The database file in the data folder.
@@ -64,20 +64,30 @@
         path: impl AsRef<Path>,
         host: &HostId,
         incarnation: Incarnation,
+    ) -> Result<Self, Error> {
+        Self::open_in(&System, path, host, incarnation)
+    }
+
+    /// Opens or creates the data folder at `path` of a file system.
+    ///
+    /// When this returns, a loss of power takes neither the folder nor the identity in it.
+    pub fn open_in(
+        files: &impl FileSystem,
+        path: impl AsRef<Path>,
+        host: &HostId,
+        incarnation: Incarnation,
     ) -> Result<Self, Error> {
         let folder = path.as_ref();
         let io = |source| Error::Io {
             path: folder.to_owned(),
             source,
         };
-        fs::create_dir_all(folder).map_err(io)?;
+        file_system::create_directories(files, folder).map_err(io)?;
         let file = folder.join(FILE_NAME);
-        let database = builder()
-            .create(&file)
-            .map_err(|error| open_error(&file, error))?;
-        File::open(folder)
-            .and_then(|dir| dir.sync_all())
-            .map_err(io)?;
+        let opened = files.open_file(&file);
+        let opened = opened.map_err(|error| file_error(&file, error))?;
+        let database = open_database(&file, opened)?;
+        files.sync_directory(folder).map_err(io)?;
         Self::with_database(database, file, host, incarnation)
     }
 
@@ -88,9 +98,7 @@
         incarnation: Incarnation,
     ) -> Result<Self, Error> {
         let file = PathBuf::from(FILE_NAME);
-        let database = builder()
-            .create_with_backend(backend)
-            .map_err(|error| open_error(&file, error))?;
+        let database = open_database(&file, backend)?;
         Self::with_database(database, file, host, incarnation)
     }
 
@@ -338,6 +346,22 @@
     builder
 }
 
+fn open_database(path: &Path, file: impl StorageBackend) -> Result<Database, Error> {
+    builder()
+        .create_with_backend(file)
+        .map_err(|error| open_error(path, error))
+}
+
+fn file_error(path: &Path, error: io::Error) -> Error {
+    if error.kind() == io::ErrorKind::WouldBlock {
+        Error::Locked {
+            path: path.to_owned(),
+        }
+    } else {
+        storage_error(path, redb::Error::Io(error))
+    }
+}
+
 fn open_error(path: &Path, error: DatabaseError) -> Error {
     match error {
         DatabaseError::DatabaseAlreadyOpen => Error::Locked {
--- a/crates/kumquatdrum_disk/src/lib.rs
+++ b/crates/kumquatdrum_disk/src/lib.rs
@@ -10,6 +10,7 @@
 mod blob;
 mod error;
 pub mod fake;
+mod file_system;
 mod folder;
 mod identity;
 mod memory;
@@ -18,6 +19,7 @@
 
 pub use blob::Blob;
 pub use error::Error;
+pub use file_system::{FileSystem, System};
 pub use folder::{FILE_NAME, Folder};
 pub use identity::Identity;
 pub use memory::Memory;
