Disk: a data file whose creation was interrupted is created anew

Cause: the database gets its length and a header without the magic number, is synced, and gets the magic number after that. A process that ends in between, or a disk that refuses the second write, leaves a file that the library refuses with 'magic number mismatch'. `Folder::open` reported it as damaged, and the replica retried the same file for ever. `serve` ended with an error at each start.

Why it works: after the library has refused a file, the file is compared with what a new database has written at its first and second sync. One that never got further has held no replica's state, so it is emptied and created anew under the file's lock. A file that was in use has pages besides the header and never matches; tests zero, cut and alter such files and find them reported and unchanged.

--- a/crates/kumquatdrum/tests/control.rs
+++ b/crates/kumquatdrum/tests/control.rs
@@ -75,10 +75,26 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_control_host_that_lost_its_disk_votes_again() {
+    check_lost_disk(None).await;
+}
+
+/// Guards against a host that never starts again, as its process was killed while it created its data file.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_control_host_with_an_unfinished_data_file_votes_again() {
+    check_lost_disk(Some(&[0; 4096])).await;
+}
+
+/// Loses the disk of a control host, which comes back with the given data file, and then another host.
+async fn check_lost_disk(left: Option<&[u8]>) {
     let mut cluster = Cluster::start(THREE_DATA_CENTRES).await;
     let hosts = cluster.hosts();
     cluster.nodes[2].kill();
     fs::remove_dir_all(&cluster.nodes[2].data).expect("the data folder is removed");
+    if let Some(contents) = left {
+        fs::create_dir_all(&cluster.nodes[2].data).expect("the data folder");
+        let file = cluster.nodes[2].data.join(kumquatdrum_disk::FILE_NAME);
+        fs::write(file, contents).expect("the data file");
+    }
     cluster.nodes[2].start();
     cluster.wait_until_listening().await;
     let second = cluster.write_file("second.json", &declaration(2));
--- a/crates/kumquatdrum/tests/gateway/cluster/growth.rs
+++ b/crates/kumquatdrum/tests/gateway/cluster/growth.rs
@@ -1,6 +1,6 @@
 //! Clusters of more control hosts than the seeds, to which others are added.
 
-use super::Cluster;
+use super::{Cluster, HOSTS};
 
 impl Cluster {
     /// Starts a cluster of the given number of control hosts, two of which may be lost at a time, and
@@ -13,6 +13,11 @@
         cluster
     }
 
+    /// Returns a cluster like that of [`Self::start`], of which no host runs yet.
+    pub fn unstarted(subnet: u16) -> Self {
+        Self::new(subnet, HOSTS, false)
+    }
+
     /// Starts a cluster of control hosts alone, all of which know each other.
     pub fn of_control_hosts(subnet: u16, control_hosts: usize) -> Self {
         let mut cluster = Self::new(subnet, control_hosts, false);
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -53,4 +53,5 @@
 mod stop_relayed;
 mod stop_waits;
 mod streams;
+mod unfinished_disk;
 mod voters;
--- a/crates/kumquatdrum_disk/src/folder.rs
+++ b/crates/kumquatdrum_disk/src/folder.rs
@@ -16,7 +16,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::file_system::{self, FileSystem, System};
-use crate::{Error, Identity, Store};
+use crate::{Error, Identity, Store, creation};
 
 /// The database file in the data folder.
 pub const FILE_NAME: &str = "replica.redb";
@@ -33,12 +33,35 @@
 const HARD_STATE_KEY: &str = "hard state";
 const SNAPSHOT_KEY: &str = "snapshot";
 
+/// The state in which a data folder was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// It held a replica.
+    Existing,
+    /// It was empty.
+    New,
+    /// Its creation had been interrupted, and was begun anew.
+    Unfinished,
+}
+
+impl Origin {
+    /// Returns the name of the state in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Existing => "existing",
+            Self::New => "new",
+            Self::Unfinished => "unfinished",
+        }
+    }
+}
+
 /// An open data folder, locked against other processes until it is dropped.
 #[derive(Debug)]
 pub struct Folder {
     path: PathBuf,
     database: Database,
     identity: Identity,
+    origin: Origin,
     has_failed: AtomicBool,
 }
 
@@ -84,26 +107,25 @@
         };
         file_system::create_directories(files, folder).map_err(io)?;
         let file = folder.join(FILE_NAME);
-        let opened = files.open_file(&file);
-        let opened = opened.map_err(|error| file_error(&file, error))?;
-        let database = open_database(&file, opened)?;
+        let (database, is_restarted) = open_database(&file, || files.open_file(&file))?;
         files.sync_directory(folder).map_err(io)?;
-        Self::with_database(database, file, host, incarnation)
+        Self::with_database(database, is_restarted, file, host, incarnation)
     }
 
     /// Opens or creates a data folder on the given storage backend.
     pub fn open_backend(
-        backend: impl StorageBackend,
+        backend: impl StorageBackend + Clone,
         host: &HostId,
         incarnation: Incarnation,
     ) -> Result<Self, Error> {
         let file = PathBuf::from(FILE_NAME);
-        let database = open_database(&file, backend)?;
-        Self::with_database(database, file, host, incarnation)
+        let (database, is_restarted) = open_database(&file, || Ok(backend.clone()))?;
+        Self::with_database(database, is_restarted, file, host, incarnation)
     }
 
     fn with_database(
         database: Database,
+        is_restarted: bool,
         path: PathBuf,
         host: &HostId,
         incarnation: Incarnation,
@@ -116,6 +138,7 @@
             path,
             database,
             identity,
+            origin: Origin::Existing,
             has_failed: AtomicBool::new(false),
         };
         match folder.stored_identity()? {
@@ -127,12 +150,24 @@
                 });
             }
             Some(identity) => folder.identity = identity,
-            None => folder.commit(|transaction| folder.write_identity(transaction))?,
+            None => {
+                folder.origin = if is_restarted {
+                    Origin::Unfinished
+                } else {
+                    Origin::New
+                };
+                folder.commit(|transaction| folder.write_identity(transaction))?;
+            }
         }
         folder.load()?;
         Ok(folder)
     }
 
+    /// Returns the state in which the folder was found.
+    pub fn origin(&self) -> Origin {
+        self.origin
+    }
+
     fn stored_identity(&self) -> Result<Option<Identity>, Error> {
         match self.read_meta::<u64>(FORMAT_KEY)? {
             None => return Ok(None),
@@ -346,20 +381,35 @@
     builder
 }
 
-fn open_database(path: &Path, file: impl StorageBackend) -> Result<Database, Error> {
-    builder()
-        .create_with_backend(file)
-        .map_err(|error| open_error(path, error))
-}
-
-fn file_error(path: &Path, error: io::Error) -> Error {
-    if error.kind() == io::ErrorKind::WouldBlock {
-        Error::Locked {
+/// Opens or creates a database, and returns whether an unfinished one was in its place.
+fn open_database<F: StorageBackend>(
+    path: &Path,
+    open_file: impl Fn() -> io::Result<F>,
+) -> Result<(Database, bool), Error> {
+    let open_file = || match open_file() {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(Error::Locked {
             path: path.to_owned(),
-        }
-    } else {
-        storage_error(path, redb::Error::Io(error))
+        }),
+        result => result.map_err(|error| storage_error(path, redb::Error::Io(error))),
+    };
+    let error = match builder().create_with_backend(open_file()?) {
+        Ok(database) => return Ok((database, false)),
+        Err(error) => open_error(path, error),
+    };
+    if !matches!(error, Error::Corrupt { .. }) {
+        return Err(error);
+    }
+    // The lock of the first attempt ended with it. Under this one the file is examined and created anew.
+    let file = open_file()?;
+    if !creation::is_unfinished(&builder(), &file).map_err(|error| open_error(path, error))? {
+        return Err(error);
     }
+    file.set_len(0)
+        .map_err(|error| storage_error(path, redb::Error::Io(error)))?;
+    let database = builder()
+        .create_with_backend(file)
+        .map_err(|error| open_error(path, error))?;
+    Ok((database, true))
 }
 
 fn open_error(path: &Path, error: DatabaseError) -> Error {
--- a/crates/kumquatdrum_disk/src/lib.rs
+++ b/crates/kumquatdrum_disk/src/lib.rs
@@ -8,6 +8,7 @@
 //! A [`Blob`] holds cached data that lets a host restart faster, in a file of its own.
 
 mod blob;
+mod creation;
 mod error;
 pub mod fake;
 mod file_system;
@@ -20,7 +21,7 @@
 pub use blob::Blob;
 pub use error::Error;
 pub use file_system::{FileSystem, System};
-pub use folder::{FILE_NAME, Folder};
+pub use folder::{FILE_NAME, Folder, Origin};
 pub use identity::Identity;
 pub use memory::Memory;
 pub use store::Store;
