Replicas: tell of a control host without one, on the host and at the leader

On the host: metrics replica_up, replica_down_seconds and replica_failures_total{reason}; disk_lost has kind and down_ms, disk_opened has origin (existing, new, unfinished) and down_ms. On the leader: metrics voters and voters_following; lines voter_silent and voter_follows, once for each change, with whether the voter's host is live and which replica it announces. The core decides (consensus::following), the gateway logs.

A damaged file can be moved away while the host runs; the test plays that, as well as that the file is left as it is.

--- a/crates/kumquatdrum/tests/gateway/unfinished_disk.rs
+++ b/crates/kumquatdrum/tests/gateway/unfinished_disk.rs
@@ -1,13 +1,18 @@
 //! Control hosts whose processes ended while they created their data files.
 
 use std::path::Path;
+use std::time::Duration;
 
 use kumquatdrum_consensus::Incarnation;
 use kumquatdrum_disk::{FILE_NAME, Folder, fake};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::cluster::{CONTROL_HOSTS, Cluster, config};
-use crate::voters::{CATCH_UP, RESTART_PAUSE, read_back, replica_lines};
+use crate::voters::{CATCH_UP, RESTART_PAUSE, leader, read_back, replica_lines};
+
+/// Timeout of a metric's change.
+const METRIC_LIMIT: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Returns the contents of a data file whose creation ended after the given changes.
 fn contents_after(changes: u64) -> Vec<u8> {
@@ -62,3 +67,61 @@
         cluster.apply(&config(1)).await;
     }
 }
+
+/// Waits until a metric of a host has a value.
+async fn wait_for_metric(cluster: &Cluster, host: usize, name: &str, value: u64) {
+    let until = Instant::now() + METRIC_LIMIT;
+    while cluster.metric(host, name).await != value {
+        assert!(Instant::now() < until, "{name}: {}", cluster.read_log(host));
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a control host without a replica of which neither it nor the leader says anything, and
+/// which needs a restart to have one again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_damaged_data_file_is_shown_and_can_be_moved_away_while_the_host_runs() {
+    let mut cluster = Cluster::start(494);
+    cluster.apply(&config(1)).await;
+    cluster.kill(2);
+    let path = cluster.data_path(2).join(FILE_NAME);
+    let mut damaged = std::fs::read(&path).expect("the data file");
+    damaged[..4096].fill(0);
+    std::fs::write(&path, &damaged).expect("the data file");
+    sleep(RESTART_PAUSE).await;
+    cluster.start_host(2, false);
+    sleep(CATCH_UP).await;
+
+    let corrupt = "kumquatdrum_gateway_replica_failures_total{reason=\"corrupt\"}";
+    assert!(cluster.metric(2, corrupt).await > 1);
+    assert_eq!(cluster.metric(2, "kumquatdrum_gateway_replica_up").await, 0);
+    assert!(
+        cluster
+            .metric(2, "kumquatdrum_gateway_replica_down_seconds")
+            .await
+            >= 2
+    );
+    assert_eq!(std::fs::read(&path).expect("the data file"), damaged);
+    let leading = leader(&cluster);
+    assert_eq!(
+        cluster.metric(leading, "kumquatdrum_gateway_voters").await,
+        3
+    );
+    wait_for_metric(&cluster, leading, "kumquatdrum_gateway_voters_following", 2).await;
+    let log = cluster.read_log(leading);
+    let silent = log.lines().find(|line| line.contains("event=voter_silent"));
+    let silent = silent.expect("a line about the silent voter");
+    for fact in ["host_live=true", "announced=None"] {
+        assert!(silent.contains(fact), "{fact}: {silent}");
+    }
+
+    std::fs::rename(&path, path.with_extension("damaged")).expect("the file is moved away");
+    wait_for_metric(&cluster, 2, "kumquatdrum_gateway_replica_up", 1).await;
+    wait_for_metric(&cluster, leading, "kumquatdrum_gateway_voters_following", 3).await;
+    assert_eq!(
+        cluster
+            .metric(2, "kumquatdrum_gateway_replica_down_seconds")
+            .await,
+        0
+    );
+}
--- a/crates/kumquatdrum_consensus/src/lib.rs
+++ b/crates/kumquatdrum_consensus/src/lib.rs
@@ -18,6 +18,7 @@
 mod entry;
 mod event;
 mod follower;
+pub mod following;
 mod formation;
 mod id;
 mod leader;
--- a/crates/kumquatdrum_consensus/tests/planner.rs
+++ b/crates/kumquatdrum_consensus/tests/planner.rs
@@ -1,72 +1,15 @@
 //! The choice of lost voters and of their replacements.
 
+mod fixtures;
+
 use std::time::Duration;
 
+use fixtures::{CENTRES, ELECTED_AT, NOW, host, member, peer, status, successor};
 use kumquatdrum_consensus::replacement::{Evidence, Host, Plan, Planner, Settings};
-use kumquatdrum_consensus::{
-    LogIndex, Member, PeerStatus, Replicas, RoleName, Status, Term, placement,
-};
+use kumquatdrum_consensus::{Member, Replicas, placement};
 use kumquatdrum_types::{HostId, Moment};
 
 const LOST_AFTER: Duration = Duration::from_secs(1);
-const ELECTED_AT: Moment = Moment::from_millis(10_000);
-/// A moment at which a new leader has had time for first answers.
-const NOW: Moment = Moment::from_millis(10_400);
-const CENTRES: [&str; 3] = ["ikeja", "marina", "lekki"];
-
-fn member(number: usize) -> Member {
-    Member::new(format!("host-{number}"), 1, CENTRES[number % 3])
-}
-
-fn successor(number: usize) -> Member {
-    Member::new(format!("host-{number}"), 2, CENTRES[number % 3])
-}
-
-fn peer(member: &Member, acked_at: Option<Moment>, is_alive: bool) -> PeerStatus {
-    PeerStatus {
-        id: member.id.clone(),
-        matched: LogIndex(9),
-        added_at: ELECTED_AT,
-        acked_at,
-        is_alive,
-        is_receiving_snapshot: false,
-    }
-}
-
-/// Returns the status of host 0, which leads with voters 0 to 4; those in `silent` never answered it.
-fn status(silent: &[usize]) -> Status {
-    let peers = (1..5).map(|number| {
-        let acked_at = (!silent.contains(&number)).then_some(NOW);
-        peer(&member(number), acked_at, acked_at.is_some())
-    });
-    Status {
-        id: member(0).id,
-        role: RoleName::Leader,
-        term: Term(2),
-        leader: Some(member(0).id),
-        commit: LogIndex(9),
-        applied: LogIndex(9),
-        last_index: LogIndex(9),
-        snapshot_index: LogIndex(0),
-        replicas: Replicas::from_voters((0..5).map(member).collect()),
-        replicas_index: LogIndex(0),
-        replicas_committed: true,
-        elected_at: Some(ELECTED_AT),
-        peers: peers.collect(),
-    }
-}
-
-fn host(replica: Member, heard_ms: u64) -> Host {
-    let heard_at = Moment::from_millis(heard_ms);
-    Host {
-        id: replica.id.host.clone(),
-        heard_at,
-        replica: Some(replica),
-        is_live: NOW - heard_at < Duration::from_secs(2),
-        is_stopping: false,
-    }
-}
-
 /// Returns hosts 1 to 7, of which 5 to 7 have no voter, heard from lately, except for the given ones.
 fn hosts(others: &[Host]) -> Vec<Host> {
     let known = (1..8).map(|number| host(member(number), 10_300));
--- a/crates/kumquatdrum_disk/src/error.rs
+++ b/crates/kumquatdrum_disk/src/error.rs
@@ -65,3 +65,25 @@
         path: PathBuf,
     },
 }
+
+impl Error {
+    /// Returns the kind of the error for logs and metrics.
+    ///
+    /// ```
+    /// use kumquatdrum_disk::Error;
+    ///
+    /// let error = Error::Full { path: "replica.redb".into() };
+    /// assert_eq!(error.kind(), "full");
+    /// ```
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Locked { .. } => "locked",
+            Self::OtherHost { .. } => "other_host",
+            Self::Format { .. } => "format",
+            Self::Corrupt { .. } => "corrupt",
+            Self::Full { .. } => "full",
+            Self::Io { .. } => "io",
+            Self::Closed { .. } => "closed",
+        }
+    }
+}
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -32,7 +32,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::quarantine_cache;
-use crate::replica::{Command, Handle};
+use crate::replica::{Availability, Command, Handle};
 use crate::upstream::Upstream;
 use crate::{
     Protocol, Settings, active_setup, cache, endpoint_cache, evacuation_cache, relay, shutdown,
@@ -117,6 +117,8 @@
     traffic: Arc<Counters>,
     broadcaster: Option<Arc<Broadcaster>>,
     replica: Option<Handle>,
+    /// Whether the replica runs, on hosts that keep one.
+    availability: Option<Arc<Availability>>,
     pub(crate) settings: Settings,
     started: Moment,
     startup: Startup,
@@ -232,6 +234,9 @@
         let running = self.evacuations.count_local();
         self.metrics.evacuated_running.set(running.into());
         self.metrics.cold.set(self.pool.count_cold() as i64);
+        if let Some(availability) = &self.availability {
+            availability.update_gauges();
+        }
         self.metrics.update_peer_bytes(&self.traffic);
     }
 
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -37,7 +37,7 @@
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
 use crate::relay;
-use crate::replica::{self, Event, Handle};
+use crate::replica::{self, Availability, Event, Handle};
 use crate::upstream::{self, Upstream};
 use crate::{
     Protocol, Settings, active_setup, call, control, evacuation_cache, health, shutdown, sockets,
@@ -179,8 +179,9 @@
     running
         .tasks
         .spawn(serve_peers(listener, gateway.clone(), local, stop));
-    if let Some((handle, received)) = replica {
-        start_replica(&gateway, &mut running, handle, received);
+    if let (Some((handle, received)), Some(availability)) = (replica, &gateway.availability) {
+        let availability = availability.clone();
+        start_replica(&gateway, &mut running, availability, handle, received);
     }
     running.tasks.spawn(gateway.clone().contact_control_hosts());
     running.tasks.spawn(gateway.clone().release_held_requests());
@@ -286,6 +287,10 @@
     });
     let active_setup = Arc::new(active_setup::Store::new(protocol.clone(), logger.clone()));
     let distributor = components::build_distributor(clock, &hosts, &client, &active_setup, &logger);
+    let availability = settings
+        .replica
+        .as_ref()
+        .map(|_| Arc::new(Availability::new(clock, metrics.clone())));
     let gateway = Arc::new(Gateway {
         upstream,
         relay_server: Arc::new(relay_server),
@@ -307,6 +312,7 @@
         traffic: local.counters.clone(),
         broadcaster,
         replica,
+        availability,
         started: clock.now(),
         settings,
         startup: Startup::default(),
@@ -320,6 +326,7 @@
 fn start_replica(
     gateway: &Arc<Gateway>,
     running: &mut Running,
+    availability: Arc<Availability>,
     handle: Handle,
     received: mpsc::UnboundedReceiver<Event>,
 ) {
@@ -335,6 +342,7 @@
         }),
         clock: gateway.clock,
         metrics: gateway.metrics.clone(),
+        availability,
         logger: gateway.logger.clone(),
     };
     let stop = running.stopped.subscribe();
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -4,6 +4,10 @@
 use kumquatdrum_process::Registry;
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
+mod replica;
+
+pub use replica::Replica;
+
 /// The bucket bounds in seconds, around the expected times to the first token.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] = [
     0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0,
@@ -27,6 +31,8 @@
     pub revision: IntGauge,
     /// 1 on the leader's host, 0 elsewhere.
     pub leader: IntGauge,
+    /// This host's replica, and the voters that follow it.
+    pub replica: Replica,
     /// The number of live hosts.
     pub hosts: IntGauge,
     /// The control hosts that this host sends hellos to.
@@ -88,6 +94,7 @@
             in_flight: r.gauge("kumquatdrum_gateway_under_way", "Requests under way.")?,
             revision: r.gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: r.gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
+            replica: Replica::new(&r)?,
             hosts: r.gauge("kumquatdrum_gateway_hosts", "Hosts heard lately.")?,
             contacts: r.gauge(
                 "kumquatdrum_gateway_contacts",
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -5,14 +5,13 @@
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
-use kumquatdrum_consensus::replacement::{self, Planner};
-use kumquatdrum_consensus::{
-    Incarnation, Input, LogIndex, Member, Message, Node, Output, StoredState, Token,
-};
-use kumquatdrum_disk::{Folder, Store as _, WriteCallback, Writer};
+use kumquatdrum_consensus::following::Monitor;
+use kumquatdrum_consensus::replacement::Planner;
+use kumquatdrum_consensus::{Input, LogIndex, Message, Node, Output, Token};
+use kumquatdrum_disk::Writer;
 use kumquatdrum_peer::{Channel, Client};
 use kumquatdrum_process::clock::Clock;
-use kumquatdrum_process::{notice, random};
+use kumquatdrum_process::notice;
 use kumquatdrum_routes::evacuation::Change;
 use kumquatdrum_routes::{Entry, Evacuations, Record, Register};
 use kumquatdrum_types::{HostId, Moment};
@@ -25,10 +24,15 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
+mod availability;
 mod commands;
 mod evacuations;
+mod opening;
 mod voters;
 
+pub use availability::Availability;
+
+use availability::Failure;
 use commands::{PendingCommand, PendingProposal};
 use voters::PendingChange;
 
@@ -157,6 +161,8 @@
     pub clock: Clock,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
+    /// Whether the replica runs.
+    pub availability: Arc<Availability>,
     /// The host's logger.
     pub logger: slog::Logger,
 }
@@ -175,25 +181,13 @@
     let mut generation = 0;
     loop {
         generation += 1;
-        let host = dependencies.settings.host();
-        let path = replica.data.clone();
-        let incarnation = Incarnation(random::number());
-        let opening = tokio::task::spawn_blocking(move || {
-            let folder = Folder::open(path, &host, incarnation)?;
-            let stored = folder.load()?;
-            Ok::<_, kumquatdrum_disk::Error>((folder, stored))
-        });
-        let opened = match opening.await {
-            Ok(Ok((folder, stored))) => start(&dependencies, &handle, generation, folder, stored),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(error) => Err(error.to_string()),
-        };
-        match opened {
+        let failure = match opening::open(&dependencies, &handle, generation, &replica.data).await {
             Ok(running) => running.run(&mut received, &mut stop).await,
-            Err(reason) => {
-                error!(dependencies.logger, "disk_lost"; "event" => "disk_lost",
-                    "reason" => reason);
-            }
+            Err(failure) => Some(failure),
+        };
+        if let Some(failure) = failure {
+            let availability = &dependencies.availability;
+            availability.record_failure(&failure, &dependencies.logger);
         }
         dependencies.hosts.set_replica(None);
         let pause = tokio::time::sleep(REOPEN_DELAY);
@@ -214,76 +208,6 @@
     }
 }
 
-fn start(
-    dependencies: &Arc<Dependencies>,
-    handle: &Handle,
-    generation: u64,
-    folder: Folder,
-    stored: StoredState,
-) -> Result<Replica, String> {
-    let member = Member {
-        id: folder.identity().replica(),
-        data_centre: dependencies.settings.data_centre.clone(),
-    };
-    let snapshot = stored.snapshot.as_ref().map(|snapshot| snapshot.index.0);
-    info!(dependencies.logger, "disk_opened"; "event" => "disk_opened", "replica" => %member.id,
-        "entries" => stored.entries.len(), "term" => %stored.hard_state.term,
-        "snapshot" => snapshot,
-        "cluster" => stored.hard_state.cluster.map(|cluster| cluster.0));
-    let events = handle.events.clone();
-    let report: WriteCallback = Box::new(move |written| {
-        let written = written.map_err(|error| error.to_string());
-        events.send(Event::Written(generation, written)).is_ok()
-    });
-    let writer = Writer::start(Box::new(folder), report).map_err(|error| error.to_string())?;
-    dependencies.hosts.set_replica(Some(member.clone()));
-    let settings = node_settings(&dependencies.settings, member);
-    let now = dependencies.clock.now();
-    let node = Node::new(settings, stored, now, random::number());
-    let planner_settings = replacement::Settings {
-        voters: 2 * dependencies.settings.lost_replicas + 1,
-        lost_after: VOTER_LOST_AFTER,
-    };
-    Ok(Replica {
-        dependencies: dependencies.clone(),
-        generation,
-        node,
-        writer,
-        register: Register::default(),
-        wake_at: Moment::ZERO,
-        is_halted: false,
-        last_token: 0,
-        snapshot_revision: 0,
-        stale_changes: IndexSet::new(),
-        pending_proposals: IndexMap::new(),
-        pending_commands: IndexMap::new(),
-        pending_change: None,
-        planner: Planner::new(planner_settings, now),
-        published_replicas: None,
-    })
-}
-
-fn node_settings(settings: &Settings, member: Member) -> kumquatdrum_consensus::Settings {
-    let seeds = settings.seed_hosts();
-    let mut node = kumquatdrum_consensus::Settings::new(member);
-    let creates_cluster = settings
-        .replica
-        .as_ref()
-        .is_some_and(|replica| replica.found);
-    if creates_cluster {
-        node.initial_hosts = seeds;
-    } else {
-        node.additional_hosts = seeds;
-    }
-    node.election_timeout = ELECTION_TIMEOUT;
-    node.persist_timeout = PERSIST_TIMEOUT;
-    node.change_timeout = CHANGE_TIMEOUT;
-    node.snapshot_entries = SNAPSHOT_ENTRIES;
-    node.snapshot_bytes = SNAPSHOT_BYTES;
-    node.retained_entries = RETAINED_ENTRIES;
-    node
-}
-
 struct Replica {
     dependencies: Arc<Dependencies>,
     generation: u64,
@@ -292,7 +216,8 @@
     register: Register,
     /// When the node must be stepped again without an input.
     wake_at: Moment,
-    is_halted: bool,
+    /// Why the replica has ended.
+    failure: Option<Failure>,
     last_token: u64,
     /// The revision in the last snapshot.
     snapshot_revision: u64,
@@ -302,23 +227,24 @@
     pending_commands: IndexMap<Token, PendingCommand>,
     pending_change: Option<PendingChange>,
     planner: Planner,
+    monitor: Monitor,
     /// The entry with the replicas that this host's table has.
     published_replicas: Option<LogIndex>,
 }
 
 impl Replica {
-    /// Runs until the disk fails or the host stops.
+    /// Runs until the replica fails, which is returned, or the host stops.
     async fn run(
         mut self,
         received: &mut mpsc::UnboundedReceiver<Event>,
         stop: &mut watch::Receiver<bool>,
-    ) {
+    ) -> Option<Failure> {
         self.publish_replicas();
         self.step(Input::Tick);
         let mut snapshots = tokio::time::interval(SNAPSHOT_INTERVAL);
         let mut voters = tokio::time::interval(VOTERS_INTERVAL);
         voters.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.is_halted {
+        while self.failure.is_none() {
             let due = self.dependencies.clock.instant(self.wake_at);
             tokio::select! {
                 event = received.recv() => match event {
@@ -340,7 +266,8 @@
         for (_, command) in self.pending_commands.drain(..) {
             let _ = command.sender.send(Response::NotLeader(None));
         }
-        self.dependencies.metrics.leader.set(0);
+        self.clear_leader_gauges();
+        self.failure
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -399,25 +326,26 @@
             Output::SnapshotRequested => self.snapshot(),
             Output::BecameLeader { term } => {
                 self.planner.reset();
+                self.monitor.reset();
                 self.dependencies.metrics.leader.set(1);
                 info!(self.dependencies.logger, "became_leader"; "event" => "became_leader",
                     "term" => %term, "revision" => self.register.revision());
             }
             Output::SteppedDown { term, reason } => {
-                self.dependencies.metrics.leader.set(0);
+                self.clear_leader_gauges();
                 info!(self.dependencies.logger, "stepped_down"; "event" => "stepped_down",
                     "term" => %term, "reason" => reason.as_str(), "silent" => self.silent_voters());
             }
-            Output::Halted { reason } => {
-                self.is_halted = true;
-                error!(self.dependencies.logger, "disk_lost"; "event" => "disk_lost",
-                    "reason" => reason);
-            }
+            Output::Halted { reason } => self.fail("write", reason),
             Output::Notice(notice) => notice::log(&self.dependencies.logger, &notice),
             Output::Wake { at } => self.wake_at = at,
         }
     }
 
+    fn fail(&mut self, kind: &'static str, reason: String) {
+        self.failure = Some(Failure { kind, reason });
+    }
+
     fn send(&self, to: &HostId, message: &Message) {
         match postcard::to_stdvec(message) {
             Ok(body) => self
@@ -439,9 +367,9 @@
             Ok(Entry::Evacuation(change)) => self.apply_change(index, &change),
             // Skipping an entry written by a later release would make this replica diverge.
             Err(reason) => {
-                self.is_halted = true;
                 error!(self.dependencies.logger, "entry_unreadable"; "event" => "entry_unreadable",
                     "index" => %index, "reason" => %reason);
+                self.fail("entry", reason.to_string());
             }
         }
     }
@@ -459,9 +387,9 @@
                 self.publish_evacuations();
             }
             Err(reason) => {
-                self.is_halted = true;
                 error!(self.dependencies.logger, "snapshot_unreadable";
                     "event" => "snapshot_unreadable", "reason" => %reason);
+                self.fail("snapshot", reason.to_string());
             }
         }
     }
--- /dev/null
+++ b/crates/kumquatdrum_gateway/src/replica/opening.rs
@@ -0,0 +1,121 @@
+//! The start of a replica from its data folder.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use kumquatdrum_consensus::following::Monitor;
+use kumquatdrum_consensus::replacement::{self, Planner};
+use kumquatdrum_consensus::{Incarnation, Member, Node, StoredState};
+use kumquatdrum_disk::{Folder, Store as _, WriteCallback, Writer};
+use kumquatdrum_process::random;
+use kumquatdrum_routes::Register;
+use kumquatdrum_types::Moment;
+use slog::info;
+
+use super::availability::Failure;
+use super::{
+    CHANGE_TIMEOUT, Dependencies, ELECTION_TIMEOUT, Event, Handle, PERSIST_TIMEOUT,
+    RETAINED_ENTRIES, Replica, SNAPSHOT_BYTES, SNAPSHOT_ENTRIES, VOTER_LOST_AFTER,
+};
+use crate::settings::Settings;
+
+/// Opens the data folder and starts its replica.
+pub(super) async fn open(
+    dependencies: &Arc<Dependencies>,
+    handle: &Handle,
+    generation: u64,
+    path: &Path,
+) -> Result<Replica, Failure> {
+    let (host, path) = (dependencies.settings.host(), path.to_owned());
+    let incarnation = Incarnation(random::number());
+    let opening = tokio::task::spawn_blocking(move || {
+        let folder = Folder::open(path, &host, incarnation)?;
+        let stored = folder.load()?;
+        Ok::<_, kumquatdrum_disk::Error>((folder, stored))
+    });
+    let opened = opening.await.map_err(|error| Failure {
+        kind: "panic",
+        reason: error.to_string(),
+    })?;
+    let (folder, stored) = opened?;
+    start(dependencies, handle, generation, folder, stored)
+}
+
+/// Starts the replica whose state a data folder holds.
+fn start(
+    dependencies: &Arc<Dependencies>,
+    handle: &Handle,
+    generation: u64,
+    folder: Folder,
+    stored: StoredState,
+) -> Result<Replica, Failure> {
+    let member = Member {
+        id: folder.identity().replica(),
+        data_centre: dependencies.settings.data_centre.clone(),
+    };
+    let snapshot = stored.snapshot.as_ref().map(|snapshot| snapshot.index.0);
+    let origin = folder.origin();
+    let events = handle.events.clone();
+    let report: WriteCallback = Box::new(move |written| {
+        let written = written.map_err(|error| error.to_string());
+        events.send(Event::Written(generation, written)).is_ok()
+    });
+    let writer = Writer::start(Box::new(folder), report).map_err(|error| Failure {
+        kind: "thread",
+        reason: error.to_string(),
+    })?;
+    let downtime = dependencies.availability.record_start();
+    info!(dependencies.logger, "disk_opened"; "event" => "disk_opened", "replica" => %member.id,
+        "origin" => origin.as_str(), "down_ms" => downtime.as_millis() as u64,
+        "entries" => stored.entries.len(), "term" => %stored.hard_state.term,
+        "snapshot" => snapshot,
+        "cluster" => stored.hard_state.cluster.map(|cluster| cluster.0));
+    dependencies.hosts.set_replica(Some(member.clone()));
+    let settings = node_settings(&dependencies.settings, member);
+    let now = dependencies.clock.now();
+    let node = Node::new(settings, stored, now, random::number());
+    let planner_settings = replacement::Settings {
+        voters: 2 * dependencies.settings.lost_replicas + 1,
+        lost_after: VOTER_LOST_AFTER,
+    };
+    Ok(Replica {
+        dependencies: dependencies.clone(),
+        generation,
+        node,
+        writer,
+        register: Register::default(),
+        wake_at: Moment::ZERO,
+        failure: None,
+        last_token: 0,
+        snapshot_revision: 0,
+        stale_changes: IndexSet::new(),
+        pending_proposals: IndexMap::new(),
+        pending_commands: IndexMap::new(),
+        pending_change: None,
+        planner: Planner::new(planner_settings, now),
+        monitor: Monitor::new(VOTER_LOST_AFTER),
+        published_replicas: None,
+    })
+}
+
+fn node_settings(settings: &Settings, member: Member) -> kumquatdrum_consensus::Settings {
+    let seeds = settings.seed_hosts();
+    let mut node = kumquatdrum_consensus::Settings::new(member);
+    let creates_cluster = settings
+        .replica
+        .as_ref()
+        .is_some_and(|replica| replica.found);
+    if creates_cluster {
+        node.initial_hosts = seeds;
+    } else {
+        node.additional_hosts = seeds;
+    }
+    node.election_timeout = ELECTION_TIMEOUT;
+    node.persist_timeout = PERSIST_TIMEOUT;
+    node.change_timeout = CHANGE_TIMEOUT;
+    node.snapshot_entries = SNAPSHOT_ENTRIES;
+    node.snapshot_bytes = SNAPSHOT_BYTES;
+    node.retained_entries = RETAINED_ENTRIES;
+    node
+}
--- a/crates/kumquatdrum_gateway/src/replica/voters.rs
+++ b/crates/kumquatdrum_gateway/src/replica/voters.rs
@@ -1,7 +1,8 @@
 //! Replacement of lost voters by live spare replicas.
 
+use kumquatdrum_consensus::following::Change;
 use kumquatdrum_consensus::replacement::{Evidence, Loss};
-use kumquatdrum_consensus::{Input, Member, ProposalOutcome, Token};
+use kumquatdrum_consensus::{Input, Member, ProposalOutcome, Status, Token};
 use kumquatdrum_types::Moment;
 use slog::{info, warn};
 
@@ -31,6 +32,8 @@
         }
         let now = self.dependencies.clock.now();
         let (status, hosts) = (self.node.status(), self.dependencies.hosts.replica_hosts());
+        let changes = self.monitor.check(now, &status, &hosts);
+        self.report_following(&status, &changes);
         let Some(plan) = self.planner.plan(now, &status, &hosts) else {
             return;
         };
@@ -48,6 +51,38 @@
         });
     }
 
+    /// Logs which voters have stopped or begun to follow, and sets the gauges.
+    fn report_following(&self, status: &Status, changes: &[Change]) {
+        let metrics = &self.dependencies.metrics.replica;
+        let voters = status.replicas.voters.len();
+        let silent = self.monitor.silent().len();
+        metrics.voters.set(voters as i64);
+        metrics.voters_following.set((voters - silent) as i64);
+        for change in changes {
+            match change {
+                Change::Silent {
+                    voter,
+                    silence,
+                    is_host_live,
+                    announced,
+                } => warn!(self.dependencies.logger, "voter_silent"; "event" => "voter_silent",
+                    "voter" => %voter, "ms" => silence.as_millis() as u64,
+                    "host_live" => is_host_live,
+                    "announced" => announced.as_ref().map(ToString::to_string)),
+                Change::Follows { voter } => info!(self.dependencies.logger, "voter_follows";
+                    "event" => "voter_follows", "voter" => %voter),
+            }
+        }
+    }
+
+    /// Sets the gauges of the leader, as this replica is none.
+    pub(super) fn clear_leader_gauges(&self) {
+        let metrics = &self.dependencies.metrics;
+        metrics.leader.set(0);
+        metrics.replica.voters.set(0);
+        metrics.replica.voters_following.set(0);
+    }
+
     /// Records and logs the outcome of a change of the voters, with how far each replica is.
     pub(super) fn finish_change(&mut self, token: Token, outcome: &ProposalOutcome) {
         let status = self.node.status();
