Soak: control hosts that are killed while they create their data files

interrupted_creations_soak: up to two control hosts at a time lose their disks and are killed up to three times while they create their data files, beside kills, stops and freezes; an operator changes the setup, callers send on open connections, and at the end all hosts are killed, two disks emptied and the setup is read back. The kill waits for the file's length, or comes at a random moment.

Both soaks of lost voters now have callers on open connections, none of whose requests may fail.

--- a/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
+++ b/crates/kumquatdrum/tests/gateway/lost_voters_soak.rs
@@ -1,12 +1,14 @@
 //! A randomised test of setups that are acknowledged while control hosts are lost, two at a time at most, and
 //! are read back after a final fault.
 //!
-//! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway lost_voters_soak` runs more seeds.
+//! `SOAK_SEEDS=0..50 cargo test --package kumquatdrum --test gateway lost_voters_soak` runs more seeds, also of
+//! `interrupted_creations_soak`.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use kumquatdrum_disk::FILE_NAME;
 use parking_lot::Mutex;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -16,7 +18,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::cluster::{Cluster, config};
+use crate::endpoint::{Behaviour, Endpoint};
 use crate::endpoint_soak::{DEFAULT_SEEDS, seeds};
+use crate::steady_callers;
 use crate::voters::{
     ANSWER_TIMEOUT, CATCH_UP, RESTART_PAUSE, kill_all, leader, read_back, replica_lines, voters,
     wait_for_voters,
@@ -28,6 +32,8 @@
 const CALM_LIMIT: Duration = Duration::from_secs(10);
 /// The time after which a host that stops gracefully is killed.
 const GRACE: Duration = Duration::from_secs(8);
+/// The time in which a process creates its data file.
+const CREATION_LIMIT: Duration = Duration::from_secs(2);
 const VOTERS: usize = 5;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -40,10 +46,12 @@
     DiskEmptied,
     Replaced,
     TerminatedAndReplaced,
+    /// The disk is emptied, and the process is killed while it creates its data file, again and again.
+    CreationKilled,
 }
 
 impl Loss {
-    const ALL: [Self; 6] = [
+    const ONCE: [Self; 6] = [
         Self::Killed,
         Self::Frozen,
         Self::Terminated,
@@ -51,6 +59,14 @@
         Self::Replaced,
         Self::TerminatedAndReplaced,
     ];
+    const WITH_CREATIONS: [Self; 6] = [
+        Self::Killed,
+        Self::Frozen,
+        Self::Terminated,
+        Self::CreationKilled,
+        Self::CreationKilled,
+        Self::CreationKilled,
+    ];
 }
 
 /// A machine in the operator's list, or its successor.
@@ -71,9 +87,20 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_voters_soak() {
+    run_seeds(482, &Loss::ONCE).await;
+}
+
+/// Guards against control hosts without a replica for good, since their processes were killed while they
+/// created their data files.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn interrupted_creations_soak() {
+    run_seeds(495, &Loss::WITH_CREATIONS).await;
+}
+
+async fn run_seeds(subnet: u16, kinds: &'static [Loss]) {
     let mut failed = Vec::new();
     for seed in seeds(DEFAULT_SEEDS) {
-        match run_seed(seed).await {
+        match run_seed(seed, subnet, kinds).await {
             Ok(passed) => println!("seed {seed}: read after {passed:?}"),
             Err(failure) => {
                 println!("seed {seed}: {failure}");
@@ -85,11 +112,18 @@
 }
 
 /// Runs a seed on a cluster in one of 4 subnets, with spares if the seed is even.
-async fn run_seed(seed: u64) -> Result<Duration, String> {
+async fn run_seed(seed: u64, subnet: u16, kinds: &'static [Loss]) -> Result<Duration, String> {
     let control_hosts = if seed.is_multiple_of(2) { 8 } else { VOTERS };
-    let cluster = Cluster::with_control_hosts(482 + (seed % 4) as u16, control_hosts);
+    let cluster = Cluster::with_control_hosts(subnet + (seed % 4) as u16, control_hosts);
     cluster.apply(&config(1)).await;
     wait_for_voters(&cluster, VOTERS).await;
+    let endpoint = Endpoint::start("i-0", Behaviour::CompleteBody).await;
+    cluster.announce(&endpoint, "plain", "ready", 1).await;
+    let entries = [control_hosts, control_hosts + 1];
+    for entry in entries {
+        cluster.wait_until_ready(entry, &endpoint).await;
+    }
+    let addresses = entries.map(|entry| cluster.callers(entry));
     let places = cluster.control_hosts().into_iter().map(|host| Place {
         host,
         is_lost: false,
@@ -101,15 +135,29 @@
         is_over: AtomicBool::new(false),
     });
     let operator = tokio::spawn(operate(series.clone(), seed));
+    let announcer = tokio::spawn(announce(series.clone(), endpoint));
+    let mut callers = JoinSet::new();
+    for (number, address) in addresses.into_iter().enumerate() {
+        let series = series.clone();
+        let name = format!("{seed:08}{number:04}");
+        callers.spawn(async move { steady_callers::call(address, name, &series.is_over).await });
+    }
     let mut losses = JoinSet::new();
     for number in 0..2 {
-        losses.spawn(lose(series.clone(), seed * 2 + number));
+        losses.spawn(lose(series.clone(), seed * 2 + number, kinds));
     }
     while let Some(ended) = losses.join_next().await {
         ended.expect("a task panicked");
     }
     series.is_over.store(true, Ordering::Relaxed);
     let acknowledged = operator.await.expect("a task panicked");
+    announcer.await.expect("a task panicked");
+    while let Some(outcome) = callers.join_next().await {
+        let outcome = outcome.expect("a task panicked");
+        if !outcome.failures.is_empty() || outcome.answered == 0 {
+            return Err(format!("callers: {outcome:?}"));
+        }
+    }
     let result = match acknowledged {
         Some(revision) => end(&series, seed, revision).await,
         None => Err(format!("no setup was acknowledged in {CALM_LIMIT:?}")),
@@ -136,7 +184,7 @@
 }
 
 /// Loses one control host after the other, each once the one before no longer counts as lost.
-async fn lose(series: Arc<Series>, seed: u64) {
+async fn lose(series: Arc<Series>, seed: u64, kinds: &[Loss]) {
     let mut random = Pcg32::seed_from_u64(seed);
     let started = Instant::now();
     while started.elapsed() < DURATION {
@@ -146,9 +194,9 @@
         let prefers_leader = random.next_u32().is_multiple_of(3);
         let leader = prefers_leader.then_some(leader(&*series.cluster.read().await));
         let place = series.take_place(leader, random.next_u32() as usize);
-        let loss = Loss::ALL[random.next_u32() as usize % Loss::ALL.len()];
+        let loss = kinds[random.next_u32() as usize % kinds.len()];
         let down = RESTART_PAUSE + Duration::from_millis(u64::from(random.next_u32() % 1_500));
-        series.lose(place, loss, down).await;
+        series.lose(place, loss, down, &mut random).await;
         sleep(CATCH_UP).await;
         let seeds = series.hosts();
         series.cluster.write().await.seeds = seeds[..3].to_vec();
@@ -156,6 +204,12 @@
     }
 }
 
+/// Announces the endpoint until the losses are over.
+async fn announce(series: Arc<Series>, endpoint: Endpoint) {
+    let hosts = || series.hosts();
+    steady_callers::announce(&series.cluster, &endpoint, hosts, &series.is_over).await;
+}
+
 /// Changes the setup until the losses are over. Returns the revision that was acknowledged then, if any was.
 async fn operate(series: Arc<Series>, seed: u64) -> Option<u64> {
     let mut random = Pcg32::seed_from_u64(seed ^ 0x5eed);
@@ -229,7 +283,7 @@
     }
 
     /// Loses a control host, and returns once it or its successor has started.
-    async fn lose(&self, place: usize, loss: Loss, down: Duration) {
+    async fn lose(&self, place: usize, loss: Loss, down: Duration, random: &mut Pcg32) {
         let host = self.places.lock()[place].host;
         self.record(&format!("host {host} lost: {loss:?}, back after {down:?}"));
         match loss {
@@ -241,10 +295,17 @@
                 return;
             }
             Loss::Terminated | Loss::TerminatedAndReplaced => self.terminate(host).await,
-            Loss::Killed | Loss::DiskEmptied | Loss::Replaced => {
+            Loss::Killed | Loss::DiskEmptied | Loss::Replaced | Loss::CreationKilled => {
                 self.cluster.write().await.kill(host);
             }
         }
+        if loss == Loss::CreationKilled {
+            let data = self.cluster.read().await.data_path(host);
+            std::fs::remove_dir_all(data).expect("the data folder is removed");
+            for _ in 0..=random.next_u32() % 3 {
+                self.kill_creation(host, random).await;
+            }
+        }
         sleep(down).await;
         let mut cluster = self.cluster.write().await;
         let back = match loss {
@@ -255,7 +316,7 @@
                 cluster.start_host(host, false);
                 host
             }
-            Loss::Killed | Loss::Terminated | Loss::Frozen => {
+            Loss::Killed | Loss::Terminated | Loss::Frozen | Loss::CreationKilled => {
                 cluster.start_host(host, false);
                 host
             }
@@ -264,6 +325,34 @@
         self.record(&format!("host {back} started"));
     }
 
+    /// Starts a host and kills it once its data file has a length, or at a random moment.
+    async fn kill_creation(&self, host: usize, random: &mut Pcg32) {
+        let mut cluster = self.cluster.write().await;
+        let path = cluster.data_path(host).join(FILE_NAME);
+        let has_length = || std::fs::metadata(&path).is_ok_and(|data| data.len() > 0);
+        let limit = match random.next_u32() % 4 {
+            1.. if !has_length() => CREATION_LIMIT,
+            _ => Duration::from_millis(u64::from(random.next_u32() % 40)),
+        };
+        cluster.start_host(host, false);
+        let started = Instant::now();
+        // A pause would miss the moment.
+        tokio::task::block_in_place(|| {
+            let is_left = has_length();
+            while started.elapsed() < limit && (is_left || !has_length()) {
+                std::hint::spin_loop();
+            }
+        });
+        cluster.kill(host);
+        let contents = std::fs::read(&path).unwrap_or_default();
+        let state = match contents.first() {
+            None => "empty",
+            Some(_) if contents.starts_with(b"redb") => "whole header",
+            Some(_) => "unfinished",
+        };
+        self.record(&format!("host {host} killed at its start: {state}"));
+    }
+
     /// Stops a host gracefully, and kills it if that takes too long.
     async fn terminate(&self, host: usize) {
         self.cluster.read().await.signal(host, "-TERM");
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -48,6 +48,7 @@
 mod silence;
 mod soak;
 mod start;
+mod steady_callers;
 mod stop;
 mod stop_late;
 mod stop_relayed;
