Gateway: a budget for the bodies of all requests that a host holds

Cause: each body was limited for itself alone, and collected twice for a moment when it came in parts.

Change: a body over 64 KiB reserves memory before it is read, 64 MiB a host unless set; others wait in their connections in the order of arrival, until a quarter of their time is left, and get 503 then. One copy of each body.

--- a/crates/kumquatdrum/tests/gateway/endpoint/request.rs
+++ b/crates/kumquatdrum/tests/gateway/endpoint/request.rs
@@ -27,17 +27,13 @@
 pub async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
+    let mut end = None;
     loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|line| {
-                let (key, value) = line.split_once(": ")?;
-                let is_length = key.eq_ignore_ascii_case("content-length");
-                is_length.then(|| value.trim().parse::<usize>().ok())?
-            });
-            if body.len() >= length.unwrap_or(0) {
-                return Some(text);
-            }
+        if end.is_none() {
+            end = end_of_request(&bytes);
+        }
+        if end.is_some_and(|end| bytes.len() >= end) {
+            return Some(String::from_utf8_lossy(&bytes).into_owned());
         }
         match stream.read(&mut buffer).await {
             Ok(0) | Err(_) => return None,
@@ -45,3 +41,15 @@
         }
     }
 }
+
+/// Returns the number of bytes of a request, once its head has arrived.
+fn end_of_request(bytes: &[u8]) -> Option<usize> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, _) = text.split_once("\r\n\r\n")?;
+    let length = head.lines().find_map(|line| {
+        let (key, value) = line.split_once(": ")?;
+        let is_length = key.eq_ignore_ascii_case("content-length");
+        is_length.then(|| value.trim().parse::<usize>().ok())?
+    });
+    Some(head.len() + 4 + length.unwrap_or(0))
+}
--- a/crates/kumquatdrum/tests/gateway/main.rs
+++ b/crates/kumquatdrum/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod heads;
 mod helpers;
 mod idle;
+mod large_bodies;
 mod late_answers;
 mod leaving;
 mod limit;
--- a/crates/kumquatdrum_gateway/src/call.rs
+++ b/crates/kumquatdrum_gateway/src/call.rs
@@ -6,19 +6,18 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, request};
-use http_body::Body as _;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatdrum_process::random;
 use kumquatdrum_quarantine::{Fingerprint, Identity};
 use kumquatdrum_routes::{Delivery, Route};
 use kumquatdrum_types::{Moment, ServiceName, WorkspaceName};
 use slog::info;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::Gateway;
 use crate::backlog;
 use crate::body::Body;
+use crate::body_memory::Reservation;
 use crate::listener::Progress;
 use crate::problem::Problem;
 use crate::protocol::{Metadata, PartId, Prompt};
@@ -26,12 +25,15 @@
 mod attempt;
 mod crash;
 mod held;
+mod receive;
 mod resume;
 mod run;
 mod source;
 mod stream;
 mod unread;
 
+use receive::Received;
+
 /// The timeout of requests without a deadline header.
 pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// The maximum retry delay while a starting host does not know the active setup. It covers an
@@ -52,6 +54,8 @@
     /// The caller's attempt id, for logs.
     pub(crate) attempt_id: String,
     identity: OnceLock<Identity>,
+    /// Returned when the request has ended.
+    _memory: Reservation,
     /// Whether the request is sent although it is blocked.
     is_probe: bool,
 }
@@ -74,7 +78,9 @@
     let left = arrived + timeout - gateway.clock.now();
     let admission = admit(&gateway, &head, &metadata, left);
     let received = match admission {
-        Ok(admission) => receive(&gateway, &head, &mut body, &metadata, admission, arrived).await,
+        Ok(admission) => {
+            receive::receive(&gateway, &head, &mut body, &metadata, admission, arrived).await
+        }
         Err(problem) => Err(problem),
     };
     let mut response = match received {
@@ -171,64 +177,6 @@
     last.map_or_else(|| ServiceName::new(""), |share| share.service.clone())
 }
 
-/// The body of an admitted request.
-struct Received {
-    admission: Admission,
-    body: Bytes,
-    deadline: Moment,
-}
-
-async fn receive(
-    gateway: &Gateway,
-    head: &request::Parts,
-    body: &mut Incoming,
-    metadata: &Metadata,
-    admission: Admission,
-    arrived: Moment,
-) -> Result<Received, Problem> {
-    let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let deadline = arrived + timeout.min(admission.route.timeout);
-    let max_bytes = admission.max_body_bytes;
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Problem::TooLarge);
-    }
-    let progress = head.extensions.get::<Progress>();
-    let limited = Limited::new(body, max_bytes).collect();
-    let deadline_instant = gateway.clock.instant(deadline);
-    let received = tokio::select! {
-        biased;
-        received = timeout_at(deadline_instant, limited) => {
-            received.map_err(|_| "the body did not arrive in time")
-        }
-        () = gateway.shutdown.wait_for_end_of_waits() => Err("this host stops"),
-    };
-    let body = match received {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Problem::TooLarge),
-        Ok(Err(error)) => {
-            if let Some(progress) = progress {
-                progress.record_abandoned();
-            }
-            return Err(Problem::Unreadable(error.to_string()));
-        }
-        Err(reason) => {
-            return Err(Problem::Refused {
-                reason,
-                retry_after: Duration::ZERO,
-            });
-        }
-    };
-    if let Some(progress) = progress {
-        progress.record_body();
-    }
-    gateway.pool.record_request(&admission.service);
-    Ok(Received {
-        admission,
-        body,
-        deadline,
-    })
-}
-
 impl Received {
     fn into_call(
         self,
@@ -249,6 +197,7 @@
             arrived,
             deadline: self.deadline,
             identity: OnceLock::new(),
+            _memory: self.memory,
             is_probe: false,
         }
     }
--- a/crates/kumquatdrum_gateway/src/gateway.rs
+++ b/crates/kumquatdrum_gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
+use crate::body_memory;
 use crate::broadcast::Broadcaster;
 use crate::distribution::{BLOCKING_TIMEOUT, Distributor};
 use crate::endpoints::Endpoints;
@@ -111,6 +112,7 @@
     pub(crate) quarantine: Arc<quarantine::Store>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
+    pub(crate) body_memory: body_memory::Budget,
     pub(crate) shutdown: Arc<shutdown::Store>,
     pub(crate) logger: slog::Logger,
     client: Arc<Client>,
@@ -226,6 +228,8 @@
             .listing_age_ms
             .set(listing_age.as_millis() as i64);
         self.metrics.in_flight.set(self.drain.in_flight());
+        let body_bytes = self.body_memory.reserved();
+        self.metrics.body_bytes.set(body_bytes as i64);
         let (suspects, blocked) = self.quarantine.counts();
         self.metrics.suspects.set(suspects as i64);
         self.metrics.blocked.set(blocked as i64);
--- a/crates/kumquatdrum_gateway/src/gateway/start.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start.rs
@@ -28,6 +28,7 @@
 
 use super::{Gateway, StartError};
 use crate::body::Body;
+use crate::body_memory;
 use crate::broadcast::Broadcaster;
 use crate::evacuations;
 use crate::holds::{self, Holds};
@@ -287,10 +288,7 @@
     });
     let active_setup = Arc::new(active_setup::Store::new(protocol.clone(), logger.clone()));
     let distributor = components::build_distributor(clock, &hosts, &client, &active_setup, &logger);
-    let availability = settings
-        .replica
-        .as_ref()
-        .map(|_| Arc::new(Availability::new(clock, metrics.clone())));
+    let availability = components::build_availability(&settings, clock, &metrics);
     let gateway = Arc::new(Gateway {
         upstream,
         relay_server: Arc::new(relay_server),
@@ -306,6 +304,7 @@
         quarantine: Arc::new(quarantine),
         metrics,
         drain,
+        body_memory: body_memory::Budget::new(settings.body_bytes),
         shutdown,
         logger,
         client,
--- a/crates/kumquatdrum_gateway/src/gateway/start/components.rs
+++ b/crates/kumquatdrum_gateway/src/gateway/start/components.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::paths::{self, Paths};
 use crate::relay::{self, Relays};
+use crate::replica::Availability;
 use crate::{Settings, active_setup};
 
 pub(super) fn build_endpoints(
@@ -66,6 +67,16 @@
     }))
 }
 
+/// Returns whether the replica runs, on hosts that keep one.
+pub(super) fn build_availability(
+    settings: &Settings,
+    clock: Clock,
+    metrics: &Arc<Metrics>,
+) -> Option<Arc<Availability>> {
+    let replica = settings.replica.as_ref();
+    replica.map(|_| Arc::new(Availability::new(clock, metrics.clone())))
+}
+
 /// Returns this host's description of itself.
 pub(super) fn describe(settings: &Settings, local: &LocalDaemon) -> Host {
     Host {
--- a/crates/kumquatdrum_gateway/src/lib.rs
+++ b/crates/kumquatdrum_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod backlog;
 pub mod body;
+pub mod body_memory;
 pub mod broadcast;
 mod cache;
 pub mod call;
--- a/crates/kumquatdrum_gateway/src/metrics.rs
+++ b/crates/kumquatdrum_gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub first_event: HistogramVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Bytes that are reserved for the bodies of requests.
+    pub body_bytes: IntGauge,
     /// The active revision.
     pub revision: IntGauge,
     /// 1 on the leader's host, 0 elsewhere.
@@ -92,6 +94,10 @@
                 &["prompt"],
             )?,
             in_flight: r.gauge("kumquatdrum_gateway_under_way", "Requests under way.")?,
+            body_bytes: r.gauge(
+                "kumquatdrum_gateway_body_bytes",
+                "Bytes reserved for the bodies of requests over 64 KiB.",
+            )?,
             revision: r.gauge("kumquatdrum_gateway_revision", "The revision in force.")?,
             leader: r.gauge("kumquatdrum_gateway_leader", "1 on the leading replica.")?,
             replica: Replica::new(&r)?,
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -52,6 +52,9 @@
     /// in milliseconds.
     #[serde(default = "default_evacuate_ms")]
     pub evacuate_ms: u64,
+    /// The memory for the bodies of callers' requests that this host holds at the same time, in bytes.
+    #[serde(default = "default_body_bytes")]
+    pub body_bytes: u32,
     /// The maximum duration of a graceful shutdown in milliseconds.
     pub stop_ms: u64,
 }
@@ -132,6 +135,11 @@
     5_000
 }
 
+/// Returns a quarter of the memory of a small host.
+const fn default_body_bytes() -> u32 {
+    64 << 20
+}
+
 const fn default_lost_replicas() -> usize {
     1
 }
