Replicas: the permission to form a cluster survives a restart

Cause: that a host may form a cluster stood in its settings alone, which say so at the first start only.

Change: the initial hosts are stored with the identity and hold while the replica is fresh.

--- a/crates/kumquatdrum/tests/gateway/first_setup.rs
+++ b/crates/kumquatdrum/tests/gateway/first_setup.rs
@@ -1,10 +1,15 @@
 //! The first setup outlasts the losses that a cluster is to bear.
 
-use tokio::time::sleep;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
 
 use crate::cluster::{Cluster, config};
 use crate::voters::{RESTART_PAUSE, leader, read_back, replica_lines};
 
+/// Timeout of a host's start.
+const START_LIMIT: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Control hosts of a cluster that is to bear the loss of two.
 const CONTROL_HOSTS: usize = 6;
 
@@ -46,3 +51,23 @@
     let cluster = Cluster::with_control_hosts(501, 3);
     cluster.apply(&config(1)).await;
 }
+
+/// Guards against a cluster that never forms, as the host that forms it was killed before, and restarted
+/// without the permission.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cluster_forms_although_the_host_that_forms_it_was_killed_during_the_first_start() {
+    let mut cluster = Cluster::unstarted(505);
+    cluster.start_host(0, true);
+    let until = Instant::now() + START_LIMIT;
+    while !cluster.read_log(0).contains("event=disk_opened") {
+        assert!(Instant::now() < until, "{}", cluster.read_log(0));
+        sleep(POLL_INTERVAL).await;
+    }
+    cluster.kill(0);
+    for host in 1..cluster.hosts() {
+        cluster.start_host(host, true);
+    }
+    sleep(RESTART_PAUSE).await;
+    cluster.start_host(0, false);
+    cluster.apply(&config(1)).await;
+}
--- a/crates/kumquatdrum_consensus/src/storage.rs
+++ b/crates/kumquatdrum_consensus/src/storage.rs
@@ -44,6 +44,20 @@
 }
 
 impl StoredState {
+    /// Returns whether the replica has neither voted nor stored an entry.
+    ///
+    /// ```
+    /// use kumquatdrum_consensus::StoredState;
+    ///
+    /// assert!(StoredState::default().is_fresh());
+    /// ```
+    pub fn is_fresh(&self) -> bool {
+        let snapshot_index = self.snapshot.as_ref().map(|snapshot| snapshot.index);
+        self.hard_state.term == Term(0)
+            && self.entries.is_empty()
+            && snapshot_index.unwrap_or(LogIndex(0)) == LogIndex(0)
+    }
+
     /// Applies a batch; every store must behave like this.
     ///
     /// ```
--- a/crates/kumquatdrum_disk/src/folder.rs
+++ b/crates/kumquatdrum_disk/src/folder.rs
@@ -30,6 +30,7 @@
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
 const FORMAT_KEY: &str = "format";
 const IDENTITY_KEY: &str = "identity";
+const INITIAL_HOSTS_KEY: &str = "initial hosts";
 const HARD_STATE_KEY: &str = "hard state";
 const SNAPSHOT_KEY: &str = "snapshot";
 
@@ -168,6 +169,27 @@
         self.origin
     }
 
+    /// Returns the hosts with which this one may form a cluster, if they were stored.
+    pub fn initial_hosts(&self) -> Result<Option<Vec<HostId>>, Error> {
+        self.read_meta(INITIAL_HOSTS_KEY)
+    }
+
+    /// Stores the hosts with which this one may form a cluster, and syncs them to disk.
+    ///
+    /// ```
+    /// use kumquatdrum_consensus::Incarnation;
+    /// use kumquatdrum_disk::{Folder, fake::Disk};
+    ///
+    /// let disk = Disk::new();
+    /// let folder = Folder::open_backend(disk.clone(), &"ikeja-1".into(), Incarnation(7))?;
+    /// folder.store_initial_hosts(&["ikeja-1".into(), "lekki-1".into()])?;
+    /// assert_eq!(folder.initial_hosts()?.map(|hosts| hosts.len()), Some(2));
+    /// # Ok::<(), kumquatdrum_disk::Error>(())
+    /// ```
+    pub fn store_initial_hosts(&self, hosts: &[HostId]) -> Result<(), Error> {
+        self.commit(|transaction| self.put_meta(transaction, INITIAL_HOSTS_KEY, &hosts))
+    }
+
     fn stored_identity(&self) -> Result<Option<Identity>, Error> {
         match self.read_meta::<u64>(FORMAT_KEY)? {
             None => return Ok(None),
--- a/crates/kumquatdrum_gateway/src/replica/opening.rs
+++ b/crates/kumquatdrum_gateway/src/replica/opening.rs
@@ -11,7 +11,7 @@
 use kumquatdrum_disk::{Folder, Store as _, WriteCallback, Writer};
 use kumquatdrum_process::random;
 use kumquatdrum_routes::Register;
-use kumquatdrum_types::Moment;
+use kumquatdrum_types::{HostId, Moment};
 use slog::info;
 
 use super::availability::Failure;
@@ -29,18 +29,50 @@
     path: &Path,
 ) -> Result<Replica, Failure> {
     let (host, path) = (dependencies.settings.host(), path.to_owned());
+    let seeds = dependencies.settings.seed_hosts();
+    let replica = dependencies.settings.replica.as_ref();
+    let can_form_cluster = replica.is_some_and(|replica| replica.found);
     let incarnation = Incarnation(random::number());
     let opening = tokio::task::spawn_blocking(move || {
         let folder = Folder::open(path, &host, incarnation)?;
         let stored = folder.load()?;
-        Ok::<_, kumquatdrum_disk::Error>((folder, stored))
+        let initial_hosts = if stored.is_fresh() {
+            find_initial_hosts(&folder, can_form_cluster, seeds)?
+        } else {
+            Vec::new()
+        };
+        Ok::<_, kumquatdrum_disk::Error>((folder, stored, initial_hosts))
     });
     let opened = opening.await.map_err(|error| Failure {
         kind: "panic",
         reason: error.to_string(),
     })?;
-    let (folder, stored) = opened?;
-    start(dependencies, handle, generation, folder, stored)
+    let (folder, stored, initial_hosts) = opened?;
+    start(
+        dependencies,
+        handle,
+        generation,
+        folder,
+        stored,
+        initial_hosts,
+    )
+}
+
+/// Returns the hosts with which a fresh replica may form a cluster. They are kept on the disk, as the
+/// permission is given at the first start alone, and the process may end before the cluster has formed.
+fn find_initial_hosts(
+    folder: &Folder,
+    can_form_cluster: bool,
+    seeds: Vec<HostId>,
+) -> Result<Vec<HostId>, kumquatdrum_disk::Error> {
+    match folder.initial_hosts()? {
+        Some(hosts) => Ok(hosts),
+        None if can_form_cluster => {
+            folder.store_initial_hosts(&seeds)?;
+            Ok(seeds)
+        }
+        None => Ok(Vec::new()),
+    }
 }
 
 /// Starts the replica whose state a data folder holds.
@@ -50,6 +82,7 @@
     generation: u64,
     folder: Folder,
     stored: StoredState,
+    initial_hosts: Vec<HostId>,
 ) -> Result<Replica, Failure> {
     let member = Member {
         id: folder.identity().replica(),
@@ -73,7 +106,7 @@
         "snapshot" => snapshot,
         "cluster" => stored.hard_state.cluster.map(|cluster| cluster.0));
     dependencies.hosts.set_replica(Some(member.clone()));
-    let settings = node_settings(&dependencies.settings, member);
+    let settings = node_settings(&dependencies.settings, member, initial_hosts);
     let now = dependencies.clock.now();
     let node = Node::new(settings, stored, now, random::number());
     let planner_settings = replacement::Settings {
@@ -101,18 +134,16 @@
     })
 }
 
-fn node_settings(settings: &Settings, member: Member) -> kumquatdrum_consensus::Settings {
-    let seeds = settings.seed_hosts();
+fn node_settings(
+    settings: &Settings,
+    member: Member,
+    initial_hosts: Vec<HostId>,
+) -> kumquatdrum_consensus::Settings {
     let mut node = kumquatdrum_consensus::Settings::new(member);
-    let creates_cluster = settings
-        .replica
-        .as_ref()
-        .is_some_and(|replica| replica.found);
-    if creates_cluster {
-        node.initial_hosts = seeds;
-    } else {
-        node.additional_hosts = seeds;
-    }
+    let mut seeds = settings.seed_hosts();
+    seeds.retain(|seed| !initial_hosts.contains(seed));
+    node.additional_hosts = seeds;
+    node.initial_hosts = initial_hosts;
     node.election_timeout = ELECTION_TIMEOUT;
     node.persist_timeout = PERSIST_TIMEOUT;
     node.change_timeout = CHANGE_TIMEOUT;
