Consensus: a majority of the initial hosts forms a cluster at a first start

Cause: the forming host waits for an answer of every initial host.

Change: at a first start it waits for 2 s, then forms the cluster with a majority of them, once, and sends the list when that is on its disk. All leaders then need majorities of the same initial hosts.

--- a/crates/kumquatdrum/tests/gateway/first_setup.rs
+++ b/crates/kumquatdrum/tests/gateway/first_setup.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::cluster::{Cluster, config};
-use crate::voters::{RESTART_PAUSE, leader, read_back, replica_lines};
+use crate::voters::{RESTART_PAUSE, leader, read_back, replica_lines, wait_for_voters};
 
 /// Timeout of a host's start.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -71,3 +71,25 @@
     cluster.start_host(0, false);
     cluster.apply(&config(1)).await;
 }
+
+/// Guards against a cluster that never forms, as a control host was replaced during the first start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cluster_forms_although_a_control_host_was_replaced_during_the_first_start() {
+    let mut cluster = Cluster::unstarted(506);
+    for host in (0..cluster.hosts()).filter(|host| *host != 2) {
+        cluster.start_host(host, true);
+    }
+    sleep(RESTART_PAUSE).await;
+    let successor = cluster.add_control_host();
+    cluster.apply(&config(1)).await;
+    wait_for_voters(&cluster, 3).await;
+    // The successor votes, so that another disk may be lost.
+    let lost = 1;
+    cluster.kill(lost);
+    std::fs::remove_dir_all(cluster.data_path(lost)).expect("the data folder is removed");
+    sleep(RESTART_PAUSE).await;
+    cluster.start_host(lost, false);
+    if let Err(failure) = read_back(&cluster, &[0, lost, successor], 1..=1).await {
+        panic!("{failure}\n{}", replica_lines(&cluster));
+    }
+}
--- a/crates/kumquatdrum_consensus/src/formation.rs
+++ b/crates/kumquatdrum_consensus/src/formation.rs
@@ -4,6 +4,10 @@
 //! name queries the others, additional ones included, as the replicas of an existing cluster may
 //! have moved to them. Once all have answered `Fresh`, it sends `Form` to the cluster's voters.
 //!
+//! At a first start of all hosts it may form the cluster with a majority of the initial hosts after a
+//! wait. It does so only if it has never formed one, and forms no other one after that. So each leader
+//! needs the votes of a majority of the initial hosts, and two clusters can't have one.
+//!
 //! A replica is fresh until it has voted or stored an entry; its first vote binds it to one
 //! cluster.
 
@@ -25,6 +29,8 @@
     fresh: IndexMap<HostId, Member>,
     /// Whether a host has state, so that no cluster may form.
     has_stateful_host: bool,
+    /// When this replica first queried the other hosts.
+    first_query_at: Option<Moment>,
 }
 
 impl Formation {
@@ -33,6 +39,7 @@
             hello_at: now,
             fresh: IndexMap::new(),
             has_stateful_host: false,
+            first_query_at: None,
         }
     }
 }
@@ -86,7 +93,9 @@
         for host in self.other_hosts() {
             self.send_to_host(&host, Body::FormationQuery);
         }
+        self.formation.first_query_at.get_or_insert(self.now);
         self.form_if_all_fresh();
+        self.form_if_majority_fresh();
     }
 
     pub(crate) fn on_formation_query(&mut self, from: ReplicaId) {
@@ -113,15 +122,50 @@
     }
 
     fn form_if_all_fresh(&mut self) {
-        if self.formation.fresh.len() < self.other_hosts().len() {
+        if self.formation.fresh.len() < self.other_hosts().len() || self.has_formed_with_majority()
+        {
             return;
         }
+        let members = self.fresh_initial_members();
+        self.formation.fresh.clear();
+        self.form(members);
+    }
+
+    /// Forms a cluster of the initial hosts that have answered, if the others were waited for.
+    fn form_if_majority_fresh(&mut self) {
+        let first_query_at = self.formation.first_query_at.unwrap_or(self.now);
+        let waits = |wait| self.now - first_query_at < wait;
+        if self.has_formed_with_majority() {
+            let members = self.log.replicas().voters.clone();
+            self.form(members);
+        } else if self.log.snapshot().is_none() && !self.settings.formation_wait.is_none_or(waits) {
+            let members = self.fresh_initial_members();
+            let majority = |count: usize| count / 2 + 1;
+            if majority(members.len()) >= majority(self.settings.initial_hosts.len()) {
+                self.form(members);
+            }
+        }
+    }
+
+    /// Returns whether the cluster that this replica belongs to lacks initial hosts.
+    fn has_formed_with_majority(&self) -> bool {
+        let voters = self.log.replicas().voters.len();
+        voters > 0 && voters < self.settings.initial_hosts.len()
+    }
+
+    /// Returns this replica and the fresh ones of other initial hosts.
+    fn fresh_initial_members(&self) -> Vec<Member> {
         let initial = &self.settings.initial_hosts;
-        let fresh = self.formation.fresh.drain(..).map(|(_, member)| member);
-        let voters = fresh.filter(|member| initial.contains(&member.id.host));
-        let mut members: Vec<Member> = voters.collect();
+        let fresh = self.formation.fresh.values();
+        let others = fresh.filter(|member| initial.contains(&member.id.host));
+        let mut members: Vec<Member> = others.cloned().collect();
         members.push(self.settings.member.clone());
         members.sort();
+        members
+    }
+
+    /// Forms a cluster of the given voters, unless it has formed already, and tells them.
+    fn form(&mut self, members: Vec<Member>) {
         if self.log.replicas().voters != members {
             let snapshot = Snapshot {
                 cluster: ClusterId(self.random.next_u64()),
@@ -138,7 +182,7 @@
         for member in &snapshot.replicas.voters {
             if member.id != self.id {
                 let snapshot = snapshot.clone();
-                self.send(&member.id, Body::Form { snapshot });
+                self.send_after_sync(&member.id, Body::Form { snapshot });
             }
         }
     }
--- a/crates/kumquatdrum_consensus/src/settings.rs
+++ b/crates/kumquatdrum_consensus/src/settings.rs
@@ -16,6 +16,10 @@
     pub initial_hosts: Vec<HostId>,
     /// All other hosts with a data folder, which must be fresh too before a cluster forms.
     pub additional_hosts: Vec<HostId>,
+    /// How long all initial hosts are waited for before a majority of them forms the cluster. `None` waits
+    /// for all of them. Only allowed where a replica has `initial_hosts` at the first start of all hosts
+    /// alone, so that no cluster can exist which the missing hosts belong to.
+    pub formation_wait: Option<Duration>,
     /// Longest interval between two heartbeats of a leader.
     pub heartbeat_interval: Duration,
     /// A replica grants no vote for this long after a message of the leader. Elections start
@@ -73,6 +77,7 @@
             member,
             initial_hosts: Vec::new(),
             additional_hosts: Vec::new(),
+            formation_wait: None,
             heartbeat_interval: Duration::from_millis(100),
             election_timeout: Duration::from_secs(1),
             persist_timeout: Duration::from_secs(5),
--- a/crates/kumquatdrum_consensus/tests/common/mod.rs
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -58,6 +58,7 @@
     clock_offset: u64,
     clock_percent: u64,
     pub has_failing_disk: bool,
+    pub has_lost_disk: bool,
     /// The state of the application: the hash of all applied payloads.
     pub hash: u64,
     pub applied: LogIndex,
@@ -91,6 +92,9 @@
     /// Tokens of replica changes.
     changes: BTreeSet<Token>,
     pub initial_count: usize,
+    /// How long all initial hosts are waited for. If set, hosts may form a cluster until their disks are
+    /// lost, as at a first start.
+    pub formation_wait: Option<Duration>,
     pub safeguards: Safeguards,
     pub snapshot_entries: u64,
     /// Sets what a test needs to be different.
@@ -121,6 +125,7 @@
             reads: BTreeMap::new(),
             changes: BTreeSet::new(),
             initial_count,
+            formation_wait: None,
             safeguards,
             snapshot_entries: 40,
             adjust_settings: |_| {},
@@ -155,6 +160,7 @@
             clock_offset,
             clock_percent,
             has_failing_disk: false,
+            has_lost_disk: false,
             hash: 0,
             applied: LogIndex(0),
             restores: 0,
@@ -190,6 +196,12 @@
         settings.max_in_flight_appends = 4;
         settings.snapshot_chunk_bytes = 16;
         settings.safeguards = self.safeguards;
+        if self.formation_wait.is_some() && self.hosts[number].has_lost_disk {
+            settings.additional_hosts = hosts(0..self.hosts.len());
+            settings.initial_hosts.clear();
+        } else {
+            settings.formation_wait = self.formation_wait;
+        }
         (self.adjust_settings)(&mut settings);
         settings
     }
@@ -246,6 +258,7 @@
         let incarnation = self.random.next_u64();
         let host = &mut self.hosts[number];
         host.disk = StoredState::default();
+        host.has_lost_disk = true;
         host.member.id.incarnation = Incarnation(incarnation);
     }
 
--- a/crates/kumquatdrum_gateway/src/replica.rs
+++ b/crates/kumquatdrum_gateway/src/replica.rs
@@ -51,6 +51,8 @@
 const VOTER_LOST_AFTER: Duration = Duration::from_secs(1);
 /// The time after an election in which a leader hears of all live control hosts.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
+/// The time for which all initial hosts are waited for at a first start, before a majority forms the cluster.
+const FORMATION_WAIT: Duration = Duration::from_secs(2);
 /// The maximum time for new voters to catch up. Those that take longer go on while others are tried.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The number of log entries after which a snapshot is taken. It is low because entries may be
--- a/crates/kumquatdrum_gateway/src/replica/opening.rs
+++ b/crates/kumquatdrum_gateway/src/replica/opening.rs
@@ -16,8 +16,8 @@
 
 use super::availability::Failure;
 use super::{
-    CHANGE_TIMEOUT, DISCOVERY_TIME, Dependencies, ELECTION_TIMEOUT, Event, Handle, PERSIST_TIMEOUT,
-    RETAINED_ENTRIES, Replica, SNAPSHOT_BYTES, SNAPSHOT_ENTRIES, VOTER_LOST_AFTER,
+    CHANGE_TIMEOUT, DISCOVERY_TIME, Dependencies, ELECTION_TIMEOUT, Event, FORMATION_WAIT, Handle,
+    PERSIST_TIMEOUT, RETAINED_ENTRIES, Replica, SNAPSHOT_BYTES, SNAPSHOT_ENTRIES, VOTER_LOST_AFTER,
 };
 use crate::settings::Settings;
 
@@ -143,6 +143,7 @@
     let mut seeds = settings.seed_hosts();
     seeds.retain(|seed| !initial_hosts.contains(seed));
     node.additional_hosts = seeds;
+    node.formation_wait = (!initial_hosts.is_empty()).then_some(FORMATION_WAIT);
     node.initial_hosts = initial_hosts;
     node.election_timeout = ELECTION_TIMEOUT;
     node.persist_timeout = PERSIST_TIMEOUT;
--- a/crates/kumquatdrum_gateway/src/settings.rs
+++ b/crates/kumquatdrum_gateway/src/settings.rs
@@ -81,7 +81,8 @@
 pub struct Replica {
     /// The data folder.
     pub data: PathBuf,
-    /// Whether the seeds create a cluster if none of them belongs to one.
+    /// Whether the seeds create a cluster if none of them belongs to one. Only allowed at the first start of
+    /// all hosts: a majority of the seeds creates a cluster without the others.
     pub found: bool,
 }
 
