--- a/crates/kumquatdrum_consensus/tests/common/mod.rs
+++ b/crates/kumquatdrum_consensus/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod checker;
+mod faults;
 pub mod fleet;
 pub mod schedule;
 mod view;
@@ -11,6 +12,7 @@
 
 use bytes::Bytes;
 use checker::Checker;
+pub use faults::{Faults, NO_FAULTS};
 use kumquatdrum_consensus::{
     Batch, Incarnation, Input, LogIndex, Member, Message, Node, Output, Proposal, ProposalOutcome,
     Replicas, RoleName, Safeguards, Settings, StoredState, Token,
@@ -22,22 +24,6 @@
 /// Interval at which events for a paused host are retried.
 const PAUSED_RETRY_MICROS: u64 = 50_000;
 
-/// The faults of the network, and the longest delays of the network and the disks.
-#[derive(Debug, Clone, Copy)]
-pub struct Faults {
-    pub loss_percent: u64,
-    pub duplicate_percent: u64,
-    pub delay_micros: u64,
-    pub sync_micros: u64,
-}
-
-pub const NO_FAULTS: Faults = Faults {
-    loss_percent: 0,
-    duplicate_percent: 0,
-    delay_micros: 2_000,
-    sync_micros: 3_000,
-};
-
 #[derive(Debug)]
 enum Event {
     Deliver(usize, Message),
