--- a/crates/kumquatdrum_disk/src/fake/disk.rs
+++ b/crates/kumquatdrum_disk/src/fake/disk.rs
@@ -127,16 +127,6 @@
         self.budget.limit(count);
     }
 
-    /// Lets changes succeed again.
-    pub fn repair(&self) {
-        self.budget.lift();
-    }
-
-    /// Returns whether a change has failed, or the next one will.
-    pub fn is_failing(&self) -> bool {
-        self.budget.is_spent()
-    }
-
     /// Makes all syncs after the next `count` fail.
     pub fn fail_after_syncs(&self, count: u64) {
         self.state.lock().working_syncs = Some(count);
--- a/crates/kumquatdrum_disk/src/folder.rs
+++ b/crates/kumquatdrum_disk/src/folder.rs
@@ -421,7 +421,7 @@
     if !matches!(error, Error::Corrupt { .. }) {
         return Err(error);
     }
-    // The lock of the first attempt ended with it. Under this one the file is examined and created anew.
+    // Locks the file again, as the failed attempt has released it.
     let file = open_file()?;
     if !creation::is_unfinished(&builder(), &file).map_err(|error| open_error(path, error))? {
         return Err(error);
